--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the coordination cores.
+
+mod release;
--- /dev/null
+++ b/src/bin/medlarlug.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! An inference gateway for several regions.
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the product: its parts and its processes.
