--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,1 @@
+//! The operators' command line: one module for each command.
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,1 @@
+//! The loops that drive the coordination cores.
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! Settings of every process: YAML, checked before anything starts.
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,1 @@
+//! An emulator of upstreams: a model engine and a plain service.
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,1 @@
+//! Durable state: the log, snapshots and the data folder.
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,1 @@
+//! Logs as JSON lines and metrics.
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,1 @@
+//! Transport: HTTP towards callers, upstreams and operators; nng between processes.
