--- /dev/null
+++ b/src/settings/limits.rs
@@ -0,0 +1,80 @@
+//! Bounds on what a caller can send.
+
+use std::time::Duration;
+
+use medlarlug_core::units::ByteSize;
+use serde::Deserialize;
+
+use crate::settings::{
+    error::LineFault,
+    source::{Lined, bounded},
+};
+
+const KIB: u64 = 1024;
+const MIB: u64 = 1024 * KIB;
+
+/// Bounds on what a caller can send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest request head; a larger one gets status 431.
+    pub header: ByteSize,
+    /// Largest request body; a larger one gets status 413.
+    pub body: ByteSize,
+    /// Most open connections of callers; further ones are closed at once.
+    pub connections: u32,
+    /// Requests that one connection may carry before it is closed.
+    pub requests: u32,
+    /// Longest time in which a request's head and body arrive; then status 408.
+    pub sender: Duration,
+    /// Longest `Idempotency-Key`, in bytes; a longer one gets status 400.
+    pub key: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            header: ByteSize(16 * KIB),
+            body: ByteSize(4 * MIB),
+            connections: 4_096,
+            requests: 10_000,
+            sender: Duration::from_secs(10),
+            key: 128,
+        }
+    }
+}
+
+/// [`Limits`] as written; what is left out has its default.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(super) struct RawLimits {
+    header_bytes: Option<Lined<u64>>,
+    body_bytes: Option<Lined<u64>>,
+    connections: Option<Lined<u64>>,
+    requests: Option<Lined<u64>>,
+    sender_seconds: Option<Lined<u64>>,
+    key_bytes: Option<Lined<u64>>,
+}
+
+impl TryFrom<RawLimits> for Limits {
+    type Error = LineFault;
+
+    fn try_from(raw: RawLimits) -> Result<Limits, LineFault> {
+        let base = Limits::default();
+        let pick = |field, value: Option<Lined<u64>>, default: u64, min, max| {
+            value.map_or(Ok(default), |value| bounded(field, &value, min, max))
+        };
+        let sender = pick("sender_seconds", raw.sender_seconds, base.sender.as_secs(), 1, 600)?;
+        let connections =
+            pick("connections", raw.connections, base.connections.into(), 1, 1_000_000)?;
+        let requests = pick("requests", raw.requests, base.requests.into(), 1, 1_000_000_000)?;
+        let key = pick("key_bytes", raw.key_bytes, base.key as u64, 1, 4 * KIB)?;
+        Ok(Limits {
+            header: ByteSize(pick("header_bytes", raw.header_bytes, base.header.0, KIB * 8, MIB)?),
+            body: ByteSize(pick("body_bytes", raw.body_bytes, base.body.0, KIB, 256 * MIB)?),
+            connections: connections as u32,
+            requests: requests as u32,
+            sender: Duration::from_secs(sender),
+            key: key as usize,
+        })
+    }
+}
--- /dev/null
+++ b/src/settings/process.rs
@@ -0,0 +1,291 @@
+//! Settings of one entry instance or one keeper.
+//!
+//! ```yaml
+//! instance: entry-1
+//! cluster: cluster.yaml          # relative to this file
+//! key: [deployment.key]          # the first signs, both verify
+//! operators:
+//!   - { id: anna, key: 00112233445566778899aabbccddeeff }
+//! limits: { body_bytes: 1048576 }
+//! drain_seconds: 30
+//! log: info
+//! data: data/entry-1
+//! ```
+
+use std::{
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use medlarlug_core::{
+    fingerprint::Fingerprint,
+    ids::{InstanceId, OperatorId},
+};
+use serde::Deserialize;
+use smol_str::{SmolStr, ToSmolStr};
+
+use crate::{
+    settings::{
+        cluster::{ClusterSettings, Peer, PeerKind},
+        error::{Fault, LineFault, SettingsError},
+        key::{self, DeploymentKeys, MAX_KEYS},
+        limits::{Limits, RawLimits},
+        source::{self, Lined, Text, beside, bounded, duplicate, id, invalid, unknown},
+    },
+    telemetry::logs::LogLevel,
+};
+
+/// Time for requests to end during a graceful shutdown, unless the settings give another.
+pub const DRAIN: Duration = Duration::from_secs(30);
+
+/// Longest such time.
+pub const MAX_DRAIN_SECONDS: u64 = 3_600;
+
+/// Settings of an entry instance.
+#[derive(Debug, Clone)]
+pub struct EntrySettings {
+    /// The instance.
+    pub instance: InstanceId,
+    /// The cluster file.
+    pub cluster: ClusterSettings,
+    /// Keys for messages between processes.
+    pub keys: DeploymentKeys,
+    /// Who may use the operators' port, sorted by id.
+    pub operators: Vec<Operator>,
+    /// Bounds on what a caller can send.
+    pub limits: Limits,
+    /// Time for requests to end during a graceful shutdown.
+    pub drain: Duration,
+    /// Level of the logs at the start.
+    pub log: LogLevel,
+    /// Folder for its own files, if it has one.
+    pub data: Option<PathBuf>,
+}
+
+/// Settings of a keeper.
+#[derive(Debug, Clone)]
+pub struct KeeperSettings {
+    /// The instance.
+    pub instance: InstanceId,
+    /// The cluster file.
+    pub cluster: ClusterSettings,
+    /// Keys for messages between processes.
+    pub keys: DeploymentKeys,
+    /// Who may use the operators' port, sorted by id.
+    pub operators: Vec<Operator>,
+    /// Time for messages to end during a graceful shutdown.
+    pub drain: Duration,
+    /// Level of the logs at the start.
+    pub log: LogLevel,
+    /// Folder of the durable state; `None` for a volatile voter.
+    pub data: Option<PathBuf>,
+}
+
+/// An operator and the fingerprint of the bearer key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Operator {
+    /// The operator.
+    pub id: OperatorId,
+    /// Fingerprint of the operator's bearer key.
+    pub key: Fingerprint,
+}
+
+impl EntrySettings {
+    /// Reads and checks the settings of an entry instance, and the files that they point to.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a file can't be read, at the first value that is not valid, or when the
+    /// cluster file has no such entry instance.
+    pub fn load(file: &Path) -> Result<EntrySettings, SettingsError> {
+        let mut raw: RawProcess = source::read(file)?;
+        let limits = raw.limits.take().map_or_else(RawLimits::default, |it| it.value);
+        let limits = Limits::try_from(limits).map_err(|it| it.in_file(file.to_owned()))?;
+        let common = Common::load(file, raw, PeerKind::Entry)?;
+        Ok(EntrySettings {
+            instance: common.instance,
+            cluster: common.cluster,
+            keys: common.keys,
+            operators: common.operators,
+            limits,
+            drain: common.drain,
+            log: common.log,
+            data: common.data,
+        })
+    }
+
+    /// This instance in the cluster file.
+    pub fn peer(&self) -> &Peer {
+        self.cluster.peer(&self.instance).expect("the settings were checked")
+    }
+
+    /// The operator who owns the bearer key with this fingerprint.
+    pub fn operator_of(&self, key: Fingerprint) -> Option<&OperatorId> {
+        operator_of(&self.operators, key)
+    }
+}
+
+impl KeeperSettings {
+    /// Reads and checks the settings of a keeper, and the files that they point to.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a file can't be read, at the first value that is not valid, when the cluster
+    /// file has no such keeper, or when `data` and the cluster file's `durable` disagree.
+    pub fn load(file: &Path) -> Result<KeeperSettings, SettingsError> {
+        let raw: RawProcess = source::read(file)?;
+        if let Some(limits) = &raw.limits {
+            let fault = Fault::Invalid {
+                field: "limits".into(),
+                text: "limits".into(),
+                valid: "them to entry instances only".into(),
+            };
+            return Err(source::fault(limits, fault).in_file(file.to_owned()));
+        }
+        let place = raw.data.clone().unwrap_or_else(|| raw.instance.clone());
+        let common = Common::load(file, raw, PeerKind::Keeper)?;
+        let durable = common.cluster.peer(&common.instance).is_some_and(|it| it.durable);
+        if durable != common.data.is_some() {
+            let valid = if durable {
+                "a folder, because the cluster file calls this keeper durable"
+            } else {
+                "no folder, or call this keeper durable in the cluster file"
+            };
+            return Err(invalid("data", &place, valid).in_file(file.to_owned()));
+        }
+        Ok(KeeperSettings {
+            instance: common.instance,
+            cluster: common.cluster,
+            keys: common.keys,
+            operators: common.operators,
+            drain: common.drain,
+            log: common.log,
+            data: common.data,
+        })
+    }
+
+    /// This instance in the cluster file.
+    pub fn peer(&self) -> &Peer {
+        self.cluster.peer(&self.instance).expect("the settings were checked")
+    }
+
+    /// The operator who owns the bearer key with this fingerprint.
+    pub fn operator_of(&self, key: Fingerprint) -> Option<&OperatorId> {
+        operator_of(&self.operators, key)
+    }
+}
+
+fn operator_of(operators: &[Operator], key: Fingerprint) -> Option<&OperatorId> {
+    operators.iter().find(|it| it.key == key).map(|it| &it.id)
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawProcess {
+    instance: Text,
+    cluster: Text,
+    key: Lined<Vec<Text>>,
+    #[serde(default)]
+    operators: Vec<RawOperator>,
+    limits: Option<Lined<RawLimits>>,
+    drain_seconds: Option<Lined<u64>>,
+    log: Option<Text>,
+    data: Option<Text>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawOperator {
+    id: Text,
+    key: Text,
+}
+
+/// What entry instances and keepers have in common.
+struct Common {
+    instance: InstanceId,
+    cluster: ClusterSettings,
+    keys: DeploymentKeys,
+    operators: Vec<Operator>,
+    drain: Duration,
+    log: LogLevel,
+    data: Option<PathBuf>,
+}
+
+impl Common {
+    fn load(file: &Path, raw: RawProcess, kind: PeerKind) -> Result<Common, SettingsError> {
+        let cluster = ClusterSettings::load(&beside(file, &raw.cluster.value))?;
+        let keys = load_keys(file, &raw.key)?;
+        let in_file = |fault: LineFault| fault.in_file(file.to_owned());
+        Ok(Common {
+            instance: own_instance(&raw.instance, &cluster, kind).map_err(in_file)?,
+            cluster,
+            keys,
+            operators: check_operators(&raw.operators).map_err(in_file)?,
+            drain: check_drain(raw.drain_seconds.as_ref()).map_err(in_file)?,
+            log: check_log(raw.log.as_ref()).map_err(in_file)?,
+            data: raw.data.map(|it| beside(file, &it.value)),
+        })
+    }
+}
+
+fn own_instance(
+    text: &Text,
+    cluster: &ClusterSettings,
+    kind: PeerKind,
+) -> Result<InstanceId, LineFault> {
+    let instance: InstanceId = id("instance", text)?;
+    if cluster.peer(&instance).is_some_and(|it| it.kind == kind) {
+        return Ok(instance);
+    }
+    let same_kind = cluster.instances.iter().filter(|it| it.kind == kind);
+    let known: Vec<SmolStr> = same_kind.map(|it| it.id.to_smolstr()).collect();
+    Err(unknown("instance", text, &known))
+}
+
+/// Reads the key files.
+pub(super) fn load_keys(
+    file: &Path,
+    raw: &Lined<Vec<Text>>,
+) -> Result<DeploymentKeys, SettingsError> {
+    let keys: Result<Vec<_>, _> =
+        raw.value.iter().map(|it| key::load(&beside(file, &it.value))).collect();
+    DeploymentKeys::new(keys?).ok_or_else(|| {
+        let fault = Fault::Invalid {
+            field: "key".into(),
+            text: raw.value.len().to_smolstr(),
+            valid: smol_str::format_smolstr!("1 to {MAX_KEYS} key files"),
+        };
+        source::fault(raw, fault).in_file(file.to_owned())
+    })
+}
+
+fn check_operators(raw: &[RawOperator]) -> Result<Vec<Operator>, LineFault> {
+    let mut operators: Vec<Operator> = Vec::with_capacity(raw.len());
+    for it in raw {
+        let valid = "32 hexadecimal digits as `medlarlug key hash` prints them";
+        let is_whole = it.key.value.len() == 32;
+        let key = it.key.value.parse().ok().filter(|_| is_whole);
+        let key = key.ok_or_else(|| invalid("operators.key", &it.key, valid))?;
+        let operator = Operator { id: id("operators.id", &it.id)?, key };
+        match operators.binary_search_by(|other| other.id.cmp(&operator.id)) {
+            Ok(_) => return Err(duplicate("operators.id", &it.id)),
+            Err(place) => operators.insert(place, operator),
+        }
+    }
+    Ok(operators)
+}
+
+fn check_drain(raw: Option<&Lined<u64>>) -> Result<Duration, LineFault> {
+    let Some(seconds) = raw else {
+        return Ok(DRAIN);
+    };
+    let seconds = bounded("drain_seconds", seconds, 1, MAX_DRAIN_SECONDS)?;
+    Ok(Duration::from_secs(seconds))
+}
+
+fn check_log(raw: Option<&Text>) -> Result<LogLevel, LineFault> {
+    let Some(text) = raw else {
+        return Ok(LogLevel::Info);
+    };
+    text.value.parse().map_err(|_| invalid("log", text, "error, warn, info, debug or trace"))
+}
--- /dev/null
+++ b/src/telemetry/metrics.rs
@@ -0,0 +1,88 @@
+//! Metrics in Prometheus text.
+//!
+//! Names, units and labels are the constants of this module; [`start`] describes each to the
+//! recorder, so the rendered text carries the same words.
+
+use metrics::{Unit, describe_counter, describe_gauge, describe_histogram};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use thiserror::Error;
+
+/// Counter: requests that ended. Labels: `outcome`, `target`.
+pub const REQUESTS: &str = "medlarlug_requests_total";
+/// Histogram in seconds: from a request's arrival to the first byte of its answer. Label: `target`.
+pub const FIRST_BYTE: &str = "medlarlug_first_byte_seconds";
+/// Histogram in seconds: from a request's arrival to the end of its answer. Label: `target`.
+pub const DURATION: &str = "medlarlug_request_seconds";
+/// Counter: requests that were served away from their home region. Label: `region`.
+pub const AWAY: &str = "medlarlug_requests_away_total";
+/// Counter: attempts after the first one. Label: `reason`.
+pub const RETRIES: &str = "medlarlug_retries_total";
+/// Counter: answers that were dropped because they carry the id of another request.
+pub const CROSSED: &str = "medlarlug_crossed_answers_total";
+/// Gauge: requests that run in this process.
+pub const RUNNING: &str = "medlarlug_requests_running";
+/// Gauge: open connections. Label: `port`.
+pub const CONNECTIONS: &str = "medlarlug_connections";
+/// Gauge: upstreams that are known. Label: `zone`.
+pub const UPSTREAMS: &str = "medlarlug_upstreams";
+/// Gauge: configuration revision in force.
+pub const REVISION: &str = "medlarlug_revision";
+/// Counter in bytes: messages to other processes. Label: `peer`.
+pub const SENT: &str = "medlarlug_peer_sent_bytes_total";
+
+/// Renders the metrics of the process.
+#[derive(Clone)]
+pub struct Metrics(PrometheusHandle);
+
+/// The metrics can't be started.
+#[derive(Debug, Error)]
+#[error("metrics are started already")]
+pub struct MetricsError;
+
+impl Metrics {
+    /// The metrics as Prometheus text.
+    pub fn render(&self) -> String {
+        self.0.render()
+    }
+
+    /// Work that has to be done now and then, so that histograms stay bounded.
+    pub fn upkeep(&self) {
+        self.0.run_upkeep();
+    }
+}
+
+/// Starts the metrics of the process.
+///
+/// ```
+/// use medlarlug::telemetry::metrics;
+///
+/// let metrics = metrics::start()?;
+/// ::metrics::gauge!(metrics::REVISION).set(3.0);
+/// assert!(metrics.render().contains("medlarlug_revision 3"));
+/// # Ok::<(), metrics::MetricsError>(())
+/// ```
+///
+/// # Errors
+///
+/// Fails when the process has metrics already.
+pub fn start() -> Result<Metrics, MetricsError> {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    metrics::set_global_recorder(recorder).map_err(|_| MetricsError)?;
+    describe();
+    Ok(Metrics(handle))
+}
+
+fn describe() {
+    describe_counter!(REQUESTS, "Requests that ended, by outcome and target");
+    describe_histogram!(FIRST_BYTE, Unit::Seconds, "Arrival to first byte of the answer");
+    describe_histogram!(DURATION, Unit::Seconds, "Arrival to end of the answer");
+    describe_counter!(AWAY, "Requests served away from their home region");
+    describe_counter!(RETRIES, "Attempts after the first one, by reason");
+    describe_counter!(CROSSED, "Answers dropped because they belong to another request");
+    describe_gauge!(RUNNING, "Requests that run");
+    describe_gauge!(CONNECTIONS, "Open connections, by port");
+    describe_gauge!(UPSTREAMS, "Known upstreams, by zone");
+    describe_gauge!(REVISION, "Configuration revision in force");
+    describe_counter!(SENT, Unit::Bytes, "Messages to other processes, by peer");
+}
