--- /dev/null
+++ b/src/bin/medlarlug-standin.rs
@@ -0,0 +1,47 @@
+//! Emulated upstreams for tests, the demo and measurements.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use bpaf::Bpaf;
+use medlarlug::{
+    settings::StandinSettings,
+    standin,
+    telemetry::logs::{self, LogLevel},
+};
+
+/// Emulates model engines and plain services.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// Settings file (YAML)
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+    /// Validate the settings without starting
+    check: bool,
+    /// Level of the logs: error, warn, info, debug or trace
+    #[bpaf(argument("LEVEL"), fallback(LogLevel::Info), display_fallback)]
+    log: LogLevel,
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    match start(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("medlarlug-standin: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(options: &Options) -> eyre::Result<()> {
+    let settings = StandinSettings::load(&options.settings)?;
+    if options.check {
+        println!("{}: valid", options.settings.display());
+        return Ok(());
+    }
+    logs::start(options.log)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(standin::run(settings))?;
+    Ok(())
+}
--- /dev/null
+++ b/src/standin/answer.rs
@@ -0,0 +1,59 @@
+//! Deterministic answers of engines.
+
+use smol_str::{SmolStr, format_smolstr};
+
+/// Tokens of an answer when the request gives no limit.
+pub const DEFAULT_TOKENS: usize = 32;
+
+/// Most tokens of an answer.
+pub const MAX_TOKENS: usize = 65_536;
+
+/// Bytes of a prompt that count as one token.
+pub const BYTES_PER_TOKEN: usize = 4;
+
+const WORDS: [&str; 16] = [
+    "datum", "shift", "north", "east", "grid", "mesh", "twine", "knot", "stone", "point", "net",
+    "row", "bay", "repair", "scale", "angle",
+];
+
+/// The tokens that an engine answers to `prompt`; each ends with a space.
+pub fn tokens(prompt: &str, max_tokens: Option<usize>) -> Vec<SmolStr> {
+    let count = max_tokens.unwrap_or(DEFAULT_TOKENS).min(MAX_TOKENS);
+    let mut stream = blake3::Hasher::new().update(prompt.as_bytes()).finalize_xof();
+    let mut bytes = vec![0; count];
+    stream.fill(&mut bytes);
+    let word = |byte: &u8| {
+        let name = WORDS[usize::from(byte % 16)];
+        format_smolstr!("{name}{} ", byte / 16)
+    };
+    bytes.iter().map(word).collect()
+}
+
+/// The whole text that an engine answers to `prompt`.
+///
+/// ```
+/// use medlarlug::standin::answer::expected;
+///
+/// let text = expected("explain the shift", Some(3));
+/// assert_eq!(text.split_whitespace().count(), 3);
+/// assert_ne!(text, expected("another prompt", Some(3)));
+/// ```
+pub fn expected(prompt: &str, max_tokens: Option<usize>) -> String {
+    tokens(prompt, max_tokens).concat()
+}
+
+/// The prompt that the messages of a chat make, as pairs of role and content.
+///
+/// ```
+/// use medlarlug::standin::answer::chat_prompt;
+///
+/// assert_eq!(chat_prompt(&[("user", "hello")]), "user: hello\n");
+/// ```
+pub fn chat_prompt(messages: &[(&str, &str)]) -> String {
+    messages.iter().map(|(role, content)| format!("{role}: {content}\n")).collect()
+}
+
+/// Tokens of a prompt.
+pub fn prompt_tokens(prompt: &str) -> u64 {
+    prompt.len().div_ceil(BYTES_PER_TOKEN) as u64
+}
