--- a/crates/medlarlug-core/src/fingerprint.rs
+++ b/crates/medlarlug-core/src/fingerprint.rs
@@ -49,3 +49,33 @@
             .map_err(|_| IdError::Number { text: text.into() })
     }
 }
+
+/// Bytes of prompt text in one block of the prefix cache.
+pub const PREFIX_BLOCK_BYTES: usize = 256;
+
+/// Blocks of a prompt that are fingerprinted at most.
+pub const MAX_PREFIX_BLOCKS: usize = 32;
+
+/// Fingerprints of the prefixes of a prompt: one for each whole block, each over all text up to
+/// the block's end.
+///
+/// Gateway and engines share this scheme, so that cache events can be matched with prompts.
+///
+/// ```
+/// use medlarlug_core::fingerprint::prefixes;
+///
+/// let (long, longer) = ("x".repeat(600), "x".repeat(600) + &"y".repeat(300));
+/// assert_eq!(prefixes(&long).len(), 2);
+/// assert_eq!(prefixes(&longer)[..2], prefixes(&long)[..]);
+/// ```
+pub fn prefixes(prompt: &str) -> Vec<Fingerprint> {
+    let mut hasher = blake3::Hasher::new();
+    let mut prints = Vec::new();
+    for block in prompt.as_bytes().chunks_exact(PREFIX_BLOCK_BYTES).take(MAX_PREFIX_BLOCKS) {
+        hasher.update(block);
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+        prints.push(Fingerprint(u128::from_be_bytes(bytes)));
+    }
+    prints
+}
--- /dev/null
+++ b/src/protocol/frame.rs
@@ -0,0 +1,92 @@
+//! Authenticated frames: postcard content after a keyed hash of it.
+//!
+//! ```text
+//! frame    = code (32 bytes) content
+//! content  = postcard of (sender, receiver, message)
+//! ```
+//!
+//! The receiver is part of the content, so that a frame can't be reflected or redirected.
+//! Replayed frames pass: every core tolerates duplicates and late messages.
+
+use medlarlug_core::ids::InstanceId;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::protocol::{DeploymentKey, Message, deployment_key::CODE_BYTES};
+
+/// Longest frame that is accepted, in bytes.
+pub const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
+
+/// A message with its sender and receiver.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// Sending instance.
+    pub from: InstanceId,
+    /// Receiving instance.
+    pub to: InstanceId,
+    /// The message.
+    pub message: Message,
+}
+
+/// Why a frame is refused.
+#[derive(Debug, Error)]
+pub enum FrameError {
+    /// The frame is longer than [`MAX_FRAME_BYTES`] or shorter than its code.
+    #[error("a frame of {length} bytes; it has {CODE_BYTES} to {MAX_FRAME_BYTES}")]
+    Length {
+        /// Its length in bytes.
+        length: usize,
+    },
+    /// The code does not authenticate the content.
+    #[error("the frame is not authenticated by the deployment key")]
+    Code,
+    /// The content is no envelope.
+    #[error("the frame holds no message")]
+    Content(#[from] postcard::Error),
+}
+
+/// Encodes and signs an envelope.
+///
+/// # Errors
+///
+/// Fails when the message can't be encoded or makes the frame too long.
+pub fn encode(key: &DeploymentKey, envelope: &Envelope) -> Result<Vec<u8>, FrameError> {
+    let content = postcard::to_stdvec(envelope)?;
+    let length = content.len() + CODE_BYTES;
+    if length > MAX_FRAME_BYTES {
+        return Err(FrameError::Length { length });
+    }
+    let mut frame = Vec::with_capacity(length);
+    frame.extend_from_slice(&key.sign(&content));
+    frame.extend_from_slice(&content);
+    Ok(frame)
+}
+
+/// Verifies and decodes a frame.
+///
+/// ```
+/// use medlarlug::protocol::{DeploymentKey, GroupId, Message, frame};
+///
+/// let key = DeploymentKey::from_text("an example of a long key").unwrap();
+/// let message = Message::Command { call: 1, group: GroupId::Configuration, command: vec![] };
+/// let (from, to) = ("entry-1".parse().unwrap(), "keeper-1".parse().unwrap());
+/// let envelope = frame::Envelope { from, to, message };
+/// let bytes = frame::encode(&key, &envelope).unwrap();
+/// assert_eq!(frame::decode(&key, &bytes).unwrap(), envelope);
+/// assert!(frame::decode(&key, &bytes[1..]).is_err());
+/// ```
+///
+/// # Errors
+///
+/// Fails when the frame is too long or short, is not authenticated, or holds no envelope.
+pub fn decode(key: &DeploymentKey, frame: &[u8]) -> Result<Envelope, FrameError> {
+    let length = frame.len();
+    if !(CODE_BYTES..=MAX_FRAME_BYTES).contains(&length) {
+        return Err(FrameError::Length { length });
+    }
+    let (code, content) = frame.split_at(CODE_BYTES);
+    if !key.verify(content, code) {
+        return Err(FrameError::Code);
+    }
+    Ok(postcard::from_bytes(content)?)
+}
--- /dev/null
+++ b/src/transport/body.rs
@@ -0,0 +1,123 @@
+//! Bodies of requests and answers: whole, or streamed through a channel.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{
+    BodyExt, Full, LengthLimitError, Limited, StreamBody, combinators::UnsyncBoxBody,
+};
+use hyper::{Response, StatusCode, body::Frame, header};
+use serde::Serialize;
+use thiserror::Error;
+use tokio::sync::mpsc;
+
+use crate::protocol::{Problem, headers, problem};
+
+/// The sender of a streamed body went away before its end.
+///
+/// The connection is then cut instead of ended, so that a truncated answer never looks whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the answer was cut before its end")]
+pub struct CutBody;
+
+/// Body of every answer that a server sends.
+pub type AnswerBody = UnsyncBoxBody<Bytes, CutBody>;
+
+/// An answer of a server.
+pub type Answer = Response<AnswerBody>;
+
+/// Chunks that wait for a slow reader at most.
+const STREAM_QUEUE_CHUNKS: usize = 16;
+
+/// A part of a streamed body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Part {
+    /// The next bytes.
+    Chunk(Bytes),
+    /// The whole body was sent.
+    End,
+}
+
+/// Why a body can't be read.
+#[derive(Debug, Error)]
+pub enum BodyError {
+    /// It is longer than permitted.
+    #[error("the body is longer than {limit} bytes")]
+    TooLong {
+        /// Longest permitted body, in bytes.
+        limit: usize,
+    },
+    /// The connection failed before its end.
+    #[error("the body was cut before its end")]
+    Cut,
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Fails when the body is longer or cut.
+pub async fn read<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    match Limited::new(body, limit).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(BodyError::TooLong { limit }),
+        Err(_) => Err(BodyError::Cut),
+    }
+}
+
+/// A body of known content.
+pub fn whole(content: impl Into<Bytes>) -> AnswerBody {
+    Full::new(content.into()).map_err(|never: Infallible| match never {}).boxed_unsync()
+}
+
+/// A body that ends well only after [`Part::End`]; the sender's channel closing before is a cut.
+pub fn streamed() -> (mpsc::Sender<Part>, AnswerBody) {
+    let (sender, receiver) = mpsc::channel(STREAM_QUEUE_CHUNKS);
+    let parts = stream::unfold(Some(receiver), |receiver| async {
+        let mut receiver = receiver?;
+        match receiver.recv().await {
+            Some(Part::Chunk(bytes)) => Some((Ok(Frame::data(bytes)), Some(receiver))),
+            Some(Part::End) => None,
+            None => Some((Err(CutBody), None)),
+        }
+    });
+    (sender, StreamBody::new(parts).boxed_unsync())
+}
+
+/// An answer with a JSON document.
+pub fn json(status: StatusCode, document: &impl Serialize) -> Answer {
+    let content = serde_json::to_vec(document).unwrap_or_default();
+    let mut answer = Response::new(whole(content));
+    *answer.status_mut() = status;
+    let media = header::HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, media);
+    answer
+}
+
+/// An answer with a problem document, its outcome and the time to come back.
+pub fn refusal(problem: &Problem) -> Answer {
+    let status = StatusCode::from_u16(problem.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut answer = json(status, problem);
+    let fields = answer.headers_mut();
+    fields.insert(header::CONTENT_TYPE, header::HeaderValue::from_static(problem::MEDIA_TYPE));
+    insert(fields, headers::OUTCOME, &problem.outcome.to_string());
+    if let Some(request) = &problem.request {
+        insert(fields, headers::REQUEST_ID, &request.to_string());
+    }
+    if let Some(seconds) = problem.retry_after {
+        fields.insert(header::RETRY_AFTER, header::HeaderValue::from(seconds));
+    }
+    answer
+}
+
+/// Puts a header in, when its value is a valid one.
+pub fn insert(fields: &mut hyper::HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = header::HeaderValue::from_str(value) {
+        fields.insert(header::HeaderName::from_static(name), value);
+    }
+}
--- /dev/null
+++ b/src/transport/http_client.rs
@@ -0,0 +1,182 @@
+//! HTTP/1 connections to upstreams and to other instances.
+//!
+//! Idle connections are kept for calls that may be repeated. A call that must not run twice takes
+//! a new connection: an idle one may have gone silent, and its failure would not tell whether the
+//! call began.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::{net::TcpStream, task, time::timeout};
+
+/// Idle connections that are kept for one address.
+const IDLE_CONNECTIONS: usize = 64;
+
+/// Body of a request that a client sends.
+pub type RequestBody = Full<Bytes>;
+
+/// Why a call failed.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// No connection: nothing was sent.
+    #[error("failed to connect to {address}")]
+    Connect {
+        /// The other side.
+        address: SocketAddr,
+        /// The system's error; `None` when the time ran out.
+        #[source]
+        source: Option<std::io::Error>,
+    },
+    /// The connection ended before the head of the answer; the request may have begun.
+    #[error("{address} ended the connection without an answer")]
+    Lost {
+        /// The other side.
+        address: SocketAddr,
+        /// The library's error.
+        #[source]
+        source: hyper::Error,
+    },
+    /// No answer came in time; the request may have begun.
+    #[error("{address} sent no answer for {}s", limit.as_secs_f32())]
+    Silent {
+        /// The other side.
+        address: SocketAddr,
+        /// The time that it had.
+        limit: Duration,
+    },
+}
+
+impl CallError {
+    /// Whether the other side can't have begun the call.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, CallError::Connect { .. })
+    }
+}
+
+/// Whether a call may go over a connection that was used before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any connection will do.
+    Allowed,
+    /// Only a new connection will do.
+    Never,
+}
+
+/// Time limits of one call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallLimits {
+    /// Time until the connection is open.
+    pub connect: Duration,
+    /// Time until the head of the answer.
+    pub head: Duration,
+}
+
+type Sender = SendRequest<RequestBody>;
+
+/// Idle connections, sorted by address.
+type IdleSenders = Vec<(SocketAddr, Vec<Sender>)>;
+
+/// A pool of connections.
+#[derive(Clone, Default)]
+pub struct HttpClient {
+    idle: Rc<RefCell<IdleSenders>>,
+}
+
+impl HttpClient {
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// The connection goes back to the pool by [`HttpClient::give_back`] once the answer's body
+    /// was read to its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no connection opens, or the answer's head does not arrive in time.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: Request<RequestBody>,
+        reuse: Reuse,
+        limits: CallLimits,
+    ) -> Result<(Response<Incoming>, Connection), CallError> {
+        let kept = match reuse {
+            Reuse::Allowed => self.take(address),
+            Reuse::Never => None,
+        };
+        let mut sender = match kept {
+            Some(sender) => sender,
+            None => connect(address, limits.connect).await?,
+        };
+        let call = sender.send_request(request);
+        match timeout(limits.head, call).await {
+            Ok(Ok(answer)) => Ok((answer, Connection { address, sender })),
+            Ok(Err(source)) => Err(CallError::Lost { address, source }),
+            Err(_) => Err(CallError::Silent { address, limit: limits.head }),
+        }
+    }
+
+    /// Keeps a connection for further calls.
+    pub fn give_back(&self, connection: Connection) {
+        let Connection { address, sender } = connection;
+        if sender.is_closed() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        match idle.binary_search_by(|it| it.0.cmp(&address)) {
+            Ok(found) if idle[found].1.len() >= IDLE_CONNECTIONS => {}
+            Ok(found) => idle[found].1.push(sender),
+            Err(place) => idle.insert(place, (address, vec![sender])),
+        }
+    }
+
+    /// Closes the idle connections to an address, after one of them went silent.
+    pub fn forget(&self, address: SocketAddr) {
+        let mut idle = self.idle.borrow_mut();
+        if let Ok(found) = idle.binary_search_by(|it| it.0.cmp(&address)) {
+            idle.remove(found);
+        }
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Sender> {
+        let mut idle = self.idle.borrow_mut();
+        let found = idle.binary_search_by(|it| it.0.cmp(&address)).ok()?;
+        let senders = &mut idle[found].1;
+        while let Some(sender) = senders.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+}
+
+/// A connection whose answer is being read; dropping it closes it.
+pub struct Connection {
+    address: SocketAddr,
+    sender: Sender,
+}
+
+async fn connect(address: SocketAddr, limit: Duration) -> Result<Sender, CallError> {
+    let failed = |source| CallError::Connect { address, source };
+    let stream = match timeout(limit, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(source)) => return Err(failed(Some(source))),
+        Err(_) => return Err(failed(None)),
+    };
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(|_| failed(None))?;
+    task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            tracing::debug!(%error, %address, "connection ended early");
+        }
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/src/transport/http_server.rs
@@ -0,0 +1,124 @@
+//! Bounded HTTP/1 servers that run on the process's one loop.
+
+use std::{future::Future, net::SocketAddr, rc::Rc, time::Duration};
+
+use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use thiserror::Error;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+    task,
+};
+
+use crate::transport::body::Answer;
+
+/// Bounds on what a client can send to a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerLimits {
+    /// Longest head of a request, in bytes.
+    pub header_bytes: usize,
+    /// Time in which a client has to send the head of a request.
+    pub header_time: Duration,
+    /// Connections that are open at once.
+    pub connections: usize,
+}
+
+/// A failure to start a server.
+#[derive(Debug, Error)]
+pub enum ServerError {
+    /// The address can't be listened at.
+    #[error("failed to listen for {role} at {address}")]
+    Listen {
+        /// Whom the server is for.
+        role: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The system's error.
+        #[source]
+        source: std::io::Error,
+    },
+}
+
+/// Opens the listening socket of a server.
+///
+/// # Errors
+///
+/// Fails when the address can't be listened at.
+pub async fn listen(role: &'static str, address: SocketAddr) -> Result<TcpListener, ServerError> {
+    TcpListener::bind(address).await.map_err(|source| ServerError::Listen { role, address, source })
+}
+
+/// Serves connections until `stop` turns true; then open connections end their request and close.
+///
+/// A connection above the limit waits to be accepted. `handler` answers every request and never
+/// fails; it is called on the current thread.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
+    F: Future<Output = Answer> + 'static,
+{
+    let handler = Rc::new(handler);
+    let permits = std::sync::Arc::new(Semaphore::new(limits.connections));
+    loop {
+        let Ok(permit) = permits.clone().acquire_owned().await else { return };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => return,
+        };
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                tracing::warn!(%error, "failed to accept a connection");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        let (handler, stop) = (handler.clone(), stop.clone());
+        task::spawn_local(async move {
+            serve_connection(stream, peer, limits, stop, handler).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    limits: ServerLimits,
+    mut stop: watch::Receiver<bool>,
+    handler: Rc<H>,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
+    F: Future<Output = Answer> + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = handler(request, peer);
+        async { Ok::<_, std::convert::Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_time)
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        result = connection.as_mut() => return log_end(result),
+        _ = stop.wait_for(|stop| *stop) => connection.as_mut().graceful_shutdown(),
+    }
+    log_end(connection.await);
+}
+
+/// Smallest buffer that hyper takes, in bytes.
+const MIN_BUFFER_BYTES: usize = 8192;
+
+fn log_end(result: Result<(), hyper::Error>) {
+    if let Err(error) = result {
+        tracing::debug!(%error, "connection ended early");
+    }
+}
