--- a/crates/medlarlug-core/src/lib.rs
+++ b/crates/medlarlug-core/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod ids;
 pub mod record;
 pub mod release;
+pub mod replication;
 pub mod time;
 pub mod units;
