Public types of membership and routing

Messages, settings, events and effects of the membership core; the facts of a request, its one crossing between zones as types, and the residency permit.

--- a/crates/medlarlug-core/src/lib.rs
+++ b/crates/medlarlug-core/src/lib.rs
@@ -25,7 +25,9 @@
 pub mod announcement;
 pub mod fingerprint;
 pub mod ids;
+pub mod membership;
 pub mod record;
 pub mod release;
+pub mod routing;
 pub mod time;
 pub mod units;
--- /dev/null
+++ b/crates/medlarlug-core/src/membership/summary.rs
@@ -0,0 +1,94 @@
+//! Summaries of what a zone can serve.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    fingerprint::Fingerprint,
+    ids::{ModelId, ServiceId},
+    release::ItemKey,
+};
+
+/// What a request asks for.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Target {
+    /// A model.
+    Model(ModelId),
+    /// A plain service.
+    Service(ServiceId),
+}
+
+impl Target {
+    /// The key of its item in the configuration.
+    pub fn key(&self) -> ItemKey {
+        match self {
+            Target::Model(id) => ItemKey::Model(id.clone()),
+            Target::Service(id) => ItemKey::Service(id.clone()),
+        }
+    }
+}
+
+/// What one zone can do for one target.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TargetSummary {
+    /// The target.
+    pub target: Target,
+    /// Upstreams that serve it.
+    pub upstreams: u16,
+    /// Slots that are free.
+    pub free: u32,
+    /// Shortest predicted queueing time.
+    pub queueing: QueueTime,
+    /// Tokens generated a second, over all upstreams.
+    pub speed: u32,
+    /// Prefixes that are warm somewhere in the zone.
+    pub warm: Sketch,
+}
+
+/// A queueing time in milliseconds.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct QueueTime(pub u32);
+
+impl QueueTime {
+    /// The queueing time as a duration.
+    pub fn duration(self) -> Duration {
+        Duration::from_millis(u64::from(self.0))
+    }
+}
+
+/// A small set of prefixes: false positives are possible, false negatives are not.
+///
+/// ```
+/// use medlarlug_core::{fingerprint::Fingerprint, membership::Sketch};
+///
+/// let mut sketch = Sketch::default();
+/// sketch.insert(Fingerprint::of(b"prefix"));
+/// assert!(sketch.contains(Fingerprint::of(b"prefix")));
+/// ```
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Sketch([u8; 8]);
+
+impl Sketch {
+    const BITS: u128 = 64;
+
+    /// Adds a prefix.
+    pub fn insert(&mut self, prefix: Fingerprint) {
+        for bit in Self::positions(prefix) {
+            self.0[bit / 8] |= 1 << (bit % 8);
+        }
+    }
+
+    /// Whether the prefix may have been added.
+    pub fn contains(&self, prefix: Fingerprint) -> bool {
+        Self::positions(prefix).iter().all(|bit| self.0[bit / 8] & (1 << (bit % 8)) != 0)
+    }
+
+    fn positions(prefix: Fingerprint) -> [usize; 2] {
+        [(prefix.0 % Self::BITS) as usize, (prefix.0 / Self::BITS % Self::BITS) as usize]
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-core/src/routing/residency.rs
@@ -0,0 +1,113 @@
+//! Residency: the hard filter on where a request may be served.
+//!
+//! A [`Permit`] is made by [`Permit::check`] only. Whatever sends a request out of the process
+//! takes a permit by value, so that no request leaves without the check having been made against
+//! the configuration in force at that moment.
+
+use thiserror::Error;
+
+use crate::{
+    ids::{RegionId, RequestId, Revision, TeamId},
+    release::{Configuration, ItemKey},
+    routing::request::RequestFacts,
+};
+
+/// Whether an instance could confirm its configuration revision recently.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfigurationLease {
+    /// The revision was confirmed within the lease.
+    Valid,
+    /// It was not: requests stay in the instance's own region.
+    Lapsed,
+}
+
+/// Proof that a request may be served in a region.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Permit {
+    request: RequestId,
+    region: RegionId,
+    revision: Revision,
+}
+
+/// Why a request may not be served in a region.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum ResidencyError {
+    /// The configuration doesn't know the team.
+    #[error("team {team} is unknown at revision {revision}")]
+    Team {
+        /// The team.
+        team: TeamId,
+        /// Revision in force.
+        revision: Revision,
+    },
+    /// The rules of the team or the target forbid the region.
+    #[error("a request of team {team} for {target} may not be served in region {region}")]
+    Forbidden {
+        /// The team.
+        team: TeamId,
+        /// What the request asks for.
+        target: ItemKey,
+        /// The forbidden region.
+        region: RegionId,
+    },
+    /// The revision was not confirmed recently, so no request leaves the region.
+    #[error("revision {revision} is not confirmed; no request leaves region {region}")]
+    Unconfirmed {
+        /// Revision in force.
+        revision: Revision,
+        /// The instance's own region.
+        region: RegionId,
+    },
+    /// A request reached a region that it was not meant for.
+    #[error("the request was meant for region {meant}, this is {region}")]
+    Misdirected {
+        /// Region for which the sender checked.
+        meant: RegionId,
+        /// Region of the receiver.
+        region: RegionId,
+    },
+}
+
+impl Permit {
+    /// Checks that a request may be served in `region` when it is sent from `own`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the configuration in force doesn't permit the region, and when the request
+    /// would leave its region under a configuration that could not be confirmed.
+    pub fn check(
+        configuration: &Configuration,
+        lease: ConfigurationLease,
+        facts: &RequestFacts,
+        own: &RegionId,
+        region: &RegionId,
+    ) -> Result<Permit, ResidencyError> {
+        let revision = configuration.revision;
+        if lease == ConfigurationLease::Lapsed && own != region {
+            return Err(ResidencyError::Unconfirmed { revision, region: own.clone() });
+        }
+        let unknown = || ResidencyError::Team { team: facts.team.clone(), revision };
+        let team = configuration.team(&facts.team).ok_or_else(unknown)?;
+        let target = facts.target.key();
+        if !configuration.is_permitted(team, &target, region) {
+            let team = facts.team.clone();
+            return Err(ResidencyError::Forbidden { team, target, region: region.clone() });
+        }
+        Ok(Permit { request: facts.id.clone(), region: region.clone(), revision })
+    }
+
+    /// The request that it stands for.
+    pub fn request(&self) -> &RequestId {
+        &self.request
+    }
+
+    /// The region in which the request may be served.
+    pub fn region(&self) -> &RegionId {
+        &self.region
+    }
+
+    /// The revision that it was checked against.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+}
