Commands and replies of the configuration and home groups

The types that the replicated logs carry, the follower of the configuration, and orders. A configuration now records where each team's bookings live and which withdrawn items still drain, and is validated as a whole.

One revision number serves as proof of age for booking keys (`30~text`), in place of a counter of its own for each region: a group that lost its state then needs to compare one number only.

--- /dev/null
+++ b/crates/medlarlug-core/src/home/command.rs
@@ -0,0 +1,254 @@
+//! Commands and replies of a home group.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    fingerprint::Fingerprint,
+    home::booking::{BookingKey, Handover, Owner, Recorded},
+    ids::{Incarnation, InstanceId, RegionId, RequestId, Revision, TeamId, Term, UpstreamId},
+    record::RequestRecord,
+};
+
+/// A command in the log of a home group.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Command {
+    /// Time on the leader's monotonic clock since its previous command; zero for its first.
+    pub elapsed: Duration,
+    /// What to do.
+    pub action: Action,
+}
+
+/// What a [`Command`] does.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Action {
+    /// Forms the group: the first command of every log. Ignored once the group is formed.
+    Found {
+        /// Revision at which the configuration group recorded the founding.
+        revision: Revision,
+        /// Whether no group of this region existed before.
+        first: bool,
+    },
+    /// An instance has started: its earlier incarnations are gone.
+    InstanceStarted {
+        /// The instance.
+        instance: InstanceId,
+        /// Its new incarnation.
+        incarnation: Incarnation,
+    },
+    /// An incarnation seems to be lost. This is safe to say of one that still runs: what it
+    /// reports later is still taken.
+    InstanceLost {
+        /// The instance.
+        instance: InstanceId,
+        /// Its incarnation.
+        incarnation: Incarnation,
+    },
+    /// A booking is about to be sent.
+    Begin(Begin),
+    /// The upstream answered a booking.
+    Finish {
+        /// Whose booking it is.
+        team: TeamId,
+        /// Its key.
+        key: BookingKey,
+        /// The request that was sent to the upstream.
+        request: RequestId,
+        /// The answer.
+        answer: Recorded,
+    },
+    /// The owner gives a booking up and has not sent it and never will.
+    Abandon {
+        /// Whose booking it is.
+        team: TeamId,
+        /// Its key.
+        key: BookingKey,
+        /// The request that was begun.
+        request: RequestId,
+    },
+    /// The owner sent a booking and does not know whether it ran.
+    Lose {
+        /// Whose booking it is.
+        team: TeamId,
+        /// Its key.
+        key: BookingKey,
+        /// The request that was sent.
+        request: RequestId,
+    },
+    /// A plain service, asked later, gave the answer to a booking of unknown outcome.
+    Settle {
+        /// Whose booking it is.
+        team: TeamId,
+        /// Its key.
+        key: BookingKey,
+        /// The request that was sent to the upstream.
+        request: RequestId,
+        /// The answer.
+        answer: Recorded,
+    },
+    /// The team's home moves away: no booking of it is begun here any more.
+    Seal {
+        /// The team.
+        team: TeamId,
+        /// Its new home region.
+        to: RegionId,
+        /// Revision at which its home was changed.
+        epoch: Revision,
+    },
+    /// The team's home has moved here, with these bookings.
+    Adopt(Handover),
+    /// The team's home has moved here from a group that is lost with its state.
+    AdoptLost {
+        /// The team.
+        team: TeamId,
+        /// Revision at which its home was changed.
+        epoch: Revision,
+    },
+    /// The new home has adopted the team: its bookings are dropped here.
+    Release {
+        /// The team.
+        team: TeamId,
+        /// Revision at which its home was changed.
+        epoch: Revision,
+    },
+    /// Records of requests; a later record of a request replaces an earlier one.
+    Records(Vec<RequestRecord>),
+    /// An upstream was lost without an explanation while it ran these requests.
+    Loss {
+        /// The lost upstream.
+        upstream: UpstreamId,
+        /// Its lost incarnation.
+        incarnation: Incarnation,
+        /// Fingerprints of the requests that it ran.
+        suspects: Vec<Fingerprint>,
+    },
+    /// A suspect ran to its end without a loss.
+    Clear(Fingerprint),
+    /// Another region convicted a request.
+    Convict {
+        /// Fingerprint of the request.
+        print: Fingerprint,
+        /// Time until the conviction ends.
+        remaining: Duration,
+    },
+    /// An instance asks for the lease of the issuer of orders, or renews it.
+    Lease {
+        /// The asking instance.
+        holder: Owner,
+        /// How long it asks for; at most the longest lease.
+        duration: Duration,
+    },
+    /// Time has passed; expired bookings, suspicions and convictions are dropped.
+    Tick,
+}
+
+/// The intent to send one booking.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Begin {
+    /// Whose booking it is.
+    pub team: TeamId,
+    /// Its key.
+    pub key: BookingKey,
+    /// Fingerprint of the call: method, path and body.
+    pub content: Fingerprint,
+    /// The request.
+    pub request: RequestId,
+    /// The only process that may send it.
+    pub owner: Owner,
+    /// Revision at which the team got its home, as the owner's configuration says.
+    pub epoch: Revision,
+    /// Whether the team had another home before.
+    pub moved: bool,
+}
+
+/// The reply to a [`Begin`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BeginReply {
+    /// The intent is recorded; the owner may send the booking once.
+    Started,
+    /// The booking ended before, with this answer.
+    Done {
+        /// The request that got the answer.
+        request: RequestId,
+        /// The answer.
+        answer: Recorded,
+    },
+    /// Another request with this key and content is under way.
+    InProgress(RequestId),
+    /// The booking may have run; it is not sent again.
+    Unknown(Option<RequestId>),
+    /// The key was used for another content; nothing was run for this request.
+    KeyReused(RequestId),
+    /// This request was given up before; nothing was run for it.
+    Abandoned,
+    /// The team's home is elsewhere; nothing was run.
+    NotHome(RegionId),
+    /// The team's bookings have not arrived from its former home; nothing was run.
+    NotAdopted,
+    /// The group keeps as many keys as it can; nothing was run.
+    Full,
+    /// The owner's incarnation has been replaced; nothing was run.
+    StaleOwner(Incarnation),
+    /// The group is not formed yet; nothing was run.
+    NotFounded,
+}
+
+/// The reply to a [`Command`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// Done, or done before.
+    Ok,
+    /// The group is not formed yet; nothing has changed.
+    NotFounded,
+    /// Reply to [`Action::Found`]: the revision at which the group was founded.
+    Founded(Revision),
+    /// Reply to [`Action::Begin`].
+    Begin(BeginReply),
+    /// The command names a booking that is not in the state for it; nothing has changed.
+    NoSuchBooking,
+    /// The team's bookings are handed over to this region; the command has to be sent there.
+    Moved(RegionId),
+    /// Reply to [`Action::Seal`]: the team's bookings.
+    Handover(Handover),
+    /// This group has not adopted the team itself yet.
+    NotAdopted,
+    /// Reply to [`Action::Loss`].
+    Suspects(Vec<Suspect>),
+    /// Reply to [`Action::Lease`]: granted under this term.
+    LeaseGranted {
+        /// Fencing term; it rises with every new holder.
+        term: Term,
+        /// How long the lease lasts from when it was asked for.
+        duration: Duration,
+    },
+    /// Reply to [`Action::Lease`]: another instance holds it.
+    LeaseHeld {
+        /// The holder.
+        holder: Owner,
+        /// Time until its lease ends.
+        remaining: Duration,
+    },
+}
+
+/// A request that may crash upstreams.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// Fingerprint of the request.
+    pub print: Fingerprint,
+    /// Losses that it is suspected of.
+    pub losses: u32,
+    /// Time until its conviction ends, if it is convicted.
+    pub convicted: Option<Duration>,
+}
+
+/// What is known of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LookUp {
+    /// Its record.
+    Found(RequestRecord),
+    /// It is not recorded, or its record is no longer kept.
+    Expired,
+    /// No record has come yet; its instance still runs.
+    NotYet,
+}
--- a/crates/medlarlug-core/src/lib.rs
+++ b/crates/medlarlug-core/src/lib.rs
@@ -23,8 +23,12 @@
 //! ```
 
 pub mod announcement;
+pub mod configuration_group;
 pub mod fingerprint;
+pub mod follower;
+pub mod home;
 pub mod ids;
+pub mod orders;
 pub mod record;
 pub mod release;
 pub mod time;
--- /dev/null
+++ b/crates/medlarlug-core/src/orders/order.rs
@@ -0,0 +1,108 @@
+//! Orders and the fencing numbers that they carry.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{AdapterId, Incarnation, ModelId, Term, UpstreamId, VersionId};
+
+/// Orders an order among all orders of its region.
+///
+/// ```
+/// use medlarlug_core::{ids::Term, orders::Fence};
+///
+/// let old = Fence { term: Term(1), sequence: 9 };
+/// let new = Fence { term: Term(2), sequence: 1 };
+/// assert!(old < new);
+/// assert_eq!(new.to_string(), "2.1");
+/// ```
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Fence {
+    /// Term of the issuer's lease.
+    pub term: Term,
+    /// Number of the order within the term.
+    pub sequence: u64,
+}
+
+impl fmt::Display for Fence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.term, self.sequence)
+    }
+}
+
+/// What an engine is used for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Prompt processing only.
+    Prefill,
+    /// Generation only.
+    Decode,
+    /// Both.
+    Mixed,
+}
+
+/// What an engine is told to do.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderKind {
+    /// Load a model version from the weight store.
+    Load {
+        /// The model.
+        model: ModelId,
+        /// The version.
+        version: VersionId,
+    },
+    /// Unload a model version.
+    Unload {
+        /// The model.
+        model: ModelId,
+        /// The version.
+        version: VersionId,
+    },
+    /// Load an adapter from the weight store.
+    LoadAdapter {
+        /// The model.
+        model: ModelId,
+        /// The adapter.
+        adapter: AdapterId,
+    },
+    /// Unload an adapter.
+    UnloadAdapter {
+        /// The model.
+        model: ModelId,
+        /// The adapter.
+        adapter: AdapterId,
+    },
+    /// Change the engine's role.
+    ChangeRole(Role),
+}
+
+impl OrderKind {
+    /// Whether the engine reads from the weight store to carry the order out.
+    pub fn is_load(&self) -> bool {
+        matches!(self, OrderKind::Load { .. } | OrderKind::LoadAdapter { .. })
+    }
+}
+
+/// Something that an engine shall be ordered to do.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Task {
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// Its incarnation; the order is meant for no other.
+    pub incarnation: Incarnation,
+    /// What it is told to do.
+    pub kind: OrderKind,
+}
+
+/// A task under a fencing number, sent as JSON to `POST /v1/orders` of the engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// Fencing number.
+    pub fence: Fence,
+    /// What to do.
+    pub task: Task,
+}
--- a/crates/medlarlug-core/src/release/configuration.rs
+++ b/crates/medlarlug-core/src/release/configuration.rs
@@ -5,7 +5,10 @@
 use crate::{
     fingerprint::Fingerprint,
     ids::{ModelId, RegionId, Revision, ServiceId, TeamId, ZoneId},
-    release::item::{Item, ItemKey, Link, Model, Policy, Region, Service, Team},
+    release::{
+        item::{Item, ItemKey, Link, Model, Policy, Region, Service, Team},
+        note::NoteError,
+    },
 };
 
 /// The items in force at one revision, sorted by key.
@@ -21,14 +24,109 @@
 pub struct Configuration {
     /// Revision at which these items are in force.
     pub revision: Revision,
+    /// Revision that the last release note produced; later ones changed nothing that a note lists.
+    pub edited: Revision,
     items: Vec<Item>,
+    draining: Vec<Item>,
+    homes: Vec<TeamHome>,
+}
+
+/// Where the bookings of a team are recorded. Kept when the team is withdrawn, as its bookings
+/// are.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamHome {
+    /// The team.
+    pub team: TeamId,
+    /// Its home region.
+    pub region: RegionId,
+    /// Revision at which it got this home.
+    pub epoch: Revision,
+    /// Its former home region, if it had another one.
+    pub from: Option<RegionId>,
 }
 
 impl Configuration {
     /// A configuration of `items`, which may come in any order.
     pub fn new(revision: Revision, mut items: Vec<Item>) -> Configuration {
         items.sort_by_key(Item::key);
-        Configuration { revision, items }
+        let mut configuration = Configuration {
+            revision,
+            edited: revision,
+            items,
+            draining: Vec::new(),
+            homes: Vec::new(),
+        };
+        configuration.settle_homes();
+        configuration
+    }
+
+    /// Withdrawn models and services that running requests still use, sorted by key.
+    ///
+    /// They take no new request.
+    pub fn draining(&self) -> &[Item] {
+        &self.draining
+    }
+
+    /// Where the bookings of `team` are recorded.
+    pub fn home_of(&self, team: &TeamId) -> Option<&TeamHome> {
+        let found = self.homes.binary_search_by(|it| it.team.cmp(team)).ok()?;
+        Some(&self.homes[found])
+    }
+
+    /// The homes of all teams, also of withdrawn ones, sorted by team.
+    pub fn homes(&self) -> &[TeamHome] {
+        &self.homes
+    }
+
+    /// Moves the item under `key` to the draining ones.
+    pub(crate) fn drain(&mut self, key: &ItemKey) -> Option<()> {
+        let item = self.remove(key)?;
+        match self.draining.binary_search_by(|it| it.key().cmp(key)) {
+            Ok(found) => self.draining[found] = item,
+            Err(place) => self.draining.insert(place, item),
+        }
+        Some(())
+    }
+
+    /// Ends the draining of the item under `key`.
+    pub(crate) fn end_draining(&mut self, key: &ItemKey) -> Option<Item> {
+        let found = self.draining.binary_search_by(|it| it.key().cmp(key)).ok()?;
+        Some(self.draining.remove(found))
+    }
+
+    /// The next revision, without these draining items.
+    pub(crate) fn without_drained(&self, keys: &[ItemKey]) -> Result<Configuration, NoteError> {
+        let mut next = self.raised();
+        for key in keys {
+            next.end_draining(key).ok_or_else(|| NoteError::Missing(key.clone()))?;
+        }
+        Ok(next)
+    }
+
+    /// The next revision, with the same items.
+    pub(crate) fn raised(&self) -> Configuration {
+        let mut next = self.clone();
+        next.revision = self.revision.next();
+        next
+    }
+
+    /// Brings the record of homes up to the teams' items at this revision.
+    pub(crate) fn settle_homes(&mut self) {
+        let teams: Vec<(TeamId, RegionId)> =
+            self.teams().map(|it| (it.id.clone(), it.home.clone())).collect();
+        for (team, region) in teams {
+            let epoch = self.revision;
+            match self.homes.binary_search_by(|it| it.team.cmp(&team)) {
+                Ok(found) if self.homes[found].region == region => {}
+                Ok(found) => {
+                    let from = Some(self.homes[found].region.clone());
+                    self.homes[found] = TeamHome { team, region, epoch, from };
+                }
+                Err(place) => {
+                    self.homes.insert(place, TeamHome { team, region, epoch, from: None });
+                }
+            }
+        }
     }
 
     /// All items, sorted by key.
@@ -144,11 +242,24 @@
     /// Both the team's rule and the target's rule have to permit it; a target that is not known
     /// is permitted nowhere.
     pub fn is_permitted(&self, team: &Team, target: &ItemKey, region: &RegionId) -> bool {
-        let target = match self.item(target) {
-            Some(Item::Model(model)) => &model.residency,
-            Some(Item::Service(service)) => &service.residency,
-            _ => return false,
-        };
-        team.residency.permits(&team.home, region) && target.permits(&team.home, region)
+        self.item(target).is_some_and(|it| permits(team, it, region))
     }
+
+    /// Whether a request that has begun already may go on in `region`.
+    ///
+    /// As [`is_permitted`](Self::is_permitted), but a draining target is permitted, too.
+    pub fn may_go_on(&self, team: &Team, target: &ItemKey, region: &RegionId) -> bool {
+        let draining = self.draining.binary_search_by(|it| it.key().cmp(target)).ok();
+        let item = self.item(target).or_else(|| draining.map(|found| &self.draining[found]));
+        item.is_some_and(|it| permits(team, it, region))
+    }
+}
+
+fn permits(team: &Team, target: &Item, region: &RegionId) -> bool {
+    let target = match target {
+        Item::Model(model) => &model.residency,
+        Item::Service(service) => &service.residency,
+        _ => return false,
+    };
+    team.residency.permits(&team.home, region) && target.permits(&team.home, region)
 }
--- a/crates/medlarlug-core/src/release/mod.rs
+++ b/crates/medlarlug-core/src/release/mod.rs
@@ -8,11 +8,16 @@
 //! * [`item`]: what a note can list: regions, models, services, teams, links, the policy.
 //! * [`note`]: the note as written (raw) and as checked.
 //! * [`configuration`]: the items in force at one revision.
+//! * [`validation`]: what a configuration has to fulfil as a whole.
+//!
+//! A withdrawn model or service is *draining* at first: it takes no new request, while running
+//! ones go on. It is removed at a later revision, when no instance runs a request for it.
 
 pub mod configuration;
 pub mod item;
 pub mod note;
+pub mod validation;
 
-pub use configuration::Configuration;
+pub use configuration::{Configuration, TeamHome};
 pub use item::{Item, ItemKey};
 pub use note::{NoteError, RawNote, ReleaseNote};
--- a/crates/medlarlug-core/src/release/note.rs
+++ b/crates/medlarlug-core/src/release/note.rs
@@ -4,13 +4,17 @@
 use thiserror::Error;
 
 use crate::{
-    ids::{OperatorId, ReleaseNumber, Revision},
+    ids::{OperatorId, RegionId, ReleaseNumber, Revision, TeamId, ZoneId},
     release::{
         configuration::Configuration,
         item::{Item, ItemKey},
+        validation,
     },
 };
 
+/// Keys that a team may have at once, so that one can be replaced by another.
+pub const MAX_TEAM_KEYS: usize = 2;
+
 /// A release note as an operator writes it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -60,6 +64,32 @@
         /// The missing item.
         to: ItemKey,
     },
+    /// A zone is listed more than once.
+    #[error("zone {zone} is listed under region {first} and under region {second}")]
+    SharedZone {
+        /// The zone.
+        zone: ZoneId,
+        /// A region that lists it.
+        first: RegionId,
+        /// The region that lists it again.
+        second: RegionId,
+    },
+    /// A team has too many keys.
+    #[error("team {team} has {count} keys; {MAX_TEAM_KEYS} are permitted")]
+    TooManyKeys {
+        /// The team.
+        team: TeamId,
+        /// Its number of keys.
+        count: usize,
+    },
+    /// One key is listed twice.
+    #[error("one key belongs to team {first} and to team {second}")]
+    SharedKey {
+        /// A team that lists the key.
+        first: TeamId,
+        /// The team that lists it again.
+        second: TeamId,
+    },
     /// The base revision is not the one in force.
     #[error("the note builds on revision {base}, but revision {current} is in force")]
     Stale {
@@ -109,14 +139,19 @@
         self.0.base
     }
 
+    /// Keys of the items that the note withdraws.
+    pub fn withdrawn(&self) -> &[ItemKey] {
+        &self.0.withdrawn
+    }
+
     /// The configuration that follows `current` once this note is accepted.
     ///
     /// # Errors
     ///
-    /// Fails when the base is not `current`'s revision, when an added item exists, or when a
-    /// changed or withdrawn one doesn't.
+    /// Fails when another note was accepted after the base, when an added item exists, when a
+    /// changed or withdrawn one doesn't, or when the result would not be consistent.
     pub fn apply(&self, current: &Configuration) -> Result<Configuration, NoteError> {
-        if self.base() != current.revision {
+        if self.base() < current.edited || self.base() > current.revision {
             return Err(NoteError::Stale { base: self.base(), current: current.revision });
         }
         let mut next = current.clone();
@@ -124,6 +159,7 @@
             if next.item(&item.key()).is_some() {
                 return Err(NoteError::Exists(item.key()));
             }
+            next.end_draining(&item.key());
             next.put(item.clone());
         }
         for item in &self.0.changed {
@@ -133,9 +169,16 @@
             next.put(item.clone());
         }
         for key in &self.0.withdrawn {
-            next.remove(key).ok_or_else(|| NoteError::Missing(key.clone()))?;
+            let found = match key {
+                ItemKey::Model(_) | ItemKey::Service(_) => next.drain(key),
+                _ => next.remove(key).map(|_| ()),
+            };
+            found.ok_or_else(|| NoteError::Missing(key.clone()))?;
         }
         next.revision = current.revision.next();
+        next.edited = next.revision;
+        next.settle_homes();
+        validation::check(&next)?;
         Ok(next)
     }
 }
