--- /dev/null
+++ b/src/coordination/node.rs
@@ -0,0 +1,247 @@
+//! What entry instances and keepers have in common: links, calls, membership and the follower of
+//! the configuration.
+//!
+//! A [`Node`] is passed down to whatever runs in the process. Cores are behind `RefCell`s, which
+//! are borrowed for the time of one `handle` call and never across an `await`.
+
+use std::cell::RefCell;
+
+use medlarlug_core::{
+    announcement::Announcement,
+    follower::{self, Follower},
+    ids::{Incarnation, InstanceId, RegionId, Revision},
+    membership::{self, InstanceKind, Membership, Notice, Seed, Status},
+    release::Configuration,
+    time::Time,
+};
+use tokio::sync::watch;
+
+use crate::{
+    coordination::{calls::Calls, clock::Clock},
+    protocol::{DeploymentKey, GroupId, Message},
+    settings::{ClusterSettings, Peer, PeerKind},
+    transport::links::{LinkError, Links},
+};
+
+/// Counter: messages that could not be sent because a peer takes none.
+const UNSENT_MESSAGES: &str = "medlarlug_link_unsent_messages_total";
+
+/// The part that every process of the system has.
+pub struct Node {
+    /// The process itself, as the cluster file names it.
+    pub own: Peer,
+    /// Its region.
+    pub region: RegionId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// The cluster file.
+    pub cluster: ClusterSettings,
+    /// The deployment key.
+    pub key: DeploymentKey,
+    /// The process's clock.
+    pub clock: Clock,
+    /// Calls to replication groups.
+    pub calls: RefCell<Calls>,
+    /// Who is there.
+    pub members: RefCell<Membership>,
+    /// The configuration in force here.
+    pub follower: RefCell<Follower>,
+    links: RefCell<Links>,
+    revision: watch::Sender<Revision>,
+}
+
+impl Node {
+    /// Connects to every peer and starts the cores.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a link can't be set up.
+    pub fn new(
+        own: Peer,
+        cluster: ClusterSettings,
+        key: DeploymentKey,
+        incarnation: Incarnation,
+        saved: Option<Configuration>,
+        mut links: Links,
+    ) -> Result<Node, LinkError> {
+        for peer in cluster.instances.iter().filter(|it| it.id != own.id) {
+            links.connect(peer.id.clone(), peer.peers)?;
+        }
+        let seed = |peer: &Peer| seed_of(&cluster, peer);
+        let peers = cluster.instances.iter().filter(|it| it.id != own.id).map(seed).collect();
+        let settings = membership::Settings { own: seed(&own), incarnation, peers };
+        let clock = Clock::start();
+        let members = Membership::new(settings, clock.now());
+        let mut follower = Follower::new(follower::Timing::default(), saved);
+        let keepers = cluster.keepers().filter(|it| it.id != own.id).map(|it| it.id.clone());
+        let sources = follower::Event::Sources(keepers.collect());
+        follower.handle(clock.now(), sources, &mut Vec::new());
+        let revision = watch::Sender::new(follower.revision());
+        let region = cluster.region_of(&own.zone).cloned().expect("the settings were checked");
+        Ok(Node {
+            own,
+            region,
+            incarnation,
+            cluster,
+            key,
+            clock,
+            calls: RefCell::default(),
+            members: RefCell::new(members),
+            follower: RefCell::new(follower),
+            links: RefCell::new(links),
+            revision,
+        })
+    }
+
+    /// The current time.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Sends a message; tells whether it was handed to the link.
+    pub fn send(&self, to: &InstanceId, message: Message) -> bool {
+        match self.links.borrow_mut().send(to, message) {
+            Ok(()) => true,
+            Err(error) => {
+                metrics::counter!(UNSENT_MESSAGES).increment(1);
+                tracing::debug!(%error, "message not sent");
+                false
+            }
+        }
+    }
+
+    /// The voters of a group, as the cluster file names them; those of the own zone first.
+    pub fn voters(&self, group: &GroupId) -> Vec<InstanceId> {
+        let mut voters = match group {
+            GroupId::Configuration => self.cluster.configuration.clone(),
+            GroupId::Home(region) => {
+                self.cluster.home(region).map(|it| it.voters.clone()).unwrap_or_default()
+            }
+        };
+        let is_far = |id: &InstanceId| self.cluster.peer(id).is_none_or(|it| it.zone != self.own.zone);
+        voters.sort_by_key(is_far);
+        voters
+    }
+
+    /// A receiver that sees every new revision.
+    pub fn revisions(&self) -> watch::Receiver<Revision> {
+        self.revision.subscribe()
+    }
+
+    /// The configuration in force here, if a revision is known.
+    pub fn configuration(&self) -> Option<Configuration> {
+        self.follower.borrow().configuration().cloned()
+    }
+
+    /// Takes an announcement of an upstream in.
+    pub fn announced(&self, announcement: Announcement) -> Vec<Notice> {
+        self.run_membership(membership::Event::Announced(announcement))
+    }
+
+    /// Tells peers the own load and state.
+    pub fn report(&self, status: Status) -> Vec<Notice> {
+        self.run_membership(membership::Event::Status(status))
+    }
+
+    /// Lets time pass in the common cores.
+    pub fn tick(&self) -> Vec<Notice> {
+        self.run_follower(follower::Event::Tick);
+        self.run_membership(membership::Event::Tick)
+    }
+
+    /// Takes a newer configuration in, as a keeper learns it from its own group.
+    pub fn push(&self, update: follower::Update) {
+        self.run_follower(follower::Event::Push(update));
+    }
+
+    /// Confirms the newest revision, as a keeper knows it from its own group.
+    pub fn confirm(&self, confirmation: follower::Confirmation) {
+        self.run_follower(follower::Event::Confirmed(confirmation));
+    }
+
+    /// Handles what is common to all processes; gives back what is not, and notices.
+    pub fn receive(&self, from: InstanceId, message: Message) -> Received {
+        match message {
+            Message::Membership(message) => {
+                Received::Notices(self.run_membership(membership::Event::Message { from, message }))
+            }
+            Message::Reply { call, reply } => {
+                self.calls.borrow_mut().reply(call, reply);
+                Received::Done
+            }
+            Message::Ask(ask) => {
+                let answer = self.follower.borrow().answer(self.now(), ask);
+                self.send(&from, Message::Answer(Box::new(answer)));
+                Received::Done
+            }
+            Message::Answer(answer) => {
+                self.run_follower(follower::Event::Answered(*answer));
+                Received::Done
+            }
+            Message::Push(update) => {
+                self.run_follower(follower::Event::Push(*update));
+                Received::Done
+            }
+            other => Received::Other(from, other),
+        }
+    }
+
+    fn run_membership(&self, event: membership::Event) -> Vec<Notice> {
+        let mut effects = Vec::new();
+        self.members.borrow_mut().handle(self.now(), event, &mut effects);
+        let mut notices = Vec::new();
+        for effect in effects {
+            match effect {
+                membership::Effect::Send { to, message } => {
+                    self.send(&to, Message::Membership(message));
+                }
+                membership::Effect::Reconnect { peer } => self.reconnect(&peer),
+                membership::Effect::Notice(notice) => notices.push(notice),
+            }
+        }
+        notices
+    }
+
+    fn run_follower(&self, event: follower::Event) {
+        let mut effects = Vec::new();
+        self.follower.borrow_mut().handle(self.now(), event, &mut effects);
+        for effect in effects {
+            match effect {
+                follower::Effect::Ask { source, ask } => {
+                    self.send(&source, Message::Ask(ask));
+                }
+                follower::Effect::Changed(revision) => {
+                    tracing::info!(%revision, "configuration in force");
+                    self.revision.send_replace(revision);
+                }
+            }
+        }
+    }
+
+    fn reconnect(&self, peer: &InstanceId) {
+        tracing::info!(%peer, "silent link replaced");
+        if let Err(error) = self.links.borrow_mut().reconnect(peer) {
+            tracing::warn!(%error, %peer, "failed to replace a link");
+        }
+    }
+}
+
+/// What became of a received message.
+#[derive(Debug)]
+pub enum Received {
+    /// It was handled.
+    Done,
+    /// It was handled, and what is known of others changed.
+    Notices(Vec<Notice>),
+    /// It is for the particular kind of process.
+    Other(InstanceId, Message),
+}
+
+fn seed_of(cluster: &ClusterSettings, peer: &Peer) -> Seed {
+    let kind = match peer.kind {
+        PeerKind::Entry => InstanceKind::Entry,
+        PeerKind::Keeper => InstanceKind::Keeper,
+    };
+    let region = cluster.region_of(&peer.zone).cloned().expect("the settings were checked");
+    Seed { id: peer.id.clone(), kind, zone: peer.zone.clone(), region }
+}
--- a/src/protocol/deployment_key.rs
+++ b/src/protocol/deployment_key.rs
@@ -1,100 +1,98 @@
-//! The key that authenticates messages between processes and the announcements of upstreams.
+//! The deployment key, which authenticates messages between processes and announcements.
+//!
+//! The key proper is derived from a text. One or two keys are in use: the first signs, all
+//! verify, so that a key can be changed while processes run.
 
 use std::fmt;
 
-use thiserror::Error;
+use blake3::Hash;
+use smol_str::SmolStr;
 
-/// Context of the key derivation; part of the protocol.
-const DERIVATION_CONTEXT: &str = "medlarlug deployment key v1";
+/// Most keys in use at once.
+pub const MAX_KEYS: usize = 2;
 
-/// Shortest text that is accepted as a key, in bytes.
-pub const MIN_KEY_BYTES: usize = 16;
-
-/// Length of an authentication code, in bytes.
+/// Length of a message authentication code, in bytes.
 pub const CODE_BYTES: usize = 32;
 
-/// A text that is no deployment key.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-pub enum KeyError {
-    /// The text is too short.
-    #[error("the deployment key has {length} bytes; give {MIN_KEY_BYTES} or more")]
-    Short {
-        /// Its length in bytes.
-        length: usize,
-    },
-}
+const CONTEXT: &str = "medlarlug deployment key v1";
 
-/// One or two keys: the first signs, both verify, so that a key can be replaced while running.
-///
-/// ```
-/// use medlarlug::protocol::DeploymentKey;
-///
-/// let key = DeploymentKey::from_text("an example of a long key").unwrap();
-/// let code = key.sign(b"message");
-/// assert!(key.verify(b"message", &code));
-/// assert!(!key.verify(b"another", &code));
-/// ```
-#[derive(Clone)]
-pub struct DeploymentKey {
-    signing: [u8; 32],
-    former: Option<[u8; 32]>,
-}
+/// A key for message authentication codes; never printed.
+#[derive(Clone, PartialEq, Eq)]
+pub struct DeploymentKey([u8; 32]);
 
 impl DeploymentKey {
-    /// The key that `text`, trimmed, stands for.
+    /// Derives the key from the text of a key file.
     ///
-    /// # Errors
+    /// ```
+    /// use medlarlug::protocol::DeploymentKey;
     ///
-    /// Fails when the text is shorter than [`MIN_KEY_BYTES`].
-    pub fn from_text(text: &str) -> Result<DeploymentKey, KeyError> {
-        Ok(DeploymentKey { signing: derive(text)?, former: None })
+    /// let key = DeploymentKey::derive("a long secret text\n");
+    /// assert_eq!(key, DeploymentKey::derive("a long secret text"));
+    /// ```
+    pub fn derive(text: &str) -> DeploymentKey {
+        DeploymentKey(blake3::derive_key(CONTEXT, text.trim().as_bytes()))
     }
 
-    /// The same key, which also verifies codes that were made under the key `text`.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the text is shorter than [`MIN_KEY_BYTES`].
-    pub fn with_former(self, text: &str) -> Result<DeploymentKey, KeyError> {
-        Ok(DeploymentKey { former: Some(derive(text)?), ..self })
+    /// The message authentication code of `body`.
+    pub fn mac(&self, body: &[u8]) -> Hash {
+        blake3::keyed_hash(&self.0, body)
     }
+}
 
-    /// The authentication code of `content`.
-    pub fn sign(&self, content: &[u8]) -> [u8; CODE_BYTES] {
-        *blake3::keyed_hash(&self.signing, content).as_bytes()
+impl fmt::Debug for DeploymentKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("DeploymentKey(..)")
     }
+}
 
-    /// Whether `code` authenticates `content`; takes the same time for every wrong code.
-    pub fn verify(&self, content: &[u8], code: &[u8]) -> bool {
-        let Ok(code) = <[u8; CODE_BYTES]>::try_from(code) else {
-            return false;
-        };
-        let code = blake3::Hash::from(code);
-        let is_valid = |key: &[u8; 32]| blake3::keyed_hash(key, content) == code;
-        is_valid(&self.signing) || self.former.as_ref().is_some_and(is_valid)
+/// The keys in use: the first signs, all verify.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DeploymentKeys(Vec<DeploymentKey>);
+
+impl DeploymentKeys {
+    /// Keys that are known already; `None` unless there are one or two.
+    pub fn new(keys: Vec<DeploymentKey>) -> Option<DeploymentKeys> {
+        (1..=MAX_KEYS).contains(&keys.len()).then_some(DeploymentKeys(keys))
     }
 
-    /// The authentication code of `content` in hexadecimal, for a header.
-    pub fn sign_hex(&self, content: &[u8]) -> String {
-        blake3::Hash::from(self.sign(content)).to_hex().to_string()
+    /// Signs `body`; the code is sent in hexadecimal.
+    ///
+    /// ```
+    /// use medlarlug::protocol::{DeploymentKey, DeploymentKeys};
+    ///
+    /// let keys = DeploymentKeys::new(vec![DeploymentKey::derive("a long secret text")]).unwrap();
+    /// let mac = keys.sign(b"body");
+    /// assert!(keys.verify(b"body", &mac));
+    /// assert!(!keys.verify(b"another", &mac));
+    /// ```
+    pub fn sign(&self, body: &[u8]) -> SmolStr {
+        self.0[0].mac(body).to_hex().as_str().into()
     }
 
-    /// Whether `code`, in hexadecimal, authenticates `content`.
-    pub fn verify_hex(&self, content: &[u8], code: &str) -> bool {
-        blake3::Hash::from_hex(code).is_ok_and(|code| self.verify(content, code.as_bytes()))
+    /// Whether `mac`, in hexadecimal, is the code of `body` under one of the keys; compares in
+    /// constant time.
+    pub fn verify(&self, body: &[u8], mac: &str) -> bool {
+        let Ok(mac) = Hash::from_hex(mac) else {
+            return false;
+        };
+        self.0.iter().any(|key| key.mac(body) == mac)
     }
-}
 
-impl fmt::Debug for DeploymentKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("DeploymentKey(..)")
+    /// Signs `content`; the code is sent as bytes.
+    pub fn sign_bytes(&self, content: &[u8]) -> [u8; CODE_BYTES] {
+        *self.0[0].mac(content).as_bytes()
+    }
+
+    /// Whether `code` is the code of `content` under one of the keys; compares in constant time.
+    pub fn verify_bytes(&self, content: &[u8], code: &[u8]) -> bool {
+        let Ok(code) = <[u8; CODE_BYTES]>::try_from(code) else {
+            return false;
+        };
+        self.0.iter().any(|key| key.mac(content) == Hash::from(code))
     }
-}
 
-fn derive(text: &str) -> Result<[u8; 32], KeyError> {
-    let text = text.trim();
-    if text.len() < MIN_KEY_BYTES {
-        return Err(KeyError::Short { length: text.len() });
+    /// The key that signs.
+    pub fn signer(&self) -> &DeploymentKey {
+        &self.0[0]
     }
-    Ok(blake3::derive_key(DERIVATION_CONTEXT, text.as_bytes()))
 }
--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::protocol::{DeploymentKey, Message, deployment_key::CODE_BYTES};
+use crate::protocol::{DeploymentKeys, Message, deployment_key::CODE_BYTES};
 
 /// Longest frame that is accepted, in bytes.
 pub const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
@@ -50,14 +50,14 @@
 /// # Errors
 ///
 /// Fails when the message can't be encoded or makes the frame too long.
-pub fn encode(key: &DeploymentKey, envelope: &Envelope) -> Result<Vec<u8>, FrameError> {
+pub fn encode(keys: &DeploymentKeys, envelope: &Envelope) -> Result<Vec<u8>, FrameError> {
     let content = postcard::to_stdvec(envelope)?;
     let length = content.len() + CODE_BYTES;
     if length > MAX_FRAME_BYTES {
         return Err(FrameError::Length { length });
     }
     let mut frame = Vec::with_capacity(length);
-    frame.extend_from_slice(&key.sign(&content));
+    frame.extend_from_slice(&keys.sign_bytes(&content));
     frame.extend_from_slice(&content);
     Ok(frame)
 }
@@ -65,27 +65,30 @@
 /// Verifies and decodes a frame.
 ///
 /// ```
-/// use medlarlug::protocol::{DeploymentKey, GroupId, Message, frame};
+/// use medlarlug::protocol::{
+///     DeploymentKey, DeploymentKeys, GroupId, GroupRequest, Message, frame,
+/// };
 ///
-/// let key = DeploymentKey::from_text("an example of a long key").unwrap();
-/// let message = Message::Command { call: 1, group: GroupId::Configuration, command: vec![] };
+/// let keys = DeploymentKeys::new(vec![DeploymentKey::derive("a long secret text")]).unwrap();
+/// let (group, request) = (GroupId::Configuration, GroupRequest::History);
+/// let message = Message::Call { call: 1, group, request };
 /// let (from, to) = ("entry-1".parse().unwrap(), "keeper-1".parse().unwrap());
 /// let envelope = frame::Envelope { from, to, message };
-/// let bytes = frame::encode(&key, &envelope).unwrap();
-/// assert_eq!(frame::decode(&key, &bytes).unwrap(), envelope);
-/// assert!(frame::decode(&key, &bytes[1..]).is_err());
+/// let bytes = frame::encode(&keys, &envelope).unwrap();
+/// assert_eq!(frame::decode(&keys, &bytes).unwrap(), envelope);
+/// assert!(frame::decode(&keys, &bytes[1..]).is_err());
 /// ```
 ///
 /// # Errors
 ///
 /// Fails when the frame is too long or short, is not authenticated, or holds no envelope.
-pub fn decode(key: &DeploymentKey, frame: &[u8]) -> Result<Envelope, FrameError> {
+pub fn decode(keys: &DeploymentKeys, frame: &[u8]) -> Result<Envelope, FrameError> {
     let length = frame.len();
     if !(CODE_BYTES..=MAX_FRAME_BYTES).contains(&length) {
         return Err(FrameError::Length { length });
     }
     let (code, content) = frame.split_at(CODE_BYTES);
-    if !key.verify(content, code) {
+    if !keys.verify_bytes(content, code) {
         return Err(FrameError::Code);
     }
     Ok(postcard::from_bytes(content)?)
--- a/src/protocol/message.rs
+++ b/src/protocol/message.rs
@@ -3,8 +3,9 @@
 use std::fmt;
 
 use medlarlug_core::{
-    ids::{InstanceId, RegionId},
-    release::Configuration,
+    configuration_group, follower, home,
+    ids::{InstanceId, RegionId, RequestId},
+    membership, replication,
 };
 use serde::{Deserialize, Serialize};
 
@@ -29,33 +30,67 @@
 /// A message from one process to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
-    /// A command for the state machine of a group, to be answered by [`Message::Reply`].
-    Command {
+    /// A request to a replication group, to be answered by [`Message::Reply`].
+    Call {
         /// Number of the call at the sender.
         call: u64,
         /// The group.
         group: GroupId,
-        /// The state machine's command, in postcard.
-        command: Vec<u8>,
+        /// The request.
+        request: GroupRequest,
     },
-    /// The answer to a command.
+    /// The answer to a call.
     Reply {
         /// Number of the call at the receiver of this reply.
         call: u64,
-        /// What became of the command.
-        reply: CommandReply,
+        /// The answer.
+        reply: GroupReply,
     },
-    /// The sender's configuration, for an instance that is behind.
-    Configuration(Box<Configuration>),
+    /// Between the members of a replication group.
+    Replication {
+        /// The group.
+        group: GroupId,
+        /// The message.
+        message: replication::Message,
+    },
+    /// Between instances that watch each other.
+    Membership(membership::Message),
+    /// Asks for the newest configuration.
+    Ask(follower::Ask),
+    /// The answer to [`Message::Ask`].
+    Answer(Box<follower::Answer>),
+    /// A new configuration, sent without being asked for.
+    Push(Box<follower::Update>),
+}
+
+/// A request to a replication group.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum GroupRequest {
+    /// A command for the state machine of the configuration group.
+    Configure(configuration_group::Command),
+    /// An action for the state machine of a home group.
+    Act(home::Action),
+    /// Reads the record of a request.
+    LookUp(RequestId),
+    /// Reads the accepted release notes.
+    History,
 }
 
-/// What became of a command.
+/// The answer of a replication group.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum CommandReply {
-    /// It was committed and applied; the state machine's reply, in postcard.
-    Applied(Vec<u8>),
-    /// It was not taken in; the leader, if the receiver knows it.
+pub enum GroupReply {
+    /// The reply of the configuration group's state machine.
+    Configured(configuration_group::Reply),
+    /// The reply of a home group's state machine.
+    Acted(home::Reply),
+    /// What is known of a request.
+    Known(home::LookUp),
+    /// The accepted release notes, the newest last.
+    History(Vec<configuration_group::Accepted>),
+    /// The receiver doesn't lead the group; the leader, if it knows it.
     NotLeader(Option<InstanceId>),
-    /// It was taken in, and whether it is committed is not known.
+    /// The request was taken in, and whether it is in force is not known.
     Uncertain,
+    /// The request doesn't fit the group.
+    Unfit,
 }
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -12,6 +12,6 @@
 pub mod message;
 pub mod problem;
 
-pub use deployment_key::{DeploymentKey, KeyError};
-pub use message::{GroupId, Message};
+pub use deployment_key::{DeploymentKey, DeploymentKeys};
+pub use message::{GroupId, GroupReply, GroupRequest, Message};
 pub use problem::Problem;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -21,7 +21,7 @@
 
 pub use cluster::{ClusterSettings, Home, Peer, PeerKind, Zone};
 pub use error::{Fault, SettingsError};
-pub use key::{DeploymentKey, DeploymentKeys};
+pub use key::DeploymentKeys;
 pub use limits::Limits;
 pub use process::{EntrySettings, KeeperSettings, Operator};
 pub use standin::{StandinSettings, UpstreamSettings};
--- a/src/transport/links.rs
+++ b/src/transport/links.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc;
 
 use crate::protocol::{
-    DeploymentKey, Message,
+    DeploymentKeys, Message,
     frame::{self, Envelope, FrameError, MAX_FRAME_BYTES},
 };
 
@@ -71,7 +71,7 @@
 /// The sending side of the links.
 pub struct Links {
     own: InstanceId,
-    key: DeploymentKey,
+    keys: DeploymentKeys,
     peers: Vec<(InstanceId, Peer)>,
     // Held so that both live as long as the links.
     _receiver: (Socket, Aio),
@@ -80,7 +80,7 @@
 /// The receiving side of the links.
 pub struct Incoming {
     own: InstanceId,
-    key: DeploymentKey,
+    keys: DeploymentKeys,
     frames: mpsc::Receiver<nng::Message>,
 }
 
@@ -92,7 +92,7 @@
     /// Fails when the address can't be listened at.
     pub fn listen(
         own: InstanceId,
-        key: DeploymentKey,
+        keys: DeploymentKeys,
         address: SocketAddr,
     ) -> Result<(Links, Incoming), LinkError> {
         let socket = Socket::new(Protocol::Pull0)?;
@@ -115,8 +115,8 @@
             }
         })?;
         socket.recv_async(&aio)?;
-        let incoming = Incoming { own: own.clone(), key: key.clone(), frames };
-        Ok((Links { own, key, peers: Vec::new(), _receiver: (socket, aio) }, incoming))
+        let incoming = Incoming { own: own.clone(), keys: keys.clone(), frames };
+        Ok((Links { own, keys, peers: Vec::new(), _receiver: (socket, aio) }, incoming))
     }
 
     /// Connects to a peer, in the background; a peer at a new address replaces the former one.
@@ -153,7 +153,7 @@
     /// Fails when the peer is not known, its queue is full, or the message is too long.
     pub fn send(&mut self, peer: &InstanceId, message: Message) -> Result<(), LinkError> {
         let envelope = Envelope { from: self.own.clone(), to: peer.clone(), message };
-        let bytes = frame::encode(&self.key, &envelope)?;
+        let bytes = frame::encode(&self.keys, &envelope)?;
         metrics::counter!(crate::transport::SENT_BYTES).increment(bytes.len() as u64);
         let link = find(&mut self.peers, peer)?;
         link.socket
@@ -170,7 +170,7 @@
         loop {
             let bytes = self.frames.recv().await?;
             metrics::counter!(crate::transport::RECEIVED_BYTES).increment(bytes.len() as u64);
-            match frame::decode(&self.key, &bytes) {
+            match frame::decode(&self.keys, &bytes) {
                 Ok(envelope) if envelope.to == self.own => {
                     return Some((envelope.from, envelope.message));
                 }
