--- a/crates/medlarlug-core/src/lib.rs
+++ b/crates/medlarlug-core/src/lib.rs
@@ -23,9 +23,16 @@
 //! ```
 
 pub mod announcement;
+pub mod configuration_group;
 pub mod fingerprint;
+pub mod follower;
+pub mod home;
 pub mod ids;
+pub mod membership;
+pub mod orders;
 pub mod record;
 pub mod release;
+pub mod replication;
+pub mod routing;
 pub mod time;
 pub mod units;
--- /dev/null
+++ b/src/protocol/message.rs
@@ -0,0 +1,96 @@
+//! Messages between processes.
+
+use std::fmt;
+
+use medlarlug_core::{
+    configuration_group, follower, home,
+    ids::{InstanceId, RegionId, RequestId},
+    membership, replication,
+};
+use serde::{Deserialize, Serialize};
+
+/// Names a replication group.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum GroupId {
+    /// The group that accepts release notes.
+    Configuration,
+    /// The group that records the bookings and requests of a region.
+    Home(RegionId),
+}
+
+impl fmt::Display for GroupId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            GroupId::Configuration => f.write_str("configuration"),
+            GroupId::Home(region) => write!(f, "home-{region}"),
+        }
+    }
+}
+
+/// A message from one process to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// A request to a replication group, to be answered by [`Message::Reply`].
+    Call {
+        /// Number of the call at the sender.
+        call: u64,
+        /// The group.
+        group: GroupId,
+        /// The request.
+        request: GroupRequest,
+    },
+    /// The answer to a call.
+    Reply {
+        /// Number of the call at the receiver of this reply.
+        call: u64,
+        /// The answer.
+        reply: GroupReply,
+    },
+    /// Between the members of a replication group.
+    Replication {
+        /// The group.
+        group: GroupId,
+        /// The message.
+        message: replication::Message,
+    },
+    /// Between instances that watch each other.
+    Membership(membership::Message),
+    /// Asks for the newest configuration.
+    Ask(follower::Ask),
+    /// The answer to [`Message::Ask`].
+    Answer(Box<follower::Answer>),
+    /// A new configuration, sent without being asked for.
+    Push(Box<follower::Update>),
+}
+
+/// A request to a replication group.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum GroupRequest {
+    /// A command for the state machine of the configuration group.
+    Configure(configuration_group::Command),
+    /// An action for the state machine of a home group.
+    Act(home::Action),
+    /// Reads the record of a request.
+    LookUp(RequestId),
+    /// Reads the accepted release notes.
+    History,
+}
+
+/// The answer of a replication group.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum GroupReply {
+    /// The reply of the configuration group's state machine.
+    Configured(configuration_group::Reply),
+    /// The reply of a home group's state machine.
+    Acted(home::Reply),
+    /// What is known of a request.
+    Known(home::LookUp),
+    /// The accepted release notes, the newest last.
+    History(Vec<configuration_group::Accepted>),
+    /// The receiver doesn't lead the group; the leader, if it knows it.
+    NotLeader(Option<InstanceId>),
+    /// The request was taken in, and whether it is in force is not known.
+    Uncertain,
+    /// The request doesn't fit the group.
+    Unfit,
+}
