--- a/crates/medlarlug-core/src/lib.rs
+++ b/crates/medlarlug-core/src/lib.rs
@@ -22,10 +22,17 @@
 //! assert_eq!(zone.to_string(), "riga-a");
 //! ```
 
+pub mod admission;
 pub mod announcement;
+pub mod drain;
 pub mod fingerprint;
 pub mod ids;
+pub mod limits;
 pub mod record;
+pub mod refusal;
 pub mod release;
+pub mod retry;
+pub mod stream;
+pub mod suspects;
 pub mod time;
 pub mod units;
--- /dev/null
+++ b/crates/medlarlug-core/src/limits/bucket.rs
@@ -0,0 +1,141 @@
+//! One team's token bucket at one instance.
+
+use std::{collections::VecDeque, time::Duration};
+
+use crate::{
+    limits::{DemandLevel, TeamKey, TeamLimit},
+    time::Time,
+};
+
+/// Weight of the last heartbeat interval in the demand.
+const DEMAND_WEIGHT: f64 = 0.5;
+/// Change of the demand, in levels, that is worth a report.
+const REPORTED_CHANGE: u8 = 2;
+
+/// A token bucket whose rate and size are a share of the team's.
+#[derive(Debug, Clone)]
+pub(super) struct Bucket {
+    pub limit: TeamLimit,
+    pub key: TeamKey,
+    share: f64,
+    tokens: f64,
+    filled: Time,
+    arrivals: u32,
+    demand: f64,
+    /// Levels that were reported, and when; the last one is in force.
+    reported: VecDeque<(Time, DemandLevel)>,
+}
+
+impl Bucket {
+    /// A bucket filled up to its share.
+    pub fn new(now: Time, limit: TeamLimit, share: f64) -> Bucket {
+        let key = TeamKey::of(&limit.team);
+        let mut bucket = Bucket {
+            limit,
+            key,
+            share,
+            tokens: 0.0,
+            filled: now,
+            arrivals: 0,
+            demand: 0.0,
+            reported: VecDeque::new(),
+        };
+        bucket.tokens = bucket.size();
+        bucket
+    }
+
+    /// Rate of the team in the region, in requests a second.
+    pub fn rate(&self) -> f64 {
+        self.limit.rate.get()
+    }
+
+    /// Share of the team's rate and burst.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+
+    /// Tokens that fit in: the share of the burst, one at least.
+    fn size(&self) -> f64 {
+        (self.share * f64::from(self.limit.burst.0)).max(1.0)
+    }
+
+    /// Fills up to `now` by the share so far, then sets the share and spills what is too much.
+    pub fn set_share(&mut self, now: Time, share: f64) {
+        self.fill(now);
+        self.share = share;
+        self.tokens = self.tokens.min(self.size());
+    }
+
+    fn fill(&mut self, now: Time) {
+        let seconds = (now - self.filled).as_secs_f64();
+        let filled = self.tokens + seconds * self.share * self.rate();
+        self.tokens = filled.min(self.size());
+        self.filled = self.filled.max(now);
+    }
+
+    /// Takes a token, or tells how long until there is one.
+    pub fn take(&mut self, now: Time) -> Result<(), Duration> {
+        self.arrivals = self.arrivals.saturating_add(1);
+        self.fill(now);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let seconds = (1.0 - self.tokens) / (self.share * self.rate());
+        Err(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+    }
+
+    /// Ends a heartbeat interval; tells whether the demand is worth a report.
+    pub fn measure(&mut self, interval: Duration) -> bool {
+        let seconds = interval.as_secs_f64().max(f64::EPSILON);
+        let sample = f64::from(self.arrivals) / seconds;
+        self.arrivals = 0;
+        self.demand += DEMAND_WEIGHT * (sample - self.demand);
+        let (level, told) = (self.level(), self.reported());
+        let has_turned = (level == DemandLevel(0)) != (told == DemandLevel(0));
+        has_turned || level.0.abs_diff(told.0) >= REPORTED_CHANGE
+    }
+
+    /// The demand as measured.
+    pub fn level(&self) -> DemandLevel {
+        DemandLevel::of(self.demand)
+    }
+
+    /// The demand as reported last.
+    pub fn reported(&self) -> DemandLevel {
+        self.reported.back().map_or(DemandLevel(0), |it| it.1)
+    }
+
+    /// Notes that the present level goes into a report.
+    pub fn report(&mut self, now: Time) -> DemandLevel {
+        let level = self.level();
+        self.reported.push_back((now, level));
+        level
+    }
+
+    /// Drops the reports before the one that was in force at `since`; tells whether there were
+    /// any.
+    pub fn forget(&mut self, since: Time) -> bool {
+        let count = self.reported.len();
+        while self.reported.get(1).is_some_and(|it| it.0 <= since) {
+            self.reported.pop_front();
+        }
+        self.reported.len() < count
+    }
+
+    /// The lowest level that was in force at any time from `since` on.
+    pub fn lowest(&self, since: Time) -> DemandLevel {
+        let began_within = self.reported.front().is_none_or(|it| it.0 > since);
+        if began_within {
+            return DemandLevel(0);
+        }
+        let is_before = |it: &&(Time, DemandLevel)| it.0 <= since;
+        let first = self.reported.iter().take_while(is_before).count() - 1;
+        self.reported.iter().skip(first).map(|it| it.1).min().unwrap_or_default()
+    }
+
+    /// Forgets what was reported, because no peer can know it any more.
+    pub fn reset_reports(&mut self) {
+        self.reported.clear();
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-core/src/limits/divider.rs
@@ -0,0 +1,252 @@
+//! One instance's shares of every team's limit.
+
+use std::time::Duration;
+
+use crate::{
+    ids::{Incarnation, InstanceId, TeamId},
+    limits::{
+        DemandEntry, DemandLevel, DemandReport, Effect, Event, LimitPolicy, START_SHARE, TeamLimit,
+        bucket::Bucket,
+        peers::{Change, Peers},
+    },
+    refusal::{Reason, Refusal, Spread},
+    time::Time,
+};
+
+/// Weight of an instance without demand, as a share of the team's rate.
+const BASE_WEIGHT: f64 = 0.01;
+
+/// The limits of all teams at one entry instance.
+///
+/// ```
+/// use medlarlug_core::{
+///     limits::{Event, LimitPolicy, Limits, TeamLimit},
+///     time::Time,
+/// };
+///
+/// let mut limits = Limits::new("entry-1".parse().unwrap(), Default::default(), LimitPolicy::default());
+/// let (rate, burst) = ("10/s".parse().unwrap(), "16".parse().unwrap());
+/// let team: medlarlug_core::ids::TeamId = "survey".parse().unwrap();
+/// let limit = TeamLimit { team: team.clone(), rate, burst };
+/// limits.handle(Time::ZERO, Event::Configured(vec![limit]), &mut Vec::new());
+/// // Until its reports are settled, an instance has an eighth of the burst.
+/// assert!(limits.admit(Time::ZERO, &team).is_ok());
+/// assert!(limits.admit(Time::ZERO, &team).is_ok());
+/// assert!(limits.admit(Time::ZERO, &team).is_err());
+/// ```
+#[derive(Debug, Clone)]
+pub struct Limits {
+    id: InstanceId,
+    incarnation: Incarnation,
+    policy: LimitPolicy,
+    buckets: Vec<Bucket>,
+    peers: Peers,
+    sequence: u64,
+    joined: Option<Time>,
+    beat: Option<Time>,
+    settled: bool,
+    cursor: usize,
+    spread: Spread,
+}
+
+impl Limits {
+    /// An instance that has reported nothing and heard nobody.
+    pub fn new(id: InstanceId, incarnation: Incarnation, policy: LimitPolicy) -> Limits {
+        Limits {
+            id,
+            incarnation,
+            spread: Spread::new(policy.seed),
+            policy,
+            buckets: Vec::new(),
+            peers: Peers::default(),
+            sequence: 0,
+            joined: None,
+            beat: None,
+            settled: false,
+            cursor: 0,
+        }
+    }
+
+    /// Whether every live peer counts this instance, so that it uses its full share.
+    pub fn is_settled(&self) -> bool {
+        self.settled
+    }
+
+    /// Entry instances among which the limits are divided, this one included.
+    pub fn instances(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// The share of the team's limit that this instance has.
+    pub fn share(&self, team: &TeamId) -> Option<f64> {
+        Some(self.buckets[self.find(team).ok()?].share())
+    }
+
+    /// Admits one request of `team`, or refuses it as rate limited.
+    pub fn admit(&mut self, now: Time, team: &TeamId) -> Result<(), Refusal> {
+        self.check_beat(now);
+        let Ok(found) = self.find(team) else {
+            let reason = match self.buckets.is_empty() {
+                true => Reason::NoConfiguration,
+                false => Reason::NotPermitted,
+            };
+            return Err(self.spread.refuse(reason, Duration::ZERO));
+        };
+        let taken = self.buckets[found].take(now);
+        taken.map_err(|wait| self.spread.refuse(Reason::RateLimited, wait))
+    }
+
+    /// Feeds one event in.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Configured(limits) => self.configure(now, limits),
+            Event::Heartbeat => self.heartbeat(now, out),
+            Event::Heard { report, age } => self.hear(now, age, &report, out),
+            Event::PeerGone(id) => self.drop_peer(now, &id),
+            Event::ResyncAsked(to) => out.push(Effect::Send { to, report: self.full_report() }),
+        }
+    }
+
+    fn find(&self, team: &TeamId) -> Result<usize, usize> {
+        self.buckets.binary_search_by(|it| it.limit.team.cmp(team))
+    }
+
+    fn configure(&mut self, now: Time, limits: Vec<TeamLimit>) {
+        let mut old = std::mem::take(&mut self.buckets);
+        for limit in limits {
+            let known = old.binary_search_by(|it| it.limit.team.cmp(&limit.team));
+            let bucket = match known {
+                Ok(found) => {
+                    let mut bucket = old.remove(found);
+                    bucket.set_share(now, bucket.share());
+                    bucket.limit = limit;
+                    bucket
+                }
+                Err(_) => {
+                    let mut bucket = Bucket::new(now, limit, START_SHARE);
+                    let share = self.compute_share(now, &bucket);
+                    bucket.set_share(now, share.min(START_SHARE));
+                    bucket
+                }
+            };
+            self.buckets.push(bucket);
+        }
+        self.buckets.sort_by(|a, b| a.limit.team.cmp(&b.limit.team));
+        self.share_all(now);
+    }
+
+    fn heartbeat(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.check_beat(now);
+        let joined = *self.joined.get_or_insert(now);
+        let interval = now - self.beat.unwrap_or(now);
+        self.beat = Some(now);
+        self.peers.drop_silent(now.saturating_sub(self.policy.lifetime));
+        self.settled = now - joined >= self.policy.settle;
+        out.push(Effect::Broadcast(self.report(now, interval)));
+        self.share_all(now);
+    }
+
+    /// An instance that sent nothing for a lifetime may have been dropped: it joins anew.
+    fn check_beat(&mut self, now: Time) {
+        let is_silent = self.beat.is_some_and(|beat| now - beat >= self.policy.lifetime);
+        if !is_silent {
+            return;
+        }
+        self.joined = None;
+        self.beat = None;
+        self.settled = false;
+        self.buckets.iter_mut().for_each(Bucket::reset_reports);
+        self.share_all(now);
+    }
+
+    fn report(&mut self, now: Time, interval: Duration) -> DemandReport {
+        self.sequence += 1;
+        let full = self.sequence == 1;
+        let (count, limit) = (self.buckets.len(), self.policy.entries);
+        let mut entries = Vec::new();
+        for step in 0..count {
+            let place = (self.cursor + step) % count;
+            let bucket = &mut self.buckets[place];
+            let is_due = !interval.is_zero() && bucket.measure(interval);
+            if is_due && entries.len() < limit {
+                entries.push(DemandEntry { team: bucket.key, level: bucket.report(now) });
+            }
+        }
+        self.cursor = (self.cursor + 1) % count.max(1);
+        entries.sort_by_key(|it| it.team);
+        self.new_report(full, entries)
+    }
+
+    fn full_report(&self) -> DemandReport {
+        let active = self.buckets.iter().filter(|it| it.reported() > DemandLevel(0));
+        let entry = |it: &Bucket| DemandEntry { team: it.key, level: it.reported() };
+        let mut entries: Vec<DemandEntry> = active.map(entry).collect();
+        entries.sort_by_key(|it| it.team);
+        self.new_report(true, entries)
+    }
+
+    fn new_report(&self, full: bool, entries: Vec<DemandEntry>) -> DemandReport {
+        DemandReport {
+            from: self.id.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            full,
+            entries,
+        }
+    }
+
+    fn hear(&mut self, now: Time, age: Duration, report: &DemandReport, out: &mut Vec<Effect>) {
+        if report.from == self.id || age >= self.policy.lifetime {
+            return;
+        }
+        match self.peers.hear(now.saturating_sub(age), report) {
+            Change::None => {}
+            Change::Entries => self.share_listed(now, &report.entries),
+            Change::Everything { resync } => {
+                if resync {
+                    out.push(Effect::AskResync(report.from.clone()));
+                }
+                self.share_all(now);
+            }
+        }
+    }
+
+    fn drop_peer(&mut self, now: Time, id: &InstanceId) {
+        if self.peers.drop_peer(id) {
+            self.share_all(now);
+        }
+    }
+
+    fn share_all(&mut self, now: Time) {
+        for place in 0..self.buckets.len() {
+            self.share_one(now, place);
+        }
+    }
+
+    fn share_listed(&mut self, now: Time, entries: &[DemandEntry]) {
+        for place in 0..self.buckets.len() {
+            let key = self.buckets[place].key;
+            if entries.iter().any(|it| it.team == key) {
+                self.share_one(now, place);
+            }
+        }
+    }
+
+    fn share_one(&mut self, now: Time, place: usize) {
+        let since = now.saturating_sub(self.policy.settle);
+        self.buckets[place].forget(since);
+        let share = self.compute_share(now, &self.buckets[place]);
+        self.buckets[place].set_share(now, share);
+    }
+
+    fn compute_share(&self, now: Time, bucket: &Bucket) -> f64 {
+        if !self.settled {
+            return START_SHARE;
+        }
+        let rate = bucket.rate();
+        let base = rate * BASE_WEIGHT;
+        let since = now.saturating_sub(self.policy.settle);
+        let own = base + bucket.lowest(since).demand().min(rate);
+        own / (own + self.peers.weight(bucket.key, rate, base))
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-core/src/stream/tracker.rs
@@ -0,0 +1,235 @@
+//! The state of one streamed answer.
+
+use std::time::Duration;
+
+use crate::{
+    ids::RequestId,
+    refusal::{Reason, Refusal},
+    stream::{Chunk, ConnectionNumber, Effect, Event, StreamPolicy},
+    time::Time,
+};
+
+/// Time to come back after an answer that could not be finished.
+const FAILED_WAIT: Duration = Duration::from_secs(1);
+
+/// What a tracker dropped.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StreamCounters {
+    /// Chunks that carried another request's id.
+    pub foreign: u64,
+    /// Chunks of a replaced connection, and chunks after the end.
+    pub late: u64,
+    /// Chunks of which the caller had every byte.
+    pub duplicate: u64,
+    /// Chunks that came with bytes missing before them.
+    pub gaps: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Waiting,
+    Flowing,
+    Ended,
+}
+
+/// Follows one request's streamed answer.
+///
+/// ```
+/// use medlarlug_core::{
+///     stream::{Chunk, ConnectionNumber, Effect, Event, StreamPolicy, StreamTracker},
+///     time::Time,
+/// };
+///
+/// let request: medlarlug_core::ids::RequestId = "riga.entry-1.1.7".parse().unwrap();
+/// let mut stream = StreamTracker::new(request.clone(), StreamPolicy::default(), Time::ZERO);
+/// let chunk = Chunk { request, offset: 0, length: 12, terminal: true };
+/// let mut out = Vec::new();
+/// let connection = ConnectionNumber(0);
+/// stream.handle(Time::from_millis(3), Event::Chunk { connection, chunk }, &mut out);
+/// assert_eq!(out, [Effect::Deliver { skip: 0, length: 12 }, Effect::Complete]);
+/// ```
+#[derive(Debug, Clone)]
+pub struct StreamTracker {
+    request: RequestId,
+    policy: StreamPolicy,
+    connection: ConnectionNumber,
+    base: u64,
+    delivered: u64,
+    heard: Time,
+    phase: Phase,
+    counters: StreamCounters,
+}
+
+impl StreamTracker {
+    /// A tracker for an answer that connection 0 is to bring.
+    pub fn new(request: RequestId, policy: StreamPolicy, now: Time) -> StreamTracker {
+        StreamTracker {
+            request,
+            policy,
+            connection: ConnectionNumber(0),
+            base: 0,
+            delivered: 0,
+            heard: now,
+            phase: Phase::Waiting,
+            counters: StreamCounters::default(),
+        }
+    }
+
+    /// Bytes that the caller has.
+    pub fn delivered(&self) -> u64 {
+        self.delivered
+    }
+
+    /// What was dropped so far.
+    pub fn counters(&self) -> StreamCounters {
+        self.counters
+    }
+
+    /// Whether the answer was completed, failed or given up by the caller.
+    pub fn is_ended(&self) -> bool {
+        self.phase == Phase::Ended
+    }
+
+    /// When the current connection counts as silent.
+    pub fn silent_at(&self) -> Time {
+        match self.phase {
+            Phase::Flowing => self.heard + self.policy.between,
+            _ => self.heard + self.policy.first_byte,
+        }
+    }
+
+    /// Feeds one event in.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Opened { connection } => self.open(now, connection),
+            Event::Chunk { connection, chunk } => self.take(now, connection, &chunk, out),
+            Event::ConnectionLost { connection } => self.lose(now, connection, out),
+            Event::ResumeRefused { connection } => self.move_on(now, connection, out),
+            Event::Tick => self.tick(now, out),
+            Event::CallerGone => self.cancel(out),
+        }
+    }
+
+    fn is_current(&self, connection: ConnectionNumber) -> bool {
+        self.phase != Phase::Ended && connection == self.connection
+    }
+
+    fn open(&mut self, now: Time, connection: ConnectionNumber) {
+        if self.is_current(connection) {
+            self.heard = now;
+        }
+    }
+
+    fn take(
+        &mut self,
+        now: Time,
+        connection: ConnectionNumber,
+        chunk: &Chunk,
+        out: &mut Vec<Effect>,
+    ) {
+        if chunk.request != self.request {
+            self.counters.foreign += 1;
+            return;
+        }
+        if !self.is_current(connection) {
+            self.counters.late += 1;
+            return;
+        }
+        self.heard = now;
+        self.phase = Phase::Flowing;
+        let start = self.base.saturating_add(chunk.offset);
+        if start > self.delivered {
+            self.counters.gaps += 1;
+            self.replace(now, out);
+            return;
+        }
+        self.deliver(start, chunk, out);
+    }
+
+    fn deliver(&mut self, start: u64, chunk: &Chunk, out: &mut Vec<Effect>) {
+        let end = start.saturating_add(chunk.length);
+        if end > self.delivered {
+            let skip = self.delivered - start;
+            out.push(Effect::Deliver { skip, length: end - self.delivered });
+            self.delivered = end;
+        } else if !chunk.terminal {
+            self.counters.duplicate += 1;
+        }
+        if chunk.terminal && end == self.delivered {
+            self.phase = Phase::Ended;
+            out.push(Effect::Complete);
+        }
+    }
+
+    fn lose(&mut self, now: Time, connection: ConnectionNumber, out: &mut Vec<Effect>) {
+        if self.is_current(connection) {
+            self.replace(now, out);
+        }
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.phase != Phase::Ended && now >= self.silent_at() {
+            self.replace(now, out);
+        }
+    }
+
+    /// Replaces the current connection by a new one to the same upstream, or moves on.
+    fn replace(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if !self.policy.resumable {
+            self.move_on(now, self.connection, out);
+            return;
+        }
+        // A resumed stream counts from the start of what this upstream sent, as before.
+        if let Some(connection) = self.next_connection(now, out) {
+            let offset = self.delivered - self.base;
+            out.push(Effect::Resume { connection, offset });
+        }
+    }
+
+    /// Leaves the upstream.
+    fn move_on(&mut self, now: Time, connection: ConnectionNumber, out: &mut Vec<Effect>) {
+        if !self.is_current(connection) {
+            return;
+        }
+        if self.delivered > 0 && !self.policy.continuable {
+            self.fail(out);
+            return;
+        }
+        let Some(connection) = self.next_connection(now, out) else {
+            return;
+        };
+        self.base = self.delivered;
+        out.push(match self.delivered {
+            0 => Effect::Restart { connection },
+            offset => Effect::Continue { connection, offset },
+        });
+    }
+
+    fn next_connection(&mut self, now: Time, out: &mut Vec<Effect>) -> Option<ConnectionNumber> {
+        let next = ConnectionNumber(self.connection.0 + 1);
+        if next.0 >= self.policy.connections {
+            self.fail(out);
+            return None;
+        }
+        out.push(Effect::Close { connection: self.connection });
+        self.connection = next;
+        self.heard = now;
+        self.phase = Phase::Waiting;
+        Some(next)
+    }
+
+    fn fail(&mut self, out: &mut Vec<Effect>) {
+        self.phase = Phase::Ended;
+        out.push(Effect::Close { connection: self.connection });
+        out.push(Effect::CancelUpstream);
+        out.push(Effect::Fail(Refusal::new(Reason::UpstreamFailed, FAILED_WAIT)));
+    }
+
+    fn cancel(&mut self, out: &mut Vec<Effect>) {
+        if self.phase == Phase::Ended {
+            return;
+        }
+        self.phase = Phase::Ended;
+        out.push(Effect::CancelUpstream);
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-core/src/suspects/isolation.rs
@@ -0,0 +1,190 @@
+//! Requests in flight at one entry instance, and the upstreams that suspects have alone.
+
+use std::time::Duration;
+
+use crate::{
+    fingerprint::Fingerprint,
+    ids::{Incarnation, RequestId, UpstreamId},
+    suspects::{
+        Effect, Event, Fact, LossLedger, LossReport, Placement, RESERVATION_LIFETIME, Standing,
+    },
+    time::Time,
+};
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Flight {
+    request: RequestId,
+    fingerprint: Fingerprint,
+    upstream: UpstreamId,
+    incarnation: Incarnation,
+    since: Time,
+    suspect: bool,
+}
+
+/// The core of one entry instance.
+///
+/// ```
+/// use medlarlug_core::{
+///     fingerprint::Fingerprint,
+///     ids::Incarnation,
+///     suspects::{Event, Placement, Standing, Suspects},
+///     time::Time,
+/// };
+///
+/// let (mut core, mut out) = (Suspects::default(), Vec::new());
+/// let content = Fingerprint::of(b"content");
+/// let upstream: medlarlug_core::ids::UpstreamId = "engine-1".parse().unwrap();
+/// let incarnation = Incarnation(1);
+/// let sent = Event::Sent {
+///     request: "riga.entry-1.1.7".parse().unwrap(),
+///     fingerprint: content,
+///     upstream: upstream.clone(),
+///     incarnation,
+/// };
+/// core.handle(Time::ZERO, sent, &mut out);
+/// core.handle(Time::ZERO, Event::UpstreamLost { upstream, incarnation }, &mut out);
+/// assert_eq!(core.standing(Time::ZERO, content), Standing::Suspect);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Suspects {
+    ledger: LossLedger,
+    flights: Vec<Flight>,
+    reserved: Vec<(UpstreamId, Time)>,
+}
+
+impl Suspects {
+    /// What the facts say about `fingerprint`; a convicted one is refused at once.
+    pub fn standing(&self, now: Time, fingerprint: Fingerprint) -> Standing {
+        self.ledger.standing(now, fingerprint)
+    }
+
+    /// Whether a request with this content may run on `upstream`.
+    pub fn placement(
+        &self,
+        now: Time,
+        fingerprint: Fingerprint,
+        upstream: &UpstreamId,
+    ) -> Placement {
+        let is_suspect = match self.standing(now, fingerprint) {
+            Standing::Convicted { .. } => return Placement::Barred,
+            standing => standing == Standing::Suspect,
+        };
+        let mut flights = self.flights.iter().filter(|it| it.upstream == *upstream).peekable();
+        let is_empty = flights.peek().is_none();
+        let has_suspect = flights.any(|it| self.is_suspect(now, it));
+        match (self.is_reserved(now, upstream) || has_suspect, is_suspect && !is_empty) {
+            (true, _) => Placement::Barred,
+            (false, true) => Placement::Shared,
+            (false, false) => Placement::Free,
+        }
+    }
+
+    /// The facts, for the state dump and for an instance that has just started.
+    pub fn ledger(&self) -> &LossLedger {
+        &self.ledger
+    }
+
+    /// Feeds one event in.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Sent { request, fingerprint, upstream, incarnation } => {
+                let suspect = self.standing(now, fingerprint) != Standing::Clear;
+                let flight =
+                    Flight { request, fingerprint, upstream, incarnation, since: now, suspect };
+                self.send(flight, out);
+            }
+            Event::Answered { request } => self.answer(now, &request, out),
+            Event::Ended { request } => drop(self.land(&request, out)),
+            Event::UpstreamLost { upstream, incarnation } => {
+                self.lose(now, upstream, incarnation, out);
+            }
+            Event::Learned(fact) => drop(self.ledger.learn(now, &fact)),
+            Event::Reserved { upstream, lifetime } => {
+                self.reserve(upstream, now + lifetime.min(RESERVATION_LIFETIME));
+            }
+            Event::Freed { upstream } => self.reserved.retain(|it| it.0 != upstream),
+            Event::Tick => self.expire(now),
+        }
+    }
+
+    /// A flight also counts as a suspect if its content became one after it was sent.
+    fn is_suspect(&self, now: Time, flight: &Flight) -> bool {
+        flight.suspect || self.standing(now, flight.fingerprint) != Standing::Clear
+    }
+
+    fn is_reserved(&self, now: Time, upstream: &UpstreamId) -> bool {
+        match self.reserved.binary_search_by(|it| it.0.cmp(upstream)) {
+            Ok(found) => now < self.reserved[found].1,
+            Err(_) => false,
+        }
+    }
+
+    fn reserve(&mut self, upstream: UpstreamId, until: Time) {
+        match self.reserved.binary_search_by(|it| it.0.cmp(&upstream)) {
+            Ok(found) => self.reserved[found].1 = until,
+            Err(place) => self.reserved.insert(place, (upstream, until)),
+        }
+    }
+
+    fn send(&mut self, flight: Flight, out: &mut Vec<Effect>) {
+        if flight.suspect {
+            let upstream = flight.upstream.clone();
+            out.push(Effect::Reserve { upstream, lifetime: RESERVATION_LIFETIME });
+        }
+        match self.flights.binary_search_by(|it| it.request.cmp(&flight.request)) {
+            Ok(found) => self.flights[found] = flight,
+            Err(place) => self.flights.insert(place, flight),
+        }
+    }
+
+    fn land(&mut self, request: &RequestId, out: &mut Vec<Effect>) -> Option<Flight> {
+        let found = self.flights.binary_search_by(|it| it.request.cmp(request)).ok()?;
+        let flight = self.flights.remove(found);
+        if flight.suspect {
+            out.push(Effect::Free { upstream: flight.upstream.clone() });
+        }
+        Some(flight)
+    }
+
+    fn answer(&mut self, now: Time, request: &RequestId, out: &mut Vec<Effect>) {
+        let Some(flight) = self.land(request, out) else {
+            return;
+        };
+        if self.standing(now, flight.fingerprint) == Standing::Clear {
+            return;
+        }
+        let fact = Fact::Cleared { fingerprint: flight.fingerprint, age: now - flight.since };
+        self.ledger.learn(now, &fact);
+        out.push(Effect::Share(fact));
+    }
+
+    fn lose(
+        &mut self,
+        now: Time,
+        upstream: UpstreamId,
+        incarnation: Incarnation,
+        out: &mut Vec<Effect>,
+    ) {
+        let is_lost = |it: &Flight| it.upstream == upstream && it.incarnation == incarnation;
+        let lost: Vec<Flight> = self.flights.iter().filter(|it| is_lost(it)).cloned().collect();
+        if lost.is_empty() {
+            return;
+        }
+        let mut flying: Vec<Fingerprint> = lost.iter().map(|it| it.fingerprint).collect();
+        flying.sort_unstable();
+        flying.dedup();
+        let report = LossReport { upstream, incarnation, age: Duration::ZERO, flying };
+        let fact = Fact::Lost(report);
+        self.ledger.learn(now, &fact);
+        out.push(Effect::Share(fact));
+        for flight in lost {
+            self.land(&flight.request, out);
+            out.push(Effect::Lost { request: flight.request });
+        }
+    }
+
+    fn expire(&mut self, now: Time) {
+        self.ledger.expire(now);
+        self.reserved.retain(|it| now < it.1);
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-core/src/suspects/mod.rs
@@ -0,0 +1,167 @@
+//! Requests that crash upstreams.
+//!
+//! When an upstream is lost without an explanation, every request in flight on it becomes a
+//! *suspect*, known by the fingerprint of its content. A suspect that is tried again runs alone on
+//! an upstream, so that the innocent clear themselves by completing. The evidence is a set of
+//! [`Fact`]s: losses, each named by the upstream and its incarnation, and clearances. Facts merge
+//! by set union in any order and any number of times, so every entry instance, and the home group
+//! of every region, reaches the same verdicts from the same [`LossLedger`] code.
+//!
+//! A fingerprint is convicted when
+//!
+//! - two losses name it, and on one of them it was the only request in flight, or
+//! - three losses name it.
+//!
+//! A loss that a convicted fingerprint explains counts against no other. A conviction lasts
+//! [`CONVICTION_LIFETIME`], doubled by every further loss; after that the content runs as a
+//! suspect again, and its next loss convicts at once.
+//!
+//! Bound: one content that is sent one at a time, each after the facts of the last loss have
+//! arrived, loses at most two upstreams where an upstream can be had alone, at most three
+//! otherwise, until its conviction ends. Sends that overlap, or that outrun the facts, add one loss
+//! each at most. On two sides of a partition the bound holds for each side.
+
+mod isolation;
+mod ledger;
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    fingerprint::Fingerprint,
+    ids::{Incarnation, RequestId, UpstreamId},
+};
+
+pub use self::{
+    isolation::Suspects,
+    ledger::{LossLedger, Standing},
+};
+
+/// First lifetime of a conviction.
+pub const CONVICTION_LIFETIME: Duration = Duration::from_secs(600);
+/// Time for which facts are kept.
+pub const FACT_LIFETIME: Duration = Duration::from_secs(24 * 3_600);
+/// Losses that a ledger keeps at most; the oldest go first.
+pub const MAX_LOSSES_KEPT: usize = 1_024;
+/// Losses that convict if one of them had no other request in flight.
+pub const CONVICTING_LOSSES: usize = 2;
+/// Losses that convict whatever else was in flight.
+pub const CERTAIN_LOSSES: usize = 3;
+/// Time for which an upstream is reserved for one suspect at most.
+pub const RESERVATION_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Evidence that instances share; carries its age, never a clock reading.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fact {
+    /// An upstream was lost without an explanation.
+    Lost(LossReport),
+    /// A suspect ran to its end.
+    Cleared {
+        /// Its content.
+        fingerprint: Fingerprint,
+        /// Time since its run began: losses before that no longer count.
+        age: Duration,
+    },
+}
+
+/// One upstream's loss as one entry instance saw it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LossReport {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// The incarnation that was lost.
+    pub incarnation: Incarnation,
+    /// Time since the loss was noticed.
+    pub age: Duration,
+    /// Contents that the reporting instance had in flight there, sorted.
+    pub flying: Vec<Fingerprint>,
+}
+
+/// Whether a request may run on an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Placement {
+    /// It may.
+    Free,
+    /// It is a suspect and would share the upstream with requests that are not; only if no other
+    /// upstream is free.
+    Shared,
+    /// It may not: a suspect runs there, or the upstream is reserved for one.
+    Barred,
+}
+
+/// What happens to the requests in flight.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// A request was sent to an upstream.
+    Sent {
+        /// The request.
+        request: RequestId,
+        /// Its content.
+        fingerprint: Fingerprint,
+        /// The upstream.
+        upstream: UpstreamId,
+        /// The upstream's incarnation.
+        incarnation: Incarnation,
+    },
+    /// A request got its whole answer.
+    Answered {
+        /// The request.
+        request: RequestId,
+    },
+    /// A request ended in another way, which proves nothing.
+    Ended {
+        /// The request.
+        request: RequestId,
+    },
+    /// An upstream crashed: its lease ran out, or it came back under a new incarnation.
+    ///
+    /// A connection that fell silent, and a leaving upstream, are no loss.
+    UpstreamLost {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// The incarnation that was lost.
+        incarnation: Incarnation,
+    },
+    /// A fact came from a peer or from the home group.
+    Learned(Fact),
+    /// A peer of the zone reserved an upstream for a suspect.
+    Reserved {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Time that is left of the reservation.
+        lifetime: Duration,
+    },
+    /// A peer of the zone gave its reservation up.
+    Freed {
+        /// The upstream.
+        upstream: UpstreamId,
+    },
+    /// Time passes.
+    Tick,
+}
+
+/// What the shell has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Send the fact to the home group and to the region's entry instances; the home group hands
+    /// it on to the other regions.
+    Share(Fact),
+    /// The request's upstream was lost under it: decide on a retry, or give it up.
+    Lost {
+        /// The request.
+        request: RequestId,
+    },
+    /// Tell the zone's entry instances to send nothing else to the upstream.
+    Reserve {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Longest time of the reservation.
+        lifetime: Duration,
+    },
+    /// Tell the zone's entry instances that the reservation has ended.
+    Free {
+        /// The upstream.
+        upstream: UpstreamId,
+    },
+}
