--- /dev/null
+++ b/crates/medlarlug-core/src/replication/election.rs
@@ -0,0 +1,245 @@
+//! Elections: pre-vote, vote and the timer that starts them.
+
+use crate::{ids::Term, time::Time};
+
+use super::{
+    event::{Effect, Role},
+    leader::Leader,
+    membership::{FormationId, MemberKey},
+    message::{Body, Envelope, Payload, Position},
+    replica::{Replica, State},
+};
+
+impl Replica {
+    pub(super) fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if matches!(self.state, State::Leader(_)) {
+            return self.tick_leader(now, out);
+        }
+        self.greet(now, out);
+        self.try_form(now);
+        if now >= self.deadline && self.is_voter() {
+            self.reset_deadline(now);
+            self.campaign(now, out);
+        }
+    }
+
+    fn campaign(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if !self.config.pre_vote {
+            return self.stand(false, now, out);
+        }
+        self.leader = None;
+        let old_role = self.role();
+        self.state = State::PreCandidate(vec![self.config.key.clone()]);
+        if old_role != Role::Follower {
+            out.push(Effect::RoleChanged { role: Role::Follower, term: self.hard.term });
+        }
+        let body = Body::PreVote { term: self.hard.term.next(), last: self.log.last() };
+        self.ask_voters(body, false, out);
+        self.count_pre_votes(now, out);
+    }
+
+    /// Campaigns in the next term.
+    pub(super) fn stand(&mut self, handover: bool, now: Time, out: &mut Vec<Effect>) {
+        let own = self.config.key.clone();
+        self.set_term(self.hard.term.next(), Some(own));
+        self.leader = None;
+        self.state = State::Candidate(Vec::new());
+        self.incoming = None;
+        self.reset_deadline(now);
+        out.push(Effect::RoleChanged { role: Role::Candidate, term: self.hard.term });
+        self.vote_self_synced();
+        let body = Body::Vote { last: self.log.last(), handover };
+        self.ask_voters(body, true, out);
+    }
+
+    fn ask_voters(&mut self, body: Body, synced: bool, out: &mut Vec<Effect>) {
+        let Some(members) = self.log.members() else {
+            return;
+        };
+        let own = &self.config.key;
+        let others: Vec<MemberKey> =
+            members.voters().map(|m| m.key.clone()).filter(|key| key != own).collect();
+        let formation = members.formation;
+        for key in others {
+            let envelope = self.envelope(key, formation, body.clone());
+            match synced {
+                true => self.send_synced(envelope, out),
+                false => self.send(envelope, out),
+            }
+        }
+    }
+
+    pub(super) fn on_pre_vote(
+        &mut self,
+        asker: (MemberKey, FormationId),
+        term: Term,
+        last: Position,
+        now: Time,
+        out: &mut Vec<Effect>,
+    ) {
+        let is_new = term > self.hard.term && last >= self.log.last();
+        let granted = is_new && !self.has_live_leader(now);
+        let answer = self.envelope(asker.0, asker.1, Body::PreVoted { term, granted });
+        self.send(answer, out);
+    }
+
+    pub(super) fn on_pre_voted(
+        &mut self,
+        from: MemberKey,
+        term: Term,
+        granted: bool,
+        now: Time,
+        out: &mut Vec<Effect>,
+    ) {
+        let next = self.hard.term.next();
+        if let State::PreCandidate(votes) = &mut self.state
+            && granted
+            && term == next
+            && !votes.contains(&from)
+        {
+            votes.push(from);
+            self.count_pre_votes(now, out);
+        }
+    }
+
+    fn count_pre_votes(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if let State::PreCandidate(votes) = &self.state
+            && self.log.members().is_some_and(|m| m.has_majority(|key| votes.contains(key)))
+        {
+            self.stand(false, now, out);
+        }
+    }
+
+    pub(super) fn on_vote(
+        &mut self,
+        asker: (MemberKey, FormationId),
+        last: Position,
+        now: Time,
+        out: &mut Vec<Effect>,
+    ) {
+        let is_free = match &self.hard.vote {
+            Some(vote) => *vote == asker.0,
+            None => true,
+        };
+        let granted = is_free && last >= self.log.last() && self.role() != Role::Leader;
+        if granted {
+            self.reset_deadline(now);
+            if self.hard.vote.is_none() {
+                self.set_term(self.hard.term, Some(asker.0.clone()));
+            }
+        }
+        let answer = self.envelope(asker.0, asker.1, Body::Voted { granted });
+        self.send_synced(answer, out);
+    }
+
+    pub(super) fn on_voted(&mut self, from: MemberKey, now: Time, out: &mut Vec<Effect>) {
+        if let State::Candidate(votes) = &mut self.state {
+            if !votes.contains(&from) {
+                votes.push(from);
+            }
+            self.count_votes(now, out);
+        }
+    }
+
+    pub(super) fn on_own_vote(&mut self, term: Term, now: Time, out: &mut Vec<Effect>) {
+        if term == self.hard.term {
+            self.on_voted(self.config.key.clone(), now, out);
+        }
+    }
+
+    fn count_votes(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if let State::Candidate(votes) = &self.state
+            && self.log.members().is_some_and(|m| m.has_majority(|key| votes.contains(key)))
+        {
+            self.lead(now, out);
+        }
+    }
+
+    fn lead(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let last = self.log.last().index;
+        self.leader = Some(self.config.key.id.clone());
+        self.state = State::Leader(Leader::new(last.next(), now));
+        out.push(Effect::RoleChanged { role: Role::Leader, term: self.hard.term });
+        self.track_members(now);
+        self.append_own(Payload::Empty);
+        self.start_round(now, out);
+    }
+
+    pub(super) fn on_envelope(&mut self, envelope: Envelope, now: Time, out: &mut Vec<Effect>) {
+        let is_foreign = self.formation().is_some_and(|own| own != envelope.formation);
+        if envelope.to != self.config.key || is_foreign {
+            return;
+        }
+        let asker = (envelope.from.clone(), envelope.formation);
+        if let Body::PreVote { term, last } = envelope.body {
+            return self.on_pre_vote(asker, term, last, now, out);
+        }
+        if let Body::Vote { handover: false, .. } = envelope.body
+            && self.has_live_leader(now)
+            && envelope.term > self.hard.term
+            && self.config.check_quorum
+        {
+            return;
+        }
+        if envelope.term < self.hard.term {
+            return self.correct(envelope, out);
+        }
+        if envelope.term > self.hard.term {
+            self.become_follower(envelope.term, None, now, out);
+        }
+        self.dispatch(envelope, now, out);
+    }
+
+    /// Tells a sender with an old term of the newer one.
+    fn correct(&mut self, envelope: Envelope, out: &mut Vec<Effect>) {
+        if matches!(envelope.body, Body::Append { .. } | Body::Chunk { .. } | Body::Vote { .. }) {
+            let body = Body::Voted { granted: false };
+            let answer = self.envelope(envelope.from, envelope.formation, body);
+            self.send_synced(answer, out);
+        }
+    }
+
+    fn dispatch(&mut self, envelope: Envelope, now: Time, out: &mut Vec<Effect>) {
+        let asker = (envelope.from.clone(), envelope.formation);
+        let from = envelope.from;
+        match envelope.body {
+            Body::PreVote { .. } => {}
+            Body::PreVoted { term, granted } => self.on_pre_voted(from, term, granted, now, out),
+            Body::Vote { last, .. } => self.on_vote(asker, last, now, out),
+            Body::Voted { granted: true } => self.on_voted(from, now, out),
+            Body::Voted { granted: false } => {}
+            Body::Append { prev, entries, commit, round } => {
+                if self.follow(&asker.0, now, out) {
+                    self.on_append(asker, prev, entries, (commit, round), out);
+                }
+            }
+            Body::Chunk { at, members, offset, total, data, round } => {
+                if self.follow(&asker.0, now, out) {
+                    let part = super::transfer::Part { at, members, offset, total, data };
+                    self.on_chunk(asker, part, round, out);
+                }
+            }
+            Body::Appended { last, round } => self.on_appended(&from, last, round, now),
+            Body::Refused { prev, next, round } => self.on_refused(&from, (prev, next), round, now),
+            Body::Received { index, offset, round } => {
+                self.on_received(&from, (index, offset), round, now, out);
+            }
+            Body::Campaign => {
+                if self.is_voter() && self.role() != Role::Leader {
+                    self.stand(true, now, out);
+                }
+            }
+        }
+    }
+
+    /// Follows the leader of the current term.
+    fn follow(&mut self, from: &MemberKey, now: Time, out: &mut Vec<Effect>) -> bool {
+        if self.role() == Role::Leader {
+            return false;
+        }
+        self.become_follower(self.hard.term, Some(from.id.clone()), now, out);
+        self.heard = Some(now);
+        self.reset_deadline(now);
+        true
+    }
+}
--- a/crates/medlarlug-core/src/replication/event.rs
+++ b/crates/medlarlug-core/src/replication/event.rs
@@ -5,8 +5,8 @@
 use crate::ids::{InstanceId, LogIndex, Term};
 
 use super::{
-    membership::{Change, MemberKey},
-    message::{Entry, HardState, Message, Snapshot},
+    membership::{Change, FormationId, Member, MemberKey, Membership},
+    message::{Entry, HardState, Message, Payload, Snapshot},
 };
 
 /// State that a replica is started from; empty for new storage.
@@ -198,3 +198,34 @@
         term: Term,
     },
 }
+
+impl Restored {
+    /// The newest membership that the state holds.
+    pub fn membership(&self) -> Option<&Membership> {
+        let members = |entry: &Entry| match &entry.payload {
+            Payload::Members(_) => true,
+            Payload::Command(_) | Payload::Empty => false,
+        };
+        match self.entries.iter().rfind(|entry| members(entry)).map(|entry| &entry.payload) {
+            Some(Payload::Members(members)) => Some(members),
+            _ => self.snapshot.as_ref().map(|snapshot| &snapshot.members),
+        }
+    }
+
+    /// Turns the state of a survivor into a group of its own, for an operator after the loss of a
+    /// majority.
+    ///
+    /// Every entry that the survivor holds becomes committed, acknowledged or not; what it lacks
+    /// is lost. Returns `None` if the state belongs to no group.
+    pub fn rebuild(mut self, member: Member, formation: FormationId) -> Option<Restored> {
+        self.membership()?;
+        let base = self.snapshot.as_ref().map(|snapshot| snapshot.index).unwrap_or_default();
+        let last = self.entries.last().map(|entry| entry.index).unwrap_or(base);
+        let term = self.hard.term.next();
+        let members = Membership::new(formation, vec![member]);
+        let payload = Payload::Members(members);
+        self.entries.push(Entry { index: last.next(), term, payload });
+        self.hard = HardState { term, vote: None };
+        Some(self)
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-core/src/replication/formation.rs
@@ -0,0 +1,213 @@
+//! Formation of a group, and the way back for members that lost their storage.
+
+use rand::RngExt;
+
+use crate::{
+    ids::{InstanceId, LogIndex, Term},
+    time::Time,
+};
+
+use super::{
+    event::{Effect, Rejection, Ticket},
+    membership::{Change, FormationId, Member, MemberKey, MemberRole, Membership},
+    message::{Entry, Hello, Message, Payload},
+    replica::{Replica, State},
+};
+
+/// A replica that asks to be let in.
+#[derive(Debug)]
+pub(super) struct Applicant {
+    hello: Hello,
+    heard: Time,
+}
+
+impl Replica {
+    /// Introduces itself to the founders while no leader is heard.
+    pub(super) fn greet(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let limit = self.config.election_max;
+        let has_leader = self.heard.is_some_and(|heard| now - heard < limit);
+        if has_leader || now < self.greeting {
+            return;
+        }
+        self.greeting = now + self.config.heartbeat;
+        for to in &self.config.founders {
+            if *to != self.config.key.id {
+                let message = Message::Hello(self.hello());
+                out.push(Effect::Send { to: to.clone(), message });
+            }
+        }
+    }
+
+    fn hello(&self) -> Hello {
+        Hello {
+            key: self.config.key.clone(),
+            durable: self.config.durable,
+            formation: self.formation(),
+            founders: self.config.founders.clone(),
+        }
+    }
+
+    pub(super) fn on_hello(&mut self, hello: Hello, now: Time, out: &mut Vec<Effect>) {
+        let is_new = hello.formation.is_none();
+        self.applicants.retain(|applicant| applicant.hello.key.id != hello.key.id);
+        let to = hello.key.id.clone();
+        self.applicants.push(Applicant { hello, heard: now });
+        if is_new && self.formation().is_some() {
+            out.push(Effect::Send { to, message: Message::Hello(self.hello()) });
+        }
+    }
+
+    /// Forms the group if this is the first founder and every founder comes with new storage.
+    pub(super) fn try_form(&mut self, now: Time) {
+        let founders = &self.config.founders;
+        let is_first = founders.first() == Some(&self.config.key.id);
+        let is_new = self.log.last().index == LogIndex(0) && self.log.members().is_none();
+        if !self.config.may_form || !is_first || !is_new || self.hard.term > Term(0) {
+            return;
+        }
+        let voter = |key: &MemberKey, durable| Member {
+            key: key.clone(),
+            role: MemberRole::Voter,
+            durable,
+        };
+        let mut members = vec![voter(&self.config.key, self.config.durable)];
+        for founder in &founders[1..] {
+            let Some(hello) = self.fresh_hello(founder, now) else {
+                return;
+            };
+            members.push(voter(&hello.key, hello.durable));
+        }
+        let formation = FormationId(self.rng.random());
+        let payload = Payload::Members(Membership::new(formation, members));
+        let entry = Entry { index: LogIndex(1), term: Term(1), payload };
+        self.set_term(Term(1), Some(self.config.key.clone()));
+        self.log.append(entry.clone());
+        self.dirty.entries.push(entry);
+        self.deadline = now;
+    }
+
+    fn fresh_hello(&self, id: &InstanceId, now: Time) -> Option<&Hello> {
+        let limit = self.config.election_max;
+        let applicant = self.applicants.iter().find(|a| a.hello.key.id == *id)?;
+        let hello = &applicant.hello;
+        let is_fresh = hello.formation.is_none() && hello.founders == self.config.founders;
+        (is_fresh && now - applicant.heard < limit).then_some(hello)
+    }
+
+    pub(super) fn change(
+        &mut self,
+        ticket: Ticket,
+        change: &Change,
+        now: Time,
+        out: &mut Vec<Effect>,
+    ) {
+        match self.try_change(change, now) {
+            Ok(index) => {
+                if let State::Leader(leader) = &mut self.state {
+                    leader.add_ticket(index, ticket);
+                }
+            }
+            Err(reason) => self.reject(ticket, reason, out),
+        }
+    }
+
+    fn try_change(&mut self, change: &Change, now: Time) -> Result<LogIndex, Rejection> {
+        let State::Leader(leader) = &self.state else {
+            return Err(self.not_leader());
+        };
+        if leader.is_handing_over() {
+            return Err(Rejection::HandingOver);
+        }
+        let is_settled = self.log.members_index() <= self.commit && leader.first <= self.commit;
+        if !is_settled {
+            return Err(Rejection::ChangePending);
+        }
+        if let Change::Promote(key) = change
+            && !self.is_caught_up(key, now)
+        {
+            return Err(Rejection::NotCaughtUp { key: key.clone() });
+        }
+        let members = self.log.members().and_then(|members| members.with(change));
+        let members = members.ok_or(Rejection::UnfitChange)?;
+        let index = self.append_own(Payload::Members(members));
+        self.track_members(now);
+        Ok(index)
+    }
+
+    fn is_caught_up(&self, key: &MemberKey, now: Time) -> bool {
+        let State::Leader(leader) = &self.state else {
+            return false;
+        };
+        leader.progress(key).is_some_and(|progress| {
+            let is_heard = progress.has_answered && now - progress.heard < self.config.election_min;
+            is_heard && progress.matched >= self.commit
+        })
+    }
+
+    /// Lets members back in that lost their storage: add, catch up, remove the old, promote.
+    pub(super) fn reconcile(&mut self, now: Time, _out: &mut Vec<Effect>) {
+        if let Some(change) = self.next_change(now) {
+            // A change that does not fit yet is tried again at the next tick.
+            let _ = self.try_change(&change, now);
+        }
+    }
+
+    fn next_change(&self, now: Time) -> Option<Change> {
+        let members = self.log.members()?;
+        let applicant = self.applicants.iter().find_map(|applicant| {
+            let is_fresh = now - applicant.heard < self.config.election_max;
+            is_fresh.then(|| self.replacement(&applicant.hello, members)).flatten()
+        });
+        if let Some(member) = applicant {
+            return Some(Change::Add(member));
+        }
+        let returned = members.members().iter().find(|member| {
+            let has_other = self.has_namesake(member, members);
+            let is_open = has_other || member.role == MemberRole::Joining;
+            is_open && self.is_caught_up(&member.key, now)
+        })?;
+        if let Some(old) = self.predecessor(returned, members, now) {
+            return Some(Change::Remove(old.key.clone()));
+        }
+        let is_alone = !self.has_namesake(returned, members);
+        is_alone.then(|| Change::Promote(returned.key.clone()))
+    }
+
+    /// The member that an instance with new storage becomes.
+    fn replacement(&self, hello: &Hello, members: &Membership) -> Option<Member> {
+        let is_foreign = hello.formation.is_some_and(|own| own != members.formation);
+        if is_foreign || members.get(&hello.key).is_some() || hello.key.id == self.config.key.id {
+            return None;
+        }
+        let mut old = members.members().iter().filter(|m| m.key.id == hello.key.id).peekable();
+        old.peek()?;
+        let role = match old.any(|member| member.role != MemberRole::Learner) {
+            true => MemberRole::Joining,
+            false => MemberRole::Learner,
+        };
+        Some(Member { key: hello.key.clone(), role, durable: hello.durable })
+    }
+
+    /// Another, silent member of the same instance.
+    fn predecessor<'a>(
+        &self,
+        member: &Member,
+        members: &'a Membership,
+        now: Time,
+    ) -> Option<&'a Member> {
+        let State::Leader(leader) = &self.state else {
+            return None;
+        };
+        let limit = self.config.election_min;
+        members.members().iter().find(|other| {
+            let progress = leader.progress(&other.key);
+            let is_silent = progress.is_some_and(|progress| now - progress.heard >= limit);
+            other.key.id == member.key.id && other.key != member.key && is_silent
+        })
+    }
+
+    fn has_namesake(&self, member: &Member, members: &Membership) -> bool {
+        let is_other = |m: &Member| m.key.id == member.key.id && m.key != member.key;
+        members.members().iter().any(is_other)
+    }
+}
--- a/crates/medlarlug-core/src/replication/membership.rs
+++ b/crates/medlarlug-core/src/replication/membership.rs
@@ -145,10 +145,11 @@
         count * 2 > total
     }
 
-    /// Whether the voters that satisfy `holds` suffice to commit: a majority, with a durable voter
-    /// in it while the group has one.
+    /// Whether the members that satisfy `holds` suffice to commit: a majority of the voters, and a
+    /// durable member while the group has a durable voter or one that is joining.
     pub fn may_commit(&self, holds: impl Fn(&MemberKey) -> bool) -> bool {
-        let mut durable = self.voters().filter(|member| member.durable).peekable();
+        let counts = |member: &&Member| member.durable && member.role != MemberRole::Learner;
+        let mut durable = self.members.iter().filter(counts).peekable();
         let is_durable = durable.peek().is_none() || durable.any(|member| holds(&member.key));
         is_durable && self.has_majority(holds)
     }
