Cores of membership, directory and routing

First whole version: announcements with leases and tombstones, heartbeats, summaries between zones, directory of entry instances, routing by predicted time to the first token.

--- a/crates/medlarlug-core/src/lib.rs
+++ b/crates/medlarlug-core/src/lib.rs
@@ -23,6 +23,7 @@
 //! ```
 
 pub mod announcement;
+pub mod directory;
 pub mod fingerprint;
 pub mod ids;
 pub mod membership;
--- /dev/null
+++ b/crates/medlarlug-core/src/membership/core.rs
@@ -0,0 +1,229 @@
+//! The membership core: events in, effects out.
+
+use crate::{
+    announcement::Announcement,
+    ids::{InstanceId, UpstreamId},
+    membership::{
+        Effect, Event, Heartbeat, InstanceKind, Message, Notice, Seed, Settings, Status, Target,
+        UpstreamNews,
+        peers::{Peer, PeerTable},
+        timing::{FAR_BUDGET, HEARTBEAT, NEAR_BUDGET, SUMMARY_PERIOD, SYNC_INTERVAL, WATCH_ALL},
+        upstreams::{Change, UpstreamTable},
+        zones::{Outbox, ZoneTable},
+    },
+    time::Time,
+};
+/// The view that one instance has of upstreams, instances and zones.
+///
+/// ```
+/// use medlarlug_core::{
+///     ids::Incarnation,
+///     membership::{Event, InstanceKind, Membership, Seed, Settings},
+///     time::Time,
+/// };
+///
+/// let seed = |id: &str| Seed {
+///     id: id.parse().unwrap(),
+///     kind: InstanceKind::Entry,
+///     zone: "riga-a".parse().unwrap(),
+///     region: "riga".parse().unwrap(),
+/// };
+/// let settings =
+///     Settings { own: seed("e1"), incarnation: Incarnation(1), peers: vec![seed("e2")] };
+/// let mut membership = Membership::new(Time::ZERO, settings);
+/// let mut effects = Vec::new();
+/// membership.handle(Time::from_millis(250), Event::Tick, &mut effects);
+/// assert!(!effects.is_empty());
+/// ```
+#[derive(Debug, Clone)]
+pub struct Membership {
+    pub(super) settings: Settings,
+    pub(super) status: Status,
+    pub(super) upstreams: UpstreamTable,
+    pub(super) peers: PeerTable,
+    pub(super) zones: ZoneTable,
+    pub(super) near: Outbox,
+    pub(super) far: Outbox,
+    pub(super) told: Vec<Target>,
+    pub(super) turn: usize,
+    pub(super) next_beat: Time,
+    pub(super) next_summary: Time,
+    pub(super) next_sync: Time,
+}
+
+impl Membership {
+    /// The view at the start: no upstream, and every instance unheard.
+    pub fn new(now: Time, mut settings: Settings) -> Membership {
+        let own = &settings.own;
+        settings.peers.retain(|it| it.id != own.id);
+        let watches_all = settings.peers.len() < WATCH_ALL;
+        let is_watched = |it: &&Seed| watches_all || it.zone == own.zone;
+        let watched = settings.peers.iter().filter(is_watched).cloned().collect();
+        let entries: Vec<Seed> =
+            settings.peers.iter().filter(|it| it.kind == InstanceKind::Entry).cloned().collect();
+        let zones = ZoneTable::new(own, &entries);
+        let near = zones.all().iter().filter(|it| it.region == own.region).count();
+        let far = zones.all().len() - near;
+        let seed = own.id.as_str().bytes().fold(0, |sum, byte| sum + usize::from(byte));
+        Membership {
+            status: Status::default(),
+            upstreams: UpstreamTable::default(),
+            peers: PeerTable::new(watched),
+            zones,
+            near: Outbox::near(NEAR_BUDGET / near.max(1) as f64),
+            far: Outbox::far(FAR_BUDGET / far.max(1) as f64),
+            told: Vec::new(),
+            turn: seed,
+            next_beat: now,
+            next_summary: now,
+            next_sync: now,
+            settings,
+        }
+    }
+
+    /// Feeds one event in; effects are appended to `out`.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Announced(announcement) => self.announced(now, announcement, out),
+            Event::Message { from, message } => self.received(now, &from, message, out),
+            Event::Status(status) => self.set_status(now, status, out),
+            Event::Tick => self.tick(now, out),
+        }
+    }
+
+    fn announced(&mut self, now: Time, announcement: Announcement, out: &mut Vec<Effect>) {
+        let id = announcement.id.clone();
+        if announcement.zone != self.settings.own.zone {
+            out.push(Effect::Notice(Notice::ForeignZone(id)));
+            return;
+        }
+        let change = self.upstreams.announce(now, announcement);
+        notice_change(&id, change, out);
+        if change == Change::Leaving {
+            self.share_news(now, out);
+        }
+    }
+
+    fn received(&mut self, now: Time, from: &InstanceId, message: Message, out: &mut Vec<Effect>) {
+        self.peers.hear(now, from, out);
+        match message {
+            Message::Heartbeat(beat) => self.beaten(now, from, beat, out),
+            Message::Upstreams(news) => self.learn_upstreams(now, from, news, out),
+            Message::Pull(ids) => self.answer_pull(now, from, &ids, out),
+            Message::Summaries(summaries) => self.learn_zones(now, summaries, out),
+        }
+    }
+
+    fn beaten(&mut self, now: Time, from: &InstanceId, beat: Heartbeat, out: &mut Vec<Effect>) {
+        let is_in_zone = self.zone_peers().any(|it| it.seed.id == *from);
+        let digest = if is_in_zone { self.upstreams.digest() } else { beat.digest };
+        let differs = self.peers.beat(from, beat, digest, out);
+        if differs && now >= self.next_sync {
+            self.next_sync = now + SYNC_INTERVAL;
+            self.peers.synced(from);
+            let message = Message::Upstreams(self.upstreams.whole_view(now));
+            out.push(Effect::Send { to: from.clone(), message });
+        }
+    }
+
+    fn learn_upstreams(
+        &mut self,
+        now: Time,
+        from: &InstanceId,
+        news: Vec<UpstreamNews>,
+        out: &mut Vec<Effect>,
+    ) {
+        let mut unknown = Vec::new();
+        let mut void = Vec::new();
+        for it in news {
+            let id = it.id().clone();
+            let change = self.upstreams.learn(now, it);
+            notice_change(&id, change, out);
+            match change {
+                Change::Unknown => unknown.push(id),
+                Change::Void => void.extend(self.upstreams.answer(now, &id)),
+                _ => {}
+            }
+        }
+        if !unknown.is_empty() {
+            out.push(Effect::Send { to: from.clone(), message: Message::Pull(unknown) });
+        }
+        if !void.is_empty() {
+            out.push(Effect::Send { to: from.clone(), message: Message::Upstreams(void) });
+        }
+    }
+
+    fn answer_pull(
+        &mut self,
+        now: Time,
+        from: &InstanceId,
+        ids: &[UpstreamId],
+        out: &mut Vec<Effect>,
+    ) {
+        let news: Vec<_> = ids.iter().filter_map(|id| self.upstreams.answer(now, id)).collect();
+        if !news.is_empty() {
+            out.push(Effect::Send { to: from.clone(), message: Message::Upstreams(news) });
+        }
+    }
+
+    fn set_status(&mut self, now: Time, status: Status, out: &mut Vec<Effect>) {
+        let is_urgent = status.leaving && !self.status.leaving;
+        self.status = Status { leaving: self.status.leaving || status.leaving, ..status };
+        if is_urgent {
+            self.send_beats(now, out);
+        }
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
+        for id in self.upstreams.expire(now) {
+            out.push(Effect::Notice(Notice::UpstreamDead(id)));
+        }
+        self.peers.check(now, out);
+        self.share_news(now, out);
+        if now >= self.next_beat {
+            self.send_beats(now, out);
+        }
+        if now >= self.next_summary {
+            self.next_summary = now + SUMMARY_PERIOD;
+            self.summarize(now, out);
+        }
+    }
+
+    fn send_beats(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.next_beat = now + HEARTBEAT;
+        let digest = self.upstreams.digest();
+        let (incarnation, status) = (self.settings.incarnation, self.status);
+        for peer in self.peers.all() {
+            let message = Message::Heartbeat(Heartbeat { incarnation, status, digest });
+            out.push(Effect::Send { to: peer.seed.id.clone(), message });
+        }
+    }
+
+    fn share_news(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let news = self.upstreams.take_news(now);
+        if news.is_empty() {
+            return;
+        }
+        for peer in self.zone_peers() {
+            let message = Message::Upstreams(news.clone());
+            out.push(Effect::Send { to: peer.seed.id.clone(), message });
+        }
+    }
+
+    pub(super) fn is_open(&self) -> bool {
+        self.settings.own.kind == InstanceKind::Entry && !self.status.leaving
+    }
+
+    pub(super) fn zone_peers(&self) -> impl Iterator<Item = &Peer> {
+        let zone = &self.settings.own.zone;
+        self.peers.all().iter().filter(move |it| it.seed.zone == *zone)
+    }
+}
+
+fn notice_change(id: &UpstreamId, change: Change, out: &mut Vec<Effect>) {
+    match change {
+        Change::Up => out.push(Effect::Notice(Notice::UpstreamUp(id.clone()))),
+        Change::Leaving => out.push(Effect::Notice(Notice::UpstreamLeaving(id.clone()))),
+        Change::None | Change::Unknown | Change::Void => {}
+    }
+}
--- a/crates/medlarlug-core/src/membership/message.rs
+++ b/crates/medlarlug-core/src/membership/message.rs
@@ -65,6 +65,8 @@
         incarnation: Incarnation,
         /// Number of the announcement.
         sequence: u64,
+        /// Hash of what the upstream announced besides its load.
+        shape: u32,
         /// Time since the announcement arrived.
         age: Duration,
         /// The new load.
@@ -79,6 +81,16 @@
     },
 }
 
+impl UpstreamNews {
+    /// The upstream that it is about.
+    pub fn id(&self) -> &UpstreamId {
+        match self {
+            UpstreamNews::Full { announcement, .. } => &announcement.id,
+            UpstreamNews::Renewal { id, .. } | UpstreamNews::Left { id, .. } => id,
+        }
+    }
+}
+
 /// Summaries of zones and how far they still travel.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Summaries {
--- a/crates/medlarlug-core/src/membership/mod.rs
+++ b/crates/medlarlug-core/src/membership/mod.rs
@@ -11,20 +11,35 @@
 //! Instances watch each other by heartbeats. A silent connection is replaced by a new one first;
 //! an instance counts as dead only when the new connection is silent as well.
 
+mod core;
+mod hash;
+pub mod load;
 pub mod message;
+pub mod peers;
+mod query;
+mod speaker;
 pub mod summary;
-
-use std::time::Duration;
+pub mod timing;
+pub mod upstreams;
+pub mod warm;
+pub mod zones;
 
 use crate::{
     announcement::Announcement,
     ids::{Incarnation, InstanceId, RegionId, UpstreamId, ZoneId},
 };
 
+pub use core::Membership;
 pub use message::{
     EntryLoad, Heartbeat, Message, Scope, Status, Summaries, UpstreamNews, ZoneNews,
 };
+pub use peers::{Peer, PeerState};
+pub use query::EntryView;
 pub use summary::{QueueTime, Sketch, Target, TargetSummary};
+pub use timing::TICK;
+pub use upstreams::Upstream;
+pub use warm::WarmSet;
+pub use zones::{Row, ZoneView};
 
 /// Role of an instance of the system.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -114,6 +129,3 @@
     /// An announcement was refused, because it names another zone.
     ForeignZone(UpstreamId),
 }
-
-/// Time between two [`Event::Tick`].
-pub const TICK: Duration = Duration::from_millis(250);
--- /dev/null
+++ b/crates/medlarlug-core/src/membership/peers.rs
@@ -0,0 +1,157 @@
+//! The other instances: heartbeats, silent connections and suspicion.
+
+use crate::{
+    ids::{Incarnation, InstanceId},
+    membership::{
+        Effect, Heartbeat, InstanceKind, Notice, Seed, Status,
+        timing::{DIGEST_MISMATCHES, LINK_SILENCE, PEER_SILENCE, RETRY_DEAD},
+    },
+    time::Time,
+};
+
+/// What is known of another instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// Who it is and where it runs.
+    pub seed: Seed,
+    /// Its incarnation, as far as heard.
+    pub incarnation: Incarnation,
+    /// Its latest status.
+    pub status: Status,
+    /// Whether it is there.
+    pub state: PeerState,
+    heard: Time,
+    mismatches: u8,
+}
+
+/// Whether an instance is there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerState {
+    /// Nothing was heard of it since the own start.
+    Unheard,
+    /// It was heard lately.
+    Up,
+    /// Its connection was silent and has been replaced.
+    Reconnecting {
+        /// When the new connection was asked for.
+        since: Time,
+    },
+    /// The new connection was silent as well.
+    Dead {
+        /// When the last new connection was asked for.
+        tried: Time,
+    },
+}
+
+impl Peer {
+    /// Whether it counts as alive.
+    pub fn is_live(&self) -> bool {
+        matches!(self.state, PeerState::Up | PeerState::Reconnecting { .. })
+    }
+
+    /// Whether callers can be sent to it.
+    pub fn is_open(&self) -> bool {
+        self.is_live() && !self.status.leaving && self.seed.kind == InstanceKind::Entry
+    }
+}
+
+/// The instances that are watched, sorted by id.
+#[derive(Debug, Clone, Default)]
+pub(super) struct PeerTable {
+    peers: Vec<Peer>,
+}
+
+impl PeerTable {
+    pub(super) fn new(seeds: Vec<Seed>) -> PeerTable {
+        let mut peers: Vec<Peer> = seeds.into_iter().map(Peer::unheard).collect();
+        peers.sort_by(|a, b| a.seed.id.cmp(&b.seed.id));
+        PeerTable { peers }
+    }
+
+    pub(super) fn all(&self) -> &[Peer] {
+        &self.peers
+    }
+
+    fn get_mut(&mut self, id: &InstanceId) -> Option<&mut Peer> {
+        let place = self.peers.binary_search_by(|it| it.seed.id.cmp(id)).ok()?;
+        Some(&mut self.peers[place])
+    }
+
+    /// Notes that any message of an instance arrived.
+    pub(super) fn hear(&mut self, now: Time, id: &InstanceId, out: &mut Vec<Effect>) {
+        let Some(peer) = self.get_mut(id) else {
+            return;
+        };
+        peer.heard = now;
+        if !peer.is_live() {
+            out.push(Effect::Notice(Notice::PeerUp(id.clone())));
+        }
+        peer.state = PeerState::Up;
+    }
+
+    /// Takes a heartbeat in; answers whether the whole view should be sent to its sender.
+    pub(super) fn beat(
+        &mut self,
+        id: &InstanceId,
+        beat: Heartbeat,
+        digest: u32,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(peer) = self.get_mut(id) else {
+            return false;
+        };
+        if beat.incarnation < peer.incarnation {
+            return false;
+        }
+        let was_leaving = peer.status.leaving && beat.incarnation == peer.incarnation;
+        peer.incarnation = beat.incarnation;
+        peer.status = Status { leaving: was_leaving || beat.status.leaving, ..beat.status };
+        if peer.status.leaving && !was_leaving {
+            out.push(Effect::Notice(Notice::PeerLeaving(id.clone())));
+        }
+        peer.mismatches = if beat.digest == digest { 0 } else { peer.mismatches.saturating_add(1) };
+        peer.mismatches >= DIGEST_MISMATCHES
+    }
+
+    /// Starts the count of differing digests again, after the whole view was sent.
+    pub(super) fn synced(&mut self, id: &InstanceId) {
+        if let Some(peer) = self.get_mut(id) {
+            peer.mismatches = 0;
+        }
+    }
+
+    /// Looks for silent connections.
+    pub(super) fn check(&mut self, now: Time, out: &mut Vec<Effect>) {
+        for peer in &mut self.peers {
+            let id = &peer.seed.id;
+            match peer.state {
+                PeerState::Up if now - peer.heard >= LINK_SILENCE => {
+                    peer.state = PeerState::Reconnecting { since: now };
+                    out.push(Effect::Reconnect { peer: id.clone() });
+                }
+                PeerState::Reconnecting { since } if now - since >= PEER_SILENCE => {
+                    peer.state = PeerState::Dead { tried: now };
+                    out.push(Effect::Notice(Notice::PeerDead(id.clone())));
+                }
+                PeerState::Dead { tried } if now - tried >= RETRY_DEAD => {
+                    peer.state = PeerState::Dead { tried: now };
+                    out.push(Effect::Reconnect { peer: id.clone() });
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+impl Peer {
+    fn unheard(seed: Seed) -> Peer {
+        Peer {
+            seed,
+            incarnation: Incarnation(0),
+            status: Status::default(),
+            state: PeerState::Unheard,
+            heard: Time::ZERO,
+            mismatches: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-core/src/membership/speaker.rs
@@ -0,0 +1,137 @@
+//! Summaries between zones: what the speaker of a zone sends, and what receivers hand on.
+
+use crate::{
+    ids::{InstanceId, Revision},
+    membership::{
+        Effect, EntryLoad, InstanceKind, Message, Peer, QueueTime, Scope, Sketch, Summaries,
+        TargetSummary, Upstream, ZoneNews,
+        core::Membership,
+        load::{free_slots, queueing},
+        timing::SUMMARY_ENTRIES,
+    },
+    time::Time,
+};
+
+impl Membership {
+    pub(super) fn summarize(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if !self.is_speaker() {
+            return;
+        }
+        let rows = self.own_rows(now);
+        let entries = self.zone_entries();
+        self.turn += 1;
+        if let Some(rows) = self.near.take(now, &rows, &entries) {
+            let news = self.own_news(entries.clone(), rows);
+            let contacts = self.zones.contacts(now, &self.settings.own.region);
+            send_summaries(contacts, Scope::Zone, vec![news], out);
+        }
+        if let Some(rows) = self.far.take(now, &rows, &entries) {
+            let news = self.own_news(entries, rows);
+            let turn = self.turn;
+            let contacts = self.zones.far_contacts(now, &self.settings.own.region, turn);
+            send_summaries(contacts, Scope::Region, vec![news], out);
+        }
+    }
+
+    fn own_news(&self, entries: Vec<EntryLoad>, rows: Vec<TargetSummary>) -> ZoneNews {
+        let in_zone = self.zone_peers().filter(|it| it.is_live()).map(|it| it.status.revision);
+        let revision = in_zone.chain([self.status.revision]).max().unwrap_or(Revision(0));
+        let (zone, speaker) = (self.settings.own.zone.clone(), self.settings.own.id.clone());
+        ZoneNews { zone, speaker, age: Default::default(), revision, entries, rows }
+    }
+
+    fn own_rows(&mut self, now: Time) -> Vec<TargetSummary> {
+        let mut rows: Vec<TargetSummary> =
+            self.told.iter().cloned().map(TargetSummary::none).collect();
+        for upstream in self.upstreams.all().iter().filter(|it| it.is_usable(now)) {
+            for target in upstream.targets() {
+                let place = match rows.binary_search_by(|it| it.target.cmp(&target)) {
+                    Ok(place) => place,
+                    Err(place) => {
+                        rows.insert(place, TargetSummary::none(target));
+                        place
+                    }
+                };
+                add_upstream(&mut rows[place], upstream);
+            }
+        }
+        self.told = rows.iter().map(|it| it.target.clone()).collect();
+        rows
+    }
+
+    pub(super) fn learn_zones(&mut self, now: Time, summaries: Summaries, out: &mut Vec<Effect>) {
+        let Summaries { scope, zones } = summaries;
+        let mut fresh = zones;
+        fresh.retain(|news| self.zones.learn(now, news));
+        if fresh.is_empty() || self.settings.own.kind != InstanceKind::Entry {
+            return;
+        }
+        if scope == Scope::Region {
+            let contacts = self.zones.contacts(now, &self.settings.own.region);
+            send_summaries(contacts, Scope::Zone, fresh.clone(), out);
+        }
+        let hops = match scope {
+            Scope::Region | Scope::Zone => self.live_entries().saturating_sub(1),
+            Scope::Chain(hops) => hops,
+        };
+        let next = self.next_in_chain();
+        if let (Some(next), 1..) = (next, hops) {
+            send_summaries(vec![next], Scope::Chain(hops - 1), fresh, out);
+        }
+    }
+
+    fn live_entries(&self) -> u8 {
+        let open = self.zone_peers().filter(|it| is_live_entry(it)).count();
+        u8::try_from(open + 1).unwrap_or(u8::MAX)
+    }
+
+    fn next_in_chain(&self) -> Option<InstanceId> {
+        let own = &self.settings.own.id;
+        let ids: Vec<&InstanceId> =
+            self.zone_peers().filter(|it| is_live_entry(it)).map(|it| &it.seed.id).collect();
+        let next = ids.iter().find(|id| **id > own).or(ids.first());
+        next.map(|id| InstanceId::clone(id))
+    }
+
+    fn zone_entries(&self) -> Vec<EntryLoad> {
+        let own = EntryLoad { id: self.settings.own.id.clone(), load: self.status.load };
+        let open = self.zone_peers().filter(|it| it.is_open());
+        let open = open.map(|it| EntryLoad { id: it.seed.id.clone(), load: it.status.load });
+        let mut entries: Vec<EntryLoad> = open.collect();
+        if self.is_open() {
+            entries.push(own);
+        }
+        entries.sort_by(|a, b| (a.load, &a.id).cmp(&(b.load, &b.id)));
+        entries.truncate(SUMMARY_ENTRIES);
+        entries
+    }
+}
+
+fn is_live_entry(peer: &Peer) -> bool {
+    peer.is_live() && peer.seed.kind == InstanceKind::Entry
+}
+
+fn send_summaries(
+    contacts: Vec<InstanceId>,
+    scope: Scope,
+    zones: Vec<ZoneNews>,
+    out: &mut Vec<Effect>,
+) {
+    for to in contacts {
+        let message = Message::Summaries(Summaries { scope, zones: zones.clone() });
+        out.push(Effect::Send { to, message });
+    }
+}
+
+fn add_upstream(row: &mut TargetSummary, upstream: &Upstream) {
+    let announcement = &upstream.announcement;
+    let millis = u32::try_from(queueing(announcement).as_millis()).unwrap_or(u32::MAX);
+    let is_first = row.upstreams == 0;
+    row.queueing = if is_first { QueueTime(millis) } else { row.queueing.min(QueueTime(millis)) };
+    row.upstreams = row.upstreams.saturating_add(1);
+    row.free = row.free.saturating_add(free_slots(announcement));
+    row.speed = row.speed.saturating_add(announcement.load.speed as u32);
+    for print in upstream.warm.newest(Sketch::PREFIXES) {
+        row.warm.insert(print);
+    }
+}
--- a/crates/medlarlug-core/src/membership/summary.rs
+++ b/crates/medlarlug-core/src/membership/summary.rs
@@ -75,6 +75,8 @@
 
 impl Sketch {
     const BITS: u128 = 64;
+    /// Prefixes of one upstream that enter the sketch, the newest ones.
+    pub(super) const PREFIXES: usize = 4;
 
     /// Adds a prefix.
     pub fn insert(&mut self, prefix: Fingerprint) {
@@ -92,3 +94,24 @@
         [(prefix.0 % Self::BITS) as usize, (prefix.0 / Self::BITS % Self::BITS) as usize]
     }
 }
+
+impl TargetSummary {
+    /// An empty summary: the zone has no upstream for the target.
+    pub fn none(target: Target) -> TargetSummary {
+        let (queueing, warm) = (QueueTime::default(), Sketch::default());
+        TargetSummary { target, upstreams: 0, free: 0, queueing, speed: 0, warm }
+    }
+
+    /// Whether the other summary would lead to other decisions.
+    pub fn differs(&self, other: &TargetSummary) -> bool {
+        let free = self.free.abs_diff(other.free);
+        let queueing = self.queueing.0.abs_diff(other.queueing.0);
+        self.upstreams != other.upstreams
+            || (self.free == 0) != (other.free == 0)
+            || free * 4 > other.free
+            || (queueing > MIN_DIFFERENCE && queueing * 4 > other.queueing.0)
+    }
+}
+
+/// Difference between two queueing times, in milliseconds, below which they count as equal.
+const MIN_DIFFERENCE: u32 = 50;
--- /dev/null
+++ b/crates/medlarlug-core/src/membership/timing.rs
@@ -0,0 +1,53 @@
+//! Times, lifetimes and byte budgets of the membership protocol.
+
+use std::time::Duration;
+
+/// Time between two [`Event::Tick`](super::Event::Tick).
+pub const TICK: Duration = Duration::from_millis(250);
+/// An announcement that is older takes no work any more. Renewals are due every second, and news
+/// of a loss has half a second to travel within the three seconds that users rely on.
+pub const UPSTREAM_LEASE: Duration = Duration::from_millis(2_500);
+/// Time for which it is remembered that an incarnation left.
+pub const TOMBSTONE_LIFETIME: Duration = Duration::from_secs(600);
+/// Most tombstones; the oldest goes first.
+pub const MAX_TOMBSTONES: usize = 4_096;
+/// Prefixes that are remembered for one upstream.
+pub const MAX_WARM: usize = 256;
+/// Rounds in which news of a leaving upstream is repeated.
+pub const LEAVING_ROUNDS: u8 = 3;
+
+/// Time between two heartbeats.
+pub const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Silence after which a connection is replaced.
+pub const LINK_SILENCE: Duration = Duration::from_millis(1_250);
+/// Silence on the new connection after which the instance counts as dead.
+pub const PEER_SILENCE: Duration = Duration::from_millis(1_500);
+/// Time between two attempts to reach a dead instance.
+pub const RETRY_DEAD: Duration = Duration::from_secs(2);
+/// Number of instances up to which each watches all others, not only those of its zone.
+pub const WATCH_ALL: usize = 16;
+/// Heartbeats with a differing digest after which the whole view is sent.
+pub const DIGEST_MISMATCHES: u8 = 2;
+/// Shortest time between two whole views that an instance sends.
+pub const SYNC_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time between two looks for changes of the own summary.
+pub const SUMMARY_PERIOD: Duration = Duration::from_millis(500);
+/// Bytes a second that summaries of the other zones of the region may take, over all zones.
+pub const NEAR_BUDGET: f64 = 450.0;
+/// Bytes a second that summaries of zones of other regions may take, over all zones.
+pub const FAR_BUDGET: f64 = 1_000.0;
+/// Bytes that a budget saves up at most.
+pub const BUDGET_BURST: f64 = 600.0;
+/// Time after which an unchanged row is sent again within the region.
+pub const NEAR_REFRESH: Duration = Duration::from_secs(2);
+/// Time after which an unchanged row is sent again to other regions.
+pub const FAR_REFRESH: Duration = Duration::from_secs(6);
+/// Age beyond which a row from the region is not used.
+pub const NEAR_LIFETIME: Duration = Duration::from_secs(6);
+/// Age beyond which a row from another region is not used.
+pub const FAR_LIFETIME: Duration = Duration::from_secs(20);
+/// Silence of a zone's contact after which summaries go to another of its instances.
+pub const CONTACT_SILENCE: Duration = Duration::from_secs(3);
+/// Entry instances that a summary names.
+pub const SUMMARY_ENTRIES: usize = 3;
--- /dev/null
+++ b/crates/medlarlug-core/src/membership/warm.rs
@@ -0,0 +1,71 @@
+//! Prefixes in an upstream's cache, as far as its events tell.
+
+use crate::{fingerprint::Fingerprint, membership::timing::MAX_WARM};
+
+/// A bounded set of prefixes; the one that was reported longest ago goes first.
+///
+/// ```
+/// use medlarlug_core::{fingerprint::Fingerprint, membership::WarmSet};
+///
+/// let mut warm = WarmSet::default();
+/// warm.insert(Fingerprint(7));
+/// assert!(warm.contains(Fingerprint(7)));
+/// warm.remove(Fingerprint(7));
+/// assert!(!warm.contains(Fingerprint(7)));
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct WarmSet {
+    prints: Vec<Reported>,
+    reports: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Reported {
+    print: Fingerprint,
+    report: u64,
+}
+
+impl WarmSet {
+    /// Whether the prefix is in the set.
+    pub fn contains(&self, print: Fingerprint) -> bool {
+        self.find(print).is_ok()
+    }
+
+    /// Adds a prefix, or notes that it was reported again.
+    pub fn insert(&mut self, print: Fingerprint) {
+        self.reports += 1;
+        let report = self.reports;
+        match self.find(print) {
+            Ok(place) => self.prints[place].report = report,
+            Err(place) => self.prints.insert(place, Reported { print, report }),
+        }
+        if self.prints.len() > MAX_WARM {
+            self.drop_oldest();
+        }
+    }
+
+    /// Takes a prefix out.
+    pub fn remove(&mut self, print: Fingerprint) {
+        if let Ok(place) = self.find(print) {
+            self.prints.remove(place);
+        }
+    }
+
+    /// The `count` prefixes that were reported last, the newest first.
+    pub fn newest(&self, count: usize) -> Vec<Fingerprint> {
+        let mut prints = self.prints.clone();
+        prints.sort_by_key(|it| std::cmp::Reverse(it.report));
+        prints.into_iter().take(count).map(|it| it.print).collect()
+    }
+
+    fn find(&self, print: Fingerprint) -> Result<usize, usize> {
+        self.prints.binary_search_by_key(&print, |it| it.print)
+    }
+
+    fn drop_oldest(&mut self) {
+        let oldest = (0..self.prints.len()).min_by_key(|it| self.prints[*it].report);
+        if let Some(place) = oldest {
+            self.prints.remove(place);
+        }
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-core/src/membership/zones.rs
@@ -0,0 +1,286 @@
+//! What is known of other zones, and which changes of the own summary are worth sending.
+
+use std::time::Duration;
+
+use crate::{
+    ids::{InstanceId, RegionId, Revision, ZoneId},
+    membership::{
+        EntryLoad, Seed, Target, TargetSummary, ZoneNews,
+        timing::{
+            BUDGET_BURST, CONTACT_SILENCE, FAR_LIFETIME, FAR_REFRESH, NEAR_LIFETIME, NEAR_REFRESH,
+        },
+    },
+    time::Time,
+};
+
+/// What another zone can do for one target.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Row {
+    /// The summary.
+    pub summary: TargetSummary,
+    /// When it was made, by the own clock.
+    pub made: Time,
+}
+
+/// What is known of another zone.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ZoneView {
+    /// The zone.
+    pub zone: ZoneId,
+    /// Its region.
+    pub region: RegionId,
+    /// Age beyond which its rows are not used.
+    pub lifetime: Duration,
+    /// When its latest summary was made, by the own clock.
+    pub made: Option<Time>,
+    /// Highest configuration revision in force in it.
+    pub revision: Revision,
+    /// Its entry instances that callers may use, the least loaded first.
+    pub entries: Vec<EntryLoad>,
+    rows: Vec<Row>,
+    seeds: Vec<InstanceId>,
+    contact: Contact,
+}
+
+/// The instance of another zone that summaries are sent to.
+#[derive(Debug, Clone, PartialEq)]
+struct Contact {
+    id: InstanceId,
+    since: Time,
+}
+
+impl ZoneView {
+    /// The row for a target, when it is younger than its lifetime.
+    pub fn row(&self, now: Time, target: &Target) -> Option<&Row> {
+        let place = self.rows.binary_search_by(|it| it.summary.target.cmp(target)).ok()?;
+        let row = &self.rows[place];
+        (now - row.made < self.lifetime).then_some(row)
+    }
+
+    /// All rows that are younger than their lifetime, sorted by target.
+    pub fn rows(&self, now: Time) -> impl Iterator<Item = &Row> {
+        self.rows.iter().filter(move |it| now - it.made < self.lifetime)
+    }
+
+    /// Whether a summary of the zone arrived within its lifetime.
+    pub fn is_heard(&self, now: Time) -> bool {
+        self.made.is_some_and(|made| now - made < self.lifetime)
+    }
+
+    /// The instance that summaries are sent to: the zone's speaker while it is heard, otherwise
+    /// each entry instance in turn.
+    fn contact(&mut self, now: Time) -> InstanceId {
+        let last = self.made.map_or(self.contact.since, |made| made.max(self.contact.since));
+        if now - last >= CONTACT_SILENCE.max(self.lifetime / 2) {
+            let place = self.seeds.iter().position(|it| *it == self.contact.id).unwrap_or(0);
+            let next = &self.seeds[(place + 1) % self.seeds.len()];
+            self.contact = Contact { id: next.clone(), since: now };
+        }
+        self.contact.id.clone()
+    }
+}
+
+/// The other zones, sorted by id.
+#[derive(Debug, Clone, Default)]
+pub(super) struct ZoneTable {
+    zones: Vec<ZoneView>,
+}
+
+impl ZoneTable {
+    /// The zones of the entry instances in `seeds`, other than the `own` zone.
+    pub(super) fn new(own: &Seed, seeds: &[Seed]) -> ZoneTable {
+        let mut zones: Vec<ZoneView> = Vec::new();
+        for seed in seeds.iter().filter(|it| it.zone != own.zone) {
+            match zones.binary_search_by(|it| it.zone.cmp(&seed.zone)) {
+                Ok(place) => zones[place].seeds.push(seed.id.clone()),
+                Err(place) => zones.insert(place, ZoneView::unheard(own, seed)),
+            }
+        }
+        for zone in &mut zones {
+            zone.seeds.sort();
+            zone.contact.id = zone.seeds[0].clone();
+        }
+        ZoneTable { zones }
+    }
+
+    pub(super) fn all(&self) -> &[ZoneView] {
+        &self.zones
+    }
+
+    pub(super) fn get(&self, zone: &ZoneId) -> Option<&ZoneView> {
+        let place = self.zones.binary_search_by(|it| it.zone.cmp(zone)).ok()?;
+        Some(&self.zones[place])
+    }
+
+    /// Takes news in; answers whether it is newer than what was known.
+    pub(super) fn learn(&mut self, now: Time, news: &ZoneNews) -> bool {
+        let Ok(place) = self.zones.binary_search_by(|it| it.zone.cmp(&news.zone)) else {
+            return false;
+        };
+        let zone = &mut self.zones[place];
+        let made = now.saturating_sub(news.age);
+        if zone.made.is_some_and(|known| made <= known + SAME_AGE) {
+            return false;
+        }
+        zone.made = Some(made);
+        zone.revision = zone.revision.max(news.revision);
+        zone.entries = news.entries.clone();
+        zone.contact = Contact { id: news.speaker.clone(), since: now };
+        for summary in &news.rows {
+            let row = Row { summary: summary.clone(), made };
+            match zone.rows.binary_search_by(|it| it.summary.target.cmp(&summary.target)) {
+                Ok(place) => zone.rows[place] = row,
+                Err(place) => zone.rows.insert(place, row),
+            }
+        }
+        true
+    }
+
+    /// Contacts in the other zones of a region.
+    pub(super) fn contacts(&mut self, now: Time, region: &RegionId) -> Vec<InstanceId> {
+        let zones = self.zones.iter_mut().filter(|it| it.region == *region);
+        zones.map(|it| it.contact(now)).collect()
+    }
+
+    /// One contact in every region other than `own`; the zone differs by `turn`.
+    pub(super) fn far_contacts(
+        &mut self,
+        now: Time,
+        own: &RegionId,
+        turn: usize,
+    ) -> Vec<InstanceId> {
+        let mut regions: Vec<RegionId> = self.zones.iter().map(|it| it.region.clone()).collect();
+        regions.retain(|it| it != own);
+        regions.sort();
+        regions.dedup();
+        let mut contacts = Vec::new();
+        for region in regions {
+            let mut zones: Vec<&mut ZoneView> =
+                self.zones.iter_mut().filter(|it| it.region == region).collect();
+            let place = turn % zones.len();
+            contacts.push(zones[place].contact(now));
+        }
+        contacts
+    }
+}
+
+/// Difference in age within which two summaries count as the same one.
+const SAME_AGE: Duration = Duration::from_millis(100);
+
+impl ZoneView {
+    fn unheard(own: &Seed, seed: &Seed) -> ZoneView {
+        let is_near = own.region == seed.region;
+        ZoneView {
+            zone: seed.zone.clone(),
+            region: seed.region.clone(),
+            lifetime: if is_near { NEAR_LIFETIME } else { FAR_LIFETIME },
+            made: None,
+            revision: Revision(0),
+            entries: Vec::new(),
+            rows: Vec::new(),
+            seeds: vec![seed.id.clone()],
+            contact: Contact { id: seed.id.clone(), since: Time::ZERO },
+        }
+    }
+}
+
+/// Rows of the own summary that are due in one scope, within its byte budget.
+#[derive(Debug, Clone)]
+pub(super) struct Outbox {
+    sent: Vec<Row>,
+    refresh: Duration,
+    budget: f64,
+    rate: f64,
+    filled: Time,
+}
+
+/// Bytes that a message takes besides its rows.
+const HEADER_BYTES: f64 = 40.0;
+/// Bytes of a row besides the name of its target.
+const ROW_BYTES: f64 = 18.0;
+/// Bytes of an entry instance besides its name.
+const ENTRY_BYTES: f64 = 3.0;
+
+impl Outbox {
+    /// An outbox for the zones of the region, at `rate` bytes a second.
+    pub(super) fn near(rate: f64) -> Outbox {
+        Outbox::new(NEAR_REFRESH, rate)
+    }
+
+    /// An outbox for other regions, at `rate` bytes a second.
+    pub(super) fn far(rate: f64) -> Outbox {
+        Outbox::new(FAR_REFRESH, rate)
+    }
+
+    fn new(refresh: Duration, rate: f64) -> Outbox {
+        Outbox { sent: Vec::new(), refresh, budget: BUDGET_BURST, rate, filled: Time::ZERO }
+    }
+
+    /// Takes the rows that are to be sent now: new and much changed ones, then those due for a
+    /// refresh, the longest unsent first. Answers `None` when nothing is due or affordable.
+    pub(super) fn take(
+        &mut self,
+        now: Time,
+        rows: &[TargetSummary],
+        entries: &[EntryLoad],
+    ) -> Option<Vec<TargetSummary>> {
+        self.fill(now);
+        let entry_bytes: f64 = entries.iter().map(|it| it.id.as_str().len() as f64).sum();
+        let mut cost = HEADER_BYTES + entry_bytes + ENTRY_BYTES * entries.len() as f64;
+        let mut due: Vec<(Time, &TargetSummary)> =
+            rows.iter().filter_map(|it| Some((self.urgency(now, it)?, it))).collect();
+        due.sort_by_key(|it| it.0);
+        let mut taken = Vec::new();
+        for (_, row) in due {
+            let bytes = ROW_BYTES + name_bytes(&row.target);
+            if cost + bytes > self.budget {
+                break;
+            }
+            cost += bytes;
+            taken.push(row.clone());
+        }
+        if taken.is_empty() {
+            return None;
+        }
+        self.budget -= cost;
+        for row in &taken {
+            self.note_sent(now, row);
+        }
+        Some(taken)
+    }
+
+    fn fill(&mut self, now: Time) {
+        let earned = (now - self.filled).as_secs_f64() * self.rate;
+        self.budget = (self.budget + earned).min(BUDGET_BURST);
+        self.filled = now;
+    }
+
+    fn find(&self, target: &Target) -> Result<usize, usize> {
+        self.sent.binary_search_by(|it| it.summary.target.cmp(target))
+    }
+
+    /// When the row was last sent, if it is due; the origin of time for a new one.
+    fn urgency(&self, now: Time, row: &TargetSummary) -> Option<Time> {
+        let Ok(place) = self.find(&row.target) else {
+            return Some(Time::ZERO);
+        };
+        let last = &self.sent[place];
+        let is_due = now - last.made >= self.refresh || row.differs(&last.summary);
+        is_due.then_some(last.made)
+    }
+
+    fn note_sent(&mut self, now: Time, row: &TargetSummary) {
+        let sent = Row { summary: row.clone(), made: now };
+        match self.find(&row.target) {
+            Ok(place) => self.sent[place] = sent,
+            Err(place) => self.sent.insert(place, sent),
+        }
+    }
+}
+
+fn name_bytes(target: &Target) -> f64 {
+    match target {
+        Target::Model(id) => id.as_str().len() as f64,
+        Target::Service(id) => id.as_str().len() as f64,
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-core/src/routing/learned.rs
@@ -0,0 +1,142 @@
+//! What the router learns of an upstream or a zone from its own requests.
+
+use std::time::Duration;
+
+use crate::{routing::router::Ticket, time::Time, units::Tokens};
+
+/// Share of a new observation in an average.
+const GAIN: f64 = 0.2;
+/// Bounds of the ratio of observed to predicted time.
+const BIAS_RANGE: (f64, f64) = (0.5, 50.0);
+/// Shortest prediction that a ratio is taken of, in seconds.
+const SHORTEST: f64 = 0.02;
+/// Time in which the excess of a ratio halves, so that a slow upstream is tried again.
+const BIAS_HALF_LIFE: Duration = Duration::from_secs(20);
+/// Pause after the first failure; each further one doubles it.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+/// Number of doublings of the pause.
+const MAX_DOUBLINGS: u32 = 6;
+
+/// A request that was sent and hasn't ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct Flight {
+    ticket: Ticket,
+    sent: Time,
+    tokens: Tokens,
+    base: f64,
+    predicted: f64,
+    is_waiting: bool,
+}
+
+/// What own requests have shown of one place that serves them.
+#[derive(Debug, Clone)]
+pub(super) struct Learned {
+    flights: Vec<Flight>,
+    bias: f64,
+    observed: Time,
+    failures: u32,
+    paused: Time,
+    /// When the place was first seen, or came back.
+    pub(super) since: Time,
+    /// When the last request was sent.
+    pub(super) last: Time,
+}
+
+/// Own requests that a report doesn't include.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(super) struct SentSince {
+    pub(super) requests: u32,
+    pub(super) tokens: u64,
+}
+
+impl Learned {
+    pub(super) fn new(since: Time) -> Learned {
+        Learned {
+            flights: Vec::new(),
+            bias: 1.0,
+            observed: since,
+            failures: 0,
+            paused: Time::ZERO,
+            since,
+            last: Time::ZERO,
+        }
+    }
+
+    /// Notes a request that is sent; `base` is the predicted time without the learned ratio.
+    pub(super) fn send(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        tokens: Tokens,
+        base: f64,
+        predicted: f64,
+    ) {
+        self.last = now;
+        let flight = Flight { ticket, sent: now, tokens, base, predicted, is_waiting: true };
+        self.flights.push(flight);
+    }
+
+    /// Notes the first token of a request, and learns from its time.
+    pub(super) fn first_token(&mut self, now: Time, ticket: Ticket) {
+        let Some(flight) = self.flights.iter_mut().find(|it| it.ticket == ticket) else {
+            return;
+        };
+        flight.is_waiting = false;
+        let took = (now - flight.sent).as_secs_f64();
+        let ratio = took.max(SHORTEST) / flight.base.max(SHORTEST);
+        self.failures = 0;
+        self.observe(now, ratio);
+    }
+
+    fn observe(&mut self, now: Time, ratio: f64) {
+        let (low, high) = BIAS_RANGE;
+        let bias = self.bias(now);
+        self.bias = (bias + GAIN * (ratio.clamp(low, high) - bias)).clamp(low, high);
+        self.observed = now;
+    }
+
+    /// Takes an ended request out.
+    pub(super) fn end(&mut self, ticket: Ticket) {
+        self.flights.retain(|it| it.ticket != ticket);
+    }
+
+    /// Takes a failed request out and pauses the place, longer with each failure in a row.
+    pub(super) fn fail(&mut self, now: Time, ticket: Ticket) {
+        self.end(ticket);
+        self.paused = now + FIRST_PAUSE * (1 << self.failures.min(MAX_DOUBLINGS));
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Whether failures keep the place from being used.
+    pub(super) fn is_paused(&self, now: Time) -> bool {
+        now < self.paused
+    }
+
+    /// Ratio of observed to predicted times.
+    pub(super) fn bias(&self, now: Time) -> f64 {
+        let halvings = (now - self.observed).as_secs_f64() / BIAS_HALF_LIFE.as_secs_f64();
+        1.0 + (self.bias - 1.0) * (-halvings).exp2()
+    }
+
+    /// Own requests sent after `reading`.
+    pub(super) fn sent_since(&self, reading: Time) -> SentSince {
+        let mut since = SentSince::default();
+        for flight in self.flights.iter().rev().take_while(|it| it.sent > reading) {
+            since.requests += 1;
+            since.tokens += flight.tokens.0;
+        }
+        since
+    }
+
+    /// Seconds by which the first token of some request is later than predicted.
+    pub(super) fn overdue(&self, now: Time) -> f64 {
+        let late = |it: &Flight| (now - it.sent).as_secs_f64() - it.predicted;
+        let waiting = self.flights.iter().filter(|it| it.is_waiting);
+        waiting.map(late).fold(0.0, f64::max)
+    }
+
+    /// Requests that haven't ended.
+    pub(super) fn in_flight(&self) -> usize {
+        self.flights.len()
+    }
+}
