--- a/crates/medlarlug-core/src/lib.rs
+++ b/crates/medlarlug-core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod announcement;
 pub mod configuration_group;
 pub mod drain;
+pub mod directory;
 pub mod fingerprint;
 pub mod follower;
 pub mod home;
