--- a/crates/medlarlug-core/src/configuration_group/mod.rs
+++ b/crates/medlarlug-core/src/configuration_group/mod.rs
@@ -1,7 +1,7 @@
 //! The replicated state machine that accepts release notes.
 //!
 //! One group of keepers orders all [`Command`]s; each keeper applies them in that order to its
-//! state machine. Applying reads no clock and no random source, so all copies are equal.
+//! [`ConfigurationGroup`]. Applying reads no clock and no random source, so all copies are equal.
 //!
 //! An accepted note raises the revision by one. A note's number is used once: the same note sent
 //! again gets the first answer again, another note under a used number is a conflict that names
@@ -10,7 +10,13 @@
 //! its new home region, and whether a home group is the region's first.
 //!
 //! * [`command`]: commands and replies.
+//! * [`state`]: the state machine.
+//! * [`tracker`]: where a revision is in force; kept by the leader only, not replicated.
 
 pub mod command;
+pub mod state;
+pub mod tracker;
 
 pub use command::{Accepted, Change, Command, Refusal, Reply};
+pub use state::ConfigurationGroup;
+pub use tracker::{Force, Tracker, ZoneForce};
--- /dev/null
+++ b/crates/medlarlug-core/src/configuration_group/state.rs
@@ -0,0 +1,258 @@
+//! The state machine of the configuration group.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    configuration_group::command::{Accepted, Change, Command, Refusal, Reply},
+    fingerprint::Fingerprint,
+    follower::{Ask, Update},
+    home::FoundToken,
+    ids::{RegionId, ReleaseNumber, Revision, TeamId},
+    release::{Configuration, ItemKey, ReleaseNote},
+};
+
+/// Accepted notes that are remembered by number.
+///
+/// A note that is older than these is refused as [`Stale`](crate::release::NoteError::Stale) when
+/// it is sent again, so it is never accepted twice.
+pub const MAX_ACCEPTED: usize = 16_384;
+
+/// Changes that are kept to bring instances up to date without sending the whole configuration.
+pub const MAX_CHANGES: usize = 1_024;
+
+/// A note that holds its number.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct HeldNumber {
+    accepted: Accepted,
+    content: Fingerprint,
+}
+
+/// A team on its way to a new home region.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Move {
+    /// The team.
+    pub team: TeamId,
+    /// Former home region.
+    pub from: RegionId,
+    /// New home region.
+    pub to: RegionId,
+    /// Revision at which the home was changed.
+    pub epoch: Revision,
+}
+
+/// The last founding of a region's home group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Founding {
+    region: RegionId,
+    token: FoundToken,
+    revision: Revision,
+    first: bool,
+}
+
+/// The state machine of the configuration group.
+///
+/// ```
+/// use medlarlug_core::configuration_group::ConfigurationGroup;
+///
+/// let group = ConfigurationGroup::default();
+/// let snapshot = group.encode_snapshot();
+/// assert_eq!(ConfigurationGroup::decode_snapshot(&snapshot).unwrap(), group);
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct ConfigurationGroup {
+    current: Configuration,
+    numbers: Vec<HeldNumber>,
+    changes: VecDeque<Change>,
+    moves: Vec<Move>,
+    foundings: Vec<Founding>,
+}
+
+impl ConfigurationGroup {
+    /// The configuration at the newest revision.
+    pub fn configuration(&self) -> &Configuration {
+        &self.current
+    }
+
+    /// Teams whose bookings are on their way to a new home region, sorted by team.
+    pub fn moves(&self) -> &[Move] {
+        &self.moves
+    }
+
+    /// The newest accepted notes, at most `count`, the newest one first.
+    pub fn history(&self, count: usize) -> Vec<Accepted> {
+        let mut notes: Vec<Accepted> = self.numbers.iter().map(|it| it.accepted.clone()).collect();
+        notes.sort_by_key(|it| std::cmp::Reverse(it.revision));
+        notes.truncate(count);
+        notes
+    }
+
+    /// Applies one command of the log.
+    pub fn apply(&mut self, command: Command) -> Reply {
+        match command {
+            Command::Apply(note) => match self.accept(note) {
+                Ok(accepted) => Reply::Accepted(accepted),
+                Err(refusal) => Reply::Refused(refusal),
+            },
+            Command::RemoveDrained { revision, items } => self.remove_drained(revision, items),
+            Command::HomeAdopted { team, epoch } => self.end_move(&team, epoch),
+            Command::FoundHome { region, token } => self.found_home(region, token),
+        }
+    }
+
+    /// What a follower lacks: the missing changes if they are still kept, else everything.
+    pub fn update_for(&self, ask: &Ask) -> Option<Update> {
+        let missing = self.current.revision.0.checked_sub(ask.revision.0)?;
+        if missing == 0 {
+            return None;
+        }
+        let missing = usize::try_from(missing).unwrap_or(usize::MAX);
+        if ask.full || missing > self.changes.len() {
+            return Some(Update::Full(self.current.clone()));
+        }
+        let skipped = self.changes.len() - missing;
+        let changes = self.changes.iter().skip(skipped).cloned().collect();
+        Some(Update::Changes { base: ask.revision, changes })
+    }
+
+    /// The state as bytes.
+    pub fn encode_snapshot(&self) -> Vec<u8> {
+        postcard::to_allocvec(self).expect("state encodes to memory")
+    }
+
+    /// The state that [`encode_snapshot`](Self::encode_snapshot) wrote.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are no such state.
+    pub fn decode_snapshot(bytes: &[u8]) -> Result<ConfigurationGroup, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+
+    fn accept(&mut self, note: ReleaseNote) -> Result<Accepted, Refusal> {
+        let content = fingerprint(&note);
+        let place = match self.find_number(note.number()) {
+            Ok(found) => return self.first_answer(found, &note, content),
+            Err(place) => place,
+        };
+        let next = note.apply(&self.current)?;
+        self.check_moves(&note, &next)?;
+        let accepted = Accepted {
+            number: note.number(),
+            operator: note.operator().clone(),
+            revision: next.revision,
+        };
+        self.numbers.insert(place, HeldNumber { accepted: accepted.clone(), content });
+        self.forget_oldest_number();
+        self.begin_moves(&next);
+        self.advance(next, Change::Note(note));
+        Ok(accepted)
+    }
+
+    fn find_number(&self, number: ReleaseNumber) -> Result<usize, usize> {
+        self.numbers.binary_search_by_key(&number, |it| it.accepted.number)
+    }
+
+    fn first_answer(
+        &self,
+        found: usize,
+        note: &ReleaseNote,
+        content: Fingerprint,
+    ) -> Result<Accepted, Refusal> {
+        let held = &self.numbers[found];
+        let winner = held.accepted.clone();
+        if held.content == content {
+            return Ok(winner);
+        }
+        Err(Refusal::Conflict { winner, operator: note.operator().clone() })
+    }
+
+    /// Refuses to move a team again, or to withdraw a region, while bookings are on their way.
+    fn check_moves(&self, note: &ReleaseNote, next: &Configuration) -> Result<(), Refusal> {
+        for it in &self.moves {
+            let is_moved_again = next.home_of(&it.team).is_some_and(|home| home.epoch != it.epoch);
+            let is_withdrawn =
+                |region: &RegionId| note.withdrawn().contains(&ItemKey::Region(region.clone()));
+            if is_moved_again || is_withdrawn(&it.from) || is_withdrawn(&it.to) {
+                let (team, from, to) = (it.team.clone(), it.from.clone(), it.to.clone());
+                return Err(Refusal::Moving { team, from, to });
+            }
+        }
+        Ok(())
+    }
+
+    fn begin_moves(&mut self, next: &Configuration) {
+        for home in next.homes().iter().filter(|it| it.epoch == next.revision) {
+            let Some(from) = home.from.clone() else {
+                continue;
+            };
+            let (team, to, epoch) = (home.team.clone(), home.region.clone(), home.epoch);
+            self.moves.push(Move { team, from, to, epoch });
+        }
+        self.moves.sort_by(|a, b| a.team.cmp(&b.team));
+    }
+
+    fn forget_oldest_number(&mut self) {
+        if self.numbers.len() <= MAX_ACCEPTED {
+            return;
+        }
+        let oldest = self.numbers.iter().enumerate().min_by_key(|(_, it)| it.accepted.revision);
+        if let Some((place, _)) = oldest {
+            self.numbers.remove(place);
+        }
+    }
+
+    fn advance(&mut self, next: Configuration, change: Change) {
+        self.current = next;
+        self.changes.push_back(change);
+        if self.changes.len() > MAX_CHANGES {
+            self.changes.pop_front();
+        }
+    }
+
+    fn remove_drained(&mut self, revision: Revision, items: Vec<ItemKey>) -> Reply {
+        if revision != self.current.revision || items.is_empty() {
+            return Reply::NotRemoved(self.current.revision);
+        }
+        match self.current.without_drained(&items) {
+            Ok(next) => {
+                self.advance(next, Change::Removed(items));
+                Reply::Removed(self.current.revision)
+            }
+            Err(_) => Reply::NotRemoved(self.current.revision),
+        }
+    }
+
+    fn end_move(&mut self, team: &TeamId, epoch: Revision) -> Reply {
+        self.moves.retain(|it| it.team != *team || it.epoch != epoch);
+        Reply::HomeAdopted
+    }
+
+    fn found_home(&mut self, region: RegionId, token: FoundToken) -> Reply {
+        if self.current.region(&region).is_none() {
+            return Reply::UnknownRegion(region);
+        }
+        let found = self.foundings.binary_search_by(|it| it.region.cmp(&region));
+        if let Ok(found) = found
+            && self.foundings[found].token == token
+        {
+            let Founding { revision, first, .. } = self.foundings[found];
+            return Reply::Founded { revision, first };
+        }
+        let next = self.current.raised();
+        let (revision, first) = (next.revision, found.is_err());
+        let founding = Founding { region: region.clone(), token, revision, first };
+        match found {
+            Ok(found) => self.foundings[found] = founding,
+            Err(place) => self.foundings.insert(place, founding),
+        }
+        self.advance(next, Change::Founded(region));
+        Reply::Founded { revision, first }
+    }
+}
+
+fn fingerprint(note: &ReleaseNote) -> Fingerprint {
+    let bytes = postcard::to_allocvec(note).expect("a note encodes to memory");
+    Fingerprint::of(&bytes)
+}
--- a/crates/medlarlug-core/src/follower.rs
+++ b/crates/medlarlug-core/src/follower.rs
@@ -9,6 +9,12 @@
 //! under way does not count as fresh. While the last confirmation is younger than the
 //! configuration lease, requests may cross regions; afterwards the instance serves its own callers
 //! only, because a stricter residency rule may exist that it has not heard of.
+//!
+//! An instance without a disk knows no revision after a restart. It must not fall behind the one
+//! that it had before, so it takes its first configuration with a confirmation that is younger
+//! than its start. Where no source can give one, because the zone is cut off from the keepers, it
+//! waits for [`Timing::isolation`] and then takes the newest revision that it was offered, unless a
+//! source remembers that this instance had a newer one.
 
 use std::time::Duration;
 
@@ -64,6 +70,8 @@
     pub update: Option<Update>,
     /// What the source knows about the newest revision, if its own knowledge is fresh.
     pub confirmation: Option<Confirmation>,
+    /// Highest revision that the asking instance told the source before.
+    pub seen: Revision,
 }
 
 /// An event for a [`Follower`].
@@ -102,11 +110,17 @@
     pub interval: Duration,
     /// Longest age of a confirmation with which requests may cross regions.
     pub lease: Duration,
+    /// Time after the start from which a first configuration is taken without a confirmation.
+    pub isolation: Duration,
 }
 
 impl Default for Timing {
     fn default() -> Timing {
-        Timing { interval: Duration::from_secs(1), lease: Duration::from_secs(8) }
+        Timing {
+            interval: Duration::from_secs(1),
+            lease: Duration::from_secs(8),
+            isolation: Duration::from_secs(10),
+        }
     }
 }
 
@@ -133,10 +147,18 @@
     open: Vec<(u64, Time)>,
     next_ask: Time,
     needs_full: bool,
+    /// Newest configuration that was offered while none is known.
+    offered: Option<Configuration>,
+    /// Highest revision that a source remembers of this instance.
+    remembered: Revision,
+    /// Highest revision that each other instance told, sorted by instance.
+    seen: Vec<(InstanceId, Revision)>,
 }
 
 impl Follower {
     /// A follower that begins with `saved`, the configuration read from disk, if any.
+    ///
+    /// The origin of the clock, [`Time::ZERO`], must not be before the start of the process.
     pub fn new(timing: Timing, saved: Option<Configuration>) -> Follower {
         Follower {
             timing,
@@ -148,6 +170,9 @@
             open: Vec::new(),
             next_ask: Time::ZERO,
             needs_full: false,
+            offered: None,
+            remembered: Revision(0),
+            seen: Vec::new(),
         }
     }
 
@@ -171,25 +196,44 @@
         self.current.is_some() && self.confirmed_age(now).is_some_and(|age| age < self.timing.lease)
     }
 
-    /// Answers the question of another instance out of this copy.
-    pub fn answer(&self, now: Time, ask: Ask) -> Answer {
+    /// Answers the question of the instance `from` out of this copy.
+    pub fn answer(&mut self, now: Time, from: &InstanceId, ask: Ask) -> Answer {
         let newer = self.current.as_ref().filter(|it| it.revision > ask.revision);
+        let update = newer.cloned().map(Update::Full);
         let confirmation = self
             .confirmed_age(now)
             .filter(|age| *age < self.timing.lease)
             .map(|age| Confirmation { revision: self.revision(), age });
-        Answer { token: ask.token, update: newer.cloned().map(Update::Full), confirmation }
+        Answer { token: ask.token, update, confirmation, seen: self.remember(from, ask.revision) }
+    }
+
+    /// Notes the revision that an instance told, and gives the highest one that it ever told.
+    pub fn remember(&mut self, from: &InstanceId, revision: Revision) -> Revision {
+        match self.seen.binary_search_by(|(instance, _)| instance.cmp(from)) {
+            Ok(found) => {
+                let seen = &mut self.seen[found].1;
+                *seen = revision.max(*seen);
+                *seen
+            }
+            Err(place) => {
+                self.seen.insert(place, (from.clone(), revision));
+                revision
+            }
+        }
     }
 
     /// Takes an event in at `now` and appends what is to be done to `out`.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
         match event {
             Event::Sources(sources) => self.sources = sources,
-            Event::Push(update) => self.take(update, out),
-            Event::Answered(answer) => self.on_answer(now, answer, out),
+            Event::Push(update) => self.take(update, None, out),
+            Event::Answered(answer) => self.on_answer(answer, out),
             Event::Confirmed(confirmation) => self.confirm(now, confirmation),
             Event::Tick => {}
         }
+        if now >= Time::ZERO + self.timing.isolation {
+            self.take_offered(out);
+        }
         if now >= self.next_ask {
             self.ask(now, out);
         }
@@ -211,66 +255,78 @@
         out.push(Effect::Ask { source, ask });
     }
 
-    fn on_answer(&mut self, now: Time, answer: Answer, out: &mut Vec<Effect>) {
+    fn on_answer(&mut self, answer: Answer, out: &mut Vec<Effect>) {
         let Ok(found) = self.open.binary_search_by_key(&answer.token, |(token, _)| *token) else {
             return;
         };
         let (_, asked) = self.open.remove(found);
+        self.remembered = self.remembered.max(answer.seen);
+        let confirmation = answer.confirmation.filter(|it| it.age <= asked - Time::ZERO);
         if let Some(update) = answer.update {
-            self.take(update, out);
+            self.take(update, confirmation.map(|it| it.revision), out);
         }
-        if let Some(confirmation) = answer.confirmation {
-            self.confirm(asked.min(now), confirmation);
+        if let Some(confirmation) = confirmation {
+            self.confirm(asked, confirmation);
         }
     }
 
     fn confirm(&mut self, heard: Time, confirmation: Confirmation) {
-        if self.current.is_none() || self.revision() < confirmation.revision {
-            return;
-        }
-        if confirmation.age > heard - Time::ZERO {
+        let knows_newest = self.current.is_some() && self.revision() >= confirmation.revision;
+        if !knows_newest || confirmation.age > heard - Time::ZERO {
             return;
         }
         let at = heard.saturating_sub(confirmation.age);
         self.confirmed = Some(self.confirmed.map_or(at, |earlier| earlier.max(at)));
     }
 
-    fn take(&mut self, update: Update, out: &mut Vec<Effect>) {
-        let before = self.current.as_ref().map(|it| it.revision);
-        match update {
-            Update::Full(next) => {
-                if before.is_none_or(|revision| next.revision > revision) {
-                    self.current = Some(next);
-                    self.needs_full = false;
-                }
-            }
-            Update::Changes { base, changes } => self.take_changes(base, &changes),
+    fn take(&mut self, update: Update, newest: Option<Revision>, out: &mut Vec<Effect>) {
+        let next = match update {
+            Update::Full(next) => next,
+            Update::Changes { base, changes } => match self.changed(base, &changes) {
+                Some(next) => next,
+                None => return,
+            },
+        };
+        let is_newest = newest.is_some_and(|it| next.revision >= it);
+        if self.current.is_none() && !is_newest {
+            let is_newer = self.offered.as_ref().is_none_or(|it| next.revision > it.revision);
+            self.offered = if is_newer { Some(next) } else { self.offered.take() };
+            return;
         }
-        let after = self.current.as_ref().map(|it| it.revision);
-        if let Some(revision) = after.filter(|_| after != before) {
-            out.push(Effect::Changed(revision));
+        if self.current.as_ref().is_some_and(|it| next.revision <= it.revision) {
+            return;
         }
+        out.push(Effect::Changed(next.revision));
+        self.current = Some(next);
+        self.offered = None;
+        self.needs_full = false;
     }
 
-    fn take_changes(&mut self, base: Revision, changes: &[Change]) {
-        let revision = self.revision();
-        let skipped = usize::try_from(revision.0.saturating_sub(base.0)).unwrap_or(usize::MAX);
-        if base > revision {
-            self.needs_full = true;
+    fn take_offered(&mut self, out: &mut Vec<Effect>) {
+        let Some(offered) = self.offered.take_if(|it| it.revision >= self.remembered) else {
             return;
-        }
+        };
+        let revision = offered.revision;
+        self.take(Update::Full(offered), Some(revision), out);
+    }
+
+    /// The configuration that follows from `changes`, or `None` when they don't fit.
+    fn changed(&mut self, base: Revision, changes: &[Change]) -> Option<Configuration> {
         let mut next = self.current.clone().unwrap_or_default();
-        for change in changes.iter().skip(skipped) {
+        let known = next.revision.0.checked_sub(base.0);
+        let Some(known) = known.and_then(|it| usize::try_from(it).ok()) else {
+            self.needs_full = true;
+            return None;
+        };
+        for change in changes.iter().skip(known) {
             match change.apply(&next) {
                 Ok(changed) => next = changed,
                 Err(_) => {
                     self.needs_full = true;
-                    return;
+                    return None;
                 }
             }
         }
-        if next.revision > revision {
-            self.current = Some(next);
-        }
+        Some(next)
     }
 }
--- a/crates/medlarlug-core/src/home/booking.rs
+++ b/crates/medlarlug-core/src/home/booking.rs
@@ -133,6 +133,11 @@
         if bytes.len() <= MAX_BODY_BYTES {
             return Body::Whole(bytes.to_vec());
         }
+        Body::omitted(bytes)
+    }
+
+    /// The size and fingerprint of `bytes`.
+    pub fn omitted(bytes: &[u8]) -> Body {
         Body::Omitted { size: bytes.len() as u64, print: Fingerprint::of(bytes) }
     }
 }
--- /dev/null
+++ b/crates/medlarlug-core/src/home/bookings.rs
@@ -0,0 +1,537 @@
+//! The bookings of all teams.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    home::{
+        booking::{Amnesia, Body, Booking, BookingKey, BookingState, Handover, Owner, Recorded},
+        command::{Begin, BeginReply, Reply},
+        state::KEY_RETENTION_MICROS,
+    },
+    ids::{Incarnation, InstanceId, RegionId, RequestId, Revision, TeamId},
+};
+
+/// Keys that are kept for one team; a new booking beyond them is refused.
+pub const MAX_TEAM_KEYS: usize = 16_384;
+
+/// Keys that are kept for all teams; a new booking beyond them is refused.
+pub const MAX_KEYS: usize = 262_144;
+
+/// Bytes of recorded bodies that are kept; the oldest bodies are omitted beyond them.
+pub const MAX_BODIES: usize = 64 * 1024 * 1024;
+
+/// Bytes of recorded bodies that a [`Handover`] carries; the oldest are omitted beyond them.
+pub const MAX_HANDOVER_BODIES: usize = 1024 * 1024;
+
+/// Whether the group holds the bookings of a team.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+enum Hold {
+    /// It does, by the home change of this revision.
+    Held(Revision),
+    /// Handed over to another region by the home change of this revision.
+    Sealed { to: RegionId, epoch: Revision },
+}
+
+/// The bookings of one team, sorted by key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct TeamBook {
+    team: TeamId,
+    hold: Hold,
+    amnesia: Option<Amnesia>,
+    bookings: Vec<Booking>,
+}
+
+impl TeamBook {
+    /// Revision since which the group holds the team.
+    fn held_since(&self) -> Revision {
+        match self.hold {
+            Hold::Held(epoch) => epoch,
+            Hold::Sealed { .. } => Revision(0),
+        }
+    }
+}
+
+/// Names a booking whose state was reached at a logical time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Mark {
+    at: u64,
+    team: TeamId,
+    key: BookingKey,
+}
+
+/// Why the group takes no booking of a team.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum NotHeld {
+    NotAdopted,
+    Elsewhere(RegionId),
+}
+
+impl From<NotHeld> for BeginReply {
+    fn from(reason: NotHeld) -> BeginReply {
+        match reason {
+            NotHeld::NotAdopted => BeginReply::NotAdopted,
+            NotHeld::Elsewhere(region) => BeginReply::NotHome(region),
+        }
+    }
+}
+
+/// Why a command finds no booking.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Absent {
+    NoSuchBooking,
+    Moved(RegionId),
+}
+
+impl From<Absent> for Reply {
+    fn from(reason: Absent) -> Reply {
+        match reason {
+            Absent::NoSuchBooking => Reply::NoSuchBooking,
+            Absent::Moved(region) => Reply::Moved(region),
+        }
+    }
+}
+
+/// The bookings of all teams.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Bookings {
+    books: Vec<TeamBook>,
+    /// Ended bookings in the order of their end; a mark is void once its booking has changed.
+    ended: VecDeque<Mark>,
+    /// Ended bookings with a whole body, in the order of their end.
+    bodies: VecDeque<Mark>,
+    count: usize,
+    body_bytes: usize,
+}
+
+impl Bookings {
+    /// Number of keys that are kept.
+    pub(crate) fn count(&self) -> usize {
+        self.count
+    }
+
+    pub(crate) fn find(&self, team: &TeamId, key: &BookingKey) -> Option<&Booking> {
+        let book = &self.books[self.find_book(team).ok()?];
+        let found = book.bookings.binary_search_by(|it| it.key.cmp(key)).ok()?;
+        Some(&book.bookings[found])
+    }
+
+    /// Bookings of unknown outcome: what a plain service can be asked about.
+    pub(crate) fn unknown(&self) -> impl Iterator<Item = (&TeamId, &Booking)> {
+        let held = self.books.iter().filter(|it| matches!(it.hold, Hold::Held(_)));
+        held.flat_map(|book| book.bookings.iter().map(|it| (&book.team, it)))
+            .filter(|(_, it)| it.state == BookingState::Unknown)
+    }
+
+    /// Records the intent to send a booking, unless the key was used.
+    pub(crate) fn begin(
+        &mut self,
+        clock: u64,
+        begin: Begin,
+        amnesia: Option<Amnesia>,
+    ) -> BeginReply {
+        let place = match self.book_for(&begin) {
+            Ok(place) => place,
+            Err(reason) => return reason.into(),
+        };
+        let is_full = self.count >= MAX_KEYS;
+        let book = &mut self.books[place];
+        let group = amnesia.filter(|it| book.held_since() < it.before);
+        let found = match book.bookings.binary_search_by(|it| it.key.cmp(&begin.key)) {
+            Ok(found) => {
+                let booking = &mut book.bookings[found];
+                if booking.state != BookingState::Abandoned || booking.request == begin.request {
+                    return known(booking, &begin);
+                }
+                *booking = open(clock, begin);
+                return BeginReply::Started;
+            }
+            Err(found) => found,
+        };
+        let forgets = |it: &Amnesia| {
+            it.until > clock && begin.key.minted().is_none_or(|minted| minted < it.before)
+        };
+        if group.iter().chain(&book.amnesia).any(forgets) {
+            return BeginReply::Unknown(None);
+        }
+        if is_full || book.bookings.len() >= MAX_TEAM_KEYS {
+            return BeginReply::Full;
+        }
+        book.bookings.insert(found, open(clock, begin));
+        self.count += 1;
+        BeginReply::Started
+    }
+
+    /// Ends a booking with the answer of the upstream.
+    pub(crate) fn finish(
+        &mut self,
+        clock: u64,
+        (team, key): (TeamId, BookingKey),
+        request: &RequestId,
+        answer: Recorded,
+    ) -> Reply {
+        let booking = match self.held(&team, &key, request) {
+            Ok(booking) => booking,
+            Err(reason) => return reason.into(),
+        };
+        match booking.state {
+            BookingState::Done(_) => return Reply::Ok,
+            BookingState::Abandoned => return Reply::NoSuchBooking,
+            BookingState::Open(_) | BookingState::Unknown => {}
+        }
+        let size = whole_size(&answer.body);
+        booking.state = BookingState::Done(answer);
+        booking.since = clock;
+        self.mark_ended(clock, team, key, size);
+        Reply::Ok
+    }
+
+    /// Gives up a booking that was not sent.
+    pub(crate) fn abandon(
+        &mut self,
+        clock: u64,
+        (team, key): (TeamId, BookingKey),
+        request: &RequestId,
+    ) -> Reply {
+        let booking = match self.held(&team, &key, request) {
+            Ok(booking) => booking,
+            Err(reason) => return reason.into(),
+        };
+        match booking.state {
+            BookingState::Abandoned => return Reply::Ok,
+            BookingState::Done(_) => return Reply::NoSuchBooking,
+            BookingState::Open(_) | BookingState::Unknown => {}
+        }
+        booking.state = BookingState::Abandoned;
+        booking.since = clock;
+        self.mark_ended(clock, team, key, 0);
+        Reply::Ok
+    }
+
+    /// Notes that the owner does not know whether a booking ran.
+    pub(crate) fn lose(
+        &mut self,
+        clock: u64,
+        (team, key): (TeamId, BookingKey),
+        request: &RequestId,
+    ) -> Reply {
+        let booking = match self.held(&team, &key, request) {
+            Ok(booking) => booking,
+            Err(reason) => return reason.into(),
+        };
+        match booking.state {
+            BookingState::Open(_) => {}
+            BookingState::Unknown | BookingState::Done(_) => return Reply::Ok,
+            BookingState::Abandoned => return Reply::NoSuchBooking,
+        }
+        booking.state = BookingState::Unknown;
+        booking.since = clock;
+        self.mark_ended(clock, team, key, 0);
+        Reply::Ok
+    }
+
+    /// Ends a booking of unknown outcome with an answer that the plain service gave later.
+    pub(crate) fn settle(
+        &mut self,
+        clock: u64,
+        (team, key): (TeamId, BookingKey),
+        request: &RequestId,
+        answer: Recorded,
+    ) -> Reply {
+        match self.held(&team, &key, request) {
+            Ok(booking) if matches!(booking.state, BookingState::Open(_)) => Reply::NoSuchBooking,
+            Ok(_) => self.finish(clock, (team, key), request, answer),
+            Err(reason) => reason.into(),
+        }
+    }
+
+    /// Marks the open bookings of `instance` as unknown whose incarnation `is_lost`.
+    pub(crate) fn lose_owner(
+        &mut self,
+        clock: u64,
+        instance: &InstanceId,
+        is_lost: impl Fn(Incarnation) -> bool,
+    ) {
+        let is_lost = |owner: &Owner| owner.instance == *instance && is_lost(owner.incarnation);
+        let mut lost = Vec::new();
+        for book in self.books.iter_mut().filter(|it| matches!(it.hold, Hold::Held(_))) {
+            for booking in &mut book.bookings {
+                if !matches!(&booking.state, BookingState::Open(owner) if is_lost(owner)) {
+                    continue;
+                }
+                booking.state = BookingState::Unknown;
+                booking.since = clock;
+                lost.push((book.team.clone(), booking.key.clone()));
+            }
+        }
+        for (team, key) in lost {
+            self.mark_ended(clock, team, key, 0);
+        }
+    }
+
+    /// Hands the bookings of `team` over to `to`.
+    pub(crate) fn seal(
+        &mut self,
+        clock: u64,
+        team: TeamId,
+        to: RegionId,
+        epoch: Revision,
+        amnesia: Option<Amnesia>,
+    ) -> Reply {
+        let place = match self.find_book(&team) {
+            Ok(found) => found,
+            Err(place) => {
+                let hold = Hold::Held(Revision(0));
+                let book = TeamBook { team, hold, amnesia: None, bookings: Vec::new() };
+                self.books.insert(place, book);
+                place
+            }
+        };
+        let book = &mut self.books[place];
+        match &book.hold {
+            Hold::Held(held) if *held < epoch => {
+                let group = amnesia.filter(|it| *held < it.before);
+                book.amnesia = later(book.amnesia, group);
+                book.hold = Hold::Sealed { to, epoch };
+            }
+            Hold::Sealed { epoch: sealed, .. } if *sealed == epoch => {}
+            Hold::Held(_) | Hold::Sealed { .. } => return Reply::NotAdopted,
+        }
+        Reply::Handover(handover(clock, book, epoch))
+    }
+
+    /// Takes the bookings of a team over.
+    pub(crate) fn adopt(&mut self, clock: u64, handover: Handover) -> Reply {
+        let place = match self.find_book(&handover.team) {
+            Ok(found) => found,
+            Err(place) => {
+                let (team, hold) = (handover.team.clone(), Hold::Held(handover.epoch));
+                let book = TeamBook { team, hold, amnesia: None, bookings: Vec::new() };
+                self.books.insert(place, book);
+                return self.fill(clock, place, handover);
+            }
+        };
+        match &self.books[place].hold {
+            Hold::Held(held) if *held >= handover.epoch => return Reply::Ok,
+            Hold::Sealed { epoch, .. } if *epoch >= handover.epoch => return Reply::Ok,
+            Hold::Sealed { .. } => self.empty(place),
+            // Bookings that a group still holds although its team has come back are kept, too.
+            Hold::Held(_) => {}
+        }
+        self.books[place].hold = Hold::Held(handover.epoch);
+        self.fill(clock, place, handover)
+    }
+
+    /// Drops the bookings of a team that its new home has adopted.
+    pub(crate) fn release(&mut self, team: &TeamId, epoch: Revision) -> Reply {
+        let Ok(found) = self.find_book(team) else {
+            return Reply::NoSuchBooking;
+        };
+        match &self.books[found].hold {
+            Hold::Sealed { epoch: sealed, .. } if *sealed == epoch => {
+                self.empty(found);
+                Reply::Ok
+            }
+            Hold::Held(_) | Hold::Sealed { .. } => Reply::NoSuchBooking,
+        }
+    }
+
+    /// Drops the bookings that ended a retention ago.
+    pub(crate) fn expire(&mut self, clock: u64) {
+        let is_expired = |it: &mut Mark| it.at.saturating_add(KEY_RETENTION_MICROS) <= clock;
+        while let Some(mark) = self.ended.pop_front_if(is_expired) {
+            self.drop_marked(&mark);
+        }
+        while self.bodies.pop_front_if(is_expired).is_some() {}
+        self.omit_bodies();
+    }
+
+    fn find_book(&self, team: &TeamId) -> Result<usize, usize> {
+        self.books.binary_search_by(|it| it.team.cmp(team))
+    }
+
+    fn book_for(&mut self, begin: &Begin) -> Result<usize, NotHeld> {
+        let place = match self.find_book(&begin.team) {
+            Ok(found) => found,
+            Err(_) if begin.moved => return Err(NotHeld::NotAdopted),
+            Err(place) => {
+                let (team, hold) = (begin.team.clone(), Hold::Held(begin.epoch));
+                let book = TeamBook { team, hold, amnesia: None, bookings: Vec::new() };
+                self.books.insert(place, book);
+                place
+            }
+        };
+        match &self.books[place].hold {
+            Hold::Held(held) if *held < begin.epoch && begin.moved => Err(NotHeld::NotAdopted),
+            Hold::Held(_) => Ok(place),
+            Hold::Sealed { epoch, .. } if *epoch < begin.epoch => Err(NotHeld::NotAdopted),
+            Hold::Sealed { to, .. } => Err(NotHeld::Elsewhere(to.clone())),
+        }
+    }
+
+    fn held(
+        &mut self,
+        team: &TeamId,
+        key: &BookingKey,
+        request: &RequestId,
+    ) -> Result<&mut Booking, Absent> {
+        let found = self.find_book(team).map_err(|_| Absent::NoSuchBooking)?;
+        let book = &mut self.books[found];
+        if let Hold::Sealed { to, .. } = &book.hold {
+            return Err(Absent::Moved(to.clone()));
+        }
+        let found = book.bookings.binary_search_by(|it| it.key.cmp(key));
+        let found = found.map_err(|_| Absent::NoSuchBooking)?;
+        let booking = &mut book.bookings[found];
+        if booking.request != *request {
+            return Err(Absent::NoSuchBooking);
+        }
+        Ok(booking)
+    }
+
+    fn mark_ended(&mut self, at: u64, team: TeamId, key: BookingKey, body: usize) {
+        let mark = Mark { at, team, key };
+        if body > 0 {
+            self.body_bytes += body;
+            self.bodies.push_back(mark.clone());
+        }
+        self.ended.push_back(mark);
+    }
+
+    fn marked(&mut self, mark: &Mark) -> Option<(usize, usize)> {
+        let book = self.find_book(&mark.team).ok()?;
+        let bookings = &self.books[book].bookings;
+        let found = bookings.binary_search_by(|it| it.key.cmp(&mark.key)).ok()?;
+        let booking = &bookings[found];
+        let is_current =
+            booking.since == mark.at && !matches!(booking.state, BookingState::Open(_));
+        is_current.then_some((book, found))
+    }
+
+    fn drop_marked(&mut self, mark: &Mark) {
+        let Some((book, found)) = self.marked(mark) else {
+            return;
+        };
+        let booking = self.books[book].bookings.remove(found);
+        self.count -= 1;
+        self.body_bytes -= state_size(&booking.state);
+    }
+
+    fn omit_bodies(&mut self) {
+        while self.body_bytes > MAX_BODIES {
+            let Some(mark) = self.bodies.pop_front() else {
+                return;
+            };
+            let Some((book, found)) = self.marked(&mark) else {
+                continue;
+            };
+            let state = &mut self.books[book].bookings[found].state;
+            self.body_bytes -= state_size(state);
+            omit(state);
+        }
+    }
+
+    fn empty(&mut self, place: usize) {
+        let bookings = std::mem::take(&mut self.books[place].bookings);
+        self.count -= bookings.len();
+        self.body_bytes -= bookings.iter().map(|it| state_size(&it.state)).sum::<usize>();
+    }
+
+    fn fill(&mut self, clock: u64, place: usize, handover: Handover) -> Reply {
+        let restore = |it: Amnesia| Amnesia { until: clock.saturating_add(it.until), ..it };
+        let book = &mut self.books[place];
+        book.amnesia = later(book.amnesia, handover.amnesia.map(restore));
+        for mut booking in handover.bookings {
+            let Err(found) = book.bookings.binary_search_by(|it| it.key.cmp(&booking.key)) else {
+                continue;
+            };
+            booking.since = clock.saturating_sub(booking.since);
+            self.count += 1;
+            if !matches!(booking.state, BookingState::Open(_)) {
+                let (at, team, key) = (booking.since, book.team.clone(), booking.key.clone());
+                self.ended.push_back(Mark { at, team, key });
+            }
+            let size = state_size(&booking.state);
+            if size > 0 {
+                let (at, team, key) = (booking.since, book.team.clone(), booking.key.clone());
+                self.body_bytes += size;
+                self.bodies.push_back(Mark { at, team, key });
+            }
+            book.bookings.insert(found, booking);
+        }
+        self.ended.make_contiguous().sort_by_key(|it| it.at);
+        self.bodies.make_contiguous().sort_by_key(|it| it.at);
+        Reply::Ok
+    }
+}
+
+fn open(clock: u64, begin: Begin) -> Booking {
+    let Begin { key, content, request, owner, .. } = begin;
+    Booking { key, content, request, state: BookingState::Open(owner), since: clock }
+}
+
+fn known(booking: &Booking, begin: &Begin) -> BeginReply {
+    if booking.content != begin.content {
+        return BeginReply::KeyReused(booking.request.clone());
+    }
+    match &booking.state {
+        BookingState::Open(_) if booking.request == begin.request => BeginReply::Started,
+        BookingState::Open(_) => BeginReply::InProgress(booking.request.clone()),
+        BookingState::Abandoned => BeginReply::Abandoned,
+        BookingState::Unknown => BeginReply::Unknown(Some(booking.request.clone())),
+        BookingState::Done(answer) => {
+            BeginReply::Done { request: booking.request.clone(), answer: answer.clone() }
+        }
+    }
+}
+
+fn later(first: Option<Amnesia>, second: Option<Amnesia>) -> Option<Amnesia> {
+    match (first, second) {
+        (Some(a), Some(b)) => {
+            Some(Amnesia { before: a.before.max(b.before), until: a.until.max(b.until) })
+        }
+        (one, other) => one.or(other),
+    }
+}
+
+fn handover(clock: u64, book: &TeamBook, epoch: Revision) -> Handover {
+    let mut bookings = book.bookings.clone();
+    let mut newest: Vec<usize> = (0..bookings.len()).collect();
+    newest.sort_by_key(|&it| std::cmp::Reverse(bookings[it].since));
+    let mut bytes = 0;
+    for it in newest {
+        bytes += state_size(&bookings[it].state);
+        if bytes > MAX_HANDOVER_BODIES {
+            omit(&mut bookings[it].state);
+        }
+    }
+    for booking in &mut bookings {
+        booking.since = clock.saturating_sub(booking.since);
+    }
+    let remaining = |it: Amnesia| Amnesia { until: it.until.saturating_sub(clock), ..it };
+    let amnesia = book.amnesia.map(remaining);
+    Handover { team: book.team.clone(), epoch, amnesia, bookings }
+}
+
+fn whole_size(body: &Body) -> usize {
+    match body {
+        Body::Whole(bytes) => bytes.len(),
+        Body::Omitted { .. } => 0,
+    }
+}
+
+fn state_size(state: &BookingState) -> usize {
+    match state {
+        BookingState::Done(answer) => whole_size(&answer.body),
+        _ => 0,
+    }
+}
+
+fn omit(state: &mut BookingState) {
+    if let BookingState::Done(answer) = state
+        && let Body::Whole(bytes) = &answer.body
+    {
+        answer.body = Body::omitted(bytes);
+    }
+}
--- a/crates/medlarlug-core/src/home/command.rs
+++ b/crates/medlarlug-core/src/home/command.rs
@@ -136,7 +136,7 @@
     Lease {
         /// The asking instance.
         holder: Owner,
-        /// How long it asks for; at most the longest lease.
+        /// How long it asks for; at most [`MAX_LEASE`](crate::home::state::MAX_LEASE).
         duration: Duration,
     },
     /// Time has passed; expired bookings, suspicions and convictions are dropped.
@@ -222,10 +222,10 @@
         /// How long the lease lasts from when it was asked for.
         duration: Duration,
     },
-    /// Reply to [`Action::Lease`]: another instance holds it.
+    /// Reply to [`Action::Lease`]: another instance holds it, or may hold it.
     LeaseHeld {
-        /// The holder.
-        holder: Owner,
+        /// The holder; `None` if the group lost its state and can't tell.
+        holder: Option<Owner>,
         /// Time until its lease ends.
         remaining: Duration,
     },
--- /dev/null
+++ b/crates/medlarlug-core/src/home/convictions.rs
@@ -0,0 +1,126 @@
+//! Requests that are suspected or convicted of crashing upstreams.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    fingerprint::Fingerprint,
+    home::command::Suspect,
+    ids::{Incarnation, UpstreamId},
+};
+
+/// Losses that convict a request.
+pub const CONVICTING_LOSSES: usize = 2;
+
+/// How long a suspicion lasts after the last loss.
+pub const SUSPICION_LIFETIME: Duration = Duration::from_secs(10 * 60);
+
+/// How long a conviction lasts.
+pub const CONVICTION_LIFETIME: Duration = Duration::from_secs(60 * 60);
+
+/// Suspected and convicted requests that are kept; the one that ends first makes room.
+pub const MAX_SUSPECTS: usize = 4_096;
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Entry {
+    print: Fingerprint,
+    losses: Vec<(UpstreamId, Incarnation)>,
+    convicted: bool,
+    until: u64,
+}
+
+impl Entry {
+    fn suspect(&self, clock: u64) -> Suspect {
+        let remaining = Duration::from_micros(self.until.saturating_sub(clock));
+        let losses = u32::try_from(self.losses.len()).unwrap_or(u32::MAX);
+        Suspect { print: self.print, losses, convicted: self.convicted.then_some(remaining) }
+    }
+}
+
+/// Suspected and convicted requests, sorted by fingerprint.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Convictions {
+    entries: Vec<Entry>,
+}
+
+impl Convictions {
+    pub(crate) fn expire(&mut self, clock: u64) {
+        self.entries.retain(|it| it.until > clock);
+    }
+
+    /// Records that `upstream` was lost while it ran `suspects`.
+    ///
+    /// The loss of one incarnation counts once for a request, however many instances report it.
+    pub(crate) fn lose(
+        &mut self,
+        clock: u64,
+        upstream: &UpstreamId,
+        incarnation: Incarnation,
+        suspects: &[Fingerprint],
+    ) -> Vec<Suspect> {
+        let mut result = Vec::new();
+        for print in suspects {
+            let entry = self.entry(*print);
+            let loss = (upstream.clone(), incarnation);
+            if !entry.convicted && !entry.losses.contains(&loss) {
+                entry.losses.push(loss);
+                entry.convicted = entry.losses.len() >= CONVICTING_LOSSES;
+                let lifetime =
+                    if entry.convicted { CONVICTION_LIFETIME } else { SUSPICION_LIFETIME };
+                entry.until = clock.saturating_add(micros(lifetime));
+            }
+            result.push(entry.suspect(clock));
+        }
+        self.bound();
+        result
+    }
+
+    pub(crate) fn clear(&mut self, print: Fingerprint) {
+        self.entries.retain(|it| it.print != print || it.convicted);
+    }
+
+    pub(crate) fn convict(&mut self, clock: u64, print: Fingerprint, remaining: Duration) {
+        let until = clock.saturating_add(micros(remaining.min(CONVICTION_LIFETIME)));
+        let entry = self.entry(print);
+        entry.until = if entry.convicted { entry.until.max(until) } else { until };
+        entry.convicted = true;
+        self.bound();
+    }
+
+    pub(crate) fn find(&self, clock: u64, print: Fingerprint) -> Option<Suspect> {
+        let found = self.entries.binary_search_by_key(&print, |it| it.print).ok()?;
+        Some(self.entries[found].suspect(clock)).filter(|_| self.entries[found].until > clock)
+    }
+
+    pub(crate) fn convicted(&self, clock: u64) -> Vec<Suspect> {
+        let valid = self.entries.iter().filter(|it| it.convicted && it.until > clock);
+        valid.map(|it| it.suspect(clock)).collect()
+    }
+
+    fn entry(&mut self, print: Fingerprint) -> &mut Entry {
+        let place = match self.entries.binary_search_by_key(&print, |it| it.print) {
+            Ok(found) => found,
+            Err(place) => {
+                let entry = Entry { print, losses: Vec::new(), convicted: false, until: 0 };
+                self.entries.insert(place, entry);
+                place
+            }
+        };
+        &mut self.entries[place]
+    }
+
+    fn bound(&mut self) {
+        while self.entries.len() > MAX_SUSPECTS {
+            let first = self.entries.iter().enumerate().min_by_key(|(_, it)| it.until);
+            let Some((place, _)) = first else {
+                return;
+            };
+            self.entries.remove(place);
+        }
+    }
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/medlarlug-core/src/home/mod.rs
+++ b/crates/medlarlug-core/src/home/mod.rs
@@ -3,7 +3,7 @@
 //! The home group records what must not be lost or doubled in its region: booking intents and
 //! outcomes, records of requests, convictions of requests that crash upstreams, and the lease of
 //! the issuer of orders. Every keeper of the group applies the same [`Command`]s in the same
-//! order to its state machine.
+//! order to its [`HomeGroup`].
 //!
 //! Time comes in with the commands: each carries the time that passed on the leader's monotonic
 //! clock since its previous command. The state sums these into a logical clock. A new leader
@@ -12,12 +12,20 @@
 //!
 //! * [`command`]: commands and replies.
 //! * [`booking`]: keys, recorded answers and the life cycle of a booking.
+//! * [`state`]: the state machine.
 
 pub mod booking;
+mod bookings;
 pub mod command;
+mod convictions;
+mod issuer_lease;
+mod records;
+pub mod state;
 
 pub use booking::{
     Amnesia, Body, Booking, BookingKey, BookingKeyError, BookingState, FoundToken, Handover, Owner,
     Recorded,
 };
 pub use command::{Action, Begin, BeginReply, Command, LookUp, Reply, Suspect};
+pub use issuer_lease::IssuerLease;
+pub use state::HomeGroup;
--- /dev/null
+++ b/crates/medlarlug-core/src/home/state.rs
@@ -0,0 +1,285 @@
+//! The state machine of a home group.
+//!
+//! # At most one run
+//!
+//! A booking is sent only by the owner of its intent, only after [`BeginReply::Started`], and
+//! once. An intent never goes over to another owner. When its owner is lost, or the answer is, the
+//! outcome is unknown and stays so until the owner or the plain service tells it. That a plain
+//! service does not know a key proves nothing, as the call may still arrive; therefore no reply of
+//! it frees a key.
+//!
+//! # A group that lost its state
+//!
+//! A group whose voters lost their state is founded anew. Keys that may have been used before are
+//! then answered as unknown and are never run: all that the group does not know, unless the key
+//! names a revision at which it was made that is not older than the founding, or the team is
+//! newer than the founding. This ends after a [`KEY_RETENTION`], when every former key has
+//! outlived its promise.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    fingerprint::Fingerprint,
+    home::{
+        booking::{Amnesia, Booking, BookingKey, Handover, Owner},
+        bookings::Bookings,
+        command::{Action, Begin, BeginReply, Command, LookUp, Reply, Suspect},
+        convictions::Convictions,
+        issuer_lease::IssuerLease,
+        records::Records,
+    },
+    ids::{Incarnation, InstanceId, RequestId, Revision, TeamId},
+};
+
+/// How long a key is kept after its booking ended, by the logical clock.
+///
+/// A key that is sent again later than this may run again.
+pub const KEY_RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
+
+pub(crate) const KEY_RETENTION_MICROS: u64 = 24 * 60 * 60 * 1_000_000;
+
+/// Longest lease of an issuer of orders.
+pub const MAX_LEASE: Duration = Duration::from_secs(60);
+
+const MAX_LEASE_MICROS: u64 = 60 * 1_000_000;
+
+/// The founding of a group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Founding {
+    revision: Revision,
+    amnesia: Option<Amnesia>,
+}
+
+/// The newest incarnation of an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Started {
+    instance: InstanceId,
+    incarnation: Incarnation,
+}
+
+/// The state machine of a home group.
+///
+/// ```
+/// use medlarlug_core::{
+///     home::{Action, Command, HomeGroup, Reply},
+///     ids::Revision,
+/// };
+/// use std::time::Duration;
+///
+/// let mut group = HomeGroup::default();
+/// let action = Action::Found { revision: Revision(3), first: true };
+/// let reply = group.apply(Command { elapsed: Duration::ZERO, action });
+/// assert_eq!(reply, Reply::Founded(Revision(3)));
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HomeGroup {
+    clock: u64,
+    founding: Option<Founding>,
+    instances: Vec<Started>,
+    bookings: Bookings,
+    records: Records,
+    convictions: Convictions,
+    lease: IssuerLease,
+}
+
+impl HomeGroup {
+    /// Applies one command of the log.
+    pub fn apply(&mut self, command: Command) -> Reply {
+        let elapsed = u64::try_from(command.elapsed.as_micros()).unwrap_or(u64::MAX);
+        self.clock = self.clock.saturating_add(elapsed);
+        self.bookings.expire(self.clock);
+        self.convictions.expire(self.clock);
+        match command.action {
+            Action::Found { revision, first } => self.found(revision, first),
+            Action::Begin(begin) => Reply::Begin(self.begin(begin)),
+            _ if self.founding.is_none() => Reply::NotFounded,
+            action => self.apply_founded(action),
+        }
+    }
+
+    /// Revision at which the group was founded.
+    pub fn founded(&self) -> Option<Revision> {
+        self.founding.map(|it| it.revision)
+    }
+
+    /// Time until keys that the group does not know are taken as new again.
+    pub fn amnesia_left(&self) -> Option<Duration> {
+        let amnesia = self.founding?.amnesia?;
+        let left = amnesia.until.checked_sub(self.clock).filter(|left| *left > 0)?;
+        Some(Duration::from_micros(left))
+    }
+
+    /// The logical clock: the sum of the commands' elapsed times.
+    pub fn clock(&self) -> Duration {
+        Duration::from_micros(self.clock)
+    }
+
+    /// The booking of `team` under `key`.
+    pub fn booking(&self, team: &TeamId, key: &BookingKey) -> Option<&Booking> {
+        self.bookings.find(team, key)
+    }
+
+    /// Bookings of unknown outcome.
+    pub fn unknown_bookings(&self) -> impl Iterator<Item = (&TeamId, &Booking)> {
+        self.bookings.unknown()
+    }
+
+    /// Number of booking keys that are kept.
+    pub fn key_count(&self) -> usize {
+        self.bookings.count()
+    }
+
+    /// What is known of a request.
+    pub fn look_up(&self, id: &RequestId) -> LookUp {
+        self.records.look_up(id)
+    }
+
+    /// Whether a request is suspected or convicted.
+    pub fn suspect(&self, print: Fingerprint) -> Option<Suspect> {
+        self.convictions.find(self.clock, print)
+    }
+
+    /// All convicted requests, sorted by fingerprint.
+    pub fn convicted(&self) -> Vec<Suspect> {
+        self.convictions.convicted(self.clock)
+    }
+
+    /// The lease of the issuer of orders.
+    pub fn lease(&self) -> &IssuerLease {
+        &self.lease
+    }
+
+    /// The state as bytes.
+    pub fn encode_snapshot(&self) -> Vec<u8> {
+        postcard::to_allocvec(self).expect("state encodes to memory")
+    }
+
+    /// The state that [`encode_snapshot`](Self::encode_snapshot) wrote.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are no such state.
+    pub fn decode_snapshot(bytes: &[u8]) -> Result<HomeGroup, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+
+    fn apply_founded(&mut self, action: Action) -> Reply {
+        let clock = self.clock;
+        match action {
+            Action::Found { .. } | Action::Begin(_) | Action::Tick => Reply::Ok,
+            Action::InstanceStarted { instance, incarnation } => {
+                self.start(instance, incarnation);
+                Reply::Ok
+            }
+            Action::InstanceLost { instance, incarnation } => {
+                self.bookings.lose_owner(clock, &instance, |it| it == incarnation);
+                self.records.lose(&instance, incarnation);
+                Reply::Ok
+            }
+            Action::Finish { team, key, request, answer } => {
+                self.bookings.finish(clock, (team, key), &request, answer)
+            }
+            Action::Abandon { team, key, request } => {
+                self.bookings.abandon(clock, (team, key), &request)
+            }
+            Action::Lose { team, key, request } => self.bookings.lose(clock, (team, key), &request),
+            Action::Settle { team, key, request, answer } => {
+                self.bookings.settle(clock, (team, key), &request, answer)
+            }
+            Action::Seal { team, to, epoch } => {
+                let amnesia = self.amnesia();
+                self.bookings.seal(clock, team, to, epoch, amnesia)
+            }
+            Action::Adopt(handover) => self.adopt(handover),
+            Action::AdoptLost { team, epoch } => self.adopt_lost(team, epoch),
+            Action::Release { team, epoch } => self.bookings.release(&team, epoch),
+            Action::Records(records) => {
+                self.records.store(records);
+                Reply::Ok
+            }
+            Action::Loss { upstream, incarnation, suspects } => {
+                Reply::Suspects(self.convictions.lose(clock, &upstream, incarnation, &suspects))
+            }
+            Action::Clear(print) => {
+                self.convictions.clear(print);
+                Reply::Ok
+            }
+            Action::Convict { print, remaining } => {
+                self.convictions.convict(clock, print, remaining);
+                Reply::Ok
+            }
+            Action::Lease { holder, duration } => {
+                self.lease.request(clock, holder, duration.min(MAX_LEASE))
+            }
+        }
+    }
+
+    fn found(&mut self, revision: Revision, first: bool) -> Reply {
+        if let Some(founding) = self.founding {
+            return Reply::Founded(founding.revision);
+        }
+        let after = |duration: u64| self.clock.saturating_add(duration);
+        let amnesia =
+            (!first).then(|| Amnesia { before: revision, until: after(KEY_RETENTION_MICROS) });
+        let granted = if first { self.clock } else { after(MAX_LEASE_MICROS) };
+        self.lease = IssuerLease::founded(revision, granted);
+        self.founding = Some(Founding { revision, amnesia });
+        Reply::Founded(revision)
+    }
+
+    fn amnesia(&self) -> Option<Amnesia> {
+        self.founding.and_then(|it| it.amnesia).filter(|it| it.until > self.clock)
+    }
+
+    fn begin(&mut self, begin: Begin) -> BeginReply {
+        if self.founding.is_none() {
+            return BeginReply::NotFounded;
+        }
+        let Owner { instance, incarnation } = begin.owner.clone();
+        if let Some(newest) = self.newest(&instance)
+            && newest > incarnation
+        {
+            return BeginReply::StaleOwner(newest);
+        }
+        self.start(instance, incarnation);
+        let amnesia = self.amnesia();
+        self.bookings.begin(self.clock, begin, amnesia)
+    }
+
+    fn newest(&self, instance: &InstanceId) -> Option<Incarnation> {
+        let found = self.find_instance(instance).ok()?;
+        Some(self.instances[found].incarnation)
+    }
+
+    fn find_instance(&self, instance: &InstanceId) -> Result<usize, usize> {
+        self.instances.binary_search_by(|it| it.instance.cmp(instance))
+    }
+
+    fn start(&mut self, instance: InstanceId, incarnation: Incarnation) {
+        match self.find_instance(&instance) {
+            Ok(found) if self.instances[found].incarnation >= incarnation => return,
+            Ok(found) => self.instances[found].incarnation = incarnation,
+            Err(place) => {
+                self.instances.insert(place, Started { instance: instance.clone(), incarnation });
+            }
+        }
+        self.bookings.lose_owner(self.clock, &instance, |it| it < incarnation);
+        self.records.start(&instance, incarnation);
+    }
+
+    fn adopt(&mut self, handover: Handover) -> Reply {
+        let reply = self.bookings.adopt(self.clock, handover);
+        for it in &self.instances {
+            self.bookings.lose_owner(self.clock, &it.instance, |other| other < it.incarnation);
+        }
+        reply
+    }
+
+    fn adopt_lost(&mut self, team: TeamId, epoch: Revision) -> Reply {
+        let amnesia = Some(Amnesia { before: epoch, until: KEY_RETENTION_MICROS });
+        let handover = Handover { team, epoch, amnesia, bookings: Vec::new() };
+        self.bookings.adopt(self.clock, handover)
+    }
+}
--- a/crates/medlarlug-core/src/orders/mod.rs
+++ b/crates/medlarlug-core/src/orders/mod.rs
@@ -15,5 +15,5 @@
 pub mod order;
 
 pub use bucket::TokenBucket;
-pub use issuer::{Effect, Event, Timing};
+pub use issuer::{Effect, Event, Issuer, Timing};
 pub use order::{Fence, Order, OrderKind, Role, Task};
