--- a/crates/medlarlug-core/src/home/mod.rs
+++ b/crates/medlarlug-core/src/home/mod.rs
@@ -13,7 +13,9 @@
 //! * [`command`]: commands and replies.
 //! * [`booking`]: keys, recorded answers and the life cycle of a booking.
 //! * [`state`]: the state machine.
+//! * [`attempt`]: the owner's side of a booking, on the entry instance.
 
+pub mod attempt;
 pub mod booking;
 mod bookings;
 pub mod command;
