--- a/src/standin/announcer.rs
+++ b/src/standin/announcer.rs
@@ -21,7 +21,7 @@
 };
 
 use crate::{
-    settings::key::MAC_HEADER,
+    protocol::headers,
     standin::{http, upstream::Upstream},
 };
 
@@ -144,7 +144,7 @@
             .uri(PATH)
             .header(HOST, address.to_string())
             .header(CONTENT_TYPE, "application/json")
-            .header(MAC_HEADER, mac)
+            .header(headers::CODE, mac)
             .body(Full::new(body))
             .expect("the parts of the request are valid");
         let http_error = |source| AnnounceError::Http { address, source };
--- a/src/standin/answer.rs
+++ b/src/standin/answer.rs
@@ -42,15 +42,16 @@
     tokens(prompt, max_tokens).concat()
 }
 
-/// The prompt that the messages of a chat make, as pairs of role and content.
+/// The prompt that the messages of a chat make, as pairs of role and content: each on a line of
+/// its own, as the gateway reads them for prefix fingerprints.
 ///
 /// ```
 /// use medlarlug::standin::answer::chat_prompt;
 ///
-/// assert_eq!(chat_prompt(&[("user", "hello")]), "user: hello\n");
+/// assert_eq!(chat_prompt(&[("user", "hello")]), "user\nhello\n");
 /// ```
 pub fn chat_prompt(messages: &[(&str, &str)]) -> String {
-    messages.iter().map(|(role, content)| format!("{role}: {content}\n")).collect()
+    messages.iter().map(|(role, content)| format!("{role}\n{content}\n")).collect()
 }
 
 /// Tokens of a prompt.
--- a/src/standin/cache.rs
+++ b/src/standin/cache.rs
@@ -1,28 +1,22 @@
 //! A bounded cache of prompt prefixes.
 //!
-//! A prompt is cut into blocks of [`BLOCK_BYTES`]; the fingerprint of the prompt up to the end of
-//! a block names that prefix. The least recently used prefix leaves first. Changes are reported
+//! Prefixes are named as [`medlarlug_core::fingerprint::prefixes`] names them. The least recently
+//! used one leaves first. Changes are reported
 //! late, and some are never reported, as engines do.
 
-use medlarlug_core::{fingerprint::Fingerprint, units::Tokens};
+use medlarlug_core::{
+    fingerprint::{Fingerprint, PREFIX_BLOCK_BYTES, prefixes},
+    units::Tokens,
+};
 
 use crate::standin::answer::BYTES_PER_TOKEN;
 
-/// Bytes of one block.
-pub const BLOCK_BYTES: usize = 256;
-
 /// Tokens of one block.
-pub const BLOCK_TOKENS: u64 = (BLOCK_BYTES / BYTES_PER_TOKEN) as u64;
+pub const BLOCK_TOKENS: u64 = (PREFIX_BLOCK_BYTES / BYTES_PER_TOKEN) as u64;
 
 /// One change out of this many is never reported.
 const GAP: u64 = 7;
 
-/// Fingerprints of a prompt's prefixes, the shortest first.
-pub fn prefixes(prompt: &str) -> Vec<Fingerprint> {
-    let bytes = prompt.as_bytes();
-    (1..=bytes.len() / BLOCK_BYTES).map(|n| Fingerprint::of(&bytes[..n * BLOCK_BYTES])).collect()
-}
-
 /// The cache of one engine.
 #[derive(Debug)]
 pub struct PrefixCache {
--- a/src/standin/completions.rs
+++ b/src/standin/completions.rs
@@ -5,19 +5,21 @@
 use bytes::Bytes;
 use futures_util::stream;
 use hyper::{Method, Request, StatusCode, body::Incoming};
-use medlarlug_core::units::Tokens;
+use medlarlug_core::{orders::Order, units::Tokens};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use smol_str::SmolStr;
 use tokio::time::{Instant, sleep};
 
-use crate::standin::{
-    CRASH_MARKER, answer,
-    faults::Fate,
-    http::{self, Answer, LostAnswer, echo, events, json, refusal},
-    orders::Order,
-    streams::{Phase, Reader, Stream},
-    upstream::Upstream,
+use crate::{
+    protocol::headers,
+    standin::{
+        CRASH_MARKER, answer,
+        faults::Fate,
+        http::{self, Answer, LostAnswer, echo, events, json, refusal},
+        streams::{Phase, Reader, Stream},
+        upstream::Upstream,
+    },
 };
 
 const STREAMS: &str = "/v1/streams/";
@@ -53,7 +55,7 @@
         (&Method::POST, "/v1/chat/completions") => complete(upstream, id, request, true).await,
         (&Method::POST, "/v1/completions") => complete(upstream, id, request, false).await,
         (&Method::GET, "/v1/models") => Ok(models(&upstream)),
-        (&Method::POST, "/orders") => Ok(order(&upstream, request).await),
+        (&Method::POST, "/v1/orders") => Ok(order(&upstream, request).await),
         (&Method::GET, it) if it.starts_with(STREAMS) => {
             let offset = offset(request.uri().query());
             Ok(resume(&upstream, &it[STREAMS.len()..], offset))
@@ -72,8 +74,8 @@
     chat: bool,
 ) -> Result<Answer, LostAnswer> {
     let fate = upstream.faults.borrow_mut().next_fate();
-    let priority = number(&request, "x-priority").unwrap_or(0).min(u64::from(u8::MAX)) as u8;
-    let patience = number(&request, "x-deadline-ms").map(Duration::from_millis);
+    let priority = number(&request, headers::PRIORITY).unwrap_or(0).min(u64::from(u8::MAX)) as u8;
+    let patience = number(&request, headers::DEADLINE).map(Duration::from_millis);
     let Some(body) = http::body(request).await else {
         return Err(LostAnswer);
     };
@@ -116,8 +118,7 @@
         return Some(refusal(StatusCode::SERVICE_UNAVAILABLE, "not_started", message));
     }
     let model = completion.model.as_str();
-    let is_loaded = upstream.orders.borrow().models.iter().any(|it| it.model.as_str() == model);
-    if !is_loaded {
+    if !upstream.orders.borrow().serves(model) {
         let message = format!("model `{model}` is not loaded");
         return Some(refusal(StatusCode::NOT_FOUND, "model_not_found", &message));
     }
@@ -234,7 +235,7 @@
 fn models(upstream: &Upstream) -> Answer {
     let book = upstream.orders.borrow();
     let data: Vec<Value> =
-        book.models.iter().map(|it| json!({"id": it.model, "object": "model"})).collect();
+        book.names().iter().map(|it| json!({"id": it, "object": "model"})).collect();
     json(StatusCode::OK, &json!({"object": "list", "data": data}))
 }
 
@@ -246,8 +247,8 @@
             return refusal(StatusCode::BAD_REQUEST, "invalid_request", &error.to_string());
         }
     };
-    match upstream.orders.borrow_mut().take(order) {
-        Ok(()) => json(StatusCode::OK, &json!({"accepted": true})),
-        Err(error) => refusal(StatusCode::CONFLICT, "stale_order", &error.to_string()),
+    match upstream.orders.borrow_mut().take(upstream.incarnation.get(), order) {
+        Ok(()) => json(StatusCode::OK, &json!({"taken": true})),
+        Err(error) => refusal(StatusCode::CONFLICT, "order_refused", &error.to_string()),
     }
 }
--- a/src/standin/control.rs
+++ b/src/standin/control.rs
@@ -34,7 +34,7 @@
     Ok(match (request.method(), path.as_str()) {
         (&Method::POST, "/faults") => inject(&upstream, request).await,
         (&Method::GET, "/runs") => json(StatusCode::OK, &*upstream.ledger.borrow()),
-        (&Method::GET, "/orders") => json(StatusCode::OK, &upstream.orders.borrow().accepted),
+        (&Method::GET, "/orders") => json(StatusCode::OK, &upstream.orders.borrow().taken),
         (&Method::GET, "/state") => state(&upstream),
         _ => refusal(StatusCode::NOT_FOUND, "not_found", "there is nothing at this path"),
     })
--- a/src/standin/http.rs
+++ b/src/standin/http.rs
@@ -14,8 +14,7 @@
 use serde_json::json;
 use thiserror::Error;
 
-/// Header with the id of the request.
-pub const REQUEST_ID: &str = "x-request-id";
+use crate::protocol::headers::REQUEST_ID;
 
 /// Largest request body that is read.
 const MAX_BODY: usize = 64 << 20;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -17,7 +17,7 @@
 //! | --- | --- |
 //! | `POST /faults` | injects a [`faults::Fault`] |
 //! | `GET /runs` | how often each key ran |
-//! | `GET /orders` | accepted orders, in turn |
+//! | `GET /orders` | orders that were taken, in turn |
 //! | `GET /state` | load, loaded models and open streams |
 
 pub mod announcer;
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -11,16 +11,16 @@
 use smol_str::SmolStr;
 use tokio::time::sleep;
 
-use crate::standin::{
-    http::{self, Answer, LostAnswer, echo, json, refusal},
-    upstream::Upstream,
+use crate::{
+    protocol::headers::IDEMPOTENCY_KEY,
+    standin::{
+        http::{self, Answer, LostAnswer, echo, json, refusal},
+        upstream::Upstream,
+    },
 };
 
 const OUTCOMES: &str = "/outcomes/";
 
-/// Header with the key of a call that must run at most once.
-pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
-
 pub(super) async fn handle(
     upstream: Rc<Upstream>,
     id: SmolStr,
--- a/src/standin/upstream.rs
+++ b/src/standin/upstream.rs
@@ -22,6 +22,7 @@
 };
 
 use crate::{
+    protocol::headers,
     settings::{DeploymentKeys, UpstreamSettings},
     standin::{
         announcer,
@@ -260,7 +261,8 @@
     request: hyper::Request<hyper::body::Incoming>,
 ) -> Result<Answer, LostAnswer> {
     upstream.thaw().await;
-    let id: SmolStr = http::header(request.headers(), http::REQUEST_ID).unwrap_or("local").into();
+    let id: SmolStr =
+        http::header(request.headers(), headers::REQUEST_ID).unwrap_or("local").into();
     match upstream.settings.kind {
         UpstreamKind::Engine { .. } => completions::handle(upstream, id, request).await,
         UpstreamKind::Service { .. } => service::handle(upstream, id, request).await,
