--- a/src/bin/medlarlug.rs
+++ b/src/bin/medlarlug.rs
@@ -1,3 +1,7 @@
 //! The operators' command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    medlarlug::commands::main()
+}
--- /dev/null
+++ b/src/commands/drain.rs
@@ -0,0 +1,28 @@
+//! `medlarlug drain`: lets a process end its requests and stop.
+
+use bpaf::Bpaf;
+use hyper::Method;
+use serde_json::{Value, json};
+
+use crate::commands::{
+    context::{Common, common},
+    error::CommandError,
+};
+
+/// Arguments of `drain`.
+#[derive(Debug, Clone, Bpaf)]
+pub struct Drain {
+    #[bpaf(external)]
+    common: Common,
+}
+
+impl Drain {
+    /// Runs the command.
+    pub async fn exec(self) -> Result<(), CommandError> {
+        let context = self.common.context()?;
+        context.client.require_one()?;
+        let answer: Value = context.client.send(Method::POST, "/drain", &json!({})).await?;
+        context.print(&answer, |_| "draining\n".into());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/commands/release.rs
@@ -0,0 +1,169 @@
+//! `medlarlug release`: checks, applies and shows release notes.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use bpaf::Bpaf;
+use hyper::Method;
+use medlarlug_core::{
+    ids::Revision,
+    release::{Configuration, Item, RawNote},
+};
+use smol_str::ToSmolStr;
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    commands::{
+        context::{Common, Context, common},
+        error::CommandError,
+        table::table,
+    },
+    protocol::operators::{AcceptedNote, Confirmations},
+};
+
+const POLL: Duration = Duration::from_millis(200);
+
+/// Commands on release notes.
+#[derive(Debug, Clone, Bpaf)]
+pub enum Release {
+    /// Tells whether a release note would be accepted, without applying it
+    #[bpaf(command)]
+    Check {
+        #[bpaf(external)]
+        common: Common,
+        /// The release note (YAML)
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Applies a release note; the same note applied again has the same answer
+    #[bpaf(command)]
+    Apply {
+        #[bpaf(external)]
+        common: Common,
+        /// Wait until the revision is in force in every zone
+        wait: bool,
+        /// Longest such wait, in seconds
+        #[bpaf(argument("SECONDS"), fallback(30), display_fallback)]
+        wait_limit: u64,
+        /// The release note (YAML)
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Shows the configuration in force
+    #[bpaf(command)]
+    Show {
+        #[bpaf(external)]
+        common: Common,
+    },
+    /// Lists the accepted release notes
+    #[bpaf(command)]
+    History {
+        #[bpaf(external)]
+        common: Common,
+    },
+}
+
+impl Release {
+    /// Runs the command.
+    pub async fn exec(self) -> Result<(), CommandError> {
+        match self {
+            Release::Check { common, file } => check(&common.context()?, &file).await,
+            Release::Apply { common, wait, wait_limit, file } => {
+                let wait = wait.then_some(Duration::from_secs(wait_limit));
+                apply(&common.context()?, &file, wait).await
+            }
+            Release::Show { common } => show(&common.context()?).await,
+            Release::History { common } => history(&common.context()?).await,
+        }
+    }
+}
+
+/// Reads a release note.
+fn read_note(file: &Path) -> Result<RawNote, CommandError> {
+    let text = fs::read_to_string(file)
+        .map_err(|source| CommandError::Read { file: file.to_owned(), source })?;
+    serde_saphyr::from_str(&text).map_err(|error| CommandError::Invalid {
+        file: file.to_owned(),
+        detail: error.without_snippet().to_smolstr(),
+    })
+}
+
+async fn check(context: &Context, file: &Path) -> Result<(), CommandError> {
+    let note = read_note(file)?;
+    let found: AcceptedNote = context.client.send(Method::POST, "/release/check", &note).await?;
+    context.print(&found, |it| {
+        format!("note {} of {} would become revision {}\n", it.number, it.operator, it.revision)
+    });
+    Ok(())
+}
+
+async fn apply(context: &Context, file: &Path, wait: Option<Duration>) -> Result<(), CommandError> {
+    let note = read_note(file)?;
+    let accepted: AcceptedNote = context.client.send(Method::POST, "/release/apply", &note).await?;
+    context.print(&accepted, |it| {
+        format!("note {} of {} is revision {}\n", it.number, it.operator, it.revision)
+    });
+    match wait {
+        Some(limit) => wait_for(context, accepted.revision, limit).await,
+        None => Ok(()),
+    }
+}
+
+/// Waits until `revision` is in force in every zone.
+async fn wait_for(
+    context: &Context,
+    revision: Revision,
+    limit: Duration,
+) -> Result<(), CommandError> {
+    let begun = Instant::now();
+    loop {
+        let seen: Confirmations = context.client.get("/release/confirmations").await?;
+        let is_behind = |it: &Option<Revision>| it.is_none_or(|known| known < revision);
+        let behind: Vec<&str> = seen
+            .zones
+            .iter()
+            .filter(|it| is_behind(&it.revision))
+            .map(|it| it.zone.as_str())
+            .collect();
+        if behind.is_empty() {
+            context.print(&seen, |it| format!("in force in {} zones\n", it.zones.len()));
+            return Ok(());
+        }
+        if begun.elapsed() >= limit {
+            let zones = behind.join(", ").into();
+            return Err(CommandError::NotConfirmed { revision, zones });
+        }
+        sleep(POLL).await;
+    }
+}
+
+async fn show(context: &Context) -> Result<(), CommandError> {
+    let configuration: Configuration = context.client.get("/release").await?;
+    context.print(&configuration, |it| {
+        let rows: Vec<[String; 2]> = it.items().iter().map(item).collect();
+        format!("revision {}\n{}", it.revision, table(["ITEM", "CONTENT"], &rows))
+    });
+    Ok(())
+}
+
+/// The key of an item, and its fields as JSON.
+fn item(item: &Item) -> [String; 2] {
+    let json = serde_json::to_value(item).unwrap_or_default();
+    let fields = json.as_object().and_then(|it| it.values().next()).cloned();
+    [item.key().to_string(), fields.unwrap_or_default().to_string()]
+}
+
+async fn history(context: &Context) -> Result<(), CommandError> {
+    let notes: Vec<AcceptedNote> = context.client.get("/release/history").await?;
+    context.print(&notes, |all| {
+        let row = |it: &AcceptedNote| {
+            [it.revision.to_string(), it.number.to_string(), it.operator.to_string()]
+        };
+        let rows: Vec<[String; 3]> = all.iter().map(row).collect();
+        table(["REVISION", "NOTE", "OPERATOR"], &rows)
+    });
+    Ok(())
+}
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -10,6 +10,7 @@
 pub mod headers;
 pub mod inference;
 pub mod message;
+pub mod operators;
 pub mod problem;
 
 pub use deployment_key::{DeploymentKey, DeploymentKeys};
