Entry and keeper processes: the thin path

Two loops around the cores: keepers host replicas of the configuration and home groups, entry instances route, relay streams, run bookings and keep records. Storage of the keepers is still volatile; admission, limits and suspects are not wired yet.

--- /dev/null
+++ b/src/coordination/entry/callers.rs
@@ -0,0 +1,326 @@
+//! The callers' HTTP interface.
+//!
+//! | request | answer |
+//! | --- | --- |
+//! | `GET /v1/entries` | entry instances to use, in order, with a lifetime |
+//! | `GET /v1/models` | models that the configuration names |
+//! | `POST /v1/chat/completions`, `POST /v1/completions` | inference, streamed or whole |
+//! | any method `/v1/services/{service}/{path}` | a call to a plain service |
+//! | `GET /v1/requests/{id}` | what became of one of the team's requests |
+//!
+//! Every request carries a team's bearer key. Every answer to a request that was taken in carries
+//! its id.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use hyper::{Method, Request, StatusCode, body::Incoming};
+use medlarlug_core::{
+    directory,
+    fingerprint::Fingerprint,
+    home::BookingKey,
+    ids::{RequestId, ServiceId},
+    membership::Target,
+    record::Outcome,
+    refusal::Reason,
+    release::{Configuration, ItemKey, item::Team},
+    routing::{Origin, RequestFacts},
+    units::Tokens,
+};
+use serde_json::json;
+use smol_str::{SmolStr, ToSmolStr};
+use tokio::{net::TcpListener, sync::watch, task, time::timeout};
+
+use crate::{
+    coordination::{
+        entry::{
+            Entry,
+            exchange::Call,
+            inference::{self, Job, JobOrigin},
+            services::{self, Booking},
+        },
+        lookup::{self, Fate},
+        operators::{bearer, fate_answer},
+    },
+    protocol::{Problem, headers, inference::InferenceHead},
+    transport::{
+        body::{self, Answer, BodyError},
+        http_client::Reuse,
+        http_server,
+    },
+};
+
+/// Time that a look-up may take.
+const LOOK_UP_LIMIT: Duration = Duration::from_secs(4);
+
+/// Path under which plain services are called.
+const SERVICES: &str = "/v1/services/";
+
+/// Serves the callers' interface until `stop` turns true.
+pub async fn serve(entry: Rc<Entry>, listener: TcpListener, stop: watch::Receiver<bool>) {
+    let limits = entry.server_limits();
+    let handler = move |request, _| {
+        let entry = entry.clone();
+        async move { answer(entry, request).await }
+    };
+    http_server::serve(listener, limits, stop, handler).await;
+}
+
+/// A caller whose key was recognised.
+struct Caller {
+    team: Team,
+    configuration: Configuration,
+}
+
+async fn answer(entry: Rc<Entry>, request: Request<Incoming>) -> Answer {
+    let caller = match authenticate(&entry, &request) {
+        Ok(caller) => caller,
+        Err(answer) => return answer,
+    };
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/v1/entries") => entries(&entry),
+        (&Method::GET, "/v1/models") => models(&caller.configuration),
+        (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
+            infer(entry, caller, request).await
+        }
+        (&Method::GET, path) if path.starts_with("/v1/requests/") => {
+            look_up(&entry, &caller.team, path).await
+        }
+        (_, path) if path.starts_with(SERVICES) => call_service(entry, caller, request).await,
+        _ => refuse(404, "not-found", "there is no such resource"),
+    }
+}
+
+fn refuse(status: u16, kind: &str, title: &str) -> Answer {
+    body::refusal(&Problem::new(status, kind, title, Outcome::NotRun))
+}
+
+fn refuse_for(entry: &Entry, reason: Reason, wait: Duration) -> Answer {
+    body::refusal(&Problem::from_refusal(&entry.refusal(reason, wait)))
+}
+
+fn authenticate(entry: &Entry, request: &Request<Incoming>) -> Result<Caller, Answer> {
+    let Some(configuration) = entry.configuration() else {
+        return Err(refuse_for(entry, Reason::NoConfiguration, Duration::from_secs(1)));
+    };
+    let key = bearer(request).map(|it| Fingerprint::of(it.as_bytes()));
+    let team = key.and_then(|it| configuration.team_of_key(it)).cloned();
+    match team {
+        Some(team) => Ok(Caller { team, configuration }),
+        None => Err(refuse(401, "unauthorized", "the bearer key is no team's")),
+    }
+}
+
+fn entries(entry: &Entry) -> Answer {
+    let node = &entry.node;
+    let members = node.members.borrow();
+    let listed = directory::for_caller(node.now(), &members, &mut rand::rng());
+    let addresses = listed.entries.iter().filter_map(|id| {
+        let peer = node.cluster.peer(id)?;
+        let address = peer.callers?;
+        Some(json!({ "id": id, "zone": peer.zone, "address": address }))
+    });
+    let addresses: Vec<serde_json::Value> = addresses.collect();
+    let lifetime = listed.lifetime.as_secs();
+    body::json(StatusCode::OK, &json!({ "entries": addresses, "lifetime": lifetime }))
+}
+
+fn models(configuration: &Configuration) -> Answer {
+    let models = configuration
+        .models()
+        .map(|it| json!({ "id": it.id, "object": "model", "owned_by": "medlarlug", "created": 0 }));
+    let models: Vec<serde_json::Value> = models.collect();
+    body::json(StatusCode::OK, &json!({ "object": "list", "data": models }))
+}
+
+async fn look_up(entry: &Entry, team: &Team, path: &str) -> Answer {
+    let id: RequestId = match path.trim_start_matches("/v1/requests/").parse() {
+        Ok(id) => id,
+        Err(error) => return refuse(400, "no-request-id", &format!("{error}")),
+    };
+    let recent = entry.journal.borrow().find(&id).cloned();
+    let fate = match recent {
+        Some(record) => Ok(Fate::Recorded(record)),
+        None => lookup::fate(&entry.node, &id, LOOK_UP_LIMIT).await,
+    };
+    match fate {
+        Ok(Fate::Recorded(record)) if record.team != team.id => {
+            refuse(404, "no-record", lookup::NOT_SEEN)
+        }
+        fate => fate_answer(fate),
+    }
+}
+
+/// Reads a caller's body within the limits.
+async fn read_body(entry: &Entry, request: Request<Incoming>) -> Result<Bytes, Answer> {
+    let limits = &entry.settings.limits;
+    let reading = body::read(request.into_body(), limits.body.0 as usize);
+    match timeout(limits.sender, reading).await {
+        Ok(Ok(content)) => Ok(content),
+        Ok(Err(error @ BodyError::TooLong { .. })) => {
+            Err(refuse(413, "body-too-long", &error.to_string()))
+        }
+        Ok(Err(error)) => Err(refuse(400, "body-cut", &error.to_string())),
+        Err(_) => Err(refuse(408, "sender-too-slow", "the body did not arrive in time")),
+    }
+}
+
+/// Time to the first token that the policy, or a shorter wish of the caller, permits.
+fn deadline_of(configuration: &Configuration, request: &Request<Incoming>) -> Duration {
+    let policy = configuration.policy();
+    let longest = policy
+        .map_or(inference::DEFAULT_DEADLINE, |it| Duration::from_millis(it.deadline_ms.into()));
+    let wish = request.headers().get(headers::DEADLINE).and_then(|it| it.to_str().ok());
+    let wish = wish.and_then(|it| it.parse().ok()).map(Duration::from_millis);
+    wish.map_or(longest, |wish| wish.min(longest))
+}
+
+async fn infer(entry: Rc<Entry>, caller: Caller, request: Request<Incoming>) -> Answer {
+    if entry.is_leaving() {
+        return refuse_for(&entry, Reason::Leaving, Duration::ZERO);
+    }
+    let path = request.uri().path().to_smolstr();
+    let deadline = deadline_of(&caller.configuration, &request);
+    let content = match read_body(&entry, request).await {
+        Ok(content) => content,
+        Err(answer) => return answer,
+    };
+    let head = match InferenceHead::parse(&content) {
+        Ok(head) => head,
+        Err(error) => return refuse(400, "no-inference-request", &error.to_string()),
+    };
+    let target = ItemKey::Model(head.model.clone());
+    if caller.configuration.item(&target).is_none() {
+        return refuse(404, "unknown-model", &format!("there is no {target}"));
+    }
+    let id = entry.begin(caller.team.id.clone(), target);
+    let facts = RequestFacts {
+        id: id.clone(),
+        team: caller.team.id,
+        target: Target::Model(head.model.clone()),
+        adapter: head.adapter.clone(),
+        prompt: head.prompt,
+        prefixes: inference::prefixes_of(&head),
+        priority: caller.team.priority,
+        deadline,
+        excluded: Vec::new(),
+    };
+    let limit = inference::head_limit(&facts);
+    let call = inference::call_of(path, content, head.stream, limit);
+    let job = Job { origin: JobOrigin::Caller(Origin::new(facts)), call };
+    // The request goes on to its recorded end when the caller's connection is lost.
+    let task = task::spawn_local(inference::serve(entry, job));
+    task.await.unwrap_or_else(|_| failed(&id))
+}
+
+fn failed(id: &RequestId) -> Answer {
+    let problem = Problem::new(500, "failed", "the request failed", Outcome::Unknown);
+    body::refusal(&problem.of(id))
+}
+
+/// Service and path out of `/v1/services/{service}/{path}`.
+fn service_path(request: &Request<Incoming>) -> Result<(ServiceId, SmolStr), Answer> {
+    let target = request.uri().path_and_query().map_or("", |it| it.as_str());
+    let rest = target.strip_prefix(SERVICES).unwrap_or_default();
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let service =
+        service.parse().map_err(|error| refuse(400, "no-service-id", &format!("{error}")))?;
+    Ok((service, smol_str::format_smolstr!("/{path}")))
+}
+
+async fn call_service(entry: Rc<Entry>, caller: Caller, request: Request<Incoming>) -> Answer {
+    if entry.is_leaving() {
+        return refuse_for(&entry, Reason::Leaving, Duration::ZERO);
+    }
+    let (id, path) = match service_path(&request) {
+        Ok(parts) => parts,
+        Err(answer) => return answer,
+    };
+    let Caller { team, configuration } = caller;
+    let Some(service) = configuration.service(&id).cloned() else {
+        return refuse(404, "unknown-service", &format!("there is no service {id}"));
+    };
+    let method = request.method().clone();
+    let is_repeatable = service.idempotent || matches!(method, Method::GET | Method::HEAD);
+    let key = match (booking_key(&entry, &request), is_repeatable) {
+        (Err(answer), _) => return answer,
+        (Ok(None), false) => {
+            let title = "this call may not be repeated; send an Idempotency-Key";
+            return refuse(400, "no-idempotency-key", title);
+        }
+        (Ok(key), _) => key.filter(|_| !is_repeatable),
+    };
+    let media = request.headers().get(hyper::header::CONTENT_TYPE);
+    let media = media.and_then(|it| it.to_str().ok()).map(SmolStr::new);
+    let deadline = deadline_of(&configuration, &request);
+    let content = match read_body(&entry, request).await {
+        Ok(content) => content,
+        Err(answer) => return answer,
+    };
+    let request_id = entry.begin(team.id.clone(), ItemKey::Service(id.clone()));
+    let facts = RequestFacts {
+        id: request_id.clone(),
+        team: team.id.clone(),
+        target: Target::Service(id),
+        adapter: None,
+        prompt: Tokens(0),
+        prefixes: Vec::new(),
+        priority: team.priority,
+        deadline,
+        excluded: Vec::new(),
+    };
+    let reuse = match key.is_some() {
+        true => Reuse::Never,
+        false => Reuse::Allowed,
+    };
+    let print = content_print(&method, &path, &content);
+    let call = Call {
+        method,
+        path,
+        media,
+        key: key.as_ref().map(|it| it.to_smolstr()),
+        limit: inference::head_limit(&facts),
+        body: content,
+        stream: false,
+        reuse,
+    };
+    let job = Job { origin: JobOrigin::Caller(Origin::new(facts)), call };
+    // The call goes on to its recorded end when the caller's connection is lost.
+    let task = match key {
+        None => task::spawn_local(inference::serve(entry, job)),
+        Some(key) => task::spawn_local(services::book(
+            entry,
+            Booking {
+                team: team.id,
+                home: team.home,
+                epoch: configuration.revision,
+                key,
+                content: print,
+                outcomes: service.outcomes,
+                job,
+            },
+        )),
+    };
+    task.await.unwrap_or_else(|_| failed(&request_id))
+}
+
+fn booking_key(entry: &Entry, request: &Request<Incoming>) -> Result<Option<BookingKey>, Answer> {
+    let Some(value) = request.headers().get(headers::IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default();
+    let longest = entry.settings.limits.key;
+    if text.len() > longest {
+        let title = format!("the Idempotency-Key has more than {longest} bytes");
+        return Err(refuse(400, "key-too-long", &title));
+    }
+    let key = text.parse().map_err(|error| refuse(400, "no-idempotency-key", &format!("{error}")));
+    key.map(Some)
+}
+
+fn content_print(method: &Method, path: &str, content: &[u8]) -> Fingerprint {
+    let mut text = format!("{method} {path}\n").into_bytes();
+    text.extend_from_slice(content);
+    Fingerprint::of(&text)
+}
--- /dev/null
+++ b/src/coordination/entry/internal.rs
@@ -0,0 +1,133 @@
+//! The internal HTTP interface of an entry instance.
+//!
+//! | request | answer |
+//! | --- | --- |
+//! | `POST /v1/announce` | takes an upstream's announcement in |
+//! | `POST /v1/forward` | serves a request that another zone hands over |
+//!
+//! Bodies are authenticated by the deployment key.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use hyper::{Method, Request, StatusCode, body::Incoming};
+use medlarlug_core::{
+    announcement::Announcement, record::Outcome, refusal::Reason, routing::Forwarded,
+};
+use tokio::{net::TcpListener, sync::watch, task};
+
+use crate::{
+    coordination::entry::{
+        Entry,
+        exchange::Call,
+        forward::{self, ForwardedCall},
+        inference::{self, Job, JobOrigin},
+    },
+    protocol::{Problem, headers},
+    transport::{
+        body::{self, Answer},
+        http_client::Reuse,
+        http_server,
+    },
+};
+
+/// Longest announcement, in bytes.
+const ANNOUNCEMENT_BYTES: usize = 256 * 1024;
+
+/// Bytes that a forwarded request needs beside its body.
+const FORWARD_BYTES: usize = 64 * 1024;
+
+/// Serves the internal interface until `stop` turns true.
+pub async fn serve(entry: Rc<Entry>, listener: TcpListener, stop: watch::Receiver<bool>) {
+    let limits = entry.server_limits();
+    let handler = move |request, _| {
+        let entry = entry.clone();
+        async move { answer(entry, request).await }
+    };
+    http_server::serve(listener, limits, stop, handler).await;
+}
+
+async fn answer(entry: Rc<Entry>, request: Request<Incoming>) -> Answer {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::POST, "/v1/announce") => announce(&entry, request).await,
+        (&Method::POST, forward::PATH) => take_over(entry, request).await,
+        _ => refuse(404, "not-found", "there is no such resource"),
+    }
+}
+
+fn refuse(status: u16, kind: &str, title: &str) -> Answer {
+    body::refusal(&Problem::new(status, kind, title, Outcome::NotRun))
+}
+
+/// Reads a body and checks its authentication code.
+async fn read_authenticated(
+    entry: &Entry,
+    request: Request<Incoming>,
+    limit: usize,
+) -> Result<Bytes, Answer> {
+    let code = request.headers().get(headers::CODE).and_then(|it| it.to_str().ok());
+    let code = code.unwrap_or_default().to_owned();
+    let content = body::read(request.into_body(), limit)
+        .await
+        .map_err(|error| refuse(413, "body-unreadable", &error.to_string()))?;
+    if !entry.node.keys.verify(&content, &code) {
+        return Err(refuse(401, "unauthorized", "the deployment key does not authenticate it"));
+    }
+    Ok(content)
+}
+
+async fn announce(entry: &Entry, request: Request<Incoming>) -> Answer {
+    let content = match read_authenticated(entry, request, ANNOUNCEMENT_BYTES).await {
+        Ok(content) => content,
+        Err(answer) => return answer,
+    };
+    let announcement: Announcement = match serde_json::from_slice(&content) {
+        Ok(announcement) => announcement,
+        Err(error) => return refuse(400, "no-announcement", &error.to_string()),
+    };
+    let notices = entry.node.announced(announcement);
+    entry.note(&notices);
+    body::json(StatusCode::OK, &serde_json::json!({}))
+}
+
+async fn take_over(entry: Rc<Entry>, request: Request<Incoming>) -> Answer {
+    let limit = entry.settings.limits.body.0 as usize + FORWARD_BYTES;
+    let content = match read_authenticated(&entry, request, limit).await {
+        Ok(content) => content,
+        Err(answer) => return answer,
+    };
+    let call: ForwardedCall = match postcard::from_bytes(&content) {
+        Ok(call) => call,
+        Err(error) => return refuse(400, "no-forwarded-call", &error.to_string()),
+    };
+    if entry.is_leaving() {
+        return refuse(503, Reason::Leaving.slug(), Reason::Leaving.title());
+    }
+    let Some(configuration) = entry.configuration() else {
+        let reason = Reason::NoConfiguration;
+        return refuse(reason.status(), reason.slug(), reason.title());
+    };
+    let ForwardedCall { header, method, path, media, key, stream, body } = call;
+    let region = &entry.node.region;
+    let forwarded = match Forwarded::receive(header, &configuration, region) {
+        Ok(forwarded) => forwarded,
+        Err(error) => return refuse(403, Reason::NotPermitted.slug(), &error.to_string()),
+    };
+    let reuse = match key.is_some() {
+        true => Reuse::Never,
+        false => Reuse::Allowed,
+    };
+    let limit = inference::head_limit(forwarded.facts());
+    let method = method.parse().unwrap_or(Method::POST);
+    let body = Bytes::from(body);
+    let call = Call { method, path, media, key, body, stream, reuse, limit };
+    entry.begin_forwarded();
+    let job = Job { origin: JobOrigin::Zone(forwarded), call };
+    let id = job.facts().id.clone();
+    let task = task::spawn_local(inference::serve(entry.clone(), job));
+    task.await.unwrap_or_else(|_| {
+        let problem = Problem::new(500, "failed", "the request failed", Outcome::Unknown);
+        body::refusal(&problem.of(&id))
+    })
+}
--- a/src/coordination/entry/journal.rs
+++ b/src/coordination/entry/journal.rs
@@ -72,9 +72,9 @@
         id
     }
 
-    /// Adds a stage to an open record.
+    /// Adds a stage to an open record; does nothing for a request of another instance.
     pub fn step(&mut self, now: Time, id: &RequestId, stage: Stage) {
-        if let Ok(found) = self.open.binary_search_by_key(&id.sequence, |it| it.sequence) {
+        if let Some(found) = self.place(id) {
             let open = &mut self.open[found];
             open.record.timeline.push(Step { after: now - open.received, stage });
         }
@@ -83,9 +83,7 @@
     /// Closes a record; a second end of the same request is ignored.
     pub fn end(&mut self, now: Time, id: &RequestId, outcome: Outcome, reason: &str) {
         self.step(now, id, Stage::Ended { outcome, reason: SmolStr::new(reason) });
-        let Ok(found) = self.open.binary_search_by_key(&id.sequence, |it| it.sequence) else {
-            return;
-        };
+        let Some(found) = self.place(id) else { return };
         let mut record = self.open.remove(found).record;
         record.outcome = Some(outcome);
         self.enqueue(record.clone());
@@ -95,17 +93,17 @@
         self.recent.push_back(record);
     }
 
+    fn place(&self, id: &RequestId) -> Option<usize> {
+        let found = self.open.binary_search_by_key(&id.sequence, |it| it.sequence).ok()?;
+        (self.open[found].record.id == *id).then_some(found)
+    }
+
     /// The record of a request, if it is open or ended not long ago.
     pub fn find(&self, id: &RequestId) -> Option<&RequestRecord> {
         let mut records = self.open.iter().map(|it| &it.record).chain(&self.recent);
         records.find(|it| it.id == *id)
     }
 
-    /// Number of requests that run.
-    pub fn open_count(&self) -> usize {
-        self.open.len()
-    }
-
     /// Takes the oldest waiting records out, `most` of them at most.
     pub fn take_batch(&mut self, most: usize) -> Vec<RequestRecord> {
         let count = most.min(self.waiting.len());
--- /dev/null
+++ b/src/coordination/entry/mod.rs
@@ -0,0 +1,373 @@
+//! The entry process: takes callers' requests in and sends them to upstreams.
+//!
+//! One loop on one thread feeds the cores with messages and time; each caller's request is a task
+//! on the same thread. Cores are behind `RefCell`s, which are borrowed for one call and never
+//! across an `await`.
+//!
+//! * [`callers`]: the callers' HTTP interface.
+//! * [`inference`]: the life of an inference request.
+//! * [`services`]: the life of a call to a plain service, and of a booking.
+//! * [`exchange`]: one attempt at an upstream or another zone.
+//! * [`relay`]: delivery of a streamed answer.
+//! * [`internal`]: announcements of upstreams and requests forwarded by other zones.
+//! * [`journal`]: the records of requests.
+
+pub mod callers;
+pub mod exchange;
+pub mod forward;
+pub mod inference;
+pub mod internal;
+pub mod journal;
+pub mod relay;
+pub mod services;
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use medlarlug_core::{
+    home,
+    ids::{RequestId, TeamId},
+    membership::{Notice, Status, Target},
+    record::{Outcome, Stage},
+    refusal::{Reason, Refusal, Spread},
+    release::{Configuration, ItemKey},
+    retry::RetryBudget,
+    routing::{ConfigurationLease, Router, router},
+};
+use serde_json::json;
+use thiserror::Error;
+use tokio::{
+    sync::watch,
+    task,
+    time::{Instant, interval, sleep},
+};
+
+use crate::{
+    coordination::{
+        calls,
+        clock::incarnation_of_start,
+        entry::journal::Journal,
+        keeper::operator_limits,
+        node::{Node, Received},
+        operators::{self, OperatorApi},
+    },
+    settings::EntrySettings,
+    telemetry::{logs::LevelHandle, metrics::Metrics},
+    transport::{
+        http_client::HttpClient,
+        http_server::{self, ServerError, ServerLimits},
+        links::{LinkError, Links},
+    },
+};
+
+/// Time between two ticks of the cores.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Time between two batches of records.
+const RECORD_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Records in one batch at most.
+const RECORD_BATCH: usize = 500;
+
+/// Time that a batch of records has to be committed.
+const RECORD_LIMIT: Duration = Duration::from_secs(3);
+
+/// Time for which a leaving instance still answers before it closes its ports, so that peers
+/// learn that it leaves.
+const LEAVING_NOTICE: Duration = Duration::from_millis(500);
+
+/// Why an entry instance stops.
+#[derive(Debug, Error)]
+pub enum EntryError {
+    /// A link can't be set up.
+    #[error("failed to set the links up")]
+    Link(#[from] LinkError),
+    /// A server can't be started.
+    #[error("failed to start a server")]
+    Server(#[from] ServerError),
+}
+
+/// The entry process.
+pub struct Entry {
+    /// What every process has.
+    pub node: Rc<Node>,
+    /// The settings.
+    pub settings: EntrySettings,
+    /// Connections to upstreams and other instances.
+    pub client: HttpClient,
+    /// Chooses upstreams and zones.
+    pub router: RefCell<Router>,
+    /// Records of requests.
+    pub journal: RefCell<Journal>,
+    /// Spreads the times to come back.
+    pub spread: RefCell<Spread>,
+    retries: RefCell<Vec<(Target, RetryBudget)>>,
+    leaving: Cell<bool>,
+    running: Cell<u32>,
+}
+
+/// Runs an entry instance until `drain` turns true and its requests have ended.
+///
+/// # Errors
+///
+/// Fails when it can't start.
+pub async fn run(
+    settings: EntrySettings,
+    level: LevelHandle,
+    metrics: Metrics,
+    drain: watch::Sender<bool>,
+) -> Result<(), EntryError> {
+    let own = settings.peer().clone();
+    let (links, mut incoming) = Links::listen(own.id.clone(), settings.keys.clone(), own.peers)?;
+    let (cluster, keys) = (settings.cluster.clone(), settings.keys.clone());
+    let node = Rc::new(Node::new(own, cluster, keys, incarnation_of_start(), None, links)?);
+    let entry = Rc::new(Entry::new(node.clone(), settings));
+    let (close, closed) = watch::channel(false);
+
+    start_servers(&entry, level, metrics, &drain, &closed).await?;
+    task::spawn_local(send_records(entry.clone()));
+    task::spawn_local(announce_start(entry.clone()));
+    let mut ticks = interval(TICK);
+    let mut stop = drain.subscribe();
+    let mut finished = Box::pin(async {
+        let _ = stop.wait_for(|stop| *stop).await;
+        entry.drain().await;
+    });
+    loop {
+        tokio::select! {
+            received = incoming.receive() => {
+                if let Some((from, message)) = received {
+                    entry.receive(node.receive(from, message));
+                }
+            }
+            _ = ticks.tick() => entry.tick(),
+            () = &mut finished => break,
+        }
+    }
+    close.send_replace(true);
+    Ok(())
+}
+
+async fn start_servers(
+    entry: &Rc<Entry>,
+    level: LevelHandle,
+    metrics: Metrics,
+    drain: &watch::Sender<bool>,
+    closed: &watch::Receiver<bool>,
+) -> Result<(), EntryError> {
+    let node = &entry.node;
+    let operators = entry.settings.operators.clone();
+    let api = OperatorApi::new(node.clone(), operators, level, metrics, drain.clone());
+    let dump = entry.clone();
+    let api = api.with_dump(move || dump.dump());
+    let listener = http_server::listen("operators", node.own.operators).await?;
+    task::spawn_local(operators::serve(api, listener, operator_limits(), closed.clone()));
+
+    let listener = http_server::listen("internal", node.own.internal).await?;
+    task::spawn_local(internal::serve(entry.clone(), listener, closed.clone()));
+
+    let address = node.own.callers.expect("the settings were checked");
+    let listener = http_server::listen("callers", address).await?;
+    task::spawn_local(callers::serve(entry.clone(), listener, closed.clone()));
+    tracing::info!(instance = %node.own.id, zone = %node.own.zone, %address, "serving callers");
+    Ok(())
+}
+
+impl Entry {
+    fn new(node: Rc<Node>, settings: EntrySettings) -> Entry {
+        let seed = node.incarnation.0;
+        let journal = Journal::new(node.region.clone(), node.own.id.clone(), node.incarnation);
+        Entry {
+            client: HttpClient::default(),
+            router: RefCell::new(Router::new(node.now(), seed)),
+            journal: RefCell::new(journal),
+            spread: RefCell::new(Spread::new(seed)),
+            retries: RefCell::default(),
+            leaving: Cell::new(false),
+            running: Cell::new(0),
+            settings,
+            node,
+        }
+    }
+
+    /// Bounds of the callers' server.
+    pub fn server_limits(&self) -> ServerLimits {
+        let limits = &self.settings.limits;
+        ServerLimits {
+            header_bytes: limits.header.0 as usize,
+            header_time: limits.sender,
+            connections: limits.connections as usize,
+        }
+    }
+
+    /// Whether this instance is about to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// The configuration in force here, if a revision is known.
+    pub fn configuration(&self) -> Option<Configuration> {
+        self.node.configuration()
+    }
+
+    /// Whether requests may cross regions under the configuration in force here.
+    pub fn lease(&self) -> ConfigurationLease {
+        match self.node.follower.borrow().may_cross_regions(self.node.now()) {
+            true => ConfigurationLease::Valid,
+            false => ConfigurationLease::Lapsed,
+        }
+    }
+
+    /// Takes a caller's request in and opens its record.
+    pub fn begin(&self, team: TeamId, target: ItemKey) -> RequestId {
+        self.running.set(self.running.get() + 1);
+        self.journal.borrow_mut().begin(self.node.now(), team, target)
+    }
+
+    /// Takes a request of another zone in; its record is kept where it came from.
+    pub fn begin_forwarded(&self) {
+        self.running.set(self.running.get() + 1);
+    }
+
+    /// Tells the router what became of an attempt.
+    pub fn routed(&self, event: router::Event) {
+        self.router.borrow_mut().handle(self.node.now(), event);
+    }
+
+    /// Adds a stage to the record of a request.
+    pub fn step(&self, id: &RequestId, stage: Stage) {
+        self.journal.borrow_mut().step(self.node.now(), id, stage);
+    }
+
+    /// Ends a request, which was begun just once, and its record.
+    pub fn end(&self, id: &RequestId, outcome: Outcome, reason: &str) {
+        tracing::info!(
+            request = %id, instance = %self.node.own.id, zone = %self.node.own.zone,
+            %outcome, reason, "request ended"
+        );
+        metrics::counter!(crate::telemetry::metrics::REQUESTS, "outcome" => outcome.to_string())
+            .increment(1);
+        self.running.set(self.running.get().saturating_sub(1));
+        self.journal.borrow_mut().end(self.node.now(), id, outcome, reason);
+    }
+
+    /// A refusal whose time to come back is spread by jitter.
+    pub fn refusal(&self, reason: Reason, wait: Duration) -> Refusal {
+        self.spread.borrow_mut().refuse(reason, wait)
+    }
+
+    /// Runs `step` on the retry budget of a target.
+    pub fn with_budget<T>(&self, target: &Target, step: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.retries.borrow_mut();
+        let place = match budgets.binary_search_by(|it| it.0.cmp(target)) {
+            Ok(found) => found,
+            Err(place) => {
+                budgets.insert(place, (target.clone(), RetryBudget::default()));
+                place
+            }
+        };
+        step(&mut budgets[place].1)
+    }
+
+    fn status(&self) -> Status {
+        Status {
+            load: self.running.get(),
+            revision: self.node.follower.borrow().revision(),
+            leaving: self.leaving.get(),
+        }
+    }
+
+    fn tick(&self) {
+        self.note(&self.node.report(self.status()));
+        self.note(&self.node.tick());
+    }
+
+    fn receive(&self, received: Received) {
+        match received {
+            Received::Done => {}
+            Received::Notices(notices) => self.note(&notices),
+            Received::Other(from, message) => {
+                tracing::warn!(%from, ?message, "message for another kind of process");
+            }
+        }
+    }
+
+    /// Acts on what changed in the membership.
+    pub fn note(&self, notices: &[Notice]) {
+        for notice in notices {
+            tracing::info!(?notice, "membership changed");
+        }
+    }
+
+    /// Ends the instance's work: leaves the directory, then waits for open requests.
+    async fn drain(&self) {
+        self.leaving.set(true);
+        self.note(&self.node.report(self.status()));
+        let end = Instant::now() + self.settings.drain;
+        sleep(LEAVING_NOTICE).await;
+        while self.running.get() > 0 && Instant::now() < end {
+            sleep(Duration::from_millis(20)).await;
+        }
+        let cut = self.running.get();
+        tracing::info!(cut, "requests drained");
+        flush_records(self).await;
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        json!({
+            "running": self.running.get(),
+            "attempts": self.router.borrow().in_flight(),
+            "leaving": self.leaving.get(),
+        })
+    }
+}
+
+/// Tells the home group that the instance's earlier requests have no owner any more.
+async fn announce_start(entry: Rc<Entry>) {
+    let node = &entry.node;
+    loop {
+        let action = home::Action::InstanceStarted {
+            instance: node.own.id.clone(),
+            incarnation: node.incarnation,
+        };
+        match calls::act(node, &node.region, action, RECORD_LIMIT).await {
+            Ok(home::Reply::Ok) => return,
+            Ok(reply) => tracing::debug!(?reply, "start not recorded yet"),
+            Err(error) => tracing::debug!(%error, "start not recorded yet"),
+        }
+        sleep(RECORD_INTERVAL).await;
+    }
+}
+
+async fn send_records(entry: Rc<Entry>) {
+    loop {
+        sleep(RECORD_INTERVAL).await;
+        flush_records(&entry).await;
+    }
+}
+
+/// Sends waiting records until none is left or the home group takes none.
+async fn flush_records(entry: &Entry) {
+    let node = &entry.node;
+    loop {
+        let batch = entry.journal.borrow_mut().take_batch(RECORD_BATCH);
+        if batch.is_empty() {
+            return;
+        }
+        let action = home::Action::Records(batch.clone());
+        match calls::act(node, &node.region, action, RECORD_LIMIT).await {
+            Ok(home::Reply::Ok) => {}
+            Ok(reply) => {
+                tracing::debug!(?reply, "records not taken");
+                return entry.journal.borrow_mut().put_back(batch);
+            }
+            Err(error) => {
+                tracing::debug!(%error, "records not taken");
+                return entry.journal.borrow_mut().put_back(batch);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/keeper/mod.rs
@@ -0,0 +1,323 @@
+//! The keeper process: replicas of the configuration group and of home groups.
+//!
+//! One loop on one thread feeds the groups with messages, time and finished writes, and carries
+//! out what they ask for. Operators reach the process over HTTP.
+//!
+//! * [`group`]: one replication group: replica, state machine, waiting calls.
+//! * [`machine`]: the state machine of a group, by kind.
+//! * [`duties`]: what the leader of a group does unasked.
+
+pub mod duties;
+pub mod group;
+pub mod machine;
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use medlarlug_core::{
+    ids::InstanceId,
+    membership::Notice,
+    replication::{self, MemberKey, Replica, Restored, StorageId},
+};
+use thiserror::Error;
+use tokio::{sync::watch, task, time::interval};
+
+use crate::{
+    coordination::{
+        clock::incarnation_of_start,
+        keeper::{
+            group::{Caller, Group, Output},
+            machine::{Machine, MachineError},
+        },
+        node::{Node, Received},
+        operators::{self, OperatorApi},
+    },
+    protocol::{GroupId, GroupReply, GroupRequest, Message},
+    settings::KeeperSettings,
+    telemetry::{logs::LevelHandle, metrics::Metrics},
+    transport::{
+        http_server::{self, ServerError, ServerLimits},
+        links::{LinkError, Links},
+    },
+};
+
+/// Time between two ticks of the groups.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Ticks of the groups for one tick of membership and follower.
+const SLOW_TICKS: u32 = 12;
+
+/// Why a keeper stops.
+#[derive(Debug, Error)]
+pub enum KeeperError {
+    /// A link can't be set up.
+    #[error("failed to set the links up")]
+    Link(#[from] LinkError),
+    /// A server can't be started.
+    #[error("failed to start a server")]
+    Server(#[from] ServerError),
+    /// A state machine failed.
+    #[error("a replication group failed")]
+    Machine(#[from] MachineError),
+}
+
+/// The keeper process.
+pub struct Keeper {
+    /// What every process has.
+    pub node: Rc<Node>,
+    groups: RefCell<Vec<Group>>,
+    // Raised when the configuration group's state machine changed.
+    applied: watch::Sender<u64>,
+}
+
+/// Runs a keeper until `drain` turns true.
+///
+/// # Errors
+///
+/// Fails when it can't start, or when a state machine meets what it can't decode.
+pub async fn run(
+    settings: KeeperSettings,
+    level: LevelHandle,
+    metrics: Metrics,
+    drain: watch::Sender<bool>,
+) -> Result<(), KeeperError> {
+    let stop = drain.subscribe();
+    let own = settings.peer().clone();
+    let (links, mut incoming) = Links::listen(own.id.clone(), settings.keys.clone(), own.peers)?;
+    let (cluster, keys) = (settings.cluster.clone(), settings.keys.clone());
+    let node = Rc::new(Node::new(own, cluster, keys, incarnation_of_start(), None, links)?);
+    let groups = RefCell::new(groups_of(&node));
+    let keeper = Rc::new(Keeper { node: node.clone(), groups, applied: watch::Sender::new(0) });
+
+    let api = OperatorApi::new(node.clone(), settings.operators.clone(), level, metrics, drain);
+    let dump = keeper.clone();
+    let api = api.with_dump(move || dump.dump());
+    let listener = http_server::listen("operators", node.own.operators).await?;
+    let server = operators::serve(api, listener, operator_limits(), stop.clone());
+    task::spawn_local(server);
+
+    task::spawn_local(duties::run(keeper.clone(), stop.clone()));
+    let mut ticks = interval(TICK);
+    let mut count = 0u32;
+    let mut stopping = stop;
+    loop {
+        tokio::select! {
+            received = incoming.receive() => {
+                if let Some((from, message)) = received {
+                    keeper.receive(from, message)?;
+                }
+            }
+            _ = ticks.tick() => {
+                count = count.wrapping_add(1);
+                keeper.tick(count.is_multiple_of(SLOW_TICKS))?;
+            }
+            _ = stopping.wait_for(|stop| *stop) => break,
+        }
+    }
+    keeper.hand_over(&mut incoming).await
+}
+
+/// Bounds of the operators' server.
+pub fn operator_limits() -> ServerLimits {
+    ServerLimits { header_bytes: 16 * 1024, header_time: Duration::from_secs(10), connections: 64 }
+}
+
+fn groups_of(node: &Node) -> Vec<Group> {
+    let homes = node.cluster.homes.iter();
+    let homes = homes.map(|it| (GroupId::Home(it.region.clone()), &it.voters));
+    let configuration = (GroupId::Configuration, &node.cluster.configuration);
+    std::iter::once(configuration)
+        .chain(homes)
+        .filter(|it| it.1.contains(&node.own.id))
+        .map(|(id, voters)| new_group(node, id, voters.clone()))
+        .collect()
+}
+
+fn new_group(node: &Node, id: GroupId, voters: Vec<InstanceId>) -> Group {
+    let storage = StorageId(node.incarnation.0);
+    let key = MemberKey { id: node.own.id.clone(), storage };
+    let mut config = replication::Config::new(key, voters);
+    config.durable = node.own.durable;
+    let replica = Replica::new(config, Restored::default(), node.incarnation.0, node.now());
+    let machine = Machine::new(&id);
+    Group::new(id, replica, machine)
+}
+
+impl Keeper {
+    /// Whether this keeper leads a group.
+    pub fn leads(&self, group: &GroupId) -> bool {
+        self.groups.borrow().iter().any(|it| it.id() == group && it.is_leader())
+    }
+
+    /// Reads the state machine of a group, if this keeper is a member.
+    pub fn with_machine<T>(&self, group: &GroupId, read: impl FnOnce(&Machine) -> T) -> Option<T> {
+        let groups = self.groups.borrow();
+        groups.iter().find(|it| it.id() == group).map(|it| read(it.machine()))
+    }
+
+    /// The groups that this keeper is a member of.
+    pub fn group_ids(&self) -> Vec<GroupId> {
+        self.groups.borrow().iter().map(|it| it.id().clone()).collect()
+    }
+
+    /// A receiver that wakes when a state machine changed.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.applied.subscribe()
+    }
+
+    fn receive(&self, from: InstanceId, message: Message) -> Result<(), MachineError> {
+        match self.node.receive(from, message) {
+            Received::Done => Ok(()),
+            Received::Notices(notices) => {
+                self.note(&notices);
+                Ok(())
+            }
+            Received::Other(from, message) => self.receive_for_group(from, *message),
+        }
+    }
+
+    fn receive_for_group(&self, from: InstanceId, message: Message) -> Result<(), MachineError> {
+        match message {
+            Message::Call { call, group, request } => {
+                self.call(Caller { instance: from, call }, &group, request)
+            }
+            Message::Replication { group, message } => {
+                self.with_group(&group, |it, now, out| it.receive(now, from, message, out))
+            }
+            message => {
+                tracing::warn!(%from, ?message, "message for another kind of process");
+                Ok(())
+            }
+        }
+    }
+
+    fn call(
+        &self,
+        caller: Caller,
+        group: &GroupId,
+        request: GroupRequest,
+    ) -> Result<(), MachineError> {
+        if !self.groups.borrow().iter().any(|it| it.id() == group) {
+            let reply = Message::Reply { call: caller.call, reply: GroupReply::NotLeader(None) };
+            self.node.send(&caller.instance, reply);
+            return Ok(());
+        }
+        self.with_group(group, |it, now, out| it.call(now, caller, request, out))
+    }
+
+    fn tick(&self, is_slow: bool) -> Result<(), MachineError> {
+        for group in self.group_ids() {
+            self.with_group(&group, |it, now, out| it.tick(now, out))?;
+        }
+        if is_slow {
+            let status = medlarlug_core::membership::Status {
+                load: 0,
+                revision: self.node.follower.borrow().revision(),
+                leaving: false,
+            };
+            self.note(&self.node.report(status));
+            self.note(&self.node.tick());
+        }
+        Ok(())
+    }
+
+    fn note(&self, notices: &[Notice]) {
+        for notice in notices {
+            tracing::info!(?notice, "membership changed");
+        }
+    }
+
+    fn with_group(
+        &self,
+        id: &GroupId,
+        step: impl FnOnce(
+            &mut Group,
+            medlarlug_core::time::Time,
+            &mut Vec<Output>,
+        ) -> Result<(), MachineError>,
+    ) -> Result<(), MachineError> {
+        let mut out = Vec::new();
+        {
+            let mut groups = self.groups.borrow_mut();
+            let Some(group) = groups.iter_mut().find(|it| it.id() == id) else {
+                return Ok(());
+            };
+            step(group, self.node.now(), &mut out)?;
+        }
+        self.carry_out(id, out)
+    }
+
+    fn carry_out(&self, id: &GroupId, outputs: Vec<Output>) -> Result<(), MachineError> {
+        let mut has_changed = false;
+        for output in outputs {
+            match output {
+                Output::Send { to, message } => {
+                    let message = Message::Replication { group: id.clone(), message };
+                    self.node.send(&to, message);
+                }
+                Output::Persist(batch) => {
+                    let sequence = batch.sequence;
+                    self.with_group(id, |it, now, out| it.persisted(now, sequence, out))?;
+                }
+                Output::Reply { caller, reply } => {
+                    self.node.send(&caller.instance, Message::Reply { call: caller.call, reply });
+                }
+                Output::Applied => has_changed = true,
+                Output::Role { role, term } => {
+                    tracing::info!(group = %id, ?role, %term, "role changed");
+                    has_changed = true;
+                }
+            }
+        }
+        if has_changed {
+            self.applied.send_modify(|count| *count += 1);
+        }
+        Ok(())
+    }
+
+    /// Hands leaderships over before the process stops.
+    async fn hand_over(
+        &self,
+        incoming: &mut crate::transport::links::Incoming,
+    ) -> Result<(), KeeperError> {
+        for group in self.group_ids() {
+            self.with_group(&group, |it, now, out| it.transfer(now, out))?;
+        }
+        let end = tokio::time::Instant::now() + HAND_OVER_LIMIT;
+        let mut ticks = interval(TICK);
+        while tokio::time::Instant::now() < end && self.group_ids().iter().any(|it| self.leads(it))
+        {
+            tokio::select! {
+                received = incoming.receive() => {
+                    if let Some((from, message)) = received {
+                        self.receive(from, message)?;
+                    }
+                }
+                _ = ticks.tick() => self.tick(false)?,
+            }
+        }
+        Ok(())
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        let groups = self.groups.borrow();
+        let groups: Vec<serde_json::Value> = groups.iter().map(dump_group).collect();
+        serde_json::json!({ "groups": groups })
+    }
+}
+
+/// Longest time that handing leaderships over takes at a stop.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(2);
+
+fn dump_group(group: &Group) -> serde_json::Value {
+    let replica = group.replica();
+    serde_json::json!({
+        "group": group.id().to_string(),
+        "role": format!("{:?}", replica.role()),
+        "term": replica.term(),
+        "leader": replica.leader(),
+        "committed": replica.committed(),
+        "applied": replica.applied(),
+        "last": replica.last_index(),
+        "compacted": replica.compacted(),
+    })
+}
--- /dev/null
+++ b/src/coordination/lookup.rs
@@ -0,0 +1,35 @@
+//! What became of a request.
+
+use std::time::Duration;
+
+use medlarlug_core::{home::LookUp, ids::RequestId, record::RequestRecord};
+
+use crate::coordination::{calls, calls::CallFailure, node::Node};
+
+/// What a request without a record may be.
+pub const NOT_SEEN: &str = "no record: the id was never given out, or its instance stopped within \
+                            the last batch of records before it was sent";
+
+/// What is known of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Fate {
+    /// Its record.
+    Recorded(RequestRecord),
+    /// The record is no longer kept.
+    Expired,
+    /// The home group has no such record.
+    NotSeen,
+}
+
+/// Asks the home group that keeps the record of `id`.
+///
+/// # Errors
+///
+/// Fails when the group can't be reached within `limit`.
+pub async fn fate(node: &Node, id: &RequestId, limit: Duration) -> Result<Fate, CallFailure> {
+    match calls::look_up(node, id, limit).await? {
+        LookUp::Found(record) => Ok(Fate::Recorded(record)),
+        LookUp::Expired => Ok(Fate::Expired),
+        LookUp::NotYet => Ok(Fate::NotSeen),
+    }
+}
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     coordination::{calls::Calls, clock::Clock},
-    protocol::{DeploymentKey, GroupId, Message},
+    protocol::{DeploymentKeys, GroupId, Message},
     settings::{ClusterSettings, Peer, PeerKind},
     transport::links::{LinkError, Links},
 };
@@ -36,8 +36,8 @@
     pub incarnation: Incarnation,
     /// The cluster file.
     pub cluster: ClusterSettings,
-    /// The deployment key.
-    pub key: DeploymentKey,
+    /// The deployment keys.
+    pub keys: DeploymentKeys,
     /// The process's clock.
     pub clock: Clock,
     /// Calls to replication groups.
@@ -59,19 +59,20 @@
     pub fn new(
         own: Peer,
         cluster: ClusterSettings,
-        key: DeploymentKey,
+        keys: DeploymentKeys,
         incarnation: Incarnation,
         saved: Option<Configuration>,
         mut links: Links,
     ) -> Result<Node, LinkError> {
-        for peer in cluster.instances.iter().filter(|it| it.id != own.id) {
+        // Calls of a keeper may go to a group that it leads itself, over the same path.
+        for peer in &cluster.instances {
             links.connect(peer.id.clone(), peer.peers)?;
         }
         let seed = |peer: &Peer| seed_of(&cluster, peer);
         let peers = cluster.instances.iter().filter(|it| it.id != own.id).map(seed).collect();
         let settings = membership::Settings { own: seed(&own), incarnation, peers };
         let clock = Clock::start();
-        let members = Membership::new(settings, clock.now());
+        let members = Membership::new(clock.now(), settings);
         let mut follower = Follower::new(follower::Timing::default(), saved);
         let keepers = cluster.keepers().filter(|it| it.id != own.id).map(|it| it.id.clone());
         let sources = follower::Event::Sources(keepers.collect());
@@ -83,7 +84,7 @@
             region,
             incarnation,
             cluster,
-            key,
+            keys,
             clock,
             calls: RefCell::default(),
             members: RefCell::new(members),
@@ -118,7 +119,8 @@
                 self.cluster.home(region).map(|it| it.voters.clone()).unwrap_or_default()
             }
         };
-        let is_far = |id: &InstanceId| self.cluster.peer(id).is_none_or(|it| it.zone != self.own.zone);
+        let is_far =
+            |id: &InstanceId| self.cluster.peer(id).is_none_or(|it| it.zone != self.own.zone);
         voters.sort_by_key(is_far);
         voters
     }
@@ -170,7 +172,7 @@
                 Received::Done
             }
             Message::Ask(ask) => {
-                let answer = self.follower.borrow().answer(self.now(), ask);
+                let answer = self.follower.borrow_mut().answer(self.now(), &from, ask);
                 self.send(&from, Message::Answer(Box::new(answer)));
                 Received::Done
             }
@@ -182,7 +184,7 @@
                 self.run_follower(follower::Event::Push(*update));
                 Received::Done
             }
-            other => Received::Other(from, other),
+            other => Received::Other(from, Box::new(other)),
         }
     }
 
@@ -234,7 +236,7 @@
     /// It was handled, and what is known of others changed.
     Notices(Vec<Notice>),
     /// It is for the particular kind of process.
-    Other(InstanceId, Message),
+    Other(InstanceId, Box<Message>),
 }
 
 fn seed_of(cluster: &ClusterSettings, peer: &Peer) -> Seed {
--- a/src/protocol/message.rs
+++ b/src/protocol/message.rs
@@ -4,7 +4,7 @@
 
 use medlarlug_core::{
     configuration_group, follower, home,
-    ids::{InstanceId, RegionId, RequestId},
+    ids::{InstanceId, RegionId, RequestId, Revision},
     membership, replication,
 };
 use serde::{Deserialize, Serialize};
@@ -74,6 +74,8 @@
     LookUp(RequestId),
     /// Reads the accepted release notes.
     History,
+    /// Reads the newest revision.
+    Revision,
 }
 
 /// The answer of a replication group.
@@ -87,6 +89,8 @@
     Known(home::LookUp),
     /// The accepted release notes, the newest last.
     History(Vec<configuration_group::Accepted>),
+    /// The newest revision.
+    Revision(Revision),
     /// The receiver doesn't lead the group; the leader, if it knows it.
     NotLeader(Option<InstanceId>),
     /// The request was taken in, and whether it is in force is not known.
--- a/src/protocol/problem.rs
+++ b/src/protocol/problem.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use medlarlug_core::{ids::RequestId, record::Outcome};
+use medlarlug_core::{ids::RequestId, record::Outcome, refusal::Refusal};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -50,6 +50,13 @@
         }
     }
 
+    /// The problem that a refusal is told as.
+    pub fn from_refusal(refusal: &Refusal) -> Problem {
+        let reason = refusal.reason;
+        let problem = Problem::new(reason.status(), reason.slug(), reason.title(), refusal.outcome);
+        problem.after(refusal.after)
+    }
+
     /// The same problem of the request `id`.
     pub fn of(self, id: &RequestId) -> Problem {
         Problem { request: Some(id.clone()), ..self }
--- a/src/transport/body.rs
+++ b/src/transport/body.rs
@@ -121,3 +121,11 @@
         fields.insert(header::HeaderName::from_static(name), value);
     }
 }
+
+/// An answer of plain text.
+pub fn text(content: String) -> Answer {
+    let mut answer = Response::new(whole(content));
+    let media = header::HeaderValue::from_static("text/plain; charset=utf-8");
+    answer.headers_mut().insert(header::CONTENT_TYPE, media);
+    answer
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -9,6 +9,7 @@
 pub mod http_client;
 pub mod http_server;
 pub mod links;
+pub mod signals;
 
 /// Counter: messages between processes that were dropped because the loop was behind.
 pub const DROPPED_MESSAGES: &str = "medlarlug_link_dropped_messages_total";
