--- a/crates/medlarlug-core/src/fingerprint.rs
+++ b/crates/medlarlug-core/src/fingerprint.rs
@@ -2,7 +2,8 @@
 
 use std::{fmt, str::FromStr};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
+use smol_str::SmolStr;
 
 use crate::ids::IdError;
 
@@ -15,7 +16,9 @@
 /// assert_eq!(print.to_string().parse::<Fingerprint>().unwrap(), print);
 /// assert_ne!(print, Fingerprint::of(b"another"));
 /// ```
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+///
+/// In text formats it is 32 hexadecimal digits, in binary ones a number.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Fingerprint(pub u128);
 
 impl Fingerprint {
@@ -40,6 +43,27 @@
     }
 }
 
+impl Serialize for Fingerprint {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            serializer.collect_str(self)
+        } else {
+            serializer.serialize_u128(self.0)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Fingerprint {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Fingerprint, D::Error> {
+        if deserializer.is_human_readable() {
+            let text = SmolStr::deserialize(deserializer)?;
+            text.parse().map_err(D::Error::custom)
+        } else {
+            u128::deserialize(deserializer).map(Fingerprint)
+        }
+    }
+}
+
 impl FromStr for Fingerprint {
     type Err = IdError;
 
--- a/crates/medlarlug-core/src/membership/peers.rs
+++ b/crates/medlarlug-core/src/membership/peers.rs
@@ -1,5 +1,7 @@
 //! The other instances: heartbeats, silent connections and suspicion.
 
+use std::time::Duration;
+
 use crate::{
     ids::{Incarnation, InstanceId},
     membership::{
@@ -49,6 +51,11 @@
         matches!(self.state, PeerState::Up | PeerState::Reconnecting { .. })
     }
 
+    /// Time since it was heard; `None` if it never was.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        (self.state != PeerState::Unheard).then(|| now - self.heard)
+    }
+
     /// Whether callers can be sent to it.
     pub fn is_open(&self) -> bool {
         self.is_live() && !self.status.leaving && self.seed.kind == InstanceKind::Entry
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -52,7 +52,7 @@
         entry::journal::Journal,
         keeper::operator_limits,
         node::{Node, Received},
-        operators::{self, OperatorApi},
+        operators::{self, OperatorApi, ProcessPart},
     },
     settings::EntrySettings,
     telemetry::{logs::LevelHandle, metrics::Metrics},
@@ -162,7 +162,8 @@
     let operators = entry.settings.operators.clone();
     let api = OperatorApi::new(node.clone(), operators, level, metrics, drain.clone());
     let dump = entry.clone();
-    let api = api.with_dump(move || dump.dump());
+    let process = entry.clone();
+    let api = api.with_dump(move || dump.dump()).with_process(move || process.part());
     let listener = http_server::listen("operators", node.own.operators).await?;
     task::spawn_local(operators::serve(api, listener, operator_limits(), closed.clone()));
 
@@ -316,6 +317,11 @@
         flush_records(self).await;
     }
 
+    fn part(&self) -> ProcessPart {
+        let running = u64::from(self.running.get());
+        ProcessPart { leaving: self.leaving.get(), running, groups: Vec::new() }
+    }
+
     fn dump(&self) -> serde_json::Value {
         json!({
             "running": self.running.get(),
--- a/src/coordination/keeper/mod.rs
+++ b/src/coordination/keeper/mod.rs
@@ -18,6 +18,7 @@
     membership::Notice,
     replication::{self, MemberKey, Replica, Restored, StorageId},
 };
+use smol_str::{StrExt, ToSmolStr};
 use thiserror::Error;
 use tokio::{sync::watch, task, time::interval};
 
@@ -29,9 +30,9 @@
             machine::{Machine, MachineError},
         },
         node::{Node, Received},
-        operators::{self, OperatorApi},
+        operators::{self, OperatorApi, ProcessPart},
     },
-    protocol::{GroupId, GroupReply, GroupRequest, Message},
+    protocol::{GroupId, GroupReply, GroupRequest, Message, operators::GroupStatus},
     settings::KeeperSettings,
     telemetry::{logs::LevelHandle, metrics::Metrics},
     transport::{
@@ -90,7 +91,8 @@
 
     let api = OperatorApi::new(node.clone(), settings.operators.clone(), level, metrics, drain);
     let dump = keeper.clone();
-    let api = api.with_dump(move || dump.dump());
+    let process = keeper.clone();
+    let api = api.with_dump(move || dump.dump()).with_process(move || process.part());
     let listener = http_server::listen("operators", node.own.operators).await?;
     let server = operators::serve(api, listener, operator_limits(), stop.clone());
     task::spawn_local(server);
@@ -298,6 +300,11 @@
         Ok(())
     }
 
+    fn part(&self) -> ProcessPart {
+        let groups = self.groups.borrow().iter().map(group_status).collect();
+        ProcessPart { groups, ..ProcessPart::default() }
+    }
+
     fn dump(&self) -> serde_json::Value {
         let groups = self.groups.borrow();
         let groups: Vec<serde_json::Value> = groups.iter().map(dump_group).collect();
@@ -308,6 +315,17 @@
 /// Longest time that handing leaderships over takes at a stop.
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(2);
 
+fn group_status(group: &Group) -> GroupStatus {
+    let replica = group.replica();
+    GroupStatus {
+        group: group.id().to_smolstr(),
+        role: smol_str::format_smolstr!("{:?}", replica.role()).to_lowercase_smolstr(),
+        term: replica.term().0,
+        leader: replica.leader().cloned(),
+        committed: replica.committed().0,
+    }
+}
+
 fn dump_group(group: &Group) -> serde_json::Value {
     let replica = group.replica();
     serde_json::json!({
--- a/src/coordination/operators.rs
+++ b/src/coordination/operators.rs
@@ -22,14 +22,15 @@
 use http_body_util::BodyExt;
 use hyper::{Method, Request, StatusCode, body::Incoming, header};
 use medlarlug_core::{
-    configuration_group::{Command, Refusal, Reply},
+    configuration_group::{Accepted, Command, Refusal, Reply},
     fingerprint::Fingerprint,
-    ids::{OperatorId, RequestId},
-    membership::PeerState,
+    ids::{InstanceId, OperatorId, RequestId, Revision},
+    membership::{Membership, PeerState, Target},
     record::Outcome,
     release::{Configuration, NoteError, RawNote, ReleaseNote},
 };
 use serde_json::{Value, json};
+use smol_str::SmolStr;
 use tokio::{net::TcpListener, sync::watch};
 
 use crate::{
@@ -38,12 +39,15 @@
         lookup::{self, Fate},
         node::Node,
     },
-    protocol::{GroupId, GroupReply, GroupRequest, Problem},
-    settings::Operator,
-    telemetry::{
-        logs::{LevelHandle, LogLevel},
-        metrics::Metrics,
+    protocol::{
+        GroupId, GroupReply, GroupRequest, Problem,
+        operators::{
+            AcceptedNote, Confirmations, GroupStatus, LevelChange, PeerStatus, ProcessStatus,
+            UpstreamStatus, ZoneConfirmation,
+        },
     },
+    settings::Operator,
+    telemetry::{logs::LevelHandle, metrics::Metrics},
     transport::{
         body::{self, Answer},
         http_server::{self, ServerLimits},
@@ -61,12 +65,26 @@
 
 type Dump = Box<dyn Fn() -> Value>;
 
+type Process = Box<dyn Fn() -> ProcessPart>;
+
+/// What only one kind of process knows of its status.
+#[derive(Debug, Clone, Default)]
+pub struct ProcessPart {
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// Requests that run.
+    pub running: u64,
+    /// Replication groups that it belongs to.
+    pub groups: Vec<GroupStatus>,
+}
+
 /// What the operators' interface needs of its process.
 pub struct OperatorApi {
     node: Rc<Node>,
     operators: Vec<Operator>,
     level: LevelHandle,
     metrics: Metrics,
+    process: Process,
     dump: Dump,
     drain: watch::Sender<bool>,
 }
@@ -80,7 +98,9 @@
         metrics: Metrics,
         drain: watch::Sender<bool>,
     ) -> OperatorApi {
-        OperatorApi { node, operators, level, metrics, dump: Box::new(|| Value::Null), drain }
+        let process = Box::new(ProcessPart::default);
+        let dump = Box::new(|| Value::Null);
+        OperatorApi { node, operators, level, metrics, process, dump, drain }
     }
 
     /// The same interface, with the state that only this kind of process has.
@@ -88,6 +108,11 @@
         OperatorApi { dump: Box::new(dump), ..self }
     }
 
+    /// The same interface, with the status that only this kind of process has.
+    pub fn with_process(self, process: impl Fn() -> ProcessPart + 'static) -> OperatorApi {
+        OperatorApi { process: Box::new(process), ..self }
+    }
+
     fn operator(&self, request: &Request<Incoming>) -> Option<OperatorId> {
         let key = Fingerprint::of(bearer(request)?.as_bytes());
         let found = self.operators.iter().find(|it| it.key == key)?;
@@ -137,7 +162,7 @@
         (&Method::POST, "/drain") => {
             tracing::info!(%operator, "drain requested");
             api.drain.send_replace(true);
-            ok(&json!({ "draining": true }))
+            ok(&json!({}))
         }
         (&Method::PUT, "/log-level") => set_level(api, request).await,
         (&Method::GET, path) if path.starts_with("/requests/") => look_up(api, path).await,
@@ -153,32 +178,32 @@
     body::refusal(&Problem::new(status, kind, title, Outcome::NotRun))
 }
 
-fn status(api: &OperatorApi) -> Value {
+fn status(api: &OperatorApi) -> ProcessStatus {
     let node = &api.node;
+    let now = node.now();
     let members = node.members.borrow();
-    let peers = members.peers().iter().map(|peer| {
-        json!({
-            "id": peer.seed.id,
-            "zone": peer.seed.zone,
-            "state": state_name(peer.state),
-            "leaving": peer.status.leaving,
-            "load": peer.status.load,
-            "revision": peer.status.revision,
-        })
+    let peers = members.peers().iter().map(|peer| PeerStatus {
+        instance: peer.seed.id.clone(),
+        state: state_name(peer.state).into(),
+        age_ms: peer.age(now).map(millis),
     });
-    let peers: Vec<Value> = peers.collect();
-    let follower = node.follower.borrow();
-    let confirmed = follower.confirmed_age(node.now());
-    json!({
-        "id": node.own.id,
-        "kind": format!("{:?}", node.own.kind).to_lowercase(),
-        "zone": node.own.zone,
-        "region": node.region,
-        "incarnation": node.incarnation,
-        "revision": follower.revision(),
-        "confirmed_ms": confirmed.map(|it| it.as_millis() as u64),
-        "peers": peers,
-    })
+    let own = (api.process)();
+    ProcessStatus {
+        instance: node.own.id.clone(),
+        kind: node.own.kind.name().into(),
+        zone: node.own.zone.clone(),
+        region: node.region.clone(),
+        incarnation: node.incarnation,
+        revision: node.follower.borrow().revision(),
+        leaving: own.leaving,
+        running: own.running,
+        peers: peers.collect(),
+        groups: own.groups,
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
 fn state_name(state: PeerState) -> &'static str {
@@ -190,74 +215,106 @@
     }
 }
 
-fn upstreams(api: &OperatorApi) -> Value {
+fn upstreams(api: &OperatorApi) -> Vec<UpstreamStatus> {
     let node = &api.node;
     let now = node.now();
     let members = node.members.borrow();
     let upstreams = members.all_upstreams().iter().map(|it| {
-        json!({
-            "id": it.announcement.id,
-            "zone": it.announcement.zone,
-            "address": it.announcement.address,
-            "kind": it.announcement.kind,
-            "slots": it.announcement.slots,
-            "running": it.announcement.load.running,
-            "waiting": it.announcement.load.waiting,
-            "leaving": it.announcement.leaving,
-            "fencing": it.announcement.fencing,
-            "usable": it.is_usable(now),
-            "heard_ms": (now - it.heard).as_millis() as u64,
-        })
+        let announcement = &it.announcement;
+        UpstreamStatus {
+            id: announcement.id.clone(),
+            zone: announcement.zone.clone(),
+            address: announcement.address,
+            serves: serves(&it.targets()),
+            slots: announcement.slots.0,
+            running: announcement.load.running,
+            waiting: announcement.load.waiting,
+            leaving: announcement.leaving,
+            age_ms: millis(now - it.heard),
+        }
     });
-    let upstreams: Vec<Value> = upstreams.collect();
+    upstreams.collect()
+}
+
+fn serves(targets: &[Target]) -> SmolStr {
+    let names: Vec<String> = targets.iter().map(|it| it.key().to_string()).collect();
+    names.join(", ").into()
+}
+
+/// Summaries of other zones, as a dump shows them.
+fn zones(api: &OperatorApi) -> Vec<Value> {
+    let now = api.node.now();
+    let members = api.node.members.borrow();
     let zones = members.zones().iter().map(|zone| {
         let rows = zone.rows(now).map(|it| {
             json!({
                 "target": it.summary.target.key().to_string(),
                 "upstreams": it.summary.upstreams,
                 "free": it.summary.free,
-                "age_ms": (now - it.made).as_millis() as u64,
+                "age_ms": millis(now - it.made),
             })
         });
         let rows: Vec<Value> = rows.collect();
         json!({ "zone": zone.zone, "region": zone.region, "targets": rows })
     });
-    let zones: Vec<Value> = zones.collect();
-    json!({ "upstreams": upstreams, "zones": zones })
+    zones.collect()
 }
 
 fn dump(api: &OperatorApi) -> Value {
+    let node = &api.node;
+    let confirmed = node.follower.borrow().confirmed_age(node.now());
     json!({
         "status": status(api),
+        "confirmed_ms": confirmed.map(millis),
         "upstreams": upstreams(api),
+        "zones": zones(api),
         "process": (api.dump)(),
     })
 }
 
-fn confirmations(api: &OperatorApi) -> Value {
+/// The revision in force in each zone, as this process's peers told it.
+fn confirmations(api: &OperatorApi) -> Confirmations {
     let node = &api.node;
-    let own = json!({
-        "instance": node.own.id,
-        "zone": node.own.zone,
-        "revision": node.follower.borrow().revision(),
-        "live": true,
-    });
     let members = node.members.borrow();
-    let peers = members.peers().iter().map(|peer| {
-        json!({
-            "instance": peer.seed.id,
-            "zone": peer.seed.zone,
-            "revision": peer.status.revision,
-            "live": peer.is_live(),
-        })
+    let revision = members.highest_revision().max(node.follower.borrow().revision());
+    let zones = node.cluster.zones.iter().map(|zone| {
+        let instances = node.cluster.instances.iter().filter(|it| it.zone == zone.id);
+        let told = instances.map(|it| (it.id.clone(), told_revision(node, &members, &it.id)));
+        let told: Vec<(InstanceId, Option<Revision>)> = told.collect();
+        let missing = told.iter().filter(|it| it.1.is_none_or(|it| it < revision));
+        ZoneConfirmation {
+            zone: zone.id.clone(),
+            revision: told.iter().filter_map(|it| it.1).min(),
+            missing: missing.map(|it| it.0.clone()).collect(),
+        }
     });
-    json!({ "instances": std::iter::once(own).chain(peers).collect::<Vec<Value>>() })
+    Confirmations { revision, zones: zones.collect() }
+}
+
+/// The revision of an instance; `None` while it is not heard.
+fn told_revision(node: &Node, members: &Membership, id: &InstanceId) -> Option<Revision> {
+    if *id == node.own.id {
+        return Some(node.follower.borrow().revision());
+    }
+    let peer = members.peers().iter().find(|it| it.seed.id == *id)?;
+    peer.is_live().then_some(peer.status.revision)
+}
+
+fn accepted_note(accepted: &Accepted) -> AcceptedNote {
+    AcceptedNote {
+        number: accepted.number,
+        operator: accepted.operator.clone(),
+        revision: accepted.revision,
+    }
 }
 
 async fn history(api: &OperatorApi) -> Answer {
     let group = GroupId::Configuration;
     match calls::submit(&api.node, &group, GroupRequest::History, LOOK_UP_LIMIT).await {
-        Ok(GroupReply::History(notes)) => ok(&json!({ "notes": notes })),
+        Ok(GroupReply::History(notes)) => {
+            let notes: Vec<AcceptedNote> = notes.iter().map(accepted_note).collect();
+            ok(&notes)
+        }
         Ok(_) => refuse(500, "mismatch", "the configuration group sent another kind of reply"),
         Err(failure) => call_failed(&failure),
     }
@@ -287,7 +344,11 @@
     };
     let current: Configuration = api.node.configuration().unwrap_or_default();
     match note.apply(&current) {
-        Ok(next) => ok(&json!({ "revision": next.revision, "items": next.items().len() })),
+        Ok(next) => ok(&AcceptedNote {
+            number: note.number(),
+            operator: note.operator().clone(),
+            revision: next.revision,
+        }),
         Err(error) => note_refused(&error),
     }
 }
@@ -305,7 +366,7 @@
         Ok(Reply::Accepted(accepted)) => {
             tracing::info!(%operator, number = %accepted.number, revision = %accepted.revision,
                 "release note accepted");
-            ok(&accepted)
+            ok(&accepted_note(&accepted))
         }
         Ok(Reply::Refused(refusal)) => release_refused(&refusal),
         Ok(reply) => {
@@ -338,14 +399,12 @@
     let Ok(bytes) = request.into_body().collect().await else {
         return refuse(400, "no-level", "the body was cut");
     };
-    let bytes = bytes.to_bytes();
-    let text = String::from_utf8_lossy(&bytes);
-    let level: LogLevel = match text.trim().trim_matches('"').parse() {
-        Ok(level) => level,
-        Err(error) => return refuse(400, "no-level", &format!("{error}")),
+    let change: LevelChange = match serde_json::from_slice(&bytes.to_bytes()) {
+        Ok(change) => change,
+        Err(error) => return refuse(400, "no-level", &error.to_string()),
     };
-    match api.level.set(level) {
-        Ok(()) => ok(&json!({ "level": level.to_string() })),
+    match api.level.set(change.level) {
+        Ok(()) => ok(&change),
         Err(error) => refuse(500, "level-not-set", &error.to_string()),
     }
 }
--- a/src/settings/cluster.rs
+++ b/src/settings/cluster.rs
@@ -102,6 +102,16 @@
     pub voters: Vec<InstanceId>,
 }
 
+impl PeerKind {
+    /// The role as the settings write it.
+    pub fn name(self) -> &'static str {
+        match self {
+            PeerKind::Entry => "entry",
+            PeerKind::Keeper => "keeper",
+        }
+    }
+}
+
 impl ClusterSettings {
     /// Reads and checks a cluster file.
     ///
