--- a/crates/medlarlug-core/src/replication/election.rs
+++ b/crates/medlarlug-core/src/replication/election.rs
@@ -87,13 +87,11 @@
         &mut self,
         from: MemberKey,
         term: Term,
-        granted: bool,
         now: Time,
         out: &mut Vec<Effect>,
     ) {
         let next = self.hard.term.next();
         if let State::PreCandidate(votes) = &mut self.state
-            && granted
             && term == next
             && !votes.contains(&from)
         {
@@ -181,6 +179,9 @@
         {
             return;
         }
+        if let Body::PreVoted { term, granted: true } = envelope.body {
+            return self.on_pre_voted(envelope.from, term, now, out);
+        }
         if envelope.term < self.hard.term {
             return self.correct(envelope, out);
         }
@@ -203,8 +204,7 @@
         let asker = (envelope.from.clone(), envelope.formation);
         let from = envelope.from;
         match envelope.body {
-            Body::PreVote { .. } => {}
-            Body::PreVoted { term, granted } => self.on_pre_voted(from, term, granted, now, out),
+            Body::PreVote { .. } | Body::PreVoted { .. } => {}
             Body::Vote { last, .. } => self.on_vote(asker, last, now, out),
             Body::Voted { granted: true } => self.on_voted(from, now, out),
             Body::Voted { granted: false } => {}
--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the coordination cores.
 
 mod release;
+mod replication;
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/replication/cluster.rs
@@ -0,0 +1,484 @@
+//! A small in-memory network of replicas, and the checks of what they do.
+
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+
+use medlarlug_core::{
+    ids::{InstanceId, LogIndex, Term},
+    replication::{
+        Change, Config, Effect, Event, Member, MemberKey, MemberRole, Membership, Message, Persist,
+        Replica, Restored, Role, StorageId,
+    },
+    time::Time,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use test_support::id;
+
+use super::history::History;
+
+/// A guard that the fake breaks on purpose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// Storage confirms before it has synced.
+    EarlySync,
+    /// Storage forgets term and vote at a crash.
+    LostVote,
+    /// A wiped replica keeps the name of its former storage.
+    KeptStorageId,
+    /// The embedding program answers reads without asking the replica.
+    LocalRead,
+}
+
+pub struct Node {
+    pub id: InstanceId,
+    pub key: MemberKey,
+    pub durable: bool,
+    pub replica: Option<Replica>,
+    pub applied: Vec<u64>,
+    pub is_leader: bool,
+    disk: Restored,
+    unsynced: Vec<Persist>,
+    frozen: bool,
+    backlog: Vec<Event>,
+    /// Speed of the node's clock in thousandths.
+    speed: u64,
+    starts: u64,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Due {
+    at: u64,
+    order: u64,
+    node: usize,
+    slot: usize,
+}
+
+enum Action {
+    Deliver { from: InstanceId, message: Message, start: Option<u64> },
+    Sync { sequence: u64, start: u64 },
+    Tick { start: u64 },
+}
+
+/// How the network treats messages.
+#[derive(Debug, Clone, Copy)]
+pub struct Weather {
+    pub drop: f64,
+    pub repeat: f64,
+    pub delay: (u64, u64),
+    pub sync: (u64, u64),
+}
+
+pub const FAIR: Weather =
+    Weather { drop: 0.0, repeat: 0.0, delay: (500, 5_000), sync: (500, 4_000) };
+pub const ROUGH: Weather =
+    Weather { drop: 0.08, repeat: 0.05, delay: (500, 80_000), sync: (500, 60_000) };
+
+const TICK_MICROS: u64 = 25_000;
+
+pub struct Cluster {
+    pub nodes: Vec<Node>,
+    pub now: u64,
+    pub rng: ChaCha8Rng,
+    pub weather: Weather,
+    pub fault: Fault,
+    pub history: History,
+    pub tune: fn(&mut Config),
+    founders: Vec<InstanceId>,
+    cuts: Vec<(usize, usize)>,
+    queue: BinaryHeap<Reverse<Due>>,
+    actions: Vec<Option<Action>>,
+    free: Vec<usize>,
+    order: u64,
+    storages: u64,
+}
+
+impl Cluster {
+    /// Founders as `durable` says, then one spare instance that is no founder.
+    pub fn new(seed: u64, durable: &[bool], fault: Fault, tune: fn(&mut Config)) -> Cluster {
+        let names = ["a", "b", "c", "d", "e"];
+        let founders: Vec<InstanceId> =
+            names[..durable.len()].iter().map(|name| id(name)).collect();
+        let mut cluster = Cluster {
+            nodes: Vec::new(),
+            now: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            weather: FAIR,
+            fault,
+            history: History::default(),
+            tune,
+            founders: founders.clone(),
+            cuts: Vec::new(),
+            queue: BinaryHeap::new(),
+            actions: Vec::new(),
+            free: Vec::new(),
+            order: 0,
+            storages: 0,
+        };
+        let spare = [(id("spare"), true)];
+        let all = founders.into_iter().zip(durable.iter().copied()).chain(spare);
+        for (id, durable) in all {
+            let key = MemberKey { id: id.clone(), storage: StorageId(0) };
+            let speed = cluster.rng.random_range(950..1_050);
+            cluster.nodes.push(Node {
+                id,
+                key,
+                durable,
+                replica: None,
+                applied: Vec::new(),
+                is_leader: false,
+                disk: Restored::default(),
+                unsynced: Vec::new(),
+                frozen: false,
+                backlog: Vec::new(),
+                speed,
+                starts: 0,
+            });
+        }
+        for node in 0..cluster.nodes.len() {
+            cluster.nodes[node].key.storage = cluster.draw_storage();
+            cluster.start(node);
+        }
+        cluster
+    }
+
+    fn draw_storage(&mut self) -> StorageId {
+        self.storages += 1;
+        StorageId(self.storages)
+    }
+
+    pub fn founder_count(&self) -> usize {
+        self.founders.len()
+    }
+
+    pub fn start(&mut self, node: usize) {
+        if self.nodes[node].replica.is_some() {
+            return;
+        }
+        if !self.nodes[node].durable {
+            self.wipe_storage(node);
+        }
+        let seed = self.rng.random();
+        let now = self.clock(node);
+        let mut config = Config::new(self.nodes[node].key.clone(), self.founders.clone());
+        config.durable = self.nodes[node].durable;
+        config.chunk_bytes = 40;
+        config.batch_bytes = 200;
+        config.max_inflight = 4;
+        (self.tune)(&mut config);
+        let it = &mut self.nodes[node];
+        it.starts += 1;
+        it.applied = it.disk.snapshot.as_ref().map(|s| decode(&s.data)).unwrap_or_default();
+        it.replica = Some(Replica::new(config, it.disk.clone(), seed, now));
+        let start = it.starts;
+        self.schedule(node, 0, Action::Tick { start });
+    }
+
+    fn wipe_storage(&mut self, node: usize) {
+        self.nodes[node].disk = Restored::default();
+        if self.fault != Fault::KeptStorageId {
+            self.nodes[node].key.storage = self.draw_storage();
+        }
+    }
+
+    /// Stops a node; what storage has not synced is lost.
+    pub fn crash(&mut self, node: usize) {
+        let it = &mut self.nodes[node];
+        it.replica = None;
+        it.is_leader = false;
+        it.frozen = false;
+        it.backlog.clear();
+        it.unsynced.clear();
+        if self.fault == Fault::LostVote {
+            it.disk.hard.vote = None;
+        }
+        self.history.forget_node(node);
+    }
+
+    pub fn wipe(&mut self, node: usize) {
+        self.crash(node);
+        self.wipe_storage(node);
+    }
+
+    /// Turns the disk of a stopped node into a group of its own.
+    pub fn rebuild(&mut self, node: usize, formation: medlarlug_core::replication::FormationId) {
+        let it = &mut self.nodes[node];
+        let member = Member { key: it.key.clone(), role: MemberRole::Voter, durable: it.durable };
+        it.disk = it.disk.clone().rebuild(member, formation).expect("a group to rebuild");
+    }
+
+    pub fn freeze(&mut self, node: usize) {
+        self.nodes[node].frozen = self.nodes[node].replica.is_some();
+    }
+
+    pub fn thaw(&mut self, node: usize) {
+        self.nodes[node].frozen = false;
+        for event in std::mem::take(&mut self.nodes[node].backlog) {
+            self.handle(node, event);
+        }
+    }
+
+    pub fn cut(&mut self, from: usize, to: usize) {
+        self.cuts.push((from, to));
+    }
+
+    pub fn isolate(&mut self, node: usize) {
+        for other in 0..self.nodes.len() {
+            self.cuts.push((node, other));
+            self.cuts.push((other, node));
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    fn clock(&self, node: usize) -> Time {
+        Time::from_micros(self.now * self.nodes[node].speed / 1_000 + node as u64 * 7_000_000)
+    }
+
+    fn schedule(&mut self, node: usize, after: u64, action: Action) {
+        let slot = match self.free.pop() {
+            Some(slot) => slot,
+            None => {
+                self.actions.push(None);
+                self.actions.len() - 1
+            }
+        };
+        self.actions[slot] = Some(action);
+        self.order += 1;
+        self.queue.push(Reverse(Due { at: self.now + after, order: self.order, node, slot }));
+    }
+
+    /// Runs the network for a while.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time.as_micros() as u64;
+        while let Some(Reverse(due)) = self.queue.peek() {
+            if due.at > end {
+                break;
+            }
+            let Some(Reverse(due)) = self.queue.pop() else { break };
+            self.now = due.at;
+            let action = self.actions[due.slot].take();
+            self.free.push(due.slot);
+            if let Some(action) = action {
+                self.act(due.node, action);
+            }
+        }
+        self.now = end;
+    }
+
+    fn act(&mut self, node: usize, action: Action) {
+        match action {
+            Action::Deliver { from, message, start } => {
+                if start.is_none_or(|start| start == self.nodes[node].starts) {
+                    self.handle(node, Event::Message { from, message });
+                }
+            }
+            Action::Sync { sequence, start } => {
+                if start == self.nodes[node].starts && self.nodes[node].replica.is_some() {
+                    self.sync(node, sequence);
+                    self.handle(node, Event::Persisted { sequence });
+                }
+            }
+            Action::Tick { start } => {
+                if start == self.nodes[node].starts && self.nodes[node].replica.is_some() {
+                    self.schedule(node, TICK_MICROS, Action::Tick { start });
+                    self.handle(node, Event::Tick);
+                }
+            }
+        }
+    }
+
+    fn sync(&mut self, node: usize, sequence: u64) {
+        let it = &mut self.nodes[node];
+        let count = it.unsynced.partition_point(|batch| batch.sequence <= sequence);
+        for batch in it.unsynced.drain(..count) {
+            write(&mut it.disk, batch);
+        }
+    }
+
+    pub fn handle(&mut self, node: usize, event: Event) {
+        let now = self.clock(node);
+        let it = &mut self.nodes[node];
+        if it.frozen {
+            if event != Event::Tick {
+                it.backlog.push(event);
+            }
+            return;
+        }
+        let Some(replica) = &mut it.replica else {
+            return;
+        };
+        let mut out = Vec::new();
+        replica.handle(now, event, &mut out);
+        for effect in out {
+            self.carry_out(node, effect);
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, effect: Effect) {
+        match effect {
+            Effect::Send { to, message } => self.send(node, &to, message),
+            Effect::Persist(batch) => self.persist(node, batch),
+            Effect::Apply { index, term, command } => {
+                let value = decode(&command)[0];
+                self.nodes[node].applied.push(value);
+                let applied = &self.nodes[node].applied;
+                self.history.apply(node, (index, term, value), applied);
+            }
+            Effect::InstallSnapshot { index, data } => {
+                self.nodes[node].applied = decode(&data);
+                self.history.install(index, &self.nodes[node].applied);
+            }
+            Effect::Committed { ticket, .. } => self.history.acknowledge(ticket),
+            Effect::Rejected { ticket, reason } => self.history.reject(ticket, reason.is_final()),
+            Effect::ReadReady { ticket, .. } => {
+                self.history.answer_read(ticket, &self.nodes[node].applied);
+            }
+            Effect::RoleChanged { role, term } => {
+                self.nodes[node].is_leader = role == Role::Leader;
+                if role == Role::Leader {
+                    let key = self.nodes[node].key.clone();
+                    self.history.lead(term, key);
+                }
+            }
+        }
+    }
+
+    fn persist(&mut self, node: usize, batch: Persist) {
+        let sequence = batch.sequence;
+        let start = self.nodes[node].starts;
+        self.nodes[node].unsynced.push(batch);
+        let (min, max) = self.weather.sync;
+        let delay = self.rng.random_range(min..max);
+        if self.fault == Fault::EarlySync {
+            self.handle(node, Event::Persisted { sequence });
+            let unsynced = Action::Sync { sequence, start };
+            return self.schedule(node, 3_000_000, unsynced);
+        }
+        self.schedule(node, delay, Action::Sync { sequence, start });
+    }
+
+    fn send(&mut self, node: usize, to: &InstanceId, message: Message) {
+        let Some(receiver) = self.nodes.iter().position(|other| other.id == *to) else {
+            return;
+        };
+        if self.cuts.contains(&(node, receiver)) || self.rng.random_bool(self.weather.drop) {
+            return;
+        }
+        let from = self.nodes[node].id.clone();
+        let copies = if self.rng.random_bool(self.weather.repeat) { 2 } else { 1 };
+        for _ in 0..copies {
+            let (min, max) = self.weather.delay;
+            let delay = self.rng.random_range(min..max);
+            let action =
+                Action::Deliver { from: from.clone(), message: message.clone(), start: None };
+            self.schedule(receiver, delay, action);
+        }
+    }
+
+    pub fn propose(&mut self, node: usize) -> u64 {
+        if self.nodes[node].replica.is_none() {
+            return 0;
+        }
+        let value = self.history.begin_write(node);
+        self.handle(node, Event::Propose { ticket: value, command: value.to_le_bytes().to_vec() });
+        value
+    }
+
+    pub fn read(&mut self, node: usize) {
+        if self.nodes[node].replica.is_none() {
+            return;
+        }
+        let ticket = self.history.begin_read(node);
+        if self.fault == Fault::LocalRead {
+            if self.nodes[node].is_leader && !self.nodes[node].frozen {
+                self.history.answer_read(ticket, &self.nodes[node].applied);
+            }
+            return;
+        }
+        self.handle(node, Event::Read { ticket });
+    }
+
+    pub fn change(&mut self, node: usize, change: Change) {
+        let ticket = self.history.begin_change();
+        self.handle(node, Event::ChangeVoters { ticket, change });
+    }
+
+    pub fn compact(&mut self, node: usize) {
+        let Some(replica) = &self.nodes[node].replica else {
+            return;
+        };
+        let index = replica.applied();
+        let snapshot = encode(&self.nodes[node].applied);
+        self.handle(node, Event::Compact { index, snapshot });
+    }
+
+    /// The node that leads in the highest term.
+    pub fn leader(&self) -> Option<usize> {
+        let term = |node: &usize| self.nodes[*node].replica.as_ref().map(Replica::term);
+        (0..self.nodes.len()).filter(|node| self.nodes[*node].is_leader).max_by_key(term)
+    }
+
+    pub fn term(&self, node: usize) -> Term {
+        self.nodes[node].replica.as_ref().map(Replica::term).unwrap_or_default()
+    }
+
+    pub fn membership(&self, node: usize) -> Option<&Membership> {
+        self.nodes[node].replica.as_ref()?.membership()
+    }
+
+    pub fn committed(&self, node: usize) -> LogIndex {
+        self.nodes[node].replica.as_ref().map(Replica::committed).unwrap_or_default()
+    }
+
+    /// Whether a leader stands, and every founder is up and a voter under its present storage.
+    pub fn is_whole(&self) -> bool {
+        let Some(members) = self.leader().and_then(|leader| self.membership(leader)) else {
+            return false;
+        };
+        let is_in = |node: &Node| node.replica.is_some() && members.is_voter(&node.key);
+        self.nodes[..self.founders.len()].iter().all(is_in)
+    }
+
+    /// Repairs everything and runs until the group is whole or `seconds` have passed.
+    pub fn settle(&mut self, seconds: u64) -> bool {
+        self.heal();
+        self.weather = FAIR;
+        for node in 0..self.nodes.len() {
+            self.thaw(node);
+            self.start(node);
+        }
+        for _ in 0..seconds * 4 {
+            self.run(Duration::from_millis(250));
+            if self.is_whole() {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+fn write(disk: &mut Restored, batch: Persist) {
+    if let Some(hard) = batch.hard {
+        disk.hard = hard;
+    }
+    if let Some(snapshot) = batch.snapshot {
+        disk.entries.retain(|entry| entry.index > snapshot.index);
+        disk.snapshot = Some(snapshot);
+    }
+    if let Some(cut) = batch.cut {
+        disk.entries.retain(|entry| entry.index < cut);
+    }
+    disk.entries.extend(batch.entries);
+}
+
+pub fn encode(values: &[u64]) -> Vec<u8> {
+    values.iter().flat_map(|value| value.to_le_bytes()).collect()
+}
+
+fn decode(bytes: &[u8]) -> Vec<u64> {
+    let value = |chunk: &[u8]| u64::from_le_bytes(chunk.try_into().expect("eight bytes"));
+    bytes.chunks(8).map(value).collect()
+}
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/replication/mod.rs
@@ -0,0 +1,6 @@
+//! Seeded histories and focused failures of the replication core.
+
+mod cluster;
+mod failures;
+mod histories;
+mod history;
