--- a/crates/medlarlug-core/src/replication/election.rs
+++ b/crates/medlarlug-core/src/replication/election.rs
@@ -17,12 +17,18 @@
         }
         self.greet(now, out);
         self.try_form(now);
-        if now >= self.deadline && self.is_voter() {
+        if now >= self.deadline && self.may_campaign() {
             self.reset_deadline(now);
             self.campaign(now, out);
         }
     }
 
+    /// Whether the replica has a vote, or keeps one until its removal is known to be committed: the
+    /// group may need the entries that it alone holds.
+    fn may_campaign(&self) -> bool {
+        self.log.is_voter_since(self.commit, &self.config.key)
+    }
+
     fn campaign(&mut self, now: Time, out: &mut Vec<Effect>) {
         if !self.config.pre_vote {
             return self.stand(false, now, out);
@@ -225,7 +231,7 @@
                 self.on_received(&from, (index, offset), round, now, out);
             }
             Body::Campaign => {
-                if self.is_voter() && self.role() != Role::Leader {
+                if self.may_campaign() && self.role() != Role::Leader {
                     self.stand(true, now, out);
                 }
             }
--- a/crates/medlarlug-core/src/replication/formation.rs
+++ b/crates/medlarlug-core/src/replication/formation.rs
@@ -30,7 +30,8 @@
             return;
         }
         self.greeting = now + self.config.heartbeat;
-        for to in &self.config.founders {
+        let hint = self.hint.take().filter(|hint| !self.config.founders.contains(hint));
+        for to in self.config.founders.iter().chain(&hint) {
             if *to != self.config.key.id {
                 let message = Message::Hello(self.hello());
                 out.push(Effect::Send { to: to.clone(), message });
@@ -43,16 +44,22 @@
             key: self.config.key.clone(),
             durable: self.config.durable,
             formation: self.formation(),
+            leader: self.leader.clone(),
             founders: self.config.founders.clone(),
         }
     }
 
     pub(super) fn on_hello(&mut self, hello: Hello, now: Time, out: &mut Vec<Effect>) {
-        let is_new = hello.formation.is_none();
+        let is_stranger =
+            self.log.members().is_some_and(|members| members.get(&hello.key).is_none());
+        let is_lost = hello.leader.is_none();
+        if !is_lost {
+            self.hint.clone_from(&hello.leader);
+        }
         self.applicants.retain(|applicant| applicant.hello.key.id != hello.key.id);
         let to = hello.key.id.clone();
         self.applicants.push(Applicant { hello, heard: now });
-        if is_new && self.formation().is_some() {
+        if is_stranger && is_lost && self.leader.is_some() {
             out.push(Effect::Send { to, message: Message::Hello(self.hello()) });
         }
     }
--- a/crates/medlarlug-core/src/replication/log.rs
+++ b/crates/medlarlug-core/src/replication/log.rs
@@ -4,7 +4,7 @@
 
 use super::{
     event::Restored,
-    membership::Membership,
+    membership::{MemberKey, Membership},
     message::{Entry, Payload, Position, Snapshot},
 };
 
@@ -111,6 +111,13 @@
         self.members.last().map(|(index, _)| *index).unwrap_or_default()
     }
 
+    /// Whether `key` has a vote in the membership in force at `commit` or in a later one.
+    pub(super) fn is_voter_since(&self, commit: LogIndex, key: &MemberKey) -> bool {
+        let count = self.members.partition_point(|(from, _)| *from <= commit);
+        let since = &self.members[count.saturating_sub(1)..];
+        since.iter().any(|(_, members)| members.is_voter(key))
+    }
+
     fn members_at(&self, index: LogIndex) -> Option<&Membership> {
         let count = self.members.partition_point(|(from, _)| *from <= index);
         self.members[..count].last().map(|(_, members)| members)
--- a/crates/medlarlug-core/src/replication/message.rs
+++ b/crates/medlarlug-core/src/replication/message.rs
@@ -83,6 +83,8 @@
     pub durable: bool,
     /// Formation that the sender belongs to, if any.
     pub formation: Option<FormationId>,
+    /// The leader that the sender knows.
+    pub leader: Option<InstanceId>,
     /// The sender's founders, sorted.
     pub founders: Vec<InstanceId>,
 }
--- a/crates/medlarlug-core/src/replication/replica.rs
+++ b/crates/medlarlug-core/src/replication/replica.rs
@@ -64,6 +64,8 @@
     pub(super) deadline: Time,
     /// When to introduce itself again.
     pub(super) greeting: Time,
+    /// A leader that others have named to a replica that hears none.
+    pub(super) hint: Option<InstanceId>,
     pub(super) applicants: Vec<Applicant>,
     pub(super) incoming: Option<Incoming>,
     pub(super) commit: LogIndex,
@@ -110,6 +112,7 @@
             heard: None,
             deadline: now,
             greeting: now,
+            hint: None,
             applicants: Vec::new(),
             incoming: None,
             commit: base,
