Replication: readmit the only durable voter, avoid split votes

Cause 1: a leader allowed no change of the membership before its first entry was committed, and that commit waited for a durable member that only a change could bring in. Changes now build on what a majority holds; commits still wait. Cause 2: two members that asked for permission at the same time both got it and split the votes. The one with the longer log, then the larger key, now goes first for half an election time, and a failed campaign is repeated sooner.

Ruled out: dropping the durable rule while a disk is away (a commit could then live in memory only).

--- a/crates/medlarlug-core/src/replication/election.rs
+++ b/crates/medlarlug-core/src/replication/election.rs
@@ -18,7 +18,7 @@
         self.greet(now, out);
         self.try_form(now);
         if now >= self.deadline && self.may_campaign() {
-            self.reset_deadline(now);
+            self.retry_after(now);
             self.campaign(now, out);
         }
     }
@@ -34,6 +34,7 @@
             return self.stand(false, now, out);
         }
         self.leader = None;
+        self.campaigned = Some(now);
         let old_role = self.role();
         self.state = State::PreCandidate(vec![self.config.key.clone()]);
         if old_role != Role::Follower {
@@ -51,7 +52,7 @@
         self.leader = None;
         self.state = State::Candidate(Vec::new());
         self.incoming = None;
-        self.reset_deadline(now);
+        self.retry_after(now);
         out.push(Effect::RoleChanged { role: Role::Candidate, term: self.hard.term });
         self.vote_self_synced();
         let body = Body::Vote { last: self.log.last(), handover };
@@ -84,11 +85,22 @@
         out: &mut Vec<Effect>,
     ) {
         let is_new = term > self.hard.term && last >= self.log.last();
-        let granted = is_new && !self.has_live_leader(now);
+        let yields = !self.takes_precedence(&asker.0, last, now);
+        let granted = is_new && yields && !self.has_live_leader(now);
         let answer = self.envelope(asker.0, asker.1, Body::PreVoted { term, granted });
         self.send(answer, out);
     }
 
+    /// Whether the replica has just asked for permission itself and goes before `asker`.
+    ///
+    /// Two members that ask at the same time would both get permission and then split the votes.
+    fn takes_precedence(&self, asker: &MemberKey, last: Position, now: Time) -> bool {
+        let is_asking = matches!(self.state, State::PreCandidate(_));
+        let limit = self.config.election_min / 2;
+        let is_recent = self.campaigned.is_some_and(|campaigned| now - campaigned < limit);
+        is_asking && is_recent && (self.log.last(), &self.config.key) > (last, asker)
+    }
+
     pub(super) fn on_pre_voted(
         &mut self,
         from: MemberKey,
--- a/crates/medlarlug-core/src/replication/formation.rs
+++ b/crates/medlarlug-core/src/replication/formation.rs
@@ -125,7 +125,7 @@
         if leader.is_handing_over() {
             return Err(Rejection::HandingOver);
         }
-        let is_settled = self.log.members_index() <= self.commit && leader.first <= self.commit;
+        let is_settled = self.log.members_index().max(leader.first) <= leader.agreed;
         if !is_settled {
             return Err(Rejection::ChangePending);
         }
@@ -147,7 +147,7 @@
         };
         leader.progress(key).is_some_and(|progress| {
             let is_heard = progress.has_answered && now - progress.heard < self.config.election_min;
-            is_heard && progress.matched >= self.commit
+            is_heard && progress.matched >= leader.agreed.max(self.commit)
         })
     }
 
--- a/crates/medlarlug-core/src/replication/leader.rs
+++ b/crates/medlarlug-core/src/replication/leader.rs
@@ -35,6 +35,9 @@
     pub(super) progress: Vec<Progress>,
     /// The first entry of the leader's term.
     pub(super) first: LogIndex,
+    /// Last entry that a majority holds; changes of the membership build on it, since a commit may
+    /// have to wait for a durable member that they bring in.
+    pub(super) agreed: LogIndex,
     /// Number of the last quorum round that was begun.
     pub(super) round: u64,
     confirmed: u64,
@@ -49,6 +52,7 @@
         Leader {
             progress: Vec::new(),
             first,
+            agreed: LogIndex(0),
             round: 0,
             confirmed: 0,
             reads: VecDeque::new(),
@@ -150,7 +154,8 @@
         self.log.members().is_some_and(|members| members.has_majority(hears))
     }
 
-    /// Moves the commit index to the last entry of this term that enough members hold.
+    /// Moves the agreed index to the last entry of this term that a majority holds, and the commit
+    /// index to the last one that satisfies the rule for durable members as well.
     pub(super) fn advance_commit(&mut self, now: Time, out: &mut Vec<Effect>) {
         let (State::Leader(leader), Some(members)) = (&self.state, self.log.members()) else {
             return;
@@ -162,15 +167,16 @@
         let mut ends: Vec<LogIndex> = members.voters().map(|m| matched(&m.key)).collect();
         ends.extend(members.members().iter().map(|member| matched(&member.key)));
         ends.sort();
-        let is_committed = |end: &LogIndex| {
-            let is_own = self.log.term_at(*end) == Some(self.hard.term);
-            is_own && members.may_commit(|key| matched(key) >= *end)
-        };
-        let end = ends.into_iter().rev().find(is_committed);
-        if let Some(end) = end
-            && end > self.commit
-        {
-            self.commit = end;
+        ends.retain(|end| self.log.term_at(*end) == Some(self.hard.term));
+        let is_agreed = |end: &&LogIndex| members.has_majority(|key| matched(key) >= **end);
+        let is_committed = |end: &&LogIndex| members.may_commit(|key| matched(key) >= **end);
+        let agreed = ends.iter().rfind(is_agreed).copied().unwrap_or_default();
+        let commit = ends.iter().rfind(is_committed).copied().unwrap_or_default();
+        if let State::Leader(leader) = &mut self.state {
+            leader.agreed = leader.agreed.max(agreed);
+        }
+        if commit > self.commit {
+            self.commit = commit;
             self.announce_commit(now, out);
         }
     }
--- a/crates/medlarlug-core/src/replication/replica.rs
+++ b/crates/medlarlug-core/src/replication/replica.rs
@@ -62,6 +62,8 @@
     pub(super) heard: Option<Time>,
     /// When to campaign.
     pub(super) deadline: Time,
+    /// When the replica last asked for permission to campaign.
+    pub(super) campaigned: Option<Time>,
     /// When to introduce itself again.
     pub(super) greeting: Time,
     /// A leader that others have named to a replica that hears none.
@@ -111,6 +113,7 @@
             leader: None,
             heard: None,
             deadline: now,
+            campaigned: None,
             greeting: now,
             hint: None,
             applicants: Vec::new(),
@@ -216,6 +219,12 @@
         self.deadline = now + min + spread.mul_f64(self.rng.random::<f64>());
     }
 
+    /// Sets the deadline after a campaign of its own; shorter, since no leader is expected.
+    pub(super) fn retry_after(&mut self, now: Time) {
+        let min = self.config.election_min;
+        self.deadline = now + min.mul_f64(0.5 + 0.5 * self.rng.random::<f64>());
+    }
+
     /// Whether a leader was heard too recently to help replacing it.
     pub(super) fn has_live_leader(&self, now: Time) -> bool {
         let min = self.config.election_min;
