--- a/crates/medlarlug-core/src/limits/bucket.rs
+++ b/crates/medlarlug-core/src/limits/bucket.rs
@@ -87,10 +87,11 @@
 
     /// Ends a heartbeat interval; tells whether the demand is worth a report.
     pub fn measure(&mut self, interval: Duration) -> bool {
-        let seconds = interval.as_secs_f64().max(f64::EPSILON);
-        let sample = f64::from(self.arrivals) / seconds;
-        self.arrivals = 0;
-        self.demand += DEMAND_WEIGHT * (sample - self.demand);
+        if !interval.is_zero() {
+            let sample = f64::from(self.arrivals) / interval.as_secs_f64();
+            self.arrivals = 0;
+            self.demand += DEMAND_WEIGHT * (sample - self.demand);
+        }
         let (level, told) = (self.level(), self.reported());
         let has_turned = (level == DemandLevel(0)) != (told == DemandLevel(0));
         has_turned || level.0.abs_diff(told.0) >= REPORTED_CHANGE
--- a/crates/medlarlug-core/src/limits/divider.rs
+++ b/crates/medlarlug-core/src/limits/divider.rs
@@ -46,6 +46,7 @@
     beat: Option<Time>,
     settled: bool,
     cursor: usize,
+    full_due: bool,
     spread: Spread,
 }
 
@@ -64,6 +65,7 @@
             beat: None,
             settled: false,
             cursor: 0,
+            full_due: true,
         }
     }
 
@@ -132,6 +134,8 @@
             self.buckets.push(bucket);
         }
         self.buckets.sort_by(|a, b| a.limit.team.cmp(&b.limit.team));
+        // A team that was withdrawn has no demand any more, which only a full report tells.
+        self.full_due |= old.iter().any(|it| it.reported() > DemandLevel(0));
         self.share_all(now);
     }
 
@@ -146,28 +150,31 @@
         self.share_all(now);
     }
 
-    /// An instance that sent nothing for a lifetime may have been dropped: it joins anew.
+    /// An instance that stood still for the settle time knows too little of its peers, and may
+    /// have been dropped by them: it joins anew.
     fn check_beat(&mut self, now: Time) {
-        let is_silent = self.beat.is_some_and(|beat| now - beat >= self.policy.lifetime);
+        let is_silent = self.beat.is_some_and(|beat| now - beat >= self.policy.settle);
         if !is_silent {
             return;
         }
         self.joined = None;
         self.beat = None;
         self.settled = false;
+        self.full_due = true;
         self.buckets.iter_mut().for_each(Bucket::reset_reports);
         self.share_all(now);
     }
 
     fn report(&mut self, now: Time, interval: Duration) -> DemandReport {
         self.sequence += 1;
-        let full = self.sequence == 1;
-        let (count, limit) = (self.buckets.len(), self.policy.entries);
+        let full = std::mem::take(&mut self.full_due);
+        let count = self.buckets.len();
+        let limit = if full { count } else { self.policy.entries };
         let mut entries = Vec::new();
         for step in 0..count {
             let place = (self.cursor + step) % count;
             let bucket = &mut self.buckets[place];
-            let is_due = !interval.is_zero() && bucket.measure(interval);
+            let is_due = bucket.measure(interval) || (full && bucket.level() > DemandLevel(0));
             if is_due && entries.len() < limit {
                 entries.push(DemandEntry { team: bucket.key, level: bucket.report(now) });
             }
--- a/crates/medlarlug-core/src/retry.rs
+++ b/crates/medlarlug-core/src/retry.rs
@@ -3,7 +3,9 @@
 //! One [`RetryBudget`] per instance and model holds a token bucket that successes fill: each
 //! deposits a tenth of a retry. With `s` successes at most `s / 10` retries are made, so the
 //! attempts stay below 1.1 times the requests, also when every upstream fails. The bucket starts
-//! empty and its size is bounded, so a region that returns meets no stored-up retries.
+//! empty and its size is bounded, so a region that returns meets no stored-up retries. Only the
+//! instance that sent a request to an upstream deposits its success: one that forwarded it to
+//! another zone does not, so that each success pays once.
 //!
 //! Only idempotent work is tried again, or work that was proven not to have run: the connection
 //! was refused before a byte was sent, or the receiving zone refused it as not run.
--- a/crates/medlarlug-core/src/stream/mod.rs
+++ b/crates/medlarlug-core/src/stream/mod.rs
@@ -36,6 +36,8 @@
     pub resumable: bool,
     /// Whether another upstream may continue from what was delivered.
     pub continuable: bool,
+    /// Whether the work may be repeated; if not, it is never sent to another upstream.
+    pub idempotent: bool,
     /// Connections that are opened at most, the first one included.
     pub connections: u32,
 }
@@ -47,6 +49,7 @@
             between: Duration::from_secs(2),
             resumable: true,
             continuable: false,
+            idempotent: true,
             connections: 4,
         }
     }
@@ -93,6 +96,9 @@
         /// Connection on which it was asked.
         connection: ConnectionNumber,
     },
+    /// No other connection may be opened, because the retry budget is used up or no other upstream
+    /// is there.
+    GivenUp(Refusal),
     /// Time passes; the tracker looks for silence.
     Tick,
     /// The caller closed its connection.
@@ -125,8 +131,8 @@
     },
     /// Send the request to another upstream from its start; the caller has no byte yet.
     ///
-    /// It is a new attempt: the shell asks [`crate::retry`] first and reports
-    /// [`Event::ResumeRefused`] if it gets no budget.
+    /// It is a new attempt, as is [`Effect::Continue`]: the shell asks [`crate::retry`] first and
+    /// reports [`Event::GivenUp`] if that gives up.
     Restart {
         /// Number of the new connection.
         connection: ConnectionNumber,
@@ -136,9 +142,13 @@
         /// The connection.
         connection: ConnectionNumber,
     },
-    /// Tell the upstream to cancel the work.
-    CancelUpstream,
-    /// End the answer with an explicit error event.
+    /// Tell the upstream of a connection to cancel the work.
+    CancelUpstream {
+        /// The connection.
+        connection: ConnectionNumber,
+    },
+    /// End the answer with an explicit error event, or with a problem document if the caller has
+    /// no byte yet.
     Fail(Refusal),
     /// The whole answer was delivered.
     Complete,
--- a/crates/medlarlug-core/src/stream/tracker.rs
+++ b/crates/medlarlug-core/src/stream/tracker.rs
@@ -106,6 +106,7 @@
             Event::ConnectionLost { connection } => self.lose(now, connection, out),
             Event::ResumeRefused { connection } => self.move_on(now, connection, out),
             Event::Tick => self.tick(now, out),
+            Event::GivenUp(refusal) => self.give_up(refusal, out),
             Event::CallerGone => self.cancel(out),
         }
     }
@@ -191,13 +192,16 @@
         if !self.is_current(connection) {
             return;
         }
-        if self.delivered > 0 && !self.policy.continuable {
+        let may_continue = self.delivered == 0 || self.policy.continuable;
+        if !self.policy.idempotent || !may_continue {
             self.fail(out);
             return;
         }
+        let left = self.connection;
         let Some(connection) = self.next_connection(now, out) else {
             return;
         };
+        out.push(Effect::CancelUpstream { connection: left });
         self.base = self.delivered;
         out.push(match self.delivered {
             0 => Effect::Restart { connection },
@@ -219,10 +223,19 @@
     }
 
     fn fail(&mut self, out: &mut Vec<Effect>) {
-        self.phase = Phase::Ended;
-        out.push(Effect::Close { connection: self.connection });
-        out.push(Effect::CancelUpstream);
-        out.push(Effect::Fail(Refusal::new(Reason::UpstreamFailed, FAILED_WAIT)));
+        let reason = match self.policy.idempotent {
+            true => Reason::UpstreamFailed,
+            false => Reason::AnswerLost,
+        };
+        self.give_up(Refusal::new(reason, FAILED_WAIT), out);
+    }
+
+    fn give_up(&mut self, refusal: Refusal, out: &mut Vec<Effect>) {
+        if self.phase == Phase::Ended {
+            return;
+        }
+        self.cancel(out);
+        out.push(Effect::Fail(refusal));
     }
 
     fn cancel(&mut self, out: &mut Vec<Effect>) {
@@ -230,6 +243,7 @@
             return;
         }
         self.phase = Phase::Ended;
-        out.push(Effect::CancelUpstream);
+        out.push(Effect::Close { connection: self.connection });
+        out.push(Effect::CancelUpstream { connection: self.connection });
     }
 }
--- a/crates/medlarlug-core/src/suspects/isolation.rs
+++ b/crates/medlarlug-core/src/suspects/isolation.rs
@@ -6,7 +6,8 @@
     fingerprint::Fingerprint,
     ids::{Incarnation, RequestId, UpstreamId},
     suspects::{
-        Effect, Event, Fact, LossLedger, LossReport, Placement, RESERVATION_LIFETIME, Standing,
+        Effect, Event, Fact, LossKey, LossLedger, LossReport, Placement, RESERVATION_LIFETIME,
+        Standing,
     },
     time::Time,
 };
@@ -17,8 +18,8 @@
     fingerprint: Fingerprint,
     upstream: UpstreamId,
     incarnation: Incarnation,
-    since: Time,
     suspect: bool,
+    losses: Vec<LossKey>,
 }
 
 /// The core of one entry instance.
@@ -69,6 +70,9 @@
             Standing::Convicted { .. } => return Placement::Barred,
             standing => standing == Standing::Suspect,
         };
+        if is_suspect && self.flights.iter().any(|it| it.fingerprint == fingerprint) {
+            return Placement::Barred;
+        }
         let mut flights = self.flights.iter().filter(|it| it.upstream == *upstream).peekable();
         let is_empty = flights.peek().is_none();
         let has_suspect = flights.any(|it| self.is_suspect(now, it));
@@ -89,8 +93,9 @@
         match event {
             Event::Sent { request, fingerprint, upstream, incarnation } => {
                 let suspect = self.standing(now, fingerprint) != Standing::Clear;
+                let losses = self.ledger.losses_of(fingerprint);
                 let flight =
-                    Flight { request, fingerprint, upstream, incarnation, since: now, suspect };
+                    Flight { request, fingerprint, upstream, incarnation, suspect, losses };
                 self.send(flight, out);
             }
             Event::Answered { request } => self.answer(now, &request, out),
@@ -150,10 +155,11 @@
         let Some(flight) = self.land(request, out) else {
             return;
         };
-        if self.standing(now, flight.fingerprint) == Standing::Clear {
+        let age = self.ledger.age_of(now, &flight.losses);
+        let Some(age) = age else {
             return;
-        }
-        let fact = Fact::Cleared { fingerprint: flight.fingerprint, age: now - flight.since };
+        };
+        let fact = Fact::Cleared { fingerprint: flight.fingerprint, losses: flight.losses, age };
         self.ledger.learn(now, &fact);
         out.push(Effect::Share(fact));
     }
@@ -173,7 +179,8 @@
         let mut flying: Vec<Fingerprint> = lost.iter().map(|it| it.fingerprint).collect();
         flying.sort_unstable();
         flying.dedup();
-        let report = LossReport { upstream, incarnation, age: Duration::ZERO, flying };
+        let key = LossKey { upstream, incarnation };
+        let report = LossReport { key, age: Duration::ZERO, flying };
         let fact = Fact::Lost(report);
         self.ledger.learn(now, &fact);
         out.push(Effect::Share(fact));
--- a/crates/medlarlug-core/src/suspects/ledger.rs
+++ b/crates/medlarlug-core/src/suspects/ledger.rs
@@ -4,10 +4,9 @@
 
 use crate::{
     fingerprint::Fingerprint,
-    ids::{Incarnation, UpstreamId},
     suspects::{
-        CERTAIN_LOSSES, CONVICTING_LOSSES, CONVICTION_LIFETIME, FACT_LIFETIME, Fact, LossReport,
-        MAX_LOSSES_KEPT,
+        CERTAIN_LOSSES, CONVICTING_LOSSES, CONVICTION_LIFETIME, FACT_LIFETIME, Fact, LossKey,
+        LossReport, MAX_LOSSES_KEPT,
     },
     time::Time,
 };
@@ -28,10 +27,10 @@
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Loss {
-    upstream: UpstreamId,
-    incarnation: Incarnation,
+    key: LossKey,
     at: Time,
     flying: Vec<Fingerprint>,
+    cleared: Vec<Fingerprint>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,6 +38,7 @@
     fingerprint: Fingerprint,
     last: Time,
     losses: usize,
+    alone: usize,
 }
 
 /// A set of facts and the verdicts that follow from it.
@@ -46,15 +46,17 @@
 /// ```
 /// use medlarlug_core::{
 ///     fingerprint::Fingerprint,
-///     suspects::{Fact, LossLedger, LossReport, Standing},
+///     suspects::{Fact, LossKey, LossLedger, LossReport, Standing},
 ///     time::Time,
 /// };
 /// use std::time::Duration;
 ///
 /// let crashing = Fingerprint::of(b"crash");
 /// let lost = |upstream: &str| Fact::Lost(LossReport {
-///     upstream: upstream.parse().unwrap(),
-///     incarnation: medlarlug_core::ids::Incarnation(1),
+///     key: LossKey {
+///         upstream: upstream.parse().unwrap(),
+///         incarnation: medlarlug_core::ids::Incarnation(1),
+///     },
 ///     age: Duration::ZERO,
 ///     flying: vec![crashing],
 /// });
@@ -68,20 +70,21 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct LossLedger {
     losses: Vec<Loss>,
-    cleared: Vec<(Fingerprint, Time)>,
     verdicts: Vec<Verdict>,
+    suspects: Vec<Fingerprint>,
 }
 
 impl LossLedger {
-    /// Merges a fact; tells whether it was new.
+    /// Merges a fact; tells whether it was new, so that it is worth handing on.
     pub fn learn(&mut self, now: Time, fact: &Fact) -> bool {
         let is_new = match fact {
-            Fact::Lost(report) => self.merge_loss(now, report),
-            Fact::Cleared { fingerprint, age } => {
-                self.merge_clearance(*fingerprint, now.saturating_sub(*age))
+            Fact::Lost(report) => self.learn_loss(now, report),
+            Fact::Cleared { fingerprint, losses, age } => {
+                self.learn_clearance(now.saturating_sub(*age), *fingerprint, losses)
             }
         };
         if is_new {
+            self.drop_oldest();
             self.judge();
         }
         is_new
@@ -91,7 +94,6 @@
     pub fn expire(&mut self, now: Time) {
         let count = self.losses.len();
         self.losses.retain(|it| now - it.at < FACT_LIFETIME);
-        self.cleared.retain(|it| now - it.1 < FACT_LIFETIME);
         if self.losses.len() < count {
             self.judge();
         }
@@ -107,10 +109,9 @@
                 false => Standing::Suspect,
             };
         }
-        let mut losses = self.losses.iter().filter(|it| self.counts(it, fingerprint));
-        match losses.any(|loss| !self.is_explained(loss)) {
-            true => Standing::Suspect,
-            false => Standing::Clear,
+        match self.suspects.binary_search(&fingerprint) {
+            Ok(_) => Standing::Suspect,
+            Err(_) => Standing::Clear,
         }
     }
 
@@ -123,134 +124,148 @@
         self.verdicts.iter().filter_map(standing).collect()
     }
 
-    /// Every fact, for an instance that has just started and for a snapshot.
-    pub fn facts(&self, now: Time) -> Vec<Fact> {
-        let losses = self.losses.iter().map(|it| {
-            Fact::Lost(LossReport {
-                upstream: it.upstream.clone(),
-                incarnation: it.incarnation,
-                age: now - it.at,
-                flying: it.flying.clone(),
-            })
-        });
-        let cleared = self
-            .cleared
-            .iter()
-            .map(|&(fingerprint, at)| Fact::Cleared { fingerprint, age: now - at });
-        losses.chain(cleared).collect()
+    /// The losses that count against `fingerprint`, sorted.
+    pub fn losses_of(&self, fingerprint: Fingerprint) -> Vec<LossKey> {
+        let losses = self.losses.iter().filter(|it| it.is_suspect(fingerprint));
+        losses.map(|it| it.key.clone()).collect()
     }
 
-    fn merge_loss(&mut self, now: Time, report: &LossReport) -> bool {
-        if report.age >= FACT_LIFETIME {
-            return false;
-        }
-        let at = now.saturating_sub(report.age);
-        let key = (&report.upstream, report.incarnation);
-        match self.losses.binary_search_by(|it| (&it.upstream, it.incarnation).cmp(&key)) {
-            Ok(found) => self.losses[found].merge(&report.flying),
-            Err(place) => {
-                let mut loss = Loss {
-                    upstream: report.upstream.clone(),
-                    incarnation: report.incarnation,
-                    at,
-                    flying: Vec::new(),
-                };
-                loss.merge(&report.flying);
-                self.losses.insert(place, loss);
-                self.drop_oldest();
-                true
+    /// Age of the newest of `losses` that is known.
+    pub fn age_of(&self, now: Time, losses: &[LossKey]) -> Option<Duration> {
+        let known = losses.iter().filter_map(|key| self.find(key).ok());
+        known.map(|found| now - self.losses[found].at).min()
+    }
+
+    /// Every fact, for an instance that has just started and for a snapshot.
+    pub fn facts(&self, now: Time) -> Vec<Fact> {
+        let mut facts = Vec::new();
+        for loss in &self.losses {
+            let (key, age) = (loss.key.clone(), now - loss.at);
+            for &fingerprint in &loss.cleared {
+                facts.push(Fact::Cleared { fingerprint, losses: vec![key.clone()], age });
             }
+            facts.push(Fact::Lost(LossReport { key, age, flying: loss.flying.clone() }));
         }
+        facts
     }
 
-    fn drop_oldest(&mut self) {
-        if self.losses.len() <= MAX_LOSSES_KEPT {
-            return;
-        }
-        let oldest = (0..self.losses.len()).min_by_key(|&it| self.losses[it].at);
-        if let Some(oldest) = oldest {
-            self.losses.remove(oldest);
-        }
+    fn find(&self, key: &LossKey) -> Result<usize, usize> {
+        self.losses.binary_search_by(|it| it.key.cmp(key))
     }
 
-    fn merge_clearance(&mut self, fingerprint: Fingerprint, at: Time) -> bool {
-        match self.cleared.binary_search_by_key(&fingerprint, |it| it.0) {
-            Ok(found) if self.cleared[found].1 >= at => false,
-            Ok(found) => {
-                self.cleared[found].1 = at;
-                true
-            }
+    /// The loss under `key`, new if it was not known; its earliest moment is kept.
+    fn loss(&mut self, key: &LossKey, at: Time) -> &mut Loss {
+        let place = match self.find(key) {
+            Ok(found) => found,
             Err(place) => {
-                self.cleared.insert(place, (fingerprint, at));
-                true
+                let loss = Loss { key: key.clone(), at, flying: Vec::new(), cleared: Vec::new() };
+                self.losses.insert(place, loss);
+                place
             }
+        };
+        let loss = &mut self.losses[place];
+        loss.at = loss.at.min(at);
+        loss
+    }
+
+    fn learn_loss(&mut self, now: Time, report: &LossReport) -> bool {
+        if report.age >= FACT_LIFETIME {
+            return false;
         }
+        let loss = self.loss(&report.key, now.saturating_sub(report.age));
+        merge(&mut loss.flying, &report.flying)
     }
 
-    fn counts(&self, loss: &Loss, fingerprint: Fingerprint) -> bool {
-        let cleared = match self.cleared.binary_search_by_key(&fingerprint, |it| it.0) {
-            Ok(found) => Some(self.cleared[found].1),
-            Err(_) => None,
-        };
-        loss.holds(fingerprint) && cleared.is_none_or(|at| loss.at > at)
+    fn learn_clearance(&mut self, at: Time, fingerprint: Fingerprint, losses: &[LossKey]) -> bool {
+        let mut is_new = false;
+        for key in losses {
+            is_new |= merge(&mut self.loss(key, at).cleared, &[fingerprint]);
+        }
+        is_new
     }
 
-    fn is_explained(&self, loss: &Loss) -> bool {
-        self.verdicts.iter().any(|it| self.counts(loss, it.fingerprint))
+    fn drop_oldest(&mut self) {
+        while self.losses.len() > MAX_LOSSES_KEPT {
+            let oldest = (0..self.losses.len()).min_by_key(|&it| self.losses[it].at);
+            self.losses.remove(oldest.unwrap_or(0));
+        }
     }
 
     /// Convicts the strongest candidates first; the losses they explain count against no other.
     fn judge(&mut self) {
         self.verdicts.clear();
         loop {
-            let candidates = self.candidates();
-            let Some(strongest) = candidates.iter().map(|it| it.0).max() else {
+            let open = self.open_evidence();
+            let candidates: Vec<Verdict> =
+                open.chunk_by(|a, b| a.0 == b.0).filter_map(candidate).collect();
+            let Some(strongest) = candidates.iter().map(Verdict::strength).max() else {
+                self.suspects = open.into_iter().map(|it| it.0).collect();
+                self.suspects.dedup();
                 return;
             };
-            let convicted = candidates.into_iter().filter(|it| it.0 == strongest);
-            self.verdicts.extend(convicted.map(|it| it.1));
+            let convicted = candidates.into_iter().filter(|it| it.strength() == strongest);
+            self.verdicts.extend(convicted);
             self.verdicts.sort_by_key(|it| it.fingerprint);
         }
     }
 
-    /// Contents that the unexplained losses convict, with the strength of the evidence: losses
-    /// with no other request in flight, then all losses.
-    fn candidates(&self) -> Vec<((usize, usize), Verdict)> {
-        let open: Vec<&Loss> = self.losses.iter().filter(|it| !self.is_explained(it)).collect();
-        let mut contents: Vec<Fingerprint> =
-            open.iter().flat_map(|it| it.flying.iter().copied()).collect();
-        contents.sort_unstable();
-        contents.dedup();
-        contents.into_iter().filter_map(|it| self.candidate(&open, it)).collect()
+    /// Each unexplained loss of each content, sorted by content: when it was, and whether no other
+    /// content can have caused it.
+    fn open_evidence(&self) -> Vec<(Fingerprint, Time, bool)> {
+        let mut evidence = Vec::new();
+        for loss in &self.losses {
+            let suspects = loss.suspects();
+            let is_convicted = |it: &Fingerprint| {
+                self.verdicts.binary_search_by_key(it, |verdict| verdict.fingerprint).is_ok()
+            };
+            if suspects.iter().any(is_convicted) {
+                continue;
+            }
+            let alone = suspects.len() == 1;
+            evidence.extend(suspects.into_iter().map(|it| (it, loss.at, alone)));
+        }
+        evidence.sort_unstable();
+        evidence
+    }
+}
+
+impl Loss {
+    fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
+        let is_flying = self.flying.binary_search(&fingerprint).is_ok();
+        is_flying && self.cleared.binary_search(&fingerprint).is_err()
     }
 
-    fn candidate(
-        &self,
-        open: &[&Loss],
-        fingerprint: Fingerprint,
-    ) -> Option<((usize, usize), Verdict)> {
-        let losses: Vec<&&Loss> = open.iter().filter(|it| self.counts(it, fingerprint)).collect();
-        let alone = losses.iter().filter(|it| it.flying.len() == 1).count();
-        let is_convicted =
-            losses.len() >= CERTAIN_LOSSES || (losses.len() >= CONVICTING_LOSSES && alone > 0);
-        let last = losses.iter().map(|it| it.at).max()?;
-        let verdict = Verdict { fingerprint, last, losses: losses.len() };
-        is_convicted.then_some(((alone, verdict.losses), verdict))
+    fn suspects(&self) -> Vec<Fingerprint> {
+        self.flying.iter().copied().filter(|&it| self.is_suspect(it)).collect()
     }
 }
 
-impl Loss {
-    fn holds(&self, fingerprint: Fingerprint) -> bool {
-        self.flying.binary_search(&fingerprint).is_ok()
+impl Verdict {
+    /// Losses that nothing else can have caused, then all losses.
+    fn strength(&self) -> (usize, usize) {
+        (self.alone, self.losses)
     }
+}
 
-    fn merge(&mut self, flying: &[Fingerprint]) -> bool {
-        let count = self.flying.len();
-        self.flying.extend_from_slice(flying);
-        self.flying.sort_unstable();
-        self.flying.dedup();
-        self.flying.len() > count
+/// The verdict on one content, if its losses convict it.
+fn candidate(evidence: &[(Fingerprint, Time, bool)]) -> Option<Verdict> {
+    let losses = evidence.len();
+    let alone = evidence.iter().filter(|it| it.2).count();
+    let is_likely = losses >= CONVICTING_LOSSES && alone > 0;
+    if !is_likely && losses < CERTAIN_LOSSES {
+        return None;
     }
+    let &(fingerprint, last, _) = evidence.last()?;
+    Some(Verdict { fingerprint, last, losses, alone })
+}
+
+/// Adds `more` to a sorted set; tells whether it grew.
+fn merge(set: &mut Vec<Fingerprint>, more: &[Fingerprint]) -> bool {
+    let count = set.len();
+    set.extend_from_slice(more);
+    set.sort_unstable();
+    set.dedup();
+    set.len() > count
 }
 
 /// Lifetime of a conviction by `losses` losses: doubled by each beyond the second.
--- a/crates/medlarlug-core/src/suspects/mod.rs
+++ b/crates/medlarlug-core/src/suspects/mod.rs
@@ -9,7 +9,8 @@
 //!
 //! A fingerprint is convicted when
 //!
-//! - two losses name it, and on one of them it was the only request in flight, or
+//! - two losses name it, and on one of them it was the only request in flight, or all others have
+//!   been cleared of that loss, or
 //! - three losses name it.
 //!
 //! A loss that a convicted fingerprint explains counts against no other. A conviction lasts
@@ -18,8 +19,9 @@
 //!
 //! Bound: one content that is sent one at a time, each after the facts of the last loss have
 //! arrived, loses at most two upstreams where an upstream can be had alone, at most three
-//! otherwise, until its conviction ends. Sends that overlap, or that outrun the facts, add one loss
-//! each at most. On two sides of a partition the bound holds for each side.
+//! otherwise, until its conviction ends. An instance runs a suspected content once at a time, so
+//! sends that overlap at `c` instances, or that outrun the facts, add one loss for each instance.
+//! Sends that were in flight when the first upstream was lost add one loss each. On two sides of a partition the bound holds for each side.
 
 mod isolation;
 mod ledger;
@@ -60,19 +62,28 @@
     Cleared {
         /// Its content.
         fingerprint: Fingerprint,
-        /// Time since its run began: losses before that no longer count.
+        /// Losses that counted against it when its run began, sorted; they no longer do.
+        losses: Vec<LossKey>,
+        /// Time since the newest of these losses.
         age: Duration,
     },
 }
 
-/// One upstream's loss as one entry instance saw it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LossReport {
+/// Names a loss.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LossKey {
     /// The upstream.
     pub upstream: UpstreamId,
     /// The incarnation that was lost.
     pub incarnation: Incarnation,
-    /// Time since the loss was noticed.
+}
+
+/// One upstream's loss as one entry instance saw it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LossReport {
+    /// The loss.
+    pub key: LossKey,
+    /// Time since it was noticed.
     pub age: Duration,
     /// Contents that the reporting instance had in flight there, sorted.
     pub flying: Vec<Fingerprint>,
@@ -86,7 +97,8 @@
     /// It is a suspect and would share the upstream with requests that are not; only if no other
     /// upstream is free.
     Shared,
-    /// It may not: a suspect runs there, or the upstream is reserved for one.
+    /// It may not: a suspect runs there, the upstream is reserved for one, or the same suspected
+    /// content is in flight already.
     Barred,
 }
 
