--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/admission.rs
@@ -0,0 +1,270 @@
+//! Fair queueing and refusal before the start, against a plain queue.
+
+use std::{collections::VecDeque, time::Duration};
+
+use medlarlug_core::{
+    admission::{Admission, AdmissionPolicy, Arrival, Effect, Event},
+    ids::RequestId,
+    refusal::{Reason, Refusal},
+    time::Time,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use test_support::id;
+
+const HOUR: Duration = Duration::from_secs(3_600);
+
+fn request(sequence: u64) -> RequestId {
+    id(&format!("riga.entry-1.1.{sequence}"))
+}
+
+fn arrival(sequence: u64, team: &str) -> Arrival {
+    Arrival {
+        request: request(sequence),
+        team: id(team),
+        priority: 0,
+        deadline: Time::ZERO + HOUR,
+        estimate: Duration::from_millis(100),
+        cost: 1_000,
+    }
+}
+
+fn patient() -> AdmissionPolicy {
+    AdmissionPolicy { wait: HOUR, ..AdmissionPolicy::default() }
+}
+
+struct Bench {
+    admission: Admission,
+    started: Vec<RequestId>,
+    refused: Vec<(RequestId, Refusal)>,
+}
+
+impl Bench {
+    fn new(policy: AdmissionPolicy, capacity: u32) -> Bench {
+        let mut bench =
+            Bench { admission: Admission::new(policy), started: Vec::new(), refused: Vec::new() };
+        bench.feed(Time::ZERO, Event::Capacity(capacity));
+        bench
+    }
+
+    fn feed(&mut self, now: Time, event: Event) {
+        let mut out = Vec::new();
+        self.admission.handle(now, event, &mut out);
+        for effect in out {
+            match effect {
+                Effect::Start { request } => self.started.push(request),
+                Effect::Refuse { request, refusal } => self.refused.push((request, refusal)),
+            }
+        }
+    }
+
+    fn reasons(&self) -> Vec<(u64, Reason)> {
+        self.refused.iter().map(|it| (it.0.sequence, it.1.reason)).collect()
+    }
+
+    fn starts(&self) -> Vec<u64> {
+        self.started.iter().map(|it| it.sequence).collect()
+    }
+}
+
+#[test]
+fn one_team_without_deadlines_is_served_as_by_a_plain_queue() {
+    for seed in 0..1_000 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let capacity = random.random_range(1..4);
+        let mut bench = Bench::new(patient(), capacity);
+        let (mut naive, mut running, mut expected) = (VecDeque::new(), Vec::new(), Vec::new());
+
+        for step in 0..100 {
+            let now = Time::from_millis(step * 10);
+            if running.is_empty() || random.random_bool(0.6) {
+                let cost = random.random_range(1..5_000);
+                bench.feed(now, Event::Arrived(Arrival { cost, ..arrival(step, "survey") }));
+                naive.push_back(step);
+            } else {
+                let ended = running.remove(random.random_range(0..running.len()));
+                bench.feed(now, Event::Finished { request: request(ended) });
+            }
+            while running.len() < capacity as usize && !naive.is_empty() {
+                running.push(naive.pop_front().unwrap());
+                expected.extend(running.last());
+            }
+
+            assert_eq!(bench.starts(), expected, "seed {seed}, step {step}");
+        }
+        assert_eq!(bench.refused, []);
+    }
+}
+
+#[test]
+fn every_request_has_one_fate_and_none_starts_too_late() {
+    for seed in 0..2_000 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut bench = Bench::new(AdmissionPolicy::default(), 2);
+        let (mut known, mut gone, mut ended) = (Vec::new(), Vec::new(), 0);
+        for step in 0..120 {
+            let now = Time::from_millis(step * 50);
+            let (starts, refusals) = (bench.started.len(), bench.refused.len());
+            let event = match random.random_range(0..10) {
+                0..6 => {
+                    let team = ["survey", "lofts", "desk"][random.random_range(0..3)];
+                    let arrival = Arrival {
+                        priority: random.random_range(0..2),
+                        deadline: now + Duration::from_millis(random.random_range(0..3_000)),
+                        cost: random.random_range(100..3_000),
+                        ..arrival(step, team)
+                    };
+                    known.push(arrival.clone());
+                    Event::Arrived(arrival)
+                }
+                6 if !known.is_empty() => {
+                    let request = known[random.random_range(0..known.len())].request.clone();
+                    let is_ended = bench.started.contains(&request)
+                        || bench.refused.iter().any(|it| it.0 == request);
+                    if !is_ended && !gone.contains(&request) {
+                        gone.push(request.clone());
+                    }
+                    Event::CallerGone { request }
+                }
+                7 => Event::Capacity(random.random_range(0..4)),
+                8 if ended < bench.started.len() => {
+                    ended += 1;
+                    Event::Finished { request: bench.started[ended - 1].clone() }
+                }
+                _ => Event::Tick,
+            };
+
+            bench.feed(now, event);
+
+            for request in &bench.started[starts..] {
+                let arrival = known.iter().find(|it| it.request == *request).unwrap();
+                assert!(now + arrival.estimate <= arrival.deadline, "seed {seed}, step {step}");
+            }
+            for (_, refusal) in &bench.refused[refusals..] {
+                assert!(refusal.after >= Duration::from_secs(1), "seed {seed}, step {step}");
+            }
+            assert!(bench.admission.drain_time().unwrap_or_default() < Duration::from_secs(60));
+        }
+        bench.feed(Time::ZERO + HOUR, Event::Tick);
+        let refused = bench.refused.iter().map(|it| &it.0);
+        let mut fates: Vec<&RequestId> = bench.started.iter().chain(refused).chain(&gone).collect();
+        fates.sort();
+        let mut all: Vec<&RequestId> = known.iter().map(|it| &it.request).collect();
+        all.sort();
+        assert_eq!(fates, all, "seed {seed}");
+    }
+}
+
+#[test]
+fn teams_that_wait_share_the_slots_by_cost() {
+    for seed in 0..300 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut bench = Bench::new(patient(), 1);
+        let mut costs = Vec::new();
+        let max_cost = 4_000;
+        for sequence in 0..300 {
+            // The first team sends nine times as much as the second.
+            let team = if sequence % 10 == 0 { "lofts" } else { "survey" };
+            let cost = random.random_range(1..max_cost);
+            costs.push(u64::from(cost));
+            bench.feed(Time::ZERO, Event::Arrived(Arrival { cost, ..arrival(sequence, team) }));
+        }
+
+        let (mut greedy, mut modest, mut left) = (0, 0, 30);
+        for place in 0..300 {
+            let sequence = bench.started[place].sequence;
+            match sequence % 10 {
+                0 => {
+                    modest += costs[sequence as usize];
+                    left -= 1;
+                }
+                _ => greedy += costs[sequence as usize],
+            }
+            if left == 0 {
+                break;
+            }
+            assert!(greedy.abs_diff(modest) <= 2 * u64::from(max_cost), "seed {seed}");
+            let request = bench.started[place].clone();
+            bench.feed(Time::from_millis(place as u64), Event::Finished { request });
+        }
+    }
+}
+
+#[test]
+fn higher_priority_goes_first_and_the_lower_is_not_starved() {
+    let mut bench = Bench::new(patient(), 1);
+    for sequence in 0..200 {
+        let priority = u8::from(sequence >= 100);
+        let team = if priority == 0 { "survey" } else { "lofts" };
+        bench.feed(Time::ZERO, Event::Arrived(Arrival { priority, ..arrival(sequence, team) }));
+    }
+
+    for place in 0..80 {
+        let request = bench.started[place].clone();
+        bench.feed(Time::from_millis(place as u64), Event::Finished { request });
+    }
+
+    let low = bench.starts().iter().skip(1).filter(|it| **it < 100).count();
+    assert_eq!(low, 10);
+}
+
+#[test]
+fn request_whose_predicted_start_is_too_late_is_refused_at_once() {
+    // One slot and half a second a request: with 1.6 s, the third in the queue comes too late.
+    let mut bench = Bench::new(AdmissionPolicy::default(), 1);
+    let deadline = Time::from_millis(1_600);
+
+    for sequence in 0..5 {
+        bench.feed(Time::ZERO, Event::Arrived(Arrival { deadline, ..arrival(sequence, "survey") }));
+    }
+
+    assert_eq!(bench.reasons(), [(4, Reason::Overloaded)]);
+    assert_eq!(bench.admission.waiting(), 3);
+}
+
+#[test]
+fn impossible_deadline_is_named_as_such() {
+    let mut bench = Bench::new(AdmissionPolicy::default(), 1);
+    let deadline = Time::from_millis(99);
+
+    bench.feed(Time::ZERO, Event::Arrived(Arrival { deadline, ..arrival(0, "survey") }));
+
+    assert_eq!(bench.reasons(), [(0, Reason::DeadlineImpossible)]);
+    assert_eq!(bench.started, []);
+}
+
+#[test]
+fn queue_is_bounded_by_predicted_time() {
+    let mut bench = Bench::new(AdmissionPolicy::default(), 2);
+
+    for sequence in 0..100 {
+        bench.feed(Time::ZERO, Event::Arrived(arrival(sequence, "survey")));
+    }
+
+    // Two run; 5 s of wait at half a second each over two slots leave room for 20.
+    assert_eq!((bench.admission.running(), bench.admission.waiting()), (2, 20));
+    assert_eq!(bench.refused.len(), 78);
+}
+
+#[test]
+fn modest_team_displaces_the_tail_of_a_greedy_one() {
+    let mut bench = Bench::new(AdmissionPolicy::default(), 1);
+    for sequence in 0..12 {
+        bench.feed(Time::ZERO, Event::Arrived(arrival(sequence, "survey")));
+    }
+    let refused = bench.refused.len();
+
+    bench.feed(Time::ZERO, Event::Arrived(arrival(50, "lofts")));
+
+    assert_eq!(bench.refused.len(), refused + 1);
+    assert_ne!(bench.refused[refused].0, request(50));
+}
+
+#[test]
+fn without_capacity_nothing_waits() {
+    let mut bench = Bench::new(AdmissionPolicy::default(), 0);
+
+    bench.feed(Time::ZERO, Event::Arrived(arrival(0, "survey")));
+
+    assert_eq!(bench.reasons(), [(0, Reason::Overloaded)]);
+}
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/limits.rs
@@ -0,0 +1,359 @@
+//! Division of the teams' limits, against plain counters.
+
+use std::time::Duration;
+
+use medlarlug_core::{
+    ids::{Incarnation, InstanceId, TeamId},
+    limits::{Effect, Event, LimitPolicy, Limits, TeamLimit},
+    refusal::Reason,
+    time::Time,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use test_support::id;
+
+const RATE: f64 = 32.0;
+const BURST: f64 = 16.0;
+const STEP_MS: u64 = 10;
+const BEAT_MS: u64 = 500;
+const MAX_DELAY_MS: u64 = 300;
+/// Reports in a row that the links lose at most; the next one still comes within settle time.
+const MAX_LOST: u32 = 2;
+
+fn limit(team: &str) -> TeamLimit {
+    TeamLimit {
+        team: id(team),
+        rate: RATE.try_into().unwrap(),
+        burst: id(&(BURST as u32).to_string()),
+    }
+}
+
+fn instance(number: usize) -> InstanceId {
+    id(&format!("entry-{number}"))
+}
+
+fn limits(number: usize, incarnation: u64, now: Time) -> Limits {
+    let policy = LimitPolicy::default();
+    let mut limits = Limits::new(instance(number), Incarnation(incarnation), policy);
+    limits.handle(now, Event::Configured(vec![limit("survey")]), &mut Vec::new());
+    limits
+}
+
+/// The plain counter: a leaky bucket over all admitted requests of one side.
+struct Meter {
+    level: f64,
+    seen: Time,
+    bound: f64,
+}
+
+impl Meter {
+    fn new(now: Time, instances: usize) -> Meter {
+        Meter { level: 0.0, seen: now, bound: BURST + instances as f64 }
+    }
+
+    fn count(&mut self, now: Time) {
+        self.level = (self.level - RATE * (now - self.seen).as_secs_f64()).max(0.0) + 1.0;
+        self.seen = now;
+        assert!(self.level <= self.bound + 1e-6, "{} above {} at {now}", self.level, self.bound);
+    }
+
+    fn allow_start(&mut self) {
+        let settle = LimitPolicy::default().settle.as_secs_f64();
+        self.bound += (RATE * settle + BURST) / 8.0 + 1.0;
+    }
+}
+
+struct Region {
+    random: ChaCha8Rng,
+    now: Time,
+    nodes: Vec<Option<Limits>>,
+    sides: Vec<usize>,
+    mail: Vec<(Time, usize, usize, Event, Time)>,
+    lost: Vec<u32>,
+    demand: Vec<f64>,
+    team: TeamId,
+}
+
+impl Region {
+    fn new(seed: u64, count: usize) -> Region {
+        Region {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            now: Time::ZERO,
+            nodes: (0..count).map(|it| Some(limits(it, 1, Time::ZERO))).collect(),
+            sides: vec![0; count],
+            mail: Vec::new(),
+            lost: vec![0; count * count],
+            demand: vec![0.0; count],
+            team: id("survey"),
+        }
+    }
+
+    /// Passes one step; `admitted` is told the instance of each admitted request.
+    fn step(&mut self, mut admitted: impl FnMut(Time, usize)) {
+        self.now = self.now + Duration::from_millis(STEP_MS);
+        self.deliver();
+        for number in 0..self.nodes.len() {
+            if (self.now.as_micros() / 1_000 + 70 * number as u64).is_multiple_of(BEAT_MS) {
+                self.handle(number, Event::Heartbeat);
+            }
+            let chance = self.demand[number] * STEP_MS as f64 / 1_000.0;
+            for _ in 0..chance.ceil() as u32 {
+                let is_sent = self.random.random_bool((chance / chance.ceil()).min(1.0));
+                let Some(node) = self.nodes[number].as_mut().filter(|_| is_sent) else {
+                    continue;
+                };
+                if node.admit(self.now, &self.team).is_ok() {
+                    admitted(self.now, number);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.mail).into_iter().partition(|it| it.0 <= now);
+        self.mail = later;
+        for (_, from, to, event, sent) in due {
+            let event = match event {
+                Event::Heard { report, .. } => Event::Heard { report, age: now - sent },
+                event => event,
+            };
+            if self.sides[from] == self.sides[to] {
+                self.handle(to, event);
+            }
+        }
+    }
+
+    fn handle(&mut self, number: usize, event: Event) {
+        let mut out = Vec::new();
+        let Some(node) = self.nodes[number].as_mut() else {
+            return;
+        };
+        node.handle(self.now, event, &mut out);
+        for effect in out {
+            match effect {
+                Effect::Broadcast(report) => {
+                    for to in (0..self.nodes.len()).filter(|&it| it != number) {
+                        let report = report.clone();
+                        self.post(number, to, Event::Heard { report, age: Duration::ZERO });
+                    }
+                }
+                Effect::AskResync(peer) => {
+                    let to = (0..self.nodes.len()).find(|&it| instance(it) == peer).unwrap();
+                    self.post(number, to, Event::ResyncAsked(instance(number)));
+                }
+                Effect::Send { to: peer, report } => {
+                    let to = (0..self.nodes.len()).find(|&it| instance(it) == peer).unwrap();
+                    self.post(number, to, Event::Heard { report, age: Duration::ZERO });
+                }
+            }
+        }
+    }
+
+    fn post(&mut self, from: usize, to: usize, event: Event) {
+        let lost = &mut self.lost[from * self.nodes.len() + to];
+        if *lost < MAX_LOST && self.random.random_bool(0.2) {
+            *lost += 1;
+            return;
+        }
+        *lost = 0;
+        let delay = Duration::from_millis(self.random.random_range(0..MAX_DELAY_MS));
+        self.mail.push((self.now + delay, from, to, event, self.now));
+    }
+
+    fn change_demand(&mut self) {
+        for demand in &mut self.demand {
+            let choices = [0.0, 0.0, 1.0, RATE / 4.0, RATE, 4.0 * RATE];
+            *demand = choices[self.random.random_range(0..choices.len())];
+        }
+    }
+}
+
+#[test]
+fn lone_instance_decides_as_a_plain_counter() {
+    for seed in 0..200 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut limits = limits(0, 1, Time::ZERO);
+        let (tick, mut now) = (Duration::from_micros(15_625), Time::ZERO);
+        for _ in 0..256 {
+            now = now + tick;
+            limits.handle(now, Event::Heartbeat, &mut Vec::new());
+        }
+        let (mut tokens, mut filled) = (BURST, now);
+
+        for step in 0..1_500 {
+            now = now + tick;
+            if step % 32 == 0 {
+                limits.handle(now, Event::Heartbeat, &mut Vec::new());
+            }
+            for _ in 0..random.random_range(0..3) {
+                tokens = (tokens + RATE * (now - filled).as_secs_f64()).min(BURST);
+                filled = now;
+                let expected = tokens >= 1.0;
+                tokens -= if expected { 1.0 } else { 0.0 };
+
+                let admitted = limits.admit(now, &id("survey")).is_ok();
+
+                assert_eq!(admitted, expected, "seed {seed}, step {step}");
+            }
+        }
+    }
+}
+
+#[test]
+fn total_holds_while_demand_moves_and_reports_are_lost() {
+    for seed in 0..60 {
+        let mut region = Region::new(seed, 5);
+        (0..400).for_each(|_| region.step(|_, _| {}));
+        let mut meter = Meter::new(region.now, 5);
+
+        for step in 0..2_000 {
+            if step % 150 == 0 {
+                region.change_demand();
+            }
+            region.step(|now, _| meter.count(now));
+        }
+    }
+}
+
+#[test]
+fn total_holds_within_the_stated_bound_under_crashes_and_restarts() {
+    for seed in 100..160 {
+        let mut region = Region::new(seed, 5);
+        let mut meter = Meter::new(region.now, 5);
+        (0..5).for_each(|_| meter.allow_start());
+
+        for step in 0..2_000 {
+            if step % 150 == 0 {
+                region.change_demand();
+                let number = region.random.random_range(0..5);
+                let is_back = region.nodes[number].is_none();
+                region.nodes[number] = is_back.then(|| limits(number, 2 + step, region.now));
+                if is_back {
+                    meter.allow_start();
+                }
+            }
+            region.step(|now, _| meter.count(now));
+        }
+    }
+}
+
+#[test]
+fn each_side_of_a_partition_holds_the_limit() {
+    for seed in 200..240 {
+        let mut region = Region::new(seed, 6);
+        (0..400).for_each(|_| region.step(|_, _| {}));
+        let cut = region.random.random_range(1..6);
+        region.sides = (0..6).map(|it| usize::from(it < cut)).collect();
+        let sides = region.sides.clone();
+        let mut meters = [Meter::new(region.now, 6), Meter::new(region.now, 6)];
+
+        for step in 0..1_200 {
+            if step % 150 == 0 {
+                region.change_demand();
+            }
+            region.step(|now, number| meters[sides[number]].count(now));
+        }
+        region.sides = vec![0; 6];
+        (0..200).for_each(|_| region.step(|_, _| {}));
+        let mut meter = Meter::new(region.now, 6);
+        for _ in 0..600 {
+            region.step(|now, _| meter.count(now));
+        }
+    }
+}
+
+#[test]
+fn instance_with_all_the_demand_gets_most_of_the_limit() {
+    let mut region = Region::new(7, 8);
+    (0..400).for_each(|_| region.step(|_, _| {}));
+    region.demand[3] = 4.0 * RATE;
+    (0..500).for_each(|_| region.step(|_, _| {}));
+
+    let mut admitted = 0;
+    (0..1_000).for_each(|_| region.step(|_, _| admitted += 1));
+
+    assert!(f64::from(admitted) >= 0.85 * RATE * 10.0, "{admitted}");
+}
+
+#[test]
+fn unused_share_of_a_lost_instance_is_taken_over() {
+    let mut region = Region::new(8, 2);
+    region.demand = vec![4.0 * RATE; 2];
+    (0..400).for_each(|_| region.step(|_, _| {}));
+
+    region.nodes[1] = None;
+    (0..700).for_each(|_| region.step(|_, _| {}));
+
+    assert_eq!(region.nodes[0].as_ref().unwrap().share(&id("survey")), Some(1.0));
+}
+
+#[test]
+fn instance_that_stood_still_joins_anew() {
+    let mut region = Region::new(9, 3);
+    (0..400).for_each(|_| region.step(|_, _| {}));
+    let mut node = region.nodes[0].take().unwrap();
+    assert!(node.is_settled());
+
+    let admitted = node.admit(region.now + Duration::from_secs(3), &id("survey"));
+
+    assert!(admitted.is_ok());
+    assert!(!node.is_settled());
+}
+
+#[test]
+fn unknown_team_is_refused_with_the_reason() {
+    let mut known = limits(0, 1, Time::ZERO);
+    let mut empty = Limits::new(instance(1), Incarnation(1), LimitPolicy::default());
+
+    let unknown = known.admit(Time::ZERO, &id("nobody")).unwrap_err();
+    let unconfigured = empty.admit(Time::ZERO, &id("survey")).unwrap_err();
+
+    assert_eq!(unknown.reason, Reason::NotPermitted);
+    assert_eq!(unconfigured.reason, Reason::NoConfiguration);
+}
+
+#[test]
+fn team_withdrawn_and_added_again_is_counted_from_zero_by_peers() {
+    let mut region = Region::new(10, 2);
+    region.demand = vec![RATE, RATE];
+    (0..600).for_each(|_| region.step(|_, _| {}));
+    region.demand = vec![0.0, RATE];
+
+    region.handle(0, Event::Configured(Vec::new()));
+    (0..200).for_each(|_| region.step(|_, _| {}));
+    region.handle(0, Event::Configured(vec![limit("survey")]));
+    (0..600).for_each(|_| region.step(|_, _| {}));
+
+    let share = region.nodes[1].as_ref().unwrap().share(&id("survey")).unwrap();
+    assert!(share > 0.9, "{share}");
+}
+
+#[test]
+fn reports_of_2700_teams_are_bounded() {
+    let teams: Vec<TeamLimit> = (0..2_700).map(|it| limit(&format!("team-{it}"))).collect();
+    let names: Vec<TeamId> = teams.iter().map(|it| it.team.clone()).collect();
+    let mut limits = Limits::new(instance(0), Incarnation(1), LimitPolicy::default());
+    let mut out = Vec::new();
+    limits.handle(Time::ZERO, Event::Configured(teams), &mut out);
+    limits.handle(Time::ZERO, Event::Heartbeat, &mut out);
+
+    for beat in 1..60 {
+        let now = Time::from_millis(beat * 1_000);
+        for name in &names {
+            (0..beat % 7).for_each(|_| drop(limits.admit(now, name)));
+        }
+        limits.handle(now, Event::Heartbeat, &mut out);
+    }
+    limits.handle(Time::from_millis(60_000), Event::ResyncAsked(instance(1)), &mut out);
+
+    let mut buffer = vec![0; 1 << 16];
+    for effect in out {
+        let (report, bound) = match &effect {
+            Effect::Broadcast(report) => (report, 512),
+            Effect::Send { report, .. } => (report, 6 * 2_700 + 128),
+            Effect::AskResync(_) => continue,
+        };
+        assert!(postcard::to_slice(report, &mut buffer).unwrap().len() <= bound);
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/retry.rs
@@ -0,0 +1,129 @@
+//! The retry budget and the decision to try again.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use medlarlug_core::{
+    record::Outcome,
+    refusal::{Reason, Spread},
+    retry::{Attempts, Decision, Failure, MAX_ATTEMPTS, MAX_STORED_RETRIES, RetryBudget},
+    time::Time,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const FAILURES: [Failure; 4] =
+    [Failure::NotSent, Failure::ZoneRefused, Failure::Lost, Failure::Error];
+
+fn attempts(idempotent: bool, forwarded: bool) -> Attempts {
+    let estimate = Duration::from_millis(200);
+    Attempts::new(idempotent, forwarded, Time::from_millis(2_000), estimate)
+}
+
+fn full_budget() -> RetryBudget {
+    let mut budget = RetryBudget::default();
+    (0..1_000).for_each(|_| budget.deposit());
+    budget
+}
+
+#[test]
+fn attempts_stay_below_1_1_times_the_requests_through_failure_and_return() {
+    for seed in 0..500 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let (mut budget, mut spread) = (RetryBudget::default(), Spread::new(seed));
+        let (mut requests, mut sent) = (0_u32, 0_u32);
+        for phase in 0..6 {
+            let health = if phase % 2 == 0 { random.random_range(0.5..1.0) } else { 0.0 };
+            let before = sent;
+            for _ in 0..200 {
+                requests += 1;
+                let mut state = attempts(true, false);
+                loop {
+                    sent += 1;
+                    if random.random_bool(health) {
+                        budget.deposit();
+                        break;
+                    }
+                    let failure = FAILURES[random.random_range(0..FAILURES.len())];
+                    let decision = state.decide(Time::ZERO, failure, &mut budget, &mut spread);
+                    if matches!(decision, Decision::GiveUp(_)) {
+                        break;
+                    }
+                }
+
+                assert!(sent * 10 <= requests * 11, "seed {seed}: {sent} for {requests}");
+            }
+            if health == 0.0 {
+                assert!(sent - before <= 200 + MAX_STORED_RETRIES, "seed {seed}");
+            }
+        }
+    }
+}
+
+#[test]
+fn work_that_may_have_run_is_repeated_only_if_idempotent() {
+    for seed in 0..2_000 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut state = attempts(random.random(), random.random());
+        let (mut budget, mut spread) = (full_budget(), Spread::new(seed));
+        let (mut may_have_run, mut crossings) = (false, 0);
+        for made in 1.. {
+            let failure = FAILURES[random.random_range(0..FAILURES.len())];
+            may_have_run |= matches!(failure, Failure::Lost | Failure::Error);
+
+            match state.decide(Time::ZERO, failure, &mut budget, &mut spread) {
+                Decision::GiveUp(refusal) => {
+                    let expected = match (may_have_run, state.idempotent) {
+                        (false, _) => Outcome::NotRun,
+                        (true, true) => Outcome::Failed,
+                        (true, false) => Outcome::Unknown,
+                    };
+                    assert_eq!(refusal.outcome, expected, "seed {seed}");
+                    break;
+                }
+                decision => {
+                    crossings += u32::from(decision == Decision::RetryElsewhere);
+                    assert!(state.idempotent || !may_have_run, "seed {seed}");
+                    assert!(crossings <= u32::from(!state.forwarded), "seed {seed}");
+                    assert!(made < MAX_ATTEMPTS, "seed {seed}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn attempt_that_would_miss_the_deadline_is_not_made() {
+    let (mut budget, mut spread) = (full_budget(), Spread::new(1));
+    let late = Time::from_millis(1_900);
+
+    let decision = attempts(true, false).decide(late, Failure::NotSent, &mut budget, &mut spread);
+
+    assert_matches!(decision, Decision::GiveUp(it) if it.reason == Reason::NotStarted);
+    assert_eq!(budget.left(), MAX_STORED_RETRIES);
+}
+
+#[test]
+fn every_reason_has_its_own_slug_and_an_error_status() {
+    let mut slugs: Vec<&str> = Reason::ALL.iter().map(|it| it.slug()).collect();
+    slugs.sort_unstable();
+    slugs.dedup();
+
+    assert_eq!(slugs.len(), Reason::ALL.len());
+    assert!(Reason::ALL.iter().all(|it| (400..600).contains(&it.status())));
+    assert_eq!(Reason::Convicted.outcome(), Outcome::Failed);
+    assert_eq!(Reason::Leaving.outcome(), Outcome::NotRun);
+}
+
+#[test]
+fn times_to_come_back_are_spread() {
+    let mut spread = Spread::new(3);
+
+    let mut waits: Vec<Duration> =
+        (0..100).map(|_| spread.after(Duration::from_secs(10))).collect();
+    waits.sort_unstable();
+    waits.dedup();
+
+    assert_eq!(waits.len(), 100);
+    assert!(waits[99] - waits[0] > Duration::from_secs(4));
+}
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/stream.rs
@@ -0,0 +1,252 @@
+//! Streams: every delivered answer is whole or explicitly failed.
+
+use std::time::Duration;
+
+use medlarlug_core::{
+    ids::RequestId,
+    record::Outcome,
+    stream::{Chunk, ConnectionNumber, Effect, Event, StreamPolicy, StreamTracker},
+    time::Time,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use test_support::id;
+
+fn request(sequence: u64) -> RequestId {
+    id(&format!("riga.entry-1.1.{sequence}"))
+}
+
+fn chunk(offset: u64, length: u64, terminal: bool) -> Chunk {
+    Chunk { request: request(7), offset, length, terminal }
+}
+
+fn tracker(policy: StreamPolicy) -> StreamTracker {
+    StreamTracker::new(request(7), policy, Time::ZERO)
+}
+
+fn arrives(tracker: &mut StreamTracker, millis: u64, connection: u32, chunk: Chunk) -> Vec<Effect> {
+    let mut out = Vec::new();
+    let connection = ConnectionNumber(connection);
+    tracker.handle(Time::from_millis(millis), Event::Chunk { connection, chunk }, &mut out);
+    out
+}
+
+fn handles(tracker: &mut StreamTracker, millis: u64, event: Event) -> Vec<Effect> {
+    let mut out = Vec::new();
+    tracker.handle(Time::from_millis(millis), event, &mut out);
+    out
+}
+
+/// A caller and its upstreams: every connection brings the same answer from its own base.
+struct Trial {
+    random: ChaCha8Rng,
+    answer: Vec<u8>,
+    policy: StreamPolicy,
+    tracker: StreamTracker,
+    /// Start of the upstream's answer and next offset in it, by connection.
+    connections: Vec<(usize, usize)>,
+    got: Vec<u8>,
+    ends: Vec<Effect>,
+}
+
+impl Trial {
+    fn new(seed: u64) -> Trial {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let length = random.random_range(1..200);
+        let policy = StreamPolicy {
+            resumable: random.random(),
+            continuable: random.random(),
+            idempotent: random.random_bool(0.8),
+            ..StreamPolicy::default()
+        };
+        Trial {
+            answer: (0..length).map(|_| random.random()).collect(),
+            tracker: tracker(policy.clone()),
+            policy,
+            random,
+            connections: vec![(0, 0)],
+            got: Vec::new(),
+            ends: Vec::new(),
+        }
+    }
+
+    fn run(&mut self) {
+        let mut now = 0;
+        while self.ends.is_empty() {
+            now += 1;
+            match self.random.random_range(0..40) {
+                0 => self.feed(now, Event::ConnectionLost { connection: self.last() }),
+                1 => {
+                    now += 11_000;
+                    self.feed(now, Event::Tick);
+                }
+                2 => self.feed(now, Event::ResumeRefused { connection: self.last() }),
+                3 => self.crossed(now),
+                _ => self.piece(now),
+            }
+        }
+        self.piece(now);
+        self.feed(now, Event::ConnectionLost { connection: self.last() });
+    }
+
+    fn last(&self) -> ConnectionNumber {
+        ConnectionNumber(self.connections.len() as u32 - 1)
+    }
+
+    fn crossed(&mut self, now: u64) {
+        let chunk = Chunk { request: request(8), offset: 0, length: 250, terminal: true };
+        let connection = self.last();
+        self.feed_chunk(now, connection, chunk, vec![0; 250]);
+    }
+
+    /// The next piece of some connection; some are lost, come twice or begin too early.
+    fn piece(&mut self, now: u64) {
+        let number = match self.random.random_bool(0.2) {
+            true => self.random.random_range(0..self.connections.len()),
+            false => self.connections.len() - 1,
+        };
+        let (base, next) = self.connections[number];
+        let back = if self.random.random_bool(0.1) { 5.min(next) } else { 0 };
+        let start = next - back;
+        let end = (start + self.random.random_range(1..30)).min(self.answer.len() - base);
+        self.connections[number].1 = end.max(next);
+        if self.random.random_bool(0.03) {
+            return;
+        }
+        let bytes = self.answer[base + start..base + end].to_vec();
+        let terminal = base + end == self.answer.len();
+        let chunk = chunk(start as u64, bytes.len() as u64, terminal);
+        self.feed_chunk(now, ConnectionNumber(number as u32), chunk, bytes);
+    }
+
+    fn feed_chunk(&mut self, now: u64, connection: ConnectionNumber, chunk: Chunk, bytes: Vec<u8>) {
+        let effects = arrives(&mut self.tracker, now, connection.0, chunk);
+        self.apply(effects, &bytes);
+    }
+
+    fn feed(&mut self, now: u64, event: Event) {
+        let effects = handles(&mut self.tracker, now, event);
+        self.apply(effects, &[]);
+    }
+
+    fn apply(&mut self, effects: Vec<Effect>, bytes: &[u8]) {
+        for effect in effects {
+            assert!(self.ends.is_empty(), "{effect:?} after the end");
+            match effect {
+                Effect::Deliver { skip, length } => {
+                    self.got.extend_from_slice(&bytes[skip as usize..(skip + length) as usize]);
+                }
+                Effect::Resume { offset, .. } => {
+                    let (base, _) = self.connections[self.connections.len() - 1];
+                    assert!(self.policy.resumable);
+                    assert_eq!(base + offset as usize, self.got.len());
+                    self.connections.push((base, offset as usize));
+                }
+                Effect::Restart { .. } => {
+                    assert!(self.policy.idempotent && self.got.is_empty());
+                    self.connections.push((0, 0));
+                }
+                Effect::Continue { offset, .. } => {
+                    assert!(self.policy.idempotent && self.policy.continuable);
+                    self.connections.push((offset as usize, 0));
+                }
+                Effect::Fail(_) | Effect::Complete => self.ends.push(effect),
+                Effect::Close { .. } | Effect::CancelUpstream { .. } => {}
+            }
+        }
+    }
+}
+
+#[test]
+fn every_answer_is_whole_or_explicitly_failed() {
+    let (mut whole, mut failed) = (0, 0);
+    for seed in 0..10_000 {
+        let mut trial = Trial::new(seed);
+
+        trial.run();
+
+        match trial.ends[..] {
+            [Effect::Complete] => {
+                assert_eq!(trial.got, trial.answer, "seed {seed}");
+                whole += 1;
+            }
+            [Effect::Fail(refusal)] => {
+                let expected =
+                    if trial.policy.idempotent { Outcome::Failed } else { Outcome::Unknown };
+                assert_eq!(refusal.outcome, expected, "seed {seed}");
+                assert!(trial.answer.starts_with(&trial.got), "seed {seed}");
+                failed += 1;
+            }
+            _ => panic!("seed {seed}: {:?}", trial.ends),
+        }
+    }
+    assert!(whole > 1_000 && failed > 1_000, "{whole} whole, {failed} failed");
+}
+
+#[test]
+fn end_of_connection_without_terminal_event_is_no_end_of_answer() {
+    let policy = StreamPolicy { resumable: false, ..StreamPolicy::default() };
+    let mut tracker = tracker(policy);
+    arrives(&mut tracker, 1, 0, chunk(0, 10, false));
+
+    let connection = ConnectionNumber(0);
+    let out = handles(&mut tracker, 2, Event::ConnectionLost { connection });
+
+    assert!(matches!(
+        out[..],
+        [Effect::Close { .. }, Effect::CancelUpstream { .. }, Effect::Fail(_)]
+    ));
+}
+
+#[test]
+fn silent_connection_is_replaced_and_its_late_chunks_are_dropped() {
+    let mut tracker = tracker(StreamPolicy::default());
+    arrives(&mut tracker, 1, 0, chunk(0, 10, false));
+
+    let early = handles(&mut tracker, 2_000, Event::Tick);
+    let silent = handles(&mut tracker, 2_001, Event::Tick);
+    let late = arrives(&mut tracker, 2_002, 0, chunk(10, 10, true));
+    let resumed = arrives(&mut tracker, 2_003, 1, chunk(10, 10, true));
+
+    let (old, new) = (ConnectionNumber(0), ConnectionNumber(1));
+    assert_eq!(early, []);
+    assert_eq!(
+        silent,
+        [Effect::Close { connection: old }, Effect::Resume { connection: new, offset: 10 }]
+    );
+    assert_eq!(late, []);
+    assert_eq!(resumed, [Effect::Deliver { skip: 0, length: 10 }, Effect::Complete]);
+    assert_eq!(tracker.counters().late, 1);
+}
+
+#[test]
+fn crossed_answer_is_dropped_and_counted() {
+    let mut tracker = tracker(StreamPolicy::default());
+    let foreign = Chunk { request: request(8), ..chunk(0, 10, true) };
+
+    let out = arrives(&mut tracker, 1, 0, foreign);
+
+    assert_eq!(out, []);
+    assert_eq!(tracker.counters().foreign, 1);
+    assert!(!tracker.is_ended());
+}
+
+#[test]
+fn upstream_is_cancelled_when_the_caller_goes() {
+    let mut tracker = tracker(StreamPolicy::default());
+
+    let first = handles(&mut tracker, 1, Event::CallerGone);
+    let second = handles(&mut tracker, 2, Event::CallerGone);
+
+    let connection = ConnectionNumber(0);
+    assert_eq!(first, [Effect::Close { connection }, Effect::CancelUpstream { connection }]);
+    assert_eq!(second, []);
+}
+
+#[test]
+fn first_byte_has_its_own_limit() {
+    let policy = StreamPolicy { first_byte: Duration::from_secs(9), ..StreamPolicy::default() };
+    let tracker = tracker(policy);
+
+    assert_eq!(tracker.silent_at(), Time::from_millis(9_000));
+}
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/suspects.rs
@@ -0,0 +1,342 @@
+//! Requests that crash upstreams: the bound on losses, and the clearing of the innocent.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use medlarlug_core::{
+    fingerprint::Fingerprint,
+    ids::{Incarnation, RequestId, UpstreamId},
+    suspects::{
+        CONVICTION_LIFETIME, Effect, Event, Fact, LossKey, LossLedger, LossReport, Placement,
+        Standing, Suspects,
+    },
+    time::Time,
+};
+use rand::{RngExt, SeedableRng, seq::SliceRandom};
+use rand_chacha::ChaCha8Rng;
+use test_support::id;
+
+fn content(number: u32) -> Fingerprint {
+    Fingerprint::of(&number.to_be_bytes())
+}
+
+fn key(upstream: u32) -> LossKey {
+    LossKey { upstream: id(&format!("engine-{upstream}")), incarnation: Incarnation(1) }
+}
+
+fn lost(upstream: u32, contents: &[u32]) -> Fact {
+    let mut flying: Vec<Fingerprint> = contents.iter().map(|it| content(*it)).collect();
+    flying.sort();
+    Fact::Lost(LossReport { key: key(upstream), age: Duration::ZERO, flying })
+}
+
+fn cleared(number: u32, upstreams: &[u32]) -> Fact {
+    let losses = upstreams.iter().map(|it| key(*it)).collect();
+    Fact::Cleared { fingerprint: content(number), losses, age: Duration::ZERO }
+}
+
+fn ledger(facts: &[Fact]) -> LossLedger {
+    let mut ledger = LossLedger::default();
+    facts.iter().for_each(|it| drop(ledger.learn(Time::ZERO, it)));
+    ledger
+}
+
+fn is_convicted(ledger: &LossLedger, number: u32) -> bool {
+    matches!(ledger.standing(Time::ZERO, content(number)), Standing::Convicted { .. })
+}
+
+/// Entry instances that route over shared upstreams, with callers who send what was lost again.
+struct Trial {
+    random: ChaCha8Rng,
+    now: Time,
+    entries: Vec<Suspects>,
+    /// Current incarnation of each upstream.
+    upstreams: Vec<u64>,
+    /// Content, request, entry and upstream of each request in flight, and whether all other
+    /// requests in flight there have to end first.
+    flying: Vec<(u32, RequestId, usize, usize)>,
+    waiting: Vec<(u32, usize)>,
+    mail: Vec<Event>,
+    sequence: u64,
+    losses: usize,
+    done: Vec<u32>,
+    refused: Vec<u32>,
+}
+
+impl Trial {
+    fn new(seed: u64, entries: usize, upstreams: usize) -> Trial {
+        Trial {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            now: Time::ZERO,
+            entries: vec![Suspects::default(); entries],
+            upstreams: vec![1; upstreams],
+            flying: Vec::new(),
+            waiting: Vec::new(),
+            mail: Vec::new(),
+            sequence: 0,
+            losses: 0,
+            done: Vec::new(),
+            refused: Vec::new(),
+        }
+    }
+
+    fn upstream(&self, place: usize) -> UpstreamId {
+        id(&format!("engine-{place}"))
+    }
+
+    fn feed(&mut self, entry: usize, event: Event) {
+        let mut out = Vec::new();
+        self.entries[entry].handle(self.now, event, &mut out);
+        for effect in out {
+            match effect {
+                Effect::Share(fact) => self.mail.push(Event::Learned(fact)),
+                Effect::Reserve { .. } | Effect::Free { .. } => self.reserve(entry, effect),
+                Effect::Lost { request } => {
+                    let place = self.flying.iter().position(|it| it.1 == request).unwrap();
+                    let (content, _, entry, _) = self.flying.remove(place);
+                    self.waiting.push((content, entry));
+                }
+            }
+        }
+    }
+
+    /// Reservations come before anything else is sent.
+    fn reserve(&mut self, from: usize, effect: Effect) {
+        for entry in (0..self.entries.len()).filter(|&it| it != from) {
+            let event = match effect.clone() {
+                Effect::Reserve { upstream, lifetime } => Event::Reserved { upstream, lifetime },
+                Effect::Free { upstream } => Event::Freed { upstream },
+                _ => unreachable!("no reservation"),
+            };
+            self.feed(entry, event);
+        }
+    }
+
+    /// Facts come in any order, some of them twice.
+    fn exchange(&mut self) {
+        let mut mail = std::mem::take(&mut self.mail);
+        mail.extend(mail.clone().into_iter().step_by(2));
+        mail.shuffle(&mut self.random);
+        for event in mail {
+            (0..self.entries.len()).for_each(|entry| self.feed(entry, event.clone()));
+        }
+    }
+
+    /// Sends a content if an upstream is free for it.
+    fn send(&mut self, number: u32, entry: usize) -> bool {
+        let core = &self.entries[entry];
+        if matches!(core.standing(self.now, content(number)), Standing::Convicted { .. }) {
+            self.refused.push(number);
+            return true;
+        }
+        let is_free = |&it: &usize| {
+            let upstream = self.upstream(it);
+            let is_empty = !self.flying.iter().any(|flight| flight.3 == it);
+            let is_clear = core.standing(self.now, content(number)) == Standing::Clear;
+            core.placement(self.now, content(number), &upstream) == Placement::Free
+                && (is_clear || is_empty)
+        };
+        let free: Vec<usize> = (0..self.upstreams.len()).filter(is_free).collect();
+        if free.is_empty() {
+            return false;
+        }
+        let place = free[self.random.random_range(0..free.len())];
+        self.sequence += 1;
+        let request: RequestId = id(&format!("riga.entry-{entry}.1.{}", self.sequence));
+        self.flying.push((number, request.clone(), entry, place));
+        let sent = Event::Sent {
+            request,
+            fingerprint: content(number),
+            upstream: self.upstream(place),
+            incarnation: Incarnation(self.upstreams[place]),
+        };
+        self.feed(entry, sent);
+        true
+    }
+
+    /// Ends a request in flight, or loses the upstream if the request crashes it.
+    fn end(&mut self, crashing: u32) {
+        let place = self.random.random_range(0..self.flying.len());
+        let (number, request, entry, upstream) = self.flying[place].clone();
+        if number != crashing {
+            self.flying.remove(place);
+            self.done.push(number);
+            self.feed(entry, Event::Answered { request });
+            return;
+        }
+        self.losses += 1;
+        let incarnation = Incarnation(self.upstreams[upstream]);
+        self.upstreams[upstream] += 1;
+        for entry in 0..self.entries.len() {
+            let upstream = self.upstream(upstream);
+            self.feed(entry, Event::UpstreamLost { upstream, incarnation });
+        }
+    }
+
+    fn run(&mut self, crashing: u32) {
+        while !self.flying.is_empty() || !self.waiting.is_empty() {
+            self.now = self.now + Duration::from_millis(10);
+            self.exchange();
+            for (number, _) in std::mem::take(&mut self.waiting) {
+                let entry = self.random.random_range(0..self.entries.len());
+                if !self.send(number, entry) {
+                    self.waiting.push((number, entry));
+                }
+            }
+            if !self.flying.is_empty() {
+                self.end(crashing);
+            }
+        }
+        self.exchange();
+    }
+}
+
+#[test]
+fn crashing_content_loses_two_upstreams_and_the_innocent_are_cleared() {
+    for seed in 0..2_000 {
+        let mut trial = Trial::new(seed, 3, 4);
+        trial.waiting = (0..12).map(|it| (it, 0)).collect();
+
+        trial.run(5);
+
+        assert_eq!(trial.losses, 2, "seed {seed}");
+        assert_eq!(trial.refused, [5], "seed {seed}");
+        trial.done.sort();
+        assert_eq!(trial.done, [0, 1, 2, 3, 4, 6, 7, 8, 9, 10, 11], "seed {seed}");
+        for (entry, number) in (0..3).flat_map(|entry| (0..12).map(move |it| (entry, it))) {
+            let standing = trial.entries[entry].standing(trial.now, content(number));
+            match number {
+                5 => assert_matches!(standing, Standing::Convicted { .. }, "seed {seed}"),
+                _ => assert_eq!(standing, Standing::Clear, "seed {seed}, content {number}"),
+            }
+        }
+    }
+}
+
+#[test]
+fn overlapping_sends_add_one_loss_for_each_instance_at_most() {
+    for seed in 0..1_000 {
+        let mut trial = Trial::new(seed, 3, 8);
+        let sends = trial.random.random_range(1..5);
+        trial.waiting = (0..sends).map(|_| (5, 0)).chain((10..20).map(|it| (it, 0))).collect();
+
+        trial.run(5);
+
+        // All first sends can be in flight at the first loss; then each of the three instances
+        // runs one at a time.
+        assert!(trial.losses <= 2.max(sends) + 2, "seed {seed}: {} for {sends}", trial.losses);
+        assert!(!trial.refused.iter().any(|it| *it != 5), "seed {seed}");
+        assert_eq!(trial.done.len(), 10, "seed {seed}");
+    }
+}
+
+#[test]
+fn verdicts_do_not_depend_on_the_order_of_the_facts() {
+    for seed in 0..2_000 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut facts = Vec::new();
+        for _ in 0..random.random_range(1..8) {
+            let upstream = random.random_range(0..4);
+            let mut contents: Vec<u32> = (0..5).filter(|_| random.random_bool(0.4)).collect();
+            contents.shuffle(&mut random);
+            facts.push(lost(upstream, &contents));
+            if random.random_bool(0.4) {
+                facts.push(cleared(random.random_range(0..5), &[upstream]));
+            }
+        }
+        let first = ledger(&facts);
+
+        facts.extend(facts.clone());
+        facts.shuffle(&mut random);
+        let second = ledger(&facts);
+        let third = ledger(&second.facts(Time::ZERO));
+
+        assert_eq!(first, second, "seed {seed}");
+        assert_eq!(first, third, "seed {seed}");
+    }
+}
+
+#[test]
+fn known_fact_is_not_worth_handing_on() {
+    let mut ledger = ledger(&[lost(1, &[1]), cleared(1, &[1])]);
+
+    assert!(!ledger.learn(Time::from_millis(5), &lost(1, &[1])));
+    assert!(!ledger.learn(Time::from_millis(5), &cleared(1, &[1])));
+}
+
+#[test]
+fn two_losses_in_the_same_company_convict_nobody() {
+    let ledger = ledger(&[lost(1, &[1, 2]), lost(2, &[1, 2])]);
+
+    assert!(!is_convicted(&ledger, 1) && !is_convicted(&ledger, 2));
+    assert_eq!(ledger.standing(Time::ZERO, content(1)), Standing::Suspect);
+}
+
+#[test]
+fn losses_that_a_convicted_content_explains_count_against_no_other() {
+    let ledger = ledger(&[lost(1, &[1, 2, 3]), lost(2, &[1, 2]), lost(3, &[1])]);
+
+    assert!(is_convicted(&ledger, 1));
+    assert_eq!(ledger.standing(Time::ZERO, content(2)), Standing::Clear);
+    assert_eq!(ledger.standing(Time::ZERO, content(3)), Standing::Clear);
+}
+
+#[test]
+fn three_losses_convict_in_any_company() {
+    let ledger = ledger(&[lost(1, &[1, 2]), lost(2, &[1, 3]), lost(3, &[1, 4])]);
+
+    assert!(is_convicted(&ledger, 1));
+    assert_eq!(ledger.convictions(Time::ZERO).len(), 1);
+}
+
+#[test]
+fn conviction_expires_and_the_next_loss_convicts_for_longer() {
+    let mut ledger = ledger(&[lost(1, &[1]), lost(2, &[1])]);
+    let end = Time::ZERO + CONVICTION_LIFETIME;
+
+    let expired = ledger.standing(end, content(1));
+    ledger.learn(end, &lost(3, &[1]));
+    let again = ledger.standing(end, content(1));
+
+    assert_eq!(expired, Standing::Suspect);
+    assert_eq!(again, Standing::Convicted { after: CONVICTION_LIFETIME * 2 });
+}
+
+#[test]
+fn suspect_has_its_upstream_alone() {
+    let mut core = Suspects::default();
+    let engine: UpstreamId = id("engine-9");
+    let sent = |number: u32, upstream: &UpstreamId| Event::Sent {
+        request: id(&format!("riga.entry-1.1.{number}")),
+        fingerprint: content(number),
+        upstream: upstream.clone(),
+        incarnation: Incarnation(1),
+    };
+    core.handle(Time::ZERO, Event::Learned(lost(1, &[1, 2])), &mut Vec::new());
+    let mut out = Vec::new();
+
+    core.handle(Time::ZERO, sent(1, &engine), &mut out);
+
+    let place = |number, engine: &UpstreamId| core.placement(Time::ZERO, content(number), engine);
+    assert_matches!(&out[..], [Effect::Reserve { upstream, .. }] if *upstream == engine);
+    assert_eq!(place(2, &engine), Placement::Barred);
+    assert_eq!(place(3, &engine), Placement::Barred);
+    assert_eq!(place(2, &id("engine-8")), Placement::Free);
+    assert_eq!(place(1, &id("engine-8")), Placement::Barred);
+}
+
+#[test]
+fn suspect_shares_an_upstream_only_with_contents_that_are_clear() {
+    let mut core = Suspects::default();
+    let sent = Event::Sent {
+        request: id("riga.entry-1.1.1"),
+        fingerprint: content(3),
+        upstream: id("engine-9"),
+        incarnation: Incarnation(1),
+    };
+    core.handle(Time::ZERO, sent, &mut Vec::new());
+    core.handle(Time::ZERO, Event::Learned(lost(1, &[1, 2])), &mut Vec::new());
+
+    assert_eq!(core.placement(Time::ZERO, content(1), &id("engine-9")), Placement::Shared);
+    assert_eq!(core.placement(Time::ZERO, content(4), &id("engine-9")), Placement::Free);
+}
