Reports repeat each change four times, so lost reports leave no gap

Cause: with a fifth of the reports lost, a peer with a gap counted with the largest weight until it was resynchronised, and the one busy instance out of eight got 158 of 320 requests. Change: a report lists the changes of the last four; a gap is only what is longer than that, or a missed full report.

--- a/crates/medlarlug-core/src/limits/bucket.rs
+++ b/crates/medlarlug-core/src/limits/bucket.rs
@@ -24,6 +24,8 @@
     demand: f64,
     /// Levels that were reported, and when; the last one is in force.
     reported: VecDeque<(Time, DemandLevel)>,
+    /// Number of the last report that told a change.
+    told: u64,
 }
 
 impl Bucket {
@@ -39,6 +41,7 @@
             arrivals: 0,
             demand: 0.0,
             reported: VecDeque::new(),
+            told: 0,
         };
         bucket.tokens = bucket.size();
         bucket
@@ -107,11 +110,15 @@
         self.reported.back().map_or(DemandLevel(0), |it| it.1)
     }
 
+    /// Number of the last report that told a change, or 0.
+    pub fn told(&self) -> u64 {
+        self.told
+    }
+
     /// Notes that the present level goes into a report.
-    pub fn report(&mut self, now: Time) -> DemandLevel {
-        let level = self.level();
-        self.reported.push_back((now, level));
-        level
+    pub fn report(&mut self, now: Time, sequence: u64) {
+        self.reported.push_back((now, self.level()));
+        self.told = sequence;
     }
 
     /// Drops the reports before the one that was in force at `since`; tells whether there were
--- a/crates/medlarlug-core/src/limits/divider.rs
+++ b/crates/medlarlug-core/src/limits/divider.rs
@@ -5,7 +5,8 @@
 use crate::{
     ids::{Incarnation, InstanceId, TeamId},
     limits::{
-        DemandEntry, DemandLevel, DemandReport, Effect, Event, LimitPolicy, START_SHARE, TeamLimit,
+        DemandEntry, DemandLevel, DemandReport, Effect, Event, LimitPolicy, REPEATED_REPORTS,
+        START_SHARE, TeamLimit,
         bucket::Bucket,
         peers::{Change, Peers},
     },
@@ -47,6 +48,7 @@
     settled: bool,
     cursor: usize,
     full_due: bool,
+    base: u64,
     spread: Spread,
 }
 
@@ -66,6 +68,7 @@
             settled: false,
             cursor: 0,
             full_due: true,
+            base: 0,
         }
     }
 
@@ -168,36 +171,45 @@
     fn report(&mut self, now: Time, interval: Duration) -> DemandReport {
         self.sequence += 1;
         let full = std::mem::take(&mut self.full_due);
+        if full {
+            self.base = self.sequence;
+        }
+        self.measure(now, interval, full);
+        let since = self.sequence.saturating_sub(REPEATED_REPORTS - 1).max(1);
+        self.report_of(|it| it.told() >= since)
+    }
+
+    /// Measures every team's demand and notes which ones the next report tells.
+    fn measure(&mut self, now: Time, interval: Duration, full: bool) {
         let count = self.buckets.len();
-        let limit = if full { count } else { self.policy.entries };
-        let mut entries = Vec::new();
+        // A report has room for the changes of several.
+        let mut room = if full { count } else { self.policy.entries / REPEATED_REPORTS as usize };
         for step in 0..count {
-            let place = (self.cursor + step) % count;
-            let bucket = &mut self.buckets[place];
+            let bucket = &mut self.buckets[(self.cursor + step) % count];
             let is_due = bucket.measure(interval) || (full && bucket.level() > DemandLevel(0));
-            if is_due && entries.len() < limit {
-                entries.push(DemandEntry { team: bucket.key, level: bucket.report(now) });
+            if is_due && room > 0 {
+                bucket.report(now, self.sequence);
+                room -= 1;
             }
         }
-        self.cursor = (self.cursor + 1) % count.max(1);
-        entries.sort_by_key(|it| it.team);
-        self.new_report(full, entries)
+        self.cursor = (self.cursor + self.policy.entries) % count.max(1);
     }
 
     fn full_report(&self) -> DemandReport {
-        let active = self.buckets.iter().filter(|it| it.reported() > DemandLevel(0));
-        let entry = |it: &Bucket| DemandEntry { team: it.key, level: it.reported() };
-        let mut entries: Vec<DemandEntry> = active.map(entry).collect();
-        entries.sort_by_key(|it| it.team);
-        self.new_report(true, entries)
+        let report = self.report_of(|it| it.reported() > DemandLevel(0));
+        DemandReport { base: self.sequence, ..report }
     }
 
-    fn new_report(&self, full: bool, entries: Vec<DemandEntry>) -> DemandReport {
+    fn report_of(&self, is_listed: impl Fn(&Bucket) -> bool) -> DemandReport {
+        let listed = self.buckets.iter().filter(|it| is_listed(it));
+        let entry = |it: &Bucket| DemandEntry { team: it.key, level: it.reported() };
+        let mut entries: Vec<DemandEntry> = listed.map(entry).collect();
+        entries.sort_by_key(|it| it.team);
         DemandReport {
             from: self.id.clone(),
             incarnation: self.incarnation,
             sequence: self.sequence,
-            full,
+            base: self.base,
             entries,
         }
     }
--- a/crates/medlarlug-core/src/limits/mod.rs
+++ b/crates/medlarlug-core/src/limits/mod.rs
@@ -33,7 +33,7 @@
 
 pub use self::{
     divider::Limits,
-    report::{DemandEntry, DemandLevel, DemandReport, TeamKey},
+    report::{DemandEntry, DemandLevel, DemandReport, REPEATED_REPORTS, TeamKey},
 };
 
 /// The share of a team's rate and burst that an instance uses before its own reports are settled.
@@ -46,7 +46,7 @@
     pub settle: Duration,
     /// Time after its last report at which a silent peer is no longer counted.
     pub lifetime: Duration,
-    /// Teams that one report lists at most.
+    /// Teams that one report lists at most; a full one lists every team with a demand.
     pub entries: usize,
     /// Seed of the jitter on the time to come back.
     pub seed: u64,
--- a/crates/medlarlug-core/src/limits/peers.rs
+++ b/crates/medlarlug-core/src/limits/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     ids::{Incarnation, InstanceId},
-    limits::{DemandEntry, DemandLevel, DemandReport, TeamKey},
+    limits::{DemandEntry, DemandLevel, DemandReport, REPEATED_REPORTS, TeamKey},
     time::Time,
 };
 
@@ -52,7 +52,7 @@
             }
             Err(place) => place,
         };
-        let synced = report.full;
+        let synced = report.is_full();
         let peer = Peer {
             id: report.from.clone(),
             incarnation: report.incarnation,
@@ -95,12 +95,14 @@
     fn is_newer(&self, report: &DemandReport) -> bool {
         let known = (self.incarnation, self.sequence);
         let told = (report.incarnation, report.sequence);
-        told < known || (told == known && (self.synced || !report.full))
+        told < known || (told == known && (self.synced || !report.is_full()))
     }
 
+    /// Whether the report lists every change since the last one heard.
     fn follows(&self, report: &DemandReport) -> bool {
-        let is_next = report.sequence == self.sequence + 1;
-        self.synced && !report.full && report.incarnation == self.incarnation && is_next
+        let is_near = report.sequence <= self.sequence + REPEATED_REPORTS;
+        let is_same = report.incarnation == self.incarnation && report.base <= self.sequence;
+        self.synced && is_same && is_near
     }
 
     fn update(&mut self, heard: Time, report: &DemandReport) -> Change {
--- a/crates/medlarlug-core/src/limits/report.rs
+++ b/crates/medlarlug-core/src/limits/report.rs
@@ -9,6 +9,8 @@
     ids::{Incarnation, InstanceId, TeamId},
 };
 
+/// Reports that list a change.
+pub const REPEATED_REPORTS: u64 = 4;
 /// Highest demand level.
 const MAX_LEVEL: u8 = 60;
 /// Levels in a doubling of the demand.
@@ -88,8 +90,8 @@
 
 /// One entry instance's demand, sent with every heartbeat.
 ///
-/// Lists the teams whose demand has changed since the report before; a full one lists every team
-/// with a demand.
+/// Lists the teams whose demand has changed within the last [`REPEATED_REPORTS`] reports, this one
+/// included, so that a few lost reports leave no gap; a full one lists every team with a demand.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DemandReport {
     /// The reporting instance.
@@ -98,8 +100,15 @@
     pub incarnation: Incarnation,
     /// Number of the report within the incarnation, from 1.
     pub sequence: u64,
-    /// Whether teams that are not listed have no demand.
-    pub full: bool,
+    /// Number of the last full report; a full one names itself.
+    pub base: u64,
     /// Teams and their demand, sorted by team.
     pub entries: Vec<DemandEntry>,
 }
+
+impl DemandReport {
+    /// Whether teams that are not listed have no demand.
+    pub fn is_full(&self) -> bool {
+        self.base == self.sequence
+    }
+}
--- a/crates/medlarlug-core/tests/testsuite/limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/limits.rs
@@ -341,7 +341,9 @@
     for beat in 1..60 {
         let now = Time::from_millis(beat * 1_000);
         for name in &names {
-            (0..beat % 7).for_each(|_| drop(limits.admit(now, name)));
+            for _ in 0..beat % 7 {
+                let _ = limits.admit(now, name);
+            }
         }
         limits.handle(now, Event::Heartbeat, &mut out);
     }
--- a/crates/medlarlug-core/tests/testsuite/suspects.rs
+++ b/crates/medlarlug-core/tests/testsuite/suspects.rs
@@ -37,7 +37,9 @@
 
 fn ledger(facts: &[Fact]) -> LossLedger {
     let mut ledger = LossLedger::default();
-    facts.iter().for_each(|it| drop(ledger.learn(Time::ZERO, it)));
+    for fact in facts {
+        ledger.learn(Time::ZERO, fact);
+    }
     ledger
 }
 
