--- a/crates/medlarlug-core/src/limits/bucket.rs
+++ b/crates/medlarlug-core/src/limits/bucket.rs
@@ -22,6 +22,8 @@
     filled: Time,
     arrivals: u32,
     demand: f64,
+    /// Whether a request was refused since the last heartbeat.
+    refused: bool,
     /// Levels that were reported, and when; the last one is in force.
     reported: VecDeque<(Time, DemandLevel)>,
     /// Number of the last report that told a change.
@@ -40,6 +42,7 @@
             filled: now,
             arrivals: 0,
             demand: 0.0,
+            refused: false,
             reported: VecDeque::new(),
             told: 0,
         };
@@ -84,12 +87,17 @@
             self.tokens -= 1.0;
             return Ok(());
         }
+        self.refused = true;
         let seconds = (1.0 - self.tokens) / (self.share * self.rate());
         Err(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
     }
 
     /// Ends a heartbeat interval; tells whether the demand is worth a report.
-    pub fn measure(&mut self, interval: Duration) -> bool {
+    ///
+    /// A demand that the share covers is not: most teams stay far below their limits.
+    pub fn measure(&mut self, now: Time, interval: Duration) -> bool {
+        self.fill(now);
+        let is_short = std::mem::take(&mut self.refused) || self.is_running_low();
         if !interval.is_zero() {
             let sample = f64::from(self.arrivals) / interval.as_secs_f64();
             self.arrivals = 0;
@@ -97,7 +105,12 @@
         }
         let (level, told) = (self.level(), self.reported());
         let has_turned = (level == DemandLevel(0)) != (told == DemandLevel(0));
-        has_turned || level.0.abs_diff(told.0) >= REPORTED_CHANGE
+        let has_changed = has_turned || level.0.abs_diff(told.0) >= REPORTED_CHANGE;
+        has_changed && (level < told || is_short)
+    }
+
+    fn is_running_low(&self) -> bool {
+        self.size() >= 2.0 && self.tokens < self.size() / 2.0
     }
 
     /// The demand as measured.
--- a/crates/medlarlug-core/src/limits/divider.rs
+++ b/crates/medlarlug-core/src/limits/divider.rs
@@ -6,7 +6,7 @@
     ids::{Incarnation, InstanceId, TeamId},
     limits::{
         DemandEntry, DemandLevel, DemandReport, Effect, Event, LimitPolicy, REPEATED_REPORTS,
-        START_SHARE, TeamLimit,
+        START_SHARE, TeamKey, TeamLimit,
         bucket::Bucket,
         peers::{Change, Peers},
     },
@@ -41,6 +41,8 @@
     incarnation: Incarnation,
     policy: LimitPolicy,
     buckets: Vec<Bucket>,
+    /// Places of the buckets, sorted by the teams' keys.
+    keys: Vec<(TeamKey, usize)>,
     peers: Peers,
     sequence: u64,
     joined: Option<Time>,
@@ -61,6 +63,7 @@
             spread: Spread::new(policy.seed),
             policy,
             buckets: Vec::new(),
+            keys: Vec::new(),
             peers: Peers::default(),
             sequence: 0,
             joined: None,
@@ -137,6 +140,9 @@
             self.buckets.push(bucket);
         }
         self.buckets.sort_by(|a, b| a.limit.team.cmp(&b.limit.team));
+        let keys = self.buckets.iter().enumerate().map(|(place, it)| (it.key, place));
+        self.keys = keys.collect();
+        self.keys.sort_unstable();
         // A team that was withdrawn has no demand any more, which only a full report tells.
         self.full_due |= old.iter().any(|it| it.reported() > DemandLevel(0));
         self.share_all(now);
@@ -186,7 +192,7 @@
         let mut room = if full { count } else { self.policy.entries / REPEATED_REPORTS as usize };
         for step in 0..count {
             let bucket = &mut self.buckets[(self.cursor + step) % count];
-            let is_due = bucket.measure(interval) || (full && bucket.level() > DemandLevel(0));
+            let is_due = bucket.measure(now, interval) || (full && bucket.level() > DemandLevel(0));
             if is_due && room > 0 {
                 bucket.report(now, self.sequence);
                 room -= 1;
@@ -243,10 +249,11 @@
     }
 
     fn share_listed(&mut self, now: Time, entries: &[DemandEntry]) {
-        for place in 0..self.buckets.len() {
-            let key = self.buckets[place].key;
-            if entries.iter().any(|it| it.team == key) {
-                self.share_one(now, place);
+        for entry in entries {
+            let first = self.keys.partition_point(|it| it.0 < entry.team);
+            let last = self.keys.partition_point(|it| it.0 <= entry.team);
+            for index in first..last {
+                self.share_one(now, self.keys[index].1);
             }
         }
     }
--- a/crates/medlarlug-core/tests/testsuite/limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/limits.rs
@@ -2,9 +2,13 @@
 
 use std::time::Duration;
 
+use assert_matches::assert_matches;
 use medlarlug_core::{
     ids::{Incarnation, InstanceId, TeamId},
-    limits::{Effect, Event, LimitPolicy, Limits, TeamLimit},
+    limits::{
+        DemandEntry, DemandLevel, DemandReport, Effect, Event, LimitPolicy, Limits, START_SHARE,
+        TeamKey, TeamLimit,
+    },
     refusal::Reason,
     time::Time,
 };
@@ -39,6 +43,27 @@
     limits
 }
 
+/// A settled instance, and a report of its peer, one second after its last heartbeat.
+fn settled() -> (Limits, Time) {
+    let mut limits = limits(0, 1, Time::ZERO);
+    for beat in 0..6 {
+        limits.handle(Time::from_millis(beat * BEAT_MS), Event::Heartbeat, &mut Vec::new());
+    }
+    (limits, Time::from_millis(5 * BEAT_MS))
+}
+
+fn heard(sequence: u64, base: u64, demand: f64) -> Event {
+    let entry = DemandEntry { team: TeamKey::of(&id("survey")), level: DemandLevel::of(demand) };
+    let report = DemandReport {
+        from: instance(1),
+        incarnation: Incarnation(1),
+        sequence,
+        base,
+        entries: vec![entry],
+    };
+    Event::Heard { report, age: Duration::ZERO }
+}
+
 /// The plain counter: a leaky bucket over all admitted requests of one side.
 struct Meter {
     level: f64,
@@ -359,3 +384,59 @@
         assert!(postcard::to_slice(report, &mut buffer).unwrap().len() <= bound);
     }
 }
+
+#[test]
+fn peer_with_missing_reports_counts_with_the_largest_weight_until_it_resends() {
+    let (mut limits, now) = settled();
+    limits.handle(now, heard(1, 1, 0.0), &mut Vec::new());
+    let known = limits.share(&id("survey")).unwrap();
+    let mut out = Vec::new();
+
+    limits.handle(now, heard(6, 1, 0.0), &mut out);
+    let missing = limits.share(&id("survey")).unwrap();
+    limits.handle(now, heard(6, 6, 0.0), &mut Vec::new());
+    let again = limits.share(&id("survey")).unwrap();
+
+    assert_matches!(&out[..], [Effect::AskResync(peer)] if *peer == instance(1));
+    assert_eq!((known, again), (0.5, 0.5));
+    assert!(missing < 0.02, "{missing}");
+}
+
+#[test]
+fn missed_full_report_is_a_gap() {
+    let (mut limits, now) = settled();
+    limits.handle(now, heard(1, 1, 0.0), &mut Vec::new());
+    let mut out = Vec::new();
+
+    limits.handle(now, heard(3, 2, 0.0), &mut out);
+
+    assert_matches!(&out[..], [Effect::AskResync(_)]);
+}
+
+#[test]
+fn lowered_share_takes_tokens_away_at_once() {
+    let (mut limits, now) = settled();
+    let now = now + Duration::from_millis(BEAT_MS);
+    limits.handle(now, heard(1, 1, 4.0 * RATE), &mut Vec::new());
+
+    let admitted = (0..16).filter(|_| limits.admit(now, &id("survey")).is_ok()).count();
+
+    assert_eq!(admitted, 1);
+}
+
+#[test]
+fn newcomer_has_its_starting_share_until_its_reports_are_settled() {
+    let mut limits = limits(0, 1, Time::ZERO);
+    limits.handle(Time::ZERO, heard(1, 1, 4.0 * RATE), &mut Vec::new());
+    let settle = LimitPolicy::default().settle.as_millis() as u64;
+    let mut shares = Vec::new();
+
+    for beat in 0..=settle / BEAT_MS {
+        limits.handle(Time::from_millis(beat * BEAT_MS), Event::Heartbeat, &mut Vec::new());
+        shares.push(limits.share(&id("survey")).unwrap());
+    }
+
+    let last = shares.pop().unwrap();
+    assert!(shares.iter().all(|it| *it == START_SHARE));
+    assert!(last < START_SHARE);
+}
