--- a/crates/medlarlug-core/tests/testsuite/admission.rs
+++ b/crates/medlarlug-core/tests/testsuite/admission.rs
@@ -268,3 +268,47 @@
 
     assert_eq!(bench.reasons(), [(0, Reason::Overloaded)]);
 }
+
+/// Starts by the deadline within 300 s of arrivals at `load` times the capacity of eight slots;
+/// `naive` counts for a plain queue that refuses nothing.
+fn goodput(seed: u64, load: f64) -> (usize, usize) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let (slots, service_ms, patience_ms) = (8, 500.0, 1_600);
+    let mut bench = Bench::new(AdmissionPolicy::default(), slots);
+    let (mut ends, mut taken): (Vec<(u64, RequestId)>, usize) = (Vec::new(), 0);
+    let mut naive_free = vec![0; slots as usize];
+    let (mut naive, mut sequence) = (0, 0);
+    for now in 0..300_000 {
+        if random.random_bool(load * f64::from(slots) / service_ms) {
+            sequence += 1;
+            let deadline = Time::from_millis(now + patience_ms + 100);
+            let arrived = Arrival { deadline, ..arrival(sequence, "survey") };
+            bench.feed(Time::from_millis(now), Event::Arrived(arrived));
+            let free = naive_free.iter_mut().min().unwrap();
+            let start = now.max(*free);
+            *free = start + random.random_range(100..900);
+            naive += usize::from(start <= now + patience_ms);
+        }
+        while let Some(place) = ends.iter().position(|it| it.0 <= now) {
+            let (_, request) = ends.swap_remove(place);
+            bench.feed(Time::from_millis(now), Event::Finished { request });
+        }
+        while taken < bench.started.len() {
+            ends.push((now + random.random_range(100..900), bench.started[taken].clone()));
+            taken += 1;
+        }
+    }
+    (bench.started.len(), naive)
+}
+
+#[test]
+fn goodput_under_overload_stays_at_that_of_full_load() {
+    for seed in 0..3 {
+        let (full, _) = goodput(seed, 1.0);
+
+        let (overloaded, naive) = goodput(seed, 1.2);
+
+        assert!(overloaded as f64 >= 0.95 * full as f64, "seed {seed}: {overloaded} of {full}");
+        assert!(naive < overloaded / 2, "seed {seed}: the plain queue starts {naive} in time");
+    }
+}
