--- a/crates/medlarlug-core/src/fingerprint.rs
+++ b/crates/medlarlug-core/src/fingerprint.rs
@@ -2,7 +2,8 @@
 
 use std::{fmt, str::FromStr};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
+use smol_str::SmolStr;
 
 use crate::ids::IdError;
 
@@ -15,7 +16,9 @@
 /// assert_eq!(print.to_string().parse::<Fingerprint>().unwrap(), print);
 /// assert_ne!(print, Fingerprint::of(b"another"));
 /// ```
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+///
+/// In text formats it is 32 hexadecimal digits, in binary ones a number.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Fingerprint(pub u128);
 
 impl Fingerprint {
@@ -40,6 +43,27 @@
     }
 }
 
+impl Serialize for Fingerprint {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            serializer.collect_str(self)
+        } else {
+            serializer.serialize_u128(self.0)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Fingerprint {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Fingerprint, D::Error> {
+        if deserializer.is_human_readable() {
+            let text = SmolStr::deserialize(deserializer)?;
+            text.parse().map_err(D::Error::custom)
+        } else {
+            u128::deserialize(deserializer).map(Fingerprint)
+        }
+    }
+}
+
 impl FromStr for Fingerprint {
     type Err = IdError;
 
@@ -49,3 +73,33 @@
             .map_err(|_| IdError::Number { text: text.into() })
     }
 }
+
+/// Bytes of prompt text in one block of the prefix cache.
+pub const PREFIX_BLOCK_BYTES: usize = 256;
+
+/// Blocks of a prompt that are fingerprinted at most.
+pub const MAX_PREFIX_BLOCKS: usize = 32;
+
+/// Fingerprints of the prefixes of a prompt: one for each whole block, each over all text up to
+/// the block's end.
+///
+/// Gateway and engines share this scheme, so that cache events can be matched with prompts.
+///
+/// ```
+/// use medlarlug_core::fingerprint::prefixes;
+///
+/// let (long, longer) = ("x".repeat(600), "x".repeat(600) + &"y".repeat(300));
+/// assert_eq!(prefixes(&long).len(), 2);
+/// assert_eq!(prefixes(&longer)[..2], prefixes(&long)[..]);
+/// ```
+pub fn prefixes(prompt: &str) -> Vec<Fingerprint> {
+    let mut hasher = blake3::Hasher::new();
+    let mut prints = Vec::new();
+    for block in prompt.as_bytes().chunks_exact(PREFIX_BLOCK_BYTES).take(MAX_PREFIX_BLOCKS) {
+        hasher.update(block);
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+        prints.push(Fingerprint(u128::from_be_bytes(bytes)));
+    }
+    prints
+}
--- /dev/null
+++ b/crates/medlarlug-core/src/follower.rs
@@ -0,0 +1,332 @@
+//! An instance's copy of the configuration.
+//!
+//! A [`Follower`] holds the newest revision that its instance has heard of; the revision only
+//! rises. It asks one source after another, keepers first and then peers, whether its revision is
+//! still the newest, and takes in what keepers push.
+//!
+//! A source answers with a [`Confirmation`]: "this was the newest revision, `age` before I
+//! answered". The follower counts the age from the moment it *asked*, so an answer that was long
+//! under way does not count as fresh. While the last confirmation is younger than the
+//! configuration lease, requests may cross regions; afterwards the instance serves its own callers
+//! only, because a stricter residency rule may exist that it has not heard of.
+//!
+//! An instance without a disk knows no revision after a restart. It must not fall behind the one
+//! that it had before, so it takes its first configuration with a confirmation that is younger
+//! than its start. Where no source can give one, because the zone is cut off from the keepers, it
+//! waits for [`Timing::isolation`] and then takes the newest revision that it was offered, unless a
+//! source remembers that this instance had a newer one.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    configuration_group::Change,
+    ids::{InstanceId, Revision},
+    release::Configuration,
+    time::Time,
+};
+
+/// Tells that `revision` was the newest one `age` before the message was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmation {
+    /// The newest revision.
+    pub revision: Revision,
+    /// Time since it was known to be the newest.
+    pub age: Duration,
+}
+
+/// What brings a follower to a newer revision.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Update {
+    /// The whole configuration.
+    Full(Configuration),
+    /// The changes that follow `base`, in order.
+    Changes {
+        /// Revision that the first change applies to.
+        base: Revision,
+        /// The changes, one a revision.
+        changes: Vec<Change>,
+    },
+}
+
+/// Asks a source for what is newer than `revision`; sent as [`Effect::Ask`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Names the question within the asking process.
+    pub token: u64,
+    /// Revision of the asking instance; 0 if it knows none.
+    pub revision: Revision,
+    /// Whether the whole configuration is needed, as changes could not be applied.
+    pub full: bool,
+}
+
+/// The answer of a source to an [`Ask`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Token of the question.
+    pub token: u64,
+    /// What the asking instance lacks, if the source has it.
+    pub update: Option<Update>,
+    /// What the source knows about the newest revision, if its own knowledge is fresh.
+    pub confirmation: Option<Confirmation>,
+    /// Highest revision that the asking instance told the source before.
+    pub seen: Revision,
+}
+
+/// An event for a [`Follower`].
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// The keepers and peers that may be asked, keepers first.
+    Sources(Vec<InstanceId>),
+    /// A keeper or peer sent an update unasked.
+    Push(Update),
+    /// A source answered.
+    Answered(Answer),
+    /// A keeper on this instance confirmed its revision with the group's majority.
+    Confirmed(Confirmation),
+    /// Time has passed.
+    Tick,
+}
+
+/// What a [`Follower`] wants to be done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Ask a source.
+    Ask {
+        /// The source.
+        source: InstanceId,
+        /// The question.
+        ask: Ask,
+    },
+    /// The configuration has a new revision: save it where there is a disk, and use it.
+    Changed(Revision),
+}
+
+/// Durations of a follower.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timing {
+    /// Time between two questions.
+    pub interval: Duration,
+    /// Longest age of a confirmation with which requests may cross regions.
+    pub lease: Duration,
+    /// Time after the start from which a first configuration is taken without a confirmation.
+    pub isolation: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Timing {
+        Timing {
+            interval: Duration::from_secs(1),
+            lease: Duration::from_secs(8),
+            isolation: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Questions whose answers are still awaited.
+const MAX_OPEN_ASKS: usize = 16;
+
+/// An instance's copy of the configuration.
+///
+/// ```
+/// use medlarlug_core::{follower::{Follower, Timing}, time::Time};
+///
+/// let follower = Follower::new(Timing::default(), None);
+/// assert!(follower.configuration().is_none());
+/// assert!(!follower.may_cross_regions(Time::ZERO));
+/// ```
+#[derive(Debug, Clone)]
+pub struct Follower {
+    timing: Timing,
+    current: Option<Configuration>,
+    confirmed: Option<Time>,
+    sources: Vec<InstanceId>,
+    turn: usize,
+    token: u64,
+    open: Vec<(u64, Time)>,
+    next_ask: Time,
+    needs_full: bool,
+    /// Newest configuration that was offered while none is known.
+    offered: Option<Configuration>,
+    /// Highest revision that a source remembers of this instance.
+    remembered: Revision,
+    /// Highest revision that each other instance told, sorted by instance.
+    seen: Vec<(InstanceId, Revision)>,
+}
+
+impl Follower {
+    /// A follower that begins with `saved`, the configuration read from disk, if any.
+    ///
+    /// The origin of the clock, [`Time::ZERO`], must not be before the start of the process.
+    pub fn new(timing: Timing, saved: Option<Configuration>) -> Follower {
+        Follower {
+            timing,
+            current: saved,
+            confirmed: None,
+            sources: Vec::new(),
+            turn: 0,
+            token: 0,
+            open: Vec::new(),
+            next_ask: Time::ZERO,
+            needs_full: false,
+            offered: None,
+            remembered: Revision(0),
+            seen: Vec::new(),
+        }
+    }
+
+    /// The newest configuration that this instance knows; without one it serves nothing.
+    pub fn configuration(&self) -> Option<&Configuration> {
+        self.current.as_ref()
+    }
+
+    /// Its revision, 0 if none is known.
+    pub fn revision(&self) -> Revision {
+        self.current.as_ref().map_or(Revision(0), |it| it.revision)
+    }
+
+    /// Age of the last confirmation.
+    pub fn confirmed_age(&self, now: Time) -> Option<Duration> {
+        self.confirmed.map(|at| now - at)
+    }
+
+    /// Whether requests may be sent to another region.
+    pub fn may_cross_regions(&self, now: Time) -> bool {
+        self.current.is_some() && self.confirmed_age(now).is_some_and(|age| age < self.timing.lease)
+    }
+
+    /// Answers the question of the instance `from` out of this copy.
+    pub fn answer(&mut self, now: Time, from: &InstanceId, ask: Ask) -> Answer {
+        let newer = self.current.as_ref().filter(|it| it.revision > ask.revision);
+        let update = newer.cloned().map(Update::Full);
+        let confirmation = self
+            .confirmed_age(now)
+            .filter(|age| *age < self.timing.lease)
+            .map(|age| Confirmation { revision: self.revision(), age });
+        Answer { token: ask.token, update, confirmation, seen: self.remember(from, ask.revision) }
+    }
+
+    /// Notes the revision that an instance told, and gives the highest one that it ever told.
+    pub fn remember(&mut self, from: &InstanceId, revision: Revision) -> Revision {
+        match self.seen.binary_search_by(|(instance, _)| instance.cmp(from)) {
+            Ok(found) => {
+                let seen = &mut self.seen[found].1;
+                *seen = revision.max(*seen);
+                *seen
+            }
+            Err(place) => {
+                self.seen.insert(place, (from.clone(), revision));
+                revision
+            }
+        }
+    }
+
+    /// Takes an event in at `now` and appends what is to be done to `out`.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Sources(sources) => self.sources = sources,
+            Event::Push(update) => self.take(update, None, out),
+            Event::Answered(answer) => self.on_answer(answer, out),
+            Event::Confirmed(confirmation) => self.confirm(now, confirmation),
+            Event::Tick => {}
+        }
+        if now >= Time::ZERO + self.timing.isolation {
+            self.take_offered(out);
+        }
+        if now >= self.next_ask {
+            self.ask(now, out);
+        }
+    }
+
+    fn ask(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let Some(source) = self.sources.get(self.turn % self.sources.len().max(1)) else {
+            return;
+        };
+        let source = source.clone();
+        self.turn = self.turn.wrapping_add(1);
+        self.token += 1;
+        self.next_ask = now + self.timing.interval;
+        if self.open.len() == MAX_OPEN_ASKS {
+            self.open.remove(0);
+        }
+        self.open.push((self.token, now));
+        let ask = Ask { token: self.token, revision: self.revision(), full: self.needs_full };
+        out.push(Effect::Ask { source, ask });
+    }
+
+    fn on_answer(&mut self, answer: Answer, out: &mut Vec<Effect>) {
+        let Ok(found) = self.open.binary_search_by_key(&answer.token, |(token, _)| *token) else {
+            return;
+        };
+        let (_, asked) = self.open.remove(found);
+        self.remembered = self.remembered.max(answer.seen);
+        let confirmation = answer.confirmation.filter(|it| it.age <= asked - Time::ZERO);
+        if let Some(update) = answer.update {
+            self.take(update, confirmation.map(|it| it.revision), out);
+        }
+        if let Some(confirmation) = confirmation {
+            self.confirm(asked, confirmation);
+        }
+    }
+
+    fn confirm(&mut self, heard: Time, confirmation: Confirmation) {
+        let knows_newest = self.current.is_some() && self.revision() >= confirmation.revision;
+        if !knows_newest || confirmation.age > heard - Time::ZERO {
+            return;
+        }
+        let at = heard.saturating_sub(confirmation.age);
+        self.confirmed = Some(self.confirmed.map_or(at, |earlier| earlier.max(at)));
+    }
+
+    fn take(&mut self, update: Update, newest: Option<Revision>, out: &mut Vec<Effect>) {
+        let next = match update {
+            Update::Full(next) => next,
+            Update::Changes { base, changes } => match self.changed(base, &changes) {
+                Some(next) => next,
+                None => return,
+            },
+        };
+        let is_newest = newest.is_some_and(|it| next.revision >= it);
+        if self.current.is_none() && !is_newest {
+            let is_newer = self.offered.as_ref().is_none_or(|it| next.revision > it.revision);
+            self.offered = if is_newer { Some(next) } else { self.offered.take() };
+            return;
+        }
+        if self.current.as_ref().is_some_and(|it| next.revision <= it.revision) {
+            return;
+        }
+        out.push(Effect::Changed(next.revision));
+        self.current = Some(next);
+        self.offered = None;
+        self.needs_full = false;
+    }
+
+    fn take_offered(&mut self, out: &mut Vec<Effect>) {
+        let Some(offered) = self.offered.take_if(|it| it.revision >= self.remembered) else {
+            return;
+        };
+        let revision = offered.revision;
+        self.take(Update::Full(offered), Some(revision), out);
+    }
+
+    /// The configuration that follows from `changes`, or `None` when they don't fit.
+    fn changed(&mut self, base: Revision, changes: &[Change]) -> Option<Configuration> {
+        let mut next = self.current.clone().unwrap_or_default();
+        let known = next.revision.0.checked_sub(base.0);
+        let Some(known) = known.and_then(|it| usize::try_from(it).ok()) else {
+            self.needs_full = true;
+            return None;
+        };
+        for change in changes.iter().skip(known) {
+            match change.apply(&next) {
+                Ok(changed) => next = changed,
+                Err(_) => {
+                    self.needs_full = true;
+                    return None;
+                }
+            }
+        }
+        Some(next)
+    }
+}
--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -7,3 +7,4 @@
 mod retry;
 mod stream;
 mod suspects;
+mod replication;
