--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -4,7 +4,7 @@
 mod drain;
 mod limits;
 mod release;
+mod replication;
 mod retry;
 mod stream;
 mod suspects;
-mod replication;
--- a/crates/medlarlug-core/tests/testsuite/suspects.rs
+++ b/crates/medlarlug-core/tests/testsuite/suspects.rs
@@ -342,3 +342,19 @@
     assert_eq!(core.placement(Time::ZERO, content(1), &id("engine-9")), Placement::Shared);
     assert_eq!(core.placement(Time::ZERO, content(4), &id("engine-9")), Placement::Free);
 }
+
+#[test]
+fn reserved_upstream_takes_nothing_until_it_is_freed_or_the_reservation_ends() {
+    let (mut core, engine): (Suspects, UpstreamId) = (Suspects::default(), id("engine-9"));
+    let reserved =
+        || Event::Reserved { upstream: id("engine-9"), lifetime: Duration::from_secs(5) };
+    let mut out = Vec::new();
+
+    core.handle(Time::ZERO, reserved(), &mut out);
+    let held = core.placement(Time::from_millis(4_999), content(1), &engine);
+    let expired = core.placement(Time::from_millis(5_000), content(1), &engine);
+    core.handle(Time::ZERO, Event::Freed { upstream: engine.clone() }, &mut out);
+    let freed = core.placement(Time::ZERO, content(1), &engine);
+
+    assert_eq!((held, expired, freed), (Placement::Barred, Placement::Free, Placement::Free));
+}
