Admission, limits and crash evidence are wired into entry instances

Requests wait in a fair queue for the zone's slots, a team's rate is divided over the region's instances, and an upstream counts as crashed when a lost connection can't be replaced: silence alone accuses nobody. The facts go to every entry instance.

--- a/crates/medlarlug-core/src/routing/request.rs
+++ b/crates/medlarlug-core/src/routing/request.rs
@@ -40,6 +40,15 @@
     pub excluded: Vec<UpstreamId>,
 }
 
+impl RequestFacts {
+    /// Keeps the request from being sent to an upstream.
+    pub fn exclude(&mut self, upstream: &UpstreamId) {
+        if let Err(place) = self.excluded.binary_search(upstream) {
+            self.excluded.insert(place, upstream.clone());
+        }
+    }
+}
+
 /// A prefix of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Prefix {
@@ -111,6 +120,16 @@
         Ok(Forwarded { facts: header.facts })
     }
 
+    /// Keeps the request from being sent to an upstream.
+    pub fn exclude(&mut self, upstream: &UpstreamId) {
+        self.facts.exclude(upstream);
+    }
+
+    /// Takes time off that the request has waited.
+    pub fn spend(&mut self, waited: Duration) {
+        self.facts.deadline = self.facts.deadline.saturating_sub(waited);
+    }
+
     /// The facts.
     pub fn facts(&self) -> &RequestFacts {
         &self.facts
--- a/crates/medlarlug-core/src/suspects/isolation.rs
+++ b/crates/medlarlug-core/src/suspects/isolation.rs
@@ -88,6 +88,17 @@
         &self.ledger
     }
 
+    /// Whether nothing is suspected and nothing reserved, so that every placement is free.
+    pub fn is_quiet(&self) -> bool {
+        self.reserved.is_empty() && self.ledger.is_empty()
+    }
+
+    /// Incarnation of the upstream on which a request is in flight.
+    pub fn incarnation_of(&self, request: &RequestId) -> Option<Incarnation> {
+        let found = self.flights.binary_search_by(|it| it.request.cmp(request)).ok()?;
+        Some(self.flights[found].incarnation)
+    }
+
     /// Feeds one event in.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
         match event {
--- a/crates/medlarlug-core/src/suspects/ledger.rs
+++ b/crates/medlarlug-core/src/suspects/ledger.rs
@@ -75,6 +75,11 @@
 }
 
 impl LossLedger {
+    /// Whether no loss is known.
+    pub fn is_empty(&self) -> bool {
+        self.losses.is_empty()
+    }
+
     /// Merges a fact; tells whether it was new, so that it is worth handing on.
     pub fn learn(&mut self, now: Time, fact: &Fact) -> bool {
         let is_new = match fact {
--- a/src/coordination/entry/callers.rs
+++ b/src/coordination/entry/callers.rs
@@ -195,6 +195,9 @@
         return refuse(404, "unknown-model", &format!("there is no {target}"));
     }
     let id = entry.begin(caller.team.id.clone(), target);
+    if let Err(refusal) = entry.check_limit(&caller.team.id) {
+        return inference::refuse(&entry, &id, &refusal);
+    }
     let facts = RequestFacts {
         id: id.clone(),
         team: caller.team.id,
@@ -208,7 +211,8 @@
     };
     let limit = inference::head_limit(&facts);
     let call = inference::call_of(path, content, head.stream, limit);
-    let job = Job { origin: JobOrigin::Caller(Origin::new(facts)), call };
+    let cost = inference::cost_of(&head);
+    let job = Job { origin: JobOrigin::Caller(Origin::new(facts)), call, cost };
     // The request goes on to its recorded end when the caller's connection is lost.
     let task = task::spawn_local(inference::serve(entry, job));
     task.await.unwrap_or_else(|_| failed(&id))
@@ -259,6 +263,9 @@
         Err(answer) => return answer,
     };
     let request_id = entry.begin(team.id.clone(), ItemKey::Service(id.clone()));
+    if let Err(refusal) = entry.check_limit(&team.id) {
+        return inference::refuse(&entry, &request_id, &refusal);
+    }
     let facts = RequestFacts {
         id: request_id.clone(),
         team: team.id.clone(),
@@ -281,11 +288,13 @@
         media,
         key: key.as_ref().map(|it| it.to_smolstr()),
         limit: inference::head_limit(&facts),
+        content: print,
         body: content,
         stream: false,
         reuse,
     };
-    let job = Job { origin: JobOrigin::Caller(Origin::new(facts)), call };
+    let cost = inference::DEFAULT_COST;
+    let job = Job { origin: JobOrigin::Caller(Origin::new(facts)), call, cost };
     // The call goes on to its recorded end when the caller's connection is lost.
     let task = match key {
         None => task::spawn_local(inference::serve(entry, job)),
--- /dev/null
+++ b/src/coordination/entry/evidence.rs
@@ -0,0 +1,152 @@
+//! Evidence about requests that crash upstreams, and what it bars.
+//!
+//! An upstream counts as crashed when a request's connection was lost and a new connection is
+//! refused; silence alone is no crash. The facts go to every entry instance, so that a request is
+//! known wherever its caller comes back.
+
+use std::{net::SocketAddr, time::Duration};
+
+use medlarlug_core::{
+    fingerprint::Fingerprint,
+    ids::{Incarnation, InstanceId, RequestId, UpstreamId},
+    membership::{InstanceKind, Target},
+    refusal::{Reason, Refusal},
+    suspects::{Effect, Event, Fact, Placement, Standing},
+};
+use tokio::{net::TcpStream, time::timeout};
+
+use crate::{coordination::entry::Entry, protocol::Message};
+
+/// Time in which a live upstream accepts a connection.
+const PROBE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Facts that a starting instance is sent at most.
+const FACTS_FOR_NEWCOMER: usize = 1_024;
+
+impl Entry {
+    /// Feeds an event to the suspects and carries its effects out.
+    pub fn suspect(&self, event: Event) {
+        let mut effects = Vec::new();
+        self.suspects.borrow_mut().handle(self.node.now(), event, &mut effects);
+        for effect in effects {
+            match effect {
+                Effect::Share(fact) => self.share(&fact),
+                Effect::Reserve { upstream, lifetime } => {
+                    self.tell_zone(&Message::Reserve { upstream, lifetime });
+                }
+                Effect::Free { upstream } => self.tell_zone(&Message::Free { upstream }),
+                // The request's own connection tells its task the same.
+                Effect::Lost { .. } => {}
+            }
+        }
+    }
+
+    /// Notes that a request was sent to an upstream.
+    pub fn note_sent(&self, request: &RequestId, content: Fingerprint, upstream: &UpstreamId) {
+        let Some(incarnation) = self.incarnation_of(upstream) else { return };
+        self.suspect(Event::Sent {
+            request: request.clone(),
+            fingerprint: content,
+            upstream: upstream.clone(),
+            incarnation,
+        });
+    }
+
+    fn incarnation_of(&self, upstream: &UpstreamId) -> Option<Incarnation> {
+        let members = self.node.members.borrow();
+        let known = members.upstream(self.node.now(), upstream)?;
+        Some(known.announcement.incarnation)
+    }
+
+    /// Refuses content that has crashed upstreams.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the refusal when the content is convicted.
+    pub fn check_conviction(&self, content: Fingerprint) -> Result<(), Refusal> {
+        match self.suspects.borrow().standing(self.node.now(), content) {
+            Standing::Convicted { after } => Err(self.refusal(Reason::Convicted, after)),
+            Standing::Clear | Standing::Suspect => Ok(()),
+        }
+    }
+
+    /// Upstreams that the content may not be sent to, sorted.
+    ///
+    /// Upstreams that a suspect would share with others are barred too, as long as one is free.
+    pub fn barred(&self, target: &Target, content: Fingerprint) -> Vec<UpstreamId> {
+        let suspects = self.suspects.borrow();
+        if suspects.is_quiet() {
+            return Vec::new();
+        }
+        let now = self.node.now();
+        let members = self.node.members.borrow();
+        let (mut shared, mut barred, mut has_free) = (Vec::new(), Vec::new(), false);
+        for upstream in members.upstreams(now).filter(|it| it.serves(target)) {
+            let id = &upstream.announcement.id;
+            match suspects.placement(now, content, id) {
+                Placement::Free => has_free = true,
+                Placement::Shared => shared.push(id.clone()),
+                Placement::Barred => barred.push(id.clone()),
+            }
+        }
+        if has_free {
+            barred.append(&mut shared);
+        }
+        barred.sort();
+        barred
+    }
+
+    /// Finds out whether an upstream crashed under a request, by a new connection.
+    pub async fn examine_loss(
+        &self,
+        request: &RequestId,
+        upstream: &UpstreamId,
+        address: SocketAddr,
+    ) {
+        let incarnation = self.suspects.borrow().incarnation_of(request);
+        let is_refused = match timeout(PROBE_LIMIT, TcpStream::connect(address)).await {
+            Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+            _ => false,
+        };
+        match incarnation.filter(|_| is_refused) {
+            Some(incarnation) => {
+                tracing::warn!(%upstream, %incarnation, %request, "upstream crashed");
+                let upstream = upstream.clone();
+                self.suspect(Event::UpstreamLost { upstream, incarnation });
+            }
+            None => self.suspect(Event::Ended { request: request.clone() }),
+        }
+    }
+
+    fn share(&self, fact: &Fact) {
+        for peer in self.node.cluster.entries().filter(|it| it.id != self.node.own.id) {
+            self.node.send(&peer.id, Message::Fact(fact.clone()));
+        }
+    }
+
+    fn tell_zone(&self, message: &Message) {
+        let own = &self.node.own;
+        let peers = self.node.cluster.entries();
+        for peer in peers.filter(|it| it.zone == own.zone && it.id != own.id) {
+            self.node.send(&peer.id, message.clone());
+        }
+    }
+
+    /// Sends what is known to an entry instance that has come up.
+    pub fn inform(&self, peer: &InstanceId) {
+        let is_entry = self
+            .node
+            .members
+            .borrow()
+            .peers()
+            .iter()
+            .any(|it| it.seed.id == *peer && it.seed.kind == InstanceKind::Entry);
+        if !is_entry {
+            return;
+        }
+        let facts = self.suspects.borrow().ledger().facts(self.node.now());
+        for fact in facts.into_iter().take(FACTS_FOR_NEWCOMER) {
+            self.node.send(peer, Message::Fact(fact));
+        }
+    }
+}
--- a/src/coordination/entry/exchange.rs
+++ b/src/coordination/entry/exchange.rs
@@ -7,10 +7,12 @@
 use http_body_util::Full;
 use hyper::{Method, Request, Response, body::Incoming, header};
 use medlarlug_core::{
+    fingerprint::Fingerprint,
     ids::{RequestId, UpstreamId, ZoneId},
     record::Stage,
     retry::Failure,
     routing::{Crossing, Departure, RequestFacts, Ticket, router},
+    suspects,
 };
 use smol_str::SmolStr;
 
@@ -35,6 +37,8 @@
     pub media: Option<SmolStr>,
     /// Key under which the call runs at most once.
     pub key: Option<SmolStr>,
+    /// Fingerprint of the request's content.
+    pub content: Fingerprint,
     /// The body, as the caller sent it.
     pub body: Bytes,
     /// Whether the answer is a stream of events.
@@ -94,6 +98,7 @@
     let place = Place::Upstream(route.upstream.clone());
     let request = upstream_request(facts, call, route.address);
     entry.router.borrow_mut().sent(entry.node.now(), &departure, facts);
+    entry.note_sent(&facts.id, call.content, &route.upstream);
     entry.step(&facts.id, Stage::Sent { upstream: route.upstream });
     let destination = Destination { place, address: route.address, ticket: route.ticket };
     send(entry, destination, &facts.id, request, call).await
@@ -185,7 +190,7 @@
         Ok(answered) => answered,
         Err(error) => {
             entry.routed(router::Event::Failed(ticket));
-            return Err(failed_call(entry, place, address, &error));
+            return Err(failed_call(entry, place, address, id, &error).await);
         }
     };
     if is_foreign(&answer, id) {
@@ -203,10 +208,11 @@
     named != Some(id.to_string().as_str())
 }
 
-fn failed_call(
+async fn failed_call(
     entry: &Entry,
     place: Place,
     address: SocketAddr,
+    id: &RequestId,
     error: &CallError,
 ) -> FailedAttempt {
     // Other idle connections to the same address may have gone silent in the same way.
@@ -215,5 +221,11 @@
         true => Failure::NotSent,
         false => Failure::Lost,
     };
+    if let Place::Upstream(upstream) = &place {
+        match failure {
+            Failure::Lost => entry.examine_loss(id, upstream, address).await,
+            _ => entry.suspect(suspects::Event::Ended { request: id.clone() }),
+        }
+    }
     FailedAttempt { place, failure, reason: smol_str::format_smolstr!("{error}") }
 }
--- /dev/null
+++ b/src/coordination/entry/gate.rs
@@ -0,0 +1,181 @@
+//! Admission to the upstreams of the own zone.
+//!
+//! Requests for one target wait in one queue, which an
+//! [`Admission`](medlarlug_core::admission::Admission) core orders and bounds. The capacity is
+//! this instance's share of the zone's slots, somewhat more than they are, so that engines always
+//! find the next request waiting.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use medlarlug_core::{
+    admission::{Admission, AdmissionPolicy, Arrival, Effect, Event},
+    ids::RequestId,
+    membership::Target,
+    refusal::{Reason, Refusal},
+    time::Time,
+};
+use tokio::sync::oneshot;
+
+use crate::coordination::entry::Entry;
+
+/// Requests that are sent for each slot of the zone.
+const REQUESTS_PER_SLOT: f64 = 1.25;
+
+/// Shortest time in which a request can be served.
+const SHORTEST_SERVICE: Duration = Duration::from_millis(50);
+
+/// What admission needs to know of a request.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// The request.
+    pub arrival: Arrival,
+    /// What it asks for.
+    pub target: Target,
+}
+
+struct Queue {
+    target: Target,
+    admission: Admission,
+    waiting: Vec<(RequestId, oneshot::Sender<Result<(), Refusal>>)>,
+}
+
+/// The queues of one instance, sorted by target.
+#[derive(Default)]
+pub struct Gate {
+    queues: RefCell<Vec<Queue>>,
+}
+
+/// A started request; dropping it makes room for the next one.
+pub struct Slot {
+    entry: Rc<Entry>,
+    target: Target,
+    request: RequestId,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let event = Event::Finished { request: self.request.clone() };
+        self.entry.gate.handle(self.entry.node.now(), &self.target, event);
+    }
+}
+
+/// The arrival of a request that has `left` until its deadline.
+pub fn arrival(now: Time, facts: &medlarlug_core::routing::RequestFacts, cost: u32) -> Candidate {
+    let arrival = Arrival {
+        request: facts.id.clone(),
+        team: facts.team.clone(),
+        priority: facts.priority,
+        deadline: now + facts.deadline,
+        estimate: SHORTEST_SERVICE,
+        cost,
+    };
+    Candidate { arrival, target: facts.target.clone() }
+}
+
+/// Waits until a request may start.
+///
+/// # Errors
+///
+/// Fails when the request is refused before it starts.
+pub async fn enter(entry: &Rc<Entry>, candidate: Candidate) -> Result<Slot, Refusal> {
+    let Candidate { arrival, target } = candidate;
+    let request = arrival.request.clone();
+    let receiver = entry.gate.enqueue(entry.node.now(), &target, arrival);
+    let verdict = receiver.await;
+    verdict.unwrap_or_else(|_| Err(entry.refusal(Reason::Overloaded, SHORTEST_SERVICE)))?;
+    Ok(Slot { entry: entry.clone(), target, request })
+}
+
+/// This instance's share of the zone's slots for a target; 0 when no upstream serves it here.
+pub fn capacity(entry: &Entry, target: &Target) -> u32 {
+    let now = entry.node.now();
+    let members = entry.node.members.borrow();
+    let upstreams = members.upstreams(now).filter(|it| it.serves(target));
+    let slots: u32 = upstreams.map(|it| it.announcement.slots.0).sum();
+    if slots == 0 {
+        return 0;
+    }
+    let zone = &entry.node.own.zone;
+    let entries = members.entries(now).iter().filter(|it| it.zone == *zone).count().max(1);
+    let share = f64::from(slots) * REQUESTS_PER_SLOT / entries as f64;
+    share.ceil() as u32
+}
+
+impl Gate {
+    /// Whether a request for `target` would have to wait.
+    pub fn is_full(&self, target: &Target, capacity: u32) -> bool {
+        let queues = self.queues.borrow();
+        let found = queues.binary_search_by(|it| it.target.cmp(target));
+        found.is_ok_and(|it| queues[it].admission.running() >= capacity as usize)
+    }
+
+    /// Sets the capacity of a target.
+    pub fn set_capacity(&self, now: Time, target: &Target, capacity: u32) {
+        self.handle(now, target, Event::Capacity(capacity));
+    }
+
+    /// The targets that have a queue.
+    pub fn targets(&self) -> Vec<Target> {
+        self.queues.borrow().iter().map(|it| it.target.clone()).collect()
+    }
+
+    /// Requests that wait, over all targets.
+    pub fn waiting(&self) -> usize {
+        self.queues.borrow().iter().map(|it| it.admission.waiting()).sum()
+    }
+
+    /// Lets time pass in every queue.
+    pub fn tick(&self, now: Time) {
+        for target in self.targets() {
+            self.handle(now, &target, Event::Tick);
+        }
+    }
+
+    fn enqueue(
+        &self,
+        now: Time,
+        target: &Target,
+        arrival: Arrival,
+    ) -> oneshot::Receiver<Result<(), Refusal>> {
+        let (sender, receiver) = oneshot::channel();
+        self.with_queue(target, |it| it.waiting.push((arrival.request.clone(), sender)));
+        self.handle(now, target, Event::Arrived(arrival));
+        receiver
+    }
+
+    fn handle(&self, now: Time, target: &Target, event: Event) {
+        self.with_queue(target, |queue| {
+            let mut effects = Vec::new();
+            queue.admission.handle(now, event, &mut effects);
+            for effect in effects {
+                match effect {
+                    Effect::Start { request } => queue.settle(&request, Ok(())),
+                    Effect::Refuse { request, refusal } => queue.settle(&request, Err(refusal)),
+                }
+            }
+        });
+    }
+
+    fn with_queue(&self, target: &Target, step: impl FnOnce(&mut Queue)) {
+        let mut queues = self.queues.borrow_mut();
+        let place = match queues.binary_search_by(|it| it.target.cmp(target)) {
+            Ok(found) => found,
+            Err(place) => {
+                let admission = Admission::new(AdmissionPolicy::default());
+                let queue = Queue { target: target.clone(), admission, waiting: Vec::new() };
+                queues.insert(place, queue);
+                place
+            }
+        };
+        step(&mut queues[place]);
+    }
+}
+
+impl Queue {
+    fn settle(&mut self, request: &RequestId, verdict: Result<(), Refusal>) {
+        if let Some(place) = self.waiting.iter().position(|it| it.0 == *request) {
+            let (_, sender) = self.waiting.swap_remove(place);
+            let _ = sender.send(verdict);
+        }
+    }
+}
--- a/src/coordination/entry/inference.rs
+++ b/src/coordination/entry/inference.rs
@@ -6,12 +6,14 @@
 use http_body_util::BodyExt;
 use hyper::{Method, Response, StatusCode, header};
 use medlarlug_core::{
-    ids::RequestId,
+    fingerprint::Fingerprint,
+    ids::{RequestId, UpstreamId},
     membership::Target,
     record::{Outcome, Stage},
     refusal::{Reason, Refusal},
     retry::{Attempts, Decision, Failure},
-    routing::{self, Choice, Forwarded, Origin, Prefix, RequestFacts, Route, View, router},
+    routing::{self, Choice, Forwarded, Origin, Prefix, RequestFacts, View, router},
+    suspects,
     units::Tokens,
 };
 use smol_str::SmolStr;
@@ -22,6 +24,7 @@
     coordination::entry::{
         Entry,
         exchange::{self, Call, Exchange, FailedAttempt},
+        gate::{self, Slot},
         relay::{Relay, StreamEnd},
     },
     protocol::{Problem, headers, inference::InferenceHead},
@@ -49,9 +52,12 @@
     pub origin: JobOrigin,
     /// What is sent.
     pub call: Call,
+    /// Its size for fair queueing, in tokens.
+    pub cost: u32,
 }
 
 /// Where a request came from.
+#[derive(Debug, Clone)]
 pub enum JobOrigin {
     /// From a caller of this instance.
     Caller(Origin),
@@ -67,6 +73,33 @@
             JobOrigin::Zone(forwarded) => forwarded.facts(),
         }
     }
+
+    /// Takes time off that the request has waited.
+    fn spend(&mut self, waited: Duration) {
+        match &mut self.origin {
+            JobOrigin::Caller(origin) => {
+                origin.facts.deadline = origin.facts.deadline.saturating_sub(waited);
+            }
+            JobOrigin::Zone(forwarded) => forwarded.spend(waited),
+        }
+    }
+
+    /// Keeps the request from being sent to an upstream.
+    fn exclude(&mut self, upstream: &UpstreamId) {
+        match &mut self.origin {
+            JobOrigin::Caller(origin) => origin.facts.exclude(upstream),
+            JobOrigin::Zone(forwarded) => forwarded.exclude(upstream),
+        }
+    }
+}
+
+/// Size of a request of which only its being there is known, in tokens.
+pub const DEFAULT_COST: u32 = 1_000;
+
+/// Size of an inference request for fair queueing, in tokens.
+pub fn cost_of(head: &InferenceHead) -> u32 {
+    let tokens = head.prompt.0.saturating_add(head.answer.0);
+    u32::try_from(tokens).unwrap_or(u32::MAX)
 }
 
 /// Time that an upstream has for the head of its answer.
@@ -95,6 +128,7 @@
         path,
         media: Some("application/json".into()),
         key: None,
+        content: Fingerprint::of(&body),
         body,
         stream,
         reuse: Reuse::Allowed,
@@ -105,13 +139,17 @@
 /// Serves a request to its end; the end is recorded before or while the answer is delivered.
 pub async fn serve(entry: Rc<Entry>, mut job: Job) -> Answer {
     let id = job.facts().id.clone();
+    let mut slot = match admit(&entry, &mut job).await {
+        Ok(slot) => slot,
+        Err(refusal) => return refuse(&entry, &id, &refusal),
+    };
     let target = job.facts().target.clone();
     let deadline = entry.node.now() + job.facts().deadline;
     let is_forwarded = matches!(job.origin, JobOrigin::Zone(_));
     let mut attempts =
         Attempts::new(job.call.key.is_none(), is_forwarded, deadline, ATTEMPT_ESTIMATE);
     loop {
-        let failed = match attempt(&entry, &job).await {
+        let failed = match attempt(&entry, &job, &mut slot).await {
             Ok(answer) => return answer,
             Err(AttemptEnd::Refused(refusal)) => return refuse(&entry, &id, &refusal),
             Err(AttemptEnd::Failed(failed)) => failed,
@@ -131,6 +169,25 @@
     }
 }
 
+/// Waits until the request may start; `None` when it goes to another zone, which admits it there.
+pub async fn admit(entry: &Rc<Entry>, job: &mut Job) -> Result<Option<Slot>, Refusal> {
+    entry.check_conviction(job.call.content)?;
+    let target = job.facts().target.clone();
+    let capacity = gate::capacity(entry, &target);
+    let goes_away = capacity == 0
+        || (entry.gate.is_full(&target, capacity)
+            && matches!(choose(entry, job), Ok(Choice::Forward(_))));
+    if goes_away {
+        return Ok(None);
+    }
+    let arrived = entry.node.now();
+    entry.gate.set_capacity(arrived, &target, capacity);
+    let candidate = gate::arrival(arrived, job.facts(), job.cost);
+    let slot = gate::enter(entry, candidate).await?;
+    job.spend(entry.node.now() - arrived);
+    Ok(Some(slot))
+}
+
 /// How an attempt ended that brought no answer.
 pub enum AttemptEnd {
     /// No upstream may or can serve the request.
@@ -141,45 +198,68 @@
 
 /// Keeps a request from going again where it failed.
 pub fn exclude(job: &mut Job, failed: &FailedAttempt) {
-    let JobOrigin::Caller(origin) = &mut job.origin else { return };
-    match &failed.place {
-        Place::Upstream(upstream) => {
-            if let Err(place) = origin.facts.excluded.binary_search(upstream) {
-                origin.facts.excluded.insert(place, upstream.clone());
-            }
-        }
-        Place::Zone(zone) => origin.refuse(zone.clone()),
+    match (&failed.place, &mut job.origin) {
+        (Place::Upstream(upstream), _) => job.exclude(&upstream.clone()),
+        (Place::Zone(zone), JobOrigin::Caller(origin)) => origin.refuse(zone.clone()),
+        (Place::Zone(_), JobOrigin::Zone(_)) => {}
     }
 }
 
-async fn attempt(entry: &Rc<Entry>, job: &Job) -> Result<Answer, AttemptEnd> {
+/// Makes one attempt; `slot` is taken along by an answer that is streamed.
+async fn attempt(
+    entry: &Rc<Entry>,
+    job: &Job,
+    slot: &mut Option<Slot>,
+) -> Result<Answer, AttemptEnd> {
     let exchange = send(entry, job).await?;
     let status = exchange.answer.status();
     if job.call.stream && status.is_success() {
-        return stream(entry, job, exchange).await;
+        return stream(entry, job, exchange, slot).await;
     }
     whole(entry, job, exchange).await
 }
 
-/// Decides where the request goes, checks residency at the moment of leaving, and sends it.
-pub async fn send(entry: &Entry, job: &Job) -> Result<Exchange, AttemptEnd> {
+/// Decides where the request goes.
+fn choose(entry: &Entry, job: &Job) -> Result<Choice, AttemptEnd> {
     let Some(configuration) = entry.configuration() else {
         let refusal = entry.refusal(Reason::NoConfiguration, Duration::from_secs(1));
         return Err(AttemptEnd::Refused(refusal));
     };
     let (now, lease) = (entry.node.now(), entry.lease());
-    let choice = {
-        let membership = &entry.node.members.borrow();
-        let view = View { membership, configuration: &configuration, lease };
-        let mut router = entry.router.borrow_mut();
-        match &job.origin {
-            JobOrigin::Caller(origin) => router.decide(now, view, origin),
-            JobOrigin::Zone(forwarded) => {
-                router.decide_forwarded(now, view, forwarded).map(Choice::Serve)
-            }
+    let membership = &entry.node.members.borrow();
+    let view = View { membership, configuration: &configuration, lease };
+    let mut router = entry.router.borrow_mut();
+    let choice = match &job.origin {
+        JobOrigin::Caller(origin) => router.decide(now, view, origin),
+        JobOrigin::Zone(forwarded) => {
+            router.decide_forwarded(now, view, forwarded).map(Choice::Serve)
         }
     };
-    let choice = choice.map_err(|refusal| routing_refused(entry, &refusal))?;
+    choice.map_err(|refusal| routing_refused(entry, &refusal))
+}
+
+/// Decides where the request goes, checks residency at the moment of leaving, and sends it.
+pub async fn send(entry: &Entry, job: &Job) -> Result<Exchange, AttemptEnd> {
+    if let Err(refusal) = entry.check_conviction(job.call.content) {
+        return Err(AttemptEnd::Refused(refusal));
+    }
+    let barred = entry.barred(&job.facts().target, job.call.content);
+    let choice = if barred.is_empty() {
+        choose(entry, job)?
+    } else {
+        let mut restricted = Job { origin: job.origin.clone(), call: job.call.clone(), cost: 0 };
+        barred.iter().for_each(|it| restricted.exclude(it));
+        choose(entry, &restricted)?
+    };
+    leave(entry, job, choice).await
+}
+
+/// Checks residency at the moment of leaving, and sends the request.
+async fn leave(entry: &Entry, job: &Job, choice: Choice) -> Result<Exchange, AttemptEnd> {
+    let Some(configuration) = entry.configuration() else {
+        let refusal = entry.refusal(Reason::NoConfiguration, Duration::from_secs(1));
+        return Err(AttemptEnd::Refused(refusal));
+    };
     let facts = job.facts();
     let not_permitted = |error: routing::ResidencyError| {
         tracing::warn!(request = %facts.id, %error, "residency");
@@ -187,11 +267,12 @@
     };
     let result = match (choice, &job.origin) {
         (Choice::Serve(route), _) => {
-            let departure = depart(route, &configuration, facts).map_err(not_permitted)?;
+            let departure = route.depart(&configuration, facts).map_err(not_permitted)?;
             exchange::send_to_upstream(entry, departure, facts, &job.call).await
         }
         (Choice::Forward(route), JobOrigin::Caller(origin)) => {
-            let crossing = route.depart(&configuration, lease, origin).map_err(not_permitted)?;
+            let crossing =
+                route.depart(&configuration, entry.lease(), origin).map_err(not_permitted)?;
             exchange::send_to_zone(entry, crossing, facts, &job.call).await
         }
         (Choice::Forward(_), JobOrigin::Zone(_)) => {
@@ -201,14 +282,6 @@
     result.map_err(AttemptEnd::Failed)
 }
 
-fn depart(
-    route: Route,
-    configuration: &medlarlug_core::release::Configuration,
-    facts: &RequestFacts,
-) -> Result<routing::Departure, routing::ResidencyError> {
-    route.depart(configuration, facts)
-}
-
 fn routing_refused(entry: &Entry, refusal: &routing::Refusal) -> AttemptEnd {
     let reason = match refusal {
         routing::Refusal::Residency(_) => Reason::NotPermitted,
@@ -229,13 +302,21 @@
     document["error"]["code"] == "not_started"
 }
 
-async fn stream(entry: &Rc<Entry>, job: &Job, exchange: Exchange) -> Result<Answer, AttemptEnd> {
+async fn stream(
+    entry: &Rc<Entry>,
+    job: &Job,
+    exchange: Exchange,
+    slot: &mut Option<Slot>,
+) -> Result<Answer, AttemptEnd> {
     let (id, target) = (job.facts().id.clone(), job.facts().target.clone());
-    let (place, ticket) = (exchange.place.clone(), exchange.ticket);
+    let (place, ticket, address) = (exchange.place.clone(), exchange.ticket, exchange.address);
     let mut relay = Relay::new(entry.clone(), id.clone(), exchange);
     if let Err(refusal) = relay.begin().await {
         entry.routed(router::Event::Failed(ticket));
         let reason = refusal.reason.title().into();
+        if let Place::Upstream(upstream) = &place {
+            entry.examine_loss(&id, upstream, address).await;
+        }
         return Err(AttemptEnd::Failed(FailedAttempt { place, failure: Failure::Lost, reason }));
     }
     let (sender, body) = body::streamed();
@@ -244,9 +325,13 @@
     let media = header::HeaderValue::from_static("text/event-stream");
     fields.insert(header::CONTENT_TYPE, media);
     body::insert(fields, headers::REQUEST_ID, &id.to_string());
-    let entry = entry.clone();
+    let (entry, slot) = (entry.clone(), slot.take());
     task::spawn_local(async move {
         let end = relay.deliver(sender).await;
+        drop(slot);
+        if let (StreamEnd::Failed(_), Place::Upstream(upstream)) = (&end, &place) {
+            entry.examine_loss(&id, upstream, address).await;
+        }
         finish(&entry, &id, &target, ticket, end);
     });
     Ok(answer)
@@ -263,8 +348,12 @@
         }
     };
     entry.routed(event);
+    let request = id.clone();
     if end == StreamEnd::Complete {
+        entry.suspect(suspects::Event::Answered { request });
         entry.with_budget(target, |budget| budget.deposit());
+    } else {
+        entry.suspect(suspects::Event::Ended { request });
     }
     entry.end(id, outcome, reason);
 }
@@ -279,6 +368,7 @@
     let (head, incoming) = exchange.answer.into_parts();
     entry.step(&facts.id, Stage::FirstByte);
     let failed = |failure, reason| {
+        entry.suspect(suspects::Event::Ended { request: facts.id.clone() });
         entry.routed(router::Event::Failed(ticket));
         Err(AttemptEnd::Failed(FailedAttempt { place, failure, reason }))
     };
@@ -299,6 +389,7 @@
     entry.routed(router::Event::FirstToken(ticket));
     entry.routed(router::Event::Ended(ticket));
     entry.with_budget(&facts.target, |budget| budget.deposit());
+    entry.suspect(suspects::Event::Answered { request: facts.id.clone() });
     entry.end(&facts.id, Outcome::Answered, "whole answer");
     Ok(pass_on(&facts.id, status, head.headers.get(header::CONTENT_TYPE), content))
 }
--- a/src/coordination/entry/internal.rs
+++ b/src/coordination/entry/internal.rs
@@ -12,7 +12,8 @@
 use bytes::Bytes;
 use hyper::{Method, Request, StatusCode, body::Incoming};
 use medlarlug_core::{
-    announcement::Announcement, record::Outcome, refusal::Reason, routing::Forwarded,
+    announcement::Announcement, fingerprint::Fingerprint, record::Outcome, refusal::Reason,
+    routing::Forwarded,
 };
 use tokio::{net::TcpListener, sync::watch, task};
 
@@ -121,9 +122,10 @@
     let limit = inference::head_limit(forwarded.facts());
     let method = method.parse().unwrap_or(Method::POST);
     let body = Bytes::from(body);
-    let call = Call { method, path, media, key, body, stream, reuse, limit };
+    let content = Fingerprint::of(&body);
+    let call = Call { method, path, media, key, content, body, stream, reuse, limit };
     entry.begin_forwarded();
-    let job = Job { origin: JobOrigin::Zone(forwarded), call };
+    let job = Job { origin: JobOrigin::Zone(forwarded), call, cost: inference::DEFAULT_COST };
     let id = job.facts().id.clone();
     let task = task::spawn_local(inference::serve(entry.clone(), job));
     task.await.unwrap_or_else(|_| {
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -10,11 +10,15 @@
 //! * [`exchange`]: one attempt at an upstream or another zone.
 //! * [`relay`]: delivery of a streamed answer.
 //! * [`internal`]: announcements of upstreams and requests forwarded by other zones.
+//! * [`gate`]: admission to the zone's upstreams.
+//! * [`evidence`]: requests that crash upstreams.
 //! * [`journal`]: the records of requests.
 
 pub mod callers;
+pub mod evidence;
 pub mod exchange;
 pub mod forward;
+pub mod gate;
 pub mod inference;
 pub mod internal;
 pub mod journal;
@@ -29,13 +33,15 @@
 
 use medlarlug_core::{
     home,
-    ids::{RequestId, TeamId},
+    ids::{InstanceId, RequestId, Revision, TeamId},
+    limits::{self, LimitPolicy, Limits, TeamLimit},
     membership::{Notice, Status, Target},
     record::{Outcome, Stage},
     refusal::{Reason, Refusal, Spread},
     release::{Configuration, ItemKey},
     retry::RetryBudget,
     routing::{ConfigurationLease, Router, router},
+    suspects::{self, Suspects},
 };
 use serde_json::json;
 use thiserror::Error;
@@ -49,12 +55,13 @@
     coordination::{
         calls,
         clock::incarnation_of_start,
-        entry::journal::Journal,
+        entry::{gate::Gate, journal::Journal},
         keeper::operator_limits,
         node::{Node, Received},
         operators::{self, OperatorApi, ProcessPart},
     },
-    settings::EntrySettings,
+    protocol::Message,
+    settings::{EntrySettings, Peer},
     telemetry::{logs::LevelHandle, metrics::Metrics},
     transport::{
         http_client::HttpClient,
@@ -66,6 +73,9 @@
 /// Time between two ticks of the cores.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Ticks between two reports of the teams' demand.
+const TICKS_PER_HEARTBEAT: u32 = 4;
+
 /// Time between two batches of records.
 const RECORD_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -104,6 +114,14 @@
     pub journal: RefCell<Journal>,
     /// Spreads the times to come back.
     pub spread: RefCell<Spread>,
+    /// Admission to the zone's upstreams.
+    pub gate: Gate,
+    /// Requests that crash upstreams.
+    pub suspects: RefCell<Suspects>,
+    /// The teams' limits.
+    pub limits: RefCell<Limits>,
+    configured: Cell<Revision>,
+    ticks: Cell<u32>,
     retries: RefCell<Vec<(Target, RetryBudget)>>,
     leaving: Cell<bool>,
     running: Cell<u32>,
@@ -180,12 +198,19 @@
 impl Entry {
     fn new(node: Rc<Node>, settings: EntrySettings) -> Entry {
         let seed = node.incarnation.0;
+        let policy = LimitPolicy { seed, ..LimitPolicy::default() };
+        let limits = Limits::new(node.own.id.clone(), node.incarnation, policy);
         let journal = Journal::new(node.region.clone(), node.own.id.clone(), node.incarnation);
         Entry {
             client: HttpClient::default(),
             router: RefCell::new(Router::new(node.now(), seed)),
             journal: RefCell::new(journal),
             spread: RefCell::new(Spread::new(seed)),
+            gate: Gate::default(),
+            suspects: RefCell::default(),
+            limits: RefCell::new(limits),
+            configured: Cell::default(),
+            ticks: Cell::new(0),
             retries: RefCell::default(),
             leaving: Cell::new(false),
             running: Cell::new(0),
@@ -255,6 +280,16 @@
         self.journal.borrow_mut().end(self.node.now(), id, outcome, reason);
     }
 
+    /// Takes one request off a team's limit.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the refusal when the limit is used up.
+    pub fn check_limit(&self, team: &TeamId) -> Result<(), Refusal> {
+        self.configure_limits();
+        self.limits.borrow_mut().admit(self.node.now(), team)
+    }
+
     /// A refusal whose time to come back is spread by jitter.
     pub fn refusal(&self, reason: Reason, wait: Duration) -> Refusal {
         self.spread.borrow_mut().refuse(reason, wait)
@@ -284,13 +319,84 @@
     fn tick(&self) {
         self.note(&self.node.report(self.status()));
         self.note(&self.node.tick());
+        self.configure_limits();
+        self.suspect(suspects::Event::Tick);
+        let count = self.ticks.get().wrapping_add(1);
+        self.ticks.set(count);
+        if count.is_multiple_of(TICKS_PER_HEARTBEAT) {
+            self.limit(limits::Event::Heartbeat);
+        }
+        for target in self.gate.targets() {
+            let capacity = gate::capacity(self, &target);
+            self.gate.set_capacity(self.node.now(), &target, capacity);
+        }
+        self.gate.tick(self.node.now());
+    }
+
+    /// Hands the limits of a new revision to their core.
+    fn configure_limits(&self) {
+        let revision = self.node.follower.borrow().revision();
+        if revision == self.configured.get() {
+            return;
+        }
+        if let Some(configuration) = self.configuration() {
+            self.configured.set(revision);
+            let teams = configuration.teams().map(TeamLimit::from).collect();
+            self.limit(limits::Event::Configured(teams));
+        }
+    }
+
+    /// Feeds an event to the limits and carries its effects out.
+    fn limit(&self, event: limits::Event) {
+        let mut effects = Vec::new();
+        self.limits.borrow_mut().handle(self.node.now(), event, &mut effects);
+        for effect in effects {
+            match effect {
+                limits::Effect::Broadcast(report) => {
+                    for peer in self.region_entries() {
+                        self.node.send(&peer, Message::Demand { report: report.clone() });
+                    }
+                }
+                limits::Effect::AskResync(peer) => {
+                    self.node.send(&peer, Message::AskDemand);
+                }
+                limits::Effect::Send { to, report } => {
+                    self.node.send(&to, Message::Demand { report });
+                }
+            }
+        }
+    }
+
+    /// The other entry instances of the region.
+    fn region_entries(&self) -> Vec<InstanceId> {
+        let node = &self.node;
+        let is_near = |it: &&Peer| {
+            it.id != node.own.id && node.cluster.region_of(&it.zone) == Some(&node.region)
+        };
+        node.cluster.entries().filter(is_near).map(|it| it.id.clone()).collect()
     }
 
     fn receive(&self, received: Received) {
         match received {
             Received::Done => {}
             Received::Notices(notices) => self.note(&notices),
-            Received::Other(from, message) => {
+            Received::Other(from, message) => self.receive_from_entry(from, *message),
+        }
+    }
+
+    fn receive_from_entry(&self, from: InstanceId, message: Message) {
+        match message {
+            Message::Demand { report } => {
+                let age = Duration::ZERO;
+                self.limit(limits::Event::Heard { report, age });
+            }
+            Message::AskDemand => self.limit(limits::Event::ResyncAsked(from)),
+            Message::Fact(fact) => self.suspect(suspects::Event::Learned(fact)),
+            Message::Reserve { upstream, lifetime } => {
+                self.suspect(suspects::Event::Reserved { upstream, lifetime });
+            }
+            Message::Free { upstream } => self.suspect(suspects::Event::Freed { upstream }),
+            message => {
                 tracing::warn!(%from, ?message, "message for another kind of process");
             }
         }
@@ -300,6 +406,11 @@
     pub fn note(&self, notices: &[Notice]) {
         for notice in notices {
             tracing::info!(?notice, "membership changed");
+            match notice {
+                Notice::PeerUp(peer) => self.inform(peer),
+                Notice::PeerLeaving(peer) => self.limit(limits::Event::PeerGone(peer.clone())),
+                _ => {}
+            }
         }
     }
 
@@ -325,6 +436,9 @@
     fn dump(&self) -> serde_json::Value {
         json!({
             "running": self.running.get(),
+            "waiting": self.gate.waiting(),
+            "convictions": self.suspects.borrow().ledger().convictions(self.node.now()).len(),
+            "limits_settled": self.limits.borrow().is_settled(),
             "attempts": self.router.borrow().in_flight(),
             "leaving": self.leaving.get(),
         })
--- a/src/coordination/entry/services.rs
+++ b/src/coordination/entry/services.rs
@@ -19,6 +19,7 @@
     refusal::{Reason, Refusal},
     retry::{Attempts, Decision, Failure},
     routing::router,
+    suspects,
 };
 use smol_str::{SmolStr, ToSmolStr};
 
@@ -73,8 +74,12 @@
 }
 
 /// Runs a booking to its recorded end.
-pub async fn book(entry: Rc<Entry>, booking: Booking) -> Answer {
+pub async fn book(entry: Rc<Entry>, mut booking: Booking) -> Answer {
     let id = booking.job.facts().id.clone();
+    let _slot = match inference::admit(&entry, &mut booking.job).await {
+        Ok(slot) => slot,
+        Err(refusal) => return inference::refuse(&entry, &id, &refusal),
+    };
     let begun = match begin(&entry, &booking).await {
         Ok(begun) => begun,
         Err(failure) => return begin_failed(&entry, &id, &failure),
@@ -162,7 +167,7 @@
     let mut attempts = Attempts::new(false, false, deadline, ATTEMPT_ESTIMATE);
     loop {
         let failed = match inference::send(entry, &booking.job).await {
-            Ok(exchange) => match read_answer(entry, exchange).await {
+            Ok(exchange) => match read_answer(entry, &id, exchange).await {
                 Ok(answer) => return finish(entry, &booking, answer).await,
                 Err(failed) => failed,
             },
@@ -188,7 +193,14 @@
 }
 
 /// Reads the whole answer of a service.
-async fn read_answer(entry: &Entry, exchange: Exchange) -> Result<Recorded, FailedAttempt> {
+///
+/// An answer of any kind shows that the request crashed nothing.
+async fn read_answer(
+    entry: &Entry,
+    id: &RequestId,
+    exchange: Exchange,
+) -> Result<Recorded, FailedAttempt> {
+    let request = id.clone();
     let (place, ticket) = (exchange.place, exchange.ticket);
     let (head, incoming) = exchange.answer.into_parts();
     let limit = OUTCOME_LIMITS.head * 5;
@@ -196,10 +208,12 @@
         Ok(Ok(content)) => content,
         _ => {
             entry.routed(router::Event::Failed(ticket));
+            entry.suspect(suspects::Event::Ended { request });
             let reason = "the answer was cut before its end".into();
             return Err(FailedAttempt { place, failure: Failure::Lost, reason });
         }
     };
+    entry.suspect(suspects::Event::Answered { request });
     if inference::says_not_started(head.status, &content) {
         entry.routed(router::Event::Failed(ticket));
         let reason = "the service did not begin it".into();
--- a/src/protocol/message.rs
+++ b/src/protocol/message.rs
@@ -1,11 +1,11 @@
 //! Messages between processes.
 
-use std::fmt;
+use std::{fmt, time::Duration};
 
 use medlarlug_core::{
     configuration_group, follower, home,
-    ids::{InstanceId, RegionId, RequestId, Revision},
-    membership, replication,
+    ids::{InstanceId, RegionId, RequestId, Revision, UpstreamId},
+    limits, membership, replication, suspects,
 };
 use serde::{Deserialize, Serialize};
 
@@ -59,6 +59,27 @@
     Ask(follower::Ask),
     /// The answer to [`Message::Ask`].
     Answer(Box<follower::Answer>),
+    /// Between entry instances of a region: the demand of teams.
+    Demand {
+        /// The sender's demand.
+        report: limits::DemandReport,
+    },
+    /// Asks an entry instance for the demand of every team.
+    AskDemand,
+    /// Between entry instances: evidence about a request that crashes upstreams.
+    Fact(suspects::Fact),
+    /// Between entry instances of a zone: an upstream is kept for one suspect.
+    Reserve {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Longest time of the reservation.
+        lifetime: Duration,
+    },
+    /// The end of a reservation.
+    Free {
+        /// The upstream.
+        upstream: UpstreamId,
+    },
     /// A new configuration, sent without being asked for.
     Push(Box<follower::Update>),
 }
