Tests on real processes: the path, residency, bookings

A small deployment fixture starts the built programs on loopback. 6 tests: an answer and its fate by another instance, residency refusals, one crossing, one run for two sends, reused key, lost answer unknown and not sent again.

--- a/crates/medlarlug-core/tests/testsuite/admission.rs
+++ b/crates/medlarlug-core/tests/testsuite/admission.rs
@@ -73,7 +73,8 @@
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let capacity = random.random_range(1..4);
         let mut bench = Bench::new(patient(), capacity);
-        let (mut naive, mut running, mut expected) = (VecDeque::new(), Vec::new(), Vec::new());
+        let (mut naive, mut running) = (VecDeque::new(), Vec::new());
+        let mut expected: Vec<u64> = Vec::new();
 
         for step in 0..100 {
             let now = Time::from_millis(step * 10);
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -1,5 +1,7 @@
 //! Builders and fixtures for the test suites.
 
+pub mod deployment;
+
 use medlarlug_core::{
     ids::{ReleaseNumber, Revision},
     release::{
--- /dev/null
+++ b/tests/testsuite/processes/mod.rs
@@ -0,0 +1,5 @@
+//! Tests on real processes: the whole path and its failures.
+
+mod booking;
+mod fixture;
+mod path;
