--- a/crates/medlarlug-core/src/ids.rs
+++ b/crates/medlarlug-core/src/ids.rs
@@ -155,7 +155,6 @@
     /// A person or program that applies release notes.
     OperatorId
 );
-
 macro_rules! counter {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
--- a/crates/medlarlug-core/src/replication/event.rs
+++ b/crates/medlarlug-core/src/replication/event.rs
@@ -1,5 +1,6 @@
 //! What goes into a replica and what comes out.
 
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::ids::{InstanceId, LogIndex, Term};
@@ -10,7 +11,7 @@
 };
 
 /// State that a replica is started from; empty for new storage.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Restored {
     /// Term and vote.
     pub hard: HardState,
@@ -71,7 +72,7 @@
 }
 
 /// What storage is to write, in this order: hard state, snapshot, cut, entries.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Persist {
     /// Comes back in [`Event::Persisted`].
     pub sequence: u64,
@@ -200,6 +201,31 @@
 }
 
 impl Restored {
+    /// Takes a batch over, as storage does.
+    ///
+    /// ```
+    /// use medlarlug_core::{ids::Term, replication::{HardState, Persist, Restored}};
+    ///
+    /// let hard = HardState { term: Term(3), vote: None };
+    /// let mut restored = Restored::default();
+    /// restored.write(Persist { sequence: 1, hard: Some(hard), ..Persist::default() });
+    /// assert_eq!(restored.hard.term, Term(3));
+    /// ```
+    pub fn write(&mut self, batch: Persist) {
+        if let Some(hard) = batch.hard {
+            self.hard = hard;
+        }
+        if let Some(snapshot) = batch.snapshot {
+            self.entries.retain(|entry| entry.index > snapshot.index);
+            self.snapshot = Some(snapshot);
+        }
+        if let Some(cut) = batch.cut {
+            let keep = self.entries.partition_point(|entry| entry.index < cut);
+            self.entries.truncate(keep);
+        }
+        self.entries.extend(batch.entries);
+    }
+
     /// The newest membership that the state holds.
     pub fn membership(&self) -> Option<&Membership> {
         let members = |entry: &Entry| match &entry.payload {
--- a/crates/medlarlug-core/tests/testsuite/replication/cluster.rs
+++ b/crates/medlarlug-core/tests/testsuite/replication/cluster.rs
@@ -294,7 +294,7 @@
         let it = &mut self.nodes[node];
         let count = it.unsynced.partition_point(|batch| batch.sequence <= sequence);
         for batch in it.unsynced.drain(..count) {
-            write(&mut it.disk, batch);
+            it.disk.write(batch);
         }
     }
 
@@ -460,20 +460,6 @@
     }
 }
 
-fn write(disk: &mut Restored, batch: Persist) {
-    if let Some(hard) = batch.hard {
-        disk.hard = hard;
-    }
-    if let Some(snapshot) = batch.snapshot {
-        disk.entries.retain(|entry| entry.index > snapshot.index);
-        disk.snapshot = Some(snapshot);
-    }
-    if let Some(cut) = batch.cut {
-        disk.entries.retain(|entry| entry.index < cut);
-    }
-    disk.entries.extend(batch.entries);
-}
-
 pub fn encode(values: &[u64]) -> Vec<u8> {
     values.iter().flat_map(|value| value.to_le_bytes()).collect()
 }
--- /dev/null
+++ b/src/state/folder.rs
@@ -0,0 +1,123 @@
+//! The data folder: its owner, its storage id and its lock.
+
+use std::{
+    fs::{self, File, TryLockError},
+    io::Write,
+    path::{Path, PathBuf},
+};
+
+use medlarlug_core::{ids::InstanceId, replication::StorageId};
+use serde::{Deserialize, Serialize};
+
+use super::{
+    error::{Attempt, StateError},
+    frame, journal,
+};
+
+const OWNER_FILE: &str = "owner";
+const LOCK_FILE: &str = "lock";
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Owner {
+    instance: InstanceId,
+    storage: StorageId,
+}
+
+/// A folder that holds the durable state of one instance.
+///
+/// Its [`StorageId`] is drawn when the folder is created and read back ever after, so a folder that
+/// was lost and created anew has another one.
+#[derive(Debug)]
+pub struct DataFolder {
+    path: PathBuf,
+    storage: StorageId,
+    /// Held as long as the folder is in use.
+    _lock: File,
+}
+
+impl DataFolder {
+    /// Opens the folder of `instance`, or creates it.
+    ///
+    /// # Errors
+    ///
+    /// The folder belongs to another instance, is in use, is corrupt, or cannot be read or written.
+    pub fn open(path: &Path, instance: &InstanceId) -> Result<DataFolder, StateError> {
+        fs::create_dir_all(path).map_err(StateError::io(Attempt::Create, path))?;
+        let lock = lock(path)?;
+        let owner = match read_owner(path)? {
+            Some(owner) => owner,
+            None => create(path, instance)?,
+        };
+        if owner.instance != *instance {
+            return Err(StateError::Foreign {
+                path: path.into(),
+                owner: owner.instance,
+                instance: instance.clone(),
+            });
+        }
+        Ok(DataFolder { path: path.into(), storage: owner.storage, _lock: lock })
+    }
+
+    /// Where the folder is.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// Names this storage of the instance.
+    pub fn storage(&self) -> StorageId {
+        self.storage
+    }
+}
+
+fn lock(path: &Path) -> Result<File, StateError> {
+    let file = path.join(LOCK_FILE);
+    let lock = File::create(&file).map_err(StateError::io(Attempt::Create, &file))?;
+    match lock.try_lock() {
+        Ok(()) => Ok(lock),
+        Err(TryLockError::WouldBlock) => Err(StateError::InUse { path: path.into() }),
+        Err(TryLockError::Error(source)) => Err(StateError::io(Attempt::Open, file)(source)),
+    }
+}
+
+fn read_owner(path: &Path) -> Result<Option<Owner>, StateError> {
+    let file = path.join(OWNER_FILE);
+    let bytes = match fs::read(&file) {
+        Ok(bytes) => bytes,
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+        Err(error) => return Err(StateError::io(Attempt::Read, file)(error)),
+    };
+    let owner = frame::decode(&bytes).and_then(|(_, payload)| postcard::from_bytes(payload).ok());
+    match owner {
+        Some(owner) => Ok(Some(owner)),
+        None => Err(StateError::Corrupt { path: file, offset: 0 }),
+    }
+}
+
+/// Creates an empty journal, then the owner's file: a folder with an owner has a journal.
+fn create(path: &Path, instance: &InstanceId) -> Result<Owner, StateError> {
+    let owner = Owner { instance: instance.clone(), storage: StorageId(rand::random()) };
+    journal::create_empty(path)?;
+    let payload = postcard::to_stdvec(&owner).map_err(StateError::Encode)?;
+    replace(path, OWNER_FILE, &frame::encode(0, &payload)?)?;
+    if let Some(parent) = path.canonicalize().ok().as_deref().and_then(Path::parent) {
+        sync_folder(parent)?;
+    }
+    Ok(owner)
+}
+
+/// Writes a file whole: it is there with this content, synced, or as it was before.
+pub(super) fn replace(folder: &Path, name: &str, content: &[u8]) -> Result<File, StateError> {
+    let temporary = folder.join(format!("{name}.new"));
+    let target = folder.join(name);
+    let mut file = File::create(&temporary).map_err(StateError::io(Attempt::Create, &temporary))?;
+    file.write_all(content).map_err(StateError::io(Attempt::Write, &temporary))?;
+    file.sync_all().map_err(StateError::io(Attempt::Sync, &temporary))?;
+    fs::rename(&temporary, &target).map_err(StateError::io(Attempt::Rename, &target))?;
+    sync_folder(folder)?;
+    Ok(file)
+}
+
+pub(super) fn sync_folder(path: &Path) -> Result<(), StateError> {
+    let folder = File::open(path).map_err(StateError::io(Attempt::Open, path))?;
+    folder.sync_all().map_err(StateError::io(Attempt::Sync, path))
+}
--- /dev/null
+++ b/src/state/writer.rs
@@ -0,0 +1,108 @@
+//! The writer: a thread that writes and syncs, so that the process's loop never waits for a disk.
+//!
+//! Whatever arrives during one sync is written together and shares the next one (group commit).
+
+use std::{path::PathBuf, sync::mpsc, thread};
+
+use medlarlug_core::replication::Persist;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+use super::{
+    error::{Attempt, StateError},
+    group::GroupName,
+    journal::Journal,
+};
+
+/// Most batches that share one sync.
+const MAX_BATCHES: usize = 1_024;
+
+/// Everything of `group` up to `sequence` is synced.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Synced {
+    /// The group.
+    pub group: GroupName,
+    /// Sequence number of its last synced batch.
+    pub sequence: u64,
+}
+
+/// What the writer reports. After an error it writes nothing more.
+pub type Report = Result<Synced, StateError>;
+
+#[derive(Debug)]
+enum Target {
+    Disk(mpsc::Sender<(GroupName, Persist)>),
+    Memory(UnboundedSender<Report>),
+}
+
+/// Takes batches of all groups of a process and reports when they are synced.
+#[derive(Debug)]
+pub struct Writer {
+    target: Target,
+}
+
+impl Writer {
+    /// Starts the thread that writes to `journal`. It ends when the writer is dropped and
+    /// everything handed over is synced.
+    ///
+    /// # Errors
+    ///
+    /// The operating system starts no thread.
+    pub fn start(mut journal: Journal) -> Result<(Writer, UnboundedReceiver<Report>), StateError> {
+        let (sender, batches) = mpsc::channel();
+        let (reports, receiver) = unbounded_channel();
+        thread::Builder::new()
+            .name("journal".into())
+            .spawn(move || write_all(&mut journal, &batches, &reports))
+            .map_err(StateError::io(Attempt::Start, PathBuf::from("journal")))?;
+        Ok((Writer { target: Target::Disk(sender) }, receiver))
+    }
+
+    /// A writer for a process without a disk: it keeps nothing and reports at once.
+    pub fn volatile() -> (Writer, UnboundedReceiver<Report>) {
+        let (reports, receiver) = unbounded_channel();
+        (Writer { target: Target::Memory(reports) }, receiver)
+    }
+
+    /// Hands a batch over. After a failure of the disk it is dropped: the failure was reported.
+    pub fn persist(&self, group: GroupName, batch: Persist) {
+        match &self.target {
+            Target::Disk(sender) => {
+                let _ = sender.send((group, batch));
+            }
+            Target::Memory(reports) => {
+                let _ = reports.send(Ok(Synced { group, sequence: batch.sequence }));
+            }
+        }
+    }
+}
+
+fn write_all(
+    journal: &mut Journal,
+    batches: &mpsc::Receiver<(GroupName, Persist)>,
+    reports: &UnboundedSender<Report>,
+) {
+    while let Ok(first) = batches.recv() {
+        let mut together = vec![first];
+        together.extend(batches.try_iter().take(MAX_BATCHES - 1));
+        let synced = last_sequences(&together);
+        if let Err(error) = journal.write(together) {
+            let _ = reports.send(Err(error));
+            return;
+        }
+        for report in synced {
+            let _ = reports.send(Ok(report));
+        }
+    }
+}
+
+/// The last batch of each group.
+fn last_sequences(batches: &[(GroupName, Persist)]) -> Vec<Synced> {
+    let mut synced: Vec<Synced> = Vec::new();
+    for (group, batch) in batches {
+        match synced.binary_search_by(|own| own.group.cmp(group)) {
+            Ok(at) => synced[at].sequence = batch.sequence,
+            Err(at) => synced.insert(at, Synced { group: group.clone(), sequence: batch.sequence }),
+        }
+    }
+    synced
+}
--- /dev/null
+++ b/tests/testsuite/state.rs
@@ -0,0 +1,270 @@
+//! Durable state: the data folder, the journal and its writer.
+
+use std::{fs, path::PathBuf};
+
+use assert_matches::assert_matches;
+use medlarlug::state::{DataFolder, GroupName, Journal, StateError, Synced, Writer};
+use medlarlug_core::{
+    ids::{LogIndex, Term},
+    replication::{
+        Entry, FormationId, HardState, Membership, Payload, Persist, Restored, Snapshot,
+    },
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tempfile::TempDir;
+use test_support::id;
+
+fn open(path: &TempDir) -> DataFolder {
+    DataFolder::open(path.path(), &id("keeper-1")).expect("a data folder")
+}
+
+fn entries(first: u64, count: u64, bytes: usize) -> Vec<Entry> {
+    let entry = |index| Entry {
+        index: LogIndex(index),
+        term: Term(1),
+        payload: Payload::Command(vec![index as u8; bytes]),
+    };
+    (first..first + count).map(entry).collect()
+}
+
+fn append(sequence: u64, first: u64, count: u64) -> Persist {
+    Persist { sequence, entries: entries(first, count, 100), ..Persist::default() }
+}
+
+fn snapshot(index: u64) -> Snapshot {
+    Snapshot {
+        index: LogIndex(index),
+        term: Term(1),
+        members: Membership::new(FormationId(1), Vec::new()),
+        data: vec![7; 50],
+    }
+}
+
+fn journal_file(path: &TempDir) -> PathBuf {
+    let files = fs::read_dir(path.path()).expect("a folder").map(|item| item.unwrap().path());
+    let is_journal = |path: &PathBuf| path.to_str().unwrap().contains("journal-");
+    let mut found: Vec<PathBuf> = files.filter(is_journal).collect();
+    assert_eq!(found.len(), 1);
+    found.remove(0)
+}
+
+/// A folder with three synced records of group `g`; returns the file's length after each.
+fn written(path: &TempDir) -> Vec<u64> {
+    let mut journal = Journal::open(&open(path)).expect("a journal");
+    let mut lengths = Vec::new();
+    for sequence in 1..=3 {
+        journal.write(vec![(id("g"), append(sequence, sequence, 1))]).expect("a write");
+        lengths.push(journal.length());
+    }
+    lengths
+}
+
+#[test]
+fn folder_keeps_its_storage_id_until_it_is_lost() {
+    let path = TempDir::new().unwrap();
+    let first = open(&path).storage();
+
+    let again = open(&path).storage();
+    for item in fs::read_dir(path.path()).unwrap() {
+        fs::remove_file(item.unwrap().path()).unwrap();
+    }
+    let anew = open(&path).storage();
+
+    assert_eq!(first, again);
+    assert_ne!(first, anew);
+}
+
+#[test]
+fn foreign_folder_is_refused() {
+    let path = TempDir::new().unwrap();
+    drop(open(&path));
+
+    let result = DataFolder::open(path.path(), &id("keeper-2"));
+
+    assert_matches!(result, Err(StateError::Foreign { owner, .. }) if owner == id("keeper-1"));
+}
+
+#[test]
+fn folder_in_use_is_refused() {
+    let path = TempDir::new().unwrap();
+    let _folder = open(&path);
+
+    let result = DataFolder::open(path.path(), &id("keeper-1"));
+
+    assert_matches!(result, Err(StateError::InUse { .. }));
+}
+
+#[test]
+fn folder_without_its_journal_is_refused() {
+    let path = TempDir::new().unwrap();
+    written(&path);
+    fs::remove_file(journal_file(&path)).unwrap();
+
+    let result = Journal::open(&open(&path));
+
+    assert_matches!(result, Err(StateError::Missing { .. }));
+}
+
+#[test]
+fn torn_tail_is_cut_at_every_length() {
+    let path = TempDir::new().unwrap();
+    let lengths = written(&path);
+    let file = journal_file(&path);
+    let whole = fs::read(&file).unwrap();
+
+    for length in lengths[1]..lengths[2] {
+        fs::write(&file, &whole[..length as usize]).unwrap();
+        let journal = Journal::open(&open(&path)).expect("a journal");
+
+        assert_eq!(journal.group(&id("g")).entries, entries(1, 2, 100));
+        assert_eq!(fs::metadata(&file).unwrap().len(), lengths[1]);
+    }
+}
+
+#[test]
+fn torn_tail_of_zeros_is_cut_and_written_over() {
+    let path = TempDir::new().unwrap();
+    let lengths = written(&path);
+    let file = journal_file(&path);
+    let mut bytes = fs::read(&file).unwrap();
+    bytes[lengths[1] as usize..].fill(0);
+    fs::write(&file, &bytes).unwrap();
+
+    let mut journal = Journal::open(&open(&path)).expect("a journal");
+    journal.write(vec![(id("g"), append(3, 3, 2))]).expect("a write");
+    drop(journal);
+
+    let journal = Journal::open(&open(&path)).expect("a journal");
+    assert_eq!(journal.group(&id("g")).entries, entries(1, 4, 100));
+}
+
+#[test]
+fn damage_before_the_last_record_is_an_error_at_every_byte() {
+    let path = TempDir::new().unwrap();
+    let lengths = written(&path);
+    let file = journal_file(&path);
+    let whole = fs::read(&file).unwrap();
+
+    for at in 0..lengths[1] as usize {
+        let mut bytes = whole.clone();
+        bytes[at] ^= 0x10;
+        fs::write(&file, &bytes).unwrap();
+
+        let result = Journal::open(&open(&path));
+
+        assert_matches!(result, Err(StateError::Corrupt { .. }), "byte {at}");
+    }
+}
+
+#[test]
+fn snapshots_bound_the_journal() {
+    let path = TempDir::new().unwrap();
+    let mut journal = Journal::open(&open(&path)).expect("a journal");
+    let mut largest = 0;
+
+    for sequence in 1..=300 {
+        let mut batch =
+            Persist { entries: entries(sequence, 1, 100_000), sequence, ..Persist::default() };
+        batch.snapshot = (sequence > 10).then(|| snapshot(sequence - 10));
+        journal.write(vec![(id("g"), batch)]).expect("a write");
+        largest = largest.max(journal.length());
+    }
+
+    let group = Journal::open(&open(&path)).expect("a journal").group(&id("g"));
+    assert_eq!(group.entries.len(), 10);
+    assert_eq!(group.snapshot, Some(snapshot(290)));
+    assert!(largest < 8 << 20, "{largest} bytes for 1 MB of state");
+    journal_file(&path);
+}
+
+fn random_batch(rng: &mut ChaCha8Rng, sequence: u64, model: &Restored) -> Persist {
+    let base = model.snapshot.as_ref().map_or(0, |snapshot| snapshot.index.0);
+    let last = model.entries.last().map_or(base, |entry| entry.index.0);
+    let mut batch = Persist { sequence, ..Persist::default() };
+    let mut next = last + 1;
+    match rng.random_range(0..6) {
+        0 => batch.hard = Some(HardState { term: Term(sequence), vote: None }),
+        1 if last > base => batch.snapshot = Some(snapshot(rng.random_range(base + 1..=last))),
+        2 if last > base => {
+            next = rng.random_range(base + 1..=last);
+            batch.cut = Some(LogIndex(next));
+        }
+        _ => {}
+    }
+    let count = rng.random_range(0..4);
+    batch.entries = entries(next, count, 2_000);
+    batch
+}
+
+#[test]
+fn journal_equals_a_naive_copy_over_restarts() {
+    let groups: [GroupName; 3] = [id("a"), id("b"), id("c")];
+    for seed in 0..10 {
+        let path = TempDir::new().unwrap();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut models = [Restored::default(), Restored::default(), Restored::default()];
+        for round in 0..10 {
+            let mut journal = Journal::open(&open(&path)).expect("a journal");
+            for step in 0..20 {
+                let at = rng.random_range(0..3);
+                let batch = random_batch(&mut rng, round * 20 + step, &models[at]);
+                models[at].write(batch.clone());
+                journal.write(vec![(groups[at].clone(), batch)]).expect("a write");
+            }
+            drop(journal);
+
+            let journal = Journal::open(&open(&path)).expect("a journal");
+            for (group, model) in groups.iter().zip(&models) {
+                assert_eq!(journal.group(group), *model, "seed {seed}, round {round}");
+            }
+        }
+    }
+}
+
+#[test]
+fn writer_reports_what_is_on_disk() {
+    let path = TempDir::new().unwrap();
+    let folder = open(&path);
+    let (writer, mut reports) = Writer::start(Journal::open(&folder).unwrap()).unwrap();
+
+    for sequence in 1..=50 {
+        writer.persist(id("g"), append(sequence, sequence, 1));
+        writer.persist(id("h"), append(sequence, sequence, 1));
+    }
+    let mut last = Vec::new();
+    while !last.contains(&Synced { group: id("g"), sequence: 50 })
+        || !last.contains(&Synced { group: id("h"), sequence: 50 })
+    {
+        last.push(reports.blocking_recv().expect("a report").expect("a sync"));
+    }
+
+    let journal = Journal::open(&folder).unwrap();
+    assert_eq!(journal.group(&id("g")).entries.len(), 50);
+    assert_eq!(journal.group(&id("h")).entries.len(), 50);
+}
+
+#[test]
+fn writer_reports_a_failure_once_and_stops() {
+    let path = TempDir::new().unwrap();
+    let folder = open(&path);
+    let (writer, mut reports) = Writer::start(Journal::open(&folder).unwrap()).unwrap();
+    fs::remove_dir_all(path.path()).unwrap();
+
+    // The file is gone, so the attempt to begin a new one fails.
+    let large = Persist { sequence: 1, entries: entries(1, 1, 5 << 20), ..Persist::default() };
+    writer.persist(id("g"), large);
+    writer.persist(id("g"), append(2, 2, 1));
+
+    assert_matches!(reports.blocking_recv(), Some(Err(StateError::Io { .. })));
+    assert_matches!(reports.blocking_recv(), None);
+}
+
+#[test]
+fn volatile_writer_reports_at_once() {
+    let (writer, mut reports) = Writer::volatile();
+
+    writer.persist(id("g"), append(1, 1, 1));
+
+    assert_matches!(reports.try_recv(), Ok(Ok(Synced { sequence: 1, .. })));
+}
