--- a/src/state/error.rs
+++ b/src/state/error.rs
@@ -88,6 +88,12 @@
         /// The folder.
         path: PathBuf,
     },
+    /// The folder has a journal but no owner.
+    #[error("the data folder {path} has lost its owner file; bring it back or empty the folder")]
+    Unowned {
+        /// The folder.
+        path: PathBuf,
+    },
     /// A record is larger than a journal can hold.
     #[error("a record of {bytes} bytes is larger than the limit of {limit}")]
     TooLarge {
--- a/src/state/journal.rs
+++ b/src/state/journal.rs
@@ -160,16 +160,27 @@
     format!("{PREFIX}{number:08}")
 }
 
+fn encode(groups: &Groups) -> Result<Vec<u8>, StateError> {
+    postcard::to_stdvec(groups).map_err(StateError::Encode)
+}
+
 /// Creates a journal file with a checkpoint and returns its length.
 fn create(folder: &Path, number: u64, groups: &Groups) -> Result<u64, StateError> {
-    let payload = postcard::to_stdvec(groups).map_err(StateError::Encode)?;
-    let frame = frame::encode(0, &payload)?;
+    let frame = frame::encode(0, &encode(groups)?)?;
     folder::replace(folder, &file_name(number), &frame)?;
     Ok(frame.len() as u64)
 }
 
-/// Creates the first journal of a new folder.
+/// Creates the first journal of a new folder, which may hold one that was never written to.
 pub(super) fn create_empty(folder: &Path) -> Result<(), StateError> {
+    if let Some(number) = clean_up(folder)? {
+        let name = folder.join(file_name(number));
+        let bytes = fs::read(&name).map_err(StateError::io(Attempt::Read, &name))?;
+        let is_unused = number == 1 && bytes == frame::encode(0, &encode(&Groups::new())?)?;
+        if !is_unused {
+            return Err(StateError::Unowned { path: folder.into() });
+        }
+    }
     create(folder, 1, &Groups::new())?;
     Ok(())
 }
--- a/tests/testsuite/state.rs
+++ b/tests/testsuite/state.rs
@@ -106,6 +106,29 @@
     assert_matches!(result, Err(StateError::Missing { .. }));
 }
 
+#[test]
+fn folder_without_its_owner_is_refused() {
+    let path = TempDir::new().unwrap();
+    written(&path);
+    fs::remove_file(path.path().join("owner")).unwrap();
+
+    let result = DataFolder::open(path.path(), &id("keeper-1"));
+
+    assert_matches!(result, Err(StateError::Unowned { .. }));
+    journal_file(&path);
+}
+
+#[test]
+fn creation_cut_short_is_completed() {
+    let path = TempDir::new().unwrap();
+    drop(open(&path));
+    fs::remove_file(path.path().join("owner")).unwrap();
+
+    let journal = Journal::open(&open(&path)).expect("a journal");
+
+    assert!(journal.groups().is_empty());
+}
+
 #[test]
 fn torn_tail_is_cut_at_every_length() {
     let path = TempDir::new().unwrap();
