Outcome of a booking waits for the adoption of its team

Cause: when a home moved between the sending and the outcome, the entry sent the outcome to the new home, which had not adopted the team yet and replied that it knew no such booking. The entry took that as the end, so an acknowledged booking stayed of unknown outcome. Found by a stricter check: an answer that the caller got as recorded has to be replied as done, not only as known.

--- a/crates/medlarlug-core/src/home/bookings.rs
+++ b/crates/medlarlug-core/src/home/bookings.rs
@@ -81,6 +81,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Absent {
     NoSuchBooking,
+    NotAdopted,
     Moved(RegionId),
 }
 
@@ -88,6 +89,7 @@
     fn from(reason: Absent) -> Reply {
         match reason {
             Absent::NoSuchBooking => Reply::NoSuchBooking,
+            Absent::NotAdopted => Reply::NotAdopted,
             Absent::Moved(region) => Reply::Moved(region),
         }
     }
@@ -376,7 +378,7 @@
         key: &BookingKey,
         request: &RequestId,
     ) -> Result<&mut Booking, Absent> {
-        let found = self.find_book(team).map_err(|_| Absent::NoSuchBooking)?;
+        let found = self.find_book(team).map_err(|_| Absent::NotAdopted)?;
         let book = &mut self.books[found];
         if let Hold::Sealed { to, .. } = &book.hold {
             return Err(Absent::Moved(to.clone()));
--- a/crates/medlarlug-core/src/home/command.rs
+++ b/crates/medlarlug-core/src/home/command.rs
@@ -211,7 +211,7 @@
     Moved(RegionId),
     /// Reply to [`Action::Seal`]: the team's bookings.
     Handover(Handover),
-    /// This group has not adopted the team itself yet.
+    /// This group does not hold the team, or not yet; the command may be sent again later.
     NotAdopted,
     /// Reply to [`Action::Loss`].
     Suspects(Vec<Suspect>),
--- a/crates/medlarlug-core/tests/testsuite/booking_history.rs
+++ b/crates/medlarlug-core/tests/testsuite/booking_history.rs
@@ -49,6 +49,15 @@
     attempts: Vec<(RequestId, usize, Attempt)>,
 }
 
+/// An upstream's answer that a caller got, or that an attempt ended with.
+#[derive(Debug)]
+struct Acknowledged {
+    key: usize,
+    answer: Recorded,
+    /// Whether the home group had recorded it before; not so when the deadline came first.
+    is_recorded: bool,
+}
+
 struct World {
     rng: ChaCha8Rng,
     groups: Vec<HomeGroup>,
@@ -60,8 +69,10 @@
     messages: Vec<Message>,
     /// Requests that ran, with their key.
     runs: Vec<(RequestId, usize)>,
+    /// Requests whose entry instance got the upstream's answer.
+    answered: Vec<RequestId>,
     refused: Vec<RequestId>,
-    acknowledged: Vec<(usize, Recorded)>,
+    acknowledged: Vec<Acknowledged>,
     with_state_loss: bool,
 }
 
@@ -95,6 +106,7 @@
             sequence: 0,
             messages: Vec::new(),
             runs: Vec::new(),
+            answered: Vec::new(),
             refused: Vec::new(),
             acknowledged: Vec::new(),
             with_state_loss,
@@ -147,10 +159,16 @@
         let mut out = Vec::new();
         let attempt = Attempt::new(region(home.region), begin, &mut out);
         self.entries[entry].attempts.push((request.clone(), number, attempt));
-        self.carry_out(&request, number, out);
+        self.carry_out(&request, number, out, true);
     }
 
-    fn carry_out(&mut self, request: &RequestId, number: usize, effects: Vec<Effect>) {
+    fn carry_out(
+        &mut self,
+        request: &RequestId,
+        key: usize,
+        effects: Vec<Effect>,
+        is_recorded: bool,
+    ) {
         for effect in effects {
             match effect {
                 Effect::Propose { step, home, action } => {
@@ -162,9 +180,11 @@
                     self.feed(request, Event::NotSent);
                 }
                 Effect::Send => {
-                    self.messages.push(Message::Call { request: request.clone(), key: number });
+                    self.messages.push(Message::Call { request: request.clone(), key });
+                }
+                Effect::Answer(Answer::Done(answer)) => {
+                    self.acknowledged.push(Acknowledged { key, answer, is_recorded });
                 }
-                Effect::Answer(Answer::Done(answer)) => self.acknowledged.push((number, answer)),
                 Effect::Answer(Answer::NotRun(_)) => self.refused.push(request.clone()),
                 Effect::Answer(Answer::Unknown) => {}
             }
@@ -177,8 +197,15 @@
             let attempts = &mut self.entries[entry].attempts;
             if let Some((_, number, attempt)) = attempts.iter_mut().find(|it| it.0 == *request) {
                 let (number, mut out) = (*number, Vec::new());
+                let is_recorded = event != Event::Deadline;
+                let was_settled = attempt.is_settled();
+                self.answered.extend(matches!(event, Event::Answered(_)).then(|| request.clone()));
                 attempt.handle(event, &mut out);
-                self.carry_out(request, number, out);
+                if attempt.is_settled() && !was_settled && self.answered.contains(request) {
+                    let answer = answer_to(request);
+                    self.acknowledged.push(Acknowledged { key: number, answer, is_recorded });
+                }
+                self.carry_out(request, number, out, is_recorded);
                 return;
             }
         }
@@ -330,7 +357,9 @@
             assert!(!has_run, "seed {seed}: {request} was refused as not run, but ran");
         }
         let home = self.homes.last().unwrap().clone();
-        for (number, answer) in std::mem::take(&mut self.acknowledged) {
+        for Acknowledged { key: number, answer, is_recorded } in
+            std::mem::take(&mut self.acknowledged)
+        {
             let run = self.runs.iter().find(|it| it.1 == number).map(|it| answer_to(&it.0));
             assert_eq!(Some(&answer), run.as_ref(), "seed {seed}: crossed answer");
             let request = id("riga.entry-9.1.1");
@@ -344,8 +373,8 @@
 
             let is_known = match &reply {
                 Reply::Begin(BeginReply::Done { answer: recorded, .. }) => *recorded == answer,
-                Reply::Begin(BeginReply::Unknown(_)) => true,
-                Reply::Begin(BeginReply::InProgress(_)) => true,
+                Reply::Begin(BeginReply::Unknown(_)) => self.with_state_loss || !is_recorded,
+                Reply::Begin(BeginReply::InProgress(_)) => !is_recorded,
                 _ => false,
             };
             assert!(is_known, "seed {seed}: acknowledged booking {number} got {reply:?}");
--- a/crates/medlarlug-core/tests/testsuite/home_model.rs
+++ b/crates/medlarlug-core/tests/testsuite/home_model.rs
@@ -30,6 +30,7 @@
 struct Naive {
     clock: Duration,
     rows: Vec<Row>,
+    teams: Vec<TeamId>,
     started: Vec<(InstanceId, Incarnation)>,
 }
 
@@ -77,6 +78,7 @@
             return BeginReply::StaleOwner(newest);
         }
         self.start(&instance, incarnation);
+        self.teams.push(begin.team.clone());
         let open = Row {
             team: begin.team.clone(),
             key: begin.key.clone(),
@@ -134,6 +136,9 @@
         from: &str,
     ) -> Reply {
         let clock = self.clock;
+        if !self.teams.contains(team) {
+            return Reply::NotAdopted;
+        }
         let Some(row) = self.row(team, key).filter(|it| it.request == *request) else {
             return Reply::NoSuchBooking;
         };
