--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/follower.rs
@@ -0,0 +1,306 @@
+//! Followers of the configuration: revisions only rise, and no rule is called in force everywhere
+//! while an instance that does not know it may cross regions.
+
+use std::time::Duration;
+
+use medlarlug_core::{
+    configuration_group::{Command, ConfigurationGroup, Tracker},
+    follower::{Answer, Ask, Confirmation, Effect, Event, Follower, Timing, Update},
+    ids::{InstanceId, Revision},
+    release::{Configuration, ReleaseNote},
+    time::Time,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use test_support::{id, note, region};
+
+const INSTANCES: usize = 5;
+const KEEPER: &str = "keeper";
+/// Real time of one step.
+const STEP: Duration = Duration::from_millis(100);
+/// Most that two clocks differ in speed.
+const DRIFT: f64 = 0.01;
+
+/// One process: its clock begins at zero with each start.
+struct Process {
+    name: InstanceId,
+    has_disk: bool,
+    is_cut_off: bool,
+    started: Duration,
+    speed: f64,
+    starts: u32,
+    follower: Follower,
+    saved: Option<Configuration>,
+    highest: Revision,
+}
+
+impl Process {
+    fn now(&self, real: Duration) -> Time {
+        Time::ZERO + (real - self.started).mul_f64(self.speed)
+    }
+}
+
+enum Message {
+    Ask { from: usize, starts: u32, to: InstanceId, ask: Ask },
+    Answer { to: usize, starts: u32, answer: Answer },
+    Push { to: usize, update: Update },
+}
+
+struct World {
+    rng: ChaCha8Rng,
+    real: Duration,
+    timing: Timing,
+    group: ConfigurationGroup,
+    keeper: Follower,
+    tracker: Tracker,
+    processes: Vec<Process>,
+    messages: Vec<Message>,
+}
+
+fn name(index: usize) -> InstanceId {
+    id(&format!("entry-{index}"))
+}
+
+fn sources() -> Vec<InstanceId> {
+    let mut sources = vec![id(KEEPER)];
+    sources.extend((0..INSTANCES).map(name));
+    sources
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        // The rule for isolated starts has a test of its own.
+        let timing = Timing { isolation: Duration::from_secs(1 << 30), ..Timing::default() };
+        let process = |index| Process {
+            name: name(index),
+            has_disk: index < 2,
+            is_cut_off: false,
+            started: Duration::ZERO,
+            speed: rng.random_range(0.996..1.004),
+            starts: 1,
+            follower: Follower::new(timing, None),
+            saved: None,
+            highest: Revision(0),
+        };
+        let processes = (0..INSTANCES).map(process).collect();
+        let mut world = World {
+            rng,
+            real: Duration::ZERO,
+            timing,
+            group: ConfigurationGroup::default(),
+            keeper: Follower::new(timing, None),
+            tracker: Tracker::new(timing.lease, DRIFT),
+            processes,
+            messages: Vec::new(),
+        };
+        for index in 0..INSTANCES {
+            world.feed(index, Event::Sources(sources()));
+        }
+        world
+    }
+
+    fn keeper_now(&self) -> Time {
+        Time::ZERO + self.real
+    }
+
+    fn step(&mut self, is_quiet: bool) {
+        self.real += STEP;
+        let index = self.rng.random_range(0..INSTANCES);
+        if !is_quiet {
+            match self.rng.random_range(0..60) {
+                0 | 1 => self.commit(),
+                2 => self.restart(index),
+                3..6 => self.processes[index].is_cut_off ^= true,
+                _ => {}
+            }
+        }
+        for index in 0..INSTANCES {
+            self.feed(index, Event::Tick);
+        }
+        for _ in 0..2 * INSTANCES {
+            self.deliver(is_quiet);
+        }
+    }
+
+    fn commit(&mut self) {
+        let base = self.group.configuration().revision.0;
+        let items = vec![region(&format!("r{base}"), &[&format!("r{base}-a")])];
+        let note = ReleaseNote::try_from(note(base, items)).unwrap();
+        self.group.apply(Command::Apply(note));
+        self.tracker.committed(self.keeper_now(), Revision(base + 1));
+        let ask = Ask { token: 0, revision: Revision(base), full: false };
+        for to in 0..INSTANCES {
+            let update = self.group.update_for(&ask).unwrap();
+            self.messages.push(Message::Push { to, update });
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        let process = &mut self.processes[index];
+        process.starts += 1;
+        process.started = self.real;
+        let saved = process.saved.clone().filter(|_| process.has_disk);
+        process.follower = Follower::new(self.timing, saved);
+        self.feed(index, Event::Sources(sources()));
+    }
+
+    fn feed(&mut self, index: usize, event: Event) {
+        let mut out = Vec::new();
+        let process = &mut self.processes[index];
+        process.follower.handle(process.now(self.real), event, &mut out);
+        for effect in out {
+            match effect {
+                Effect::Ask { source, ask } => {
+                    let starts = process.starts;
+                    self.messages.push(Message::Ask { from: index, starts, to: source, ask });
+                }
+                Effect::Changed(revision) => {
+                    assert!(revision >= process.highest, "{} fell to {revision}", process.name);
+                    process.highest = revision;
+                    process.saved = process.follower.configuration().cloned();
+                }
+            }
+        }
+    }
+
+    /// Delivers a message that need not be the oldest, unless it is lost.
+    fn deliver(&mut self, is_quiet: bool) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let place = self.rng.random_range(0..self.messages.len());
+        let message = self.messages.swap_remove(place);
+        if !is_quiet && self.rng.random_range(0..10) == 0 {
+            return;
+        }
+        match message {
+            Message::Ask { from, starts, to, ask } => self.answer(from, starts, &to, ask),
+            Message::Answer { to, starts, answer } => {
+                if self.processes[to].starts == starts {
+                    self.feed(to, Event::Answered(answer));
+                }
+            }
+            Message::Push { to, update } if !self.processes[to].is_cut_off => {
+                self.feed(to, Event::Push(update));
+            }
+            Message::Push { .. } => {}
+        }
+    }
+
+    /// The keeper answers those that are not cut off; instances answer each other.
+    fn answer(&mut self, from: usize, starts: u32, to: &InstanceId, ask: Ask) {
+        let asking = self.processes[from].name.clone();
+        let answer = if to.as_str() == KEEPER {
+            if self.processes[from].is_cut_off {
+                return;
+            }
+            self.tracker.confirmed(asking.clone(), id("riga-a"), ask.revision);
+            let revision = self.group.configuration().revision;
+            Answer {
+                token: ask.token,
+                update: self.group.update_for(&ask),
+                confirmation: Some(Confirmation { revision, age: Duration::ZERO }),
+                seen: self.keeper.remember(&asking, ask.revision),
+            }
+        } else {
+            let peer = self.processes.iter_mut().find(|it| it.name == *to).unwrap();
+            let now = peer.now(self.real);
+            peer.follower.answer(now, &asking, ask)
+        };
+        self.messages.push(Message::Answer { to: from, starts, answer });
+    }
+
+    /// Number of revisions that are called in force everywhere.
+    fn check(&self, seed: u64) -> u64 {
+        let newest = self.group.configuration().revision.0;
+        let is_everywhere =
+            |it: &u64| self.tracker.force(self.keeper_now(), Revision(*it)).is_everywhere();
+        let known = self.tracker.force(self.keeper_now(), Revision(1)).zones;
+        let is_complete = known.first().is_some_and(|it| it.confirmed as usize == INSTANCES);
+        let Some(everywhere) = (1..=newest).rev().find(is_everywhere).filter(|_| is_complete)
+        else {
+            return 0;
+        };
+        for process in &self.processes {
+            let may_cross = process.follower.may_cross_regions(process.now(self.real));
+            let knows = process.follower.revision().0 >= everywhere;
+            assert!(knows || !may_cross, "seed {seed}: {} crosses regions", process.name);
+        }
+        everywhere
+    }
+}
+
+#[test]
+fn revisions_rise_and_leases_bound_what_is_in_force() {
+    let mut everywhere = 0;
+    for seed in 0..300 {
+        let mut world = World::new(seed);
+        for _ in 0..600 {
+            world.step(false);
+            everywhere = everywhere.max(world.check(seed));
+        }
+
+        for process in &mut world.processes {
+            process.is_cut_off = false;
+        }
+        for _ in 0..300 {
+            world.step(true);
+        }
+
+        let newest = world.group.configuration().revision;
+        for process in &world.processes {
+            assert_eq!(process.follower.revision(), newest, "seed {seed}: {}", process.name);
+        }
+    }
+    assert!(everywhere > 10, "only revision {everywhere} came into force");
+}
+
+#[test]
+fn follower_without_revision_serves_and_crosses_nothing() {
+    let follower = Follower::new(Timing::default(), None);
+
+    assert!(follower.configuration().is_none());
+    assert!(!follower.may_cross_regions(Time::ZERO));
+}
+
+#[test]
+fn confirmation_counts_from_the_question() {
+    let timing = Timing::default();
+    let saved = Configuration::new(Revision(3), Vec::new());
+    let mut follower = Follower::new(timing, Some(saved));
+    let mut out = Vec::new();
+    follower.handle(Time::from_millis(5_000), Event::Sources(sources()), &mut out);
+    let Effect::Ask { ask, .. } = &out[0] else { panic!("no question") };
+    let confirmation = Confirmation { revision: Revision(3), age: Duration::from_secs(2) };
+    let (token, confirmation, seen) = (ask.token, Some(confirmation), Revision(3));
+    let answer = Answer { token, update: None, confirmation, seen };
+
+    follower.handle(Time::from_millis(9_000), Event::Answered(answer), &mut out);
+
+    let asked_to_now = Duration::from_secs(9 - 5 + 2);
+    assert_eq!(follower.confirmed_age(Time::from_millis(9_000)), Some(asked_to_now));
+    assert!(follower.may_cross_regions(Time::from_millis(10_900)));
+    assert!(!follower.may_cross_regions(Time::from_millis(11_000)));
+}
+
+/// What a diskless follower uses after its isolation time when a peer offers revision 3 and
+/// remembers it at `seen`.
+fn isolated_start(seen: Revision) -> Revision {
+    let mut follower = Follower::new(Timing::default(), None);
+    let mut out = Vec::new();
+    follower.handle(Time::ZERO, Event::Sources(sources()), &mut out);
+    let Effect::Ask { ask, .. } = &out[0] else { panic!("no question") };
+    let update = Some(Update::Full(Configuration::new(Revision(3), Vec::new())));
+    let answer = Answer { token: ask.token, update, confirmation: None, seen };
+    follower.handle(Time::from_millis(9_999), Event::Answered(answer), &mut out);
+    assert_eq!(follower.revision(), Revision(0));
+    follower.handle(Time::from_millis(10_000), Event::Tick, &mut out);
+    follower.revision()
+}
+
+#[test]
+fn isolated_start_takes_no_revision_below_the_remembered_one() {
+    assert_eq!(isolated_start(Revision(3)), Revision(3));
+    assert_eq!(isolated_start(Revision(4)), Revision(0));
+}
--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -2,5 +2,6 @@
 
 mod booking_history;
 mod configuration_group;
+mod follower;
 mod home_model;
 mod release;
