Confirmations and leases of the configuration: guards broken on purpose

Two were not found by the histories alone and got tests of their own: an older revision taken as confirmed, and the drift of clocks left out.

--- a/crates/medlarlug-core/tests/testsuite/follower.rs
+++ b/crates/medlarlug-core/tests/testsuite/follower.rs
@@ -304,3 +304,25 @@
     assert_eq!(isolated_start(Revision(3)), Revision(3));
     assert_eq!(isolated_start(Revision(4)), Revision(0));
 }
+
+#[test]
+fn confirmation_of_a_newer_revision_does_not_confirm_the_own_one() {
+    let saved = Configuration::new(Revision(3), Vec::new());
+    let mut follower = Follower::new(Timing::default(), Some(saved));
+    let confirmation = Confirmation { revision: Revision(4), age: Duration::ZERO };
+
+    follower.handle(Time::from_millis(5), Event::Confirmed(confirmation), &mut Vec::new());
+
+    assert!(!follower.may_cross_regions(Time::from_millis(5)));
+}
+
+#[test]
+fn leases_are_waited_out_with_the_drift_of_clocks() {
+    let mut tracker = Tracker::new(Duration::from_secs(10), DRIFT);
+    tracker.expect(id("entry-1"), id("riga-a"));
+
+    tracker.committed(Time::ZERO, Revision(1));
+
+    assert!(!tracker.force(Time::from_millis(10_099), Revision(1)).is_everywhere());
+    assert!(tracker.force(Time::from_millis(10_100), Revision(1)).is_everywhere());
+}
