Orders through seeded histories

1,000 histories of three issuers on clocks that differ by up to 0.8 of a hundredth, suspended, restarted or cut off from the home group, with orders that fly up to 5 s, changes of the group's leader and groups that lose their state. Checked: each engine takes orders in fencing order, also the ones that don't check; loads keep within burst and rate over every span of time.

--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -4,4 +4,5 @@
 mod configuration_group;
 mod follower;
 mod home_model;
+mod orders;
 mod release;
