--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -4,5 +4,6 @@
 mod configuration_group;
 mod follower;
 mod home_model;
+mod home_tables;
 mod orders;
 mod release;
