--- /dev/null
+++ b/crates/medlarlug-core/benches/state_machines.rs
@@ -0,0 +1,95 @@
+//! Sizes and speeds of the replicated state machines at the size of 2,700 teams.
+//!
+//! Run with `cargo bench -p medlarlug-core --bench state_machines`.
+
+use std::time::{Duration, Instant};
+
+use medlarlug_core::{
+    configuration_group::{Command as ConfigurationCommand, ConfigurationGroup},
+    fingerprint::Fingerprint,
+    follower::Ask,
+    home::{Action, Begin, Body, Command, HomeGroup, Owner, Recorded},
+    ids::{Incarnation, Revision, TeamId},
+    release::{Item, RawNote, ReleaseNote, item::Team},
+};
+use test_support::{id, note, region, team};
+
+const TEAMS: usize = 2_700;
+const CHANGES: u64 = 340;
+const KEYS: usize = 100_000;
+
+fn main() {
+    configuration();
+    bookings();
+}
+
+fn team_with_keys(number: usize, revision: u64) -> Team {
+    let mut team = team(&format!("team-{number}"), "region-0");
+    let key = |it: u64| Fingerprint::of(format!("{number}-{it}").as_bytes());
+    team.keys = vec![key(revision), key(revision + 1)];
+    team
+}
+
+fn configuration() {
+    let mut items: Vec<Item> = (0..8).map(|it| region(&format!("region-{it}"), &[])).collect();
+    items.extend((0..TEAMS).map(|it| Item::Team(team_with_keys(it, 0))));
+    let mut group = ConfigurationGroup::default();
+    group.apply(ConfigurationCommand::Apply(ReleaseNote::try_from(note(0, items)).unwrap()));
+    let start = Instant::now();
+    for base in 1..=CHANGES {
+        let changed = vec![Item::Team(team_with_keys(base as usize, base))];
+        let raw = RawNote { added: Vec::new(), changed, ..note(base, Vec::new()) };
+        group.apply(ConfigurationCommand::Apply(ReleaseNote::try_from(raw).unwrap()));
+    }
+    let each = start.elapsed() / CHANGES as u32;
+    let ask = |revision, full| Ask { token: 1, revision: Revision(revision), full };
+    let size = |ask: Ask| postcard::to_allocvec(&group.update_for(&ask).unwrap()).unwrap().len();
+    println!("configuration of {TEAMS} teams: {} B", size(ask(0, true)));
+    println!("one change: {} B", size(ask(CHANGES, false)));
+    println!("{CHANGES} changes: {} B", size(ask(1, false)));
+    println!("snapshot of the group: {} B", group.encode_snapshot().len());
+    println!("time to accept a note: {each:?}");
+}
+
+fn begin(number: usize) -> Begin {
+    let team: TeamId = id(&format!("team-{}", number % TEAMS));
+    Begin {
+        team,
+        key: format!("booking-{number}").parse().unwrap(),
+        content: Fingerprint::of(b"content"),
+        request: id(&format!("riga.entry-1.1.{number}")),
+        owner: Owner { instance: id("entry-1"), incarnation: Incarnation(1) },
+        epoch: Revision(1),
+        moved: false,
+    }
+}
+
+fn bookings() {
+    let mut group = HomeGroup::default();
+    let mut apply = |action| group.apply(Command { elapsed: Duration::from_millis(1), action });
+    apply(Action::Found { revision: Revision(1), first: true });
+    let begins: Vec<Begin> = (0..KEYS).map(begin).collect();
+    let answer = Recorded {
+        status: 201,
+        content_type: "application/json".into(),
+        body: Body::of(&[0; 200]),
+    };
+    let start = Instant::now();
+    for it in begins {
+        let (team, key, request) = (it.team.clone(), it.key.clone(), it.request.clone());
+        apply(Action::Begin(it));
+        apply(Action::Finish { team, key, request, answer: answer.clone() });
+    }
+    let each = start.elapsed() / KEYS as u32;
+    println!("time of a begin and a finish, {KEYS} keys: {each:?}");
+    let start = Instant::now();
+    let incarnation = Incarnation(2);
+    apply(Action::InstanceStarted { instance: id("entry-1"), incarnation });
+    println!("time of an instance's start among {KEYS} keys: {:?}", start.elapsed());
+    let start = Instant::now();
+    let snapshot = group.encode_snapshot();
+    println!("snapshot of {KEYS} keys: {} B in {:?}", snapshot.len(), start.elapsed());
+    let start = Instant::now();
+    HomeGroup::decode_snapshot(&snapshot).unwrap();
+    println!("reading it: {:?}", start.elapsed());
+}
--- a/crates/medlarlug-core/src/follower.rs
+++ b/crates/medlarlug-core/src/follower.rs
@@ -16,7 +16,7 @@
 //! waits for [`Timing::isolation`] and then takes the newest revision that it was offered, unless a
 //! source remembers that this instance had a newer one.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -124,6 +124,9 @@
     }
 }
 
+/// Changes that are kept to answer others without sending the whole configuration.
+const MAX_RECENT: usize = 64;
+
 /// Questions whose answers are still awaited.
 const MAX_OPEN_ASKS: usize = 16;
 
@@ -147,6 +150,8 @@
     open: Vec<(u64, Time)>,
     next_ask: Time,
     needs_full: bool,
+    /// The changes that led to the current configuration, oldest first.
+    recent: VecDeque<Change>,
     /// Newest configuration that was offered while none is known.
     offered: Option<Configuration>,
     /// Highest revision that a source remembers of this instance.
@@ -170,6 +175,7 @@
             open: Vec::new(),
             next_ask: Time::ZERO,
             needs_full: false,
+            recent: VecDeque::new(),
             offered: None,
             remembered: Revision(0),
             seen: Vec::new(),
@@ -198,8 +204,7 @@
 
     /// Answers the question of the instance `from` out of this copy.
     pub fn answer(&mut self, now: Time, from: &InstanceId, ask: Ask) -> Answer {
-        let newer = self.current.as_ref().filter(|it| it.revision > ask.revision);
-        let update = newer.cloned().map(Update::Full);
+        let update = self.update_for(&ask);
         let confirmation = self
             .confirmed_age(now)
             .filter(|age| *age < self.timing.lease)
@@ -207,6 +212,18 @@
         Answer { token: ask.token, update, confirmation, seen: self.remember(from, ask.revision) }
     }
 
+    fn update_for(&self, ask: &Ask) -> Option<Update> {
+        let current = self.current.as_ref()?;
+        let missing = current.revision.0.checked_sub(ask.revision.0).filter(|it| *it > 0)?;
+        let missing = usize::try_from(missing).unwrap_or(usize::MAX);
+        if ask.full || missing > self.recent.len() {
+            return Some(Update::Full(current.clone()));
+        }
+        let skipped = self.recent.len() - missing;
+        let changes = self.recent.iter().skip(skipped).cloned().collect();
+        Some(Update::Changes { base: ask.revision, changes })
+    }
+
     /// Notes the revision that an instance told, and gives the highest one that it ever told.
     pub fn remember(&mut self, from: &InstanceId, revision: Revision) -> Revision {
         match self.seen.binary_search_by(|(instance, _)| instance.cmp(from)) {
@@ -280,10 +297,10 @@
     }
 
     fn take(&mut self, update: Update, newest: Option<Revision>, out: &mut Vec<Effect>) {
-        let next = match update {
-            Update::Full(next) => next,
+        let (next, changes) = match update {
+            Update::Full(next) => (next, None),
             Update::Changes { base, changes } => match self.changed(base, &changes) {
-                Some(next) => next,
+                Some(next) => (next, Some(changes)),
                 None => return,
             },
         };
@@ -297,11 +314,26 @@
             return;
         }
         out.push(Effect::Changed(next.revision));
+        self.keep_recent(next.revision, changes);
         self.current = Some(next);
         self.offered = None;
         self.needs_full = false;
     }
 
+    /// Keeps the changes that lead from the current configuration to that of `revision`.
+    fn keep_recent(&mut self, revision: Revision, changes: Option<Vec<Change>>) {
+        let new = usize::try_from(revision.0 - self.revision().0).unwrap_or(usize::MAX);
+        let Some(changes) = changes.filter(|it| it.len() >= new) else {
+            self.recent.clear();
+            return;
+        };
+        let known = changes.len() - new;
+        self.recent.extend(changes.into_iter().skip(known));
+        while self.recent.len() > MAX_RECENT {
+            self.recent.pop_front();
+        }
+    }
+
     fn take_offered(&mut self, out: &mut Vec<Effect>) {
         let Some(offered) = self.offered.take_if(|it| it.revision >= self.remembered) else {
             return;
--- a/crates/medlarlug-core/tests/testsuite/follower.rs
+++ b/crates/medlarlug-core/tests/testsuite/follower.rs
@@ -248,9 +248,9 @@
             world.step(true);
         }
 
-        let newest = world.group.configuration().revision;
         for process in &world.processes {
-            assert_eq!(process.follower.revision(), newest, "seed {seed}: {}", process.name);
+            let current = process.follower.configuration();
+            assert_eq!(current, Some(world.group.configuration()), "seed {seed}: {}", process.name);
         }
     }
     assert!(everywhere > 10, "only revision {everywhere} came into force");
