--- a/crates/medlarlug-core/src/home/bookings.rs
+++ b/crates/medlarlug-core/src/home/bookings.rs
@@ -6,9 +6,9 @@
 
 use crate::{
     home::{
-        booking::{Amnesia, Body, Booking, BookingKey, BookingState, Handover, Owner, Recorded},
+        booking::{Amnesia, Booking, BookingKey, BookingState, Owner, Recorded},
         command::{Begin, BeginReply, Reply},
-        state::KEY_RETENTION_MICROS,
+        retention::whole_size,
     },
     ids::{Incarnation, InstanceId, RegionId, RequestId, Revision, TeamId},
 };
@@ -19,15 +19,9 @@
 /// Keys that are kept for all teams; a new booking beyond them is refused.
 pub const MAX_KEYS: usize = 262_144;
 
-/// Bytes of recorded bodies that are kept; the oldest bodies are omitted beyond them.
-pub const MAX_BODIES: usize = 64 * 1024 * 1024;
-
-/// Bytes of recorded bodies that a [`Handover`] carries; the oldest are omitted beyond them.
-pub const MAX_HANDOVER_BODIES: usize = 1024 * 1024;
-
 /// Whether the group holds the bookings of a team.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-enum Hold {
+pub(super) enum Hold {
     /// It does, by the home change of this revision.
     Held(Revision),
     /// Handed over to another region by the home change of this revision.
@@ -36,11 +30,11 @@
 
 /// The bookings of one team, sorted by key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct TeamBook {
-    team: TeamId,
-    hold: Hold,
-    amnesia: Option<Amnesia>,
-    bookings: Vec<Booking>,
+pub(super) struct TeamBook {
+    pub(super) team: TeamId,
+    pub(super) hold: Hold,
+    pub(super) amnesia: Option<Amnesia>,
+    pub(super) bookings: Vec<Booking>,
 }
 
 impl TeamBook {
@@ -55,10 +49,10 @@
 
 /// Names a booking whose state was reached at a logical time.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Mark {
-    at: u64,
-    team: TeamId,
-    key: BookingKey,
+pub(super) struct Mark {
+    pub(super) at: u64,
+    pub(super) team: TeamId,
+    pub(super) key: BookingKey,
 }
 
 /// Why the group takes no booking of a team.
@@ -98,13 +92,13 @@
 /// The bookings of all teams.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Bookings {
-    books: Vec<TeamBook>,
+    pub(super) books: Vec<TeamBook>,
     /// Ended bookings in the order of their end; a mark is void once its booking has changed.
-    ended: VecDeque<Mark>,
+    pub(super) ended: VecDeque<Mark>,
     /// Ended bookings with a whole body, in the order of their end.
-    bodies: VecDeque<Mark>,
-    count: usize,
-    body_bytes: usize,
+    pub(super) bodies: VecDeque<Mark>,
+    pub(super) count: usize,
+    pub(super) body_bytes: usize,
 }
 
 impl Bookings {
@@ -272,84 +266,7 @@
         }
     }
 
-    /// Hands the bookings of `team` over to `to`.
-    pub(crate) fn seal(
-        &mut self,
-        clock: u64,
-        team: TeamId,
-        to: RegionId,
-        epoch: Revision,
-        amnesia: Option<Amnesia>,
-    ) -> Reply {
-        let place = match self.find_book(&team) {
-            Ok(found) => found,
-            Err(place) => {
-                let hold = Hold::Held(Revision(0));
-                let book = TeamBook { team, hold, amnesia: None, bookings: Vec::new() };
-                self.books.insert(place, book);
-                place
-            }
-        };
-        let book = &mut self.books[place];
-        match &book.hold {
-            Hold::Held(held) if *held < epoch => {
-                let group = amnesia.filter(|it| *held < it.before);
-                book.amnesia = later(book.amnesia, group);
-                book.hold = Hold::Sealed { to, epoch };
-            }
-            Hold::Sealed { epoch: sealed, .. } if *sealed == epoch => {}
-            Hold::Held(_) | Hold::Sealed { .. } => return Reply::NotAdopted,
-        }
-        Reply::Handover(handover(clock, book, epoch))
-    }
-
-    /// Takes the bookings of a team over.
-    pub(crate) fn adopt(&mut self, clock: u64, handover: Handover) -> Reply {
-        let place = match self.find_book(&handover.team) {
-            Ok(found) => found,
-            Err(place) => {
-                let (team, hold) = (handover.team.clone(), Hold::Held(handover.epoch));
-                let book = TeamBook { team, hold, amnesia: None, bookings: Vec::new() };
-                self.books.insert(place, book);
-                return self.fill(clock, place, handover);
-            }
-        };
-        match &self.books[place].hold {
-            Hold::Held(held) if *held >= handover.epoch => return Reply::Ok,
-            Hold::Sealed { epoch, .. } if *epoch >= handover.epoch => return Reply::Ok,
-            Hold::Sealed { .. } => self.empty(place),
-            // Bookings that a group still holds although its team has come back are kept, too.
-            Hold::Held(_) => {}
-        }
-        self.books[place].hold = Hold::Held(handover.epoch);
-        self.fill(clock, place, handover)
-    }
-
-    /// Drops the bookings of a team that its new home has adopted.
-    pub(crate) fn release(&mut self, team: &TeamId, epoch: Revision) -> Reply {
-        let Ok(found) = self.find_book(team) else {
-            return Reply::NoSuchBooking;
-        };
-        match &self.books[found].hold {
-            Hold::Sealed { epoch: sealed, .. } if *sealed == epoch => {
-                self.empty(found);
-                Reply::Ok
-            }
-            Hold::Held(_) | Hold::Sealed { .. } => Reply::NoSuchBooking,
-        }
-    }
-
-    /// Drops the bookings that ended a retention ago.
-    pub(crate) fn expire(&mut self, clock: u64) {
-        let is_expired = |it: &mut Mark| it.at.saturating_add(KEY_RETENTION_MICROS) <= clock;
-        while let Some(mark) = self.ended.pop_front_if(is_expired) {
-            self.drop_marked(&mark);
-        }
-        while self.bodies.pop_front_if(is_expired).is_some() {}
-        self.omit_bodies();
-    }
-
-    fn find_book(&self, team: &TeamId) -> Result<usize, usize> {
+    pub(super) fn find_book(&self, team: &TeamId) -> Result<usize, usize> {
         self.books.binary_search_by(|it| it.team.cmp(team))
     }
 
@@ -391,81 +308,6 @@
         }
         Ok(booking)
     }
-
-    fn mark_ended(&mut self, at: u64, team: TeamId, key: BookingKey, body: usize) {
-        let mark = Mark { at, team, key };
-        if body > 0 {
-            self.body_bytes += body;
-            self.bodies.push_back(mark.clone());
-        }
-        self.ended.push_back(mark);
-    }
-
-    fn marked(&mut self, mark: &Mark) -> Option<(usize, usize)> {
-        let book = self.find_book(&mark.team).ok()?;
-        let bookings = &self.books[book].bookings;
-        let found = bookings.binary_search_by(|it| it.key.cmp(&mark.key)).ok()?;
-        let booking = &bookings[found];
-        let is_current =
-            booking.since == mark.at && !matches!(booking.state, BookingState::Open(_));
-        is_current.then_some((book, found))
-    }
-
-    fn drop_marked(&mut self, mark: &Mark) {
-        let Some((book, found)) = self.marked(mark) else {
-            return;
-        };
-        let booking = self.books[book].bookings.remove(found);
-        self.count -= 1;
-        self.body_bytes -= state_size(&booking.state);
-    }
-
-    fn omit_bodies(&mut self) {
-        while self.body_bytes > MAX_BODIES {
-            let Some(mark) = self.bodies.pop_front() else {
-                return;
-            };
-            let Some((book, found)) = self.marked(&mark) else {
-                continue;
-            };
-            let state = &mut self.books[book].bookings[found].state;
-            self.body_bytes -= state_size(state);
-            omit(state);
-        }
-    }
-
-    fn empty(&mut self, place: usize) {
-        let bookings = std::mem::take(&mut self.books[place].bookings);
-        self.count -= bookings.len();
-        self.body_bytes -= bookings.iter().map(|it| state_size(&it.state)).sum::<usize>();
-    }
-
-    fn fill(&mut self, clock: u64, place: usize, handover: Handover) -> Reply {
-        let restore = |it: Amnesia| Amnesia { until: clock.saturating_add(it.until), ..it };
-        let book = &mut self.books[place];
-        book.amnesia = later(book.amnesia, handover.amnesia.map(restore));
-        for mut booking in handover.bookings {
-            let Err(found) = book.bookings.binary_search_by(|it| it.key.cmp(&booking.key)) else {
-                continue;
-            };
-            booking.since = clock.saturating_sub(booking.since);
-            self.count += 1;
-            if !matches!(booking.state, BookingState::Open(_)) {
-                let (at, team, key) = (booking.since, book.team.clone(), booking.key.clone());
-                self.ended.push_back(Mark { at, team, key });
-            }
-            let size = state_size(&booking.state);
-            if size > 0 {
-                let (at, team, key) = (booking.since, book.team.clone(), booking.key.clone());
-                self.body_bytes += size;
-                self.bodies.push_back(Mark { at, team, key });
-            }
-            book.bookings.insert(found, booking);
-        }
-        self.ended.make_contiguous().sort_by_key(|it| it.at);
-        self.bodies.make_contiguous().sort_by_key(|it| it.at);
-        Reply::Ok
-    }
 }
 
 fn open(clock: u64, begin: Begin) -> Booking {
@@ -487,53 +329,3 @@
         }
     }
 }
-
-fn later(first: Option<Amnesia>, second: Option<Amnesia>) -> Option<Amnesia> {
-    match (first, second) {
-        (Some(a), Some(b)) => {
-            Some(Amnesia { before: a.before.max(b.before), until: a.until.max(b.until) })
-        }
-        (one, other) => one.or(other),
-    }
-}
-
-fn handover(clock: u64, book: &TeamBook, epoch: Revision) -> Handover {
-    let mut bookings = book.bookings.clone();
-    let mut newest: Vec<usize> = (0..bookings.len()).collect();
-    newest.sort_by_key(|&it| std::cmp::Reverse(bookings[it].since));
-    let mut bytes = 0;
-    for it in newest {
-        bytes += state_size(&bookings[it].state);
-        if bytes > MAX_HANDOVER_BODIES {
-            omit(&mut bookings[it].state);
-        }
-    }
-    for booking in &mut bookings {
-        booking.since = clock.saturating_sub(booking.since);
-    }
-    let remaining = |it: Amnesia| Amnesia { until: it.until.saturating_sub(clock), ..it };
-    let amnesia = book.amnesia.map(remaining);
-    Handover { team: book.team.clone(), epoch, amnesia, bookings }
-}
-
-fn whole_size(body: &Body) -> usize {
-    match body {
-        Body::Whole(bytes) => bytes.len(),
-        Body::Omitted { .. } => 0,
-    }
-}
-
-fn state_size(state: &BookingState) -> usize {
-    match state {
-        BookingState::Done(answer) => whole_size(&answer.body),
-        _ => 0,
-    }
-}
-
-fn omit(state: &mut BookingState) {
-    if let BookingState::Done(answer) = state
-        && let Body::Whole(bytes) = &answer.body
-    {
-        answer.body = Body::omitted(bytes);
-    }
-}
--- a/crates/medlarlug-core/src/home/mod.rs
+++ b/crates/medlarlug-core/src/home/mod.rs
@@ -21,7 +21,9 @@
 pub mod command;
 mod convictions;
 mod issuer_lease;
+mod moves;
 mod records;
+mod retention;
 pub mod state;
 
 pub use booking::{
--- /dev/null
+++ b/crates/medlarlug-core/src/home/moves.rs
@@ -0,0 +1,144 @@
+//! Bookings on their way from one home group to another.
+
+use crate::{
+    home::{
+        booking::{Amnesia, BookingState, Handover},
+        bookings::{Bookings, Hold, Mark, TeamBook},
+        command::Reply,
+        retention::{omit, state_size},
+    },
+    ids::{RegionId, Revision, TeamId},
+};
+
+/// Bytes of recorded bodies that a [`Handover`] carries; the oldest are omitted beyond them.
+pub const MAX_HANDOVER_BODIES: usize = 1024 * 1024;
+
+impl Bookings {
+    /// Hands the bookings of `team` over to `to`.
+    pub(crate) fn seal(
+        &mut self,
+        clock: u64,
+        team: TeamId,
+        to: RegionId,
+        epoch: Revision,
+        amnesia: Option<Amnesia>,
+    ) -> Reply {
+        let place = match self.find_book(&team) {
+            Ok(found) => found,
+            Err(place) => {
+                let hold = Hold::Held(Revision(0));
+                let book = TeamBook { team, hold, amnesia: None, bookings: Vec::new() };
+                self.books.insert(place, book);
+                place
+            }
+        };
+        let book = &mut self.books[place];
+        match &book.hold {
+            Hold::Held(held) if *held < epoch => {
+                let group = amnesia.filter(|it| *held < it.before);
+                book.amnesia = later(book.amnesia, group);
+                book.hold = Hold::Sealed { to, epoch };
+            }
+            Hold::Sealed { epoch: sealed, .. } if *sealed == epoch => {}
+            Hold::Held(_) | Hold::Sealed { .. } => return Reply::NotAdopted,
+        }
+        Reply::Handover(handover(clock, book, epoch))
+    }
+
+    /// Takes the bookings of a team over.
+    pub(crate) fn adopt(&mut self, clock: u64, handover: Handover) -> Reply {
+        let place = match self.find_book(&handover.team) {
+            Ok(found) => found,
+            Err(place) => {
+                let (team, hold) = (handover.team.clone(), Hold::Held(handover.epoch));
+                let book = TeamBook { team, hold, amnesia: None, bookings: Vec::new() };
+                self.books.insert(place, book);
+                return self.fill(clock, place, handover);
+            }
+        };
+        match &self.books[place].hold {
+            Hold::Held(held) if *held >= handover.epoch => return Reply::Ok,
+            Hold::Sealed { epoch, .. } if *epoch >= handover.epoch => return Reply::Ok,
+            Hold::Sealed { .. } => self.empty(place),
+            // Bookings that a group still holds although its team has come back are kept, too.
+            Hold::Held(_) => {}
+        }
+        self.books[place].hold = Hold::Held(handover.epoch);
+        self.fill(clock, place, handover)
+    }
+
+    /// Drops the bookings of a team that its new home has adopted.
+    pub(crate) fn release(&mut self, team: &TeamId, epoch: Revision) -> Reply {
+        let Ok(found) = self.find_book(team) else {
+            return Reply::NoSuchBooking;
+        };
+        match &self.books[found].hold {
+            Hold::Sealed { epoch: sealed, .. } if *sealed == epoch => {
+                self.empty(found);
+                Reply::Ok
+            }
+            Hold::Held(_) | Hold::Sealed { .. } => Reply::NoSuchBooking,
+        }
+    }
+
+    fn empty(&mut self, place: usize) {
+        let bookings = std::mem::take(&mut self.books[place].bookings);
+        self.count -= bookings.len();
+        self.body_bytes -= bookings.iter().map(|it| state_size(&it.state)).sum::<usize>();
+    }
+
+    fn fill(&mut self, clock: u64, place: usize, handover: Handover) -> Reply {
+        let restore = |it: Amnesia| Amnesia { until: clock.saturating_add(it.until), ..it };
+        let book = &mut self.books[place];
+        book.amnesia = later(book.amnesia, handover.amnesia.map(restore));
+        for mut booking in handover.bookings {
+            let Err(found) = book.bookings.binary_search_by(|it| it.key.cmp(&booking.key)) else {
+                continue;
+            };
+            booking.since = clock.saturating_sub(booking.since);
+            self.count += 1;
+            if !matches!(booking.state, BookingState::Open(_)) {
+                let (at, team, key) = (booking.since, book.team.clone(), booking.key.clone());
+                self.ended.push_back(Mark { at, team, key });
+            }
+            let size = state_size(&booking.state);
+            if size > 0 {
+                let (at, team, key) = (booking.since, book.team.clone(), booking.key.clone());
+                self.body_bytes += size;
+                self.bodies.push_back(Mark { at, team, key });
+            }
+            book.bookings.insert(found, booking);
+        }
+        self.ended.make_contiguous().sort_by_key(|it| it.at);
+        self.bodies.make_contiguous().sort_by_key(|it| it.at);
+        Reply::Ok
+    }
+}
+
+fn later(first: Option<Amnesia>, second: Option<Amnesia>) -> Option<Amnesia> {
+    match (first, second) {
+        (Some(a), Some(b)) => {
+            Some(Amnesia { before: a.before.max(b.before), until: a.until.max(b.until) })
+        }
+        (one, other) => one.or(other),
+    }
+}
+
+fn handover(clock: u64, book: &TeamBook, epoch: Revision) -> Handover {
+    let mut bookings = book.bookings.clone();
+    let mut newest: Vec<usize> = (0..bookings.len()).collect();
+    newest.sort_by_key(|&it| std::cmp::Reverse(bookings[it].since));
+    let mut bytes = 0;
+    for it in newest {
+        bytes += state_size(&bookings[it].state);
+        if bytes > MAX_HANDOVER_BODIES {
+            omit(&mut bookings[it].state);
+        }
+    }
+    for booking in &mut bookings {
+        booking.since = clock.saturating_sub(booking.since);
+    }
+    let remaining = |it: Amnesia| Amnesia { until: it.until.saturating_sub(clock), ..it };
+    let amnesia = book.amnesia.map(remaining);
+    Handover { team: book.team.clone(), epoch, amnesia, bookings }
+}
