--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/home_limits.rs
@@ -0,0 +1,152 @@
+//! Bounds of a home group: keys, bodies, retention, and what a group answers that lost its state.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use medlarlug_core::{
+    fingerprint::Fingerprint,
+    home::{
+        Action, Begin, BeginReply, Body, BookingState, Command, HomeGroup, Owner, Recorded, Reply,
+        state::KEY_RETENTION,
+    },
+    ids::{Incarnation, Revision},
+};
+use test_support::id;
+
+const FOUNDED: Revision = Revision(50);
+
+fn founded(first: bool) -> HomeGroup {
+    let mut group = HomeGroup::default();
+    apply(&mut group, Duration::ZERO, Action::Found { revision: FOUNDED, first });
+    group
+}
+
+fn apply(group: &mut HomeGroup, elapsed: Duration, action: Action) -> Reply {
+    group.apply(Command { elapsed, action })
+}
+
+fn begin(key: &str, epoch: u64) -> Begin {
+    Begin {
+        team: id("anna"),
+        key: key.parse().unwrap(),
+        content: Fingerprint::of(key.as_bytes()),
+        request: id("riga.entry-1.1.1"),
+        owner: Owner { instance: id("entry-1"), incarnation: Incarnation(1) },
+        epoch: Revision(epoch),
+        moved: false,
+    }
+}
+
+fn reply_to(group: &mut HomeGroup, begin: Begin) -> BeginReply {
+    match apply(group, Duration::ZERO, Action::Begin(begin)) {
+        Reply::Begin(reply) => reply,
+        reply => panic!("no reply to a begin: {reply:?}"),
+    }
+}
+
+fn finish(group: &mut HomeGroup, begin: &Begin, body: &[u8]) {
+    let Begin { team, key, request, .. } = begin.clone();
+    let body = Body::of(body);
+    let answer = Recorded { status: 201, content_type: "text/plain".into(), body };
+    apply(group, Duration::ZERO, Action::Finish { team, key, request, answer });
+}
+
+#[test]
+fn group_that_lost_its_state_runs_only_keys_that_prove_to_be_new() {
+    let mut group = founded(false);
+
+    let plain = reply_to(&mut group, begin("boat-1", 3));
+    let older = reply_to(&mut group, begin("49~boat-2", 3));
+    let newer = reply_to(&mut group, begin("50~boat-3", 3));
+
+    assert_eq!(plain, BeginReply::Unknown(None));
+    assert_eq!(older, BeginReply::Unknown(None));
+    assert_eq!(newer, BeginReply::Started);
+}
+
+#[test]
+fn team_that_is_newer_than_the_loss_books_at_once() {
+    let mut group = founded(false);
+
+    let reply = reply_to(&mut group, begin("boat-1", 51));
+
+    assert_eq!(reply, BeginReply::Started);
+}
+
+#[test]
+fn loss_of_state_ends_after_the_retention() {
+    let mut group = founded(false);
+
+    apply(&mut group, KEY_RETENTION - Duration::from_micros(1), Action::Tick);
+    let early = reply_to(&mut group, begin("boat-1", 3));
+    apply(&mut group, Duration::from_micros(1), Action::Tick);
+    let late = reply_to(&mut group, begin("boat-1", 3));
+
+    assert_eq!((early, late), (BeginReply::Unknown(None), BeginReply::Started));
+    assert_eq!(group.amnesia_left(), None);
+}
+
+#[test]
+fn group_without_founding_takes_nothing() {
+    let mut group = HomeGroup::default();
+
+    let begun = reply_to(&mut group, begin("boat-1", 3));
+    let ticked = apply(&mut group, Duration::ZERO, Action::Tick);
+
+    assert_eq!((begun, ticked), (BeginReply::NotFounded, Reply::NotFounded));
+}
+
+#[test]
+fn key_is_kept_for_the_retention_after_its_end() {
+    let mut group = founded(true);
+    let first = begin("boat-1", 3);
+    reply_to(&mut group, first.clone());
+    apply(&mut group, 2 * KEY_RETENTION, Action::Tick);
+    finish(&mut group, &first, b"booked");
+
+    apply(&mut group, KEY_RETENTION - Duration::from_micros(1), Action::Tick);
+    let early = reply_to(&mut group, first.clone());
+    apply(&mut group, Duration::from_micros(1), Action::Tick);
+    let late = reply_to(&mut group, first);
+
+    assert_matches!(early, BeginReply::Done { .. });
+    assert_eq!(late, BeginReply::Started);
+}
+
+#[test]
+fn key_beyond_the_bound_is_refused_and_none_is_dropped() {
+    let mut group = founded(true);
+    for number in 0..16_384 {
+        assert_eq!(reply_to(&mut group, begin(&format!("k{number}"), 3)), BeginReply::Started);
+    }
+
+    let refused = reply_to(&mut group, begin("one-more", 3));
+
+    assert_eq!(refused, BeginReply::Full);
+    assert_eq!(group.key_count(), 16_384);
+}
+
+#[test]
+fn oldest_bodies_are_omitted_beyond_the_bound_but_no_outcome() {
+    let mut group = founded(true);
+    let body = [7; 16 * 1024];
+    let count = 64 * 64 + 10;
+    for number in 0..count {
+        let it = begin(&format!("k{number}"), 3);
+        reply_to(&mut group, it.clone());
+        finish(&mut group, &it, &body);
+    }
+    apply(&mut group, Duration::ZERO, Action::Tick);
+    let body_of = |number: usize| {
+        let key = format!("k{number}").parse().unwrap();
+        match &group.booking(&id("anna"), &key).unwrap().state {
+            BookingState::Done(answer) => answer.body.clone(),
+            state => panic!("not done: {state:?}"),
+        }
+    };
+
+    let (omitted, kept) = (body_of(9), body_of(10));
+
+    assert_eq!(omitted, Body::omitted(&body));
+    assert_eq!(kept, Body::Whole(body.to_vec()));
+}
--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod booking_history;
 mod configuration_group;
 mod follower;
+mod home_limits;
 mod home_model;
 mod home_tables;
 mod orders;
