--- a/crates/medlarlug-core/src/lib.rs
+++ b/crates/medlarlug-core/src/lib.rs
@@ -22,14 +22,25 @@
 //! assert_eq!(zone.to_string(), "riga-a");
 //! ```
 
+pub mod admission;
 pub mod announcement;
 pub mod configuration_group;
+pub mod directory;
+pub mod drain;
 pub mod fingerprint;
 pub mod follower;
 pub mod home;
 pub mod ids;
+pub mod limits;
+pub mod membership;
 pub mod orders;
 pub mod record;
+pub mod refusal;
 pub mod release;
+pub mod replication;
+pub mod retry;
+pub mod routing;
+pub mod stream;
+pub mod suspects;
 pub mod time;
 pub mod units;
--- /dev/null
+++ b/crates/medlarlug-core/src/suspects/ledger.rs
@@ -0,0 +1,280 @@
+//! The verdicts that follow from a set of facts.
+
+use std::time::Duration;
+
+use crate::{
+    fingerprint::Fingerprint,
+    suspects::{
+        CERTAIN_LOSSES, CONVICTING_LOSSES, CONVICTION_LIFETIME, FACT_LIFETIME, Fact, LossKey,
+        LossReport, MAX_LOSSES_KEPT,
+    },
+    time::Time,
+};
+
+/// What the facts say about a content.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing counts against it.
+    Clear,
+    /// It was in flight on a lost upstream; it runs alone.
+    Suspect,
+    /// It is not run.
+    Convicted {
+        /// Time until it may be tried again.
+        after: Duration,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Loss {
+    key: LossKey,
+    at: Time,
+    flying: Vec<Fingerprint>,
+    cleared: Vec<Fingerprint>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Verdict {
+    fingerprint: Fingerprint,
+    last: Time,
+    losses: usize,
+    alone: usize,
+}
+
+/// A set of facts and the verdicts that follow from it.
+///
+/// ```
+/// use medlarlug_core::{
+///     fingerprint::Fingerprint,
+///     suspects::{Fact, LossKey, LossLedger, LossReport, Standing},
+///     time::Time,
+/// };
+/// use std::time::Duration;
+///
+/// let crashing = Fingerprint::of(b"crash");
+/// let lost = |upstream: &str| Fact::Lost(LossReport {
+///     key: LossKey {
+///         upstream: upstream.parse().unwrap(),
+///         incarnation: medlarlug_core::ids::Incarnation(1),
+///     },
+///     age: Duration::ZERO,
+///     flying: vec![crashing],
+/// });
+/// let mut ledger = LossLedger::default();
+/// ledger.learn(Time::ZERO, &lost("engine-1"));
+/// ledger.learn(Time::ZERO, &lost("engine-1"));
+/// assert_eq!(ledger.standing(Time::ZERO, crashing), Standing::Suspect);
+/// ledger.learn(Time::ZERO, &lost("engine-2"));
+/// assert!(matches!(ledger.standing(Time::ZERO, crashing), Standing::Convicted { .. }));
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct LossLedger {
+    losses: Vec<Loss>,
+    verdicts: Vec<Verdict>,
+    suspects: Vec<Fingerprint>,
+}
+
+impl LossLedger {
+    /// Whether no loss is known.
+    pub fn is_empty(&self) -> bool {
+        self.losses.is_empty()
+    }
+
+    /// Merges a fact; tells whether it was new, so that it is worth handing on.
+    pub fn learn(&mut self, now: Time, fact: &Fact) -> bool {
+        let is_new = match fact {
+            Fact::Lost(report) => self.learn_loss(now, report),
+            Fact::Cleared { fingerprint, losses, age } => {
+                self.learn_clearance(now.saturating_sub(*age), *fingerprint, losses)
+            }
+        };
+        if is_new {
+            self.drop_oldest();
+            self.judge();
+        }
+        is_new
+    }
+
+    /// Forgets the facts that are too old.
+    pub fn expire(&mut self, now: Time) {
+        let count = self.losses.len();
+        self.losses.retain(|it| now - it.at < FACT_LIFETIME);
+        if self.losses.len() < count {
+            self.judge();
+        }
+    }
+
+    /// What the facts say about `fingerprint`.
+    pub fn standing(&self, now: Time, fingerprint: Fingerprint) -> Standing {
+        if let Ok(found) = self.verdicts.binary_search_by_key(&fingerprint, |it| it.fingerprint) {
+            let verdict = &self.verdicts[found];
+            let end = verdict.last + conviction_lifetime(verdict.losses);
+            return match now < end {
+                true => Standing::Convicted { after: end - now },
+                false => Standing::Suspect,
+            };
+        }
+        match self.suspects.binary_search(&fingerprint) {
+            Ok(_) => Standing::Suspect,
+            Err(_) => Standing::Clear,
+        }
+    }
+
+    /// The convictions in force, sorted by fingerprint, and the time until each ends.
+    pub fn convictions(&self, now: Time) -> Vec<(Fingerprint, Duration)> {
+        let standing = |it: &Verdict| match self.standing(now, it.fingerprint) {
+            Standing::Convicted { after } => Some((it.fingerprint, after)),
+            _ => None,
+        };
+        self.verdicts.iter().filter_map(standing).collect()
+    }
+
+    /// The losses that count against `fingerprint`, sorted.
+    pub fn losses_of(&self, fingerprint: Fingerprint) -> Vec<LossKey> {
+        let losses = self.losses.iter().filter(|it| it.is_suspect(fingerprint));
+        losses.map(|it| it.key.clone()).collect()
+    }
+
+    /// Age of the newest of `losses` that is known.
+    pub fn age_of(&self, now: Time, losses: &[LossKey]) -> Option<Duration> {
+        let known = losses.iter().filter_map(|key| self.find(key).ok());
+        known.map(|found| now - self.losses[found].at).min()
+    }
+
+    /// Every fact, for an instance that has just started and for a snapshot.
+    pub fn facts(&self, now: Time) -> Vec<Fact> {
+        let mut facts = Vec::new();
+        for loss in &self.losses {
+            let (key, age) = (loss.key.clone(), now - loss.at);
+            for &fingerprint in &loss.cleared {
+                facts.push(Fact::Cleared { fingerprint, losses: vec![key.clone()], age });
+            }
+            facts.push(Fact::Lost(LossReport { key, age, flying: loss.flying.clone() }));
+        }
+        facts
+    }
+
+    fn find(&self, key: &LossKey) -> Result<usize, usize> {
+        self.losses.binary_search_by(|it| it.key.cmp(key))
+    }
+
+    /// The loss under `key`, new if it was not known; its earliest moment is kept.
+    fn loss(&mut self, key: &LossKey, at: Time) -> &mut Loss {
+        let place = match self.find(key) {
+            Ok(found) => found,
+            Err(place) => {
+                let loss = Loss { key: key.clone(), at, flying: Vec::new(), cleared: Vec::new() };
+                self.losses.insert(place, loss);
+                place
+            }
+        };
+        let loss = &mut self.losses[place];
+        loss.at = loss.at.min(at);
+        loss
+    }
+
+    fn learn_loss(&mut self, now: Time, report: &LossReport) -> bool {
+        if report.age >= FACT_LIFETIME {
+            return false;
+        }
+        let loss = self.loss(&report.key, now.saturating_sub(report.age));
+        merge(&mut loss.flying, &report.flying)
+    }
+
+    fn learn_clearance(&mut self, at: Time, fingerprint: Fingerprint, losses: &[LossKey]) -> bool {
+        let mut is_new = false;
+        for key in losses {
+            is_new |= merge(&mut self.loss(key, at).cleared, &[fingerprint]);
+        }
+        is_new
+    }
+
+    fn drop_oldest(&mut self) {
+        while self.losses.len() > MAX_LOSSES_KEPT {
+            let oldest = (0..self.losses.len()).min_by_key(|&it| self.losses[it].at);
+            self.losses.remove(oldest.unwrap_or(0));
+        }
+    }
+
+    /// Convicts the strongest candidates first; the losses they explain count against no other.
+    fn judge(&mut self) {
+        self.verdicts.clear();
+        loop {
+            let open = self.open_evidence();
+            let candidates: Vec<Verdict> =
+                open.chunk_by(|a, b| a.0 == b.0).filter_map(candidate).collect();
+            let Some(strongest) = candidates.iter().map(Verdict::strength).max() else {
+                self.suspects = open.into_iter().map(|it| it.0).collect();
+                self.suspects.dedup();
+                return;
+            };
+            let convicted = candidates.into_iter().filter(|it| it.strength() == strongest);
+            self.verdicts.extend(convicted);
+            self.verdicts.sort_by_key(|it| it.fingerprint);
+        }
+    }
+
+    /// Each unexplained loss of each content, sorted by content: when it was, and whether no other
+    /// content can have caused it.
+    fn open_evidence(&self) -> Vec<(Fingerprint, Time, bool)> {
+        let mut evidence = Vec::new();
+        for loss in &self.losses {
+            let suspects = loss.suspects();
+            let is_convicted = |it: &Fingerprint| {
+                self.verdicts.binary_search_by_key(it, |verdict| verdict.fingerprint).is_ok()
+            };
+            if suspects.iter().any(is_convicted) {
+                continue;
+            }
+            let alone = suspects.len() == 1;
+            evidence.extend(suspects.into_iter().map(|it| (it, loss.at, alone)));
+        }
+        evidence.sort_unstable();
+        evidence
+    }
+}
+
+impl Loss {
+    fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
+        let is_flying = self.flying.binary_search(&fingerprint).is_ok();
+        is_flying && self.cleared.binary_search(&fingerprint).is_err()
+    }
+
+    fn suspects(&self) -> Vec<Fingerprint> {
+        self.flying.iter().copied().filter(|&it| self.is_suspect(it)).collect()
+    }
+}
+
+impl Verdict {
+    /// Losses that nothing else can have caused, then all losses.
+    fn strength(&self) -> (usize, usize) {
+        (self.alone, self.losses)
+    }
+}
+
+/// The verdict on one content, if its losses convict it.
+fn candidate(evidence: &[(Fingerprint, Time, bool)]) -> Option<Verdict> {
+    let losses = evidence.len();
+    let alone = evidence.iter().filter(|it| it.2).count();
+    let is_likely = losses >= CONVICTING_LOSSES && alone > 0;
+    if !is_likely && losses < CERTAIN_LOSSES {
+        return None;
+    }
+    let &(fingerprint, last, _) = evidence.last()?;
+    Some(Verdict { fingerprint, last, losses, alone })
+}
+
+/// Adds `more` to a sorted set; tells whether it grew.
+fn merge(set: &mut Vec<Fingerprint>, more: &[Fingerprint]) -> bool {
+    let count = set.len();
+    set.extend_from_slice(more);
+    set.sort_unstable();
+    set.dedup();
+    set.len() > count
+}
+
+/// Lifetime of a conviction by `losses` losses: doubled by each beyond the second.
+fn conviction_lifetime(losses: usize) -> Duration {
+    let doublings = losses.saturating_sub(CONVICTING_LOSSES).min(8);
+    (CONVICTION_LIFETIME * (1 << doublings)).min(FACT_LIFETIME)
+}
