--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -1,3 +1,5 @@
 //! Tests of the coordination cores.
 
+mod membership;
+mod network;
 mod release;
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/membership.rs
@@ -0,0 +1,281 @@
+//! The membership core on a seeded network.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use medlarlug_core::{
+    ids::{Incarnation, Revision},
+    membership::{Effect, Event, Membership, Message, Notice, Settings, Status, UpstreamNews},
+    time::Time,
+};
+use rand::RngExt;
+use test_support::id;
+
+use crate::network::{Faults, Network, engine, entry};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn one_zone(seed: u64, entries: usize, upstreams: usize) -> Network {
+    let seeds = (0..entries).map(|it| entry(&format!("e{it}"), "riga-a", "riga")).collect();
+    let mut network = Network::new(seed, seeds);
+    for it in 0..upstreams {
+        network.add_upstream(engine(&format!("u{it}"), "riga-a", &["m"]));
+    }
+    network
+}
+
+fn single(now: Time) -> Membership {
+    let own = entry("e0", "riga-a", "riga");
+    let peers = vec![entry("e1", "riga-a", "riga")];
+    Membership::new(now, Settings { own, incarnation: Incarnation(1), peers })
+}
+
+#[test]
+fn every_instance_learns_of_every_upstream() {
+    let mut network = one_zone(1, 4, 6);
+
+    network.run(3 * SECOND);
+
+    let expected = network.truly_usable(&id("riga-a"));
+    assert_eq!(expected.len(), 6);
+    for node in 0..4 {
+        assert_eq!(network.usable(node), expected);
+    }
+}
+
+#[test]
+fn leaving_beats_an_older_announcement_that_arrives_late() {
+    let mut membership = single(Time::ZERO);
+    let mut left = engine("u0", "riga-a", &["m"]);
+    let late = left.clone();
+    left.sequence = 5;
+    left.leaving = true;
+
+    let mut out = Vec::new();
+    membership.handle(Time::from_millis(10), Event::Announced(left), &mut out);
+    membership.handle(Time::from_millis(20), Event::Announced(late.clone()), &mut out);
+
+    assert_eq!(membership.upstreams(Time::from_millis(20)).count(), 0);
+
+    let higher = medlarlug_core::announcement::Announcement { incarnation: Incarnation(2), ..late };
+    membership.handle(Time::from_millis(30), Event::Announced(higher), &mut out);
+
+    assert_eq!(membership.upstreams(Time::from_millis(30)).count(), 1);
+}
+
+#[test]
+fn peer_that_missed_the_leaving_is_told() {
+    let mut membership = single(Time::ZERO);
+    let mut left = engine("u0", "riga-a", &["m"]);
+    let announcement = Box::new(left.clone());
+    left.sequence = 5;
+    left.leaving = true;
+    membership.handle(Time::ZERO, Event::Announced(left), &mut Vec::new());
+
+    let mut out = Vec::new();
+    let news = vec![UpstreamNews::Full { announcement, age: SECOND }];
+    let message = Message::Upstreams(news);
+    let event = Event::Message { from: id("e1"), message };
+    membership.handle(Time::from_millis(10), event, &mut out);
+
+    let told = out.iter().any(|it| {
+        matches!(it, Effect::Send { message: Message::Upstreams(news), .. }
+            if matches!(news[..], [UpstreamNews::Left { .. }]))
+    });
+    assert!(told);
+}
+
+#[test]
+fn announcement_for_another_zone_is_refused() {
+    let mut membership = single(Time::ZERO);
+
+    let mut out = Vec::new();
+    membership.handle(Time::ZERO, Event::Announced(engine("u0", "kochi-a", &["m"])), &mut out);
+
+    assert_matches!(out[..], [Effect::Notice(Notice::ForeignZone(_))]);
+}
+
+#[test]
+fn leaving_and_dead_upstreams_get_no_work_in_time() {
+    for seed in 0..1_000 {
+        let mut network = one_zone(seed, 4, 5);
+        network.run(3 * SECOND);
+        network.faults = Faults::ROUGH;
+        let gone = network.random().random_range(0..5);
+        let is_leaving = network.random().random_bool(0.5);
+
+        if is_leaving {
+            network.leave(gone);
+        } else {
+            network.upstreams[gone].is_up = false;
+        }
+        network.run(if is_leaving { 2 * SECOND } else { 3 * SECOND });
+
+        let gone = network.upstreams[gone].announcement.id.clone();
+        for _ in 0..40 {
+            for node in 0..4 {
+                assert!(!network.usable(node).contains(&gone), "seed {seed}, instance {node}");
+            }
+            network.step();
+        }
+    }
+}
+
+#[test]
+fn views_agree_with_the_naive_list_after_a_heal() {
+    for seed in 0..400 {
+        let mut network = one_zone(seed, 5, 6);
+        network.run(2 * SECOND);
+        network.faults = Faults::ROUGH;
+        let cut = network.random().random_range(1..4);
+        network.cut = (0..cut).collect();
+        for _ in 0..6 {
+            disturb(&mut network);
+            network.run(SECOND);
+        }
+
+        network.cut.clear();
+        network.faults = Faults::NONE;
+        network.run(3 * SECOND);
+
+        let expected = network.truly_usable(&id("riga-a"));
+        for node in 0..5 {
+            assert_eq!(network.usable(node), expected, "seed {seed}, instance {node}");
+        }
+    }
+}
+
+fn disturb(network: &mut Network) {
+    let upstream = network.random().random_range(0..6);
+    let node = network.random().random_range(0..5);
+    match network.random().random_range(0..4) {
+        0 => network.leave(upstream),
+        1 => network.upstreams[upstream].is_up = false,
+        2 => network.restart_upstream(upstream),
+        _ => network.restart_node(node),
+    }
+}
+
+#[test]
+fn restarted_instance_learns_that_an_upstream_left() {
+    let mut network = one_zone(3, 3, 3);
+    network.run(3 * SECOND);
+    network.leave(0);
+    network.run(SECOND);
+
+    network.restart_node(2);
+    network.run(2 * SECOND);
+
+    assert_eq!(network.usable(2), network.truly_usable(&id("riga-a")));
+}
+
+#[test]
+fn silent_connection_is_replaced_and_nobody_condemned() {
+    let mut network = one_zone(4, 3, 2);
+    network.run(3 * SECOND);
+    network.notices.clear();
+
+    network.silent.push((0, 1));
+    network.run(5 * SECOND);
+
+    assert!(network.silent.is_empty());
+    let is_dead = |notice: &Notice| matches!(notice, Notice::PeerDead(_));
+    assert!(!network.notices.iter().any(|(_, it)| is_dead(it)));
+}
+
+#[test]
+fn instance_that_is_silent_on_new_connections_counts_as_dead() {
+    let mut network = one_zone(5, 3, 2);
+    network.run(3 * SECOND);
+
+    network.nodes[0].is_up = false;
+    network.run(4 * SECOND);
+
+    assert!(network.notices.contains(&(1, Notice::PeerDead(id("e0")))));
+    let entries = network.nodes[1].membership.entries(network.clock(1));
+    assert!(entries.iter().all(|it| it.id != id("e0")));
+    assert!(network.nodes[1].membership.is_speaker());
+}
+
+#[test]
+fn leaving_instance_is_no_entry_any_more() {
+    let mut network = one_zone(6, 3, 0);
+    network.run(2 * SECOND);
+
+    let now = network.clock(0);
+    let status = Status { load: 3, revision: Revision(7), leaving: true };
+    network.nodes[0].membership.handle(now, Event::Status(status), &mut Vec::new());
+    network.run(SECOND);
+
+    for node in 0..3 {
+        let entries = network.nodes[node].membership.entries(network.clock(node));
+        assert_eq!(entries.len(), 2);
+        assert_eq!(network.nodes[node].membership.highest_revision(), Revision(7));
+    }
+}
+
+fn regions(regions: usize, zones: usize, entries: usize) -> Network {
+    let mut seeds = Vec::new();
+    for zone in 0..zones {
+        let (name, region) = (format!("z{zone}"), format!("r{}", zone % regions));
+        seeds.extend((0..entries).map(|it| entry(&format!("e{zone}-{it}"), &name, &region)));
+    }
+    Network::new(8, seeds)
+}
+
+#[test]
+fn summaries_reach_every_instance_and_survive_the_speaker() {
+    let mut network = regions(3, 6, 3);
+    for zone in 0..6 {
+        let zone_name = format!("z{zone}");
+        network.add_upstream(engine(&format!("u{zone}"), &zone_name, &["m"]));
+    }
+    network.run(10 * SECOND);
+
+    network.nodes[0].is_up = false;
+    network.run(25 * SECOND);
+
+    let target = medlarlug_core::membership::Target::Model(id("m"));
+    for node in 1..network.nodes.len() {
+        let now = network.clock(node);
+        for zone in network.nodes[node].membership.zones() {
+            let row = zone.row(now, &target);
+            assert!(row.is_some_and(|it| it.summary.upstreams == 1), "{node}: {}", zone.zone);
+        }
+    }
+}
+
+#[test]
+fn control_traffic_stays_within_its_budget_at_full_size() {
+    let mut network = regions(8, 29, 12);
+    let models: Vec<String> = (0..12).map(|it| format!("model-{it:02}")).collect();
+    for it in 0..600 {
+        let zone = format!("z{}", it % 29);
+        let loaded = [models[it % 12].as_str(), models[(it / 12) % 12].as_str()];
+        let mut upstream = engine(&format!("engine-{it:03}"), &zone, &loaded[..1 + it % 2]);
+        upstream.load.speed = 2_000.0;
+        network.add_upstream(upstream);
+    }
+    network.run(4 * SECOND);
+    network.measures_bytes = true;
+
+    for _ in 0..8 {
+        change_loads(&mut network);
+        network.run(SECOND);
+    }
+
+    let sent = network.nodes.iter().map(|it| it.sent / 8).max().unwrap();
+    let received = network.nodes.iter().map(|it| it.received / 8).max().unwrap();
+    println!("most bytes a second: {sent} sent, {received} received");
+    assert!(sent < 5_000, "{sent} bytes a second sent");
+    assert!(received < 5_000, "{received} bytes a second received");
+}
+
+fn change_loads(network: &mut Network) {
+    for it in 0..network.upstreams.len() {
+        let running = network.random().random_range(0..12);
+        let load = &mut network.upstreams[it].announcement.load;
+        load.running = running;
+        load.waiting = running / 3;
+    }
+}
