--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/directory.rs
@@ -0,0 +1,74 @@
+//! The directory of entry instances.
+
+use std::time::Duration;
+
+use medlarlug_core::{
+    directory::{LIFETIME, order},
+    membership::EntryView,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use test_support::id;
+
+fn view(name: &str, zone: &str, region: &str, load: u32) -> EntryView {
+    EntryView { id: id(name), zone: id(zone), region: id(region), load }
+}
+
+#[test]
+fn near_instances_come_first() {
+    let entries = vec![
+        view("far", "kochi-a", "kochi", 0),
+        view("near", "riga-b", "riga", 5),
+        view("own", "riga-a", "riga", 50),
+    ];
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+
+    let directory = order(&id("riga-a"), &id("riga"), entries, &mut random);
+
+    assert_eq!(directory.entries, [id("own"), id("near"), id("far")]);
+}
+
+/// Callers follow the directory, which sees loads that are up to half a second old.
+fn busiest_over_mean(seed: u64) -> f64 {
+    const ENTRIES: usize = 8;
+    const CALLERS: usize = 200;
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut used: Vec<Option<usize>> = vec![None; CALLERS];
+    let mut next: Vec<Duration> =
+        (0..CALLERS).map(|_| LIFETIME.mul_f64(random.random_range(0.0..1.0))).collect();
+    let mut loads = [0u32; ENTRIES];
+    let mut worst: f64 = 0.0;
+    for step in 0..600u32 {
+        let now = Duration::from_millis(100) * step;
+        if step % 5 == 0 {
+            loads = [0; ENTRIES];
+            used.iter().flatten().for_each(|it| loads[*it] += 1);
+        }
+        for caller in 0..CALLERS {
+            if next[caller] > now {
+                continue;
+            }
+            next[caller] = now + LIFETIME;
+            let entries =
+                (0..ENTRIES).map(|it| view(&format!("e{it}"), "riga-a", "riga", loads[it]));
+            let directory = order(&id("riga-a"), &id("riga"), entries.collect(), &mut random);
+            used[caller] = Some(directory.entries[0].as_str()[1..].parse().unwrap());
+        }
+        if now > 2 * LIFETIME && step % 10 == 0 {
+            let mut counts = [0u32; ENTRIES];
+            used.iter().flatten().for_each(|it| counts[*it] += 1);
+            let busiest = f64::from(*counts.iter().max().unwrap());
+            worst = worst.max(busiest / (CALLERS as f64 / ENTRIES as f64));
+        }
+    }
+    worst
+}
+
+#[test]
+fn instances_stay_level_without_a_balancer() {
+    for seed in 0..20 {
+        let ratio = busiest_over_mean(seed);
+        println!("seed {seed}: busiest {ratio:.2} times the mean");
+        assert!(ratio <= 1.25, "seed {seed}: busiest {ratio} times the mean");
+    }
+}
