A zone keeps requests until another is faster by 1.2 s

Cause: at 80% load requests left for gains of 0.4 s that bursts of a lagging report suggest; the zones then exchanged load and lost their caches. Change: margin 0.4 -> 1.2 s (0.25 -> 0.9 s while requests leave).

--- a/crates/medlarlug-core/src/routing/router.rs
+++ b/crates/medlarlug-core/src/routing/router.rs
@@ -49,9 +49,9 @@
 /// Requests in flight at which a ramp ends.
 const RAMP_END: f64 = 32.0;
 /// Seconds by which another zone has to be faster before a request leaves its own.
-const AWAY_GAIN: f64 = 0.4;
+const AWAY_GAIN: f64 = 1.2;
 /// Seconds by which it has to be faster once requests leave, so that the choice doesn't flap.
-const AWAY_STAY: f64 = 0.25;
+const AWAY_STAY: f64 = 0.9;
 /// Time for which the choice counts as leaving after the last request that left.
 const AWAY_MEMORY: Duration = Duration::from_secs(2);
 /// Shortest time to come back after a refusal.
