--- a/crates/medlarlug-core/src/routing/router.rs
+++ b/crates/medlarlug-core/src/routing/router.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     announcement::UpstreamKind,
+    fingerprint::Fingerprint,
     ids::{Revision, UpstreamId, VersionId, ZoneId},
     membership::{Membership, Row, Target, Upstream, load::PROMPT_SPEED},
     release::Configuration,
@@ -90,6 +91,7 @@
 #[derive(Debug, Clone)]
 struct LearnedUpstream {
     id: UpstreamId,
+    hash: u64,
     learned: Learned,
 }
 
@@ -266,7 +268,9 @@
             let prediction = predict(now, facts, upstream, learned, recent);
             let penalty = self.penalty(now, learned);
             let work = prediction.tokens.0 as f64;
-            let score = weights.score(prediction.first_token + penalty, work, 0.0);
+            let draw = rendezvous(facts, self.upstreams[candidate.learned].hash);
+            let seconds = prediction.first_token + penalty - RENDEZVOUS_GAIN * draw;
+            let score = weights.score(seconds, work, 0.0);
             if best.is_none_or(|it| score < it.score) {
                 best = Some(Scored { candidate, prediction, score });
             }
@@ -396,7 +400,8 @@
             Ok(place) => place,
             Err(place) => {
                 let learned = Learned::new(now);
-                self.upstreams.insert(place, LearnedUpstream { id: id.clone(), learned });
+                let hash = Fingerprint::of(id.as_str().as_bytes()).0 as u64;
+                self.upstreams.insert(place, LearnedUpstream { id: id.clone(), hash, learned });
                 self.indexed = self.indexed.filter(|_| place + 1 == self.upstreams.len());
                 place
             }
@@ -521,6 +526,20 @@
 /// Share of a prefix in a zone's sketch that is counted on.
 const SKETCH_TRUST: f64 = 0.5;
 
+/// Seconds that the upstream which the prefix hashes to is ahead of others.
+const RENDEZVOUS_GAIN: f64 = 0.6;
+
+/// A draw between zero and one that every instance makes alike for a prefix and an upstream, so
+/// that their requests with one prefix meet in one cache. It favours few upstreams strongly.
+fn rendezvous(facts: &RequestFacts, upstream: u64) -> f64 {
+    let Some(prefix) = facts.prefixes.last() else {
+        return 0.0;
+    };
+    let mixed = (prefix.print.0 as u64 ^ upstream).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mixed = (mixed ^ (mixed >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    ((mixed >> 11) as f64 / (1u64 << 53) as f64).powi(4)
+}
+
 fn is_eligible(now: Time, upstream: &Upstream, facts: &RequestFacts) -> bool {
     upstream.is_usable(now)
         && facts.excluded.binary_search(&upstream.announcement.id).is_err()
