Predictions count sends of the zone's other instances, and drain own backlog

Cause: reports are 1 to 2.5 s old; a prediction added this instance's sends since then, not those of its 1 or 2 neighbours, and never took off the prompts that were processed meanwhile. Change: each other instance is taken to have sent half as much alike; sent prompts drain at the prompt speed.

--- a/crates/medlarlug-core/src/membership/query.rs
+++ b/crates/medlarlug-core/src/membership/query.rs
@@ -74,6 +74,12 @@
         peers.chain(zones).chain([self.status.revision]).max().unwrap_or_default()
     }
 
+    /// Entry instances of the own zone that callers may use, this one included.
+    pub fn open_entries(&self) -> u32 {
+        let others = self.zone_peers().filter(|it| it.is_open()).count();
+        u32::try_from(others).unwrap_or(u32::MAX).saturating_add(u32::from(self.is_open()))
+    }
+
     /// Whether this instance sends the summaries of its zone: the lowest live entry instance.
     pub fn is_speaker(&self) -> bool {
         let own = &self.settings.own.id;
--- a/crates/medlarlug-core/src/routing/learned.rs
+++ b/crates/medlarlug-core/src/routing/learned.rs
@@ -128,6 +128,27 @@
         since
     }
 
+    /// Tokens that wait now: `reported` at `reading`, plus own sends since, each taken `senders`
+    /// times, less what is processed at `speed` tokens a second in between.
+    pub(super) fn backlog(
+        &self,
+        now: Time,
+        reading: Time,
+        reported: f64,
+        senders: f64,
+        speed: f64,
+    ) -> f64 {
+        let start = self.flights.partition_point(|it| it.sent <= reading);
+        let mut backlog = reported;
+        let mut last = reading;
+        for flight in &self.flights[start..] {
+            let processed = (flight.sent - last).as_secs_f64() * speed;
+            backlog = (backlog - processed).max(0.0) + flight.tokens.0 as f64 * senders;
+            last = flight.sent;
+        }
+        (backlog - (now - last).as_secs_f64() * speed).max(0.0)
+    }
+
     /// Seconds by which the first token of some request is later than predicted.
     pub(super) fn overdue(&self, now: Time) -> f64 {
         let late = |it: &Flight| (now - it.sent).as_secs_f64() - it.predicted;
--- a/crates/medlarlug-core/src/routing/predict.rs
+++ b/crates/medlarlug-core/src/routing/predict.rs
@@ -33,6 +33,7 @@
     upstream: &Upstream,
     learned: &Learned,
     recent: Option<Tokens>,
+    senders: f64,
 ) -> Prediction {
     let announcement = &upstream.announcement;
     let load = &announcement.load;
@@ -41,12 +42,12 @@
     let since = learned.sent_since(reading);
     let slot_time = slot_time(announcement).as_secs_f64();
 
-    let processed = age * PROMPT_SPEED;
-    let backlog = (load.backlog.0 as f64 - processed).max(0.0) + since.tokens as f64;
+    let reported = load.backlog.0 as f64;
+    let backlog = learned.backlog(now, reading, reported, senders, PROMPT_SPEED);
     let slots = f64::from(announcement.slots.0.max(1));
     let busy = f64::from(load.running.saturating_add(load.waiting));
     let ended = age * f64::from(load.running) / slot_time;
-    let ahead = (busy - ended).max(0.0) + f64::from(since.requests) + 1.0 - slots;
+    let ahead = (busy - ended).max(0.0) + f64::from(since.requests) * senders + 1.0 - slots;
     let waiting = ahead.max(0.0) * slot_time / slots;
 
     let warm = warm_tokens(facts, upstream).max(recent.unwrap_or_default());
--- a/crates/medlarlug-core/src/routing/router.rs
+++ b/crates/medlarlug-core/src/routing/router.rs
@@ -258,6 +258,8 @@
         Permit::check(view.configuration, view.lease, facts, own, own)?;
         self.refresh_index(now, view);
         let weights = Weights::of(view.configuration);
+        let senders =
+            1.0 + SENDER_SHARE * f64::from(view.membership.open_entries().saturating_sub(1));
         let mut best: Option<Scored> = None;
         for (candidate, recent) in self.candidates(now, view, facts) {
             let upstream = &view.membership.all_upstreams()[candidate.upstream];
@@ -265,7 +267,7 @@
                 continue;
             }
             let learned = &self.upstreams[candidate.learned].learned;
-            let prediction = predict(now, facts, upstream, learned, recent);
+            let prediction = predict(now, facts, upstream, learned, recent, senders);
             let penalty = self.penalty(now, learned);
             let work = prediction.tokens.0 as f64;
             let draw = rendezvous(facts, self.upstreams[candidate.learned].hash);
@@ -526,6 +528,8 @@
 /// Share of a prefix in a zone's sketch that is counted on.
 const SKETCH_TRUST: f64 = 0.5;
 
+/// Share of the own sends that each other entry instance of the zone is taken to have sent alike.
+const SENDER_SHARE: f64 = 0.5;
 /// Seconds that the upstream which the prefix hashes to is ahead of others.
 const RENDEZVOUS_GAIN: f64 = 0.6;
 
