--- a/crates/medlarlug-core/src/routing/router.rs
+++ b/crates/medlarlug-core/src/routing/router.rs
@@ -49,10 +49,10 @@
 const RAMP_START: f64 = 2.0;
 /// Requests in flight at which a ramp ends.
 const RAMP_END: f64 = 32.0;
-/// Seconds by which another zone has to be faster before a request leaves its own.
-const AWAY_GAIN: f64 = 1.2;
-/// Seconds by which it has to be faster once requests leave, so that the choice doesn't flap.
-const AWAY_STAY: f64 = 0.9;
+/// Share of the policy's deadline by which another zone has to be faster before a request leaves.
+const AWAY_GAIN: f64 = 0.2;
+/// The share once requests leave, smaller so that the choice doesn't flap.
+const AWAY_STAY: f64 = 0.15;
 /// Time for which the choice counts as leaving after the last request that left.
 const AWAY_MEMORY: Duration = Duration::from_secs(2);
 /// Shortest time to come back after a refusal.
@@ -468,7 +468,8 @@
         let weights = Weights::of(view.configuration);
         let own = view.membership.own();
         let is_leaving = self.left > Time::ZERO && now - self.left < AWAY_MEMORY;
-        let margin = if is_leaving { AWAY_STAY } else { AWAY_GAIN };
+        let share = if is_leaving { AWAY_STAY } else { AWAY_GAIN };
+        let margin = share * weights.deadline;
         let link = weights.link(view.configuration, &own.region, &away.region);
         let stay = weights.score(home.predicted.as_secs_f64(), home.tokens.0 as f64, 0.0);
         let latency = away.predicted.as_secs_f64() + margin;
--- a/crates/medlarlug-core/src/routing/weights.rs
+++ b/crates/medlarlug-core/src/routing/weights.rs
@@ -4,6 +4,8 @@
 
 /// Price of a second until the first token when there is no policy.
 const LATENCY_PRICE: f64 = 1.0;
+/// Seconds until the first token that requests are taken in for when there is no policy.
+const DEADLINE: f64 = 10.0;
 /// Price of processing a thousand prompt tokens.
 const PROMPT_PRICE: f64 = 0.1;
 /// Seconds one way between zones of one region.
@@ -18,6 +20,8 @@
 pub(super) struct Weights {
     latency: f64,
     cost: f64,
+    /// Seconds until the first token that requests are taken in for.
+    pub(super) deadline: f64,
 }
 
 /// What it takes to use another zone.
@@ -36,6 +40,7 @@
         Weights {
             latency: policy.map_or(LATENCY_PRICE, |it| it.latency_weight.get()),
             cost: policy.map_or(1.0, |it| it.cost_weight.get()),
+            deadline: policy.map_or(DEADLINE, |it| f64::from(it.deadline_ms) / 1_000.0),
         }
     }
 
