--- a/crates/medlarlug-core/src/routing/predict.rs
+++ b/crates/medlarlug-core/src/routing/predict.rs
@@ -13,6 +13,9 @@
 /// Share of a reported prefix that is counted on: cache events come late and with gaps.
 const WARM_TRUST: f64 = 0.9;
 
+/// Requests that wait for each prompt at an upstream whose slots are all taken.
+const CROWDING: f64 = 15.0;
+
 /// What an upstream would need for a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct Prediction {
@@ -22,6 +25,8 @@
     pub(super) first_token: f64,
     /// Prompt tokens that have to be processed.
     pub(super) tokens: Tokens,
+    /// Seconds that the work delays others by: the busier the upstream, the more.
+    pub(super) crowding: f64,
     /// Whether a prefix of the prompt is warm.
     pub(super) is_warm: bool,
 }
@@ -54,8 +59,10 @@
     let saved = (warm.0 as f64 * WARM_TRUST) as u64;
     let tokens = Tokens(facts.prompt.0.saturating_sub(saved));
     let base = waiting + (backlog + tokens.0 as f64) / PROMPT_SPEED;
+    let share = ((busy + f64::from(since.requests)) / slots).min(1.0);
+    let crowding = tokens.0 as f64 / PROMPT_SPEED * CROWDING * share * share;
     let first_token = base * learned.bias(now) + learned.overdue(now);
-    Prediction { base, first_token, tokens, is_warm: warm.0 > 0 }
+    Prediction { base, first_token, tokens, crowding, is_warm: warm.0 > 0 }
 }
 
 fn warm_tokens(facts: &RequestFacts, upstream: &Upstream) -> Tokens {
--- a/crates/medlarlug-core/src/routing/router.rs
+++ b/crates/medlarlug-core/src/routing/router.rs
@@ -271,7 +271,8 @@
             let penalty = self.penalty(now, learned);
             let work = prediction.tokens.0 as f64;
             let draw = rendezvous(facts, self.upstreams[candidate.learned].hash);
-            let seconds = prediction.first_token + penalty - RENDEZVOUS_GAIN * draw;
+            let seconds =
+                prediction.first_token + prediction.crowding + penalty - RENDEZVOUS_GAIN * draw;
             let score = weights.score(seconds, work, 0.0);
             if best.is_none_or(|it| score < it.score) {
                 best = Some(Scored { candidate, prediction, score });
