Zone summaries tell the mean queueing time; margin 30% of the deadline

Cause: the shortest queue of a zone promised more than a request finds there, so zones under equal load exchanged requests. Change: mean instead of minimum, and 30% (25% while requests leave) of the deadline as the margin.

--- a/crates/medlarlug-core/src/membership/speaker.rs
+++ b/crates/medlarlug-core/src/membership/speaker.rs
@@ -126,8 +126,9 @@
 fn add_upstream(row: &mut TargetSummary, upstream: &Upstream) {
     let announcement = &upstream.announcement;
     let millis = u32::try_from(queueing(announcement).as_millis()).unwrap_or(u32::MAX);
-    let is_first = row.upstreams == 0;
-    row.queueing = if is_first { QueueTime(millis) } else { row.queueing.min(QueueTime(millis)) };
+    let sum = u64::from(row.queueing.0) * u64::from(row.upstreams) + u64::from(millis);
+    let mean = sum / (u64::from(row.upstreams) + 1);
+    row.queueing = QueueTime(u32::try_from(mean).unwrap_or(u32::MAX));
     row.upstreams = row.upstreams.saturating_add(1);
     row.free = row.free.saturating_add(free_slots(announcement));
     row.speed = row.speed.saturating_add(announcement.load.speed as u32);
--- a/crates/medlarlug-core/src/membership/summary.rs
+++ b/crates/medlarlug-core/src/membership/summary.rs
@@ -38,7 +38,7 @@
     pub upstreams: u16,
     /// Slots that are free.
     pub free: u32,
-    /// Shortest predicted queueing time.
+    /// Mean of the predicted queueing times of the upstreams.
     pub queueing: QueueTime,
     /// Tokens generated a second, over all upstreams.
     pub speed: u32,
--- a/crates/medlarlug-core/src/routing/router.rs
+++ b/crates/medlarlug-core/src/routing/router.rs
@@ -50,9 +50,9 @@
 /// Requests in flight at which a ramp ends.
 const RAMP_END: f64 = 32.0;
 /// Share of the policy's deadline by which another zone has to be faster before a request leaves.
-const AWAY_GAIN: f64 = 0.2;
+const AWAY_GAIN: f64 = 0.3;
 /// The share once requests leave, smaller so that the choice doesn't flap.
-const AWAY_STAY: f64 = 0.15;
+const AWAY_STAY: f64 = 0.25;
 /// Time for which the choice counts as leaving after the last request that left.
 const AWAY_MEMORY: Duration = Duration::from_secs(2);
 /// Shortest time to come back after a refusal.
