The margin for leaving a zone covers the price of the link

Cause: margin and link price added up, so that Malabar's peak region kept a queue of 5 s. Change: the larger of the two counts.

--- a/crates/medlarlug-core/src/routing/router.rs
+++ b/crates/medlarlug-core/src/routing/router.rs
@@ -474,8 +474,9 @@
         let margin = share * weights.deadline;
         let link = weights.link(view.configuration, &own.region, &away.region);
         let stay = weights.score(home.predicted.as_secs_f64(), home.tokens.0 as f64, 0.0);
-        let latency = away.predicted.as_secs_f64() + margin;
-        let leave = weights.score(latency, away.tokens.0 as f64, link.price);
+        let leave = weights.score(away.predicted.as_secs_f64(), away.tokens.0 as f64, 0.0);
+        let margin = weights.score(margin, 0.0, 0.0).max(weights.score(0.0, 0.0, link.price));
+        let leave = leave + margin;
         if leave < stay { Choice::Forward(away) } else { Choice::Serve(home) }
     }
 
