--- a/crates/medlarlug-core/src/routing/router.rs
+++ b/crates/medlarlug-core/src/routing/router.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     announcement::UpstreamKind,
+    fingerprint::Fingerprint,
     ids::{Revision, UpstreamId, VersionId, ZoneId},
     membership::{Membership, Row, Target, Upstream, load::PROMPT_SPEED},
     release::Configuration,
@@ -48,9 +49,9 @@
 const RAMP_START: f64 = 2.0;
 /// Requests in flight at which a ramp ends.
 const RAMP_END: f64 = 32.0;
-/// Seconds by which another zone has to be faster before a request leaves its own.
-const AWAY_GAIN: f64 = 0.4;
-/// Seconds by which it has to be faster once requests leave, so that the choice doesn't flap.
+/// Share of the policy's deadline by which another zone has to be faster before a request leaves.
+const AWAY_GAIN: f64 = 0.3;
+/// The share once requests leave, smaller so that the choice doesn't flap.
 const AWAY_STAY: f64 = 0.25;
 /// Time for which the choice counts as leaving after the last request that left.
 const AWAY_MEMORY: Duration = Duration::from_secs(2);
@@ -90,6 +91,7 @@
 #[derive(Debug, Clone)]
 struct LearnedUpstream {
     id: UpstreamId,
+    hash: u64,
     learned: Learned,
 }
 
@@ -256,6 +258,8 @@
         Permit::check(view.configuration, view.lease, facts, own, own)?;
         self.refresh_index(now, view);
         let weights = Weights::of(view.configuration);
+        let senders =
+            1.0 + SENDER_SHARE * f64::from(view.membership.open_entries().saturating_sub(1));
         let mut best: Option<Scored> = None;
         for (candidate, recent) in self.candidates(now, view, facts) {
             let upstream = &view.membership.all_upstreams()[candidate.upstream];
@@ -263,10 +267,14 @@
                 continue;
             }
             let learned = &self.upstreams[candidate.learned].learned;
-            let prediction = predict(now, facts, upstream, learned, recent);
+            let prediction = predict(now, facts, upstream, learned, recent, senders);
             let penalty = self.penalty(now, learned);
             let work = prediction.tokens.0 as f64;
-            let score = weights.score(prediction.first_token + penalty, work, 0.0);
+            let hash = self.upstreams[candidate.learned].hash;
+            let draw = if prediction.is_warm { 1.0 } else { rendezvous(facts, hash) };
+            let seconds =
+                prediction.first_token + prediction.crowding + penalty - RENDEZVOUS_GAIN * draw;
+            let score = weights.score(seconds, work, 0.0);
             if best.is_none_or(|it| score < it.score) {
                 best = Some(Scored { candidate, prediction, score });
             }
@@ -396,7 +404,8 @@
             Ok(place) => place,
             Err(place) => {
                 let learned = Learned::new(now);
-                self.upstreams.insert(place, LearnedUpstream { id: id.clone(), learned });
+                let hash = Fingerprint::of(id.as_str().as_bytes()).0 as u64;
+                self.upstreams.insert(place, LearnedUpstream { id: id.clone(), hash, learned });
                 self.indexed = self.indexed.filter(|_| place + 1 == self.upstreams.len());
                 place
             }
@@ -461,11 +470,13 @@
         let weights = Weights::of(view.configuration);
         let own = view.membership.own();
         let is_leaving = self.left > Time::ZERO && now - self.left < AWAY_MEMORY;
-        let margin = if is_leaving { AWAY_STAY } else { AWAY_GAIN };
+        let share = if is_leaving { AWAY_STAY } else { AWAY_GAIN };
+        let margin = share * weights.deadline;
         let link = weights.link(view.configuration, &own.region, &away.region);
         let stay = weights.score(home.predicted.as_secs_f64(), home.tokens.0 as f64, 0.0);
-        let latency = away.predicted.as_secs_f64() + margin;
-        let leave = weights.score(latency, away.tokens.0 as f64, link.price);
+        let leave = weights.score(away.predicted.as_secs_f64(), away.tokens.0 as f64, 0.0);
+        let margin = weights.score(margin, 0.0, 0.0).max(weights.score(0.0, 0.0, link.price));
+        let leave = leave + margin;
         if leave < stay { Choice::Forward(away) } else { Choice::Serve(home) }
     }
 
@@ -521,6 +532,22 @@
 /// Share of a prefix in a zone's sketch that is counted on.
 const SKETCH_TRUST: f64 = 0.5;
 
+/// Share of the own sends that each other entry instance of the zone is taken to have sent alike.
+const SENDER_SHARE: f64 = 0.5;
+/// Seconds that the upstream which the prefix hashes to is ahead of others.
+const RENDEZVOUS_GAIN: f64 = 0.6;
+
+/// A draw between zero and one that every instance makes alike for a prefix and an upstream, so
+/// that their requests with one prefix meet in one cache. It favours few upstreams strongly.
+fn rendezvous(facts: &RequestFacts, upstream: u64) -> f64 {
+    let Some(prefix) = facts.prefixes.last() else {
+        return 0.0;
+    };
+    let mixed = (prefix.print.0 as u64 ^ upstream).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mixed = (mixed ^ (mixed >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    ((mixed >> 11) as f64 / (1u64 << 53) as f64).powi(4)
+}
+
 fn is_eligible(now: Time, upstream: &Upstream, facts: &RequestFacts) -> bool {
     upstream.is_usable(now)
         && facts.excluded.binary_search(&upstream.announcement.id).is_err()
--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -15,3 +15,8 @@
 mod retry;
 mod stream;
 mod suspects;
+mod directory;
+mod membership;
+mod network;
+mod release;
+mod routing;
