--- a/crates/medlarlug-core/tests/testsuite/suspects.rs
+++ b/crates/medlarlug-core/tests/testsuite/suspects.rs
@@ -358,3 +358,19 @@
 
     assert_eq!((held, expired, freed), (Placement::Barred, Placement::Free, Placement::Free));
 }
+
+#[test]
+fn cleared_content_is_no_suspect_and_leaves_the_loss_to_the_others() {
+    let company = ledger(&[lost(1, &[1, 2]), lost(2, &[1, 3]), cleared(2, &[1])]);
+
+    assert_eq!(company.standing(Time::ZERO, content(2)), Standing::Clear);
+    assert!(is_convicted(&company, 1));
+}
+
+#[test]
+fn clearance_counts_only_for_the_losses_it_names() {
+    let ledger = ledger(&[cleared(1, &[1]), lost(1, &[1]), lost(2, &[1])]);
+
+    assert_eq!(ledger.losses_of(content(1)), [key(2)]);
+    assert_eq!(ledger.standing(Time::ZERO, content(1)), Standing::Suspect);
+}
--- a/src/coordination/entry/relay.rs
+++ b/src/coordination/entry/relay.rs
@@ -252,7 +252,7 @@
                 }
                 Effect::Fail(refusal) => self.end = Some(StreamEnd::Failed(refusal)),
                 Effect::Close { connection } => self.close(connection),
-                Effect::CancelUpstream => self.cancel(),
+                Effect::CancelUpstream { .. } => self.cancel(),
                 // Another upstream is chosen by whoever owns the request.
                 Effect::Restart { .. } | Effect::Continue { .. } => {
                     let reason = medlarlug_core::refusal::Reason::UpstreamFailed;
