--- a/src/coordination/keeper/mod.rs
+++ b/src/coordination/keeper/mod.rs
@@ -20,7 +20,11 @@
 };
 use smol_str::{StrExt, ToSmolStr};
 use thiserror::Error;
-use tokio::{sync::watch, task, time::interval};
+use tokio::{
+    sync::{mpsc::UnboundedReceiver, watch},
+    task,
+    time::interval,
+};
 
 use crate::{
     coordination::{
@@ -34,10 +38,11 @@
     },
     protocol::{GroupId, GroupReply, GroupRequest, Message, operators::GroupStatus},
     settings::KeeperSettings,
+    state::{DataFolder, GroupName, Journal, Report, StateError, Synced, Writer},
     telemetry::{logs::LevelHandle, metrics::Metrics},
     transport::{
         http_server::{self, ServerError, ServerLimits},
-        links::{LinkError, Links},
+        links::{Incoming, LinkError, Links},
     },
 };
 
@@ -56,6 +61,9 @@
     /// A server can't be started.
     #[error("failed to start a server")]
     Server(#[from] ServerError),
+    /// The data folder failed.
+    #[error("failed to keep the state")]
+    State(#[from] StateError),
     /// A state machine failed.
     #[error("a replication group failed")]
     Machine(#[from] MachineError),
@@ -66,6 +74,7 @@
     /// What every process has.
     pub node: Rc<Node>,
     groups: RefCell<Vec<Group>>,
+    writer: StateWriter,
     // Raised when the configuration group's state machine changed.
     applied: watch::Sender<u64>,
 }
@@ -86,8 +95,11 @@
     let (links, mut incoming) = Links::listen(own.id.clone(), settings.keys.clone(), own.peers)?;
     let (cluster, keys) = (settings.cluster.clone(), settings.keys.clone());
     let node = Rc::new(Node::new(own, cluster, keys, incarnation_of_start(), None, links)?);
-    let groups = RefCell::new(groups_of(&node));
-    let keeper = Rc::new(Keeper { node: node.clone(), groups, applied: watch::Sender::new(0) });
+    let storage = Storage::open(&settings, &node)?;
+    let groups = RefCell::new(groups_of(&node, &storage)?);
+    let (writer, mut reports) = storage.start()?;
+    let applied = watch::Sender::new(0);
+    let keeper = Rc::new(Keeper { node: node.clone(), groups, writer, applied });
 
     let api = OperatorApi::new(node.clone(), settings.operators.clone(), level, metrics, drain);
     let dump = keeper.clone();
@@ -108,6 +120,7 @@
                     keeper.receive(from, message)?;
                 }
             }
+            Some(report) = reports.recv() => keeper.persisted(report?)?,
             _ = ticks.tick() => {
                 count = count.wrapping_add(1);
                 keeper.tick(count.is_multiple_of(SLOW_TICKS))?;
@@ -115,7 +128,7 @@
             _ = stopping.wait_for(|stop| *stop) => break,
         }
     }
-    keeper.hand_over(&mut incoming).await
+    keeper.hand_over(&mut incoming, &mut reports).await
 }
 
 /// Bounds of the operators' server.
@@ -123,25 +136,91 @@
     ServerLimits { header_bytes: 16 * 1024, header_time: Duration::from_secs(10), connections: 64 }
 }
 
-fn groups_of(node: &Node) -> Vec<Group> {
+fn groups_of(node: &Node, storage: &Storage) -> Result<Vec<Group>, MachineError> {
     let homes = node.cluster.homes.iter();
     let homes = homes.map(|it| (GroupId::Home(it.region.clone()), &it.voters));
     let configuration = (GroupId::Configuration, &node.cluster.configuration);
     std::iter::once(configuration)
         .chain(homes)
         .filter(|it| it.1.contains(&node.own.id))
-        .map(|(id, voters)| new_group(node, id, voters.clone()))
+        .map(|(id, voters)| new_group(node, storage, id, voters.clone()))
         .collect()
 }
 
-fn new_group(node: &Node, id: GroupId, voters: Vec<InstanceId>) -> Group {
-    let storage = StorageId(node.incarnation.0);
-    let key = MemberKey { id: node.own.id.clone(), storage };
+fn new_group(
+    node: &Node,
+    storage: &Storage,
+    id: GroupId,
+    voters: Vec<InstanceId>,
+) -> Result<Group, MachineError> {
+    let restored = storage.restored(&id);
+    let mut machine = Machine::new(&id);
+    if let Some(snapshot) = &restored.snapshot {
+        machine.restore(&id, &snapshot.data)?;
+    }
+    let key = MemberKey { id: node.own.id.clone(), storage: storage.id() };
     let mut config = replication::Config::new(key, voters);
     config.durable = node.own.durable;
-    let replica = Replica::new(config, Restored::default(), node.incarnation.0, node.now());
-    let machine = Machine::new(&id);
-    Group::new(id, replica, machine)
+    let replica = Replica::new(config, restored, node.incarnation.0, node.now());
+    Ok(Group::new(id, replica, machine))
+}
+
+/// The name of a group in the data folder.
+fn group_name(id: &GroupId) -> GroupName {
+    let Ok(name) = id.to_string().parse();
+    name
+}
+
+/// Where a keeper's state was found.
+enum Storage {
+    /// In a data folder, which stays locked.
+    Disk(DataFolder, Box<Journal>),
+    /// In memory only, under an id that is new at every start.
+    Memory(StorageId),
+}
+
+impl Storage {
+    fn open(settings: &KeeperSettings, node: &Node) -> Result<Storage, StateError> {
+        let Some(path) = &settings.data else {
+            return Ok(Storage::Memory(StorageId(rand::random())));
+        };
+        let folder = DataFolder::open(path, &node.own.id)?;
+        let journal = Journal::open(&folder)?;
+        Ok(Storage::Disk(folder, Box::new(journal)))
+    }
+
+    fn id(&self) -> StorageId {
+        match self {
+            Storage::Disk(folder, _) => folder.storage(),
+            Storage::Memory(id) => *id,
+        }
+    }
+
+    fn restored(&self, group: &GroupId) -> Restored {
+        match self {
+            Storage::Disk(_, journal) => journal.group(&group_name(group)),
+            Storage::Memory(_) => Restored::default(),
+        }
+    }
+
+    fn start(self) -> Result<(StateWriter, UnboundedReceiver<Report>), StateError> {
+        match self {
+            Storage::Disk(folder, journal) => {
+                let (writer, reports) = Writer::start(*journal)?;
+                Ok((StateWriter { writer, _folder: Some(folder) }, reports))
+            }
+            Storage::Memory(_) => {
+                let (writer, reports) = Writer::volatile();
+                Ok((StateWriter { writer, _folder: None }, reports))
+            }
+        }
+    }
+}
+
+/// The writer, with the lock of its folder.
+struct StateWriter {
+    writer: Writer,
+    _folder: Option<DataFolder>,
 }
 
 impl Keeper {
@@ -192,6 +271,16 @@
         }
     }
 
+    /// Tells a group what was synced.
+    fn persisted(&self, synced: Synced) -> Result<(), MachineError> {
+        let Synced { group, sequence } = synced;
+        let id = self.group_ids().into_iter().find(|it| group_name(it) == group);
+        match id {
+            Some(id) => self.with_group(&id, |it, now, out| it.persisted(now, sequence, out)),
+            None => Ok(()),
+        }
+    }
+
     fn call(
         &self,
         caller: Caller,
@@ -256,10 +345,7 @@
                     let message = Message::Replication { group: id.clone(), message };
                     self.node.send(&to, message);
                 }
-                Output::Persist(batch) => {
-                    let sequence = batch.sequence;
-                    self.with_group(id, |it, now, out| it.persisted(now, sequence, out))?;
-                }
+                Output::Persist(batch) => self.writer.writer.persist(group_name(id), batch),
                 Output::Reply { caller, reply } => {
                     self.node.send(&caller.instance, Message::Reply { call: caller.call, reply });
                 }
@@ -279,7 +365,8 @@
     /// Hands leaderships over before the process stops.
     async fn hand_over(
         &self,
-        incoming: &mut crate::transport::links::Incoming,
+        incoming: &mut Incoming,
+        reports: &mut UnboundedReceiver<Report>,
     ) -> Result<(), KeeperError> {
         for group in self.group_ids() {
             self.with_group(&group, |it, now, out| it.transfer(now, out))?;
@@ -294,6 +381,7 @@
                         self.receive(from, message)?;
                     }
                 }
+                Some(report) = reports.recv() => self.persisted(report?)?,
                 _ = ticks.tick() => self.tick(false)?,
             }
         }
--- /dev/null
+++ b/tests/testsuite/processes/keepers.rs
@@ -0,0 +1,108 @@
+//! What survives the loss of keepers and their disks.
+
+use medlarlug_core::release::item::Residency;
+use nix::sys::signal::Signal;
+use test_support::deployment::{Deployment, wait_for};
+
+use crate::processes::fixture::{items, two_regions};
+
+const KEEPERS: [&str; 3] = ["keeper-1", "keeper-2", "keeper-3"];
+
+fn with_service() -> Deployment {
+    let deployment = two_regions().service("desk", "riga-a", "jobdesk").start();
+    deployment.configure(items(Residency::Anywhere));
+    deployment.wait_upstreams("entry-1", 1);
+    deployment
+}
+
+fn leader(deployment: &Deployment) -> Option<String> {
+    let leads = |id: &&str| {
+        let groups = deployment.operator_get(id, "/status").json["groups"].clone();
+        let groups = groups.as_array().cloned().unwrap_or_default();
+        groups.iter().any(|it| it["group"] == "home-riga" && it["role"] == "leader")
+    };
+    KEEPERS.into_iter().find(leads).map(str::to_owned)
+}
+
+fn book_until_answered(deployment: &Deployment, entry: &str, key: &str) -> String {
+    let mut text = String::new();
+    wait_for("an answer to the booking", || {
+        let reply = deployment.book(entry, key, "{}");
+        text = reply.text;
+        reply.status == 200
+    });
+    text
+}
+
+#[test]
+fn restart_of_every_keeper_keeps_bookings_and_revision() {
+    let mut deployment = with_service();
+    let first = book_until_answered(&deployment, "entry-1", "parcel-1");
+    let before = deployment.operator_get("entry-1", "/status").json["revision"].as_u64();
+
+    KEEPERS.iter().for_each(|it| deployment.kill(it));
+    KEEPERS.iter().for_each(|it| deployment.start_process(it));
+    let again = book_until_answered(&deployment, "entry-2", "parcel-1");
+
+    assert_eq!(first, again);
+    assert_eq!(deployment.runs("parcel-1"), 1);
+    let after = deployment.operator_get("entry-1", "/status").json["revision"].as_u64();
+    assert!(after >= before, "revision {before:?} became {after:?}");
+}
+
+#[test]
+fn killed_leader_is_replaced_and_bookings_go_on_with_one_run_each() {
+    let mut deployment = with_service();
+    book_until_answered(&deployment, "entry-1", "parcel-1");
+    let leader = leader(&deployment).expect("a leader of the home group");
+
+    deployment.kill(&leader);
+    book_until_answered(&deployment, "entry-1", "parcel-2");
+    book_until_answered(&deployment, "entry-2", "parcel-1");
+
+    assert_eq!(deployment.runs("parcel-1"), 1);
+    assert_eq!(deployment.runs("parcel-2"), 1);
+}
+
+#[test]
+fn frozen_leader_is_replaced_and_does_not_disturb_on_return() {
+    let deployment = with_service();
+    book_until_answered(&deployment, "entry-1", "parcel-1");
+    let frozen = leader(&deployment).expect("a leader of the home group");
+
+    deployment.signal(&frozen, Signal::SIGSTOP);
+    book_until_answered(&deployment, "entry-1", "parcel-2");
+    deployment.signal(&frozen, Signal::SIGCONT);
+    book_until_answered(&deployment, "entry-2", "parcel-2");
+    book_until_answered(&deployment, "entry-2", "parcel-3");
+
+    for key in ["parcel-1", "parcel-2", "parcel-3"] {
+        assert_eq!(deployment.runs(key), 1, "{key}");
+    }
+}
+
+#[test]
+fn keeper_whose_folder_was_deleted_is_let_in_again_and_a_second_loss_is_survived() {
+    let mut deployment = with_service();
+    let first = book_until_answered(&deployment, "entry-1", "parcel-1");
+
+    deployment.kill("keeper-3");
+    deployment.delete_data("keeper-3");
+    deployment.start_process("keeper-3");
+    wait_for("the wiped keeper to catch up", || {
+        let committed = |id: &str| {
+            let groups = deployment.operator_get(id, "/status").json["groups"].clone();
+            let groups = groups.as_array().cloned().unwrap_or_default();
+            let home = groups.into_iter().find(|it| it["group"] == "home-riga");
+            home.and_then(|it| it["committed"].as_u64()).unwrap_or_default()
+        };
+        committed("keeper-3") > 0 && committed("keeper-3") + 2 >= committed("keeper-1")
+    });
+    book_until_answered(&deployment, "entry-1", "parcel-2");
+    deployment.kill("keeper-1");
+    let again = book_until_answered(&deployment, "entry-2", "parcel-1");
+
+    assert_eq!(first, again);
+    assert_eq!(deployment.runs("parcel-1"), 1);
+    assert_eq!(deployment.runs("parcel-2"), 1);
+}
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -2,4 +2,5 @@
 
 mod booking;
 mod fixture;
+mod keepers;
 mod path;
