--- a/crates/medlarlug-core/src/limits/bucket.rs
+++ b/crates/medlarlug-core/src/limits/bucket.rs
@@ -65,11 +65,11 @@
         (self.share * f64::from(self.limit.burst.0)).max(1.0)
     }
 
-    /// Fills up to `now` by the share so far, then sets the share and spills what is too much.
+    /// Fills up to `now` by the share so far, then sets the share; the next filling spills what is
+    /// too much for it.
     pub fn set_share(&mut self, now: Time, share: f64) {
         self.fill(now);
         self.share = share;
-        self.tokens = self.tokens.min(self.size());
     }
 
     fn fill(&mut self, now: Time) {
--- a/crates/medlarlug-core/src/limits/divider.rs
+++ b/crates/medlarlug-core/src/limits/divider.rs
@@ -267,7 +267,7 @@
 
     fn compute_share(&self, now: Time, bucket: &Bucket) -> f64 {
         if !self.settled {
-            return START_SHARE;
+            return START_SHARE.min(1.0 / self.instances() as f64);
         }
         let rate = bucket.rate();
         let base = rate * BASE_WEIGHT;
--- a/crates/medlarlug-core/src/limits/mod.rs
+++ b/crates/medlarlug-core/src/limits/mod.rs
@@ -36,7 +36,8 @@
     report::{DemandEntry, DemandLevel, DemandReport, REPEATED_REPORTS, TeamKey},
 };
 
-/// The share of a team's rate and burst that an instance uses before its own reports are settled.
+/// The largest share of a team's rate and burst that an instance uses before its own reports are
+/// settled; among more instances it is the equal part.
 pub const START_SHARE: f64 = 0.125;
 
 /// Times and sizes of the division.
--- a/crates/medlarlug-core/tests/testsuite/limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/limits.rs
@@ -440,3 +440,15 @@
     assert!(shares.iter().all(|it| *it == START_SHARE));
     assert!(last < START_SHARE);
 }
+
+#[test]
+fn newcomer_among_many_has_the_equal_part() {
+    let mut limits = limits(0, 1, Time::ZERO);
+    for number in 1..16 {
+        let Event::Heard { mut report, age } = heard(1, 1, 0.0) else { unreachable!("a report") };
+        report.from = instance(number);
+        limits.handle(Time::ZERO, Event::Heard { report, age }, &mut Vec::new());
+    }
+
+    assert_eq!(limits.share(&id("survey")), Some(1.0 / 16.0));
+}
