--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -1,22 +1,21 @@
 //! Tests of the coordination cores.
 
+mod admission;
 mod booking_history;
 mod configuration_group;
+mod directory;
+mod drain;
 mod follower;
 mod home_limits;
 mod home_model;
 mod home_tables;
-mod orders;
-mod admission;
-mod drain;
 mod limits;
+mod membership;
+mod network;
+mod orders;
 mod release;
 mod replication;
 mod retry;
+mod routing;
 mod stream;
 mod suspects;
-mod directory;
-mod membership;
-mod network;
-mod release;
-mod routing;
