Replication: old introductions form no group, compaction spares a transfer

An introduction sent before the first founder lost its storage could have helped to form a second group: introductions now name the storage they answer.

--- a/crates/medlarlug-core/src/replication/event.rs
+++ b/crates/medlarlug-core/src/replication/event.rs
@@ -60,7 +60,8 @@
         /// The change.
         change: Change,
     },
-    /// Replace the log up to `index` by a snapshot of the applied state.
+    /// Replace the log up to `index` by a snapshot of the applied state. Ignored while a member is
+    /// receiving the snapshot before: ask again when the log has grown further.
     Compact {
         /// Last entry that the snapshot covers; at most the last applied one.
         index: LogIndex,
--- a/crates/medlarlug-core/src/replication/formation.rs
+++ b/crates/medlarlug-core/src/replication/formation.rs
@@ -33,18 +33,20 @@
         let hint = self.hint.take().filter(|hint| !self.config.founders.contains(hint));
         for to in self.config.founders.iter().chain(&hint) {
             if *to != self.config.key.id {
-                let message = Message::Hello(self.hello());
+                let message = Message::Hello(self.hello(to));
                 out.push(Effect::Send { to: to.clone(), message });
             }
         }
     }
 
-    fn hello(&self) -> Hello {
+    fn hello(&self, to: &InstanceId) -> Hello {
+        let known = self.applicants.iter().find(|applicant| applicant.hello.key.id == *to);
         Hello {
             key: self.config.key.clone(),
             durable: self.config.durable,
             formation: self.formation(),
             leader: self.leader.clone(),
+            heard: known.map(|applicant| applicant.hello.key.storage),
             founders: self.config.founders.clone(),
         }
     }
@@ -60,7 +62,8 @@
         let to = hello.key.id.clone();
         self.applicants.push(Applicant { hello, heard: now });
         if is_stranger && is_lost && self.leader.is_some() {
-            out.push(Effect::Send { to, message: Message::Hello(self.hello()) });
+            let message = Message::Hello(self.hello(&to));
+            out.push(Effect::Send { to, message });
         }
     }
 
@@ -97,8 +100,9 @@
         let limit = self.config.election_max;
         let applicant = self.applicants.iter().find(|a| a.hello.key.id == *id)?;
         let hello = &applicant.hello;
-        let is_fresh = hello.formation.is_none() && hello.founders == self.config.founders;
-        (is_fresh && now - applicant.heard < limit).then_some(hello)
+        let is_new = hello.formation.is_none() && hello.founders == self.config.founders;
+        let is_answer = hello.heard == Some(self.config.key.storage);
+        (is_new && is_answer && now - applicant.heard < limit).then_some(hello)
     }
 
     pub(super) fn change(
--- a/crates/medlarlug-core/src/replication/message.rs
+++ b/crates/medlarlug-core/src/replication/message.rs
@@ -4,7 +4,7 @@
 
 use crate::ids::{InstanceId, LogIndex, Term};
 
-use super::membership::{FormationId, MemberKey, Membership};
+use super::membership::{FormationId, MemberKey, Membership, StorageId};
 
 /// What a log entry holds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -85,6 +85,8 @@
     pub formation: Option<FormationId>,
     /// The leader that the sender knows.
     pub leader: Option<InstanceId>,
+    /// Storage of the receiver that the sender has last heard of: the message is newer than it.
+    pub heard: Option<StorageId>,
     /// The sender's founders, sorted.
     pub founders: Vec<InstanceId>,
 }
--- a/crates/medlarlug-core/src/replication/mod.rs
+++ b/crates/medlarlug-core/src/replication/mod.rs
@@ -32,7 +32,8 @@
 //! # Formation
 //!
 //! The first of the configured founders forms the group once it has heard, within
-//! [`Config::election_max`], from *every* founder that its storage belongs to no group. One
+//! [`Config::election_max`], from *every* founder that its storage belongs to no group, in a
+//! message that names the first founder's own storage and so cannot be left over from before. One
 //! surviving founder is thus enough to keep a wiped majority from forming a second, empty group.
 //!
 //! # Every voter that held a commit restarted empty
--- a/crates/medlarlug-core/src/replication/replica.rs
+++ b/crates/medlarlug-core/src/replication/replica.rs
@@ -152,7 +152,7 @@
             Event::Read { ticket } => self.read(ticket, now, out),
             Event::Persisted { sequence } => self.on_persisted(sequence, now, out),
             Event::ChangeVoters { ticket, change } => self.change(ticket, &change, now, out),
-            Event::Compact { index, snapshot } => self.compact(index, snapshot),
+            Event::Compact { index, snapshot } => self.compact(index, snapshot, now),
             Event::TransferLeadership => self.hand_over(now, out),
         }
         self.advance_commit(now, out);
@@ -373,8 +373,8 @@
         self.retire(now, out);
     }
 
-    fn compact(&mut self, index: LogIndex, data: Vec<u8>) {
-        if index > self.applied {
+    fn compact(&mut self, index: LogIndex, data: Vec<u8>, now: Time) {
+        if index > self.applied || self.is_sending_snapshot(now) {
             return;
         }
         if let Some(snapshot) = self.log.compact(index, data) {
--- a/crates/medlarlug-core/src/replication/transfer.rs
+++ b/crates/medlarlug-core/src/replication/transfer.rs
@@ -34,6 +34,18 @@
         progress.mode = Mode::Snapshot { index: self.log.base().index, offset: 0 };
     }
 
+    /// Whether a live member is receiving the newest snapshot, which a newer one would interrupt.
+    pub(super) fn is_sending_snapshot(&self, now: Time) -> bool {
+        let State::Leader(leader) = &self.state else {
+            return false;
+        };
+        let limit = self.config.election_max;
+        leader.progress.iter().any(|progress| {
+            let is_sending = matches!(progress.mode, Mode::Snapshot { .. });
+            is_sending && now - progress.heard < limit
+        })
+    }
+
     /// Sends the next part of the newest snapshot.
     pub(super) fn send_chunk(&self, progress: &mut Progress, round: u64, out: &mut Vec<Effect>) {
         let Mode::Snapshot { index, offset } = &mut progress.mode else {
--- a/crates/medlarlug-core/tests/testsuite/replication/failures.rs
+++ b/crates/medlarlug-core/tests/testsuite/replication/failures.rs
@@ -5,8 +5,8 @@
 use medlarlug_core::{
     ids::{LogIndex, Term},
     replication::{
-        Body, Change, Config, Effect, Envelope, Event, FormationId, Member, MemberKey, MemberRole,
-        Message, Persist, Position, Replica, Restored, StorageId,
+        Body, Change, Config, Effect, Envelope, Event, FormationId, Hello, Member, MemberKey,
+        MemberRole, Message, Persist, Position, Replica, Restored, StorageId,
     },
     time::Time,
 };
@@ -275,3 +275,55 @@
     assert!(cluster.committed(late) > LogIndex(50));
     assert_eq!(cluster.history.failures, Vec::<String>::new());
 }
+
+#[test]
+fn snapshot_under_way_is_not_replaced() {
+    let mut cluster = formed(10, DURABLE, |config| config.chunk_bytes = 8);
+    let leader = cluster.leader().expect("a leader");
+    let late = (leader + 1) % 3;
+    cluster.isolate(late);
+    for _ in 0..100 {
+        cluster.propose(leader);
+        cluster.run(Duration::from_millis(10));
+    }
+    cluster.compact(leader);
+
+    cluster.heal();
+    for _ in 0..100 {
+        cluster.propose(leader);
+        cluster.run(Duration::from_millis(20));
+        cluster.compact(leader);
+    }
+    cluster.run(Duration::from_secs(1));
+
+    assert_eq!(cluster.nodes[late].applied.len(), 200);
+}
+
+fn hello(from: &MemberKey, heard: Option<StorageId>) -> Event {
+    let hello = Hello {
+        key: from.clone(),
+        durable: true,
+        formation: None,
+        leader: None,
+        heard,
+        founders: vec![id("a"), id("b")],
+    };
+    Event::Message { from: from.id.clone(), message: Message::Hello(hello) }
+}
+
+#[test]
+fn group_is_not_formed_on_an_old_introduction() {
+    let (a, b) = (key("a", 1), key("b", 2));
+    let config = Config::new(a.clone(), vec![id("a"), id("b")]);
+    let mut replica = Replica::new(config, Restored::default(), 1, Time::ZERO);
+    let mut out = Vec::new();
+
+    replica.handle(Time::ZERO, hello(&b, Some(StorageId(9))), &mut out);
+    replica.handle(Time::ZERO, Event::Tick, &mut out);
+    let before = replica.membership().is_some();
+    replica.handle(Time::ZERO, hello(&b, Some(a.storage)), &mut out);
+    replica.handle(Time::ZERO, Event::Tick, &mut out);
+
+    assert!(!before);
+    assert!(replica.membership().is_some());
+}
