A pushed first configuration is used once it is confirmed

A keeper hands its follower the group's configuration and confirms it by a read of its own. The push was only kept as an offer, and the confirmation did not look at it, so a fresh keeper, and every instance that asks it, would have waited for the isolation time of 10 s.

--- a/crates/medlarlug-core/src/follower.rs
+++ b/crates/medlarlug-core/src/follower.rs
@@ -245,7 +245,7 @@
             Event::Sources(sources) => self.sources = sources,
             Event::Push(update) => self.take(update, None, out),
             Event::Answered(answer) => self.on_answer(answer, out),
-            Event::Confirmed(confirmation) => self.confirm(now, confirmation),
+            Event::Confirmed(confirmation) => self.confirm(now, confirmation, out),
             Event::Tick => {}
         }
         if now >= Time::ZERO + self.timing.isolation {
@@ -283,16 +283,22 @@
             self.take(update, confirmation.map(|it| it.revision), out);
         }
         if let Some(confirmation) = confirmation {
-            self.confirm(asked, confirmation);
+            self.confirm(asked, confirmation, out);
         }
     }
 
-    fn confirm(&mut self, heard: Time, confirmation: Confirmation) {
-        let knows_newest = self.current.is_some() && self.revision() >= confirmation.revision;
-        if !knows_newest || confirmation.age > heard - Time::ZERO {
+    fn confirm(&mut self, heard: Time, confirmation: Confirmation, out: &mut Vec<Effect>) {
+        let Confirmation { revision, age } = confirmation;
+        if age > heard - Time::ZERO {
             return;
         }
-        let at = heard.saturating_sub(confirmation.age);
+        if let Some(offered) = self.offered.take_if(|it| it.revision >= revision) {
+            self.take(Update::Full(offered), Some(revision), out);
+        }
+        if self.current.is_none() || self.revision() < revision {
+            return;
+        }
+        let at = heard.saturating_sub(age);
         self.confirmed = Some(self.confirmed.map_or(at, |earlier| earlier.max(at)));
     }
 
--- a/crates/medlarlug-core/tests/testsuite/follower.rs
+++ b/crates/medlarlug-core/tests/testsuite/follower.rs
@@ -326,3 +326,18 @@
     assert!(!tracker.force(Time::from_millis(10_099), Revision(1)).is_everywhere());
     assert!(tracker.force(Time::from_millis(10_100), Revision(1)).is_everywhere());
 }
+
+#[test]
+fn first_configuration_that_is_confirmed_later_is_taken_at_once() {
+    let mut follower = Follower::new(Timing::default(), None);
+    let update = Update::Full(Configuration::new(Revision(3), Vec::new()));
+    let mut out = Vec::new();
+    follower.handle(Time::from_millis(5), Event::Push(update), &mut out);
+    assert_eq!(follower.revision(), Revision(0));
+    let confirmation = Confirmation { revision: Revision(3), age: Duration::from_millis(1) };
+
+    follower.handle(Time::from_millis(6), Event::Confirmed(confirmation), &mut out);
+
+    assert_eq!(out, [Effect::Changed(Revision(3))]);
+    assert!(follower.may_cross_regions(Time::from_millis(6)));
+}
