Group that lost its state books for current configurations only

A group that lost its state had also forgotten that it had handed the team over; a late adoption of an earlier move made it the home again, and an entry instance with an old configuration booked there.

Such a group now takes bookings only from configurations that are not older than its founding, and of a hand-over from before it trusts everything but that a booking was abandoned. Begin carries the owner's revision.

The entry passes the team's own epoch and whether it has moved, in place of the newest revision and `false`: with these, every team would have counted as newer than a loss of state, and a new home would not have waited for the hand-over.

--- a/crates/medlarlug-core/benches/state_machines.rs
+++ b/crates/medlarlug-core/benches/state_machines.rs
@@ -59,6 +59,7 @@
         content: Fingerprint::of(b"content"),
         request: id(&format!("riga.entry-1.1.{number}")),
         owner: Owner { instance: id("entry-1"), incarnation: Incarnation(1) },
+        revision: Revision(1),
         epoch: Revision(1),
         moved: false,
     }
--- a/crates/medlarlug-core/src/home/attempt.rs
+++ b/crates/medlarlug-core/src/home/attempt.rs
@@ -13,7 +13,7 @@
         booking::Recorded,
         command::{Action, Begin, BeginReply, Reply},
     },
-    ids::{RegionId, RequestId},
+    ids::{RegionId, RequestId, Revision},
 };
 
 /// An event for an [`Attempt`].
@@ -76,6 +76,9 @@
     KeyReused(RequestId),
     /// The team's home is this region; the caller's configuration is older than the home group's.
     NotHome(RegionId),
+    /// This instance's configuration is older than this revision, at which the home group was
+    /// founded anew.
+    StaleConfiguration(Revision),
     /// The team's bookings have not arrived in its new home yet.
     NotAdopted,
     /// The home group keeps as many keys as it can.
@@ -127,6 +130,7 @@
 ///     content: Fingerprint::of(b"repair"),
 ///     request: "kochi.entry-1.1.1".parse().unwrap(),
 ///     owner,
+///     revision: Revision(1),
 ///     epoch: Revision(1),
 ///     moved: false,
 /// };
@@ -302,6 +306,7 @@
         BeginReply::InProgress(request) => NotRun::InProgress(request),
         BeginReply::KeyReused(request) => NotRun::KeyReused(request),
         BeginReply::NotHome(region) => NotRun::NotHome(region),
+        BeginReply::StaleConfiguration(revision) => NotRun::StaleConfiguration(revision),
         BeginReply::NotAdopted => NotRun::NotAdopted,
         BeginReply::Full => NotRun::Full,
         BeginReply::StaleOwner(_) => NotRun::Replaced,
--- a/crates/medlarlug-core/src/home/bookings.rs
+++ b/crates/medlarlug-core/src/home/bookings.rs
@@ -107,6 +107,14 @@
         self.count
     }
 
+    /// Revision since which `team` is held, if it is.
+    pub(crate) fn held_since(&self, team: &TeamId) -> Option<Revision> {
+        match self.books[self.find_book(team).ok()?].hold {
+            Hold::Held(epoch) => Some(epoch),
+            Hold::Sealed { .. } => None,
+        }
+    }
+
     pub(crate) fn find(&self, team: &TeamId, key: &BookingKey) -> Option<&Booking> {
         let book = &self.books[self.find_book(team).ok()?];
         let found = book.bookings.binary_search_by(|it| it.key.cmp(key)).ok()?;
--- a/crates/medlarlug-core/src/home/command.rs
+++ b/crates/medlarlug-core/src/home/command.rs
@@ -156,6 +156,8 @@
     pub request: RequestId,
     /// The only process that may send it.
     pub owner: Owner,
+    /// Revision of the owner's configuration.
+    pub revision: Revision,
     /// Revision at which the team got its home, as the owner's configuration says.
     pub epoch: Revision,
     /// Whether the team had another home before.
@@ -184,6 +186,9 @@
     Abandoned,
     /// The team's home is elsewhere; nothing was run.
     NotHome(RegionId),
+    /// The owner's configuration is older than this founding of the group, which can't tell
+    /// whether the team has moved away since then; nothing was run.
+    StaleConfiguration(Revision),
     /// The team's bookings have not arrived from its former home; nothing was run.
     NotAdopted,
     /// The group keeps as many keys as it can; nothing was run.
--- a/crates/medlarlug-core/src/home/state.rs
+++ b/crates/medlarlug-core/src/home/state.rs
@@ -15,6 +15,11 @@
 //! names a revision at which it was made that is not older than the founding, or the team is
 //! newer than the founding. This ends after a [`KEY_RETENTION`], when every former key has
 //! outlived its promise.
+//!
+//! Such a group has also forgotten which teams it had handed over. It takes a booking only from an
+//! owner whose configuration is not older than the founding and says that the team's home is here.
+//! Of a hand-over from before the founding it trusts what has ended for good, but not that a
+//! booking was abandoned.
 
 use std::time::Duration;
 
@@ -23,7 +28,7 @@
 use crate::{
     fingerprint::Fingerprint,
     home::{
-        booking::{Amnesia, Booking, BookingKey, Handover, Owner},
+        booking::{Amnesia, Booking, BookingKey, BookingState, Handover, Owner},
         bookings::Bookings,
         command::{Action, Begin, BeginReply, Command, LookUp, Reply, Suspect},
         convictions::Convictions,
@@ -31,6 +36,7 @@
         records::Records,
     },
     ids::{Incarnation, InstanceId, RequestId, Revision, TeamId},
+    release::TeamHome,
 };
 
 /// How long a key is kept after its booking ended, by the logical clock.
@@ -49,9 +55,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 struct Founding {
     revision: Revision,
+    is_first: bool,
     amnesia: Option<Amnesia>,
 }
 
+impl Founding {
+    /// Whether `revision` is older than the loss of an earlier founding's state.
+    fn is_older(&self, revision: Revision) -> bool {
+        !self.is_first && revision < self.revision
+    }
+}
+
 /// The newest incarnation of an instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Started {
@@ -126,6 +140,14 @@
         self.bookings.unknown()
     }
 
+    /// Whether the group has adopted the team of `home`, or has begun to book for it.
+    ///
+    /// While this is not so for a home in the group's own region that has a former one, the
+    /// leader asks the former home group for the team's bookings by [`Action::Seal`].
+    pub fn is_held(&self, home: &TeamHome) -> bool {
+        self.bookings.held_since(&home.team).is_some_and(|epoch| epoch >= home.epoch)
+    }
+
     /// Number of booking keys that are kept.
     pub fn key_count(&self) -> usize {
         self.bookings.count()
@@ -225,7 +247,7 @@
             (!first).then(|| Amnesia { before: revision, until: after(KEY_RETENTION_MICROS) });
         let granted = if first { self.clock } else { after(MAX_LEASE_MICROS) };
         self.lease = IssuerLease::founded(revision, granted);
-        self.founding = Some(Founding { revision, amnesia });
+        self.founding = Some(Founding { revision, is_first: first, amnesia });
         Reply::Founded(revision)
     }
 
@@ -234,8 +256,11 @@
     }
 
     fn begin(&mut self, begin: Begin) -> BeginReply {
-        if self.founding.is_none() {
+        let Some(founding) = self.founding else {
             return BeginReply::NotFounded;
+        };
+        if founding.is_older(begin.revision) {
+            return BeginReply::StaleConfiguration(founding.revision);
         }
         let Owner { instance, incarnation } = begin.owner.clone();
         if let Some(newest) = self.newest(&instance)
@@ -269,7 +294,11 @@
         self.records.start(&instance, incarnation);
     }
 
-    fn adopt(&mut self, handover: Handover) -> Reply {
+    fn adopt(&mut self, mut handover: Handover) -> Reply {
+        // A former founding may have adopted the same bookings and run what was abandoned then.
+        if self.founding.is_some_and(|it| it.is_older(handover.epoch)) {
+            handover.bookings.retain(|it| it.state != BookingState::Abandoned);
+        }
         let reply = self.bookings.adopt(self.clock, handover);
         for it in &self.instances {
             self.bookings.lose_owner(self.clock, &it.instance, |other| other < it.incarnation);
--- a/crates/medlarlug-core/tests/testsuite/booking_history.rs
+++ b/crates/medlarlug-core/tests/testsuite/booking_history.rs
@@ -11,6 +11,7 @@
         attempt::{Answer, Attempt, Effect, Event},
     },
     ids::{Incarnation, RegionId, RequestId, Revision, TeamId},
+    release::TeamHome,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -44,7 +45,8 @@
 #[derive(Debug)]
 struct Entry {
     incarnation: Incarnation,
-    /// Index of the home that its configuration tells.
+    /// Its configuration: the revision, and the index of the home that it tells.
+    revision: Revision,
     view: usize,
     attempts: Vec<(RequestId, usize, Attempt)>,
 }
@@ -95,7 +97,12 @@
 
 impl World {
     fn new(seed: u64, with_state_loss: bool) -> World {
-        let entry = |_| Entry { incarnation: Incarnation(1), view: 0, attempts: Vec::new() };
+        let entry = |_| Entry {
+            incarnation: Incarnation(1),
+            revision: Revision(3),
+            view: 0,
+            attempts: Vec::new(),
+        };
         let mut world = World {
             rng: ChaCha8Rng::seed_from_u64(seed),
             groups: vec![HomeGroup::default(), HomeGroup::default()],
@@ -130,7 +137,7 @@
             12..70 => self.deliver(),
             70..80 => self.tick(entry),
             80..86 => self.disturb(entry),
-            86..90 => self.entries[entry].view = self.homes.len() - 1,
+            86..90 => self.configure(entry),
             90..92 => self.restart(entry),
             92..94 => self.suspect(entry),
             94..95 => self.move_home(),
@@ -143,7 +150,7 @@
     fn call(&mut self, entry: usize) {
         let number = self.rng.random_range(0..KEYS);
         self.sequence += 1;
-        let Entry { incarnation, view, .. } = self.entries[entry];
+        let Entry { incarnation, revision, view, .. } = self.entries[entry];
         let instance = id(&format!("entry-{entry}"));
         let home = self.homes[view].clone();
         let request: RequestId = id(&format!("riga.{instance}.{incarnation}.{}", self.sequence));
@@ -153,6 +160,7 @@
             content: Fingerprint::of(&[number as u8]),
             request: request.clone(),
             owner: Owner { instance, incarnation },
+            revision,
             epoch: home.epoch,
             moved: home.moved,
         };
@@ -276,11 +284,15 @@
         self.push_move();
     }
 
-    /// The new home asks the former one for the team's bookings; it may ask again at any time.
+    /// The new home asks the former one for the team's bookings, until it has adopted them.
     fn push_move(&mut self) {
-        let home = self.homes.last().unwrap();
-        if home.moved {
-            self.messages.push(Message::Seal { to: home.region });
+        let Home { region: to, epoch, moved } = self.homes.last().unwrap().clone();
+        let from = moved.then(|| region(1 - to));
+        let home = TeamHome { team: team(), region: region(to), epoch, from };
+        if moved && !self.groups[to].is_held(&home) {
+            self.messages.push(Message::Seal { to });
+        } else if self.is_moving {
+            self.messages.push(Message::Release { region: 1 - to, epoch });
         }
     }
 
@@ -296,7 +308,6 @@
         let entry_state = &mut self.entries[entry];
         entry_state.incarnation = entry_state.incarnation.next();
         entry_state.attempts.clear();
-        entry_state.view = self.homes.len() - 1;
         let incarnation = entry_state.incarnation;
         for region in 0..REGIONS.len() {
             let instance = id(&format!("entry-{entry}"));
@@ -306,6 +317,12 @@
         }
     }
 
+    /// An entry instance learns the newest configuration.
+    fn configure(&mut self, entry: usize) {
+        self.entries[entry].revision = self.revision;
+        self.entries[entry].view = self.homes.len() - 1;
+    }
+
     /// A group takes a running instance for lost.
     fn suspect(&mut self, entry: usize) {
         let region = self.rng.random_range(0..REGIONS.len());
@@ -367,7 +384,8 @@
             let content = Fingerprint::of(&[number as u8]);
             let (key, team) = (key(number), team());
             let (epoch, moved) = (home.epoch, home.moved);
-            let begin = Begin { team, key, content, request, owner, epoch, moved };
+            let revision = self.revision;
+            let begin = Begin { team, key, content, request, owner, revision, epoch, moved };
 
             let reply = self.apply(home.region, Action::Begin(begin));
 
--- a/crates/medlarlug-core/tests/testsuite/home_limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/home_limits.rs
@@ -32,6 +32,7 @@
         content: Fingerprint::of(key.as_bytes()),
         request: id("riga.entry-1.1.1"),
         owner: Owner { instance: id("entry-1"), incarnation: Incarnation(1) },
+        revision: FOUNDED,
         epoch: Revision(epoch),
         moved: false,
     }
@@ -64,6 +65,16 @@
     assert_eq!(newer, BeginReply::Started);
 }
 
+#[test]
+fn group_that_lost_its_state_takes_no_booking_from_an_older_configuration() {
+    let mut group = founded(false);
+    let older = Begin { revision: Revision(49), ..begin("50~boat-1", 3) };
+
+    let reply = reply_to(&mut group, older);
+
+    assert_eq!(reply, BeginReply::StaleConfiguration(FOUNDED));
+}
+
 #[test]
 fn team_that_is_newer_than_the_loss_books_at_once() {
     let mut group = founded(false);
--- a/crates/medlarlug-core/tests/testsuite/home_model.rs
+++ b/crates/medlarlug-core/tests/testsuite/home_model.rs
@@ -182,6 +182,7 @@
             content: Fingerprint(u128::from(rng.random_range(0..8u8) == 0)),
             request,
             owner: Owner { instance, incarnation },
+            revision: Revision(1),
             epoch: Revision(1),
             moved: false,
         }),
--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -1,15 +1,15 @@
 //! Tests of the coordination cores.
 
+mod admission;
 mod booking_history;
 mod configuration_group;
+mod drain;
 mod follower;
 mod home_limits;
 mod home_model;
 mod home_tables;
-mod orders;
-mod admission;
-mod drain;
 mod limits;
+mod orders;
 mod release;
 mod replication;
 mod retry;
--- a/src/coordination/entry/callers.rs
+++ b/src/coordination/entry/callers.rs
@@ -295,6 +295,9 @@
     };
     let cost = inference::DEFAULT_COST;
     let job = Job { origin: JobOrigin::Caller(Origin::new(facts)), call, cost };
+    let home = configuration.home_of(&team.id);
+    let epoch = home.map_or(configuration.revision, |it| it.epoch);
+    let moved = home.is_some_and(|it| it.from.is_some());
     // The call goes on to its recorded end when the caller's connection is lost.
     let task = match key {
         None => task::spawn_local(inference::serve(entry, job)),
@@ -303,7 +306,9 @@
             Booking {
                 team: team.id,
                 home: team.home,
-                epoch: configuration.revision,
+                revision: configuration.revision,
+                epoch,
+                moved,
                 key,
                 content: print,
                 outcomes: service.outcomes,
--- a/src/coordination/entry/services.rs
+++ b/src/coordination/entry/services.rs
@@ -62,7 +62,11 @@
     /// Its home region, by the configuration in force.
     pub home: RegionId,
     /// Revision of that configuration.
+    pub revision: Revision,
+    /// Revision at which the team got this home.
     pub epoch: Revision,
+    /// Whether the team had another home before.
+    pub moved: bool,
     /// The caller's key.
     pub key: BookingKey,
     /// Fingerprint of method, path and body.
@@ -102,8 +106,9 @@
         content: booking.content,
         request: booking.job.facts().id.clone(),
         owner: Owner { instance: entry.node.own.id.clone(), incarnation: entry.node.incarnation },
+        revision: booking.revision,
         epoch: booking.epoch,
-        moved: false,
+        moved: booking.moved,
     };
     match calls::act(&entry.node, &booking.home, Action::Begin(begin), BEGIN_LIMIT).await? {
         Reply::Begin(reply) => Ok(reply),
@@ -145,6 +150,7 @@
             Problem::new(503, "not-home", &title, Outcome::NotRun).after(wait)
         }
         BeginReply::Abandoned
+        | BeginReply::StaleConfiguration(_)
         | BeginReply::NotAdopted
         | BeginReply::Full
         | BeginReply::StaleOwner(_)
