Routing core in three modules; a restarted upstream is learned anew

A higher incarnation drops what was learned of the lower one. New test returned_upstream_takes_its_share_up_by_and_by; without the ramp 6 of 6 requests go to the cold upstream and it fails.

--- a/benches/routing/driver.rs
+++ b/benches/routing/driver.rs
@@ -8,22 +8,22 @@
 
 use medlarlug_core::{
     announcement::{Announcement, LoadReport, LoadedModel, UpstreamKind},
-    fingerprint::Fingerprint,
-    ids::{Incarnation, InstanceId, RequestId, UpstreamId, ZoneId},
-    membership::{Effect, Event as News, InstanceKind, Membership, Seed, Settings, Target},
+    ids::{Incarnation, InstanceId, UpstreamId, ZoneId},
+    membership::{Effect, Event as News, InstanceKind, Membership, Seed, Settings},
     release::Configuration,
-    routing::{Event, Forwarded, Origin, Prefix, RequestFacts, Router, Ticket},
+    routing::{Event, Forwarded, Origin, Router, Ticket},
     time::Time,
-    units::{Slots, Tokens},
+    units::Slots,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use test_support::id;
 
 use crate::{
-    deployment::{Deployment, Fault, HOME_BOUND, LINK_PRICE, PROMPT_PRICE, SECONDS, Scenario},
+    deployment::{Deployment, Fault, LINK_PRICE, PROMPT_PRICE, SECONDS, Scenario},
     engine::{Engine, Job, SLOTS, Started},
     policy::{Decider, Decision},
+    traffic::Traffic,
 };
 
 /// Seconds before measuring begins.
@@ -32,8 +32,6 @@
 const NEAR: f64 = 0.001;
 /// Seconds after which a lost answer counts as a failure.
 const LOSS: f64 = 1.0;
-/// Documents that the prompts of one region begin with.
-const DOCUMENTS: usize = 60;
 /// Share of cache events that are lost.
 const EVENT_LOSS: f64 = 0.2;
 /// Attempts at most for one request.
@@ -54,7 +52,7 @@
 enum What {
     Arrive { region: usize },
     Tick { entry: usize },
-    Deliver { entry: usize, news: News },
+    Deliver { entry: usize, news: Box<News> },
     Read { engine: usize },
     Announce { engine: usize, load: Box<LoadReport> },
     Reach { attempt: usize, engine: usize },
@@ -94,7 +92,7 @@
     scenario: Scenario,
     configuration: Configuration,
     /// Draws of the traffic, which is the same for every router.
-    traffic: ChaCha8Rng,
+    traffic: Traffic,
     random: ChaCha8Rng,
     now: f64,
     sequence: u64,
@@ -126,7 +124,7 @@
             deployment,
             scenario,
             configuration: deployment.configuration(),
-            traffic: ChaCha8Rng::seed_from_u64(seed),
+            traffic: Traffic::new(deployment, seed),
             random: ChaCha8Rng::seed_from_u64(seed + 1),
             now: 0.0,
             sequence: 0,
@@ -197,7 +195,7 @@
                 self.feed(entry, News::Tick);
                 self.after(0.25, What::Tick { entry });
             }
-            What::Deliver { entry, news } => self.feed(entry, news),
+            What::Deliver { entry, news } => self.feed(entry, *news),
             What::Read { engine } => self.read(engine),
             What::Announce { engine, load } => self.announce(engine, *load),
             What::Reach { attempt, engine } => self.reach(attempt, engine),
@@ -230,7 +228,7 @@
             let zones = (self.entries[entry].zone, self.entries[to].zone);
             if !self.is_cut(zones.0, zones.1) {
                 let delay = if zones.0 == zones.1 { NEAR } else { self.deployment.far };
-                let news = News::Message { from, message };
+                let news = Box::new(News::Message { from, message });
                 self.after(delay, What::Deliver { entry: to, news });
             }
         }
@@ -245,11 +243,6 @@
         first + self.random.random_range(0..self.deployment.entries[zone])
     }
 
-    fn entry_for_caller(&mut self, zone: usize) -> usize {
-        let first: usize = self.deployment.entries[..zone].iter().sum();
-        first + self.traffic.random_range(0..self.deployment.entries[zone])
-    }
-
     fn engine_zone(&self, engine: usize) -> usize {
         engine * 3 / self.deployment.engines
     }
@@ -289,7 +282,7 @@
         let first: usize = self.deployment.entries[..zone].iter().sum();
         for turn in 0..2 {
             let entry = first + (engine + turn) % self.deployment.entries[zone];
-            let news = News::Announced(announcement.clone());
+            let news = Box::new(News::Announced(announcement.clone()));
             self.after(NEAR, What::Deliver { entry, news });
         }
     }
@@ -298,7 +291,7 @@
         let rate = self.scenario.demand()[region]
             * self.deployment.engine_rate()
             * (self.deployment.engines / 3) as f64;
-        let gap = -self.traffic.random_range(f64::MIN_POSITIVE..1.0f64).ln() / rate;
+        let gap = self.traffic.gap(rate);
         if self.now + gap < SECONDS {
             self.after(gap, What::Arrive { region });
         }
@@ -313,37 +306,13 @@
     }
 
     fn request(&mut self, region: usize) -> Request {
-        let document = self.document(region);
-        let (low, high) = self.deployment.prompt;
-        let prompt = self.traffic.random_range(low..high);
-        let answer = self.traffic.random_range(0.2..1.8) * self.deployment.answer;
-        let is_bound = self.traffic.random_bool(HOME_BOUND);
-        let name = self.deployment.zones[region].1;
-        let team = format!("{name}-{}", if is_bound { "home" } else { "free" });
         let attempt = self.requests.len();
-        let prefix = Fingerprint(document);
-        let prefix_tokens = self.deployment.prefix_tokens;
-        let facts = RequestFacts {
-            id: RequestId {
-                region: id(name),
-                instance: id("e"),
-                incarnation: Incarnation(1),
-                sequence: attempt as u64,
-            },
-            team: id(&team),
-            target: Target::Model(id("m")),
-            adapter: None,
-            prompt: Tokens(prompt),
-            prefixes: vec![Prefix { print: prefix, tokens: Tokens(prefix_tokens) }],
-            priority: 0,
-            deadline: Duration::from_secs_f64(self.deployment.deadline),
-            excluded: Vec::new(),
-        };
+        let (facts, job) = self.traffic.request(region, attempt);
         Request {
             origin: Origin::new(facts),
-            entry: self.entry_for_caller(region),
+            entry: self.traffic.entry(region),
             arrived: self.now,
-            job: Job { attempt, prefix, prefix_tokens, prompt, answer },
+            job,
             tries: 0,
             ticket: None,
             server: None,
@@ -354,19 +323,6 @@
         }
     }
 
-    /// A document of the region, the popular ones more often.
-    fn document(&mut self, region: usize) -> u128 {
-        let total: f64 = (1..=DOCUMENTS).map(|it| 1.0 / it as f64).sum();
-        let mut draw = self.traffic.random_range(0.0..total);
-        let mut rank = 1;
-        while draw > 1.0 / rank as f64 && rank < DOCUMENTS {
-            draw -= 1.0 / rank as f64;
-            rank += 1;
-        }
-        let number = (region * DOCUMENTS + rank) as u64;
-        Fingerprint::of(&number.to_be_bytes()).0
-    }
-
     fn is_measured(&self, attempt: usize) -> bool {
         self.requests[attempt].arrived >= WARM_UP
     }
--- a/benches/routing/main.rs
+++ b/benches/routing/main.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod plot;
 mod policy;
+mod traffic;
 
 use deployment::{Deployment, KOORDINATU, MALABAR, SCENARIOS, Scenario};
 use driver::Figures;
--- a/crates/medlarlug-core/src/routing/affinity.rs
+++ b/crates/medlarlug-core/src/routing/affinity.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Forgets an upstream whose cache is gone.
+    pub(super) fn forget(&mut self, upstream: &UpstreamId) {
+        self.sent.retain(|it| it.upstream != *upstream);
+    }
+
     fn shrink(&mut self, now: Time) {
         self.sent.retain(|it| now - it.at < LIFETIME);
         while self.sent.len() > CAPACITY / 2 {
--- a/crates/medlarlug-core/src/routing/mod.rs
+++ b/crates/medlarlug-core/src/routing/mod.rs
@@ -12,7 +12,9 @@
 //! * [`router`]: the core that decides and learns.
 
 mod affinity;
+mod away;
 mod learned;
+mod local;
 mod predict;
 pub mod request;
 pub mod residency;
--- a/crates/medlarlug-core/tests/testsuite/routing.rs
+++ b/crates/medlarlug-core/tests/testsuite/routing.rs
@@ -349,3 +349,48 @@
     assert!(!soon.contains(&failed));
     assert!(later.contains(&failed));
 }
+
+/// Sends `count` requests before the first of them ends; gives how many `u1` got.
+fn burst(router: &mut Router, now: Time, membership: &Membership, count: usize) -> usize {
+    let configuration = configuration(open_team(), Residency::Home);
+    let request = Origin::new(facts());
+    let mut share = 0;
+    let mut tickets = Vec::new();
+    for _ in 0..count {
+        let choice = router.decide(now, view(membership, &configuration), &request);
+        let Ok(Choice::Serve(route)) = choice else {
+            panic!("two upstreams, and yet {choice:?}");
+        };
+        share += usize::from(route.upstream == id("u1"));
+        let departure = route.depart(&configuration, &request.facts).unwrap();
+        router.sent(now, &departure, &request.facts);
+        tickets.push(departure.route().ticket);
+    }
+    tickets.into_iter().for_each(|it| router.handle(now, Event::Ended(it)));
+    share
+}
+
+#[test]
+fn returned_upstream_takes_its_share_up_by_and_by() {
+    let load = LoadReport { running: 4, backlog: Tokens(4_000), ..LoadReport::default() };
+    let busy = Announcement { load, ..upstream("u0") };
+    let mut membership = membership(vec![busy.clone()]);
+    let mut router = Router::new(NOW, 1);
+    burst(&mut router, NOW, &membership, 1);
+    let back = NOW + Duration::from_secs(30);
+    let late = back + Duration::from_secs(20);
+
+    for it in [Announcement { sequence: 9, ..busy.clone() }, upstream("u1")] {
+        membership.handle(back, News::Announced(it), &mut Vec::new());
+    }
+    let at_first = burst(&mut router, back, &membership, 6);
+    for it in
+        [Announcement { sequence: 10, ..busy }, Announcement { sequence: 10, ..upstream("u1") }]
+    {
+        membership.handle(late, News::Announced(it), &mut Vec::new());
+    }
+    let later = burst(&mut router, late, &membership, 6);
+
+    assert!(at_first <= 2, "{at_first} of 6 requests went to a cold upstream at once");
+    assert!(later > 2, "{later} of 6 requests went to the returned upstream after its ramp");
+}
