--- a/crates/medlarlug-core/src/routing/mod.rs
+++ b/crates/medlarlug-core/src/routing/mod.rs
@@ -12,7 +12,10 @@
 //! * [`router`]: the core that decides and learns.
 
 mod affinity;
+mod away;
+pub mod dump;
 mod learned;
+mod local;
 mod predict;
 pub mod request;
 pub mod residency;
@@ -20,6 +23,7 @@
 pub mod router;
 mod weights;
 
+pub use dump::RouterDump;
 pub use request::{ForwardHeader, Forwarded, Origin, Prefix, RequestFacts};
 pub use residency::{ConfigurationLease, Permit, ResidencyError};
 pub use route::{Choice, Crossing, Departure, Refusal, Route, ZoneRoute};
