--- a/src/commands/context.rs
+++ b/src/commands/context.rs
@@ -9,6 +9,7 @@
 
 /// Options of every command that talks to a process.
 #[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct Common {
     /// Operators' address (IP:PORT) of a process; may repeat, the first that answers is used
     #[bpaf(argument("ADDR"), env("MEDLARLUG_AT"), many)]
--- a/src/commands/drain.rs
+++ b/src/commands/drain.rs
@@ -11,6 +11,7 @@
 
 /// Arguments of `drain`.
 #[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct Drain {
     #[bpaf(external)]
     common: Common,
--- a/src/commands/dump.rs
+++ b/src/commands/dump.rs
@@ -10,6 +10,7 @@
 
 /// Arguments of `dump`.
 #[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct Dump {
     #[bpaf(external)]
     common: Common,
--- a/src/commands/log_level.rs
+++ b/src/commands/log_level.rs
@@ -14,7 +14,7 @@
 
 /// Arguments of `log-level`.
 #[derive(Debug, Clone, Bpaf)]
-#[bpaf(generate(log_level))]
+#[bpaf(generate(log_level), ignore_rustdoc)]
 pub struct LogLevelArgs {
     #[bpaf(external)]
     common: Common,
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -25,12 +25,19 @@
 pub use context::{Common, Context};
 pub use error::CommandError;
 
-/// Drives and inspects a medlarlug deployment.
-///
-/// Exit codes: 0 done, 1 unexpected answer, 2 bad arguments, 3 process unreachable, 4 refused,
-/// 5 not found, 6 conflict, 7 not in force everywhere in time, 8 bad input file, 9 outcome unknown.
+const EXIT_CODES: &str = "Exit codes: 0 done, 1 unexpected answer, 2 bad arguments, \
+     3 process unreachable, 4 refused, 5 not found, 6 conflict, 7 not in force everywhere in time, \
+     8 bad input file, 9 outcome unknown";
+
+/// Width of help texts, in characters.
+const HELP_WIDTH: usize = 100;
+
+/// Width that keeps an error in one line.
+const ERROR_WIDTH: usize = 10_000;
+
+/// Drives and inspects a medlarlug deployment
 #[derive(Debug, Clone, Bpaf)]
-#[bpaf(options, version)]
+#[bpaf(options, version, footer(EXIT_CODES))]
 enum Command {
     /// Checks, applies and shows release notes
     #[bpaf(command)]
@@ -89,10 +96,15 @@
 }
 
 fn report(failure: &ParseFailure) -> ExitCode {
-    failure.print_message(80);
     match failure {
-        ParseFailure::Stderr(_) => ExitCode::from(error::BAD_ARGUMENTS),
-        _ => ExitCode::SUCCESS,
+        ParseFailure::Stderr(_) => {
+            failure.print_message(ERROR_WIDTH);
+            ExitCode::from(error::BAD_ARGUMENTS)
+        }
+        _ => {
+            failure.print_message(HELP_WIDTH);
+            ExitCode::SUCCESS
+        }
     }
 }
 
--- a/src/commands/release.rs
+++ b/src/commands/release.rs
@@ -12,6 +12,7 @@
     ids::Revision,
     release::{Configuration, Item, RawNote},
 };
+use serde_json::json;
 use smol_str::ToSmolStr;
 use tokio::time::{Instant, sleep};
 
@@ -21,7 +22,7 @@
         error::CommandError,
         table::table,
     },
-    protocol::operators::{AcceptedNote, Confirmations},
+    protocol::operators::{AcceptedNote, Confirmations, ZoneConfirmation},
 };
 
 const POLL: Duration = Duration::from_millis(200);
@@ -103,13 +104,18 @@
 async fn apply(context: &Context, file: &Path, wait: Option<Duration>) -> Result<(), CommandError> {
     let note = read_note(file)?;
     let accepted: AcceptedNote = context.client.send(Method::POST, "/release/apply", &note).await?;
-    context.print(&accepted, |it| {
+    let line = |it: &AcceptedNote| {
         format!("note {} of {} is revision {}\n", it.number, it.operator, it.revision)
+    };
+    let Some(limit) = wait else {
+        context.print(&accepted, line);
+        return Ok(());
+    };
+    let zones = wait_for(context, accepted.revision, limit).await?;
+    context.print(&json!({"accepted": accepted, "zones": zones}), |_| {
+        format!("{}in force in {} zones\n", line(&accepted), zones.len())
     });
-    match wait {
-        Some(limit) => wait_for(context, accepted.revision, limit).await,
-        None => Ok(()),
-    }
+    Ok(())
 }
 
 /// Waits until `revision` is in force in every zone.
@@ -117,7 +123,7 @@
     context: &Context,
     revision: Revision,
     limit: Duration,
-) -> Result<(), CommandError> {
+) -> Result<Vec<ZoneConfirmation>, CommandError> {
     let begun = Instant::now();
     loop {
         let seen: Confirmations = context.client.get("/release/confirmations").await?;
@@ -129,8 +135,7 @@
             .map(|it| it.zone.as_str())
             .collect();
         if behind.is_empty() {
-            context.print(&seen, |it| format!("in force in {} zones\n", it.zones.len()));
-            return Ok(());
+            return Ok(seen.zones);
         }
         if begun.elapsed() >= limit {
             let zones = behind.join(", ").into();
--- a/src/commands/request.rs
+++ b/src/commands/request.rs
@@ -13,6 +13,7 @@
 
 /// Arguments of `request`.
 #[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct Request {
     #[bpaf(external)]
     common: Common,
--- a/src/commands/status.rs
+++ b/src/commands/status.rs
@@ -13,6 +13,7 @@
 
 /// Arguments of `status`.
 #[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct Status {
     #[bpaf(external)]
     common: Common,
--- a/src/commands/upstreams.rs
+++ b/src/commands/upstreams.rs
@@ -13,6 +13,7 @@
 
 /// Arguments of `upstreams`.
 #[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
 pub struct Upstreams {
     #[bpaf(external)]
     common: Common,
--- a/src/settings/standin.rs
+++ b/src/settings/standin.rs
@@ -27,7 +27,7 @@
     units::{Rate, Slots, Tokens},
 };
 use serde::Deserialize;
-use smol_str::{SmolStr, format_smolstr};
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 
 use crate::settings::{
     error::{LineFault, SettingsError},
@@ -140,14 +140,8 @@
     let mut used: Vec<SocketAddr> = Vec::new();
     for it in raw {
         for upstream in expand(it, &check_one(it)?)? {
-            for (address, text) in
-                [(upstream.address, &it.address), (upstream.control, &it.control)]
-            {
-                match used.binary_search(&address) {
-                    Ok(_) => return Err(duplicate("upstreams.address", text)),
-                    Err(place) => used.insert(place, address),
-                }
-            }
+            claim("upstreams.address", upstream.address, &it.address, &mut used)?;
+            claim("upstreams.control", upstream.control, &it.control, &mut used)?;
             match upstreams.binary_search_by(|other| other.id.cmp(&upstream.id)) {
                 Ok(_) => return Err(duplicate("upstreams.id", &it.id)),
                 Err(place) => upstreams.insert(place, upstream),
@@ -157,6 +151,22 @@
     Ok(upstreams)
 }
 
+/// Notes that `address`, which stems from `text`, is used.
+fn claim(
+    field: &str,
+    address: SocketAddr,
+    text: &Text,
+    used: &mut Vec<SocketAddr>,
+) -> Result<(), LineFault> {
+    match used.binary_search(&address) {
+        Ok(_) => Err(duplicate(field, &Text { value: address.to_smolstr(), ..text.clone() })),
+        Err(place) => {
+            used.insert(place, address);
+            Ok(())
+        }
+    }
+}
+
 fn check_one(raw: &RawUpstream) -> Result<UpstreamSettings, LineFault> {
     let entries: Result<Vec<SocketAddr>, LineFault> =
         raw.announce_to.iter().map(|it| address("upstreams.announce_to", it)).collect();
--- a/src/standin/announcer.rs
+++ b/src/standin/announcer.rs
@@ -5,24 +5,20 @@
 use std::{collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use http_body_util::Full;
 use hyper::{
-    Method, Request,
-    client::conn::http1::{self, SendRequest},
+    Method, Request, StatusCode,
     header::{CONTENT_TYPE, HOST},
 };
-use hyper_util::rt::TokioIo;
 use medlarlug_core::announcement::{Announcement, LoadReport, UpstreamKind};
 use thiserror::Error;
-use tokio::{
-    net::TcpStream,
-    task::spawn_local,
-    time::{Instant, sleep, timeout},
-};
+use tokio::time::{Instant, sleep};
 
 use crate::{
     protocol::headers,
     standin::{http, upstream::Upstream},
+    transport::http_client::{CallError, CallLimits, HttpClient, Reuse},
 };
 
 /// Time between two announcements.
@@ -37,12 +33,10 @@
 /// An announcement did not get through.
 #[derive(Debug, Error)]
 enum AnnounceError {
-    #[error("no connection to {address}")]
-    Connect { address: SocketAddr, source: std::io::Error },
-    #[error("no answer from {address}")]
-    Http { address: SocketAddr, source: hyper::Error },
-    #[error("{address} refused it with status {status}")]
-    Refused { address: SocketAddr, status: hyper::StatusCode },
+    #[error("the entry instance can't be reached")]
+    Call(#[from] CallError),
+    #[error("the entry instance refused it with status {0}")]
+    Refused(StatusCode),
 }
 
 struct Reading {
@@ -50,16 +44,8 @@
     load: LoadReport,
 }
 
-/// A connection to one entry instance, opened when needed.
-struct Link {
-    address: SocketAddr,
-    sender: Option<SendRequest<Full<Bytes>>>,
-}
-
 pub(super) async fn announce(upstream: Rc<Upstream>) {
-    let entries = &upstream.settings.entries;
-    let mut links: Vec<Link> =
-        entries.iter().map(|it| Link { address: *it, sender: None }).collect();
+    let client = HttpClient::default();
     let mut readings: VecDeque<Reading> = VecDeque::new();
     let mut read_at = Instant::now();
     let mut sequence = 0;
@@ -75,7 +61,7 @@
         upstream.thaw().await;
         sequence += 1;
         let body = compose(&upstream, sequence, &mut readings, lag);
-        send_all(&upstream, &mut links, &body).await;
+        send_all(&upstream, &client, &body).await;
         pause(&upstream, PERIOD - offset).await;
     }
 }
@@ -122,49 +108,36 @@
     Bytes::from(serde_json::to_vec(&announcement).unwrap_or_default())
 }
 
-async fn send_all(upstream: &Upstream, links: &mut [Link], body: &Bytes) {
+async fn send_all(upstream: &Upstream, client: &HttpClient, body: &Bytes) {
     let mac = upstream.keys.sign(body);
-    let sends = links.iter_mut().map(|link| send(link, body.clone(), &mac));
-    for result in futures_util::future::join_all(sends).await {
+    let entries = upstream.settings.entries.iter();
+    let sends = entries.map(|address| send(client, *address, body.clone(), &mac));
+    for result in join_all(sends).await {
         if let Err(error) = result {
             tracing::debug!(upstream = %upstream.settings.id, %error, "an announcement is lost");
         }
     }
 }
 
-async fn send(link: &mut Link, body: Bytes, mac: &str) -> Result<(), AnnounceError> {
-    let address = link.address;
-    let sending = async {
-        let mut sender = match link.sender.take().filter(|it| !it.is_closed()) {
-            Some(sender) => sender,
-            None => connect(address).await?,
-        };
-        let request = Request::builder()
-            .method(Method::POST)
-            .uri(PATH)
-            .header(HOST, address.to_string())
-            .header(CONTENT_TYPE, "application/json")
-            .header(headers::CODE, mac)
-            .body(Full::new(body))
-            .expect("the parts of the request are valid");
-        let http_error = |source| AnnounceError::Http { address, source };
-        sender.ready().await.map_err(http_error)?;
-        let answer = sender.send_request(request).await.map_err(http_error)?;
-        let status = answer.status();
-        http::drain(answer).await;
-        link.sender = Some(sender);
-        if status.is_success() { Ok(()) } else { Err(AnnounceError::Refused { address, status }) }
-    };
-    let late = || AnnounceError::Connect { address, source: std::io::ErrorKind::TimedOut.into() };
-    timeout(PATIENCE, sending).await.unwrap_or_else(|_| Err(late()))
-}
-
-async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, AnnounceError> {
-    let socket = TcpStream::connect(address).await;
-    let socket = socket.map_err(|source| AnnounceError::Connect { address, source })?;
-    let (sender, connection) = http1::handshake(TokioIo::new(socket))
-        .await
-        .map_err(|source| AnnounceError::Http { address, source })?;
-    spawn_local(connection);
-    Ok(sender)
+async fn send(
+    client: &HttpClient,
+    address: SocketAddr,
+    body: Bytes,
+    mac: &str,
+) -> Result<(), AnnounceError> {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(PATH)
+        .header(HOST, address.to_string())
+        .header(CONTENT_TYPE, "application/json")
+        .header(headers::CODE, mac)
+        .body(Full::new(body))
+        .expect("the parts of the request are valid");
+    let limits = CallLimits { connect: PATIENCE, head: PATIENCE };
+    let called = client.call(address, request, Reuse::Allowed, limits).await;
+    let (answer, connection) = called.inspect_err(|_| client.forget(address))?;
+    let status = answer.status();
+    http::drain(answer).await;
+    client.give_back(connection);
+    if status.is_success() { Ok(()) } else { Err(AnnounceError::Refused(status)) }
 }
