Configuration is shared and indexed by bearer key

Entries now share one copy and search a sorted index. Keepers push only the changes that followers lack, and each duty of a keeper has its own task: a group without leader held up the push for up to 2 s before.

--- a/src/coordination/entry/callers.rs
+++ b/src/coordination/entry/callers.rs
@@ -40,6 +40,7 @@
             services::{self, Booking},
         },
         lookup::{self, Fate},
+        node::InForce,
         operators::{bearer, fate_answer},
     },
     protocol::{Problem, headers, inference::InferenceHead},
@@ -69,7 +70,7 @@
 /// A caller whose key was recognised.
 struct Caller {
     team: Team,
-    configuration: Configuration,
+    configuration: Rc<InForce>,
 }
 
 async fn answer(entry: Rc<Entry>, request: Request<Incoming>) -> Answer {
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -38,7 +38,7 @@
     membership::{Notice, Status, Target},
     record::{Outcome, Stage},
     refusal::{Reason, Refusal, Spread},
-    release::{Configuration, ItemKey},
+    release::ItemKey,
     retry::RetryBudget,
     routing::{ConfigurationLease, Router, router},
     suspects::{self, Suspects},
@@ -57,7 +57,7 @@
         clock::incarnation_of_start,
         entry::{gate::Gate, journal::Journal},
         keeper::operator_limits,
-        node::{Node, Received},
+        node::{InForce, Node, Received},
         operators::{self, OperatorApi, ProcessPart},
     },
     protocol::Message,
@@ -235,7 +235,7 @@
     }
 
     /// The configuration in force here, if a revision is known.
-    pub fn configuration(&self) -> Option<Configuration> {
+    pub fn configuration(&self) -> Option<Rc<InForce>> {
         self.node.configuration()
     }
 
--- a/src/coordination/keeper/duties.rs
+++ b/src/coordination/keeper/duties.rs
@@ -11,7 +11,7 @@
     home::{self, FoundToken},
     ids::RegionId,
 };
-use tokio::{sync::watch, time::interval};
+use tokio::{sync::watch, task, time::interval};
 
 use crate::{
     coordination::{
@@ -21,52 +21,71 @@
     protocol::{GroupId, GroupReply, GroupRequest, Message},
 };
 
-/// Time between two rounds of duties when nothing changes.
+/// Time between two rounds of a duty.
 const ROUND: Duration = Duration::from_millis(500);
 
 /// Time that a call of a duty may take.
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 
 /// Does the duties of the process until `stop` turns true.
-pub async fn run(keeper: Rc<Keeper>, mut stop: watch::Receiver<bool>) {
+///
+/// Each duty has a task of its own, so that a group without a leader holds up no other duty.
+pub fn start(keeper: &Rc<Keeper>, stop: &watch::Receiver<bool>) {
+    task::spawn_local(follow(keeper.clone(), stop.clone()));
+    task::spawn_local(confirm_often(keeper.clone(), stop.clone()));
+    for group in keeper.group_ids() {
+        if let GroupId::Home(region) = group {
+            task::spawn_local(found_when_due(keeper.clone(), region, stop.clone()));
+        }
+    }
+}
+
+async fn follow(keeper: Rc<Keeper>, mut stop: watch::Receiver<bool>) {
     let mut changes = keeper.changes();
-    let mut rounds = interval(ROUND);
     loop {
+        follow_own_group(&keeper);
         tokio::select! {
             _ = changes.changed() => {}
-            _ = rounds.tick() => {}
             _ = stop.wait_for(|stop| *stop) => return,
         }
-        follow_own_group(&keeper);
-        confirm(&keeper).await;
-        for group in keeper.group_ids() {
-            if let GroupId::Home(region) = group {
-                found(&keeper, &region).await;
-            }
+    }
+}
+
+async fn confirm_often(keeper: Rc<Keeper>, mut stop: watch::Receiver<bool>) {
+    let mut rounds = interval(ROUND);
+    loop {
+        tokio::select! {
+            _ = rounds.tick() => confirm(&keeper).await,
+            _ = stop.wait_for(|stop| *stop) => return,
         }
     }
 }
 
-/// Hands the state of the configuration group to the follower, and to everybody if it leads.
+async fn found_when_due(keeper: Rc<Keeper>, region: RegionId, mut stop: watch::Receiver<bool>) {
+    let mut rounds = interval(ROUND);
+    loop {
+        tokio::select! {
+            _ = rounds.tick() => found(&keeper, &region).await,
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+    }
+}
+
+/// Hands what is new in the configuration group to the follower, and to everybody if it leads.
 fn follow_own_group(keeper: &Keeper) {
     let group = GroupId::Configuration;
     let node = &keeper.node;
-    let known = node.follower.borrow().revision();
+    let revision = node.follower.borrow().revision();
+    let ask = follower::Ask { token: 0, revision, full: false };
     let newer = keeper.with_machine(&group, |machine| match machine {
-        Machine::Configuration(machine) => {
-            let configuration = machine.configuration();
-            (configuration.revision > known).then(|| configuration.clone())
-        }
+        Machine::Configuration(machine) => machine.update_for(&ask),
         Machine::Home(_) => None,
     });
-    let leads = keeper.leads(&group);
-    if let Some(configuration) = newer.flatten() {
-        let update = follower::Update::Full(configuration);
-        node.push(update.clone());
-        if leads {
-            for peer in node.cluster.instances.iter().filter(|it| it.id != node.own.id) {
-                node.send(&peer.id, Message::Push(Box::new(update.clone())));
-            }
+    let Some(update) = newer.flatten() else { return };
+    node.push(update.clone());
+    if keeper.leads(&group) {
+        for peer in node.cluster.instances.iter().filter(|it| it.id != node.own.id) {
+            node.send(&peer.id, Message::Push(Box::new(update.clone())));
         }
     }
 }
--- a/src/coordination/keeper/mod.rs
+++ b/src/coordination/keeper/mod.rs
@@ -109,7 +109,7 @@
     let server = operators::serve(api, listener, operator_limits(), stop.clone());
     task::spawn_local(server);
 
-    task::spawn_local(duties::run(keeper.clone(), stop.clone()));
+    duties::start(&keeper, &stop);
     let mut ticks = interval(TICK);
     let mut count = 0u32;
     let mut stopping = stop;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -4,14 +4,15 @@
 //! A [`Node`] is passed down to whatever runs in the process. Cores are behind `RefCell`s, which
 //! are borrowed for the time of one `handle` call and never across an `await`.
 
-use std::cell::RefCell;
+use std::{cell::RefCell, ops::Deref, rc::Rc};
 
 use medlarlug_core::{
     announcement::Announcement,
+    fingerprint::Fingerprint,
     follower::{self, Follower},
-    ids::{Incarnation, InstanceId, RegionId, Revision},
+    ids::{Incarnation, InstanceId, RegionId, Revision, TeamId},
     membership::{self, InstanceKind, Membership, Notice, Seed, Status},
-    release::Configuration,
+    release::{Configuration, item::Team},
     time::Time,
 };
 use tokio::sync::watch;
@@ -48,6 +49,42 @@
     pub follower: RefCell<Follower>,
     links: RefCell<Links>,
     revision: watch::Sender<Revision>,
+    current: RefCell<Option<Rc<InForce>>>,
+}
+
+/// The configuration in force at an instance, with the index that every request needs.
+#[derive(Debug)]
+pub struct InForce {
+    /// The configuration.
+    pub configuration: Configuration,
+    // Teams by the fingerprints of their bearer keys, sorted.
+    keys: Vec<(Fingerprint, TeamId)>,
+}
+
+impl InForce {
+    fn new(configuration: Configuration) -> InForce {
+        let of_team = |team: &Team| -> Vec<(Fingerprint, TeamId)> {
+            team.keys.iter().map(|key| (*key, team.id.clone())).collect()
+        };
+        let mut keys: Vec<(Fingerprint, TeamId)> =
+            configuration.teams().flat_map(of_team).collect();
+        keys.sort();
+        InForce { configuration, keys }
+    }
+
+    /// The team that owns the bearer key with this fingerprint.
+    pub fn team_of_key(&self, key: Fingerprint) -> Option<&Team> {
+        let found = self.keys.binary_search_by(|it| it.0.cmp(&key)).ok()?;
+        self.configuration.team(&self.keys[found].1)
+    }
+}
+
+impl Deref for InForce {
+    type Target = Configuration;
+
+    fn deref(&self) -> &Configuration {
+        &self.configuration
+    }
 }
 
 impl Node {
@@ -78,6 +115,7 @@
         let sources = follower::Event::Sources(keepers.collect());
         follower.handle(clock.now(), sources, &mut Vec::new());
         let revision = watch::Sender::new(follower.revision());
+        let current = follower.configuration().cloned().map(InForce::new).map(Rc::new);
         let region = cluster.region_of(&own.zone).cloned().expect("the settings were checked");
         Ok(Node {
             own,
@@ -91,6 +129,7 @@
             follower: RefCell::new(follower),
             links: RefCell::new(links),
             revision,
+            current: RefCell::new(current),
         })
     }
 
@@ -131,8 +170,8 @@
     }
 
     /// The configuration in force here, if a revision is known.
-    pub fn configuration(&self) -> Option<Configuration> {
-        self.follower.borrow().configuration().cloned()
+    pub fn configuration(&self) -> Option<Rc<InForce>> {
+        self.current.borrow().clone()
     }
 
     /// Takes an announcement of an upstream in.
@@ -214,12 +253,19 @@
                 }
                 follower::Effect::Changed(revision) => {
                     tracing::info!(%revision, "configuration in force");
+                    self.keep_current();
                     self.revision.send_replace(revision);
                 }
             }
         }
     }
 
+    /// Indexes a configuration that has come into force.
+    fn keep_current(&self) {
+        let newest = self.follower.borrow().configuration().cloned();
+        self.current.replace(newest.map(InForce::new).map(Rc::new));
+    }
+
     fn reconnect(&self, peer: &InstanceId) {
         tracing::info!(%peer, "silent link replaced");
         if let Err(error) = self.links.borrow_mut().reconnect(peer) {
--- a/src/coordination/operators.rs
+++ b/src/coordination/operators.rs
@@ -154,7 +154,7 @@
         (&Method::GET, "/status") => ok(&status(api)),
         (&Method::GET, "/upstreams") => ok(&upstreams(api)),
         (&Method::GET, "/dump") => ok(&dump(api)),
-        (&Method::GET, "/release") => ok(&api.node.configuration().unwrap_or_default()),
+        (&Method::GET, "/release") => ok(&configuration(api)),
         (&Method::GET, "/release/history") => history(api).await,
         (&Method::GET, "/release/confirmations") => ok(&confirmations(api)),
         (&Method::POST, "/release/check") => check(api, request).await,
@@ -170,6 +170,12 @@
     }
 }
 
+/// The configuration in force here; the empty one before the first release note.
+fn configuration(api: &OperatorApi) -> Configuration {
+    let current = api.node.configuration();
+    current.map(|it| it.configuration.clone()).unwrap_or_default()
+}
+
 fn ok(document: &impl serde::Serialize) -> Answer {
     body::json(StatusCode::OK, document)
 }
@@ -342,7 +348,7 @@
         Ok(note) => note,
         Err(answer) => return answer,
     };
-    let current: Configuration = api.node.configuration().unwrap_or_default();
+    let current = configuration(api);
     match note.apply(&current) {
         Ok(next) => ok(&AcceptedNote {
             number: note.number(),
