Dump tells whether a home group is founded; tests wait for it

Cause: with faster propagation the booking tests asked before the home groups were founded and got their truthful not_run.

--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -320,6 +320,20 @@
                 status["revision"].as_u64().is_some_and(|it| it > 0)
             });
         }
+        self.wait_founded();
+    }
+
+    /// Waits until the home groups take bookings in.
+    fn wait_founded(&self) {
+        for it in self.instances.iter().filter(|it| !it.is_entry) {
+            wait_for("the founding of the home groups", || {
+                let dump = self.operator_get(&it.id, "/dump").json;
+                let groups = dump["process"]["groups"].as_array().cloned().unwrap_or_default();
+                let is_ready =
+                    |it: &Value| it["group"] == "configuration" || it["founded"].is_u64();
+                !groups.is_empty() && groups.iter().all(is_ready)
+            });
+        }
     }
 
     /// Waits until an entry instance knows that many upstreams of its zone.
--- a/src/coordination/keeper/mod.rs
+++ b/src/coordination/keeper/mod.rs
@@ -422,6 +422,10 @@
 
 fn dump_group(group: &Group) -> serde_json::Value {
     let replica = group.replica();
+    let founded = match group.machine() {
+        Machine::Home(machine) => machine.founded(),
+        Machine::Configuration(_) => None,
+    };
     serde_json::json!({
         "group": group.id().to_string(),
         "role": format!("{:?}", replica.role()),
@@ -432,5 +436,6 @@
         "applied": replica.applied(),
         "last": replica.last_index(),
         "compacted": replica.compacted(),
+        "founded": founded,
     })
 }
