Intents without an owner don't stay open

Cause: a begin whose reply was lost left its intent open as long as its owner lived, so a resend got 409 for good; and the owner's death was only recorded when it started again. The entry now withdraws such an intent, and the leader of the home group records the loss of a dead instance. Ruled out: sending the booking again, since a late first send could run it twice.

--- a/src/coordination/entry/services.rs
+++ b/src/coordination/entry/services.rs
@@ -22,6 +22,7 @@
     suspects,
 };
 use smol_str::{SmolStr, ToSmolStr};
+use tokio::{task, time::sleep};
 
 use crate::{
     coordination::{
@@ -45,6 +46,9 @@
 /// Time that an outcome has to be committed.
 const FINISH_LIMIT: Duration = Duration::from_secs(10);
 
+/// Pause between two tries to withdraw an intent.
+const WITHDRAW_PAUSE: Duration = Duration::from_secs(1);
+
 /// Longest answer to a booking, in bytes.
 const ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
@@ -86,7 +90,13 @@
     };
     let begun = match begin(&entry, &booking).await {
         Ok(begun) => begun,
-        Err(failure) => return begin_failed(&entry, &id, &failure),
+        Err(failure) => {
+            let answer = begin_failed(&entry, &id, &failure);
+            if matches!(failure, CallFailure::Uncertain { .. }) {
+                task::spawn_local(withdraw(entry.clone(), booking));
+            }
+            return answer;
+        }
     };
     match begun {
         BeginReply::Started => run(&entry, booking).await,
@@ -120,9 +130,30 @@
     }
 }
 
+/// Withdraws an intent that may have been committed after its request was given up.
+///
+/// A repeated begin of the same request is idempotent; once it has a reply, no earlier one can
+/// leave the intent open behind the withdrawal.
+async fn withdraw(entry: Rc<Entry>, booking: Booking) {
+    loop {
+        sleep(WITHDRAW_PAUSE).await;
+        match begin(&entry, &booking).await {
+            Ok(BeginReply::Started) => {}
+            Ok(_) => return,
+            Err(_) => continue,
+        }
+        let (team, key) = (booking.team.clone(), booking.key.clone());
+        let request = booking.job.facts().id.clone();
+        let action = Action::Abandon { team, key, request };
+        if calls::act(&entry.node, &booking.home, action, FINISH_LIMIT).await.is_ok() {
+            return;
+        }
+    }
+}
+
 /// The home group gave no reply, so nothing was sent to the service.
 ///
-/// An intent may have been committed; it is never sent, and becomes unknown with its owner.
+/// An intent that may have been committed is withdrawn later; it is never sent.
 fn begin_failed(entry: &Entry, id: &RequestId, failure: &CallFailure) -> Answer {
     entry.end(id, Outcome::NotRun, &failure.to_smolstr());
     let title = "The home region of the booking can't be reached";
--- a/src/coordination/keeper/duties.rs
+++ b/src/coordination/keeper/duties.rs
@@ -2,14 +2,15 @@
 //!
 //! * Every member of the configuration group hands new revisions to its own follower; the leader
 //!   also pushes them to every instance. Members confirm the newest revision by reading it.
-//! * The leader of a home group founds it, once the configuration names the region.
+//! * The leader of a home group founds it, once the configuration names the region, and records
+//!   that the bookings of a dead instance have no owner.
 
 use std::{rc::Rc, time::Duration};
 
 use medlarlug_core::{
     configuration_group, follower,
     home::{self, FoundToken},
-    ids::RegionId,
+    ids::{InstanceId, RegionId},
 };
 use tokio::{sync::watch, task, time::interval};
 
@@ -137,3 +138,26 @@
         tracing::warn!(%region, %error, "home group not founded");
     }
 }
+
+/// Records that the open bookings of a dead instance have no owner any more.
+///
+/// An instance that was only cut off may still end them; until then their outcome is unknown.
+pub fn declare_lost(keeper: &Keeper, instance: &InstanceId) {
+    let node = &keeper.node;
+    let incarnation = {
+        let members = node.members.borrow();
+        let peer = members.peers().iter().find(|it| it.seed.id == *instance);
+        peer.map(|it| it.incarnation)
+    };
+    let Some(incarnation) = incarnation else { return };
+    for group in keeper.group_ids().into_iter().filter(|it| keeper.leads(it)) {
+        let GroupId::Home(region) = group else { continue };
+        let action = home::Action::InstanceLost { instance: instance.clone(), incarnation };
+        let node = node.clone();
+        task::spawn_local(async move {
+            if let Err(error) = calls::act(&node, &region, action, CALL_LIMIT).await {
+                tracing::warn!(%region, %error, "loss of an instance not recorded");
+            }
+        });
+    }
+}
--- a/src/coordination/keeper/mod.rs
+++ b/src/coordination/keeper/mod.rs
@@ -314,6 +314,9 @@
     fn note(&self, notices: &[Notice]) {
         for notice in notices {
             tracing::info!(?notice, "membership changed");
+            if let Notice::PeerDead(peer) = notice {
+                duties::declare_lost(self, peer);
+            }
         }
     }
 
--- a/tests/testsuite/processes/booking.rs
+++ b/tests/testsuite/processes/booking.rs
@@ -1,7 +1,11 @@
 //! Bookings run at most once, whichever instance they are sent to.
 
+use std::thread;
+
 use medlarlug_core::release::item::Residency;
+use nix::sys::signal::Signal;
 use serde_json::json;
+use test_support::deployment::wait_for;
 
 use crate::processes::fixture::{items, two_regions};
 
@@ -47,3 +51,26 @@
     assert_eq!(again.json["outcome"], "unknown", "{}", again.text);
     assert_eq!(deployment.runs("parcel-7"), 1);
 }
+
+#[test]
+fn booking_whose_entry_instance_is_killed_is_unknown_and_not_sent_again() {
+    let deployment = two_regions().service("desk", "riga-a", "jobdesk").start();
+    deployment.configure(items(Residency::Anywhere));
+    deployment.wait_upstreams("entry-1", 1);
+    deployment.fault("desk", &json!({ "kind": "late_answer", "count": 1, "delay_ms": 20_000 }));
+
+    thread::scope(|scope| {
+        let lost = scope.spawn(|| deployment.book("entry-1", "parcel-7", "{}"));
+        wait_for("the run of the booking", || deployment.runs("parcel-7") == 1);
+        deployment.signal("entry-1", Signal::SIGKILL);
+        assert_eq!(lost.join().expect("the caller").status, 0);
+    });
+    let mut again = deployment.book("entry-2", "parcel-7", "{}");
+    wait_for("the loss of the owner to be recorded", || {
+        again = deployment.book("entry-2", "parcel-7", "{}");
+        again.json["type"] == "outcome-unknown"
+    });
+
+    assert_eq!(again.json["outcome"], "unknown", "{}", again.text);
+    assert_eq!(deployment.runs("parcel-7"), 1);
+}
