--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -62,6 +62,7 @@
     },
     protocol::Message,
     settings::{EntrySettings, Peer},
+    state::{DataFolder, SavedConfiguration, StateError},
     telemetry::{logs::LevelHandle, metrics::Metrics},
     transport::{
         http_client::HttpClient,
@@ -95,6 +96,9 @@
     /// A link can't be set up.
     #[error("failed to set the links up")]
     Link(#[from] LinkError),
+    /// The data folder failed.
+    #[error("failed to read the saved configuration")]
+    State(#[from] StateError),
     /// A server can't be started.
     #[error("failed to start a server")]
     Server(#[from] ServerError),
@@ -141,8 +145,16 @@
     let own = settings.peer().clone();
     let (links, mut incoming) = Links::listen(own.id.clone(), settings.keys.clone(), own.peers)?;
     let (cluster, keys) = (settings.cluster.clone(), settings.keys.clone());
-    let node = Rc::new(Node::new(own, cluster, keys, incarnation_of_start(), None, links)?);
+    let folder = settings.data.as_deref().map(|path| DataFolder::open(path, &own.id));
+    let folder = folder.transpose()?;
+    let saved = folder.as_ref().map(SavedConfiguration::new);
+    let configuration = saved.as_ref().map(SavedConfiguration::read).transpose()?.flatten();
+    let incarnation = incarnation_of_start();
+    let node = Rc::new(Node::new(own, cluster, keys, incarnation, configuration, links)?);
     let entry = Rc::new(Entry::new(node.clone(), settings));
+    if let Some(saved) = saved {
+        task::spawn_local(save_configurations(entry.clone(), saved));
+    }
     let (close, closed) = watch::channel(false);
 
     start_servers(&entry, level, metrics, &drain, &closed).await?;
@@ -462,6 +474,20 @@
     }
 }
 
+/// Saves every configuration that comes into force.
+async fn save_configurations(entry: Rc<Entry>, saved: SavedConfiguration) {
+    let mut revisions = entry.node.revisions();
+    while revisions.changed().await.is_ok() {
+        let Some(current) = entry.configuration() else { continue };
+        let (configuration, saved) = (current.configuration.clone(), saved.clone());
+        match task::spawn_blocking(move || saved.write(&configuration)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => tracing::error!(%error, "configuration not saved"),
+            Err(error) => tracing::error!(%error, "configuration not saved"),
+        }
+    }
+}
+
 async fn send_records(entry: Rc<Entry>) {
     loop {
         sleep(RECORD_INTERVAL).await;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -9,6 +9,7 @@
 mod frame;
 mod group;
 mod journal;
+mod saved;
 mod writer;
 
 pub use self::{
@@ -16,5 +17,6 @@
     folder::DataFolder,
     group::GroupName,
     journal::{Batches, Groups, Journal},
+    saved::SavedConfiguration,
     writer::{Report, Synced, Writer},
 };
--- a/tests/testsuite/state.rs
+++ b/tests/testsuite/state.rs
@@ -3,9 +3,12 @@
 use std::{fs, path::PathBuf};
 
 use assert_matches::assert_matches;
-use medlarlug::state::{DataFolder, GroupName, Journal, StateError, Synced, Writer};
+use medlarlug::state::{
+    DataFolder, GroupName, Journal, SavedConfiguration, StateError, Synced, Writer,
+};
 use medlarlug_core::{
-    ids::{LogIndex, Term},
+    ids::{LogIndex, Revision, Term},
+    release::Configuration,
     replication::{
         Entry, FormationId, HardState, Membership, Payload, Persist, Restored, Snapshot,
     },
@@ -13,7 +16,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tempfile::TempDir;
-use test_support::id;
+use test_support::{id, region};
 
 fn open(path: &TempDir) -> DataFolder {
     DataFolder::open(path.path(), &id("keeper-1")).expect("a data folder")
@@ -291,3 +294,22 @@
 
     assert_matches!(reports.try_recv(), Ok(Ok(Synced { sequence: 1, .. })));
 }
+
+#[test]
+fn saved_configuration_reads_back_and_a_damaged_one_is_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    let data = DataFolder::open(folder.path(), &id("entry-1")).unwrap();
+    let saved = SavedConfiguration::new(&data);
+    let items = vec![region("riga", &["riga-a"])];
+    let configuration = Configuration::new(Revision(7), items);
+
+    assert_eq!(saved.read().unwrap(), None);
+    saved.write(&configuration).unwrap();
+    assert_eq!(saved.read().unwrap(), Some(configuration));
+
+    let file = folder.path().join("configuration");
+    let mut bytes = std::fs::read(&file).unwrap();
+    *bytes.last_mut().unwrap() ^= 1;
+    std::fs::write(&file, bytes).unwrap();
+    assert_matches!(saved.read(), Err(StateError::Corrupt { .. }));
+}
