Folder's lock ends with it; return of a wiped member takes less time

folder_keeps_its_storage_id_until_it_is_lost failed once in a run of the whole workspace: a child that another test was starting held a copy of the lock between fork and exec. The folder now unlocks explicitly; lock_ends_with_the_folder_while_a_copy_of_it_lives fails without that.

--- a/crates/medlarlug-core/src/replication/formation.rs
+++ b/crates/medlarlug-core/src/replication/formation.rs
@@ -14,6 +14,9 @@
     replica::{Replica, State},
 };
 
+/// Unanswered heartbeats after which a member is removed whose instance has returned.
+const SILENT_HEARTBEATS: u32 = 3;
+
 /// A replica that asks to be let in.
 #[derive(Debug)]
 pub(super) struct Applicant {
@@ -209,7 +212,7 @@
         let State::Leader(leader) = &self.state else {
             return None;
         };
-        let limit = self.config.election_min;
+        let limit = self.config.heartbeat * SILENT_HEARTBEATS;
         members.members().iter().find(|other| {
             let progress = leader.progress(&other.key);
             let is_silent = progress.is_some_and(|progress| now - progress.heard >= limit);
--- a/src/state/folder.rs
+++ b/src/state/folder.rs
@@ -32,7 +32,7 @@
     path: PathBuf,
     storage: StorageId,
     /// Held as long as the folder is in use.
-    _lock: File,
+    lock: File,
 }
 
 impl DataFolder {
@@ -55,7 +55,7 @@
                 instance: instance.clone(),
             });
         }
-        Ok(DataFolder { path: path.into(), storage: owner.storage, _lock: lock })
+        Ok(DataFolder { path: path.into(), storage: owner.storage, lock })
     }
 
     /// Where the folder is.
@@ -63,12 +63,25 @@
         &self.path
     }
 
+    /// The file whose lock marks the folder as in use.
+    pub fn lock_file(&self) -> &File {
+        &self.lock
+    }
+
     /// Names this storage of the instance.
     pub fn storage(&self) -> StorageId {
         self.storage
     }
 }
 
+impl Drop for DataFolder {
+    /// Releases the lock also for copies of it that a child of the process may still hold.
+    fn drop(&mut self) {
+        // The lock ends with the process in any case.
+        let _ = self.lock.unlock();
+    }
+}
+
 fn lock(path: &Path) -> Result<File, StateError> {
     let file = path.join(LOCK_FILE);
     let lock = File::create(&file).map_err(StateError::io(Attempt::Create, &file))?;
--- a/tests/testsuite/state.rs
+++ b/tests/testsuite/state.rs
@@ -291,3 +291,16 @@
 
     assert_matches!(reports.try_recv(), Ok(Ok(Synced { sequence: 1, .. })));
 }
+
+#[test]
+fn lock_ends_with_the_folder_while_a_copy_of_it_lives() {
+    let path = TempDir::new().unwrap();
+    let folder = open(&path);
+    let copy = folder.lock_file().try_clone().expect("a copy, as a forked child holds one");
+
+    drop(folder);
+    let again = DataFolder::open(path.path(), &id("keeper-1"));
+
+    assert_matches!(again, Ok(_));
+    drop(copy);
+}
