--- a/tests/testsuite/state.rs
+++ b/tests/testsuite/state.rs
@@ -313,3 +313,16 @@
     std::fs::write(&file, bytes).unwrap();
     assert_matches!(saved.read(), Err(StateError::Corrupt { .. }));
 }
+
+#[test]
+fn lock_ends_with_the_folder_while_a_copy_of_it_lives() {
+    let path = TempDir::new().unwrap();
+    let folder = open(&path);
+    let copy = folder.lock_file().try_clone().expect("a copy, as a forked child holds one");
+
+    drop(folder);
+    let again = DataFolder::open(path.path(), &id("keeper-1"));
+
+    assert_matches!(again, Ok(_));
+    drop(copy);
+}
