--- a/crates/medlarlug-core/src/home/booking.rs
+++ b/crates/medlarlug-core/src/home/booking.rs
@@ -203,3 +203,17 @@
     /// Its bookings, sorted by key; their ages count from the handover.
     pub bookings: Vec<Booking>,
 }
+
+impl Handover {
+    /// Leaves only what is certain when the same bookings may have been adopted, and gone on,
+    /// before: an abandoned booking may have been begun again, and an open one may have ended.
+    pub(crate) fn distrust(&mut self) {
+        self.bookings.retain(|it| it.state != BookingState::Abandoned);
+        for booking in &mut self.bookings {
+            if matches!(booking.state, BookingState::Open(_)) {
+                booking.state = BookingState::Unknown;
+                booking.since = 0;
+            }
+        }
+    }
+}
--- a/crates/medlarlug-core/src/home/state.rs
+++ b/crates/medlarlug-core/src/home/state.rs
@@ -19,7 +19,7 @@
 //! Such a group has also forgotten which teams it had handed over. It takes a booking only from an
 //! owner whose configuration is not older than the founding and says that the team's home is here.
 //! Of a hand-over from before the founding it trusts what has ended for good, but not that a
-//! booking was abandoned.
+//! booking was abandoned or is still under way.
 
 use std::time::Duration;
 
@@ -28,7 +28,7 @@
 use crate::{
     fingerprint::Fingerprint,
     home::{
-        booking::{Amnesia, Booking, BookingKey, BookingState, Handover, Owner},
+        booking::{Amnesia, Booking, BookingKey, Handover, Owner},
         bookings::Bookings,
         command::{Action, Begin, BeginReply, Command, LookUp, Reply, Suspect},
         convictions::Convictions,
@@ -295,9 +295,8 @@
     }
 
     fn adopt(&mut self, mut handover: Handover) -> Reply {
-        // A former founding may have adopted the same bookings and run what was abandoned then.
         if self.founding.is_some_and(|it| it.is_older(handover.epoch)) {
-            handover.bookings.retain(|it| it.state != BookingState::Abandoned);
+            handover.distrust();
         }
         let reply = self.bookings.adopt(self.clock, handover);
         for it in &self.instances {
