--- a/crates/medlarlug-core/src/routing/route.rs
+++ b/crates/medlarlug-core/src/routing/route.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     ids::{InstanceId, RegionId, UpstreamId, VersionId, ZoneId},
+    refusal::Reason,
     release::{Configuration, ItemKey},
     routing::{
         request::{ForwardHeader, Forwarded, Origin, RequestFacts},
@@ -105,6 +106,15 @@
 }
 
 impl Refusal {
+    /// The reason that callers are told.
+    pub fn reason(&self) -> Reason {
+        match self {
+            Refusal::Residency(_) => Reason::NotPermitted,
+            Refusal::NoUpstream { .. } => Reason::NoUpstream,
+            Refusal::Deadline { .. } => Reason::Overloaded,
+        }
+    }
+
     /// Time after which to come back; `None` when coming back doesn't help.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
