--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -1,18 +1,18 @@
 //! A deployment of real processes on loopback, for a few tests of what only processes show.
 //!
 //! Processes are started and stopped by the test alone, and killed when the deployment is
-//! dropped. Ports are taken one after the other from a range below the ephemeral ones.
+//! dropped.
 
 use std::{
     fs,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU16, Ordering},
     thread::sleep,
     time::{Duration, Instant},
 };
 
+use crate::free_address;
 use medlarlug_core::{
     fingerprint::Fingerprint,
     release::{Item, RawNote},
@@ -33,19 +33,6 @@
 /// Longest wait for anything that a test waits for.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
-static NEXT_PORT: AtomicU16 = AtomicU16::new(21_000);
-
-/// A port on loopback that nothing listens at.
-pub fn free_address() -> SocketAddr {
-    loop {
-        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// Waits until `condition` holds.
 pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
     let end = Instant::now() + PATIENCE;
