--- a/crates/medlarlug-core/src/membership/timing.rs
+++ b/crates/medlarlug-core/src/membership/timing.rs
@@ -40,9 +40,9 @@
 /// Bytes that a budget saves up at most.
 pub const BUDGET_BURST: f64 = 600.0;
 /// Time after which an unchanged row is sent again within the region.
-pub const NEAR_REFRESH: Duration = Duration::from_secs(2);
+pub const NEAR_REFRESH: Duration = Duration::from_secs(1);
 /// Time after which an unchanged row is sent again to other regions.
-pub const FAR_REFRESH: Duration = Duration::from_secs(6);
+pub const FAR_REFRESH: Duration = Duration::from_secs(2);
 /// Age beyond which a row from the region is not used.
 pub const NEAR_LIFETIME: Duration = Duration::from_secs(6);
 /// Age beyond which a row from another region is not used.
--- a/crates/medlarlug-core/tests/testsuite/membership.rs
+++ b/crates/medlarlug-core/tests/testsuite/membership.rs
@@ -306,3 +306,29 @@
         load.evicted = vec![Fingerprint(prefix / 2)];
     }
 }
+
+#[test]
+fn summaries_are_fresh_in_every_zone_after_a_long_cut_heals() {
+    for seed in 0..20 {
+        let mut network = regions(3, 3, 3);
+        for zone in 0..3 {
+            network.add_upstream(engine(&format!("u{zone}"), &format!("z{zone}"), &["m"]));
+        }
+        network.run(Duration::from_millis(5_000 + 150 * seed));
+        network.cut = vec![0, 1, 2];
+        network.run(30 * SECOND);
+
+        network.cut.clear();
+        network.run(3 * SECOND);
+
+        let target = medlarlug_core::membership::Target::Model(id("m"));
+        for node in 0..network.nodes.len() {
+            let now = network.clock(node);
+            for zone in network.nodes[node].membership.zones() {
+                let row = zone.row(now, &target);
+                let is_fresh = row.is_some_and(|it| now - it.made < 3 * SECOND);
+                assert!(is_fresh, "seed {seed}, instance {node}, {}", zone.zone);
+            }
+        }
+    }
+}
