--- a/src/coordination/keeper/duties.rs
+++ b/src/coordination/keeper/duties.rs
@@ -2,16 +2,17 @@
 //!
 //! * Every member of the configuration group hands new revisions to its own follower; the leader
 //!   also pushes them to every instance. Members confirm the newest revision by reading it.
-//! * The leader of a home group founds it, once the configuration names the region.
+//! * The leader of a home group founds it, once the configuration names the region, and records
+//!   that the bookings of a dead instance have no owner.
 
 use std::{rc::Rc, time::Duration};
 
 use medlarlug_core::{
     configuration_group, follower,
     home::{self, FoundToken},
-    ids::RegionId,
+    ids::{InstanceId, RegionId},
 };
-use tokio::{sync::watch, time::interval};
+use tokio::{sync::watch, task, time::interval};
 
 use crate::{
     coordination::{
@@ -21,52 +22,71 @@
     protocol::{GroupId, GroupReply, GroupRequest, Message},
 };
 
-/// Time between two rounds of duties when nothing changes.
+/// Time between two rounds of a duty.
 const ROUND: Duration = Duration::from_millis(500);
 
 /// Time that a call of a duty may take.
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 
 /// Does the duties of the process until `stop` turns true.
-pub async fn run(keeper: Rc<Keeper>, mut stop: watch::Receiver<bool>) {
+///
+/// Each duty has a task of its own, so that a group without a leader holds up no other duty.
+pub fn start(keeper: &Rc<Keeper>, stop: &watch::Receiver<bool>) {
+    task::spawn_local(follow(keeper.clone(), stop.clone()));
+    task::spawn_local(confirm_often(keeper.clone(), stop.clone()));
+    for group in keeper.group_ids() {
+        if let GroupId::Home(region) = group {
+            task::spawn_local(found_when_due(keeper.clone(), region, stop.clone()));
+        }
+    }
+}
+
+async fn follow(keeper: Rc<Keeper>, mut stop: watch::Receiver<bool>) {
     let mut changes = keeper.changes();
-    let mut rounds = interval(ROUND);
     loop {
+        follow_own_group(&keeper);
         tokio::select! {
             _ = changes.changed() => {}
-            _ = rounds.tick() => {}
             _ = stop.wait_for(|stop| *stop) => return,
         }
-        follow_own_group(&keeper);
-        confirm(&keeper).await;
-        for group in keeper.group_ids() {
-            if let GroupId::Home(region) = group {
-                found(&keeper, &region).await;
-            }
+    }
+}
+
+async fn confirm_often(keeper: Rc<Keeper>, mut stop: watch::Receiver<bool>) {
+    let mut rounds = interval(ROUND);
+    loop {
+        tokio::select! {
+            _ = rounds.tick() => confirm(&keeper).await,
+            _ = stop.wait_for(|stop| *stop) => return,
         }
     }
 }
 
-/// Hands the state of the configuration group to the follower, and to everybody if it leads.
+async fn found_when_due(keeper: Rc<Keeper>, region: RegionId, mut stop: watch::Receiver<bool>) {
+    let mut rounds = interval(ROUND);
+    loop {
+        tokio::select! {
+            _ = rounds.tick() => found(&keeper, &region).await,
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+    }
+}
+
+/// Hands what is new in the configuration group to the follower, and to everybody if it leads.
 fn follow_own_group(keeper: &Keeper) {
     let group = GroupId::Configuration;
     let node = &keeper.node;
-    let known = node.follower.borrow().revision();
+    let revision = node.follower.borrow().revision();
+    let ask = follower::Ask { token: 0, revision, full: false };
     let newer = keeper.with_machine(&group, |machine| match machine {
-        Machine::Configuration(machine) => {
-            let configuration = machine.configuration();
-            (configuration.revision > known).then(|| configuration.clone())
-        }
+        Machine::Configuration(machine) => machine.update_for(&ask),
         Machine::Home(_) => None,
     });
-    let leads = keeper.leads(&group);
-    if let Some(configuration) = newer.flatten() {
-        let update = follower::Update::Full(configuration);
-        node.push(update.clone());
-        if leads {
-            for peer in node.cluster.instances.iter().filter(|it| it.id != node.own.id) {
-                node.send(&peer.id, Message::Push(Box::new(update.clone())));
-            }
+    let Some(update) = newer.flatten() else { return };
+    node.push(update.clone());
+    if keeper.leads(&group) {
+        for peer in node.cluster.instances.iter().filter(|it| it.id != node.own.id) {
+            node.send(&peer.id, Message::Push(Box::new(update.clone())));
         }
     }
 }
@@ -118,3 +138,26 @@
         tracing::warn!(%region, %error, "home group not founded");
     }
 }
+
+/// Records that the open bookings of a dead instance have no owner any more.
+///
+/// An instance that was only cut off may still end them; until then their outcome is unknown.
+pub fn declare_lost(keeper: &Keeper, instance: &InstanceId) {
+    let node = &keeper.node;
+    let incarnation = {
+        let members = node.members.borrow();
+        let peer = members.peers().iter().find(|it| it.seed.id == *instance);
+        peer.map(|it| it.incarnation)
+    };
+    let Some(incarnation) = incarnation else { return };
+    for group in keeper.group_ids().into_iter().filter(|it| keeper.leads(it)) {
+        let GroupId::Home(region) = group else { continue };
+        let action = home::Action::InstanceLost { instance: instance.clone(), incarnation };
+        let node = node.clone();
+        task::spawn_local(async move {
+            if let Err(error) = calls::act(&node, &region, action, CALL_LIMIT).await {
+                tracing::warn!(%region, %error, "loss of an instance not recorded");
+            }
+        });
+    }
+}
