--- a/crates/medlarlug-core/src/limits/bucket.rs
+++ b/crates/medlarlug-core/src/limits/bucket.rs
@@ -22,8 +22,12 @@
     filled: Time,
     arrivals: u32,
     demand: f64,
+    /// Whether a request was refused since the last heartbeat.
+    refused: bool,
     /// Levels that were reported, and when; the last one is in force.
     reported: VecDeque<(Time, DemandLevel)>,
+    /// Number of the last report that told a change.
+    told: u64,
 }
 
 impl Bucket {
@@ -38,7 +42,9 @@
             filled: now,
             arrivals: 0,
             demand: 0.0,
+            refused: false,
             reported: VecDeque::new(),
+            told: 0,
         };
         bucket.tokens = bucket.size();
         bucket
@@ -59,11 +65,11 @@
         (self.share * f64::from(self.limit.burst.0)).max(1.0)
     }
 
-    /// Fills up to `now` by the share so far, then sets the share and spills what is too much.
+    /// Fills up to `now` by the share so far, then sets the share; the next filling spills what is
+    /// too much for it.
     pub fn set_share(&mut self, now: Time, share: f64) {
         self.fill(now);
         self.share = share;
-        self.tokens = self.tokens.min(self.size());
     }
 
     fn fill(&mut self, now: Time) {
@@ -81,19 +87,30 @@
             self.tokens -= 1.0;
             return Ok(());
         }
+        self.refused = true;
         let seconds = (1.0 - self.tokens) / (self.share * self.rate());
         Err(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
     }
 
     /// Ends a heartbeat interval; tells whether the demand is worth a report.
-    pub fn measure(&mut self, interval: Duration) -> bool {
-        let seconds = interval.as_secs_f64().max(f64::EPSILON);
-        let sample = f64::from(self.arrivals) / seconds;
-        self.arrivals = 0;
-        self.demand += DEMAND_WEIGHT * (sample - self.demand);
+    ///
+    /// A demand that the share covers is not: most teams stay far below their limits.
+    pub fn measure(&mut self, now: Time, interval: Duration) -> bool {
+        self.fill(now);
+        let is_short = std::mem::take(&mut self.refused) || self.is_running_low();
+        if !interval.is_zero() {
+            let sample = f64::from(self.arrivals) / interval.as_secs_f64();
+            self.arrivals = 0;
+            self.demand += DEMAND_WEIGHT * (sample - self.demand);
+        }
         let (level, told) = (self.level(), self.reported());
         let has_turned = (level == DemandLevel(0)) != (told == DemandLevel(0));
-        has_turned || level.0.abs_diff(told.0) >= REPORTED_CHANGE
+        let has_changed = has_turned || level.0.abs_diff(told.0) >= REPORTED_CHANGE;
+        has_changed && (level < told || is_short)
+    }
+
+    fn is_running_low(&self) -> bool {
+        self.size() >= 2.0 && self.tokens < self.size() / 2.0
     }
 
     /// The demand as measured.
@@ -106,11 +123,15 @@
         self.reported.back().map_or(DemandLevel(0), |it| it.1)
     }
 
+    /// Number of the last report that told a change, or 0.
+    pub fn told(&self) -> u64 {
+        self.told
+    }
+
     /// Notes that the present level goes into a report.
-    pub fn report(&mut self, now: Time) -> DemandLevel {
-        let level = self.level();
-        self.reported.push_back((now, level));
-        level
+    pub fn report(&mut self, now: Time, sequence: u64) {
+        self.reported.push_back((now, self.level()));
+        self.told = sequence;
     }
 
     /// Drops the reports before the one that was in force at `since`; tells whether there were
--- a/crates/medlarlug-core/src/limits/divider.rs
+++ b/crates/medlarlug-core/src/limits/divider.rs
@@ -5,7 +5,8 @@
 use crate::{
     ids::{Incarnation, InstanceId, TeamId},
     limits::{
-        DemandEntry, DemandLevel, DemandReport, Effect, Event, LimitPolicy, START_SHARE, TeamLimit,
+        DemandEntry, DemandLevel, DemandReport, Effect, Event, LimitPolicy, REPEATED_REPORTS,
+        START_SHARE, TeamKey, TeamLimit,
         bucket::Bucket,
         peers::{Change, Peers},
     },
@@ -40,12 +41,16 @@
     incarnation: Incarnation,
     policy: LimitPolicy,
     buckets: Vec<Bucket>,
+    /// Places of the buckets, sorted by the teams' keys.
+    keys: Vec<(TeamKey, usize)>,
     peers: Peers,
     sequence: u64,
     joined: Option<Time>,
     beat: Option<Time>,
     settled: bool,
     cursor: usize,
+    full_due: bool,
+    base: u64,
     spread: Spread,
 }
 
@@ -58,12 +63,15 @@
             spread: Spread::new(policy.seed),
             policy,
             buckets: Vec::new(),
+            keys: Vec::new(),
             peers: Peers::default(),
             sequence: 0,
             joined: None,
             beat: None,
             settled: false,
             cursor: 0,
+            full_due: true,
+            base: 0,
         }
     }
 
@@ -132,6 +140,11 @@
             self.buckets.push(bucket);
         }
         self.buckets.sort_by(|a, b| a.limit.team.cmp(&b.limit.team));
+        let keys = self.buckets.iter().enumerate().map(|(place, it)| (it.key, place));
+        self.keys = keys.collect();
+        self.keys.sort_unstable();
+        // A team that was withdrawn has no demand any more, which only a full report tells.
+        self.full_due |= old.iter().any(|it| it.reported() > DemandLevel(0));
         self.share_all(now);
     }
 
@@ -146,51 +159,63 @@
         self.share_all(now);
     }
 
-    /// An instance that sent nothing for a lifetime may have been dropped: it joins anew.
+    /// An instance that stood still for the settle time knows too little of its peers, and may
+    /// have been dropped by them: it joins anew.
     fn check_beat(&mut self, now: Time) {
-        let is_silent = self.beat.is_some_and(|beat| now - beat >= self.policy.lifetime);
+        let is_silent = self.beat.is_some_and(|beat| now - beat >= self.policy.settle);
         if !is_silent {
             return;
         }
         self.joined = None;
         self.beat = None;
         self.settled = false;
+        self.full_due = true;
         self.buckets.iter_mut().for_each(Bucket::reset_reports);
         self.share_all(now);
     }
 
     fn report(&mut self, now: Time, interval: Duration) -> DemandReport {
         self.sequence += 1;
-        let full = self.sequence == 1;
-        let (count, limit) = (self.buckets.len(), self.policy.entries);
-        let mut entries = Vec::new();
+        let full = std::mem::take(&mut self.full_due);
+        if full {
+            self.base = self.sequence;
+        }
+        self.measure(now, interval, full);
+        let since = self.sequence.saturating_sub(REPEATED_REPORTS - 1).max(1);
+        self.report_of(|it| it.told() >= since)
+    }
+
+    /// Measures every team's demand and notes which ones the next report tells.
+    fn measure(&mut self, now: Time, interval: Duration, full: bool) {
+        let count = self.buckets.len();
+        // A report has room for the changes of several.
+        let mut room = if full { count } else { self.policy.entries / REPEATED_REPORTS as usize };
         for step in 0..count {
-            let place = (self.cursor + step) % count;
-            let bucket = &mut self.buckets[place];
-            let is_due = !interval.is_zero() && bucket.measure(interval);
-            if is_due && entries.len() < limit {
-                entries.push(DemandEntry { team: bucket.key, level: bucket.report(now) });
+            let bucket = &mut self.buckets[(self.cursor + step) % count];
+            let is_due = bucket.measure(now, interval) || (full && bucket.level() > DemandLevel(0));
+            if is_due && room > 0 {
+                bucket.report(now, self.sequence);
+                room -= 1;
             }
         }
-        self.cursor = (self.cursor + 1) % count.max(1);
-        entries.sort_by_key(|it| it.team);
-        self.new_report(full, entries)
+        self.cursor = (self.cursor + self.policy.entries) % count.max(1);
     }
 
     fn full_report(&self) -> DemandReport {
-        let active = self.buckets.iter().filter(|it| it.reported() > DemandLevel(0));
-        let entry = |it: &Bucket| DemandEntry { team: it.key, level: it.reported() };
-        let mut entries: Vec<DemandEntry> = active.map(entry).collect();
-        entries.sort_by_key(|it| it.team);
-        self.new_report(true, entries)
+        let report = self.report_of(|it| it.reported() > DemandLevel(0));
+        DemandReport { base: self.sequence, ..report }
     }
 
-    fn new_report(&self, full: bool, entries: Vec<DemandEntry>) -> DemandReport {
+    fn report_of(&self, is_listed: impl Fn(&Bucket) -> bool) -> DemandReport {
+        let listed = self.buckets.iter().filter(|it| is_listed(it));
+        let entry = |it: &Bucket| DemandEntry { team: it.key, level: it.reported() };
+        let mut entries: Vec<DemandEntry> = listed.map(entry).collect();
+        entries.sort_by_key(|it| it.team);
         DemandReport {
             from: self.id.clone(),
             incarnation: self.incarnation,
             sequence: self.sequence,
-            full,
+            base: self.base,
             entries,
         }
     }
@@ -224,10 +249,11 @@
     }
 
     fn share_listed(&mut self, now: Time, entries: &[DemandEntry]) {
-        for place in 0..self.buckets.len() {
-            let key = self.buckets[place].key;
-            if entries.iter().any(|it| it.team == key) {
-                self.share_one(now, place);
+        for entry in entries {
+            let first = self.keys.partition_point(|it| it.0 < entry.team);
+            let last = self.keys.partition_point(|it| it.0 <= entry.team);
+            for index in first..last {
+                self.share_one(now, self.keys[index].1);
             }
         }
     }
@@ -241,7 +267,7 @@
 
     fn compute_share(&self, now: Time, bucket: &Bucket) -> f64 {
         if !self.settled {
-            return START_SHARE;
+            return START_SHARE.min(1.0 / self.instances() as f64);
         }
         let rate = bucket.rate();
         let base = rate * BASE_WEIGHT;
--- a/crates/medlarlug-core/src/replication/election.rs
+++ b/crates/medlarlug-core/src/replication/election.rs
@@ -17,17 +17,24 @@
         }
         self.greet(now, out);
         self.try_form(now);
-        if now >= self.deadline && self.is_voter() {
-            self.reset_deadline(now);
+        if now >= self.deadline && self.may_campaign() {
+            self.retry_after(now);
             self.campaign(now, out);
         }
     }
 
+    /// Whether the replica has a vote, or keeps one until its removal is known to be committed: the
+    /// group may need the entries that it alone holds.
+    fn may_campaign(&self) -> bool {
+        self.log.is_voter_since(self.commit, &self.config.key)
+    }
+
     fn campaign(&mut self, now: Time, out: &mut Vec<Effect>) {
         if !self.config.pre_vote {
             return self.stand(false, now, out);
         }
         self.leader = None;
+        self.campaigned = Some(now);
         let old_role = self.role();
         self.state = State::PreCandidate(vec![self.config.key.clone()]);
         if old_role != Role::Follower {
@@ -45,7 +52,7 @@
         self.leader = None;
         self.state = State::Candidate(Vec::new());
         self.incoming = None;
-        self.reset_deadline(now);
+        self.retry_after(now);
         out.push(Effect::RoleChanged { role: Role::Candidate, term: self.hard.term });
         self.vote_self_synced();
         let body = Body::Vote { last: self.log.last(), handover };
@@ -78,22 +85,31 @@
         out: &mut Vec<Effect>,
     ) {
         let is_new = term > self.hard.term && last >= self.log.last();
-        let granted = is_new && !self.has_live_leader(now);
+        let yields = !self.takes_precedence(&asker.0, last, now);
+        let granted = is_new && yields && !self.has_live_leader(now);
         let answer = self.envelope(asker.0, asker.1, Body::PreVoted { term, granted });
         self.send(answer, out);
     }
 
+    /// Whether the replica has just asked for permission itself and goes before `asker`.
+    ///
+    /// Two members that ask at the same time would both get permission and then split the votes.
+    fn takes_precedence(&self, asker: &MemberKey, last: Position, now: Time) -> bool {
+        let is_asking = matches!(self.state, State::PreCandidate(_));
+        let limit = self.config.election_min / 2;
+        let is_recent = self.campaigned.is_some_and(|campaigned| now - campaigned < limit);
+        is_asking && is_recent && (self.log.last(), &self.config.key) > (last, asker)
+    }
+
     pub(super) fn on_pre_voted(
         &mut self,
         from: MemberKey,
         term: Term,
-        granted: bool,
         now: Time,
         out: &mut Vec<Effect>,
     ) {
         let next = self.hard.term.next();
         if let State::PreCandidate(votes) = &mut self.state
-            && granted
             && term == next
             && !votes.contains(&from)
         {
@@ -181,6 +197,9 @@
         {
             return;
         }
+        if let Body::PreVoted { term, granted: true } = envelope.body {
+            return self.on_pre_voted(envelope.from, term, now, out);
+        }
         if envelope.term < self.hard.term {
             return self.correct(envelope, out);
         }
@@ -203,8 +222,7 @@
         let asker = (envelope.from.clone(), envelope.formation);
         let from = envelope.from;
         match envelope.body {
-            Body::PreVote { .. } => {}
-            Body::PreVoted { term, granted } => self.on_pre_voted(from, term, granted, now, out),
+            Body::PreVote { .. } | Body::PreVoted { .. } => {}
             Body::Vote { last, .. } => self.on_vote(asker, last, now, out),
             Body::Voted { granted: true } => self.on_voted(from, now, out),
             Body::Voted { granted: false } => {}
@@ -225,7 +243,7 @@
                 self.on_received(&from, (index, offset), round, now, out);
             }
             Body::Campaign => {
-                if self.is_voter() && self.role() != Role::Leader {
+                if self.may_campaign() && self.role() != Role::Leader {
                     self.stand(true, now, out);
                 }
             }
--- /dev/null
+++ b/src/coordination/keeper/mod.rs
@@ -0,0 +1,429 @@
+//! The keeper process: replicas of the configuration group and of home groups.
+//!
+//! One loop on one thread feeds the groups with messages, time and finished writes, and carries
+//! out what they ask for. Operators reach the process over HTTP.
+//!
+//! * [`group`]: one replication group: replica, state machine, waiting calls.
+//! * [`machine`]: the state machine of a group, by kind.
+//! * [`duties`]: what the leader of a group does unasked.
+
+pub mod duties;
+pub mod group;
+pub mod machine;
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use medlarlug_core::{
+    ids::InstanceId,
+    membership::Notice,
+    replication::{self, MemberKey, Replica, Restored, StorageId},
+};
+use smol_str::{StrExt, ToSmolStr};
+use thiserror::Error;
+use tokio::{
+    sync::{mpsc::UnboundedReceiver, watch},
+    task,
+    time::interval,
+};
+
+use crate::{
+    coordination::{
+        clock::incarnation_of_start,
+        keeper::{
+            group::{Caller, Group, Output},
+            machine::{Machine, MachineError},
+        },
+        node::{Node, Received},
+        operators::{self, OperatorApi, ProcessPart},
+    },
+    protocol::{GroupId, GroupReply, GroupRequest, Message, operators::GroupStatus},
+    settings::KeeperSettings,
+    state::{DataFolder, GroupName, Journal, Report, StateError, Synced, Writer},
+    telemetry::{logs::LevelHandle, metrics::Metrics},
+    transport::{
+        http_server::{self, ServerError, ServerLimits},
+        links::{Incoming, LinkError, Links},
+    },
+};
+
+/// Time between two ticks of the groups.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Ticks of the groups for one tick of membership and follower.
+const SLOW_TICKS: u32 = 12;
+
+/// Why a keeper stops.
+#[derive(Debug, Error)]
+pub enum KeeperError {
+    /// A link can't be set up.
+    #[error("failed to set the links up")]
+    Link(#[from] LinkError),
+    /// A server can't be started.
+    #[error("failed to start a server")]
+    Server(#[from] ServerError),
+    /// The data folder failed.
+    #[error("failed to keep the state")]
+    State(#[from] StateError),
+    /// A state machine failed.
+    #[error("a replication group failed")]
+    Machine(#[from] MachineError),
+}
+
+/// The keeper process.
+pub struct Keeper {
+    /// What every process has.
+    pub node: Rc<Node>,
+    groups: RefCell<Vec<Group>>,
+    writer: StateWriter,
+    // Raised when the configuration group's state machine changed.
+    applied: watch::Sender<u64>,
+}
+
+/// Runs a keeper until `drain` turns true.
+///
+/// # Errors
+///
+/// Fails when it can't start, or when a state machine meets what it can't decode.
+pub async fn run(
+    settings: KeeperSettings,
+    level: LevelHandle,
+    metrics: Metrics,
+    drain: watch::Sender<bool>,
+) -> Result<(), KeeperError> {
+    let stop = drain.subscribe();
+    let own = settings.peer().clone();
+    let (links, mut incoming) = Links::listen(own.id.clone(), settings.keys.clone(), own.peers)?;
+    let (cluster, keys) = (settings.cluster.clone(), settings.keys.clone());
+    let node = Rc::new(Node::new(own, cluster, keys, incarnation_of_start(), None, links)?);
+    let storage = Storage::open(&settings, &node)?;
+    let groups = RefCell::new(groups_of(&node, &storage)?);
+    let (writer, mut reports) = storage.start()?;
+    let applied = watch::Sender::new(0);
+    let keeper = Rc::new(Keeper { node: node.clone(), groups, writer, applied });
+
+    let api = OperatorApi::new(node.clone(), settings.operators.clone(), level, metrics, drain);
+    let dump = keeper.clone();
+    let process = keeper.clone();
+    let api = api.with_dump(move || dump.dump()).with_process(move || process.part());
+    let listener = http_server::listen("operators", node.own.operators).await?;
+    let server = operators::serve(api, listener, operator_limits(), stop.clone());
+    task::spawn_local(server);
+
+    task::spawn_local(duties::run(keeper.clone(), stop.clone()));
+    let mut ticks = interval(TICK);
+    let mut count = 0u32;
+    let mut stopping = stop;
+    loop {
+        tokio::select! {
+            received = incoming.receive() => {
+                if let Some((from, message)) = received {
+                    keeper.receive(from, message)?;
+                }
+            }
+            Some(report) = reports.recv() => keeper.persisted(report?)?,
+            _ = ticks.tick() => {
+                count = count.wrapping_add(1);
+                keeper.tick(count.is_multiple_of(SLOW_TICKS))?;
+            }
+            _ = stopping.wait_for(|stop| *stop) => break,
+        }
+    }
+    keeper.hand_over(&mut incoming, &mut reports).await
+}
+
+/// Bounds of the operators' server.
+pub fn operator_limits() -> ServerLimits {
+    ServerLimits { header_bytes: 16 * 1024, header_time: Duration::from_secs(10), connections: 64 }
+}
+
+fn groups_of(node: &Node, storage: &Storage) -> Result<Vec<Group>, MachineError> {
+    let homes = node.cluster.homes.iter();
+    let homes = homes.map(|it| (GroupId::Home(it.region.clone()), &it.voters));
+    let configuration = (GroupId::Configuration, &node.cluster.configuration);
+    std::iter::once(configuration)
+        .chain(homes)
+        .filter(|it| it.1.contains(&node.own.id))
+        .map(|(id, voters)| new_group(node, storage, id, voters.clone()))
+        .collect()
+}
+
+fn new_group(
+    node: &Node,
+    storage: &Storage,
+    id: GroupId,
+    voters: Vec<InstanceId>,
+) -> Result<Group, MachineError> {
+    let restored = storage.restored(&id);
+    let mut machine = Machine::new(&id);
+    if let Some(snapshot) = &restored.snapshot {
+        machine.restore(&id, &snapshot.data)?;
+    }
+    let key = MemberKey { id: node.own.id.clone(), storage: storage.id() };
+    let mut config = replication::Config::new(key, voters);
+    config.durable = node.own.durable;
+    let replica = Replica::new(config, restored, node.incarnation.0, node.now());
+    Ok(Group::new(id, replica, machine))
+}
+
+/// The name of a group in the data folder.
+fn group_name(id: &GroupId) -> GroupName {
+    let Ok(name) = id.to_string().parse();
+    name
+}
+
+/// Where a keeper's state was found.
+enum Storage {
+    /// In a data folder, which stays locked.
+    Disk(DataFolder, Box<Journal>),
+    /// In memory only, under an id that is new at every start.
+    Memory(StorageId),
+}
+
+impl Storage {
+    fn open(settings: &KeeperSettings, node: &Node) -> Result<Storage, StateError> {
+        let Some(path) = &settings.data else {
+            return Ok(Storage::Memory(StorageId(rand::random())));
+        };
+        let folder = DataFolder::open(path, &node.own.id)?;
+        let journal = Journal::open(&folder)?;
+        Ok(Storage::Disk(folder, Box::new(journal)))
+    }
+
+    fn id(&self) -> StorageId {
+        match self {
+            Storage::Disk(folder, _) => folder.storage(),
+            Storage::Memory(id) => *id,
+        }
+    }
+
+    fn restored(&self, group: &GroupId) -> Restored {
+        match self {
+            Storage::Disk(_, journal) => journal.group(&group_name(group)),
+            Storage::Memory(_) => Restored::default(),
+        }
+    }
+
+    fn start(self) -> Result<(StateWriter, UnboundedReceiver<Report>), StateError> {
+        match self {
+            Storage::Disk(folder, journal) => {
+                let (writer, reports) = Writer::start(*journal)?;
+                Ok((StateWriter { writer, _folder: Some(folder) }, reports))
+            }
+            Storage::Memory(_) => {
+                let (writer, reports) = Writer::volatile();
+                Ok((StateWriter { writer, _folder: None }, reports))
+            }
+        }
+    }
+}
+
+/// The writer, with the lock of its folder.
+struct StateWriter {
+    writer: Writer,
+    _folder: Option<DataFolder>,
+}
+
+impl Keeper {
+    /// Whether this keeper leads a group.
+    pub fn leads(&self, group: &GroupId) -> bool {
+        self.groups.borrow().iter().any(|it| it.id() == group && it.is_leader())
+    }
+
+    /// Reads the state machine of a group, if this keeper is a member.
+    pub fn with_machine<T>(&self, group: &GroupId, read: impl FnOnce(&Machine) -> T) -> Option<T> {
+        let groups = self.groups.borrow();
+        groups.iter().find(|it| it.id() == group).map(|it| read(it.machine()))
+    }
+
+    /// The groups that this keeper is a member of.
+    pub fn group_ids(&self) -> Vec<GroupId> {
+        self.groups.borrow().iter().map(|it| it.id().clone()).collect()
+    }
+
+    /// A receiver that wakes when a state machine changed.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.applied.subscribe()
+    }
+
+    fn receive(&self, from: InstanceId, message: Message) -> Result<(), MachineError> {
+        match self.node.receive(from, message) {
+            Received::Done => Ok(()),
+            Received::Notices(notices) => {
+                self.note(&notices);
+                Ok(())
+            }
+            Received::Other(from, message) => self.receive_for_group(from, *message),
+        }
+    }
+
+    fn receive_for_group(&self, from: InstanceId, message: Message) -> Result<(), MachineError> {
+        match message {
+            Message::Call { call, group, request } => {
+                self.call(Caller { instance: from, call }, &group, request)
+            }
+            Message::Replication { group, message } => {
+                self.with_group(&group, |it, now, out| it.receive(now, from, message, out))
+            }
+            message => {
+                tracing::warn!(%from, ?message, "message for another kind of process");
+                Ok(())
+            }
+        }
+    }
+
+    /// Tells a group what was synced.
+    fn persisted(&self, synced: Synced) -> Result<(), MachineError> {
+        let Synced { group, sequence } = synced;
+        let id = self.group_ids().into_iter().find(|it| group_name(it) == group);
+        match id {
+            Some(id) => self.with_group(&id, |it, now, out| it.persisted(now, sequence, out)),
+            None => Ok(()),
+        }
+    }
+
+    fn call(
+        &self,
+        caller: Caller,
+        group: &GroupId,
+        request: GroupRequest,
+    ) -> Result<(), MachineError> {
+        if !self.groups.borrow().iter().any(|it| it.id() == group) {
+            let reply = Message::Reply { call: caller.call, reply: GroupReply::NotLeader(None) };
+            self.node.send(&caller.instance, reply);
+            return Ok(());
+        }
+        self.with_group(group, |it, now, out| it.call(now, caller, request, out))
+    }
+
+    fn tick(&self, is_slow: bool) -> Result<(), MachineError> {
+        for group in self.group_ids() {
+            self.with_group(&group, |it, now, out| it.tick(now, out))?;
+        }
+        if is_slow {
+            let status = medlarlug_core::membership::Status {
+                load: 0,
+                revision: self.node.follower.borrow().revision(),
+                leaving: false,
+            };
+            self.note(&self.node.report(status));
+            self.note(&self.node.tick());
+        }
+        Ok(())
+    }
+
+    fn note(&self, notices: &[Notice]) {
+        for notice in notices {
+            tracing::info!(?notice, "membership changed");
+        }
+    }
+
+    fn with_group(
+        &self,
+        id: &GroupId,
+        step: impl FnOnce(
+            &mut Group,
+            medlarlug_core::time::Time,
+            &mut Vec<Output>,
+        ) -> Result<(), MachineError>,
+    ) -> Result<(), MachineError> {
+        let mut out = Vec::new();
+        {
+            let mut groups = self.groups.borrow_mut();
+            let Some(group) = groups.iter_mut().find(|it| it.id() == id) else {
+                return Ok(());
+            };
+            step(group, self.node.now(), &mut out)?;
+        }
+        self.carry_out(id, out)
+    }
+
+    fn carry_out(&self, id: &GroupId, outputs: Vec<Output>) -> Result<(), MachineError> {
+        let mut has_changed = false;
+        for output in outputs {
+            match output {
+                Output::Send { to, message } => {
+                    let message = Message::Replication { group: id.clone(), message };
+                    self.node.send(&to, message);
+                }
+                Output::Persist(batch) => self.writer.writer.persist(group_name(id), batch),
+                Output::Reply { caller, reply } => {
+                    self.node.send(&caller.instance, Message::Reply { call: caller.call, reply });
+                }
+                Output::Applied => has_changed = true,
+                Output::Role { role, term } => {
+                    tracing::info!(group = %id, ?role, %term, "role changed");
+                    has_changed = true;
+                }
+            }
+        }
+        if has_changed {
+            self.applied.send_modify(|count| *count += 1);
+        }
+        Ok(())
+    }
+
+    /// Hands leaderships over before the process stops.
+    async fn hand_over(
+        &self,
+        incoming: &mut Incoming,
+        reports: &mut UnboundedReceiver<Report>,
+    ) -> Result<(), KeeperError> {
+        for group in self.group_ids() {
+            self.with_group(&group, |it, now, out| it.transfer(now, out))?;
+        }
+        let end = tokio::time::Instant::now() + HAND_OVER_LIMIT;
+        let mut ticks = interval(TICK);
+        while tokio::time::Instant::now() < end && self.group_ids().iter().any(|it| self.leads(it))
+        {
+            tokio::select! {
+                received = incoming.receive() => {
+                    if let Some((from, message)) = received {
+                        self.receive(from, message)?;
+                    }
+                }
+                Some(report) = reports.recv() => self.persisted(report?)?,
+                _ = ticks.tick() => self.tick(false)?,
+            }
+        }
+        Ok(())
+    }
+
+    fn part(&self) -> ProcessPart {
+        let groups = self.groups.borrow().iter().map(group_status).collect();
+        ProcessPart { groups, ..ProcessPart::default() }
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        let groups = self.groups.borrow();
+        let groups: Vec<serde_json::Value> = groups.iter().map(dump_group).collect();
+        serde_json::json!({ "groups": groups })
+    }
+}
+
+/// Longest time that handing leaderships over takes at a stop.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(2);
+
+fn group_status(group: &Group) -> GroupStatus {
+    let replica = group.replica();
+    GroupStatus {
+        group: group.id().to_smolstr(),
+        role: smol_str::format_smolstr!("{:?}", replica.role()).to_lowercase_smolstr(),
+        term: replica.term().0,
+        leader: replica.leader().cloned(),
+        committed: replica.committed().0,
+    }
+}
+
+fn dump_group(group: &Group) -> serde_json::Value {
+    let replica = group.replica();
+    serde_json::json!({
+        "group": group.id().to_string(),
+        "role": format!("{:?}", replica.role()),
+        "term": replica.term(),
+        "leader": replica.leader(),
+        "committed": replica.committed(),
+        "applied": replica.applied(),
+        "last": replica.last_index(),
+        "compacted": replica.compacted(),
+    })
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the product: its parts and its processes.
 
 mod cli;
+mod processes;
 mod settings;
 mod standin;
+mod state;
--- /dev/null
+++ b/tests/testsuite/processes/mod.rs
@@ -0,0 +1,6 @@
+//! Tests on real processes: the whole path and its failures.
+
+mod booking;
+mod fixture;
+mod keepers;
+mod path;
