--- a/tests/testsuite/standin.rs
+++ b/tests/testsuite/standin.rs
@@ -51,13 +51,13 @@
 
     /// The text of a streamed answer, and whether it ended whole.
     fn streamed(&self) -> (String, bool) {
-        let data = self.body.lines().filter_map(|line| line.strip_prefix("data: "));
+        let mut data = self.body.lines().filter_map(|line| line.strip_prefix("data: "));
         let mut text = String::new();
         for it in data.clone().filter(|it| *it != "[DONE]") {
             let chunk: Value = serde_json::from_str(it).unwrap();
             text.push_str(chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default());
         }
-        (text, data.last() == Some("[DONE]"))
+        (text, data.next_back() == Some("[DONE]"))
     }
 }
 
