--- a/src/protocol/operators.rs
+++ b/src/protocol/operators.rs
@@ -55,7 +55,7 @@
 pub struct PeerStatus {
     /// The instance.
     pub instance: InstanceId,
-    /// `alive`, `suspect`, `leaving` or `unknown`.
+    /// `up`, `reconnecting`, `dead` or `unheard`.
     pub state: SmolStr,
     /// Age of that knowledge in milliseconds, if there is any.
     pub age_ms: Option<u64>,
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -27,8 +27,6 @@
 pub const UPSTREAMS: &str = "medlarlug_upstreams";
 /// Gauge: configuration revision in force.
 pub const REVISION: &str = "medlarlug_revision";
-/// Counter in bytes: messages to other processes. Label: `peer`.
-pub const SENT: &str = "medlarlug_peer_sent_bytes_total";
 
 /// Renders the metrics of the process.
 #[derive(Clone)]
@@ -84,5 +82,4 @@
     describe_gauge!(CONNECTIONS, "Open connections, by port");
     describe_gauge!(UPSTREAMS, "Known upstreams, by zone");
     describe_gauge!(REVISION, "Configuration revision in force");
-    describe_counter!(SENT, Unit::Bytes, "Messages to other processes, by peer");
 }
