--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -1,6 +1,10 @@
 //! Builders and fixtures for the test suites.
 
 pub mod deployment;
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::atomic::{AtomicU32, Ordering},
+};
 
 use medlarlug_core::{
     ids::{ReleaseNumber, Revision},
@@ -10,8 +14,6 @@
     },
 };
 
-pub use deployment::free_address;
-
 /// Parses an id out of a literal.
 pub fn id<T: std::str::FromStr>(text: &str) -> T {
     match text.parse() {
@@ -49,3 +51,22 @@
         withdrawn: Vec::new(),
     }
 }
+
+/// First port that [`free_address`] hands out; all lie below the range of outgoing connections.
+const FIRST_PORT: u32 = 20_000;
+
+/// Number of ports that it hands out in turn.
+const PORTS: u32 = 12_000;
+
+/// A loopback address that nothing listens at and that no other call in this process gets.
+pub fn free_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(97);
+    loop {
+        let index = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], (FIRST_PORT + index) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
