--- a/src/coordination/keeper/mod.rs
+++ b/src/coordination/keeper/mod.rs
@@ -109,7 +109,7 @@
     let server = operators::serve(api, listener, operator_limits(), stop.clone());
     task::spawn_local(server);
 
-    task::spawn_local(duties::run(keeper.clone(), stop.clone()));
+    duties::start(&keeper, &stop);
     let mut ticks = interval(TICK);
     let mut count = 0u32;
     let mut stopping = stop;
@@ -314,6 +314,9 @@
     fn note(&self, notices: &[Notice]) {
         for notice in notices {
             tracing::info!(?notice, "membership changed");
+            if let Notice::PeerDead(peer) = notice {
+                duties::declare_lost(self, peer);
+            }
         }
     }
 
@@ -422,6 +425,10 @@
 
 fn dump_group(group: &Group) -> serde_json::Value {
     let replica = group.replica();
+    let founded = match group.machine() {
+        Machine::Home(machine) => machine.founded(),
+        Machine::Configuration(_) => None,
+    };
     serde_json::json!({
         "group": group.id().to_string(),
         "role": format!("{:?}", replica.role()),
@@ -432,5 +439,6 @@
         "applied": replica.applied(),
         "last": replica.last_index(),
         "compacted": replica.compacted(),
+        "founded": founded,
     })
 }
