--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the product: its parts and its processes.
 
+mod batching;
 mod cli;
 mod processes;
 mod settings;
