--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,7 +1,8 @@
 //! Tests of the product: its parts and its processes.
-mod processes;
-mod state;
 
+mod batching;
 mod cli;
+mod processes;
 mod settings;
 mod standin;
+mod state;
