Retry budget: start full, give a retry back after 100 successes

Cause: the budget started empty, so the first upstream that is lost after a start cost its callers their answers; with 10 stored and a tenth for each success it also allowed 20 retries among 100 requests. Ruled out: a full start of the same bucket (20 in a window of 100); 5 stored with a twentieth each (half the burst). Change: 10 retries, each comes back 100 successes after it was taken.

--- a/crates/medlarlug-core/src/retry.rs
+++ b/crates/medlarlug-core/src/retry.rs
@@ -1,11 +1,11 @@
 //! The retry budget and the decision to try again.
 //!
-//! One [`RetryBudget`] per instance and model holds a token bucket that successes fill: each
-//! deposits a tenth of a retry. With `s` successes at most `s / 10` retries are made, so the
-//! attempts stay below 1.1 times the requests, also when every upstream fails. The bucket starts
-//! empty and its size is bounded, so a region that returns meets no stored-up retries. Only the
-//! instance that sent a request to an upstream deposits its success: one that forwarded it to
-//! another zone does not, so that each success pays once.
+//! One [`RetryBudget`] per instance and model holds [`MAX_STORED_RETRIES`] retries, full at the
+//! start. A retry that was taken comes back after [`SUCCESSES_PER_RETURN`] successes. So among any
+//! 100 requests in a row there are at most 10 retries: the attempts stay at 1.1 times the requests
+//! or below. When every upstream fails, 10 retries are made in all, and none until successes have
+//! been counted again. Only the instance that sent a request to an upstream deposits its success:
+//! one that forwarded it to another zone does not, so that each success pays once.
 //!
 //! Only idempotent work is tried again, or work that was proven not to have run: the connection
 //! was refused before a byte was sent, or the receiving zone refused it as not run.
@@ -24,46 +24,49 @@
 pub const MAX_STORED_RETRIES: u32 = 10;
 /// Attempts that one request gets at most.
 pub const MAX_ATTEMPTS: u32 = 3;
-/// Successes that pay for one retry.
-const SUCCESSES_PER_RETRY: u32 = 10;
+/// Successes after which a retry that was taken comes back.
+pub const SUCCESSES_PER_RETURN: u64 = 100;
 /// Time to come back when the budget is used up.
 const BUDGET_WAIT: Duration = Duration::from_secs(2);
 
-/// Token bucket for retries that successes fill; counts in tenths of a retry.
+/// Retries that successes pay for.
 ///
 /// ```
-/// use medlarlug_core::retry::RetryBudget;
+/// use medlarlug_core::retry::{MAX_STORED_RETRIES, RetryBudget, SUCCESSES_PER_RETURN};
 ///
 /// let mut budget = RetryBudget::default();
+/// assert!((0..MAX_STORED_RETRIES).all(|_| budget.take()));
 /// assert!(!budget.take());
-/// (0..10).for_each(|_| budget.deposit());
+/// (0..SUCCESSES_PER_RETURN).for_each(|_| budget.deposit());
 /// assert!(budget.take());
-/// assert!(!budget.take());
 /// ```
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RetryBudget {
-    tenths: u32,
+    successes: u64,
+    // Successes that had been counted when each retry was taken, the oldest first.
+    taken: Vec<u64>,
 }
 
 impl RetryBudget {
     /// Counts a request that was answered.
     pub fn deposit(&mut self) {
-        let limit = MAX_STORED_RETRIES * SUCCESSES_PER_RETRY;
-        self.tenths = (self.tenths + 1).min(limit);
+        self.successes += 1;
+        let successes = self.successes;
+        self.taken.retain(|it| successes - it < SUCCESSES_PER_RETURN);
     }
 
     /// Takes one retry out, if there is one.
     pub fn take(&mut self) -> bool {
-        let Some(rest) = self.tenths.checked_sub(SUCCESSES_PER_RETRY) else {
+        if self.left() == 0 {
             return false;
-        };
-        self.tenths = rest;
+        }
+        self.taken.push(self.successes);
         true
     }
 
     /// Whole retries that are left.
     pub fn left(&self) -> u32 {
-        self.tenths / SUCCESSES_PER_RETRY
+        MAX_STORED_RETRIES.saturating_sub(self.taken.len() as u32)
     }
 }
 
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -1,6 +1,8 @@
 //! Builders and fixtures for the test suites.
 
 pub mod deployment;
+pub mod stream;
+
 use std::{
     net::{SocketAddr, TcpListener},
     sync::atomic::{AtomicU32, Ordering},
--- /dev/null
+++ b/crates/test-support/src/stream.rs
@@ -0,0 +1,128 @@
+//! Streamed answers as a caller reads them.
+
+use std::io::{BufRead, BufReader, Read};
+
+use serde_json::{Value, json};
+
+use crate::deployment::{CALLER_KEY, Deployment, PATIENCE};
+
+/// A streamed answer that is being read.
+pub struct OpenStream {
+    /// Status of its head; 0 when there was no answer.
+    pub status: u16,
+    /// Its `x-request-id`.
+    pub request: String,
+    reader: Option<Box<dyn BufRead + Send>>,
+    text: String,
+}
+
+/// How a streamed answer ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Ending {
+    /// The terminal event came.
+    Whole,
+    /// An explicit error event or a refusal came.
+    Failed(String),
+    /// It broke off without a word.
+    Cut,
+}
+
+/// A streamed answer that was read to its end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Streamed {
+    /// The request.
+    pub request: String,
+    /// The generated text.
+    pub text: String,
+    /// How it ended.
+    pub ending: Ending,
+}
+
+impl Deployment {
+    /// Asks an entry instance for a streamed completion; the head of the answer is there.
+    pub fn open_stream(&self, id: &str, prompt: &str, tokens: usize) -> OpenStream {
+        let body = json!({
+            "model": "medlar", "prompt": prompt, "max_tokens": tokens, "stream": true
+        });
+        let agent: ureq::Agent = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(PATIENCE))
+            .build()
+            .into();
+        let url = format!("http://{}/v1/completions", self.get(id).callers);
+        let sent = agent
+            .post(url)
+            .header("authorization", format!("Bearer {CALLER_KEY}"))
+            .send(body.to_string());
+        let Ok(answer) = sent else {
+            return OpenStream {
+                status: 0,
+                request: String::new(),
+                reader: None,
+                text: String::new(),
+            };
+        };
+        let status = answer.status().as_u16();
+        let request = answer.headers().get("x-request-id").and_then(|it| it.to_str().ok());
+        let request = request.unwrap_or_default().to_owned();
+        let reader = BufReader::new(answer.into_body().into_reader());
+        OpenStream { status, request, reader: Some(Box::new(reader)), text: String::new() }
+    }
+
+    /// Reads a streamed completion from its start to its end.
+    pub fn stream(&self, id: &str, prompt: &str, tokens: usize) -> Streamed {
+        self.open_stream(id, prompt, tokens).finish()
+    }
+}
+
+impl OpenStream {
+    /// Reads the next `count` tokens, or up to the end.
+    pub fn read_tokens(&mut self, count: usize) {
+        for _ in 0..count {
+            if self.step().is_some() {
+                return;
+            }
+        }
+    }
+
+    /// Reads to the end.
+    pub fn finish(mut self) -> Streamed {
+        let ending = match self.status {
+            0 => Ending::Cut,
+            200 => loop {
+                if let Some(ending) = self.step() {
+                    break ending;
+                }
+            },
+            _ => {
+                let mut text = String::new();
+                let reader = self.reader.as_mut().expect("an answer");
+                let _ = reader.read_to_string(&mut text);
+                Ending::Failed(text)
+            }
+        };
+        Streamed { request: self.request, text: self.text, ending }
+    }
+
+    /// Reads one `data` line; tells the ending if it is the last one.
+    fn step(&mut self) -> Option<Ending> {
+        let reader = self.reader.as_mut()?;
+        loop {
+            let mut line = String::new();
+            match reader.read_line(&mut line) {
+                Ok(0) | Err(_) => return Some(Ending::Cut),
+                Ok(_) => {}
+            }
+            let Some(data) = line.trim().strip_prefix("data:") else { continue };
+            if data.trim() == "[DONE]" {
+                return Some(Ending::Whole);
+            }
+            let chunk: Value = serde_json::from_str(data).unwrap_or_default();
+            if !chunk["error"].is_null() {
+                return Some(Ending::Failed(data.to_owned()));
+            }
+            self.text.push_str(chunk["choices"][0]["text"].as_str().unwrap_or_default());
+            return None;
+        }
+    }
+}
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -4,3 +4,4 @@
 mod fixture;
 mod keepers;
 mod path;
+mod streams;
--- /dev/null
+++ b/tests/testsuite/processes/streams.rs
@@ -0,0 +1,211 @@
+//! Streamed answers through faults: whole and the caller's own, or explicitly failed.
+
+use std::thread;
+
+use medlarlug::standin::answer::expected;
+use medlarlug_core::release::item::Residency;
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+use test_support::{
+    deployment::{Deployment, call, wait_for},
+    stream::{Ending, Streamed},
+};
+
+use crate::processes::fixture::{items, two_regions};
+
+/// Tokens of an answer during which a fault is injected.
+const TOKENS: usize = 300;
+
+/// One zone with so many engines that generate `speed` tokens a second.
+fn with_engines(count: usize, speed: u32) -> Deployment {
+    let names: Vec<String> = (1..=count).map(|it| format!("engine-{it}")).collect();
+    let mut deployment =
+        names.iter().fold(two_regions(), |it, name| it.engine(name, "riga-a", "medlar"));
+    for it in &mut deployment.upstreams {
+        it.extra[0] = format!("speed: {speed}");
+    }
+    let deployment = deployment.start();
+    deployment.configure(items(Residency::Anywhere));
+    deployment.wait_upstreams("entry-1", count);
+    deployment
+}
+
+fn state(deployment: &Deployment, upstream: &str) -> Value {
+    let upstream = deployment.upstreams.iter().find(|it| it.id == upstream).expect("an upstream");
+    call("GET", upstream.control, "/state", &[], "").json
+}
+
+fn counter(deployment: &Deployment, entry: &str, name: &str) -> u64 {
+    let text = deployment.operator_get(entry, "/metrics").text;
+    let lines = text.lines().filter(|it| it.starts_with(name));
+    lines.filter_map(|it| it.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
+
+fn assert_whole(streamed: &Streamed, prompt: &str, tokens: usize) {
+    assert_eq!(streamed.ending, Ending::Whole, "{streamed:?}");
+    assert_eq!(streamed.text, expected(prompt, Some(tokens)));
+}
+
+/// Injects a fault into the only engine while a stream flows; gives the stream's end.
+fn stream_through(deployment: &Deployment, prompt: &str, fault: &Value) -> Streamed {
+    let mut stream = deployment.open_stream("entry-1", prompt, TOKENS);
+    stream.read_tokens(20);
+    deployment.fault("engine-1", fault);
+    stream.finish()
+}
+
+#[test]
+fn connection_that_goes_silent_in_a_stream_is_replaced_and_the_answer_is_whole() {
+    let deployment = with_engines(1, 150);
+
+    let fault = json!({ "kind": "silence_open_connections" });
+    let streamed = stream_through(&deployment, "shift one", &fault);
+    let next = deployment.stream("entry-1", "shift two", 10);
+
+    assert_whole(&streamed, "shift one", TOKENS);
+    assert_whole(&next, "shift two", 10);
+    assert_eq!(
+        deployment.operator_get("entry-1", "/upstreams").json.as_array().map(Vec::len),
+        Some(1)
+    );
+}
+
+#[test]
+fn connection_that_breaks_in_a_stream_is_replaced_and_the_answer_is_whole() {
+    let deployment = with_engines(1, 150);
+
+    let fault = json!({ "kind": "cut_open_connections" });
+    let streamed = stream_through(&deployment, "shift one", &fault);
+    let next = deployment.stream("entry-1", "shift two", 10);
+
+    assert_whole(&streamed, "shift one", TOKENS);
+    assert_whole(&next, "shift two", 10);
+}
+
+#[test]
+fn idle_connections_that_went_silent_cost_no_answer() {
+    let deployment = with_engines(1, 500);
+    assert_eq!(deployment.complete("entry-1", "medlar", "warm").status, 200);
+    assert_whole(&deployment.stream("entry-1", "warm", 10), "warm", 10);
+    let silence = json!({ "kind": "silence_open_connections" });
+
+    deployment.fault("engine-1", &silence);
+    let streamed = deployment.stream("entry-1", "shift one", 10);
+    deployment.fault("engine-1", &silence);
+    let whole = deployment.complete("entry-1", "medlar", "shift two");
+
+    assert_whole(&streamed, "shift one", 10);
+    assert_eq!(whole.status, 200, "{}", whole.text);
+    assert_eq!(whole.json["choices"][0]["text"], expected("shift two", Some(4)));
+}
+
+#[test]
+fn connection_that_goes_silent_before_a_whole_answer_costs_no_answer() {
+    let deployment = with_engines(1, 100);
+
+    let whole = thread::scope(|scope| {
+        let body =
+            json!({ "model": "medlar", "prompt": "shift", "max_tokens": TOKENS }).to_string();
+        let deployment = &deployment;
+        let whole = scope
+            .spawn(move || deployment.caller("entry-1", "POST", "/v1/completions", &[], &body));
+        wait_for("the request to run", || state(deployment, "engine-1")["running"] == 1);
+        deployment.fault("engine-1", &json!({ "kind": "silence_open_connections" }));
+        whole.join().expect("no panic")
+    });
+
+    assert_eq!(whole.status, 200, "{}", whole.text);
+    assert_eq!(whole.json["choices"][0]["text"], expected("shift", Some(TOKENS)));
+}
+
+#[test]
+fn upstream_that_is_killed_in_a_stream_ends_it_with_an_explicit_error() {
+    let mut deployment = with_engines(1, 100);
+
+    let mut stream = deployment.open_stream("entry-1", "shift", TOKENS);
+    stream.read_tokens(20);
+    deployment.kill("engine-1");
+    let streamed = stream.finish();
+
+    let Ending::Failed(error) = &streamed.ending else { panic!("{streamed:?}") };
+    assert!(error.contains("failed") && error.contains(&streamed.request), "{error}");
+    assert!(expected("shift", Some(TOKENS)).starts_with(&streamed.text));
+}
+
+#[test]
+fn upstream_that_is_killed_before_the_first_event_is_replaced_by_another() {
+    let deployment = with_engines(2, 500);
+    let late = json!({ "kind": "late_answer", "count": 1, "delay_ms": 60_000 });
+    ["engine-1", "engine-2"].iter().for_each(|it| drop(deployment.fault(it, &late)));
+
+    let streamed = thread::scope(|scope| {
+        let shared = &deployment;
+        let streamed = scope.spawn(|| shared.stream("entry-1", "shift", 10));
+        let has_run = |it: &&str| state(shared, it)["streams"] != 0;
+        let mut place = None;
+        wait_for("the request to reach an upstream", || {
+            place = ["engine-1", "engine-2"].into_iter().find(has_run);
+            place.is_some()
+        });
+        let place = place.expect("an upstream");
+        let other = if place == "engine-1" { "engine-2" } else { "engine-1" };
+        shared.fault(other, &json!({ "kind": "clear" }));
+        shared.signal(place, Signal::SIGKILL);
+        streamed.join().expect("no panic")
+    });
+
+    assert_whole(&streamed, "shift", 10);
+}
+
+#[test]
+fn caller_that_goes_away_cancels_the_work_at_the_upstream() {
+    let deployment = with_engines(1, 20);
+
+    let mut stream = deployment.open_stream("entry-1", "shift", 2_000);
+    stream.read_tokens(3);
+    assert_eq!(state(&deployment, "engine-1")["running"], 1);
+    drop(stream);
+
+    wait_for("the end of the work", || state(&deployment, "engine-1")["running"] == 0);
+}
+
+#[test]
+fn crossed_and_late_answers_are_dropped_and_counted_and_each_caller_gets_its_own() {
+    let deployment = with_engines(2, 500);
+    for it in 0..5 {
+        deployment.stream("entry-1", &format!("warm {it}"), 4);
+    }
+    for engine in ["engine-1", "engine-2"] {
+        deployment.fault(engine, &json!({ "kind": "crossed_answer", "count": 1 }));
+        deployment.fault(engine, &json!({ "kind": "late_answer", "count": 2, "delay_ms": 300 }));
+    }
+
+    let streamed = deployment.stream("entry-1", "shift one", 10);
+    let whole = deployment.complete("entry-1", "medlar", "shift two");
+
+    assert_whole(&streamed, "shift one", 10);
+    assert_eq!(whole.status, 200, "{}", whole.text);
+    assert_eq!(whole.json["choices"][0]["text"], expected("shift two", Some(4)));
+    assert!(counter(&deployment, "entry-1", "medlarlug_crossed") >= 2);
+}
+
+#[test]
+fn each_of_many_streams_at_once_is_whole_and_its_own_through_cuts() {
+    let deployment = with_engines(4, 200);
+
+    let all: Vec<Streamed> = thread::scope(|scope| {
+        let shared = &deployment;
+        let one = |it: usize| shared.stream("entry-1", &format!("shift {it}"), 40 + it);
+        let running: Vec<_> = (0..100).map(|it| scope.spawn(move || one(it))).collect();
+        wait_for("streams at every engine", || {
+            shared.upstreams.iter().all(|it| state(shared, &it.id)["running"] != 0)
+        });
+        shared.fault("engine-1", &json!({ "kind": "cut_open_connections" }));
+        shared.fault("engine-2", &json!({ "kind": "silence_open_connections" }));
+        running.into_iter().map(|it| it.join().expect("no panic")).collect()
+    });
+
+    for (it, streamed) in all.iter().enumerate() {
+        assert_whole(streamed, &format!("shift {it}"), 40 + it);
+    }
+}
