--- a/benches/routing/plot.rs
+++ b/benches/routing/plot.rs
@@ -2,7 +2,7 @@
 
 use plotters::prelude::*;
 
-use crate::{Row, deployment::Fault};
+use crate::{deployment::Fault, table::Row};
 
 const PATH: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/plots/routing.svg");
 
