Forget attempts whose end is never told

Cause: a ticket without Ended or Failed stayed in flight, and its place counted as overdue for good. Ruled out: dropping a flight in the overdue figure only; the list of attempts would still grow. Change: once a second, attempts without a first token for 60 s, or 900 s old, are taken as ended. Conclusion: a safety net; the slow engine's tail is not mended by it.

--- a/crates/medlarlug-core/src/routing/router.rs
+++ b/crates/medlarlug-core/src/routing/router.rs
@@ -1,5 +1,7 @@
 //! The routing core: decisions, and what it learns from their outcome.
 
+use std::time::Duration;
+
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -17,6 +19,13 @@
     time::Time,
 };
 
+/// Time without a first token after which an attempt whose end nobody told is forgotten.
+const WAITING_LIFETIME: Duration = Duration::from_secs(60);
+/// Time after its start at which any attempt whose end nobody told is forgotten.
+const ATTEMPT_LIFETIME: Duration = Duration::from_secs(900);
+/// Time between two searches for forgotten attempts.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
 /// Names one attempt to serve a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
@@ -45,6 +54,7 @@
     pub(super) affinity: Affinity,
     attempts: Vec<Attempt>,
     pub(super) left: Time,
+    swept: Time,
 }
 
 /// Places of the upstreams that serve one target.
@@ -79,6 +89,15 @@
 struct Attempt {
     ticket: Ticket,
     place: Place,
+    sent: Time,
+    is_waiting: bool,
+}
+
+impl Attempt {
+    fn is_forgotten(&self, now: Time) -> bool {
+        let lifetime = if self.is_waiting { WAITING_LIFETIME } else { ATTEMPT_LIFETIME };
+        now - self.sent >= lifetime
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -112,6 +131,7 @@
             affinity: Affinity::default(),
             attempts: Vec::new(),
             left: Time::ZERO,
+            swept: now,
         }
     }
 
@@ -127,6 +147,7 @@
         view: View<'_>,
         request: &Origin,
     ) -> Result<Choice, Refusal> {
+        self.sweep(now);
         let local = self.best_local(now, view, &request.facts);
         let away = self.best_zone(now, view, request);
         match (local, away) {
@@ -148,6 +169,7 @@
         view: View<'_>,
         request: &Forwarded,
     ) -> Result<Route, Refusal> {
+        self.sweep(now);
         self.best_local(now, view, request.facts())
     }
 
@@ -160,7 +182,7 @@
         learned.send(now, route.ticket, route.tokens, route.base, predicted);
         self.affinity.note(now, &facts.prefixes, &route.upstream);
         let place = Place::Upstream(route.upstream.clone());
-        self.note_attempt(route.ticket, place);
+        self.note_attempt(now, route.ticket, place);
     }
 
     /// Notes that a request is sent to another zone.
@@ -172,7 +194,7 @@
         learned.send(now, route.ticket, route.tokens, route.base, predicted);
         self.left = now;
         let place = Place::Zone(route.zone.clone());
-        self.note_attempt(route.ticket, place);
+        self.note_attempt(now, route.ticket, place);
     }
 
     /// Learns what became of an attempt.
@@ -196,14 +218,30 @@
             Event::Ended(_) => learned.end(ticket),
             Event::Failed(_) => learned.fail(now, ticket),
         }
-        if !matches!(event, Event::FirstToken(_)) {
-            self.attempts.remove(at);
+        match event {
+            Event::FirstToken(_) => self.attempts[at].is_waiting = false,
+            Event::Ended(_) | Event::Failed(_) => {
+                self.attempts.remove(at);
+            }
         }
     }
 
-    fn note_attempt(&mut self, ticket: Ticket, place: Place) {
+    fn note_attempt(&mut self, now: Time, ticket: Ticket, place: Place) {
         let at = self.attempts.partition_point(|it| it.ticket < ticket);
-        self.attempts.insert(at, Attempt { ticket, place });
+        self.attempts.insert(at, Attempt { ticket, place, sent: now, is_waiting: true });
+    }
+
+    /// Takes out attempts whose end was never told, so that they don't count as overdue for good.
+    fn sweep(&mut self, now: Time) {
+        if now - self.swept < SWEEP_PERIOD {
+            return;
+        }
+        self.swept = now;
+        let forgotten = self.attempts.iter().filter(|it| it.is_forgotten(now));
+        let forgotten: Vec<Ticket> = forgotten.map(|it| it.ticket).collect();
+        for ticket in forgotten {
+            self.handle(now, Event::Ended(ticket));
+        }
     }
 
     /// Attempts that haven't ended.
--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -17,5 +17,6 @@
 mod replication;
 mod retry;
 mod routing;
+mod routing_attempts;
 mod stream;
 mod suspects;
--- a/crates/medlarlug-core/tests/testsuite/routing.rs
+++ b/crates/medlarlug-core/tests/testsuite/routing.rs
@@ -31,28 +31,28 @@
 use crate::network::{engine, entry};
 
 const REGIONS: [&str; 3] = ["riga", "kurzeme", "latgale"];
-const NOW: Time = Time::ZERO;
+pub const NOW: Time = Time::ZERO;
 
 fn zone(region: &str) -> String {
     format!("{region}-a")
 }
 
-fn model(residency: Residency) -> Item {
+pub fn model(residency: Residency) -> Item {
     let versions = vec![id("v1")];
     Item::Model(Model { id: id("m"), versions, adapters: Vec::new(), residency })
 }
 
-fn configuration(team: Team, target: Residency) -> Configuration {
+pub fn configuration(team: Team, target: Residency) -> Configuration {
     let mut items = vec![model(target), Item::Team(team)];
     items.extend(REGIONS.map(|it| region(it, &[&zone(it)])));
     Configuration::new(Revision(1), items)
 }
 
-fn open_team() -> Team {
+pub fn open_team() -> Team {
     Team { residency: Residency::Anywhere, ..team("crew", "riga") }
 }
 
-fn facts() -> RequestFacts {
+pub fn facts() -> RequestFacts {
     RequestFacts {
         id: RequestId {
             region: id("riga"),
@@ -72,7 +72,7 @@
 }
 
 /// An entry instance in `riga` that knows the given upstreams of its zone.
-fn membership(upstreams: Vec<Announcement>) -> Membership {
+pub fn membership(upstreams: Vec<Announcement>) -> Membership {
     let seeds: Vec<Seed> =
         REGIONS.iter().map(|it| entry(&format!("e-{it}"), &zone(it), it)).collect();
     let settings = Settings { own: seeds[0].clone(), incarnation: Incarnation(1), peers: seeds };
@@ -83,12 +83,12 @@
     membership
 }
 
-fn upstream(name: &str) -> Announcement {
+pub fn upstream(name: &str) -> Announcement {
     engine(name, &zone("riga"), &["m"])
 }
 
 /// Tells of a zone with free slots.
-fn tell(membership: &mut Membership, now: Time, region: &str) {
+pub fn tell(membership: &mut Membership, now: Time, region: &str) {
     let row = TargetSummary {
         target: Target::Model(id("m")),
         upstreams: 4,
@@ -110,7 +110,7 @@
     membership.handle(now, event, &mut Vec::new());
 }
 
-fn view<'a>(membership: &'a Membership, configuration: &'a Configuration) -> View<'a> {
+pub fn view<'a>(membership: &'a Membership, configuration: &'a Configuration) -> View<'a> {
     View { membership, configuration, lease: ConfigurationLease::Valid }
 }
 
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/routing_attempts.rs
@@ -0,0 +1,77 @@
+//! The routing core: attempts whose end is never told.
+
+use std::time::Duration;
+
+use medlarlug_core::{
+    announcement::Announcement,
+    ids::Revision,
+    membership::{Event as News, Membership},
+    release::{Configuration, Item, item::Residency},
+    routing::{Choice, Event, Origin, Router, Ticket},
+    time::Time,
+};
+use test_support::{region, team};
+
+use crate::routing::{NOW, facts, membership, model, upstream, view};
+
+fn configuration() -> Configuration {
+    let items = vec![
+        model(Residency::Anywhere),
+        Item::Team(team("crew", "riga")),
+        region("riga", &["riga-a"]),
+    ];
+    Configuration::new(Revision(1), items)
+}
+
+fn send(router: &mut Router, now: Time, membership: &Membership) -> Ticket {
+    let configuration = configuration();
+    let request = Origin::new(facts());
+    let choice = router.decide(now, view(membership, &configuration), &request);
+    let Ok(Choice::Serve(route)) = choice else {
+        panic!("an idle upstream, and yet {choice:?}");
+    };
+    let departure = route.depart(&configuration, &request.facts).unwrap();
+    router.sent(now, &departure, &request.facts);
+    departure.route().ticket
+}
+
+/// Lets the only upstream announce itself again.
+fn renew(membership: &mut Membership, now: Time) {
+    let sequence = 2 + now.as_micros();
+    let renewed = Announcement { sequence, ..upstream("u0") };
+    membership.handle(now, News::Announced(renewed), &mut Vec::new());
+}
+
+#[test]
+fn attempt_whose_end_is_never_told_is_not_overdue_for_good() {
+    let mut membership = membership(vec![upstream("u0")]);
+    let mut router = Router::new(NOW, 1);
+    send(&mut router, NOW, &membership);
+    let late = NOW + Duration::from_secs(61);
+    renew(&mut membership, late);
+
+    let again = send(&mut router, late, &membership);
+
+    assert_eq!(router.in_flight(), 1);
+    router.handle(late, Event::Ended(again));
+    assert_eq!(router.in_flight(), 0);
+}
+
+#[test]
+fn running_stream_is_forgotten_only_after_the_longest_lifetime() {
+    let mut membership = membership(vec![upstream("u0")]);
+    let mut router = Router::new(NOW, 1);
+    let stream = send(&mut router, NOW, &membership);
+    router.handle(NOW + Duration::from_millis(200), Event::FirstToken(stream));
+    let mut in_flight = |now: Time| {
+        renew(&mut membership, now);
+        let other = send(&mut router, now, &membership);
+        router.handle(now, Event::Ended(other));
+        router.in_flight()
+    };
+
+    let after_minutes = in_flight(NOW + Duration::from_secs(300));
+    let after_lifetime = in_flight(NOW + Duration::from_secs(901));
+
+    assert_eq!((after_minutes, after_lifetime), (1, 0));
+}
