Say when a target is served only where a request may not go

Cause: a home-bound request whose target only another region serves was refused with NoUpstream (no live upstream serves this target), and one whose own region is forbidden with Residency, also when nobody serves the target anywhere. Ruled out: Residency(Forbidden) for it: that names one region and gives no time to come back, and an upstream may return to a permitted region. Change: Refusal::ServedElsewhere names the regions, with Reason::NotPermitted and a time to come back. It is given only when no permitted region serves the target, so a permitted upstream that failed the request, or a zone behind a lapsed lease, is still NoUpstream. A permitted zone that is too late gives Deadline in place of NoUpstream. The entry takes the reason from the refusal. Tests: routing_refusals, one for each case.

--- a/crates/medlarlug-core/src/routing/away.rs
+++ b/crates/medlarlug-core/src/routing/away.rs
@@ -12,7 +12,7 @@
         local::within_deadline,
         request::{Origin, RequestFacts},
         residency::Permit,
-        route::{Choice, Route, ZoneRoute},
+        route::{Choice, Refusal, Route, ZoneRoute},
         router::{LearnedZone, Router, Ticket, View},
         weights::Weights,
     },
@@ -34,16 +34,19 @@
 const SKETCH_TRUST: f64 = 0.5;
 
 impl Router {
+    /// The best permitted zone that can meet the deadline; without one, the refusal of the zone
+    /// that comes closest to it.
     pub(super) fn best_zone(
         &mut self,
         now: Time,
         view: View<'_>,
         request: &Origin,
-    ) -> Option<ZoneRoute> {
+    ) -> Result<ZoneRoute, Option<Refusal>> {
         let facts = &request.facts;
         let own = view.membership.own();
         let weights = Weights::of(view.configuration);
         let mut best: Option<(f64, ZoneRoute)> = None;
+        let mut late: Option<Duration> = None;
         for zone in view.membership.zones() {
             if request.refused.binary_search(&zone.zone).is_ok() || zone.entries.is_empty() {
                 continue;
@@ -66,8 +69,11 @@
             let penalty = self.penalty(now, learned);
             let score = weights.score(first_token + penalty, forecast.tokens.0 as f64, link.price);
             let predicted = Duration::from_secs_f64(first_token);
-            let is_in_time = within_deadline(predicted, facts.deadline).is_ok();
-            if is_in_time && best.as_ref().is_none_or(|(least, _)| score < *least) {
+            if within_deadline(predicted, facts.deadline).is_err() {
+                late = Some(late.map_or(predicted, |it| it.min(predicted)));
+                continue;
+            }
+            if best.as_ref().is_none_or(|(least, _)| score < *least) {
                 let entry =
                     zone.entries[self.random.random_range(0..zone.entries.len())].id.clone();
                 let route = ZoneRoute {
@@ -83,9 +89,10 @@
                 best = Some((score, route));
             }
         }
-        let (_, mut route) = best?;
+        let late = late.and_then(|it| within_deadline(it, facts.deadline).err());
+        let (_, mut route) = best.ok_or(late)?;
         route.ticket = self.ticket();
-        Some(route)
+        Ok(route)
     }
 
     /// Keeps a request at home unless another zone is faster by a margin, which is smaller while
--- a/crates/medlarlug-core/src/routing/local.rs
+++ b/crates/medlarlug-core/src/routing/local.rs
@@ -34,7 +34,7 @@
 /// Requests in flight at which a ramp ends.
 const RAMP_END: f64 = 32.0;
 /// Shortest time to come back after a refusal.
-const SHORTEST_RETRY: Duration = Duration::from_secs(1);
+pub(super) const SHORTEST_RETRY: Duration = Duration::from_secs(1);
 /// Longest time to come back after a refusal.
 const LONGEST_RETRY: Duration = Duration::from_secs(30);
 /// Seconds that are added for a place that failed lately.
@@ -130,6 +130,21 @@
         sample
     }
 
+    /// Whether a live upstream of the own zone serves the request, also one that is excluded.
+    pub(super) fn is_served_here(
+        &mut self,
+        now: Time,
+        view: View<'_>,
+        facts: &RequestFacts,
+    ) -> bool {
+        self.refresh_index(now, view);
+        let Ok(place) = self.index.binary_search_by(|it| it.target.cmp(&facts.target)) else {
+            return false;
+        };
+        let upstreams = view.membership.all_upstreams();
+        self.index[place].candidates.iter().any(|it| serves(now, &upstreams[it.upstream], facts))
+    }
+
     /// Seconds that are added to the prediction of a paused or returning place.
     pub(super) fn penalty(&self, now: Time, learned: &Learned) -> f64 {
         let pause = if learned.is_paused(now) { PAUSED_PENALTY } else { 0.0 };
@@ -246,8 +261,12 @@
 }
 
 fn is_eligible(now: Time, upstream: &Upstream, facts: &RequestFacts) -> bool {
+    serves(now, upstream, facts) && facts.excluded.binary_search(&upstream.announcement.id).is_err()
+}
+
+/// Whether a live upstream has the adapter that the request asks for.
+fn serves(now: Time, upstream: &Upstream, facts: &RequestFacts) -> bool {
     upstream.is_usable(now)
-        && facts.excluded.binary_search(&upstream.announcement.id).is_err()
         && facts.adapter.as_ref().is_none_or(|it| upstream.has_adapter(&facts.target, it))
 }
 
--- a/crates/medlarlug-core/src/routing/mod.rs
+++ b/crates/medlarlug-core/src/routing/mod.rs
@@ -17,6 +17,7 @@
 mod learned;
 mod local;
 mod predict;
+mod refuse;
 pub mod request;
 pub mod residency;
 pub mod route;
--- a/crates/medlarlug-core/src/routing/route.rs
+++ b/crates/medlarlug-core/src/routing/route.rs
@@ -6,7 +6,7 @@
 use thiserror::Error;
 
 use crate::{
-    ids::{InstanceId, RegionId, UpstreamId, VersionId, ZoneId},
+    ids::{InstanceId, RegionId, TeamId, UpstreamId, VersionId, ZoneId},
     refusal::Reason,
     release::{Configuration, ItemKey},
     routing::{
@@ -85,14 +85,26 @@
     /// Residency forbids it.
     #[error(transparent)]
     Residency(#[from] ResidencyError),
-    /// No permitted upstream serves the target.
-    #[error("no permitted upstream serves {target}")]
+    /// No live upstream serves the target anywhere known, or those that do have failed it.
+    #[error("no live upstream serves {target}")]
     NoUpstream {
         /// What the request asks for.
         target: ItemKey,
         /// Time after which to come back.
         retry: Duration,
     },
+    /// The target is served only in regions where residency forbids the request.
+    #[error("{target} is served only where requests of team {team} are not permitted: {regions:?}")]
+    ServedElsewhere {
+        /// The team.
+        team: TeamId,
+        /// What the request asks for.
+        target: ItemKey,
+        /// Regions that serve it, sorted.
+        regions: Vec<RegionId>,
+        /// Time after which to come back: an upstream may return to a permitted region.
+        retry: Duration,
+    },
     /// The first token would come after the deadline.
     #[error("the first token is predicted after {predicted:?}, the deadline is {deadline:?}")]
     Deadline {
@@ -109,7 +121,7 @@
     /// The reason that callers are told.
     pub fn reason(&self) -> Reason {
         match self {
-            Refusal::Residency(_) => Reason::NotPermitted,
+            Refusal::Residency(_) | Refusal::ServedElsewhere { .. } => Reason::NotPermitted,
             Refusal::NoUpstream { .. } => Reason::NoUpstream,
             Refusal::Deadline { .. } => Reason::Overloaded,
         }
@@ -119,7 +131,9 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Refusal::Residency(_) => None,
-            Refusal::NoUpstream { retry, .. } | Refusal::Deadline { retry, .. } => Some(*retry),
+            Refusal::NoUpstream { retry, .. }
+            | Refusal::ServedElsewhere { retry, .. }
+            | Refusal::Deadline { retry, .. } => Some(*retry),
         }
     }
 }
--- a/crates/medlarlug-core/src/routing/router.rs
+++ b/crates/medlarlug-core/src/routing/router.rs
@@ -139,8 +139,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when residency forbids every place, when none serves the target, and when the first
-    /// token would come after the deadline everywhere.
+    /// Fails when residency forbids every place or every place that serves the target, when none
+    /// serves it, and when the first token would come after the deadline everywhere.
     pub fn decide(
         &mut self,
         now: Time,
@@ -151,10 +151,10 @@
         let local = self.best_local(now, view, &request.facts);
         let away = self.best_zone(now, view, request);
         match (local, away) {
-            (Ok(route), Some(zone)) => Ok(self.home_or_away(now, view, route, zone)),
-            (Ok(route), None) => Ok(Choice::Serve(route)),
-            (Err(_), Some(zone)) => Ok(Choice::Forward(zone)),
-            (Err(refusal), None) => Err(refusal),
+            (Ok(route), Ok(zone)) => Ok(self.home_or_away(now, view, route, zone)),
+            (Ok(route), Err(_)) => Ok(Choice::Serve(route)),
+            (Err(_), Ok(zone)) => Ok(Choice::Forward(zone)),
+            (Err(home), Err(away)) => Err(self.refusal(now, view, &request.facts, home, away)),
         }
     }
 
--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -18,5 +18,6 @@
 mod retry;
 mod routing;
 mod routing_attempts;
+mod routing_refusals;
 mod stream;
 mod suspects;
--- a/src/coordination/entry/inference.rs
+++ b/src/coordination/entry/inference.rs
@@ -283,14 +283,9 @@
 }
 
 fn routing_refused(entry: &Entry, refusal: &routing::Refusal) -> AttemptEnd {
-    let reason = match refusal {
-        routing::Refusal::Residency(_) => Reason::NotPermitted,
-        routing::Refusal::NoUpstream { .. } => Reason::NoUpstream,
-        routing::Refusal::Deadline { .. } => Reason::Overloaded,
-    };
     tracing::info!(%refusal, "no route");
     let wait = refusal.retry_after().unwrap_or_default();
-    AttemptEnd::Refused(entry.refusal(reason, wait))
+    AttemptEnd::Refused(entry.refusal(refusal.reason(), wait))
 }
 
 /// Whether an upstream's error document says that it has not begun the request.
