Learn from requests that end without a first token

Cause: the slow engine that reports itself idle. Callers that gave up on it took their flight out, so the overdue time went and the learned ratio heard nothing. Change: a waiting request that ends shows that the place needs at least the time that it waited. Test: request_that_ends_without_a_first_token_shows_that_its_upstream_is_slow. Conclusion: fewer are lost; the rest of the tail has another cause.

--- a/crates/medlarlug-core/src/routing/learned.rs
+++ b/crates/medlarlug-core/src/routing/learned.rs
@@ -95,14 +95,26 @@
         self.observed = now;
     }
 
-    /// Takes an ended request out.
-    pub(super) fn end(&mut self, ticket: Ticket) {
-        self.flights.retain(|it| it.ticket != ticket);
+    /// Takes an ended request out. One that ended without a first token has shown that the place
+    /// needs at least the time that it waited.
+    pub(super) fn end(&mut self, now: Time, ticket: Ticket) {
+        let Some(flight) = self.take(ticket).filter(|it| it.is_waiting) else {
+            return;
+        };
+        let ratio = (now - flight.sent).as_secs_f64() / flight.base.max(SHORTEST);
+        if ratio > self.bias(now) {
+            self.observe(now, ratio);
+        }
+    }
+
+    fn take(&mut self, ticket: Ticket) -> Option<Flight> {
+        let place = self.flights.iter().position(|it| it.ticket == ticket)?;
+        Some(self.flights.remove(place))
     }
 
     /// Takes a failed request out and pauses the place, longer with each failure in a row.
     pub(super) fn fail(&mut self, now: Time, ticket: Ticket) {
-        self.end(ticket);
+        self.take(ticket);
         self.paused = now + FIRST_PAUSE * (1 << self.failures.min(MAX_DOUBLINGS));
         self.failures = self.failures.saturating_add(1);
     }
--- a/crates/medlarlug-core/src/routing/router.rs
+++ b/crates/medlarlug-core/src/routing/router.rs
@@ -215,7 +215,7 @@
         };
         match event {
             Event::FirstToken(_) => learned.first_token(now, ticket),
-            Event::Ended(_) => learned.end(ticket),
+            Event::Ended(_) => learned.end(now, ticket),
             Event::Failed(_) => learned.fail(now, ticket),
         }
         match event {
--- a/crates/medlarlug-core/tests/testsuite/routing_attempts.rs
+++ b/crates/medlarlug-core/tests/testsuite/routing_attempts.rs
@@ -10,7 +10,7 @@
     routing::{Choice, Event, Origin, Router, Ticket},
     time::Time,
 };
-use test_support::{region, team};
+use test_support::{id, region, team};
 
 use crate::routing::{NOW, facts, membership, model, upstream, view};
 
@@ -75,3 +75,36 @@
 
     assert_eq!((after_minutes, after_lifetime), (1, 0));
 }
+
+/// Sends `count` requests before any of them ends; gives those that went to `u0`.
+fn burst(router: &mut Router, now: Time, membership: &Membership, count: usize) -> Vec<Ticket> {
+    let configuration = configuration();
+    let request = Origin::new(facts());
+    let mut slow = Vec::new();
+    for _ in 0..count {
+        let choice = router.decide(now, view(membership, &configuration), &request);
+        let Ok(Choice::Serve(route)) = choice else {
+            panic!("two upstreams, and yet {choice:?}");
+        };
+        let departure = route.depart(&configuration, &request.facts).unwrap();
+        router.sent(now, &departure, &request.facts);
+        if departure.route().upstream == id("u0") {
+            slow.push(departure.route().ticket);
+        }
+    }
+    slow
+}
+
+#[test]
+fn request_that_ends_without_a_first_token_shows_that_its_upstream_is_slow() {
+    let membership = membership(vec![upstream("u0"), upstream("u1")]);
+    let mut router = Router::new(NOW, 1);
+    let slow = burst(&mut router, NOW, &membership, 4);
+    let late = NOW + Duration::from_secs(2);
+
+    slow.into_iter().for_each(|it| router.handle(late, Event::Ended(it)));
+
+    let dump = router.dump(late);
+    assert!(dump.upstreams[0].ratio > 2.0, "ratio {}", dump.upstreams[0].ratio);
+    assert_eq!(dump.upstreams[1].ratio, 1.0);
+}
