Take requests in only with a margin to their deadline

Change: the first token has to be predicted within 80% of the deadline. Test: request_is_taken_in_only_with_a_margin_to_its_deadline.

--- a/crates/medlarlug-core/src/routing/local.rs
+++ b/crates/medlarlug-core/src/routing/local.rs
@@ -37,6 +37,9 @@
 pub(super) const SHORTEST_RETRY: Duration = Duration::from_secs(1);
 /// Longest time to come back after a refusal.
 const LONGEST_RETRY: Duration = Duration::from_secs(30);
+/// Share of its deadline in which a request's first token has to be predicted: a prediction that
+/// comes true late would still meet the deadline.
+const ADMITTED_SHARE: f64 = 0.8;
 /// Seconds that are added for a place that failed lately.
 const PAUSED_PENALTY: f64 = 10.0;
 /// Seconds that are added for a returning place that has its share already.
@@ -294,10 +297,12 @@
     configuration.model(id)?.versions.iter().find(has).cloned()
 }
 
+/// Whether the first token is predicted early enough for the deadline.
 pub(super) fn within_deadline(predicted: Duration, deadline: Duration) -> Result<(), Refusal> {
-    if predicted <= deadline {
+    let latest = deadline.mul_f64(ADMITTED_SHARE);
+    if predicted <= latest {
         return Ok(());
     }
-    let retry = (predicted - deadline).clamp(SHORTEST_RETRY, LONGEST_RETRY);
+    let retry = (predicted - latest).clamp(SHORTEST_RETRY, LONGEST_RETRY);
     Err(Refusal::Deadline { predicted, deadline, retry })
 }
--- a/crates/medlarlug-core/src/routing/route.rs
+++ b/crates/medlarlug-core/src/routing/route.rs
@@ -105,8 +105,8 @@
         /// Time after which to come back: an upstream may return to a permitted region.
         retry: Duration,
     },
-    /// The first token would come after the deadline.
-    #[error("the first token is predicted after {predicted:?}, the deadline is {deadline:?}")]
+    /// The first token is predicted too late to be sure of the deadline.
+    #[error("the first token is predicted after {predicted:?}, too late for {deadline:?}")]
     Deadline {
         /// Predicted time to the first token.
         predicted: Duration,
--- a/crates/medlarlug-core/src/routing/router.rs
+++ b/crates/medlarlug-core/src/routing/router.rs
@@ -140,7 +140,7 @@
     /// # Errors
     ///
     /// Fails when residency forbids every place or every place that serves the target, when none
-    /// serves it, and when the first token would come after the deadline everywhere.
+    /// serves it, and when the first token is predicted too late for the deadline everywhere.
     pub fn decide(
         &mut self,
         now: Time,
--- a/crates/medlarlug-core/tests/testsuite/routing_refusals.rs
+++ b/crates/medlarlug-core/tests/testsuite/routing_refusals.rs
@@ -9,7 +9,8 @@
     membership::Membership,
     refusal::Reason,
     release::item::{Residency, Team},
-    routing::{ConfigurationLease, Origin, Refusal, ResidencyError, Router, View},
+    routing::{Choice, ConfigurationLease, Origin, Refusal, ResidencyError, Router, View},
+    units::Tokens,
 };
 use test_support::{id, team};
 
@@ -118,3 +119,22 @@
 
     assert_matches!(refusal, Refusal::Deadline { .. });
 }
+
+#[test]
+fn request_is_taken_in_only_with_a_margin_to_its_deadline() {
+    let configuration = configuration(home_team(), Residency::Anywhere);
+    let request = Origin::new(facts());
+    let decide = |backlog: u64| {
+        let load = LoadReport { backlog: Tokens(backlog), ..LoadReport::default() };
+        let membership = membership(vec![Announcement { load, ..upstream("u0") }]);
+        Router::new(NOW, 1).decide(NOW, view(&membership, &configuration), &request)
+    };
+
+    let early = decide(28_000);
+    let barely = decide(36_000);
+
+    assert_matches!(early, Ok(Choice::Serve(_)));
+    assert_matches!(barely, Err(Refusal::Deadline { predicted, deadline, .. }) => {
+        assert!(predicted < deadline);
+    });
+}
