History of concurrent bookings while processes are killed

Six callers book through both entry instances while keepers and entry instances are killed and restarted in turn; checked afterwards: one run a key at most, none for a key that was only refused as not run, and every acknowledged booking known by its first answer.

--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -8,6 +8,7 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::{Mutex, PoisonError},
     thread::sleep,
     time::{Duration, Instant},
 };
@@ -85,7 +86,7 @@
     pub instances: Vec<Instance>,
     /// Emulated upstreams, one process each.
     pub upstreams: Vec<Upstream>,
-    processes: Vec<(String, Child)>,
+    processes: Mutex<Vec<(String, Child)>>,
 }
 
 impl Deployment {
@@ -98,7 +99,7 @@
             zones: zones.iter().map(owned).collect(),
             instances: Vec::new(),
             upstreams: Vec::new(),
-            processes: Vec::new(),
+            processes: Mutex::default(),
         }
     }
 
@@ -234,6 +235,24 @@
 
     /// Starts the process of an instance or upstream.
     pub fn start_process(&mut self, id: &str) {
+        self.spawn(id);
+    }
+
+    /// Kills a process and starts it again, while other threads use the deployment.
+    pub fn restart(&self, id: &str) {
+        let (_, mut child) = self.take(id);
+        child.kill().expect("the process is there");
+        child.wait().expect("the process has ended");
+        self.spawn(id);
+    }
+
+    fn take(&self, id: &str) -> (String, Child) {
+        let mut processes = self.processes.lock().expect("no test has panicked here");
+        let place = processes.iter().position(|it| it.0 == id).expect("a running process");
+        processes.swap_remove(place)
+    }
+
+    fn spawn(&self, id: &str) {
         let program = match self.instances.iter().find(|it| it.id == id) {
             Some(it) if it.is_entry => "medlarlug-entry",
             Some(_) => "medlarlug-keeper",
@@ -251,28 +270,27 @@
             .stderr(Stdio::from(log))
             .spawn()
             .expect("a built program");
-        self.processes.push((id.into(), child));
+        self.processes.lock().expect("no test has panicked here").push((id.into(), child));
     }
 
     /// Sends a signal to a process that was started here.
     pub fn signal(&self, id: &str, signal: Signal) {
-        let child = self.processes.iter().find(|it| it.0 == id).expect("a running process");
+        let processes = self.processes.lock().expect("no test has panicked here");
+        let child = processes.iter().find(|it| it.0 == id).expect("a running process");
         let pid = Pid::from_raw(child.1.id() as i32);
         kill(pid, signal).expect("the process is there");
     }
 
     /// Kills a process and waits for its end.
     pub fn kill(&mut self, id: &str) {
-        let place = self.processes.iter().position(|it| it.0 == id).expect("a running process");
-        let (_, mut child) = self.processes.swap_remove(place);
+        let (_, mut child) = self.take(id);
         child.kill().expect("the process is there");
         child.wait().expect("the process has ended");
     }
 
     /// Waits until a process has ended by itself; tells whether it succeeded.
     pub fn wait_end(&mut self, id: &str) -> bool {
-        let place = self.processes.iter().position(|it| it.0 == id).expect("a running process");
-        let (_, mut child) = self.processes.swap_remove(place);
+        let (_, mut child) = self.take(id);
         let mut status = None;
         wait_for("the end of the process", || {
             status = child.try_wait().expect("the process was started here");
@@ -371,6 +389,17 @@
         self.caller(id, "POST", "/v1/services/jobdesk/jobs", &headers, body)
     }
 
+    /// Waits until a booking is taken in by every entry instance, after processes were disturbed.
+    pub fn settle(&self) {
+        for (count, it) in self.instances.iter().filter(|it| it.is_entry).enumerate() {
+            let mut tries = 0;
+            wait_for("a booking after the disturbance", || {
+                tries += 1;
+                self.book(&it.id, &format!("settle-{count}-{tries}"), "{}").status == 200
+            });
+        }
+    }
+
     /// How often a service ran the call with this key, over all upstreams.
     pub fn runs(&self, key: &str) -> u64 {
         let services = self.upstreams.iter().filter(|it| it.kind.contains("service"));
@@ -386,7 +415,8 @@
 
 impl Drop for Deployment {
     fn drop(&mut self) {
-        for (_, child) in &mut self.processes {
+        let processes = self.processes.get_mut().unwrap_or_else(PoisonError::into_inner);
+        for (_, child) in processes {
             let _ = child.kill();
             let _ = child.wait();
         }
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -2,6 +2,7 @@
 
 mod booking;
 mod fixture;
+mod history;
 mod keepers;
 mod path;
 mod streams;
