History of bookings loses answers and outlasts the disturbances

Cause: callers were done in half a second, before the first kill; a guard broken on purpose (a second send after a lost answer) was not found.

--- a/tests/testsuite/processes/history.rs
+++ b/tests/testsuite/processes/history.rs
@@ -11,6 +11,7 @@
 use medlarlug_core::release::item::Residency;
 use rand::{SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
+use serde_json::json;
 use test_support::deployment::{Deployment, Reply};
 
 use crate::processes::fixture::{items, two_regions};
@@ -19,6 +20,9 @@
 const BOOKINGS: u64 = 20;
 const SENDS: u32 = 4;
 
+/// Pause of a caller after a booking, so that the history outlasts several disturbances.
+const THINK_TIME: Duration = Duration::from_millis(200);
+
 /// What one caller was told about one key, in order.
 struct Told {
     key: String,
@@ -55,17 +59,23 @@
 fn run_caller(deployment: &Deployment, seed: u64) -> Vec<Told> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let keys = (0..BOOKINGS).map(|count| format!("parcel-{seed}-{count}"));
-    keys.map(|key| book(deployment, &mut random, key)).collect()
+    let mut told = Vec::new();
+    for key in keys {
+        told.push(book(deployment, &mut random, key));
+        thread::sleep(THINK_TIME);
+    }
+    told
 }
 
-/// Kills and restarts processes in turn until every caller is done.
+/// Kills and restarts processes in turn, and loses answers, until every caller is done.
 fn disturb(deployment: &Deployment, done: &AtomicUsize) {
     let victims = ["keeper-1", "entry-1", "keeper-2", "entry-2", "keeper-3"];
     for victim in victims.iter().cycle() {
         if done.load(Ordering::Relaxed) == CALLERS as usize {
             return;
         }
-        thread::sleep(Duration::from_millis(700));
+        deployment.fault("desk", &json!({ "kind": "lose_answer", "count": 2 }));
+        thread::sleep(Duration::from_millis(500));
         deployment.restart(victim);
     }
 }
