Streams and whole answers survive silent and broken connections

Tests on real processes (processes::streams): silent and cut connections in mid-stream, silent idle connections, kill before and after the first event, caller gone, crossed and late answers, 100 streams at once. Faults found, each by a test that failed first: - A request on a connection that had gone silent waited 30 s for its head and was given up past its deadline. Cause: one limit for the head, deadline + 20 s. Ruled out: a short limit (answers that are not streamed would run twice). Now the engine is asked on a new connection after 2 s (entry::silence). - An answer lost at both upstreams ended as no-upstream, not_run, though it may have run. Cause: the routing refusal after the attempts was passed on as it was. Now the attempts decide what may be said (final_refusal). - A zone with one engine refused a request whose connection broke. Cause: the failed upstream stayed excluded. Now it is used again when no other is left. - A resumed connection that breaks at once ended the stream; now it is replaced again. - A caller that reads slowly used its stream's connections up. Cause: the relay preferred the timeout at random when both bytes and the timeout were due. Found by reading; no test of its own. - A forwarded success deposited into the retry budget of both zones; now only where the upstream is.

--- a/crates/medlarlug-core/src/retry.rs
+++ b/crates/medlarlug-core/src/retry.rs
@@ -194,12 +194,42 @@
         is_safe && has_place && self.made < MAX_ATTEMPTS
     }
 
-    fn refusal(&self, spread: &mut Spread) -> Refusal {
-        let reason = match self.outcome() {
+    /// The final answer when no further attempt is possible because of `refusal`.
+    ///
+    /// It says that the work was not run only if no attempt so far can have run it.
+    ///
+    /// ```
+    /// use medlarlug_core::{
+    ///     record::Outcome,
+    ///     refusal::{Reason, Refusal, Spread},
+    ///     retry::{Attempts, Failure, RetryBudget},
+    ///     time::Time,
+    /// };
+    /// use std::time::Duration;
+    ///
+    /// let mut attempts = Attempts::new(true, false, Time::from_millis(5_000), Duration::ZERO);
+    /// let refusal = Refusal::new(Reason::NoUpstream, Duration::from_secs(1));
+    /// assert_eq!(attempts.final_refusal(refusal).outcome, Outcome::NotRun);
+    /// let mut budget = RetryBudget::default();
+    /// attempts.decide(Time::ZERO, Failure::Lost, &mut budget, &mut Spread::new(1));
+    /// assert_eq!(attempts.final_refusal(refusal).outcome, Outcome::Failed);
+    /// ```
+    pub fn final_refusal(&self, refusal: Refusal) -> Refusal {
+        match self.outcome() {
+            Outcome::NotRun => refusal,
+            outcome => Refusal { reason: self.reason(), outcome, ..refusal },
+        }
+    }
+
+    fn reason(&self) -> Reason {
+        match self.outcome() {
             Outcome::NotRun => Reason::NotStarted,
             Outcome::Unknown => Reason::AnswerLost,
             _ => Reason::UpstreamFailed,
-        };
-        spread.refuse(reason, BUDGET_WAIT)
+        }
+    }
+
+    fn refusal(&self, spread: &mut Spread) -> Refusal {
+        spread.refuse(self.reason(), BUDGET_WAIT)
     }
 }
--- a/crates/medlarlug-core/src/routing/request.rs
+++ b/crates/medlarlug-core/src/routing/request.rs
@@ -125,6 +125,11 @@
         self.facts.exclude(upstream);
     }
 
+    /// Lets the request be sent to every upstream again.
+    pub fn readmit(&mut self) {
+        self.facts.excluded.clear();
+    }
+
     /// Takes time off that the request has waited.
     pub fn spend(&mut self, waited: Duration) {
         self.facts.deadline = self.facts.deadline.saturating_sub(waited);
--- a/src/coordination/entry/exchange.rs
+++ b/src/coordination/entry/exchange.rs
@@ -9,6 +9,7 @@
 use medlarlug_core::{
     fingerprint::Fingerprint,
     ids::{RequestId, UpstreamId, ZoneId},
+    membership::Target,
     record::Stage,
     retry::Failure,
     routing::{Crossing, Departure, RequestFacts, Ticket, router},
@@ -17,7 +18,7 @@
 use smol_str::SmolStr;
 
 use crate::{
-    coordination::entry::{Entry, forward},
+    coordination::entry::{Entry, forward, silence},
     protocol::headers,
     telemetry::metrics::CROSSED,
     transport::http_client::{CallError, CallLimits, Connection, RequestBody, Reuse},
@@ -101,7 +102,7 @@
     entry.note_sent(&facts.id, call.content, &route.upstream);
     entry.step(&facts.id, Stage::Sent { upstream: route.upstream });
     let destination = Destination { place, address: route.address, ticket: route.ticket };
-    send(entry, destination, &facts.id, request, call).await
+    send(entry, destination, facts, request, call).await
 }
 
 /// Hands a call to another zone.
@@ -132,7 +133,7 @@
     entry.step(&facts.id, Stage::Forwarded { zone: route.zone });
     let address = peer.internal;
     let destination = Destination { place, address, ticket: route.ticket };
-    let exchange = send(entry, destination, &facts.id, request, call).await?;
+    let exchange = send(entry, destination, facts, request, call).await?;
     forward::check_refusal(entry, exchange)
 }
 
@@ -179,13 +180,20 @@
 async fn send(
     entry: &Entry,
     destination: Destination,
-    id: &RequestId,
+    facts: &RequestFacts,
     request: Request<RequestBody>,
     call: &Call,
 ) -> Result<Exchange, FailedAttempt> {
+    let id = &facts.id;
     let Destination { place, address, ticket } = destination;
     let limits = CallLimits { connect: CONNECT_LIMIT, head: call.limit };
-    let result = entry.client.call(address, request, call.reuse, limits).await;
+    let result = match (&place, &facts.target) {
+        (Place::Upstream(_), target @ Target::Model(_)) => {
+            let to = silence::Destination { address, id, target };
+            silence::call(entry, to, request, call, limits).await
+        }
+        _ => entry.client.call(address, request, call.reuse, limits).await,
+    };
     let (answer, connection) = match result {
         Ok(answered) => answered,
         Err(error) => {
--- a/src/coordination/entry/inference.rs
+++ b/src/coordination/entry/inference.rs
@@ -84,6 +84,14 @@
         }
     }
 
+    /// Lets the request be sent to every upstream again.
+    fn readmit(&mut self) {
+        match &mut self.origin {
+            JobOrigin::Caller(origin) => origin.facts.excluded.clear(),
+            JobOrigin::Zone(forwarded) => forwarded.readmit(),
+        }
+    }
+
     /// Keeps the request from being sent to an upstream.
     fn exclude(&mut self, upstream: &UpstreamId) {
         match &mut self.origin {
@@ -151,7 +159,9 @@
     loop {
         let failed = match attempt(&entry, &job, &mut slot).await {
             Ok(answer) => return answer,
-            Err(AttemptEnd::Refused(refusal)) => return refuse(&entry, &id, &refusal),
+            Err(AttemptEnd::Refused(refusal)) => {
+                return refuse(&entry, &id, &attempts.final_refusal(refusal));
+            }
             Err(AttemptEnd::Failed(failed)) => failed,
         };
         tracing::info!(request = %id, reason = %failed.reason, "attempt failed");
@@ -238,19 +248,31 @@
     choice.map_err(|refusal| routing_refused(entry, &refusal))
 }
 
+/// Decides where the request goes, to none of the `barred` upstreams.
+///
+/// An upstream at which an attempt failed is used again when no other is left: often the
+/// connection failed, not the upstream.
+fn choose_among(entry: &Entry, job: &Job, barred: &[UpstreamId]) -> Result<Choice, AttemptEnd> {
+    let mut open = Job { origin: job.origin.clone(), call: job.call.clone(), cost: 0 };
+    barred.iter().for_each(|it| open.exclude(it));
+    let has_failed = !job.facts().excluded.is_empty();
+    match choose(entry, &open) {
+        Err(AttemptEnd::Refused(refusal)) if has_failed && refusal.reason == Reason::NoUpstream => {
+            open.readmit();
+            barred.iter().for_each(|it| open.exclude(it));
+            choose(entry, &open)
+        }
+        choice => choice,
+    }
+}
+
 /// Decides where the request goes, checks residency at the moment of leaving, and sends it.
 pub async fn send(entry: &Entry, job: &Job) -> Result<Exchange, AttemptEnd> {
     if let Err(refusal) = entry.check_conviction(job.call.content) {
         return Err(AttemptEnd::Refused(refusal));
     }
     let barred = entry.barred(&job.facts().target, job.call.content);
-    let choice = if barred.is_empty() {
-        choose(entry, job)?
-    } else {
-        let mut restricted = Job { origin: job.origin.clone(), call: job.call.clone(), cost: 0 };
-        barred.iter().for_each(|it| restricted.exclude(it));
-        choose(entry, &restricted)?
-    };
+    let choice = choose_among(entry, job, &barred)?;
     leave(entry, job, choice).await
 }
 
@@ -332,12 +354,20 @@
         if let (StreamEnd::Failed(_), Place::Upstream(upstream)) = (&end, &place) {
             entry.examine_loss(&id, upstream, address).await;
         }
-        finish(&entry, &id, &target, ticket, end);
+        let own = matches!(place, Place::Upstream(_)).then_some(&target);
+        finish(&entry, &id, own, ticket, end);
     });
     Ok(answer)
 }
 
-fn finish(entry: &Entry, id: &RequestId, target: &Target, ticket: routing::Ticket, end: StreamEnd) {
+/// Ends a streamed request; `own` is its target if an upstream of the own zone served it.
+fn finish(
+    entry: &Entry,
+    id: &RequestId,
+    own: Option<&Target>,
+    ticket: routing::Ticket,
+    end: StreamEnd,
+) {
     let (event, outcome, reason) = match &end {
         StreamEnd::Complete => (router::Event::Ended(ticket), Outcome::Answered, "whole answer"),
         StreamEnd::CallerGone => {
@@ -351,7 +381,9 @@
     let request = id.clone();
     if end == StreamEnd::Complete {
         entry.suspect(suspects::Event::Answered { request });
-        entry.with_budget(target, |budget| budget.deposit());
+        if let Some(target) = own {
+            entry.with_budget(target, |budget| budget.deposit());
+        }
     } else {
         entry.suspect(suspects::Event::Ended { request });
     }
@@ -370,6 +402,7 @@
     let failed = |failure, reason| {
         entry.suspect(suspects::Event::Ended { request: facts.id.clone() });
         entry.routed(router::Event::Failed(ticket));
+        let place = place.clone();
         Err(AttemptEnd::Failed(FailedAttempt { place, failure, reason }))
     };
     let limited = http_body_util::Limited::new(incoming, ANSWER_BYTES);
@@ -388,7 +421,9 @@
     entry.client.give_back(exchange.connection);
     entry.routed(router::Event::FirstToken(ticket));
     entry.routed(router::Event::Ended(ticket));
-    entry.with_budget(&facts.target, |budget| budget.deposit());
+    if matches!(place, Place::Upstream(_)) {
+        entry.with_budget(&facts.target, |budget| budget.deposit());
+    }
     entry.suspect(suspects::Event::Answered { request: facts.id.clone() });
     entry.end(&facts.id, Outcome::Answered, "whole answer");
     Ok(pass_on(&facts.id, status, head.headers.get(header::CONTENT_TYPE), content))
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -9,6 +9,7 @@
 //! * [`services`]: the life of a call to a plain service, and of a booking.
 //! * [`exchange`]: one attempt at an upstream or another zone.
 //! * [`relay`]: delivery of a streamed answer.
+//! * [`silence`]: replacement of connections that have gone silent.
 //! * [`internal`]: announcements of upstreams and requests forwarded by other zones.
 //! * [`gate`]: admission to the zone's upstreams.
 //! * [`evidence`]: requests that crash upstreams.
@@ -24,6 +25,7 @@
 pub mod journal;
 pub mod relay;
 pub mod services;
+pub mod silence;
 
 use std::{
     cell::{Cell, RefCell},
--- a/src/coordination/entry/relay.rs
+++ b/src/coordination/entry/relay.rs
@@ -28,10 +28,13 @@
     telemetry::metrics::CROSSED,
     transport::{
         body::Part,
-        http_client::{CallLimits, Connection, Reuse},
+        http_client::{CallError, CallLimits, Connection, Reuse},
     },
 };
 
+/// Longest wait for the first event on a connection.
+const FIRST_EVENT_PATIENCE: Duration = Duration::from_secs(4);
+
 /// Time that an upstream has to take a stream up again.
 const RESUME_LIMITS: CallLimits =
     CallLimits { connect: Duration::from_secs(1), head: Duration::from_secs(2) };
@@ -61,6 +64,16 @@
     offset: u64,
 }
 
+/// What became of the wish to take a stream up again.
+enum Resumption {
+    /// The stream comes on a new connection.
+    Begun,
+    /// The new connection was lost.
+    Lost,
+    /// The upstream does not resume the stream.
+    Refused,
+}
+
 /// One streamed answer.
 pub struct Relay {
     entry: Rc<Entry>,
@@ -79,7 +92,8 @@
     /// A relay of the answer that `exchange` began.
     pub fn new(entry: Rc<Entry>, id: RequestId, exchange: Exchange) -> Relay {
         let is_upstream = matches!(exchange.place, Place::Upstream(_));
-        let policy = StreamPolicy { resumable: is_upstream, ..StreamPolicy::default() };
+        let (resumable, first_byte) = (is_upstream, FIRST_EVENT_PATIENCE);
+        let policy = StreamPolicy { resumable, first_byte, ..StreamPolicy::default() };
         let tracker = StreamTracker::new(id.clone(), policy, entry.node.now());
         let number = ConnectionNumber::default();
         let source = Source {
@@ -146,8 +160,9 @@
     fn caller_gone(&mut self) {
         self.parts.clear();
         self.end = Some(StreamEnd::CallerGone);
-        let effects = self.feed(Event::CallerGone);
-        self.finish_effects(effects);
+        for effect in self.feed(Event::CallerGone) {
+            self.finish_effect(effect);
+        }
     }
 
     /// Takes the next bytes or the next timeout in.
@@ -157,7 +172,9 @@
         let effects = match &mut self.source {
             Some(source) => {
                 let number = source.number;
+                // A caller that reads slowly lets time pass; what came meanwhile is no silence.
                 tokio::select! {
+                    biased;
                     frame = source.body.frame() => match frame {
                         Some(Ok(frame)) => {
                             let bytes = frame.into_data().unwrap_or_default();
@@ -224,43 +241,41 @@
     }
 
     async fn carry_out(&mut self, effects: Vec<Effect>) {
-        let mut rest = Vec::new();
-        for effect in effects {
-            match effect {
-                Effect::Resume { connection, offset } => {
-                    tracing::info!(request = %self.id, offset, "stream resumed");
-                    if !self.resume(connection, offset).await {
-                        let more = self.feed(Event::ResumeRefused { connection });
-                        self.finish_effects(more);
-                    }
-                }
-                other => rest.push(other),
-            }
+        let mut waiting: VecDeque<Effect> = effects.into();
+        while let Some(effect) = waiting.pop_front() {
+            let Effect::Resume { connection, offset } = effect else {
+                self.finish_effect(effect);
+                continue;
+            };
+            tracing::info!(request = %self.id, offset, "stream resumed");
+            let more = match self.resume(connection, offset).await {
+                Resumption::Begun => Vec::new(),
+                Resumption::Lost => self.feed(Event::ConnectionLost { connection }),
+                Resumption::Refused => self.feed(Event::ResumeRefused { connection }),
+            };
+            waiting.extend(more);
         }
-        self.finish_effects(rest);
     }
 
-    /// Carries out the effects that need no waiting.
-    fn finish_effects(&mut self, effects: Vec<Effect>) {
-        for effect in effects {
-            match effect {
-                Effect::Complete => {
-                    self.end = Some(StreamEnd::Complete);
-                    if let Some(source) = self.source.take() {
-                        give_back(&self.entry, source);
-                    }
-                }
-                Effect::Fail(refusal) => self.end = Some(StreamEnd::Failed(refusal)),
-                Effect::Close { connection } => self.close(connection),
-                Effect::CancelUpstream { .. } => self.cancel(),
-                // Another upstream is chosen by whoever owns the request.
-                Effect::Restart { .. } | Effect::Continue { .. } => {
-                    let reason = medlarlug_core::refusal::Reason::UpstreamFailed;
-                    let refusal = self.entry.refusal(reason, Duration::from_secs(1));
-                    self.end = Some(StreamEnd::Failed(refusal));
+    /// Carries out an effect that needs no waiting.
+    fn finish_effect(&mut self, effect: Effect) {
+        match effect {
+            Effect::Complete => {
+                self.end = Some(StreamEnd::Complete);
+                if let Some(source) = self.source.take() {
+                    give_back(&self.entry, source);
                 }
-                Effect::Deliver { .. } | Effect::Resume { .. } => {}
             }
+            Effect::Fail(refusal) => self.end = Some(StreamEnd::Failed(refusal)),
+            Effect::Close { connection } => self.close(connection),
+            Effect::CancelUpstream { .. } => self.cancel(),
+            // Another upstream is chosen by whoever owns the request.
+            Effect::Restart { .. } | Effect::Continue { .. } => {
+                let reason = medlarlug_core::refusal::Reason::UpstreamFailed;
+                let refusal = self.entry.refusal(reason, Duration::from_secs(1));
+                self.end = Some(StreamEnd::Failed(refusal));
+            }
+            Effect::Deliver { .. } | Effect::Resume { .. } => {}
         }
     }
 
@@ -272,26 +287,31 @@
     }
 
     /// Asks the upstream for the stream from `offset` on, over a new connection.
-    async fn resume(&mut self, number: ConnectionNumber, offset: u64) -> bool {
+    async fn resume(&mut self, number: ConnectionNumber, offset: u64) -> Resumption {
         let path = format!("/v1/streams/{}?offset={offset}", self.id);
-        let Some(request) = self.request(Method::GET, &path) else { return false };
+        let Some(request) = self.request(Method::GET, &path) else { return Resumption::Refused };
         let client = &self.entry.client;
         let result = client.call(self.address, request, Reuse::Never, RESUME_LIMITS).await;
         let (answer, connection) = match result {
             Ok((answer, connection)) if answer.status().is_success() => (answer, connection),
             Ok((answer, _)) => {
                 tracing::info!(request = %self.id, status = %answer.status(), "resume refused");
-                return false;
+                return Resumption::Refused;
+            }
+            Err(error @ CallError::Lost { .. }) => {
+                tracing::info!(request = %self.id, %error, "resume failed");
+                return Resumption::Lost;
             }
+            // A new connection that is silent as well tells against the upstream.
             Err(error) => {
                 tracing::info!(request = %self.id, %error, "resume failed");
-                return false;
+                return Resumption::Refused;
             }
         };
         let body = answer.into_body();
         let splitter = EventSplitter::default();
         self.source = Some(Source { number, body, connection, splitter, offset });
-        true
+        Resumption::Begun
     }
 
     fn request(&self, method: Method, path: &str) -> Option<Request<Full<Bytes>>> {
--- /dev/null
+++ b/src/coordination/entry/silence.rs
@@ -0,0 +1,137 @@
+//! Answers whose head is overdue.
+//!
+//! An open connection can go silent for good while new ones work. When an engine has not sent the
+//! head of an answer in time, it is asked for the same request on a new connection:
+//!
+//! * It does not know the request: the connection was silent. The request is sent again, once,
+//!   over a new connection; it is no retry, because the engine has not got it.
+//! * It knows the request, and the answer is streamed: the stream is read from the new connection.
+//! * It knows the request, and the answer is a whole one: once the engine has generated it and the
+//!   first connection still brings nothing, the request is sent again, within the retry budget.
+//! * The new connection is silent too: the attempt has failed.
+
+use std::{net::SocketAddr, pin::pin, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
+use medlarlug_core::{ids::RequestId, membership::Target};
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    coordination::entry::{
+        Entry,
+        exchange::{Call, insert},
+    },
+    protocol::headers,
+    transport::http_client::{CallError, CallLimits, Connection, RequestBody, Reuse},
+};
+
+/// Time after which the head of an answer is overdue.
+const HEAD_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Time that an engine has to tell about a request on a new connection.
+const ASK_LIMITS: CallLimits =
+    CallLimits { connect: Duration::from_secs(1), head: Duration::from_secs(2) };
+
+/// Time that a generated answer has to arrive on its own connection.
+const ARRIVAL_LIMIT: Duration = Duration::from_secs(1);
+
+/// The head of an answer and the connection that brings it.
+pub type Answered = (Response<Incoming>, Connection);
+
+/// Where a call goes, and for which request.
+pub struct Destination<'a> {
+    /// The engine.
+    pub address: SocketAddr,
+    /// The request.
+    pub id: &'a RequestId,
+    /// What the request asks for.
+    pub target: &'a Target,
+}
+
+/// What a new connection tells about a request.
+enum Word {
+    /// The engine knows it; its events follow from the first one on.
+    Known(Answered),
+    /// The engine does not know it.
+    Unknown,
+    /// No word came.
+    None,
+}
+
+/// Sends a request to an engine and replaces its connection when that is silent.
+///
+/// # Errors
+///
+/// Fails as [`HttpClient::call`](crate::transport::http_client::HttpClient::call) does.
+pub async fn call(
+    entry: &Entry,
+    to: Destination<'_>,
+    request: Request<RequestBody>,
+    call: &Call,
+    limits: CallLimits,
+) -> Result<Answered, CallError> {
+    let first = entry.client.call(to.address, request.clone(), call.reuse, limits);
+    let mut first = pin!(first);
+    if let Ok(result) = timeout(HEAD_PATIENCE, first.as_mut()).await {
+        return result;
+    }
+    let found = tokio::select! {
+        biased;
+        result = first => return result,
+        found = examine(entry, &to, call) => found,
+    };
+    match found {
+        Found::Answer(answered) => return Ok(answered),
+        Found::Silent => tracing::info!(request = %to.id, "silent connection replaced"),
+        Found::Unresponsive => {
+            return Err(CallError::Silent { address: to.address, limit: HEAD_PATIENCE });
+        }
+    }
+    entry.client.forget(to.address);
+    entry.client.call(to.address, request, Reuse::Never, limits).await
+}
+
+/// What an examination of an overdue answer has found.
+enum Found {
+    /// The answer, on a new connection.
+    Answer(Answered),
+    /// The connection is silent, and the request may be sent again.
+    Silent,
+    /// The engine tells nothing, or the request may not be sent again.
+    Unresponsive,
+}
+
+async fn examine(entry: &Entry, to: &Destination<'_>, call: &Call) -> Found {
+    match ask(entry, to).await {
+        Word::None => Found::Unresponsive,
+        Word::Unknown => Found::Silent,
+        Word::Known(answered) if call.stream => Found::Answer(answered),
+        Word::Known((answer, _connection)) => {
+            let mut events = answer.into_body();
+            while let Some(Ok(_)) = events.frame().await {}
+            sleep(ARRIVAL_LIMIT).await;
+            match entry.with_budget(to.target, |budget| budget.take()) {
+                true => Found::Silent,
+                false => Found::Unresponsive,
+            }
+        }
+    }
+}
+
+/// Asks an engine on a new connection for the events of a request.
+async fn ask(entry: &Entry, to: &Destination<'_>) -> Word {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.method_mut() = Method::GET;
+    let path = format!("/v1/streams/{}?offset=0", to.id);
+    let Ok(uri) = path.parse() else { return Word::None };
+    *request.uri_mut() = uri;
+    insert(request.headers_mut(), header::HOST.as_str(), &to.address.to_string());
+    insert(request.headers_mut(), headers::REQUEST_ID, &to.id.to_string());
+    match entry.client.call(to.address, request, Reuse::Never, ASK_LIMITS).await {
+        Ok(answered) if answered.0.status().is_success() => Word::Known(answered),
+        Ok((answer, _)) if answer.status() == StatusCode::NOT_FOUND => Word::Unknown,
+        Ok(_) | Err(_) => Word::None,
+    }
+}
--- a/tests/testsuite/processes/streams.rs
+++ b/tests/testsuite/processes/streams.rs
@@ -7,7 +7,7 @@
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use test_support::{
-    deployment::{Deployment, call, wait_for},
+    deployment::{Deployment, Reply, call, wait_for},
     stream::{Ending, Streamed},
 };
 
@@ -54,6 +54,18 @@
     stream.finish()
 }
 
+/// Injects a fault into the only engine while it generates an answer that is not streamed.
+fn whole_through(deployment: &Deployment, fault: &Value) -> Reply {
+    let body = json!({ "model": "medlar", "prompt": "shift", "max_tokens": TOKENS }).to_string();
+    thread::scope(|scope| {
+        let whole =
+            scope.spawn(|| deployment.caller("entry-1", "POST", "/v1/completions", &[], &body));
+        wait_for("the request to run", || state(deployment, "engine-1")["running"] == 1);
+        deployment.fault("engine-1", fault);
+        whole.join().expect("no panic")
+    })
+}
+
 #[test]
 fn connection_that_goes_silent_in_a_stream_is_replaced_and_the_answer_is_whole() {
     let deployment = with_engines(1, 150);
@@ -103,21 +115,35 @@
 fn connection_that_goes_silent_before_a_whole_answer_costs_no_answer() {
     let deployment = with_engines(1, 100);
 
-    let whole = thread::scope(|scope| {
-        let body =
-            json!({ "model": "medlar", "prompt": "shift", "max_tokens": TOKENS }).to_string();
-        let deployment = &deployment;
-        let whole = scope
-            .spawn(move || deployment.caller("entry-1", "POST", "/v1/completions", &[], &body));
-        wait_for("the request to run", || state(deployment, "engine-1")["running"] == 1);
-        deployment.fault("engine-1", &json!({ "kind": "silence_open_connections" }));
-        whole.join().expect("no panic")
-    });
+    let whole = whole_through(&deployment, &json!({ "kind": "silence_open_connections" }));
 
     assert_eq!(whole.status, 200, "{}", whole.text);
     assert_eq!(whole.json["choices"][0]["text"], expected("shift", Some(TOKENS)));
 }
 
+#[test]
+fn connection_that_breaks_before_a_whole_answer_costs_no_answer() {
+    let deployment = with_engines(1, 100);
+
+    let whole = whole_through(&deployment, &json!({ "kind": "cut_open_connections" }));
+
+    assert_eq!(whole.status, 200, "{}", whole.text);
+    assert_eq!(whole.json["choices"][0]["text"], expected("shift", Some(TOKENS)));
+}
+
+#[test]
+fn answer_that_is_lost_at_every_upstream_is_never_called_not_run() {
+    let deployment = with_engines(2, 500);
+    for engine in ["engine-1", "engine-2"] {
+        deployment.fault(engine, &json!({ "kind": "lose_answer", "count": 10 }));
+    }
+
+    let lost = deployment.complete("entry-1", "medlar", "shift");
+
+    assert_eq!(lost.json["outcome"], "failed", "{}", lost.text);
+    assert!(lost.json["retry_after"].as_u64().is_some(), "{}", lost.text);
+}
+
 #[test]
 fn upstream_that_is_killed_in_a_stream_ends_it_with_an_explicit_error() {
     let mut deployment = with_engines(1, 100);
