--- a/crates/medlarlug-core/src/home/booking.rs
+++ b/crates/medlarlug-core/src/home/booking.rs
@@ -203,3 +203,14 @@
     /// Its bookings, sorted by key; their ages count from the handover.
     pub bookings: Vec<Booking>,
 }
+
+impl Handover {
+    /// Leaves only what is certain when the same bookings may have been adopted, and gone on,
+    /// before: the outcomes.
+    ///
+    /// A booking that has not ended here may have been abandoned and begun again since then, so
+    /// a late command of its owner must not find it.
+    pub(crate) fn distrust(&mut self) {
+        self.bookings.retain(|it| matches!(it.state, BookingState::Done(_)));
+    }
+}
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -206,6 +206,7 @@
 
     let output = at(port.address, &["release", "apply", "--at", "AT", "--key-file", &key, &note]);
 
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
     let sent = port.thread.join().unwrap();
     assert_eq!(stdout(&output), "note 1 of anna is revision 1\n");
     assert_eq!(sent[0].line(), "POST /release/apply HTTP/1.1");
@@ -333,6 +334,7 @@
 
     let output = at(port.address, &["log-level", "--at", "AT", "debug"]);
 
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
     let sent = port.thread.join().unwrap();
     assert_eq!(stdout(&output), "log level debug\n");
     assert_eq!(sent[0].line(), "PUT /log-level HTTP/1.1");
