Upstreams that leave, are killed or freeze: tests on real processes, and two faults mended

Faults, each by a test that failed first (processes::upstreams, 180 requests on 6 threads, 3 engines, one killed): - A killed engine looked idle until its announcement lapsed and drew the requests; 34 of 180 were refused as not-started. Cause: a refused connection said nothing to the routing. Ruled out: a shorter announcement (costs bytes, condemns on a lost one). Cause: being barred for a moment was treated as being without an upstream. Now such a request waits within its deadline, and suspects have at most half of the upstreams at a time.

--- a/crates/medlarlug-core/src/suspects/isolation.rs
+++ b/crates/medlarlug-core/src/suspects/isolation.rs
@@ -73,16 +73,20 @@
         if is_suspect && self.flights.iter().any(|it| it.fingerprint == fingerprint) {
             return Placement::Barred;
         }
-        let mut flights = self.flights.iter().filter(|it| it.upstream == *upstream).peekable();
-        let is_empty = flights.peek().is_none();
-        let has_suspect = flights.any(|it| self.is_suspect(now, it));
-        match (self.is_reserved(now, upstream) || has_suspect, is_suspect && !is_empty) {
+        let is_empty = !self.flights.iter().any(|it| it.upstream == *upstream);
+        match (self.has_suspect(now, upstream), is_suspect && !is_empty) {
             (true, _) => Placement::Barred,
             (false, true) => Placement::Shared,
             (false, false) => Placement::Free,
         }
     }
 
+    /// Whether a suspect runs on `upstream`, or it is reserved for one.
+    pub fn has_suspect(&self, now: Time, upstream: &UpstreamId) -> bool {
+        let mut flights = self.flights.iter().filter(|it| it.upstream == *upstream);
+        self.is_reserved(now, upstream) || flights.any(|it| self.is_suspect(now, it))
+    }
+
     /// The facts, for the state dump and for an instance that has just started.
     pub fn ledger(&self) -> &LossLedger {
         &self.ledger
--- a/src/coordination/entry/evidence.rs
+++ b/src/coordination/entry/evidence.rs
@@ -70,23 +70,28 @@
         }
     }
 
-    /// Upstreams that the content may not be sent to, sorted.
+    /// Upstreams that the content may not be sent to now, sorted.
     ///
     /// Upstreams that a suspect would share with others are barred too, as long as one is free.
+    /// Suspects have at most half of the upstreams at a time, so that other requests go on.
     pub fn barred(&self, target: &Target, content: Fingerprint) -> Vec<UpstreamId> {
         let suspects = self.suspects.borrow();
         if suspects.is_quiet() {
             return Vec::new();
         }
         let now = self.node.now();
-        let members = self.node.members.borrow();
+        let serving = self.live_upstreams(target);
+        let taken = serving.iter().filter(|it| suspects.has_suspect(now, it)).count();
+        let is_suspect = suspects.standing(now, content) == Standing::Suspect;
+        if is_suspect && taken >= (serving.len() / 2).max(1) {
+            return serving;
+        }
         let (mut shared, mut barred, mut has_free) = (Vec::new(), Vec::new(), false);
-        for upstream in members.upstreams(now).filter(|it| it.serves(target)) {
-            let id = &upstream.announcement.id;
-            match suspects.placement(now, content, id) {
+        for id in serving {
+            match suspects.placement(now, content, &id) {
                 Placement::Free => has_free = true,
-                Placement::Shared => shared.push(id.clone()),
-                Placement::Barred => barred.push(id.clone()),
+                Placement::Shared => shared.push(id),
+                Placement::Barred => barred.push(id),
             }
         }
         if has_free {
@@ -96,6 +101,18 @@
         barred
     }
 
+    /// The upstreams of the zone that serve a target and take connections, sorted.
+    fn live_upstreams(&self, target: &Target) -> Vec<UpstreamId> {
+        let now = self.node.now();
+        let cooling = self.cooldowns.upstreams(now);
+        let members = self.node.members.borrow();
+        let serving = members.upstreams(now).filter(|it| it.serves(target));
+        let mut serving: Vec<UpstreamId> = serving.map(|it| it.announcement.id.clone()).collect();
+        serving.sort();
+        serving.retain(|it| cooling.binary_search(it).is_err());
+        serving
+    }
+
     /// Finds out whether an upstream crashed under a request, by a new connection.
     pub async fn examine_loss(
         &self,
@@ -108,6 +125,9 @@
             Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
             _ => false,
         };
+        if is_refused {
+            self.cooldowns.begin(self.node.now(), upstream);
+        }
         match incarnation.filter(|_| is_refused) {
             Some(incarnation) => {
                 tracing::warn!(%upstream, %incarnation, %request, "upstream crashed");
--- a/src/coordination/entry/exchange.rs
+++ b/src/coordination/entry/exchange.rs
@@ -230,6 +230,9 @@
         false => Failure::Lost,
     };
     if let Place::Upstream(upstream) = &place {
+        if matches!(error, CallError::Connect { .. } | CallError::Silent { .. }) {
+            entry.cooldowns.begin(entry.node.now(), upstream);
+        }
         match failure {
             Failure::Lost => entry.examine_loss(id, upstream, address).await,
             _ => entry.suspect(suspects::Event::Ended { request: id.clone() }),
--- a/src/coordination/entry/inference.rs
+++ b/src/coordination/entry/inference.rs
@@ -17,7 +17,7 @@
     units::Tokens,
 };
 use smol_str::SmolStr;
-use tokio::task;
+use tokio::{task, time::sleep};
 
 pub use crate::coordination::entry::exchange::Place;
 use crate::{
@@ -250,29 +250,47 @@
 
 /// Decides where the request goes, to none of the `barred` upstreams.
 ///
-/// An upstream at which an attempt failed is used again when no other is left: often the
-/// connection failed, not the upstream.
+/// An upstream that cools down, or at which an attempt has failed, is used when no other is left:
+/// often the connection failed, not the upstream.
 fn choose_among(entry: &Entry, job: &Job, barred: &[UpstreamId]) -> Result<Choice, AttemptEnd> {
     let mut open = Job { origin: job.origin.clone(), call: job.call.clone(), cost: 0 };
-    barred.iter().for_each(|it| open.exclude(it));
-    let has_failed = !job.facts().excluded.is_empty();
-    match choose(entry, &open) {
-        Err(AttemptEnd::Refused(refusal)) if has_failed && refusal.reason == Reason::NoUpstream => {
-            open.readmit();
-            barred.iter().for_each(|it| open.exclude(it));
-            choose(entry, &open)
+    let cooling = entry.cooldowns.upstreams(entry.node.now());
+    barred.iter().chain(&cooling).for_each(|it| open.exclude(it));
+    let choice = choose(entry, &open);
+    if !barred.is_empty() || !is_without_upstream(&choice) {
+        return choice;
+    }
+    open.readmit();
+    choose(entry, &open)
+}
+
+fn is_without_upstream(choice: &Result<Choice, AttemptEnd>) -> bool {
+    matches!(choice, Err(AttemptEnd::Refused(it)) if it.reason == Reason::NoUpstream)
+}
+
+/// Decides where the request goes; waits while suspects have every upstream.
+async fn choose_in_time(entry: &Entry, job: &Job) -> Result<Choice, AttemptEnd> {
+    let end = entry.node.now() + job.facts().deadline;
+    loop {
+        entry.check_conviction(job.call.content).map_err(AttemptEnd::Refused)?;
+        let barred = entry.barred(&job.facts().target, job.call.content);
+        let choice = choose_among(entry, job, &barred);
+        if barred.is_empty() || !is_without_upstream(&choice) {
+            return choice;
+        }
+        if entry.node.now() >= end {
+            return Err(AttemptEnd::Refused(entry.refusal(Reason::Overloaded, SUSPECT_PAUSE)));
         }
-        choice => choice,
+        sleep(SUSPECT_PAUSE).await;
     }
 }
 
+/// Time between two looks for an upstream that no suspect has.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Decides where the request goes, checks residency at the moment of leaving, and sends it.
 pub async fn send(entry: &Entry, job: &Job) -> Result<Exchange, AttemptEnd> {
-    if let Err(refusal) = entry.check_conviction(job.call.content) {
-        return Err(AttemptEnd::Refused(refusal));
-    }
-    let barred = entry.barred(&job.facts().target, job.call.content);
-    let choice = choose_among(entry, job, &barred)?;
+    let choice = choose_in_time(entry, job).await?;
     leave(entry, job, choice).await
 }
 
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -12,10 +12,12 @@
 //! * [`silence`]: replacement of connections that have gone silent.
 //! * [`internal`]: announcements of upstreams and requests forwarded by other zones.
 //! * [`gate`]: admission to the zone's upstreams.
+//! * [`cooldown`]: upstreams at which new connections have just failed.
 //! * [`evidence`]: requests that crash upstreams.
 //! * [`journal`]: the records of requests.
 
 pub mod callers;
+pub mod cooldown;
 pub mod evidence;
 pub mod exchange;
 pub mod forward;
@@ -57,7 +59,7 @@
     coordination::{
         calls,
         clock::incarnation_of_start,
-        entry::{gate::Gate, journal::Journal},
+        entry::{cooldown::Cooldowns, gate::Gate, journal::Journal},
         keeper::operator_limits,
         node::{InForce, Node, Received},
         operators::{self, OperatorApi, ProcessPart},
@@ -122,6 +124,8 @@
     pub spread: RefCell<Spread>,
     /// Admission to the zone's upstreams.
     pub gate: Gate,
+    /// Upstreams at which new connections have just failed.
+    pub cooldowns: Cooldowns,
     /// Requests that crash upstreams.
     pub suspects: RefCell<Suspects>,
     /// The teams' limits.
@@ -221,6 +225,7 @@
             journal: RefCell::new(journal),
             spread: RefCell::new(Spread::new(seed)),
             gate: Gate::default(),
+            cooldowns: Cooldowns::default(),
             suspects: RefCell::default(),
             limits: RefCell::new(limits),
             configured: Cell::default(),
--- a/tests/testsuite/processes/fixture.rs
+++ b/tests/testsuite/processes/fixture.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use medlarlug::standin::answer::expected;
 use medlarlug_core::{
     fingerprint::Fingerprint,
     release::{
@@ -9,9 +10,12 @@
         item::{Link, Model, Policy, Residency, Service, Team},
     },
 };
+use serde_json::Value;
 use test_support::{
-    deployment::{CALLER_KEY, Deployment},
-    id, region, team,
+    deployment::{CALLER_KEY, Deployment, call},
+    id, region,
+    stream::{Ending, Streamed},
+    team,
 };
 
 /// Two regions of one zone each, three keepers and two entry instances.
@@ -70,3 +74,41 @@
         Item::Team(survey),
     ]
 }
+
+/// One zone with so many engines that generate `speed` tokens a second.
+pub fn with_engines(count: usize, speed: u32) -> Deployment {
+    let deployment = add_engines(two_regions(), count, speed).start();
+    deployment.configure(items(Residency::Anywhere));
+    deployment.wait_upstreams("entry-1", count);
+    deployment
+}
+
+/// Adds so many engines that generate `speed` tokens a second to the zone riga-a.
+pub fn add_engines(deployment: Deployment, count: usize, speed: u32) -> Deployment {
+    let names: Vec<String> = (1..=count).map(|it| format!("engine-{it}")).collect();
+    let mut deployment =
+        names.iter().fold(deployment, |it, name| it.engine(name, "riga-a", "medlar"));
+    for it in &mut deployment.upstreams {
+        it.extra[0] = format!("speed: {speed}");
+    }
+    deployment
+}
+
+/// What an upstream tells of itself.
+pub fn state(deployment: &Deployment, upstream: &str) -> Value {
+    let upstream = deployment.upstreams.iter().find(|it| it.id == upstream).expect("an upstream");
+    call("GET", upstream.control, "/state", &[], "").json
+}
+
+/// Sum of a counter over its labels.
+pub fn counter(deployment: &Deployment, entry: &str, name: &str) -> u64 {
+    let text = deployment.operator_get(entry, "/metrics").text;
+    let lines = text.lines().filter(|it| it.starts_with(name));
+    lines.filter_map(|it| it.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
+
+/// Asserts that an answer is whole and the one expected.
+pub fn assert_whole(streamed: &Streamed, prompt: &str, tokens: usize) {
+    assert_eq!(streamed.ending, Ending::Whole, "{streamed:?}");
+    assert_eq!(streamed.text, expected(prompt, Some(tokens)));
+}
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -5,3 +5,4 @@
 mod keepers;
 mod path;
 mod streams;
+mod upstreams;
--- a/tests/testsuite/processes/streams.rs
+++ b/tests/testsuite/processes/streams.rs
@@ -3,49 +3,18 @@
 use std::thread;
 
 use medlarlug::standin::answer::expected;
-use medlarlug_core::release::item::Residency;
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use test_support::{
-    deployment::{Deployment, Reply, call, wait_for},
+    deployment::{Deployment, Reply, wait_for},
     stream::{Ending, Streamed},
 };
 
-use crate::processes::fixture::{items, two_regions};
+use crate::processes::fixture::{assert_whole, counter, state, with_engines};
 
 /// Tokens of an answer during which a fault is injected.
 const TOKENS: usize = 300;
 
-/// One zone with so many engines that generate `speed` tokens a second.
-fn with_engines(count: usize, speed: u32) -> Deployment {
-    let names: Vec<String> = (1..=count).map(|it| format!("engine-{it}")).collect();
-    let mut deployment =
-        names.iter().fold(two_regions(), |it, name| it.engine(name, "riga-a", "medlar"));
-    for it in &mut deployment.upstreams {
-        it.extra[0] = format!("speed: {speed}");
-    }
-    let deployment = deployment.start();
-    deployment.configure(items(Residency::Anywhere));
-    deployment.wait_upstreams("entry-1", count);
-    deployment
-}
-
-fn state(deployment: &Deployment, upstream: &str) -> Value {
-    let upstream = deployment.upstreams.iter().find(|it| it.id == upstream).expect("an upstream");
-    call("GET", upstream.control, "/state", &[], "").json
-}
-
-fn counter(deployment: &Deployment, entry: &str, name: &str) -> u64 {
-    let text = deployment.operator_get(entry, "/metrics").text;
-    let lines = text.lines().filter(|it| it.starts_with(name));
-    lines.filter_map(|it| it.rsplit(' ').next()?.parse::<u64>().ok()).sum()
-}
-
-fn assert_whole(streamed: &Streamed, prompt: &str, tokens: usize) {
-    assert_eq!(streamed.ending, Ending::Whole, "{streamed:?}");
-    assert_eq!(streamed.text, expected(prompt, Some(tokens)));
-}
-
 /// Injects a fault into the only engine while a stream flows; gives the stream's end.
 fn stream_through(deployment: &Deployment, prompt: &str, fault: &Value) -> Streamed {
     let mut stream = deployment.open_stream("entry-1", prompt, TOKENS);
