Crashing request through instances of two regions: tests on real processes

Two tests (processes::suspects): a request that crashes its engine, sent 11 times through two entry instances of two regions, loses 2 of 6 engines, the bound that the suspects core states; from then on it is refused as failed, with a time to come back, at once. 60 innocent requests beside it are answered or cleared, and all are answered afterwards.

--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -5,4 +5,5 @@
 mod keepers;
 mod path;
 mod streams;
+mod suspects;
 mod upstreams;
--- /dev/null
+++ b/tests/testsuite/processes/suspects.rs
@@ -0,0 +1,94 @@
+//! A request that crashes upstreams, sent again and again through instances of two regions.
+
+use std::thread;
+
+use medlarlug::standin::answer::expected;
+use medlarlug_core::release::item::Residency;
+use test_support::deployment::{Deployment, Reply, call, wait_for};
+
+use crate::processes::fixture::{items, two_regions};
+
+/// Upstreams that one content loses at most where an upstream can be had alone.
+const BOUND: usize = 2;
+
+/// A prompt that crashes the engines of these tests.
+const CRASHING: &str = "CRASH-ME now";
+
+/// Three engines in each of two regions that crash at the marker.
+fn deployment() -> Deployment {
+    let zones = ["riga-a", "liepaja-a"];
+    let mut deployment = (1..=6).fold(two_regions(), |it, number| {
+        it.engine(&format!("engine-{number}"), zones[(number - 1) / 3], "medlar")
+    });
+    deployment.upstreams.iter_mut().for_each(|it| it.extra.push("crash_marker: true".into()));
+    let deployment = deployment.start();
+    deployment.configure(items(Residency::Anywhere));
+    ["entry-1", "entry-2"].iter().for_each(|it| deployment.wait_upstreams(it, 3));
+    deployment
+}
+
+fn lost(deployment: &Deployment) -> usize {
+    let is_lost =
+        |address| call("GET", address, "/state", &[], "").json["down"] != serde_json::json!(false);
+    deployment.upstreams.iter().filter(|it| is_lost(it.control)).count()
+}
+
+fn is_convicted_at(deployment: &Deployment, entry: &str) -> bool {
+    deployment.operator_get(entry, "/dump").json["process"]["convictions"] == 1
+}
+
+/// Sends the crashing request through both instances in turn.
+fn send_crashing(deployment: &Deployment, times: usize) -> Vec<Reply> {
+    let entries = ["entry-1", "entry-2"];
+    (0..times).map(|it| deployment.complete(entries[it % 2], "medlar", CRASHING)).collect()
+}
+
+fn assert_refused_for_good(reply: &Reply) {
+    assert_eq!(reply.json["outcome"], "failed", "{} {}", reply.status, reply.text);
+    assert!(reply.json["retry_after"].is_u64(), "{}", reply.text);
+}
+
+#[test]
+fn crashing_request_loses_no_more_upstreams_than_stated_and_is_then_refused_everywhere() {
+    let deployment = deployment();
+
+    let first = deployment.complete("entry-1", "medlar", CRASHING);
+    wait_for("the conviction at both instances", || {
+        ["entry-1", "entry-2"].iter().all(|it| is_convicted_at(&deployment, it))
+    });
+    let later = send_crashing(&deployment, 10);
+
+    assert_refused_for_good(&first);
+    later.iter().for_each(assert_refused_for_good);
+    assert!(later.iter().all(|it| it.json["type"] == "convicted"), "{:?}", later[0].text);
+    assert!(lost(&deployment) <= BOUND, "{} upstreams lost", lost(&deployment));
+}
+
+#[test]
+fn innocent_requests_beside_a_crashing_one_are_answered_or_cleared() {
+    let deployment = deployment();
+    let prompts: Vec<String> = (0..60).map(|it| format!("innocent {it}")).collect();
+    let shared = &deployment;
+    let send = move |entry: &str, prompt: &str| shared.complete(entry, "medlar", prompt);
+
+    let during: Vec<Reply> = thread::scope(|scope| {
+        let chunks = prompts.chunks(10).map(|chunk| {
+            scope.spawn(move || chunk.iter().map(|it| send("entry-1", it)).collect::<Vec<_>>())
+        });
+        let running: Vec<_> = chunks.collect();
+        let crashing = send("entry-1", CRASHING);
+        assert_refused_for_good(&crashing);
+        running.into_iter().flat_map(|it| it.join().expect("no panic")).collect()
+    });
+    let after: Vec<Reply> = prompts.iter().map(|it| send("entry-1", it)).collect();
+
+    for (prompt, reply) in prompts.iter().zip(&during) {
+        let is_own = reply.json["choices"][0]["text"] == expected(prompt, Some(4));
+        assert!(is_own || reply.json["outcome"].is_string(), "{} {}", reply.status, reply.text);
+    }
+    for (prompt, reply) in prompts.iter().zip(&after) {
+        assert_eq!(reply.status, 200, "{}", reply.text);
+        assert_eq!(reply.json["choices"][0]["text"], expected(prompt, Some(4)));
+    }
+    assert!(lost(&deployment) <= BOUND + 1, "{} upstreams lost", lost(&deployment));
+}
