--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -6,3 +6,5 @@
 mod keepers;
 mod path;
 mod streams;
+mod suspects;
+mod upstreams;
