--- /dev/null
+++ b/benches/capacity/replication.rs
@@ -0,0 +1,162 @@
+//! Replication groups without load, and the records of requests that a home group takes.
+
+use std::{collections::VecDeque, time::Duration};
+
+use medlarlug::protocol::{GroupId, GroupRequest, Message, frame};
+use medlarlug_core::{
+    home,
+    ids::{Incarnation, InstanceId, LogIndex, RequestId, Term},
+    record::{Outcome, RequestRecord, Stage, Step},
+    release::ItemKey,
+    replication::{
+        self, Config, Effect, Entry, Event, MemberKey, Payload, Replica, Restored, Role, StorageId,
+    },
+    time::Time,
+};
+use test_support::id;
+
+use crate::wire;
+
+const TICK: Duration = Duration::from_millis(20);
+const WARM_UP: u32 = 500;
+const TICKS: u32 = 1_000;
+
+/// Bytes and messages a second.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Sample {
+    pub leader: f64,
+    pub follower: f64,
+    pub leader_messages: f64,
+    /// Share of a core at the leader and its followers together.
+    pub processor: f64,
+}
+
+fn instance(number: usize) -> InstanceId {
+    id(&format!("keeper-{number:03}"))
+}
+
+/// A group of `voters` without a proposal.
+pub fn measure(voters: usize) -> Sample {
+    let replica = |number: usize| {
+        let key = MemberKey { id: instance(number), storage: StorageId(u64::MAX - number as u64) };
+        let config = Config::new(key, (0..voters).map(instance).collect());
+        Replica::new(config, Restored::default(), number as u64, Time::ZERO)
+    };
+    let mut replicas: Vec<Replica> = (0..voters).map(replica).collect();
+    let mut bytes = vec![0.0; voters];
+    let mut messages = vec![0.0; voters];
+    let mut processor = 0.0;
+    let keys = wire::keys();
+    for tick in 0..WARM_UP + TICKS {
+        if tick == WARM_UP {
+            processor = wire::processor_seconds();
+        }
+        let now = Time::ZERO + TICK * tick;
+        let mut events: VecDeque<(usize, Event)> =
+            (0..voters).map(|it| (it, Event::Tick)).collect();
+        while let Some((at, event)) = events.pop_front() {
+            let mut out = Vec::new();
+            replicas[at].handle(now, event, &mut out);
+            for effect in out {
+                match effect {
+                    Effect::Send { to, message } => {
+                        let receiver = (0..voters).find(|it| instance(*it) == to);
+                        let receiver = receiver.expect("a replica");
+                        let group = GroupId::Configuration;
+                        let sent = Message::Replication { group, message };
+                        let envelope = wire::envelope(&instance(at), &to, sent);
+                        let frame = frame::encode(&keys, &envelope).expect("a frame");
+                        if tick >= WARM_UP {
+                            for place in [at, receiver] {
+                                bytes[place] += frame.len() as f64;
+                                messages[place] += 1.0;
+                            }
+                        }
+                        let decoded = frame::decode(&keys, &frame).expect("a frame");
+                        let Message::Replication { message, .. } = decoded.message else {
+                            continue;
+                        };
+                        let from = instance(at);
+                        events.push_back((receiver, Event::Message { from, message }));
+                    }
+                    Effect::Persist(batch) => {
+                        let sequence = batch.sequence;
+                        events.push_back((at, Event::Persisted { sequence }));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+    let seconds = (TICK * TICKS).as_secs_f64();
+    let leader = (0..voters).find(|it| replicas[*it].role() == Role::Leader).expect("a leader");
+    let others = bytes.iter().sum::<f64>() - bytes[leader];
+    Sample {
+        leader: bytes[leader] / seconds,
+        follower: others / (voters - 1).max(1) as f64 / seconds,
+        leader_messages: messages[leader] / seconds,
+        processor: (wire::processor_seconds() - processor) / seconds,
+    }
+}
+
+/// The record of a request as it is sent when it was taken in, and when it has ended.
+pub fn records(sequence: u64) -> [RequestRecord; 2] {
+    let request = RequestId {
+        region: id("region-3"),
+        instance: id("entry-117"),
+        incarnation: Incarnation(1_764_720_000_000),
+        sequence,
+    };
+    let step = |millis: u64, stage| Step { after: Duration::from_millis(millis), stage };
+    let begun = vec![step(0, Stage::Received { instance: id("entry-117") })];
+    let mut ended = begun.clone();
+    ended.push(step(1, Stage::Sent { upstream: id("engine-344") }));
+    ended.push(step(700, Stage::FirstByte));
+    let outcome = Outcome::Answered;
+    ended.push(step(12_000, Stage::Ended { outcome, reason: "complete".into() }));
+    let record = |outcome, timeline| RequestRecord {
+        id: request.clone(),
+        team: id("team-1234"),
+        target: ItemKey::Model(id("model-07")),
+        outcome,
+        timeline,
+    };
+    [record(None, begun), record(Some(outcome), ended)]
+}
+
+/// Frame of a batch with the records of so many requests, both of each.
+pub fn batch_bytes(requests: u64) -> usize {
+    let batch = (0..requests).flat_map(|it| records(1_000_000 + it)).collect();
+    let request = GroupRequest::Act(home::Action::Records(batch));
+    wire::frame_bytes(Message::Call {
+        call: 100_000,
+        group: GroupId::Home(id("region-3")),
+        request,
+    })
+}
+
+/// Frame that replicates such a batch to one follower.
+pub fn append_bytes(requests: u64) -> usize {
+    let batch = (0..requests).flat_map(|it| records(1_000_000 + it)).collect();
+    let elapsed = Duration::from_millis(5);
+    let command = home::Command { elapsed, action: home::Action::Records(batch) };
+    let command = postcard::to_stdvec(&command).expect("a command");
+    let key = |number| MemberKey { id: instance(number), storage: StorageId(u64::MAX) };
+    let position = replication::Position { term: Term(7), index: LogIndex(1_000_000) };
+    let entry =
+        Entry { index: LogIndex(1_000_001), term: Term(7), payload: Payload::Command(command) };
+    let envelope = replication::Envelope {
+        formation: replication::FormationId(u64::MAX),
+        from: key(1),
+        to: key(2),
+        term: Term(7),
+        body: replication::Body::Append {
+            prev: position,
+            entries: vec![entry],
+            commit: LogIndex(1_000_000),
+            round: 1_000_000,
+        },
+    };
+    let message = replication::Message::Group(envelope);
+    wire::frame_bytes(Message::Replication { group: GroupId::Home(id("region-3")), message })
+}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -1,6 +1,7 @@
 //! Builders and fixtures for the test suites.
 
 pub mod deployment;
+pub mod scale;
 use std::{
     net::{SocketAddr, TcpListener},
     sync::atomic::{AtomicU32, Ordering},
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the product: its parts and its processes.
 
 mod batching;
+mod budget;
 mod cli;
 mod processes;
 mod settings;
