--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -12,7 +12,7 @@
     time::{Duration, Instant},
 };
 
-use crate::free_address;
+use crate::{free_address, free_block};
 use medlarlug_core::{
     fingerprint::Fingerprint,
     release::{Item, RawNote},
@@ -68,6 +68,8 @@
     pub zone: String,
     /// Its kind, in the settings' YAML.
     pub kind: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
     /// Further settings, one line of YAML each.
     pub extra: Vec<String>,
     /// Address at which it takes requests.
@@ -132,6 +134,32 @@
         self.upstream(id, zone, kind, &extra)
     }
 
+    /// Adds `count` engines of one model in one process, whose answers take hardly any time.
+    pub fn pool(
+        mut self,
+        id: &str,
+        zone: &str,
+        model: &str,
+        count: usize,
+        slots: u32,
+    ) -> Deployment {
+        let kind = format!("{{ engine: {{ models: [{{ model: {model}, version: v1 }}] }} }}");
+        self.upstreams.push(Upstream {
+            id: id.into(),
+            zone: zone.into(),
+            kind,
+            slots,
+            extra: vec![
+                "speed: 10000".into(),
+                "prefill: 1000000".into(),
+                format!("count: {count}"),
+            ],
+            address: free_block(count),
+            control: free_block(count),
+        });
+        self
+    }
+
     /// Adds a plain service.
     pub fn service(self, id: &str, zone: &str, service: &str) -> Deployment {
         self.upstream(id, zone, format!("{{ service: {{ service: {service} }} }}"), &[])
@@ -142,6 +170,7 @@
             id: id.into(),
             zone: zone.into(),
             kind,
+            slots: 8,
             extra: extra.iter().map(|it| (*it).to_owned()).collect(),
             address: free_address(),
             control: free_address(),
@@ -214,13 +243,14 @@
         let near: Vec<String> = near.map(|it| format!("\"{}\"", it.internal)).collect();
         let mut text = format!(
             "key: [deployment.key]\nupstreams:\n  - id: {}\n    zone: {}\n    address: {}\n    \
-             control: {}\n    announce_to: [{}]\n    kind: {}\n    slots: 8\n    lag_ms: 100\n",
+             control: {}\n    announce_to: [{}]\n    kind: {}\n    slots: {}\n    lag_ms: 100\n",
             upstream.id,
             upstream.zone,
             upstream.address,
             upstream.control,
             near.join(", "),
-            upstream.kind
+            upstream.kind,
+            upstream.slots
         );
         for line in &upstream.extra {
             text.push_str(&format!("    {line}\n"));
@@ -254,6 +284,16 @@
         self.processes.push((id.into(), child));
     }
 
+    /// The process id of a running process.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process does not run.
+    pub fn pid(&self, id: &str) -> u32 {
+        let child = self.processes.iter().find(|it| it.0 == id).expect("a running process");
+        child.1.id()
+    }
+
     /// Sends a signal to a process that was started here.
     pub fn signal(&self, id: &str, signal: Signal) {
         let child = self.processes.iter().find(|it| it.0 == id).expect("a running process");
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -71,3 +71,15 @@
         }
     }
 }
+
+/// The first of `count` addresses with rising ports, none of which any other call gets.
+pub fn free_block(count: usize) -> SocketAddr {
+    let mut first = free_address();
+    let mut length = 1;
+    while length < count {
+        let next = free_address();
+        let is_next = usize::from(next.port()) == usize::from(first.port()) + length;
+        (first, length) = if is_next { (first, length + 1) } else { (next, 1) };
+    }
+    first
+}
