--- a/benches/capacity/processes.rs
+++ b/benches/capacity/processes.rs
@@ -54,7 +54,7 @@
     let engines = TODAY.engines / TODAY.zones;
     for number in 0..TODAY.zones {
         let pool = format!("pool-{number}");
-        made = made.pool(&pool, &zone(number), "model-00", engines, ENGINE_SLOTS);
+        made = made.pool(&pool, &zone(number), "model-00", engines, ENGINE_SLOTS, 10_000);
     }
     made
 }
--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -134,7 +134,7 @@
         self.upstream(id, zone, kind, &extra)
     }
 
-    /// Adds `count` engines of one model in one process, whose answers take hardly any time.
+    /// Adds `count` engines of one model in one process, with so many tokens a second.
     pub fn pool(
         mut self,
         id: &str,
@@ -142,6 +142,7 @@
         model: &str,
         count: usize,
         slots: u32,
+        speed: u32,
     ) -> Deployment {
         let kind = format!("{{ engine: {{ models: [{{ model: {model}, version: v1 }}] }} }}");
         self.upstreams.push(Upstream {
@@ -150,7 +151,7 @@
             kind,
             slots,
             extra: vec![
-                "speed: 10000".into(),
+                format!("speed: {speed}"),
                 "prefill: 1000000".into(),
                 format!("count: {count}"),
             ],
