--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod deployment;
 pub mod scale;
+pub mod stream;
+
 use std::{
     net::{SocketAddr, TcpListener},
     sync::atomic::{AtomicU32, Ordering},
