--- a/benches/capacity/processes.rs
+++ b/benches/capacity/processes.rs
@@ -11,7 +11,7 @@
     },
 };
 use test_support::{
-    deployment::{CALLER_KEY, Deployment, call},
+    deployment::{CALLER_KEY, Deployment, Pool, call},
     id,
     scale::Scale,
     team,
@@ -54,7 +54,8 @@
     let engines = TODAY.engines / TODAY.zones;
     for number in 0..TODAY.zones {
         let pool = format!("pool-{number}");
-        made = made.pool(&pool, &zone(number), "model-00", engines, ENGINE_SLOTS, 10_000);
+        let equal = Pool { model: "model-00", count: engines, slots: ENGINE_SLOTS, speed: 10_000 };
+        made = made.pool(&pool, &zone(number), equal);
     }
     made
 }
--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -79,6 +79,19 @@
     pub control: SocketAddr,
 }
 
+/// Equal engines of one model.
+#[derive(Debug, Clone, Copy)]
+pub struct Pool<'a> {
+    /// The model.
+    pub model: &'a str,
+    /// Number of engines.
+    pub count: usize,
+    /// Slots of each.
+    pub slots: u32,
+    /// Tokens a second of one stream that runs alone.
+    pub speed: u32,
+}
+
 /// A deployment under construction or running.
 pub struct Deployment {
     folder: TempDir,
@@ -135,16 +148,9 @@
         self.upstream(id, zone, kind, &extra)
     }
 
-    /// Adds `count` engines of one model in one process, with so many tokens a second.
-    pub fn pool(
-        mut self,
-        id: &str,
-        zone: &str,
-        model: &str,
-        count: usize,
-        slots: u32,
-        speed: u32,
-    ) -> Deployment {
+    /// Adds equal engines that run in one process.
+    pub fn pool(mut self, id: &str, zone: &str, pool: Pool) -> Deployment {
+        let Pool { model, count, slots, speed } = pool;
         let kind = format!("{{ engine: {{ models: [{{ model: {model}, version: v1 }}] }} }}");
         self.upstreams.push(Upstream {
             id: id.into(),
@@ -310,7 +316,8 @@
     ///
     /// Panics when the process does not run.
     pub fn pid(&self, id: &str) -> u32 {
-        let child = self.processes.iter().find(|it| it.0 == id).expect("a running process");
+        let processes = self.processes.lock().expect("no test has panicked here");
+        let child = processes.iter().find(|it| it.0 == id).expect("a running process");
         child.1.id()
     }
 
