--- a/benches/capacity/main.rs
+++ b/benches/capacity/main.rs
@@ -28,10 +28,13 @@
 /// Requests a second of one region, on average.
 const REGION_RATE: f64 = 400.0;
 
+/// A measurement and its name on the command line.
+type Part = (&'static str, fn() -> Vec<Slope>);
+
 fn main() {
     let names: Vec<String> = std::env::args().skip(1).filter(|arg| !arg.starts_with('-')).collect();
     let is_asked = |name: &str| names.is_empty() || names.iter().any(|own| own == name);
-    let parts: [(&str, fn() -> Vec<Slope>); 6] = [
+    let parts: [Part; 6] = [
         ("configuration", measure_configuration),
         ("links", measure_links),
         ("membership", measure_membership),
