--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod batching;
 mod budget;
 mod cli;
+mod docs;
 mod processes;
 mod settings;
 mod standin;
