--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -12,7 +12,7 @@
     time::{Duration, Instant},
 };
 
-use crate::free_address;
+use crate::{free_address, relay::Network};
 use medlarlug_core::{
     fingerprint::Fingerprint,
     release::{Item, RawNote},
@@ -51,6 +51,8 @@
     pub zone: String,
     /// Whether it is an entry instance.
     pub is_entry: bool,
+    /// Whether it has a data folder.
+    pub has_disk: bool,
     /// Address for callers; unused by keepers.
     pub callers: SocketAddr,
     /// Address for operators.
@@ -86,6 +88,9 @@
     /// Emulated upstreams, one process each.
     pub upstreams: Vec<Upstream>,
     processes: Vec<(String, Child)>,
+    /// The relays between instances, if [`Deployment::relayed`] asks for them.
+    pub network: Option<Network>,
+    homes: Vec<(String, Vec<String>)>,
 }
 
 impl Deployment {
@@ -99,9 +104,36 @@
             instances: Vec::new(),
             upstreams: Vec::new(),
             processes: Vec::new(),
+            network: None,
+            homes: Vec::new(),
         }
     }
 
+    /// Puts relays between the instances.
+    pub fn relayed(mut self) -> Deployment {
+        self.network = Some(Network::default());
+        self
+    }
+
+    /// Names the voters of a region's home group; otherwise every keeper is one.
+    pub fn home(mut self, region: &str, voters: &[&str]) -> Deployment {
+        let voters = voters.iter().map(|it| (*it).to_owned()).collect();
+        self.homes.push((region.into(), voters));
+        self
+    }
+
+    /// The relays between the instances.
+    pub fn network(&self) -> &Network {
+        self.network.as_ref().expect("a deployment with relays")
+    }
+
+    /// Gives an entry instance a disk.
+    pub fn with_disk(mut self, id: &str) -> Deployment {
+        let it = self.instances.iter_mut().find(|it| it.id == id).expect("an instance");
+        it.has_disk = true;
+        self
+    }
+
     /// Adds an entry instance.
     pub fn entry(self, id: &str, zone: &str) -> Deployment {
         self.instance(id, zone, true)
@@ -117,6 +149,7 @@
             id: id.into(),
             zone: zone.into(),
             is_entry,
+            has_disk: !is_entry,
             callers: free_address(),
             operators: free_address(),
             internal: free_address(),
@@ -151,6 +184,7 @@
 
     /// Writes the settings and starts every process.
     pub fn start(mut self) -> Deployment {
+        self.start_relays();
         self.write_settings();
         let ids = self.instances.iter().map(|it| it.id.clone());
         let ids: Vec<String> = ids.chain(self.upstreams.iter().map(|it| it.id.clone())).collect();
@@ -158,17 +192,26 @@
         self
     }
 
+    fn start_relays(&mut self) {
+        let Some(network) = &mut self.network else { return };
+        for from in &self.instances {
+            for to in self.instances.iter().filter(|it| it.id != from.id) {
+                network.add(&from.id, &to.id, to.peers, to.internal);
+            }
+        }
+    }
+
     fn write_settings(&self) {
         self.write("deployment.key", "an example of a long deployment key\n");
-        self.write("cluster.yaml", &self.cluster());
         let key = Fingerprint::of(OPERATOR_KEY.as_bytes());
         for it in &self.instances {
-            let data = match it.is_entry {
-                true => String::new(),
-                false => format!("data: data-{}\n", it.id),
+            self.write(&format!("cluster-{}.yaml", it.id), &self.cluster(&it.id));
+            let data = match it.has_disk {
+                true => format!("data: data-{}\n", it.id),
+                false => String::new(),
             };
             let text = format!(
-                "instance: {}\ncluster: cluster.yaml\nkey: [deployment.key]\noperators:\n  \
+                "instance: {0}\ncluster: cluster-{0}.yaml\nkey: [deployment.key]\noperators:\n  \
                  - {{ id: anna, key: {key} }}\n{data}",
                 it.id
             );
@@ -179,7 +222,8 @@
         }
     }
 
-    fn cluster(&self) -> String {
+    /// The cluster file that the process of `reader` reads.
+    fn cluster(&self, reader: &str) -> String {
         let mut text = String::from("zones:\n");
         for (zone, region) in &self.zones {
             text.push_str(&format!("  - {{ id: {zone}, region: {region} }}\n"));
@@ -190,10 +234,13 @@
                 true => ("entry", format!("callers: \"{}\"", it.callers)),
                 false => ("keeper", "durable: true".to_owned()),
             };
+            let link = self.network.as_ref().and_then(|network| network.get(reader, &it.id));
+            let peers = link.map_or(it.peers, |link| link.peers.address());
+            let internal = link.map_or(it.internal, |link| link.internal.address());
             text.push_str(&format!(
                 "  - {{ id: {}, kind: {kind}, zone: {}, internal: \"{}\", peers: \"{}\", \
                  operators: \"{}\", {more} }}\n",
-                it.id, it.zone, it.internal, it.peers, it.operators
+                it.id, it.zone, internal, peers, it.operators
             ));
         }
         let keepers = self.instances.iter().filter(|it| !it.is_entry);
@@ -204,6 +251,8 @@
         regions.sort();
         regions.dedup();
         for region in regions {
+            let named = self.homes.iter().find(|it| it.0 == *region);
+            let voters = named.map_or(voters.clone(), |it| it.1.join(", "));
             text.push_str(&format!("  - {{ region: {region}, voters: [{voters}] }}\n"));
         }
         text
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -1,6 +1,7 @@
 //! Builders and fixtures for the test suites.
 
 pub mod deployment;
+pub mod relay;
 pub mod stream;
 
 use std::{
