--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -2,6 +2,9 @@
 
 mod booking;
 mod fixture;
+mod history;
 mod keepers;
+mod operators;
+mod partition;
 mod path;
 mod streams;
