Silent connections are replaced at both ends

Cause: a connection between processes carries messages one way, so a peer that is not heard has to replace its own connection, and only the receiver notices. Ruled out: the relay (new connections through it work; logs show `silent link replaced` on one side only). Change: the instance that hears nothing also sends `Unheard`, and the receiver replaces its connection unless it is younger than 1 s.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -4,7 +4,7 @@
 //! A [`Node`] is passed down to whatever runs in the process. Cores are behind `RefCell`s, which
 //! are borrowed for the time of one `handle` call and never across an `await`.
 
-use std::{cell::RefCell, ops::Deref, rc::Rc};
+use std::{cell::RefCell, ops::Deref, rc::Rc, time::Duration};
 
 use medlarlug_core::{
     announcement::Announcement,
@@ -27,6 +27,10 @@
 /// Counter: messages that could not be sent because a peer takes none.
 const UNSENT_MESSAGES: &str = "medlarlug_link_unsent_messages_total";
 
+/// Age below which a connection is not replaced at its receiver's request: it may have had no
+/// time yet to be heard.
+const MIN_LINK_AGE: Duration = Duration::from_secs(1);
+
 /// The part that every process of the system has.
 pub struct Node {
     /// The process itself, as the cluster file names it.
@@ -223,6 +227,10 @@
                 self.run_follower(follower::Event::Push(*update));
                 Received::Done
             }
+            Message::Unheard => {
+                self.replace_unheard(&from);
+                Received::Done
+            }
             other => Received::Other(from, Box::new(other)),
         }
     }
@@ -266,7 +274,23 @@
         self.current.replace(newest.map(InForce::new).map(Rc::new));
     }
 
+    /// Replaces the own connection to a silent peer, and asks the peer to replace its own.
+    ///
+    /// A connection carries messages one way, so the silent one is the peer's, and the peer may
+    /// hear this instance all the while.
     fn reconnect(&self, peer: &InstanceId) {
+        self.replace_link(peer);
+        self.send(peer, Message::Unheard);
+    }
+
+    fn replace_unheard(&self, peer: &InstanceId) {
+        let age = self.links.borrow().age(peer);
+        if age.is_some_and(|age| age >= MIN_LINK_AGE) {
+            self.replace_link(peer);
+        }
+    }
+
+    fn replace_link(&self, peer: &InstanceId) {
         tracing::info!(%peer, "silent link replaced");
         if let Err(error) = self.links.borrow_mut().reconnect(peer) {
             tracing::warn!(%error, %peer, "failed to replace a link");
--- a/src/protocol/message.rs
+++ b/src/protocol/message.rs
@@ -82,6 +82,8 @@
     },
     /// A new configuration, sent without being asked for.
     Push(Box<follower::Update>),
+    /// The sender hears nothing of the receiver, whose connection may have gone silent.
+    Unheard,
 }
 
 /// A request to a replication group.
--- a/src/transport/links.rs
+++ b/src/transport/links.rs
@@ -6,7 +6,10 @@
 //! connection that has gone silent, so a core that misses a peer's heartbeats asks for
 //! [`Links::reconnect`].
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use medlarlug_core::ids::InstanceId;
 use nng::{
@@ -28,8 +31,7 @@
 const RECEIVE_QUEUE_MESSAGES: usize = 4096;
 
 /// Shortest and longest pause before another try to connect.
-const RECONNECT_PAUSES: [std::time::Duration; 2] =
-    [std::time::Duration::from_millis(50), std::time::Duration::from_secs(1)];
+const RECONNECT_PAUSES: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
 
 /// A failure of the links.
 #[derive(Debug, Error)]
@@ -66,6 +68,7 @@
 struct Peer {
     address: SocketAddr,
     socket: Socket,
+    since: Instant,
 }
 
 /// The sending side of the links.
@@ -125,7 +128,7 @@
     ///
     /// Fails when the library can't make a socket.
     pub fn connect(&mut self, peer: InstanceId, address: SocketAddr) -> Result<(), LinkError> {
-        let link = Peer { address, socket: dial(address)? };
+        let link = Peer { address, socket: dial(address)?, since: Instant::now() };
         match self.peers.binary_search_by(|it| it.0.cmp(&peer)) {
             Ok(found) if self.peers[found].1.address == address => {}
             Ok(found) => self.peers[found].1 = link,
@@ -143,9 +146,16 @@
         let link = find(&mut self.peers, peer)?;
         link.socket.close();
         link.socket = dial(link.address)?;
+        link.since = Instant::now();
         Ok(())
     }
 
+    /// Time since the connection to a peer was made or replaced; `None` for an unknown peer.
+    pub fn age(&self, peer: &InstanceId) -> Option<Duration> {
+        let found = self.peers.binary_search_by(|it| it.0.cmp(peer)).ok()?;
+        Some(self.peers[found].1.since.elapsed())
+    }
+
     /// Sends `message` to `peer` without waiting.
     ///
     /// # Errors
