Rebuild of a group from one survivor, and may_form in a keeper's settings

Cause: a group that lost a majority of its disks stopped, as it should, and no program could rebuild it; after Restored::rebuild in the core, keys that the survivor lacked would have been taken as new and run again, its revisions could have stood for two configurations, and the other voters could not return. Other voters lose their votes and are let in again with new storage. Ruled out: a failure in the test's first run (the survivor got the booking out of the relay's buffer after the partition) and a stale base revision (test read it from a lagging entry instance).

--- a/crates/medlarlug-core/src/configuration_group/command.rs
+++ b/crates/medlarlug-core/src/configuration_group/command.rs
@@ -35,6 +35,8 @@
         /// Names this founding; a repeated command with the same token gets the same answer.
         token: FoundToken,
     },
+    /// The group was rebuilt from the state of one survivor, which may lack the newest changes.
+    Rebuilt,
 }
 
 /// What an accepted note led to.
@@ -70,6 +72,8 @@
     },
     /// The region is not in the configuration.
     UnknownRegion(RegionId),
+    /// The group is rebuilt and goes on at this revision.
+    Rebuilt(Revision),
 }
 
 /// Why a note is refused by the group.
--- a/crates/medlarlug-core/src/configuration_group/state.rs
+++ b/crates/medlarlug-core/src/configuration_group/state.rs
@@ -22,6 +22,9 @@
 /// Changes that are kept to bring instances up to date without sending the whole configuration.
 pub const MAX_CHANGES: usize = 1_024;
 
+/// Revisions that a rebuilt group leaves out; more than the survivor can have missed.
+pub const REBUILT_REVISIONS: u64 = 1 << 20;
+
 /// A note that holds its number.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct HeldNumber {
@@ -98,6 +101,7 @@
             Command::RemoveDrained { revision, items } => self.remove_drained(revision, items),
             Command::HomeAdopted { team, epoch } => self.end_move(&team, epoch),
             Command::FoundHome { region, token } => self.found_home(region, token),
+            Command::Rebuilt => self.rebuilt(),
         }
     }
 
@@ -211,6 +215,13 @@
         }
     }
 
+    /// Leaves out the revisions that may be in force elsewhere and are not known here.
+    fn rebuilt(&mut self) -> Reply {
+        self.current.revision = Revision(self.current.revision.0 + REBUILT_REVISIONS);
+        self.changes.clear();
+        Reply::Rebuilt(self.current.revision)
+    }
+
     fn remove_drained(&mut self, revision: Revision, items: Vec<ItemKey>) -> Reply {
         if revision != self.current.revision || items.is_empty() {
             return Reply::NotRemoved(self.current.revision);
--- a/crates/medlarlug-core/src/home/bookings.rs
+++ b/crates/medlarlug-core/src/home/bookings.rs
@@ -274,6 +274,23 @@
         }
     }
 
+    /// Marks every booking as unknown that may have gone on without a record.
+    pub(crate) fn distrust(&mut self, clock: u64) {
+        let mut doubtful = Vec::new();
+        for book in &mut self.books {
+            for booking in &mut book.bookings {
+                if matches!(booking.state, BookingState::Open(_) | BookingState::Abandoned) {
+                    booking.state = BookingState::Unknown;
+                    booking.since = clock;
+                    doubtful.push((book.team.clone(), booking.key.clone()));
+                }
+            }
+        }
+        for (team, key) in doubtful {
+            self.mark_ended(clock, team, key, 0);
+        }
+    }
+
     pub(super) fn find_book(&self, team: &TeamId) -> Result<usize, usize> {
         self.books.binary_search_by(|it| it.team.cmp(team))
     }
--- a/crates/medlarlug-core/src/home/command.rs
+++ b/crates/medlarlug-core/src/home/command.rs
@@ -141,6 +141,9 @@
     },
     /// Time has passed; expired bookings, suspicions and convictions are dropped.
     Tick,
+    /// The group was rebuilt from the state of one survivor, which may lack the newest commands.
+    /// Whatever may have gone on since then is unknown, and the group has to be founded anew.
+    Rebuilt,
 }
 
 /// The intent to send one booking.
--- a/crates/medlarlug-core/src/home/state.rs
+++ b/crates/medlarlug-core/src/home/state.rs
@@ -16,6 +16,9 @@
 //! newer than the founding. This ends after a [`KEY_RETENTION`], when every former key has
 //! outlived its promise.
 //!
+//! A group that was rebuilt from one survivor ([`Action::Rebuilt`]) is founded anew as well. It keeps
+//! the answers that it knows; what was open or given up is unknown.
+//!
 //! Such a group has also forgotten which teams it had handed over. It takes a booking only from an
 //! owner whose configuration is not older than the founding and says that the team's home is here.
 //! Of a hand-over from before the founding it takes over the outcomes only.
@@ -90,6 +93,7 @@
 pub struct HomeGroup {
     clock: u64,
     founding: Option<Founding>,
+    is_rebuilt: bool,
     instances: Vec<Started>,
     bookings: Bookings,
     records: Records,
@@ -107,6 +111,10 @@
         match command.action {
             Action::Found { revision, first } => self.found(revision, first),
             Action::Begin(begin) => Reply::Begin(self.begin(begin)),
+            Action::Rebuilt => {
+                self.rebuilt();
+                Reply::Ok
+            }
             _ if self.founding.is_none() => Reply::NotFounded,
             action => self.apply_founded(action),
         }
@@ -189,7 +197,7 @@
     fn apply_founded(&mut self, action: Action) -> Reply {
         let clock = self.clock;
         match action {
-            Action::Found { .. } | Action::Begin(_) | Action::Tick => Reply::Ok,
+            Action::Found { .. } | Action::Begin(_) | Action::Rebuilt | Action::Tick => Reply::Ok,
             Action::InstanceStarted { instance, incarnation } => {
                 self.start(instance, incarnation);
                 Reply::Ok
@@ -271,6 +279,7 @@
         if let Some(founding) = self.founding {
             return Reply::Founded(founding.revision);
         }
+        let first = first && !self.is_rebuilt;
         let after = |duration: u64| self.clock.saturating_add(duration);
         let amnesia =
             (!first).then(|| Amnesia { before: revision, until: after(KEY_RETENTION_MICROS) });
@@ -280,6 +289,12 @@
         Reply::Founded(revision)
     }
 
+    fn rebuilt(&mut self) {
+        self.is_rebuilt = true;
+        self.founding = None;
+        self.bookings.distrust(self.clock);
+    }
+
     fn amnesia(&self) -> Option<Amnesia> {
         self.founding.and_then(|it| it.amnesia).filter(|it| it.until > self.clock)
     }
--- a/crates/medlarlug-core/src/replication/event.rs
+++ b/crates/medlarlug-core/src/replication/event.rs
@@ -6,7 +6,7 @@
 use crate::ids::{InstanceId, LogIndex, Term};
 
 use super::{
-    membership::{Change, FormationId, Member, MemberKey, Membership},
+    membership::{Change, FormationId, Member, MemberKey, MemberRole, Membership},
     message::{Entry, HardState, Message, Payload, Snapshot},
 };
 
@@ -243,15 +243,31 @@
     /// majority.
     ///
     /// Every entry that the survivor holds becomes committed, acknowledged or not; what it lacks
-    /// is lost. Returns `None` if the state belongs to no group.
-    pub fn rebuild(mut self, member: Member, formation: FormationId) -> Option<Restored> {
-        self.membership()?;
+    /// is lost. The other voters lose their votes; each is let in again once it returns with new
+    /// storage. `command`, if any, becomes the first command of the new group. Returns `None` if
+    /// the state belongs to no group.
+    pub fn rebuild(
+        mut self,
+        member: Member,
+        formation: FormationId,
+        command: Option<Vec<u8>>,
+    ) -> Option<Restored> {
+        let own = member.key.clone();
+        let others = self.membership()?.members().iter().filter(|it| it.key != own);
+        let others = others.cloned().map(|it| match it.role {
+            MemberRole::Learner => it,
+            MemberRole::Joining | MemberRole::Voter => Member { role: MemberRole::Joining, ..it },
+        });
+        let members: Vec<Member> = others.chain([member]).collect();
         let base = self.snapshot.as_ref().map(|snapshot| snapshot.index).unwrap_or_default();
         let last = self.entries.last().map(|entry| entry.index).unwrap_or(base);
         let term = self.hard.term.next();
-        let members = Membership::new(formation, vec![member]);
-        let payload = Payload::Members(members);
+        let payload = Payload::Members(Membership::new(formation, members));
         self.entries.push(Entry { index: last.next(), term, payload });
+        if let Some(command) = command {
+            let payload = Payload::Command(command);
+            self.entries.push(Entry { index: last.next().next(), term, payload });
+        }
         self.hard = HardState { term, vote: None };
         Some(self)
     }
--- a/crates/medlarlug-core/tests/testsuite/configuration_group.rs
+++ b/crates/medlarlug-core/tests/testsuite/configuration_group.rs
@@ -149,6 +149,20 @@
     assert_eq!(second, Reply::Founded { revision: Revision(3), first: false });
 }
 
+#[test]
+fn rebuilt_group_goes_on_above_every_revision_that_it_may_have_lost() {
+    let mut survivor = group_with(vec![region("riga", &["riga-a"])]);
+    let mut lost = survivor.clone();
+    apply(&mut lost, note(1, vec![region("kurzeme", &["liepaja-a"])]));
+    let ask = Ask { token: 1, revision: lost.configuration().revision, full: false };
+
+    let reply = survivor.apply(Command::Rebuilt);
+    let update = survivor.update_for(&ask);
+
+    assert_matches!(reply, Reply::Rebuilt(revision) if revision > ask.revision);
+    assert_eq!(update, Some(Update::Full(survivor.configuration().clone())));
+}
+
 /// Accepted notes as a list; the configuration is computed from all of them each time.
 #[derive(Debug, Default)]
 struct Naive {
--- a/crates/medlarlug-core/tests/testsuite/home_limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/home_limits.rs
@@ -65,6 +65,29 @@
     assert_eq!(newer, BeginReply::Started);
 }
 
+#[test]
+fn group_rebuilt_from_a_survivor_keeps_answers_and_runs_nothing_that_it_may_have_lost() {
+    let mut group = founded(true);
+    let request = id("riga.entry-1.1.1");
+    let (team, key) = (id("anna"), "given-up".parse().unwrap());
+    for key in ["done", "open", "given-up"] {
+        reply_to(&mut group, begin(key, 3));
+    }
+    finish(&mut group, &begin("done", 3), b"ok");
+    apply(&mut group, Duration::ZERO, Action::Abandon { team, key, request });
+
+    apply(&mut group, Duration::ZERO, Action::Rebuilt);
+    let early = reply_to(&mut group, begin("done", 3));
+    // A configuration group that was rebuilt as well may call this founding the first.
+    apply(&mut group, Duration::ZERO, Action::Found { revision: FOUNDED, first: true });
+
+    assert_eq!(early, BeginReply::NotFounded);
+    assert_matches!(reply_to(&mut group, begin("done", 3)), BeginReply::Done { .. });
+    for key in ["open", "given-up", "lost"] {
+        assert_matches!(reply_to(&mut group, begin(key, 3)), BeginReply::Unknown(_), "{key}");
+    }
+}
+
 #[test]
 fn group_that_lost_its_state_takes_no_booking_from_an_older_configuration() {
     let mut group = founded(false);
--- a/crates/medlarlug-core/tests/testsuite/replication/cluster.rs
+++ b/crates/medlarlug-core/tests/testsuite/replication/cluster.rs
@@ -204,7 +204,7 @@
     pub fn rebuild(&mut self, node: usize, formation: medlarlug_core::replication::FormationId) {
         let it = &mut self.nodes[node];
         let member = Member { key: it.key.clone(), role: MemberRole::Voter, durable: it.durable };
-        it.disk = it.disk.clone().rebuild(member, formation).expect("a group to rebuild");
+        it.disk = it.disk.clone().rebuild(member, formation, None).expect("a group to rebuild");
     }
 
     pub fn freeze(&mut self, node: usize) {
--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -322,6 +322,19 @@
         self.processes.lock().expect("no test has panicked here").push((id.into(), child));
     }
 
+    /// Rebuilds a group from the data folder of a stopped keeper; tells whether it succeeded.
+    pub fn rebuild(&self, id: &str, group: &str) -> bool {
+        let settings = self.folder.path().join(format!("{id}.yaml"));
+        let status = Command::new(self.binaries.join("medlarlug-keeper"))
+            .arg("--settings")
+            .arg(settings)
+            .args(["--rebuild", group])
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .status();
+        status.expect("a built program").success()
+    }
+
     /// Sends a signal to a process that was started here.
     pub fn signal(&self, id: &str, signal: Signal) {
         let processes = self.processes.lock().expect("no test has panicked here");
--- a/crates/test-support/src/relay.rs
+++ b/crates/test-support/src/relay.rs
@@ -68,8 +68,8 @@
 impl Relay {
     /// Starts a relay to `target` on an address of its own.
     pub fn start(target: SocketAddr) -> Relay {
-        let address = crate::free_address();
-        let listener = TcpListener::bind(address).expect("a free address");
+        let listener = listen();
+        let address = listener.local_addr().expect("the address of a listener");
         let shared = Arc::new(Shared::default());
         let accepting = shared.clone();
         thread::spawn(move || accept(&listener, target, &accepting));
@@ -125,6 +125,15 @@
     }
 }
 
+/// Listens at a free address; another process may take one between the check and the bind.
+fn listen() -> TcpListener {
+    loop {
+        if let Ok(listener) = TcpListener::bind(crate::free_address()) {
+            return listener;
+        }
+    }
+}
+
 fn accept(listener: &TcpListener, target: SocketAddr, shared: &Arc<Shared>) {
     for near in listener.incoming() {
         if shared.state().is_closed {
--- a/src/bin/medlarlug-keeper.rs
+++ b/src/bin/medlarlug-keeper.rs
@@ -15,6 +15,9 @@
     settings: PathBuf,
     /// Validate the settings without starting
     check: bool,
+    /// Rebuild a group that lost its majority from this stopped keeper's data folder
+    #[bpaf(argument("GROUP"))]
+    rebuild: Option<String>,
 }
 
 fn main() -> ExitCode {
@@ -34,6 +37,11 @@
         println!("{}: valid", options.settings.display());
         return Ok(());
     }
+    if let Some(group) = &options.rebuild {
+        keeper::rebuild::rebuild(&settings, group)?;
+        println!("{group}: rebuilt from {}", settings.instance);
+        return Ok(());
+    }
     let level = telemetry::logs::start(settings.log)?;
     let metrics = telemetry::metrics::start()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
--- a/src/coordination/keeper/mod.rs
+++ b/src/coordination/keeper/mod.rs
@@ -5,11 +5,13 @@
 //!
 //! * [`group`]: one replication group: replica, state machine, waiting calls.
 //! * [`machine`]: the state machine of a group, by kind.
+//! * [`rebuild`]: a group out of the state of one survivor, at an operator's order.
 //! * [`duties`]: what the leader of a group does unasked.
 
 pub mod duties;
 pub mod group;
 pub mod machine;
+pub mod rebuild;
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
@@ -96,7 +98,7 @@
     let (cluster, keys) = (settings.cluster.clone(), settings.keys.clone());
     let node = Rc::new(Node::new(own, cluster, keys, incarnation_of_start(), None, links)?);
     let storage = Storage::open(&settings, &node)?;
-    let groups = RefCell::new(groups_of(&node, &storage)?);
+    let groups = RefCell::new(groups_of(&node, &storage, settings.may_form)?);
     let (writer, mut reports) = storage.start()?;
     let applied = watch::Sender::new(0);
     let keeper = Rc::new(Keeper { node: node.clone(), groups, writer, applied });
@@ -136,22 +138,22 @@
     ServerLimits { header_bytes: 16 * 1024, header_time: Duration::from_secs(10), connections: 64 }
 }
 
-fn groups_of(node: &Node, storage: &Storage) -> Result<Vec<Group>, MachineError> {
+fn groups_of(node: &Node, storage: &Storage, may_form: bool) -> Result<Vec<Group>, MachineError> {
     let homes = node.cluster.homes.iter();
     let homes = homes.map(|it| (GroupId::Home(it.region.clone()), &it.voters));
     let configuration = (GroupId::Configuration, &node.cluster.configuration);
     std::iter::once(configuration)
         .chain(homes)
         .filter(|it| it.1.contains(&node.own.id))
-        .map(|(id, voters)| new_group(node, storage, id, voters.clone()))
+        .map(|(id, voters)| new_group(node, storage, may_form, (id, voters.clone())))
         .collect()
 }
 
 fn new_group(
     node: &Node,
     storage: &Storage,
-    id: GroupId,
-    voters: Vec<InstanceId>,
+    may_form: bool,
+    (id, voters): (GroupId, Vec<InstanceId>),
 ) -> Result<Group, MachineError> {
     let restored = storage.restored(&id);
     let mut machine = Machine::new(&id);
@@ -161,12 +163,13 @@
     let key = MemberKey { id: node.own.id.clone(), storage: storage.id() };
     let mut config = replication::Config::new(key, voters);
     config.durable = node.own.durable;
+    config.may_form = may_form;
     let replica = Replica::new(config, restored, node.incarnation.0, node.now());
     Ok(Group::new(id, replica, machine))
 }
 
 /// The name of a group in the data folder.
-fn group_name(id: &GroupId) -> GroupName {
+pub(super) fn group_name(id: &GroupId) -> GroupName {
     let Ok(name) = id.to_string().parse();
     name
 }
--- a/src/settings/process.rs
+++ b/src/settings/process.rs
@@ -79,6 +79,8 @@
     pub log: LogLevel,
     /// Folder of the durable state; `None` for a volatile voter.
     pub data: Option<PathBuf>,
+    /// Whether its groups may be formed when every voter comes with new storage.
+    pub may_form: bool,
 }
 
 /// An operator and the fingerprint of the bearer key.
@@ -99,6 +101,10 @@
     /// cluster file has no such entry instance.
     pub fn load(file: &Path) -> Result<EntrySettings, SettingsError> {
         let mut raw: RawProcess = source::read(file)?;
+        if let Some(may_form) = &raw.may_form {
+            let fault = invalid("may_form", may_form, "it to keepers only");
+            return Err(fault.in_file(file.to_owned()));
+        }
         let limits = raw.limits.take().map_or_else(RawLimits::default, |it| it.value);
         let limits = Limits::try_from(limits).map_err(|it| it.in_file(file.to_owned()))?;
         let common = Common::load(file, raw, PeerKind::Entry)?;
@@ -142,6 +148,7 @@
             };
             return Err(source::fault(limits, fault).in_file(file.to_owned()));
         }
+        let may_form = raw.may_form.as_ref().is_none_or(|it| it.value);
         let place = raw.data.clone().unwrap_or_else(|| raw.instance.clone());
         let common = Common::load(file, raw, PeerKind::Keeper)?;
         let durable = common.cluster.peer(&common.instance).is_some_and(|it| it.durable);
@@ -161,6 +168,7 @@
             drain: common.drain,
             log: common.log,
             data: common.data,
+            may_form,
         })
     }
 
@@ -191,6 +199,7 @@
     drain_seconds: Option<Lined<u64>>,
     log: Option<Text>,
     data: Option<Text>,
+    may_form: Option<Lined<bool>>,
 }
 
 #[derive(Debug, Deserialize)]
--- a/tests/testsuite/processes/keepers.rs
+++ b/tests/testsuite/processes/keepers.rs
@@ -1,5 +1,10 @@
 //! What survives the loss of keepers and their disks.
 
+use std::{
+    sync::atomic::{AtomicUsize, Ordering},
+    thread,
+};
+
 use medlarlug_core::release::item::Residency;
 use nix::sys::signal::Signal;
 use serde_json::Value;
@@ -113,3 +118,57 @@
     assert_eq!(deployment.runs("parcel-1"), 1);
     assert_eq!(deployment.runs("parcel-2"), 1);
 }
+
+/// Bookings that one caller sends while keepers restart.
+const BOOKINGS: usize = 40;
+
+/// Books under many keys, whatever the answers; tells the keys with the acknowledged answers.
+fn book_many(deployment: &Deployment, entry: &str, sent: &AtomicUsize) -> Vec<(String, String)> {
+    let mut acknowledged = Vec::new();
+    for count in 0..BOOKINGS {
+        let key = format!("{entry}-{count}");
+        let reply = deployment.book(entry, &key, "{}");
+        sent.fetch_add(1, Ordering::Relaxed);
+        if reply.status == 200 {
+            acknowledged.push((key, reply.text));
+        }
+    }
+    acknowledged
+}
+
+/// Kills every keeper at once and starts them again.
+fn restart_keepers(deployment: &Deployment) {
+    KEEPERS.iter().for_each(|it| deployment.signal(it, Signal::SIGKILL));
+    KEEPERS.iter().for_each(|it| deployment.restart(it));
+}
+
+#[test]
+fn bookings_are_single_and_known_after_all_keepers_restarted_twice_meanwhile() {
+    let deployment = with_service();
+    book_until_answered(&deployment, "entry-1", "parcel-0");
+    let sent = AtomicUsize::new(0);
+
+    let acknowledged = thread::scope(|scope| {
+        let (shared, sent) = (&deployment, &sent);
+        let book = |entry| scope.spawn(move || book_many(shared, entry, sent));
+        let callers = ["entry-1", "entry-2"].map(book);
+        for round in 1..=2 {
+            wait_for("some bookings", || sent.load(Ordering::Relaxed) >= round * BOOKINGS / 2);
+            restart_keepers(shared);
+        }
+        let all = callers.map(|it| it.join().expect("no panic"));
+        all.into_iter().flatten().collect::<Vec<_>>()
+    });
+
+    assert!(!acknowledged.is_empty());
+    for entry in ["entry-1", "entry-2"] {
+        for count in 0..BOOKINGS {
+            let key = format!("{entry}-{count}");
+            assert!(deployment.runs(&key) <= 1, "{key}");
+        }
+    }
+    for (key, answer) in &acknowledged {
+        assert_eq!(&book_until_answered(&deployment, "entry-1", key), answer, "{key}");
+        assert_eq!(deployment.runs(key), 1, "{key}");
+    }
+}
--- a/tests/testsuite/processes/operators.rs
+++ b/tests/testsuite/processes/operators.rs
@@ -10,6 +10,7 @@
     Item, RawNote,
     item::{Residency, Service},
 };
+use serde_json::Value;
 use test_support::{
     deployment::{Deployment, OPERATOR_KEY, wait_for},
     id,
@@ -26,11 +27,18 @@
     })
 }
 
+const KEEPERS: [&str; 3] = ["keeper-1", "keeper-2", "keeper-3"];
+
 fn revision(deployment: &Deployment, instance: &str) -> u64 {
     let status = deployment.operator_get(instance, "/status").json;
     status["revision"].as_u64().unwrap_or_default()
 }
 
+/// The newest revision: that of the leader of the configuration group.
+fn newest_revision(deployment: &Deployment) -> u64 {
+    KEEPERS.iter().map(|it| revision(deployment, it)).max().unwrap_or_default()
+}
+
 /// Sends a note and closes the connection before the answer.
 fn apply_and_leave(deployment: &Deployment, keeper: &str, note: &RawNote) {
     let body = serde_json::to_string(note).expect("a note is JSON");
@@ -49,7 +57,7 @@
 fn operators_race_under_one_number_and_the_loser_is_told_the_winner() {
     let deployment = two_regions().start();
     deployment.configure(items(Residency::Anywhere));
-    let base = revision(&deployment, "entry-1");
+    let base = newest_revision(&deployment);
     let notes = ["left", "right"].map(|it| test_support::note(base, vec![further_service(it)]));
 
     let replies = thread::scope(|scope| {
@@ -77,7 +85,7 @@
 fn note_that_is_sent_again_after_a_lost_answer_is_accepted_once() {
     let deployment = two_regions().start();
     deployment.configure(items(Residency::Anywhere));
-    let base = revision(&deployment, "entry-1");
+    let base = newest_revision(&deployment);
     let note = test_support::note(base, vec![further_service("further")]);
     let later = test_support::note(base + 1, vec![further_service("later")]);
 
@@ -90,3 +98,88 @@
     assert_eq!(first.json["revision"], base + 1);
     assert_eq!(again.json, first.json);
 }
+
+const GROUPS: [&str; 3] = ["configuration", "home-kurzeme", "home-riga"];
+
+fn book_until_answered(deployment: &Deployment, entry: &str, key: &str) -> String {
+    let mut text = String::new();
+    wait_for("an answer to the booking", || {
+        let reply = deployment.book(entry, key, "{}");
+        text = reply.text;
+        reply.status == 200
+    });
+    text
+}
+
+/// Three keepers, of which `keeper-3` lacks `parcel-2` and the others lost their disks.
+fn with_lost_majority() -> (Deployment, String) {
+    let deployment = two_regions().relayed().service("desk", "riga-a", "jobdesk");
+    let mut deployment = deployment.start();
+    deployment.configure(items(Residency::Anywhere));
+    deployment.wait_upstreams("entry-1", 1);
+    let first = book_until_answered(&deployment, "entry-1", "parcel-1");
+    wait_for("the survivor to hold the first booking", || {
+        let committed = ["keeper-1", "keeper-3"].map(|it| committed(&deployment, it));
+        committed[0] == committed[1]
+    });
+    deployment.network().partition(|it| it == "keeper-3", true);
+    book_until_answered(&deployment, "entry-1", "parcel-2");
+    for keeper in ["keeper-1", "keeper-2"] {
+        deployment.kill(keeper);
+        deployment.delete_data(keeper);
+    }
+    // What waits for the survivor is lost with its senders.
+    deployment.network().forget_open(|_| true, |it| it == "keeper-3");
+    deployment.network().partition(|it| it == "keeper-3", false);
+    for keeper in ["keeper-1", "keeper-2"] {
+        deployment.start_process(keeper);
+    }
+    (deployment, first)
+}
+
+fn group(deployment: &Deployment, keeper: &str, name: &str) -> Value {
+    let groups = deployment.operator_get(keeper, "/status").json["groups"].clone();
+    let groups = groups.as_array().cloned().unwrap_or_default();
+    groups.into_iter().find(|it| it["group"] == name).unwrap_or_default()
+}
+
+fn committed(deployment: &Deployment, keeper: &str) -> Option<u64> {
+    group(deployment, keeper, "home-riga")["committed"].as_u64()
+}
+
+#[test]
+fn group_that_lost_its_majority_stops_and_is_rebuilt_from_the_survivor() {
+    let (mut deployment, first) = with_lost_majority();
+    let before = revision(&deployment, "entry-1");
+    let keys = ["parcel-1", "parcel-2", "parcel-3"];
+
+    wait_for("the wiped keepers to be up", || {
+        ["keeper-1", "keeper-2"].iter().all(|it| group(&deployment, it, "home-riga").is_object())
+    });
+    let stopped = thread::scope(|scope| {
+        let shared = &deployment;
+        let book = |key| scope.spawn(move || shared.book("entry-1", key, "{}"));
+        keys.map(book).map(|it| it.join().expect("no panic"))
+    });
+    deployment.kill("keeper-3");
+    assert!(GROUPS.iter().all(|it| deployment.rebuild("keeper-3", it)));
+    deployment.start_process("keeper-3");
+    let known = book_until_answered(&deployment, "entry-1", "parcel-1");
+    let lost = deployment.book("entry-1", "parcel-2", "{}");
+    wait_for("three voters again", || {
+        GROUPS.iter().all(|name| {
+            let voters = group(&deployment, "keeper-1", name)["voters"].clone();
+            voters.as_array().is_some_and(|it| it.len() == 3)
+        })
+    });
+    deployment.kill("keeper-3");
+    let after = book_until_answered(&deployment, "entry-2", "parcel-1");
+
+    for it in &stopped {
+        assert_eq!(it.status, 503, "{}", it.text);
+    }
+    assert_eq!((&known, &after), (&first, &first));
+    assert_eq!(lost.json["type"], "outcome-unknown", "{}", lost.text);
+    assert_eq!(keys.map(|it| deployment.runs(it)), [1, 1, 0]);
+    assert!(revision(&deployment, "entry-1") > before);
+}
