--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -17,5 +17,7 @@
 mod replication;
 mod retry;
 mod routing;
+mod routing_attempts;
+mod routing_refusals;
 mod stream;
 mod suspects;
--- a/crates/test-support/src/relay.rs
+++ b/crates/test-support/src/relay.rs
@@ -235,6 +235,14 @@
         }
     }
 
+    /// Delays everything between two instances that both `is_member`, one way.
+    pub fn delay_between(&self, is_member: impl Fn(&str) -> bool, delay: Duration) {
+        for it in self.links.iter().filter(|it| is_member(&it.from) && is_member(&it.to)) {
+            it.peers.delay(delay);
+            it.internal.delay(delay);
+        }
+    }
+
     /// Partitions the instances inside from the others, silently and both ways, or heals it.
     pub fn partition(&self, is_inside: impl Fn(&str) -> bool, is_held: bool) {
         for it in self.across(is_inside) {
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -8,3 +8,5 @@
 mod partition;
 mod path;
 mod streams;
+mod suspects;
+mod upstreams;
