--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -13,7 +13,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{free_address, free_block};
+use crate::{free_address, free_block, relay::Network};
 use medlarlug_core::{
     fingerprint::Fingerprint,
     release::{Item, RawNote},
@@ -52,12 +52,15 @@
     pub zone: String,
     /// Whether it is an entry instance.
     pub is_entry: bool,
+    /// Whether it has a data folder.
+    pub has_disk: bool,
     /// Address for callers; unused by keepers.
     pub callers: SocketAddr,
     /// Address for operators.
     pub operators: SocketAddr,
     internal: SocketAddr,
-    peers: SocketAddr,
+    /// Address for messages of other instances.
+    pub peers: SocketAddr,
 }
 
 /// An emulated upstream.
@@ -102,6 +105,9 @@
     /// Emulated upstreams, one process each.
     pub upstreams: Vec<Upstream>,
     processes: Mutex<Vec<(String, Child)>>,
+    /// The relays between instances, if [`Deployment::relayed`] asks for them.
+    pub network: Option<Network>,
+    homes: Vec<(String, Vec<String>)>,
 }
 
 impl Deployment {
@@ -115,9 +121,36 @@
             instances: Vec::new(),
             upstreams: Vec::new(),
             processes: Mutex::default(),
+            network: None,
+            homes: Vec::new(),
         }
     }
 
+    /// Puts relays between the instances.
+    pub fn relayed(mut self) -> Deployment {
+        self.network = Some(Network::default());
+        self
+    }
+
+    /// Names the voters of a region's home group; otherwise every keeper is one.
+    pub fn home(mut self, region: &str, voters: &[&str]) -> Deployment {
+        let voters = voters.iter().map(|it| (*it).to_owned()).collect();
+        self.homes.push((region.into(), voters));
+        self
+    }
+
+    /// The relays between the instances.
+    pub fn network(&self) -> &Network {
+        self.network.as_ref().expect("a deployment with relays")
+    }
+
+    /// Gives an entry instance a disk.
+    pub fn with_disk(mut self, id: &str) -> Deployment {
+        let it = self.instances.iter_mut().find(|it| it.id == id).expect("an instance");
+        it.has_disk = true;
+        self
+    }
+
     /// Adds an entry instance.
     pub fn entry(self, id: &str, zone: &str) -> Deployment {
         self.instance(id, zone, true)
@@ -133,6 +166,7 @@
             id: id.into(),
             zone: zone.into(),
             is_entry,
+            has_disk: !is_entry,
             callers: free_address(),
             operators: free_address(),
             internal: free_address(),
@@ -188,6 +222,7 @@
 
     /// Writes the settings and starts every process.
     pub fn start(mut self) -> Deployment {
+        self.start_relays();
         self.write_settings();
         let ids = self.instances.iter().map(|it| it.id.clone());
         let ids: Vec<String> = ids.chain(self.upstreams.iter().map(|it| it.id.clone())).collect();
@@ -195,17 +230,26 @@
         self
     }
 
+    fn start_relays(&mut self) {
+        let Some(network) = &mut self.network else { return };
+        for from in &self.instances {
+            for to in self.instances.iter().filter(|it| it.id != from.id) {
+                network.add(&from.id, &to.id, to.peers, to.internal);
+            }
+        }
+    }
+
     fn write_settings(&self) {
         self.write("deployment.key", "an example of a long deployment key\n");
-        self.write("cluster.yaml", &self.cluster());
         let key = Fingerprint::of(OPERATOR_KEY.as_bytes());
         for it in &self.instances {
-            let data = match it.is_entry {
-                true => String::new(),
-                false => format!("data: data-{}\n", it.id),
+            self.write(&format!("cluster-{}.yaml", it.id), &self.cluster(&it.id));
+            let data = match it.has_disk {
+                true => format!("data: data-{}\n", it.id),
+                false => String::new(),
             };
             let text = format!(
-                "instance: {}\ncluster: cluster.yaml\nkey: [deployment.key]\noperators:\n  \
+                "instance: {0}\ncluster: cluster-{0}.yaml\nkey: [deployment.key]\noperators:\n  \
                  - {{ id: anna, key: {key} }}\n{data}",
                 it.id
             );
@@ -216,7 +260,8 @@
         }
     }
 
-    fn cluster(&self) -> String {
+    /// The cluster file that the process of `reader` reads.
+    fn cluster(&self, reader: &str) -> String {
         let mut text = String::from("zones:\n");
         for (zone, region) in &self.zones {
             text.push_str(&format!("  - {{ id: {zone}, region: {region} }}\n"));
@@ -227,10 +272,13 @@
                 true => ("entry", format!("callers: \"{}\"", it.callers)),
                 false => ("keeper", "durable: true".to_owned()),
             };
+            let link = self.network.as_ref().and_then(|network| network.get(reader, &it.id));
+            let peers = link.map_or(it.peers, |link| link.peers.address());
+            let internal = link.map_or(it.internal, |link| link.internal.address());
             text.push_str(&format!(
                 "  - {{ id: {}, kind: {kind}, zone: {}, internal: \"{}\", peers: \"{}\", \
                  operators: \"{}\", {more} }}\n",
-                it.id, it.zone, it.internal, it.peers, it.operators
+                it.id, it.zone, internal, peers, it.operators
             ));
         }
         let keepers = self.instances.iter().filter(|it| !it.is_entry);
@@ -241,6 +289,8 @@
         regions.sort();
         regions.dedup();
         for region in regions {
+            let named = self.homes.iter().find(|it| it.0 == *region);
+            let voters = named.map_or(voters.clone(), |it| it.1.join(", "));
             text.push_str(&format!("  - {{ region: {region}, voters: [{voters}] }}\n"));
         }
         text
@@ -310,6 +360,19 @@
         self.processes.lock().expect("no test has panicked here").push((id.into(), child));
     }
 
+    /// Rebuilds a group from the data folder of a stopped keeper; tells whether it succeeded.
+    pub fn rebuild(&self, id: &str, group: &str) -> bool {
+        let settings = self.settings(id);
+        let status = Command::new(self.binaries.join("medlarlug-keeper"))
+            .arg("--settings")
+            .arg(settings)
+            .args(["--rebuild", group])
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .status();
+        status.expect("a built program").success()
+    }
+
     /// The process id of a running process.
     ///
     /// # Panics
@@ -352,6 +415,11 @@
         let _ = fs::remove_dir_all(self.folder.path().join(format!("data-{id}")));
     }
 
+    /// The settings file of a process.
+    pub fn settings(&self, id: &str) -> PathBuf {
+        self.folder.path().join(format!("{id}.yaml"))
+    }
+
     /// The log of a process.
     pub fn log(&self, id: &str) -> String {
         fs::read_to_string(self.folder.path().join(format!("{id}.log"))).unwrap_or_default()
@@ -448,6 +516,13 @@
         }
     }
 
+    /// Sends a booking as the team that owns the bearer key `caller`.
+    pub fn book_as(&self, caller: &str, id: &str, key: &str, body: &str) -> Reply {
+        let bearer = bearer(caller);
+        let headers = [("authorization", bearer.as_str()), ("idempotency-key", key)];
+        call("POST", self.get(id).callers, "/v1/services/jobdesk/jobs", &headers, body)
+    }
+
     /// How often a service ran the call with this key, over all upstreams.
     pub fn runs(&self, key: &str) -> u64 {
         let services = self.upstreams.iter().filter(|it| it.kind.contains("service"));
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -4,6 +4,8 @@
 mod fixture;
 mod history;
 mod keepers;
+mod operators;
+mod partition;
 mod path;
 mod streams;
 mod suspects;
