--- a/crates/medlarlug-core/src/directory.rs
+++ b/crates/medlarlug-core/src/directory.rs
@@ -1,8 +1,8 @@
 //! Which entry instances a caller should use, without a balancer before them.
 //!
 //! A caller asks the instance that it uses and gets a list with a lifetime. Near instances come
-//! first; instances that leave are never listed, those that have just started only where no other
-//! instance of their zone is ready.
+//! first; instances that leave are never listed, those that have just started only when no other
+//! instance is ready.
 //!
 //! The asked instance names itself first while its load is at most the mean of the near ones.
 //! Above it, it sends the caller on with the probability that brings its load to the mean within
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ids::{InstanceId, ZoneId},
+    ids::InstanceId,
     membership::{EntryView, Membership, Seed},
     time::Time,
 };
@@ -84,13 +84,10 @@
     Directory { entries, lifetime: LIFETIME }
 }
 
-/// The instances but for those that have just started in a zone with others.
+/// The instances but for those that have just started, unless there are no others.
 fn without_settling(entries: Vec<EntryView>) -> Vec<EntryView> {
-    let mut ready: Vec<ZoneId> =
-        entries.iter().filter(|it| !it.settling).map(|it| it.zone.clone()).collect();
-    ready.sort();
-    let is_listed = |it: &EntryView| !it.settling || ready.binary_search(&it.zone).is_err();
-    entries.into_iter().filter(is_listed).collect()
+    let has_ready = entries.iter().any(|it| !it.settling);
+    entries.into_iter().filter(|it| !it.settling || !has_ready).collect()
 }
 
 fn distance(own: &Seed, entry: &EntryView) -> Distance {
--- a/crates/medlarlug-core/src/membership/message.rs
+++ b/crates/medlarlug-core/src/membership/message.rs
@@ -47,7 +47,7 @@
     pub revision: Revision,
     /// Whether it is about to stop.
     pub leaving: bool,
-    /// Whether it has just started and should get callers only where no other instance is ready.
+    /// Whether it has just started and should get callers only when no other instance is ready.
     pub settling: bool,
 }
 
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -172,6 +172,8 @@
     }
     let (close, closed) = watch::channel(false);
 
+    // The first heartbeat says that the instance has just started.
+    entry.tick();
     let callers = start_servers(&entry, level, metrics, &drain, &closed).await?;
     task::spawn_local(send_records(entry.clone()));
     task::spawn_local(announce_start(entry.clone()));
