Rolling restart test waits until the instances are ready, not only listed

Cause of its failures: while no instance is ready, every one is listed, so a restart began within the start of the others.

--- a/tests/testsuite/processes/shutdown.rs
+++ b/tests/testsuite/processes/shutdown.rs
@@ -43,8 +43,14 @@
     entries_of(&document).contains(&deployment.get(entry).callers)
 }
 
-/// Waits until every running instance's directory lists all of `entries`.
+/// Waits until all of `entries` are ready and listed in the directory of each.
+///
+/// While none is ready every one is listed, so that being listed alone tells nothing.
 fn wait_listed(deployment: &Deployment, entries: &[&str]) {
+    wait_for("readiness", || {
+        let dump = |it| deployment.operator_get(it, "/dump").json["process"].clone();
+        entries.iter().all(|it| dump(it)["limits_settled"] == true)
+    });
     wait_for("the instances in every directory", || {
         let is_everywhere = |it: &&str| entries.iter().all(|by| is_listed(deployment, by, it));
         entries.iter().all(is_everywhere)
