--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -13,7 +13,7 @@
     time::{Duration, Instant},
 };
 
-use crate::free_address;
+use crate::{free_address, free_block};
 use medlarlug_core::{
     fingerprint::Fingerprint,
     release::{Item, RawNote},
@@ -69,6 +69,8 @@
     pub zone: String,
     /// Its kind, in the settings' YAML.
     pub kind: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
     /// Further settings, one line of YAML each.
     pub extra: Vec<String>,
     /// Address at which it takes requests.
@@ -77,6 +79,19 @@
     pub control: SocketAddr,
 }
 
+/// Equal engines of one model.
+#[derive(Debug, Clone, Copy)]
+pub struct Pool<'a> {
+    /// The model.
+    pub model: &'a str,
+    /// Number of engines.
+    pub count: usize,
+    /// Slots of each.
+    pub slots: u32,
+    /// Tokens a second of one stream that runs alone.
+    pub speed: u32,
+}
+
 /// A deployment under construction or running.
 pub struct Deployment {
     folder: TempDir,
@@ -133,6 +148,26 @@
         self.upstream(id, zone, kind, &extra)
     }
 
+    /// Adds equal engines that run in one process.
+    pub fn pool(mut self, id: &str, zone: &str, pool: Pool) -> Deployment {
+        let Pool { model, count, slots, speed } = pool;
+        let kind = format!("{{ engine: {{ models: [{{ model: {model}, version: v1 }}] }} }}");
+        self.upstreams.push(Upstream {
+            id: id.into(),
+            zone: zone.into(),
+            kind,
+            slots,
+            extra: vec![
+                format!("speed: {speed}"),
+                "prefill: 1000000".into(),
+                format!("count: {count}"),
+            ],
+            address: free_block(count),
+            control: free_block(count),
+        });
+        self
+    }
+
     /// Adds a plain service.
     pub fn service(self, id: &str, zone: &str, service: &str) -> Deployment {
         self.upstream(id, zone, format!("{{ service: {{ service: {service} }} }}"), &[])
@@ -143,6 +178,7 @@
             id: id.into(),
             zone: zone.into(),
             kind,
+            slots: 8,
             extra: extra.iter().map(|it| (*it).to_owned()).collect(),
             address: free_address(),
             control: free_address(),
@@ -215,13 +251,14 @@
         let near: Vec<String> = near.map(|it| format!("\"{}\"", it.internal)).collect();
         let mut text = format!(
             "key: [deployment.key]\nupstreams:\n  - id: {}\n    zone: {}\n    address: {}\n    \
-             control: {}\n    announce_to: [{}]\n    kind: {}\n    slots: 8\n    lag_ms: 100\n",
+             control: {}\n    announce_to: [{}]\n    kind: {}\n    slots: {}\n    lag_ms: 100\n",
             upstream.id,
             upstream.zone,
             upstream.address,
             upstream.control,
             near.join(", "),
-            upstream.kind
+            upstream.kind,
+            upstream.slots
         );
         for line in &upstream.extra {
             text.push_str(&format!("    {line}\n"));
@@ -280,6 +317,17 @@
         self.processes.lock().expect("no test has panicked here").push((id.into(), child));
     }
 
+    /// The process id of a running process.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process does not run.
+    pub fn pid(&self, id: &str) -> u32 {
+        let processes = self.processes.lock().expect("no test has panicked here");
+        let child = processes.iter().find(|it| it.0 == id).expect("a running process");
+        child.1.id()
+    }
+
     /// Sends a signal to a process that was started here.
     pub fn signal(&self, id: &str, signal: Signal) {
         let processes = self.processes.lock().expect("no test has panicked here");
