--- a/crates/medlarlug-core/tests/testsuite/directory.rs
+++ b/crates/medlarlug-core/tests/testsuite/directory.rs
@@ -13,7 +13,7 @@
 use crate::network::entry;
 
 fn view(name: &str, zone: &str, region: &str, load: u32) -> EntryView {
-    EntryView { id: id(name), zone: id(zone), region: id(region), load }
+    EntryView { id: id(name), zone: id(zone), region: id(region), load, settling: false }
 }
 
 #[test]
@@ -30,6 +30,21 @@
     assert_eq!(directory.entries, [id("own"), id("near"), id("far")]);
 }
 
+#[test]
+fn instance_that_has_just_started_is_listed_only_when_no_other_is_ready() {
+    let settling = |name, zone| EntryView { settling: true, ..view(name, zone, "riga", 0) };
+    let started = vec![settling("lone", "riga-b"), settling("new", "riga-a")];
+    let mut some = started.clone();
+    some.push(view("old", "riga-a", "riga", 50));
+    let (own, mut random) = (entry("new", "riga-a", "riga"), ChaCha8Rng::seed_from_u64(1));
+
+    let beside_ready = order(&own, some, &mut random);
+    let alone = order(&own, started, &mut random);
+
+    assert_eq!(beside_ready.entries, [id("old")]);
+    assert_eq!(alone.entries, [id("new"), id("lone")]);
+}
+
 /// Callers follow the directory, which sees loads that are up to half a second old.
 fn busiest_over_mean(seed: u64) -> f64 {
     const ENTRIES: usize = 8;
