--- a/crates/medlarlug-core/src/membership/core.rs
+++ b/crates/medlarlug-core/src/membership/core.rs
@@ -1,13 +1,19 @@
 //! The membership core: events in, effects out.
 
+use std::hash::Hash;
+
 use crate::{
     announcement::Announcement,
     ids::{InstanceId, UpstreamId},
     membership::{
         Effect, Event, Heartbeat, InstanceKind, Message, Notice, Seed, Settings, Status, Target,
         UpstreamNews,
+        hash::StableHasher,
         peers::{Peer, PeerTable},
-        timing::{FAR_BUDGET, HEARTBEAT, NEAR_BUDGET, SUMMARY_PERIOD, SYNC_INTERVAL, WATCH_ALL},
+        timing::{
+            FAR_BUDGET, HEARTBEAT, NEAR_BUDGET, NEWS_PERIOD, SUMMARY_PERIOD, SYNC_INTERVAL,
+            WATCH_ALL,
+        },
         upstreams::{Change, UpstreamTable},
         zones::{Outbox, ZoneTable},
     },
@@ -47,6 +53,7 @@
     pub(super) told: Vec<Target>,
     pub(super) turn: usize,
     pub(super) next_beat: Time,
+    pub(super) next_news: Time,
     pub(super) next_summary: Time,
     pub(super) next_sync: Time,
 }
@@ -75,6 +82,7 @@
             told: Vec::new(),
             turn: seed,
             next_beat: now,
+            next_news: now,
             next_summary: now,
             next_sync: now,
             settings,
@@ -115,8 +123,8 @@
     }
 
     fn beaten(&mut self, now: Time, from: &InstanceId, beat: Heartbeat, out: &mut Vec<Effect>) {
-        let is_in_zone = self.zone_peers().any(|it| it.seed.id == *from);
-        let digest = if is_in_zone { self.upstreams.digest() } else { beat.digest };
+        let shares_upstreams = self.zone_entry_peers().any(|it| it.seed.id == *from);
+        let digest = if shares_upstreams { self.upstreams.digest() } else { beat.digest };
         let differs = self.peers.beat(from, beat, digest, out);
         if differs && now >= self.next_sync {
             self.next_sync = now + SYNC_INTERVAL;
@@ -137,7 +145,8 @@
         let mut void = Vec::new();
         for it in news {
             let id = it.id().clone();
-            let change = self.upstreams.learn(now, it);
+            let is_preferred = rank(&id, from) > rank(&id, &self.settings.own.id);
+            let change = self.upstreams.learn(now, it, is_preferred);
             notice_change(&id, change, out);
             match change {
                 Change::Unknown => unknown.push(id),
@@ -179,7 +188,9 @@
             out.push(Effect::Notice(Notice::UpstreamDead(id)));
         }
         self.peers.check(now, out);
-        self.share_news(now, out);
+        if now >= self.next_news || self.upstreams.has_urgent_news() {
+            self.share_news(now, out);
+        }
         if now >= self.next_beat {
             self.send_beats(now, out);
         }
@@ -190,7 +201,7 @@
     }
 
     fn send_beats(&mut self, now: Time, out: &mut Vec<Effect>) {
-        self.next_beat = now + HEARTBEAT;
+        self.next_beat = now + HEARTBEAT * self.peers.period_factor();
         let digest = self.upstreams.digest();
         let (incarnation, status) = (self.settings.incarnation, self.status);
         for peer in self.peers.all() {
@@ -200,11 +211,12 @@
     }
 
     fn share_news(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.next_news = now + NEWS_PERIOD;
         let news = self.upstreams.take_news(now);
         if news.is_empty() {
             return;
         }
-        for peer in self.zone_peers() {
+        for peer in self.zone_entry_peers() {
             let message = Message::Upstreams(news.clone());
             out.push(Effect::Send { to: peer.seed.id.clone(), message });
         }
@@ -218,6 +230,19 @@
         let zone = &self.settings.own.zone;
         self.peers.all().iter().filter(move |it| it.seed.zone == *zone)
     }
+
+    /// The instances that learn of the zone's upstreams; none but entry instances send work there.
+    fn zone_entry_peers(&self) -> impl Iterator<Item = &Peer> {
+        let is_entry = self.settings.own.kind == InstanceKind::Entry;
+        self.zone_peers().filter(move |it| is_entry && it.seed.kind == InstanceKind::Entry)
+    }
+}
+
+/// Rank of an instance among those that may pass an upstream's renewals on.
+fn rank<'a>(upstream: &UpstreamId, instance: &'a InstanceId) -> (u32, &'a InstanceId) {
+    let mut hasher = StableHasher::new();
+    (upstream, instance).hash(&mut hasher);
+    (hasher.short(), instance)
 }
 
 fn notice_change(id: &UpstreamId, change: Change, out: &mut Vec<Effect>) {
--- a/crates/medlarlug-core/src/membership/peers.rs
+++ b/crates/medlarlug-core/src/membership/peers.rs
@@ -6,7 +6,9 @@
     ids::{Incarnation, InstanceId},
     membership::{
         Effect, Heartbeat, InstanceKind, Notice, Seed, Status,
-        timing::{DIGEST_MISMATCHES, LINK_SILENCE, PEER_SILENCE, RETRY_DEAD},
+        timing::{
+            DIGEST_MISMATCHES, FEW_PEERS, LINK_SILENCE, MANY_FACTOR, PEER_SILENCE, RETRY_DEAD,
+        },
     },
     time::Time,
 };
@@ -127,16 +129,25 @@
         }
     }
 
+    /// Factor of the heartbeat's period and of the silences, so that the bytes of heartbeats stay
+    /// bounded in a zone with many instances. Instances of a zone watch each other, so that they
+    /// reckon with the same factor.
+    pub(super) fn period_factor(&self) -> u32 {
+        if self.peers.len() > FEW_PEERS { MANY_FACTOR } else { 1 }
+    }
+
     /// Looks for silent connections.
     pub(super) fn check(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let factor = self.period_factor();
+        let (link_silence, peer_silence) = (LINK_SILENCE * factor, PEER_SILENCE * factor);
         for peer in &mut self.peers {
             let id = &peer.seed.id;
             match peer.state {
-                PeerState::Up if now - peer.heard >= LINK_SILENCE => {
+                PeerState::Up if now - peer.heard >= link_silence => {
                     peer.state = PeerState::Reconnecting { since: now };
                     out.push(Effect::Reconnect { peer: id.clone() });
                 }
-                PeerState::Reconnecting { since } if now - since >= PEER_SILENCE => {
+                PeerState::Reconnecting { since } if now - since >= peer_silence => {
                     peer.state = PeerState::Dead { tried: now };
                     out.push(Effect::Notice(Notice::PeerDead(id.clone())));
                 }
--- a/crates/medlarlug-core/src/membership/timing.rs
+++ b/crates/medlarlug-core/src/membership/timing.rs
@@ -16,8 +16,25 @@
 /// Rounds in which news of a leaving upstream is repeated.
 pub const LEAVING_ROUNDS: u8 = 3;
 
-/// Time between two heartbeats.
+/// Time between two messages with renewals of upstreams; other news waits for the next tick only.
+pub const NEWS_PERIOD: Duration = Duration::from_millis(500);
+
+/// Time without a renewal from the preferred teller of an upstream after which another instance
+/// that the upstream announces itself to passes its renewals on.
+pub const TELLER_SILENCE: Duration = Duration::from_millis(1_250);
+
+/// Shortest time between two renewals of one upstream that are passed on: every second one of
+/// upstreams that renew each 500 ms, each one of those that renew each second.
+pub const PASS_INTERVAL: Duration = Duration::from_millis(750);
+/// Most cache events that are collected for the next renewal that is passed on.
+pub const MAX_PENDING: usize = 32;
+
+/// Time between two heartbeats while few instances are watched.
 pub const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Number of watched instances up to which heartbeats and silences have their short values.
+pub const FEW_PEERS: usize = 8;
+/// Factor of the heartbeat's period and the silences while more instances are watched.
+pub const MANY_FACTOR: u32 = 2;
 /// Silence after which a connection is replaced.
 pub const LINK_SILENCE: Duration = Duration::from_millis(1_250);
 /// Silence on the new connection after which the instance counts as dead.
@@ -36,7 +53,7 @@
 /// Bytes a second that summaries of the other zones of the region may take, over all zones.
 pub const NEAR_BUDGET: f64 = 400.0;
 /// Bytes a second that summaries of zones of other regions may take, over all zones.
-pub const FAR_BUDGET: f64 = 800.0;
+pub const FAR_BUDGET: f64 = 700.0;
 /// Bytes that a budget saves up at most.
 pub const BUDGET_BURST: f64 = 600.0;
 /// Time after which an unchanged row is sent again within the region.
--- a/crates/medlarlug-core/src/membership/upstreams.rs
+++ b/crates/medlarlug-core/src/membership/upstreams.rs
@@ -6,9 +6,12 @@
     announcement::{Announcement, LoadReport, UpstreamKind},
     ids::{AdapterId, Incarnation, UpstreamId},
     membership::{
-        LoadNews, Millis, Target, UpstreamNews,
+        LoadNews, Millis, ShortPrint, Target, UpstreamNews,
         hash::StableHasher,
-        timing::{LEAVING_ROUNDS, MAX_TOMBSTONES, TOMBSTONE_LIFETIME, UPSTREAM_LEASE},
+        timing::{
+            LEAVING_ROUNDS, MAX_PENDING, MAX_TOMBSTONES, PASS_INTERVAL, TELLER_SILENCE,
+            TOMBSTONE_LIFETIME, UPSTREAM_LEASE,
+        },
         warm::WarmSet,
     },
     time::Time,
@@ -25,6 +28,29 @@
     pub warm: WarmSet,
     shape: u32,
     unsent: Unsent,
+    /// When an instance of higher rank last passed a renewal on.
+    told: Option<Time>,
+    /// When the own instance last passed a renewal on.
+    passed: Option<Time>,
+    pending: PendingEvents,
+}
+
+/// Cache events that the other instances of the zone haven't been sent.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct PendingEvents {
+    cached: Vec<ShortPrint>,
+    evicted: Vec<ShortPrint>,
+}
+
+impl PendingEvents {
+    fn add(&mut self, news: &LoadNews) {
+        self.cached.extend(&news.cached);
+        self.evicted.extend(&news.evicted);
+        for prints in [&mut self.cached, &mut self.evicted] {
+            let surplus = prints.len().saturating_sub(MAX_PENDING);
+            prints.drain(..surplus);
+        }
+    }
 }
 
 /// What the other instances of the zone have to be told.
@@ -38,8 +64,16 @@
 impl Upstream {
     fn new(announcement: Announcement, heard: Time, unsent: Unsent) -> Upstream {
         let shape = shape(&announcement);
-        let mut upstream =
-            Upstream { announcement, heard, warm: WarmSet::default(), shape, unsent };
+        let mut upstream = Upstream {
+            announcement,
+            heard,
+            warm: WarmSet::default(),
+            shape,
+            unsent,
+            told: None,
+            passed: None,
+            pending: PendingEvents::default(),
+        };
         upstream.note_cache();
         upstream
     }
@@ -80,6 +114,12 @@
         }
     }
 
+    /// Whether another instance passes the renewals on; of all that the upstream announces itself
+    /// to, the one with the highest rank does, so that each renewal travels once.
+    fn is_told(&self, now: Time) -> bool {
+        self.told.is_some_and(|told| now - told < TELLER_SILENCE)
+    }
+
     fn order(&self) -> (Incarnation, u64) {
         (self.announcement.incarnation, self.announcement.sequence)
     }
@@ -185,8 +225,15 @@
         self.accept(announcement, now, now, true)
     }
 
-    /// Takes in news from another instance of the zone.
-    pub(super) fn learn(&mut self, now: Time, news: UpstreamNews) -> Change {
+    /// Takes in news from another instance of the zone; `is_preferred` tells whether it goes before
+    /// the own one in passing renewals of the upstream on.
+    pub(super) fn learn(&mut self, now: Time, news: UpstreamNews, is_preferred: bool) -> Change {
+        if is_preferred
+            && let UpstreamNews::Renewal { id, .. } = &news
+            && let Ok(place) = self.find(id)
+        {
+            self.upstreams[place].told = Some(now);
+        }
         match news {
             UpstreamNews::Full { announcement, age } => {
                 self.accept(*announcement, now.saturating_sub(age), now, false)
@@ -228,12 +275,16 @@
                 }
                 let is_same = known.shape == shape(&announcement) && order.0 == known.order().0;
                 if is_same && is_first_hand && known.unsent != Unsent::Everything {
-                    unsent = Unsent::Load;
+                    unsent = if known.is_told(now) { Unsent::Nothing } else { Unsent::Load };
                 }
                 known.announcement = announcement;
                 known.heard = heard;
                 known.unsent = unsent;
                 known.note_cache();
+                match unsent {
+                    Unsent::Load => known.pending.add(&LoadNews::from(&known.announcement.load)),
+                    _ => known.pending = PendingEvents::default(),
+                }
                 if is_same {
                     Change::None
                 } else {
@@ -329,6 +380,12 @@
         dead.into_iter().map(|it| it.announcement.id).collect()
     }
 
+    /// Whether there is news that can't wait for the next message with renewals.
+    pub(super) fn has_urgent_news(&self) -> bool {
+        self.tombstones.iter().any(|it| it.rounds > 0)
+            || self.upstreams.iter().any(|it| it.unsent == Unsent::Everything)
+    }
+
     /// News that the other instances of the zone haven't been sent.
     pub(super) fn take_news(&mut self, now: Time) -> Vec<UpstreamNews> {
         let mut news = Vec::new();
@@ -340,11 +397,15 @@
         }
         for it in &mut self.upstreams {
             match it.unsent {
-                Unsent::Nothing => {}
+                Unsent::Nothing => continue,
+                Unsent::Load if it.passed.is_some_and(|last| now - last < PASS_INTERVAL) => {
+                    continue;
+                }
                 Unsent::Load => news.push(renewal(now, it)),
                 Unsent::Everything => news.push(full(now, it)),
             }
             it.unsent = Unsent::Nothing;
+            it.passed = Some(now);
         }
         news
     }
@@ -383,9 +444,10 @@
     UpstreamNews::Full { announcement, age: now - upstream.heard }
 }
 
-fn renewal(now: Time, upstream: &Upstream) -> UpstreamNews {
+fn renewal(now: Time, upstream: &mut Upstream) -> UpstreamNews {
+    let PendingEvents { cached, evicted } = std::mem::take(&mut upstream.pending);
     let Announcement { id, incarnation, sequence, load, .. } = &upstream.announcement;
-    let (id, load) = (id.clone(), LoadNews::from(load));
+    let (id, load) = (id.clone(), LoadNews { cached, evicted, ..LoadNews::from(load) });
     let age = Millis::from(now - upstream.heard);
     let (incarnation, sequence, shape) = (*incarnation, *sequence, upstream.shape);
     UpstreamNews::Renewal { id, incarnation, sequence, shape, age, load }
