--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod network;
 mod orders;
 mod release;
+mod renewals;
 mod replication;
 mod retry;
 mod routing;
