--- a/crates/medlarlug-core/src/routing/request.rs
+++ b/crates/medlarlug-core/src/routing/request.rs
@@ -95,6 +95,13 @@
     region: RegionId,
 }
 
+impl ForwardHeader {
+    /// The request.
+    pub fn request(&self) -> &RequestId {
+        &self.facts.id
+    }
+}
+
 /// A request that another zone handed over; it is served in this zone or refused as not run.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Forwarded {
@@ -125,6 +132,11 @@
         self.facts.exclude(upstream);
     }
 
+    /// Lets the request be sent to every upstream again.
+    pub fn readmit(&mut self) {
+        self.facts.excluded.clear();
+    }
+
     /// Takes time off that the request has waited.
     pub fn spend(&mut self, waited: Duration) {
         self.facts.deadline = self.facts.deadline.saturating_sub(waited);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the product: its parts and its processes.
 
 mod batching;
+mod budget;
 mod cli;
+mod docs;
 mod processes;
 mod settings;
 mod standin;
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -2,6 +2,12 @@
 
 mod booking;
 mod fixture;
+mod history;
 mod keepers;
+mod operators;
+mod partition;
 mod path;
+mod shutdown;
 mod streams;
+mod suspects;
+mod upstreams;
