Calls pass over a voter that gave no answer in this call

Cause: after the leader's death a call waited 900 ms for it, then asked a follower whose hint still named it, or came to it in turn, and waited 900 ms again. Ruled out: a shorter limit per voter, which would send commands twice where commits are slow.

--- a/src/coordination/calls.rs
+++ b/src/coordination/calls.rs
@@ -123,25 +123,29 @@
         return Err(CallFailure::UnknownGroup { group: group.clone() });
     }
     let mut is_uncertain = false;
-    let mut round = 0;
+    let mut turns = Turns { voters, round: 0, silent: Vec::new() };
     while Instant::now() < end {
         let known = node.calls.borrow().leader(group);
-        let voter = known.unwrap_or_else(|| voters[round % voters.len()].clone());
-        round += 1;
+        let voter = known.unwrap_or_else(|| turns.next());
         let left = end.saturating_duration_since(Instant::now()).min(VOTER_LIMIT);
         match ask(node, &voter, group, request.clone(), left).await {
             Attempt::Answered(GroupReply::NotLeader(hint)) => {
-                let leader = hint.filter(|it| *it != voter);
+                let leader = hint.filter(|it| *it != voter && !turns.silent.contains(it));
                 let is_known = leader.is_some();
                 node.calls.borrow_mut().set_leader(group, leader);
                 if !is_known {
                     sleep(ELECTION_PAUSE).await;
                 }
             }
-            Attempt::Answered(GroupReply::Uncertain) | Attempt::Silent => {
+            Attempt::Answered(GroupReply::Uncertain) => {
                 is_uncertain = true;
                 node.calls.borrow_mut().set_leader(group, None);
             }
+            Attempt::Silent => {
+                is_uncertain = true;
+                node.calls.borrow_mut().set_leader(group, None);
+                turns.silence(voter);
+            }
             Attempt::Answered(reply) => {
                 node.calls.borrow_mut().set_leader(group, Some(voter));
                 return Ok(reply);
@@ -159,6 +163,37 @@
     }
 }
 
+/// The voters of a group in the order in which one call asks them.
+struct Turns {
+    voters: Vec<InstanceId>,
+    round: usize,
+    // Voters that gave no answer; others may still take one of them for the leader.
+    silent: Vec<InstanceId>,
+}
+
+impl Turns {
+    /// The next voter, passing over silent ones.
+    fn next(&mut self) -> InstanceId {
+        loop {
+            let voter = &self.voters[self.round % self.voters.len()];
+            self.round += 1;
+            if !self.silent.contains(voter) {
+                return voter.clone();
+            }
+        }
+    }
+
+    /// Notes that a voter gave no answer; when all gave none, each is asked again.
+    fn silence(&mut self, voter: InstanceId) {
+        if !self.silent.contains(&voter) {
+            self.silent.push(voter);
+        }
+        if self.voters.iter().all(|it| self.silent.contains(it)) {
+            self.silent.clear();
+        }
+    }
+}
+
 enum Attempt {
     Answered(GroupReply),
     Silent,
