--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -320,6 +320,13 @@
         fs::write(self.folder.path().join(name), text).expect("a settings file");
     }
 
+    /// Adds lines to the settings of a process, which reads them at its next start.
+    pub fn append_settings(&self, id: &str, lines: &str) {
+        let file = self.folder.path().join(format!("{id}.yaml"));
+        let text = fs::read_to_string(&file).expect("a settings file");
+        fs::write(file, text + lines).expect("a settings file");
+    }
+
     /// Starts the process of an instance or upstream.
     pub fn start_process(&mut self, id: &str) {
         self.spawn(id);
@@ -380,8 +387,7 @@
     /// Panics when the process does not run.
     pub fn pid(&self, id: &str) -> u32 {
         let processes = self.processes.lock().expect("no test has panicked here");
-        let child = processes.iter().find(|it| it.0 == id).expect("a running process");
-        child.1.id()
+        processes.iter().find(|it| it.0 == id).expect("a running process").1.id()
     }
 
     /// Sends a signal to a process that was started here.
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -7,6 +7,7 @@
 mod operators;
 mod partition;
 mod path;
+mod shutdown;
 mod streams;
 mod suspects;
 mod upstreams;
