--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -266,3 +266,17 @@
         let _ = ClusterSettings::load(&file);
     }
 }
+
+#[test]
+fn formation_is_forbidden_to_keepers_only() {
+    let folder = Folder::new();
+    let keeper = folder.write("keeper.yaml", KEEPER);
+    let settled = folder.write("settled.yaml", &format!("{KEEPER}may_form: false\n"));
+    let entry = folder.write("entry.yaml", &format!("{ENTRY}may_form: false\n"));
+
+    let may_form = [keeper, settled].map(|it| KeeperSettings::load(&it).unwrap().may_form);
+    let refusal = EntrySettings::load(&entry).unwrap_err().to_string();
+
+    assert_eq!(may_form, [true, false]);
+    assert!(refusal.contains("may_form"), "{refusal}");
+}
