--- a/benches/capacity/main.rs
+++ b/benches/capacity/main.rs
@@ -53,7 +53,8 @@
         processes::measure();
     }
     if names.is_empty() {
-        plot::draw(&slopes.iter().collect::<Vec<&Slope>>());
+        let is_drawn = |it: &&Slope| !["zones", "models"].contains(&it.over) && it.unit != "msg/s";
+        plot::draw(&slopes.iter().filter(is_drawn).collect::<Vec<&Slope>>());
     }
 }
 
--- a/benches/capacity/plot.rs
+++ b/benches/capacity/plot.rs
@@ -23,7 +23,7 @@
             .y_label_area_size(52)
             .build_cartesian_2d(0.0..last * 1.05, 0.0..highest * 1.1)
             .unwrap();
-        chart.configure_mesh().x_desc(slope.over).draw().unwrap();
+        chart.configure_mesh().disable_mesh().x_desc(slope.over).draw().unwrap();
         let fitted = [first, last].map(|it| (it, slope.at(it)));
         chart.draw_series(LineSeries::new(fitted, BLUE.stroke_width(1))).unwrap();
         let dots = slope.points.iter().map(|it| Circle::new(*it, 3, BLUE.filled()));
