--- a/benches/capacity/processes.rs
+++ b/benches/capacity/processes.rs
@@ -11,7 +11,7 @@
     },
 };
 use test_support::{
-    deployment::{CALLER_KEY, Deployment, call},
+    deployment::{CALLER_KEY, Deployment, Pool, call},
     id,
     scale::Scale,
     team,
@@ -23,6 +23,8 @@
 const TODAY: Scale =
     Scale { nodes: 11, keepers: 3, engines: 120, regions: 2, zones: 4, teams: 2_700, models: 1 };
 const ENGINE_SLOTS: u32 = 8;
+/// Tokens a second of one stream.
+const ENGINE_SPEED: u32 = 10_000;
 const WINDOW: Duration = Duration::from_secs(10);
 /// Requests a second at each entry instance under the small load.
 const RATE: f64 = 10.0;
@@ -54,7 +56,9 @@
     let engines = TODAY.engines / TODAY.zones;
     for number in 0..TODAY.zones {
         let pool = format!("pool-{number}");
-        made = made.pool(&pool, &zone(number), "model-00", engines, ENGINE_SLOTS, 10_000);
+        let engines =
+            Pool { model: "model-00", count: engines, slots: ENGINE_SLOTS, speed: ENGINE_SPEED };
+        made = made.pool(&pool, &zone(number), &engines);
     }
     made
 }
--- a/benches/gateway.rs
+++ b/benches/gateway.rs
@@ -29,7 +29,7 @@
     },
 };
 use test_support::{
-    deployment::{CALLER_KEY, Deployment},
+    deployment::{CALLER_KEY, Deployment, Pool},
     id, region, team,
 };
 use tokio::{
@@ -81,8 +81,8 @@
         made = made.entry(&format!("entry-{number}"), "riga-a");
     }
     let made = made
-        .pool("fast", "riga-a", FAST, 4, 64, 10_000)
-        .pool("slow", "riga-a", SLOW, 16, 128, 20)
+        .pool("fast", "riga-a", &Pool { model: FAST, count: 4, slots: 64, speed: 10_000 })
+        .pool("slow", "riga-a", &Pool { model: SLOW, count: 16, slots: 128, speed: 20 })
         .start();
     made.configure(items());
     for number in 1..=entries {
--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -79,6 +79,19 @@
     pub control: SocketAddr,
 }
 
+/// Engines of one model with the same settings.
+#[derive(Debug, Clone, Copy)]
+pub struct Pool<'a> {
+    /// The model.
+    pub model: &'a str,
+    /// How many there are.
+    pub count: usize,
+    /// Requests that each runs at once.
+    pub slots: u32,
+    /// Tokens a second of one stream that runs alone.
+    pub speed: u32,
+}
+
 /// A deployment under construction or running.
 pub struct Deployment {
     folder: TempDir,
@@ -135,29 +148,22 @@
         self.upstream(id, zone, kind, &extra)
     }
 
-    /// Adds `count` engines of one model in one process, with so many tokens a second.
-    pub fn pool(
-        mut self,
-        id: &str,
-        zone: &str,
-        model: &str,
-        count: usize,
-        slots: u32,
-        speed: u32,
-    ) -> Deployment {
+    /// Adds the engines of a pool, which one process runs.
+    pub fn pool(mut self, id: &str, zone: &str, pool: &Pool) -> Deployment {
+        let Pool { model, count, slots, speed } = pool;
         let kind = format!("{{ engine: {{ models: [{{ model: {model}, version: v1 }}] }} }}");
         self.upstreams.push(Upstream {
             id: id.into(),
             zone: zone.into(),
             kind,
-            slots,
+            slots: *slots,
             extra: vec![
                 format!("speed: {speed}"),
                 "prefill: 1000000".into(),
                 format!("count: {count}"),
             ],
-            address: free_block(count),
-            control: free_block(count),
+            address: free_block(*count),
+            control: free_block(*count),
         });
         self
     }
