--- a/benches/capacity/processes.rs
+++ b/benches/capacity/processes.rs
@@ -56,9 +56,8 @@
     let engines = TODAY.engines / TODAY.zones;
     for number in 0..TODAY.zones {
         let pool = format!("pool-{number}");
-        let engines =
-            Pool { model: "model-00", count: engines, slots: ENGINE_SLOTS, speed: ENGINE_SPEED };
-        made = made.pool(&pool, &zone(number), &engines);
+        let equal = Pool { model: "model-00", count: engines, slots: ENGINE_SLOTS, speed: 10_000 };
+        made = made.pool(&pool, &zone(number), equal);
     }
     made
 }
--- a/crates/medlarlug-core/src/directory.rs
+++ b/crates/medlarlug-core/src/directory.rs
@@ -1,7 +1,8 @@
 //! Which entry instances a caller should use, without a balancer before them.
 //!
 //! A caller asks the instance that it uses and gets a list with a lifetime. Near instances come
-//! first; instances that leave are never listed.
+//! first; instances that leave are never listed, those that have just started only when no other
+//! instance is ready.
 //!
 //! The asked instance names itself first while its load is at most the mean of the near ones.
 //! Above it, it sends the caller on with the probability that brings its load to the mean within
@@ -61,6 +62,7 @@
 
 /// Orders `entries` for a caller that asks the instance `own`.
 pub fn order(own: &Seed, entries: Vec<EntryView>, random: &mut impl Rng) -> Directory {
+    let entries = without_settling(entries);
     let nearest = entries.iter().map(|it| distance(own, it)).min();
     let near = entries.iter().filter(|it| Some(distance(own, it)) == nearest);
     let loads: Vec<u32> = near.map(|it| it.load).collect();
@@ -82,6 +84,12 @@
     Directory { entries, lifetime: LIFETIME }
 }
 
+/// The instances but for those that have just started, unless there are no others.
+fn without_settling(entries: Vec<EntryView>) -> Vec<EntryView> {
+    let has_ready = entries.iter().any(|it| !it.settling);
+    entries.into_iter().filter(|it| !it.settling || !has_ready).collect()
+}
+
 fn distance(own: &Seed, entry: &EntryView) -> Distance {
     if entry.zone == own.zone {
         Distance::Zone
--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -18,5 +18,7 @@
 mod replication;
 mod retry;
 mod routing;
+mod routing_attempts;
+mod routing_refusals;
 mod stream;
 mod suspects;
