--- a/benches/capacity/processes.rs
+++ b/benches/capacity/processes.rs
@@ -23,8 +23,6 @@
 const TODAY: Scale =
     Scale { nodes: 11, keepers: 3, engines: 120, regions: 2, zones: 4, teams: 2_700, models: 1 };
 const ENGINE_SLOTS: u32 = 8;
-/// Tokens a second of one stream.
-const ENGINE_SPEED: u32 = 10_000;
 const WINDOW: Duration = Duration::from_secs(10);
 /// Requests a second at each entry instance under the small load.
 const RATE: f64 = 10.0;
--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -190,14 +190,14 @@
             id: id.into(),
             zone: zone.into(),
             kind,
-            slots: *slots,
+            slots,
             extra: vec![
                 format!("speed: {speed}"),
                 "prefill: 1000000".into(),
                 format!("count: {count}"),
             ],
-            address: free_block(*count),
-            control: free_block(*count),
+            address: free_block(count),
+            control: free_block(count),
         });
         self
     }
