A zone that is cut off: test on real processes with silent relays

One test (processes::isolation): the links between two zones go silent and stay open. Not shown: the same with the lease's guard removed.

--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -13,6 +13,7 @@
     time::{Duration, Instant},
 };
 
+use crate::relay::{self, Cut};
 use crate::{free_address, free_block};
 use medlarlug_core::{
     fingerprint::Fingerprint,
@@ -58,6 +59,7 @@
     pub operators: SocketAddr,
     internal: SocketAddr,
     peers: SocketAddr,
+    relay: SocketAddr,
 }
 
 /// An emulated upstream.
@@ -102,6 +104,10 @@
     /// Emulated upstreams, one process each.
     pub upstreams: Vec<Upstream>,
     processes: Mutex<Vec<(String, Child)>>,
+    relayed: bool,
+    /// Cuts the links between instances of different zones; callers, upstreams and forwarded
+    /// requests get through.
+    pub cut: Cut,
 }
 
 impl Deployment {
@@ -115,9 +121,17 @@
             instances: Vec::new(),
             upstreams: Vec::new(),
             processes: Mutex::default(),
+            relayed: false,
+            cut: Cut::default(),
         }
     }
 
+    /// Puts relays between instances of different zones, which [`Deployment::cut`] cuts.
+    pub fn relayed(mut self) -> Deployment {
+        self.relayed = true;
+        self
+    }
+
     /// Adds an entry instance.
     pub fn entry(self, id: &str, zone: &str) -> Deployment {
         self.instance(id, zone, true)
@@ -137,6 +151,7 @@
             operators: free_address(),
             internal: free_address(),
             peers: free_address(),
+            relay: free_address(),
         });
         self
     }
@@ -189,6 +204,9 @@
     /// Writes the settings and starts every process.
     pub fn start(mut self) -> Deployment {
         self.write_settings();
+        for it in self.instances.iter().filter(|_| self.relayed) {
+            relay::start(it.relay, it.peers, self.cut.clone());
+        }
         let ids = self.instances.iter().map(|it| it.id.clone());
         let ids: Vec<String> = ids.chain(self.upstreams.iter().map(|it| it.id.clone())).collect();
         ids.iter().for_each(|id| self.start_process(id));
@@ -197,7 +215,9 @@
 
     fn write_settings(&self) {
         self.write("deployment.key", "an example of a long deployment key\n");
-        self.write("cluster.yaml", &self.cluster());
+        for (zone, _) in &self.zones {
+            self.write(&format!("cluster-{zone}.yaml"), &self.cluster(zone));
+        }
         let key = Fingerprint::of(OPERATOR_KEY.as_bytes());
         for it in &self.instances {
             let data = match it.is_entry {
@@ -205,9 +225,9 @@
                 false => format!("data: data-{}\n", it.id),
             };
             let text = format!(
-                "instance: {}\ncluster: cluster.yaml\nkey: [deployment.key]\noperators:\n  \
+                "instance: {}\ncluster: cluster-{}.yaml\nkey: [deployment.key]\noperators:\n  \
                  - {{ id: anna, key: {key} }}\n{data}",
-                it.id
+                it.id, it.zone
             );
             self.write(&format!("{}.yaml", it.id), &text);
         }
@@ -216,7 +236,8 @@
         }
     }
 
-    fn cluster(&self) -> String {
+    /// The cluster file for the instances of a zone.
+    fn cluster(&self, zone: &str) -> String {
         let mut text = String::from("zones:\n");
         for (zone, region) in &self.zones {
             text.push_str(&format!("  - {{ id: {zone}, region: {region} }}\n"));
@@ -230,7 +251,11 @@
             text.push_str(&format!(
                 "  - {{ id: {}, kind: {kind}, zone: {}, internal: \"{}\", peers: \"{}\", \
                  operators: \"{}\", {more} }}\n",
-                it.id, it.zone, it.internal, it.peers, it.operators
+                it.id,
+                it.zone,
+                it.internal,
+                if self.relayed && it.zone != zone { it.relay } else { it.peers },
+                it.operators
             ));
         }
         let keepers = self.instances.iter().filter(|it| !it.is_entry);
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod deployment;
+pub mod relay;
 pub mod scale;
 pub mod stream;
 
--- a/tests/testsuite/budget.rs
+++ b/tests/testsuite/budget.rs
@@ -71,7 +71,7 @@
 
 #[test]
 fn heartbeats_of_a_zone_take_a_third_of_the_budget() {
-    let status = Status { load: 300, revision: Revision(100_000), leaving: false };
+    let status = Status { load: 300, revision: Revision(100_000), leaving: false, settling: false };
     let incarnation = Incarnation(1_764_720_000_000);
     let beat = Heartbeat { incarnation, status, digest: u32::MAX };
 
--- /dev/null
+++ b/tests/testsuite/processes/isolation.rs
@@ -0,0 +1,101 @@
+//! A zone that is cut off from the others: its links carry nothing and stay open.
+
+use medlarlug_core::release::{
+    Item, RawNote,
+    item::{Residency, Team},
+};
+use serde_json::Value;
+use test_support::{
+    deployment::{Deployment, call, wait_for},
+    note, team,
+};
+
+use crate::processes::fixture::{items, two_regions};
+
+/// Milliseconds for which an instance crosses regions without a confirmed revision.
+const LEASE_MS: u64 = 8_000;
+
+/// An engine in each of two regions, and two keepers of three in riga-a.
+fn deployment() -> Deployment {
+    let deployment = two_regions().engine("engine-1", "riga-a", "medlar").engine(
+        "engine-2",
+        "liepaja-a",
+        "medlar",
+    );
+    let deployment = deployment.relayed().start();
+    deployment.configure(items(Residency::Anywhere));
+    ["entry-1", "entry-2"].iter().for_each(|it| deployment.wait_upstreams(it, 1));
+    deployment
+}
+
+fn dump(deployment: &Deployment, entry: &str) -> Value {
+    deployment.operator_get(entry, "/dump").json
+}
+
+fn revision(deployment: &Deployment, entry: &str) -> u64 {
+    deployment.operator_get(entry, "/status").json["revision"].as_u64().unwrap_or(0)
+}
+
+fn runs(deployment: &Deployment, upstream: &str) -> Value {
+    let upstream = deployment.upstreams.iter().find(|it| it.id == upstream).expect("an upstream");
+    call("GET", upstream.control, "/runs", &[], "").json
+}
+
+/// How `entry` sees `peer`.
+fn state_of(deployment: &Deployment, entry: &str, peer: &str) -> String {
+    let peers = deployment.operator_get(entry, "/status").json["peers"].clone();
+    let peers = peers.as_array().cloned().unwrap_or_default();
+    let found = peers.iter().find(|it| it["instance"] == peer);
+    found.and_then(|it| it["state"].as_str()).unwrap_or_default().to_owned()
+}
+
+/// Waits until each entry instance sees the other in `state`.
+fn wait_states(deployment: &Deployment, state: fn(&str) -> bool) {
+    wait_for("the views of both entry instances", || {
+        state(&state_of(deployment, "entry-1", "entry-2"))
+            && state(&state_of(deployment, "entry-2", "entry-1"))
+    });
+}
+
+/// A note that adds a team.
+fn next_note(base: u64, name: &str) -> RawNote {
+    let added = Team { rate: "5/s".parse().expect("a rate"), ..team(name, "riga") };
+    note(base, vec![Item::Team(added)])
+}
+
+#[test]
+fn isolated_zone_serves_its_callers_crosses_no_region_and_agrees_again_after_the_heal() {
+    let mut deployment = deployment();
+    wait_states(&deployment, |it| it == "up");
+    let before = revision(&deployment, "entry-2");
+
+    deployment.cut.begin();
+    wait_states(&deployment, |it| it != "up");
+    let near = ["entry-1", "entry-2"].map(|it| deployment.complete(it, "medlar", "near"));
+    let accepted = deployment.apply("entry-1", &next_note(before, "loft"));
+    wait_for("the end of the configuration lease", || {
+        dump(&deployment, "entry-2")["confirmed_ms"].as_u64().is_some_and(|it| it > LEASE_MS)
+    });
+    let late = deployment.complete("entry-2", "medlar", "late");
+    deployment.kill("engine-2");
+    let ran = runs(&deployment, "engine-1");
+    let far = deployment.complete("entry-2", "medlar", "far");
+    let ran_after = runs(&deployment, "engine-1");
+    let during = revision(&deployment, "entry-2");
+    deployment.cut.heal();
+    wait_states(&deployment, |it| it == "up");
+    wait_for("the revision in the healed zone", || {
+        revision(&deployment, "entry-2") == revision(&deployment, "entry-1")
+    });
+
+    near.iter().for_each(|it| assert_eq!(it.status, 200, "{}", it.text));
+    assert_eq!(late.status, 200, "{}", late.text);
+    assert_eq!(accepted.status, 200, "{}", accepted.text);
+    assert_eq!(far.json["outcome"], "not_run", "{}", far.text);
+    assert_eq!(ran, ran_after);
+    assert_eq!(during, before);
+    assert!(revision(&deployment, "entry-2") > before);
+    wait_for("a crossing after the heal", || {
+        deployment.complete("entry-2", "medlar", "healed").status == 200
+    });
+}
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -3,6 +3,7 @@
 mod booking;
 mod fixture;
 mod history;
+mod isolation;
 mod keepers;
 mod path;
 mod shutdown;
