Bounds on callers' input: tests on real processes, two bounds put in force

Now the last permitted answer says connection: close. - A connection above limits.connections waited instead of being closed at once, as the settings promise.

--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -105,6 +105,8 @@
     pub upstreams: Vec<Upstream>,
     processes: Mutex<Vec<(String, Child)>>,
     relayed: bool,
+    /// Limits of entry instances, as lines of YAML.
+    pub limits: String,
     /// Cuts the links between instances of different zones; callers, upstreams and forwarded
     /// requests get through.
     pub cut: Cut,
@@ -122,6 +124,7 @@
             upstreams: Vec::new(),
             processes: Mutex::default(),
             relayed: false,
+            limits: String::new(),
             cut: Cut::default(),
         }
     }
@@ -221,7 +224,7 @@
         let key = Fingerprint::of(OPERATOR_KEY.as_bytes());
         for it in &self.instances {
             let data = match it.is_entry {
-                true => String::new(),
+                true => self.limits.clone(),
                 false => format!("data: data-{}\n", it.id),
             };
             let text = format!(
@@ -394,6 +397,11 @@
         self.instances.iter().find(|it| it.id == id).expect("an instance of the deployment")
     }
 
+    /// Address of the internal interface of an instance.
+    pub fn internal(&self, id: &str) -> SocketAddr {
+        self.get(id).internal
+    }
+
     /// Asks the operators' interface of an instance.
     pub fn operator_get(&self, id: &str, path: &str) -> Reply {
         call("GET", self.get(id).operators, path, &[("authorization", &bearer(OPERATOR_KEY))], "")
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -262,6 +262,7 @@
             header_bytes: limits.header.0 as usize,
             header_time: limits.sender,
             connections: limits.connections as usize,
+            requests: limits.requests,
         }
     }
 
--- a/src/coordination/keeper/mod.rs
+++ b/src/coordination/keeper/mod.rs
@@ -133,7 +133,12 @@
 
 /// Bounds of the operators' server.
 pub fn operator_limits() -> ServerLimits {
-    ServerLimits { header_bytes: 16 * 1024, header_time: Duration::from_secs(10), connections: 64 }
+    ServerLimits {
+        header_bytes: 16 * 1024,
+        header_time: Duration::from_secs(10),
+        connections: 64,
+        requests: u32::MAX,
+    }
 }
 
 fn groups_of(node: &Node, storage: &Storage) -> Result<Vec<Group>, MachineError> {
--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -1,8 +1,14 @@
 //! Bounded HTTP/1 servers that run on the process's one loop.
 
-use std::{future::Future, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, future::Future, net::SocketAddr, rc::Rc, time::Duration};
 
-use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    Request,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use thiserror::Error;
 use tokio::{
@@ -22,6 +28,8 @@
     pub header_time: Duration,
     /// Connections that are open at once.
     pub connections: usize,
+    /// Requests that one connection carries before it is closed.
+    pub requests: u32,
 }
 
 /// A failure to start a server.
@@ -52,8 +60,8 @@
 /// Serves connections until `stop` turns true; returns once every connection has ended.
 ///
 /// After the stop, connections that wait to be accepted are still answered, and open ones end
-/// their request and close. A connection above the limit waits to be accepted. `handler` answers
-/// every request and never fails; it is called on the current thread.
+/// their request and close. A connection above the limit is closed at once. `handler` answers every
+/// request and never fails; it is called on the current thread.
 pub async fn serve<H, F>(
     listener: TcpListener,
     limits: ServerLimits,
@@ -66,12 +74,6 @@
     let handler = Rc::new(handler);
     let permits = std::sync::Arc::new(Semaphore::new(limits.connections));
     loop {
-        let permit = tokio::select! {
-            biased;
-            permit = permits.clone().acquire_owned() => permit,
-            _ = stop.wait_for(|stop| *stop) => break,
-        };
-        let Ok(permit) = permit else { break };
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
@@ -85,6 +87,10 @@
                 continue;
             }
         };
+        let Ok(permit) = permits.clone().try_acquire_owned() else {
+            tracing::warn!(%peer, limit = limits.connections, "too many connections");
+            continue;
+        };
         let (handler, stop) = (handler.clone(), stop.clone());
         task::spawn_local(async move {
             serve_connection(stream, peer, limits, stop, handler).await;
@@ -107,9 +113,19 @@
     F: Future<Output = Answer> + 'static,
 {
     let _ = stream.set_nodelay(true);
+    let left = Cell::new(limits.requests);
     let service = service_fn(move |request| {
+        left.set(left.get().saturating_sub(1));
+        let is_last = left.get() == 0;
         let answer = handler(request, peer);
-        async { Ok::<_, std::convert::Infallible>(answer.await) }
+        async move {
+            let mut answer = answer.await;
+            if is_last {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, std::convert::Infallible>(answer)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -1,6 +1,7 @@
 //! Tests on real processes: the whole path and its failures.
 
 mod booking;
+mod bounds;
 mod fixture;
 mod history;
 mod isolation;
