--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod cli;
 mod docs;
 mod processes;
+mod protocol;
 mod settings;
 mod standin;
 mod state;
--- /dev/null
+++ b/tests/testsuite/protocol.rs
@@ -0,0 +1,155 @@
+//! Frames, events and request heads under arbitrary and mutated bytes.
+
+use assert_matches::assert_matches;
+use medlarlug::protocol::{
+    DeploymentKey, DeploymentKeys, GroupId, GroupRequest, Message,
+    events::{Event, EventSplitter, MAX_EVENT_BYTES},
+    frame::{self, Envelope, FrameError},
+    inference::InferenceHead,
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use test_support::id;
+
+fn keys() -> DeploymentKeys {
+    DeploymentKeys::new(vec![DeploymentKey::derive("a long secret text")]).expect("a key")
+}
+
+fn envelope(call: u64) -> Envelope {
+    let (group, request) = (GroupId::Home(id("riga")), GroupRequest::History);
+    let message = Message::Call { call, group, request };
+    Envelope { from: id("entry-1"), to: id("keeper-1"), message }
+}
+
+/// The events out of `bytes` that arrive in pieces which end at `cuts`.
+fn split(bytes: &[u8], cuts: &[usize]) -> Vec<Event> {
+    let mut ends: Vec<usize> = cuts.iter().map(|it| it % (bytes.len() + 1)).collect();
+    ends.push(bytes.len());
+    ends.sort_unstable();
+    let (mut splitter, mut events, mut start) = (EventSplitter::default(), Vec::new(), 0);
+    for end in ends {
+        splitter.push(&bytes[start..end]);
+        start = end;
+        while let Some(event) = splitter.next_event() {
+            events.push(event);
+        }
+    }
+    events
+}
+
+/// Bytes in which the marks of events are frequent.
+fn stream_bytes() -> impl Strategy<Value = Vec<u8>> {
+    let piece = prop_oneof![
+        Just(b"\n".to_vec()),
+        Just(b"\r\n".to_vec()),
+        Just(b"\n\n".to_vec()),
+        Just(b"data: {\"id\":\"a\"}".to_vec()),
+        Just(b"data: [DONE]".to_vec()),
+        Just(b"event: error".to_vec()),
+        prop::collection::vec(any::<u8>(), 0..8),
+    ];
+    prop::collection::vec(piece, 0..24).prop_map(|it| it.concat())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn arbitrary_bytes_are_no_frame(bytes in prop::collection::vec(any::<u8>(), 0..512)) {
+        prop_assert!(frame::decode(&keys(), &bytes).is_err());
+    }
+
+    #[test]
+    fn mutated_frame_is_refused(call: u64, place: prop::sample::Index, flip in 1u8..) {
+        let mut bytes = frame::encode(&keys(), &envelope(call)).expect("a frame");
+        let place = place.index(bytes.len());
+
+        bytes[place] ^= flip;
+
+        prop_assert!(matches!(frame::decode(&keys(), &bytes), Err(FrameError::Code)));
+    }
+
+    #[test]
+    fn shortened_or_lengthened_frame_is_refused(call: u64, cut: prop::sample::Index, tail: u8) {
+        let bytes = frame::encode(&keys(), &envelope(call)).expect("a frame");
+
+        let shortened = &bytes[..cut.index(bytes.len())];
+        let lengthened = [&bytes[..], &[tail]].concat();
+
+        prop_assert!(frame::decode(&keys(), shortened).is_err());
+        prop_assert!(frame::decode(&keys(), &lengthened).is_err());
+    }
+
+    #[test]
+    fn authenticated_bytes_that_are_no_message_are_refused_or_read_without_a_panic(
+        content in prop::collection::vec(any::<u8>(), 0..512),
+    ) {
+        let frame = [&keys().sign_bytes(&content)[..], &content].concat();
+
+        let decoded = frame::decode(&keys(), &frame);
+
+        prop_assert!(matches!(decoded, Ok(_) | Err(FrameError::Content(_))));
+    }
+
+    #[test]
+    fn events_do_not_depend_on_how_the_bytes_arrive(
+        bytes in stream_bytes(),
+        cuts in prop::collection::vec(any::<usize>(), 0..16),
+    ) {
+        let whole = split(&bytes, &[]);
+
+        let pieces = split(&bytes, &cuts);
+
+        prop_assert_eq!(&whole, &pieces);
+        let joined: Vec<u8> = whole.iter().flat_map(|it| it.bytes.to_vec()).collect();
+        prop_assert!(bytes.starts_with(&joined));
+        for event in &whole {
+            let _ = (event.data(), event.is_end(), event.answer_id());
+        }
+    }
+
+    #[test]
+    fn arbitrary_and_mutated_request_heads_are_read_without_a_panic(
+        bytes in prop::collection::vec(any::<u8>(), 0..256),
+        place: prop::sample::Index,
+        byte: u8,
+    ) {
+        let mut head = br#"{"model":"medlar:lv","messages":[{"role":"user","content":"x"}],"stream":true}"#
+            .to_vec();
+        let place = place.index(head.len());
+
+        head[place] = byte;
+
+        let _ = (InferenceHead::parse(&bytes), InferenceHead::parse(&head));
+    }
+}
+
+#[test]
+fn frame_of_any_other_key_is_refused() {
+    let other = DeploymentKeys::new(vec![DeploymentKey::derive("another secret text")]);
+    let bytes = frame::encode(&other.expect("a key"), &envelope(1)).expect("a frame");
+
+    let decoded = frame::decode(&keys(), &bytes);
+
+    assert_matches!(decoded, Err(FrameError::Code));
+}
+
+#[test]
+fn deeply_nested_request_head_is_refused() {
+    let body = format!("{{\"model\":\"medlar\",\"prompt\":{}", "[".repeat(1_000_000));
+
+    assert_matches!(InferenceHead::parse(body.as_bytes()), Err(_));
+}
+
+#[test]
+fn event_that_never_ends_is_noticed() {
+    let mut splitter = EventSplitter::default();
+
+    splitter.push(&vec![b'x'; MAX_EVENT_BYTES + 1]);
+
+    assert!(splitter.next_event().is_none());
+    assert!(splitter.is_overfull());
+}
