--- a/tests/testsuite/processes/isolation.rs
+++ b/tests/testsuite/processes/isolation.rs
@@ -28,6 +28,11 @@
     deployment
 }
 
+/// Whether an instance is in liepaja-a.
+fn is_cut_off(instance: &str) -> bool {
+    matches!(instance, "entry-2" | "keeper-3")
+}
+
 fn dump(deployment: &Deployment, entry: &str) -> Value {
     deployment.operator_get(entry, "/dump").json
 }
@@ -69,7 +74,7 @@
     wait_states(&deployment, |it| it == "up");
     let before = revision(&deployment, "entry-2");
 
-    deployment.cut.begin();
+    deployment.network().partition_messages(is_cut_off, true);
     wait_states(&deployment, |it| it != "up");
     let near = ["entry-1", "entry-2"].map(|it| deployment.complete(it, "medlar", "near"));
     let accepted = deployment.apply("entry-1", &next_note(before, "loft"));
@@ -82,7 +87,7 @@
     let far = deployment.complete("entry-2", "medlar", "far");
     let ran_after = runs(&deployment, "engine-1");
     let during = revision(&deployment, "entry-2");
-    deployment.cut.heal();
+    deployment.network().partition_messages(is_cut_off, false);
     wait_states(&deployment, |it| it == "up");
     wait_for("the revision in the healed zone", || {
         revision(&deployment, "entry-2") == revision(&deployment, "entry-1")
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -6,6 +6,8 @@
 mod history;
 mod isolation;
 mod keepers;
+mod operators;
+mod partition;
 mod path;
 mod shutdown;
 mod streams;
