A crash is noticed while the crashed upstream's port still closes

Cause: 3 instead of 2 upstreams lost to one request in 1 of 1 runs of the whole suite (busy machine). The port of a process that ends can take a connection after its requests' connections broke, so the one probe found it alive and the loss was not counted. Now a probe has to stay open for 100 ms; one that breaks is repeated. Cost: a request whose connection broke at a live upstream is retried 0.1 s later.

--- a/src/coordination/entry/evidence.rs
+++ b/src/coordination/entry/evidence.rs
@@ -13,10 +13,16 @@
     refusal::{Reason, Refusal},
     suspects::{Effect, Event, Fact, Placement, Standing},
 };
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{io::AsyncReadExt, net::TcpStream, time::timeout};
 
 use crate::{coordination::entry::Entry, protocol::Message};
 
+/// Time for which a connection to a live upstream stays open.
+const PROBE_HOLD: Duration = Duration::from_millis(100);
+
+/// Connections that are opened at most to find out whether an upstream is down.
+const PROBES: u32 = 5;
+
 /// Time in which a live upstream accepts a connection.
 const PROBE_LIMIT: Duration = Duration::from_millis(500);
 
@@ -121,10 +127,7 @@
         address: SocketAddr,
     ) {
         let incarnation = self.suspects.borrow().incarnation_of(request);
-        let is_refused = match timeout(PROBE_LIMIT, TcpStream::connect(address)).await {
-            Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
-            _ => false,
-        };
+        let is_refused = is_down(address).await;
         if is_refused {
             self.cooldowns.begin(self.node.now(), upstream);
         }
@@ -170,3 +173,21 @@
         }
     }
 }
+
+/// Whether an upstream takes no new connection.
+///
+/// While a process ends, its port may still take a connection that breaks a moment later; then
+/// the next one tells.
+async fn is_down(address: SocketAddr) -> bool {
+    for _ in 0..PROBES {
+        let mut stream = match timeout(PROBE_LIMIT, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return error.kind() == std::io::ErrorKind::ConnectionRefused,
+            Err(_) => return false,
+        };
+        if timeout(PROBE_HOLD, stream.read(&mut [0])).await.is_err() {
+            return false;
+        }
+    }
+    false
+}
