--- a/src/coordination/entry/silence.rs
+++ b/src/coordination/entry/silence.rs
@@ -9,6 +9,9 @@
 //! * It knows the request, and the answer is a whole one: once the engine has generated it and the
 //!   first connection still brings nothing, the request is sent again, within the retry budget.
 //! * The new connection is silent too: the attempt has failed.
+//!
+//! A connection that breaks before the head of a streamed answer is replaced in the same way, if
+//! the engine knows the request.
 
 use std::{net::SocketAddr, pin::pin, time::Duration};
 
@@ -72,7 +75,7 @@
     call: &Call,
     limits: CallLimits,
 ) -> Result<Answered, CallError> {
-    let first = entry.client.call(to.address, request.clone(), call.reuse, limits);
+    let first = call_once(entry, &to, request.clone(), call, limits);
     let mut first = pin!(first);
     if let Ok(result) = timeout(HEAD_PATIENCE, first.as_mut()).await {
         return result;
@@ -93,6 +96,24 @@
     entry.client.call(to.address, request, Reuse::Never, limits).await
 }
 
+/// Sends a request; a stream whose connection breaks before its head is read from a new one.
+async fn call_once(
+    entry: &Entry,
+    to: &Destination<'_>,
+    request: Request<RequestBody>,
+    call: &Call,
+    limits: CallLimits,
+) -> Result<Answered, CallError> {
+    let result = entry.client.call(to.address, request, call.reuse, limits).await;
+    if !call.stream || !matches!(result, Err(CallError::Lost { .. })) {
+        return result;
+    }
+    match ask(entry, to).await {
+        Word::Known(answered) => Ok(answered),
+        Word::Unknown | Word::None => result,
+    }
+}
+
 /// What an examination of an overdue answer has found.
 enum Found {
     /// The answer, on a new connection.
--- a/tests/testsuite/processes/streams.rs
+++ b/tests/testsuite/processes/streams.rs
@@ -3,6 +3,7 @@
 use std::thread;
 
 use medlarlug::standin::answer::expected;
+use medlarlug_core::release::item::Residency;
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use test_support::{
@@ -10,7 +11,9 @@
     stream::{Ending, Streamed},
 };
 
-use crate::processes::fixture::{assert_whole, counter, state, with_engines};
+use crate::processes::fixture::{
+    add_engines, assert_whole, counter, items, state, two_regions, with_engines,
+};
 
 /// Tokens of an answer during which a fault is injected.
 const TOKENS: usize = 300;
@@ -186,7 +189,12 @@
 
 #[test]
 fn each_of_many_streams_at_once_is_whole_and_its_own_through_cuts() {
-    let deployment = with_engines(4, 200);
+    // All streams fit, so that none is refused for the length of the queue.
+    let mut deployment = add_engines(two_regions(), 4, 200);
+    deployment.upstreams.iter_mut().for_each(|it| it.slots = 32);
+    let deployment = deployment.start();
+    deployment.configure(items(Residency::Anywhere));
+    deployment.wait_upstreams("entry-1", 4);
 
     let all: Vec<Streamed> = thread::scope(|scope| {
         let shared = &deployment;
