--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -108,6 +108,8 @@
     /// The relays between instances, if [`Deployment::relayed`] asks for them.
     pub network: Option<Network>,
     homes: Vec<(String, Vec<String>)>,
+    /// Limits of entry instances, as lines of YAML.
+    pub limits: String,
 }
 
 impl Deployment {
@@ -123,6 +125,7 @@
             processes: Mutex::default(),
             network: None,
             homes: Vec::new(),
+            limits: String::new(),
         }
     }
 
@@ -248,9 +251,10 @@
                 true => format!("data: data-{}\n", it.id),
                 false => String::new(),
             };
+            let limits = if it.is_entry { self.limits.as_str() } else { "" };
             let text = format!(
                 "instance: {0}\ncluster: cluster-{0}.yaml\nkey: [deployment.key]\noperators:\n  \
-                 - {{ id: anna, key: {key} }}\n{data}",
+                 - {{ id: anna, key: {key} }}\n{data}{limits}",
                 it.id
             );
             self.write(&format!("{}.yaml", it.id), &text);
@@ -436,6 +440,11 @@
         self.instances.iter().find(|it| it.id == id).expect("an instance of the deployment")
     }
 
+    /// Address of the internal interface of an instance.
+    pub fn internal(&self, id: &str) -> SocketAddr {
+        self.get(id).internal
+    }
+
     /// Asks the operators' interface of an instance.
     pub fn operator_get(&self, id: &str, path: &str) -> Reply {
         call("GET", self.get(id).operators, path, &[("authorization", &bearer(OPERATOR_KEY))], "")
--- a/crates/test-support/src/relay.rs
+++ b/crates/test-support/src/relay.rs
@@ -251,6 +251,11 @@
         }
     }
 
+    /// Partitions the instances inside from the others but for forwarded requests, or heals it.
+    pub fn partition_messages(&self, is_inside: impl Fn(&str) -> bool, is_held: bool) {
+        self.across(is_inside).for_each(|it| it.peers.hold(is_held));
+    }
+
     /// Silences the open connections from instances that `is_from` to ones that `is_to`.
     pub fn forget_open(&self, is_from: impl Fn(&str) -> bool, is_to: impl Fn(&str) -> bool) {
         for it in self.links.iter().filter(|it| is_from(&it.from) && is_to(&it.to)) {
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -1,8 +1,10 @@
 //! Tests on real processes: the whole path and its failures.
 
 mod booking;
+mod bounds;
 mod fixture;
 mod history;
+mod isolation;
 mod keepers;
 mod operators;
 mod partition;
