Bookings: drive the owner's side by its core

Cause: an outcome or withdrawal that got no reply within its limit was given up, and replies Moved, NotAdopted and NotFounded were taken as the end. Change: a task per booking drives home::attempt::Attempt until the home group knows the end; unknown outcomes of services that can be asked are asked about every second for ten minutes. The caller of a booking gets the whole answer, not the recorded form, which omits bodies over 16 KiB.

--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -14,6 +14,7 @@
 //! * [`evidence`]: requests that crash upstreams.
 //! * [`journal`]: the records of requests.
 
+pub mod attempt;
 pub mod callers;
 pub mod evidence;
 pub mod exchange;
--- a/src/coordination/entry/services.rs
+++ b/src/coordination/entry/services.rs
@@ -13,7 +13,10 @@
 use hyper::{Method, Request, StatusCode, header};
 use medlarlug_core::{
     fingerprint::Fingerprint,
-    home::{Action, Begin, BeginReply, Body, BookingKey, Owner, Recorded, Reply},
+    home::{
+        Begin, Body, BookingKey, Owner, Recorded,
+        attempt::{self as attempt_core, Event, NotRun},
+    },
     ids::{RegionId, RequestId, Revision, TeamId},
     record::{Outcome, Stage},
     refusal::{Reason, Refusal},
@@ -21,17 +24,15 @@
     routing::router,
     suspects,
 };
-use smol_str::{SmolStr, ToSmolStr};
+use smol_str::SmolStr;
 use tokio::{task, time::sleep};
 
 use crate::{
-    coordination::{
-        calls::{self, CallFailure},
-        entry::{
-            Entry,
-            exchange::{Exchange, FailedAttempt, insert},
-            inference::{self, AttemptEnd, Job},
-        },
+    coordination::entry::{
+        Entry,
+        attempt::{self, Handle, Step},
+        exchange::{Exchange, FailedAttempt, insert},
+        inference::{self, AttemptEnd, Job},
     },
     protocol::{Problem, headers},
     transport::{
@@ -46,8 +47,11 @@
 /// Time that an outcome has to be committed.
 const FINISH_LIMIT: Duration = Duration::from_secs(10);
 
-/// Pause between two tries to withdraw an intent.
-const WITHDRAW_PAUSE: Duration = Duration::from_secs(1);
+/// Pause before a service is asked again about an unknown outcome.
+const SETTLE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Questions about one unknown outcome.
+const SETTLE_ROUNDS: u32 = 600;
 
 /// Longest answer to a booking, in bytes.
 const ANSWER_BYTES: usize = 4 * 1024 * 1024;
@@ -81,6 +85,19 @@
     pub job: Job,
 }
 
+/// What a service answered.
+struct Served {
+    recorded: Recorded,
+    content: Bytes,
+}
+
+/// How the sending of a booking ended.
+enum End {
+    Answered(Served),
+    Lost(FailedAttempt),
+    NotSent(Refusal),
+}
+
 /// Runs a booking to its recorded end.
 pub async fn book(entry: Rc<Entry>, mut booking: Booking) -> Answer {
     let id = booking.job.facts().id.clone();
@@ -88,29 +105,16 @@
         Ok(slot) => slot,
         Err(refusal) => return inference::refuse(&entry, &id, &refusal),
     };
-    let begun = match begin(&entry, &booking).await {
-        Ok(begun) => begun,
-        Err(failure) => {
-            let answer = begin_failed(&entry, &id, &failure);
-            if matches!(failure, CallFailure::Uncertain { .. }) {
-                task::spawn_local(withdraw(entry.clone(), booking));
-            }
-            return answer;
-        }
-    };
-    match begun {
-        BeginReply::Started => run(&entry, booking).await,
-        BeginReply::Done { request, answer } => {
-            let reason = smol_str::format_smolstr!("recorded answer of request {request}");
-            entry.end(&id, Outcome::Answered, &reason);
-            recorded_answer(&id, &answer)
-        }
-        other => not_begun(&entry, &id, &other),
+    let limit = BEGIN_LIMIT.min(booking.job.facts().deadline);
+    let mut attempt = attempt::start(&entry, booking.home.clone(), begin_of(&entry, &booking));
+    match attempt.next(limit).await {
+        Step::Send => run(&entry, booking, attempt).await,
+        Step::Answer(answer) => answer_unsent(&entry, &id, &answer),
     }
 }
 
-async fn begin(entry: &Entry, booking: &Booking) -> Result<BeginReply, CallFailure> {
-    let begin = Begin {
+fn begin_of(entry: &Entry, booking: &Booking) -> Begin {
+    Begin {
         team: booking.team.clone(),
         key: booking.key.clone(),
         content: booking.content,
@@ -119,85 +123,88 @@
         revision: booking.revision,
         epoch: booking.epoch,
         moved: booking.moved,
-    };
-    match calls::act(&entry.node, &booking.home, Action::Begin(begin), BEGIN_LIMIT).await? {
-        Reply::Begin(reply) => Ok(reply),
-        Reply::NotFounded => Ok(BeginReply::NotFounded),
-        reply => {
-            tracing::error!(?reply, "unexpected reply to the begin of a booking");
-            Ok(BeginReply::NotFounded)
-        }
     }
 }
 
-/// Withdraws an intent that may have been committed after its request was given up.
-///
-/// A repeated begin of the same request is idempotent; once it has a reply, no earlier one can
-/// leave the intent open behind the withdrawal.
-async fn withdraw(entry: Rc<Entry>, booking: Booking) {
-    loop {
-        sleep(WITHDRAW_PAUSE).await;
-        match begin(&entry, &booking).await {
-            Ok(BeginReply::Started) => {}
-            Ok(_) => return,
-            Err(_) => continue,
+/// The answer to a request whose own call was not sent.
+fn answer_unsent(entry: &Entry, id: &RequestId, answer: &attempt_core::Answer) -> Answer {
+    let problem = match answer {
+        attempt_core::Answer::Done(recorded) => {
+            entry.end(id, Outcome::Answered, "recorded answer of an earlier request");
+            return recorded_answer(id, recorded);
         }
-        let (team, key) = (booking.team.clone(), booking.key.clone());
-        let request = booking.job.facts().id.clone();
-        let action = Action::Abandon { team, key, request };
-        if calls::act(&entry.node, &booking.home, action, FINISH_LIMIT).await.is_ok() {
-            return;
+        attempt_core::Answer::Unknown => {
+            let title = "An earlier request with this key may have run; it is not sent again";
+            Problem::new(409, "outcome-unknown", title, Outcome::Unknown)
         }
-    }
-}
-
-/// The home group gave no reply, so nothing was sent to the service.
-///
-/// An intent that may have been committed is withdrawn later; it is never sent.
-fn begin_failed(entry: &Entry, id: &RequestId, failure: &CallFailure) -> Answer {
-    entry.end(id, Outcome::NotRun, &failure.to_smolstr());
-    let title = "The home region of the booking can't be reached";
-    let problem = Problem::new(503, "home-unreachable", title, Outcome::NotRun);
-    body::refusal(&problem.of(id).after(Duration::from_secs(2)))
+        attempt_core::Answer::NotRun(reason) => not_run(reason),
+    };
+    entry.end(id, problem.outcome, &problem.title);
+    body::refusal(&problem.of(id))
 }
 
-fn not_begun(entry: &Entry, id: &RequestId, reply: &BeginReply) -> Answer {
+fn not_run(reason: &NotRun) -> Problem {
     let wait = Duration::from_secs(1);
-    let problem = match reply {
-        BeginReply::InProgress(request) => {
+    let refused = |kind: &'static str, title: &str| {
+        Problem::new(503, kind, title, Outcome::NotRun).after(wait)
+    };
+    match reason {
+        NotRun::InProgress(request) => {
             let title = format!("Request {request} with this key is under way");
             Problem::new(409, "in-progress", &title, Outcome::Unknown).after(wait)
         }
-        BeginReply::Unknown(_) => {
-            let title = "An earlier request with this key may have run; it is not sent again";
-            Problem::new(409, "outcome-unknown", title, Outcome::Unknown)
-        }
-        BeginReply::KeyReused(request) => {
+        NotRun::KeyReused(request) => {
             let title = format!("The key belongs to request {request} with other content");
             Problem::new(422, "key-reused", &title, Outcome::NotRun)
         }
-        BeginReply::NotHome(region) => {
-            let title = format!("The team's bookings are recorded in region {region}");
-            Problem::new(503, "not-home", &title, Outcome::NotRun).after(wait)
+        NotRun::NotHome(region) => {
+            refused("not-home", &format!("The team's bookings are recorded in region {region}"))
         }
-        BeginReply::Abandoned
-        | BeginReply::StaleConfiguration(_)
-        | BeginReply::NotAdopted
-        | BeginReply::Full
-        | BeginReply::StaleOwner(_)
-        | BeginReply::NotFounded
-        | BeginReply::Started
-        | BeginReply::Done { .. } => {
-            let title = "The home region does not take the booking in at the moment";
-            Problem::new(503, "home-not-ready", title, Outcome::NotRun).after(wait)
+        NotRun::StaleConfiguration(revision) => refused(
+            "stale-configuration",
+            &format!("This instance does not know revision {revision} yet"),
+        ),
+        NotRun::NotAdopted => {
+            refused("not-adopted", "The team's bookings are on their way to its new home region")
         }
-    };
-    entry.end(id, problem.outcome, &problem.title);
-    body::refusal(&problem.of(id))
+        NotRun::Full => refused("keys-exhausted", "The home region keeps as many keys as it can"),
+        NotRun::HomeUnavailable => {
+            refused("home-unreachable", "The home region of the booking can't be reached")
+                .after(Duration::from_secs(2))
+        }
+        NotRun::UpstreamUnavailable => {
+            refused("upstream-unavailable", "No upstream could be reached")
+        }
+        NotRun::Replaced => refused("replaced", "This instance has been replaced"),
+    }
 }
 
 /// Sends a booking whose intent is committed, and records how it ended.
-async fn run(entry: &Rc<Entry>, mut booking: Booking) -> Answer {
+async fn run(entry: &Rc<Entry>, mut booking: Booking, mut attempt: Handle) -> Answer {
+    let id = booking.job.facts().id.clone();
+    let failed = match send(entry, &mut booking).await {
+        End::Answered(served) => return finish(entry, &booking, &mut attempt, served).await,
+        End::NotSent(refusal) => {
+            attempt.tell(Event::NotSent);
+            return inference::refuse(entry, &id, &refusal);
+        }
+        End::Lost(failed) => failed,
+    };
+    if booking.outcomes
+        && let Some(served) = ask_outcome(entry, &booking, &failed).await
+    {
+        return finish(entry, &booking, &mut attempt, served).await;
+    }
+    attempt.tell(Event::AnswerLost);
+    if booking.outcomes {
+        task::spawn_local(settle_later(entry.clone(), booking, attempt, failed));
+    }
+    let refusal = Refusal::new(Reason::AnswerLost, Duration::from_secs(5));
+    inference::refuse(entry, &id, &refusal)
+}
+
+/// Sends the call until it is answered, or may have begun, or is given up unsent.
+async fn send(entry: &Rc<Entry>, booking: &mut Booking) -> End {
     let id = booking.job.facts().id.clone();
     let target = booking.job.facts().target.clone();
     let deadline = entry.node.now() + booking.job.facts().deadline;
@@ -205,15 +212,15 @@
     loop {
         let failed = match inference::send(entry, &booking.job).await {
             Ok(exchange) => match read_answer(entry, &id, exchange).await {
-                Ok(answer) => return finish(entry, &booking, answer).await,
+                Ok(served) => return End::Answered(served),
                 Err(failed) => failed,
             },
-            Err(AttemptEnd::Refused(refusal)) => return abandon(entry, &booking, &refusal).await,
+            Err(AttemptEnd::Refused(refusal)) => return End::NotSent(refusal),
             Err(AttemptEnd::Failed(failed)) => failed,
         };
         tracing::info!(request = %id, reason = %failed.reason, "attempt failed");
         if !failed.failure.is_not_run() {
-            return settle(entry, &booking, &failed).await;
+            return End::Lost(failed);
         }
         let decision = entry.with_budget(&target, |budget| {
             let now = entry.node.now();
@@ -221,7 +228,7 @@
         });
         inference::exclude(&mut booking.job, &failed);
         match decision {
-            Decision::GiveUp(refusal) => return abandon(entry, &booking, &refusal).await,
+            Decision::GiveUp(refusal) => return End::NotSent(refusal),
             Decision::RetryHere | Decision::RetryElsewhere => {
                 entry.step(&id, Stage::Retried { reason: failed.reason });
             }
@@ -236,7 +243,7 @@
     entry: &Entry,
     id: &RequestId,
     exchange: Exchange,
-) -> Result<Recorded, FailedAttempt> {
+) -> Result<Served, FailedAttempt> {
     let request = id.clone();
     let (place, ticket) = (exchange.place, exchange.ticket);
     let (head, incoming) = exchange.answer.into_parts();
@@ -263,60 +270,41 @@
         let reason = "the receiving zone does not know the outcome".into();
         return Err(FailedAttempt { place, failure: Failure::Lost, reason });
     }
-    Ok(Recorded {
+    let recorded = Recorded {
         status: head.status.as_u16(),
         content_type: media.unwrap_or("application/octet-stream").into(),
         body: Body::of(&content),
-    })
+    };
+    Ok(Served { recorded, content })
 }
 
-async fn finish(entry: &Entry, booking: &Booking, answer: Recorded) -> Answer {
+/// Answers the caller once the outcome is recorded, or after [`FINISH_LIMIT`].
+async fn finish(entry: &Entry, booking: &Booking, attempt: &mut Handle, served: Served) -> Answer {
     let id = &booking.job.facts().id;
-    let action = Action::Finish {
-        team: booking.team.clone(),
-        key: booking.key.clone(),
-        request: id.clone(),
-        answer: answer.clone(),
-    };
-    if let Err(error) = calls::act(&entry.node, &booking.home, action, FINISH_LIMIT).await {
-        tracing::warn!(request = %id, %error, "the outcome of a booking is not recorded");
-    }
+    let Served { recorded, content } = served;
+    let status = StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::OK);
+    let media = header::HeaderValue::from_str(&recorded.content_type).ok();
+    attempt.tell(Event::Answered(recorded));
+    attempt.next(FINISH_LIMIT).await;
     let target = &booking.job.facts().target;
     entry.with_budget(target, |budget| budget.deposit());
     entry.end(id, Outcome::Answered, "whole answer");
-    recorded_answer(id, &answer)
-}
-
-/// Withdraws an intent that was proven not to have been sent.
-async fn abandon(entry: &Entry, booking: &Booking, refusal: &Refusal) -> Answer {
-    let id = &booking.job.facts().id;
-    let (team, key) = (booking.team.clone(), booking.key.clone());
-    let action = Action::Abandon { team, key, request: id.clone() };
-    if let Err(error) = calls::act(&entry.node, &booking.home, action, FINISH_LIMIT).await {
-        tracing::warn!(request = %id, %error, "an intent is not withdrawn");
-    }
-    inference::refuse(entry, id, refusal)
+    inference::pass_on(id, status, media.as_ref(), content)
 }
 
-/// Records a booking as unknown, unless the service can tell what became of it.
-async fn settle(entry: &Entry, booking: &Booking, failed: &FailedAttempt) -> Answer {
-    let id = &booking.job.facts().id;
-    if booking.outcomes
-        && let Some(answer) = ask_outcome(entry, booking, failed).await
-    {
-        return finish(entry, booking, answer).await;
-    }
-    let (team, key) = (booking.team.clone(), booking.key.clone());
-    let action = Action::Lose { team, key, request: id.clone() };
-    if let Err(error) = calls::act(&entry.node, &booking.home, action, FINISH_LIMIT).await {
-        tracing::warn!(request = %id, %error, "an unknown outcome is not recorded");
+/// Asks the service about a booking of unknown outcome until it tells, or for [`SETTLE_ROUNDS`].
+async fn settle_later(entry: Rc<Entry>, booking: Booking, attempt: Handle, failed: FailedAttempt) {
+    for _ in 0..SETTLE_ROUNDS {
+        sleep(SETTLE_PAUSE).await;
+        if let Some(served) = ask_outcome(&entry, &booking, &failed).await {
+            tracing::info!(request = %booking.job.facts().id, "unknown outcome settled");
+            return attempt.tell(Event::Answered(served.recorded));
+        }
     }
-    let refusal = Refusal::new(Reason::AnswerLost, Duration::from_secs(5));
-    inference::refuse(entry, id, &refusal)
 }
 
 /// Asks the upstream that may have run a call what became of it.
-async fn ask_outcome(entry: &Entry, booking: &Booking, failed: &FailedAttempt) -> Option<Recorded> {
+async fn ask_outcome(entry: &Entry, booking: &Booking, failed: &FailedAttempt) -> Option<Served> {
     let inference::Place::Upstream(upstream) = &failed.place else { return None };
     let address = {
         let members = entry.node.members.borrow();
@@ -338,7 +326,7 @@
 }
 
 /// The answer out of a service's document about a call that ran.
-fn ran_answer(document: &[u8]) -> Option<Recorded> {
+fn ran_answer(document: &[u8]) -> Option<Served> {
     let document: serde_json::Value = serde_json::from_slice(document).ok()?;
     if document["outcome"] != "ran" {
         return None;
@@ -347,11 +335,12 @@
         serde_json::Value::String(text) => text.clone().into_bytes(),
         other => serde_json::to_vec(other).ok()?,
     };
-    Some(Recorded {
+    let recorded = Recorded {
         status: 200,
         content_type: SmolStr::new_static("application/json"),
         body: Body::of(&content),
-    })
+    };
+    Some(Served { recorded, content: content.into() })
 }
 
 fn recorded_answer(id: &RequestId, answer: &Recorded) -> Answer {
