--- a/crates/medlarlug-core/src/configuration_group/mod.rs
+++ b/crates/medlarlug-core/src/configuration_group/mod.rs
@@ -18,5 +18,5 @@
 pub mod tracker;
 
 pub use command::{Accepted, Change, Command, Refusal, Reply};
-pub use state::ConfigurationGroup;
+pub use state::{ConfigurationGroup, Move};
 pub use tracker::{Force, Tracker, ZoneForce};
--- a/crates/medlarlug-core/src/home/bookings.rs
+++ b/crates/medlarlug-core/src/home/bookings.rs
@@ -128,6 +128,20 @@
             .filter(|(_, it)| it.state == BookingState::Unknown)
     }
 
+    /// Owners of open bookings, sorted, each once.
+    pub(crate) fn open_owners(&self) -> Vec<Owner> {
+        let held = self.books.iter().filter(|it| matches!(it.hold, Hold::Held(_)));
+        let owner = |it: &Booking| match &it.state {
+            BookingState::Open(owner) => Some(owner.clone()),
+            _ => None,
+        };
+        let mut owners: Vec<Owner> =
+            held.flat_map(|book| book.bookings.iter().filter_map(owner)).collect();
+        owners.sort_by(|a, b| (&a.instance, a.incarnation).cmp(&(&b.instance, b.incarnation)));
+        owners.dedup();
+        owners
+    }
+
     /// Records the intent to send a booking, unless the key was used.
     pub(crate) fn begin(
         &mut self,
--- a/crates/medlarlug-core/src/home/state.rs
+++ b/crates/medlarlug-core/src/home/state.rs
@@ -139,6 +139,14 @@
         self.bookings.unknown()
     }
 
+    /// Owners of bookings under way, sorted, each once.
+    ///
+    /// The leader compares them with the instances that run, so that no loss of an owner is missed
+    /// at a change of leader.
+    pub fn open_owners(&self) -> Vec<Owner> {
+        self.bookings.open_owners()
+    }
+
     /// Whether the group has adopted the team of `home`, or has begun to book for it.
     ///
     /// While this is not so for a home in the group's own region that has a former one, the
--- a/src/coordination/calls.rs
+++ b/src/coordination/calls.rs
@@ -10,7 +10,7 @@
 
 use medlarlug_core::{
     configuration_group, home,
-    ids::{InstanceId, RegionId, RequestId},
+    ids::{InstanceId, RegionId, RequestId, Revision},
 };
 use thiserror::Error;
 use tokio::{
@@ -221,6 +221,39 @@
     }
 }
 
+/// Reads the revision at which the home group of a region was founded.
+///
+/// # Errors
+///
+/// Fails when no reply came within `limit`.
+pub async fn founding(
+    node: &Node,
+    region: &RegionId,
+    limit: Duration,
+) -> Result<Option<Revision>, CallFailure> {
+    let group = GroupId::Home(region.clone());
+    match submit(node, &group, GroupRequest::Founding, limit).await? {
+        GroupReply::Founding(revision) => Ok(revision),
+        _ => Err(CallFailure::Mismatch { group }),
+    }
+}
+
+/// Reads which teams are on their way to a new home region.
+///
+/// # Errors
+///
+/// Fails when no reply came within `limit`.
+pub async fn moves(
+    node: &Node,
+    limit: Duration,
+) -> Result<Vec<configuration_group::Move>, CallFailure> {
+    let group = GroupId::Configuration;
+    match submit(node, &group, GroupRequest::Moves, limit).await? {
+        GroupReply::Moves(moves) => Ok(moves),
+        _ => Err(CallFailure::Mismatch { group }),
+    }
+}
+
 /// Asks the home group of the region in a request's id for its record.
 ///
 /// # Errors
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -34,7 +34,7 @@
 
 use medlarlug_core::{
     home,
-    ids::{InstanceId, RequestId, Revision, TeamId},
+    ids::{InstanceId, RegionId, RequestId, Revision, TeamId},
     limits::{self, LimitPolicy, Limits, TeamLimit},
     membership::{Notice, Status, Target},
     record::{Outcome, Stage},
@@ -160,7 +160,9 @@
 
     start_servers(&entry, level, metrics, &drain, &closed).await?;
     task::spawn_local(send_records(entry.clone()));
-    task::spawn_local(announce_start(entry.clone()));
+    for home in &entry.node.cluster.homes {
+        task::spawn_local(announce_start(entry.clone(), home.region.clone()));
+    }
     let mut ticks = interval(TICK);
     let mut stop = drain.subscribe();
     let mut finished = Box::pin(async {
@@ -458,15 +460,17 @@
     }
 }
 
-/// Tells the home group that the instance's earlier requests have no owner any more.
-async fn announce_start(entry: Rc<Entry>) {
+/// Tells a home group that the instance's earlier requests have no owner any more.
+///
+/// Every region's group is told, as an instance begins bookings of teams of all regions.
+async fn announce_start(entry: Rc<Entry>, region: RegionId) {
     let node = &entry.node;
     loop {
         let action = home::Action::InstanceStarted {
             instance: node.own.id.clone(),
             incarnation: node.incarnation,
         };
-        match calls::act(node, &node.region, action, RECORD_LIMIT).await {
+        match calls::act(node, &region, action, RECORD_LIMIT).await {
             Ok(home::Reply::Ok) => return,
             Ok(reply) => tracing::debug!(?reply, "start not recorded yet"),
             Err(error) => tracing::debug!(%error, "start not recorded yet"),
--- a/src/coordination/entry/services.rs
+++ b/src/coordination/entry/services.rs
@@ -328,7 +328,7 @@
 /// The answer out of a service's document about a call that ran.
 fn ran_answer(document: &[u8]) -> Option<Served> {
     let document: serde_json::Value = serde_json::from_slice(document).ok()?;
-    if document["outcome"] != "ran" {
+    if document["state"] != "ran" {
         return None;
     }
     let content = match &document["answer"] {
--- /dev/null
+++ b/src/coordination/keeper/duties/founding.rs
@@ -0,0 +1,73 @@
+//! Founding of a home group by its leader.
+
+use std::rc::Rc;
+
+use medlarlug_core::{
+    configuration_group,
+    home::{self, FoundToken},
+    ids::RegionId,
+};
+use tokio::{sync::watch, time::interval};
+
+use crate::{
+    coordination::{
+        calls::{self, CallFailure},
+        keeper::{
+            Keeper,
+            duties::{CALL_LIMIT, ROUND},
+            machine::Machine,
+        },
+    },
+    protocol::GroupId,
+};
+
+/// Founds the home group of `region` while this keeper leads it and it is not founded.
+///
+/// All tries of this process carry one token: a try whose reply was lost is not taken for an
+/// earlier founding, after which keys would count as used.
+pub async fn run(keeper: Rc<Keeper>, region: RegionId, mut stop: watch::Receiver<bool>) {
+    let token = FoundToken(rand::random());
+    let mut rounds = interval(ROUND);
+    loop {
+        tokio::select! {
+            _ = rounds.tick() => {
+                if !is_due(&keeper, &region) {
+                    continue;
+                }
+                if let Err(error) = found(&keeper, &region, token).await {
+                    tracing::warn!(%region, %error, "home group not founded");
+                }
+            }
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+    }
+}
+
+fn is_due(keeper: &Keeper, region: &RegionId) -> bool {
+    let group = GroupId::Home(region.clone());
+    let is_founded = keeper.with_machine(&group, |machine| match machine {
+        Machine::Home(machine) => machine.founded().is_some(),
+        Machine::Configuration(_) => true,
+    });
+    let is_configured =
+        || keeper.node.configuration().is_some_and(|it| it.region(region).is_some());
+    keeper.leads(&group) && is_founded == Some(false) && is_configured()
+}
+
+async fn found(keeper: &Keeper, region: &RegionId, token: FoundToken) -> Result<(), CallFailure> {
+    let node = &keeper.node;
+    // A new leader may not have applied its log yet; a linearizable read tells.
+    if calls::founding(node, region, CALL_LIMIT).await?.is_some() {
+        return Ok(());
+    }
+    let command = configuration_group::Command::FoundHome { region: region.clone(), token };
+    let (revision, first) = match calls::configure(node, command, CALL_LIMIT).await? {
+        configuration_group::Reply::Founded { revision, first } => (revision, first),
+        reply => {
+            tracing::warn!(%region, ?reply, "home group not founded");
+            return Ok(());
+        }
+    };
+    calls::act(node, region, home::Action::Found { revision, first }, CALL_LIMIT).await?;
+    Ok(())
+}
--- a/src/coordination/keeper/duties.rs
+++ b/src/coordination/keeper/duties/mod.rs
@@ -2,16 +2,16 @@
 //!
 //! * Every member of the configuration group hands new revisions to its own follower; the leader
 //!   also pushes them to every instance. Members confirm the newest revision by reading it.
-//! * The leader of a home group founds it, once the configuration names the region, and records
-//!   that the bookings of a dead instance have no owner.
+//! * The leader of a home group founds it ([`founding`]), fetches the bookings of teams whose home
+//!   moves here ([`moves`]) and records which bookings have lost their owner ([`owners`]).
+
+mod founding;
+mod moves;
+mod owners;
 
 use std::{rc::Rc, time::Duration};
 
-use medlarlug_core::{
-    configuration_group, follower,
-    home::{self, FoundToken},
-    ids::{InstanceId, RegionId},
-};
+use medlarlug_core::follower;
 use tokio::{sync::watch, task, time::interval};
 
 use crate::{
@@ -28,6 +28,8 @@
 /// Time that a call of a duty may take.
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 
+pub use owners::declare_lost;
+
 /// Does the duties of the process until `stop` turns true.
 ///
 /// Each duty has a task of its own, so that a group without a leader holds up no other duty.
@@ -36,7 +38,9 @@
     task::spawn_local(confirm_often(keeper.clone(), stop.clone()));
     for group in keeper.group_ids() {
         if let GroupId::Home(region) = group {
-            task::spawn_local(found_when_due(keeper.clone(), region, stop.clone()));
+            task::spawn_local(founding::run(keeper.clone(), region.clone(), stop.clone()));
+            task::spawn_local(moves::run(keeper.clone(), region.clone(), stop.clone()));
+            task::spawn_local(owners::run(keeper.clone(), region, stop.clone()));
         }
     }
 }
@@ -62,16 +66,6 @@
     }
 }
 
-async fn found_when_due(keeper: Rc<Keeper>, region: RegionId, mut stop: watch::Receiver<bool>) {
-    let mut rounds = interval(ROUND);
-    loop {
-        tokio::select! {
-            _ = rounds.tick() => found(&keeper, &region).await,
-            _ = stop.wait_for(|stop| *stop) => return,
-        }
-    }
-}
-
 /// Hands what is new in the configuration group to the follower, and to everybody if it leads.
 fn follow_own_group(keeper: &Keeper) {
     let group = GroupId::Configuration;
@@ -108,56 +102,3 @@
         Err(error) => tracing::debug!(%error, "configuration not confirmed"),
     }
 }
-
-/// Founds a home group that this keeper leads.
-async fn found(keeper: &Keeper, region: &RegionId) {
-    let group = GroupId::Home(region.clone());
-    let is_founded = keeper.with_machine(&group, |machine| match machine {
-        Machine::Home(machine) => machine.founded().is_some(),
-        Machine::Configuration(_) => true,
-    });
-    if !keeper.leads(&group) || is_founded != Some(false) {
-        return;
-    }
-    let node = &keeper.node;
-    let is_configured = node.configuration().is_some_and(|it| it.region(region).is_some());
-    if !is_configured {
-        return;
-    }
-    let command = configuration_group::Command::FoundHome {
-        region: region.clone(),
-        token: FoundToken(rand::random()),
-    };
-    let (revision, first) = match calls::configure(node, command, CALL_LIMIT).await {
-        Ok(configuration_group::Reply::Founded { revision, first }) => (revision, first),
-        Ok(reply) => return tracing::warn!(%region, ?reply, "home group not founded"),
-        Err(error) => return tracing::warn!(%region, %error, "home group not founded"),
-    };
-    let action = home::Action::Found { revision, first };
-    if let Err(error) = calls::act(node, region, action, CALL_LIMIT).await {
-        tracing::warn!(%region, %error, "home group not founded");
-    }
-}
-
-/// Records that the open bookings of a dead instance have no owner any more.
-///
-/// An instance that was only cut off may still end them; until then their outcome is unknown.
-pub fn declare_lost(keeper: &Keeper, instance: &InstanceId) {
-    let node = &keeper.node;
-    let incarnation = {
-        let members = node.members.borrow();
-        let peer = members.peers().iter().find(|it| it.seed.id == *instance);
-        peer.map(|it| it.incarnation)
-    };
-    let Some(incarnation) = incarnation else { return };
-    for group in keeper.group_ids().into_iter().filter(|it| keeper.leads(it)) {
-        let GroupId::Home(region) = group else { continue };
-        let action = home::Action::InstanceLost { instance: instance.clone(), incarnation };
-        let node = node.clone();
-        task::spawn_local(async move {
-            if let Err(error) = calls::act(&node, &region, action, CALL_LIMIT).await {
-                tracing::warn!(%region, %error, "loss of an instance not recorded");
-            }
-        });
-    }
-}
--- /dev/null
+++ b/src/coordination/keeper/duties/moves.rs
@@ -0,0 +1,126 @@
+//! Moves of a team's home region, carried out by the leader of the new home group.
+//!
+//! For each team on its way here: `Seal` at the former home, which then begins no booking of the
+//! team any more and hands its bookings over; `Adopt` here; `Release` at the former home; at last
+//! `HomeAdopted` in the configuration group, which ends the move. Each step is idempotent, and
+//! the configuration group lists the move until its last step. So a new leader, which begins
+//! again with the first step that is not known to be done, leaves nothing half done.
+
+use std::rc::Rc;
+
+use medlarlug_core::{
+    configuration_group::{Command, Move},
+    home::{Action, Reply},
+    ids::{RegionId, Revision},
+    release::TeamHome,
+};
+use thiserror::Error;
+use tokio::{sync::watch, time::interval};
+
+use crate::{
+    coordination::{
+        calls::{self, CallFailure},
+        keeper::{
+            Keeper,
+            duties::{CALL_LIMIT, ROUND},
+            machine::Machine,
+        },
+    },
+    protocol::GroupId,
+};
+
+/// Why a move did not go on.
+#[derive(Debug, Error)]
+enum MoveError {
+    /// A group gave no reply.
+    #[error(transparent)]
+    Call(#[from] CallFailure),
+    /// A group is not ready for the step.
+    #[error("region {region} replied {reply:?}")]
+    NotReady { region: RegionId, reply: Box<Reply> },
+}
+
+/// Carries out the moves to `region` while this keeper leads its home group.
+pub async fn run(keeper: Rc<Keeper>, region: RegionId, mut stop: watch::Receiver<bool>) {
+    let group = GroupId::Home(region.clone());
+    let mut rounds = interval(ROUND);
+    // Home changes up to this revision are complete.
+    let mut complete = Revision(0);
+    loop {
+        tokio::select! {
+            _ = rounds.tick() => {}
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+        let newest = newest_move(&keeper, &region);
+        if newest <= complete || !keeper.leads(&group) {
+            continue;
+        }
+        match carry_out_all(&keeper, &region).await {
+            Ok(()) => complete = newest,
+            Err(error) => tracing::warn!(%region, %error, "move of a home not complete yet"),
+        }
+    }
+}
+
+/// The last revision at which a team's home was moved to `region`.
+fn newest_move(keeper: &Keeper, region: &RegionId) -> Revision {
+    let Some(configuration) = keeper.node.configuration() else { return Revision(0) };
+    let homes = configuration.homes().iter();
+    let moved = homes.filter(|it| it.region == *region && it.from.is_some());
+    moved.map(|it| it.epoch).max().unwrap_or(Revision(0))
+}
+
+async fn carry_out_all(keeper: &Keeper, region: &RegionId) -> Result<(), MoveError> {
+    let moves = calls::moves(&keeper.node, CALL_LIMIT).await?;
+    let mut result = Ok(());
+    for it in moves.into_iter().filter(|it| it.to == *region) {
+        // One former home that can't be reached holds up no other move.
+        match carry_out(keeper, &it).await {
+            Ok(()) => tracing::info!(team = %it.team, from = %it.from, "home moved here"),
+            Err(error) => result = Err(error),
+        }
+    }
+    result
+}
+
+async fn carry_out(keeper: &Keeper, it: &Move) -> Result<(), MoveError> {
+    let node = &keeper.node;
+    let (team, epoch) = (it.team.clone(), it.epoch);
+    if !is_held(keeper, it) {
+        let seal = Action::Seal { team: team.clone(), to: it.to.clone(), epoch };
+        let handover = match calls::act(node, &it.from, seal, CALL_LIMIT).await? {
+            Reply::Handover(handover) => handover,
+            reply => return Err(not_ready(&it.from, reply)),
+        };
+        match calls::act(node, &it.to, Action::Adopt(handover), CALL_LIMIT).await? {
+            Reply::Ok => {}
+            reply => return Err(not_ready(&it.to, reply)),
+        }
+    }
+    let release = Action::Release { team: team.clone(), epoch };
+    match calls::act(node, &it.from, release, CALL_LIMIT).await? {
+        Reply::Ok | Reply::NoSuchBooking => {}
+        reply => return Err(not_ready(&it.from, reply)),
+    }
+    calls::configure(node, Command::HomeAdopted { team, epoch }, CALL_LIMIT).await?;
+    Ok(())
+}
+
+fn is_held(keeper: &Keeper, it: &Move) -> bool {
+    let home = TeamHome {
+        team: it.team.clone(),
+        region: it.to.clone(),
+        epoch: it.epoch,
+        from: Some(it.from.clone()),
+    };
+    let group = GroupId::Home(it.to.clone());
+    let is_held = keeper.with_machine(&group, |machine| match machine {
+        Machine::Home(machine) => machine.is_held(&home),
+        Machine::Configuration(_) => false,
+    });
+    is_held.unwrap_or(false)
+}
+
+fn not_ready(region: &RegionId, reply: Reply) -> MoveError {
+    MoveError::NotReady { region: region.clone(), reply: Box::new(reply) }
+}
--- a/src/coordination/keeper/group.rs
+++ b/src/coordination/keeper/group.rs
@@ -200,9 +200,11 @@
                 let elapsed = self.elapsed(now);
                 postcard::to_stdvec(&home::Command { elapsed, action: action.clone() })
             }
-            GroupRequest::LookUp(_) | GroupRequest::History | GroupRequest::Revision => {
-                return None;
-            }
+            GroupRequest::LookUp(_)
+            | GroupRequest::History
+            | GroupRequest::Revision
+            | GroupRequest::Founding
+            | GroupRequest::Moves => return None,
         };
         command.ok()
     }
--- a/src/coordination/keeper/machine.rs
+++ b/src/coordination/keeper/machine.rs
@@ -81,6 +81,12 @@
             (Machine::Configuration(machine), GroupRequest::Revision) => {
                 GroupReply::Revision(machine.configuration().revision)
             }
+            (Machine::Configuration(machine), GroupRequest::Moves) => {
+                GroupReply::Moves(machine.moves().to_vec())
+            }
+            (Machine::Home(machine), GroupRequest::Founding) => {
+                GroupReply::Founding(machine.founded())
+            }
             _ => GroupReply::Unfit,
         }
     }
--- a/src/protocol/message.rs
+++ b/src/protocol/message.rs
@@ -97,6 +97,10 @@
     History,
     /// Reads the newest revision.
     Revision,
+    /// Reads the revision at which a home group was founded.
+    Founding,
+    /// Reads which teams are on their way to a new home region.
+    Moves,
 }
 
 /// The answer of a replication group.
@@ -112,6 +116,10 @@
     History(Vec<configuration_group::Accepted>),
     /// The newest revision.
     Revision(Revision),
+    /// The revision at which the home group was founded, if it was.
+    Founding(Option<Revision>),
+    /// The teams that are on their way to a new home region.
+    Moves(Vec<configuration_group::Move>),
     /// The receiver doesn't lead the group; the leader, if it knows it.
     NotLeader(Option<InstanceId>),
     /// The request was taken in, and whether it is in force is not known.
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -3,5 +3,7 @@
 mod booking;
 mod fixture;
 mod keepers;
+mod moves;
+mod outcomes;
 mod path;
 mod streams;
--- /dev/null
+++ b/tests/testsuite/processes/outcomes.rs
@@ -0,0 +1,109 @@
+//! Outcomes of bookings are recorded in the end, also when the home group is away for a while.
+
+use std::thread;
+
+use medlarlug_core::release::{Item, item::Residency};
+use nix::sys::signal::Signal;
+use serde_json::json;
+use test_support::deployment::{Deployment, wait_for};
+
+use crate::processes::fixture::{items, two_regions};
+
+fn with_service(items: Vec<Item>) -> Deployment {
+    let deployment = two_regions().service("desk", "riga-a", "jobdesk").start();
+    deployment.configure(items);
+    deployment.wait_upstreams("entry-1", 1);
+    deployment
+}
+
+/// Items whose service tells the outcome of an earlier call.
+fn items_with_outcomes() -> Vec<Item> {
+    let mut items = items(Residency::Anywhere);
+    for it in &mut items {
+        if let Item::Service(service) = it {
+            service.outcomes = true;
+        }
+    }
+    items
+}
+
+fn revision(deployment: &Deployment, id: &str) -> Option<u64> {
+    deployment.operator_get(id, "/status").json["revision"].as_u64()
+}
+
+#[test]
+fn outcome_that_finds_no_majority_is_recorded_once_there_is_one() {
+    let deployment = with_service(items(Residency::Anywhere));
+    deployment.fault("desk", &json!({ "kind": "late_answer", "count": 1, "delay_ms": 1_000 }));
+
+    let first = thread::scope(|scope| {
+        let first = scope.spawn(|| deployment.book("entry-1", "parcel-7", "{}"));
+        wait_for("the run of the booking", || deployment.runs("parcel-7") == 1);
+        deployment.signal("keeper-2", Signal::SIGSTOP);
+        deployment.signal("keeper-3", Signal::SIGSTOP);
+        first.join().expect("the caller")
+    });
+    deployment.signal("keeper-2", Signal::SIGCONT);
+    deployment.signal("keeper-3", Signal::SIGCONT);
+    let mut again = deployment.book("entry-2", "parcel-7", "{}");
+    wait_for("the recorded outcome", || {
+        again = deployment.book("entry-2", "parcel-7", "{}");
+        again.status == 200
+    });
+
+    assert_eq!(first.status, 200, "{}", first.text);
+    assert_eq!(first.text, again.text);
+    assert_eq!(deployment.runs("parcel-7"), 1);
+}
+
+#[test]
+fn service_that_tells_outcomes_is_asked_after_a_lost_answer() {
+    let deployment = with_service(items_with_outcomes());
+    deployment.fault("desk", &json!({ "kind": "lose_answer", "count": 1 }));
+
+    let first = deployment.book("entry-1", "parcel-7", "{}");
+    let again = deployment.book("entry-2", "parcel-7", "{}");
+
+    assert_eq!((first.status, again.status), (200, 200), "{} {}", first.text, again.text);
+    assert_eq!(first.text, again.text);
+    assert_eq!(deployment.runs("parcel-7"), 1);
+}
+
+#[test]
+fn owner_that_died_before_every_keeper_restarted_leaves_its_booking_unknown() {
+    let mut deployment = with_service(items(Residency::Anywhere));
+    deployment.fault("desk", &json!({ "kind": "late_answer", "count": 1, "delay_ms": 60_000 }));
+
+    thread::scope(|scope| {
+        let lost = scope.spawn(|| deployment.book("entry-1", "parcel-7", "{}"));
+        wait_for("the run of the booking", || deployment.runs("parcel-7") == 1);
+        deployment.signal("entry-1", Signal::SIGKILL);
+        assert_eq!(lost.join().expect("the caller").status, 0);
+    });
+    let keepers = ["keeper-1", "keeper-2", "keeper-3"];
+    keepers.iter().for_each(|it| deployment.kill(it));
+    keepers.iter().for_each(|it| deployment.start_process(it));
+    wait_for("the loss of the owner to be recorded", || {
+        deployment.book("entry-2", "parcel-7", "{}").json["type"] == "outcome-unknown"
+    });
+
+    assert_eq!(deployment.runs("parcel-7"), 1);
+}
+
+#[test]
+fn restart_of_every_keeper_founds_no_home_group_anew() {
+    let mut deployment = with_service(items(Residency::Anywhere));
+    let first = deployment.book("entry-1", "parcel-1", "{}");
+    let before = revision(&deployment, "keeper-1");
+
+    let keepers = ["keeper-1", "keeper-2", "keeper-3"];
+    keepers.iter().for_each(|it| deployment.kill(it));
+    keepers.iter().for_each(|it| deployment.start_process(it));
+    wait_for("a booking after the restart", || {
+        deployment.book("entry-2", "parcel-2", "{}").status == 200
+    });
+    let again = deployment.book("entry-2", "parcel-1", "{}");
+
+    assert_eq!((first.status, &first.text), (again.status, &again.text));
+    assert_eq!(revision(&deployment, "entry-2"), before);
+}
