--- a/crates/medlarlug-core/src/configuration_group/mod.rs
+++ b/crates/medlarlug-core/src/configuration_group/mod.rs
@@ -11,12 +11,15 @@
 //!
 //! * [`command`]: commands and replies.
 //! * [`state`]: the state machine.
+//! * [`draining`]: when withdrawn items are removed; kept by the leader only.
 //! * [`tracker`]: where a revision is in force; kept by the leader only, not replicated.
 
 pub mod command;
+pub mod draining;
 pub mod state;
 pub mod tracker;
 
 pub use command::{Accepted, Change, Command, Refusal, Reply};
+pub use draining::Draining;
 pub use state::{ConfigurationGroup, Move};
 pub use tracker::{Force, Tracker, ZoneForce};
--- a/crates/medlarlug-core/src/configuration_group/tracker.rs
+++ b/crates/medlarlug-core/src/configuration_group/tracker.rs
@@ -10,6 +10,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     ids::{InstanceId, Revision, ZoneId},
     time::Time,
@@ -47,7 +49,7 @@
 const MAX_COMMITTED: usize = 1_024;
 
 /// Where one revision is in force.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Force {
     /// The revision.
     pub revision: Revision,
@@ -58,7 +60,7 @@
 }
 
 /// Where one revision is in force within a zone.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneForce {
     /// The zone.
     pub zone: ZoneId,
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/draining.rs
@@ -0,0 +1,79 @@
+//! When withdrawn items are removed.
+
+use std::time::Duration;
+
+use medlarlug_core::{
+    configuration_group::{Draining, draining::LONGEST_REQUEST},
+    ids::{OperatorId, ReleaseNumber, Revision},
+    release::{Configuration, Item, ItemKey, RawNote, ReleaseNote, item::Region},
+    time::Time,
+};
+
+fn key() -> ItemKey {
+    ItemKey::Service("jobdesk".parse().unwrap())
+}
+
+fn note(number: u64, base: u64, added: Vec<Item>, withdrawn: Vec<ItemKey>) -> ReleaseNote {
+    let operator: OperatorId = "anna".parse().unwrap();
+    let (number, base) = (ReleaseNumber(number), Revision(base));
+    let raw = RawNote { number, operator, base, added, changed: Vec::new(), withdrawn };
+    ReleaseNote::try_from(raw).unwrap()
+}
+
+fn region(name: &str) -> Item {
+    Item::Region(Region { id: name.parse().unwrap(), zones: Vec::new() })
+}
+
+fn service() -> Item {
+    serde_json::from_value(serde_json::json!({
+        "service": {
+            "id": "jobdesk", "idempotent": false, "outcomes": false, "residency": "anywhere"
+        }
+    }))
+    .unwrap()
+}
+
+/// A configuration at revision 2 from which the service was withdrawn.
+fn withdrawn() -> Configuration {
+    let empty = Configuration::default();
+    let first = note(1, 0, vec![region("riga"), service()], Vec::new()).apply(&empty).unwrap();
+    note(2, 1, Vec::new(), vec![key()]).apply(&first).unwrap()
+}
+
+fn after(time: Duration) -> Time {
+    Time::ZERO + time
+}
+
+#[test]
+fn item_is_unused_once_the_longest_request_has_passed_everywhere() {
+    let configuration = withdrawn();
+    let mut draining = Draining::default();
+
+    let early = draining.unused(Time::ZERO, &configuration, false);
+    let begun = draining.unused(after(LONGEST_REQUEST), &configuration, true);
+    let almost = draining.unused(
+        after(LONGEST_REQUEST * 2 - Duration::from_millis(1)),
+        &configuration,
+        true,
+    );
+    let due = draining.unused(after(LONGEST_REQUEST * 2), &configuration, true);
+
+    assert_eq!((early, begun, almost), (Vec::new(), Vec::new(), Vec::new()));
+    assert_eq!(due, [key()]);
+}
+
+#[test]
+fn note_in_between_and_a_new_leader_begin_the_wait_again() {
+    let configuration = withdrawn();
+    let next = note(3, 2, vec![region("kurzeme")], Vec::new()).apply(&configuration).unwrap();
+    let mut draining = Draining::default();
+
+    draining.unused(Time::ZERO, &configuration, true);
+    let edited = draining.unused(after(LONGEST_REQUEST), &next, true);
+    draining.reset();
+    let reset = draining.unused(after(LONGEST_REQUEST * 2), &next, true);
+    let due = draining.unused(after(LONGEST_REQUEST * 3), &next, true);
+
+    assert_eq!((edited, reset), (Vec::new(), Vec::new()));
+    assert_eq!(due, [key()]);
+}
--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod configuration_group;
 mod directory;
 mod drain;
+mod draining;
 mod follower;
 mod home_limits;
 mod home_model;
--- a/src/commands/release.rs
+++ b/src/commands/release.rs
@@ -111,22 +111,33 @@
         context.print(&accepted, line);
         return Ok(());
     };
-    let zones = wait_for(context, accepted.revision, limit).await?;
-    context.print(&json!({"accepted": accepted, "zones": zones}), |_| {
-        format!("{}in force in {} zones\n", line(&accepted), zones.len())
+    let seen = wait_for(context, accepted.revision, limit).await?;
+    context.print(&json!({"accepted": accepted, "zones": seen.zones}), |_| {
+        let zones: String = seen.zones.iter().map(|it| zone_line(it, accepted.revision)).collect();
+        format!("{}{zones}in force everywhere\n", line(&accepted))
     });
     Ok(())
 }
 
-/// Waits until `revision` is in force in every zone.
+/// One zone's line in the answer of `apply --wait`.
+fn zone_line(zone: &ZoneConfirmation, revision: Revision) -> String {
+    if zone.revision.is_some_and(|it| it >= revision) {
+        return format!("{}: in force\n", zone.zone);
+    }
+    let missing: Vec<&str> = zone.missing.iter().map(|it| it.as_str()).collect();
+    format!("{}: not confirmed by {}; lease run out\n", zone.zone, missing.join(", "))
+}
+
+/// Waits until `revision` is in force in every zone, or the leases of the others have run out.
 async fn wait_for(
     context: &Context,
     revision: Revision,
     limit: Duration,
-) -> Result<Vec<ZoneConfirmation>, CommandError> {
+) -> Result<Confirmations, CommandError> {
     let begun = Instant::now();
+    let path = format!("/release/confirmations?revision={revision}");
     loop {
-        let seen: Confirmations = context.client.get("/release/confirmations").await?;
+        let seen: Confirmations = context.client.get(&path).await?;
         let is_behind = |it: &Option<Revision>| it.is_none_or(|known| known < revision);
         let behind: Vec<&str> = seen
             .zones
@@ -134,8 +145,8 @@
             .filter(|it| is_behind(&it.revision))
             .map(|it| it.zone.as_str())
             .collect();
-        if behind.is_empty() {
-            return Ok(seen.zones);
+        if seen.everywhere || behind.is_empty() {
+            return Ok(seen);
         }
         if begun.elapsed() >= limit {
             let zones = behind.join(", ").into();
--- a/src/coordination/calls.rs
+++ b/src/coordination/calls.rs
@@ -254,6 +254,23 @@
     }
 }
 
+/// Asks where a revision is in force; the newest one if none is named.
+///
+/// # Errors
+///
+/// Fails when no reply came within `limit`.
+pub async fn force(
+    node: &Node,
+    revision: Option<Revision>,
+    limit: Duration,
+) -> Result<configuration_group::Force, CallFailure> {
+    let group = GroupId::Configuration;
+    match submit(node, &group, GroupRequest::Force(revision), limit).await? {
+        GroupReply::Force(force) => Ok(force),
+        _ => Err(CallFailure::Mismatch { group }),
+    }
+}
+
 /// Asks the home group of the region in a request's id for its record.
 ///
 /// # Errors
--- a/src/coordination/keeper/duties/mod.rs
+++ b/src/coordination/keeper/duties/mod.rs
@@ -4,7 +4,10 @@
 //!   also pushes them to every instance. Members confirm the newest revision by reading it.
 //! * The leader of a home group founds it ([`founding`]), fetches the bookings of teams whose home
 //!   moves here ([`moves`]) and records which bookings have lost their owner ([`owners`]).
+//! * The leader of the configuration group keeps track of where revisions are in force, and
+//!   removes what has drained ([`confirmations`]).
 
+pub mod confirmations;
 mod founding;
 mod moves;
 mod owners;
@@ -36,6 +39,7 @@
 pub fn start(keeper: &Rc<Keeper>, stop: &watch::Receiver<bool>) {
     task::spawn_local(follow(keeper.clone(), stop.clone()));
     task::spawn_local(confirm_often(keeper.clone(), stop.clone()));
+    task::spawn_local(confirmations::run(keeper.clone(), stop.clone()));
     for group in keeper.group_ids() {
         if let GroupId::Home(region) = group {
             task::spawn_local(founding::run(keeper.clone(), region.clone(), stop.clone()));
--- a/src/coordination/keeper/group.rs
+++ b/src/coordination/keeper/group.rs
@@ -204,7 +204,8 @@
             | GroupRequest::History
             | GroupRequest::Revision
             | GroupRequest::Founding
-            | GroupRequest::Moves => return None,
+            | GroupRequest::Moves
+            | GroupRequest::Force(_) => return None,
         };
         command.ok()
     }
--- a/src/coordination/keeper/machine.rs
+++ b/src/coordination/keeper/machine.rs
@@ -2,6 +2,7 @@
 
 use medlarlug_core::{
     configuration_group, configuration_group::ConfigurationGroup, home, home::HomeGroup,
+    ids::Revision,
 };
 use thiserror::Error;
 
@@ -91,6 +92,14 @@
         }
     }
 
+    /// The newest revision; `None` in a home group.
+    pub fn revision(&self) -> Option<Revision> {
+        match self {
+            Machine::Configuration(machine) => Some(machine.configuration().revision),
+            Machine::Home(_) => None,
+        }
+    }
+
     /// The state as a snapshot.
     pub fn encode(&self) -> Vec<u8> {
         match self {
--- a/src/coordination/keeper/mod.rs
+++ b/src/coordination/keeper/mod.rs
@@ -14,7 +14,7 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use medlarlug_core::{
-    ids::InstanceId,
+    ids::{InstanceId, Revision},
     membership::Notice,
     replication::{self, MemberKey, Replica, Restored, StorageId},
 };
@@ -30,6 +30,7 @@
     coordination::{
         clock::incarnation_of_start,
         keeper::{
+            duties::confirmations::Confirmations,
             group::{Caller, Group, Output},
             machine::{Machine, MachineError},
         },
@@ -77,6 +78,8 @@
     writer: StateWriter,
     // Raised when the configuration group's state machine changed.
     applied: watch::Sender<u64>,
+    /// Where revisions are in force, while this keeper leads the configuration group.
+    pub confirmations: Confirmations,
 }
 
 /// Runs a keeper until `drain` turns true.
@@ -99,7 +102,8 @@
     let groups = RefCell::new(groups_of(&node, &storage)?);
     let (writer, mut reports) = storage.start()?;
     let applied = watch::Sender::new(0);
-    let keeper = Rc::new(Keeper { node: node.clone(), groups, writer, applied });
+    let confirmations = Confirmations::default();
+    let keeper = Rc::new(Keeper { node: node.clone(), groups, writer, applied, confirmations });
 
     let api = OperatorApi::new(node.clone(), settings.operators.clone(), level, metrics, drain);
     let dump = keeper.clone();
@@ -246,6 +250,9 @@
     }
 
     fn receive(&self, from: InstanceId, message: Message) -> Result<(), MachineError> {
+        if let Message::Ask(ask) = &message {
+            self.confirmations.told(&self.node, &from, ask.revision);
+        }
         match self.node.receive(from, message) {
             Received::Done => Ok(()),
             Received::Notices(notices) => {
@@ -287,6 +294,9 @@
         group: &GroupId,
         request: GroupRequest,
     ) -> Result<(), MachineError> {
+        if let GroupRequest::Force(revision) = request {
+            return self.tell_force(caller, revision);
+        }
         if !self.groups.borrow().iter().any(|it| it.id() == group) {
             let reply = Message::Reply { call: caller.call, reply: GroupReply::NotLeader(None) };
             self.node.send(&caller.instance, reply);
@@ -295,6 +305,25 @@
         self.with_group(group, |it, now, out| it.call(now, caller, request, out))
     }
 
+    /// Answers where a revision is in force; the leader of the configuration group knows it.
+    fn tell_force(&self, caller: Caller, revision: Option<Revision>) -> Result<(), MachineError> {
+        let newest = self.with_machine(&GroupId::Configuration, Machine::revision).flatten();
+        let revision = revision.or(newest).unwrap_or_default();
+        let reply = match self.confirmations.force(&self.node, revision) {
+            Some(force) => GroupReply::Force(force),
+            None => GroupReply::NotLeader(self.leader(&GroupId::Configuration)),
+        };
+        self.node.send(&caller.instance, Message::Reply { call: caller.call, reply });
+        Ok(())
+    }
+
+    /// The leader of a group, if this keeper is a member and knows it.
+    fn leader(&self, group: &GroupId) -> Option<InstanceId> {
+        let groups = self.groups.borrow();
+        let leader = |it: &Group| it.replica().leader().cloned();
+        groups.iter().find(|it| it.id() == group).and_then(leader)
+    }
+
     fn tick(&self, is_slow: bool) -> Result<(), MachineError> {
         for group in self.group_ids() {
             self.with_group(&group, |it, now, out| it.tick(now, out))?;
--- a/src/coordination/operators.rs
+++ b/src/coordination/operators.rs
@@ -22,7 +22,7 @@
 use http_body_util::BodyExt;
 use hyper::{Method, Request, StatusCode, body::Incoming, header};
 use medlarlug_core::{
-    configuration_group::{Accepted, Command, Refusal, Reply},
+    configuration_group::{Accepted, Command, Force, Refusal, Reply, ZoneForce},
     fingerprint::Fingerprint,
     ids::{InstanceId, OperatorId, RequestId, Revision},
     membership::{Membership, PeerState, Target},
@@ -60,6 +60,9 @@
 /// Time that a release note has to be committed.
 const APPLY_LIMIT: Duration = Duration::from_secs(8);
 
+/// Time that the question for confirmations may take.
+const FORCE_LIMIT: Duration = Duration::from_secs(2);
+
 /// Time that a look-up may take.
 const LOOK_UP_LIMIT: Duration = Duration::from_secs(4);
 
@@ -156,7 +159,7 @@
         (&Method::GET, "/dump") => ok(&dump(api)),
         (&Method::GET, "/release") => ok(&configuration(api)),
         (&Method::GET, "/release/history") => history(api).await,
-        (&Method::GET, "/release/confirmations") => ok(&confirmations(api)),
+        (&Method::GET, "/release/confirmations") => ok(&confirmations(api, &request).await),
         (&Method::POST, "/release/check") => check(api, request).await,
         (&Method::POST, "/release/apply") => apply(api, &operator, request).await,
         (&Method::POST, "/drain") => {
@@ -278,11 +281,53 @@
     })
 }
 
+/// Where the revision named by the request, or else the newest one, is in force.
+///
+/// The leader of the configuration group knows it. While it can't be asked, the answer is what
+/// this process's peers told it.
+async fn confirmations(api: &OperatorApi, request: &Request<Incoming>) -> Confirmations {
+    let revision = revision_of(request);
+    match calls::force(&api.node, revision, FORCE_LIMIT).await {
+        Ok(force) => confirmations_of(&api.node, &force),
+        Err(error) => {
+            tracing::debug!(%error, "confirmations taken from peers");
+            heard_confirmations(api, revision)
+        }
+    }
+}
+
+/// The value of `revision` in the query.
+fn revision_of(request: &Request<Incoming>) -> Option<Revision> {
+    let mut pairs = request.uri().query()?.split('&');
+    let value = pairs.find_map(|it| it.strip_prefix("revision="))?;
+    value.parse().ok().map(Revision)
+}
+
+fn confirmations_of(node: &Node, force: &Force) -> Confirmations {
+    let members = node.members.borrow();
+    let zone = |it: &ZoneForce| {
+        let instances = node.cluster.instances.iter().filter(|peer| peer.zone == it.zone);
+        let told = instances.filter_map(|peer| told_revision(node, &members, &peer.id)).min();
+        let revision = match it.pending.is_empty() {
+            true => Some(told.unwrap_or(force.revision).max(force.revision)),
+            false => told.filter(|told| *told < force.revision),
+        };
+        ZoneConfirmation { zone: it.zone.clone(), revision, missing: it.pending.clone() }
+    };
+    Confirmations {
+        revision: force.revision,
+        everywhere: force.is_everywhere(),
+        leases_ms: Some(millis(force.leases)),
+        zones: force.zones.iter().map(zone).collect(),
+    }
+}
+
 /// The revision in force in each zone, as this process's peers told it.
-fn confirmations(api: &OperatorApi) -> Confirmations {
+fn heard_confirmations(api: &OperatorApi, revision: Option<Revision>) -> Confirmations {
     let node = &api.node;
     let members = node.members.borrow();
-    let revision = members.highest_revision().max(node.follower.borrow().revision());
+    let newest = members.highest_revision().max(node.follower.borrow().revision());
+    let revision = revision.unwrap_or(newest);
     let zones = node.cluster.zones.iter().map(|zone| {
         let instances = node.cluster.instances.iter().filter(|it| it.zone == zone.id);
         let told = instances.map(|it| (it.id.clone(), told_revision(node, &members, &it.id)));
@@ -294,7 +339,7 @@
             missing: missing.map(|it| it.0.clone()).collect(),
         }
     });
-    Confirmations { revision, zones: zones.collect() }
+    Confirmations { revision, everywhere: false, leases_ms: None, zones: zones.collect() }
 }
 
 /// The revision of an instance; `None` while it is not heard.
--- a/src/protocol/message.rs
+++ b/src/protocol/message.rs
@@ -101,6 +101,8 @@
     Founding,
     /// Reads which teams are on their way to a new home region.
     Moves,
+    /// Reads where a revision is in force; the newest one if none is named.
+    Force(Option<Revision>),
 }
 
 /// The answer of a replication group.
@@ -120,6 +122,8 @@
     Founding(Option<Revision>),
     /// The teams that are on their way to a new home region.
     Moves(Vec<configuration_group::Move>),
+    /// Where a revision is in force.
+    Force(configuration_group::Force),
     /// The receiver doesn't lead the group; the leader, if it knows it.
     NotLeader(Option<InstanceId>),
     /// The request was taken in, and whether it is in force is not known.
--- a/src/protocol/operators.rs
+++ b/src/protocol/operators.rs
@@ -115,8 +115,14 @@
 /// Where which revision is in force.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Confirmations {
-    /// The newest accepted revision.
+    /// The revision in question; the newest accepted one if none was named.
     pub revision: Revision,
+    /// Whether it is in force everywhere: confirmed by every instance, or the configuration leases
+    /// of the others have run out.
+    pub everywhere: bool,
+    /// Milliseconds until these leases have run out; `None` when the configuration group could
+    /// not be asked.
+    pub leases_ms: Option<u64>,
     /// The zones, sorted by id.
     pub zones: Vec<ZoneConfirmation>,
 }
@@ -128,7 +134,7 @@
     pub zone: ZoneId,
     /// Lowest revision in force at an instance of the zone; `None` when none was heard of.
     pub revision: Option<Revision>,
-    /// Instances of the zone that have not confirmed the newest revision.
+    /// Instances of the zone that have not confirmed the revision in question.
     pub missing: Vec<InstanceId>,
 }
 
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -1,6 +1,7 @@
 //! Tests on real processes: the whole path and its failures.
 
 mod booking;
+mod confirmations;
 mod fixture;
 mod history;
 mod keepers;
