Orders: the holder of the home group's lease loads and unloads model versions

Cause: the issuer's core was driven by no process. Change: Planner (core) and entry/orders.rs; every entry instance of a region asks for the lease, the holder plans for its own zone. Ruled out: the leader of the home group as issuer, as keepers get no announcements of upstreams. Test on processes: one load order a version, fences rise, and after a SIGKILL of the issuer the next one goes on under a higher term.

--- a/crates/medlarlug-core/src/orders/mod.rs
+++ b/crates/medlarlug-core/src/orders/mod.rs
@@ -8,12 +8,15 @@
 //!
 //! * [`order`]: orders and fences.
 //! * [`issuer`]: the core that issues them.
+//! * [`plan`]: what the engines shall be ordered to do.
 //! * [`bucket`]: the rate limit of the weight store.
 
 pub mod bucket;
 pub mod issuer;
 pub mod order;
+pub mod plan;
 
 pub use bucket::TokenBucket;
 pub use issuer::{Effect, Event, Issuer, Timing};
 pub use order::{Fence, Order, OrderKind, Role, Task};
+pub use plan::Planner;
--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod membership;
 mod network;
+mod order_plan;
 mod orders;
 mod release;
 mod replication;
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -23,6 +23,7 @@
 pub mod inference;
 pub mod internal;
 pub mod journal;
+pub mod orders;
 pub mod relay;
 pub mod services;
 
@@ -160,6 +161,7 @@
 
     start_servers(&entry, level, metrics, &drain, &closed).await?;
     task::spawn_local(send_records(entry.clone()));
+    task::spawn_local(orders::run(entry.clone()));
     for home in &entry.node.cluster.homes {
         task::spawn_local(announce_start(entry.clone(), home.region.clone()));
     }
--- /dev/null
+++ b/src/coordination/entry/orders.rs
@@ -0,0 +1,202 @@
+//! Orders to the engines of the own zone.
+//!
+//! Every entry instance of a region asks its home group for the lease of the issuer; the one that
+//! holds it plans and sends. It knows the engines of its own zone only, so engines in other zones
+//! of the region get no orders while it holds the lease.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, header};
+use medlarlug_core::{
+    announcement::{Announcement, UpstreamKind},
+    home::{Action, Owner, Reply},
+    orders::{Effect, Event, Issuer, Order, Planner, Task, Timing},
+    time::Time,
+};
+use tokio::{
+    sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+    task,
+    time::interval,
+};
+
+use crate::{
+    coordination::{
+        calls,
+        entry::{Entry, exchange::insert},
+    },
+    transport::http_client::{CallLimits, Reuse},
+};
+
+/// Time between two plans.
+const ROUND: Duration = Duration::from_millis(250);
+
+/// Time for which an answered order counts although no announcement shows it yet.
+const REPORT_LAG: Duration = Duration::from_secs(5);
+
+/// Time that a request for the lease may take.
+const LEASE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Times of one order; together they are below the longest flight of [`Timing`].
+const ORDER_LIMITS: CallLimits =
+    CallLimits { connect: Duration::from_secs(1), head: Duration::from_secs(3) };
+
+/// Issues orders while the process runs and is not about to stop.
+pub async fn run(entry: Rc<Entry>) {
+    let (events, incoming) = unbounded_channel();
+    let issuer = Issuer::new(Timing::default());
+    let planner = Planner::new(entry.node.region.clone());
+    let desk = Desk { entry, issuer, planner, events, answered: Vec::new() };
+    desk.run(incoming).await;
+}
+
+struct Desk {
+    entry: Rc<Entry>,
+    issuer: Issuer,
+    planner: Planner,
+    events: UnboundedSender<Event>,
+    // Answered orders, with the time of the answer.
+    answered: Vec<(Task, Time)>,
+}
+
+impl Desk {
+    async fn run(mut self, mut incoming: UnboundedReceiver<Event>) {
+        let mut rounds = interval(ROUND);
+        loop {
+            tokio::select! {
+                _ = rounds.tick() => {
+                    if self.entry.is_leaving() {
+                        return;
+                    }
+                    self.want();
+                    self.handle(Event::Tick);
+                }
+                Some(event) = incoming.recv() => {
+                    self.note_answered(&event);
+                    self.handle(event);
+                }
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut effects = Vec::new();
+        self.issuer.handle(self.entry.node.now(), event, &mut effects);
+        effects.into_iter().for_each(|it| self.carry_out(it));
+    }
+
+    /// Hands the tasks of a new plan to the issuer, while it holds the lease.
+    fn want(&mut self) {
+        let node = self.entry.node.clone();
+        let now = node.now();
+        self.answered.retain(|(_, at)| now - *at < REPORT_LAG);
+        let Some(configuration) = node.configuration() else { return };
+        if self.issuer.term(now).is_none() {
+            return;
+        }
+        let engines = self.engines(now);
+        let open = self.issuer.open_orders().map(|it| &it.task);
+        let answered = self.answered.iter().map(|it| &it.0);
+        let under_way: Vec<Task> =
+            answered.chain(open).chain(self.issuer.waiting_tasks()).cloned().collect();
+        for task in self.planner.plan(&configuration, &engines, &under_way) {
+            let engine = engines.iter().find(|it| it.id == task.upstream);
+            let fencing = engine.is_some_and(|it| it.fencing);
+            self.handle(Event::Wanted { task, fencing });
+        }
+    }
+
+    fn engines(&self, now: Time) -> Vec<Announcement> {
+        let members = self.entry.node.members.borrow();
+        let announcements = members.upstreams(now).map(|it| &it.announcement);
+        announcements.filter(|it| matches!(it.kind, UpstreamKind::Engine { .. })).cloned().collect()
+    }
+
+    fn note_answered(&mut self, event: &Event) {
+        let Event::Answered { upstream, fence } = event else { return };
+        let is_answered = |it: &&Order| it.task.upstream == *upstream && it.fence == *fence;
+        let answered = self.issuer.open_orders().find(is_answered).map(|it| it.task.clone());
+        let now = self.entry.node.now();
+        self.answered.extend(answered.map(|task| (task, now)));
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Acquire { token, duration } => {
+                let (entry, events) = (self.entry.clone(), self.events.clone());
+                task::spawn_local(acquire(entry, events, token, duration));
+            }
+            Effect::Send(order) => self.send(order),
+            Effect::GivenUp(order) => {
+                tracing::warn!(fence = %order.fence, upstream = %order.task.upstream,
+                    "order given up without an answer");
+            }
+        }
+    }
+
+    /// Sends an order, unless its engine is gone or the lease may end before it is written.
+    fn send(&self, order: Order) {
+        let now = self.entry.node.now();
+        let engine = self
+            .engines(now)
+            .into_iter()
+            .find(|it| it.id == order.task.upstream && it.incarnation == order.task.incarnation);
+        let may_send = self.issuer.may_send(now + ORDER_LIMITS.connect);
+        match engine {
+            Some(engine) if may_send => {
+                tracing::info!(fence = %order.fence, upstream = %engine.id,
+                    kind = ?order.task.kind, "order sent");
+                let (entry, events) = (self.entry.clone(), self.events.clone());
+                task::spawn_local(deliver(entry, events, order, engine));
+            }
+            // Not one byte has left: the order is closed, and a later plan wants it again.
+            _ => tell_answered(&self.events, order),
+        }
+    }
+}
+
+async fn acquire(entry: Rc<Entry>, events: UnboundedSender<Event>, token: u64, duration: Duration) {
+    let node = &entry.node;
+    let holder = Owner { instance: node.own.id.clone(), incarnation: node.incarnation };
+    let action = Action::Lease { holder, duration };
+    let event = match calls::act(node, &node.region, action, LEASE_LIMIT).await {
+        Ok(Reply::LeaseGranted { term, duration }) => Event::Granted { token, term, duration },
+        Ok(_) => Event::Held,
+        Err(error) => return tracing::debug!(%error, "lease of the issuer not asked for"),
+    };
+    // The desk is gone when the instance is about to stop.
+    let _ = events.send(event);
+}
+
+async fn deliver(
+    entry: Rc<Entry>,
+    events: UnboundedSender<Event>,
+    order: Order,
+    engine: Announcement,
+) {
+    let Ok(content) = serde_json::to_vec(&order) else { return };
+    let mut request = Request::new(Full::new(Bytes::from(content)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = hyper::Uri::from_static("/v1/orders");
+    insert(request.headers_mut(), header::HOST.as_str(), &engine.address.to_string());
+    insert(request.headers_mut(), header::CONTENT_TYPE.as_str(), "application/json");
+    match entry.client.call(engine.address, request, Reuse::Never, ORDER_LIMITS).await {
+        Ok((answer, _)) => {
+            let status = answer.status();
+            if !status.is_success() {
+                tracing::warn!(fence = %order.fence, upstream = %engine.id, %status,
+                    "order refused");
+            }
+            tell_answered(&events, order);
+        }
+        // It may have arrived; the issuer gives it up after its patience.
+        Err(error) => tracing::warn!(%error, upstream = %engine.id, "order not answered"),
+    }
+}
+
+fn tell_answered(events: &UnboundedSender<Event>, order: Order) {
+    let (upstream, fence) = (order.task.upstream, order.fence);
+    // The desk is gone when the instance is about to stop.
+    let _ = events.send(Event::Answered { upstream, fence });
+}
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -6,6 +6,7 @@
 mod history;
 mod keepers;
 mod moves;
+mod orders;
 mod outcomes;
 mod path;
 mod streams;
