--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -10,3 +10,5 @@
 mod outcomes;
 mod path;
 mod streams;
+mod suspects;
+mod upstreams;
