--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod order_plan;
 mod orders;
 mod release;
+mod renewals;
 mod replication;
 mod retry;
 mod routing;
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -1,6 +1,8 @@
 //! Builders and fixtures for the test suites.
 
+pub mod caller;
 pub mod deployment;
+pub mod relay;
 pub mod scale;
 pub mod stream;
 
--- /dev/null
+++ b/tests/testsuite/processes/partition.rs
@@ -0,0 +1,235 @@
+//! Silent links, partitions and restarts: bookings and the configuration go on.
+
+use medlarlug_core::{
+    fingerprint::Fingerprint,
+    release::{
+        Item,
+        item::{Residency, Service, Team},
+    },
+};
+use serde_json::Value;
+use test_support::{
+    deployment::{CALLER_KEY, Deployment, Reply, wait_for},
+    id, team,
+};
+
+use crate::processes::fixture::{items, two_regions};
+
+const KEEPERS: [&str; 3] = ["keeper-1", "keeper-2", "keeper-3"];
+
+fn is_keeper(id: &str) -> bool {
+    id.starts_with("keeper")
+}
+
+fn with_service(deployment: Deployment) -> Deployment {
+    let deployment = deployment.relayed().service("desk", "riga-a", "jobdesk").start();
+    deployment.configure(items(Residency::Anywhere));
+    deployment.wait_upstreams("entry-1", 1);
+    deployment
+}
+
+fn group(deployment: &Deployment, keeper: &str, name: &str) -> Value {
+    let groups = deployment.operator_get(keeper, "/status").json["groups"].clone();
+    let groups = groups.as_array().cloned().unwrap_or_default();
+    groups.into_iter().find(|it| it["group"] == name).unwrap_or_default()
+}
+
+fn leader(deployment: &Deployment, name: &str) -> String {
+    let mut found = None;
+    wait_for("a leader", || {
+        let leads = |it: &&str| group(deployment, it, name)["role"] == "leader";
+        found = KEEPERS.into_iter().find(leads);
+        found.is_some()
+    });
+    found.expect("a leader").to_owned()
+}
+
+fn book_until_answered(deployment: &Deployment, entry: &str, key: &str) -> Reply {
+    let mut last = None;
+    wait_for("an answer to the booking", || {
+        let reply = deployment.book(entry, key, "{}");
+        let is_answered = reply.status == 200;
+        last = Some(reply);
+        is_answered
+    });
+    last.expect("an answer")
+}
+
+fn revision(deployment: &Deployment, instance: &str) -> u64 {
+    let status = deployment.operator_get(instance, "/status").json;
+    status["revision"].as_u64().unwrap_or_default()
+}
+
+/// A service that no test calls; its note changes the revision.
+fn further_service(name: &str) -> Item {
+    Item::Service(Service {
+        id: id(name),
+        idempotent: true,
+        outcomes: false,
+        residency: Residency::Anywhere,
+    })
+}
+
+fn apply_until_accepted(deployment: &Deployment, entry: &str, name: &str) -> u64 {
+    let mut accepted = None;
+    wait_for("acceptance of a note", || {
+        let base = revision(deployment, entry);
+        let note = test_support::note(base, vec![further_service(name)]);
+        let reply = deployment.apply(entry, &note);
+        accepted = reply.json["revision"].as_u64();
+        reply.status == 200
+    });
+    accepted.expect("a revision")
+}
+
+#[test]
+fn bookings_go_on_after_every_open_link_of_keepers_goes_silent() {
+    let deployment = with_service(two_regions());
+    let first = book_until_answered(&deployment, "entry-1", "parcel-1");
+
+    deployment.network().forget_open(is_keeper, |_| true);
+    deployment.network().forget_open(|_| true, is_keeper);
+    book_until_answered(&deployment, "entry-2", "parcel-2");
+    let again = book_until_answered(&deployment, "entry-2", "parcel-1");
+
+    assert_eq!(first.text, again.text);
+    assert_eq!((deployment.runs("parcel-1"), deployment.runs("parcel-2")), (1, 1));
+}
+
+#[test]
+fn bookings_go_on_after_open_links_go_silent_one_way() {
+    let deployment = with_service(two_regions());
+    book_until_answered(&deployment, "entry-1", "parcel-1");
+
+    deployment.network().forget_open(is_keeper, |it| !is_keeper(it));
+    book_until_answered(&deployment, "entry-1", "parcel-2");
+    deployment.network().forget_open(|it| !is_keeper(it), is_keeper);
+    book_until_answered(&deployment, "entry-1", "parcel-3");
+
+    for key in ["parcel-1", "parcel-2", "parcel-3"] {
+        assert_eq!(deployment.runs(key), 1, "{key}");
+    }
+}
+
+#[test]
+fn leader_behind_a_silent_partition_steps_down_and_returns_without_a_new_term() {
+    let deployment = with_service(two_regions());
+    let first = book_until_answered(&deployment, "entry-1", "parcel-1");
+    let isolated = leader(&deployment, "home-riga");
+
+    deployment.network().partition(|it| it == isolated, true);
+    wait_for("the isolated leader to step down", || {
+        group(&deployment, &isolated, "home-riga")["role"] != "leader"
+    });
+    book_until_answered(&deployment, "entry-1", "parcel-2");
+    let next = leader(&deployment, "home-riga");
+    let term = group(&deployment, &next, "home-riga")["term"].clone();
+    deployment.network().partition(|it| it == isolated, false);
+    wait_for("the isolated keeper to follow", || {
+        let own = group(&deployment, &isolated, "home-riga");
+        own["leader"] == next.as_str() && own["term"] == term
+    });
+    let again = book_until_answered(&deployment, "entry-2", "parcel-1");
+    book_until_answered(&deployment, "entry-2", "parcel-2");
+
+    assert_ne!(next, isolated);
+    assert_eq!(first.text, again.text);
+    assert_eq!((deployment.runs("parcel-1"), deployment.runs("parcel-2")), (1, 1));
+    for keeper in KEEPERS {
+        assert_eq!(group(&deployment, keeper, "home-riga")["term"], term, "{keeper}");
+    }
+}
+
+#[test]
+fn region_that_is_cut_off_books_for_its_own_callers_and_refuses_others_as_not_run() {
+    let (near, far) = ("caller-key-of-nets", "entry-2");
+    let nets = Team {
+        keys: vec![Fingerprint::of(near.as_bytes())],
+        residency: Residency::Home,
+        rate: id("1000/s"),
+        burst: id("1000"),
+        ..team("nets", "kurzeme")
+    };
+    let deployment = two_regions()
+        .keeper("keeper-4", "liepaja-a")
+        .home("kurzeme", &["keeper-2", "keeper-3", "keeper-4"])
+        .home("riga", &["keeper-1", "keeper-2", "keeper-3"])
+        .relayed()
+        .service("desk", "riga-a", "jobdesk")
+        .service("desk-2", "liepaja-a", "jobdesk")
+        .start();
+    let all = items(Residency::Anywhere).into_iter().chain([Item::Team(nets)]);
+    deployment.configure(all.collect());
+    deployment.wait_upstreams("entry-1", 1);
+    deployment.wait_upstreams(far, 1);
+    let is_inside = |it: &str| ["entry-2", "keeper-3", "keeper-4"].contains(&it);
+
+    deployment.network().partition(is_inside, true);
+    let mut own = None;
+    wait_for("a booking in the region that is cut off", || {
+        let reply = deployment.book_as(near, far, "parcel-1", "{}");
+        let is_answered = reply.status == 200;
+        own = Some(reply);
+        is_answered
+    });
+    let other = deployment.book_as(CALLER_KEY, far, "parcel-2", "{}");
+
+    assert_eq!(other.status, 503, "{}", other.text);
+    assert_eq!(other.json["outcome"], "not_run", "{}", other.text);
+    assert_eq!((deployment.runs("parcel-1"), deployment.runs("parcel-2")), (1, 0));
+
+    deployment.network().partition(is_inside, false);
+    book_until_answered(&deployment, far, "parcel-2");
+    let again = deployment.book_as(near, "entry-1", "parcel-1", "{}");
+    assert_eq!(Some(again.text), own.map(|it| it.text));
+    assert_eq!((deployment.runs("parcel-1"), deployment.runs("parcel-2")), (1, 1));
+}
+
+#[test]
+fn revision_never_reverts_over_restarts_beside_a_lagging_keeper() {
+    let mut deployment = with_service(two_regions().with_disk("entry-2"));
+    let old = revision(&deployment, "entry-2");
+
+    deployment.network().partition(|it| it == "keeper-3", true);
+    let new = apply_until_accepted(&deployment, "entry-1", "further");
+    wait_for("the new revision", || {
+        ["entry-1", "entry-2"].iter().all(|it| revision(&deployment, it) >= new)
+    });
+    // Only the keeper that lags is reachable from the restarted instances.
+    let is_inside = |it: &str| ["keeper-3", "entry-1", "entry-2"].contains(&it);
+    deployment.network().partition(|it| it == "keeper-3", false);
+    deployment.network().partition(is_inside, true);
+    let mut lowest = u64::MAX;
+    for entry in ["entry-1", "entry-2"] {
+        deployment.kill(entry);
+        deployment.start_process(entry);
+        wait_for("the restarted instance to have heard keeper-3", || {
+            lowest = lowest.min(known_revision(&deployment, entry));
+            hears(&deployment, entry, "keeper-3")
+        });
+    }
+    deployment.network().partition(is_inside, false);
+    for entry in ["entry-1", "entry-2"] {
+        wait_for("the new revision after the restart", || {
+            lowest = lowest.min(known_revision(&deployment, entry));
+            revision(&deployment, entry) >= new
+        });
+    }
+
+    assert!(old < new);
+    assert!(lowest >= new, "revision {lowest} was in force after {new}");
+}
+
+/// The revision in force, or the highest number if none is.
+fn known_revision(deployment: &Deployment, instance: &str) -> u64 {
+    match revision(deployment, instance) {
+        0 => u64::MAX,
+        known => known,
+    }
+}
+
+fn hears(deployment: &Deployment, instance: &str, peer: &str) -> bool {
+    let peers = deployment.operator_get(instance, "/status").json["peers"].clone();
+    let peers = peers.as_array().cloned().unwrap_or_default();
+    peers.iter().any(|it| it["instance"] == peer && it["state"] == "up")
+}
