--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -39,11 +39,7 @@
 
 use medlarlug_core::{
     home,
-<<<<<<< HEAD
-    ids::{InstanceId, RegionId, RequestId, Revision, TeamId},
-=======
-    ids::{InstanceId, RequestId, Revision, TeamId, UpstreamId},
->>>>>>> main
+    ids::{InstanceId, RegionId, RequestId, Revision, TeamId, UpstreamId},
     limits::{self, LimitPolicy, Limits, TeamLimit},
     membership::{Notice, Status, Target},
     record::{Outcome, Stage},
