--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -16,6 +16,7 @@
 //! * [`evidence`]: requests that crash upstreams.
 //! * [`journal`]: the records of requests.
 
+pub mod attempt;
 pub mod callers;
 pub mod cooldown;
 pub mod evidence;
@@ -25,6 +26,7 @@
 pub mod inference;
 pub mod internal;
 pub mod journal;
+pub mod orders;
 pub mod relay;
 pub mod services;
 pub mod silence;
@@ -37,7 +39,7 @@
 
 use medlarlug_core::{
     home,
-    ids::{InstanceId, RequestId, Revision, TeamId, UpstreamId},
+    ids::{InstanceId, RegionId, RequestId, Revision, TeamId, UpstreamId},
     limits::{self, LimitPolicy, Limits, TeamLimit},
     membership::{Notice, Status, Target},
     record::{Outcome, Stage},
@@ -176,7 +178,10 @@
     entry.tick();
     let callers = start_servers(&entry, level, metrics, &drain, &closed).await?;
     task::spawn_local(send_records(entry.clone()));
-    task::spawn_local(announce_start(entry.clone()));
+    task::spawn_local(orders::run(entry.clone()));
+    for home in &entry.node.cluster.homes {
+        task::spawn_local(announce_start(entry.clone(), home.region.clone()));
+    }
     let mut ticks = interval(TICK);
     let mut stop = drain.subscribe();
     let mut finished = Box::pin(async {
@@ -506,15 +511,17 @@
     }
 }
 
-/// Tells the home group that the instance's earlier requests have no owner any more.
-async fn announce_start(entry: Rc<Entry>) {
+/// Tells a home group that the instance's earlier requests have no owner any more.
+///
+/// Every region's group is told, as an instance begins bookings of teams of all regions.
+async fn announce_start(entry: Rc<Entry>, region: RegionId) {
     let node = &entry.node;
     loop {
         let action = home::Action::InstanceStarted {
             instance: node.own.id.clone(),
             incarnation: node.incarnation,
         };
-        match calls::act(node, &node.region, action, RECORD_LIMIT).await {
+        match calls::act(node, &region, action, RECORD_LIMIT).await {
             Ok(home::Reply::Ok) => return,
             Ok(reply) => tracing::debug!(?reply, "start not recorded yet"),
             Err(error) => tracing::debug!(%error, "start not recorded yet"),
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -2,11 +2,15 @@
 
 mod booking;
 mod bounds;
+mod confirmations;
 mod fixture;
 mod history;
 mod isolation;
 mod keepers;
+mod moves;
 mod operators;
+mod orders;
+mod outcomes;
 mod partition;
 mod path;
 mod shutdown;
