A request that ends within a batch is recorded by one record

The ended record now replaces the open one while that waits. Ruled out: sending ends only, which would hide requests whose instance crashed.

--- a/src/coordination/entry/journal.rs
+++ b/src/coordination/entry/journal.rs
@@ -1,9 +1,9 @@
 //! The records of requests at the instance that took them in.
 //!
 //! Records are sent in batches to the home group of the instance's region: once when the request
-//! was taken in, and once when it ended. A crash of the instance loses what was not sent yet, at
-//! most one batch interval; a request whose end was lost is then told as
-//! [`Outcome::NotRecorded`].
+//! was taken in and once when it ended, or only once when it ended before its batch was sent. A
+//! crash of the instance loses what was not sent yet, at most one batch interval; a request whose
+//! end was lost is then told as [`Outcome::NotRecorded`].
 
 use std::collections::VecDeque;
 
@@ -21,6 +21,9 @@
 /// Records that wait to be sent at most; the oldest are dropped and counted beyond it.
 const WAITING_RECORDS: usize = 50_000;
 
+/// Waiting records among which the open state of an ended one is looked for.
+const SEARCHED_RECORDS: usize = 1_024;
+
 /// Counter: records that were dropped because no keeper took them.
 pub const DROPPED_RECORDS: &str = "medlarlug_records_dropped_total";
 
@@ -86,7 +89,7 @@
         let Some(found) = self.place(id) else { return };
         let mut record = self.open.remove(found).record;
         record.outcome = Some(outcome);
-        self.enqueue(record.clone());
+        self.enqueue_ended(record.clone());
         if self.recent.len() == RECENT_RECORDS {
             self.recent.pop_front();
         }
@@ -118,6 +121,15 @@
         self.trim();
     }
 
+    /// Queues an ended record, in the place of its open state if that still waits.
+    fn enqueue_ended(&mut self, record: RequestRecord) {
+        let latest = self.waiting.iter_mut().rev().take(SEARCHED_RECORDS);
+        match latest.into_iter().find(|it| it.id == record.id) {
+            Some(open) => *open = record,
+            None => self.enqueue(record),
+        }
+    }
+
     fn enqueue(&mut self, record: RequestRecord) {
         self.waiting.push_back(record);
         self.trim();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod cli;
 mod docs;
+mod journal;
 mod processes;
 mod protocol;
 mod settings;
