--- a/src/protocol/message.rs
+++ b/src/protocol/message.rs
@@ -99,6 +99,12 @@
     History,
     /// Reads the newest revision.
     Revision,
+    /// Reads the revision at which a home group was founded.
+    Founding,
+    /// Reads which teams are on their way to a new home region.
+    Moves,
+    /// Reads where a revision is in force; the newest one if none is named.
+    Force(Option<Revision>),
 }
 
 /// The answer of a replication group.
@@ -114,6 +120,12 @@
     History(Vec<configuration_group::Accepted>),
     /// The newest revision.
     Revision(Revision),
+    /// The revision at which the home group was founded, if it was.
+    Founding(Option<Revision>),
+    /// The teams that are on their way to a new home region.
+    Moves(Vec<configuration_group::Move>),
+    /// Where a revision is in force.
+    Force(configuration_group::Force),
     /// The receiver doesn't lead the group; the leader, if it knows it.
     NotLeader(Option<InstanceId>),
     /// The request was taken in, and whether it is in force is not known.
