--- a/src/coordination/keeper/machine.rs
+++ b/src/coordination/keeper/machine.rs
@@ -2,6 +2,7 @@
 
 use medlarlug_core::{
     configuration_group, configuration_group::ConfigurationGroup, home, home::HomeGroup,
+    ids::Revision,
 };
 use thiserror::Error;
 
@@ -81,10 +82,24 @@
             (Machine::Configuration(machine), GroupRequest::Revision) => {
                 GroupReply::Revision(machine.configuration().revision)
             }
+            (Machine::Configuration(machine), GroupRequest::Moves) => {
+                GroupReply::Moves(machine.moves().to_vec())
+            }
+            (Machine::Home(machine), GroupRequest::Founding) => {
+                GroupReply::Founding(machine.founded())
+            }
             _ => GroupReply::Unfit,
         }
     }
 
+    /// The newest revision; `None` in a home group.
+    pub fn revision(&self) -> Option<Revision> {
+        match self {
+            Machine::Configuration(machine) => Some(machine.configuration().revision),
+            Machine::Home(_) => None,
+        }
+    }
+
     /// The state as a snapshot.
     pub fn encode(&self) -> Vec<u8> {
         match self {
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -1,10 +1,16 @@
 //! Tests on real processes: the whole path and its failures.
 
 mod booking;
+mod bounds;
+mod confirmations;
 mod fixture;
 mod history;
+mod isolation;
 mod keepers;
+mod moves;
 mod operators;
+mod orders;
+mod outcomes;
 mod partition;
 mod path;
 mod shutdown;
