--- a/src/bin/medlarlug-entry.rs
+++ b/src/bin/medlarlug-entry.rs
@@ -3,8 +3,10 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
-use medlarlug::{coordination::entry, settings::EntrySettings, telemetry, transport::signals};
-use tokio::{sync::watch, task::LocalSet};
+use medlarlug::{
+    coordination::{daemon, entry},
+    settings::EntrySettings,
+};
 
 /// Takes callers' requests in.
 #[derive(Debug, Clone, Bpaf)]
@@ -18,29 +20,14 @@
 }
 
 fn main() -> ExitCode {
-    let options = options().run();
-    match start(&options) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("medlarlug-entry: {error:#}");
-            ExitCode::FAILURE
-        }
-    }
+    daemon::exit("medlarlug-entry", start(&options().run()))
 }
 
 fn start(options: &Options) -> eyre::Result<()> {
     let settings = EntrySettings::load(&options.settings)?;
     if options.check {
-        println!("{}: valid", options.settings.display());
+        daemon::tell_valid(&options.settings);
         return Ok(());
     }
-    let level = telemetry::logs::start(settings.log)?;
-    let metrics = telemetry::metrics::start()?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let (drain, _) = watch::channel(false);
-    LocalSet::new().block_on(&runtime, async {
-        signals::watch(drain.clone())?;
-        entry::run(settings, level, metrics, drain).await?;
-        Ok(())
-    })
+    daemon::run(settings.log, |context| entry::run(settings, context))
 }
--- a/src/bin/medlarlug-keeper.rs
+++ b/src/bin/medlarlug-keeper.rs
@@ -3,8 +3,10 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
-use medlarlug::{coordination::keeper, settings::KeeperSettings, telemetry, transport::signals};
-use tokio::{sync::watch, task::LocalSet};
+use medlarlug::{
+    coordination::{daemon, keeper},
+    settings::KeeperSettings,
+};
 
 /// Replicates the configuration, bookings and request records.
 #[derive(Debug, Clone, Bpaf)]
@@ -21,20 +23,13 @@
 }
 
 fn main() -> ExitCode {
-    let options = options().run();
-    match start(&options) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("medlarlug-keeper: {error:#}");
-            ExitCode::FAILURE
-        }
-    }
+    daemon::exit("medlarlug-keeper", start(&options().run()))
 }
 
 fn start(options: &Options) -> eyre::Result<()> {
     let settings = KeeperSettings::load(&options.settings)?;
     if options.check {
-        println!("{}: valid", options.settings.display());
+        daemon::tell_valid(&options.settings);
         return Ok(());
     }
     if let Some(group) = &options.rebuild {
@@ -42,13 +37,5 @@
         println!("{group}: rebuilt from {}", settings.instance);
         return Ok(());
     }
-    let level = telemetry::logs::start(settings.log)?;
-    let metrics = telemetry::metrics::start()?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let (drain, _) = watch::channel(false);
-    LocalSet::new().block_on(&runtime, async {
-        signals::watch(drain.clone())?;
-        keeper::run(settings, level, metrics, drain).await?;
-        Ok(())
-    })
+    daemon::run(settings.log, |context| keeper::run(settings, context))
 }
--- a/src/bin/medlarlug-standin.rs
+++ b/src/bin/medlarlug-standin.rs
@@ -4,6 +4,7 @@
 
 use bpaf::Bpaf;
 use medlarlug::{
+    coordination::daemon,
     settings::StandinSettings,
     standin,
     telemetry::logs::{self, LogLevel},
@@ -24,20 +25,13 @@
 }
 
 fn main() -> ExitCode {
-    let options = options().run();
-    match start(&options) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("medlarlug-standin: {error:#}");
-            ExitCode::FAILURE
-        }
-    }
+    daemon::exit("medlarlug-standin", start(&options().run()))
 }
 
 fn start(options: &Options) -> eyre::Result<()> {
     let settings = StandinSettings::load(&options.settings)?;
     if options.check {
-        println!("{}: valid", options.settings.display());
+        daemon::tell_valid(&options.settings);
         return Ok(());
     }
     logs::start(options.log)?;
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -61,6 +61,7 @@
     coordination::{
         calls,
         clock::incarnation_of_start,
+        daemon::Context,
         entry::{cooldown::Cooldowns, gate::Gate, journal::Journal},
         keeper::operator_limits,
         node::{InForce, Node, Received},
@@ -69,7 +70,6 @@
     protocol::Message,
     settings::{EntrySettings, Peer},
     state::{DataFolder, SavedConfiguration, StateError},
-    telemetry::{logs::LevelHandle, metrics::Metrics},
     transport::{
         http_client::HttpClient,
         http_server::{self, ServerError, ServerLimits},
@@ -153,12 +153,8 @@
 /// # Errors
 ///
 /// Fails when it can't start.
-pub async fn run(
-    settings: EntrySettings,
-    level: LevelHandle,
-    metrics: Metrics,
-    drain: watch::Sender<bool>,
-) -> Result<(), EntryError> {
+pub async fn run(settings: EntrySettings, context: Context) -> Result<(), EntryError> {
+    let drain = context.drain.clone();
     let own = settings.peer().clone();
     let (links, mut incoming) = Links::listen(own.id.clone(), settings.keys.clone(), own.peers)?;
     let (cluster, keys) = (settings.cluster.clone(), settings.keys.clone());
@@ -176,7 +172,7 @@
 
     // The first heartbeat says that the instance has just started.
     entry.tick();
-    let callers = start_servers(&entry, level, metrics, &drain, &closed).await?;
+    let callers = start_servers(&entry, context, &closed).await?;
     task::spawn_local(send_records(entry.clone()));
     task::spawn_local(orders::run(entry.clone()));
     for home in &entry.node.cluster.homes {
@@ -209,14 +205,12 @@
 
 async fn start_servers(
     entry: &Rc<Entry>,
-    level: LevelHandle,
-    metrics: Metrics,
-    drain: &watch::Sender<bool>,
+    context: Context,
     closed: &watch::Receiver<bool>,
 ) -> Result<task::JoinHandle<()>, EntryError> {
     let node = &entry.node;
     let operators = entry.settings.operators.clone();
-    let api = OperatorApi::new(node.clone(), operators, level, metrics, drain.clone());
+    let api = OperatorApi::new(node.clone(), operators, context);
     let dump = entry.clone();
     let process = entry.clone();
     let api = api.with_dump(move || dump.dump()).with_process(move || process.part());
--- a/src/coordination/keeper/mod.rs
+++ b/src/coordination/keeper/mod.rs
@@ -31,6 +31,7 @@
 use crate::{
     coordination::{
         clock::incarnation_of_start,
+        daemon::Context,
         keeper::{
             duties::confirmations::Confirmations,
             group::{Caller, Group, Output},
@@ -42,7 +43,6 @@
     protocol::{GroupId, GroupReply, GroupRequest, Message, operators::GroupStatus},
     settings::KeeperSettings,
     state::{DataFolder, GroupName, Journal, Report, StateError, Synced, Writer},
-    telemetry::{logs::LevelHandle, metrics::Metrics},
     transport::{
         http_server::{self, ServerError, ServerLimits},
         links::{Incoming, LinkError, Links},
@@ -89,13 +89,8 @@
 /// # Errors
 ///
 /// Fails when it can't start, or when a state machine meets what it can't decode.
-pub async fn run(
-    settings: KeeperSettings,
-    level: LevelHandle,
-    metrics: Metrics,
-    drain: watch::Sender<bool>,
-) -> Result<(), KeeperError> {
-    let stop = drain.subscribe();
+pub async fn run(settings: KeeperSettings, context: Context) -> Result<(), KeeperError> {
+    let stop = context.drain.subscribe();
     let own = settings.peer().clone();
     let (links, mut incoming) = Links::listen(own.id.clone(), settings.keys.clone(), own.peers)?;
     let (cluster, keys) = (settings.cluster.clone(), settings.keys.clone());
@@ -107,7 +102,7 @@
     let confirmations = Confirmations::default();
     let keeper = Rc::new(Keeper { node: node.clone(), groups, writer, applied, confirmations });
 
-    let api = OperatorApi::new(node.clone(), settings.operators.clone(), level, metrics, drain);
+    let api = OperatorApi::new(node.clone(), settings.operators.clone(), context);
     let dump = keeper.clone();
     let process = keeper.clone();
     let api = api.with_dump(move || dump.dump()).with_process(move || process.part());
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,9 +7,11 @@
 //! * [`calls`]: requests to replication groups.
 //! * [`lookup`]: what became of a request.
 //! * [`clock`]: the process's clocks.
+//! * [`daemon`]: what the programs have in common.
 
 pub mod calls;
 pub mod clock;
+pub mod daemon;
 pub mod entry;
 pub mod keeper;
 pub mod lookup;
--- a/src/coordination/operators.rs
+++ b/src/coordination/operators.rs
@@ -36,6 +36,7 @@
 use crate::{
     coordination::{
         calls::{self, CallFailure},
+        daemon::Context,
         lookup::{self, Fate},
         node::Node,
     },
@@ -47,7 +48,6 @@
         },
     },
     settings::Operator,
-    telemetry::{logs::LevelHandle, metrics::Metrics},
     transport::{
         body::{self, Answer},
         http_server::{self, ServerLimits},
@@ -85,25 +85,17 @@
 pub struct OperatorApi {
     node: Rc<Node>,
     operators: Vec<Operator>,
-    level: LevelHandle,
-    metrics: Metrics,
+    context: Context,
     process: Process,
     dump: Dump,
-    drain: watch::Sender<bool>,
 }
 
 impl OperatorApi {
     /// An interface that dumps nothing but the common part.
-    pub fn new(
-        node: Rc<Node>,
-        operators: Vec<Operator>,
-        level: LevelHandle,
-        metrics: Metrics,
-        drain: watch::Sender<bool>,
-    ) -> OperatorApi {
+    pub fn new(node: Rc<Node>, operators: Vec<Operator>, context: Context) -> OperatorApi {
         let process = Box::new(ProcessPart::default);
         let dump = Box::new(|| Value::Null);
-        OperatorApi { node, operators, level, metrics, process, dump, drain }
+        OperatorApi { node, operators, context, process, dump }
     }
 
     /// The same interface, with the state that only this kind of process has.
@@ -148,7 +140,7 @@
     let path = request.uri().path().to_owned();
     let method = request.method().clone();
     if method == Method::GET && path == "/metrics" {
-        return body::text(api.metrics.render());
+        return body::text(api.context.metrics.render());
     }
     let Some(operator) = api.operator(&request) else {
         return refuse(401, "unauthorized", "the bearer key is no operator's");
@@ -164,7 +156,7 @@
         (&Method::POST, "/release/apply") => apply(api, &operator, request).await,
         (&Method::POST, "/drain") => {
             tracing::info!(%operator, "drain requested");
-            api.drain.send_replace(true);
+            api.context.drain.send_replace(true);
             ok(&json!({}))
         }
         (&Method::PUT, "/log-level") => set_level(api, request).await,
@@ -454,7 +446,7 @@
         Ok(change) => change,
         Err(error) => return refuse(400, "no-level", &error.to_string()),
     };
-    match api.level.set(change.level) {
+    match api.context.level.set(change.level) {
         Ok(()) => ok(&change),
         Err(error) => refuse(500, "level-not-set", &error.to_string()),
     }
