A request served only elsewhere is refused as served-elsewhere

Cause: where residency excluded the only region with live upstreams the caller read that none serves the model; 403 would say that coming back is no use.

--- a/crates/medlarlug-core/src/refusal.rs
+++ b/crates/medlarlug-core/src/refusal.rs
@@ -39,6 +39,8 @@
     NoConfiguration,
     /// No region is permitted to serve the request.
     NotPermitted,
+    /// Live upstreams serve the target, but only where the request may not go.
+    ServedElsewhere,
     /// No live upstream serves the target.
     NoUpstream,
     /// Every attempt failed before an upstream can have begun it.
@@ -51,7 +53,7 @@
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Reason; 11] = [
+    pub const ALL: [Reason; 12] = [
         Reason::RateLimited,
         Reason::Overloaded,
         Reason::DeadlineImpossible,
@@ -59,6 +61,7 @@
         Reason::Leaving,
         Reason::NoConfiguration,
         Reason::NotPermitted,
+        Reason::ServedElsewhere,
         Reason::NoUpstream,
         Reason::NotStarted,
         Reason::UpstreamFailed,
@@ -81,6 +84,7 @@
             Reason::Leaving => "leaving",
             Reason::NoConfiguration => "no-configuration",
             Reason::NotPermitted => "not-permitted",
+            Reason::ServedElsewhere => "served-elsewhere",
             Reason::NoUpstream => "no-upstream",
             Reason::NotStarted => "not-started",
             Reason::UpstreamFailed => "upstream-failed",
@@ -98,6 +102,9 @@
             Reason::Leaving => "This instance is about to stop",
             Reason::NoConfiguration => "This instance has no configuration yet",
             Reason::NotPermitted => "No region is permitted to serve this request",
+            Reason::ServedElsewhere => {
+                "Only regions where this request may not go serve the target"
+            }
             Reason::NoUpstream => "No live upstream serves this target",
             Reason::NotStarted => "No upstream could be reached",
             Reason::UpstreamFailed => "The upstream failed",
@@ -117,6 +124,7 @@
             | Reason::Leaving
             | Reason::NoConfiguration
             | Reason::NoUpstream
+            | Reason::ServedElsewhere
             | Reason::NotStarted => 503,
         }
     }
--- a/crates/medlarlug-core/src/routing/route.rs
+++ b/crates/medlarlug-core/src/routing/route.rs
@@ -121,7 +121,8 @@
     /// The reason that callers are told.
     pub fn reason(&self) -> Reason {
         match self {
-            Refusal::Residency(_) | Refusal::ServedElsewhere { .. } => Reason::NotPermitted,
+            Refusal::Residency(_) => Reason::NotPermitted,
+            Refusal::ServedElsewhere { .. } => Reason::ServedElsewhere,
             Refusal::NoUpstream { .. } => Reason::NoUpstream,
             Refusal::Deadline { .. } => Reason::Overloaded,
         }
--- a/crates/medlarlug-core/tests/testsuite/routing_refusals.rs
+++ b/crates/medlarlug-core/tests/testsuite/routing_refusals.rs
@@ -40,7 +40,7 @@
 
     let elsewhere: Vec<RegionId> = vec![id("kurzeme"), id("latgale")];
     assert_matches!(&refusal, Refusal::ServedElsewhere { regions, .. } if *regions == elsewhere);
-    assert_eq!(refusal.reason(), Reason::NotPermitted);
+    assert_eq!(refusal.reason(), Reason::ServedElsewhere);
     assert_eq!(refusal.retry_after(), Some(Duration::from_secs(1)));
 }
 
--- a/src/coordination/entry/inference.rs
+++ b/src/coordination/entry/inference.rs
@@ -265,7 +265,8 @@
 }
 
 fn is_without_upstream(choice: &Result<Choice, AttemptEnd>) -> bool {
-    matches!(choice, Err(AttemptEnd::Refused(it)) if it.reason == Reason::NoUpstream)
+    let is_without = |reason| matches!(reason, Reason::NoUpstream | Reason::ServedElsewhere);
+    matches!(choice, Err(AttemptEnd::Refused(it)) if is_without(it.reason))
 }
 
 /// Decides where the request goes; waits while suspects have every upstream.
