A slow upstream is not taken for a silent one again and again

Now the time doubles with each connection in a row that brings nothing, and bytes that arrive start the count anew. Two new tests.

--- a/crates/medlarlug-core/src/stream/mod.rs
+++ b/crates/medlarlug-core/src/stream/mod.rs
@@ -38,7 +38,7 @@
     pub continuable: bool,
     /// Whether the work may be repeated; if not, it is never sent to another upstream.
     pub idempotent: bool,
-    /// Connections that are opened at most, the first one included.
+    /// Connections in a row that may bring nothing; then the answer has failed.
     pub connections: u32,
 }
 
--- a/crates/medlarlug-core/src/stream/tracker.rs
+++ b/crates/medlarlug-core/src/stream/tracker.rs
@@ -57,6 +57,8 @@
     delivered: u64,
     heard: Time,
     phase: Phase,
+    /// Connections given up since the last bytes were delivered.
+    fruitless: u32,
     counters: StreamCounters,
 }
 
@@ -71,6 +73,7 @@
             delivered: 0,
             heard: now,
             phase: Phase::Waiting,
+            fruitless: 0,
             counters: StreamCounters::default(),
         }
     }
@@ -91,11 +94,15 @@
     }
 
     /// When the current connection counts as silent.
+    ///
+    /// The time doubles with each connection that brought nothing, so that a slow upstream is not
+    /// taken for a silent one again and again.
     pub fn silent_at(&self) -> Time {
-        match self.phase {
-            Phase::Flowing => self.heard + self.policy.between,
-            _ => self.heard + self.policy.first_byte,
-        }
+        let patience = match self.phase {
+            Phase::Flowing => self.policy.between,
+            _ => self.policy.first_byte,
+        };
+        self.heard + patience * 2u32.saturating_pow(self.fruitless)
     }
 
     /// Feeds one event in.
@@ -153,6 +160,7 @@
             let skip = self.delivered - start;
             out.push(Effect::Deliver { skip, length: end - self.delivered });
             self.delivered = end;
+            self.fruitless = 0;
         } else if !chunk.terminal {
             self.counters.duplicate += 1;
         }
@@ -211,7 +219,8 @@
 
     fn next_connection(&mut self, now: Time, out: &mut Vec<Effect>) -> Option<ConnectionNumber> {
         let next = ConnectionNumber(self.connection.0 + 1);
-        if next.0 >= self.policy.connections {
+        self.fruitless += 1;
+        if self.fruitless >= self.policy.connections {
             self.fail(out);
             return None;
         }
--- a/crates/medlarlug-core/tests/testsuite/stream.rs
+++ b/crates/medlarlug-core/tests/testsuite/stream.rs
@@ -250,3 +250,39 @@
 
     assert_eq!(tracker.silent_at(), Time::from_millis(9_000));
 }
+
+/// Feeds ticks at the moments when the tracker calls for them; gives those moments, in seconds.
+fn silences(tracker: &mut StreamTracker) -> Vec<u64> {
+    let mut moments = Vec::new();
+    while !tracker.is_ended() {
+        let moment = tracker.silent_at();
+        moments.push(moment.as_micros() / 1_000_000);
+        tracker.handle(moment, Event::Tick, &mut Vec::new());
+    }
+    moments
+}
+
+#[test]
+fn slow_upstream_has_twice_the_time_on_each_further_connection() {
+    let policy = StreamPolicy { first_byte: Duration::from_secs(2), ..StreamPolicy::default() };
+    let mut tracker = tracker(policy);
+
+    let moments = silences(&mut tracker);
+
+    assert_eq!(moments, [2, 6, 14, 30]);
+}
+
+#[test]
+fn stream_that_goes_on_may_replace_any_number_of_connections() {
+    let mut tracker = tracker(StreamPolicy::default());
+
+    for number in 0..20 {
+        let millis = u64::from(number) * 10;
+        arrives(&mut tracker, millis, number, chunk(u64::from(number), 1, false));
+        let connection = ConnectionNumber(number);
+        handles(&mut tracker, millis + 1, Event::ConnectionLost { connection });
+    }
+
+    assert!(!tracker.is_ended());
+    assert_eq!(tracker.delivered(), 20);
+}
