A busy engine that renews its announcement is waited for

Cause: with 1,000 streams opened at once towards slow engines, 883 attempts failed with "sent no answer for 2s": the question on a new connection had no word either, because the engines were busy, and that counted as a dead engine. An engine that renews its announcement within its lease now counts as busy.

--- a/src/coordination/entry/silence.rs
+++ b/src/coordination/entry/silence.rs
@@ -8,7 +8,8 @@
 //! * It knows the request, and the answer is streamed: the stream is read from the new connection.
 //! * It knows the request, and the answer is a whole one: once the engine has generated it and the
 //!   first connection still brings nothing, the request is sent again, within the retry budget.
-//! * The new connection is silent too: the attempt has failed.
+//! * The new connection is silent too: the attempt has failed, unless the engine still renews its
+//!   announcement. Then it is busy, and both connections are tried on within the call's limit.
 //!
 //! A connection that breaks before the head of a streamed answer is replaced in the same way, if
 //! the engine knows the request.
@@ -77,21 +78,25 @@
 ) -> Result<Answered, CallError> {
     let first = call_once(entry, &to, request.clone(), call, limits);
     let mut first = pin!(first);
-    if let Ok(result) = timeout(HEAD_PATIENCE, first.as_mut()).await {
-        return result;
-    }
-    let found = tokio::select! {
-        biased;
-        result = first => return result,
-        found = examine(entry, &to, call) => found,
-    };
-    match found {
-        Found::Answer(answered) => return Ok(answered),
-        Found::Silent => tracing::info!(request = %to.id, "silent connection replaced"),
-        Found::Unresponsive => {
-            return Err(CallError::Silent { address: to.address, limit: HEAD_PATIENCE });
+    loop {
+        if let Ok(result) = timeout(HEAD_PATIENCE, first.as_mut()).await {
+            return result;
+        }
+        let found = tokio::select! {
+            biased;
+            result = first.as_mut() => return result,
+            found = examine(entry, &to, call) => found,
+        };
+        match found {
+            Found::Answer(answered) => return Ok(answered),
+            Found::Silent => break,
+            Found::Busy => {}
+            Found::Unresponsive => {
+                return Err(CallError::Silent { address: to.address, limit: HEAD_PATIENCE });
+            }
         }
     }
+    tracing::info!(request = %to.id, "silent connection replaced");
     entry.client.forget(to.address);
     entry.client.call(to.address, request, Reuse::Never, limits).await
 }
@@ -120,12 +125,22 @@
     Answer(Answered),
     /// The connection is silent, and the request may be sent again.
     Silent,
+    /// The engine tells nothing, but renews its announcement: it is waited for.
+    Busy,
     /// The engine tells nothing, or the request may not be sent again.
     Unresponsive,
 }
 
+/// Whether the engine at an address has renewed its announcement within its lease.
+fn is_announced(entry: &Entry, address: SocketAddr) -> bool {
+    let members = entry.node.members.borrow();
+    let mut upstreams = members.upstreams(entry.node.now());
+    upstreams.any(|it| it.announcement.address == address)
+}
+
 async fn examine(entry: &Entry, to: &Destination<'_>, call: &Call) -> Found {
     match ask(entry, to).await {
+        Word::None if is_announced(entry, to.address) => Found::Busy,
         Word::None => Found::Unresponsive,
         Word::Unknown => Found::Silent,
         Word::Known(answered) if call.stream => Found::Answer(answered),
--- a/tests/testsuite/processes/streams.rs
+++ b/tests/testsuite/processes/streams.rs
@@ -212,3 +212,18 @@
         assert_whole(streamed, &format!("shift {it}"), 40 + it);
     }
 }
+
+#[test]
+fn engine_that_is_busy_for_a_while_is_waited_for() {
+    // One prompt token a second: the head of the answer takes some seconds.
+    let mut deployment = add_engines(two_regions(), 1, 200);
+    deployment.upstreams[0].extra[1] = "prefill: 1".into();
+    let deployment = deployment.start();
+    deployment.configure(items(Residency::Anywhere));
+    deployment.wait_upstreams("entry-1", 1);
+
+    let prompt = "shift of the old grid";
+    let streamed = deployment.stream("entry-1", prompt, 20);
+
+    assert_whole(&streamed, prompt, 20);
+}
