A call whose new connection was cut before it went out takes another one

Not a byte went out, so another connection is no repetition of the call. Ruled out: the queue, which has a slot for each stream.

The terms of the field replace our own ones: quarantine, loss of state.

--- a/crates/medlarlug-core/src/home/booking.rs
+++ b/crates/medlarlug-core/src/home/booking.rs
@@ -183,7 +183,7 @@
 
 /// Keys that a group may have forgotten: unless they are known, they are answered as unknown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Amnesia {
+pub struct StateLoss {
     /// Keys made at this revision or later are not concerned.
     pub before: Revision,
     /// Logical time at which every forgotten key has outlived its retention, in microseconds;
@@ -199,7 +199,7 @@
     /// Revision at which the team's home was changed.
     pub epoch: Revision,
     /// Which keys may have been used without being listed, if any.
-    pub amnesia: Option<Amnesia>,
+    pub state_loss: Option<StateLoss>,
     /// Its bookings, sorted by key; their ages count from the handover.
     pub bookings: Vec<Booking>,
 }
--- a/crates/medlarlug-core/src/home/bookings.rs
+++ b/crates/medlarlug-core/src/home/bookings.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     home::{
-        booking::{Amnesia, Booking, BookingKey, BookingState, Owner, Recorded},
+        booking::{Booking, BookingKey, BookingState, Owner, Recorded, StateLoss},
         command::{Begin, BeginReply, Reply},
         retention::whole_size,
     },
@@ -33,7 +33,7 @@
 pub(super) struct TeamBook {
     pub(super) team: TeamId,
     pub(super) hold: Hold,
-    pub(super) amnesia: Option<Amnesia>,
+    pub(super) state_loss: Option<StateLoss>,
     pub(super) bookings: Vec<Booking>,
 }
 
@@ -147,7 +147,7 @@
         &mut self,
         clock: u64,
         begin: Begin,
-        amnesia: Option<Amnesia>,
+        state_loss: Option<StateLoss>,
     ) -> BeginReply {
         let place = match self.book_for(&begin) {
             Ok(place) => place,
@@ -155,7 +155,7 @@
         };
         let is_full = self.count >= MAX_KEYS;
         let book = &mut self.books[place];
-        let group = amnesia.filter(|it| book.held_since() < it.before);
+        let group = state_loss.filter(|it| book.held_since() < it.before);
         let found = match book.bookings.binary_search_by(|it| it.key.cmp(&begin.key)) {
             Ok(found) => {
                 let booking = &mut book.bookings[found];
@@ -167,10 +167,10 @@
             }
             Err(found) => found,
         };
-        let forgets = |it: &Amnesia| {
+        let forgets = |it: &StateLoss| {
             it.until > clock && begin.key.minted().is_none_or(|minted| minted < it.before)
         };
-        if group.iter().chain(&book.amnesia).any(forgets) {
+        if group.iter().chain(&book.state_loss).any(forgets) {
             return BeginReply::Unknown(None);
         }
         if is_full || book.bookings.len() >= MAX_TEAM_KEYS {
@@ -315,7 +315,7 @@
             Err(_) if begin.moved => return Err(NotHeld::NotAdopted),
             Err(place) => {
                 let (team, hold) = (begin.team.clone(), Hold::Held(begin.epoch));
-                let book = TeamBook { team, hold, amnesia: None, bookings: Vec::new() };
+                let book = TeamBook { team, hold, state_loss: None, bookings: Vec::new() };
                 self.books.insert(place, book);
                 place
             }
--- a/crates/medlarlug-core/src/home/command.rs
+++ b/crates/medlarlug-core/src/home/command.rs
@@ -125,11 +125,11 @@
     },
     /// A suspect ran to its end without a loss.
     Clear(Fingerprint),
-    /// Another region convicted a request.
-    Convict {
+    /// Another region quarantined a request.
+    Quarantine {
         /// Fingerprint of the request.
         print: Fingerprint,
-        /// Time until the conviction ends.
+        /// Time until the quarantine ends.
         remaining: Duration,
     },
     /// An instance asks for the lease of the issuer of orders, or renews it.
@@ -139,7 +139,7 @@
         /// How long it asks for; at most [`MAX_LEASE`](crate::home::state::MAX_LEASE).
         duration: Duration,
     },
-    /// Time has passed; expired bookings, suspicions and convictions are dropped.
+    /// Time has passed; expired bookings, suspicions and quarantines are dropped.
     Tick,
     /// The group was rebuilt from the state of one survivor, which may lack the newest commands.
     /// Whatever may have gone on since then is unknown, and the group has to be founded anew.
@@ -246,8 +246,8 @@
     pub print: Fingerprint,
     /// Losses that it is suspected of.
     pub losses: u32,
-    /// Time until its conviction ends, if it is convicted.
-    pub convicted: Option<Duration>,
+    /// Time until its quarantine ends, if it is quarantined.
+    pub quarantined: Option<Duration>,
 }
 
 /// What is known of a request.
--- a/crates/medlarlug-core/src/home/mod.rs
+++ b/crates/medlarlug-core/src/home/mod.rs
@@ -1,7 +1,7 @@
 //! The replicated state machine of one region's home group.
 //!
 //! The home group records what must not be lost or doubled in its region: booking intents and
-//! outcomes, records of requests, convictions of requests that crash upstreams, and the lease of
+//! outcomes, records of requests, quarantines of requests that crash upstreams, and the lease of
 //! the issuer of orders. Every keeper of the group applies the same [`Command`]s in the same
 //! order to its [`HomeGroup`].
 //!
@@ -19,16 +19,16 @@
 pub mod booking;
 mod bookings;
 pub mod command;
-mod convictions;
 mod issuer_lease;
 mod moves;
+mod quarantines;
 mod records;
 mod retention;
 pub mod state;
 
 pub use booking::{
-    Amnesia, Body, Booking, BookingKey, BookingKeyError, BookingState, FoundToken, Handover, Owner,
-    Recorded,
+    Body, Booking, BookingKey, BookingKeyError, BookingState, FoundToken, Handover, Owner,
+    Recorded, StateLoss,
 };
 pub use command::{Action, Begin, BeginReply, Command, LookUp, Reply, Suspect};
 pub use issuer_lease::IssuerLease;
--- a/crates/medlarlug-core/src/home/moves.rs
+++ b/crates/medlarlug-core/src/home/moves.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     home::{
-        booking::{Amnesia, BookingState, Handover},
+        booking::{BookingState, Handover, StateLoss},
         bookings::{Bookings, Hold, Mark, TeamBook},
         command::Reply,
         retention::{omit, state_size},
@@ -21,13 +21,13 @@
         team: TeamId,
         to: RegionId,
         epoch: Revision,
-        amnesia: Option<Amnesia>,
+        state_loss: Option<StateLoss>,
     ) -> Reply {
         let place = match self.find_book(&team) {
             Ok(found) => found,
             Err(place) => {
                 let hold = Hold::Held(Revision(0));
-                let book = TeamBook { team, hold, amnesia: None, bookings: Vec::new() };
+                let book = TeamBook { team, hold, state_loss: None, bookings: Vec::new() };
                 self.books.insert(place, book);
                 place
             }
@@ -35,8 +35,8 @@
         let book = &mut self.books[place];
         match &book.hold {
             Hold::Held(held) if *held < epoch => {
-                let group = amnesia.filter(|it| *held < it.before);
-                book.amnesia = later(book.amnesia, group);
+                let group = state_loss.filter(|it| *held < it.before);
+                book.state_loss = later(book.state_loss, group);
                 book.hold = Hold::Sealed { to, epoch };
             }
             Hold::Sealed { epoch: sealed, .. } if *sealed == epoch => {}
@@ -51,7 +51,7 @@
             Ok(found) => found,
             Err(place) => {
                 let (team, hold) = (handover.team.clone(), Hold::Held(handover.epoch));
-                let book = TeamBook { team, hold, amnesia: None, bookings: Vec::new() };
+                let book = TeamBook { team, hold, state_loss: None, bookings: Vec::new() };
                 self.books.insert(place, book);
                 return self.fill(clock, place, handover);
             }
@@ -88,9 +88,9 @@
     }
 
     fn fill(&mut self, clock: u64, place: usize, handover: Handover) -> Reply {
-        let restore = |it: Amnesia| Amnesia { until: clock.saturating_add(it.until), ..it };
+        let restore = |it: StateLoss| StateLoss { until: clock.saturating_add(it.until), ..it };
         let book = &mut self.books[place];
-        book.amnesia = later(book.amnesia, handover.amnesia.map(restore));
+        book.state_loss = later(book.state_loss, handover.state_loss.map(restore));
         for mut booking in handover.bookings {
             let Err(found) = book.bookings.binary_search_by(|it| it.key.cmp(&booking.key)) else {
                 continue;
@@ -115,10 +115,10 @@
     }
 }
 
-fn later(first: Option<Amnesia>, second: Option<Amnesia>) -> Option<Amnesia> {
+fn later(first: Option<StateLoss>, second: Option<StateLoss>) -> Option<StateLoss> {
     match (first, second) {
         (Some(a), Some(b)) => {
-            Some(Amnesia { before: a.before.max(b.before), until: a.until.max(b.until) })
+            Some(StateLoss { before: a.before.max(b.before), until: a.until.max(b.until) })
         }
         (one, other) => one.or(other),
     }
@@ -138,7 +138,7 @@
     for booking in &mut bookings {
         booking.since = clock.saturating_sub(booking.since);
     }
-    let remaining = |it: Amnesia| Amnesia { until: it.until.saturating_sub(clock), ..it };
-    let amnesia = book.amnesia.map(remaining);
-    Handover { team: book.team.clone(), epoch, amnesia, bookings }
+    let remaining = |it: StateLoss| StateLoss { until: it.until.saturating_sub(clock), ..it };
+    let state_loss = book.state_loss.map(remaining);
+    Handover { team: book.team.clone(), epoch, state_loss, bookings }
 }
--- a/crates/medlarlug-core/src/home/convictions.rs
+++ b/crates/medlarlug-core/src/home/quarantines.rs
@@ -1,4 +1,4 @@
-//! Requests that are suspected or convicted of crashing upstreams.
+//! Requests that are suspected or quarantined of crashing upstreams.
 
 use std::time::Duration;
 
@@ -10,23 +10,23 @@
     ids::{Incarnation, UpstreamId},
 };
 
-/// Losses that convict a request.
-pub const CONVICTING_LOSSES: usize = 2;
+/// Losses that quarantine a request.
+pub const QUARANTINING_LOSSES: usize = 2;
 
 /// How long a suspicion lasts after the last loss.
 pub const SUSPICION_LIFETIME: Duration = Duration::from_secs(10 * 60);
 
-/// How long a conviction lasts.
-pub const CONVICTION_LIFETIME: Duration = Duration::from_secs(60 * 60);
+/// How long a quarantine lasts.
+pub const QUARANTINE_LIFETIME: Duration = Duration::from_secs(60 * 60);
 
-/// Suspected and convicted requests that are kept; the one that ends first makes room.
+/// Suspected and quarantined requests that are kept; the one that ends first makes room.
 pub const MAX_SUSPECTS: usize = 4_096;
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Entry {
     print: Fingerprint,
     losses: Vec<(UpstreamId, Incarnation)>,
-    convicted: bool,
+    quarantined: bool,
     until: u64,
 }
 
@@ -34,17 +34,17 @@
     fn suspect(&self, clock: u64) -> Suspect {
         let remaining = Duration::from_micros(self.until.saturating_sub(clock));
         let losses = u32::try_from(self.losses.len()).unwrap_or(u32::MAX);
-        Suspect { print: self.print, losses, convicted: self.convicted.then_some(remaining) }
+        Suspect { print: self.print, losses, quarantined: self.quarantined.then_some(remaining) }
     }
 }
 
-/// Suspected and convicted requests, sorted by fingerprint.
+/// Suspected and quarantined requests, sorted by fingerprint.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Convictions {
+pub(crate) struct Quarantines {
     entries: Vec<Entry>,
 }
 
-impl Convictions {
+impl Quarantines {
     pub(crate) fn expire(&mut self, clock: u64) {
         self.entries.retain(|it| it.until > clock);
     }
@@ -63,11 +63,11 @@
         for print in suspects {
             let entry = self.entry(*print);
             let loss = (upstream.clone(), incarnation);
-            if !entry.convicted && !entry.losses.contains(&loss) {
+            if !entry.quarantined && !entry.losses.contains(&loss) {
                 entry.losses.push(loss);
-                entry.convicted = entry.losses.len() >= CONVICTING_LOSSES;
+                entry.quarantined = entry.losses.len() >= QUARANTINING_LOSSES;
                 let lifetime =
-                    if entry.convicted { CONVICTION_LIFETIME } else { SUSPICION_LIFETIME };
+                    if entry.quarantined { QUARANTINE_LIFETIME } else { SUSPICION_LIFETIME };
                 entry.until = clock.saturating_add(micros(lifetime));
             }
             result.push(entry.suspect(clock));
@@ -77,14 +77,14 @@
     }
 
     pub(crate) fn clear(&mut self, print: Fingerprint) {
-        self.entries.retain(|it| it.print != print || it.convicted);
+        self.entries.retain(|it| it.print != print || it.quarantined);
     }
 
-    pub(crate) fn convict(&mut self, clock: u64, print: Fingerprint, remaining: Duration) {
-        let until = clock.saturating_add(micros(remaining.min(CONVICTION_LIFETIME)));
+    pub(crate) fn quarantine(&mut self, clock: u64, print: Fingerprint, remaining: Duration) {
+        let until = clock.saturating_add(micros(remaining.min(QUARANTINE_LIFETIME)));
         let entry = self.entry(print);
-        entry.until = if entry.convicted { entry.until.max(until) } else { until };
-        entry.convicted = true;
+        entry.until = if entry.quarantined { entry.until.max(until) } else { until };
+        entry.quarantined = true;
         self.bound();
     }
 
@@ -93,8 +93,8 @@
         Some(self.entries[found].suspect(clock)).filter(|_| self.entries[found].until > clock)
     }
 
-    pub(crate) fn convicted(&self, clock: u64) -> Vec<Suspect> {
-        let valid = self.entries.iter().filter(|it| it.convicted && it.until > clock);
+    pub(crate) fn quarantined(&self, clock: u64) -> Vec<Suspect> {
+        let valid = self.entries.iter().filter(|it| it.quarantined && it.until > clock);
         valid.map(|it| it.suspect(clock)).collect()
     }
 
@@ -102,7 +102,7 @@
         let place = match self.entries.binary_search_by_key(&print, |it| it.print) {
             Ok(found) => found,
             Err(place) => {
-                let entry = Entry { print, losses: Vec::new(), convicted: false, until: 0 };
+                let entry = Entry { print, losses: Vec::new(), quarantined: false, until: 0 };
                 self.entries.insert(place, entry);
                 place
             }
--- a/crates/medlarlug-core/src/home/state.rs
+++ b/crates/medlarlug-core/src/home/state.rs
@@ -30,11 +30,11 @@
 use crate::{
     fingerprint::Fingerprint,
     home::{
-        booking::{Amnesia, Booking, BookingKey, Handover, Owner},
+        booking::{Booking, BookingKey, Handover, Owner, StateLoss},
         bookings::Bookings,
         command::{Action, Begin, BeginReply, Command, LookUp, Reply, Suspect},
-        convictions::Convictions,
         issuer_lease::IssuerLease,
+        quarantines::Quarantines,
         records::Records,
     },
     ids::{Incarnation, InstanceId, RequestId, Revision, TeamId},
@@ -58,7 +58,7 @@
 struct Founding {
     revision: Revision,
     is_first: bool,
-    amnesia: Option<Amnesia>,
+    state_loss: Option<StateLoss>,
 }
 
 impl Founding {
@@ -97,7 +97,7 @@
     instances: Vec<Started>,
     bookings: Bookings,
     records: Records,
-    convictions: Convictions,
+    quarantines: Quarantines,
     lease: IssuerLease,
 }
 
@@ -107,7 +107,7 @@
         let elapsed = u64::try_from(command.elapsed.as_micros()).unwrap_or(u64::MAX);
         self.clock = self.clock.saturating_add(elapsed);
         self.bookings.expire(self.clock);
-        self.convictions.expire(self.clock);
+        self.quarantines.expire(self.clock);
         match command.action {
             Action::Found { revision, first } => self.found(revision, first),
             Action::Begin(begin) => Reply::Begin(self.begin(begin)),
@@ -126,9 +126,9 @@
     }
 
     /// Time until keys that the group does not know are taken as new again.
-    pub fn amnesia_left(&self) -> Option<Duration> {
-        let amnesia = self.founding?.amnesia?;
-        let left = amnesia.until.checked_sub(self.clock).filter(|left| *left > 0)?;
+    pub fn state_loss_left(&self) -> Option<Duration> {
+        let state_loss = self.founding?.state_loss?;
+        let left = state_loss.until.checked_sub(self.clock).filter(|left| *left > 0)?;
         Some(Duration::from_micros(left))
     }
 
@@ -173,14 +173,14 @@
         self.records.look_up(id)
     }
 
-    /// Whether a request is suspected or convicted.
+    /// Whether a request is suspected or quarantined.
     pub fn suspect(&self, print: Fingerprint) -> Option<Suspect> {
-        self.convictions.find(self.clock, print)
+        self.quarantines.find(self.clock, print)
     }
 
-    /// All convicted requests, sorted by fingerprint.
-    pub fn convicted(&self) -> Vec<Suspect> {
-        self.convictions.convicted(self.clock)
+    /// All quarantined requests, sorted by fingerprint.
+    pub fn quarantined(&self) -> Vec<Suspect> {
+        self.quarantines.quarantined(self.clock)
     }
 
     /// The lease of the issuer of orders.
@@ -220,8 +220,8 @@
             | Action::Lose { .. }
             | Action::Settle { .. } => self.end(action),
             Action::Seal { team, to, epoch } => {
-                let amnesia = self.amnesia();
-                self.bookings.seal(clock, team, to, epoch, amnesia)
+                let state_loss = self.state_loss();
+                self.bookings.seal(clock, team, to, epoch, state_loss)
             }
             Action::Adopt(handover) => self.adopt(handover),
             Action::AdoptLost { team, epoch } => self.adopt_lost(team, epoch),
@@ -231,14 +231,14 @@
                 Reply::Ok
             }
             Action::Loss { upstream, incarnation, suspects } => {
-                Reply::Suspects(self.convictions.lose(clock, &upstream, incarnation, &suspects))
+                Reply::Suspects(self.quarantines.lose(clock, &upstream, incarnation, &suspects))
             }
             Action::Clear(print) => {
-                self.convictions.clear(print);
+                self.quarantines.clear(print);
                 Reply::Ok
             }
-            Action::Convict { print, remaining } => {
-                self.convictions.convict(clock, print, remaining);
+            Action::Quarantine { print, remaining } => {
+                self.quarantines.quarantine(clock, print, remaining);
                 Reply::Ok
             }
             Action::Lease { holder, duration } => {
@@ -289,11 +289,11 @@
         }
         let first = first && !self.is_rebuilt;
         let after = |duration: u64| self.clock.saturating_add(duration);
-        let amnesia =
-            (!first).then(|| Amnesia { before: revision, until: after(KEY_RETENTION_MICROS) });
+        let state_loss =
+            (!first).then(|| StateLoss { before: revision, until: after(KEY_RETENTION_MICROS) });
         let granted = if first { self.clock } else { after(MAX_LEASE_MICROS) };
         self.lease = IssuerLease::founded(revision, granted);
-        self.founding = Some(Founding { revision, is_first: first, amnesia });
+        self.founding = Some(Founding { revision, is_first: first, state_loss });
         Reply::Founded(revision)
     }
 
@@ -303,8 +303,8 @@
         self.bookings.distrust(self.clock);
     }
 
-    fn amnesia(&self) -> Option<Amnesia> {
-        self.founding.and_then(|it| it.amnesia).filter(|it| it.until > self.clock)
+    fn state_loss(&self) -> Option<StateLoss> {
+        self.founding.and_then(|it| it.state_loss).filter(|it| it.until > self.clock)
     }
 
     fn begin(&mut self, begin: Begin) -> BeginReply {
@@ -321,8 +321,8 @@
             return BeginReply::StaleOwner(newest);
         }
         self.start(instance, incarnation);
-        let amnesia = self.amnesia();
-        self.bookings.begin(self.clock, begin, amnesia)
+        let state_loss = self.state_loss();
+        self.bookings.begin(self.clock, begin, state_loss)
     }
 
     fn newest(&self, instance: &InstanceId) -> Option<Incarnation> {
@@ -358,8 +358,8 @@
     }
 
     fn adopt_lost(&mut self, team: TeamId, epoch: Revision) -> Reply {
-        let amnesia = Some(Amnesia { before: epoch, until: KEY_RETENTION_MICROS });
-        let handover = Handover { team, epoch, amnesia, bookings: Vec::new() };
+        let state_loss = Some(StateLoss { before: epoch, until: KEY_RETENTION_MICROS });
+        let handover = Handover { team, epoch, state_loss, bookings: Vec::new() };
         self.bookings.adopt(self.clock, handover)
     }
 }
--- a/crates/medlarlug-core/src/refusal.rs
+++ b/crates/medlarlug-core/src/refusal.rs
@@ -32,7 +32,7 @@
     /// The deadline can't be met even without a queue, or passed in the queue.
     DeadlineImpossible,
     /// The content crashed upstreams.
-    Convicted,
+    Quarantined,
     /// The instance takes no new work because it is about to stop.
     Leaving,
     /// The instance has no configuration yet.
@@ -57,7 +57,7 @@
         Reason::RateLimited,
         Reason::Overloaded,
         Reason::DeadlineImpossible,
-        Reason::Convicted,
+        Reason::Quarantined,
         Reason::Leaving,
         Reason::NoConfiguration,
         Reason::NotPermitted,
@@ -80,7 +80,7 @@
             Reason::RateLimited => "rate-limited",
             Reason::Overloaded => "overloaded",
             Reason::DeadlineImpossible => "deadline-impossible",
-            Reason::Convicted => "convicted",
+            Reason::Quarantined => "quarantined",
             Reason::Leaving => "leaving",
             Reason::NoConfiguration => "no-configuration",
             Reason::NotPermitted => "not-permitted",
@@ -98,7 +98,7 @@
             Reason::RateLimited => "The team's rate limit is used up",
             Reason::Overloaded => "The predicted queueing time is too long",
             Reason::DeadlineImpossible => "The deadline can't be met",
-            Reason::Convicted => "Requests with this content crashed upstreams",
+            Reason::Quarantined => "Requests with this content crashed upstreams",
             Reason::Leaving => "This instance is about to stop",
             Reason::NoConfiguration => "This instance has no configuration yet",
             Reason::NotPermitted => "No region is permitted to serve this request",
@@ -117,7 +117,7 @@
         match self {
             Reason::RateLimited => 429,
             Reason::NotPermitted => 403,
-            Reason::Convicted => 422,
+            Reason::Quarantined => 422,
             Reason::UpstreamFailed | Reason::AnswerLost => 502,
             Reason::DeadlineImpossible => 504,
             Reason::Overloaded
@@ -132,7 +132,7 @@
     /// How a request ends that is refused for this reason before any attempt.
     pub fn outcome(self) -> Outcome {
         match self {
-            Reason::Convicted | Reason::UpstreamFailed => Outcome::Failed,
+            Reason::Quarantined | Reason::UpstreamFailed => Outcome::Failed,
             Reason::AnswerLost => Outcome::Unknown,
             _ => Outcome::NotRun,
         }
--- a/crates/medlarlug-core/src/suspects/isolation.rs
+++ b/crates/medlarlug-core/src/suspects/isolation.rs
@@ -54,7 +54,7 @@
 }
 
 impl Suspects {
-    /// What the facts say about `fingerprint`; a convicted one is refused at once.
+    /// What the facts say about `fingerprint`; a quarantined one is refused at once.
     pub fn standing(&self, now: Time, fingerprint: Fingerprint) -> Standing {
         self.ledger.standing(now, fingerprint)
     }
@@ -67,7 +67,7 @@
         upstream: &UpstreamId,
     ) -> Placement {
         let is_suspect = match self.standing(now, fingerprint) {
-            Standing::Convicted { .. } => return Placement::Barred,
+            Standing::Quarantined { .. } => return Placement::Barred,
             standing => standing == Standing::Suspect,
         };
         if is_suspect && self.flights.iter().any(|it| it.fingerprint == fingerprint) {
--- a/crates/medlarlug-core/src/suspects/ledger.rs
+++ b/crates/medlarlug-core/src/suspects/ledger.rs
@@ -5,8 +5,8 @@
 use crate::{
     fingerprint::Fingerprint,
     suspects::{
-        CERTAIN_LOSSES, CONVICTING_LOSSES, CONVICTION_LIFETIME, FACT_LIFETIME, Fact, LossKey,
-        LossReport, MAX_LOSSES_KEPT,
+        CERTAIN_LOSSES, FACT_LIFETIME, Fact, LossKey, LossReport, MAX_LOSSES_KEPT,
+        QUARANTINE_LIFETIME, QUARANTINING_LOSSES,
     },
     time::Time,
 };
@@ -19,7 +19,7 @@
     /// It was in flight on a lost upstream; it runs alone.
     Suspect,
     /// It is not run.
-    Convicted {
+    Quarantined {
         /// Time until it may be tried again.
         after: Duration,
     },
@@ -65,7 +65,7 @@
 /// ledger.learn(Time::ZERO, &lost("engine-1"));
 /// assert_eq!(ledger.standing(Time::ZERO, crashing), Standing::Suspect);
 /// ledger.learn(Time::ZERO, &lost("engine-2"));
-/// assert!(matches!(ledger.standing(Time::ZERO, crashing), Standing::Convicted { .. }));
+/// assert!(matches!(ledger.standing(Time::ZERO, crashing), Standing::Quarantined { .. }));
 /// ```
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct LossLedger {
@@ -108,9 +108,9 @@
     pub fn standing(&self, now: Time, fingerprint: Fingerprint) -> Standing {
         if let Ok(found) = self.verdicts.binary_search_by_key(&fingerprint, |it| it.fingerprint) {
             let verdict = &self.verdicts[found];
-            let end = verdict.last + conviction_lifetime(verdict.losses);
+            let end = verdict.last + quarantine_lifetime(verdict.losses);
             return match now < end {
-                true => Standing::Convicted { after: end - now },
+                true => Standing::Quarantined { after: end - now },
                 false => Standing::Suspect,
             };
         }
@@ -120,10 +120,10 @@
         }
     }
 
-    /// The convictions in force, sorted by fingerprint, and the time until each ends.
-    pub fn convictions(&self, now: Time) -> Vec<(Fingerprint, Duration)> {
+    /// The quarantines in force, sorted by fingerprint, and the time until each ends.
+    pub fn quarantines(&self, now: Time) -> Vec<(Fingerprint, Duration)> {
         let standing = |it: &Verdict| match self.standing(now, it.fingerprint) {
-            Standing::Convicted { after } => Some((it.fingerprint, after)),
+            Standing::Quarantined { after } => Some((it.fingerprint, after)),
             _ => None,
         };
         self.verdicts.iter().filter_map(standing).collect()
@@ -196,7 +196,7 @@
         }
     }
 
-    /// Convicts the strongest candidates first; the losses they explain count against no other.
+    /// Quarantines the strongest candidates first; the losses they explain count against no other.
     fn judge(&mut self) {
         self.verdicts.clear();
         loop {
@@ -208,8 +208,8 @@
                 self.suspects.dedup();
                 return;
             };
-            let convicted = candidates.into_iter().filter(|it| it.strength() == strongest);
-            self.verdicts.extend(convicted);
+            let quarantined = candidates.into_iter().filter(|it| it.strength() == strongest);
+            self.verdicts.extend(quarantined);
             self.verdicts.sort_by_key(|it| it.fingerprint);
         }
     }
@@ -220,10 +220,10 @@
         let mut evidence = Vec::new();
         for loss in &self.losses {
             let suspects = loss.suspects();
-            let is_convicted = |it: &Fingerprint| {
+            let is_quarantined = |it: &Fingerprint| {
                 self.verdicts.binary_search_by_key(it, |verdict| verdict.fingerprint).is_ok()
             };
-            if suspects.iter().any(is_convicted) {
+            if suspects.iter().any(is_quarantined) {
                 continue;
             }
             let alone = suspects.len() == 1;
@@ -252,11 +252,11 @@
     }
 }
 
-/// The verdict on one content, if its losses convict it.
+/// The verdict on one content, if its losses quarantine it.
 fn candidate(evidence: &[(Fingerprint, Time, bool)]) -> Option<Verdict> {
     let losses = evidence.len();
     let alone = evidence.iter().filter(|it| it.2).count();
-    let is_likely = losses >= CONVICTING_LOSSES && alone > 0;
+    let is_likely = losses >= QUARANTINING_LOSSES && alone > 0;
     if !is_likely && losses < CERTAIN_LOSSES {
         return None;
     }
@@ -273,8 +273,8 @@
     set.len() > count
 }
 
-/// Lifetime of a conviction by `losses` losses: doubled by each beyond the second.
-fn conviction_lifetime(losses: usize) -> Duration {
-    let doublings = losses.saturating_sub(CONVICTING_LOSSES).min(8);
-    (CONVICTION_LIFETIME * (1 << doublings)).min(FACT_LIFETIME)
+/// Lifetime of a quarantine by `losses` losses: doubled by each beyond the second.
+fn quarantine_lifetime(losses: usize) -> Duration {
+    let doublings = losses.saturating_sub(QUARANTINING_LOSSES).min(8);
+    (QUARANTINE_LIFETIME * (1 << doublings)).min(FACT_LIFETIME)
 }
--- a/crates/medlarlug-core/src/suspects/mod.rs
+++ b/crates/medlarlug-core/src/suspects/mod.rs
@@ -2,24 +2,24 @@
 //!
 //! When an upstream is lost without an explanation, every request in flight on it becomes a
 //! *suspect*, known by the fingerprint of its content. A suspect that is tried again runs alone on
-//! an upstream, so that the innocent clear themselves by completing. The evidence is a set of
+//! an upstream, so that the others clear themselves by completing. The evidence is a set of
 //! [`Fact`]s: losses, each named by the upstream and its incarnation, and clearances. Facts merge
 //! by set union in any order and any number of times, so every entry instance, and the home group
 //! of every region, reaches the same verdicts from the same [`LossLedger`] code.
 //!
-//! A fingerprint is convicted when
+//! A fingerprint is quarantined when
 //!
 //! - two losses name it, and on one of them it was the only request in flight, or all others have
 //!   been cleared of that loss, or
 //! - three losses name it.
 //!
-//! A loss that a convicted fingerprint explains counts against no other. A conviction lasts
-//! [`CONVICTION_LIFETIME`], doubled by every further loss; after that the content runs as a
-//! suspect again, and its next loss convicts at once.
+//! A loss that a quarantined fingerprint explains counts against no other. A quarantine lasts
+//! [`QUARANTINE_LIFETIME`], doubled by every further loss; after that the content runs as a
+//! suspect again, and its next loss quarantines at once.
 //!
 //! Bound: one content that is sent one at a time, each after the facts of the last loss have
 //! arrived, loses at most two upstreams where an upstream can be had alone, at most three
-//! otherwise, until its conviction ends. An instance runs a suspected content once at a time, so
+//! otherwise, until its quarantine ends. An instance runs a suspected content once at a time, so
 //! sends that overlap at `c` instances, or that outrun the facts, add one loss for each instance.
 //! Sends that were in flight when the first upstream was lost add one loss each. On two sides of a partition the bound holds for each side.
 
@@ -40,15 +40,15 @@
     ledger::{LossLedger, Standing},
 };
 
-/// First lifetime of a conviction.
-pub const CONVICTION_LIFETIME: Duration = Duration::from_secs(600);
+/// First lifetime of a quarantine.
+pub const QUARANTINE_LIFETIME: Duration = Duration::from_secs(600);
 /// Time for which facts are kept.
 pub const FACT_LIFETIME: Duration = Duration::from_secs(24 * 3_600);
 /// Losses that a ledger keeps at most; the oldest go first.
 pub const MAX_LOSSES_KEPT: usize = 1_024;
-/// Losses that convict if one of them had no other request in flight.
-pub const CONVICTING_LOSSES: usize = 2;
-/// Losses that convict whatever else was in flight.
+/// Losses that quarantine if one of them had no other request in flight.
+pub const QUARANTINING_LOSSES: usize = 2;
+/// Losses that quarantine whatever else was in flight.
 pub const CERTAIN_LOSSES: usize = 3;
 /// Time for which an upstream is reserved for one suspect at most.
 pub const RESERVATION_LIFETIME: Duration = Duration::from_secs(60);
--- a/crates/medlarlug-core/tests/testsuite/home_limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/home_limits.rs
@@ -117,7 +117,7 @@
     let late = reply_to(&mut group, begin("boat-1", 3));
 
     assert_eq!((early, late), (BeginReply::Unknown(None), BeginReply::Started));
-    assert_eq!(group.amnesia_left(), None);
+    assert_eq!(group.state_loss_left(), None);
 }
 
 #[test]
@@ -199,7 +199,7 @@
         booking("open", BookingState::Open(begin("open", 3).owner)),
         booking("unknown", BookingState::Unknown),
     ];
-    Handover { team: id("anna"), epoch: Revision(40), amnesia: None, bookings }
+    Handover { team: id("anna"), epoch: Revision(40), state_loss: None, bookings }
 }
 
 #[test]
--- a/crates/medlarlug-core/tests/testsuite/home_tables.rs
+++ b/crates/medlarlug-core/tests/testsuite/home_tables.rs
@@ -1,4 +1,4 @@
-//! Records of requests and convictions of a home group against naive models.
+//! Records of requests and quarantines of a home group against naive models.
 
 use std::time::Duration;
 
@@ -15,7 +15,7 @@
 use test_support::id;
 
 const SUSPICION: Duration = Duration::from_secs(10 * 60);
-const CONVICTION: Duration = Duration::from_secs(60 * 60);
+const QUARANTINE: Duration = Duration::from_secs(60 * 60);
 
 fn founded() -> HomeGroup {
     let mut group = HomeGroup::default();
@@ -123,16 +123,16 @@
 struct NaiveLosses {
     clock: Duration,
     losses: Vec<(Fingerprint, UpstreamId, Incarnation, Duration)>,
-    convicted: Vec<(Fingerprint, Duration)>,
+    quarantined: Vec<(Fingerprint, Duration)>,
 }
 
 impl NaiveLosses {
-    fn is_convicted(&self, print: Fingerprint) -> bool {
-        self.convicted.iter().any(|it| it.0 == print && it.1 + CONVICTION > self.clock)
+    fn is_quarantined(&self, print: Fingerprint) -> bool {
+        self.quarantined.iter().any(|it| it.0 == print && it.1 + QUARANTINE > self.clock)
     }
 
     fn lose(&mut self, print: Fingerprint, upstream: &UpstreamId, incarnation: Incarnation) {
-        if self.is_convicted(print) {
+        if self.is_quarantined(print) {
             return;
         }
         let last = self.losses.iter().filter(|it| it.0 == print).map(|it| it.3).max();
@@ -147,14 +147,14 @@
         }
         if self.losses.iter().filter(|it| it.0 == print).count() == 2 {
             self.losses.retain(|it| it.0 != print);
-            self.convicted.push((print, self.clock));
+            self.quarantined.push((print, self.clock));
         }
     }
 }
 
 #[test]
-fn two_losses_convict_as_a_list_scan_tells() {
-    let mut convictions = 0;
+fn two_losses_quarantine_as_a_list_scan_tells() {
+    let mut quarantines = 0;
     for seed in 0..500 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let (mut group, mut naive) = (founded(), NaiveLosses::default());
@@ -175,13 +175,14 @@
             group.apply(Command { elapsed, action });
 
             for print in (0..4).map(Fingerprint) {
-                let is_convicted = group.suspect(print).is_some_and(|it| it.convicted.is_some());
-                assert_eq!(is_convicted, naive.is_convicted(print), "seed {seed}: {print}");
-                convictions += usize::from(is_convicted);
+                let is_quarantined =
+                    group.suspect(print).is_some_and(|it| it.quarantined.is_some());
+                assert_eq!(is_quarantined, naive.is_quarantined(print), "seed {seed}: {print}");
+                quarantines += usize::from(is_quarantined);
             }
         }
     }
-    assert!(convictions > 1_000, "convictions were seen {convictions} times only");
+    assert!(quarantines > 1_000, "quarantines were seen {quarantines} times only");
 }
 
 #[test]
@@ -198,6 +199,6 @@
     let again = apply(&mut group, loss(1));
     let second = apply(&mut group, loss(2));
 
-    assert_matches!(again, Reply::Suspects(it) => assert_eq!(it[0].convicted, None));
-    assert_matches!(second, Reply::Suspects(it) => assert_eq!(it[0].convicted, Some(CONVICTION)));
+    assert_matches!(again, Reply::Suspects(it) => assert_eq!(it[0].quarantined, None));
+    assert_matches!(second, Reply::Suspects(it) => assert_eq!(it[0].quarantined, Some(QUARANTINE)));
 }
--- a/crates/medlarlug-core/tests/testsuite/retry.rs
+++ b/crates/medlarlug-core/tests/testsuite/retry.rs
@@ -132,7 +132,7 @@
 
     assert_eq!(slugs.len(), Reason::ALL.len());
     assert!(Reason::ALL.iter().all(|it| (400..600).contains(&it.status())));
-    assert_eq!(Reason::Convicted.outcome(), Outcome::Failed);
+    assert_eq!(Reason::Quarantined.outcome(), Outcome::Failed);
     assert_eq!(Reason::Leaving.outcome(), Outcome::NotRun);
 }
 
--- a/crates/medlarlug-core/tests/testsuite/suspects.rs
+++ b/crates/medlarlug-core/tests/testsuite/suspects.rs
@@ -1,4 +1,4 @@
-//! Requests that crash upstreams: the bound on losses, and the clearing of the innocent.
+//! Requests that crash upstreams: the bound on losses, and the clearing of the others.
 
 use std::time::Duration;
 
@@ -7,7 +7,7 @@
     fingerprint::Fingerprint,
     ids::{Incarnation, RequestId, UpstreamId},
     suspects::{
-        CONVICTION_LIFETIME, Effect, Event, Fact, LossKey, LossLedger, LossReport, Placement,
+        Effect, Event, Fact, LossKey, LossLedger, LossReport, Placement, QUARANTINE_LIFETIME,
         Standing, Suspects,
     },
     time::Time,
@@ -43,8 +43,8 @@
     ledger
 }
 
-fn is_convicted(ledger: &LossLedger, number: u32) -> bool {
-    matches!(ledger.standing(Time::ZERO, content(number)), Standing::Convicted { .. })
+fn is_quarantined(ledger: &LossLedger, number: u32) -> bool {
+    matches!(ledger.standing(Time::ZERO, content(number)), Standing::Quarantined { .. })
 }
 
 /// Entry instances that route over shared upstreams, with callers who send what was lost again.
@@ -127,7 +127,7 @@
     /// Sends a content if an upstream is free for it.
     fn send(&mut self, number: u32, entry: usize) -> bool {
         let core = &self.entries[entry];
-        if matches!(core.standing(self.now, content(number)), Standing::Convicted { .. }) {
+        if matches!(core.standing(self.now, content(number)), Standing::Quarantined { .. }) {
             self.refused.push(number);
             return true;
         }
@@ -194,7 +194,7 @@
 }
 
 #[test]
-fn crashing_content_loses_two_upstreams_and_the_innocent_are_cleared() {
+fn crashing_content_loses_two_upstreams_and_the_others_are_cleared() {
     for seed in 0..2_000 {
         let mut trial = Trial::new(seed, 3, 4);
         trial.waiting = (0..12).map(|it| (it, 0)).collect();
@@ -208,7 +208,7 @@
         for (entry, number) in (0..3).flat_map(|entry| (0..12).map(move |it| (entry, it))) {
             let standing = trial.entries[entry].standing(trial.now, content(number));
             match number {
-                5 => assert_matches!(standing, Standing::Convicted { .. }, "seed {seed}"),
+                5 => assert_matches!(standing, Standing::Quarantined { .. }, "seed {seed}"),
                 _ => assert_eq!(standing, Standing::Clear, "seed {seed}, content {number}"),
             }
         }
@@ -267,41 +267,41 @@
 }
 
 #[test]
-fn two_losses_in_the_same_company_convict_nobody() {
+fn two_losses_in_the_same_company_quarantine_nobody() {
     let ledger = ledger(&[lost(1, &[1, 2]), lost(2, &[1, 2])]);
 
-    assert!(!is_convicted(&ledger, 1) && !is_convicted(&ledger, 2));
+    assert!(!is_quarantined(&ledger, 1) && !is_quarantined(&ledger, 2));
     assert_eq!(ledger.standing(Time::ZERO, content(1)), Standing::Suspect);
 }
 
 #[test]
-fn losses_that_a_convicted_content_explains_count_against_no_other() {
+fn losses_that_a_quarantined_content_explains_count_against_no_other() {
     let ledger = ledger(&[lost(1, &[1, 2, 3]), lost(2, &[1, 2]), lost(3, &[1])]);
 
-    assert!(is_convicted(&ledger, 1));
+    assert!(is_quarantined(&ledger, 1));
     assert_eq!(ledger.standing(Time::ZERO, content(2)), Standing::Clear);
     assert_eq!(ledger.standing(Time::ZERO, content(3)), Standing::Clear);
 }
 
 #[test]
-fn three_losses_convict_in_any_company() {
+fn three_losses_quarantine_in_any_company() {
     let ledger = ledger(&[lost(1, &[1, 2]), lost(2, &[1, 3]), lost(3, &[1, 4])]);
 
-    assert!(is_convicted(&ledger, 1));
-    assert_eq!(ledger.convictions(Time::ZERO).len(), 1);
+    assert!(is_quarantined(&ledger, 1));
+    assert_eq!(ledger.quarantines(Time::ZERO).len(), 1);
 }
 
 #[test]
-fn conviction_expires_and_the_next_loss_convicts_for_longer() {
+fn quarantine_expires_and_the_next_loss_quarantines_for_longer() {
     let mut ledger = ledger(&[lost(1, &[1]), lost(2, &[1])]);
-    let end = Time::ZERO + CONVICTION_LIFETIME;
+    let end = Time::ZERO + QUARANTINE_LIFETIME;
 
     let expired = ledger.standing(end, content(1));
     ledger.learn(end, &lost(3, &[1]));
     let again = ledger.standing(end, content(1));
 
     assert_eq!(expired, Standing::Suspect);
-    assert_eq!(again, Standing::Convicted { after: CONVICTION_LIFETIME * 2 });
+    assert_eq!(again, Standing::Quarantined { after: QUARANTINE_LIFETIME * 2 });
 }
 
 #[test]
@@ -364,7 +364,7 @@
     let company = ledger(&[lost(1, &[1, 2]), lost(2, &[1, 3]), cleared(2, &[1])]);
 
     assert_eq!(company.standing(Time::ZERO, content(2)), Standing::Clear);
-    assert!(is_convicted(&company, 1));
+    assert!(is_quarantined(&company, 1));
 }
 
 #[test]
--- a/src/coordination/entry/evidence.rs
+++ b/src/coordination/entry/evidence.rs
@@ -68,10 +68,10 @@
     ///
     /// # Errors
     ///
-    /// Fails with the refusal when the content is convicted.
-    pub fn check_conviction(&self, content: Fingerprint) -> Result<(), Refusal> {
+    /// Fails with the refusal when the content is quarantined.
+    pub fn check_quarantine(&self, content: Fingerprint) -> Result<(), Refusal> {
         match self.suspects.borrow().standing(self.node.now(), content) {
-            Standing::Convicted { after } => Err(self.refusal(Reason::Convicted, after)),
+            Standing::Quarantined { after } => Err(self.refusal(Reason::Quarantined, after)),
             Standing::Clear | Standing::Suspect => Ok(()),
         }
     }
--- a/src/coordination/entry/inference.rs
+++ b/src/coordination/entry/inference.rs
@@ -181,7 +181,7 @@
 
 /// Waits until the request may start; `None` when it goes to another zone, which admits it there.
 pub async fn admit(entry: &Rc<Entry>, job: &mut Job) -> Result<Option<Slot>, Refusal> {
-    entry.check_conviction(job.call.content)?;
+    entry.check_quarantine(job.call.content)?;
     let target = job.facts().target.clone();
     let capacity = gate::capacity(entry, &target);
     let goes_away = capacity == 0
@@ -273,7 +273,7 @@
 async fn choose_in_time(entry: &Entry, job: &Job) -> Result<Choice, AttemptEnd> {
     let end = entry.node.now() + job.facts().deadline;
     loop {
-        entry.check_conviction(job.call.content).map_err(AttemptEnd::Refused)?;
+        entry.check_quarantine(job.call.content).map_err(AttemptEnd::Refused)?;
         let barred = entry.barred(&job.facts().target, job.call.content);
         let choice = choose_among(entry, job, &barred);
         if barred.is_empty() || !is_without_upstream(&choice) {
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -497,7 +497,7 @@
         json!({
             "running": self.running.get(),
             "waiting": self.gate.waiting(),
-            "convictions": self.suspects.borrow().ledger().convictions(self.node.now()).len(),
+            "quarantines": self.suspects.borrow().ledger().quarantines(self.node.now()).len(),
             "limits_settled": self.limits.borrow().is_settled(),
             "attempts": self.router.borrow().in_flight(),
             "leaving": self.leaving.get(),
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -27,6 +27,9 @@
 /// Idle connections that are kept for one address.
 const IDLE_CONNECTIONS: usize = 64;
 
+/// New connections that a call tries, as long as not a byte of it has gone out.
+const NEW_CONNECTIONS: usize = 3;
+
 /// Body of a request that a client sends.
 pub type RequestBody = Full<Bytes>;
 
@@ -125,9 +128,17 @@
                 result => return outcome(address, limits, sender, result),
             }
         }
-        let mut sender = connect(address, limits.connect).await?;
-        let result = timeout(limits.head, sender.try_send_request(request)).await;
-        outcome(address, limits, sender, result)
+        for _ in 0..NEW_CONNECTIONS {
+            let mut sender = connect(address, limits.connect).await?;
+            match timeout(limits.head, sender.try_send_request(request)).await {
+                // The new connection was cut before the request went out.
+                Ok(Err(mut error)) if error.message().is_some() => {
+                    request = error.take_message().expect("it was just seen");
+                }
+                result => return outcome(address, limits, sender, result),
+            }
+        }
+        Err(CallError::Connect { address, source: None })
     }
 
     /// Keeps a connection for further calls.
--- a/tests/testsuite/processes/suspects.rs
+++ b/tests/testsuite/processes/suspects.rs
@@ -33,8 +33,8 @@
     deployment.upstreams.iter().filter(|it| is_lost(it.control)).count()
 }
 
-fn is_convicted_at(deployment: &Deployment, entry: &str) -> bool {
-    deployment.operator_get(entry, "/dump").json["process"]["convictions"] == 1
+fn is_quarantined_at(deployment: &Deployment, entry: &str) -> bool {
+    deployment.operator_get(entry, "/dump").json["process"]["quarantines"] == 1
 }
 
 /// Sends the crashing request through both instances in turn.
@@ -53,21 +53,21 @@
     let deployment = deployment();
 
     let first = deployment.complete("entry-1", "medlar", CRASHING);
-    wait_for("the conviction at both instances", || {
-        ["entry-1", "entry-2"].iter().all(|it| is_convicted_at(&deployment, it))
+    wait_for("the quarantine at both instances", || {
+        ["entry-1", "entry-2"].iter().all(|it| is_quarantined_at(&deployment, it))
     });
     let later = send_crashing(&deployment, 10);
 
     assert_refused_for_good(&first);
     later.iter().for_each(assert_refused_for_good);
-    assert!(later.iter().all(|it| it.json["type"] == "convicted"), "{:?}", later[0].text);
+    assert!(later.iter().all(|it| it.json["type"] == "quarantined"), "{:?}", later[0].text);
     assert!(lost(&deployment) <= BOUND, "{} upstreams lost", lost(&deployment));
 }
 
 #[test]
-fn innocent_requests_beside_a_crashing_one_are_answered_or_cleared() {
+fn other_requests_beside_a_crashing_one_are_answered_or_cleared() {
     let deployment = deployment();
-    let prompts: Vec<String> = (0..60).map(|it| format!("innocent {it}")).collect();
+    let prompts: Vec<String> = (0..60).map(|it| format!("unrelated {it}")).collect();
     let shared = &deployment;
     let send = move |entry: &str, prompt: &str| shared.complete(entry, "medlar", prompt);
 
