--- a/src/coordination/entry/journal.rs
+++ b/src/coordination/entry/journal.rs
@@ -5,7 +5,7 @@
 //! crash of the instance loses what was not sent yet, at most one batch interval; a request whose
 //! end was lost is then told as [`Outcome::NotRecorded`].
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 
 use medlarlug_core::{
     ids::{Incarnation, InstanceId, RegionId, RequestId, TeamId},
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Time since an open request was received; `None` for a request of another instance.
+    pub fn elapsed(&self, now: Time, id: &RequestId) -> Option<Duration> {
+        self.place(id).map(|found| now - self.open[found].received)
+    }
+
     /// Closes a record; a second end of the same request is ignored.
     pub fn end(&mut self, now: Time, id: &RequestId, outcome: Outcome, reason: &str) {
         self.step(now, id, Stage::Ended { outcome, reason: SmolStr::new(reason) });
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -70,6 +70,7 @@
     protocol::Message,
     settings::{EntrySettings, Peer},
     state::{DataFolder, SavedConfiguration, StateError},
+    telemetry::metrics,
     transport::{
         http_client::HttpClient,
         http_server::{self, ServerError, ServerLimits},
@@ -314,17 +315,30 @@
 
     /// Adds a stage to the record of a request.
     pub fn step(&self, id: &RequestId, stage: Stage) {
+        match &stage {
+            Stage::Forwarded { .. } => ::metrics::counter!(metrics::FORWARDED).increment(1),
+            Stage::Retried { .. } => ::metrics::counter!(metrics::RETRIES).increment(1),
+            Stage::FirstByte => self.measure(metrics::FIRST_BYTE, id),
+            _ => {}
+        }
         self.journal.borrow_mut().step(self.node.now(), id, stage);
     }
 
+    /// Adds the time since a request was received to a histogram.
+    fn measure(&self, histogram: &'static str, id: &RequestId) {
+        if let Some(elapsed) = self.journal.borrow().elapsed(self.node.now(), id) {
+            ::metrics::histogram!(histogram).record(elapsed.as_secs_f64());
+        }
+    }
+
     /// Ends a request, which was begun just once, and its record.
     pub fn end(&self, id: &RequestId, outcome: Outcome, reason: &str) {
         tracing::info!(
             request = %id, instance = %self.node.own.id, zone = %self.node.own.zone,
             %outcome, reason, "request ended"
         );
-        metrics::counter!(crate::telemetry::metrics::REQUESTS, "outcome" => outcome.to_string())
-            .increment(1);
+        ::metrics::counter!(metrics::REQUESTS, "outcome" => outcome.to_string()).increment(1);
+        self.measure(metrics::DURATION, id);
         self.running.set(self.running.get().saturating_sub(1));
         self.journal.borrow_mut().end(self.node.now(), id, outcome, reason);
     }
@@ -357,6 +371,14 @@
         step(&mut budgets[place].1)
     }
 
+    fn set_gauges(&self) {
+        let upstreams = self.node.members.borrow().upstreams(self.node.now()).count();
+        let revision = self.node.follower.borrow().revision();
+        ::metrics::gauge!(metrics::RUNNING).set(f64::from(self.running.get()));
+        ::metrics::gauge!(metrics::UPSTREAMS).set(upstreams as f64);
+        ::metrics::gauge!(metrics::REVISION).set(revision.0 as f64);
+    }
+
     fn status(&self) -> Status {
         Status {
             load: self.running.get(),
@@ -372,6 +394,7 @@
     }
 
     fn tick(&self) {
+        self.set_gauges();
         self.note(&self.node.report(self.status()));
         self.note(&self.node.tick());
         self.configure_limits();
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -7,23 +7,21 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use thiserror::Error;
 
-/// Counter: requests that ended. Labels: `outcome`, `target`.
+/// Counter: requests that ended. Label: `outcome`.
 pub const REQUESTS: &str = "medlarlug_requests_total";
-/// Histogram in seconds: from a request's arrival to the first byte of its answer. Label: `target`.
+/// Histogram in seconds: from a request's arrival to the first byte of its answer.
 pub const FIRST_BYTE: &str = "medlarlug_first_byte_seconds";
-/// Histogram in seconds: from a request's arrival to the end of its answer. Label: `target`.
+/// Histogram in seconds: from a request's arrival to the end of its answer.
 pub const DURATION: &str = "medlarlug_request_seconds";
-/// Counter: requests that were served away from their home region. Label: `region`.
-pub const AWAY: &str = "medlarlug_requests_away_total";
-/// Counter: attempts after the first one. Label: `reason`.
+/// Counter: requests that were handed to another availability zone.
+pub const FORWARDED: &str = "medlarlug_requests_forwarded_total";
+/// Counter: attempts after the first one.
 pub const RETRIES: &str = "medlarlug_retries_total";
 /// Counter: answers that were dropped because they carry the id of another request.
 pub const CROSSED: &str = "medlarlug_crossed_answers_total";
 /// Gauge: requests that run in this process.
 pub const RUNNING: &str = "medlarlug_requests_running";
-/// Gauge: open connections. Label: `port`.
-pub const CONNECTIONS: &str = "medlarlug_connections";
-/// Gauge: upstreams that are known. Label: `zone`.
+/// Gauge: upstreams of the own zone that take work.
 pub const UPSTREAMS: &str = "medlarlug_upstreams";
 /// Gauge: configuration revision in force.
 pub const REVISION: &str = "medlarlug_revision";
@@ -72,14 +70,13 @@
 }
 
 fn describe() {
-    describe_counter!(REQUESTS, "Requests that ended, by outcome and target");
+    describe_counter!(REQUESTS, "Requests that ended, by outcome");
     describe_histogram!(FIRST_BYTE, Unit::Seconds, "Arrival to first byte of the answer");
     describe_histogram!(DURATION, Unit::Seconds, "Arrival to end of the answer");
-    describe_counter!(AWAY, "Requests served away from their home region");
-    describe_counter!(RETRIES, "Attempts after the first one, by reason");
+    describe_counter!(FORWARDED, "Requests handed to another availability zone");
+    describe_counter!(RETRIES, "Attempts after the first one");
     describe_counter!(CROSSED, "Answers dropped because they belong to another request");
     describe_gauge!(RUNNING, "Requests that run");
-    describe_gauge!(CONNECTIONS, "Open connections, by port");
-    describe_gauge!(UPSTREAMS, "Known upstreams, by zone");
+    describe_gauge!(UPSTREAMS, "Upstreams of the own zone that take work");
     describe_gauge!(REVISION, "Configuration revision in force");
 }
--- a/tests/testsuite/processes/path.rs
+++ b/tests/testsuite/processes/path.rs
@@ -53,3 +53,22 @@
     let forwarded = record["timeline"].to_string().matches("forwarded").count();
     assert_eq!(forwarded, 1, "{record}");
 }
+
+#[test]
+fn measures_of_a_request_are_told_in_prometheus_text() {
+    let deployment = two_regions().engine("engine-1", "riga-a", "medlar").start();
+    deployment.configure(items(Residency::Home));
+    deployment.wait_upstreams("entry-1", 1);
+
+    let reply = deployment.complete("entry-1", "medlar", "explain the datum shift");
+    let metrics = deployment.operator_get("entry-1", "/metrics").text;
+
+    assert_eq!(reply.status, 200, "{}", reply.text);
+    for line in [
+        "medlarlug_requests_total{outcome=\"answered\"} 1",
+        "medlarlug_first_byte_seconds_count 1",
+        "medlarlug_request_seconds_count 1",
+    ] {
+        assert!(metrics.contains(line), "no `{line}` in {metrics}");
+    }
+}
