--- a/crates/medlarlug-core/src/release/configuration.rs
+++ b/crates/medlarlug-core/src/release/configuration.rs
@@ -3,7 +3,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    fingerprint::Fingerprint,
     ids::{ModelId, RegionId, Revision, ServiceId, TeamId, ZoneId},
     release::{
         item::{Item, ItemKey, Link, Model, Policy, Region, Service, Team},
@@ -227,11 +226,6 @@
         })
     }
 
-    /// The team that owns the bearer key with this fingerprint.
-    pub fn team_of_key(&self, key: Fingerprint) -> Option<&Team> {
-        self.teams().find(|team| team.keys.contains(&key))
-    }
-
     /// The region that `zone` belongs to.
     pub fn region_of(&self, zone: &ZoneId) -> Option<&RegionId> {
         self.regions().find(|it| it.zones.contains(zone)).map(|it| &it.id)
--- a/src/coordination/entry/exchange.rs
+++ b/src/coordination/entry/exchange.rs
@@ -25,6 +25,7 @@
     },
     protocol::headers,
     telemetry::metrics::CROSSED,
+    transport::body,
     transport::http_client::{CallError, CallLimits, Connection, RequestBody, Reuse},
 };
 
@@ -162,27 +163,19 @@
     }
     let fields = request.headers_mut();
     let host = address.to_string();
-    insert(fields, header::HOST.as_str(), &host);
-    insert(fields, headers::REQUEST_ID, &facts.id.to_string());
-    insert(fields, headers::DEADLINE, &facts.deadline.as_millis().to_string());
-    insert(fields, headers::PRIORITY, &facts.priority.to_string());
+    body::insert(fields, header::HOST.as_str(), &host);
+    body::insert(fields, headers::REQUEST_ID, &facts.id.to_string());
+    body::insert(fields, headers::DEADLINE, &facts.deadline.as_millis().to_string());
+    body::insert(fields, headers::PRIORITY, &facts.priority.to_string());
     if let Some(media) = &call.media {
-        insert(fields, header::CONTENT_TYPE.as_str(), media);
+        body::insert(fields, header::CONTENT_TYPE.as_str(), media);
     }
     if let Some(key) = &call.key {
-        insert(fields, headers::IDEMPOTENCY_KEY, key);
+        body::insert(fields, headers::IDEMPOTENCY_KEY, key);
     }
     request
 }
 
-/// Puts a header in, when its value is a valid one.
-pub fn insert(fields: &mut hyper::HeaderMap, name: &str, value: &str) {
-    let name = header::HeaderName::from_bytes(name.as_bytes());
-    if let (Ok(name), Ok(value)) = (name, header::HeaderValue::from_str(value)) {
-        fields.insert(name, value);
-    }
-}
-
 /// Where a request is being sent.
 struct Destination {
     place: Place,
--- a/src/coordination/entry/forward.rs
+++ b/src/coordination/entry/forward.rs
@@ -23,7 +23,7 @@
 use crate::{
     coordination::entry::{
         Entry,
-        exchange::{Call, Exchange, FailedAttempt, insert},
+        exchange::{Call, Exchange, FailedAttempt},
     },
     protocol::{Problem, headers},
     transport::{body, http_client::RequestBody},
@@ -81,8 +81,8 @@
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = PATH.parse().ok()?;
-    insert(request.headers_mut(), header::HOST.as_str(), &address.to_string());
-    insert(request.headers_mut(), headers::CODE, &code);
+    body::insert(request.headers_mut(), header::HOST.as_str(), &address.to_string());
+    body::insert(request.headers_mut(), headers::CODE, &code);
     Some(request)
 }
 
--- a/src/coordination/entry/orders.rs
+++ b/src/coordination/entry/orders.rs
@@ -22,10 +22,8 @@
 };
 
 use crate::{
-    coordination::{
-        calls,
-        entry::{Entry, exchange::insert},
-    },
+    coordination::{calls, entry::Entry},
+    transport::body,
     transport::http_client::{CallLimits, Reuse},
 };
 
@@ -179,8 +177,8 @@
     let mut request = Request::new(Full::new(Bytes::from(content)));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = hyper::Uri::from_static("/v1/orders");
-    insert(request.headers_mut(), header::HOST.as_str(), &engine.address.to_string());
-    insert(request.headers_mut(), header::CONTENT_TYPE.as_str(), "application/json");
+    body::insert(request.headers_mut(), header::HOST.as_str(), &engine.address.to_string());
+    body::insert(request.headers_mut(), header::CONTENT_TYPE.as_str(), "application/json");
     match entry.client.call(engine.address, request, Reuse::Never, ORDER_LIMITS).await {
         Ok((answer, _)) => {
             let status = answer.status();
--- a/src/coordination/entry/relay.rs
+++ b/src/coordination/entry/relay.rs
@@ -22,11 +22,12 @@
 use crate::{
     coordination::entry::{
         Entry,
-        exchange::{Exchange, Place, insert},
+        exchange::{Exchange, Place},
     },
     protocol::{Problem, events::EventSplitter, headers},
     telemetry::metrics::CROSSED,
     transport::{
+        body,
         body::Part,
         http_client::{CallError, CallLimits, Connection, Reuse},
     },
@@ -329,8 +330,8 @@
         *request.method_mut() = method;
         *request.uri_mut() = path.parse().ok()?;
         let host = self.address.to_string();
-        insert(request.headers_mut(), header::HOST.as_str(), &host);
-        insert(request.headers_mut(), headers::REQUEST_ID, &self.id.to_string());
+        body::insert(request.headers_mut(), header::HOST.as_str(), &host);
+        body::insert(request.headers_mut(), headers::REQUEST_ID, &self.id.to_string());
         Some(request)
     }
 
--- a/src/coordination/entry/services.rs
+++ b/src/coordination/entry/services.rs
@@ -31,7 +31,7 @@
     coordination::entry::{
         Entry,
         attempt::{self, Handle, Step},
-        exchange::{Exchange, FailedAttempt, insert},
+        exchange::{Exchange, FailedAttempt},
         inference::{self, AttemptEnd, Job},
     },
     protocol::{Problem, headers},
@@ -314,8 +314,8 @@
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.method_mut() = Method::GET;
     *request.uri_mut() = format!("/outcomes/{}", booking.key).parse().ok()?;
-    insert(request.headers_mut(), header::HOST.as_str(), &address.to_string());
-    insert(request.headers_mut(), headers::REQUEST_ID, &id.to_string());
+    body::insert(request.headers_mut(), header::HOST.as_str(), &address.to_string());
+    body::insert(request.headers_mut(), headers::REQUEST_ID, &id.to_string());
     let result = entry.client.call(address, request, Reuse::Never, OUTCOME_LIMITS).await;
     let (answer, _) = result.ok()?;
     if answer.status() != StatusCode::OK {
--- a/src/coordination/entry/silence.rs
+++ b/src/coordination/entry/silence.rs
@@ -23,11 +23,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    coordination::entry::{
-        Entry,
-        exchange::{Call, insert},
-    },
+    coordination::entry::{Entry, exchange::Call},
     protocol::headers,
+    transport::body,
     transport::http_client::{CallError, CallLimits, Connection, RequestBody, Reuse},
 };
 
@@ -163,8 +161,8 @@
     let path = format!("/v1/streams/{}?offset=0", to.id);
     let Ok(uri) = path.parse() else { return Word::None };
     *request.uri_mut() = uri;
-    insert(request.headers_mut(), header::HOST.as_str(), &to.address.to_string());
-    insert(request.headers_mut(), headers::REQUEST_ID, &to.id.to_string());
+    body::insert(request.headers_mut(), header::HOST.as_str(), &to.address.to_string());
+    body::insert(request.headers_mut(), headers::REQUEST_ID, &to.id.to_string());
     match entry.client.call(to.address, request, Reuse::Never, ASK_LIMITS).await {
         Ok(answered) if answered.0.status().is_success() => Word::Known(answered),
         Ok((answer, _)) if answer.status() == StatusCode::NOT_FOUND => Word::Unknown,
--- a/src/transport/body.rs
+++ b/src/transport/body.rs
@@ -115,10 +115,11 @@
     answer
 }
 
-/// Puts a header in, when its value is a valid one.
-pub fn insert(fields: &mut hyper::HeaderMap, name: &'static str, value: &str) {
-    if let Ok(value) = header::HeaderValue::from_str(value) {
-        fields.insert(header::HeaderName::from_static(name), value);
+/// Puts a header in, when its name and value are valid ones.
+pub fn insert(fields: &mut hyper::HeaderMap, name: &str, value: &str) {
+    let name = header::HeaderName::from_bytes(name.as_bytes());
+    if let (Ok(name), Ok(value)) = (name, header::HeaderValue::from_str(value)) {
+        fields.insert(name, value);
     }
 }
 
