One count of requests in flight; a body that comes after the stop is refused

Cause: the entry instance counted its requests itself while the core's drain states were used by their tests only, and it looked at the stop before it read the body. A body that ended after the drain had begun was taken in after the last records could have left.

A forwarded request whose task panics is counted out. StopCause::SecondSignal, Drain::since and Drain::time_left had no user and are gone.

Ruled out: a second look at the stop after the body was read, as the count and the look would still be two things.

Conclusion: no request is taken in after the drain has begun.

--- a/crates/medlarlug-core/src/drain.rs
+++ b/crates/medlarlug-core/src/drain.rs
@@ -6,9 +6,8 @@
 //!
 //! The first SIGTERM calls [`Drain::begin`]: the instance leaves the directory, hands its speaker
 //! and leader roles over and refuses new requests as `leaving` (outcome `not_run`), while the
-//! requests in flight go on. It stops once none is left. The deadline, or a second signal, stops
-//! it before that; [`Drain::cut`] then tells how many requests have to be ended with an explicit
-//! error.
+//! requests in flight go on. It stops once none is left, or at the deadline; [`Drain::cut`] then
+//! tells how many requests had not ended. A second signal ends the process and needs no state.
 
 use std::time::Duration;
 
@@ -27,7 +26,6 @@
 /// The instance ends the requests in flight.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Draining {
-    since: Time,
     deadline: Time,
 }
 
@@ -37,15 +35,13 @@
     cut: u32,
 }
 
-/// Why the instance stops before its last request has ended, or that it need not.
+/// Why the instance may stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StopCause {
     /// No request is in flight.
     Empty,
     /// The deadline has passed.
     Deadline,
-    /// A second signal came.
-    SecondSignal,
 }
 
 /// The life of an instance's intake, with the number of requests in flight.
@@ -88,7 +84,7 @@
 
     /// Begins to drain; requests in flight have `limit` to end.
     pub fn begin(self, now: Time, limit: Duration) -> Drain<Draining> {
-        let state = Draining { since: now, deadline: now + limit };
+        let state = Draining { deadline: now + limit };
         Drain { flying: self.flying, state }
     }
 }
@@ -104,16 +100,6 @@
         self.flying = self.flying.saturating_sub(1);
     }
 
-    /// When the drain began.
-    pub fn since(&self) -> Time {
-        self.state.since
-    }
-
-    /// Time left until the deadline.
-    pub fn time_left(&self, now: Time) -> Duration {
-        self.state.deadline - now
-    }
-
     /// Why the instance may stop now, or `None` if it has to wait.
     pub fn stop_cause(&self, now: Time) -> Option<StopCause> {
         if self.flying == 0 {
@@ -129,7 +115,12 @@
 }
 
 impl Drain<Stopped> {
-    /// Requests that were in flight at the stop and have to be ended with an explicit error.
+    /// The answer to a new request.
+    pub fn refusal(&self) -> Refusal {
+        Refusal::new(Reason::Leaving, LEAVING_WAIT)
+    }
+
+    /// Requests that had not ended at the stop.
     pub fn cut(&self) -> u32 {
         self.state.cut
     }
--- a/src/coordination/entry/callers.rs
+++ b/src/coordination/entry/callers.rs
@@ -178,7 +178,7 @@
 }
 
 async fn infer(entry: Rc<Entry>, caller: Caller, request: Request<Incoming>) -> Answer {
-    if entry.is_leaving() {
+    if entry.intake.is_leaving() {
         return refuse_for(&entry, Reason::Leaving, Duration::ZERO);
     }
     let path = request.uri().path().to_smolstr();
@@ -195,7 +195,10 @@
     if caller.configuration.item(&target).is_none() {
         return refuse(404, "unknown-model", &format!("there is no {target}"));
     }
-    let id = entry.begin(caller.team.id.clone(), target);
+    let id = match entry.begin(caller.team.id.clone(), target) {
+        Ok(id) => id,
+        Err(refusal) => return body::refusal(&Problem::from_refusal(&refusal)),
+    };
     if let Err(refusal) = entry.check_limit(&caller.team.id) {
         return inference::refuse(&entry, &id, &refusal);
     }
@@ -231,7 +234,7 @@
             entry.end(id, Outcome::Unknown, "the request failed");
             failed(id)
         }),
-        () = entry.wait_cut() => {
+        () = entry.intake.wait_cut() => {
             task.abort();
             inference::refuse(entry, id, &entry.cut_refusal(outcome))
         }
@@ -254,7 +257,7 @@
 }
 
 async fn call_service(entry: Rc<Entry>, caller: Caller, request: Request<Incoming>) -> Answer {
-    if entry.is_leaving() {
+    if entry.intake.is_leaving() {
         return refuse_for(&entry, Reason::Leaving, Duration::ZERO);
     }
     let (id, path) = match service_path(&request) {
@@ -282,7 +285,10 @@
         Ok(content) => content,
         Err(answer) => return answer,
     };
-    let request_id = entry.begin(team.id.clone(), ItemKey::Service(id.clone()));
+    let request_id = match entry.begin(team.id.clone(), ItemKey::Service(id.clone())) {
+        Ok(id) => id,
+        Err(refusal) => return body::refusal(&Problem::from_refusal(&refusal)),
+    };
     if let Err(refusal) = entry.check_limit(&team.id) {
         return inference::refuse(&entry, &request_id, &refusal);
     }
--- a/src/coordination/entry/internal.rs
+++ b/src/coordination/entry/internal.rs
@@ -109,9 +109,6 @@
         let problem = Problem::new(reason.status(), reason.slug(), title, Outcome::NotRun);
         body::refusal(&problem.of(&request))
     };
-    if entry.is_leaving() {
-        return refuse_as(Reason::Leaving, Reason::Leaving.title());
-    }
     let Some(configuration) = entry.configuration() else {
         return refuse_as(Reason::NoConfiguration, Reason::NoConfiguration.title());
     };
@@ -129,11 +126,14 @@
     let payload = Bytes::from(body);
     let content = Fingerprint::of(&payload);
     let call = Call { method, path, media, key, content, body: payload, stream, reuse, limit };
-    entry.begin_forwarded();
+    if let Err(refusal) = entry.admit() {
+        return refuse_as(refusal.reason, refusal.reason.title());
+    }
     let job = Job { origin: JobOrigin::Zone(forwarded), call, cost: inference::DEFAULT_COST };
     let id = job.facts().id.clone();
     let task = task::spawn_local(inference::serve(entry.clone(), job));
     task.await.unwrap_or_else(|_| {
+        entry.intake.release();
         let problem = Problem::new(500, "failed", "the request failed", Outcome::Unknown);
         body::refusal(&problem.of(&id))
     })
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -4,6 +4,8 @@
 //! on the same thread. Cores are behind `RefCell`s, which are borrowed for one call and never
 //! across an `await`.
 //!
+//! * [`process`]: start and loop.
+//! * [`intake`]: requests in flight, and the graceful end.
 //! * [`callers`]: the callers' HTTP interface.
 //! * [`inference`]: the life of an inference request.
 //! * [`services`]: the life of a call to a plain service, and of a booking.
@@ -15,6 +17,7 @@
 //! * [`cooldown`]: upstreams at which new connections have just failed.
 //! * [`evidence`]: requests that crash upstreams.
 //! * [`journal`]: the records of requests.
+//! * [`records`]: their delivery to the home groups.
 
 pub mod attempt;
 pub mod callers;
@@ -24,9 +27,12 @@
 pub mod forward;
 pub mod gate;
 pub mod inference;
+pub mod intake;
 pub mod internal;
 pub mod journal;
 pub mod orders;
+pub mod process;
+pub mod records;
 pub mod relay;
 pub mod services;
 pub mod silence;
@@ -38,8 +44,7 @@
 };
 
 use medlarlug_core::{
-    home,
-    ids::{InstanceId, RegionId, RequestId, Revision, TeamId, UpstreamId},
+    ids::{InstanceId, RequestId, Revision, TeamId, UpstreamId},
     limits::{self, LimitPolicy, Limits, TeamLimit},
     membership::{Notice, Status, Target},
     record::{Outcome, Stage},
@@ -50,73 +55,23 @@
     suspects::{self, Suspects},
 };
 use serde_json::json;
-use thiserror::Error;
-use tokio::{
-    sync::watch,
-    task,
-    time::{Instant, interval, sleep, timeout},
-};
 
+pub use crate::coordination::entry::process::{EntryError, run};
 use crate::{
     coordination::{
-        calls,
-        clock::incarnation_of_start,
-        daemon::Context,
-        entry::{cooldown::Cooldowns, gate::Gate, journal::Journal},
-        keeper::operator_limits,
+        entry::{cooldown::Cooldowns, gate::Gate, intake::Intake, journal::Journal},
         node::{InForce, Node, Received},
-        operators::{self, OperatorApi, ProcessPart},
+        operators::ProcessPart,
     },
     protocol::Message,
     settings::{EntrySettings, Peer},
-    state::{DataFolder, SavedConfiguration, StateError},
     telemetry::metrics,
-    transport::{
-        http_client::HttpClient,
-        http_server::{self, ServerError, ServerLimits},
-        links::{LinkError, Links},
-    },
+    transport::{http_client::HttpClient, http_server::ServerLimits},
 };
 
-/// Time between two ticks of the cores.
-const TICK: Duration = Duration::from_millis(250);
-
 /// Ticks between two reports of the teams' demand.
 const TICKS_PER_HEARTBEAT: u32 = 4;
 
-/// Time between two batches of records.
-const RECORD_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Records in one batch at most.
-const RECORD_BATCH: usize = 500;
-
-/// Time that a batch of records has to be committed.
-const RECORD_LIMIT: Duration = Duration::from_secs(3);
-
-/// Time for which a leaving instance still answers before it closes its ports, so that peers
-/// learn that it leaves.
-const LEAVING_NOTICE: Duration = Duration::from_millis(500);
-
-/// Time in which the answers of requests that have ended reach their callers.
-const LAST_ANSWERS_LIMIT: Duration = Duration::from_secs(5);
-
-/// Time in which requests that are cut at the drain deadline get their last word.
-const CUT_LIMIT: Duration = Duration::from_millis(500);
-
-/// Why an entry instance stops.
-#[derive(Debug, Error)]
-pub enum EntryError {
-    /// A link can't be set up.
-    #[error("failed to set the links up")]
-    Link(#[from] LinkError),
-    /// The data folder failed.
-    #[error("failed to read the saved configuration")]
-    State(#[from] StateError),
-    /// A server can't be started.
-    #[error("failed to start a server")]
-    Server(#[from] ServerError),
-}
-
 /// The entry process.
 pub struct Entry {
     /// What every process has.
@@ -137,6 +92,8 @@
     pub cooldowns: Cooldowns<UpstreamId>,
     /// Entry instances of other zones that have just been found closed.
     pub closed_entries: Cooldowns<InstanceId>,
+    /// Requests in flight.
+    pub intake: Intake,
     /// Requests that crash upstreams.
     pub suspects: RefCell<Suspects>,
     /// The teams' limits.
@@ -144,88 +101,6 @@
     configured: Cell<Revision>,
     ticks: Cell<u32>,
     retries: RefCell<Vec<(Target, RetryBudget)>>,
-    leaving: Cell<bool>,
-    running: Cell<u32>,
-    cut: watch::Sender<bool>,
-}
-
-/// Runs an entry instance until `drain` turns true and its requests have ended.
-///
-/// # Errors
-///
-/// Fails when it can't start.
-pub async fn run(settings: EntrySettings, context: Context) -> Result<(), EntryError> {
-    let drain = context.drain.clone();
-    let own = settings.peer().clone();
-    let (links, mut incoming) = Links::listen(own.id.clone(), settings.keys.clone(), own.peers)?;
-    let (cluster, keys) = (settings.cluster.clone(), settings.keys.clone());
-    let folder = settings.data.as_deref().map(|path| DataFolder::open(path, &own.id));
-    let folder = folder.transpose()?;
-    let saved = folder.as_ref().map(SavedConfiguration::new);
-    let configuration = saved.as_ref().map(SavedConfiguration::read).transpose()?.flatten();
-    let incarnation = incarnation_of_start();
-    let node = Rc::new(Node::new(own, cluster, keys, incarnation, configuration, links)?);
-    let entry = Rc::new(Entry::new(node.clone(), settings));
-    if let Some(saved) = saved {
-        task::spawn_local(save_configurations(entry.clone(), saved));
-    }
-    let (close, closed) = watch::channel(false);
-
-    // The first heartbeat says that the instance has just started.
-    entry.tick();
-    let callers = start_servers(&entry, context, &closed).await?;
-    task::spawn_local(send_records(entry.clone()));
-    task::spawn_local(orders::run(entry.clone()));
-    for home in &entry.node.cluster.homes {
-        task::spawn_local(announce_start(entry.clone(), home.region.clone()));
-    }
-    let mut ticks = interval(TICK);
-    let mut stop = drain.subscribe();
-    let mut finished = Box::pin(async {
-        let _ = stop.wait_for(|stop| *stop).await;
-        entry.drain().await;
-    });
-    loop {
-        tokio::select! {
-            received = incoming.receive() => {
-                if let Some((from, message)) = received {
-                    entry.receive(node.receive(from, message));
-                }
-            }
-            _ = ticks.tick() => entry.tick(),
-            () = &mut finished => break,
-        }
-    }
-    close.send_replace(true);
-    // The last answers are on their way to callers that may read slowly.
-    if timeout(LAST_ANSWERS_LIMIT, callers).await.is_err() {
-        tracing::warn!("callers that do not read their answers are cut off");
-    }
-    Ok(())
-}
-
-async fn start_servers(
-    entry: &Rc<Entry>,
-    context: Context,
-    closed: &watch::Receiver<bool>,
-) -> Result<task::JoinHandle<()>, EntryError> {
-    let node = &entry.node;
-    let operators = entry.settings.operators.clone();
-    let api = OperatorApi::new(node.clone(), operators, context);
-    let dump = entry.clone();
-    let process = entry.clone();
-    let api = api.with_dump(move || dump.dump()).with_process(move || process.part());
-    let listener = http_server::listen("operators", node.own.operators).await?;
-    task::spawn_local(operators::serve(api, listener, operator_limits(), closed.clone()));
-
-    let listener = http_server::listen("internal", node.own.internal).await?;
-    task::spawn_local(internal::serve(entry.clone(), listener, closed.clone()));
-
-    let address = node.own.callers.expect("the settings were checked");
-    let listener = http_server::listen("callers", address).await?;
-    let callers = task::spawn_local(callers::serve(entry.clone(), listener, closed.clone()));
-    tracing::info!(instance = %node.own.id, zone = %node.own.zone, %address, "serving callers");
-    Ok(callers)
 }
 
 impl Entry {
@@ -247,9 +122,7 @@
             configured: Cell::default(),
             ticks: Cell::new(0),
             retries: RefCell::default(),
-            leaving: Cell::new(false),
-            running: Cell::new(0),
-            cut: watch::Sender::new(false),
+            intake: Intake::default(),
             settings,
             node,
         }
@@ -266,24 +139,11 @@
         }
     }
 
-    /// Waits until requests that still run have to end because the drain deadline has passed.
-    pub async fn wait_cut(&self) {
-        let mut cut = self.cut.subscribe();
-        if cut.wait_for(|cut| *cut).await.is_err() {
-            std::future::pending::<()>().await;
-        }
-    }
-
     /// The last word to a request that is cut at the drain deadline.
     pub fn cut_refusal(&self, outcome: Outcome) -> Refusal {
         Refusal { outcome, ..self.refusal(Reason::Leaving, Duration::from_secs(1)) }
     }
 
-    /// Whether this instance is about to stop.
-    pub fn is_leaving(&self) -> bool {
-        self.leaving.get()
-    }
-
     /// The configuration in force here, if a revision is known.
     pub fn configuration(&self) -> Option<Rc<InForce>> {
         self.node.configuration()
@@ -298,14 +158,22 @@
     }
 
     /// Takes a caller's request in and opens its record.
-    pub fn begin(&self, team: TeamId, target: ItemKey) -> RequestId {
-        self.running.set(self.running.get() + 1);
-        self.journal.borrow_mut().begin(self.node.now(), team, target)
+    ///
+    /// # Errors
+    ///
+    /// Fails with the refusal `leaving` once the instance has begun to stop.
+    pub fn begin(&self, team: TeamId, target: ItemKey) -> Result<RequestId, Refusal> {
+        self.admit()?;
+        Ok(self.journal.borrow_mut().begin(self.node.now(), team, target))
     }
 
-    /// Takes a request of another zone in; its record is kept where it came from.
-    pub fn begin_forwarded(&self) {
-        self.running.set(self.running.get() + 1);
+    /// Counts a request in; one of another zone has its record where it came from.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the refusal `leaving` once the instance has begun to stop.
+    pub fn admit(&self) -> Result<(), Refusal> {
+        self.intake.admit().map_err(|it| self.refusal(it.reason, it.after))
     }
 
     /// Tells the router what became of an attempt.
@@ -339,7 +207,7 @@
         );
         ::metrics::counter!(metrics::REQUESTS, "outcome" => outcome.to_string()).increment(1);
         self.measure(metrics::DURATION, id);
-        self.running.set(self.running.get().saturating_sub(1));
+        self.intake.release();
         self.journal.borrow_mut().end(self.node.now(), id, outcome, reason);
     }
 
@@ -374,16 +242,16 @@
     fn set_gauges(&self) {
         let upstreams = self.node.members.borrow().upstreams(self.node.now()).count();
         let revision = self.node.follower.borrow().revision();
-        ::metrics::gauge!(metrics::RUNNING).set(f64::from(self.running.get()));
+        ::metrics::gauge!(metrics::RUNNING).set(f64::from(self.intake.in_flight()));
         ::metrics::gauge!(metrics::UPSTREAMS).set(upstreams as f64);
         ::metrics::gauge!(metrics::REVISION).set(revision.0 as f64);
     }
 
     fn status(&self) -> Status {
         Status {
-            load: self.running.get(),
+            load: self.intake.in_flight(),
             revision: self.node.follower.borrow().revision(),
-            leaving: self.leaving.get(),
+            leaving: self.intake.is_leaving(),
             settling: !self.is_settled(),
         }
     }
@@ -492,101 +360,19 @@
         }
     }
 
-    /// Ends the instance's work: leaves the directory, then waits for open requests.
-    async fn drain(&self) {
-        self.leaving.set(true);
-        self.note(&self.node.report(self.status()));
-        let end = Instant::now() + self.settings.drain;
-        sleep(LEAVING_NOTICE).await;
-        while self.running.get() > 0 && Instant::now() < end {
-            sleep(Duration::from_millis(20)).await;
-        }
-        let cut = self.running.get();
-        tracing::info!(cut, "requests drained");
-        self.cut.send_replace(true);
-        let end = Instant::now() + CUT_LIMIT;
-        while self.running.get() > 0 && Instant::now() < end {
-            sleep(Duration::from_millis(20)).await;
-        }
-        flush_records(self).await;
-    }
-
     fn part(&self) -> ProcessPart {
-        let running = u64::from(self.running.get());
-        ProcessPart { leaving: self.leaving.get(), running, groups: Vec::new() }
+        let running = u64::from(self.intake.in_flight());
+        ProcessPart { leaving: self.intake.is_leaving(), running, groups: Vec::new() }
     }
 
     fn dump(&self) -> serde_json::Value {
         json!({
-            "running": self.running.get(),
+            "running": self.intake.in_flight(),
             "waiting": self.gate.waiting(),
             "quarantines": self.suspects.borrow().ledger().quarantines(self.node.now()).len(),
             "limits_settled": self.limits.borrow().is_settled(),
             "attempts": self.router.borrow().in_flight(),
-            "leaving": self.leaving.get(),
+            "leaving": self.intake.is_leaving(),
         })
     }
 }
-
-/// Tells a home group that the instance's earlier requests have no owner any more.
-///
-/// Every region's group is told, as an instance begins bookings of teams of all regions.
-async fn announce_start(entry: Rc<Entry>, region: RegionId) {
-    let node = &entry.node;
-    loop {
-        let action = home::Action::InstanceStarted {
-            instance: node.own.id.clone(),
-            incarnation: node.incarnation,
-        };
-        match calls::act(node, &region, action, RECORD_LIMIT).await {
-            Ok(home::Reply::Ok) => return,
-            Ok(reply) => tracing::debug!(?reply, "start not recorded yet"),
-            Err(error) => tracing::debug!(%error, "start not recorded yet"),
-        }
-        sleep(RECORD_INTERVAL).await;
-    }
-}
-
-/// Saves every configuration that comes into force.
-async fn save_configurations(entry: Rc<Entry>, saved: SavedConfiguration) {
-    let mut revisions = entry.node.revisions();
-    while revisions.changed().await.is_ok() {
-        let Some(current) = entry.configuration() else { continue };
-        let (configuration, saved) = (current.configuration.clone(), saved.clone());
-        match task::spawn_blocking(move || saved.write(&configuration)).await {
-            Ok(Ok(())) => {}
-            Ok(Err(error)) => tracing::error!(%error, "configuration not saved"),
-            Err(error) => tracing::error!(%error, "configuration not saved"),
-        }
-    }
-}
-
-async fn send_records(entry: Rc<Entry>) {
-    loop {
-        sleep(RECORD_INTERVAL).await;
-        flush_records(&entry).await;
-    }
-}
-
-/// Sends waiting records until none is left or the home group takes none.
-async fn flush_records(entry: &Entry) {
-    let node = &entry.node;
-    loop {
-        let batch = entry.journal.borrow_mut().take_batch(RECORD_BATCH);
-        if batch.is_empty() {
-            return;
-        }
-        let action = home::Action::Records(batch.clone());
-        match calls::act(node, &node.region, action, RECORD_LIMIT).await {
-            Ok(home::Reply::Ok) => {}
-            Ok(reply) => {
-                tracing::debug!(?reply, "records not taken");
-                return entry.journal.borrow_mut().put_back(batch);
-            }
-            Err(error) => {
-                tracing::debug!(%error, "records not taken");
-                return entry.journal.borrow_mut().put_back(batch);
-            }
-        }
-    }
-}
--- a/src/coordination/entry/orders.rs
+++ b/src/coordination/entry/orders.rs
@@ -64,7 +64,7 @@
         loop {
             tokio::select! {
                 _ = rounds.tick() => {
-                    if self.entry.is_leaving() {
+                    if self.entry.intake.is_leaving() {
                         return;
                     }
                     self.want();
--- /dev/null
+++ b/src/coordination/entry/process.rs
@@ -0,0 +1,169 @@
+//! Start of an entry process and its loop.
+
+use std::{rc::Rc, time::Duration};
+
+use thiserror::Error;
+use tokio::{
+    sync::watch,
+    task,
+    time::{Instant, interval, sleep, timeout},
+};
+
+use crate::{
+    coordination::{
+        clock::incarnation_of_start,
+        daemon::Context,
+        entry::{Entry, callers, internal, orders, records},
+        keeper::operator_limits,
+        node::Node,
+        operators::{self, OperatorApi},
+    },
+    settings::EntrySettings,
+    state::{DataFolder, SavedConfiguration, StateError},
+    transport::{
+        http_server::{self, ServerError},
+        links::{LinkError, Links},
+    },
+};
+
+/// Time between two ticks of the cores.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Time for which a leaving instance still answers before it closes its ports, so that peers
+/// learn that it leaves.
+const LEAVING_NOTICE: Duration = Duration::from_millis(500);
+
+/// Time in which requests that are cut at the drain deadline get their last word.
+const CUT_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time between two looks at the requests in flight during the drain.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Time in which the answers of requests that have ended reach their callers.
+const LAST_ANSWERS_LIMIT: Duration = Duration::from_secs(5);
+
+/// Why an entry instance stops.
+#[derive(Debug, Error)]
+pub enum EntryError {
+    /// A link can't be set up.
+    #[error("failed to set the links up")]
+    Link(#[from] LinkError),
+    /// The data folder failed.
+    #[error("failed to read the saved configuration")]
+    State(#[from] StateError),
+    /// A server can't be started.
+    #[error("failed to start a server")]
+    Server(#[from] ServerError),
+}
+
+/// Runs an entry instance until `drain` turns true and its requests have ended.
+///
+/// # Errors
+///
+/// Fails when it can't start.
+pub async fn run(settings: EntrySettings, context: Context) -> Result<(), EntryError> {
+    let drain = context.drain.clone();
+    let own = settings.peer().clone();
+    let (links, mut incoming) = Links::listen(own.id.clone(), settings.keys.clone(), own.peers)?;
+    let (cluster, keys) = (settings.cluster.clone(), settings.keys.clone());
+    let folder = settings.data.as_deref().map(|path| DataFolder::open(path, &own.id));
+    let folder = folder.transpose()?;
+    let saved = folder.as_ref().map(SavedConfiguration::new);
+    let configuration = saved.as_ref().map(SavedConfiguration::read).transpose()?.flatten();
+    let incarnation = incarnation_of_start();
+    let node = Rc::new(Node::new(own, cluster, keys, incarnation, configuration, links)?);
+    let entry = Rc::new(Entry::new(node.clone(), settings));
+    if let Some(saved) = saved {
+        task::spawn_local(save_configurations(entry.clone(), saved));
+    }
+    let (close, closed) = watch::channel(false);
+
+    // The first heartbeat says that the instance has just started.
+    entry.tick();
+    let callers = start_servers(&entry, context, &closed).await?;
+    records::start(&entry);
+    task::spawn_local(orders::run(entry.clone()));
+    let mut ticks = interval(TICK);
+    let mut stop = drain.subscribe();
+    let mut finished = Box::pin(async {
+        let _ = stop.wait_for(|stop| *stop).await;
+        drain_requests(&entry).await;
+    });
+    loop {
+        tokio::select! {
+            received = incoming.receive() => {
+                if let Some((from, message)) = received {
+                    entry.receive(node.receive(from, message));
+                }
+            }
+            _ = ticks.tick() => entry.tick(),
+            () = &mut finished => break,
+        }
+    }
+    close.send_replace(true);
+    // The last answers are on their way to callers that may read slowly.
+    if timeout(LAST_ANSWERS_LIMIT, callers).await.is_err() {
+        tracing::warn!("callers that do not read their answers are cut off");
+    }
+    Ok(())
+}
+
+async fn start_servers(
+    entry: &Rc<Entry>,
+    context: Context,
+    closed: &watch::Receiver<bool>,
+) -> Result<task::JoinHandle<()>, EntryError> {
+    let node = &entry.node;
+    let operators = entry.settings.operators.clone();
+    let api = OperatorApi::new(node.clone(), operators, context);
+    let dump = entry.clone();
+    let process = entry.clone();
+    let api = api.with_dump(move || dump.dump()).with_process(move || process.part());
+    let listener = http_server::listen("operators", node.own.operators).await?;
+    task::spawn_local(operators::serve(api, listener, operator_limits(), closed.clone()));
+
+    let listener = http_server::listen("internal", node.own.internal).await?;
+    task::spawn_local(internal::serve(entry.clone(), listener, closed.clone()));
+
+    let address = node.own.callers.expect("the settings were checked");
+    let listener = http_server::listen("callers", address).await?;
+    let callers = task::spawn_local(callers::serve(entry.clone(), listener, closed.clone()));
+    tracing::info!(instance = %node.own.id, zone = %node.own.zone, %address, "serving callers");
+    Ok(callers)
+}
+
+/// Saves every configuration that comes into force.
+async fn save_configurations(entry: Rc<Entry>, saved: SavedConfiguration) {
+    let mut revisions = entry.node.revisions();
+    while revisions.changed().await.is_ok() {
+        let Some(current) = entry.configuration() else { continue };
+        let (configuration, saved) = (current.configuration.clone(), saved.clone());
+        match task::spawn_blocking(move || saved.write(&configuration)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => tracing::error!(%error, "configuration not saved"),
+            Err(error) => tracing::error!(%error, "configuration not saved"),
+        }
+    }
+}
+
+/// Leaves the directory, waits for requests in flight, and delivers the last records.
+async fn drain_requests(entry: &Entry) {
+    let intake = &entry.intake;
+    intake.begin_drain(entry.node.now(), entry.settings.drain);
+    entry.note(&entry.node.report(entry.status()));
+    sleep(LEAVING_NOTICE).await;
+    while !intake.may_stop(entry.node.now()) {
+        sleep(DRAIN_POLL).await;
+    }
+    tracing::info!(cut = intake.in_flight(), "requests drained");
+    intake.cut();
+    let end = Instant::now() + CUT_LIMIT;
+    while intake.in_flight() > 0 && Instant::now() < end {
+        sleep(DRAIN_POLL).await;
+    }
+    let cut = intake.stop();
+    if cut > 0 {
+        tracing::warn!(cut, "requests had no answer at the end of the drain");
+    }
+    records::flush(entry).await;
+}
--- a/src/coordination/entry/relay.rs
+++ b/src/coordination/entry/relay.rs
@@ -155,7 +155,7 @@
             tokio::select! {
                 () = self.advance() => {}
                 () = sender.closed() => self.caller_gone(),
-                () = entry.wait_cut() => self.cut(),
+                () = entry.intake.wait_cut() => self.cut(),
             }
         }
     }
--- a/tests/testsuite/processes/shutdown.rs
+++ b/tests/testsuite/processes/shutdown.rs
@@ -1,6 +1,8 @@
 //! Entry instances that stop: withdrawn, drained, restarted in turn under load.
 
 use std::{
+    io::{Read, Write},
+    net::TcpStream,
     sync::atomic::{AtomicBool, AtomicUsize, Ordering},
     thread,
 };
@@ -8,10 +10,10 @@
 use medlarlug::standin::answer::expected;
 use medlarlug_core::release::item::Residency;
 use nix::sys::signal::Signal;
-use serde_json::Value;
+use serde_json::{Value, json};
 use test_support::{
     caller::{Caller, Outcome, entries_of},
-    deployment::{Deployment, wait_for},
+    deployment::{CALLER_KEY, Deployment, PATIENCE, wait_for},
     stream::Ending,
 };
 
@@ -79,6 +81,34 @@
     assert!(deployment.wait_end("entry-1"));
 }
 
+#[test]
+fn body_that_arrives_after_the_stop_has_begun_is_refused_as_not_run() {
+    let mut deployment = deployment(1, 500);
+    let body = json!({ "model": "medlar", "prompt": "shift", "max_tokens": 4 }).to_string();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {CALLER_KEY}\r\n\
+         expect: 100-continue\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let address = deployment.get("entry-1").callers;
+    let mut stream = TcpStream::connect(address).expect("a listening port");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a valid timeout");
+    stream.write_all(head.as_bytes()).expect("an open connection");
+    // The instance waits for the body once it asks for it.
+    let mut wanted = [0; "HTTP/1.1 100 Continue\r\n\r\n".len()];
+    stream.read_exact(&mut wanted).expect("the interim answer");
+
+    deployment.signal("entry-1", Signal::SIGTERM);
+    wait_for("the withdrawal", || !is_listed(&deployment, "entry-2", "entry-1"));
+    stream.write_all(body.as_bytes()).expect("an open connection");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("a whole answer");
+
+    assert!(answer.contains("\"type\":\"leaving\""), "{answer}");
+    assert!(answer.contains("\"outcome\":\"not_run\""), "{answer}");
+    assert!(deployment.wait_end("entry-1"));
+}
+
 #[test]
 fn answer_that_its_caller_reads_slowly_is_whole_though_the_instance_stops() {
     let mut deployment = deployment(1, 2_000);
