Operators' interface in four modules; every body of an operator is bounded

Cause: operators.rs had 472 lines with four jobs, and a change of the log level read a body of any length. A cut body of a release note was answered as too long.

Change: status, releases and confirmations are modules of their own beside the routes; one read_body bounds a body and tells 413 from 400.

Ruled out: the HTTP server's own limits, which bound heads and time but not bodies.

Conclusion: no operator's request is read without a bound.

--- /dev/null
+++ b/src/coordination/operators/mod.rs
@@ -0,0 +1,219 @@
+//! The operators' HTTP interface, the same on entry instances and keepers.
+//!
+//! | request | answer |
+//! | --- | --- |
+//! | `GET /status` | the process: id, role, zone, revision, peers |
+//! | `GET /upstreams` | upstreams of the zone, and summaries of other zones |
+//! | `GET /requests/{id}` | the record of a request |
+//! | `GET /dump` | the state of the process |
+//! | `GET /metrics` | metrics as Prometheus text |
+//! | `POST /release/check` | whether a note would be accepted |
+//! | `POST /release/apply` | applies a note |
+//! | `GET /release` | the configuration in force here |
+//! | `GET /release/history` | accepted notes |
+//! | `GET /release/confirmations` | revision in force at each instance |
+//! | `POST /drain` | stops the process gracefully |
+//! | `PUT /log-level` | changes the level of the logs |
+//!
+//! Every request but `GET /metrics` carries an operator's bearer key.
+
+mod confirmations;
+mod releases;
+mod status;
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use hyper::{Method, Request, StatusCode, body::Incoming, header};
+use medlarlug_core::{
+    fingerprint::Fingerprint,
+    ids::{OperatorId, RequestId},
+    record::Outcome,
+};
+use serde_json::{Value, json};
+use tokio::{net::TcpListener, sync::watch};
+
+use crate::{
+    coordination::{
+        calls::CallFailure,
+        daemon::Context,
+        lookup::{self, Fate},
+        node::Node,
+    },
+    protocol::{
+        Problem,
+        operators::{GroupStatus, LevelChange},
+    },
+    settings::Operator,
+    transport::{
+        body::{self, Answer, BodyError},
+        http_server::{self, ServerLimits},
+    },
+};
+
+/// Longest body of a change of the log level, in bytes.
+const LEVEL_BYTES: usize = 1024;
+
+/// Time that a look-up may take.
+const LOOK_UP_LIMIT: Duration = Duration::from_secs(4);
+
+type Dump = Box<dyn Fn() -> Value>;
+
+type Process = Box<dyn Fn() -> ProcessPart>;
+
+/// What only one kind of process knows of its status.
+#[derive(Debug, Clone, Default)]
+pub struct ProcessPart {
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// Requests that run.
+    pub running: u64,
+    /// Replication groups that it belongs to.
+    pub groups: Vec<GroupStatus>,
+}
+
+/// What the operators' interface needs of its process.
+pub struct OperatorApi {
+    node: Rc<Node>,
+    operators: Vec<Operator>,
+    context: Context,
+    process: Process,
+    dump: Dump,
+}
+
+impl OperatorApi {
+    /// An interface that dumps nothing but the common part.
+    pub fn new(node: Rc<Node>, operators: Vec<Operator>, context: Context) -> OperatorApi {
+        let process = Box::new(ProcessPart::default);
+        let dump = Box::new(|| Value::Null);
+        OperatorApi { node, operators, context, process, dump }
+    }
+
+    /// The same interface, with the state that only this kind of process has.
+    pub fn with_dump(self, dump: impl Fn() -> Value + 'static) -> OperatorApi {
+        OperatorApi { dump: Box::new(dump), ..self }
+    }
+
+    /// The same interface, with the status that only this kind of process has.
+    pub fn with_process(self, process: impl Fn() -> ProcessPart + 'static) -> OperatorApi {
+        OperatorApi { process: Box::new(process), ..self }
+    }
+
+    fn operator(&self, request: &Request<Incoming>) -> Option<OperatorId> {
+        let key = Fingerprint::of(bearer(request)?.as_bytes());
+        let found = self.operators.iter().find(|it| it.key == key)?;
+        Some(found.id.clone())
+    }
+}
+
+/// Serves the operators' interface until `stop` turns true.
+pub async fn serve(
+    api: OperatorApi,
+    listener: TcpListener,
+    limits: ServerLimits,
+    stop: watch::Receiver<bool>,
+) {
+    let api = Rc::new(api);
+    let handler = move |request, _| {
+        let api = api.clone();
+        async move { answer(&api, request).await }
+    };
+    http_server::serve(listener, limits, stop, handler).await;
+}
+
+/// The bearer key of a request.
+pub fn bearer<B>(request: &Request<B>) -> Option<&str> {
+    let value = request.headers().get(header::AUTHORIZATION)?.to_str().ok()?;
+    value.strip_prefix("Bearer ").map(str::trim)
+}
+
+async fn answer(api: &OperatorApi, request: Request<Incoming>) -> Answer {
+    let path = request.uri().path().to_owned();
+    let method = request.method().clone();
+    if method == Method::GET && path == "/metrics" {
+        return body::text(api.context.metrics.render());
+    }
+    let Some(operator) = api.operator(&request) else {
+        return refuse(401, "unauthorized", "the bearer key is no operator's");
+    };
+    match (&method, path.as_str()) {
+        (&Method::GET, "/status") => ok(&status::status(api)),
+        (&Method::GET, "/upstreams") => ok(&status::upstreams(api)),
+        (&Method::GET, "/dump") => ok(&status::dump(api)),
+        (&Method::GET, "/release") => ok(&releases::configuration(api)),
+        (&Method::GET, "/release/history") => releases::history(api).await,
+        (&Method::GET, "/release/confirmations") => {
+            ok(&confirmations::confirmations(api, &request).await)
+        }
+        (&Method::POST, "/release/check") => releases::check(api, request).await,
+        (&Method::POST, "/release/apply") => releases::apply(api, &operator, request).await,
+        (&Method::POST, "/drain") => {
+            tracing::info!(%operator, "drain requested");
+            api.context.drain.send_replace(true);
+            ok(&json!({}))
+        }
+        (&Method::PUT, "/log-level") => set_level(api, request).await,
+        (&Method::GET, path) if path.starts_with("/requests/") => look_up(api, path).await,
+        _ => refuse(404, "not-found", "there is no such resource"),
+    }
+}
+
+fn ok(document: &impl serde::Serialize) -> Answer {
+    body::json(StatusCode::OK, document)
+}
+
+fn refuse(status: u16, kind: &str, title: &str) -> Answer {
+    body::refusal(&Problem::new(status, kind, title, Outcome::NotRun))
+}
+
+/// Reads a body of at most `limit` bytes; fails with the refusal.
+async fn read_body(request: Request<Incoming>, limit: usize) -> Result<Bytes, Answer> {
+    body::read(request.into_body(), limit).await.map_err(|error| match error {
+        BodyError::TooLong { .. } => refuse(413, "body-too-long", &error.to_string()),
+        BodyError::Cut => refuse(400, "body-cut", &error.to_string()),
+    })
+}
+
+/// The answer to an operator or caller whose call to a group failed.
+pub fn call_failed(failure: &CallFailure) -> Answer {
+    let outcome = match failure {
+        CallFailure::Uncertain { .. } => Outcome::Unknown,
+        _ => Outcome::NotRun,
+    };
+    let problem = Problem::new(503, "group-unreachable", &failure.to_string(), outcome);
+    body::refusal(&problem.after(Duration::from_secs(1)))
+}
+
+async fn set_level(api: &OperatorApi, request: Request<Incoming>) -> Answer {
+    let bytes = match read_body(request, LEVEL_BYTES).await {
+        Ok(bytes) => bytes,
+        Err(answer) => return answer,
+    };
+    let change: LevelChange = match serde_json::from_slice(&bytes) {
+        Ok(change) => change,
+        Err(error) => return refuse(400, "no-level", &error.to_string()),
+    };
+    match api.context.level.set(change.level) {
+        Ok(()) => ok(&change),
+        Err(error) => refuse(500, "level-not-set", &error.to_string()),
+    }
+}
+
+async fn look_up(api: &OperatorApi, path: &str) -> Answer {
+    let text = path.trim_start_matches("/requests/");
+    let id: RequestId = match text.parse() {
+        Ok(id) => id,
+        Err(error) => return refuse(400, "no-request-id", &format!("{error}")),
+    };
+    fate_answer(lookup::fate(&api.node, &id, LOOK_UP_LIMIT).await)
+}
+
+/// The answer that tells what is known of a request.
+pub fn fate_answer(fate: Result<Fate, CallFailure>) -> Answer {
+    match fate {
+        Ok(Fate::Recorded(record)) => ok(&record),
+        Ok(Fate::Expired) => refuse(410, "record-expired", "the record is no longer kept"),
+        Ok(Fate::NotSeen) => refuse(404, "no-record", lookup::NOT_SEEN),
+        Err(failure) => call_failed(&failure),
+    }
+}
--- a/tests/testsuite/processes/bounds.rs
+++ b/tests/testsuite/processes/bounds.rs
@@ -55,6 +55,21 @@
     assert!(!deployment.log("entry-1").contains("panicked"));
 }
 
+#[test]
+fn operators_body_beyond_its_bound_gets_a_typed_refusal() {
+    let deployment = deployment();
+    let operators = deployment.get("entry-1").operators;
+    let key = format!("Bearer {OPERATOR_KEY}");
+    let headers = [("authorization", key.as_str())];
+    let put = |body: &str| call("PUT", operators, "/log-level", &headers, body);
+
+    let long = put(&format!("{{ \"level\": \"info\" }}{}", " ".repeat(100_000)));
+    let unknown = put("{ \"level\": \"chatty\" }");
+
+    assert_eq!((long.status, &long.json["type"]), (413, &json!("body-too-long")), "{}", long.text);
+    assert_eq!((unknown.status, &unknown.json["type"]), (400, &json!("no-level")));
+}
+
 #[test]
 fn input_beyond_the_bounds_gets_a_typed_refusal() {
     let deployment = deployment();
