Fixture of deployments in three modules; items of release notes stand once

Change: settings files and requests are modules of their own; survey, policy, booking_service and idempotent_service are builders of test-support.

Conclusion: moved, no behaviour changed.

--- a/benches/failover.rs
+++ b/benches/failover.rs
@@ -17,18 +17,15 @@
     transport::links::{Incoming, Links},
 };
 use medlarlug_core::{
-    fingerprint::Fingerprint,
     home::Action,
     ids::InstanceId,
     record::{Outcome, RequestRecord},
-    release::{
-        Item, ItemKey,
-        item::{Policy, Residency, Service, Team},
-    },
+    release::{Item, ItemKey},
 };
 use test_support::{
-    deployment::{CALLER_KEY, Deployment, wait_for},
-    id, note, region, team,
+    booking_service,
+    deployment::{Deployment, wait_for},
+    id, idempotent_service, note, policy, region, survey,
 };
 
 const KEEPERS: [&str; 3] = ["keeper-1", "keeper-2", "keeper-3"];
@@ -57,26 +54,11 @@
 }
 
 fn items() -> Vec<Item> {
-    let survey = Team {
-        keys: vec![Fingerprint::of(CALLER_KEY.as_bytes())],
-        rate: id("100000/s"),
-        burst: id("100000"),
-        ..team("survey", "riga")
-    };
     vec![
         region("riga", &["riga-a"]),
-        Item::Service(Service {
-            id: id("jobdesk"),
-            idempotent: false,
-            outcomes: false,
-            residency: Residency::Anywhere,
-        }),
-        Item::Policy(Policy {
-            latency_weight: 1.0.try_into().expect("a price"),
-            cost_weight: 1.0.try_into().expect("a price"),
-            deadline_ms: 10_000,
-        }),
-        Item::Team(survey),
+        booking_service("jobdesk"),
+        policy(),
+        Item::Team(survey("riga")),
     ]
 }
 
@@ -237,12 +219,7 @@
     let revision = |it: &str| deployment.operator_get(it, "/status").json["revision"].as_u64();
     for round in 0..ROUNDS {
         let base = KEEPERS.iter().filter_map(|it| revision(it)).max().unwrap_or_default();
-        let item = Item::Service(Service {
-            id: id(&format!("service-{round}")),
-            idempotent: true,
-            outcomes: false,
-            residency: Residency::Anywhere,
-        });
+        let item = idempotent_service(&format!("service-{round}"));
         let start = Instant::now();
         let reply = deployment.apply("entry-1", &note(base, vec![item]));
         let Some(accepted) = reply.json["revision"].as_u64() else {
--- /dev/null
+++ b/crates/test-support/src/deployment/requests.rs
@@ -0,0 +1,170 @@
+//! Requests to the processes of a deployment, and the waits for what they tell.
+
+use std::net::SocketAddr;
+
+use medlarlug_core::release::{Item, RawNote};
+use serde_json::Value;
+
+use super::{CALLER_KEY, Deployment, OPERATOR_KEY, PATIENCE, wait_for};
+
+impl Deployment {
+    /// Asks the operators' interface of an instance.
+    pub fn operator_get(&self, id: &str, path: &str) -> Reply {
+        call("GET", self.get(id).operators, path, &[("authorization", &bearer(OPERATOR_KEY))], "")
+    }
+
+    /// Applies a release note of `items`; tells the status and the answer.
+    pub fn apply(&self, id: &str, note: &RawNote) -> Reply {
+        let body = serde_json::to_string(note).expect("a note is JSON");
+        let headers = [("authorization", bearer(OPERATOR_KEY))];
+        let headers: Vec<(&str, &str)> = headers.iter().map(|it| (it.0, it.1.as_str())).collect();
+        call("POST", self.get(id).operators, "/release/apply", &headers, &body)
+    }
+
+    /// Applies the first release note and waits until every entry instance serves under it.
+    pub fn configure(&self, items: Vec<Item>) {
+        let note = crate::note(0, items);
+        let entry = self.instances.iter().find(|it| it.is_entry).expect("an entry instance");
+        wait_for("the first release note", || self.apply(&entry.id, &note).status == 200);
+        for it in self.instances.iter().filter(|it| it.is_entry) {
+            wait_for("the revision at each entry", || {
+                let status = self.operator_get(&it.id, "/status").json;
+                status["revision"].as_u64().is_some_and(|it| it > 0)
+            });
+        }
+        self.wait_founded();
+    }
+
+    /// Waits until the home groups take bookings in.
+    fn wait_founded(&self) {
+        for it in self.instances.iter().filter(|it| !it.is_entry) {
+            wait_for("the founding of the home groups", || {
+                let dump = self.operator_get(&it.id, "/dump").json;
+                let groups = dump["process"]["groups"].as_array().cloned().unwrap_or_default();
+                let is_ready =
+                    |it: &Value| it["group"] == "configuration" || it["founded"].is_u64();
+                !groups.is_empty() && groups.iter().all(is_ready)
+            });
+        }
+    }
+
+    /// Waits until an entry instance knows that many upstreams of its zone.
+    pub fn wait_upstreams(&self, id: &str, count: usize) {
+        wait_for("announcements of upstreams", || {
+            let known = self.operator_get(id, "/upstreams").json;
+            known.as_array().is_some_and(|it| it.len() >= count)
+        });
+    }
+
+    /// Calls an entry instance as the team `survey`.
+    pub fn caller(
+        &self,
+        id: &str,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Reply {
+        let key = bearer(CALLER_KEY);
+        let mut all = vec![("authorization", key.as_str())];
+        all.extend_from_slice(headers);
+        call(method, self.get(id).callers, path, &all, body)
+    }
+
+    /// Sends a completion that is not streamed.
+    pub fn complete(&self, id: &str, model: &str, prompt: &str) -> Reply {
+        let body = serde_json::json!({ "model": model, "prompt": prompt, "max_tokens": 4 });
+        self.caller(id, "POST", "/v1/completions", &[], &body.to_string())
+    }
+
+    /// Sends a booking under an idempotency key.
+    pub fn book(&self, id: &str, key: &str, body: &str) -> Reply {
+        let headers = [("idempotency-key", key)];
+        self.caller(id, "POST", "/v1/services/jobdesk/jobs", &headers, body)
+    }
+
+    /// Waits until a booking is taken in by every entry instance, after processes were disturbed.
+    pub fn settle(&self) {
+        for (count, it) in self.instances.iter().filter(|it| it.is_entry).enumerate() {
+            let mut tries = 0;
+            wait_for("a booking after the disturbance", || {
+                tries += 1;
+                self.book(&it.id, &format!("settle-{count}-{tries}"), "{}").status == 200
+            });
+        }
+    }
+
+    /// Sends a booking as the team that owns the bearer key `caller`.
+    pub fn book_as(&self, caller: &str, id: &str, key: &str, body: &str) -> Reply {
+        let bearer = bearer(caller);
+        let headers = [("authorization", bearer.as_str()), ("idempotency-key", key)];
+        call("POST", self.get(id).callers, "/v1/services/jobdesk/jobs", &headers, body)
+    }
+
+    /// How often a service ran the call with this key, over all upstreams.
+    pub fn runs(&self, key: &str) -> u64 {
+        let services = self.upstreams.iter().filter(|it| it.kind.contains("service"));
+        services.map(|it| runs_at(it.control, key)).sum()
+    }
+
+    /// Injects a fault into an upstream.
+    pub fn fault(&self, upstream: &str, fault: &Value) -> Reply {
+        let upstream = self.upstreams.iter().find(|it| it.id == upstream).expect("an upstream");
+        call("POST", upstream.control, "/faults", &[], &fault.to_string())
+    }
+}
+
+fn bearer(key: &str) -> String {
+    format!("Bearer {key}")
+}
+
+fn runs_at(control: SocketAddr, key: &str) -> u64 {
+    let runs = call("GET", control, "/runs", &[], "").json;
+    let list = runs["runs"].as_array().cloned().unwrap_or_default();
+    let counts = list.iter().filter(|it| it["key"] == key).filter_map(|it| it["count"].as_u64());
+    counts.sum()
+}
+
+/// An HTTP answer.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// Its status; 0 when there was no answer.
+    pub status: u16,
+    /// Its `x-request-id`.
+    pub request: String,
+    /// Its body.
+    pub text: String,
+    /// Its body as JSON, or null.
+    pub json: Value,
+}
+
+/// Sends an HTTP request and reads the whole answer.
+pub fn call(
+    method: &str,
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Reply {
+    let none = Reply { status: 0, request: String::new(), text: String::new(), json: Value::Null };
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(PATIENCE))
+        .build()
+        .into();
+    let mut request =
+        ureq::http::Request::builder().method(method).uri(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(body.to_owned()).expect("a valid request");
+    let Ok(mut answer) = agent.run(request) else { return none };
+    let id = answer.headers().get("x-request-id").and_then(|it| it.to_str().ok());
+    let request = id.unwrap_or_default().to_owned();
+    let status = answer.status().as_u16();
+    let Ok(text) = answer.body_mut().read_to_string() else {
+        return Reply { request, ..none };
+    };
+    let json = serde_json::from_str(&text).unwrap_or_default();
+    Reply { status, request, text, json }
+}
--- /dev/null
+++ b/crates/test-support/src/deployment/settings.rs
@@ -0,0 +1,100 @@
+//! Settings files of a deployment.
+
+use std::fs;
+
+use medlarlug_core::fingerprint::Fingerprint;
+
+use super::{Deployment, OPERATOR_KEY, Upstream};
+
+impl Deployment {
+    pub(super) fn start_relays(&mut self) {
+        let Some(network) = &mut self.network else { return };
+        for from in &self.instances {
+            for to in self.instances.iter().filter(|it| it.id != from.id) {
+                network.add(&from.id, &to.id, to.peers, to.internal);
+            }
+        }
+    }
+
+    pub(super) fn write_settings(&self) {
+        self.write("deployment.key", "an example of a long deployment key\n");
+        let key = Fingerprint::of(OPERATOR_KEY.as_bytes());
+        for it in &self.instances {
+            self.write(&format!("cluster-{}.yaml", it.id), &self.cluster(&it.id));
+            let data = match it.has_disk {
+                true => format!("data: data-{}\n", it.id),
+                false => String::new(),
+            };
+            let limits = if it.is_entry { self.limits.as_str() } else { "" };
+            let text = format!(
+                "instance: {0}\ncluster: cluster-{0}.yaml\nkey: [deployment.key]\noperators:\n  \
+                 - {{ id: anna, key: {key} }}\n{data}{limits}",
+                it.id
+            );
+            self.write(&format!("{}.yaml", it.id), &text);
+        }
+        for it in &self.upstreams {
+            self.write(&format!("{}.yaml", it.id), &self.upstream_settings(it));
+        }
+    }
+
+    /// The cluster file that the process of `reader` reads.
+    fn cluster(&self, reader: &str) -> String {
+        let mut text = String::from("zones:\n");
+        for (zone, region) in &self.zones {
+            text.push_str(&format!("  - {{ id: {zone}, region: {region} }}\n"));
+        }
+        text.push_str("instances:\n");
+        for it in &self.instances {
+            let (kind, more) = match it.is_entry {
+                true => ("entry", format!("callers: \"{}\"", it.callers)),
+                false => ("keeper", "durable: true".to_owned()),
+            };
+            let link = self.network.as_ref().and_then(|network| network.get(reader, &it.id));
+            let peers = link.map_or(it.peers, |link| link.peers.address());
+            let internal = link.map_or(it.internal, |link| link.internal.address());
+            text.push_str(&format!(
+                "  - {{ id: {}, kind: {kind}, zone: {}, internal: \"{}\", peers: \"{}\", \
+                 operators: \"{}\", {more} }}\n",
+                it.id, it.zone, internal, peers, it.operators
+            ));
+        }
+        let keepers = self.instances.iter().filter(|it| !it.is_entry);
+        let keepers: Vec<&str> = keepers.map(|it| it.id.as_str()).collect();
+        let voters = keepers.join(", ");
+        text.push_str(&format!("configuration: [{voters}]\nhomes:\n"));
+        let mut regions: Vec<&String> = self.zones.iter().map(|it| &it.1).collect();
+        regions.sort();
+        regions.dedup();
+        for region in regions {
+            let named = self.homes.iter().find(|it| it.0 == *region);
+            let voters = named.map_or(voters.clone(), |it| it.1.join(", "));
+            text.push_str(&format!("  - {{ region: {region}, voters: [{voters}] }}\n"));
+        }
+        text
+    }
+
+    fn upstream_settings(&self, upstream: &Upstream) -> String {
+        let near = self.instances.iter().filter(|it| it.is_entry && it.zone == upstream.zone);
+        let near: Vec<String> = near.map(|it| format!("\"{}\"", it.internal)).collect();
+        let mut text = format!(
+            "key: [deployment.key]\nupstreams:\n  - id: {}\n    zone: {}\n    address: {}\n    \
+             control: {}\n    announce_to: [{}]\n    kind: {}\n    slots: {}\n    lag_ms: 100\n",
+            upstream.id,
+            upstream.zone,
+            upstream.address,
+            upstream.control,
+            near.join(", "),
+            upstream.kind,
+            upstream.slots
+        );
+        for line in &upstream.extra {
+            text.push_str(&format!("    {line}\n"));
+        }
+        text
+    }
+
+    fn write(&self, name: &str, text: &str) {
+        fs::write(self.folder.path().join(name), text).expect("a settings file");
+    }
+}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -12,13 +12,16 @@
 };
 
 use medlarlug_core::{
+    fingerprint::Fingerprint,
     ids::{ReleaseNumber, Revision},
     release::{
         Item, RawNote,
-        item::{Region, Residency, Team},
+        item::{Policy, Region, Residency, Service, Team},
     },
 };
 
+use crate::deployment::CALLER_KEY;
+
 /// Parses an id out of a literal.
 pub fn id<T: std::str::FromStr>(text: &str) -> T {
     match text.parse() {
@@ -45,6 +48,43 @@
     }
 }
 
+/// The team `survey`, whose bearer key is [`CALLER_KEY`] and which no limit slows.
+pub fn survey(home: &str) -> Team {
+    Team {
+        keys: vec![Fingerprint::of(CALLER_KEY.as_bytes())],
+        residency: Residency::Anywhere,
+        rate: id("100000/s"),
+        burst: id("100000"),
+        ..team("survey", home)
+    }
+}
+
+/// A plain service whose calls may not be repeated.
+pub fn booking_service(name: &str) -> Item {
+    Item::Service(Service {
+        id: id(name),
+        idempotent: false,
+        outcomes: false,
+        residency: Residency::Anywhere,
+    })
+}
+
+/// A plain service whose calls may be repeated.
+pub fn idempotent_service(name: &str) -> Item {
+    Item::Service(Service {
+        id: id(name),
+        idempotent: true,
+        outcomes: false,
+        residency: Residency::Anywhere,
+    })
+}
+
+/// A policy that weighs latency and cost alike, with a deadline of 10 s.
+pub fn policy() -> Item {
+    let even = || 1.0.try_into().expect("a price");
+    Item::Policy(Policy { latency_weight: even(), cost_weight: even(), deadline_ms: 10_000 })
+}
+
 /// A note that adds `items` to revision `base`, numbered one above it.
 pub fn note(base: u64, items: Vec<Item>) -> RawNote {
     RawNote {
--- a/tests/testsuite/processes/fixture.rs
+++ b/tests/testsuite/processes/fixture.rs
@@ -3,19 +3,17 @@
 use std::path::Path;
 
 use medlarlug::standin::answer::expected;
-use medlarlug_core::{
-    fingerprint::Fingerprint,
-    release::{
-        Item,
-        item::{Link, Model, Policy, Residency, Service, Team},
-    },
+use medlarlug_core::release::{
+    Item,
+    item::{Link, Model, Residency, Team},
 };
 use serde_json::Value;
 use test_support::{
-    deployment::{CALLER_KEY, Deployment, call},
-    id, region,
+    booking_service,
+    deployment::{Deployment, call},
+    id, policy, region,
     stream::{Ending, Streamed},
-    team,
+    survey,
 };
 
 /// Two regions of one zone each, three keepers and two entry instances.
@@ -47,30 +45,15 @@
             residency: Residency::Regions(vec![id("riga"), id("kurzeme")]),
         })
     };
-    let survey = Team {
-        keys: vec![Fingerprint::of(CALLER_KEY.as_bytes())],
-        residency,
-        rate: id("100000/s"),
-        burst: id("100000"),
-        ..team("survey", "riga")
-    };
+    let survey = Team { residency, ..survey("riga") };
     vec![
         region("riga", &["riga-a"]),
         region("kurzeme", &["liepaja-a"]),
         link("riga", "kurzeme"),
         link("kurzeme", "riga"),
         model("medlar"),
-        Item::Service(Service {
-            id: id("jobdesk"),
-            idempotent: false,
-            outcomes: false,
-            residency: Residency::Anywhere,
-        }),
-        Item::Policy(Policy {
-            latency_weight: 1.0.try_into().expect("a price"),
-            cost_weight: 1.0.try_into().expect("a price"),
-            deadline_ms: 10_000,
-        }),
+        booking_service("jobdesk"),
+        policy(),
         Item::Team(survey),
     ]
 }
--- a/tests/testsuite/processes/operators.rs
+++ b/tests/testsuite/processes/operators.rs
@@ -6,27 +6,15 @@
     thread,
 };
 
-use medlarlug_core::release::{
-    Item, RawNote,
-    item::{Residency, Service},
-};
+use medlarlug_core::release::{RawNote, item::Residency};
 use serde_json::Value;
 use test_support::{
     deployment::{Deployment, OPERATOR_KEY, wait_for},
-    id,
+    idempotent_service,
 };
 
 use crate::processes::fixture::{items, two_regions};
 
-fn further_service(name: &str) -> Item {
-    Item::Service(Service {
-        id: id(name),
-        idempotent: true,
-        outcomes: false,
-        residency: Residency::Anywhere,
-    })
-}
-
 const KEEPERS: [&str; 3] = ["keeper-1", "keeper-2", "keeper-3"];
 
 fn revision(deployment: &Deployment, instance: &str) -> u64 {
@@ -58,7 +46,7 @@
     let deployment = two_regions().start();
     deployment.configure(items(Residency::Anywhere));
     let base = newest_revision(&deployment);
-    let notes = ["left", "right"].map(|it| test_support::note(base, vec![further_service(it)]));
+    let notes = ["left", "right"].map(|it| test_support::note(base, vec![idempotent_service(it)]));
 
     let replies = thread::scope(|scope| {
         let shared = &deployment;
@@ -86,8 +74,8 @@
     let deployment = two_regions().start();
     deployment.configure(items(Residency::Anywhere));
     let base = newest_revision(&deployment);
-    let note = test_support::note(base, vec![further_service("further")]);
-    let later = test_support::note(base + 1, vec![further_service("later")]);
+    let note = test_support::note(base, vec![idempotent_service("further")]);
+    let later = test_support::note(base + 1, vec![idempotent_service("later")]);
 
     apply_and_leave(&deployment, "keeper-2", &note);
     let first = deployment.apply("keeper-1", &note);
--- a/tests/testsuite/processes/partition.rs
+++ b/tests/testsuite/processes/partition.rs
@@ -4,13 +4,13 @@
     fingerprint::Fingerprint,
     release::{
         Item,
-        item::{Residency, Service, Team},
+        item::{Residency, Team},
     },
 };
 use serde_json::Value;
 use test_support::{
     deployment::{CALLER_KEY, Deployment, Reply, wait_for},
-    id, team,
+    id, idempotent_service, team,
 };
 
 use crate::processes::fixture::{items, two_regions};
@@ -60,21 +60,11 @@
     status["revision"].as_u64().unwrap_or_default()
 }
 
-/// A service that no test calls; its note changes the revision.
-fn further_service(name: &str) -> Item {
-    Item::Service(Service {
-        id: id(name),
-        idempotent: true,
-        outcomes: false,
-        residency: Residency::Anywhere,
-    })
-}
-
 fn apply_until_accepted(deployment: &Deployment, entry: &str, name: &str) -> u64 {
     let mut accepted = None;
     wait_for("acceptance of a note", || {
         let base = revision(deployment, entry);
-        let note = test_support::note(base, vec![further_service(name)]);
+        let note = test_support::note(base, vec![idempotent_service(name)]);
         let reply = deployment.apply(entry, &note);
         accepted = reply.json["revision"].as_u64();
         reply.status == 200
