A call whose connection broke before it was taken in costs no retry

That is the answer of a retry budget that is used up. When an engine's open connections are cut while calls are on their way, those that the engine has accepted but not read are lost; the engine, asked on a new connection, does not know them, and each took one of the ten retries, though no engine had worked on it.

Change: the engine's word "unknown" after a break leads to a second send over a new connection within the attempt, as it did for silent connections, once, and not when another incarnation is known. The stand-in has the fault drop_call for the exact sequence.

--- a/src/coordination/entry/silence.rs
+++ b/src/coordination/entry/silence.rs
@@ -11,8 +11,14 @@
 //! * The new connection is silent too: the attempt has failed, unless the engine still renews its
 //!   announcement. Then it is busy, and both connections are tried on within the call's limit.
 //!
-//! A connection that breaks before the head of a streamed answer is replaced in the same way, if
-//! the engine knows the request.
+//! A connection that breaks before the head of an answer is replaced in the same way:
+//!
+//! * The engine does not know the request: it was not taken in, and is sent again, once, over a
+//!   new connection. It is no retry, unless the engine has started anew meanwhile: it may have
+//!   crashed under the request.
+//! * The engine knows the request, and the answer is streamed: the stream is read from the new
+//!   connection.
+//! * Else the attempt has failed.
 
 use std::{net::SocketAddr, pin::pin, time::Duration};
 
@@ -36,6 +42,12 @@
 const ASK_LIMITS: CallLimits =
     CallLimits { connect: Duration::from_secs(1), head: Duration::from_secs(2) };
 
+/// How often an engine that renews its announcement is asked about a call whose connection broke.
+const ASKS: usize = 3;
+
+/// How often a call is sent in one attempt, at most, when its connections break.
+const SENDS: usize = 2;
+
 /// Time that a generated answer has to arrive on its own connection.
 const ARRIVAL_LIMIT: Duration = Duration::from_secs(1);
 
@@ -74,7 +86,7 @@
     call: &Call,
     limits: CallLimits,
 ) -> Result<Answered, CallError> {
-    let first = call_once(entry, &to, request.clone(), call, limits);
+    let first = send(entry, &to, request.clone(), call, limits);
     let mut first = pin!(first);
     loop {
         if let Ok(result) = timeout(HEAD_PATIENCE, first.as_mut()).await {
@@ -96,25 +108,55 @@
     }
     tracing::info!(request = %to.id, "silent connection replaced");
     entry.client.forget(to.address);
-    entry.client.call(to.address, request, Reuse::Never, limits).await
+    let renewed = Call { reuse: Reuse::Never, ..call.clone() };
+    send(entry, &to, request, &renewed, limits).await
 }
 
-/// Sends a request; a stream whose connection breaks before its head is read from a new one.
-async fn call_once(
+/// Sends a request, and replaces its connection when that breaks before the head of the answer.
+async fn send(
     entry: &Entry,
     to: &Destination<'_>,
     request: Request<RequestBody>,
     call: &Call,
     limits: CallLimits,
 ) -> Result<Answered, CallError> {
-    let result = entry.client.call(to.address, request, call.reuse, limits).await;
-    if !call.stream || !matches!(result, Err(CallError::Lost { .. })) {
-        return result;
+    let (mut reuse, mut sends_left) = (call.reuse, SENDS);
+    loop {
+        let result = entry.client.call(to.address, request.clone(), reuse, limits).await;
+        if !matches!(result, Err(CallError::Lost { .. })) {
+            return result;
+        }
+        sends_left -= 1;
+        match ask_while_announced(entry, to).await {
+            Word::Known(answered) if call.stream => return Ok(answered),
+            Word::Unknown if sends_left > 0 && !has_started_anew(entry, to) => {
+                tracing::info!(request = %to.id, "call that was not taken in is sent again");
+                entry.client.forget(to.address);
+                reuse = Reuse::Never;
+            }
+            _ => return result,
+        }
     }
-    match ask(entry, to).await {
-        Word::Known(answered) => Ok(answered),
-        Word::Unknown | Word::None => result,
+}
+
+/// Asks an engine about a request, again while it renews its announcement and tells nothing.
+async fn ask_while_announced(entry: &Entry, to: &Destination<'_>) -> Word {
+    for _ in 1..ASKS {
+        match ask(entry, to).await {
+            Word::None if is_announced(entry, to.address) => {}
+            word => return word,
+        }
     }
+    ask(entry, to).await
+}
+
+/// Whether another incarnation of the engine is known than the one that the request went to.
+fn has_started_anew(entry: &Entry, to: &Destination<'_>) -> bool {
+    let sent_to = entry.suspects.borrow().incarnation_of(to.id);
+    let members = entry.node.members.borrow();
+    let mut upstreams = members.upstreams(entry.node.now());
+    let known = upstreams.find(|it| it.announcement.address == to.address);
+    known.map(|it| it.announcement.incarnation) != sent_to
 }
 
 /// What an examination of an overdue answer has found.
@@ -130,7 +172,7 @@
 }
 
 /// Whether the engine at an address has renewed its announcement within its lease.
-fn is_announced(entry: &Entry, address: SocketAddr) -> bool {
+pub fn is_announced(entry: &Entry, address: SocketAddr) -> bool {
     let members = entry.node.members.borrow();
     let mut upstreams = members.upstreams(entry.node.now());
     upstreams.any(|it| it.announcement.address == address)
--- a/src/standin/completions.rs
+++ b/src/standin/completions.rs
@@ -74,6 +74,9 @@
     chat: bool,
 ) -> Result<Answer, LostAnswer> {
     let fate = upstream.faults.borrow_mut().next_fate();
+    if fate.dropped {
+        return Err(LostAnswer);
+    }
     let priority = number(&request, headers::PRIORITY).unwrap_or(0).min(u64::from(u8::MAX)) as u8;
     let patience = number(&request, headers::DEADLINE).map(Duration::from_millis);
     let Some(body) = http::body(request).await else {
--- a/src/standin/faults.rs
+++ b/src/standin/faults.rs
@@ -25,6 +25,11 @@
     SilenceOpenConnections,
     /// Connections that are open now break; what runs goes on.
     CutOpenConnections,
+    /// The connection of the next calls breaks before the upstream takes them in: they don't run.
+    DropCall {
+        /// How many calls.
+        count: u32,
+    },
     /// The next calls run, but their connection breaks before the answer.
     LoseAnswer {
         /// How many calls.
@@ -60,6 +65,7 @@
 #[derive(Debug)]
 pub struct FaultState {
     frozen: Option<Instant>,
+    dropped: u32,
     lost: u32,
     late: u32,
     delay: Duration,
@@ -72,6 +78,8 @@
 /// What happens to the answer of one call.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Fate {
+    /// The call is not taken in; its connection breaks.
+    pub dropped: bool,
     /// It is never sent.
     pub lost: bool,
     /// It belongs to another request.
@@ -86,6 +94,7 @@
     fn default() -> FaultState {
         FaultState {
             frozen: None,
+            dropped: 0,
             lost: 0,
             late: 0,
             delay: Duration::ZERO,
@@ -101,6 +110,7 @@
     pub fn inject(&mut self, fault: &Fault, now: Instant) {
         match fault {
             Fault::Freeze { for_ms } => self.frozen = Some(now + Duration::from_millis(*for_ms)),
+            Fault::DropCall { count } => self.dropped = *count,
             Fault::LoseAnswer { count } => self.lost = *count,
             Fault::LateAnswer { count, delay_ms } => {
                 self.late = *count;
@@ -126,10 +136,14 @@
             *count = count.saturating_sub(1);
             is_hit
         };
+        if take(&mut self.dropped) {
+            return Fate { dropped: true, ..Fate::default() };
+        }
         if take(&mut self.refused) {
             return Fate { refused: true, ..Fate::default() };
         }
         Fate {
+            dropped: false,
             lost: take(&mut self.lost),
             crossed: take(&mut self.crossed),
             refused: false,
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -37,6 +37,9 @@
         return Ok(echo(answer, &id));
     }
     let fate = upstream.faults.borrow_mut().next_fate();
+    if fate.dropped {
+        return Err(LostAnswer);
+    }
     if fate.refused {
         let message = "refused on purpose";
         return Ok(echo(refusal(StatusCode::SERVICE_UNAVAILABLE, "not_started", message), &id));
--- a/tests/testsuite/processes/streams.rs
+++ b/tests/testsuite/processes/streams.rs
@@ -3,11 +3,11 @@
 use std::thread;
 
 use medlarlug::standin::answer::expected;
-use medlarlug_core::release::item::Residency;
+use medlarlug_core::{release::item::Residency, retry::MAX_STORED_RETRIES};
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use test_support::{
-    deployment::{Deployment, Reply, wait_for},
+    deployment::{Deployment, Reply, call, wait_for},
     stream::{Ending, Streamed},
 };
 
@@ -103,6 +103,26 @@
     assert_eq!(whole.json["choices"][0]["text"], expected("shift", Some(TOKENS)));
 }
 
+#[test]
+fn call_whose_connection_broke_before_it_was_taken_in_costs_no_retry() {
+    let deployment = with_engines(1, 500);
+    let drop_next = || deployment.fault("engine-1", &json!({ "kind": "drop_call", "count": 1 }));
+
+    // One more of each kind than the budget has retries.
+    for it in 0..=MAX_STORED_RETRIES {
+        let (streamed, whole) = (format!("streamed {it}"), format!("whole {it}"));
+        drop_next();
+        assert_whole(&deployment.stream("entry-1", &streamed, 4), &streamed, 4);
+        drop_next();
+        let answer = deployment.complete("entry-1", "medlar", &whole);
+        assert_eq!(answer.status, 200, "{}", answer.text);
+        assert_eq!(answer.json["choices"][0]["text"], expected(&whole, Some(4)));
+    }
+
+    let runs = call("GET", deployment.upstreams[0].control, "/runs", &[], "").json;
+    assert_eq!(runs["total"], 2 * (MAX_STORED_RETRIES + 1));
+}
+
 #[test]
 fn answer_that_is_lost_at_every_upstream_is_never_called_not_run() {
     let deployment = with_engines(2, 500);
