An engine that takes a resumption in late is asked again

A resumption whose head took more than 2 s counted as refused, and the stream failed, although the engine still renewed its announcement. The head of a call was waited for in the same state already.

Change: such a resumption counts as a lost connection; the tracker's bound of four connections in a row that bring nothing stays.

Test: an engine that is frozen for 2.2 s while its connections are cut. Before: the stream ended with upstream-failed.

--- a/src/coordination/entry/relay.rs
+++ b/src/coordination/entry/relay.rs
@@ -23,6 +23,7 @@
     coordination::entry::{
         Entry,
         exchange::{Exchange, Place},
+        silence,
     },
     protocol::{Problem, events::EventSplitter, headers},
     telemetry::metrics::CROSSED,
@@ -313,6 +314,12 @@
                 tracing::info!(request = %self.id, %error, "resume failed");
                 return Resumption::Lost;
             }
+            Err(error @ CallError::Silent { .. })
+                if silence::is_announced(&self.entry, self.address) =>
+            {
+                tracing::info!(request = %self.id, %error, "resume late");
+                return Resumption::Lost;
+            }
             // A new connection that is silent as well tells against the upstream.
             Err(error) => {
                 tracing::info!(request = %self.id, %error, "resume failed");
--- a/tests/testsuite/processes/streams.rs
+++ b/tests/testsuite/processes/streams.rs
@@ -66,6 +66,20 @@
     assert_whole(&next, "shift two", 10);
 }
 
+#[test]
+fn stream_is_taken_up_again_at_an_engine_that_answers_late() {
+    let deployment = with_engines(1, 150);
+
+    let mut stream = deployment.open_stream("entry-1", "shift", TOKENS);
+    stream.read_tokens(20);
+    // Longer than a resumption waits, shorter than an announcement is valid.
+    deployment.fault("engine-1", &json!({ "kind": "freeze", "for_ms": 2_200 }));
+    deployment.fault("engine-1", &json!({ "kind": "cut_open_connections" }));
+    let streamed = stream.finish();
+
+    assert_whole(&streamed, "shift", TOKENS);
+}
+
 #[test]
 fn idle_connections_that_went_silent_cost_no_answer() {
     let deployment = with_engines(1, 500);
