Operators' procedures for a new deployment key and a backup are run by tests

Cause: OPERATORS.md described both and no run had shown them. The page let an operator start a keeper on an old copy of its folder, which would forget votes and entries that the keeper had confirmed.

No product code changed.

Ruled out: telling an old copy by its content, as nothing in a folder can say that a newer one existed.

--- a/crates/test-support/src/deployment/mod.rs
+++ b/crates/test-support/src/deployment/mod.rs
@@ -331,7 +331,21 @@
 
     /// Deletes what a keeper has stored.
     pub fn delete_data(&self, id: &str) {
-        let _ = fs::remove_dir_all(self.folder.path().join(format!("data-{id}")));
+        let _ = fs::remove_dir_all(self.data(id));
+    }
+
+    /// Copies what a stopped keeper has stored to a backup.
+    pub fn back_up(&self, id: &str) {
+        copy_files(&self.data(id), &self.folder.path().join(format!("backup-{id}")));
+    }
+
+    /// Puts the backup of a stopped keeper into its empty data folder.
+    pub fn restore(&self, id: &str) {
+        copy_files(&self.folder.path().join(format!("backup-{id}")), &self.data(id));
+    }
+
+    fn data(&self, id: &str) -> PathBuf {
+        self.folder.path().join(format!("data-{id}"))
     }
 
     /// The settings file of a process.
@@ -364,3 +378,12 @@
         }
     }
 }
+
+/// Copies the files of a folder without folders in it.
+fn copy_files(from: &Path, to: &Path) {
+    fs::create_dir_all(to).expect("a new folder");
+    for entry in fs::read_dir(from).expect("a data folder") {
+        let entry = entry.expect("a readable folder");
+        fs::copy(entry.path(), to.join(entry.file_name())).expect("a copied file");
+    }
+}
--- a/crates/test-support/src/deployment/settings.rs
+++ b/crates/test-support/src/deployment/settings.rs
@@ -38,6 +38,28 @@
         }
     }
 
+    /// Names the files of the deployment keys, the signing one first, in the settings of every
+    /// process, which reads them at its next start.
+    ///
+    /// Files that are not there are written, each with a key of its own.
+    pub fn set_keys(&self, files: &[&str]) {
+        for file in files {
+            if !self.folder.path().join(file).exists() {
+                self.write(file, &format!("an example of a long key out of {file}\n"));
+            }
+        }
+        let line = format!("key: [{}]", files.join(", "));
+        let instances = self.instances.iter().map(|it| &it.id);
+        for id in instances.chain(self.upstreams.iter().map(|it| &it.id)) {
+            let text = fs::read_to_string(self.settings(id)).expect("a settings file");
+            let lines: Vec<&str> = text
+                .lines()
+                .map(|it| if it.starts_with("key: [") { line.as_str() } else { it })
+                .collect();
+            self.write(&format!("{id}.yaml"), &(lines.join("\n") + "\n"));
+        }
+    }
+
     /// The cluster file that the process of `reader` reads.
     fn cluster(&self, reader: &str) -> String {
         let mut text = String::from("zones:\n");
--- a/tests/testsuite/processes/fixture.rs
+++ b/tests/testsuite/processes/fixture.rs
@@ -10,7 +10,7 @@
 use serde_json::Value;
 use test_support::{
     booking_service,
-    deployment::{Deployment, call},
+    deployment::{Deployment, call, wait_for},
     id, policy, region,
     stream::{Ending, Streamed},
     survey,
@@ -95,3 +95,17 @@
     assert_eq!(streamed.ending, Ending::Whole, "{streamed:?}");
     assert_eq!(streamed.text, expected(prompt, Some(tokens)));
 }
+
+/// The replication groups of [`two_regions`].
+pub const GROUPS: [&str; 3] = ["configuration", "home-kurzeme", "home-riga"];
+
+/// Sends a booking until it is answered; gives the answer.
+pub fn book_until_answered(deployment: &Deployment, entry: &str, key: &str) -> String {
+    let mut text = String::new();
+    wait_for("an answer to the booking", || {
+        let reply = deployment.book(entry, key, "{}");
+        text = reply.text;
+        reply.status == 200
+    });
+    text
+}
--- /dev/null
+++ b/tests/testsuite/processes/maintenance.rs
@@ -0,0 +1,77 @@
+//! What the operators' page tells to do: a new deployment key, a backup and its restoration.
+
+use medlarlug_core::release::item::Residency;
+use nix::sys::signal::Signal;
+use test_support::deployment::{Deployment, wait_for};
+
+use crate::processes::fixture::{GROUPS, add_engines, book_until_answered, items, two_regions};
+
+const KEEPERS: [&str; 3] = ["keeper-1", "keeper-2", "keeper-3"];
+
+/// Restarts every process in turn, each gracefully; waits until the system is whole again.
+fn restart_in_turn(deployment: &mut Deployment) {
+    let instances = deployment.instances.iter().map(|it| it.id.clone());
+    let upstreams = deployment.upstreams.iter().map(|it| it.id.clone());
+    let all: Vec<String> = instances.chain(upstreams).collect();
+    for id in &all {
+        deployment.signal(id, Signal::SIGTERM);
+        deployment.wait_end(id);
+        deployment.start_process(id);
+        wait_for("a booking through each entry instance", || {
+            ["entry-1", "entry-2"].iter().all(|it| deployment.book(it, id, "{}").status == 200)
+        });
+    }
+    deployment.wait_upstreams("entry-1", 2);
+}
+
+#[test]
+fn deployment_key_is_changed_by_three_restarts_of_every_process() {
+    let deployment = add_engines(two_regions(), 1, 500).service("desk", "riga-a", "jobdesk");
+    let mut deployment = deployment.start();
+    deployment.configure(items(Residency::Anywhere));
+    deployment.wait_upstreams("entry-1", 2);
+    let first = book_until_answered(&deployment, "entry-1", "parcel-1");
+
+    let steps: [&[&str]; 3] =
+        [&["deployment.key", "new.key"], &["new.key", "deployment.key"], &["new.key"]];
+    for files in steps {
+        deployment.set_keys(files);
+        restart_in_turn(&mut deployment);
+    }
+    let again = book_until_answered(&deployment, "entry-2", "parcel-1");
+    let inferred = deployment.complete("entry-1", "medlar", "shift");
+
+    assert_eq!(again, first);
+    // The service counts from its last restart, which came after the first run.
+    assert_eq!(deployment.runs("parcel-1"), 0);
+    assert_eq!(inferred.status, 200, "{}", inferred.text);
+}
+
+#[test]
+fn backup_of_a_keeper_rebuilds_the_groups_that_lost_every_disk() {
+    let mut deployment = two_regions().service("desk", "riga-a", "jobdesk").start();
+    deployment.configure(items(Residency::Anywhere));
+    deployment.wait_upstreams("entry-1", 1);
+    let first = book_until_answered(&deployment, "entry-1", "parcel-1");
+    deployment.signal("keeper-1", Signal::SIGTERM);
+    assert!(deployment.wait_end("keeper-1"));
+    deployment.back_up("keeper-1");
+    deployment.start_process("keeper-1");
+    book_until_answered(&deployment, "entry-1", "parcel-2");
+
+    for keeper in KEEPERS {
+        deployment.kill(keeper);
+        deployment.delete_data(keeper);
+    }
+    deployment.restore("keeper-1");
+    assert!(GROUPS.iter().all(|it| deployment.rebuild("keeper-1", it)));
+    for keeper in KEEPERS {
+        deployment.start_process(keeper);
+    }
+    let known = book_until_answered(&deployment, "entry-1", "parcel-1");
+    let lost = deployment.book("entry-1", "parcel-2", "{}");
+
+    assert_eq!(known, first);
+    assert_eq!(lost.json["type"], "outcome-unknown", "{}", lost.text);
+    assert_eq!(["parcel-1", "parcel-2"].map(|it| deployment.runs(it)), [1, 1]);
+}
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -7,6 +7,7 @@
 mod history;
 mod isolation;
 mod keepers;
+mod maintenance;
 mod moves;
 mod operators;
 mod orders;
--- a/tests/testsuite/processes/operators.rs
+++ b/tests/testsuite/processes/operators.rs
@@ -13,7 +13,7 @@
     idempotent_service,
 };
 
-use crate::processes::fixture::{items, two_regions};
+use crate::processes::fixture::{GROUPS, book_until_answered, items, two_regions};
 
 const KEEPERS: [&str; 3] = ["keeper-1", "keeper-2", "keeper-3"];
 
@@ -87,18 +87,6 @@
     assert_eq!(again.json, first.json);
 }
 
-const GROUPS: [&str; 3] = ["configuration", "home-kurzeme", "home-riga"];
-
-fn book_until_answered(deployment: &Deployment, entry: &str, key: &str) -> String {
-    let mut text = String::new();
-    wait_for("an answer to the booking", || {
-        let reply = deployment.book(entry, key, "{}");
-        text = reply.text;
-        reply.status == 200
-    });
-    text
-}
-
 /// Three keepers, of which `keeper-3` lacks `parcel-2` and the others lost their disks.
 fn with_lost_majority() -> (Deployment, String) {
     let deployment = two_regions().relayed().service("desk", "riga-a", "jobdesk");
