Bookings of a lost owner are settled by asking the service

Cause: only the owner asked a service with outcomes; a booking whose owner was killed stayed unknown, and the group did not know the service. A late settlement never reached the request's record either, and an owner told its own stale record first.

Change: the intent names the service if it can be asked. Every 2 s the leader of the home group hands up to 16 questions about outcomes unknown for at most ten minutes to one entry instance of each permitted zone. That one asks the zone's upstreams, writes the request's record as answered and proposes Settle. The owner's own loop of ten minutes is gone, as this does its work. The service's document names the request that ran: one of another team under the same key does not count.

Ruled out: the instance that gets a resend asks; it may be in a zone without the upstream, and a caller need not come back. Keepers ask; they don't know upstreams.

One core test for what is asked and for how long, one test for documents of other requests.

--- a/crates/medlarlug-core/benches/state_machines.rs
+++ b/crates/medlarlug-core/benches/state_machines.rs
@@ -62,6 +62,7 @@
         revision: Revision(1),
         epoch: Revision(1),
         moved: false,
+        askable: None,
     }
 }
 
--- a/crates/medlarlug-core/src/home/attempt.rs
+++ b/crates/medlarlug-core/src/home/attempt.rs
@@ -133,6 +133,7 @@
 ///     revision: Revision(1),
 ///     epoch: Revision(1),
 ///     moved: false,
+///     askable: None,
 /// };
 /// let mut out = Vec::new();
 /// let mut attempt = Attempt::new("kochi".parse().unwrap(), begin, &mut out);
--- a/crates/medlarlug-core/src/home/booking.rs
+++ b/crates/medlarlug-core/src/home/booking.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     fingerprint::Fingerprint,
-    ids::{Incarnation, InstanceId, RequestId, Revision, TeamId},
+    ids::{Incarnation, InstanceId, RequestId, Revision, ServiceId, TeamId},
 };
 
 /// Longest booking key, in bytes.
@@ -175,12 +175,27 @@
     pub content: Fingerprint,
     /// The request under which it was begun.
     pub request: RequestId,
+    /// The service, if it can be asked about the outcome.
+    pub askable: Option<ServiceId>,
     /// Where it stands.
     pub state: BookingState,
     /// Logical time at which it was begun or ended, in microseconds; its age in a [`Handover`].
     pub since: u64,
 }
 
+/// A booking of unknown outcome that its service can be asked about.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// Whose booking it is.
+    pub team: TeamId,
+    /// Its key.
+    pub key: BookingKey,
+    /// The request that was sent to the service.
+    pub request: RequestId,
+    /// The service.
+    pub service: ServiceId,
+}
+
 /// Keys that a group may have forgotten: unless they are known, they are answered as unknown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateLoss {
--- a/crates/medlarlug-core/src/home/bookings.rs
+++ b/crates/medlarlug-core/src/home/bookings.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     home::{
-        booking::{Booking, BookingKey, BookingState, Owner, Recorded, StateLoss},
+        booking::{Booking, BookingKey, BookingState, Owner, Question, Recorded, StateLoss},
         command::{Begin, BeginReply, Reply},
         retention::whole_size,
     },
@@ -128,6 +128,14 @@
             .filter(|(_, it)| it.state == BookingState::Unknown)
     }
 
+    /// Questions about the bookings whose outcome is unknown since `since` or later.
+    pub(crate) fn questions(&self, since: u64) -> impl Iterator<Item = Question> {
+        self.unknown().filter(move |(_, it)| it.since >= since).filter_map(|(team, it)| {
+            let (key, request) = (it.key.clone(), it.request.clone());
+            Some(Question { team: team.clone(), key, request, service: it.askable.clone()? })
+        })
+    }
+
     /// Owners of open bookings, sorted, each once.
     pub(crate) fn open_owners(&self) -> Vec<Owner> {
         let held = self.books.iter().filter(|it| matches!(it.hold, Hold::Held(_)));
@@ -350,8 +358,8 @@
 }
 
 fn open(clock: u64, begin: Begin) -> Booking {
-    let Begin { key, content, request, owner, .. } = begin;
-    Booking { key, content, request, state: BookingState::Open(owner), since: clock }
+    let Begin { key, content, request, owner, askable, .. } = begin;
+    Booking { key, content, request, askable, state: BookingState::Open(owner), since: clock }
 }
 
 fn known(booking: &Booking, begin: &Begin) -> BeginReply {
--- a/crates/medlarlug-core/src/home/command.rs
+++ b/crates/medlarlug-core/src/home/command.rs
@@ -7,7 +7,9 @@
 use crate::{
     fingerprint::Fingerprint,
     home::booking::{BookingKey, Handover, Owner, Recorded},
-    ids::{Incarnation, InstanceId, RegionId, RequestId, Revision, TeamId, Term, UpstreamId},
+    ids::{
+        Incarnation, InstanceId, RegionId, RequestId, Revision, ServiceId, TeamId, Term, UpstreamId,
+    },
     record::RequestRecord,
 };
 
@@ -165,6 +167,8 @@
     pub epoch: Revision,
     /// Whether the team had another home before.
     pub moved: bool,
+    /// The service, if it can be asked about the outcome.
+    pub askable: Option<ServiceId>,
 }
 
 /// The reply to a [`Begin`].
--- a/crates/medlarlug-core/src/home/mod.rs
+++ b/crates/medlarlug-core/src/home/mod.rs
@@ -28,7 +28,7 @@
 
 pub use booking::{
     Body, Booking, BookingKey, BookingKeyError, BookingState, FoundToken, Handover, Owner,
-    Recorded, StateLoss,
+    Question, Recorded, StateLoss,
 };
 pub use command::{Action, Begin, BeginReply, Command, LookUp, Reply, Suspect};
 pub use issuer_lease::IssuerLease;
--- a/crates/medlarlug-core/src/home/state.rs
+++ b/crates/medlarlug-core/src/home/state.rs
@@ -30,7 +30,7 @@
 use crate::{
     fingerprint::Fingerprint,
     home::{
-        booking::{Booking, BookingKey, Handover, Owner, StateLoss},
+        booking::{Booking, BookingKey, Handover, Owner, Question, StateLoss},
         bookings::Bookings,
         command::{Action, Begin, BeginReply, Command, LookUp, Reply, Suspect},
         issuer_lease::IssuerLease,
@@ -48,6 +48,11 @@
 
 pub(crate) const KEY_RETENTION_MICROS: u64 = 24 * 60 * 60 * 1_000_000;
 
+/// Time for which a service is asked about a booking since its outcome became unknown.
+pub const QUESTION_SPAN: Duration = Duration::from_secs(10 * 60);
+
+const QUESTION_SPAN_MICROS: u64 = 10 * 60 * 1_000_000;
+
 /// Longest lease of an issuer of orders.
 pub const MAX_LEASE: Duration = Duration::from_secs(60);
 
@@ -147,6 +152,14 @@
         self.bookings.unknown()
     }
 
+    /// Questions to services about bookings whose outcome has become unknown within the last
+    /// [`QUESTION_SPAN`].
+    ///
+    /// The leader has them asked until they are settled.
+    pub fn questions(&self) -> impl Iterator<Item = Question> {
+        self.bookings.questions(self.clock.saturating_sub(QUESTION_SPAN_MICROS))
+    }
+
     /// Owners of bookings under way, sorted, each once.
     ///
     /// The leader compares them with the instances that run, so that no loss of an owner is missed
--- a/crates/medlarlug-core/src/record.rs
+++ b/crates/medlarlug-core/src/record.rs
@@ -18,7 +18,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
-    /// The caller was sent the whole answer.
+    /// The caller was sent the whole answer; or the service told it later, and the caller gets it by
+    /// sending its booking again.
     Answered,
     /// Refused, and no upstream can have begun it.
     NotRun,
--- a/crates/medlarlug-core/tests/testsuite/booking_history.rs
+++ b/crates/medlarlug-core/tests/testsuite/booking_history.rs
@@ -163,6 +163,7 @@
             revision,
             epoch: home.epoch,
             moved: home.moved,
+            askable: None,
         };
         let mut out = Vec::new();
         let attempt = Attempt::new(region(home.region), begin, &mut out);
@@ -385,7 +386,9 @@
             let (key, team) = (key(number), team());
             let (epoch, moved) = (home.epoch, home.moved);
             let revision = self.revision;
-            let begin = Begin { team, key, content, request, owner, revision, epoch, moved };
+            let askable = None;
+            let begin =
+                Begin { team, key, content, request, owner, revision, epoch, moved, askable };
 
             let reply = self.apply(home.region, Action::Begin(begin));
 
--- a/crates/medlarlug-core/tests/testsuite/home_limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/home_limits.rs
@@ -7,7 +7,8 @@
     fingerprint::Fingerprint,
     home::{
         Action, Begin, BeginReply, Body, Booking, BookingState, Command, Handover, HomeGroup,
-        Owner, Recorded, Reply, state::KEY_RETENTION,
+        Owner, Recorded, Reply,
+        state::{KEY_RETENTION, QUESTION_SPAN},
     },
     ids::{Incarnation, Revision},
 };
@@ -35,6 +36,7 @@
         revision: FOUNDED,
         epoch: Revision(epoch),
         moved: false,
+        askable: None,
     }
 }
 
@@ -189,7 +191,7 @@
 fn old_handover() -> Handover {
     let booking = |key: &str, state| {
         let Begin { key, content, request, .. } = begin(key, 3);
-        Booking { key, content, request, state, since: 0 }
+        Booking { key, content, request, askable: None, state, since: 0 }
     };
     let answer =
         Recorded { status: 201, content_type: "text/plain".into(), body: Body::of(b"booked") };
@@ -219,3 +221,31 @@
     assert_eq!(replies, vec![BeginReply::Unknown(None); 3]);
     assert_matches!(done, BeginReply::Done { .. });
 }
+
+#[test]
+fn services_are_asked_about_unknown_bookings_for_a_while_and_not_about_others() {
+    let mut group = founded(true);
+    let askable = |key: &str| Begin { askable: Some(id("jobdesk")), ..begin(key, 3) };
+    for it in [askable("lost"), askable("settled"), askable("done"), begin("unaskable", 3)] {
+        reply_to(&mut group, it);
+    }
+    finish(&mut group, &begin("done", 3), b"booked");
+    let Begin { owner: Owner { instance, incarnation }, .. } = begin("lost", 3);
+    let asked = |group: &HomeGroup| -> Vec<String> {
+        group.questions().map(|it| it.key.to_string()).collect()
+    };
+
+    let open = asked(&group);
+    apply(&mut group, Duration::ZERO, Action::InstanceLost { instance, incarnation });
+    let lost = asked(&group);
+    let Begin { team, key, request, .. } = begin("settled", 3);
+    let answer = Recorded { status: 200, content_type: "text/plain".into(), body: Body::of(b"") };
+    apply(&mut group, Duration::ZERO, Action::Settle { team, key, request, answer });
+    let settled = asked(&group);
+    apply(&mut group, QUESTION_SPAN + Duration::from_secs(1), Action::Tick);
+
+    assert!(open.is_empty());
+    assert_eq!(lost, ["lost", "settled"]);
+    assert_eq!(settled, ["lost"]);
+    assert!(asked(&group).is_empty());
+}
--- a/crates/medlarlug-core/tests/testsuite/home_model.rs
+++ b/crates/medlarlug-core/tests/testsuite/home_model.rs
@@ -185,6 +185,7 @@
             revision: Revision(1),
             epoch: Revision(1),
             moved: false,
+            askable: None,
         }),
     };
     let elapsed = match rng.random_range(0..30) {
--- a/src/coordination/entry/callers.rs
+++ b/src/coordination/entry/callers.rs
@@ -142,6 +142,11 @@
     };
     let recent = entry.journal.borrow().find(&id).cloned();
     let fate = match recent {
+        // It may have been settled since then; the home group knows.
+        Some(record) if record.outcome == Some(Outcome::Unknown) => {
+            let newest = lookup::fate(&entry.node, &id, LOOK_UP_LIMIT).await;
+            newest.or(Ok(Fate::Recorded(record)))
+        }
         Some(record) => Ok(Fate::Recorded(record)),
         None => lookup::fate(&entry.node, &id, LOOK_UP_LIMIT).await,
     };
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -7,6 +7,7 @@
 //! * [`callers`]: the callers' HTTP interface.
 //! * [`inference`]: the life of an inference request.
 //! * [`services`]: the life of a call to a plain service, and of a booking.
+//! * [`outcomes`]: questions to plain services about bookings of unknown outcome.
 //! * [`exchange`]: one attempt at an upstream or another zone.
 //! * [`relay`]: delivery of a streamed answer.
 //! * [`silence`]: replacement of connections that have gone silent.
@@ -27,6 +28,7 @@
 pub mod internal;
 pub mod journal;
 pub mod orders;
+pub mod outcomes;
 pub mod relay;
 pub mod services;
 pub mod silence;
@@ -454,7 +456,7 @@
         node.cluster.entries().filter(is_near).map(|it| it.id.clone()).collect()
     }
 
-    fn receive(&self, received: Received) {
+    fn receive(self: &Rc<Self>, received: Received) {
         match received {
             Received::Done => {}
             Received::Notices(notices) => self.note(&notices),
@@ -462,7 +464,7 @@
         }
     }
 
-    fn receive_from_entry(&self, from: InstanceId, message: Message) {
+    fn receive_from_entry(self: &Rc<Self>, from: InstanceId, message: Message) {
         match message {
             Message::Demand { report } => {
                 let age = Duration::ZERO;
@@ -474,6 +476,9 @@
                 self.suspect(suspects::Event::Reserved { upstream, lifetime });
             }
             Message::Free { upstream } => self.suspect(suspects::Event::Freed { upstream }),
+            Message::Questions { home, questions } => {
+                task::spawn_local(outcomes::settle_all(self.clone(), home, questions));
+            }
             message => {
                 tracing::warn!(%from, ?message, "message for another kind of process");
             }
--- /dev/null
+++ b/src/coordination/entry/outcomes.rs
@@ -0,0 +1,168 @@
+//! Questions to plain services about bookings of unknown outcome.
+//!
+//! The owner asks the upstream that it sent the booking to once after a lost answer. Everything
+//! later is up to the leader of the home group: it hands [`Question`]s to an entry instance of
+//! each permitted zone, which asks the zone's upstreams of the service, owner or not. A question
+//! sends nothing again, and of several answers the home group records one.
+//!
+//! A service answers `GET /outcomes/{key}` with `{"state": "ran", "request": ..., "answer": ...}`
+//! once the call has ended. `request` is the `x-request-id` under which it ran; another one than
+//! the booking's shows that somebody else used the key.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode, header};
+use medlarlug_core::{
+    home::{Action, Body, BookingKey, LookUp, Question, Recorded, Reply},
+    ids::{RegionId, RequestId},
+    membership::Target,
+    record::{Outcome, RequestRecord, Stage, Step},
+    release::ItemKey,
+};
+use smol_str::SmolStr;
+use tokio::time::timeout;
+
+use crate::{
+    coordination::{calls, calls::CallFailure, entry::Entry},
+    protocol::headers,
+    transport::{
+        body,
+        http_client::{CallLimits, Reuse},
+    },
+};
+
+/// Longest answer to a booking, in bytes.
+pub const ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// Times of one question.
+pub const QUESTION_LIMITS: CallLimits =
+    CallLimits { connect: Duration::from_secs(1), head: Duration::from_secs(2) };
+
+/// Time that a home group has to answer or to record an outcome.
+const GROUP_LIMIT: Duration = Duration::from_secs(2);
+
+/// What a service answered to a booking.
+pub struct Served {
+    /// What is recorded of it.
+    pub recorded: Recorded,
+    /// The whole body.
+    pub content: Bytes,
+}
+
+/// Asks the own zone's services about bookings of the home group of `home`, and settles them.
+pub async fn settle_all(entry: Rc<Entry>, home: RegionId, questions: Vec<Question>) {
+    join_all(questions.iter().map(|it| settle(&entry, &home, it))).await;
+}
+
+async fn settle(entry: &Entry, home: &RegionId, question: &Question) {
+    let answers = addresses(entry, question).into_iter();
+    let answers = answers.map(|it| ask(entry, it, &question.key, &question.request));
+    let Some(served) = join_all(answers).await.into_iter().flatten().next() else { return };
+    let request = &question.request;
+    // The record goes first: while the booking is not settled, the question comes again.
+    let result = match record(entry, question).await {
+        Ok(Reply::Ok) => settle_booking(entry, home, question, served.recorded).await,
+        other => other,
+    };
+    match result {
+        Ok(Reply::Ok) => tracing::info!(%request, "unknown outcome settled"),
+        Ok(reply) => tracing::info!(%request, ?reply, "unknown outcome not settled"),
+        Err(error) => tracing::info!(%request, %error, "unknown outcome not settled"),
+    }
+}
+
+/// The zone's upstreams of the service, if residency permits to ask them.
+fn addresses(entry: &Entry, question: &Question) -> Vec<SocketAddr> {
+    let node = &entry.node;
+    let Some(configuration) = entry.configuration() else { return Vec::new() };
+    let key = ItemKey::Service(question.service.clone());
+    let is_permitted = |team| configuration.may_go_on(team, &key, &node.region);
+    if !configuration.team(&question.team).is_some_and(is_permitted) {
+        return Vec::new();
+    }
+    let target = Target::Service(question.service.clone());
+    let members = node.members.borrow();
+    let upstreams = members.upstreams(node.now()).filter(|it| it.serves(&target));
+    upstreams.map(|it| it.announcement.address).collect()
+}
+
+async fn settle_booking(
+    entry: &Entry,
+    home: &RegionId,
+    question: &Question,
+    answer: Recorded,
+) -> Result<Reply, CallFailure> {
+    let Question { team, key, request, .. } = question.clone();
+    let action = Action::Settle { team, key, request, answer };
+    calls::act(&entry.node, home, action, GROUP_LIMIT).await
+}
+
+/// Notes in the record of a booking's request that the service told its outcome.
+async fn record(entry: &Entry, question: &Question) -> Result<Reply, CallFailure> {
+    let request = &question.request;
+    let mut record = match calls::look_up(&entry.node, request, GROUP_LIMIT).await? {
+        LookUp::Found(record) => record,
+        // The owner was lost before it sent the record.
+        LookUp::Expired | LookUp::NotYet => RequestRecord {
+            id: request.clone(),
+            team: question.team.clone(),
+            target: ItemKey::Service(question.service.clone()),
+            outcome: None,
+            timeline: Vec::new(),
+        },
+    };
+    if record.outcome == Some(Outcome::Answered) {
+        return Ok(Reply::Ok);
+    }
+    record.outcome = Some(Outcome::Answered);
+    let reason = "told by the service when asked later".into();
+    let stage = Stage::Ended { outcome: Outcome::Answered, reason };
+    // When the request was received is not known here.
+    let after = record.timeline.last().map(|it| it.after).unwrap_or_default();
+    record.timeline.push(Step { after, stage });
+    let action = Action::Records(vec![record]);
+    calls::act(&entry.node, &request.region, action, GROUP_LIMIT).await
+}
+
+/// Asks an upstream for the answer of the call that `request` made under `key`.
+pub async fn ask(
+    entry: &Entry,
+    address: SocketAddr,
+    key: &BookingKey,
+    request: &RequestId,
+) -> Option<Served> {
+    let mut question = Request::new(Full::new(Bytes::new()));
+    *question.method_mut() = Method::GET;
+    *question.uri_mut() = format!("/outcomes/{key}").parse().ok()?;
+    body::insert(question.headers_mut(), header::HOST.as_str(), &address.to_string());
+    body::insert(question.headers_mut(), headers::REQUEST_ID, &request.to_string());
+    let result = entry.client.call(address, question, Reuse::Never, QUESTION_LIMITS).await;
+    let (answer, _) = result.ok()?;
+    if answer.status() != StatusCode::OK {
+        return None;
+    }
+    let reading = body::read(answer.into_body(), ANSWER_BYTES);
+    let content = timeout(QUESTION_LIMITS.head, reading).await.ok()?.ok()?;
+    answer_in(&content, request)
+}
+
+/// The answer in a service's document, if it says that the call of `request` ran.
+pub fn answer_in(document: &[u8], request: &RequestId) -> Option<Served> {
+    let document: serde_json::Value = serde_json::from_slice(document).ok()?;
+    if document["state"] != "ran" || document["request"] != request.to_string().as_str() {
+        return None;
+    }
+    let content = match &document["answer"] {
+        serde_json::Value::String(text) => text.clone().into_bytes(),
+        other => serde_json::to_vec(other).ok()?,
+    };
+    let recorded = Recorded {
+        status: 200,
+        content_type: SmolStr::new_static("application/json"),
+        body: Body::of(&content),
+    };
+    Some(Served { recorded, content: content.into() })
+}
--- a/src/coordination/entry/services.rs
+++ b/src/coordination/entry/services.rs
@@ -4,28 +4,26 @@
 //! call that must not run twice. Its intent is committed in the home group of the team's home
 //! region before it is sent; it is sent once, over a new connection; its answer is committed
 //! before the caller gets it. Whatever stays uncertain is recorded as unknown and never sent
-//! again, and the service is asked about it where it can be asked.
+//! again, and the service is asked about it where it can be asked ([`outcomes`]).
 
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::{Method, Request, StatusCode, header};
+use hyper::{StatusCode, header};
 use medlarlug_core::{
     fingerprint::Fingerprint,
     home::{
         Begin, Body, BookingKey, Owner, Recorded,
         attempt::{self as attempt_core, Event, NotRun},
     },
-    ids::{RegionId, RequestId, Revision, TeamId},
+    ids::{RegionId, RequestId, Revision, ServiceId, TeamId},
+    membership::Target,
     record::{Outcome, Stage},
     refusal::{Reason, Refusal},
     retry::{Attempts, Decision, Failure},
     routing::router,
     suspects,
 };
-use smol_str::SmolStr;
-use tokio::{task, time::sleep};
 
 use crate::{
     coordination::entry::{
@@ -33,12 +31,10 @@
         attempt::{self, Handle, Step},
         exchange::{Exchange, FailedAttempt},
         inference::{self, AttemptEnd, Job},
+        outcomes::{self, ANSWER_BYTES, Served},
     },
     protocol::{Problem, headers},
-    transport::{
-        body::{self, Answer},
-        http_client::{CallLimits, Reuse},
-    },
+    transport::body::{self, Answer},
 };
 
 /// Time that an intent has to be committed.
@@ -47,22 +43,12 @@
 /// Time that an outcome has to be committed.
 const FINISH_LIMIT: Duration = Duration::from_secs(10);
 
-/// Pause before a service is asked again about an unknown outcome.
-const SETTLE_PAUSE: Duration = Duration::from_secs(1);
-
-/// Questions about one unknown outcome.
-const SETTLE_ROUNDS: u32 = 600;
-
-/// Longest answer to a booking, in bytes.
-const ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Time that the body of an answer may take after its head.
+const ANSWER_LIMIT: Duration = Duration::from_secs(10);
 
 /// Shortest time that an attempt is worth.
 const ATTEMPT_ESTIMATE: Duration = Duration::from_millis(50);
 
-/// Times of a question about the outcome of a call.
-const OUTCOME_LIMITS: CallLimits =
-    CallLimits { connect: Duration::from_secs(1), head: Duration::from_secs(2) };
-
 /// A call that must not run twice.
 pub struct Booking {
     /// The team.
@@ -85,10 +71,14 @@
     pub job: Job,
 }
 
-/// What a service answered.
-struct Served {
-    recorded: Recorded,
-    content: Bytes,
+impl Booking {
+    /// The service, if it can be asked about the outcome.
+    fn askable(&self) -> Option<ServiceId> {
+        match &self.job.facts().target {
+            Target::Service(service) if self.outcomes => Some(service.clone()),
+            _ => None,
+        }
+    }
 }
 
 /// How the sending of a booking ended.
@@ -123,6 +113,7 @@
         revision: booking.revision,
         epoch: booking.epoch,
         moved: booking.moved,
+        askable: booking.askable(),
     }
 }
 
@@ -196,9 +187,6 @@
         return finish(entry, &booking, &mut attempt, served).await;
     }
     attempt.tell(Event::AnswerLost);
-    if booking.outcomes {
-        task::spawn_local(settle_later(entry.clone(), booking, attempt, failed));
-    }
     let refusal = Refusal::new(Reason::AnswerLost, Duration::from_secs(5));
     inference::refuse(entry, &id, &refusal)
 }
@@ -247,8 +235,8 @@
     let request = id.clone();
     let (place, ticket) = (exchange.place, exchange.ticket);
     let (head, incoming) = exchange.answer.into_parts();
-    let limit = OUTCOME_LIMITS.head * 5;
-    let content = match tokio::time::timeout(limit, body::read(incoming, ANSWER_BYTES)).await {
+    let content = match tokio::time::timeout(ANSWER_LIMIT, body::read(incoming, ANSWER_BYTES)).await
+    {
         Ok(Ok(content)) => content,
         _ => {
             entry.routed(router::Event::Failed(ticket));
@@ -292,17 +280,6 @@
     inference::pass_on(id, status, media.as_ref(), content)
 }
 
-/// Asks the service about a booking of unknown outcome until it tells, or for [`SETTLE_ROUNDS`].
-async fn settle_later(entry: Rc<Entry>, booking: Booking, attempt: Handle, failed: FailedAttempt) {
-    for _ in 0..SETTLE_ROUNDS {
-        sleep(SETTLE_PAUSE).await;
-        if let Some(served) = ask_outcome(&entry, &booking, &failed).await {
-            tracing::info!(request = %booking.job.facts().id, "unknown outcome settled");
-            return attempt.tell(Event::Answered(served.recorded));
-        }
-    }
-}
-
 /// Asks the upstream that may have run a call what became of it.
 async fn ask_outcome(entry: &Entry, booking: &Booking, failed: &FailedAttempt) -> Option<Served> {
     let inference::Place::Upstream(upstream) = &failed.place else { return None };
@@ -310,37 +287,7 @@
         let members = entry.node.members.borrow();
         members.upstream(entry.node.now(), upstream)?.announcement.address
     };
-    let id = &booking.job.facts().id;
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.method_mut() = Method::GET;
-    *request.uri_mut() = format!("/outcomes/{}", booking.key).parse().ok()?;
-    body::insert(request.headers_mut(), header::HOST.as_str(), &address.to_string());
-    body::insert(request.headers_mut(), headers::REQUEST_ID, &id.to_string());
-    let result = entry.client.call(address, request, Reuse::Never, OUTCOME_LIMITS).await;
-    let (answer, _) = result.ok()?;
-    if answer.status() != StatusCode::OK {
-        return None;
-    }
-    let content = body::read(answer.into_body(), ANSWER_BYTES).await.ok()?;
-    ran_answer(&content)
-}
-
-/// The answer out of a service's document about a call that ran.
-fn ran_answer(document: &[u8]) -> Option<Served> {
-    let document: serde_json::Value = serde_json::from_slice(document).ok()?;
-    if document["state"] != "ran" {
-        return None;
-    }
-    let content = match &document["answer"] {
-        serde_json::Value::String(text) => text.clone().into_bytes(),
-        other => serde_json::to_vec(other).ok()?,
-    };
-    let recorded = Recorded {
-        status: 200,
-        content_type: SmolStr::new_static("application/json"),
-        body: Body::of(&content),
-    };
-    Some(Served { recorded, content: content.into() })
+    outcomes::ask(entry, address, &booking.key, &booking.job.facts().id).await
 }
 
 fn recorded_answer(id: &RequestId, answer: &Recorded) -> Answer {
--- a/src/coordination/keeper/duties/mod.rs
+++ b/src/coordination/keeper/duties/mod.rs
@@ -3,13 +3,15 @@
 //! * Every member of the configuration group hands new revisions to its own follower; the leader
 //!   also pushes them to every instance. Members confirm the newest revision by reading it.
 //! * The leader of a home group founds it ([`founding`]), fetches the bookings of teams whose home
-//!   moves here ([`moves`]) and records which bookings have lost their owner ([`owners`]).
+//!   moves here ([`moves`]), records which bookings have lost their owner ([`owners`]) and has
+//!   services asked about unknown outcomes ([`outcomes`]).
 //! * The leader of the configuration group keeps track of where revisions are in force, and
 //!   removes what has drained ([`confirmations`]).
 
 pub mod confirmations;
 mod founding;
 mod moves;
+mod outcomes;
 mod owners;
 
 use std::{rc::Rc, time::Duration};
@@ -28,6 +30,9 @@
 /// Time between two rounds of a duty.
 const ROUND: Duration = Duration::from_millis(500);
 
+/// Time between two rounds of questions about unknown outcomes.
+const QUESTION_ROUND: Duration = Duration::from_secs(2);
+
 /// Time that a call of a duty may take.
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 
@@ -44,7 +49,8 @@
         if let GroupId::Home(region) = group {
             task::spawn_local(founding::run(keeper.clone(), region.clone(), stop.clone()));
             task::spawn_local(moves::run(keeper.clone(), region.clone(), stop.clone()));
-            task::spawn_local(owners::run(keeper.clone(), region, stop.clone()));
+            task::spawn_local(owners::run(keeper.clone(), region.clone(), stop.clone()));
+            task::spawn_local(outcomes::run(keeper.clone(), region, stop.clone()));
         }
     }
 }
--- /dev/null
+++ b/src/coordination/keeper/duties/outcomes.rs
@@ -0,0 +1,78 @@
+//! Bookings of unknown outcome, about which services can be asked.
+//!
+//! The leader of the home group can't ask: keepers don't know the upstreams. It hands questions to
+//! one entry instance of each zone whose region the team and the service permit, another one in
+//! each round, so that one that is gone holds nothing up for long.
+
+use std::rc::Rc;
+
+use medlarlug_core::{
+    home::Question,
+    ids::RegionId,
+    release::{Configuration, ItemKey},
+};
+use tokio::{sync::watch, time::interval};
+
+use crate::{
+    coordination::keeper::{Keeper, duties::QUESTION_ROUND, machine::Machine},
+    protocol::{GroupId, Message},
+    settings::Peer,
+};
+
+/// Questions in one round at most.
+const ROUND_QUESTIONS: usize = 16;
+
+/// Has services asked while this keeper leads the home group of `region`.
+pub async fn run(keeper: Rc<Keeper>, region: RegionId, mut stop: watch::Receiver<bool>) {
+    let mut rounds = interval(QUESTION_ROUND);
+    let group = GroupId::Home(region.clone());
+    let mut count = 0;
+    loop {
+        tokio::select! {
+            _ = rounds.tick() => {
+                if keeper.leads(&group) {
+                    count += 1;
+                    hand_out(&keeper, &region, count);
+                }
+            }
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+    }
+}
+
+/// Hands the questions of one round out; those that found no place in it come in a later one.
+fn hand_out(keeper: &Keeper, region: &RegionId, round: usize) {
+    let group = GroupId::Home(region.clone());
+    let questions = keeper.with_machine(&group, |machine| match machine {
+        Machine::Home(machine) => machine.questions().collect(),
+        Machine::Configuration(_) => Vec::new(),
+    });
+    let mut questions: Vec<Question> = questions.unwrap_or_default();
+    if questions.is_empty() {
+        return;
+    }
+    let first = round * ROUND_QUESTIONS % questions.len();
+    questions.rotate_left(first);
+    questions.truncate(ROUND_QUESTIONS);
+    let Some(configuration) = keeper.node.configuration() else { return };
+    let cluster = &keeper.node.cluster;
+    for zone in &cluster.zones {
+        let entries: Vec<&Peer> = cluster.entries().filter(|it| it.zone == zone.id).collect();
+        if entries.is_empty() {
+            continue;
+        }
+        let is_permitted = |it: &&Question| may_ask(&configuration, it, &zone.region);
+        let questions: Vec<Question> = questions.iter().filter(is_permitted).cloned().collect();
+        if !questions.is_empty() {
+            let entry = entries[round % entries.len()];
+            let home = region.clone();
+            keeper.node.send(&entry.id, Message::Questions { home, questions });
+        }
+    }
+}
+
+fn may_ask(configuration: &Configuration, question: &Question, region: &RegionId) -> bool {
+    let key = ItemKey::Service(question.service.clone());
+    let team = configuration.team(&question.team);
+    team.is_some_and(|it| configuration.may_go_on(it, &key, region))
+}
--- a/src/protocol/message.rs
+++ b/src/protocol/message.rs
@@ -84,6 +84,13 @@
     Push(Box<follower::Update>),
     /// The sender hears nothing of the receiver, whose connection may have gone silent.
     Unheard,
+    /// To an entry instance: services of its zone have to be asked about bookings.
+    Questions {
+        /// Region of the home group that records the bookings.
+        home: RegionId,
+        /// The bookings.
+        questions: Vec<home::Question>,
+    },
 }
 
 /// A request to a replication group.
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -90,7 +90,7 @@
         None => json!({"state": "not_seen"}),
         Some(run) => match &run.answer {
             None => json!({"state": "running"}),
-            Some(answer) => json!({"state": "ran", "answer": answer}),
+            Some(answer) => json!({"state": "ran", "request": answer["id"], "answer": answer}),
         },
     };
     json(StatusCode::OK, &body)
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod journal;
 mod processes;
 mod protocol;
+mod service_answers;
 mod settings;
 mod standin;
 mod state;
--- a/tests/testsuite/processes/outcomes.rs
+++ b/tests/testsuite/processes/outcomes.rs
@@ -1,11 +1,11 @@
 //! Outcomes of bookings are recorded in the end, also when the home group is away for a while.
 
-use std::thread;
+use std::{fs, process::Command, thread};
 
 use medlarlug_core::release::{Item, item::Residency};
 use nix::sys::signal::Signal;
 use serde_json::json;
-use test_support::deployment::{Deployment, wait_for};
+use test_support::deployment::{Deployment, OPERATOR_KEY, call, wait_for};
 
 use crate::processes::fixture::{items, two_regions};
 
@@ -69,6 +69,56 @@
     assert_eq!(deployment.runs("parcel-7"), 1);
 }
 
+/// The request that the ledger of a service names for a key.
+fn request_of_run(deployment: &Deployment, key: &str) -> Option<String> {
+    let control = deployment.upstreams[0].control;
+    let runs = call("GET", control, "/runs", &[], "").json;
+    let run = runs["runs"].as_array()?.iter().find(|it| it["key"] == key)?.clone();
+    run["answer"]["id"].as_str().map(str::to_owned)
+}
+
+/// What `medlarlug request` prints.
+fn told(deployment: &Deployment, entry: &str, request: &str) -> String {
+    let address = deployment.get(entry).operators.to_string();
+    let key = deployment.settings(entry).with_file_name("operator.key");
+    fs::write(&key, OPERATOR_KEY).expect("a key file");
+    let output = Command::new(env!("CARGO_BIN_EXE_medlarlug"))
+        .args(["request", "--at", &address, "--json", request])
+        .env("MEDLARLUG_KEY_FILE", key)
+        .output()
+        .expect("the command runs");
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+#[test]
+fn booking_of_a_killed_owner_is_settled_by_an_instance_that_asks_the_service() {
+    let deployment =
+        two_regions().entry("entry-3", "riga-a").service("desk", "riga-a", "jobdesk").start();
+    deployment.configure(items_with_outcomes());
+    deployment.wait_upstreams("entry-1", 1);
+    deployment.wait_upstreams("entry-3", 1);
+    deployment.fault("desk", &json!({ "kind": "late_answer", "count": 1, "delay_ms": 60_000 }));
+
+    thread::scope(|scope| {
+        let lost = scope.spawn(|| deployment.book("entry-1", "parcel-7", "{}"));
+        wait_for("the run", || request_of_run(&deployment, "parcel-7").is_some());
+        deployment.signal("entry-1", Signal::SIGKILL);
+        assert_eq!(lost.join().expect("the caller").status, 0);
+    });
+    let request = request_of_run(&deployment, "parcel-7").expect("the run");
+    wait_for("the outcome told by the service", || {
+        told(&deployment, "entry-3", &request).contains("\"outcome\": \"answered\"")
+    });
+    let mut again = deployment.book("entry-2", "parcel-7", "{}");
+    wait_for("the recorded outcome", || {
+        again = deployment.book("entry-2", "parcel-7", "{}");
+        again.status == 200
+    });
+
+    assert_eq!(again.json["id"], request.as_str(), "{}", again.text);
+    assert_eq!(deployment.runs("parcel-7"), 1);
+}
+
 #[test]
 fn owner_that_died_before_every_keeper_restarted_leaves_its_booking_unknown() {
     let mut deployment = with_service(items(Residency::Anywhere));
--- /dev/null
+++ b/tests/testsuite/service_answers.rs
@@ -0,0 +1,20 @@
+//! What a plain service tells about an earlier call.
+
+use medlarlug::coordination::entry::outcomes::answer_in;
+use medlarlug_core::{home::Body, ids::RequestId};
+use test_support::id;
+
+#[test]
+fn answer_counts_only_for_the_request_that_ran() {
+    let own: RequestId = id("riga.entry-1.1.1");
+    let other: RequestId = id("riga.entry-1.1.2");
+    let ran = br#"{"state": "ran", "request": "riga.entry-1.1.1", "answer": "done"}"#;
+    let running = br#"{"state": "running", "request": "riga.entry-1.1.1"}"#;
+
+    let answer = answer_in(ran, &own).map(|it| it.recorded.body);
+
+    assert_eq!(answer, Some(Body::Whole(b"done".to_vec())));
+    assert!(answer_in(ran, &other).is_none());
+    assert!(answer_in(running, &own).is_none());
+    assert!(answer_in(b"no document", &own).is_none());
+}
