A refused resend says that the key's earlier outcome is not known

Cause: home-unreachable was told as not_run alone. True of this request, but a caller that resends an acknowledged booking could take it for the whole truth about the key.

Change: refusals before the home group was asked about the key carry "earlier": "unknown" beside outcome not_run, say so in the title (home-unreachable, not-home, not-adopted, stale-configuration, replaced), and name a time to come back; so do leaving, rate-limited and the refusals of admission for calls with a key. outcome-unknown tells a time to come back, too.

Ruled out: outcome unknown for these. The request never runs, and the test of a region that is cut off rightly asks for not_run.

Test: a resend while the home has no majority; seen to fail with earlier missing.

--- a/src/coordination/entry/callers.rs
+++ b/src/coordination/entry/callers.rs
@@ -260,7 +260,12 @@
 
 async fn call_service(entry: Rc<Entry>, caller: Caller, request: Request<Incoming>) -> Answer {
     if entry.is_leaving() {
-        return refuse_for(&entry, Reason::Leaving, Duration::ZERO);
+        let refusal = entry.refusal(Reason::Leaving, Duration::ZERO);
+        let problem = Problem::from_refusal(&refusal);
+        return body::refusal(&match request.headers().contains_key(headers::IDEMPOTENCY_KEY) {
+            true => problem.earlier_unknown(),
+            false => problem,
+        });
     }
     let (id, path) = match service_path(&request) {
         Ok(parts) => parts,
@@ -289,7 +294,10 @@
     };
     let request_id = entry.begin(team.id.clone(), ItemKey::Service(id.clone()));
     if let Err(refusal) = entry.check_limit(&team.id) {
-        return inference::refuse(&entry, &request_id, &refusal);
+        return match key {
+            Some(_) => services::refuse_unasked(&entry, &request_id, &refusal),
+            None => inference::refuse(&entry, &request_id, &refusal),
+        };
     }
     let facts = RequestFacts {
         id: request_id.clone(),
--- a/src/coordination/entry/services.rs
+++ b/src/coordination/entry/services.rs
@@ -43,6 +43,9 @@
 /// Time that an outcome has to be committed.
 const FINISH_LIMIT: Duration = Duration::from_secs(10);
 
+/// Time after which the service may have told an unknown outcome.
+const UNKNOWN_PAUSE: Duration = Duration::from_secs(5);
+
 /// Time that the body of an answer may take after its head.
 const ANSWER_LIMIT: Duration = Duration::from_secs(10);
 
@@ -93,7 +96,7 @@
     let id = booking.job.facts().id.clone();
     let _slot = match inference::admit(&entry, &mut booking.job).await {
         Ok(slot) => slot,
-        Err(refusal) => return inference::refuse(&entry, &id, &refusal),
+        Err(refusal) => return refuse_unasked(&entry, &id, &refusal),
     };
     let limit = BEGIN_LIMIT.min(booking.job.facts().deadline);
     let mut attempt = attempt::start(&entry, booking.home.clone(), begin_of(&entry, &booking));
@@ -103,6 +106,12 @@
     }
 }
 
+/// Ends a booking with a refusal before the home group was asked about its key.
+pub fn refuse_unasked(entry: &Entry, id: &RequestId, refusal: &Refusal) -> Answer {
+    entry.end(id, refusal.outcome, refusal.reason.title());
+    body::refusal(&Problem::from_refusal(refusal).of(id).earlier_unknown())
+}
+
 fn begin_of(entry: &Entry, booking: &Booking) -> Begin {
     Begin {
         team: booking.team.clone(),
@@ -126,7 +135,7 @@
         }
         attempt_core::Answer::Unknown => {
             let title = "An earlier request with this key may have run; it is not sent again";
-            Problem::new(409, "outcome-unknown", title, Outcome::Unknown)
+            Problem::new(409, "outcome-unknown", title, Outcome::Unknown).after(UNKNOWN_PAUSE)
         }
         attempt_core::Answer::NotRun(reason) => not_run(reason),
     };
@@ -139,6 +148,11 @@
     let refused = |kind: &'static str, title: &str| {
         Problem::new(503, kind, title, Outcome::NotRun).after(wait)
     };
+    // The key was not looked up; it may have been used before.
+    let unasked = |kind: &'static str, title: &str| {
+        let rest = "whether an earlier request with this key ran can't be told now";
+        refused(kind, &format!("{title}; {rest}")).earlier_unknown()
+    };
     match reason {
         NotRun::InProgress(request) => {
             let title = format!("Request {request} with this key is under way");
@@ -149,24 +163,24 @@
             Problem::new(422, "key-reused", &title, Outcome::NotRun)
         }
         NotRun::NotHome(region) => {
-            refused("not-home", &format!("The team's bookings are recorded in region {region}"))
+            unasked("not-home", &format!("The team's bookings are recorded in region {region}"))
         }
-        NotRun::StaleConfiguration(revision) => refused(
+        NotRun::StaleConfiguration(revision) => unasked(
             "stale-configuration",
             &format!("This instance does not know revision {revision} yet"),
         ),
         NotRun::NotAdopted => {
-            refused("not-adopted", "The team's bookings are on their way to its new home region")
+            unasked("not-adopted", "The team's bookings are on their way to its new home region")
         }
         NotRun::Full => refused("keys-exhausted", "The home region keeps as many keys as it can"),
         NotRun::HomeUnavailable => {
-            refused("home-unreachable", "The home region of the booking can't be reached")
+            unasked("home-unreachable", "The home region of the booking can't be reached")
                 .after(Duration::from_secs(2))
         }
         NotRun::UpstreamUnavailable => {
             refused("upstream-unavailable", "No upstream could be reached")
         }
-        NotRun::Replaced => refused("replaced", "This instance has been replaced"),
+        NotRun::Replaced => unasked("replaced", "This instance has been replaced"),
     }
 }
 
--- a/src/protocol/problem.rs
+++ b/src/protocol/problem.rs
@@ -35,6 +35,10 @@
     /// When to come back, in seconds, rounded up.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub retry_after: Option<u64>,
+    /// What became of earlier requests under the same key: unknown, as the home group was not
+    /// asked. [`outcome`](Self::outcome) speaks of this request only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub earlier: Option<Outcome>,
 }
 
 impl Problem {
@@ -47,6 +51,7 @@
             outcome,
             request: None,
             retry_after: None,
+            earlier: None,
         }
     }
 
@@ -62,6 +67,11 @@
         Problem { request: Some(id.clone()), ..self }
     }
 
+    /// The same problem of a booking whose key may have been used before.
+    pub fn earlier_unknown(self) -> Problem {
+        Problem { earlier: Some(Outcome::Unknown), ..self }
+    }
+
     /// The same problem with the time after which another try is worth it.
     pub fn after(self, wait: Duration) -> Problem {
         let seconds = wait.as_millis().div_ceil(1000).max(1);
--- a/tests/testsuite/processes/outcomes.rs
+++ b/tests/testsuite/processes/outcomes.rs
@@ -119,6 +119,25 @@
     assert_eq!(deployment.runs("parcel-7"), 1);
 }
 
+#[test]
+fn resend_that_cannot_reach_the_home_leaves_open_what_became_of_the_first_send() {
+    let deployment = with_service(items(Residency::Anywhere));
+    let first = deployment.book("entry-1", "parcel-7", "{}");
+
+    deployment.signal("keeper-2", Signal::SIGSTOP);
+    deployment.signal("keeper-3", Signal::SIGSTOP);
+    let cut_off = deployment.book("entry-2", "parcel-7", "{}");
+    deployment.signal("keeper-2", Signal::SIGCONT);
+    deployment.signal("keeper-3", Signal::SIGCONT);
+
+    assert_eq!(first.status, 200, "{}", first.text);
+    assert_eq!(cut_off.json["type"], "home-unreachable", "{}", cut_off.text);
+    assert_eq!(cut_off.json["outcome"], "not_run", "{}", cut_off.text);
+    assert_eq!(cut_off.json["earlier"], "unknown", "{}", cut_off.text);
+    assert!(cut_off.json["retry_after"].is_u64(), "{}", cut_off.text);
+    assert_eq!(deployment.runs("parcel-7"), 1);
+}
+
 #[test]
 fn owner_that_died_before_every_keeper_restarted_leaves_its_booking_unknown() {
     let mut deployment = with_service(items(Residency::Anywhere));
