A booking's success pays once into the retry budget

Cause: finish deposited for every booking, also when another zone's instance had sent it and deposited as well; and for answers of status 5xx and answers that the service told when asked.

Change: deposits happen where the upstream's answer is read, by the instance that sent to the upstream, not for server errors. Whole answers of keyed calls go by the same rule. The dump of an entry instance shows the retry budgets.

--- a/crates/medlarlug-core/src/retry.rs
+++ b/crates/medlarlug-core/src/retry.rs
@@ -64,6 +64,11 @@
         true
     }
 
+    /// Requests that were answered.
+    pub fn successes(&self) -> u64 {
+        self.successes
+    }
+
     /// Whole retries that are left.
     pub fn left(&self) -> u32 {
         MAX_STORED_RETRIES.saturating_sub(self.taken.len() as u32)
--- a/src/coordination/entry/inference.rs
+++ b/src/coordination/entry/inference.rs
@@ -435,14 +435,20 @@
     entry.client.give_back(exchange.connection);
     entry.routed(router::Event::FirstToken(ticket));
     entry.routed(router::Event::Ended(ticket));
-    if matches!(place, Place::Upstream(_)) {
-        entry.with_budget(&facts.target, |budget| budget.deposit());
-    }
+    pay_for_retries(entry, &facts.target, &place, status);
     entry.suspect(suspects::Event::Answered { request: facts.id.clone() });
     entry.end(&facts.id, Outcome::Answered, "whole answer");
     Ok(pass_on(&facts.id, status, head.headers.get(header::CONTENT_TYPE), content))
 }
 
+/// Counts an answer for the retry budget of `target`, unless it is an error, or another zone's
+/// instance sent the request to the upstream and counts it.
+pub fn pay_for_retries(entry: &Entry, target: &Target, place: &Place, status: StatusCode) {
+    if matches!(place, Place::Upstream(_)) && !status.is_server_error() {
+        entry.with_budget(target, |budget| budget.deposit());
+    }
+}
+
 /// An upstream's answer as the caller gets it.
 pub fn pass_on(
     id: &RequestId,
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -373,6 +373,11 @@
         step(&mut budgets[place].1)
     }
 
+    fn retry_budgets(&self) -> Vec<serde_json::Value> {
+        let told = |(target, budget): &(Target, RetryBudget)| json!({ "target": target, "left": budget.left(), "successes": budget.successes() });
+        self.retries.borrow().iter().map(told).collect()
+    }
+
     fn set_gauges(&self) {
         let upstreams = self.node.members.borrow().upstreams(self.node.now()).count();
         let revision = self.node.follower.borrow().revision();
@@ -527,6 +532,7 @@
             "waiting": self.gate.waiting(),
             "quarantines": self.suspects.borrow().ledger().quarantines(self.node.now()).len(),
             "limits_settled": self.limits.borrow().is_settled(),
+            "retry_budgets": self.retry_budgets(),
             "attempts": self.router.borrow().in_flight(),
             "leaving": self.leaving.get(),
         })
--- a/src/coordination/entry/services.rs
+++ b/src/coordination/entry/services.rs
@@ -21,7 +21,7 @@
     record::{Outcome, Stage},
     refusal::{Reason, Refusal},
     retry::{Attempts, Decision, Failure},
-    routing::router,
+    routing::{RequestFacts, router},
     suspects,
 };
 
@@ -213,7 +213,7 @@
     let mut attempts = Attempts::new(false, false, deadline, ATTEMPT_ESTIMATE);
     loop {
         let failed = match inference::send(entry, &booking.job).await {
-            Ok(exchange) => match read_answer(entry, &id, exchange).await {
+            Ok(exchange) => match read_answer(entry, booking.job.facts(), exchange).await {
                 Ok(served) => return End::Answered(served),
                 Err(failed) => failed,
             },
@@ -243,10 +243,10 @@
 /// An answer of any kind shows that the request crashed nothing.
 async fn read_answer(
     entry: &Entry,
-    id: &RequestId,
+    facts: &RequestFacts,
     exchange: Exchange,
 ) -> Result<Served, FailedAttempt> {
-    let request = id.clone();
+    let request = facts.id.clone();
     let (place, ticket) = (exchange.place, exchange.ticket);
     let (head, incoming) = exchange.answer.into_parts();
     let content = match tokio::time::timeout(ANSWER_LIMIT, body::read(incoming, ANSWER_BYTES)).await
@@ -272,6 +272,7 @@
         let reason = "the receiving zone does not know the outcome".into();
         return Err(FailedAttempt { place, failure: Failure::Lost, reason });
     }
+    inference::pay_for_retries(entry, &facts.target, &place, head.status);
     let recorded = Recorded {
         status: head.status.as_u16(),
         content_type: media.unwrap_or("application/octet-stream").into(),
@@ -288,8 +289,6 @@
     let media = header::HeaderValue::from_str(&recorded.content_type).ok();
     attempt.tell(Event::Answered(recorded));
     attempt.next(FINISH_LIMIT).await;
-    let target = &booking.job.facts().target;
-    entry.with_budget(target, |budget| budget.deposit());
     entry.end(id, Outcome::Answered, "whole answer");
     inference::pass_on(id, status, media.as_ref(), content)
 }
--- a/tests/testsuite/processes/booking.rs
+++ b/tests/testsuite/processes/booking.rs
@@ -74,3 +74,20 @@
     assert_eq!(again.json["outcome"], "unknown", "{}", again.text);
     assert_eq!(deployment.runs("parcel-7"), 1);
 }
+
+#[test]
+fn success_that_crossed_zones_pays_into_the_retry_budget_of_the_sender_to_the_upstream_only() {
+    let deployment = two_regions().service("desk", "riga-a", "jobdesk").start();
+    deployment.configure(items(Residency::Anywhere));
+    deployment.wait_upstreams("entry-1", 1);
+
+    let reply = deployment.book("entry-2", "parcel-7", "{}");
+    let paid = |entry: &str| -> u64 {
+        let dump = deployment.operator_get(entry, "/dump").json;
+        let budgets = dump["process"]["retry_budgets"].as_array().cloned().unwrap_or_default();
+        budgets.iter().filter_map(|it| it["successes"].as_u64()).sum()
+    };
+
+    assert_eq!(reply.status, 200, "{}", reply.text);
+    assert_eq!((paid("entry-1"), paid("entry-2")), (1, 0));
+}
