--- a/src/coordination/entry/callers.rs
+++ b/src/coordination/entry/callers.rs
@@ -22,7 +22,7 @@
     ids::{RequestId, ServiceId},
     membership::Target,
     record::Outcome,
-    refusal::Reason,
+    refusal::{Reason, Refusal},
     release::{Configuration, ItemKey, item::Team},
     routing::{Origin, RequestFacts},
     units::Tokens,
@@ -142,6 +142,11 @@
     };
     let recent = entry.journal.borrow().find(&id).cloned();
     let fate = match recent {
+        // It may have been settled since then; the home group knows.
+        Some(record) if record.outcome == Some(Outcome::Unknown) => {
+            let newest = lookup::fate(&entry.node, &id, LOOK_UP_LIMIT).await;
+            newest.or(Ok(Fate::Recorded(record)))
+        }
         Some(record) => Ok(Fate::Recorded(record)),
         None => lookup::fate(&entry.node, &id, LOOK_UP_LIMIT).await,
     };
@@ -256,9 +261,16 @@
     Ok((service, smol_str::format_smolstr!("/{path}")))
 }
 
+/// Refuses a call to a service; what became of an earlier one under its key is not known.
+fn refuse_call(refusal: &Refusal, is_keyed: bool) -> Answer {
+    let problem = Problem::from_refusal(refusal);
+    body::refusal(&if is_keyed { problem.earlier_unknown() } else { problem })
+}
+
 async fn call_service(entry: Rc<Entry>, caller: Caller, request: Request<Incoming>) -> Answer {
+    let is_keyed = request.headers().contains_key(headers::IDEMPOTENCY_KEY);
     if entry.intake.is_leaving() {
-        return refuse_for(&entry, Reason::Leaving, Duration::ZERO);
+        return refuse_call(&entry.refusal(Reason::Leaving, Duration::ZERO), is_keyed);
     }
     let (id, path) = match service_path(&request) {
         Ok(parts) => parts,
@@ -287,10 +299,13 @@
     };
     let request_id = match entry.begin(team.id.clone(), ItemKey::Service(id.clone())) {
         Ok(id) => id,
-        Err(refusal) => return body::refusal(&Problem::from_refusal(&refusal)),
+        Err(refusal) => return refuse_call(&refusal, is_keyed),
     };
     if let Err(refusal) = entry.check_limit(&team.id) {
-        return inference::refuse(&entry, &request_id, &refusal);
+        return match key {
+            Some(_) => services::refuse_unasked(&entry, &request_id, &refusal),
+            None => inference::refuse(&entry, &request_id, &refusal),
+        };
     }
     let facts = RequestFacts {
         id: request_id.clone(),
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -9,6 +9,7 @@
 //! * [`callers`]: the callers' HTTP interface.
 //! * [`inference`]: the life of an inference request.
 //! * [`services`]: the life of a call to a plain service, and of a booking.
+//! * [`outcomes`]: questions to plain services about bookings of unknown outcome.
 //! * [`exchange`]: one attempt at an upstream or another zone.
 //! * [`relay`]: delivery of a streamed answer.
 //! * [`silence`]: replacement of connections that have gone silent.
@@ -31,6 +32,7 @@
 pub mod internal;
 pub mod journal;
 pub mod orders;
+pub mod outcomes;
 pub mod process;
 pub mod records;
 pub mod relay;
@@ -55,6 +57,7 @@
     suspects::{self, Suspects},
 };
 use serde_json::json;
+use tokio::task;
 
 pub use crate::coordination::entry::process::{EntryError, run};
 use crate::{
@@ -239,6 +242,11 @@
         step(&mut budgets[place].1)
     }
 
+    fn retry_budgets(&self) -> Vec<serde_json::Value> {
+        let told = |(target, budget): &(Target, RetryBudget)| json!({ "target": target, "left": budget.left(), "successes": budget.successes() });
+        self.retries.borrow().iter().map(told).collect()
+    }
+
     fn set_gauges(&self) {
         let upstreams = self.node.members.borrow().upstreams(self.node.now()).count();
         let revision = self.node.follower.borrow().revision();
@@ -322,7 +330,7 @@
         node.cluster.entries().filter(is_near).map(|it| it.id.clone()).collect()
     }
 
-    fn receive(&self, received: Received) {
+    fn receive(self: &Rc<Self>, received: Received) {
         match received {
             Received::Done => {}
             Received::Notices(notices) => self.note(&notices),
@@ -330,7 +338,7 @@
         }
     }
 
-    fn receive_from_entry(&self, from: InstanceId, message: Message) {
+    fn receive_from_entry(self: &Rc<Self>, from: InstanceId, message: Message) {
         match message {
             Message::Demand { report } => {
                 let age = Duration::ZERO;
@@ -342,6 +350,9 @@
                 self.suspect(suspects::Event::Reserved { upstream, lifetime });
             }
             Message::Free { upstream } => self.suspect(suspects::Event::Freed { upstream }),
+            Message::Questions { home, questions } => {
+                task::spawn_local(outcomes::settle_all(self.clone(), home, questions));
+            }
             message => {
                 tracing::warn!(%from, ?message, "message for another kind of process");
             }
@@ -371,6 +382,7 @@
             "waiting": self.gate.waiting(),
             "quarantines": self.suspects.borrow().ledger().quarantines(self.node.now()).len(),
             "limits_settled": self.limits.borrow().is_settled(),
+            "retry_budgets": self.retry_budgets(),
             "attempts": self.router.borrow().in_flight(),
             "leaving": self.intake.is_leaving(),
         })
