Frames have a code of 16 bytes and don't name their receiver

Change: the code is half of the keyed hash (RFC 2104, section 5). It covers the receiver with the length of its name, so a frame that is reflected or redirected is refused as before, now as not authenticated. Frames have a key of their own, derived from the deployment key, so that no code of an HTTP request authenticates a frame. Ruled out: leaving the sender out. All processes send to one socket, so no link implies the sender. Replayed frames to the same receiver pass, as before: the cores tolerate duplicates. Tests: reflected and redirected frames, a code of an HTTP request put before a frame's content.

--- a/benches/capacity/membership.rs
+++ b/benches/capacity/membership.rs
@@ -102,7 +102,7 @@
 
     fn deliver(&mut self, now: Time) {
         while let Some((to, frame)) = self.mail.pop_front() {
-            let envelope = frame::decode(&self.keys, &frame).expect("a frame");
+            let envelope = frame::decode(&self.keys, &self.seeds[to].id, &frame).expect("a frame");
             let Message::Membership(message) = envelope.message else { continue };
             let from = envelope.from;
             self.handle(now, to, Event::Message { from, message });
--- a/benches/capacity/replication.rs
+++ b/benches/capacity/replication.rs
@@ -72,7 +72,7 @@
                                 messages[place] += 1.0;
                             }
                         }
-                        let decoded = frame::decode(&keys, &frame).expect("a frame");
+                        let decoded = frame::decode(&keys, &to, &frame).expect("a frame");
                         let Message::Replication { message, .. } = decoded.message else {
                             continue;
                         };
--- a/src/protocol/deployment_key.rs
+++ b/src/protocol/deployment_key.rs
@@ -6,19 +6,26 @@
 use std::fmt;
 
 use blake3::Hash;
+use medlarlug_core::ids::InstanceId;
 use smol_str::SmolStr;
 
 /// Most keys in use at once.
 pub const MAX_KEYS: usize = 2;
 
-/// Length of a message authentication code, in bytes.
-pub const CODE_BYTES: usize = 32;
+/// Length of the message authentication code of a frame, in bytes: half of the hash, as RFC 2104
+/// allows in section 5.
+pub const CODE_BYTES: usize = 16;
 
 const CONTEXT: &str = "medlarlug deployment key v1";
+const FRAME_CONTEXT: &str = "medlarlug frame key v1";
 
 /// A key for message authentication codes; never printed.
 #[derive(Clone, PartialEq, Eq)]
-pub struct DeploymentKey([u8; 32]);
+pub struct DeploymentKey {
+    key: [u8; 32],
+    /// Key of frames, so that no code of an HTTP request authenticates a frame.
+    frame: [u8; 32],
+}
 
 impl DeploymentKey {
     /// Derives the key from the text of a key file.
@@ -30,12 +37,26 @@
     /// assert_eq!(key, DeploymentKey::derive("a long secret text"));
     /// ```
     pub fn derive(text: &str) -> DeploymentKey {
-        DeploymentKey(blake3::derive_key(CONTEXT, text.trim().as_bytes()))
+        let key = blake3::derive_key(CONTEXT, text.trim().as_bytes());
+        DeploymentKey { key, frame: blake3::derive_key(FRAME_CONTEXT, &key) }
     }
 
     /// The message authentication code of `body`.
     pub fn mac(&self, body: &[u8]) -> Hash {
-        blake3::keyed_hash(&self.0, body)
+        blake3::keyed_hash(&self.key, body)
+    }
+
+    /// The code of a frame's content for one receiver.
+    ///
+    /// The receiver's id has 63 characters at most, so its length fits the byte before it, and no
+    /// two pairs of receiver and content are hashed alike.
+    fn frame_code(&self, to: &InstanceId, content: &[u8]) -> [u8; CODE_BYTES] {
+        let to = to.as_str().as_bytes();
+        let mut hasher = blake3::Hasher::new_keyed(&self.frame);
+        hasher.update(&[to.len() as u8]).update(to).update(content);
+        let mut code = [0; CODE_BYTES];
+        code.copy_from_slice(&hasher.finalize().as_bytes()[..CODE_BYTES]);
+        code
     }
 }
 
@@ -78,17 +99,18 @@
         self.0.iter().any(|key| key.mac(body) == mac)
     }
 
-    /// Signs `content`; the code is sent as bytes.
-    pub fn sign_bytes(&self, content: &[u8]) -> [u8; CODE_BYTES] {
-        *self.0[0].mac(content).as_bytes()
+    /// Signs the content of a frame to one receiver.
+    pub fn sign_frame(&self, to: &InstanceId, content: &[u8]) -> [u8; CODE_BYTES] {
+        self.0[0].frame_code(to, content)
     }
 
-    /// Whether `code` is the code of `content` under one of the keys; compares in constant time.
-    pub fn verify_bytes(&self, content: &[u8], code: &[u8]) -> bool {
+    /// Whether `code` is the code of a frame's content to one receiver under one of the keys;
+    /// compares in constant time.
+    pub fn verify_frame(&self, to: &InstanceId, content: &[u8], code: &[u8]) -> bool {
         let Ok(code) = <[u8; CODE_BYTES]>::try_from(code) else {
             return false;
         };
-        self.0.iter().any(|key| key.mac(content) == Hash::from(code))
+        self.0.iter().any(|key| comparable(key.frame_code(to, content)) == comparable(code))
     }
 
     /// The key that signs.
@@ -96,3 +118,10 @@
         &self.0[0]
     }
 }
+
+/// A code as a hash, whose comparison takes constant time.
+fn comparable(code: [u8; CODE_BYTES]) -> Hash {
+    let mut bytes = [0; blake3::OUT_LEN];
+    bytes[..CODE_BYTES].copy_from_slice(&code);
+    Hash::from(bytes)
+}
--- a/src/transport/links.rs
+++ b/src/transport/links.rs
@@ -180,11 +180,8 @@
         loop {
             let bytes = self.frames.recv().await?;
             metrics::counter!(crate::transport::RECEIVED_BYTES).increment(bytes.len() as u64);
-            match frame::decode(&self.keys, &bytes) {
-                Ok(envelope) if envelope.to == self.own => {
-                    return Some((envelope.from, envelope.message));
-                }
-                Ok(_) => {}
+            match frame::decode(&self.keys, &self.own, &bytes) {
+                Ok(envelope) => return Some((envelope.from, envelope.message)),
                 Err(error) => tracing::warn!(%error, "frame refused"),
             }
             metrics::counter!(crate::transport::REFUSED_FRAMES).increment(1);
--- a/tests/testsuite/protocol.rs
+++ b/tests/testsuite/protocol.rs
@@ -3,10 +3,12 @@
 use assert_matches::assert_matches;
 use medlarlug::protocol::{
     DeploymentKey, DeploymentKeys, GroupId, GroupRequest, Message,
+    deployment_key::CODE_BYTES,
     events::{Event, EventSplitter, MAX_EVENT_BYTES},
     frame::{self, Envelope, FrameError},
     inference::InferenceHead,
 };
+use medlarlug_core::ids::InstanceId;
 use proptest::{prelude::*, test_runner::RngSeed};
 use test_support::id;
 
@@ -14,10 +16,14 @@
     DeploymentKeys::new(vec![DeploymentKey::derive("a long secret text")]).expect("a key")
 }
 
+fn own() -> InstanceId {
+    id("keeper-1")
+}
+
 fn envelope(call: u64) -> Envelope {
     let (group, request) = (GroupId::Home(id("riga")), GroupRequest::History);
     let message = Message::Call { call, group, request };
-    Envelope { from: id("entry-1"), to: id("keeper-1"), message }
+    Envelope { from: id("entry-1"), to: own(), message }
 }
 
 /// The events out of `bytes` that arrive in pieces which end at `cuts`.
@@ -59,7 +65,7 @@
 
     #[test]
     fn arbitrary_bytes_are_no_frame(bytes in prop::collection::vec(any::<u8>(), 0..512)) {
-        prop_assert!(frame::decode(&keys(), &bytes).is_err());
+        prop_assert!(frame::decode(&keys(), &own(), &bytes).is_err());
     }
 
     #[test]
@@ -69,7 +75,7 @@
 
         bytes[place] ^= flip;
 
-        prop_assert!(matches!(frame::decode(&keys(), &bytes), Err(FrameError::Code)));
+        prop_assert!(matches!(frame::decode(&keys(), &own(), &bytes), Err(FrameError::Code)));
     }
 
     #[test]
@@ -79,17 +85,17 @@
         let shortened = &bytes[..cut.index(bytes.len())];
         let lengthened = [&bytes[..], &[tail]].concat();
 
-        prop_assert!(frame::decode(&keys(), shortened).is_err());
-        prop_assert!(frame::decode(&keys(), &lengthened).is_err());
+        prop_assert!(frame::decode(&keys(), &own(), shortened).is_err());
+        prop_assert!(frame::decode(&keys(), &own(), &lengthened).is_err());
     }
 
     #[test]
     fn authenticated_bytes_that_are_no_message_are_refused_or_read_without_a_panic(
         content in prop::collection::vec(any::<u8>(), 0..512),
     ) {
-        let frame = [&keys().sign_bytes(&content)[..], &content].concat();
+        let frame = [&keys().sign_frame(&own(), &content)[..], &content].concat();
 
-        let decoded = frame::decode(&keys(), &frame);
+        let decoded = frame::decode(&keys(), &own(), &frame);
 
         prop_assert!(matches!(decoded, Ok(_) | Err(FrameError::Content(_))));
     }
@@ -132,11 +138,35 @@
     let other = DeploymentKeys::new(vec![DeploymentKey::derive("another secret text")]);
     let bytes = frame::encode(&other.expect("a key"), &envelope(1)).expect("a frame");
 
-    let decoded = frame::decode(&keys(), &bytes);
+    let decoded = frame::decode(&keys(), &own(), &bytes);
 
     assert_matches!(decoded, Err(FrameError::Code));
 }
 
+#[test]
+fn frame_that_is_reflected_or_redirected_is_refused() {
+    let bytes = frame::encode(&keys(), &envelope(1)).expect("a frame");
+
+    for other in ["entry-1", "keeper-2", "keeper-11", "k"] {
+        let decoded = frame::decode(&keys(), &id(other), &bytes);
+
+        assert_matches!(decoded, Err(FrameError::Code));
+    }
+}
+
+#[test]
+fn code_of_an_http_request_authenticates_no_frame() {
+    let envelope = envelope(1);
+    let frame = frame::encode(&keys(), &envelope).expect("a frame");
+    let to = envelope.to.as_str().as_bytes();
+    let signed = [&[to.len() as u8], to, &frame[CODE_BYTES..]].concat();
+
+    let code = keys().signer().mac(&signed);
+    let forged = [&code.as_bytes()[..CODE_BYTES], &frame[CODE_BYTES..]].concat();
+
+    assert_matches!(frame::decode(&keys(), &own(), &forged), Err(FrameError::Code));
+}
+
 #[test]
 fn deeply_nested_request_head_is_refused() {
     let body = format!("{{\"model\":\"medlar\",\"prompt\":{}", "[".repeat(1_000_000));
