Demand reports are sent when there is something to tell

Cause: every entry instance sent a report to every other one of its region each second, changed or not, and single requests of teams that send one in some seconds changed the measured demand each time. Change: only reports with a change of the last three are sent, else one each 2 s, of which three fit the lifetime (6.5 s in place of 5 s); an instance that is not settled, or hears a new peer, reports with each heartbeat. Demand is measured over 8 s in place of some two heartbeats; a rise is told from a doubling on, as before, a fall from a quarter on or when it ends; demand below twice the weight that every instance has anyway is none. Skipped reports have no number, so they are no gap.

--- a/benches/capacity/demand.rs
+++ b/benches/capacity/demand.rs
@@ -23,7 +23,7 @@
 pub struct Sample {
     /// Mean frame of a report.
     pub report: f64,
-    /// Bytes a second that one instance sends to all others.
+    /// Bytes a second that one instance sends to all others, as they were sent.
     pub sent: f64,
     /// Share of a core at one instance.
     pub processor: f64,
@@ -72,7 +72,7 @@
     let report: f64 = bytes / reports;
     Sample {
         report,
-        sent: report * (instances - 1) as f64 / BEAT.as_secs_f64(),
+        sent: bytes / instances as f64 / seconds * (instances - 1) as f64,
         processor: (wire::processor_seconds() - processor) / seconds / instances as f64,
     }
 }
--- a/crates/medlarlug-core/src/limits/bucket.rs
+++ b/crates/medlarlug-core/src/limits/bucket.rs
@@ -3,14 +3,20 @@
 use std::{collections::VecDeque, time::Duration};
 
 use crate::{
-    limits::{DemandLevel, TeamKey, TeamLimit},
+    limits::{BASE_WEIGHT, DemandLevel, TeamKey, TeamLimit},
     time::Time,
 };
 
-/// Weight of the last heartbeat interval in the demand.
-const DEMAND_WEIGHT: f64 = 0.5;
-/// Change of the demand, in levels, that is worth a report.
-const REPORTED_CHANGE: u8 = 2;
+/// Time constant of the mean over which demand is measured. A shorter one follows single requests of
+/// teams that send one in some seconds, and reports each.
+const DEMAND_TIME: Duration = Duration::from_secs(8);
+/// Rise of the demand, in levels, that is worth a report: a doubling.
+const REPORTED_RISE: u8 = 2;
+/// Fall of the demand, in levels, that is worth a report: to a quarter. It is told for the sake of
+/// the others, whose shares are too small until then.
+const REPORTED_FALL: u8 = 4;
+/// Demand, as a multiple of the weight that every instance has, below which none is reported.
+const LEAST_DEMAND: f64 = 2.0;
 
 /// A token bucket whose rate and size are a share of the team's.
 #[derive(Debug, Clone)]
@@ -101,12 +107,14 @@
         if !interval.is_zero() {
             let sample = f64::from(self.arrivals) / interval.as_secs_f64();
             self.arrivals = 0;
-            self.demand += DEMAND_WEIGHT * (sample - self.demand);
+            let weight = 1.0 - (-interval.as_secs_f64() / DEMAND_TIME.as_secs_f64()).exp();
+            self.demand += weight * (sample - self.demand);
         }
         let (level, told) = (self.level(), self.reported());
-        let has_turned = (level == DemandLevel(0)) != (told == DemandLevel(0));
-        let has_changed = has_turned || level.0.abs_diff(told.0) >= REPORTED_CHANGE;
-        has_changed && (level < told || is_short)
+        let has_ended = level == DemandLevel(0) && told > level;
+        let has_fallen = level.0 + REPORTED_FALL <= told.0;
+        let has_risen = level.0 >= told.0 + REPORTED_RISE;
+        has_ended || has_fallen || (has_risen && is_short)
     }
 
     fn is_running_low(&self) -> bool {
@@ -115,6 +123,9 @@
 
     /// The demand as measured.
     pub fn level(&self) -> DemandLevel {
+        if self.demand < LEAST_DEMAND * BASE_WEIGHT * self.rate() {
+            return DemandLevel(0);
+        }
         DemandLevel::of(self.demand)
     }
 
--- a/crates/medlarlug-core/src/limits/divider.rs
+++ b/crates/medlarlug-core/src/limits/divider.rs
@@ -5,8 +5,8 @@
 use crate::{
     ids::{Incarnation, InstanceId, TeamId},
     limits::{
-        DemandEntry, DemandLevel, DemandReport, Effect, Event, LimitPolicy, REPEATED_REPORTS,
-        START_SHARE, TeamKey, TeamLimit,
+        BASE_WEIGHT, DemandEntry, DemandLevel, DemandReport, Effect, Event, LimitPolicy,
+        REPEATED_REPORTS, START_SHARE, TeamKey, TeamLimit,
         bucket::Bucket,
         peers::{Change, Peers},
     },
@@ -14,9 +14,6 @@
     time::Time,
 };
 
-/// Weight of an instance without demand, as a share of the team's rate.
-const BASE_WEIGHT: f64 = 0.01;
-
 /// The limits of all teams at one entry instance.
 ///
 /// ```
@@ -47,6 +44,10 @@
     sequence: u64,
     joined: Option<Time>,
     beat: Option<Time>,
+    /// When the last report was sent.
+    sent: Option<Time>,
+    /// Heartbeats that still bring a report though nothing has changed, for a peer that is new.
+    greetings: u64,
     settled: bool,
     cursor: usize,
     full_due: bool,
@@ -68,6 +69,8 @@
             sequence: 0,
             joined: None,
             beat: None,
+            sent: None,
+            greetings: 0,
             settled: false,
             cursor: 0,
             full_due: true,
@@ -155,7 +158,9 @@
         self.beat = Some(now);
         self.peers.drop_silent(now.saturating_sub(self.policy.lifetime));
         self.settled = now - joined >= self.policy.settle;
-        out.push(Effect::Broadcast(self.report(now, interval)));
+        if let Some(report) = self.report(now, interval) {
+            out.push(Effect::Broadcast(report));
+        }
         self.share_all(now);
     }
 
@@ -174,7 +179,11 @@
         self.share_all(now);
     }
 
-    fn report(&mut self, now: Time, interval: Duration) -> DemandReport {
+    /// The next report; `None` when it would tell nothing new and the last one is young enough for
+    /// peers to go on counting with it.
+    ///
+    /// Only reports that are sent have a number, so that a skipped one is no gap.
+    fn report(&mut self, now: Time, interval: Duration) -> Option<DemandReport> {
         self.sequence += 1;
         let full = std::mem::take(&mut self.full_due);
         if full {
@@ -182,7 +191,16 @@
         }
         self.measure(now, interval, full);
         let since = self.sequence.saturating_sub(REPEATED_REPORTS - 1).max(1);
-        self.report_of(|it| it.told() >= since)
+        let is_told = |it: &Bucket| it.told() >= since;
+        let is_old = self.sent.is_none_or(|sent| now - sent >= self.policy.refresh);
+        let is_due = is_old || !self.settled || self.greetings > 0;
+        self.greetings = self.greetings.saturating_sub(1);
+        if !full && !is_due && !self.buckets.iter().any(is_told) {
+            self.sequence -= 1;
+            return None;
+        }
+        self.sent = Some(now);
+        Some(self.report_of(is_told))
     }
 
     /// Measures every team's demand and notes which ones the next report tells.
@@ -228,6 +246,7 @@
             Change::None => {}
             Change::Entries => self.share_listed(now, &report.entries),
             Change::Everything { resync } => {
+                self.greetings = REPEATED_REPORTS;
                 if resync {
                     out.push(Effect::AskResync(report.from.clone()));
                 }
--- a/crates/medlarlug-core/src/limits/mod.rs
+++ b/crates/medlarlug-core/src/limits/mod.rs
@@ -40,11 +40,16 @@
 /// settled; among more instances it is the equal part.
 pub const START_SHARE: f64 = 0.125;
 
+/// Weight of an instance without demand, as a share of the team's rate.
+const BASE_WEIGHT: f64 = 0.01;
+
 /// Times and sizes of the division.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LimitPolicy {
     /// Time within which a report reaches every live peer, one heartbeat interval included.
     pub settle: Duration,
+    /// Time after which a report is sent though nothing has changed; three of them fit the lifetime.
+    pub refresh: Duration,
     /// Time after its last report at which a silent peer is no longer counted.
     pub lifetime: Duration,
     /// Teams that one report lists at most; a full one lists every team with a demand.
@@ -57,7 +62,8 @@
     fn default() -> LimitPolicy {
         LimitPolicy {
             settle: Duration::from_secs(2),
-            lifetime: Duration::from_secs(5),
+            refresh: Duration::from_secs(2),
+            lifetime: Duration::from_millis(6_500),
             entries: 64,
             seed: 1,
         }
--- a/crates/medlarlug-core/tests/testsuite/limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/limits.rs
@@ -413,6 +413,38 @@
     assert_matches!(&out[..], [Effect::AskResync(_)]);
 }
 
+/// Whether each of the next heartbeats of a settled instance brings a report.
+fn reports_in(limits: &mut Limits, from: Time, beats: u64) -> Vec<bool> {
+    let is_sent = |beat: u64| {
+        let mut out = Vec::new();
+        let now = from + Duration::from_millis(beat * BEAT_MS);
+        limits.handle(now, Event::Heartbeat, &mut out);
+        out.iter().any(|it| matches!(it, Effect::Broadcast(_)))
+    };
+    (1..=beats).map(is_sent).collect()
+}
+
+#[test]
+fn unchanged_demand_is_reported_three_times_within_the_lifetime() {
+    let (mut limits, now) = settled();
+    let lifetime = LimitPolicy::default().lifetime.as_millis() as u64;
+
+    let sent = reports_in(&mut limits, now, 10 * lifetime / BEAT_MS);
+
+    let reports = sent.iter().filter(|it| **it).count();
+    assert!((30..=40).contains(&reports), "{reports} in ten lifetimes");
+}
+
+#[test]
+fn new_peer_is_answered_at_the_next_heartbeats() {
+    let (mut limits, now) = settled();
+    limits.handle(now, heard(1, 1, 0.0), &mut Vec::new());
+
+    let sent = reports_in(&mut limits, now, 3);
+
+    assert_eq!(sent, [true; 3]);
+}
+
 #[test]
 fn lowered_share_takes_tokens_away_at_once() {
     let (mut limits, now) = settled();
