Renewals travel with the heartbeats and name upstreams by a key

Cause: in zones of 12 instances a renewal took about 78 B, of them 21 for the id, the incarnation and the hash of the rest, and went in frames of its own, twice a second to each peer, beside the heartbeats. Change: news of upstreams is part of the heartbeat (each second in large zones, each half second in small ones); what can't wait still has a message of its own. A renewal names its upstream by 32 bits of a hash of id, incarnation and shape; who doesn't know the key asks for the whole announcement, as before. Prefixes have 24 in place of 32 bits, speeds are whole numbers. Ruled out: prefixes of 16 bits (one in 256 would be taken for one of the 256 of an engine; over some 8 prefixes a request and 21 engines of a zone about half of all decisions would meet a false hit); passing renewals through the speaker (the same bytes at the others, a multiple at the speaker). The tests count renewals in heartbeats as well; none is weaker.

--- a/benches/capacity/membership.rs
+++ b/benches/capacity/membership.rs
@@ -83,7 +83,7 @@
 
     fn send(&mut self, at: usize, to: &InstanceId, message: Body) {
         let receiver = self.seeds.binary_search_by(|it| it.id.cmp(to)).expect("an instance");
-        let kind = kind_of(&message);
+        let (kind, news) = (kind_of(&message), news_bytes(&message));
         let envelope = wire::envelope(&self.seeds[at].id, to, Message::Membership(message));
         let frame = frame::encode(&self.keys, &envelope).expect("a frame");
         if self.counts {
@@ -91,11 +91,13 @@
             let sender = &mut self.hosts[at].traffic;
             sender.sent += bytes;
             sender.messages += 1.0;
-            sender.kinds[kind] += bytes;
+            sender.kinds[kind] += bytes - news;
+            sender.kinds[1] += news;
             let traffic = &mut self.hosts[receiver].traffic;
             traffic.received += bytes;
             traffic.messages += 1.0;
-            traffic.kinds[kind] += bytes;
+            traffic.kinds[kind] += bytes - news;
+            traffic.kinds[1] += news;
         }
         self.mail.push_back((receiver, frame));
     }
@@ -118,6 +120,17 @@
     }
 }
 
+/// Bytes of the news of upstreams that a heartbeat carries.
+fn news_bytes(message: &membership::Message) -> f64 {
+    match message {
+        Body::Heartbeat(beat) => {
+            let bytes = postcard::to_stdvec(&beat.news).expect("news");
+            (bytes.len() - 1) as f64
+        }
+        _ => 0.0,
+    }
+}
+
 /// Every engine's report names so many prefixes that entered its cache, and as many that left.
 pub fn measure(scale: &Scale, prefixes: usize) -> Sample {
     let mut network = Network::new(scale);
--- a/crates/medlarlug-core/src/membership/core.rs
+++ b/crates/medlarlug-core/src/membership/core.rs
@@ -7,13 +7,10 @@
     ids::{InstanceId, UpstreamId},
     membership::{
         Effect, Event, Heartbeat, InstanceKind, Message, Notice, Seed, Settings, Status, Target,
-        UpstreamNews,
+        UpstreamKey, UpstreamNews,
         hash::StableHasher,
         peers::{Peer, PeerTable},
-        timing::{
-            FAR_BUDGET, HEARTBEAT, NEAR_BUDGET, NEWS_PERIOD, SUMMARY_PERIOD, SYNC_INTERVAL,
-            WATCH_ALL,
-        },
+        timing::{FAR_BUDGET, HEARTBEAT, NEAR_BUDGET, SUMMARY_PERIOD, SYNC_INTERVAL, WATCH_ALL},
         upstreams::{Change, UpstreamTable},
         zones::{Outbox, ZoneTable},
     },
@@ -53,7 +50,6 @@
     pub(super) told: Vec<Target>,
     pub(super) turn: usize,
     pub(super) next_beat: Time,
-    pub(super) next_news: Time,
     pub(super) next_summary: Time,
     pub(super) next_sync: Time,
 }
@@ -82,7 +78,6 @@
             told: Vec::new(),
             turn: seed,
             next_beat: now,
-            next_news: now,
             next_summary: now,
             next_sync: now,
             settings,
@@ -117,12 +112,13 @@
         match message {
             Message::Heartbeat(beat) => self.beaten(now, from, beat, out),
             Message::Upstreams(news) => self.learn_upstreams(now, from, news, out),
-            Message::Pull(ids) => self.answer_pull(now, from, &ids, out),
+            Message::Pull(keys) => self.answer_pull(now, from, &keys, out),
             Message::Summaries(summaries) => self.learn_zones(now, summaries, out),
         }
     }
 
-    fn beaten(&mut self, now: Time, from: &InstanceId, beat: Heartbeat, out: &mut Vec<Effect>) {
+    fn beaten(&mut self, now: Time, from: &InstanceId, mut beat: Heartbeat, out: &mut Vec<Effect>) {
+        self.learn_upstreams(now, from, std::mem::take(&mut beat.news), out);
         let shares_upstreams = self.zone_entry_peers().any(|it| it.seed.id == *from);
         let digest = if shares_upstreams { self.upstreams.digest() } else { beat.digest };
         let differs = self.peers.beat(from, beat, digest, out);
@@ -144,14 +140,18 @@
         let mut unknown = Vec::new();
         let mut void = Vec::new();
         for it in news {
-            let id = it.id().clone();
+            let id = match self.upstreams.subject(&it) {
+                Ok(id) => id,
+                Err(key) => {
+                    unknown.push(key);
+                    continue;
+                }
+            };
             let is_preferred = rank(&id, from) > rank(&id, &self.settings.own.id);
             let change = self.upstreams.learn(now, it, is_preferred);
             notice_change(&id, change, out);
-            match change {
-                Change::Unknown => unknown.push(id),
-                Change::Void => void.extend(self.upstreams.answer(now, &id)),
-                _ => {}
+            if change == Change::Void {
+                void.extend(self.upstreams.answer(now, &id));
             }
         }
         if !unknown.is_empty() {
@@ -166,10 +166,11 @@
         &mut self,
         now: Time,
         from: &InstanceId,
-        ids: &[UpstreamId],
+        keys: &[UpstreamKey],
         out: &mut Vec<Effect>,
     ) {
-        let news: Vec<_> = ids.iter().filter_map(|id| self.upstreams.answer(now, id)).collect();
+        let news: Vec<_> =
+            keys.iter().filter_map(|key| self.upstreams.answer_key(now, *key)).collect();
         if !news.is_empty() {
             out.push(Effect::Send { to: from.clone(), message: Message::Upstreams(news) });
         }
@@ -188,11 +189,10 @@
             out.push(Effect::Notice(Notice::UpstreamDead(id)));
         }
         self.peers.check(now, out);
-        if now >= self.next_news || self.upstreams.has_urgent_news() {
-            self.share_news(now, out);
-        }
         if now >= self.next_beat {
             self.send_beats(now, out);
+        } else if self.upstreams.has_urgent_news() {
+            self.share_news(now, out);
         }
         if now >= self.next_summary {
             self.next_summary = now + SUMMARY_PERIOD;
@@ -204,14 +204,15 @@
         self.next_beat = now + HEARTBEAT * self.peers.period_factor();
         let digest = self.upstreams.digest();
         let (incarnation, status) = (self.settings.incarnation, self.status);
+        let news = self.upstreams.take_news(now);
         for peer in self.peers.all() {
-            let message = Message::Heartbeat(Heartbeat { incarnation, status, digest });
+            let news = if self.shares_upstreams(peer) { news.clone() } else { Vec::new() };
+            let message = Message::Heartbeat(Heartbeat { incarnation, status, digest, news });
             out.push(Effect::Send { to: peer.seed.id.clone(), message });
         }
     }
 
     fn share_news(&mut self, now: Time, out: &mut Vec<Effect>) {
-        self.next_news = now + NEWS_PERIOD;
         let news = self.upstreams.take_news(now);
         if news.is_empty() {
             return;
@@ -233,8 +234,13 @@
 
     /// The instances that learn of the zone's upstreams; none but entry instances send work there.
     fn zone_entry_peers(&self) -> impl Iterator<Item = &Peer> {
-        let is_entry = self.settings.own.kind == InstanceKind::Entry;
-        self.zone_peers().filter(move |it| is_entry && it.seed.kind == InstanceKind::Entry)
+        self.peers.all().iter().filter(|it| self.shares_upstreams(it))
+    }
+
+    fn shares_upstreams(&self, peer: &Peer) -> bool {
+        let own = &self.settings.own;
+        let are_entries = [own.kind, peer.seed.kind] == [InstanceKind::Entry; 2];
+        are_entries && peer.seed.zone == own.zone
     }
 }
 
@@ -249,6 +255,6 @@
     match change {
         Change::Up => out.push(Effect::Notice(Notice::UpstreamUp(id.clone()))),
         Change::Leaving => out.push(Effect::Notice(Notice::UpstreamLeaving(id.clone()))),
-        Change::None | Change::Unknown | Change::Void => {}
+        Change::None | Change::Void => {}
     }
 }
--- a/crates/medlarlug-core/src/membership/message.rs
+++ b/crates/medlarlug-core/src/membership/message.rs
@@ -22,13 +22,13 @@
     /// News of upstreams of the sender's zone.
     Upstreams(Vec<UpstreamNews>),
     /// Asks for the whole announcement of upstreams that the sender doesn't know.
-    Pull(Vec<UpstreamId>),
+    Pull(Vec<UpstreamKey>),
     /// Summaries of zones, on their way through regions and zones.
     Summaries(Summaries),
 }
 
-/// Sign of life of an instance.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// Sign of life of an instance, and what it passes on with it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Incarnation of the sender.
     pub incarnation: Incarnation,
@@ -36,8 +36,18 @@
     pub status: Status,
     /// Hash of the upstreams and tombstones that the sender knows.
     pub digest: u32,
+    /// News of upstreams, for entry instances of the sender's zone.
+    pub news: Vec<UpstreamNews>,
 }
 
+/// Short name of what an upstream announced besides its load: 32 bits of a hash of its id, its
+/// incarnation and the rest.
+///
+/// Two upstreams of a zone that shared a key would be taken for each other in renewals.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct UpstreamKey(pub [u8; 4]);
+
 /// What an instance tells of itself.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
@@ -63,14 +73,10 @@
     },
     /// A renewal that changes the load only.
     Renewal {
-        /// The upstream.
-        id: UpstreamId,
-        /// Its incarnation.
-        incarnation: Incarnation,
+        /// The upstream, its incarnation and what it announced besides its load.
+        key: UpstreamKey,
         /// Number of the announcement.
         sequence: u64,
-        /// Hash of what the upstream announced besides its load.
-        shape: u32,
         /// Time since the announcement arrived.
         age: Millis,
         /// The new load.
@@ -114,7 +120,7 @@
     /// Prompt tokens that wait to be processed.
     pub backlog: Tokens,
     /// Tokens generated a second.
-    pub speed: f32,
+    pub speed: u32,
     /// Prefixes that entered the cache.
     pub cached: Vec<ShortPrint>,
     /// Prefixes that left the cache.
@@ -129,7 +135,7 @@
             running: load.running,
             waiting: load.waiting,
             backlog: load.backlog,
-            speed: load.speed as f32,
+            speed: load.speed as u32,
             cached: short(&load.cached),
             evicted: short(&load.evicted),
         }
@@ -151,16 +157,6 @@
     }
 }
 
-impl UpstreamNews {
-    /// The upstream that it is about.
-    pub fn id(&self) -> &UpstreamId {
-        match self {
-            UpstreamNews::Full { announcement, .. } => &announcement.id,
-            UpstreamNews::Renewal { id, .. } | UpstreamNews::Left { id, .. } => id,
-        }
-    }
-}
-
 /// Summaries of zones and how far they still travel.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Summaries {
--- a/crates/medlarlug-core/src/membership/mod.rs
+++ b/crates/medlarlug-core/src/membership/mod.rs
@@ -33,8 +33,8 @@
 pub use core::Membership;
 pub use dump::MembershipDump;
 pub use message::{
-    EntryLoad, Heartbeat, LoadNews, Message, Millis, Scope, Status, Summaries, UpstreamNews,
-    ZoneNews,
+    EntryLoad, Heartbeat, LoadNews, Message, Millis, Scope, Status, Summaries, UpstreamKey,
+    UpstreamNews, ZoneNews,
 };
 pub use peers::{Peer, PeerState};
 pub use query::EntryView;
--- a/crates/medlarlug-core/src/membership/timing.rs
+++ b/crates/medlarlug-core/src/membership/timing.rs
@@ -16,9 +16,6 @@
 /// Rounds in which news of a leaving upstream is repeated.
 pub const LEAVING_ROUNDS: u8 = 3;
 
-/// Time between two messages with renewals of upstreams; other news waits for the next tick only.
-pub const NEWS_PERIOD: Duration = Duration::from_millis(500);
-
 /// Time without a renewal from the preferred teller of an upstream after which another instance
 /// that the upstream announces itself to passes its renewals on.
 pub const TELLER_SILENCE: Duration = Duration::from_millis(1_250);
--- a/crates/medlarlug-core/src/membership/upstreams.rs
+++ b/crates/medlarlug-core/src/membership/upstreams.rs
@@ -6,7 +6,7 @@
     announcement::{Announcement, LoadReport, UpstreamKind},
     ids::{AdapterId, Incarnation, UpstreamId},
     membership::{
-        LoadNews, Millis, ShortPrint, Target, UpstreamNews,
+        LoadNews, Millis, ShortPrint, Target, UpstreamKey, UpstreamNews,
         hash::StableHasher,
         timing::{
             LEAVING_ROUNDS, MAX_PENDING, MAX_TOMBSTONES, PASS_INTERVAL, TELLER_SILENCE,
@@ -27,6 +27,7 @@
     /// Prefixes in its cache, as far as its events tell.
     pub warm: WarmSet,
     shape: u32,
+    key: UpstreamKey,
     unsent: Unsent,
     /// When an instance of higher rank last passed a renewal on.
     told: Option<Time>,
@@ -65,6 +66,7 @@
     fn new(announcement: Announcement, heard: Time, unsent: Unsent) -> Upstream {
         let shape = shape(&announcement);
         let mut upstream = Upstream {
+            key: key(&announcement, shape),
             announcement,
             heard,
             warm: WarmSet::default(),
@@ -150,6 +152,12 @@
     hasher.short()
 }
 
+fn key(announcement: &Announcement, shape: u32) -> UpstreamKey {
+    let mut hasher = StableHasher::new();
+    (&announcement.id, announcement.incarnation, shape).hash(&mut hasher);
+    UpstreamKey(hasher.short().to_be_bytes())
+}
+
 /// Marks announcements up to (incarnation, sequence) as void.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Tombstone {
@@ -172,8 +180,6 @@
     Up,
     /// It leaves.
     Leaving,
-    /// The news doesn't suffice: the whole announcement is needed.
-    Unknown,
     /// The news is older than a tombstone that the sender has missed.
     Void,
 }
@@ -209,6 +215,22 @@
         self.upstreams.binary_search_by(|it| it.announcement.id.cmp(id))
     }
 
+    fn find_key(&self, key: UpstreamKey) -> Option<usize> {
+        self.upstreams.iter().position(|it| it.key == key)
+    }
+
+    /// The upstream that news is about; fails with the key of an upstream that is not known.
+    pub(super) fn subject(&self, news: &UpstreamNews) -> Result<UpstreamId, UpstreamKey> {
+        match news {
+            UpstreamNews::Full { announcement, .. } => Ok(announcement.id.clone()),
+            UpstreamNews::Left { id, .. } => Ok(id.clone()),
+            UpstreamNews::Renewal { key, .. } => {
+                let place = self.find_key(*key).ok_or(*key)?;
+                Ok(self.upstreams[place].announcement.id.clone())
+            }
+        }
+    }
+
     fn find_tombstone(&self, id: &UpstreamId) -> Result<usize, usize> {
         self.tombstones.binary_search_by(|it| it.id.cmp(id))
     }
@@ -228,19 +250,18 @@
     /// Takes in news from another instance of the zone; `is_preferred` tells whether it goes before
     /// the own one in passing renewals of the upstream on.
     pub(super) fn learn(&mut self, now: Time, news: UpstreamNews, is_preferred: bool) -> Change {
-        if is_preferred
-            && let UpstreamNews::Renewal { id, .. } = &news
-            && let Ok(place) = self.find(id)
-        {
-            self.upstreams[place].told = Some(now);
-        }
         match news {
             UpstreamNews::Full { announcement, age } => {
                 self.accept(*announcement, now.saturating_sub(age), now, false)
             }
-            UpstreamNews::Renewal { id, incarnation, sequence, shape, age, load } => {
-                let heard = now.saturating_sub(age.into());
-                self.renew(&id, (incarnation, sequence), shape, heard, load)
+            UpstreamNews::Renewal { key, sequence, age, load } => {
+                let Some(place) = self.find_key(key) else {
+                    return Change::None;
+                };
+                if is_preferred {
+                    self.upstreams[place].told = Some(now);
+                }
+                self.renew(place, sequence, now.saturating_sub(age.into()), load)
             }
             UpstreamNews::Left { id, incarnation } => self.leave(now, &id, incarnation),
         }
@@ -289,6 +310,7 @@
                     Change::None
                 } else {
                     known.shape = shape(&known.announcement);
+                    known.key = key(&known.announcement, known.shape);
                     Change::Up
                 }
             }
@@ -303,30 +325,19 @@
         if is_leaving { self.leave(now, &id, incarnation) } else { change }
     }
 
-    fn renew(
-        &mut self,
-        id: &UpstreamId,
-        order: (Incarnation, u64),
-        shape: u32,
-        heard: Time,
-        load: LoadNews,
-    ) -> Change {
-        if self.is_void(id, order) {
+    fn renew(&mut self, place: usize, sequence: u64, heard: Time, load: LoadNews) -> Change {
+        let known = &self.upstreams[place];
+        let order = (known.announcement.incarnation, sequence);
+        if self.is_void(&known.announcement.id, order) {
             return Change::Void;
         }
-        let Ok(place) = self.find(id) else {
-            return Change::Unknown;
-        };
         let known = &mut self.upstreams[place];
         if order < known.order() {
             return Change::None;
         }
-        if order.0 > known.order().0 || shape != known.shape {
-            return Change::Unknown;
-        }
         known.unsent = Unsent::Nothing;
         if order > known.order() {
-            known.announcement.sequence = order.1;
+            known.announcement.sequence = sequence;
             known.announcement.load = LoadReport::from(&load);
             known.heard = heard;
             known.note_events(&load);
@@ -429,6 +440,11 @@
         (tombstone.sequence == LEFT).then(|| UpstreamNews::Left { id: id.clone(), incarnation })
     }
 
+    /// The whole announcement that a key stands for.
+    pub(super) fn answer_key(&self, now: Time, key: UpstreamKey) -> Option<UpstreamNews> {
+        Some(full(now, &self.upstreams[self.find_key(key)?]))
+    }
+
     /// Hash of the upstreams that take work.
     pub(super) fn digest(&self) -> u32 {
         let mut hasher = StableHasher::new();
@@ -446,9 +462,8 @@
 
 fn renewal(now: Time, upstream: &mut Upstream) -> UpstreamNews {
     let PendingEvents { cached, evicted } = std::mem::take(&mut upstream.pending);
-    let Announcement { id, incarnation, sequence, load, .. } = &upstream.announcement;
-    let (id, load) = (id.clone(), LoadNews { cached, evicted, ..LoadNews::from(load) });
+    let Announcement { sequence, load, .. } = &upstream.announcement;
+    let load = LoadNews { cached, evicted, ..LoadNews::from(load) };
     let age = Millis::from(now - upstream.heard);
-    let (incarnation, sequence, shape) = (*incarnation, *sequence, upstream.shape);
-    UpstreamNews::Renewal { id, incarnation, sequence, shape, age, load }
+    UpstreamNews::Renewal { key: upstream.key, sequence: *sequence, age, load }
 }
--- a/crates/medlarlug-core/src/membership/warm.rs
+++ b/crates/medlarlug-core/src/membership/warm.rs
@@ -4,28 +4,31 @@
 
 use crate::{fingerprint::Fingerprint, membership::timing::MAX_WARM};
 
-/// The last 32 bits of a prefix's fingerprint: short enough for the byte budget of the messages.
-/// Two prefixes that share them only make a prediction less exact.
+/// The last 24 bits of a prefix's fingerprint: short enough for the byte budget of the messages.
+/// Two prefixes that share them only make a prediction less exact; one out of 65,536 is taken for
+/// one of the 256 of an upstream.
 ///
 /// ```
 /// use medlarlug_core::{fingerprint::Fingerprint, membership::ShortPrint};
 ///
-/// assert_eq!(ShortPrint::from(Fingerprint(7)), ShortPrint::from(Fingerprint(7 + (1 << 32))));
+/// assert_eq!(ShortPrint::from(Fingerprint(7)), ShortPrint::from(Fingerprint(7 + (1 << 24))));
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct ShortPrint([u8; 4]);
+pub struct ShortPrint([u8; 3]);
 
 impl From<Fingerprint> for ShortPrint {
     fn from(print: Fingerprint) -> ShortPrint {
-        ShortPrint((print.0 as u32).to_be_bytes())
+        let [_, bytes @ ..] = (print.0 as u32).to_be_bytes();
+        ShortPrint(bytes)
     }
 }
 
 impl ShortPrint {
     /// The bits as a number.
     pub fn bits(self) -> u32 {
-        u32::from_be_bytes(self.0)
+        let [first, second, third] = self.0;
+        u32::from_be_bytes([0, first, second, third])
     }
 }
 
--- a/crates/medlarlug-core/tests/testsuite/membership.rs
+++ b/crates/medlarlug-core/tests/testsuite/membership.rs
@@ -94,7 +94,7 @@
     let news = Event::Announced(engine("u0", "riga-a", &["m"]));
     membership.handle(Time::ZERO, news, &mut Vec::new());
     let status = Status::default();
-    let beat = Heartbeat { incarnation: Incarnation(1), status, digest: 1 };
+    let beat = Heartbeat { incarnation: Incarnation(1), status, digest: 1, news: Vec::new() };
 
     let mut out = Vec::new();
     for millis in [500, 1_000] {
--- a/crates/medlarlug-core/tests/testsuite/renewals.rs
+++ b/crates/medlarlug-core/tests/testsuite/renewals.rs
@@ -54,7 +54,12 @@
         self.cores[at].handle(self.now, event, &mut out);
         for effect in out {
             let Effect::Send { to, message } = effect else { continue };
-            if let Message::Upstreams(news) = &message {
+            let news = match &message {
+                Message::Upstreams(news) => &news[..],
+                Message::Heartbeat(beat) => &beat.news[..],
+                _ => &[],
+            };
+            if !news.is_empty() {
                 let renewals = news.iter().filter(|it| matches!(it, UpstreamNews::Renewal { .. }));
                 self.passed[at] += renewals.count() as u32;
                 self.told.push(to.clone());
--- a/tests/testsuite/budget.rs
+++ b/tests/testsuite/budget.rs
@@ -17,7 +17,7 @@
     limits::{DemandEntry, DemandLevel, DemandReport, TeamKey},
     membership::{
         EntryLoad, Heartbeat, LoadNews, Message as Membership, Millis, QueueTime, Scope, Sketch,
-        Status, Summaries, Target, TargetSummary, UpstreamNews, ZoneNews,
+        Status, Summaries, Target, TargetSummary, UpstreamKey, UpstreamNews, ZoneNews,
     },
     record::{Outcome, RequestRecord, Stage, Step},
     release::{Item, ItemKey, RawNote},
@@ -73,7 +73,7 @@
 fn heartbeats_of_a_zone_take_a_third_of_the_budget() {
     let status = Status { load: 300, revision: Revision(100_000), leaving: false, settling: false };
     let incarnation = Incarnation(1_764_720_000_000);
-    let beat = Heartbeat { incarnation, status, digest: u32::MAX };
+    let beat = Heartbeat { incarnation, status, digest: u32::MAX, news: Vec::new() };
 
     let bytes = frame_bytes(Message::Membership(Membership::Heartbeat(beat)));
 
@@ -84,10 +84,8 @@
 #[test]
 fn renewals_of_a_zone_take_a_third_of_the_budget() {
     let renewal = |number: u64| UpstreamNews::Renewal {
-        id: id(&format!("engine-{number:03}")),
-        incarnation: Incarnation(1_764_720_000_000),
+        key: UpstreamKey([255; 4]),
         sequence: 100_000,
-        shape: u32::MAX,
         age: Millis(400),
         load: LoadNews::from(&scale::load(number)),
     };
