Deaths in other zones and silent links to unwatched peers are noticed

Cause: above 16 instances each watches its own zone only. A home group's leader elsewhere was told of no dead entry instance of another zone, so its open bookings stayed without InstanceLost, and a connection to a keeper of another zone that had gone silent was replaced by nobody. Change: the speaker of a zone tells keepers that don't watch it which entry instances of the zone are dead, with their incarnations: at once, then each 5 s; what nobody tells any more is forgotten after 12.5 s. Nothing is sent while all live. A peer that isn't watched and was asked something (calls, questions about the configuration, replication) has its connection replaced after 2.5 s of silence. Ruled out: heartbeats to all keepers (331 a second at each keeper); dead instances in summaries (they go to entry instances only, and voters of a home group may run outside its region). Not covered: a zone that is lost as a whole, and a death that the speaker's own restart hides.

--- a/benches/capacity/membership.rs
+++ b/benches/capacity/membership.rs
@@ -114,7 +114,7 @@
 
 fn kind_of(message: &membership::Message) -> usize {
     match message {
-        Body::Heartbeat(_) => 0,
+        Body::Heartbeat(_) | Body::Lost(_) => 0,
         Body::Upstreams(_) | Body::Pull(_) => 1,
         Body::Summaries(_) => 2,
     }
--- a/crates/medlarlug-core/src/membership/core.rs
+++ b/crates/medlarlug-core/src/membership/core.rs
@@ -9,6 +9,7 @@
         Effect, Event, Heartbeat, InstanceKind, Message, Notice, Seed, Settings, Status, Target,
         UpstreamKey, UpstreamNews,
         hash::StableHasher,
+        lost::LostTable,
         peers::{Peer, PeerTable},
         timing::{FAR_BUDGET, HEARTBEAT, NEAR_BUDGET, SUMMARY_PERIOD, SYNC_INTERVAL, WATCH_ALL},
         upstreams::{Change, UpstreamTable},
@@ -52,6 +53,8 @@
     pub(super) next_beat: Time,
     pub(super) next_summary: Time,
     pub(super) next_sync: Time,
+    pub(super) lost: LostTable,
+    pub(super) next_lost: Time,
 }
 
 impl Membership {
@@ -80,6 +83,8 @@
             next_beat: now,
             next_summary: now,
             next_sync: now,
+            lost: LostTable::default(),
+            next_lost: now,
             settings,
         }
     }
@@ -114,6 +119,7 @@
             Message::Upstreams(news) => self.learn_upstreams(now, from, news, out),
             Message::Pull(keys) => self.answer_pull(now, from, &keys, out),
             Message::Summaries(summaries) => self.learn_zones(now, summaries, out),
+            Message::Lost(lost) => self.learn_lost(now, lost, out),
         }
     }
 
@@ -188,7 +194,11 @@
         for id in self.upstreams.expire(now) {
             out.push(Effect::Notice(Notice::UpstreamDead(id)));
         }
+        let noted = out.len();
         self.peers.check(now, out);
+        let is_death = |it: &Effect| matches!(it, Effect::Notice(Notice::PeerDead(_)));
+        let has_died = out[noted..].iter().any(is_death);
+        self.tell_lost(now, has_died, out);
         if now >= self.next_beat {
             self.send_beats(now, out);
         } else if self.upstreams.has_urgent_news() {
--- a/crates/medlarlug-core/src/membership/message.rs
+++ b/crates/medlarlug-core/src/membership/message.rs
@@ -25,6 +25,17 @@
     Pull(Vec<UpstreamKey>),
     /// Summaries of zones, on their way through regions and zones.
     Summaries(Summaries),
+    /// Entry instances of the sender's zone that are dead, for those who don't watch the zone.
+    Lost(Vec<LostPeer>),
+}
+
+/// An instance that is dead.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LostPeer {
+    /// The instance.
+    pub id: InstanceId,
+    /// The incarnation that died.
+    pub incarnation: Incarnation,
 }
 
 /// Sign of life of an instance, and what it passes on with it.
--- a/crates/medlarlug-core/src/membership/mod.rs
+++ b/crates/medlarlug-core/src/membership/mod.rs
@@ -11,10 +11,12 @@
 //! Instances watch each other by heartbeats. A silent connection is replaced by a new one first;
 //! an instance counts as dead only when the new connection is silent as well.
 
+pub mod awaited;
 mod core;
 pub mod dump;
 mod hash;
 pub mod load;
+mod lost;
 pub mod message;
 pub mod peers;
 mod query;
@@ -30,11 +32,12 @@
     ids::{Incarnation, InstanceId, RegionId, UpstreamId, ZoneId},
 };
 
+pub use awaited::Awaited;
 pub use core::Membership;
 pub use dump::MembershipDump;
 pub use message::{
-    EntryLoad, Heartbeat, LoadNews, Message, Millis, Scope, Status, Summaries, UpstreamKey,
-    UpstreamNews, ZoneNews,
+    EntryLoad, Heartbeat, LoadNews, LostPeer, Message, Millis, Scope, Status, Summaries,
+    UpstreamKey, UpstreamNews, ZoneNews,
 };
 pub use peers::{Peer, PeerState};
 pub use query::EntryView;
--- a/crates/medlarlug-core/src/membership/query.rs
+++ b/crates/medlarlug-core/src/membership/query.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     ids::{InstanceId, RegionId, Revision, UpstreamId, ZoneId},
-    membership::{Peer, Seed, Status, Upstream, ZoneView, core::Membership},
+    membership::{LostPeer, Peer, Seed, Status, Upstream, ZoneView, core::Membership},
     time::Time,
 };
 
@@ -68,6 +68,11 @@
         self.peers.all()
     }
 
+    /// The dead instances of zones that aren't watched, as far as others tell.
+    pub fn lost(&self) -> &[LostPeer] {
+        self.lost.all()
+    }
+
     /// The highest configuration revision that a live instance or a zone has told of.
     pub fn highest_revision(&self) -> Revision {
         let peers = self.peers.all().iter().filter(|it| it.is_live());
--- a/crates/medlarlug-core/src/membership/timing.rs
+++ b/crates/medlarlug-core/src/membership/timing.rs
@@ -40,6 +40,13 @@
 pub const RETRY_DEAD: Duration = Duration::from_secs(2);
 /// Number of instances up to which each watches all others, not only those of its zone.
 pub const WATCH_ALL: usize = 16;
+/// Time between two messages that tell of dead entry instances, to those who don't watch them.
+pub const LOST_PERIOD: Duration = Duration::from_secs(5);
+/// Time after which an instance that nobody tells of any more doesn't count as dead.
+pub const LOST_LIFETIME: Duration = Duration::from_millis(12_500);
+/// Silence of a peer that isn't watched, since it was first asked something, after which the
+/// connection to it is replaced.
+pub const ANSWER_SILENCE: Duration = Duration::from_millis(2_500);
 /// Heartbeats with a differing digest after which the whole view is sent.
 pub const DIGEST_MISMATCHES: u8 = 2;
 /// Shortest time between two whole views that an instance sends.
--- a/crates/medlarlug-core/tests/testsuite/membership.rs
+++ b/crates/medlarlug-core/tests/testsuite/membership.rs
@@ -7,7 +7,9 @@
     fingerprint::Fingerprint,
     ids::{Incarnation, Revision},
     membership::{
-        Effect, Event, Heartbeat, Membership, Message, Notice, Settings, Status, UpstreamNews,
+        Awaited, Effect, Event, Heartbeat, InstanceKind, LostPeer, Membership, Message, Notice,
+        Seed, Settings, Status, UpstreamNews,
+        timing::{ANSWER_SILENCE, LOST_LIFETIME},
     },
     time::Time,
 };
@@ -332,3 +334,59 @@
         }
     }
 }
+
+/// Two zones of a region with many entry instances, and a keeper in the second.
+fn two_zones_and_a_keeper() -> Network {
+    let mut seeds: Vec<Seed> = Vec::new();
+    for zone in ["a", "b"] {
+        let name = format!("riga-{zone}");
+        seeds.extend((0..10).map(|it| entry(&format!("{zone}{it}"), &name, "riga")));
+    }
+    seeds.push(Seed { kind: InstanceKind::Keeper, ..entry("k0", "riga-b", "riga") });
+    Network::new(9, seeds)
+}
+
+#[test]
+fn keeper_learns_of_a_dead_entry_instance_of_another_zone() {
+    let mut network = two_zones_and_a_keeper();
+    let keeper = network.node(&id("k0"));
+    network.run(3 * SECOND);
+
+    network.nodes[4].is_up = false;
+    network.run(10 * SECOND);
+
+    let dead = Notice::PeerDead(id("a4"));
+    assert_eq!(network.notices.iter().filter(|it| **it == (keeper, dead.clone())).count(), 1);
+    assert!(!network.notices.contains(&(keeper, Notice::PeerDead(id("a3")))));
+}
+
+#[test]
+fn instance_that_is_back_does_not_count_as_lost_for_long() {
+    let mut network = two_zones_and_a_keeper();
+    let keeper = network.node(&id("k0"));
+    network.run(3 * SECOND);
+    network.nodes[4].is_up = false;
+    network.run(15 * SECOND);
+    let before = network.nodes[keeper].membership.lost().to_vec();
+
+    network.restart_node(4);
+    network.run(LOST_LIFETIME + 2 * SECOND);
+
+    assert_eq!(before, [LostPeer { id: id("a4"), incarnation: Incarnation(1) }]);
+    assert_eq!(network.nodes[keeper].membership.lost(), []);
+}
+
+#[test]
+fn peer_that_answers_is_not_silent() {
+    let mut awaited = Awaited::default();
+    let (answering, silent) = (id("keeper-1"), id("keeper-2"));
+    for peer in [&answering, &silent] {
+        awaited.asked(Time::ZERO, peer);
+        awaited.asked(Time::from_millis(2_000), peer);
+    }
+
+    awaited.heard(&answering);
+
+    assert_eq!(awaited.silent(Time::ZERO + ANSWER_SILENCE), [silent]);
+    assert!(awaited.silent(Time::ZERO + 2 * ANSWER_SILENCE).is_empty());
+}
--- a/src/coordination/keeper/duties/owners.rs
+++ b/src/coordination/keeper/duties/owners.rs
@@ -8,7 +8,7 @@
 use medlarlug_core::{
     home::{self, Owner},
     ids::{InstanceId, RegionId},
-    membership::PeerState,
+    membership::{LostPeer, PeerState},
     time::Time,
 };
 use tokio::{sync::watch, task, time::interval};
@@ -61,6 +61,10 @@
 fn is_gone(keeper: &Keeper, owner: &Owner) -> bool {
     let members = keeper.node.members.borrow();
     let peers = members.peers();
+    let is_lost = |it: &LostPeer| it.id == owner.instance && it.incarnation >= owner.incarnation;
+    if members.lost().iter().any(is_lost) {
+        return true;
+    }
     peers.iter().find(|it| it.seed.id == owner.instance).is_some_and(|peer| {
         let is_late = keeper.node.now() >= Time::ZERO + UNHEARD_LIMIT;
         match peer.state {
@@ -85,7 +89,8 @@
     let incarnation = {
         let members = keeper.node.members.borrow();
         let peer = members.peers().iter().find(|it| it.seed.id == *instance);
-        peer.map(|it| it.incarnation)
+        let lost = members.lost().iter().find(|it| it.id == *instance);
+        peer.map(|it| it.incarnation).or(lost.map(|it| it.incarnation))
     };
     let Some(incarnation) = incarnation else { return };
     for group in keeper.group_ids().into_iter().filter(|it| keeper.leads(it)) {
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -11,7 +11,7 @@
     fingerprint::Fingerprint,
     follower::{self, Follower},
     ids::{Incarnation, InstanceId, RegionId, Revision, TeamId},
-    membership::{self, InstanceKind, Membership, Notice, Seed, Status},
+    membership::{self, Awaited, InstanceKind, Membership, Notice, Seed, Status},
     release::{Configuration, item::Team},
     time::Time,
 };
@@ -52,6 +52,10 @@
     /// The configuration in force here.
     pub follower: RefCell<Follower>,
     links: RefCell<Links>,
+    // Peers that aren't watched by heartbeats and owe an answer.
+    awaited: RefCell<Awaited>,
+    // Peers that are watched by heartbeats, sorted.
+    watched: Vec<InstanceId>,
     revision: watch::Sender<Revision>,
     current: RefCell<Option<Rc<InForce>>>,
 }
@@ -114,6 +118,7 @@
         let settings = membership::Settings { own: seed(&own), incarnation, peers };
         let clock = Clock::start();
         let members = Membership::new(clock.now(), settings);
+        let watched = members.peers().iter().map(|it| it.seed.id.clone()).collect();
         let follower = Follower::new(follower::Timing::default(), saved);
         let keepers = cluster.keepers().filter(|it| it.id != own.id).map(|it| it.id.clone());
         let sources = follower::Event::Sources(keepers.collect());
@@ -131,6 +136,8 @@
             members: RefCell::new(members),
             follower: RefCell::new(follower),
             links: RefCell::new(links),
+            awaited: RefCell::default(),
+            watched,
             revision,
             current: RefCell::new(current),
         };
@@ -145,6 +152,9 @@
 
     /// Sends a message; tells whether it was handed to the link.
     pub fn send(&self, to: &InstanceId, message: Message) -> bool {
+        if calls_for_answer(&message) && self.watched.binary_search(to).is_err() {
+            self.awaited.borrow_mut().asked(self.now(), to);
+        }
         match self.links.borrow_mut().send(to, message) {
             Ok(()) => true,
             Err(error) => {
@@ -191,6 +201,8 @@
 
     /// Lets time pass in the common cores.
     pub fn tick(&self) -> Vec<Notice> {
+        let silent = self.awaited.borrow_mut().silent(self.now());
+        silent.iter().for_each(|it| self.reconnect(it));
         self.run_follower(follower::Event::Tick);
         self.run_membership(membership::Event::Tick)
     }
@@ -207,6 +219,7 @@
 
     /// Handles what is common to all processes; gives back what is not, and notices.
     pub fn receive(&self, from: InstanceId, message: Message) -> Received {
+        self.awaited.borrow_mut().heard(&from);
         match message {
             Message::Membership(message) => {
                 Received::Notices(self.run_membership(membership::Event::Message { from, message }))
@@ -310,6 +323,11 @@
     Other(InstanceId, Box<Message>),
 }
 
+/// Whether the receiver answers at once, in one way or another.
+fn calls_for_answer(message: &Message) -> bool {
+    matches!(message, Message::Call { .. } | Message::Ask(_) | Message::Replication { .. })
+}
+
 fn seed_of(cluster: &ClusterSettings, peer: &Peer) -> Seed {
     let kind = match peer.kind {
         PeerKind::Entry => InstanceKind::Entry,
