Links connect with their first message

Cause: a process dialled every other one at its start, 339 sockets and as many in return at 340 nodes, though an entry instance sends to some 80 only. Change: the peers' addresses are noted, the socket is made by the first send; the queue keeps the message until it is connected. Touched elsewhere: one line each of coordination/entry/mod.rs, keeper/mod.rs and benches/failover.rs.

--- a/benches/capacity/links.rs
+++ b/benches/capacity/links.rs
@@ -2,7 +2,7 @@
 
 use std::{thread::sleep, time::Duration};
 
-use medlarlug::transport::links::Links;
+use medlarlug::{protocol::Message, transport::links::Links};
 use medlarlug_core::ids::InstanceId;
 use test_support::{free_address, id};
 
@@ -28,7 +28,9 @@
     let mut made = 0;
     for peers in sizes {
         for number in made..*peers {
-            links.connect(id(&format!("peer-{number:03}")), address).expect("a link");
+            let peer: InstanceId = id(&format!("peer-{number:03}"));
+            links.add(peer.clone(), address);
+            links.send(&peer, Message::Unheard).expect("a link");
         }
         made = *peers;
         sleep(SETTLING);
--- a/benches/failover.rs
+++ b/benches/failover.rs
@@ -113,7 +113,7 @@
         let (mut links, incoming) =
             Links::listen(own.id.clone(), settings.keys.clone(), own.peers).expect("links");
         for peer in settings.cluster.instances.iter().filter(|it| it.id != own.id) {
-            links.connect(peer.id.clone(), peer.peers).expect("a link");
+            links.add(peer.id.clone(), peer.peers);
         }
         let leader = wait_leader(deployment).parse().expect("an instance");
         Client { links, incoming, leader, last: 0 }
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -164,7 +164,7 @@
     let saved = folder.as_ref().map(SavedConfiguration::new);
     let configuration = saved.as_ref().map(SavedConfiguration::read).transpose()?.flatten();
     let incarnation = incarnation_of_start();
-    let node = Rc::new(Node::new(own, cluster, keys, incarnation, configuration, links)?);
+    let node = Rc::new(Node::new(own, cluster, keys, incarnation, configuration, links));
     let entry = Rc::new(Entry::new(node.clone(), settings));
     if let Some(saved) = saved {
         task::spawn_local(save_configurations(entry.clone(), saved));
--- a/src/coordination/keeper/mod.rs
+++ b/src/coordination/keeper/mod.rs
@@ -94,7 +94,7 @@
     let own = settings.peer().clone();
     let (links, mut incoming) = Links::listen(own.id.clone(), settings.keys.clone(), own.peers)?;
     let (cluster, keys) = (settings.cluster.clone(), settings.keys.clone());
-    let node = Rc::new(Node::new(own, cluster, keys, incarnation_of_start(), None, links)?);
+    let node = Rc::new(Node::new(own, cluster, keys, incarnation_of_start(), None, links));
     let storage = Storage::open(&settings, &node)?;
     let groups = RefCell::new(groups_of(&node, &storage, settings.may_form)?);
     let (writer, mut reports) = storage.start()?;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -21,7 +21,7 @@
     coordination::{calls::Calls, clock::Clock},
     protocol::{DeploymentKeys, GroupId, Message},
     settings::{ClusterSettings, Peer, PeerKind},
-    transport::links::{LinkError, Links},
+    transport::links::Links,
 };
 
 /// Counter: messages that could not be sent because a peer takes none.
@@ -96,11 +96,7 @@
 }
 
 impl Node {
-    /// Connects to every peer and starts the cores.
-    ///
-    /// # Errors
-    ///
-    /// Fails when a link can't be set up.
+    /// Notes every peer and starts the cores; links connect with their first message.
     pub fn new(
         own: Peer,
         cluster: ClusterSettings,
@@ -108,10 +104,10 @@
         incarnation: Incarnation,
         saved: Option<Configuration>,
         mut links: Links,
-    ) -> Result<Node, LinkError> {
+    ) -> Node {
         // Calls of a keeper may go to a group that it leads itself, over the same path.
         for peer in &cluster.instances {
-            links.connect(peer.id.clone(), peer.peers)?;
+            links.add(peer.id.clone(), peer.peers);
         }
         let seed = |peer: &Peer| seed_of(&cluster, peer);
         let peers = cluster.instances.iter().filter(|it| it.id != own.id).map(seed).collect();
@@ -142,7 +138,7 @@
             current: RefCell::new(current),
         };
         node.run_follower(sources);
-        Ok(node)
+        node
     }
 
     /// The current time.
--- a/src/transport/links.rs
+++ b/src/transport/links.rs
@@ -1,7 +1,7 @@
 //! Links between the system's own processes: one-way messages over nng.
 //!
 //! A process receives everything on one `Pull` socket and sends to each peer over a `Push` socket
-//! of its own. Sending never blocks: when a peer does not take messages, the queue of its socket
+//! of its own, which is made with the first message to the peer. Sending never blocks: when a peer does not take messages, the queue of its socket
 //! fills and further messages are dropped, which every core tolerates. nng does not notice a
 //! connection that has gone silent, so a core that misses a peer's heartbeats asks for
 //! [`Links::reconnect`].
@@ -67,10 +67,26 @@
 
 struct Peer {
     address: SocketAddr,
+    /// `None` until something is sent.
+    link: Option<Link>,
+}
+
+struct Link {
     socket: Socket,
     since: Instant,
 }
 
+impl Peer {
+    /// The link, made now if there is none yet; it connects in the background.
+    fn link(&mut self) -> Result<&mut Link, nng::Error> {
+        let link = match self.link.take() {
+            Some(link) => link,
+            None => Link { socket: dial(self.address)?, since: Instant::now() },
+        };
+        Ok(self.link.insert(link))
+    }
+}
+
 /// The sending side of the links.
 pub struct Links {
     own: InstanceId,
@@ -122,19 +138,17 @@
         Ok((Links { own, keys, peers: Vec::new(), _receiver: (socket, aio) }, incoming))
     }
 
-    /// Connects to a peer, in the background; a peer at a new address replaces the former one.
+    /// Notes where a peer listens; a peer at a new address replaces the former one.
     ///
-    /// # Errors
-    ///
-    /// Fails when the library can't make a socket.
-    pub fn connect(&mut self, peer: InstanceId, address: SocketAddr) -> Result<(), LinkError> {
-        let link = Peer { address, socket: dial(address)?, since: Instant::now() };
+    /// The connection is made with the first message: most processes of a large deployment never
+    /// send to most others.
+    pub fn add(&mut self, peer: InstanceId, address: SocketAddr) {
+        let added = Peer { address, link: None };
         match self.peers.binary_search_by(|it| it.0.cmp(&peer)) {
             Ok(found) if self.peers[found].1.address == address => {}
-            Ok(found) => self.peers[found].1 = link,
-            Err(place) => self.peers.insert(place, (peer, link)),
+            Ok(found) => self.peers[found].1 = added,
+            Err(place) => self.peers.insert(place, (peer, added)),
         }
-        Ok(())
     }
 
     /// Replaces the connection to a peer by a new one; messages that wait in its queue are lost.
@@ -143,17 +157,18 @@
     ///
     /// Fails when the peer is not known or the library can't make a socket.
     pub fn reconnect(&mut self, peer: &InstanceId) -> Result<(), LinkError> {
-        let link = find(&mut self.peers, peer)?;
-        link.socket.close();
-        link.socket = dial(link.address)?;
-        link.since = Instant::now();
+        let peer = find(&mut self.peers, peer)?;
+        if let Some(link) = peer.link.take() {
+            link.socket.close();
+        }
+        peer.link()?;
         Ok(())
     }
 
-    /// Time since the connection to a peer was made or replaced; `None` for an unknown peer.
+    /// Time since the connection to a peer was made or replaced; `None` when there is none.
     pub fn age(&self, peer: &InstanceId) -> Option<Duration> {
         let found = self.peers.binary_search_by(|it| it.0.cmp(peer)).ok()?;
-        Some(self.peers[found].1.since.elapsed())
+        Some(self.peers[found].1.link.as_ref()?.since.elapsed())
     }
 
     /// Sends `message` to `peer` without waiting.
@@ -165,7 +180,7 @@
         let envelope = Envelope { from: self.own.clone(), to: peer.clone(), message };
         let bytes = frame::encode(&self.keys, &envelope)?;
         metrics::counter!(crate::transport::SENT_BYTES).increment(bytes.len() as u64);
-        let link = find(&mut self.peers, peer)?;
+        let link = find(&mut self.peers, peer)?.link()?;
         link.socket
             .try_send(nng::Message::from(&bytes[..]))
             .map_err(|_| LinkError::Full { peer: peer.clone() })
