--- a/benches/capacity/membership.rs
+++ b/benches/capacity/membership.rs
@@ -83,7 +83,7 @@
 
     fn send(&mut self, at: usize, to: &InstanceId, message: Body) {
         let receiver = self.seeds.binary_search_by(|it| it.id.cmp(to)).expect("an instance");
-        let kind = kind_of(&message);
+        let (kind, news) = (kind_of(&message), news_bytes(&message));
         let envelope = wire::envelope(&self.seeds[at].id, to, Message::Membership(message));
         let frame = frame::encode(&self.keys, &envelope).expect("a frame");
         if self.counts {
@@ -91,18 +91,20 @@
             let sender = &mut self.hosts[at].traffic;
             sender.sent += bytes;
             sender.messages += 1.0;
-            sender.kinds[kind] += bytes;
+            sender.kinds[kind] += bytes - news;
+            sender.kinds[1] += news;
             let traffic = &mut self.hosts[receiver].traffic;
             traffic.received += bytes;
             traffic.messages += 1.0;
-            traffic.kinds[kind] += bytes;
+            traffic.kinds[kind] += bytes - news;
+            traffic.kinds[1] += news;
         }
         self.mail.push_back((receiver, frame));
     }
 
     fn deliver(&mut self, now: Time) {
         while let Some((to, frame)) = self.mail.pop_front() {
-            let envelope = frame::decode(&self.keys, &frame).expect("a frame");
+            let envelope = frame::decode(&self.keys, &self.seeds[to].id, &frame).expect("a frame");
             let Message::Membership(message) = envelope.message else { continue };
             let from = envelope.from;
             self.handle(now, to, Event::Message { from, message });
@@ -112,12 +114,23 @@
 
 fn kind_of(message: &membership::Message) -> usize {
     match message {
-        Body::Heartbeat(_) => 0,
+        Body::Heartbeat(_) | Body::Lost(_) => 0,
         Body::Upstreams(_) | Body::Pull(_) => 1,
         Body::Summaries(_) => 2,
     }
 }
 
+/// Bytes of the news of upstreams that a heartbeat carries.
+fn news_bytes(message: &membership::Message) -> f64 {
+    match message {
+        Body::Heartbeat(beat) => {
+            let bytes = postcard::to_stdvec(&beat.news).expect("news");
+            (bytes.len() - 1) as f64
+        }
+        _ => 0.0,
+    }
+}
+
 /// Every engine's report names so many prefixes that entered its cache, and as many that left.
 pub fn measure(scale: &Scale, prefixes: usize) -> Sample {
     let mut network = Network::new(scale);
--- a/crates/medlarlug-core/src/membership/timing.rs
+++ b/crates/medlarlug-core/src/membership/timing.rs
@@ -16,9 +16,6 @@
 /// Rounds in which news of a leaving upstream is repeated.
 pub const LEAVING_ROUNDS: u8 = 3;
 
-/// Time between two messages with renewals of upstreams; other news waits for the next tick only.
-pub const NEWS_PERIOD: Duration = Duration::from_millis(500);
-
 /// Time without a renewal from the preferred teller of an upstream after which another instance
 /// that the upstream announces itself to passes its renewals on.
 pub const TELLER_SILENCE: Duration = Duration::from_millis(1_250);
@@ -43,6 +40,13 @@
 pub const RETRY_DEAD: Duration = Duration::from_secs(2);
 /// Number of instances up to which each watches all others, not only those of its zone.
 pub const WATCH_ALL: usize = 16;
+/// Time between two messages that tell of dead entry instances, to those who don't watch them.
+pub const LOST_PERIOD: Duration = Duration::from_secs(5);
+/// Time after which an instance that nobody tells of any more doesn't count as dead.
+pub const LOST_LIFETIME: Duration = Duration::from_millis(12_500);
+/// Silence of a peer that isn't watched, since it was first asked something, after which the
+/// connection to it is replaced.
+pub const ANSWER_SILENCE: Duration = Duration::from_millis(2_500);
 /// Heartbeats with a differing digest after which the whole view is sent.
 pub const DIGEST_MISMATCHES: u8 = 2;
 /// Shortest time between two whole views that an instance sends.
--- a/src/coordination/entry/process.rs
+++ b/src/coordination/entry/process.rs
@@ -78,7 +78,7 @@
         None => Storage::Memory,
     };
     let incarnation = incarnation_of_start();
-    let node = Rc::new(Node::new(own, cluster, keys, incarnation, storage, links)?);
+    let node = Rc::new(Node::new(own, cluster, keys, incarnation, storage, links));
     let entry = Rc::new(Entry::new(node.clone(), settings));
     if let Some(saved) = saved {
         task::spawn_local(save_configurations(entry.clone(), saved));
--- a/src/coordination/keeper/mod.rs
+++ b/src/coordination/keeper/mod.rs
@@ -102,7 +102,7 @@
         incarnation_of_start(),
         follower::Storage::Memory,
         links,
-    )?);
+    ));
     let storage = Storage::open(&settings, &node)?;
     let groups = RefCell::new(groups_of(&node, &storage, settings.may_form)?);
     let (writer, mut reports) = storage.start()?;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -11,7 +11,7 @@
     fingerprint::Fingerprint,
     follower::{self, Follower, Storage},
     ids::{Incarnation, InstanceId, RegionId, Revision, TeamId},
-    membership::{self, InstanceKind, Membership, Notice, Seed, Status},
+    membership::{self, Awaited, InstanceKind, Membership, Notice, Seed, Status},
     release::{Configuration, item::Team},
     time::Time,
 };
@@ -21,7 +21,7 @@
     coordination::{calls::Calls, clock::Clock},
     protocol::{DeploymentKeys, GroupId, Message},
     settings::{ClusterSettings, Peer, PeerKind},
-    transport::links::{LinkError, Links},
+    transport::links::Links,
 };
 
 /// Counter: messages that could not be sent because a peer takes none.
@@ -52,6 +52,10 @@
     /// The configuration in force here.
     pub follower: RefCell<Follower>,
     links: RefCell<Links>,
+    // Peers that aren't watched by heartbeats and owe an answer.
+    awaited: RefCell<Awaited>,
+    // Peers that are watched by heartbeats, sorted.
+    watched: Vec<InstanceId>,
     revision: watch::Sender<Revision>,
     unsaved: watch::Sender<Option<Box<Configuration>>>,
     current: RefCell<Option<Rc<InForce>>>,
@@ -93,11 +97,7 @@
 }
 
 impl Node {
-    /// Connects to every peer and starts the cores.
-    ///
-    /// # Errors
-    ///
-    /// Fails when a link can't be set up.
+    /// Notes every peer and starts the cores; links connect with their first message.
     pub fn new(
         own: Peer,
         cluster: ClusterSettings,
@@ -105,16 +105,17 @@
         incarnation: Incarnation,
         storage: Storage,
         mut links: Links,
-    ) -> Result<Node, LinkError> {
+    ) -> Node {
         // Calls of a keeper may go to a group that it leads itself, over the same path.
         for peer in &cluster.instances {
-            links.connect(peer.id.clone(), peer.peers)?;
+            links.add(peer.id.clone(), peer.peers);
         }
         let seed = |peer: &Peer| seed_of(&cluster, peer);
         let peers = cluster.instances.iter().filter(|it| it.id != own.id).map(seed).collect();
         let settings = membership::Settings { own: seed(&own), incarnation, peers };
         let clock = Clock::start();
         let members = Membership::new(clock.now(), settings);
+        let watched = members.peers().iter().map(|it| it.seed.id.clone()).collect();
         let start = first_number(incarnation);
         let follower = Follower::new(follower::Timing::default(), storage, start);
         let keepers = cluster.keepers().filter(|it| it.id != own.id).map(|it| it.id.clone());
@@ -133,12 +134,14 @@
             members: RefCell::new(members),
             follower: RefCell::new(follower),
             links: RefCell::new(links),
+            awaited: RefCell::default(),
+            watched,
             revision,
             unsaved: watch::Sender::new(None),
             current: RefCell::new(current),
         };
         node.run_follower(sources);
-        Ok(node)
+        node
     }
 
     /// The current time.
@@ -148,6 +151,9 @@
 
     /// Sends a message; tells whether it was handed to the link.
     pub fn send(&self, to: &InstanceId, message: Message) -> bool {
+        if calls_for_answer(&message) && self.watched.binary_search(to).is_err() {
+            self.awaited.borrow_mut().asked(self.now(), to);
+        }
         match self.links.borrow_mut().send(to, message) {
             Ok(()) => true,
             Err(error) => {
@@ -204,6 +210,8 @@
 
     /// Lets time pass in the common cores.
     pub fn tick(&self) -> Vec<Notice> {
+        let silent = self.awaited.borrow_mut().silent(self.now());
+        silent.iter().for_each(|it| self.reconnect(it));
         self.run_follower(follower::Event::Tick);
         self.run_membership(membership::Event::Tick)
     }
@@ -220,6 +228,7 @@
 
     /// Handles what is common to all processes; gives back what is not, and notices.
     pub fn receive(&self, from: InstanceId, message: Message) -> Received {
+        self.awaited.borrow_mut().heard(&from);
         match message {
             Message::Membership(message) => {
                 Received::Notices(self.run_membership(membership::Event::Message { from, message }))
@@ -332,6 +341,11 @@
     incarnation.0 << 20
 }
 
+/// Whether the receiver answers at once, in one way or another.
+fn calls_for_answer(message: &Message) -> bool {
+    matches!(message, Message::Call { .. } | Message::Ask(_) | Message::Replication { .. })
+}
+
 fn seed_of(cluster: &ClusterSettings, peer: &Peer) -> Seed {
     let kind = match peer.kind {
         PeerKind::Entry => InstanceKind::Entry,
