--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -20,9 +20,9 @@
     Error,
     /// Conditions that may need one.
     Warn,
-    /// Starts, stops, changes of configuration and membership.
+    /// Starts, stops, ends of requests, changes of configuration and membership.
     Info,
-    /// Each request.
+    /// Steps of requests and calls that need no operator.
     Debug,
     /// Each message.
     Trace,
