The stand-in keeps runs and streams in trees

Cause: the emulator's share of its core rose from 53 to 90% from one repetition of the gateway bench to the next.

Ruled out: the prefix cache (a few entries in this bench) and the batch (64 slots at most).

Change: trees, and a doc comment that says why not a sorted vector here.

--- a/src/standin/ledger.rs
+++ b/src/standin/ledger.rs
@@ -1,6 +1,11 @@
 //! What ran: how often each key, and with which answer.
+//!
+//! Keys come in an order that is not their own, and all are kept, so that a sorted vector would
+//! move megabytes for one insertion; a tree does not.
 
-use serde::Serialize;
+use std::collections::{BTreeMap, btree_map::Entry};
+
+use serde::{Serialize, Serializer};
 use serde_json::Value;
 use smol_str::SmolStr;
 
@@ -9,8 +14,13 @@
 pub struct Ledger {
     /// Runs of all keys.
     pub total: u64,
-    /// Runs of each key.
-    pub runs: Vec<Run>,
+    #[serde(serialize_with = "list")]
+    runs: BTreeMap<SmolStr, Run>,
+}
+
+/// Writes the runs of each key as a list, sorted by key.
+fn list<S: Serializer>(runs: &BTreeMap<SmolStr, Run>, target: S) -> Result<S::Ok, S::Error> {
+    target.collect_seq(runs.values())
 }
 
 /// The runs of one key: the idempotency key of a call, else its request id.
@@ -36,30 +46,23 @@
     /// ```
     pub fn begin(&mut self, key: &str) -> u64 {
         self.total += 1;
-        let index = match self.find(key) {
-            Ok(found) => found,
-            Err(place) => {
-                self.runs.insert(place, Run { key: key.into(), count: 0, answer: None });
-                place
-            }
+        let run = match self.runs.entry(key.into()) {
+            Entry::Occupied(found) => found.into_mut(),
+            Entry::Vacant(place) => place.insert(Run { key: key.into(), count: 0, answer: None }),
         };
-        self.runs[index].count += 1;
-        self.runs[index].count
+        run.count += 1;
+        run.count
     }
 
     /// Notes the answer of the last run of `key`.
     pub fn end(&mut self, key: &str, answer: Value) {
-        if let Ok(found) = self.find(key) {
-            self.runs[found].answer = Some(answer);
+        if let Some(run) = self.runs.get_mut(key) {
+            run.answer = Some(answer);
         }
     }
 
     /// The runs of `key`.
     pub fn get(&self, key: &str) -> Option<&Run> {
-        self.find(key).ok().map(|found| &self.runs[found])
-    }
-
-    fn find(&self, key: &str) -> Result<usize, usize> {
-        self.runs.binary_search_by(|it| it.key.as_str().cmp(key))
+        self.runs.get(key)
     }
 }
--- a/src/standin/streams.rs
+++ b/src/standin/streams.rs
@@ -5,6 +5,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     rc::Rc,
     time::Duration,
 };
@@ -203,30 +204,24 @@
     }
 }
 
-/// The streams that are kept, sorted by id.
+/// The streams that are kept, by id; a tree for the same reason as the ledger's.
 #[derive(Debug, Default)]
-pub struct Streams(RefCell<Vec<Rc<Stream>>>);
+pub struct Streams(RefCell<BTreeMap<SmolStr, Rc<Stream>>>);
 
 impl Streams {
     /// Keeps `stream` in the place of one with the same id.
     pub fn put(&self, stream: Rc<Stream>) {
-        let mut kept = self.0.borrow_mut();
-        match kept.binary_search_by(|it| it.id.cmp(&stream.id)) {
-            Ok(found) => kept[found] = stream,
-            Err(place) => kept.insert(place, stream),
-        }
+        self.0.borrow_mut().insert(stream.id.clone(), stream);
     }
 
     /// The stream of this request.
     pub fn get(&self, id: &str) -> Option<Rc<Stream>> {
-        let kept = self.0.borrow();
-        let found = kept.binary_search_by(|it| it.id.as_str().cmp(id)).ok()?;
-        Some(Rc::clone(&kept[found]))
+        self.0.borrow().get(id).cloned()
     }
 
     /// Cancels streams that nobody reads any more and forgets ended ones.
     pub fn sweep(&self, now: Instant) {
-        self.0.borrow_mut().retain(|it| {
+        self.0.borrow_mut().retain(|_, it| {
             let is_forgotten = it.is_forgotten(now);
             if is_forgotten {
                 it.enter(Phase::Cancelled);
@@ -237,7 +232,7 @@
 
     /// Cancels and forgets all.
     pub fn clear(&self) {
-        for it in self.0.borrow_mut().drain(..) {
+        for it in self.0.take().into_values() {
             it.enter(Phase::Cancelled);
         }
     }
