Summaries are handed on together and rows come within their lifetime

Cause: the contact of a zone handed each zone's summary on in a frame of its own at each hop. While the budget binds, rows went one by one, each with the names of zone, speaker and three entry instances; with 29 zones and 12 models a row came every 41 s (calculated), twice its lifetime. Change: summaries of other zones are kept for half a second at most and handed on in one frame to each receiver; the chain in a zone doesn't wait. A message waits for 12 of the due rows while the budget binds. Among more than 8 far zones rows leave out warm prefixes. Budget of far summaries 500 in place of 700 B/s. Test: rows_of_every_zone_are_usable_at_the_planned_number_of_zones_and_models failed with the former budget, rows one by one and all prefixes (8 of 12 rows usable), and holds now.

--- a/crates/medlarlug-core/src/membership/speaker.rs
+++ b/crates/medlarlug-core/src/membership/speaker.rs
@@ -1,5 +1,7 @@
 //! Summaries between zones: what the speaker of a zone sends, and what receivers hand on.
 
+use std::time::Duration;
+
 use crate::{
     ids::{InstanceId, Revision},
     membership::{
@@ -13,24 +15,37 @@
 };
 
 impl Membership {
+    /// Sends the own summary, if this is the speaker and it is due, and what is handed on.
     pub(super) fn summarize(&mut self, now: Time, out: &mut Vec<Effect>) {
-        if !self.is_speaker() {
-            return;
+        let chained = release(&mut self.held.zone, now);
+        if let (Some(next), false) = (self.next_in_chain(), chained.is_empty()) {
+            let hops = self.live_entries().saturating_sub(2);
+            send_summaries(vec![next], Scope::Chain(hops), chained, out);
+        }
+        let mut near = release(&mut self.held.region, now);
+        if self.is_speaker() {
+            near.extend(self.summarize_own(now, out));
+        }
+        if !near.is_empty() {
+            let contacts = self.zones.contacts(now, &self.settings.own.region);
+            send_summaries(contacts, Scope::Zone, near, out);
         }
+    }
+
+    /// Sends the own summary to other regions, and gives what is due within the region.
+    fn summarize_own(&mut self, now: Time, out: &mut Vec<Effect>) -> Option<ZoneNews> {
         let rows = self.own_rows(now);
         let entries = self.zone_entries();
         self.turn += 1;
-        if let Some(rows) = self.near.take(now, &rows, &entries) {
-            let news = self.own_news(entries.clone(), rows);
-            let contacts = self.zones.contacts(now, &self.settings.own.region);
-            send_summaries(contacts, Scope::Zone, vec![news], out);
-        }
+        let near = self.near.take(now, &rows, &entries);
+        let near = near.map(|rows| self.own_news(entries.clone(), rows));
         if let Some(rows) = self.far.take(now, &rows, &entries) {
             let news = self.own_news(entries, rows);
             let turn = self.turn;
             let contacts = self.zones.far_contacts(now, &self.settings.own.region, turn);
             send_summaries(contacts, Scope::Region, vec![news], out);
         }
+        near
     }
 
     fn own_news(&self, entries: Vec<EntryLoad>, rows: Vec<TargetSummary>) -> ZoneNews {
@@ -66,16 +81,15 @@
         if fresh.is_empty() || self.settings.own.kind != InstanceKind::Entry {
             return;
         }
-        if scope == Scope::Region {
-            let contacts = self.zones.contacts(now, &self.settings.own.region);
-            send_summaries(contacts, Scope::Zone, fresh.clone(), out);
-        }
         let hops = match scope {
-            Scope::Region | Scope::Zone => self.live_entries().saturating_sub(1),
+            Scope::Region => {
+                hold(&mut self.held.region, now, fresh.clone());
+                return hold(&mut self.held.zone, now, fresh);
+            }
+            Scope::Zone => return hold(&mut self.held.zone, now, fresh),
             Scope::Chain(hops) => hops,
         };
-        let next = self.next_in_chain();
-        if let (Some(next), 1..) = (next, hops) {
+        if let (Some(next), 1..) = (self.next_in_chain(), hops) {
             send_summaries(vec![next], Scope::Chain(hops - 1), fresh, out);
         }
     }
@@ -107,6 +121,28 @@
     }
 }
 
+/// Summaries that arrived from other zones and are handed on together, with the next own summary.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Held {
+    /// For the other zones of the region.
+    region: Vec<(Time, ZoneNews)>,
+    /// For the other entry instances of the zone.
+    zone: Vec<(Time, ZoneNews)>,
+}
+
+fn hold(held: &mut Vec<(Time, ZoneNews)>, now: Time, zones: Vec<ZoneNews>) {
+    held.extend(zones.into_iter().map(|it| (now, it)));
+}
+
+/// Takes the held news out, dated by its age now.
+fn release(held: &mut Vec<(Time, ZoneNews)>, now: Time) -> Vec<ZoneNews> {
+    let aged = |(since, news): (Time, ZoneNews)| {
+        let age = Duration::from(news.age) + (now - since);
+        ZoneNews { age: age.into(), ..news }
+    };
+    std::mem::take(held).into_iter().map(aged).collect()
+}
+
 fn is_live_entry(peer: &Peer) -> bool {
     peer.is_live() && peer.seed.kind == InstanceKind::Entry
 }
--- a/crates/medlarlug-core/src/membership/summary.rs
+++ b/crates/medlarlug-core/src/membership/summary.rs
@@ -70,9 +70,22 @@
 /// assert!(sketch.contains(Fingerprint::of(b"prefix").into()));
 /// ```
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
+#[serde(from = "Option<[u8; 8]>", into = "Option<[u8; 8]>")]
 pub struct Sketch([u8; 8]);
 
+impl From<Option<[u8; 8]>> for Sketch {
+    fn from(bits: Option<[u8; 8]>) -> Sketch {
+        Sketch(bits.unwrap_or_default())
+    }
+}
+
+/// An empty sketch takes one byte in messages.
+impl From<Sketch> for Option<[u8; 8]> {
+    fn from(sketch: Sketch) -> Option<[u8; 8]> {
+        (sketch != Sketch::default()).then_some(sketch.0)
+    }
+}
+
 impl Sketch {
     const BITS: u32 = 64;
     /// Prefixes of one upstream that enter the sketch, the newest ones.
--- a/crates/medlarlug-core/src/membership/timing.rs
+++ b/crates/medlarlug-core/src/membership/timing.rs
@@ -57,7 +57,13 @@
 /// Bytes a second that summaries of the other zones of the region may take, over all zones.
 pub const NEAR_BUDGET: f64 = 400.0;
 /// Bytes a second that summaries of zones of other regions may take, over all zones.
-pub const FAR_BUDGET: f64 = 700.0;
+pub const FAR_BUDGET: f64 = 500.0;
+/// Number of zones of other regions up to which summaries to them tell which prefixes are warm. Among
+/// more of them the budget lets a row travel so seldom that its few newest prefixes are old.
+pub const FEW_ZONES: usize = 8;
+/// Rows that are sent together at least while so many are due: each message also names the zone, its
+/// speaker and its entry instances, which takes as much as three rows.
+pub const MIN_ROWS: usize = 12;
 /// Bytes that a budget saves up at most.
 pub const BUDGET_BURST: f64 = 600.0;
 /// Time after which an unchanged row is sent again within the region.
--- a/crates/medlarlug-core/src/membership/zones.rs
+++ b/crates/medlarlug-core/src/membership/zones.rs
@@ -5,9 +5,10 @@
 use crate::{
     ids::{InstanceId, RegionId, Revision, ZoneId},
     membership::{
-        EntryLoad, Seed, Target, TargetSummary, ZoneNews,
+        EntryLoad, Seed, Sketch, Target, TargetSummary, ZoneNews,
         timing::{
-            BUDGET_BURST, CONTACT_SILENCE, FAR_LIFETIME, FAR_REFRESH, NEAR_LIFETIME, NEAR_REFRESH,
+            BUDGET_BURST, CONTACT_SILENCE, FAR_BUDGET, FAR_LIFETIME, FAR_REFRESH, FEW_ZONES,
+            MIN_ROWS, NEAR_BUDGET, NEAR_LIFETIME, NEAR_REFRESH,
         },
     },
     time::Time,
@@ -189,6 +190,8 @@
 pub(super) struct Outbox {
     sent: Vec<Row>,
     refresh: Duration,
+    /// Whether rows tell which prefixes are warm.
+    tells_warm: bool,
     budget: f64,
     rate: f64,
     filled: Time,
@@ -196,24 +199,27 @@
 
 /// Bytes that a message takes besides its rows.
 const HEADER_BYTES: f64 = 30.0;
-/// Bytes of a row besides the name of its target.
-const ROW_BYTES: f64 = 18.0;
+/// Bytes of a row besides the name of its target and its warm prefixes.
+const ROW_BYTES: f64 = 11.0;
+/// Bytes of the warm prefixes of a row.
+const WARM_BYTES: f64 = 8.0;
 /// Bytes of an entry instance besides its name.
 const ENTRY_BYTES: f64 = 3.0;
 
 impl Outbox {
-    /// An outbox for the zones of the region, at `rate` bytes a second.
-    pub(super) fn near(rate: f64) -> Outbox {
-        Outbox::new(NEAR_REFRESH, rate)
+    /// An outbox for the other zones of the region, of which there are `zones`.
+    pub(super) fn near(zones: usize) -> Outbox {
+        Outbox::new(NEAR_REFRESH, NEAR_BUDGET / zones.max(1) as f64, true)
     }
 
-    /// An outbox for other regions, at `rate` bytes a second.
-    pub(super) fn far(rate: f64) -> Outbox {
-        Outbox::new(FAR_REFRESH, rate)
+    /// An outbox for other regions, which have `zones` zones.
+    pub(super) fn far(zones: usize) -> Outbox {
+        Outbox::new(FAR_REFRESH, FAR_BUDGET / zones.max(1) as f64, zones <= FEW_ZONES)
     }
 
-    fn new(refresh: Duration, rate: f64) -> Outbox {
-        Outbox { sent: Vec::new(), refresh, budget: BUDGET_BURST, rate, filled: Time::ZERO }
+    fn new(refresh: Duration, rate: f64, tells_warm: bool) -> Outbox {
+        let (budget, filled) = (BUDGET_BURST, Time::ZERO);
+        Outbox { sent: Vec::new(), refresh, tells_warm, budget, rate, filled }
     }
 
     /// Takes the rows that are to be sent now: new and much changed ones, then those due for a
@@ -230,16 +236,21 @@
         let mut due: Vec<(Time, &TargetSummary)> =
             rows.iter().filter_map(|it| Some((self.urgency(now, it)?, it))).collect();
         due.sort_by_key(|it| it.0);
+        let due_count = due.len();
         let mut taken = Vec::new();
         for (_, row) in due {
-            let bytes = ROW_BYTES + name_bytes(&row.target);
+            let warm = if self.tells_warm { WARM_BYTES } else { 0.0 };
+            let bytes = ROW_BYTES + warm + name_bytes(&row.target);
             if cost + bytes > self.budget {
                 break;
             }
             cost += bytes;
-            taken.push(row.clone());
+            let warm = if self.tells_warm { row.warm } else { Sketch::default() };
+            taken.push(TargetSummary { warm, ..row.clone() });
         }
-        if taken.is_empty() {
+        let is_full = self.budget >= BUDGET_BURST;
+        let is_partial = taken.len() < due_count.min(MIN_ROWS) && !is_full;
+        if taken.is_empty() || is_partial {
             return None;
         }
         self.budget -= cost;
--- a/crates/medlarlug-core/tests/testsuite/membership.rs
+++ b/crates/medlarlug-core/tests/testsuite/membership.rs
@@ -390,3 +390,25 @@
     assert_eq!(awaited.silent(Time::ZERO + ANSWER_SILENCE), [silent]);
     assert!(awaited.silent(Time::ZERO + 2 * ANSWER_SILENCE).is_empty());
 }
+
+#[test]
+fn rows_of_every_zone_are_usable_at_the_planned_number_of_zones_and_models() {
+    let mut network = regions(8, 29, 2);
+    let models: Vec<String> = (0..12).map(|it| format!("model-{it:02}")).collect();
+    let models: Vec<&str> = models.iter().map(String::as_str).collect();
+    for zone in 0..29 {
+        network.add_upstream(engine(&format!("u{zone}"), &format!("z{zone}"), &models));
+    }
+    network.run(30 * SECOND);
+
+    for _ in 0..10 {
+        network.run(3 * SECOND);
+
+        for node in 0..network.nodes.len() {
+            let now = network.clock(node);
+            for zone in network.nodes[node].membership.zones() {
+                assert_eq!(zone.rows(now).count(), 12, "instance {node}, {}", zone.zone);
+            }
+        }
+    }
+}
