A rebuilt group lets its voters in again whatever the length of its log

The history's check of one leader a term begins anew at a rebuild, as terms count within a formation and messages of another one are dropped.

--- a/crates/medlarlug-core/src/replication/event.rs
+++ b/crates/medlarlug-core/src/replication/event.rs
@@ -244,7 +244,8 @@
     ///
     /// Every entry that the survivor holds becomes committed, acknowledged or not; what it lacks
     /// is lost. The other voters lose their votes; each is let in again once it returns with new
-    /// storage. `command`, if any, becomes the first command of the new group. Returns `None` if
+    /// storage. Earlier memberships in the state take the new formation, too: a returning voter that
+    /// has received a part of them belongs to the group all the same. `command`, if any, becomes the first command of the new group. Returns `None` if
     /// the state belongs to no group.
     pub fn rebuild(
         mut self,
@@ -269,6 +270,14 @@
             self.entries.push(Entry { index: last.next().next(), term, payload });
         }
         self.hard = HardState { term, vote: None };
+        if let Some(snapshot) = &mut self.snapshot {
+            snapshot.members.formation = formation;
+        }
+        for entry in &mut self.entries {
+            if let Payload::Members(members) = &mut entry.payload {
+                members.formation = formation;
+            }
+        }
         Some(self)
     }
 }
--- a/crates/medlarlug-core/tests/testsuite/replication/history.rs
+++ b/crates/medlarlug-core/tests/testsuite/replication/history.rs
@@ -130,6 +130,24 @@
         self.longest_read = self.longest_read.max(applied.len());
     }
 
+    /// The group goes on from a survivor with a snapshot up to `base` and the entries `held`: what
+    /// it lacks is lost, acknowledged or not.
+    pub fn rebuild(&mut self, base: LogIndex, held: &[(LogIndex, Term, u64)]) {
+        let is_kept = |it: &(LogIndex, Term, u64)| it.0 <= base || held.contains(it);
+        let kept = self.copy.iter().take_while(|it| is_kept(it)).count();
+        self.copy.truncate(kept);
+        let copy = &self.copy;
+        let is_lost = |value: &u64| !copy.iter().any(|it| it.2 == *value);
+        for write in self.writes.iter_mut().filter(|it| is_lost(&it.0)) {
+            write.2 = Outcome::Unknown;
+        }
+        self.acknowledged.retain(|it| !is_lost(it));
+        self.reads.clear();
+        // Terms count within a formation; replicas drop the messages of another one.
+        self.leaders.clear();
+        self.longest_read = self.longest_read.min(kept);
+    }
+
     pub fn acknowledged(&self) -> usize {
         self.acknowledged.len()
     }
--- a/src/coordination/keeper/rebuild.rs
+++ b/src/coordination/keeper/rebuild.rs
@@ -59,13 +59,14 @@
     let key = MemberKey { id: settings.instance.clone(), storage: folder.storage() };
     let member = Member { key, role: MemberRole::Voter, durable: true };
     let former = journal.group(&group_name(&group));
-    let held = former.entries.len();
     let command = first_command(&group)?;
     let rebuilt = former.rebuild(member, FormationId(rand::random()), Some(command));
     let rebuilt = rebuilt.ok_or_else(|| RebuildError::Empty { group: group.clone() })?;
     let batch = Persist {
         hard: Some(rebuilt.hard),
-        entries: rebuilt.entries[held..].to_vec(),
+        snapshot: rebuilt.snapshot,
+        cut: rebuilt.entries.first().map(|it| it.index),
+        entries: rebuilt.entries,
         ..Persist::default()
     };
     journal.write(vec![(group_name(&group), batch)])?;
