Rebuilt home groups: no second run, no stuck move; one token for a founding

Seeded histories of bookings now rebuild groups from a survivor that lags behind, and ask services. A late Abandon freed a key that the lost part of the log had freed and begun again. The group had forgotten that the team came back, and refused the Seal of the next move. Draws of the earlier kinds of history are as before, so that seeds that once failed are the same.

A home group that lost its state also refused teams that had moved there, for good, as no listed move brought them again: its leader repeats those moves.

A leader change in the first founding drew another token and made the region's keys unknown for 24 h. The token is the formation of the replication group now; replicas are seeded at random rather than by the start time, as the formation is drawn from that seed.

--- a/crates/medlarlug-core/src/home/booking.rs
+++ b/crates/medlarlug-core/src/home/booking.rs
@@ -9,6 +9,7 @@
 use crate::{
     fingerprint::Fingerprint,
     ids::{Incarnation, InstanceId, RequestId, Revision, ServiceId, TeamId},
+    replication::FormationId,
 };
 
 /// Longest booking key, in bytes.
@@ -17,10 +18,18 @@
 /// Longest answer body that is recorded, in bytes.
 pub const MAX_BODY_BYTES: usize = 16 * 1024;
 
-/// Names one formation of a home group; drawn at random by the instance that forms it.
+/// Names one founding of a home group: the formation of its replication group, so that all leaders
+/// of one formation ask for the founding under one token, and a group that lost its state, or was
+/// rebuilt, asks under another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct FoundToken(pub u128);
 
+impl From<FormationId> for FoundToken {
+    fn from(formation: FormationId) -> FoundToken {
+        FoundToken(u128::from(formation.0))
+    }
+}
+
 /// A text that is no booking key.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum BookingKeyError {
@@ -179,6 +188,9 @@
     pub askable: Option<ServiceId>,
     /// Where it stands.
     pub state: BookingState,
+    /// Whether the group may have forgotten that this request was given up and the key begun again
+    /// by another one. Giving it up then frees nothing.
+    pub is_doubtful: bool,
     /// Logical time at which it was begun or ended, in microseconds; its age in a [`Handover`].
     pub since: u64,
 }
--- a/crates/medlarlug-core/src/home/bookings.rs
+++ b/crates/medlarlug-core/src/home/bookings.rs
@@ -227,6 +227,9 @@
         match booking.state {
             BookingState::Abandoned => return Reply::Ok,
             BookingState::Done(_) => return Reply::NoSuchBooking,
+            BookingState::Open(_) | BookingState::Unknown if booking.is_doubtful => {
+                return Reply::Ok;
+            }
             BookingState::Open(_) | BookingState::Unknown => {}
         }
         booking.state = BookingState::Abandoned;
@@ -301,6 +304,7 @@
         let mut doubtful = Vec::new();
         for book in &mut self.books {
             for booking in &mut book.bookings {
+                booking.is_doubtful = true;
                 if matches!(booking.state, BookingState::Open(_) | BookingState::Abandoned) {
                     booking.state = BookingState::Unknown;
                     booking.since = clock;
@@ -359,7 +363,8 @@
 
 fn open(clock: u64, begin: Begin) -> Booking {
     let Begin { key, content, request, owner, askable, .. } = begin;
-    Booking { key, content, request, askable, state: BookingState::Open(owner), since: clock }
+    let state = BookingState::Open(owner);
+    Booking { key, content, request, askable, state, is_doubtful: false, since: clock }
 }
 
 fn known(booking: &Booking, begin: &Begin) -> BeginReply {
--- a/crates/medlarlug-core/src/home/moves.rs
+++ b/crates/medlarlug-core/src/home/moves.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     home::{
-        booking::{BookingState, Handover, StateLoss},
+        booking::{Booking, BookingState, Handover, StateLoss},
         bookings::{Bookings, Hold, Mark, TeamBook},
         command::Reply,
         retention::{omit, state_size},
@@ -15,13 +15,15 @@
 
 impl Bookings {
     /// Hands the bookings of `team` over to `to`.
+    ///
+    /// `may_lack` tells of a revision whether the group may have lost what it knew since then. It
+    /// may have adopted the team again after it had handed it over, and have lost just that.
     pub(crate) fn seal(
         &mut self,
         clock: u64,
-        team: TeamId,
-        to: RegionId,
-        epoch: Revision,
+        (team, to, epoch): (TeamId, RegionId, Revision),
         state_loss: Option<StateLoss>,
+        may_lack: impl Fn(Revision) -> bool,
     ) -> Reply {
         let place = match self.find_book(&team) {
             Ok(found) => found,
@@ -33,14 +35,17 @@
             }
         };
         let book = &mut self.books[place];
-        match &book.hold {
-            Hold::Held(held) if *held < epoch => {
-                let group = state_loss.filter(|it| *held < it.before);
-                book.state_loss = later(book.state_loss, group);
-                book.hold = Hold::Sealed { to, epoch };
-            }
-            Hold::Sealed { epoch: sealed, .. } if *sealed == epoch => {}
-            Hold::Held(_) | Hold::Sealed { .. } => return Reply::NotAdopted,
+        let (known, is_due) = match &book.hold {
+            Hold::Held(held) => (*held, *held < epoch),
+            Hold::Sealed { epoch: sealed, .. } => (*sealed, *sealed < epoch && may_lack(*sealed)),
+        };
+        if is_due {
+            let group = state_loss.filter(|it| known < it.before);
+            book.state_loss = later(book.state_loss, group);
+            book.hold = Hold::Sealed { to, epoch };
+        }
+        if !matches!(&book.hold, Hold::Sealed { epoch: sealed, .. } if *sealed == epoch) {
+            return Reply::NotAdopted;
         }
         Reply::Handover(handover(clock, book, epoch))
     }
@@ -57,7 +62,10 @@
             }
         };
         match &self.books[place].hold {
-            Hold::Held(held) if *held >= handover.epoch => return Reply::Ok,
+            Hold::Held(held) if *held >= handover.epoch => {
+                self.learn_outcomes(clock, handover);
+                return Reply::Ok;
+            }
             Hold::Sealed { epoch, .. } if *epoch >= handover.epoch => return Reply::Ok,
             Hold::Sealed { .. } => self.empty(place),
             // Bookings that a group still holds although its team has come back are kept, too.
@@ -67,6 +75,16 @@
         self.fill(clock, place, handover)
     }
 
+    /// Takes the outcomes of a repeated hand-over: a former home that was rebuilt without its `Seal`
+    /// may have recorded some meanwhile.
+    fn learn_outcomes(&mut self, clock: u64, handover: Handover) {
+        for Booking { key, request, state, .. } in handover.bookings {
+            if let BookingState::Done(answer) = state {
+                self.finish(clock, (handover.team.clone(), key), &request, answer);
+            }
+        }
+    }
+
     /// Drops the bookings of a team that its new home has adopted.
     pub(crate) fn release(&mut self, team: &TeamId, epoch: Revision) -> Reply {
         let Ok(found) = self.find_book(team) else {
--- a/crates/medlarlug-core/src/home/state.rs
+++ b/crates/medlarlug-core/src/home/state.rs
@@ -234,7 +234,9 @@
             | Action::Settle { .. } => self.end(action),
             Action::Seal { team, to, epoch } => {
                 let state_loss = self.state_loss();
-                self.bookings.seal(clock, team, to, epoch, state_loss)
+                let founding = self.founding;
+                let may_lack = |known| founding.is_some_and(|it| it.is_older(known));
+                self.bookings.seal(clock, (team, to, epoch), state_loss, may_lack)
             }
             Action::Adopt(handover) => self.adopt(handover),
             Action::AdoptLost { team, epoch } => self.adopt_lost(team, epoch),
--- a/crates/medlarlug-core/tests/testsuite/booking_history.rs
+++ b/crates/medlarlug-core/tests/testsuite/booking_history.rs
@@ -1,13 +1,14 @@
 //! Histories of bookings: several entry instances, two home groups, lost, late, crossed and
-//! doubled messages, crashes, moves of the home, and groups that lose their state.
+//! doubled messages, crashes, moves of the home, groups that lose their state or are rebuilt from a
+//! survivor that lagged behind, and services that are asked about unknown outcomes.
 
 use std::time::Duration;
 
 use medlarlug_core::{
     fingerprint::Fingerprint,
     home::{
-        Action, Begin, BeginReply, Body, BookingKey, Command, Handover, HomeGroup, Owner, Recorded,
-        Reply,
+        Action, Begin, BeginReply, Body, BookingKey, BookingState, Command, Handover, HomeGroup,
+        Owner, Question, Recorded, Reply,
         attempt::{Answer, Attempt, Effect, Event},
     },
     ids::{Incarnation, RegionId, RequestId, Revision, TeamId},
@@ -75,7 +76,19 @@
     answered: Vec<RequestId>,
     refused: Vec<RequestId>,
     acknowledged: Vec<Acknowledged>,
-    with_state_loss: bool,
+    loss: Loss,
+    /// An earlier state of each group: that of a voter that lags behind.
+    survivors: Vec<HomeGroup>,
+}
+
+/// How a group may lose state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Loss {
+    Never,
+    /// All of it.
+    Whole,
+    /// What a survivor, from which it is rebuilt, lacks.
+    Rebuilt,
 }
 
 fn team() -> TeamId {
@@ -96,7 +109,7 @@
 }
 
 impl World {
-    fn new(seed: u64, with_state_loss: bool) -> World {
+    fn new(seed: u64, loss: Loss) -> World {
         let entry = |_| Entry {
             incarnation: Incarnation(1),
             revision: Revision(3),
@@ -116,12 +129,14 @@
             answered: Vec::new(),
             refused: Vec::new(),
             acknowledged: Vec::new(),
-            with_state_loss,
+            loss,
+            survivors: Vec::new(),
         };
         for index in 0..REGIONS.len() {
             let revision = Revision(index as u64 + 1);
             world.apply(index, Action::Found { revision, first: true });
         }
+        world.survivors = world.groups.clone();
         world
     }
 
@@ -142,8 +157,7 @@
             92..94 => self.suspect(entry),
             94..95 => self.move_home(),
             95..98 => self.push_move(),
-            _ if self.with_state_loss && self.rng.random_range(0..8) == 0 => self.lose_state(),
-            _ => {}
+            _ => self.lose_or_ask(),
         }
     }
 
@@ -163,7 +177,7 @@
             revision,
             epoch: home.epoch,
             moved: home.moved,
-            askable: None,
+            askable: Some(id("jobdesk")),
         };
         let mut out = Vec::new();
         let attempt = Attempt::new(region(home.region), begin, &mut out);
@@ -297,8 +311,69 @@
         }
     }
 
+    /// A service is asked about an unknown booking, and tells its answer if it ran.
+    fn ask_service(&mut self) {
+        let region = self.rng.random_range(0..REGIONS.len());
+        let questions: Vec<Question> = self.groups[region].questions().collect();
+        for Question { team, key, request, .. } in questions {
+            if self.runs.iter().any(|it| it.0 == request) {
+                let answer = answer_to(&request);
+                self.messages.push(Message::Propose {
+                    from: request.clone(),
+                    step: u32::MAX,
+                    region,
+                    action: Action::Settle { team, key, request, answer },
+                });
+            }
+        }
+    }
+
+    /// A voter of a group has applied all that the group has, and falls behind from now on.
+    fn lag(&mut self) {
+        let region = self.rng.random_range(0..REGIONS.len());
+        self.survivors[region] = self.groups[region].clone();
+    }
+
+    fn lose_or_ask(&mut self) {
+        // The draws of earlier kinds stay as they were when their seeds once failed.
+        let draw = match self.loss {
+            Loss::Never => return,
+            Loss::Whole | Loss::Rebuilt => self.rng.random_range(0..8),
+        };
+        match (self.loss, draw) {
+            (Loss::Rebuilt, 0) => self.rebuild(),
+            (Loss::Rebuilt, 1..4) => self.ask_service(),
+            (Loss::Rebuilt, _) => self.lag(),
+            (_, 0) => self.found_anew(),
+            _ => {}
+        }
+    }
+
+    /// A group is rebuilt from its survivor, whose answers stay; the rest of what it knew is
+    /// unknown.
+    fn rebuild(&mut self) {
+        let region = self.rng.random_range(0..REGIONS.len());
+        let survivor = self.survivors[region].clone();
+        self.groups[region] = survivor.clone();
+        self.apply(region, Action::Rebuilt);
+        self.revision = self.revision.next();
+        // A configuration group that was rebuilt as well may call the founding the first.
+        let first = self.rng.random_bool(0.5);
+        self.apply(region, Action::Found { revision: self.revision, first });
+        for number in 0..KEYS {
+            let before = survivor.booking(&team(), &key(number)).map(|it| it.state.clone());
+            let after = self.groups[region].booking(&team(), &key(number)).map(|it| &it.state);
+            let expected = before.map(|it| match it {
+                BookingState::Done(answer) => BookingState::Done(answer),
+                _ => BookingState::Unknown,
+            });
+            assert_eq!(after, expected.as_ref(), "booking {number} after the rebuild");
+        }
+        self.survivors[region] = self.groups[region].clone();
+    }
+
     /// A group loses all its state and is founded anew.
-    fn lose_state(&mut self) {
+    fn found_anew(&mut self) {
         let region = self.rng.random_range(0..REGIONS.len());
         self.revision = self.revision.next();
         self.groups[region] = HomeGroup::default();
@@ -394,7 +469,7 @@
 
             let is_known = match &reply {
                 Reply::Begin(BeginReply::Done { answer: recorded, .. }) => *recorded == answer,
-                Reply::Begin(BeginReply::Unknown(_)) => self.with_state_loss || !is_recorded,
+                Reply::Begin(BeginReply::Unknown(_)) => self.loss != Loss::Never || !is_recorded,
                 Reply::Begin(BeginReply::InProgress(_)) => !is_recorded,
                 _ => false,
             };
@@ -403,10 +478,10 @@
     }
 }
 
-fn run_histories(seeds: std::ops::Range<u64>, with_state_loss: bool) -> (usize, usize) {
+fn run_histories(seeds: std::ops::Range<u64>, loss: Loss) -> (usize, usize) {
     let (mut runs, mut acknowledged) = (0, 0);
     for seed in seeds {
-        let mut world = World::new(seed, with_state_loss);
+        let mut world = World::new(seed, loss);
         for _ in 0..STEPS {
             world.step();
         }
@@ -420,7 +495,7 @@
 
 #[test]
 fn booking_runs_at_most_once_over_crashes_and_moves() {
-    let (runs, acknowledged) = run_histories(0..3_000, false);
+    let (runs, acknowledged) = run_histories(0..3_000, Loss::Never);
 
     assert!(runs > 3_000, "the histories ran only {runs} bookings");
     assert!(acknowledged > 3_000, "the histories acknowledged only {acknowledged} bookings");
@@ -428,7 +503,15 @@
 
 #[test]
 fn booking_runs_at_most_once_when_groups_lose_their_state() {
-    let (runs, acknowledged) = run_histories(10_000..13_000, true);
+    let (runs, acknowledged) = run_histories(10_000..13_000, Loss::Whole);
+
+    assert!(runs > 3_000, "the histories ran only {runs} bookings");
+    assert!(acknowledged > 1_000, "the histories acknowledged only {acknowledged} bookings");
+}
+
+#[test]
+fn booking_runs_at_most_once_when_groups_are_rebuilt_from_a_survivor() {
+    let (runs, acknowledged) = run_histories(20_000..23_000, Loss::Rebuilt);
 
     assert!(runs > 3_000, "the histories ran only {runs} bookings");
     assert!(acknowledged > 1_000, "the histories acknowledged only {acknowledged} bookings");
@@ -437,6 +520,6 @@
 #[test]
 fn histories_that_once_failed() {
     for seed in [10_294, 202_417, 205_035, 214_013] {
-        run_histories(seed..seed + 1, true);
+        run_histories(seed..seed + 1, Loss::Whole);
     }
 }
--- a/crates/medlarlug-core/tests/testsuite/home_limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/home_limits.rs
@@ -80,10 +80,16 @@
 
     apply(&mut group, Duration::ZERO, Action::Rebuilt);
     let early = reply_to(&mut group, begin("done", 3));
+    // A repeated command of an owner whose key may have been begun again since then.
+    let (team, key) = (id("anna"), "open".parse().unwrap());
+    let late = Action::Abandon { team, key, request: id("riga.entry-1.1.1") };
     // A configuration group that was rebuilt as well may call this founding the first.
     apply(&mut group, Duration::ZERO, Action::Found { revision: FOUNDED, first: true });
 
+    let late = apply(&mut group, Duration::ZERO, late);
+
     assert_eq!(early, BeginReply::NotFounded);
+    assert_eq!(late, Reply::Ok);
     assert_matches!(reply_to(&mut group, begin("done", 3)), BeginReply::Done { .. });
     for key in ["open", "given-up", "lost"] {
         assert_matches!(reply_to(&mut group, begin(key, 3)), BeginReply::Unknown(_), "{key}");
@@ -191,7 +197,7 @@
 fn old_handover() -> Handover {
     let booking = |key: &str, state| {
         let Begin { key, content, request, .. } = begin(key, 3);
-        Booking { key, content, request, askable: None, state, since: 0 }
+        Booking { key, content, request, askable: None, state, is_doubtful: false, since: 0 }
     };
     let answer =
         Recorded { status: 201, content_type: "text/plain".into(), body: Body::of(b"booked") };
--- a/crates/medlarlug-core/tests/testsuite/replication/failures.rs
+++ b/crates/medlarlug-core/tests/testsuite/replication/failures.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use assert_matches::assert_matches;
 use medlarlug_core::{
+    configuration_group::{Command, ConfigurationGroup, Reply},
     ids::{LogIndex, Term},
     replication::{
         Body, Change, Config, Effect, Envelope, Event, FormationId, Hello, Member, MemberKey,
@@ -10,7 +12,7 @@
     },
     time::Time,
 };
-use test_support::id;
+use test_support::{id, note, region};
 
 use super::cluster::{Cluster, Fault, Weather};
 
@@ -327,3 +329,31 @@
     assert!(!before);
     assert!(replica.membership().is_some());
 }
+
+#[test]
+fn leader_change_in_a_founding_leaves_it_the_first_and_a_rebuild_does_not() {
+    let mut cluster = formed(7, DURABLE, |_| {});
+    let mut configuration = ConfigurationGroup::default();
+    let note = note(0, vec![region("riga", &["riga-a"])]).try_into().expect("a note");
+    configuration.apply(Command::Apply(note));
+    let mut found = |cluster: &Cluster, leader: usize| {
+        let token = cluster.membership(leader).expect("a group").formation.into();
+        configuration.apply(Command::FoundHome { region: id("riga"), token })
+    };
+    let leader = cluster.leader().expect("a leader");
+
+    let first = found(&cluster, leader);
+    cluster.crash(leader);
+    cluster.run(NEW_LEADER);
+    let next = cluster.leader().expect("another leader");
+    let second = found(&cluster, next);
+    cluster.crash(next);
+    cluster.rebuild(next, FormationId(77));
+    cluster.start(next);
+    let rebuilt = found(&cluster, next);
+
+    assert_ne!(leader, next);
+    assert_matches!(first, Reply::Founded { first: true, .. });
+    assert_eq!(second, first);
+    assert_matches!(rebuilt, Reply::Founded { first: false, .. });
+}
--- a/src/coordination/keeper/duties/founding.rs
+++ b/src/coordination/keeper/duties/founding.rs
@@ -23,10 +23,10 @@
 
 /// Founds the home group of `region` while this keeper leads it and it is not founded.
 ///
-/// All tries of this process carry one token: a try whose reply was lost is not taken for an
-/// earlier founding, after which keys would count as used.
+/// All tries of one formation of the group carry one token, whichever keeper leads: a try whose
+/// reply was lost, or whose leader was, is not taken for an earlier founding, after which keys would
+/// count as used.
 pub async fn run(keeper: Rc<Keeper>, region: RegionId, mut stop: watch::Receiver<bool>) {
-    let token = FoundToken(rand::random());
     let mut rounds = interval(ROUND);
     loop {
         tokio::select! {
@@ -34,7 +34,9 @@
                 if !is_due(&keeper, &region) {
                     continue;
                 }
-                if let Err(error) = found(&keeper, &region, token).await {
+                let group = GroupId::Home(region.clone());
+                let Some(formation) = keeper.formation(&group) else { continue };
+                if let Err(error) = found(&keeper, &region, formation.into()).await {
                     tracing::warn!(%region, %error, "home group not founded");
                 }
             }
--- a/src/coordination/keeper/duties/moves.rs
+++ b/src/coordination/keeper/duties/moves.rs
@@ -5,6 +5,9 @@
 //! `HomeAdopted` in the configuration group, which ends the move. Each step is idempotent, and
 //! the configuration group lists the move until its last step. So a new leader, which begins
 //! again with the first step that is not known to be done, leaves nothing half done.
+//!
+//! A group that lost its state may have forgotten what it had adopted. So its leader also carries
+//! out the moves of teams whose home is here and whose bookings it does not hold.
 
 use std::rc::Rc;
 
@@ -51,8 +54,12 @@
             _ = rounds.tick() => {}
             _ = stop.wait_for(|stop| *stop) => return,
         }
+        if !keeper.leads(&group) {
+            continue;
+        }
         let newest = newest_move(&keeper, &region);
-        if newest <= complete || !keeper.leads(&group) {
+        if newest <= complete {
+            adopt_again(&keeper, &region).await;
             continue;
         }
         match carry_out_all(&keeper, &region).await {
@@ -70,6 +77,22 @@
     moved.map(|it| it.epoch).max().unwrap_or(Revision(0))
 }
 
+/// Adopts the teams whose move here is complete and that the group does not hold.
+async fn adopt_again(keeper: &Keeper, region: &RegionId) {
+    let Some(configuration) = keeper.node.configuration() else { return };
+    let homes = configuration.homes().iter().filter(|it| it.region == *region);
+    let moves = homes.filter_map(|it| {
+        let (team, from, to) = (it.team.clone(), it.from.clone()?, it.region.clone());
+        Some(Move { team, from, to, epoch: it.epoch })
+    });
+    for it in moves.filter(|it| !is_held(keeper, it)) {
+        match carry_out(keeper, &it).await {
+            Ok(()) => tracing::info!(team = %it.team, from = %it.from, "team adopted again"),
+            Err(error) => tracing::warn!(team = %it.team, %error, "team not adopted again yet"),
+        }
+    }
+}
+
 async fn carry_out_all(keeper: &Keeper, region: &RegionId) -> Result<(), MoveError> {
     let moves = calls::moves(&keeper.node, CALL_LIMIT).await?;
     let mut result = Ok(());
--- a/src/coordination/keeper/mod.rs
+++ b/src/coordination/keeper/mod.rs
@@ -18,7 +18,7 @@
 use medlarlug_core::{
     ids::{InstanceId, Revision},
     membership::Notice,
-    replication::{self, MemberKey, Replica, Restored, StorageId},
+    replication::{self, FormationId, MemberKey, Replica, Restored, StorageId},
 };
 use smol_str::{SmolStr, StrExt, ToSmolStr};
 use thiserror::Error;
@@ -168,7 +168,7 @@
     let mut config = replication::Config::new(key, voters);
     config.durable = node.own.durable;
     config.may_form = may_form;
-    let replica = Replica::new(config, restored, node.incarnation.0, node.now());
+    let replica = Replica::new(config, restored, rand::random(), node.now());
     Ok(Group::new(id, replica, machine))
 }
 
@@ -236,6 +236,13 @@
         self.groups.borrow().iter().any(|it| it.id() == group && it.is_leader())
     }
 
+    /// The formation that a group stems from, if this keeper is a member and knows it.
+    pub fn formation(&self, group: &GroupId) -> Option<FormationId> {
+        let groups = self.groups.borrow();
+        let found = groups.iter().find(|it| it.id() == group)?;
+        Some(found.replica().membership()?.formation)
+    }
+
     /// Reads the state machine of a group, if this keeper is a member.
     pub fn with_machine<T>(&self, group: &GroupId, read: impl FnOnce(&Machine) -> T) -> Option<T> {
         let groups = self.groups.borrow();
--- a/tests/testsuite/processes/moves.rs
+++ b/tests/testsuite/processes/moves.rs
@@ -118,6 +118,34 @@
     assert_eq!(deployment.runs("parcel-1"), 1);
 }
 
+#[test]
+fn new_home_that_lost_its_state_adopts_its_teams_again() {
+    let mut deployment = two_regions()
+        .keeper("keeper-4", "liepaja-a")
+        .home("kurzeme", &["keeper-4"])
+        .service("desk", "riga-a", "jobdesk")
+        .start();
+    deployment.configure(items(Residency::Anywhere));
+    deployment.wait_upstreams("entry-1", 1);
+    let revision = move_home(&deployment, "kurzeme");
+    wait_revision(&deployment, revision);
+    book_until_answered(&deployment, "entry-2", "parcel-1");
+
+    deployment.kill("keeper-4");
+    deployment.delete_data("keeper-4");
+    deployment.start_process("keeper-4");
+    let mut key = String::new();
+    wait_for("a booking under a key that proves to be new", || {
+        let newest = deployment.operator_get("entry-2", "/status").json["revision"].clone();
+        key = format!("{newest}~parcel-2");
+        deployment.book("entry-2", &key, "{}").status == 200
+    });
+    let former = deployment.book("entry-2", "parcel-1", "{}");
+
+    assert_eq!(former.json["type"], "outcome-unknown", "{}", former.text);
+    assert_eq!((deployment.runs("parcel-1"), deployment.runs(&key)), (1, 1));
+}
+
 fn leader(deployment: &Deployment, group: &str) -> Option<String> {
     let leads = |id: &&str| {
         let groups = deployment.operator_get(id, "/status").json["groups"].clone();
