--- a/tests/testsuite/processes/fixture.rs
+++ b/tests/testsuite/processes/fixture.rs
@@ -109,3 +109,35 @@
     });
     text
 }
+
+/// The keepers of [`two_regions`].
+pub const KEEPERS: [&str; 3] = ["keeper-1", "keeper-2", "keeper-3"];
+
+/// The revision in force at an instance; 0 while none is.
+pub fn revision(deployment: &Deployment, instance: &str) -> u64 {
+    let status = deployment.operator_get(instance, "/status").json;
+    status["revision"].as_u64().unwrap_or_default()
+}
+
+/// The groups of a keeper, as its status shows them.
+pub fn groups(deployment: &Deployment, keeper: &str) -> Vec<Value> {
+    let groups = deployment.operator_get(keeper, "/status").json["groups"].clone();
+    groups.as_array().cloned().unwrap_or_default()
+}
+
+/// One group of a keeper; null while the keeper does not answer.
+pub fn group(deployment: &Deployment, keeper: &str, name: &str) -> Value {
+    let mut groups = groups(deployment, keeper).into_iter();
+    groups.find(|it| it["group"] == name).unwrap_or_default()
+}
+
+/// Waits until a keeper leads a group; gives the keeper.
+pub fn wait_leader(deployment: &Deployment, name: &str) -> String {
+    let mut found = None;
+    wait_for("a leader", || {
+        let leads = |it: &&str| group(deployment, it, name)["role"] == "leader";
+        found = KEEPERS.into_iter().find(leads);
+        found.is_some()
+    });
+    found.expect("a leader").to_owned()
+}
--- a/tests/testsuite/processes/isolation.rs
+++ b/tests/testsuite/processes/isolation.rs
@@ -10,7 +10,7 @@
     note, team,
 };
 
-use crate::processes::fixture::{items, two_regions};
+use crate::processes::fixture::{items, revision, two_regions};
 
 /// Milliseconds for which an instance crosses regions without a confirmed revision.
 const LEASE_MS: u64 = 8_000;
@@ -37,10 +37,6 @@
     deployment.operator_get(entry, "/dump").json
 }
 
-fn revision(deployment: &Deployment, entry: &str) -> u64 {
-    deployment.operator_get(entry, "/status").json["revision"].as_u64().unwrap_or(0)
-}
-
 fn runs(deployment: &Deployment, upstream: &str) -> Value {
     let upstream = deployment.upstreams.iter().find(|it| it.id == upstream).expect("an upstream");
     call("GET", upstream.control, "/runs", &[], "").json
--- a/tests/testsuite/processes/keepers.rs
+++ b/tests/testsuite/processes/keepers.rs
@@ -10,9 +10,9 @@
 use serde_json::Value;
 use test_support::deployment::{Deployment, wait_for};
 
-use crate::processes::fixture::{items, two_regions};
-
-const KEEPERS: [&str; 3] = ["keeper-1", "keeper-2", "keeper-3"];
+use crate::processes::fixture::{
+    KEEPERS, book_until_answered, groups, items, two_regions, wait_leader,
+};
 
 fn with_service() -> Deployment {
     let deployment = two_regions().service("desk", "riga-a", "jobdesk").start();
@@ -21,30 +21,12 @@
     deployment
 }
 
-fn leader(deployment: &Deployment) -> Option<String> {
-    let leads = |id: &&str| {
-        let groups = deployment.operator_get(id, "/status").json["groups"].clone();
-        let groups = groups.as_array().cloned().unwrap_or_default();
-        groups.iter().any(|it| it["group"] == "home-riga" && it["role"] == "leader")
-    };
-    KEEPERS.into_iter().find(leads).map(str::to_owned)
-}
-
 /// The voters of each group, as a keeper knows them.
 fn voters(deployment: &Deployment, keeper: &str) -> Vec<Vec<Value>> {
-    let groups = deployment.operator_get(keeper, "/status").json["groups"].clone();
-    let groups = groups.as_array().cloned().unwrap_or_default();
-    groups.iter().map(|it| it["voters"].as_array().cloned().unwrap_or_default()).collect()
-}
-
-fn book_until_answered(deployment: &Deployment, entry: &str, key: &str) -> String {
-    let mut text = String::new();
-    wait_for("an answer to the booking", || {
-        let reply = deployment.book(entry, key, "{}");
-        text = reply.text;
-        reply.status == 200
-    });
-    text
+    groups(deployment, keeper)
+        .iter()
+        .map(|it| it["voters"].as_array().cloned().unwrap_or_default())
+        .collect()
 }
 
 #[test]
@@ -67,7 +49,7 @@
 fn killed_leader_is_replaced_and_bookings_go_on_with_one_run_each() {
     let mut deployment = with_service();
     book_until_answered(&deployment, "entry-1", "parcel-1");
-    let leader = leader(&deployment).expect("a leader of the home group");
+    let leader = wait_leader(&deployment, "home-riga");
 
     deployment.kill(&leader);
     book_until_answered(&deployment, "entry-1", "parcel-2");
@@ -81,7 +63,7 @@
 fn frozen_leader_is_replaced_and_does_not_disturb_on_return() {
     let deployment = with_service();
     book_until_answered(&deployment, "entry-1", "parcel-1");
-    let frozen = leader(&deployment).expect("a leader of the home group");
+    let frozen = wait_leader(&deployment, "home-riga");
 
     deployment.signal(&frozen, Signal::SIGSTOP);
     book_until_answered(&deployment, "entry-1", "parcel-2");
--- a/tests/testsuite/processes/maintenance.rs
+++ b/tests/testsuite/processes/maintenance.rs
@@ -4,9 +4,9 @@
 use nix::sys::signal::Signal;
 use test_support::deployment::{Deployment, wait_for};
 
-use crate::processes::fixture::{GROUPS, add_engines, book_until_answered, items, two_regions};
-
-const KEEPERS: [&str; 3] = ["keeper-1", "keeper-2", "keeper-3"];
+use crate::processes::fixture::{
+    GROUPS, KEEPERS, add_engines, book_until_answered, items, two_regions,
+};
 
 /// Restarts every process in turn, each gracefully; waits until the system is whole again.
 fn restart_in_turn(deployment: &mut Deployment) {
--- a/tests/testsuite/processes/moves.rs
+++ b/tests/testsuite/processes/moves.rs
@@ -14,7 +14,7 @@
     id, note,
 };
 
-use crate::processes::fixture::{items, two_regions};
+use crate::processes::fixture::{book_until_answered, items, two_regions, wait_leader};
 
 const ENTRIES: [&str; 2] = ["entry-1", "entry-2"];
 
@@ -57,16 +57,6 @@
     }
 }
 
-fn book_until_answered(deployment: &Deployment, entry: &str, key: &str) -> String {
-    let mut text = String::new();
-    wait_for("an answer to the booking", || {
-        let reply = deployment.book(entry, key, "{}");
-        text = reply.text;
-        reply.status == 200
-    });
-    text
-}
-
 /// Books keys one after another; tells the answers.
 fn book_all(deployment: &Deployment, entry: &str) -> Vec<(String, String)> {
     let keys = (0..BOOKINGS).map(|it| format!("{entry}-{it}"));
@@ -98,7 +88,7 @@
     let first = book_until_answered(&deployment, "entry-1", "parcel-1");
 
     let revision = move_home(&deployment, "kurzeme");
-    let leader = leader(&deployment, "home-kurzeme").expect("a leader of the new home");
+    let leader = wait_leader(&deployment, "home-kurzeme");
     deployment.kill(&leader);
     wait_revision(&deployment, revision);
     let moved = book_until_answered(&deployment, "entry-2", "parcel-1");
@@ -145,12 +135,3 @@
     assert_eq!(former.json["type"], "outcome-unknown", "{}", former.text);
     assert_eq!((deployment.runs("parcel-1"), deployment.runs(&key)), (1, 1));
 }
-
-fn leader(deployment: &Deployment, group: &str) -> Option<String> {
-    let leads = |id: &&str| {
-        let groups = deployment.operator_get(id, "/status").json["groups"].clone();
-        let groups = groups.as_array().cloned().unwrap_or_default();
-        groups.iter().any(|it| it["group"] == group && it["role"] == "leader")
-    };
-    ["keeper-1", "keeper-2", "keeper-3"].into_iter().find(leads).map(str::to_owned)
-}
--- a/tests/testsuite/processes/operators.rs
+++ b/tests/testsuite/processes/operators.rs
@@ -7,20 +7,14 @@
 };
 
 use medlarlug_core::release::{RawNote, item::Residency};
-use serde_json::Value;
 use test_support::{
     deployment::{Deployment, OPERATOR_KEY, wait_for},
     idempotent_service,
 };
 
-use crate::processes::fixture::{GROUPS, book_until_answered, items, two_regions};
-
-const KEEPERS: [&str; 3] = ["keeper-1", "keeper-2", "keeper-3"];
-
-fn revision(deployment: &Deployment, instance: &str) -> u64 {
-    let status = deployment.operator_get(instance, "/status").json;
-    status["revision"].as_u64().unwrap_or_default()
-}
+use crate::processes::fixture::{
+    GROUPS, KEEPERS, book_until_answered, group, items, revision, two_regions,
+};
 
 /// The newest revision: that of the leader of the configuration group.
 fn newest_revision(deployment: &Deployment) -> u64 {
@@ -113,12 +107,6 @@
     (deployment, first)
 }
 
-fn group(deployment: &Deployment, keeper: &str, name: &str) -> Value {
-    let groups = deployment.operator_get(keeper, "/status").json["groups"].clone();
-    let groups = groups.as_array().cloned().unwrap_or_default();
-    groups.into_iter().find(|it| it["group"] == name).unwrap_or_default()
-}
-
 fn committed(deployment: &Deployment, keeper: &str) -> Option<u64> {
     group(deployment, keeper, "home-riga")["committed"].as_u64()
 }
--- a/tests/testsuite/processes/partition.rs
+++ b/tests/testsuite/processes/partition.rs
@@ -7,15 +7,14 @@
         item::{Residency, Team},
     },
 };
-use serde_json::Value;
 use test_support::{
-    deployment::{CALLER_KEY, Deployment, Reply, wait_for},
+    deployment::{CALLER_KEY, Deployment, wait_for},
     id, idempotent_service, team,
 };
 
-use crate::processes::fixture::{items, two_regions};
-
-const KEEPERS: [&str; 3] = ["keeper-1", "keeper-2", "keeper-3"];
+use crate::processes::fixture::{
+    KEEPERS, book_until_answered, group, items, revision, two_regions, wait_leader,
+};
 
 fn is_keeper(id: &str) -> bool {
     id.starts_with("keeper")
@@ -28,38 +27,6 @@
     deployment
 }
 
-fn group(deployment: &Deployment, keeper: &str, name: &str) -> Value {
-    let groups = deployment.operator_get(keeper, "/status").json["groups"].clone();
-    let groups = groups.as_array().cloned().unwrap_or_default();
-    groups.into_iter().find(|it| it["group"] == name).unwrap_or_default()
-}
-
-fn leader(deployment: &Deployment, name: &str) -> String {
-    let mut found = None;
-    wait_for("a leader", || {
-        let leads = |it: &&str| group(deployment, it, name)["role"] == "leader";
-        found = KEEPERS.into_iter().find(leads);
-        found.is_some()
-    });
-    found.expect("a leader").to_owned()
-}
-
-fn book_until_answered(deployment: &Deployment, entry: &str, key: &str) -> Reply {
-    let mut last = None;
-    wait_for("an answer to the booking", || {
-        let reply = deployment.book(entry, key, "{}");
-        let is_answered = reply.status == 200;
-        last = Some(reply);
-        is_answered
-    });
-    last.expect("an answer")
-}
-
-fn revision(deployment: &Deployment, instance: &str) -> u64 {
-    let status = deployment.operator_get(instance, "/status").json;
-    status["revision"].as_u64().unwrap_or_default()
-}
-
 fn apply_until_accepted(deployment: &Deployment, entry: &str, name: &str) -> u64 {
     let mut accepted = None;
     wait_for("acceptance of a note", || {
@@ -82,7 +49,7 @@
     book_until_answered(&deployment, "entry-2", "parcel-2");
     let again = book_until_answered(&deployment, "entry-2", "parcel-1");
 
-    assert_eq!(first.text, again.text);
+    assert_eq!(first, again);
     assert_eq!((deployment.runs("parcel-1"), deployment.runs("parcel-2")), (1, 1));
 }
 
@@ -105,14 +72,14 @@
 fn leader_behind_a_silent_partition_steps_down_and_returns_without_a_new_term() {
     let deployment = with_service(two_regions());
     let first = book_until_answered(&deployment, "entry-1", "parcel-1");
-    let isolated = leader(&deployment, "home-riga");
+    let isolated = wait_leader(&deployment, "home-riga");
 
     deployment.network().partition(|it| it == isolated, true);
     wait_for("the isolated leader to step down", || {
         group(&deployment, &isolated, "home-riga")["role"] != "leader"
     });
     book_until_answered(&deployment, "entry-1", "parcel-2");
-    let next = leader(&deployment, "home-riga");
+    let next = wait_leader(&deployment, "home-riga");
     let term = group(&deployment, &next, "home-riga")["term"].clone();
     deployment.network().partition(|it| it == isolated, false);
     wait_for("the isolated keeper to follow", || {
@@ -123,7 +90,7 @@
     book_until_answered(&deployment, "entry-2", "parcel-2");
 
     assert_ne!(next, isolated);
-    assert_eq!(first.text, again.text);
+    assert_eq!(first, again);
     assert_eq!((deployment.runs("parcel-1"), deployment.runs("parcel-2")), (1, 1));
     for keeper in KEEPERS {
         assert_eq!(group(&deployment, keeper, "home-riga")["term"], term, "{keeper}");
