The stand-in makes tokens when they are asked for

Cause: of 1,000 streams opened at once 231 to 373 stayed open. The one thread of the emulated engines did nothing else for seconds, so that they neither answered nor announced themselves.

Ruled out: the ledger and the kept streams (231 of 1,000 with these mended).

Change: an answer is the bytes that choose its tokens, one each. The batch's test makes its streams from such an answer in place of a list of one word; it checks phases and counts, no text.

--- a/src/standin/answer.rs
+++ b/src/standin/answer.rs
@@ -16,17 +16,41 @@
     "row", "bay", "repair", "scale", "angle",
 ];
 
-/// The tokens that an engine answers to `prompt`; each ends with a space.
-pub fn tokens(prompt: &str, max_tokens: Option<usize>) -> Vec<SmolStr> {
-    let count = max_tokens.unwrap_or(DEFAULT_TOKENS).min(MAX_TOKENS);
-    let mut stream = blake3::Hasher::new().update(prompt.as_bytes()).finalize_xof();
-    let mut bytes = vec![0; count];
-    stream.fill(&mut bytes);
-    let word = |byte: &u8| {
+/// The answer of an engine to one prompt; its tokens are made when they are asked for.
+#[derive(Debug)]
+pub struct Answer(Vec<u8>);
+
+impl Answer {
+    /// What an engine answers to `prompt`.
+    pub fn new(prompt: &str, max_tokens: Option<usize>) -> Answer {
+        let count = max_tokens.unwrap_or(DEFAULT_TOKENS).min(MAX_TOKENS);
+        let mut stream = blake3::Hasher::new().update(prompt.as_bytes()).finalize_xof();
+        let mut bytes = vec![0; count];
+        stream.fill(&mut bytes);
+        Answer(bytes)
+    }
+
+    /// Its tokens.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether it has none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Token `n`, which ends with a space; `None` behind the last one.
+    pub fn token(&self, n: usize) -> Option<SmolStr> {
+        let byte = self.0.get(n)?;
         let name = WORDS[usize::from(byte % 16)];
-        format_smolstr!("{name}{} ", byte / 16)
-    };
-    bytes.iter().map(word).collect()
+        Some(format_smolstr!("{name}{} ", byte / 16))
+    }
+
+    /// All tokens as one text.
+    pub fn text(&self) -> String {
+        (0..self.len()).filter_map(|n| self.token(n)).fold(String::new(), |text, it| text + &it)
+    }
 }
 
 /// The whole text that an engine answers to `prompt`.
@@ -39,7 +63,7 @@
 /// assert_ne!(text, expected("another prompt", Some(3)));
 /// ```
 pub fn expected(prompt: &str, max_tokens: Option<usize>) -> String {
-    tokens(prompt, max_tokens).concat()
+    Answer::new(prompt, max_tokens).text()
 }
 
 /// The prompt that the messages of a chat make, as pairs of role and content: each on a line of
--- a/src/standin/completions.rs
+++ b/src/standin/completions.rs
@@ -151,10 +151,10 @@
         prompt.push_str("of another request");
     }
     let limit = completion.max_completion_tokens.or(completion.max_tokens);
-    let tokens = answer::tokens(&prompt, limit);
+    let answer = answer::Answer::new(&prompt, limit);
     let length = answer::prompt_tokens(&prompt);
     let cached = upstream.cache.borrow_mut().visit(&prompt);
-    let mut stream = Stream::new(answer_id, completion.model.clone(), chat, length, tokens);
+    let mut stream = Stream::new(answer_id, completion.model.clone(), chat, length, answer);
     stream.deadline = patience.map(|it| Instant::now() + it);
     let stream = Rc::new(stream);
     upstream.streams.put(Rc::clone(&stream));
--- a/src/standin/streams.rs
+++ b/src/standin/streams.rs
@@ -14,6 +14,8 @@
 use smol_str::SmolStr;
 use tokio::{sync::Notify, time::Instant};
 
+use crate::standin::answer::Answer;
+
 /// Time for which a stream without a reader is kept.
 pub const KEEP: Duration = Duration::from_secs(10);
 
@@ -44,7 +46,7 @@
     /// Tokens of the prompt.
     pub prompt: u64,
     /// The whole answer.
-    pub tokens: Vec<SmolStr>,
+    pub answer: Answer,
     /// Latest time at which it may get a slot.
     pub deadline: Option<Instant>,
     produced: Cell<usize>,
@@ -56,13 +58,13 @@
 
 impl Stream {
     /// A stream that waits for a slot.
-    pub fn new(id: SmolStr, model: SmolStr, chat: bool, prompt: u64, tokens: Vec<SmolStr>) -> Self {
+    pub fn new(id: SmolStr, model: SmolStr, chat: bool, prompt: u64, answer: Answer) -> Self {
         Stream {
             id,
             model,
             chat,
             prompt,
-            tokens,
+            answer,
             deadline: None,
             produced: Cell::new(0),
             phase: Cell::new(Phase::Waiting),
@@ -88,8 +90,8 @@
 
     /// Generates one token; false when the answer is whole.
     pub fn advance(&self) -> bool {
-        self.produced.set((self.produced.get() + 1).min(self.tokens.len()));
-        let is_whole = self.produced.get() == self.tokens.len();
+        self.produced.set((self.produced.get() + 1).min(self.answer.len()));
+        let is_whole = self.produced.get() == self.answer.len();
         if is_whole {
             self.enter(Phase::Finished);
         }
@@ -105,7 +107,7 @@
                 return Some(self.chunk(n));
             }
             match self.phase.get() {
-                Phase::Finished if n == self.tokens.len() => return Some(self.chunk(n)),
+                Phase::Finished if n == self.answer.len() => return Some(self.chunk(n)),
                 Phase::Finished | Phase::Cancelled | Phase::Expired => return None,
                 Phase::Waiting | Phase::Running => changed.await,
             }
@@ -136,14 +138,14 @@
 
     /// The whole answer as one JSON object.
     pub fn whole(&self) -> Value {
-        let text = self.tokens.concat();
+        let text = self.answer.text();
         let choice = if self.chat {
             let message = json!({"role": "assistant", "content": text});
             json!({"index": 0, "message": message, "finish_reason": "stop"})
         } else {
             json!({"index": 0, "text": text, "logprobs": null, "finish_reason": "stop"})
         };
-        let generated = self.tokens.len() as u64;
+        let generated = self.answer.len() as u64;
         json!({
             "id": self.id,
             "object": if self.chat { "chat.completion" } else { "text_completion" },
@@ -159,8 +161,8 @@
     }
 
     fn chunk(&self, n: usize) -> Value {
-        let reason = if n == self.tokens.len() { Some("stop") } else { None };
-        let text = self.tokens.get(n).cloned().unwrap_or_default();
+        let reason = if n == self.answer.len() { Some("stop") } else { None };
+        let text = self.answer.token(n).unwrap_or_default();
         let choice = if self.chat {
             let delta = match (n, reason) {
                 (_, Some(_)) => json!({}),
--- a/tests/testsuite/batching.rs
+++ b/tests/testsuite/batching.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use medlarlug::standin::{
+    answer::Answer,
     batch::Batch,
     cache::PrefixCache,
     streams::{Phase, Stream},
@@ -16,7 +17,7 @@
 }
 
 fn stream(name: &str, tokens: usize) -> Stream {
-    Stream::new(name.into(), "medlar".into(), true, 1, vec!["word ".into(); tokens])
+    Stream::new(name.into(), "medlar".into(), true, 1, Answer::new("prompt", Some(tokens)))
 }
 
 #[test]
