--- a/crates/medlarlug-core/src/home/bookings.rs
+++ b/crates/medlarlug-core/src/home/bookings.rs
@@ -217,44 +217,49 @@
     pub(crate) fn abandon(
         &mut self,
         clock: u64,
-        (team, key): (TeamId, BookingKey),
+        place: (TeamId, BookingKey),
         request: &RequestId,
     ) -> Reply {
-        let booking = match self.held(&team, &key, request) {
-            Ok(booking) => booking,
-            Err(reason) => return reason.into(),
+        let check = |booking: &Booking| match booking.state {
+            BookingState::Abandoned => Err(Reply::Ok),
+            BookingState::Done(_) => Err(Reply::NoSuchBooking),
+            BookingState::Open(_) | BookingState::Unknown if booking.is_doubtful => Err(Reply::Ok),
+            BookingState::Open(_) | BookingState::Unknown => Ok(BookingState::Abandoned),
         };
-        match booking.state {
-            BookingState::Abandoned => return Reply::Ok,
-            BookingState::Done(_) => return Reply::NoSuchBooking,
-            BookingState::Open(_) | BookingState::Unknown if booking.is_doubtful => {
-                return Reply::Ok;
-            }
-            BookingState::Open(_) | BookingState::Unknown => {}
-        }
-        booking.state = BookingState::Abandoned;
-        booking.since = clock;
-        self.mark_ended(clock, team, key, 0);
-        Reply::Ok
+        self.end_without_answer(clock, place, request, check)
     }
 
     /// Notes that the owner does not know whether a booking ran.
     pub(crate) fn lose(
+        &mut self,
+        clock: u64,
+        place: (TeamId, BookingKey),
+        request: &RequestId,
+    ) -> Reply {
+        let check = |booking: &Booking| match booking.state {
+            BookingState::Open(_) => Ok(BookingState::Unknown),
+            BookingState::Unknown | BookingState::Done(_) => Err(Reply::Ok),
+            BookingState::Abandoned => Err(Reply::NoSuchBooking),
+        };
+        self.end_without_answer(clock, place, request, check)
+    }
+
+    /// Moves a booking to the state that `check` gives, unless it replies at once.
+    fn end_without_answer(
         &mut self,
         clock: u64,
         (team, key): (TeamId, BookingKey),
         request: &RequestId,
+        check: impl FnOnce(&Booking) -> Result<BookingState, Reply>,
     ) -> Reply {
         let booking = match self.held(&team, &key, request) {
             Ok(booking) => booking,
             Err(reason) => return reason.into(),
         };
-        match booking.state {
-            BookingState::Open(_) => {}
-            BookingState::Unknown | BookingState::Done(_) => return Reply::Ok,
-            BookingState::Abandoned => return Reply::NoSuchBooking,
-        }
-        booking.state = BookingState::Unknown;
+        booking.state = match check(booking) {
+            Ok(state) => state,
+            Err(reply) => return reply,
+        };
         booking.since = clock;
         self.mark_ended(clock, team, key, 0);
         Reply::Ok
--- a/src/coordination/entry/callers.rs
+++ b/src/coordination/entry/callers.rs
@@ -39,9 +39,9 @@
             inference::{self, Job, JobOrigin},
             services::{self, Booking},
         },
-        lookup::{self, Fate},
+        lookup::{self, RecordStatus},
         node::InForce,
-        operators::{bearer, fate_answer},
+        operators::{bearer, status_answer},
     },
     protocol::{Problem, headers, inference::InferenceHead},
     transport::{
@@ -141,20 +141,20 @@
         Err(error) => return refuse(400, "no-request-id", &format!("{error}")),
     };
     let recent = entry.journal.borrow().find(&id).cloned();
-    let fate = match recent {
+    let status = match recent {
         // It may have been settled since then; the home group knows.
         Some(record) if record.outcome == Some(Outcome::Unknown) => {
-            let newest = lookup::fate(&entry.node, &id, LOOK_UP_LIMIT).await;
-            newest.or(Ok(Fate::Recorded(record)))
+            let newest = lookup::record_status(&entry.node, &id, LOOK_UP_LIMIT).await;
+            newest.or(Ok(RecordStatus::Recorded(record)))
         }
-        Some(record) => Ok(Fate::Recorded(record)),
-        None => lookup::fate(&entry.node, &id, LOOK_UP_LIMIT).await,
+        Some(record) => Ok(RecordStatus::Recorded(record)),
+        None => lookup::record_status(&entry.node, &id, LOOK_UP_LIMIT).await,
     };
-    match fate {
-        Ok(Fate::Recorded(record)) if record.team != team.id => {
+    match status {
+        Ok(RecordStatus::Recorded(record)) if record.team != team.id => {
             refuse(404, "no-record", lookup::NOT_SEEN)
         }
-        fate => fate_answer(fate),
+        status => status_answer(status),
     }
 }
 
--- a/src/coordination/entry/gate.rs
+++ b/src/coordination/entry/gate.rs
@@ -81,8 +81,8 @@
     let Candidate { arrival, target } = candidate;
     let request = arrival.request.clone();
     let receiver = entry.gate.enqueue(entry.node.now(), &target, arrival);
-    let verdict = receiver.await;
-    verdict.unwrap_or_else(|_| Err(entry.refusal(Reason::Overloaded, SHORTEST_SERVICE)))?;
+    let admission = receiver.await;
+    admission.unwrap_or_else(|_| Err(entry.refusal(Reason::Overloaded, SHORTEST_SERVICE)))?;
     Ok(Slot { entry: entry.clone(), target, request })
 }
 
@@ -172,10 +172,10 @@
 }
 
 impl Queue {
-    fn settle(&mut self, request: &RequestId, verdict: Result<(), Refusal>) {
+    fn settle(&mut self, request: &RequestId, admission: Result<(), Refusal>) {
         if let Some(place) = self.waiting.iter().position(|it| it.0 == *request) {
             let (_, sender) = self.waiting.swap_remove(place);
-            let _ = sender.send(verdict);
+            let _ = sender.send(admission);
         }
     }
 }
--- a/src/coordination/lookup.rs
+++ b/src/coordination/lookup.rs
@@ -12,7 +12,7 @@
 
 /// What is known of a request.
 #[derive(Debug, Clone, PartialEq)]
-pub enum Fate {
+pub enum RecordStatus {
     /// Its record.
     Recorded(RequestRecord),
     /// The record is no longer kept.
@@ -26,10 +26,14 @@
 /// # Errors
 ///
 /// Fails when the group can't be reached within `limit`.
-pub async fn fate(node: &Node, id: &RequestId, limit: Duration) -> Result<Fate, CallFailure> {
+pub async fn record_status(
+    node: &Node,
+    id: &RequestId,
+    limit: Duration,
+) -> Result<RecordStatus, CallFailure> {
     match calls::look_up(node, id, limit).await? {
-        LookUp::Found(record) => Ok(Fate::Recorded(record)),
-        LookUp::Expired => Ok(Fate::Expired),
-        LookUp::NotYet => Ok(Fate::NotSeen),
+        LookUp::Found(record) => Ok(RecordStatus::Recorded(record)),
+        LookUp::Expired => Ok(RecordStatus::Expired),
+        LookUp::NotYet => Ok(RecordStatus::NotSeen),
     }
 }
--- a/src/coordination/operators.rs
+++ b/src/coordination/operators.rs
@@ -37,7 +37,7 @@
     coordination::{
         calls::{self, CallFailure},
         daemon::Context,
-        lookup::{self, Fate},
+        lookup::{self, RecordStatus},
         node::Node,
     },
     protocol::{
@@ -458,15 +458,15 @@
         Ok(id) => id,
         Err(error) => return refuse(400, "no-request-id", &format!("{error}")),
     };
-    fate_answer(lookup::fate(&api.node, &id, LOOK_UP_LIMIT).await)
+    status_answer(lookup::record_status(&api.node, &id, LOOK_UP_LIMIT).await)
 }
 
 /// The answer that tells what is known of a request.
-pub fn fate_answer(fate: Result<Fate, CallFailure>) -> Answer {
-    match fate {
-        Ok(Fate::Recorded(record)) => ok(&record),
-        Ok(Fate::Expired) => refuse(410, "record-expired", "the record is no longer kept"),
-        Ok(Fate::NotSeen) => refuse(404, "no-record", lookup::NOT_SEEN),
+pub fn status_answer(status: Result<RecordStatus, CallFailure>) -> Answer {
+    match status {
+        Ok(RecordStatus::Recorded(record)) => ok(&record),
+        Ok(RecordStatus::Expired) => refuse(410, "record-expired", "the record is no longer kept"),
+        Ok(RecordStatus::NotSeen) => refuse(404, "no-record", lookup::NOT_SEEN),
         Err(failure) => call_failed(&failure),
     }
 }
