--- a/benches/capacity/main.rs
+++ b/benches/capacity/main.rs
@@ -17,10 +17,13 @@
 mod wire;
 
 use fit::Slope;
+use medlarlug_core::follower::VOTER_TURN;
 use test_support::scale::{GOAL, Scale};
 
 use crate::membership::Traffic;
 
+/// Voters of the configuration group.
+const VOTERS: usize = 5;
 /// Entry instances of the largest region.
 const REGION: usize = 48;
 /// Prefixes that enter an engine's cache between two reports, at five requests a second.
@@ -142,9 +145,9 @@
         push.points.push((teams as f64, configuration::push_bytes(&GOAL, teams) as f64));
     }
     let (ask, answer) = configuration::ask_bytes();
-    let mut asked = Slope::new("questions of followers, voter of 9", "nodes", "B/s");
+    let mut asked = Slope::new("questions of followers, voter of 5", "nodes", "B/s");
     for nodes in [85, 170, 340] {
-        let questions = nodes as f64 / GOAL.keepers as f64;
+        let questions = nodes as f64 / VOTER_TURN as f64 / VOTERS as f64;
         asked.points.push((nodes as f64, questions * (ask + answer) as f64));
     }
     let (call, reply) = configuration::confirm_bytes();
--- a/benches/capacity/replication.rs
+++ b/benches/capacity/replication.rs
@@ -17,6 +17,10 @@
 
 use crate::wire;
 
+/// Heartbeat of the configuration group.
+const HEARTBEAT: Duration = Duration::from_millis(250);
+/// Ticks between two reads by which its leader confirms the newest revision.
+const READ_TICKS: u32 = 25;
 const TICK: Duration = Duration::from_millis(20);
 const WARM_UP: u32 = 500;
 const TICKS: u32 = 1_000;
@@ -40,6 +44,7 @@
     let replica = |number: usize| {
         let key = MemberKey { id: instance(number), storage: StorageId(u64::MAX - number as u64) };
         let config = Config::new(key, (0..voters).map(instance).collect());
+        let config = config.with_heartbeat(HEARTBEAT);
         Replica::new(config, Restored::default(), number as u64, Time::ZERO)
     };
     let mut replicas: Vec<Replica> = (0..voters).map(replica).collect();
@@ -54,6 +59,10 @@
         let now = Time::ZERO + TICK * tick;
         let mut events: VecDeque<(usize, Event)> =
             (0..voters).map(|it| (it, Event::Tick)).collect();
+        if tick.is_multiple_of(READ_TICKS) {
+            let leader = (0..voters).find(|it| replicas[*it].role() == Role::Leader);
+            events.extend(leader.map(|it| (it, Event::Read { ticket: u64::from(tick) })));
+        }
         while let Some((at, event)) = events.pop_front() {
             let mut out = Vec::new();
             replicas[at].handle(now, event, &mut out);
@@ -141,14 +150,13 @@
     let elapsed = Duration::from_millis(5);
     let command = home::Command { elapsed, action: home::Action::Records(batch) };
     let command = postcard::to_stdvec(&command).expect("a command");
-    let key = |number| MemberKey { id: instance(number), storage: StorageId(u64::MAX) };
     let position = replication::Position { term: Term(7), index: LogIndex(1_000_000) };
     let entry =
         Entry { index: LogIndex(1_000_001), term: Term(7), payload: Payload::Command(command) };
     let envelope = replication::Envelope {
         formation: replication::FormationId(u64::MAX),
-        from: key(1),
-        to: key(2),
+        from: StorageId(u64::MAX),
+        to: StorageId(u64::MAX),
         term: Term(7),
         body: replication::Body::Append {
             prev: position,
--- a/crates/medlarlug-core/src/follower.rs
+++ b/crates/medlarlug-core/src/follower.rs
@@ -1,8 +1,9 @@
 //! An instance's copy of the configuration.
 //!
 //! A [`Follower`] holds the newest revision that its instance has heard of; the revision only
-//! rises. It asks one source after another, keepers first and then peers, whether its revision is
-//! still the newest, and takes in what keepers push.
+//! rises. It asks a peer of its zone or a voter of the configuration group each second whether its
+//! revision is still the newest, and takes in what voters push. A voter is asked one time in eight,
+//! and every other time once the last confirmation is older than half the lease.
 //!
 //! A source answers with a [`Confirmation`]: "this was the newest revision, `age` before I
 //! answered". The follower counts the age from the moment it *asked*, so an answer that was long
@@ -94,8 +95,8 @@
 /// An event for a [`Follower`].
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
-    /// The keepers and peers that may be asked, keepers first.
-    Sources(Vec<InstanceId>),
+    /// The instances that may be asked.
+    Sources(Sources),
     /// A keeper or peer sent an update unasked.
     Push(Update),
     /// A source answered.
@@ -108,6 +109,15 @@
     Tick,
 }
 
+/// Whom a follower asks.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Sources {
+    /// Voters of the configuration group.
+    pub voters: Vec<InstanceId>,
+    /// Other instances of the zone, which may pass on what they had confirmed, with its age.
+    pub peers: Vec<InstanceId>,
+}
+
 /// What a [`Follower`] wants to be done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Effect {
@@ -148,6 +158,12 @@
 /// Changes that are kept to answer others without sending the whole configuration.
 const MAX_RECENT: usize = 64;
 
+/// Questions in a row of which a voter gets one, while the last confirmation is young.
+pub const VOTER_TURN: usize = 8;
+
+/// The same while the last confirmation is old, or no configuration is known.
+const EAGER_VOTER_TURN: usize = 2;
+
 /// Questions whose answers are still awaited.
 const MAX_OPEN_ASKS: usize = 16;
 
@@ -168,8 +184,10 @@
     /// The newest one that is saved; `None` without a disk.
     saved: Option<Option<Configuration>>,
     confirmed: Option<Time>,
-    sources: Vec<InstanceId>,
+    sources: Sources,
     turn: usize,
+    voter_turn: usize,
+    peer_turn: usize,
     token: u64,
     open: Vec<(u64, Time)>,
     next_ask: Time,
@@ -196,8 +214,10 @@
             current: saved.clone().flatten(),
             saved,
             confirmed: None,
-            sources: Vec::new(),
+            sources: Sources::default(),
             turn: 0,
+            voter_turn: spread(start),
+            peer_turn: spread(start),
             token: start,
             open: Vec::new(),
             next_ask: Time::ZERO,
@@ -259,7 +279,10 @@
             Event::Sources(sources) => self.sources = sources,
             Event::Push(update) => self.take(update, None, out),
             Event::Answered(answer) => self.on_answer(answer, out),
-            Event::Confirmed(confirmation) => self.confirm(now, confirmation, out),
+            Event::Confirmed(confirmation) => {
+                self.confirm(now, confirmation, out);
+                self.next_ask = self.next_ask.max(now + self.timing.interval);
+            }
             Event::Saved(saved) => self.on_saved(*saved, out),
             Event::Tick => {}
         }
@@ -269,11 +292,9 @@
     }
 
     fn ask(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let Some(source) = self.sources.get(self.turn % self.sources.len().max(1)) else {
+        let Some(source) = self.next_source(now) else {
             return;
         };
-        let source = source.clone();
-        self.turn = self.turn.wrapping_add(1);
         self.token += 1;
         let is_starting = self.configuration().is_none();
         let pause = if is_starting { self.timing.start } else { self.timing.interval };
@@ -286,6 +307,22 @@
         out.push(Effect::Ask { source, ask });
     }
 
+    fn next_source(&mut self, now: Time) -> Option<InstanceId> {
+        let age = self.confirmed_age(now);
+        let is_fresh = age.is_some_and(|age| age < self.timing.lease / 2);
+        let voter_turn = if is_fresh { VOTER_TURN } else { EAGER_VOTER_TURN };
+        let is_voter_turn = self.turn.is_multiple_of(voter_turn);
+        self.turn = self.turn.wrapping_add(1);
+        let Sources { voters, peers } = &self.sources;
+        let asks_voter = !voters.is_empty() && (is_voter_turn || peers.is_empty());
+        let (list, turn) = match asks_voter {
+            true => (voters, &mut self.voter_turn),
+            false => (peers, &mut self.peer_turn),
+        };
+        *turn = turn.wrapping_add(1);
+        list.get(*turn % list.len().max(1)).cloned()
+    }
+
     fn on_answer(&mut self, answer: Answer, out: &mut Vec<Effect>) {
         let Ok(found) = self.open.binary_search_by_key(&answer.token, |(token, _)| *token) else {
             return;
@@ -391,3 +428,10 @@
 fn is_of_this_start(heard: Time, age: Duration) -> bool {
     age.mul_f64(1.0 + DRIFT) <= heard - Time::ZERO
 }
+
+/// Where an instance begins in a list of sources, so that many that start at once ask different
+/// ones.
+fn spread(start: u64) -> usize {
+    // The golden ratio spreads neighbouring numbers evenly.
+    (start.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33) as usize
+}
--- a/crates/medlarlug-core/src/replication/config.rs
+++ b/crates/medlarlug-core/src/replication/config.rs
@@ -38,6 +38,22 @@
 }
 
 impl Config {
+    /// The same with another time between heartbeats; a voter waits for four to eight of them.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use medlarlug_core::replication::{Config, MemberKey, StorageId};
+    ///
+    /// let key = MemberKey { id: "keeper-1".parse().unwrap(), storage: StorageId(7) };
+    /// let founders = vec![key.id.clone()];
+    /// let config = Config::new(key, founders).with_heartbeat(Duration::from_millis(250));
+    /// assert_eq!(config.election_max, Duration::from_secs(2));
+    /// ```
+    pub fn with_heartbeat(self, heartbeat: Duration) -> Config {
+        Config { heartbeat, election_min: heartbeat * 4, election_max: heartbeat * 8, ..self }
+    }
+
     /// The defaults for the replica `key`.
     pub fn new(key: MemberKey, founders: Vec<InstanceId>) -> Config {
         Config {
--- a/crates/medlarlug-core/src/replication/election.rs
+++ b/crates/medlarlug-core/src/replication/election.rs
@@ -1,6 +1,9 @@
 //! Elections: pre-vote, vote and the timer that starts them.
 
-use crate::{ids::Term, time::Time};
+use crate::{
+    ids::{InstanceId, Term},
+    time::Time,
+};
 
 use super::{
     event::{Effect, Role},
@@ -181,12 +184,19 @@
         self.start_round(now, out);
     }
 
-    pub(super) fn on_envelope(&mut self, envelope: Envelope, now: Time, out: &mut Vec<Effect>) {
+    pub(super) fn on_envelope(
+        &mut self,
+        from: InstanceId,
+        envelope: Envelope,
+        now: Time,
+        out: &mut Vec<Effect>,
+    ) {
         let is_foreign = self.formation().is_some_and(|own| own != envelope.formation);
-        if envelope.to != self.config.key || is_foreign {
+        if envelope.to != self.config.key.storage || is_foreign {
             return;
         }
-        let asker = (envelope.from.clone(), envelope.formation);
+        let from = MemberKey { id: from, storage: envelope.from };
+        let asker = (from.clone(), envelope.formation);
         if let Body::PreVote { term, last } = envelope.body {
             return self.on_pre_vote(asker, term, last, now, out);
         }
@@ -198,29 +208,28 @@
             return;
         }
         if let Body::PreVoted { term, granted: true } = envelope.body {
-            return self.on_pre_voted(envelope.from, term, now, out);
+            return self.on_pre_voted(from, term, now, out);
         }
         if envelope.term < self.hard.term {
-            return self.correct(envelope, out);
+            return self.correct(from, envelope, out);
         }
         if envelope.term > self.hard.term {
             self.become_follower(envelope.term, None, now, out);
         }
-        self.dispatch(envelope, now, out);
+        self.dispatch(from, envelope, now, out);
     }
 
     /// Tells a sender with an old term of the newer one.
-    fn correct(&mut self, envelope: Envelope, out: &mut Vec<Effect>) {
+    fn correct(&mut self, from: MemberKey, envelope: Envelope, out: &mut Vec<Effect>) {
         if matches!(envelope.body, Body::Append { .. } | Body::Chunk { .. } | Body::Vote { .. }) {
             let body = Body::Voted { granted: false };
-            let answer = self.envelope(envelope.from, envelope.formation, body);
+            let answer = self.envelope(from, envelope.formation, body);
             self.send_synced(answer, out);
         }
     }
 
-    fn dispatch(&mut self, envelope: Envelope, now: Time, out: &mut Vec<Effect>) {
-        let asker = (envelope.from.clone(), envelope.formation);
-        let from = envelope.from;
+    fn dispatch(&mut self, from: MemberKey, envelope: Envelope, now: Time, out: &mut Vec<Effect>) {
+        let asker = (from.clone(), envelope.formation);
         match envelope.body {
             Body::PreVote { .. } | Body::PreVoted { .. } => {}
             Body::Vote { last, .. } => self.on_vote(asker, last, now, out),
--- a/crates/medlarlug-core/src/replication/leader.rs
+++ b/crates/medlarlug-core/src/replication/leader.rs
@@ -72,6 +72,11 @@
         Some(&mut self.progress[at])
     }
 
+    /// Sets the time of the next heartbeat, as every member is just being sent a message.
+    fn beat_after(&mut self, next: Time) {
+        self.heartbeat = next;
+    }
+
     pub(super) fn is_handing_over(&self) -> bool {
         self.handover.is_some()
     }
@@ -136,7 +141,7 @@
             if now < leader.heartbeat {
                 return;
             }
-            leader.heartbeat = now + heartbeat;
+            leader.beat_after(now + heartbeat);
             replica.heartbeat(leader, out);
         });
         self.drive_handover(now, out);
@@ -182,12 +187,16 @@
     }
 
     /// Tells the members of a new commit index when nothing else is on its way to them.
-    fn announce_commit(&mut self, _now: Time, out: &mut Vec<Effect>) {
+    fn announce_commit(&mut self, now: Time, out: &mut Vec<Effect>) {
         let last = self.log.last().index;
         if self.commit < last {
             return;
         }
-        self.with_leader(|replica, leader| replica.heartbeat(leader, out));
+        let next = now + self.config.heartbeat;
+        self.with_leader(|replica, leader| {
+            leader.beat_after(next);
+            replica.heartbeat(leader, out);
+        });
     }
 
     /// Answers the proposals up to the applied entry `index`.
@@ -237,9 +246,11 @@
     }
 
     /// Asks every member to confirm that this replica still leads.
-    pub(super) fn start_round(&mut self, _now: Time, out: &mut Vec<Effect>) {
+    pub(super) fn start_round(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let next = now + self.config.heartbeat;
         self.with_leader(|replica, leader| {
             leader.round += 1;
+            leader.beat_after(next);
             replica.heartbeat(leader, out);
         });
     }
--- a/crates/medlarlug-core/src/replication/message.rs
+++ b/crates/medlarlug-core/src/replication/message.rs
@@ -91,15 +91,15 @@
     pub founders: Vec<InstanceId>,
 }
 
-/// A message within a group.
+/// A message within a group; whoever carries it knows the instances of its ends.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Envelope {
     /// The group's formation.
     pub formation: FormationId,
-    /// Sender.
-    pub from: MemberKey,
-    /// Receiver; another storage of the same instance ignores the message.
-    pub to: MemberKey,
+    /// Storage of the sender.
+    pub from: StorageId,
+    /// Storage of the receiver; another storage of the same instance ignores the message.
+    pub to: StorageId,
     /// Term of the sender.
     pub term: Term,
     /// Content.
--- a/crates/medlarlug-core/src/replication/replica.rs
+++ b/crates/medlarlug-core/src/replication/replica.rs
@@ -32,10 +32,17 @@
     Leader(Leader),
 }
 
+/// A message within the group and its receiver.
+#[derive(Debug)]
+pub(super) struct Outgoing {
+    to: InstanceId,
+    envelope: Envelope,
+}
+
 /// What waits for a sync.
 #[derive(Debug)]
 enum Held {
-    Send(Envelope),
+    Send(Outgoing),
     /// The replica's own vote in a term.
     OwnVote(Term),
 }
@@ -144,9 +151,7 @@
                 }
             }
             Event::Message { from, message: Message::Group(envelope) } => {
-                if envelope.from.id == from {
-                    self.on_envelope(envelope, now, out);
-                }
+                self.on_envelope(from, envelope, now, out);
             }
             Event::Propose { ticket, command } => self.propose(ticket, command, now, out),
             Event::Read { ticket } => self.read(ticket, now, out),
@@ -282,13 +287,15 @@
         }
     }
 
-    pub(super) fn envelope(&self, to: MemberKey, formation: FormationId, body: Body) -> Envelope {
-        let from = self.config.key.clone();
-        Envelope { formation, from, to, term: self.hard.term, body }
+    pub(super) fn envelope(&self, to: MemberKey, formation: FormationId, body: Body) -> Outgoing {
+        let from = self.config.key.storage;
+        let term = self.hard.term;
+        let envelope = Envelope { formation, from, to: to.storage, term, body };
+        Outgoing { to: to.id, envelope }
     }
 
-    pub(super) fn send(&self, envelope: Envelope, out: &mut Vec<Effect>) {
-        let to = envelope.to.id.clone();
+    pub(super) fn send(&self, outgoing: Outgoing, out: &mut Vec<Effect>) {
+        let Outgoing { to, envelope } = outgoing;
         out.push(Effect::Send { to, message: Message::Group(envelope) });
     }
 
@@ -300,12 +307,12 @@
     }
 
     /// Sends once everything written so far is synced.
-    pub(super) fn send_synced(&mut self, envelope: Envelope, out: &mut Vec<Effect>) {
+    pub(super) fn send_synced(&mut self, outgoing: Outgoing, out: &mut Vec<Effect>) {
         let sequence = self.needed_sequence();
         if sequence <= self.confirmed {
-            return self.send(envelope, out);
+            return self.send(outgoing, out);
         }
-        self.held.push_back((sequence, Held::Send(envelope)));
+        self.held.push_back((sequence, Held::Send(outgoing)));
     }
 
     pub(super) fn vote_self_synced(&mut self) {
@@ -332,7 +339,7 @@
                 break;
             }
             match self.held.pop_front() {
-                Some((_, Held::Send(envelope))) => self.send(envelope, out),
+                Some((_, Held::Send(outgoing))) => self.send(outgoing, out),
                 Some((_, Held::OwnVote(term))) => self.on_own_vote(term, now, out),
                 None => {}
             }
--- a/crates/medlarlug-core/tests/testsuite/follower.rs
+++ b/crates/medlarlug-core/tests/testsuite/follower.rs
@@ -6,7 +6,7 @@
 use medlarlug_core::{
     configuration_group::{Command, ConfigurationGroup, Tracker},
     follower::{
-        Answer, Ask, Confirmation, DRIFT, Effect, Event, Follower, Storage, Timing, Update,
+        Answer, Ask, Confirmation, DRIFT, Effect, Event, Follower, Sources, Storage, Timing, Update,
     },
     ids::{InstanceId, Revision},
     release::{Configuration, ReleaseNote},
@@ -83,10 +83,8 @@
     }
 }
 
-fn sources() -> Vec<InstanceId> {
-    let mut sources = vec![id(KEEPER)];
-    sources.extend((0..INSTANCES).map(name));
-    sources
+fn sources() -> Sources {
+    Sources { voters: vec![id(KEEPER)], peers: (0..INSTANCES).map(name).collect() }
 }
 
 impl World {
@@ -280,6 +278,8 @@
         for process in &world.processes {
             let current = process.follower.configuration();
             assert_eq!(current, Some(world.group.configuration()), "seed {seed}: {}", process.name);
+            let now = process.now(world.real);
+            assert!(process.follower.may_cross_regions(now), "seed {seed}: {}", process.name);
         }
     }
     assert!(everywhere > 10, "only revision {everywhere} came into force");
@@ -422,3 +422,49 @@
     assert_eq!(out, [Effect::Changed(Revision(3))]);
     assert!(follower.may_cross_regions(Time::from_millis(6)));
 }
+
+/// Questions to the voter, of 40, when every answer confirms the revision with this age.
+fn questions_to_voter(age: Option<Duration>) -> usize {
+    let saved = Configuration::new(Revision(3), Vec::new());
+    let mut follower = Follower::new(Timing::default(), Storage::Disk(Some(saved)), 0);
+    follower.handle(Time::ZERO, Event::Sources(Sources::default()), &mut Vec::new());
+    let mut asked = 0;
+    // The first ten answers bring the follower to where the questions are counted.
+    for second in 10..60 {
+        let now = Time::from_millis(second * 1_000);
+        let mut out = Vec::new();
+        follower.handle(now, Event::Sources(sources()), &mut out);
+        let Some(Effect::Ask { source, ask }) = out.pop() else { panic!("no question") };
+        asked += usize::from(second >= 20 && source.as_str() == KEEPER);
+        let confirmation = age.map(|age| Confirmation { revision: Revision(3), age });
+        let answer = Answer { token: ask.token, update: None, confirmation };
+        follower.handle(now, Event::Answered(answer), &mut Vec::new());
+    }
+    asked
+}
+
+#[test]
+fn voter_is_asked_once_in_eight_and_every_other_time_without_fresh_confirmations() {
+    assert_eq!(questions_to_voter(Some(Duration::from_secs(1))), 5);
+    assert_eq!(questions_to_voter(None), 20);
+}
+
+#[test]
+fn instances_that_start_together_ask_different_voters() {
+    let voters: Vec<InstanceId> = (0..5).map(|it| id(&format!("keeper-{it}"))).collect();
+    let first = |start: u64| {
+        let mut follower = Follower::new(Timing::default(), Storage::Memory, start << 20);
+        let sources = Sources { voters: voters.clone(), peers: Vec::new() };
+        let mut out = Vec::new();
+        follower.handle(Time::ZERO, Event::Sources(sources), &mut out);
+        let Some(Effect::Ask { source, .. }) = out.pop() else { panic!("no question") };
+        source
+    };
+
+    let asked: Vec<InstanceId> = (0..340).map(|it| first(1_764_720_000_000 + it)).collect();
+
+    for voter in &voters {
+        let count = asked.iter().filter(|it| *it == voter).count();
+        assert!(count <= 2 * 340 / 5, "{voter} is asked {count} times at once");
+    }
+}
--- a/crates/medlarlug-core/tests/testsuite/replication/failures.rs
+++ b/crates/medlarlug-core/tests/testsuite/replication/failures.rs
@@ -33,8 +33,8 @@
     let body = Body::Vote { last: Position::default(), handover: false };
     let envelope = Envelope {
         formation: FormationId(1),
-        from: from.clone(),
-        to: to.clone(),
+        from: from.storage,
+        to: to.storage,
         term: Term(2),
         body,
     };
--- a/src/coordination/keeper/duties/mod.rs
+++ b/src/coordination/keeper/duties/mod.rs
@@ -1,7 +1,8 @@
 //! What the leader of a group does unasked.
 //!
 //! * Every member of the configuration group hands new revisions to its own follower; the leader
-//!   also pushes them to every instance. Members confirm the newest revision by reading it.
+//!   also pushes them to every instance. The leader confirms the newest revision by reading it, and
+//!   the other members ask it.
 //! * The leader of a home group founds it ([`founding`]), fetches the bookings of teams whose home
 //!   moves here ([`moves`]) and records which bookings have lost their owner ([`owners`]).
 //! * The leader of the configuration group keeps track of where revisions are in force, and
@@ -14,7 +15,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use medlarlug_core::follower;
+use medlarlug_core::follower::{self, Sources};
 use tokio::{sync::watch, task, time::interval};
 
 use crate::{
@@ -89,13 +90,28 @@
     }
 }
 
+/// Whom a member of the configuration group asks: the leader, or the others while none is known.
+fn sources(keeper: &Keeper) -> Sources {
+    let own = &keeper.node.own.id;
+    let leader = keeper.leader(&GroupId::Configuration).filter(|it| it != own);
+    let others = || keeper.node.cluster.configuration.iter().filter(|it| *it != own).cloned();
+    let voters = leader.map_or_else(|| others().collect(), |leader| vec![leader]);
+    Sources { voters, peers: Vec::new() }
+}
+
 /// Confirms the newest revision by a linearizable read, which a leader that was replaced fails.
+///
+/// The other members ask the leader, as followers.
 async fn confirm(keeper: &Keeper) {
     let group = GroupId::Configuration;
     let node = &keeper.node;
     if !keeper.group_ids().contains(&group) {
         return;
     }
+    node.follow(sources(keeper));
+    if !keeper.leads(&group) {
+        return;
+    }
     let asked = node.now();
     match calls::submit(node, &group, GroupRequest::Revision, CALL_LIMIT).await {
         Ok(GroupReply::Revision(revision)) => {
--- a/src/coordination/keeper/mod.rs
+++ b/src/coordination/keeper/mod.rs
@@ -56,6 +56,10 @@
 /// Ticks of the groups for one tick of membership and follower.
 const SLOW_TICKS: u32 = 12;
 
+/// Time between two heartbeats of the configuration group, whose voters may be many and far apart
+/// and whose changes are few.
+const CONFIGURATION_HEARTBEAT: Duration = Duration::from_millis(250);
+
 /// Why a keeper stops.
 #[derive(Debug, Error)]
 pub enum KeeperError {
@@ -176,6 +180,9 @@
     let mut config = replication::Config::new(key, voters);
     config.durable = node.own.durable;
     config.may_form = may_form;
+    if id == GroupId::Configuration {
+        config = config.with_heartbeat(CONFIGURATION_HEARTBEAT);
+    }
     let replica = Replica::new(config, restored, node.incarnation.0, node.now());
     Ok(Group::new(id, replica, machine))
 }
@@ -329,7 +336,7 @@
     }
 
     /// The leader of a group, if this keeper is a member and knows it.
-    fn leader(&self, group: &GroupId) -> Option<InstanceId> {
+    pub fn leader(&self, group: &GroupId) -> Option<InstanceId> {
         let groups = self.groups.borrow();
         let leader = |it: &Group| it.replica().leader().cloned();
         groups.iter().find(|it| it.id() == group).and_then(leader)
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -9,7 +9,7 @@
 use medlarlug_core::{
     announcement::Announcement,
     fingerprint::Fingerprint,
-    follower::{self, Follower, Storage},
+    follower::{self, Follower, Sources, Storage},
     ids::{Incarnation, InstanceId, RegionId, Revision, TeamId},
     membership::{self, InstanceKind, Membership, Notice, Seed, Status},
     release::{Configuration, item::Team},
@@ -117,8 +117,7 @@
         let members = Membership::new(clock.now(), settings);
         let start = first_number(incarnation);
         let follower = Follower::new(follower::Timing::default(), storage, start);
-        let keepers = cluster.keepers().filter(|it| it.id != own.id).map(|it| it.id.clone());
-        let sources = follower::Event::Sources(keepers.collect());
+        let sources = sources_of(&cluster, &own);
         let revision = watch::Sender::new(follower.revision());
         let current = follower.configuration().cloned().map(InForce::new).map(Rc::new);
         let region = cluster.region_of(&own.zone).cloned().expect("the settings were checked");
@@ -137,7 +136,7 @@
             unsaved: watch::Sender::new(None),
             current: RefCell::new(current),
         };
-        node.run_follower(sources);
+        node.follow(sources);
         Ok(node)
     }
 
@@ -208,6 +207,11 @@
         self.run_membership(membership::Event::Tick)
     }
 
+    /// Names whom the follower asks.
+    pub fn follow(&self, sources: Sources) {
+        self.run_follower(follower::Event::Sources(sources));
+    }
+
     /// Takes a newer configuration in, as a keeper learns it from its own group.
     pub fn push(&self, update: follower::Update) {
         self.run_follower(follower::Event::Push(update));
@@ -326,6 +330,16 @@
     Other(InstanceId, Box<Message>),
 }
 
+/// The voters of the configuration group, and the other instances of the own zone.
+fn sources_of(cluster: &ClusterSettings, own: &Peer) -> Sources {
+    let voters = cluster.configuration.iter().filter(|it| **it != own.id).cloned().collect();
+    let is_peer = |it: &&Peer| {
+        it.zone == own.zone && it.id != own.id && !cluster.configuration.contains(&it.id)
+    };
+    let peers = cluster.instances.iter().filter(is_peer).map(|it| it.id.clone()).collect();
+    Sources { voters, peers }
+}
+
 /// Number before that of a process's first question and call; each start leaves room for 2^20
 /// numbers a millisecond, so a late answer to an earlier start answers nothing of this one.
 fn first_number(incarnation: Incarnation) -> u64 {
--- a/tests/testsuite/budget.rs
+++ b/tests/testsuite/budget.rs
@@ -11,9 +11,9 @@
 };
 use medlarlug_core::{
     configuration_group::Change,
-    follower::{Answer, Ask, Confirmation, Update},
+    follower::{Answer, Ask, Confirmation, Update, VOTER_TURN},
     home,
-    ids::{Incarnation, Revision},
+    ids::{Incarnation, LogIndex, Revision, Term},
     limits::{DemandEntry, DemandLevel, DemandReport, TeamKey},
     membership::{
         EntryLoad, Heartbeat, LoadNews, Message as Membership, Millis, QueueTime, Scope, Sketch,
@@ -21,6 +21,7 @@
     },
     record::{Outcome, RequestRecord, Stage, Step},
     release::{Item, ItemKey, RawNote},
+    replication::{self, Body, FormationId, Position, StorageId},
 };
 use test_support::{
     id, note,
@@ -153,18 +154,48 @@
     Scale::team(&GOAL, number)
 }
 
-#[test]
-fn questions_about_the_configuration_take_a_twentieth_of_the_budget() {
-    let ask = Ask { token: 100_000, revision: Revision(100_000), full: false };
+/// Frames of a question and of its answer when nothing is new.
+fn question_bytes() -> usize {
+    let token = (1_764_720_000_000 << 20) + 100_000;
+    let ask = Ask { token, revision: Revision(100_000), full: false };
     let age = Duration::from_millis(300);
     let confirmation = Some(Confirmation { revision: Revision(100_000), age });
-    let answer = Answer { token: 100_000, update: None, confirmation };
+    let answer = Answer { token, update: None, confirmation };
+    frame_bytes(Message::Ask(ask)) + frame_bytes(Message::Answer(Box::new(answer)))
+}
 
-    let bytes = frame_bytes(Message::Ask(ask)) + frame_bytes(Message::Answer(Box::new(answer)));
+#[test]
+fn questions_about_the_configuration_take_a_twentieth_of_the_budget() {
+    let bytes = question_bytes();
 
     assert!(bytes <= NODE / 20, "{bytes} B a second");
 }
 
+/// Frames of a heartbeat of the configuration group and of its answer.
+fn group_heartbeat_bytes() -> usize {
+    let (term, index, round) = (Term(100), LogIndex(100_000), 100_000_000);
+    let frame = |body| {
+        let storage = StorageId(u64::MAX);
+        let formation = FormationId(u64::MAX);
+        let envelope = replication::Envelope { formation, from: storage, to: storage, term, body };
+        let message = replication::Message::Group(envelope);
+        frame_bytes(Message::Replication { group: GroupId::Configuration, message })
+    };
+    let prev = Position { term, index };
+    let append = Body::Append { prev, entries: Vec::new(), commit: index, round };
+    frame(append) + frame(Body::Appended { last: index, round })
+}
+
+#[test]
+fn leader_of_five_voters_and_its_share_of_questions_fit_the_budget() {
+    let (voters, heartbeats, nodes) = (5, 4, 340);
+    let group = (voters - 1) * (heartbeats * group_heartbeat_bytes() + question_bytes());
+
+    let bytes = group + nodes * question_bytes() / VOTER_TURN / voters;
+
+    assert!(bytes <= NODE, "{bytes} B/s, {group} of them within the group");
+}
+
 #[test]
 fn a_demand_report_with_every_changed_team_fits_one_peer() {
     let entry =
