Limits on callers don't bind the internal interface

Cause of keys_open_their_own_port_only seeing status 0 in place of 401: the internal port closed connections above the limit that is meant for callers (three in this fixture), and the announcements of two upstreams hold some of them. Seen again once in five runs with 10 tests at a time, load 48. In the product, requests that other zones forward could shut out announcements, and the limit on requests a connection closed links between instances.

Change: 4,096 connections at the internal interface, no bound on their requests; bounds on heads and bodies stay. Ruled out: answers lost by a reset, as the body is read before the refusal.

connections_between_instances_and_upstreams_are_not_bounded_by_the_limit_for_callers failed before. keys_open_their_own_port_only is unchanged.

--- a/src/coordination/entry/internal.rs
+++ b/src/coordination/entry/internal.rs
@@ -28,7 +28,7 @@
     transport::{
         body::{self, Answer},
         http_client::Reuse,
-        http_server,
+        http_server::{self, ServerLimits},
     },
 };
 
@@ -38,9 +38,16 @@
 /// Bytes that a forwarded request needs beside its body.
 const FORWARD_BYTES: usize = 64 * 1024;
 
+/// Connections of upstreams and other instances that are open at once.
+const CONNECTIONS: usize = 4096;
+
 /// Serves the internal interface until `stop` turns true.
+///
+/// The limits on the connections and requests of callers do not bind here: a burst of callers'
+/// requests that other zones forward must not shut out announcements.
 pub async fn serve(entry: Rc<Entry>, listener: TcpListener, stop: watch::Receiver<bool>) {
-    let limits = entry.server_limits();
+    let callers = entry.server_limits();
+    let limits = ServerLimits { connections: CONNECTIONS, requests: u32::MAX, ..callers };
     let handler = move |request, _| {
         let entry = entry.clone();
         async move { answer(entry, request).await }
--- a/tests/testsuite/processes/bounds.rs
+++ b/tests/testsuite/processes/bounds.rs
@@ -142,6 +142,28 @@
     });
 }
 
+#[test]
+fn connections_between_instances_and_upstreams_are_not_bounded_by_the_limit_for_callers() {
+    let deployment = deployment();
+    let internal = deployment.internal("entry-1");
+    let request = "POST /v1/announce HTTP/1.1\r\nhost: entry\r\ncontent-length: 0\r\n\r\n";
+
+    // More than the three connections that callers may open.
+    let held: Vec<(TcpStream, String)> = (0..8)
+        .map(|_| {
+            let mut stream = open(internal);
+            let _ = stream.write_all(request.as_bytes());
+            let mut status = [0; 12];
+            let _ = stream.read_exact(&mut status);
+            (stream, String::from_utf8_lossy(&status).into_owned())
+        })
+        .collect();
+
+    for (_, status) in &held {
+        assert_eq!(status, "HTTP/1.1 401");
+    }
+}
+
 #[test]
 fn keys_open_their_own_port_only() {
     let deployment = deployment();
