A process that starts while links to it are silent is reached again

Cause of group_that_lost_its_majority_stops_and_is_rebuilt_from_the_survivor having no booking within 30 s: an instance asks for a new connection when a peer falls silent, but not for a peer that it never heard since its own start. The test makes the connections to keeper-3 silent and restarts it; when the restart came before the connections were replaced, they stayed silent for good: the others hear the keeper, so they replace nothing, and their messages go nowhere.

Change: an unheard peer is asked for a new connection each 2 s, as a dead one is.

Failed before: connection_of_a_peer_that_was_never_heard_is_replaced_until_it_is_ heard (core, 0 times replaced) and keeper_that_starts_while_links_to_it_are_silent_ is_reached_again (processes, not within 30 s).

--- a/crates/medlarlug-core/src/membership/peers.rs
+++ b/crates/medlarlug-core/src/membership/peers.rs
@@ -25,6 +25,8 @@
     /// Whether it is there.
     pub state: PeerState,
     heard: Time,
+    /// When an unheard instance was last asked for a new connection, or first waited for.
+    tried: Option<Time>,
     mismatches: u8,
 }
 
@@ -143,6 +145,10 @@
         for peer in &mut self.peers {
             let id = &peer.seed.id;
             match peer.state {
+                PeerState::Unheard if now - *peer.tried.get_or_insert(now) >= RETRY_DEAD => {
+                    peer.tried = Some(now);
+                    out.push(Effect::Reconnect { peer: id.clone() });
+                }
                 PeerState::Up if now - peer.heard >= link_silence => {
                     peer.state = PeerState::Reconnecting { since: now };
                     out.push(Effect::Reconnect { peer: id.clone() });
@@ -169,6 +175,7 @@
             status: Status::default(),
             state: PeerState::Unheard,
             heard: Time::ZERO,
+            tried: None,
             mismatches: 0,
         }
     }
--- a/crates/medlarlug-core/tests/testsuite/membership.rs
+++ b/crates/medlarlug-core/tests/testsuite/membership.rs
@@ -46,6 +46,30 @@
     }
 }
 
+/// The own start may fall into the time in which the peer's connection to this instance is silent.
+#[test]
+fn connection_of_a_peer_that_was_never_heard_is_replaced_until_it_is_heard() {
+    let mut membership = single(Time::ZERO);
+    let mut reconnects = |millis: std::ops::Range<u64>, event: Option<Event>| {
+        let mut out = Vec::new();
+        let events = event.into_iter().map(|it| (millis.start, it));
+        let ticks = millis.clone().step_by(250).map(|it| (it, Event::Tick));
+        for (at, event) in events.chain(ticks) {
+            membership.handle(Time::from_millis(at), event, &mut out);
+        }
+        out.iter().filter(|it| matches!(it, Effect::Reconnect { .. })).count()
+    };
+    let beat = Heartbeat { incarnation: Incarnation(1), status: Status::default(), digest: 0 };
+    let heard = Event::Message { from: id("e1"), message: Message::Heartbeat(beat) };
+
+    let first = reconnects(0..10_000, None);
+    let later = reconnects(10_000..20_000, None);
+    let after = reconnects(20_000..21_000, Some(heard));
+
+    assert!(first > 0 && later > 0, "{first} and {later} times replaced");
+    assert_eq!(after, 0);
+}
+
 #[test]
 fn leaving_beats_an_older_announcement_that_arrives_late() {
     let mut membership = single(Time::ZERO);
--- a/tests/testsuite/processes/partition.rs
+++ b/tests/testsuite/processes/partition.rs
@@ -233,3 +233,23 @@
     let peers = peers.as_array().cloned().unwrap_or_default();
     peers.iter().any(|it| it["instance"] == peer && it["state"] == "up")
 }
+
+#[test]
+fn keeper_that_starts_while_links_to_it_are_silent_is_reached_again() {
+    let mut deployment = with_service(two_regions());
+    let is_restarted = |it: &str| it == "keeper-3";
+    let term = |it: &Deployment| group(it, "keeper-3", "home-riga")["term"].as_u64();
+    wait_for("a term at the keeper", || term(&deployment).is_some_and(|it| it > 0));
+
+    // The restarted keeper has never heard those whose connections to it are silent.
+    deployment.network().forget_open(|_| true, is_restarted);
+    deployment.kill("keeper-3");
+    deployment.start_process("keeper-3");
+
+    for peer in ["keeper-1", "keeper-2", "entry-1", "entry-2"] {
+        wait_for("each instance to be heard again", || hears(&deployment, "keeper-3", peer));
+    }
+    wait_for("the keeper to follow again", || {
+        group(&deployment, "keeper-3", "home-riga")["leader"].is_string()
+    });
+}
