Storage and status of a keeper in modules of their own

Moved without a change: where groups are stored and how they start from it (storage), what operators see of them (status).

--- a/src/coordination/keeper/mod.rs
+++ b/src/coordination/keeper/mod.rs
@@ -6,12 +6,16 @@
 //! * [`group`]: one replication group: replica, state machine, waiting calls.
 //! * [`machine`]: the state machine of a group, by kind.
 //! * [`rebuild`]: a group out of the state of one survivor, at an operator's order.
+//! * [`storage`]: where the groups are stored.
+//! * [`status`]: what operators see of the groups.
 //! * [`duties`]: what the leader of a group does unasked.
 
 pub mod duties;
 pub mod group;
 pub mod machine;
 pub mod rebuild;
+pub mod status;
+pub mod storage;
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
@@ -19,9 +23,7 @@
     follower,
     ids::{InstanceId, Revision},
     membership::Notice,
-    replication::{self, MemberKey, Replica, Restored, StorageId},
 };
-use smol_str::{SmolStr, StrExt, ToSmolStr};
 use thiserror::Error;
 use tokio::{
     sync::{mpsc::UnboundedReceiver, watch},
@@ -37,13 +39,15 @@
             duties::confirmations::Confirmations,
             group::{Caller, Group, Output},
             machine::{Machine, MachineError},
+            status::{dump_group, group_status},
+            storage::{StateWriter, Storage, group_name, groups_of},
         },
         node::{Node, Received},
         operators::{self, OperatorApi, ProcessPart},
     },
-    protocol::{GroupId, GroupReply, GroupRequest, Message, operators::GroupStatus},
+    protocol::{GroupId, GroupReply, GroupRequest, Message},
     settings::KeeperSettings,
-    state::{DataFolder, GroupName, Journal, Report, StateError, Synced, Writer},
+    state::{Report, StateError, Synced},
     transport::{
         http_server::{self, ServerError, ServerLimits},
         links::{Incoming, LinkError, Links},
@@ -56,10 +60,6 @@
 /// Ticks of the groups for one tick of membership and follower.
 const SLOW_TICKS: u32 = 12;
 
-/// Time between two heartbeats of the configuration group, whose voters may be many and far apart
-/// and whose changes are few.
-const CONFIGURATION_HEARTBEAT: Duration = Duration::from_millis(250);
-
 /// Why a keeper stops.
 #[derive(Debug, Error)]
 pub enum KeeperError {
@@ -154,97 +154,6 @@
     }
 }
 
-fn groups_of(node: &Node, storage: &Storage, may_form: bool) -> Result<Vec<Group>, MachineError> {
-    let homes = node.cluster.homes.iter();
-    let homes = homes.map(|it| (GroupId::Home(it.region.clone()), &it.voters));
-    let configuration = (GroupId::Configuration, &node.cluster.configuration);
-    std::iter::once(configuration)
-        .chain(homes)
-        .filter(|it| it.1.contains(&node.own.id))
-        .map(|(id, voters)| new_group(node, storage, may_form, (id, voters.clone())))
-        .collect()
-}
-
-fn new_group(
-    node: &Node,
-    storage: &Storage,
-    may_form: bool,
-    (id, voters): (GroupId, Vec<InstanceId>),
-) -> Result<Group, MachineError> {
-    let restored = storage.restored(&id);
-    let mut machine = Machine::new(&id);
-    if let Some(snapshot) = &restored.snapshot {
-        machine.restore(&id, &snapshot.data)?;
-    }
-    let key = MemberKey { id: node.own.id.clone(), storage: storage.id() };
-    let mut config = replication::Config::new(key, voters);
-    config.durable = node.own.durable;
-    config.may_form = may_form;
-    if id == GroupId::Configuration {
-        config = config.with_heartbeat(CONFIGURATION_HEARTBEAT);
-    }
-    let replica = Replica::new(config, restored, node.incarnation.0, node.now());
-    Ok(Group::new(id, replica, machine))
-}
-
-/// The name of a group in the data folder.
-pub(super) fn group_name(id: &GroupId) -> GroupName {
-    let Ok(name) = id.to_string().parse();
-    name
-}
-
-/// Where a keeper's state was found.
-enum Storage {
-    /// In a data folder, which stays locked.
-    Disk(DataFolder, Box<Journal>),
-    /// In memory only, under an id that is new at every start.
-    Memory(StorageId),
-}
-
-impl Storage {
-    fn open(settings: &KeeperSettings, node: &Node) -> Result<Storage, StateError> {
-        let Some(path) = &settings.data else {
-            return Ok(Storage::Memory(StorageId(rand::random())));
-        };
-        let folder = DataFolder::open(path, &node.own.id)?;
-        let journal = Journal::open(&folder)?;
-        Ok(Storage::Disk(folder, Box::new(journal)))
-    }
-
-    fn id(&self) -> StorageId {
-        match self {
-            Storage::Disk(folder, _) => folder.storage(),
-            Storage::Memory(id) => *id,
-        }
-    }
-
-    fn restored(&self, group: &GroupId) -> Restored {
-        match self {
-            Storage::Disk(_, journal) => journal.group(&group_name(group)),
-            Storage::Memory(_) => Restored::default(),
-        }
-    }
-
-    fn start(self) -> Result<(StateWriter, UnboundedReceiver<Report>), StateError> {
-        match self {
-            Storage::Disk(folder, journal) => {
-                let (writer, reports) = Writer::start(*journal)?;
-                Ok((StateWriter { writer, _folder: Some(folder) }, reports))
-            }
-            Storage::Memory(_) => {
-                let (writer, reports) = Writer::volatile();
-                Ok((StateWriter { writer, _folder: None }, reports))
-            }
-        }
-    }
-}
-
-/// The writer, with the lock of its folder.
-struct StateWriter {
-    writer: Writer,
-    _folder: Option<DataFolder>,
-}
-
 impl Keeper {
     /// Whether this keeper leads a group.
     pub fn leads(&self, group: &GroupId) -> bool {
@@ -396,7 +305,7 @@
                     let message = Message::Replication { group: id.clone(), message };
                     self.node.send(&to, message);
                 }
-                Output::Persist(batch) => self.writer.writer.persist(group_name(id), batch),
+                Output::Persist(batch) => self.writer.persist(id, batch),
                 Output::Reply { caller, reply } => {
                     self.node.send(&caller.instance, Message::Reply { call: caller.call, reply });
                 }
@@ -453,40 +362,3 @@
 
 /// Longest time that handing leaderships over takes at a stop.
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(2);
-
-fn group_status(group: &Group) -> GroupStatus {
-    let replica = group.replica();
-    GroupStatus {
-        group: group.id().to_smolstr(),
-        role: smol_str::format_smolstr!("{:?}", replica.role()).to_lowercase_smolstr(),
-        term: replica.term().0,
-        leader: replica.leader().cloned(),
-        voters: voters(replica),
-        committed: replica.committed().0,
-    }
-}
-
-fn voters(replica: &Replica) -> Vec<SmolStr> {
-    let members = replica.membership();
-    members.map(|it| it.voters().map(|it| it.key.to_smolstr()).collect()).unwrap_or_default()
-}
-
-fn dump_group(group: &Group) -> serde_json::Value {
-    let replica = group.replica();
-    let founded = match group.machine() {
-        Machine::Home(machine) => machine.founded(),
-        Machine::Configuration(_) => None,
-    };
-    serde_json::json!({
-        "group": group.id().to_string(),
-        "role": format!("{:?}", replica.role()),
-        "term": replica.term(),
-        "leader": replica.leader(),
-        "voters": voters(replica),
-        "committed": replica.committed(),
-        "applied": replica.applied(),
-        "last": replica.last_index(),
-        "compacted": replica.compacted(),
-        "founded": founded,
-    })
-}
--- a/src/coordination/keeper/rebuild.rs
+++ b/src/coordination/keeper/rebuild.rs
@@ -12,7 +12,7 @@
 use thiserror::Error;
 
 use crate::{
-    coordination::keeper::group_name,
+    coordination::keeper::storage::group_name,
     protocol::GroupId,
     settings::KeeperSettings,
     state::{DataFolder, Journal, StateError},
--- /dev/null
+++ b/src/coordination/keeper/status.rs
@@ -0,0 +1,48 @@
+//! What a keeper shows of its groups to operators.
+
+use medlarlug_core::replication::Replica;
+use smol_str::{SmolStr, StrExt, ToSmolStr};
+
+use crate::{
+    coordination::keeper::{group::Group, machine::Machine},
+    protocol::operators::GroupStatus,
+};
+
+/// What operators see of a group.
+pub fn group_status(group: &Group) -> GroupStatus {
+    let replica = group.replica();
+    GroupStatus {
+        group: group.id().to_smolstr(),
+        role: smol_str::format_smolstr!("{:?}", replica.role()).to_lowercase_smolstr(),
+        term: replica.term().0,
+        leader: replica.leader().cloned(),
+        voters: voters(replica),
+        committed: replica.committed().0,
+    }
+}
+
+fn voters(replica: &Replica) -> Vec<SmolStr> {
+    let members = replica.membership();
+    members.map(|it| it.voters().map(|it| it.key.to_smolstr()).collect()).unwrap_or_default()
+}
+
+/// A group in the dump of the process's state.
+pub fn dump_group(group: &Group) -> serde_json::Value {
+    let replica = group.replica();
+    let founded = match group.machine() {
+        Machine::Home(machine) => machine.founded(),
+        Machine::Configuration(_) => None,
+    };
+    serde_json::json!({
+        "group": group.id().to_string(),
+        "role": format!("{:?}", replica.role()),
+        "term": replica.term(),
+        "leader": replica.leader(),
+        "voters": voters(replica),
+        "committed": replica.committed(),
+        "applied": replica.applied(),
+        "last": replica.last_index(),
+        "compacted": replica.compacted(),
+        "founded": founded,
+    })
+}
