The usual speaker passes renewals on only when nobody else hears the upstream

Cause: the speaker sends the summaries, and as many renewals as any other entry instance of its zone. Change: the lowest entry instance of a zone has the lowest rank among the hearers of an upstream. Test: the_speaker_passes_no_renewals_on_while_another_instance_hears_the_upstream failed before (20, 0, 0).

--- a/crates/medlarlug-core/src/membership/core.rs
+++ b/crates/medlarlug-core/src/membership/core.rs
@@ -18,6 +18,10 @@
     },
     time::Time,
 };
+
+/// Whether an instance goes before the usual speaker, a hash, and the instance itself.
+type Rank<'a> = (bool, u32, &'a InstanceId);
+
 /// The view that one instance has of upstreams, instances and zones.
 ///
 /// ```
@@ -43,6 +47,8 @@
 #[derive(Debug, Clone)]
 pub struct Membership {
     pub(super) settings: Settings,
+    /// The lowest entry instance of the zone, alive or not.
+    first: InstanceId,
     pub(super) status: Status,
     pub(super) upstreams: UpstreamTable,
     pub(super) peers: PeerTable,
@@ -72,8 +78,11 @@
         let zones = ZoneTable::new(own, &entries);
         let near = zones.all().iter().filter(|it| it.region == own.region).count();
         let far = zones.all().len() - near;
+        let in_zone = entries.iter().filter(|it| it.zone == own.zone).map(|it| &it.id);
+        let first = in_zone.chain([&own.id]).min().expect("the own id").clone();
         let seed = own.id.as_str().bytes().fold(0, |sum, byte| sum + usize::from(byte));
         Membership {
+            first,
             status: Status::default(),
             upstreams: UpstreamTable::default(),
             peers: PeerTable::new(watched),
@@ -156,7 +165,7 @@
                     continue;
                 }
             };
-            let is_preferred = rank(&id, from) > rank(&id, &self.settings.own.id);
+            let is_preferred = self.rank(&id, from) > self.rank(&id, &self.settings.own.id);
             let change = self.upstreams.learn(now, it, is_preferred);
             notice_change(&id, change, out);
             if change == Change::Void {
@@ -236,6 +245,15 @@
         }
     }
 
+    /// Rank of an instance among those that may pass an upstream's renewals on. The lowest entry
+    /// instance of the zone has the lowest rank, since it usually is the speaker and sends the
+    /// summaries.
+    fn rank<'a>(&self, upstream: &UpstreamId, instance: &'a InstanceId) -> Rank<'a> {
+        let mut hasher = StableHasher::new();
+        (upstream, instance).hash(&mut hasher);
+        (*instance != self.first, hasher.short(), instance)
+    }
+
     pub(super) fn is_open(&self) -> bool {
         self.settings.own.kind == InstanceKind::Entry && !self.status.leaving
     }
@@ -257,13 +275,6 @@
     }
 }
 
-/// Rank of an instance among those that may pass an upstream's renewals on.
-fn rank<'a>(upstream: &UpstreamId, instance: &'a InstanceId) -> (u32, &'a InstanceId) {
-    let mut hasher = StableHasher::new();
-    (upstream, instance).hash(&mut hasher);
-    (hasher.short(), instance)
-}
-
 fn notice_change(id: &UpstreamId, change: Change, out: &mut Vec<Effect>) {
     match change {
         Change::Up => out.push(Effect::Notice(Notice::UpstreamUp(id.clone()))),
--- a/crates/medlarlug-core/tests/testsuite/renewals.rs
+++ b/crates/medlarlug-core/tests/testsuite/renewals.rs
@@ -104,6 +104,19 @@
     assert_eq!(tellers, 1, "{passed:?}");
 }
 
+#[test]
+fn the_speaker_passes_no_renewals_on_while_another_instance_hears_the_upstream() {
+    for hearers in [[0, 1], [0, 2], [2, 0]] {
+        let mut zone = zone(&[InstanceKind::Entry; 3], &hearers);
+        zone.run(8);
+
+        let passed = zone.passed_in(40);
+
+        assert!(zone.cores[0].is_speaker());
+        assert_eq!(passed[0], 0, "{passed:?}");
+    }
+}
+
 #[test]
 fn the_other_hearer_passes_renewals_on_within_the_lease_when_the_teller_hears_none() {
     let mut zone = zone(&[InstanceKind::Entry; 3], &[0, 1]);
