Renewals of a hearer with a lower rank don't silence the others

Cause: whoever heard a renewal from another hearer with the same announcement had nothing to tell any more, also when it had the higher rank. With heartbeats in the same tick, or a little apart, the one whose turn came first passed every renewal on. Change: only renewals of a hearer with a higher rank take the own one back. Two hearers may pass a renewal twice at first; the lower one stops when it hears the higher. Test: the_speaker_passes_no_renewals_on_while_another_instance_hears_the_upstream with 12 instances failed before (110 renewals by the speaker, 0 expected).

--- a/crates/medlarlug-core/src/membership/upstreams.rs
+++ b/crates/medlarlug-core/src/membership/upstreams.rs
@@ -258,8 +258,10 @@
                 let Some(place) = self.find_key(key) else {
                     return Change::None;
                 };
+                // Otherwise the one whose turn comes first would pass every renewal on.
                 if is_preferred {
                     self.upstreams[place].told = Some(now);
+                    self.upstreams[place].unsent = Unsent::Nothing;
                 }
                 self.renew(place, sequence, now.saturating_sub(age.into()), load)
             }
@@ -335,7 +337,6 @@
         if order < known.order() {
             return Change::None;
         }
-        known.unsent = Unsent::Nothing;
         if order > known.order() {
             known.announcement.sequence = sequence;
             known.announcement.load = LoadReport::from(&load);
--- a/crates/medlarlug-core/tests/testsuite/renewals.rs
+++ b/crates/medlarlug-core/tests/testsuite/renewals.rs
@@ -106,8 +106,9 @@
 
 #[test]
 fn the_speaker_passes_no_renewals_on_while_another_instance_hears_the_upstream() {
-    for hearers in [[0, 1], [0, 2], [2, 0]] {
-        let mut zone = zone(&[InstanceKind::Entry; 3], &hearers);
+    for (instances, hearers) in [(3, [0, 1]), (3, [0, 2]), (3, [2, 0]), (12, [0, 1]), (12, [0, 11])]
+    {
+        let mut zone = zone(&vec![InstanceKind::Entry; instances], &hearers);
         zone.run(8);
 
         let passed = zone.passed_in(40);
