The path of an inference request in modules with one job each

inference.rs (466 lines) becomes: job (the request and what is read from its head), choice (where an attempt goes, and its sending), delivery (the answer's way to the caller) and the life of the request in mod.rs. A redundant link target in gate.rs goes with it.

--- a/src/coordination/entry/gate.rs
+++ b/src/coordination/entry/gate.rs
@@ -1,7 +1,7 @@
 //! Admission to the upstreams of the own zone.
 //!
 //! Requests for one target wait in one queue, which an
-//! [`Admission`](medlarlug_core::admission::Admission) core orders and bounds. The capacity is
+//! [`Admission`] core orders and bounds. The capacity is
 //! this instance's share of the zone's slots, somewhat more than they are, so that engines always
 //! find the next request waiting.
 
--- /dev/null
+++ b/src/coordination/entry/inference/choice.rs
@@ -0,0 +1,119 @@
+//! The choice of an upstream or a zone for one attempt, and its sending.
+//!
+//! Upstreams that suspects have, that cool down, or at which an attempt has failed are left out as
+//! long as others serve the request.
+
+use std::time::Duration;
+
+use medlarlug_core::{
+    ids::UpstreamId,
+    refusal::Reason,
+    routing::{self, Choice, View},
+};
+use tokio::time::sleep;
+
+use super::{AttemptEnd, Job, JobOrigin};
+use crate::coordination::entry::{
+    Entry,
+    exchange::{self, Exchange},
+};
+
+/// Decides where the request goes.
+pub(super) fn choose(entry: &Entry, job: &Job) -> Result<Choice, AttemptEnd> {
+    let Some(configuration) = entry.configuration() else {
+        let refusal = entry.refusal(Reason::NoConfiguration, Duration::from_secs(1));
+        return Err(AttemptEnd::Refused(refusal));
+    };
+    let (now, lease) = (entry.node.now(), entry.lease());
+    let membership = &entry.node.members.borrow();
+    let view = View { membership, configuration: &configuration, lease };
+    let mut router = entry.router.borrow_mut();
+    let choice = match &job.origin {
+        JobOrigin::Caller(origin) => router.decide(now, view, origin),
+        JobOrigin::Zone(forwarded) => {
+            router.decide_forwarded(now, view, forwarded).map(Choice::Serve)
+        }
+    };
+    choice.map_err(|refusal| routing_refused(entry, &refusal))
+}
+
+/// Decides where the request goes, to none of the `barred` upstreams.
+///
+/// An upstream that cools down, or at which an attempt has failed, is used when no other is left:
+/// often the connection failed, not the upstream.
+fn choose_among(entry: &Entry, job: &Job, barred: &[UpstreamId]) -> Result<Choice, AttemptEnd> {
+    let mut open = Job { origin: job.origin.clone(), call: job.call.clone(), cost: 0 };
+    let cooling = entry.cooldowns.ids(entry.node.now());
+    barred.iter().chain(&cooling).for_each(|it| open.exclude(it));
+    let choice = choose(entry, &open);
+    if !barred.is_empty() || !is_without_upstream(&choice) {
+        return choice;
+    }
+    open.readmit();
+    choose(entry, &open)
+}
+
+fn is_without_upstream(choice: &Result<Choice, AttemptEnd>) -> bool {
+    let is_without = |reason| matches!(reason, Reason::NoUpstream | Reason::ServedElsewhere);
+    matches!(choice, Err(AttemptEnd::Refused(it)) if is_without(it.reason))
+}
+
+/// Decides where the request goes; waits while suspects have every upstream.
+async fn choose_in_time(entry: &Entry, job: &Job) -> Result<Choice, AttemptEnd> {
+    let end = entry.node.now() + job.facts().deadline;
+    loop {
+        entry.check_quarantine(job.call.content).map_err(AttemptEnd::Refused)?;
+        let barred = entry.barred(&job.facts().target, job.call.content);
+        let choice = choose_among(entry, job, &barred);
+        if barred.is_empty() || !is_without_upstream(&choice) {
+            return choice;
+        }
+        if entry.node.now() >= end {
+            return Err(AttemptEnd::Refused(entry.refusal(Reason::Overloaded, SUSPECT_PAUSE)));
+        }
+        sleep(SUSPECT_PAUSE).await;
+    }
+}
+
+/// Time between two looks for an upstream that no suspect has.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Decides where the request goes, checks residency at the moment of leaving, and sends it.
+pub async fn send(entry: &Entry, job: &Job) -> Result<Exchange, AttemptEnd> {
+    let choice = choose_in_time(entry, job).await?;
+    leave(entry, job, choice).await
+}
+
+/// Checks residency at the moment of leaving, and sends the request.
+async fn leave(entry: &Entry, job: &Job, choice: Choice) -> Result<Exchange, AttemptEnd> {
+    let Some(configuration) = entry.configuration() else {
+        let refusal = entry.refusal(Reason::NoConfiguration, Duration::from_secs(1));
+        return Err(AttemptEnd::Refused(refusal));
+    };
+    let facts = job.facts();
+    let not_permitted = |error: routing::ResidencyError| {
+        tracing::warn!(request = %facts.id, %error, "residency");
+        AttemptEnd::Refused(entry.refusal(Reason::NotPermitted, Duration::ZERO))
+    };
+    let result = match (choice, &job.origin) {
+        (Choice::Serve(route), _) => {
+            let departure = route.depart(&configuration, facts).map_err(not_permitted)?;
+            exchange::send_to_upstream(entry, departure, facts, &job.call).await
+        }
+        (Choice::Forward(route), JobOrigin::Caller(origin)) => {
+            let crossing =
+                route.depart(&configuration, entry.lease(), origin).map_err(not_permitted)?;
+            exchange::send_to_zone(entry, crossing, facts, &job.call).await
+        }
+        (Choice::Forward(_), JobOrigin::Zone(_)) => {
+            return Err(AttemptEnd::Refused(entry.refusal(Reason::NoUpstream, Duration::ZERO)));
+        }
+    };
+    result.map_err(AttemptEnd::Failed)
+}
+
+fn routing_refused(entry: &Entry, refusal: &routing::Refusal) -> AttemptEnd {
+    tracing::info!(%refusal, "no route");
+    let wait = refusal.retry_after().unwrap_or_default();
+    AttemptEnd::Refused(entry.refusal(refusal.reason(), wait))
+}
--- /dev/null
+++ b/src/coordination/entry/inference/mod.rs
@@ -0,0 +1,131 @@
+//! The life of an inference request, from its admission to its recorded end.
+//!
+//! * `job`: the request and what is read from its head.
+//! * `choice`: where an attempt goes, and its sending.
+//! * `delivery`: the answer's way to the caller.
+
+mod choice;
+mod delivery;
+mod job;
+
+use std::{rc::Rc, time::Duration};
+
+use medlarlug_core::{
+    ids::RequestId,
+    record::Stage,
+    refusal::Refusal,
+    retry::{Attempts, Decision},
+    routing::Choice,
+};
+
+pub use self::{
+    choice::send,
+    delivery::{pass_on, says_not_started},
+    job::{
+        DEFAULT_COST, DEFAULT_DEADLINE, Job, JobOrigin, call_of, cost_of, head_limit, prefixes_of,
+    },
+};
+pub use crate::coordination::entry::exchange::Place;
+use crate::{
+    coordination::entry::{
+        Entry,
+        exchange::FailedAttempt,
+        gate::{self, Slot},
+    },
+    protocol::Problem,
+    transport::body::{self, Answer},
+};
+
+/// Shortest time that an attempt is worth.
+const ATTEMPT_ESTIMATE: Duration = Duration::from_millis(50);
+
+/// Serves a request to its end; the end is recorded before or while the answer is delivered.
+pub async fn serve(entry: Rc<Entry>, mut job: Job) -> Answer {
+    let id = job.facts().id.clone();
+    let mut slot = match admit(&entry, &mut job).await {
+        Ok(slot) => slot,
+        Err(refusal) => return refuse(&entry, &id, &refusal),
+    };
+    let target = job.facts().target.clone();
+    let deadline = entry.node.now() + job.facts().deadline;
+    let is_forwarded = matches!(job.origin, JobOrigin::Zone(_));
+    let mut attempts =
+        Attempts::new(job.call.key.is_none(), is_forwarded, deadline, ATTEMPT_ESTIMATE);
+    loop {
+        let failed = match attempt(&entry, &job, &mut slot).await {
+            Ok(answer) => return answer,
+            Err(AttemptEnd::Refused(refusal)) => {
+                return refuse(&entry, &id, &attempts.final_refusal(refusal));
+            }
+            Err(AttemptEnd::Failed(failed)) => failed,
+        };
+        tracing::info!(request = %id, reason = %failed.reason, "attempt failed");
+        let decision = entry.with_budget(&target, |budget| {
+            let now = entry.node.now();
+            attempts.decide(now, failed.failure, budget, &mut entry.spread.borrow_mut())
+        });
+        exclude(&mut job, &failed);
+        match decision {
+            Decision::GiveUp(refusal) => return refuse(&entry, &id, &refusal),
+            Decision::RetryHere | Decision::RetryElsewhere => {
+                entry.step(&id, Stage::Retried { reason: failed.reason });
+            }
+        }
+    }
+}
+
+/// Waits until the request may start; `None` when it goes to another zone, which admits it there.
+pub async fn admit(entry: &Rc<Entry>, job: &mut Job) -> Result<Option<Slot>, Refusal> {
+    entry.check_quarantine(job.call.content)?;
+    let target = job.facts().target.clone();
+    let capacity = gate::capacity(entry, &target);
+    let goes_away = capacity == 0
+        || (entry.gate.is_full(&target, capacity)
+            && matches!(choice::choose(entry, job), Ok(Choice::Forward(_))));
+    if goes_away {
+        return Ok(None);
+    }
+    let arrived = entry.node.now();
+    entry.gate.set_capacity(arrived, &target, capacity);
+    let candidate = gate::arrival(arrived, job.facts(), job.cost);
+    let slot = gate::enter(entry, candidate).await?;
+    job.spend(entry.node.now() - arrived);
+    Ok(Some(slot))
+}
+
+/// How an attempt ended that brought no answer.
+pub enum AttemptEnd {
+    /// No upstream may or can serve the request.
+    Refused(Refusal),
+    /// It was tried.
+    Failed(FailedAttempt),
+}
+
+/// Keeps a request from going again where it failed.
+pub fn exclude(job: &mut Job, failed: &FailedAttempt) {
+    match (&failed.place, &mut job.origin) {
+        (Place::Upstream(upstream), _) => job.exclude(&upstream.clone()),
+        (Place::Zone(zone), JobOrigin::Caller(origin)) => origin.refuse(zone.clone()),
+        (Place::Zone(_), JobOrigin::Zone(_)) => {}
+    }
+}
+
+/// Makes one attempt; `slot` is taken along by an answer that is streamed.
+async fn attempt(
+    entry: &Rc<Entry>,
+    job: &Job,
+    slot: &mut Option<Slot>,
+) -> Result<Answer, AttemptEnd> {
+    let exchange = send(entry, job).await?;
+    let status = exchange.answer.status();
+    if job.call.stream && status.is_success() {
+        return delivery::stream(entry, job, exchange, slot).await;
+    }
+    delivery::whole(entry, job, exchange).await
+}
+
+/// Ends a request with a refusal, at once.
+pub fn refuse(entry: &Entry, id: &RequestId, refusal: &Refusal) -> Answer {
+    entry.end(id, refusal.outcome, refusal.reason.title());
+    body::refusal(&Problem::from_refusal(refusal).of(id))
+}
