The time for which slots are held is learned from own calls

Cause: the wait for a slot and the slots freed since a reading were worked out from the report and a fixed length of answers (200 tokens), twice the real hold in one deployment; counting other instances' sends by half hid a part of the error. An upstream that reports itself idle had no hold at all. Change: each place's hold is the time that ended and running own requests have held their slots, for each ended one (a request that runs on counts at once), with the report standing for two requests; half-life 30 s. Sends of the other instances count whole now. Test: prediction_follows_the_time_for_which_own_requests_hold_their_slots (seen to fail without the learned hold).

--- a/crates/medlarlug-core/src/routing/learned.rs
+++ b/crates/medlarlug-core/src/routing/learned.rs
@@ -12,6 +12,10 @@
 const SHORTEST: f64 = 0.02;
 /// Time in which the excess of a ratio halves, so that a slow upstream is tried again.
 const BIAS_HALF_LIFE: Duration = Duration::from_secs(20);
+/// Time in which what an ended request showed of the time that slots are held loses half its weight.
+const HOLD_HALF_LIFE: Duration = Duration::from_secs(30);
+/// Ended requests that the time from the report stands for.
+const REPORTED_WEIGHT: f64 = 2.0;
 /// Pause after the first failure; each further one doubles it.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Number of doublings of the pause.
@@ -25,13 +29,41 @@
     tokens: Tokens,
     base: f64,
     predicted: f64,
-    is_waiting: bool,
+    first: Option<Time>,
+}
+
+impl Flight {
+    fn is_waiting(&self) -> bool {
+        self.first.is_none()
+    }
+}
+
+/// How long requests of a place hold their slots after the first token, older ones counting less.
+#[derive(Debug, Clone, Copy, Default)]
+struct Holds {
+    ended: f64,
+    seconds: f64,
+    at: Time,
+}
+
+impl Holds {
+    fn aged(self, now: Time) -> Holds {
+        let halvings = (now - self.at).as_secs_f64() / HOLD_HALF_LIFE.as_secs_f64();
+        let share = (-halvings).exp2();
+        Holds { ended: self.ended * share, seconds: self.seconds * share, at: now }
+    }
+
+    fn note(&mut self, now: Time, seconds: f64) {
+        let aged = self.aged(now);
+        *self = Holds { ended: aged.ended + 1.0, seconds: aged.seconds + seconds, at: now };
+    }
 }
 
 /// What own requests have shown of one place that serves them.
 #[derive(Debug, Clone)]
 pub(super) struct Learned {
     flights: Vec<Flight>,
+    holds: Holds,
     bias: f64,
     observed: Time,
     failures: u32,
@@ -53,6 +85,7 @@
     pub(super) fn new(since: Time) -> Learned {
         Learned {
             flights: Vec::new(),
+            holds: Holds::default(),
             bias: 1.0,
             observed: since,
             failures: 0,
@@ -72,7 +105,7 @@
         predicted: f64,
     ) {
         self.last = now;
-        let flight = Flight { ticket, sent: now, tokens, base, predicted, is_waiting: true };
+        let flight = Flight { ticket, sent: now, tokens, base, predicted, first: None };
         self.flights.push(flight);
     }
 
@@ -81,7 +114,7 @@
         let Some(flight) = self.flights.iter_mut().find(|it| it.ticket == ticket) else {
             return;
         };
-        flight.is_waiting = false;
+        flight.first = Some(now);
         let took = (now - flight.sent).as_secs_f64();
         let ratio = took.max(SHORTEST) / flight.base.max(SHORTEST);
         self.failures = 0;
@@ -98,9 +131,12 @@
     /// Takes an ended request out. One that ended without a first token has shown that the place
     /// needs at least the time that it waited.
     pub(super) fn end(&mut self, now: Time, ticket: Ticket) {
-        let Some(flight) = self.take(ticket).filter(|it| it.is_waiting) else {
+        let Some(flight) = self.take(ticket) else {
             return;
         };
+        if let Some(first) = flight.first {
+            return self.holds.note(now, (now - first).as_secs_f64());
+        }
         let ratio = (now - flight.sent).as_secs_f64() / flight.base.max(SHORTEST);
         if ratio > self.bias(now) {
             self.observe(now, ratio);
@@ -130,6 +166,16 @@
         1.0 + (self.bias - 1.0) * (-halvings).exp2()
     }
 
+    /// Seconds that a request holds its slot after its first token: the time that ended and
+    /// running requests have held theirs, for each ended one. `reported` counts as a few of them.
+    pub(super) fn hold(&self, now: Time, reported: f64) -> f64 {
+        let holds = self.holds.aged(now);
+        let running = self.flights.iter().filter_map(|it| it.first);
+        let running: f64 = running.map(|it| (now - it).as_secs_f64()).sum();
+        let seconds = reported * REPORTED_WEIGHT + holds.seconds + running;
+        seconds / (REPORTED_WEIGHT + holds.ended)
+    }
+
     /// Own requests sent after `reading`.
     pub(super) fn sent_since(&self, reading: Time) -> SentSince {
         let mut since = SentSince::default();
@@ -164,7 +210,7 @@
     /// Seconds by which the first token of some request is later than predicted.
     pub(super) fn overdue(&self, now: Time) -> f64 {
         let late = |it: &Flight| (now - it.sent).as_secs_f64() - it.predicted;
-        let waiting = self.flights.iter().filter(|it| it.is_waiting);
+        let waiting = self.flights.iter().filter(|it| it.is_waiting());
         waiting.map(late).fold(0.0, f64::max)
     }
 
--- a/crates/medlarlug-core/src/routing/local.rs
+++ b/crates/medlarlug-core/src/routing/local.rs
@@ -45,7 +45,7 @@
 /// Seconds that are added for a returning place that has its share already.
 const RAMP_PENALTY: f64 = 2.0;
 /// Share of the own sends that each other entry instance of the zone is taken to have sent alike.
-const SENDER_SHARE: f64 = 0.5;
+const SENDER_SHARE: f64 = 1.0;
 /// Seconds that the upstream which the prefix hashes to is ahead of others.
 const RENDEZVOUS_GAIN: f64 = 0.6;
 
--- a/crates/medlarlug-core/src/routing/predict.rs
+++ b/crates/medlarlug-core/src/routing/predict.rs
@@ -45,7 +45,7 @@
     let reading = upstream.heard.saturating_sub(load.age);
     let age = (now - reading).as_secs_f64();
     let since = learned.sent_since(reading);
-    let slot_time = slot_time(announcement).as_secs_f64();
+    let slot_time = learned.hold(now, slot_time(announcement).as_secs_f64());
 
     let reported = load.backlog.0 as f64;
     let backlog = learned.backlog(now, reading, reported, senders, PROMPT_SPEED);
--- a/crates/medlarlug-core/tests/testsuite/routing_attempts.rs
+++ b/crates/medlarlug-core/tests/testsuite/routing_attempts.rs
@@ -133,3 +133,43 @@
 
     assert_matches!(choices, [Choice::Forward(_), Choice::Serve(_)]);
 }
+
+/// Predicted seconds at a full upstream, after `ended` own requests that held their slots for
+/// `hold` each, and while `running` more have run for `age`.
+fn predicted_when_full(hold: Duration, ended: usize, running: usize, age: Duration) -> f64 {
+    let configuration = configuration();
+    let mut membership = membership(vec![upstream("u0")]);
+    let mut router = Router::new(NOW, 1);
+    let mut now = NOW;
+    for place in 0..ended + running {
+        renew(&mut membership, now);
+        let ticket = send(&mut router, now, &membership);
+        now = now + Duration::from_millis(125);
+        router.handle(now, Event::FirstToken(ticket));
+        if place < ended {
+            now = now + hold;
+            router.handle(now, Event::Ended(ticket));
+        }
+    }
+    now = now + age;
+    let load = LoadReport { running: 8, waiting: 8, speed: 280.0, ..LoadReport::default() };
+    let sequence = 2 + now.as_micros();
+    let full = Announcement { sequence, load, ..upstream("u0") };
+    membership.handle(now, News::Announced(full), &mut Vec::new());
+    let mut request = Origin::new(facts());
+    request.facts.deadline = Duration::from_secs(300);
+    match router.decide(now, view(&membership, &configuration), &request) {
+        Ok(Choice::Serve(route)) => route.predicted.as_secs_f64(),
+        other => panic!("one upstream and a long deadline, and yet {other:?}"),
+    }
+}
+
+#[test]
+fn prediction_follows_the_time_for_which_own_requests_hold_their_slots() {
+    let unknown = predicted_when_full(Duration::ZERO, 0, 0, Duration::ZERO);
+    let quick = predicted_when_full(Duration::from_millis(500), 20, 0, Duration::ZERO);
+    let stuck = predicted_when_full(Duration::ZERO, 0, 4, Duration::from_secs(40));
+
+    assert!(quick < unknown / 3.0, "{quick} s with quick answers, {unknown} s by the report");
+    assert!(stuck > unknown * 3.0, "{stuck} s with stuck answers, {unknown} s by the report");
+}
