--- a/crates/medlarlug-core/src/routing/learned.rs
+++ b/crates/medlarlug-core/src/routing/learned.rs
@@ -2,11 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{
-    routing::{router::Ticket, slow::Slowness},
-    time::Time,
-    units::Tokens,
-};
+use crate::{routing::router::Ticket, time::Time, units::Tokens};
 
 /// Share of a new observation in an average.
 const GAIN: f64 = 0.2;
@@ -68,8 +64,6 @@
 pub(super) struct Learned {
     flights: Vec<Flight>,
     holds: Holds,
-    /// Whether the place is slower than those beside it.
-    pub(super) slowness: Slowness,
     bias: f64,
     observed: Time,
     failures: u32,
@@ -92,7 +86,6 @@
         Learned {
             flights: Vec::new(),
             holds: Holds::default(),
-            slowness: Slowness::default(),
             bias: 1.0,
             observed: since,
             failures: 0,
@@ -112,7 +105,6 @@
         predicted: f64,
     ) {
         self.last = now;
-        self.slowness.send(now);
         let flight = Flight { ticket, sent: now, tokens, base, predicted, first: None };
         self.flights.push(flight);
     }
@@ -124,19 +116,9 @@
         };
         flight.first = Some(now);
         let took = (now - flight.sent).as_secs_f64();
-        let base = flight.base;
+        let ratio = took.max(SHORTEST) / flight.base.max(SHORTEST);
         self.failures = 0;
-        if self.slowness.first_token(now, took, base) {
-            return self.recover(now);
-        }
-        self.observe(now, took.max(SHORTEST) / base.max(SHORTEST));
-    }
-
-    /// Forgets how slow the place was, and starts a ramp.
-    fn recover(&mut self, now: Time) {
-        self.bias = 1.0;
-        self.holds = Holds::default();
-        self.since = now;
+        self.observe(now, ratio);
     }
 
     fn observe(&mut self, now: Time, ratio: f64) {
@@ -155,10 +137,8 @@
         if let Some(first) = flight.first {
             return self.holds.note(now, (now - first).as_secs_f64());
         }
-        let waited = (now - flight.sent).as_secs_f64();
-        let ratio = waited / flight.base.max(SHORTEST);
+        let ratio = (now - flight.sent).as_secs_f64() / flight.base.max(SHORTEST);
         if ratio > self.bias(now) {
-            self.slowness.wait(now, waited, flight.base);
             self.observe(now, ratio);
         }
     }
@@ -182,9 +162,6 @@
 
     /// Ratio of observed to predicted times.
     pub(super) fn bias(&self, now: Time) -> f64 {
-        if let Some(usual) = self.slowness.probe(now) {
-            return usual;
-        }
         let halvings = (now - self.observed).as_secs_f64() / BIAS_HALF_LIFE.as_secs_f64();
         1.0 + (self.bias - 1.0) * (-halvings).exp2()
     }
--- a/crates/medlarlug-core/src/routing/local.rs
+++ b/crates/medlarlug-core/src/routing/local.rs
@@ -42,10 +42,6 @@
 const ADMITTED_SHARE: f64 = 0.8;
 /// Seconds that are added for a place that failed lately.
 const PAUSED_PENALTY: f64 = 10.0;
-/// Seconds that are added for a slow place whose next probe is not due.
-const SLOW_PENALTY: f64 = 10.0;
-/// Seconds that a slow place whose probe is due is ahead of others, so that it gets the probe.
-const PROBE_GAIN: f64 = 0.6;
 /// Seconds that are added for a returning place that has its share already.
 const RAMP_PENALTY: f64 = 2.0;
 /// Share of the own sends that each other entry instance of the zone is taken to have sent alike.
@@ -74,14 +70,11 @@
         let senders =
             1.0 + SENDER_SHARE * f64::from(view.membership.open_entries().saturating_sub(1));
         let mut best: Option<Scored> = None;
-        let candidates = self.candidates(now, view, facts);
-        let usual = self.usual_bias(now, &candidates);
-        for (candidate, recent) in candidates {
+        for (candidate, recent) in self.candidates(now, view, facts) {
             let upstream = &view.membership.all_upstreams()[candidate.upstream];
             if !is_eligible(now, upstream, facts) {
                 continue;
             }
-            self.upstreams[candidate.learned].learned.slowness.compare(usual);
             let learned = &self.upstreams[candidate.learned].learned;
             let prediction = predict(now, facts, upstream, learned, recent, senders);
             let penalty = self.penalty(now, learned);
@@ -103,14 +96,6 @@
         Ok(self.route(view, facts, upstream, best))
     }
 
-    /// The median ratio of observed to predicted times; of two the lower one.
-    fn usual_bias(&self, now: Time, candidates: &[(Candidate, Option<Tokens>)]) -> f64 {
-        let bias = |it: &Candidate| self.upstreams[it.learned].learned.bias(now);
-        let mut all: Vec<f64> = candidates.iter().map(|(it, _)| bias(it)).collect();
-        all.sort_unstable_by(f64::total_cmp);
-        all.get(all.len().saturating_sub(1) / 2).copied().unwrap_or(1.0)
-    }
-
     /// Candidates, and the length of a prefix that was sent to each lately.
     fn candidates(
         &mut self,
@@ -166,9 +151,7 @@
     /// Seconds that are added to the prediction of a paused or returning place.
     pub(super) fn penalty(&self, now: Time, learned: &Learned) -> f64 {
         let pause = if learned.is_paused(now) { PAUSED_PENALTY } else { 0.0 };
-        let slow = if learned.slowness.is_barred(now) { SLOW_PENALTY } else { 0.0 };
-        let probe = if learned.slowness.probe(now).is_some() { PROBE_GAIN } else { 0.0 };
-        pause + slow - probe + self.ramp_penalty(now, learned)
+        pause + self.ramp_penalty(now, learned)
     }
 
     fn ramp_penalty(&self, now: Time, learned: &Learned) -> f64 {
--- a/crates/medlarlug-core/src/routing/mod.rs
+++ b/crates/medlarlug-core/src/routing/mod.rs
@@ -22,7 +22,6 @@
 pub mod residency;
 pub mod route;
 pub mod router;
-mod slow;
 mod weights;
 
 pub use dump::RouterDump;
