--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -22,5 +22,6 @@
 mod routing;
 mod routing_attempts;
 mod routing_refusals;
+mod routing_slow;
 mod stream;
 mod suspects;
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/routing_slow.rs
@@ -0,0 +1,94 @@
+//! The routing core: an upstream that is slow and reports itself idle all the time.
+
+use std::time::Duration;
+
+use medlarlug_core::{
+    announcement::Announcement,
+    membership::Event as News,
+    release::item::Residency,
+    routing::{Choice, Event, Origin, Router, Ticket},
+    time::Time,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use test_support::id;
+
+use crate::routing::{NOW, configuration, facts, membership, open_team, upstream, view};
+
+/// Time between two requests.
+const GAP: Duration = Duration::from_millis(60);
+/// Time to the first token at an upstream that is not slow.
+const USUAL: Duration = Duration::from_millis(130);
+/// Time after which a slow upstream gets few requests.
+const LEARNING: Duration = Duration::from_secs(15);
+/// Sends a request every [`GAP`] until `end`; the upstream `slow` takes `factor` times the usual.
+/// Gives the time of each, and whether it went there.
+fn history(slow: &str, factor: u32, end: Time, excluded: Option<&str>) -> Vec<(Time, bool)> {
+    let configuration = configuration(open_team(), Residency::Home);
+    let mut request = Origin::new(facts());
+    request.facts.excluded = excluded.map(id).into_iter().collect();
+    let mut membership = membership(Vec::new());
+    let mut router = Router::new(NOW, 1);
+    let mut pending: Vec<(Time, Ticket)> = Vec::new();
+    let mut sent = Vec::new();
+    let mut now = NOW;
+    while now < end {
+        for name in ["u0", "u1", "u2"] {
+            let announcement = Announcement { sequence: now.as_micros() + 1, ..upstream(name) };
+            membership.handle(now, News::Announced(announcement), &mut Vec::new());
+        }
+        for (at, ticket) in pending.extract_if(.., |it| it.0 <= now) {
+            router.handle(at, Event::FirstToken(ticket));
+            router.handle(at, Event::Ended(ticket));
+        }
+        let choice = router.decide(now, view(&membership, &configuration), &request);
+        let Ok(Choice::Serve(route)) = choice else {
+            panic!("three idle upstreams, and yet {choice:?}");
+        };
+        let is_slow = route.upstream == id(slow);
+        let took = if is_slow { USUAL * factor } else { USUAL };
+        let departure = route.depart(&configuration, &request.facts).unwrap();
+        router.sent(now, &departure, &request.facts);
+        pending.push((now + took, departure.route().ticket));
+        sent.push((now, is_slow));
+        now = now + GAP;
+    }
+    sent
+}
+
+fn run(test: impl Fn(&str, u32, Duration) -> Result<(), TestCaseError>) {
+    let random = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let settings = Config { cases: 20, failure_persistence: None, ..Config::default() };
+    let cases = (prop::sample::select(vec!["u0", "u1", "u2"]), 10u32..60, 30u64..200);
+    let outcome = TestRunner::new_with_rng(settings, random)
+        .run(&cases, |(slow, factor, seconds)| test(slow, factor, Duration::from_secs(seconds)));
+    outcome.unwrap();
+}
+
+/// A request for each two halvings of what it is slower by, and two at the start.
+#[test]
+fn slow_upstream_is_tried_only_now_and_then() {
+    run(|slow, factor, seconds| {
+        let end = NOW + LEARNING + seconds;
+        let sent = history(slow, factor, end, None);
+
+        let tries = sent.iter().filter(|it| it.1 && it.0 >= NOW + LEARNING).count();
+
+        let most = seconds.as_secs() / 40 + 2;
+        prop_assert!(tries as u64 <= most, "{tries} requests in {seconds:?}");
+        Ok(())
+    });
+}
+
+#[test]
+fn excluded_upstream_is_not_tried_whatever_was_learned() {
+    run(|slow, factor, seconds| {
+        let end = NOW + LEARNING + seconds;
+        let sent = history(slow, factor, end, Some(slow));
+
+        prop_assert!(!sent.iter().any(|it| it.1));
+        Ok(())
+    });
+}
