--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -23,5 +23,6 @@
 mod routing;
 mod routing_attempts;
 mod routing_refusals;
+mod routing_slow;
 mod stream;
 mod suspects;
