--- a/crates/medlarlug-core/src/suspects/ledger.rs
+++ b/crates/medlarlug-core/src/suspects/ledger.rs
@@ -1,4 +1,4 @@
-//! The verdicts that follow from a set of facts.
+//! The quarantines that follow from a set of facts.
 
 use std::time::Duration;
 
@@ -34,14 +34,14 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
-struct Verdict {
+struct Quarantine {
     fingerprint: Fingerprint,
     last: Time,
     losses: usize,
     alone: usize,
 }
 
-/// A set of facts and the verdicts that follow from it.
+/// A set of facts and the quarantines that follow from it.
 ///
 /// ```
 /// use medlarlug_core::{
@@ -70,7 +70,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct LossLedger {
     losses: Vec<Loss>,
-    verdicts: Vec<Verdict>,
+    quarantines: Vec<Quarantine>,
     suspects: Vec<Fingerprint>,
 }
 
@@ -90,7 +90,7 @@
         };
         if is_new {
             self.drop_oldest();
-            self.judge();
+            self.quarantine_all();
         }
         is_new
     }
@@ -100,15 +100,16 @@
         let count = self.losses.len();
         self.losses.retain(|it| now - it.at < FACT_LIFETIME);
         if self.losses.len() < count {
-            self.judge();
+            self.quarantine_all();
         }
     }
 
     /// What the facts say about `fingerprint`.
     pub fn standing(&self, now: Time, fingerprint: Fingerprint) -> Standing {
-        if let Ok(found) = self.verdicts.binary_search_by_key(&fingerprint, |it| it.fingerprint) {
-            let verdict = &self.verdicts[found];
-            let end = verdict.last + quarantine_lifetime(verdict.losses);
+        if let Ok(found) = self.quarantines.binary_search_by_key(&fingerprint, |it| it.fingerprint)
+        {
+            let quarantine = &self.quarantines[found];
+            let end = quarantine.last + quarantine_lifetime(quarantine.losses);
             return match now < end {
                 true => Standing::Quarantined { after: end - now },
                 false => Standing::Suspect,
@@ -122,11 +123,11 @@
 
     /// The quarantines in force, sorted by fingerprint, and the time until each ends.
     pub fn quarantines(&self, now: Time) -> Vec<(Fingerprint, Duration)> {
-        let standing = |it: &Verdict| match self.standing(now, it.fingerprint) {
+        let standing = |it: &Quarantine| match self.standing(now, it.fingerprint) {
             Standing::Quarantined { after } => Some((it.fingerprint, after)),
             _ => None,
         };
-        self.verdicts.iter().filter_map(standing).collect()
+        self.quarantines.iter().filter_map(standing).collect()
     }
 
     /// The losses that count against `fingerprint`, sorted.
@@ -197,31 +198,33 @@
     }
 
     /// Quarantines the strongest candidates first; the losses they explain count against no other.
-    fn judge(&mut self) {
-        self.verdicts.clear();
+    fn quarantine_all(&mut self) {
+        self.quarantines.clear();
         loop {
-            let open = self.open_evidence();
-            let candidates: Vec<Verdict> =
+            let open = self.unexplained_losses();
+            let candidates: Vec<Quarantine> =
                 open.chunk_by(|a, b| a.0 == b.0).filter_map(candidate).collect();
-            let Some(strongest) = candidates.iter().map(Verdict::strength).max() else {
+            let Some(strongest) = candidates.iter().map(Quarantine::strength).max() else {
                 self.suspects = open.into_iter().map(|it| it.0).collect();
                 self.suspects.dedup();
                 return;
             };
             let quarantined = candidates.into_iter().filter(|it| it.strength() == strongest);
-            self.verdicts.extend(quarantined);
-            self.verdicts.sort_by_key(|it| it.fingerprint);
+            self.quarantines.extend(quarantined);
+            self.quarantines.sort_by_key(|it| it.fingerprint);
         }
     }
 
     /// Each unexplained loss of each content, sorted by content: when it was, and whether no other
     /// content can have caused it.
-    fn open_evidence(&self) -> Vec<(Fingerprint, Time, bool)> {
+    fn unexplained_losses(&self) -> Vec<(Fingerprint, Time, bool)> {
         let mut evidence = Vec::new();
         for loss in &self.losses {
             let suspects = loss.suspects();
             let is_quarantined = |it: &Fingerprint| {
-                self.verdicts.binary_search_by_key(it, |verdict| verdict.fingerprint).is_ok()
+                self.quarantines
+                    .binary_search_by_key(it, |quarantine| quarantine.fingerprint)
+                    .is_ok()
             };
             if suspects.iter().any(is_quarantined) {
                 continue;
@@ -245,15 +248,15 @@
     }
 }
 
-impl Verdict {
+impl Quarantine {
     /// Losses that nothing else can have caused, then all losses.
     fn strength(&self) -> (usize, usize) {
         (self.alone, self.losses)
     }
 }
 
-/// The verdict on one content, if its losses quarantine it.
-fn candidate(evidence: &[(Fingerprint, Time, bool)]) -> Option<Verdict> {
+/// The quarantine of one content, if its losses are reason for it.
+fn candidate(evidence: &[(Fingerprint, Time, bool)]) -> Option<Quarantine> {
     let losses = evidence.len();
     let alone = evidence.iter().filter(|it| it.2).count();
     let is_likely = losses >= QUARANTINING_LOSSES && alone > 0;
@@ -261,7 +264,7 @@
         return None;
     }
     let &(fingerprint, last, _) = evidence.last()?;
-    Some(Verdict { fingerprint, last, losses, alone })
+    Some(Quarantine { fingerprint, last, losses, alone })
 }
 
 /// Adds `more` to a sorted set; tells whether it grew.
--- a/crates/medlarlug-core/src/suspects/mod.rs
+++ b/crates/medlarlug-core/src/suspects/mod.rs
@@ -5,7 +5,7 @@
 //! an upstream, so that the others clear themselves by completing. The evidence is a set of
 //! [`Fact`]s: losses, each named by the upstream and its incarnation, and clearances. Facts merge
 //! by set union in any order and any number of times, so every entry instance, and the home group
-//! of every region, reaches the same verdicts from the same [`LossLedger`] code.
+//! of every region, reaches the same quarantines from the same [`LossLedger`] code.
 //!
 //! A fingerprint is quarantined when
 //!
--- a/src/coordination/entry/gate.rs
+++ b/src/coordination/entry/admission.rs
@@ -41,7 +41,7 @@
 
 /// The queues of one instance, sorted by target.
 #[derive(Default)]
-pub struct Gate {
+pub struct ZoneAdmission {
     queues: RefCell<Vec<Queue>>,
 }
 
@@ -55,7 +55,7 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let event = Event::Finished { request: self.request.clone() };
-        self.entry.gate.handle(self.entry.node.now(), &self.target, event);
+        self.entry.admission.handle(self.entry.node.now(), &self.target, event);
     }
 }
 
@@ -80,7 +80,7 @@
 pub async fn enter(entry: &Rc<Entry>, candidate: Candidate) -> Result<Slot, Refusal> {
     let Candidate { arrival, target } = candidate;
     let request = arrival.request.clone();
-    let receiver = entry.gate.enqueue(entry.node.now(), &target, arrival);
+    let receiver = entry.admission.enqueue(entry.node.now(), &target, arrival);
     let admission = receiver.await;
     admission.unwrap_or_else(|_| Err(entry.refusal(Reason::Overloaded, SHORTEST_SERVICE)))?;
     Ok(Slot { entry: entry.clone(), target, request })
@@ -101,7 +101,7 @@
     share.ceil() as u32
 }
 
-impl Gate {
+impl ZoneAdmission {
     /// Whether a request for `target` would have to wait.
     pub fn is_full(&self, target: &Target, capacity: u32) -> bool {
         let queues = self.queues.borrow();
--- a/src/coordination/entry/evidence.rs
+++ b/src/coordination/entry/crashes.rs
@@ -1,4 +1,4 @@
-//! Evidence about requests that crash upstreams, and what it bars.
+//! Requests that are suspected to crash upstreams, and what is refused because of it.
 //!
 //! An upstream counts as crashed when a request's connection was lost and a new connection is
 //! refused; silence alone is no crash. The facts go to every entry instance, so that a request is
--- a/src/coordination/entry/exchange.rs
+++ b/src/coordination/entry/exchange.rs
@@ -83,7 +83,7 @@
 pub struct FailedAttempt {
     /// Where the request was sent.
     pub place: Place,
-    /// What is known of its fate.
+    /// What is known of what became of it.
     pub failure: Failure,
     /// Why it failed.
     pub reason: SmolStr,
--- a/src/coordination/entry/forward.rs
+++ b/src/coordination/entry/forward.rs
@@ -104,7 +104,7 @@
 
 /// A crossing that brought no answer.
 pub enum Refused {
-    /// The zone refused the request, or its fate is not known.
+    /// The zone refused the request, or what became of it is not known.
     ByZone(FailedAttempt),
     /// The instance takes no requests; another one of its zone may.
     ByInstance(FailedAttempt),
--- a/src/coordination/entry/inference/delivery.rs
+++ b/src/coordination/entry/inference/delivery.rs
@@ -19,8 +19,8 @@
 use crate::{
     coordination::entry::{
         Entry,
+        admission::Slot,
         exchange::{Exchange, FailedAttempt},
-        gate::Slot,
         relay::{Relay, StreamEnd},
     },
     protocol::headers,
--- a/src/coordination/entry/inference/mod.rs
+++ b/src/coordination/entry/inference/mod.rs
@@ -29,8 +29,8 @@
 use crate::{
     coordination::entry::{
         Entry,
+        admission::{self, Slot},
         exchange::FailedAttempt,
-        gate::{self, Slot},
     },
     protocol::Problem,
     transport::body::{self, Answer},
@@ -78,17 +78,17 @@
 pub async fn admit(entry: &Rc<Entry>, job: &mut Job) -> Result<Option<Slot>, Refusal> {
     entry.check_quarantine(job.call.content)?;
     let target = job.facts().target.clone();
-    let capacity = gate::capacity(entry, &target);
+    let capacity = admission::capacity(entry, &target);
     let goes_away = capacity == 0
-        || (entry.gate.is_full(&target, capacity)
+        || (entry.admission.is_full(&target, capacity)
             && matches!(choice::choose(entry, job), Ok(Choice::Forward(_))));
     if goes_away {
         return Ok(None);
     }
     let arrived = entry.node.now();
-    entry.gate.set_capacity(arrived, &target, capacity);
-    let candidate = gate::arrival(arrived, job.facts(), job.cost);
-    let slot = gate::enter(entry, candidate).await?;
+    entry.admission.set_capacity(arrived, &target, capacity);
+    let candidate = admission::arrival(arrived, job.facts(), job.cost);
+    let slot = admission::enter(entry, candidate).await?;
     job.spend(entry.node.now() - arrived);
     Ok(Some(slot))
 }
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -14,19 +14,19 @@
 //! * [`relay`]: delivery of a streamed answer.
 //! * [`silence`]: replacement of connections that have gone silent.
 //! * [`internal`]: announcements of upstreams and requests forwarded by other zones.
-//! * [`gate`]: admission to the zone's upstreams.
+//! * [`admission`]: admission to the zone's upstreams.
 //! * [`cooldown`]: upstreams at which new connections have just failed.
-//! * [`evidence`]: requests that crash upstreams.
+//! * [`crashes`]: requests that crash upstreams.
 //! * [`journal`]: the records of requests.
 //! * [`records`]: their delivery to the home groups.
 
+pub mod admission;
 pub mod attempt;
 pub mod callers;
 pub mod cooldown;
-pub mod evidence;
+pub mod crashes;
 pub mod exchange;
 pub mod forward;
-pub mod gate;
 pub mod inference;
 pub mod intake;
 pub mod internal;
@@ -62,7 +62,7 @@
 pub use crate::coordination::entry::process::{EntryError, run};
 use crate::{
     coordination::{
-        entry::{cooldown::Cooldowns, gate::Gate, intake::Intake, journal::Journal},
+        entry::{admission::ZoneAdmission, cooldown::Cooldowns, intake::Intake, journal::Journal},
         node::{InForce, Node, Received},
         operators::ProcessPart,
     },
@@ -90,7 +90,7 @@
     /// Spreads the times to come back.
     pub spread: RefCell<Spread>,
     /// Admission to the zone's upstreams.
-    pub gate: Gate,
+    pub admission: ZoneAdmission,
     /// Upstreams at which new connections have just failed.
     pub cooldowns: Cooldowns<UpstreamId>,
     /// Entry instances of other zones that have just been found closed.
@@ -117,7 +117,7 @@
             router: RefCell::new(Router::new(node.now(), seed)),
             journal: RefCell::new(journal),
             spread: RefCell::new(Spread::new(seed)),
-            gate: Gate::default(),
+            admission: ZoneAdmission::default(),
             cooldowns: Cooldowns::default(),
             closed_entries: Cooldowns::default(),
             suspects: RefCell::default(),
@@ -280,11 +280,11 @@
         if count.is_multiple_of(TICKS_PER_HEARTBEAT) {
             self.limit(limits::Event::Heartbeat);
         }
-        for target in self.gate.targets() {
-            let capacity = gate::capacity(self, &target);
-            self.gate.set_capacity(self.node.now(), &target, capacity);
+        for target in self.admission.targets() {
+            let capacity = admission::capacity(self, &target);
+            self.admission.set_capacity(self.node.now(), &target, capacity);
         }
-        self.gate.tick(self.node.now());
+        self.admission.tick(self.node.now());
     }
 
     /// Hands the limits of a new revision to their core.
@@ -379,7 +379,7 @@
     fn dump(&self) -> serde_json::Value {
         json!({
             "running": self.intake.in_flight(),
-            "waiting": self.gate.waiting(),
+            "waiting": self.admission.waiting(),
             "quarantines": self.suspects.borrow().ledger().quarantines(self.node.now()).len(),
             "limits_settled": self.limits.borrow().is_settled(),
             "retry_budgets": self.retry_budgets(),
--- a/src/protocol/message.rs
+++ b/src/protocol/message.rs
@@ -66,7 +66,7 @@
     },
     /// Asks an entry instance for the demand of every team.
     AskDemand,
-    /// Between entry instances: evidence about a request that crashes upstreams.
+    /// Between entry instances: a fact about a request that may crash upstreams.
     Fact(suspects::Fact),
     /// Between entry instances of a zone: an upstream is kept for one suspect.
     Reserve {
--- a/src/standin/completions.rs
+++ b/src/standin/completions.rs
@@ -15,7 +15,7 @@
     protocol::headers,
     standin::{
         CRASH_MARKER, answer,
-        faults::Fate,
+        faults::AnswerFault,
         http::{self, Answer, LostAnswer, echo, events, json, refusal},
         streams::{Phase, Reader, Stream},
         upstream::Upstream,
@@ -73,8 +73,8 @@
     request: Request<Incoming>,
     chat: bool,
 ) -> Result<Answer, LostAnswer> {
-    let fate = upstream.faults.borrow_mut().next_fate();
-    if fate.dropped {
+    let fault = upstream.faults.borrow_mut().next_answer_fault();
+    if fault.dropped {
         return Err(LostAnswer);
     }
     let priority = number(&request, headers::PRIORITY).unwrap_or(0).min(u64::from(u8::MAX)) as u8;
@@ -89,10 +89,10 @@
             return Ok(echo(refusal(StatusCode::BAD_REQUEST, "invalid_request", &message), &id));
         }
     };
-    if let Some(refused) = admission(&upstream, &completion, fate) {
+    if let Some(refused) = admission(&upstream, &completion, fault) {
         return Ok(echo(refused, &id));
     }
-    let stream = begin(&upstream, &id, &completion, (chat, priority, patience), fate);
+    let stream = begin(&upstream, &id, &completion, (chat, priority, patience), fault);
     let Some(stream) = stream else {
         return Err(LostAnswer);
     };
@@ -101,8 +101,8 @@
         let message = "the deadline passed in the queue";
         return Ok(echo(refusal(StatusCode::SERVICE_UNAVAILABLE, "not_started", message), &id));
     }
-    sleep(fate.delay).await;
-    if fate.lost {
+    sleep(fault.delay).await;
+    if fault.lost {
         return Err(LostAnswer);
     }
     if completion.stream {
@@ -115,8 +115,8 @@
 }
 
 /// Why the request is not begun, if it isn't.
-fn admission(upstream: &Upstream, completion: &Completion, fate: Fate) -> Option<Answer> {
-    if fate.refused {
+fn admission(upstream: &Upstream, completion: &Completion, fault: AnswerFault) -> Option<Answer> {
+    if fault.refused {
         let message = "refused on purpose";
         return Some(refusal(StatusCode::SERVICE_UNAVAILABLE, "not_started", message));
     }
@@ -138,7 +138,7 @@
     id: &SmolStr,
     completion: &Completion,
     (chat, priority, patience): (bool, u8, Option<Duration>),
-    fate: Fate,
+    fault: AnswerFault,
 ) -> Option<Rc<Stream>> {
     let mut prompt = if chat { chat_text(&completion.messages) } else { text(&completion.prompt) };
     upstream.ledger.borrow_mut().begin(id);
@@ -146,8 +146,8 @@
         upstream.crash(None);
         return None;
     }
-    let answer_id = upstream.answer_id(id, fate);
-    if fate.crossed {
+    let answer_id = upstream.answer_id(id, fault);
+    if fault.crossed {
         prompt.push_str("of another request");
     }
     let limit = completion.max_completion_tokens.or(completion.max_tokens);
--- a/src/standin/faults.rs
+++ b/src/standin/faults.rs
@@ -75,9 +75,9 @@
     pub slowdown: f64,
 }
 
-/// What happens to the answer of one call.
+/// The fault of the answer to one call.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Fate {
+pub struct AnswerFault {
     /// The call is not taken in; its connection breaks.
     pub dropped: bool,
     /// It is never sent.
@@ -130,19 +130,19 @@
     }
 
     /// Decides what happens to the next call.
-    pub fn next_fate(&mut self) -> Fate {
+    pub fn next_answer_fault(&mut self) -> AnswerFault {
         let take = |count: &mut u32| {
             let is_hit = *count > 0;
             *count = count.saturating_sub(1);
             is_hit
         };
         if take(&mut self.dropped) {
-            return Fate { dropped: true, ..Fate::default() };
+            return AnswerFault { dropped: true, ..AnswerFault::default() };
         }
         if take(&mut self.refused) {
-            return Fate { refused: true, ..Fate::default() };
+            return AnswerFault { refused: true, ..AnswerFault::default() };
         }
-        Fate {
+        AnswerFault {
             dropped: false,
             lost: take(&mut self.lost),
             crossed: take(&mut self.crossed),
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -36,11 +36,11 @@
         };
         return Ok(echo(answer, &id));
     }
-    let fate = upstream.faults.borrow_mut().next_fate();
-    if fate.dropped {
+    let fault = upstream.faults.borrow_mut().next_answer_fault();
+    if fault.dropped {
         return Err(LostAnswer);
     }
-    if fate.refused {
+    if fault.refused {
         let message = "refused on purpose";
         return Ok(echo(refusal(StatusCode::SERVICE_UNAVAILABLE, "not_started", message), &id));
     }
@@ -54,11 +54,11 @@
     let Ok(answer) = run.await else {
         return Err(LostAnswer);
     };
-    sleep(fate.delay).await;
-    if fate.lost {
+    sleep(fault.delay).await;
+    if fault.lost {
         return Err(LostAnswer);
     }
-    let answer_id = upstream.answer_id(&id, fate);
+    let answer_id = upstream.answer_id(&id, fault);
     Ok(echo(json(StatusCode::OK, &answer), &answer_id))
 }
 
--- a/src/standin/upstream.rs
+++ b/src/standin/upstream.rs
@@ -30,7 +30,7 @@
         cache::PrefixCache,
         completions,
         connection::Connection,
-        faults::{Fate, Fault, FaultState},
+        faults::{AnswerFault, Fault, FaultState},
         http::{self, Answer, LostAnswer},
         ledger::Ledger,
         orders::OrderBook,
@@ -207,12 +207,12 @@
     }
 
     /// Notes a request and returns the id under which its answer goes out.
-    pub fn answer_id(&self, id: &str, fate: Fate) -> SmolStr {
+    pub fn answer_id(&self, id: &str, fault: AnswerFault) -> SmolStr {
         let mut recent = self.recent.borrow_mut();
         let other = recent.iter().find(|it| it.as_str() != id).cloned();
         recent.insert(0, id.into());
         recent.truncate(2);
-        if fate.crossed { other.unwrap_or_else(|| "crossed".into()) } else { id.into() }
+        if fault.crossed { other.unwrap_or_else(|| "crossed".into()) } else { id.into() }
     }
 
     fn note_open(&self, open: Open) {
