--- a/src/coordination/entry/cooldown.rs
+++ b/src/coordination/entry/cooldown.rs
@@ -8,7 +8,7 @@
 
 use medlarlug_core::time::Time;
 
-/// Time for which an upstream cools down; as long as an announcement is valid.
+/// Time for which an upstream cools down; longer than an announcement is valid.
 const COOLDOWN: Duration = Duration::from_secs(3);
 
 /// What cools down, sorted by id, and the end of each cooldown.
