A watched peer is looked up in one place; four twins are one piece each

Whether a region's upstreams may be asked about a booking stood at the keeper and at the entry instance: Question::may_be_asked. The engine at an address was looked up twice in silence.rs, the head of a recorded answer was built twice in services.rs. No behaviour, check or bound changed.

Left: drain's refusal stands for two states; the three programs' options look alike.

--- a/crates/medlarlug-core/src/home/booking.rs
+++ b/crates/medlarlug-core/src/home/booking.rs
@@ -8,7 +8,8 @@
 
 use crate::{
     fingerprint::Fingerprint,
-    ids::{Incarnation, InstanceId, RequestId, Revision, ServiceId, TeamId},
+    ids::{Incarnation, InstanceId, RegionId, RequestId, Revision, ServiceId, TeamId},
+    release::{Configuration, ItemKey},
     replication::FormationId,
 };
 
@@ -208,6 +209,15 @@
     pub service: ServiceId,
 }
 
+impl Question {
+    /// Whether upstreams in `region` may be asked: the request might have gone on there.
+    pub fn may_be_asked(&self, configuration: &Configuration, region: &RegionId) -> bool {
+        let key = ItemKey::Service(self.service.clone());
+        let team = configuration.team(&self.team);
+        team.is_some_and(|it| configuration.may_go_on(it, &key, region))
+    }
+}
+
 /// Keys that a group may have forgotten: unless they are known, they are answered as unknown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateLoss {
--- a/crates/medlarlug-core/src/membership/lost.rs
+++ b/crates/medlarlug-core/src/membership/lost.rs
@@ -6,7 +6,7 @@
 //! dead instances and keepers. A zone that is lost as a whole has nobody who tells.
 
 use crate::{
-    ids::{InstanceId, ZoneId},
+    ids::ZoneId,
     membership::{
         Effect, InstanceKind, LostPeer, Message, Notice, PeerState, Seed,
         core::Membership,
@@ -54,9 +54,8 @@
 impl Membership {
     pub(super) fn learn_lost(&mut self, now: Time, lost: Vec<LostPeer>, out: &mut Vec<Effect>) {
         let own = &self.settings.own.id;
-        let is_watched = |id: &InstanceId| self.peers.all().iter().any(|it| it.seed.id == *id);
-        let lost: Vec<LostPeer> =
-            lost.into_iter().filter(|it| it.id != *own && !is_watched(&it.id)).collect();
+        let is_news = |it: &LostPeer| it.id != *own && self.peer(&it.id).is_none();
+        let lost: Vec<LostPeer> = lost.into_iter().filter(is_news).collect();
         for peer in lost {
             let id = peer.id.clone();
             if self.lost.learn(now, peer) {
@@ -93,8 +92,7 @@
     }
 
     fn unwatched_keepers(&self) -> impl Iterator<Item = &Seed> {
-        let watched = self.peers.all();
         let seeds = self.settings.peers.iter().filter(|it| it.kind == InstanceKind::Keeper);
-        seeds.filter(move |it| watched.iter().all(|peer| peer.seed.id != it.id))
+        seeds.filter(|it| self.peer(&it.id).is_none())
     }
 }
--- a/crates/medlarlug-core/src/membership/peers.rs
+++ b/crates/medlarlug-core/src/membership/peers.rs
@@ -83,11 +83,19 @@
         &self.peers
     }
 
+    pub(super) fn get(&self, id: &InstanceId) -> Option<&Peer> {
+        Some(&self.peers[self.find(id)?])
+    }
+
     fn get_mut(&mut self, id: &InstanceId) -> Option<&mut Peer> {
-        let place = self.peers.binary_search_by(|it| it.seed.id.cmp(id)).ok()?;
+        let place = self.find(id)?;
         Some(&mut self.peers[place])
     }
 
+    fn find(&self, id: &InstanceId) -> Option<usize> {
+        self.peers.binary_search_by(|it| it.seed.id.cmp(id)).ok()
+    }
+
     /// Notes that any message of an instance arrived.
     pub(super) fn hear(&mut self, now: Time, id: &InstanceId, out: &mut Vec<Effect>) {
         let Some(peer) = self.get_mut(id) else {
--- a/crates/medlarlug-core/src/membership/query.rs
+++ b/crates/medlarlug-core/src/membership/query.rs
@@ -68,6 +68,11 @@
         self.peers.all()
     }
 
+    /// A watched instance; `None` if it is not watched.
+    pub fn peer(&self, id: &InstanceId) -> Option<&Peer> {
+        self.peers.get(id)
+    }
+
     /// The dead instances of zones that aren't watched, as far as others tell.
     pub fn lost(&self) -> &[LostPeer] {
         self.lost.all()
@@ -103,7 +108,7 @@
         let open = watched.iter().filter(|it| it.is_open());
         entries.extend(open.map(|it| entry_view(&it.seed, it.status)));
         for zone in self.zones.all().iter().filter(|it| it.is_heard(now)) {
-            let far = zone.entries.iter().filter(|it| watched.iter().all(|p| p.seed.id != it.id));
+            let far = zone.entries.iter().filter(|it| self.peer(&it.id).is_none());
             entries.extend(far.map(|it| EntryView {
                 id: it.id.clone(),
                 zone: zone.zone.clone(),
--- a/src/coordination/entry/admission.rs
+++ b/src/coordination/entry/admission.rs
@@ -1,9 +1,8 @@
 //! Admission to the upstreams of the own zone.
 //!
-//! Requests for one target wait in one queue, which an
-//! [`Admission`] core orders and bounds. The capacity is
-//! this instance's share of the zone's slots, somewhat more than they are, so that engines always
-//! find the next request waiting.
+//! Requests for one target wait in one queue, which an [`Admission`] core orders and bounds. The
+//! capacity is this instance's share of the zone's slots, somewhat more than they are, so that
+//! engines always find the next request waiting.
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
--- a/src/coordination/entry/crashes.rs
+++ b/src/coordination/entry/crashes.rs
@@ -157,13 +157,9 @@
 
     /// Sends what is known to an entry instance that has come up.
     pub fn inform(&self, peer: &InstanceId) {
-        let is_entry = self
-            .node
-            .members
-            .borrow()
-            .peers()
-            .iter()
-            .any(|it| it.seed.id == *peer && it.seed.kind == InstanceKind::Entry);
+        let members = self.node.members.borrow();
+        let is_entry = members.peer(peer).is_some_and(|it| it.seed.kind == InstanceKind::Entry);
+        drop(members);
         if !is_entry {
             return;
         }
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -243,8 +243,15 @@
     }
 
     fn retry_budgets(&self) -> Vec<serde_json::Value> {
-        let told = |(target, budget): &(Target, RetryBudget)| json!({ "target": target, "left": budget.left(), "successes": budget.successes() });
-        self.retries.borrow().iter().map(told).collect()
+        let budgets = self.retries.borrow();
+        let shown = budgets.iter().map(|(target, budget)| {
+            json!({
+                "target": target,
+                "left": budget.left(),
+                "successes": budget.successes(),
+            })
+        });
+        shown.collect()
     }
 
     fn set_gauges(&self) {
--- a/src/coordination/entry/outcomes.rs
+++ b/src/coordination/entry/outcomes.rs
@@ -78,9 +78,7 @@
 fn addresses(entry: &Entry, question: &Question) -> Vec<SocketAddr> {
     let node = &entry.node;
     let Some(configuration) = entry.configuration() else { return Vec::new() };
-    let key = ItemKey::Service(question.service.clone());
-    let is_permitted = |team| configuration.may_go_on(team, &key, &node.region);
-    if !configuration.team(&question.team).is_some_and(is_permitted) {
+    if !question.may_be_asked(&configuration, &node.region) {
         return Vec::new();
     }
     let target = Target::Service(question.service.clone());
--- a/src/coordination/entry/services.rs
+++ b/src/coordination/entry/services.rs
@@ -285,8 +285,7 @@
 async fn finish(entry: &Entry, booking: &Booking, attempt: &mut Handle, served: Served) -> Answer {
     let id = &booking.job.facts().id;
     let Served { recorded, content } = served;
-    let status = StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::OK);
-    let media = header::HeaderValue::from_str(&recorded.content_type).ok();
+    let (status, media) = head_of(&recorded);
     attempt.tell(Event::Answered(recorded));
     attempt.next(FINISH_LIMIT).await;
     entry.end(id, Outcome::Answered, "whole answer");
@@ -303,9 +302,14 @@
     outcomes::ask(entry, address, &booking.key, &booking.job.facts().id).await
 }
 
-fn recorded_answer(id: &RequestId, answer: &Recorded) -> Answer {
+/// Status and media type of a recorded answer.
+fn head_of(answer: &Recorded) -> (StatusCode, Option<header::HeaderValue>) {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
-    let media = header::HeaderValue::from_str(&answer.content_type).ok();
+    (status, header::HeaderValue::from_str(&answer.content_type).ok())
+}
+
+fn recorded_answer(id: &RequestId, answer: &Recorded) -> Answer {
+    let (status, media) = head_of(answer);
     let content = match &answer.body {
         Body::Whole(content) => Bytes::from(content.clone()),
         Body::Omitted { size, print } => {
--- a/src/coordination/entry/silence.rs
+++ b/src/coordination/entry/silence.rs
@@ -25,7 +25,10 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
-use medlarlug_core::{ids::RequestId, membership::Target};
+use medlarlug_core::{
+    ids::{Incarnation, RequestId},
+    membership::Target,
+};
 use tokio::time::{sleep, timeout};
 
 use crate::{
@@ -153,10 +156,7 @@
 /// Whether another incarnation of the engine is known than the one that the request went to.
 fn has_started_anew(entry: &Entry, to: &Destination<'_>) -> bool {
     let sent_to = entry.suspects.borrow().incarnation_of(to.id);
-    let members = entry.node.members.borrow();
-    let mut upstreams = members.upstreams(entry.node.now());
-    let known = upstreams.find(|it| it.announcement.address == to.address);
-    known.map(|it| it.announcement.incarnation) != sent_to
+    announced_incarnation(entry, to.address) != sent_to
 }
 
 /// What an examination of an overdue answer has found.
@@ -173,9 +173,15 @@
 
 /// Whether the engine at an address has renewed its announcement within its lease.
 pub fn is_announced(entry: &Entry, address: SocketAddr) -> bool {
+    announced_incarnation(entry, address).is_some()
+}
+
+/// The incarnation of the engine at an address, if it has renewed its announcement.
+fn announced_incarnation(entry: &Entry, address: SocketAddr) -> Option<Incarnation> {
     let members = entry.node.members.borrow();
     let mut upstreams = members.upstreams(entry.node.now());
-    upstreams.any(|it| it.announcement.address == address)
+    let known = upstreams.find(|it| it.announcement.address == address);
+    known.map(|it| it.announcement.incarnation)
 }
 
 async fn examine(entry: &Entry, to: &Destination<'_>, call: &Call) -> Found {
--- a/src/coordination/keeper/duties/outcomes.rs
+++ b/src/coordination/keeper/duties/outcomes.rs
@@ -6,11 +6,7 @@
 
 use std::rc::Rc;
 
-use medlarlug_core::{
-    home::Question,
-    ids::RegionId,
-    release::{Configuration, ItemKey},
-};
+use medlarlug_core::{home::Question, ids::RegionId};
 use tokio::{sync::watch, time::interval};
 
 use crate::{
@@ -61,7 +57,7 @@
         if entries.is_empty() {
             continue;
         }
-        let is_permitted = |it: &&Question| may_ask(&configuration, it, &zone.region);
+        let is_permitted = |it: &&Question| it.may_be_asked(&configuration, &zone.region);
         let questions: Vec<Question> = questions.iter().filter(is_permitted).cloned().collect();
         if !questions.is_empty() {
             let entry = entries[round % entries.len()];
@@ -70,9 +66,3 @@
         }
     }
 }
-
-fn may_ask(configuration: &Configuration, question: &Question, region: &RegionId) -> bool {
-    let key = ItemKey::Service(question.service.clone());
-    let team = configuration.team(&question.team);
-    team.is_some_and(|it| configuration.may_go_on(it, &key, region))
-}
--- a/src/coordination/keeper/duties/owners.rs
+++ b/src/coordination/keeper/duties/owners.rs
@@ -60,12 +60,11 @@
 
 fn is_gone(keeper: &Keeper, owner: &Owner) -> bool {
     let members = keeper.node.members.borrow();
-    let peers = members.peers();
     let is_lost = |it: &LostPeer| it.id == owner.instance && it.incarnation >= owner.incarnation;
     if members.lost().iter().any(is_lost) {
         return true;
     }
-    peers.iter().find(|it| it.seed.id == owner.instance).is_some_and(|peer| {
+    members.peer(&owner.instance).is_some_and(|peer| {
         let is_late = keeper.node.now() >= Time::ZERO + UNHEARD_LIMIT;
         match peer.state {
             PeerState::Dead { .. } => true,
@@ -88,7 +87,7 @@
 pub fn declare_lost(keeper: &Keeper, instance: &InstanceId) {
     let incarnation = {
         let members = keeper.node.members.borrow();
-        let peer = members.peers().iter().find(|it| it.seed.id == *instance);
+        let peer = members.peer(instance);
         let lost = members.lost().iter().find(|it| it.id == *instance);
         peer.map(|it| it.incarnation).or(lost.map(|it| it.incarnation))
     };
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -54,8 +54,6 @@
     links: RefCell<Links>,
     // Peers that aren't watched by heartbeats and owe an answer.
     awaited: RefCell<Awaited>,
-    // Peers that are watched by heartbeats, sorted.
-    watched: Vec<InstanceId>,
     revision: watch::Sender<Revision>,
     unsaved: watch::Sender<Option<Box<Configuration>>>,
     current: RefCell<Option<Rc<InForce>>>,
@@ -115,7 +113,6 @@
         let settings = membership::Settings { own: seed(&own), incarnation, peers };
         let clock = Clock::start();
         let members = Membership::new(clock.now(), settings);
-        let watched = members.peers().iter().map(|it| it.seed.id.clone()).collect();
         let start = first_number(incarnation);
         let follower = Follower::new(follower::Timing::default(), storage, start);
         let sources = sources_of(&cluster, &own);
@@ -134,7 +131,6 @@
             follower: RefCell::new(follower),
             links: RefCell::new(links),
             awaited: RefCell::default(),
-            watched,
             revision,
             unsaved: watch::Sender::new(None),
             current: RefCell::new(current),
@@ -150,7 +146,7 @@
 
     /// Sends a message; tells whether it was handed to the link.
     pub fn send(&self, to: &InstanceId, message: Message) -> bool {
-        if calls_for_answer(&message) && self.watched.binary_search(to).is_err() {
+        if calls_for_answer(&message) && self.members.borrow().peer(to).is_none() {
             self.awaited.borrow_mut().asked(self.now(), to);
         }
         match self.links.borrow_mut().send(to, message) {
--- a/src/coordination/operators/confirmations.rs
+++ b/src/coordination/operators/confirmations.rs
@@ -87,6 +87,6 @@
     if *id == node.own.id {
         return Some(node.follower.borrow().revision());
     }
-    let peer = members.peers().iter().find(|it| it.seed.id == *id)?;
+    let peer = members.peer(id)?;
     peer.is_live().then_some(peer.status.revision)
 }
