--- /dev/null
+++ b/crates/medlarlug-core/src/gateway/budget.rs
@@ -0,0 +1,71 @@
+//! The share of a service's retries that one entry instance may use.
+//!
+//! A service bears a number of repeated arrivals in each window, a ratio of its calls and a fixed
+//! allowance, summed over all entry instances. An instance earns the ratio from the calls that it
+//! takes in itself, and an equal part of the allowance. It divides by every instance that it has
+//! known for a while, not only by the live ones, so the sum holds while a partition makes others
+//! look dead.
+
+use std::{collections::VecDeque, time::Duration};
+
+use crate::time::Time;
+
+/// Bounds on the repeated arrivals at a service, over all entry instances.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryBounds {
+    /// Repeats for each call.
+    pub ratio: f64,
+    /// Repeats beyond the ratio, in one window.
+    pub allowance: f64,
+    /// Length of a window.
+    pub window: Duration,
+}
+
+impl Default for RetryBounds {
+    fn default() -> RetryBounds {
+        RetryBounds { ratio: 0.1, allowance: 10.0, window: Duration::from_secs(10) }
+    }
+}
+
+/// Part of the bounds that is used; the rest covers arrivals that fall into another window there.
+const SAFE_SHARE: f64 = 0.75;
+
+/// Calls and repeats of one service at this entry instance.
+#[derive(Debug, Clone, Default)]
+pub struct RetryWindow {
+    calls: VecDeque<Time>,
+    repeats: VecDeque<Time>,
+}
+
+impl RetryWindow {
+    /// Counts a call for the service.
+    pub fn count(&mut self, now: Time, bounds: RetryBounds) {
+        self.trim(now, bounds);
+        self.calls.push_back(now);
+    }
+
+    /// Takes one repeat out of the budget; `instances` share it.
+    pub fn take(&mut self, now: Time, bounds: RetryBounds, instances: usize) -> bool {
+        self.trim(now, bounds);
+        if self.left(bounds, instances) < 1.0 {
+            return false;
+        }
+        self.repeats.push_back(now);
+        true
+    }
+
+    /// Repeats that are left in the present window.
+    pub fn left(&self, bounds: RetryBounds, instances: usize) -> f64 {
+        let earned = bounds.ratio * self.calls.len() as f64;
+        let share = bounds.allowance / instances.max(1) as f64;
+        SAFE_SHARE * (earned + share) - self.repeats.len() as f64
+    }
+
+    fn trim(&mut self, now: Time, bounds: RetryBounds) {
+        for times in [&mut self.calls, &mut self.repeats] {
+            while times.front().is_some_and(|time| now - *time > bounds.window) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-core/src/gateway/cold.rs
@@ -0,0 +1,56 @@
+//! Requests to upstreams that have just started and crash when they get many.
+//!
+//! The limit holds for all entry instances together. Instances that see the same peers agree on
+//! one of them that sends to a cold upstream, by the highest rank of the pair of upstream and
+//! instance. While two instances disagree about who is alive, both may send; the rate is low
+//! enough for that.
+
+use std::time::Duration;
+
+use crate::{
+    gateway::placing::rank,
+    ids::{InstanceId, UpstreamId},
+    time::Time,
+};
+
+/// Part of a cold upstream's rate that its sender uses.
+const SAFE_SHARE: f64 = 0.8;
+
+/// The live entry instance that sends to a cold upstream.
+///
+/// ```
+/// use medlarlug_core::gateway::cold::sender;
+///
+/// let instances = ["entry-1".parse().unwrap(), "entry-2".parse().unwrap()];
+/// let first = sender(&"engine-1".parse().unwrap(), &instances).unwrap();
+/// assert!(instances.contains(first));
+/// ```
+pub fn sender<'a>(upstream: &UpstreamId, instances: &'a [InstanceId]) -> Option<&'a InstanceId> {
+    instances.iter().max_by_key(|instance| rank(instance.as_str(), upstream.as_str()))
+}
+
+/// When this instance may send to the cold upstreams that it is the sender for.
+#[derive(Debug, Clone, Default)]
+pub struct ColdSends {
+    /// The next moment at which a request may go out, sorted by upstream.
+    next: Vec<(UpstreamId, Time)>,
+}
+
+impl ColdSends {
+    /// Whether a request may go out now to an upstream that bears `rate` requests a second.
+    pub fn may_send(&self, now: Time, upstream: &UpstreamId, rate: f64) -> bool {
+        let at = self.next.binary_search_by(|it| it.0.cmp(upstream));
+        rate > 0.0 && at.map_or(true, |at| self.next[at].1 <= now)
+    }
+
+    /// Counts a request that goes out now.
+    pub fn sent(&mut self, now: Time, upstream: &UpstreamId, rate: f64) {
+        let pause = Duration::from_secs_f64(1.0 / (rate * SAFE_SHARE).max(0.01));
+        self.next.retain(|it| it.1 > now);
+        let next = now + pause;
+        match self.next.binary_search_by(|it| it.0.cmp(upstream)) {
+            Ok(at) => self.next[at].1 = next,
+            Err(at) => self.next.insert(at, (upstream.clone(), next)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-core/src/gateway/contacts.rs
@@ -0,0 +1,188 @@
+//! The instances of the system, learned from a few contact addresses.
+//!
+//! A process is told the addresses of some keepers. It introduces itself to these, learns of the
+//! other keepers from them, and keeps trying all it has heard of. An instance that was not heard
+//! of for a while is forgotten, unless it is one of the configured contacts.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{InstanceId, RegionId, ZoneId},
+    time::Time,
+};
+
+/// What an instance does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Part {
+    /// Takes calls in.
+    Entry,
+    /// Keeps the replicated state.
+    Keeper,
+}
+
+/// How an instance introduces itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Card {
+    /// Its id.
+    pub id: InstanceId,
+    /// Differs from start to start.
+    pub start: u64,
+    /// What it does.
+    pub part: Part,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Its region.
+    pub region: RegionId,
+    /// Where other instances reach it.
+    pub internal: SocketAddr,
+    /// Where callers reach it; entry instances only.
+    pub front: Option<SocketAddr>,
+}
+
+/// Work that an entry instance could take over from other regions, for one service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Spare {
+    /// The service.
+    pub service: crate::gateway::table::ServiceName,
+    /// Predicted wait of a call of usual size, in milliseconds; `None` if no upstream is usable.
+    pub wait_ms: Option<u32>,
+}
+
+/// What an entry instance tells of its state.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Whether it takes new callers.
+    pub ready: bool,
+    /// What it could take over, sorted by service.
+    pub spare: Vec<Spare>,
+}
+
+impl Status {
+    /// Predicted wait for a service in milliseconds, if it can be served.
+    pub fn wait_ms(&self, service: &crate::gateway::table::ServiceName) -> Option<u32> {
+        let at = self.spare.binary_search_by(|spare| spare.service.cmp(service)).ok()?;
+        self.spare[at].wait_ms
+    }
+}
+
+/// A known instance.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Contact {
+    /// How it introduced itself.
+    pub card: Card,
+    /// Its newest status.
+    pub status: Status,
+    /// When it was last heard, by this process or by the one that told of it.
+    pub heard: Time,
+}
+
+/// Silence after which an instance is no longer taken to be alive.
+pub const ALIVE_FOR: Duration = Duration::from_millis(2_500);
+/// Silence after which an instance is forgotten.
+pub const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+/// The known instances, sorted by id.
+#[derive(Debug, Clone, Default)]
+pub struct Contacts {
+    known: Vec<Contact>,
+}
+
+impl Contacts {
+    /// Takes in that an instance was heard `age` before `now`. Returns whether it is new.
+    pub fn hear(&mut self, now: Time, card: Card, status: Option<Status>, age: Duration) -> bool {
+        let heard = now.saturating_sub(age);
+        match self.place(&card.id) {
+            Ok(at) => {
+                let known = &mut self.known[at];
+                let is_new = known.card != card;
+                if heard >= known.heard {
+                    known.card = card;
+                    known.heard = heard;
+                    if let Some(status) = status {
+                        known.status = status;
+                    }
+                }
+                is_new
+            }
+            Err(at) => {
+                let status = status.unwrap_or_default();
+                self.known.insert(at, Contact { card, status, heard });
+                true
+            }
+        }
+    }
+
+    /// Forgets an instance that has left for good or was found dead.
+    pub fn remove(&mut self, id: &InstanceId) {
+        if let Ok(at) = self.place(id) {
+            self.known.remove(at);
+        }
+    }
+
+    /// Forgets instances that were silent for [`FORGET_AFTER`].
+    pub fn forget(&mut self, now: Time) {
+        self.known.retain(|contact| now - contact.heard <= FORGET_AFTER);
+    }
+
+    /// All known instances, sorted by id.
+    pub fn all(&self) -> &[Contact] {
+        &self.known
+    }
+
+    /// The instance with `id`.
+    pub fn get(&self, id: &InstanceId) -> Option<&Contact> {
+        self.place(id).ok().map(|at| &self.known[at])
+    }
+
+    /// Entry instances that were heard within [`ALIVE_FOR`].
+    pub fn live_entries(&self, now: Time) -> impl Iterator<Item = &Contact> {
+        let is_live = move |contact: &&Contact| {
+            contact.card.part == Part::Entry && now - contact.heard <= ALIVE_FOR
+        };
+        self.known.iter().filter(is_live)
+    }
+
+    /// Number of entry instances that are not forgotten yet.
+    pub fn entry_count(&self) -> usize {
+        self.known.iter().filter(|contact| contact.card.part == Part::Entry).count()
+    }
+
+    fn place(&self, id: &InstanceId) -> Result<usize, usize> {
+        self.known.binary_search_by(|contact| contact.card.id.cmp(id))
+    }
+}
+
+/// The addresses of entry instances to name to a caller in `zone` of `region`, near ones first:
+/// those of its zone, else of its region, else of a region in `homes`, else any.
+pub fn directory(
+    contacts: &Contacts,
+    now: Time,
+    zone: Option<&ZoneId>,
+    region: Option<&RegionId>,
+    homes: &[RegionId],
+) -> Vec<SocketAddr> {
+    let ready: Vec<&Card> = contacts
+        .live_entries(now)
+        .filter(|contact| contact.status.ready)
+        .map(|contact| &contact.card)
+        .collect();
+    let in_zone = |card: &Card| Some(&card.zone) == zone;
+    let in_region = |card: &Card| Some(&card.region) == region;
+    let at_home = |card: &Card| homes.contains(&card.region);
+    let anywhere = |_: &Card| true;
+    let filters: [(&dyn Fn(&Card) -> bool, usize); 4] =
+        [(&in_zone, MIN_ZONE_ENTRIES), (&in_region, 1), (&at_home, 1), (&anywhere, 1)];
+    for (filter, least) in filters {
+        let found: Vec<SocketAddr> =
+            ready.iter().filter(|card| filter(card)).filter_map(|card| card.front).collect();
+        if found.len() >= least {
+            return found;
+        }
+    }
+    Vec::new()
+}
+
+/// Entry instances that a zone has at least if its callers are kept within it.
+const MIN_ZONE_ENTRIES: usize = 2;
--- /dev/null
+++ b/crates/medlarlug-core/src/gateway/health.rs
@@ -0,0 +1,105 @@
+//! What an entry instance learns about upstreams from its own calls.
+//!
+//! An upstream that refuses connections or goes silent is avoided for a while that doubles with
+//! each further failure. One that answers but fails a part of its calls is not avoided: its share
+//! of failures makes it look slower to [`placing`](super::placing), so that it is used last.
+
+use std::time::Duration;
+
+use crate::{ids::UpstreamId, time::Time};
+
+/// First time for which a broken upstream is avoided; a restart takes seconds.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+/// Longest time for which a broken upstream is avoided.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// Weight of the newest call in the share of failed calls.
+const SMOOTHING: f64 = 0.15;
+
+/// How a call ended, as far as the health of its upstream is concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallEnd {
+    /// A whole answer.
+    Answered,
+    /// The upstream answered with a failure of its own, or broke its answer off.
+    Failed,
+    /// No connection, or silence.
+    Unreachable,
+}
+
+#[derive(Debug, Clone)]
+struct Health {
+    id: UpstreamId,
+    strikes: u32,
+    avoid: Option<Time>,
+    failures: f64,
+}
+
+/// The health of upstreams, sorted by id.
+#[derive(Debug, Clone, Default)]
+pub struct Healths {
+    known: Vec<Health>,
+}
+
+impl Healths {
+    /// Takes in how a call ended. Returns how long the upstream is avoided from now on, if that
+    /// is news.
+    pub fn ended(&mut self, now: Time, id: &UpstreamId, end: CallEnd) -> Option<Duration> {
+        let health = self.entry(id);
+        match end {
+            CallEnd::Answered => {
+                health.failures *= 1.0 - SMOOTHING;
+                health.strikes = 0;
+                health.avoid = None;
+                None
+            }
+            CallEnd::Failed => {
+                health.failures += SMOOTHING * (1.0 - health.failures);
+                None
+            }
+            CallEnd::Unreachable => {
+                if health.avoid.is_some_and(|until| now < until) {
+                    return None;
+                }
+                let pause = FIRST_PAUSE * 2u32.pow(health.strikes.min(3));
+                let pause = pause.min(LONGEST_PAUSE);
+                health.strikes += 1;
+                health.avoid = Some(now + pause);
+                Some(pause)
+            }
+        }
+    }
+
+    /// Forgets what was learned about an upstream, which has a new incarnation.
+    pub fn forget(&mut self, id: &UpstreamId) {
+        if let Ok(at) = self.place(id) {
+            self.known.remove(at);
+        }
+    }
+
+    /// Whether the upstream is to be avoided.
+    pub fn is_avoided(&self, now: Time, id: &UpstreamId) -> bool {
+        let at = self.place(id);
+        at.is_ok_and(|at| self.known[at].avoid.is_some_and(|until| now < until))
+    }
+
+    /// Share of the upstream's recent calls that failed, 0 to 1.
+    pub fn failures(&self, id: &UpstreamId) -> f64 {
+        self.place(id).map_or(0.0, |at| self.known[at].failures)
+    }
+
+    fn place(&self, id: &UpstreamId) -> Result<usize, usize> {
+        self.known.binary_search_by(|it| it.id.cmp(id))
+    }
+
+    fn entry(&mut self, id: &UpstreamId) -> &mut Health {
+        let at = match self.place(id) {
+            Ok(at) => at,
+            Err(at) => {
+                let health = Health { id: id.clone(), strikes: 0, avoid: None, failures: 0.0 };
+                self.known.insert(at, health);
+                at
+            }
+        };
+        &mut self.known[at]
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -0,0 +1,21 @@
+//! Decisions of a gateway in front of upstreams that announce themselves.
+//!
+//! Callers are anonymous here: a [`table::RouteTable`] says by host and path which service serves a
+//! call and how often it may be tried. Operators replace the whole table under a version; keepers
+//! agree on it and on evacuated availability zones through the [`publication`] state machine.
+//!
+//! Upstreams announce themselves to the keepers, which pass the news on to every entry instance.
+//! [`upstreams`] orders that news by incarnation and sequence. An entry instance picks an upstream
+//! by [`placing`], sends no more than [`cold`] allows to one that has just started, repeats calls
+//! within the [`budget`] of their service, and avoids upstreams that [`health`] found broken.
+//! [`contacts`] keeps track of the instances of the system itself.
+
+pub mod budget;
+pub mod cold;
+pub mod contacts;
+pub mod health;
+pub mod placing;
+pub mod publication;
+pub mod refusing;
+pub mod table;
+pub mod upstreams;
--- /dev/null
+++ b/crates/medlarlug-core/src/gateway/placing.rs
@@ -0,0 +1,300 @@
+//! Which upstream a call goes to.
+//!
+//! For model engines the time to the first token is mostly the time in which prompts are read:
+//! those that wait already, and the parts of this prompt that the engine does not hold in its
+//! cache. [`Loads`] estimates both from what this instance has sent itself, taking its peers to
+//! send as much. Calls that share a prompt part prefer the same engine, which every instance finds
+//! by the same rank without asking; as soon as waiting there costs more than reading the part
+//! again elsewhere, the call goes elsewhere. For plain services it is the time until a slot is
+//! free.
+//!
+//! This answers load that is high but bearable. What to do when no upstream can serve in time is
+//! decided by [`refusing`](super::refusing).
+
+use std::time::Duration;
+
+use crate::{ids::UpstreamId, time::Time};
+
+/// A part of a prompt that other prompts may share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Names the part.
+    pub id: u64,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// What a call asks of its upstream.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// Parts of the prompt in order; the last one is the call's own.
+    pub parts: Vec<PromptPart>,
+    /// Tokens of the prompt; zero for plain services.
+    pub prompt: u32,
+    /// Tokens of the answer, at most.
+    pub output: u32,
+}
+
+impl Demand {
+    /// The part by which calls are kept together: the last one that others share.
+    fn affinity(&self) -> Option<u64> {
+        let shared = self.parts.len().checked_sub(2)?;
+        Some(self.parts[shared].id)
+    }
+}
+
+/// An upstream that may be chosen.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate<'a> {
+    /// Its id.
+    pub id: &'a UpstreamId,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Tokens that fit into its memory; zero for a plain service.
+    pub memory: u64,
+    /// Share of its recent calls that failed, 0 to 1.
+    pub failures: f64,
+}
+
+/// The upstream that was chosen.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    /// Its id.
+    pub id: UpstreamId,
+    /// Predicted time until the first token or the answer.
+    pub wait: Duration,
+    /// Tokens of the prompt that it is expected to read.
+    pub unread: u32,
+}
+
+/// Prompt tokens that an engine reads in a millisecond, until it is known better; the engines of
+/// the first deployments read 38 to 52.
+const READ_RATE: f64 = 40.0;
+/// Time to the first token beside reading, in milliseconds: a step and the way there and back.
+const FIRST_TOKEN_MS: f64 = 30.0;
+/// Delay by each request that runs beside, in milliseconds.
+const BESIDE_MS: f64 = 0.4;
+/// Time of one call to a plain service, in milliseconds, until it is known better.
+const PLAIN_CALL_MS: f64 = 30.0;
+/// Time for which a part is taken to be held after its last use.
+const WARM_FOR: Duration = Duration::from_secs(30);
+/// Part of an engine's memory that shared parts are taken to fill at most.
+const WARM_SHARE: f64 = 0.5;
+/// Extra wait of an upstream that fails all its calls, in milliseconds.
+const FAILURE_MS: f64 = 2_000.0;
+/// Part of the reading of a shared part that is taken to be saved on its preferred engine, where
+/// peers have probably sent it.
+const PREFERRED_GAIN: f64 = 0.8;
+/// Weight of the newest call in the smoothed slowness.
+const SMOOTHING: f64 = 0.1;
+/// Bounds of the smoothed slowness.
+const SLOWNESS: std::ops::RangeInclusive<f64> = 0.5..=12.0;
+
+#[derive(Debug, Clone)]
+struct Warm {
+    part: u64,
+    tokens: u32,
+    used: Time,
+}
+
+#[derive(Debug, Clone)]
+struct Load {
+    id: UpstreamId,
+    running: u32,
+    /// Prompt tokens sent and not yet read.
+    unread: u64,
+    /// Held parts, sorted by part.
+    warm: Vec<Warm>,
+    /// Measured time to the first token, or of a plain call, against the prediction.
+    slowness: f64,
+}
+
+/// What this instance has under way at each upstream, sorted by id.
+#[derive(Debug, Clone, Default)]
+pub struct Loads {
+    known: Vec<Load>,
+}
+
+/// Orders upstreams for a key, alike at every instance: the highest rank is preferred.
+pub fn rank(key: &str, upstream: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(key.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(upstream.as_bytes());
+    let hash = hasher.finalize();
+    u64::from_le_bytes(hash.as_bytes()[..8].try_into().expect("a hash has 32 bytes"))
+}
+
+/// Rank of an upstream for a prompt part, cheaper than [`rank`].
+fn part_rank(part: u64, upstream: &UpstreamId) -> u64 {
+    // FNV-1a, then the finalizer of SplitMix64.
+    let mut hash = 0xcbf2_9ce4_8422_2325 ^ part;
+    for byte in upstream.as_str().bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
+
+impl Loads {
+    /// The candidate with the shortest predicted wait. `peers` entry instances, this one included,
+    /// send to the same upstreams.
+    ///
+    /// ```
+    /// use medlarlug_core::{gateway::placing::*, time::Time};
+    ///
+    /// let id = "engine-1".parse().unwrap();
+    /// let only = Candidate { id: &id, slots: 8, memory: 0, failures: 0.0 };
+    /// let choice = Loads::default().choose(Time::ZERO, &Demand::default(), &[only], 1).unwrap();
+    /// assert_eq!(choice.id, id);
+    /// ```
+    pub fn choose(
+        &self,
+        now: Time,
+        demand: &Demand,
+        candidates: &[Candidate],
+        peers: usize,
+    ) -> Option<Choice> {
+        let preferred = demand.affinity().and_then(|part| {
+            let ranked = candidates.iter().max_by_key(|it| part_rank(part, it.id));
+            ranked.map(|candidate| candidate.id)
+        });
+        let predicted = candidates.iter().map(|candidate| {
+            let is_preferred = preferred == Some(candidate.id);
+            let (unread, wait) = self.predict(now, demand, candidate, peers, is_preferred);
+            (wait + candidate.failures * FAILURE_MS, unread, wait, candidate)
+        });
+        let best = predicted.min_by(|a, b| {
+            // Equal waits are spread by the instance's own order of upstreams.
+            a.0.total_cmp(&b.0).then_with(|| self.running(a.3.id).cmp(&self.running(b.3.id)))
+        })?;
+        let (_, unread, wait, candidate) = best;
+        let wait = Duration::from_secs_f64(wait / 1_000.0);
+        Some(Choice { id: candidate.id.clone(), wait, unread })
+    }
+
+    /// Tokens to read and the predicted wait in milliseconds.
+    fn predict(
+        &self,
+        now: Time,
+        demand: &Demand,
+        candidate: &Candidate,
+        peers: usize,
+        is_preferred: bool,
+    ) -> (u32, f64) {
+        let load = self.place(candidate.id).ok().map(|at| &self.known[at]);
+        let slowness = load.map_or(1.0, |load| load.slowness);
+        let running = f64::from(load.map_or(0, |load| load.running)) * peers as f64;
+        if candidate.memory == 0 {
+            let queue = (running + 1.0 - f64::from(candidate.slots)).max(0.0);
+            let busy = 0.1 * running / f64::from(candidate.slots.max(1));
+            let calls = 1.0 + busy + queue / f64::from(candidate.slots.max(1));
+            return (0, calls * PLAIN_CALL_MS * slowness);
+        }
+        let held = load.map_or(0, |load| load.held(now, &demand.parts));
+        let mut unread = f64::from(demand.prompt.saturating_sub(held));
+        let own = demand.parts.last().map_or(demand.prompt, |part| part.tokens);
+        if is_preferred {
+            let shared = (unread - f64::from(own)).max(0.0);
+            unread -= shared * PREFERRED_GAIN;
+        }
+        let waiting = load.map_or(0.0, |load| load.unread as f64) * peers as f64;
+        let excess = (running + 1.0 - f64::from(candidate.slots)).max(0.0);
+        let read = (waiting + unread) / READ_RATE;
+        let wait = FIRST_TOKEN_MS + read + running * BESIDE_MS + excess * FIRST_TOKEN_MS;
+        (unread as u32, wait * slowness)
+    }
+
+    /// Counts a call that goes out to `choice`; `memory` is that of the upstream in tokens.
+    pub fn sent(&mut self, now: Time, choice: &Choice, demand: &Demand, memory: u64) {
+        let load = self.entry(&choice.id);
+        load.running += 1;
+        load.unread += u64::from(choice.unread);
+        for part in demand.parts.iter().rev().skip(1) {
+            load.use_part(now, *part);
+        }
+        load.trim(now, memory);
+    }
+
+    /// The first token or the answer of a call came after `took`.
+    pub fn answered(&mut self, choice: &Choice, took: Duration) {
+        let load = self.entry(&choice.id);
+        load.unread = load.unread.saturating_sub(u64::from(choice.unread));
+        let predicted = choice.wait.as_secs_f64().max(0.001) / load.slowness;
+        let ratio = (took.as_secs_f64() / predicted).clamp(*SLOWNESS.start(), *SLOWNESS.end());
+        load.slowness += SMOOTHING * (ratio - load.slowness);
+    }
+
+    /// A call ended; `was_read` tells whether [`Loads::answered`] was called for it.
+    pub fn ended(&mut self, choice: &Choice, was_read: bool) {
+        let load = self.entry(&choice.id);
+        load.running = load.running.saturating_sub(1);
+        if !was_read {
+            load.unread = load.unread.saturating_sub(u64::from(choice.unread));
+        }
+    }
+
+    /// Forgets what an upstream holds, which has a new incarnation.
+    pub fn forget(&mut self, id: &UpstreamId) {
+        if let Ok(at) = self.place(id) {
+            self.known[at].warm.clear();
+            self.known[at].slowness = 1.0;
+        }
+    }
+
+    /// Calls of this instance that run at the upstream.
+    pub fn running(&self, id: &UpstreamId) -> u32 {
+        self.place(id).map_or(0, |at| self.known[at].running)
+    }
+
+    fn place(&self, id: &UpstreamId) -> Result<usize, usize> {
+        self.known.binary_search_by(|load| load.id.cmp(id))
+    }
+
+    fn entry(&mut self, id: &UpstreamId) -> &mut Load {
+        let at = match self.place(id) {
+            Ok(at) => at,
+            Err(at) => {
+                let load =
+                    Load { id: id.clone(), running: 0, unread: 0, warm: Vec::new(), slowness: 1.0 };
+                self.known.insert(at, load);
+                at
+            }
+        };
+        &mut self.known[at]
+    }
+}
+
+impl Load {
+    /// Tokens at the beginning of the prompt that are held.
+    fn held(&self, now: Time, parts: &[PromptPart]) -> u32 {
+        let is_held = |part: &&PromptPart| {
+            let at = self.warm.binary_search_by(|warm| warm.part.cmp(&part.id));
+            at.is_ok_and(|at| now - self.warm[at].used < WARM_FOR)
+        };
+        parts.iter().take_while(is_held).map(|part| part.tokens).sum()
+    }
+
+    fn use_part(&mut self, now: Time, part: PromptPart) {
+        match self.warm.binary_search_by(|warm| warm.part.cmp(&part.id)) {
+            Ok(at) => self.warm[at].used = now,
+            Err(at) => {
+                let warm = Warm { part: part.id, tokens: part.tokens, used: now };
+                self.warm.insert(at, warm);
+            }
+        }
+    }
+
+    /// Drops the parts that the engine no longer holds: the least recently used ones.
+    fn trim(&mut self, now: Time, memory: u64) {
+        let limit = (memory as f64 * WARM_SHARE) as u64;
+        let mut total: u64 = self.warm.iter().map(|warm| u64::from(warm.tokens)).sum();
+        while total > limit {
+            let oldest = self.warm.iter().enumerate().min_by_key(|(_, warm)| warm.used);
+            let Some((at, _)) = oldest else { return };
+            total -= u64::from(self.warm.remove(at).tokens);
+        }
+        self.warm.retain(|warm| now - warm.used < WARM_FOR);
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-core/src/gateway/table.rs
@@ -0,0 +1,355 @@
+//! Routes by host and path prefix, and the services that they lead to.
+//!
+//! A table is checked once, when it is built, so whoever holds one can rely on it: every route
+//! leads to a service of the table, no two routes share a place, and no route times out at once.
+
+use std::{fmt, str::FromStr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use thiserror::Error;
+
+use crate::ids::RegionId;
+
+/// Number that operators give to a whole table; the highest is in force.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct TableVersion(pub u64);
+
+impl fmt::Display for TableVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for TableVersion {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(TableVersion)
+    }
+}
+
+/// Name of a service in a table; any text.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ServiceName(pub SmolStr);
+
+impl fmt::Display for ServiceName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for ServiceName {
+    type Err = std::convert::Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Ok(ServiceName(text.into()))
+    }
+}
+
+/// What may be done with the calls of a route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RouteKind {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once.
+    AtMostOnce,
+    /// Answered by a stream of events.
+    Stream {
+        /// Whether another upstream may go on after the last event delivered. A stream that may
+        /// not be resumed runs at most once.
+        resumable: bool,
+    },
+}
+
+impl RouteKind {
+    /// Whether a call may run more than once.
+    pub fn is_repeatable(self) -> bool {
+        match self {
+            RouteKind::Idempotent => true,
+            RouteKind::AtMostOnce => false,
+            RouteKind::Stream { resumable } => resumable,
+        }
+    }
+
+    /// Whether the answer is a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, RouteKind::Stream { .. })
+    }
+}
+
+/// A service that a route leads to, and its share of the route's calls.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// The service.
+    pub service: ServiceName,
+    /// Share of the calls, relative to the other targets.
+    pub weight: u32,
+}
+
+/// One route.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// Its name.
+    pub name: SmolStr,
+    /// Host that it serves, in lower case.
+    pub host: SmolStr,
+    /// Beginning of the paths that it serves; begins and ends with a slash.
+    pub prefix: SmolStr,
+    /// What may be done with its calls.
+    pub kind: RouteKind,
+    /// Longest time that a caller is kept waiting.
+    pub timeout: Duration,
+    /// Latency objective: to the whole answer, or to the first event of a stream.
+    pub objective: Duration,
+    /// Longest pause between two events of a stream that is on time.
+    pub pause: Duration,
+    /// Rank; 0 is served first.
+    pub priority: u8,
+    /// Services, at least one of them with a weight above zero.
+    pub targets: Vec<Target>,
+    /// Upstreams that one call may be sent to.
+    pub attempts: u32,
+    /// Regions that may serve the route, sorted; all when empty.
+    pub homes: Vec<RegionId>,
+}
+
+impl Route {
+    /// Whether upstreams of `region` may serve the route.
+    pub fn may_be_served_in(&self, region: &RegionId) -> bool {
+        self.homes.is_empty() || self.homes.binary_search(region).is_ok()
+    }
+
+    /// The target at `point`, which lies between 0 and 1, of the route's weights.
+    pub fn target_at(&self, point: f64) -> &Target {
+        let total: u32 = self.targets.iter().map(|target| target.weight).sum();
+        let mut left = point * f64::from(total);
+        for target in &self.targets {
+            left -= f64::from(target.weight);
+            if left < 0.0 && target.weight > 0 {
+                return target;
+            }
+        }
+        let last = self.targets.iter().rfind(|target| target.weight > 0);
+        last.unwrap_or(&self.targets[0])
+    }
+}
+
+/// What the table tells of the model engines of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineSpec {
+    /// Requests that an engine works on at once.
+    pub slots: u32,
+    /// Tokens that fit into an engine's memory.
+    pub memory: u64,
+}
+
+/// One service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    /// Its name.
+    pub name: ServiceName,
+    /// Path of the health check of its upstreams.
+    pub health: SmolStr,
+    /// Connections that one upstream accepts from all callers together.
+    pub connections: u32,
+    /// Requests a second that a cold upstream bears; zero if its upstreams are never cold.
+    pub cold_rate: f64,
+    /// Model engines; `None` for a plain service.
+    pub engine: Option<EngineSpec>,
+}
+
+/// Bounds on what a caller may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerLimits {
+    /// Longest head of a request, in bytes.
+    pub header_bytes: usize,
+    /// Longest body, in bytes.
+    pub body_bytes: usize,
+    /// Time in which the head has to arrive.
+    pub header_time: Duration,
+    /// Time for which an idle connection stays open.
+    pub idle_time: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> CallerLimits {
+        CallerLimits {
+            header_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            header_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
+
+/// Why a table is refused.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum TableError {
+    /// A route leads to a service that the table does not have.
+    #[error("route `{route}` leads to the unknown service `{service}`")]
+    UnknownService {
+        /// The route.
+        route: SmolStr,
+        /// The service.
+        service: ServiceName,
+    },
+    /// Two routes have the same host and prefix.
+    #[error("routes `{first}` and `{second}` share `{host}{prefix}`")]
+    SamePlace {
+        /// A route.
+        first: SmolStr,
+        /// Another one.
+        second: SmolStr,
+        /// Their host.
+        host: SmolStr,
+        /// Their prefix.
+        prefix: SmolStr,
+    },
+    /// The weights of a route add up to zero.
+    #[error("the weights of route `{route}` add up to zero")]
+    NoWeight {
+        /// The route.
+        route: SmolStr,
+    },
+    /// A route has a timeout of zero.
+    #[error("the timeout of route `{route}` is zero")]
+    NoTimeout {
+        /// The route.
+        route: SmolStr,
+    },
+    /// A prefix does not begin and end with a slash.
+    #[error("prefix `{prefix}` of route `{route}` has to begin and end with a slash")]
+    Prefix {
+        /// The route.
+        route: SmolStr,
+        /// The prefix.
+        prefix: SmolStr,
+    },
+}
+
+/// All routes and services under one version.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct RouteTable {
+    version: TableVersion,
+    /// Sorted by host and prefix.
+    routes: Vec<Route>,
+    /// Sorted by name.
+    services: Vec<Service>,
+    limits: CallerLimits,
+}
+
+impl RouteTable {
+    /// A table out of its parts, in any order.
+    ///
+    /// # Errors
+    ///
+    /// The parts don't fit together; see [`TableError`].
+    ///
+    /// ```
+    /// use medlarlug_core::gateway::table::{CallerLimits, RouteTable, TableVersion};
+    ///
+    /// let table = RouteTable::new(TableVersion(7), vec![], vec![], CallerLimits::default())?;
+    /// assert!(table.route("kochi.example", "/mend/1").is_none());
+    /// # Ok::<(), medlarlug_core::gateway::table::TableError>(())
+    /// ```
+    pub fn new(
+        version: TableVersion,
+        mut routes: Vec<Route>,
+        mut services: Vec<Service>,
+        limits: CallerLimits,
+    ) -> Result<RouteTable, TableError> {
+        services.sort_by(|a, b| a.name.cmp(&b.name));
+        routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+        for route in &mut routes {
+            route.homes.sort();
+            check_route(route, &services)?;
+        }
+        for pair in routes.windows(2) {
+            if pair[0].host == pair[1].host && pair[0].prefix == pair[1].prefix {
+                return Err(TableError::SamePlace {
+                    first: pair[0].name.clone(),
+                    second: pair[1].name.clone(),
+                    host: pair[0].host.clone(),
+                    prefix: pair[0].prefix.clone(),
+                });
+            }
+        }
+        Ok(RouteTable { version, routes, services, limits })
+    }
+
+    /// The operators' number of the table.
+    pub fn version(&self) -> TableVersion {
+        self.version
+    }
+
+    /// All routes, sorted by host and prefix.
+    pub fn routes(&self) -> &[Route] {
+        &self.routes
+    }
+
+    /// All services, sorted by name.
+    pub fn services(&self) -> &[Service] {
+        &self.services
+    }
+
+    /// Bounds on what callers may send.
+    pub fn limits(&self) -> CallerLimits {
+        self.limits
+    }
+
+    /// The service with `name`.
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        let at = self.services.binary_search_by(|service| service.name.cmp(name)).ok()?;
+        Some(&self.services[at])
+    }
+
+    /// The route with the longest prefix that begins `path`.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.to_ascii_lowercase();
+        let slashes = path.char_indices().rev().filter(|(_, c)| *c == '/');
+        for (end, _) in slashes {
+            let prefix = &path[..=end];
+            let found = self
+                .routes
+                .binary_search_by(|it| (it.host.as_str(), it.prefix.as_str()).cmp(&(&host, prefix)));
+            if let Ok(at) = found {
+                return Some(&self.routes[at]);
+            }
+        }
+        None
+    }
+
+    /// Regions that may serve any route of `host`, sorted; all when empty.
+    pub fn homes_of(&self, host: &str) -> Vec<RegionId> {
+        let homes = self.routes.iter().filter(|route| route.host == host).flat_map(|it| &it.homes);
+        let mut homes: Vec<RegionId> = homes.cloned().collect();
+        homes.sort();
+        homes.dedup();
+        homes
+    }
+}
+
+fn check_route(route: &Route, services: &[Service]) -> Result<(), TableError> {
+    let name = || route.name.clone();
+    if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+        return Err(TableError::Prefix { route: name(), prefix: route.prefix.clone() });
+    }
+    if route.timeout.is_zero() {
+        return Err(TableError::NoTimeout { route: name() });
+    }
+    for target in &route.targets {
+        if services.binary_search_by(|it| it.name.cmp(&target.service)).is_err() {
+            let service = target.service.clone();
+            return Err(TableError::UnknownService { route: name(), service });
+        }
+    }
+    if route.targets.iter().all(|target| target.weight == 0) {
+        return Err(TableError::NoWeight { route: name() });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/medlarlug-core/src/gateway/upstreams.rs
@@ -0,0 +1,220 @@
+//! Upstreams as they announce themselves, ordered by incarnation and sequence.
+//!
+//! An announcement may arrive late, twice, or through several keepers. What counts is the pair of
+//! birth and sequence: a younger incarnation replaces an older one, and within an incarnation a
+//! higher sequence number wins. Leaving is final for an incarnation: an announcement that arrives
+//! after it, and was sent before, does not bring the upstream back.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    gateway::table::ServiceName,
+    ids::{UpstreamId, ZoneId},
+    time::Time,
+};
+
+/// Start of an upstream's incarnation, in Unix milliseconds of its own clock. Only compared with
+/// other births of the same upstream or address.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Birth(pub u64);
+
+/// Whether an upstream takes new requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum UpstreamState {
+    /// Takes requests.
+    Ready,
+    /// Finishes what it has and leaves.
+    Draining,
+    /// Has left.
+    Gone,
+}
+
+/// What an upstream tells of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Upstream {
+    /// Its id.
+    pub id: UpstreamId,
+    /// The service that it serves.
+    pub service: ServiceName,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Its incarnation.
+    pub birth: Birth,
+    /// Counts its announcements.
+    pub sequence: u64,
+    /// Whether it takes new requests.
+    pub state: UpstreamState,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// For how long it stays cold from the announcement on.
+    pub cold: Duration,
+}
+
+/// A known upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Known {
+    /// Its newest announcement.
+    pub upstream: Upstream,
+    /// When that was made, as far as known.
+    pub heard: Time,
+    /// Number of the last change of this entry, see [`Upstreams::since`].
+    change: u64,
+}
+
+impl Known {
+    /// How long the upstream still is cold.
+    pub fn cold_left(&self, now: Time) -> Duration {
+        self.upstream.cold.saturating_sub(now - self.heard)
+    }
+}
+
+/// What an announcement changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Effect {
+    /// It was old news.
+    Ignored,
+    /// The upstream lives on as it was.
+    Renewed,
+    /// The upstream is new or has changed.
+    Changed,
+}
+
+/// Time after which an upstream is forgotten that announces nothing: long enough to bridge a
+/// partition between upstreams and keepers.
+pub const FORGET_AFTER: Duration = Duration::from_secs(40);
+
+/// Sequence numbers with which an incarnation whose predecessor left without a known birth may
+/// begin.
+const FIRST_SEQUENCES: u64 = 3;
+
+/// The upstreams that a process knows, sorted by id.
+#[derive(Debug, Clone, Default)]
+pub struct Upstreams {
+    known: Vec<Known>,
+    change: u64,
+}
+
+impl Upstreams {
+    /// Takes in what an upstream announced `age` before `now`.
+    pub fn announce(&mut self, now: Time, upstream: Upstream, age: Duration) -> Effect {
+        let heard = now.saturating_sub(age);
+        if self.is_superseded(&upstream) {
+            return Effect::Ignored;
+        }
+        let at = match self.place(&upstream.id) {
+            Ok(at) => at,
+            Err(at) => {
+                self.change += 1;
+                self.known.insert(at, Known { upstream, heard, change: self.change });
+                return Effect::Changed;
+            }
+        };
+        let known = &mut self.known[at];
+        let old = &known.upstream;
+        if !is_newer(&upstream, old) {
+            return Effect::Ignored;
+        }
+        let is_same = old.birth == upstream.birth
+            && old.state == upstream.state
+            && old.address == upstream.address
+            && old.service == upstream.service;
+        self.change += 1;
+        *known = Known { upstream, heard: heard.max(known.heard), change: self.change };
+        if is_same { Effect::Renewed } else { Effect::Changed }
+    }
+
+    /// Takes in that the present incarnation of `id` has left.
+    pub fn leave(&mut self, id: &UpstreamId) -> Effect {
+        let Ok(at) = self.place(id) else { return Effect::Ignored };
+        let known = &mut self.known[at];
+        if known.upstream.state == UpstreamState::Gone {
+            return Effect::Ignored;
+        }
+        known.upstream.state = UpstreamState::Gone;
+        self.change += 1;
+        known.change = self.change;
+        Effect::Changed
+    }
+
+    /// Takes in that an upstream has left of which nothing else is known.
+    pub fn leave_unknown(&mut self, now: Time, upstream: Upstream) -> Effect {
+        if self.place(&upstream.id).is_ok() {
+            return self.leave(&upstream.id);
+        }
+        let gone = Upstream { state: UpstreamState::Gone, birth: Birth(0), ..upstream };
+        self.announce(now, gone, Duration::ZERO)
+    }
+
+    /// Forgets upstreams that have announced nothing for [`FORGET_AFTER`], and returns their ids.
+    pub fn forget(&mut self, now: Time) -> Vec<UpstreamId> {
+        let is_old = |known: &Known| now - known.heard > FORGET_AFTER;
+        let ids = self.known.iter().filter(|it| is_old(it)).map(|it| it.upstream.id.clone());
+        let ids = ids.collect();
+        self.known.retain(|known| !is_old(known));
+        ids
+    }
+
+    /// The upstream with `id`.
+    pub fn get(&self, id: &UpstreamId) -> Option<&Known> {
+        self.place(id).ok().map(|at| &self.known[at])
+    }
+
+    /// All known upstreams, sorted by id.
+    pub fn all(&self) -> &[Known] {
+        &self.known
+    }
+
+    /// The upstreams of `service`.
+    pub fn of<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Known> {
+        self.known.iter().filter(move |known| known.upstream.service == *service)
+    }
+
+    /// Number of the last change.
+    pub fn change(&self) -> u64 {
+        self.change
+    }
+
+    /// The upstreams that changed after the change with number `change`.
+    pub fn since(&self, change: u64) -> impl Iterator<Item = &Known> {
+        self.known.iter().filter(move |known| known.change > change)
+    }
+
+    fn place(&self, id: &UpstreamId) -> Result<usize, usize> {
+        self.known.binary_search_by(|known| known.upstream.id.cmp(id))
+    }
+
+    /// Whether a younger upstream has the address of this one.
+    fn is_superseded(&self, upstream: &Upstream) -> bool {
+        let has_address = |known: &&Known| {
+            known.upstream.address == upstream.address
+                && known.upstream.id != upstream.id
+                && known.upstream.state != UpstreamState::Gone
+        };
+        let is_younger = |known: &Known| known.upstream.birth > upstream.birth;
+        self.known.iter().filter(has_address).any(is_younger)
+    }
+}
+
+/// Whether `new` replaces `old`, an announcement of the same upstream.
+fn is_newer(new: &Upstream, old: &Upstream) -> bool {
+    if new.birth != old.birth {
+        let is_unknown = old.birth == Birth(0) && old.state == UpstreamState::Gone;
+        return match is_unknown {
+            true => new.sequence <= FIRST_SEQUENCES,
+            false => new.birth > old.birth,
+        };
+    }
+    match (old.state, new.state) {
+        (UpstreamState::Gone, _) => false,
+        (_, UpstreamState::Gone) => true,
+        (UpstreamState::Draining, UpstreamState::Ready) => false,
+        _ => new.sequence > old.sequence,
+    }
+}
--- a/crates/medlarlug-core/src/lib.rs
+++ b/crates/medlarlug-core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod drain;
 pub mod fingerprint;
 pub mod follower;
+pub mod gateway;
 pub mod home;
 pub mod ids;
 pub mod limits;
--- /dev/null
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -0,0 +1,360 @@
+//! One attempt: a call sent to one hop, and what came of it.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri, body::Incoming, header};
+use medlarlug::{
+    protocol::events::EventSplitter,
+    transport::http_client::{CallError, CallLimits, Connection, Reuse},
+};
+use medlarlug_core::{
+    gateway::{health::CallEnd, placing::Choice, table::RouteKind},
+    time::Time,
+};
+use tokio::time::timeout;
+
+use super::{Entry, call::Call, choice::Hop, forwarded};
+
+/// Time for a connection to an upstream to open: a lost packet is repeated on a new one sooner
+/// than by the system.
+const UPSTREAM_CONNECT: Duration = Duration::from_millis(300);
+/// Time for a connection to another region to open.
+const PEER_CONNECT: Duration = Duration::from_millis(700);
+/// Longest answer that is not a stream, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Rank of calls at engines when the table's ranks are exhausted; engines know 0 to 9.
+const LOWEST_RANK: u8 = 9;
+
+/// What the attempts of a call have in common.
+pub(super) struct Attempted<'a> {
+    pub(super) call: &'a Call,
+    pub(super) kind: RouteKind,
+    pub(super) priority: u8,
+    /// Tells the next instance about the route, if the call may be handed over.
+    pub(super) forwarded: Option<header::HeaderValue>,
+    /// When the call has to be answered.
+    pub(super) end: Time,
+    /// When the caller stops waiting.
+    pub(super) deadline: Time,
+    /// Last event that the caller has.
+    pub(super) last_event: Option<u64>,
+    /// Longest time until the head of the answer or the first event.
+    pub(super) patience: Duration,
+}
+
+/// What came of an attempt.
+pub(super) enum Outcome {
+    /// A whole answer of the upstream, which may be a failure of its own.
+    Answer(Response<Bytes>),
+    /// A stream whose first events have arrived.
+    Stream(Box<EventStream>),
+    /// The call was not run, and never will be by this attempt.
+    NotRun(NotRun),
+    /// Nobody knows whether the call has run.
+    Unknown(Unknown),
+}
+
+/// Why a call was not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum NotRun {
+    /// The upstream says so; it is full or leaving.
+    Refused {
+        /// When to come back, if it says that too.
+        after: Option<Duration>,
+    },
+    /// Another upstream has the address.
+    Misdirected,
+    /// No connection.
+    Unreachable,
+}
+
+/// Why it is not known whether a call has run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Unknown {
+    /// The connection ended before the answer was whole.
+    Lost,
+    /// Nothing came in time.
+    Silent,
+    /// What came belongs to another call, or is no answer of an upstream.
+    Foreign,
+}
+
+/// Counts a call at its upstream for as long as it lives.
+pub(super) struct Slot {
+    entry: Rc<Entry>,
+    choice: Choice,
+    began: Time,
+    is_read: bool,
+}
+
+impl Slot {
+    /// The first token or the answer has come.
+    fn answered(&mut self) {
+        if !self.is_read {
+            self.is_read = true;
+            let took = self.entry.now() - self.began;
+            self.entry.loads.borrow_mut().answered(&self.choice, took);
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.entry.loads.borrow_mut().ended(&self.choice, self.is_read);
+    }
+}
+
+/// A stream that is being received.
+pub(super) struct EventStream {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    body: Incoming,
+    splitter: EventSplitter,
+    connection: Option<Connection>,
+    slot: Option<Slot>,
+    hop: Hop,
+    /// Whole events that have arrived and were not taken yet.
+    ready: Option<Bytes>,
+}
+
+/// The next piece of a stream.
+pub(super) enum Piece {
+    /// Whole events.
+    Events(Bytes),
+    /// The stream has ended as its upstream says it should.
+    End,
+    /// The connection ended within the stream.
+    Broken,
+}
+
+impl EventStream {
+    /// The next whole events.
+    pub(super) async fn next(&mut self) -> Piece {
+        if let Some(events) = self.ready.take() {
+            return Piece::Events(events);
+        }
+        loop {
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    self.splitter.push(&data);
+                    if let Some(events) = self.splitter.take_whole() {
+                        if let Some(slot) = &mut self.slot {
+                            slot.answered();
+                        }
+                        return Piece::Events(events);
+                    }
+                    if self.splitter.is_overfull() {
+                        return Piece::Broken;
+                    }
+                }
+                Some(Err(_)) => return Piece::Broken,
+                None if self.splitter.has_rest() => return Piece::Broken,
+                None => return Piece::End,
+            }
+        }
+    }
+
+    /// The upstream that sends it; `None` for another instance.
+    pub(super) fn hop(&self) -> &Hop {
+        &self.hop
+    }
+
+    /// Gives the connection back after the end of the stream.
+    pub(super) fn finish(mut self, entry: &Entry) {
+        if let Some(connection) = self.connection.take() {
+            entry.client.give_back(connection);
+        }
+    }
+}
+
+/// Sends a call to a hop and waits for the whole answer, or for the first events of a stream.
+pub(super) async fn send(entry: &Rc<Entry>, attempted: &Attempted<'_>, hop: &Hop) -> Outcome {
+    let now = entry.now();
+    let left = attempted.end - now;
+    let patience = attempted.patience.min(left);
+    let reuse = match attempted.kind.is_repeatable() {
+        true => Reuse::Allowed,
+        false => Reuse::Never,
+    };
+    let (address, connect) = match hop {
+        Hop::Upstream { address, .. } => (*address, UPSTREAM_CONNECT),
+        Hop::Peer { address, .. } => (*address, PEER_CONNECT),
+    };
+    let Some(request) = build(entry, attempted, hop, now) else {
+        return Outcome::Unknown(Unknown::Foreign);
+    };
+    let mut slot = begin(entry, attempted, hop, now);
+    let limits = CallLimits { connect: connect.min(patience), head: patience };
+    let (answer, connection) = match entry.client.call(address, request, reuse, limits).await {
+        Ok(answered) => answered,
+        Err(error) => {
+            tracing::debug!(request = %attempted.call.id, %error, "attempt failed");
+            return failed(entry, hop, &error);
+        }
+    };
+    if let Some(outcome) = judge_head(entry, attempted, hop, &answer) {
+        return outcome;
+    }
+    let is_stream = attempted.kind.is_stream() && answer.status().is_success();
+    let (parts, body) = answer.into_parts();
+    if !is_stream {
+        let left = attempted.end - entry.now();
+        let read = medlarlug::transport::body::read(body, MAX_ANSWER_BYTES);
+        return match timeout(left, read).await {
+            Ok(Ok(bytes)) => {
+                if let Some(slot) = &mut slot {
+                    slot.answered();
+                }
+                let end = match parts.status.is_server_error() {
+                    true => CallEnd::Failed,
+                    false => CallEnd::Answered,
+                };
+                ended(entry, hop, end);
+                entry.client.give_back(connection);
+                Outcome::Answer(Response::from_parts(parts, bytes))
+            }
+            Ok(Err(_)) => {
+                ended(entry, hop, CallEnd::Failed);
+                Outcome::Unknown(Unknown::Lost)
+            }
+            Err(_) => Outcome::Unknown(Unknown::Silent),
+        };
+    }
+    let mut stream = EventStream {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+        splitter: EventSplitter::default(),
+        connection: Some(connection),
+        slot,
+        hop: hop.clone(),
+        ready: None,
+    };
+    let left = (now + patience) - entry.now();
+    match timeout(left, stream.next()).await {
+        Ok(Piece::Events(events)) => {
+            stream.ready = Some(events);
+            ended(entry, hop, CallEnd::Answered);
+            Outcome::Stream(Box::new(stream))
+        }
+        // An empty stream is whole.
+        Ok(Piece::End) => Outcome::Stream(Box::new(stream)),
+        Ok(Piece::Broken) => {
+            ended(entry, hop, CallEnd::Failed);
+            Outcome::Unknown(Unknown::Lost)
+        }
+        Err(_) => Outcome::Unknown(Unknown::Silent),
+    }
+}
+
+/// Counts the call at its upstream.
+fn begin(entry: &Rc<Entry>, attempted: &Attempted, hop: &Hop, now: Time) -> Option<Slot> {
+    let Hop::Upstream { choice, memory, cold_rate, .. } = hop else { return None };
+    entry.loads.borrow_mut().sent(now, choice, &attempted.call.demand, *memory);
+    if let Some(rate) = cold_rate {
+        entry.cold.borrow_mut().sent(now, &choice.id, *rate);
+    }
+    Some(Slot { entry: entry.clone(), choice: choice.clone(), began: now, is_read: false })
+}
+
+/// The request as it goes to the hop.
+fn build(
+    entry: &Entry,
+    attempted: &Attempted,
+    hop: &Hop,
+    now: Time,
+) -> Option<Request<Full<Bytes>>> {
+    let call = attempted.call;
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.target.parse::<Uri>().ok()?;
+    let mut headers = call.headers.clone();
+    let names = &entry.names;
+    let left = u64::try_from((attempted.deadline - now).as_millis()).unwrap_or(u64::MAX);
+    headers.insert(names.deadline.clone(), left.into());
+    if let Some(last) = attempted.last_event {
+        headers.insert(names.last_event.clone(), last.into());
+    }
+    match hop {
+        Hop::Upstream { choice, .. } => {
+            let id = header::HeaderValue::from_str(choice.id.as_str()).ok()?;
+            headers.insert(names.expected_upstream.clone(), id);
+            let rank = attempted.priority.min(LOWEST_RANK);
+            headers.insert(names.rank.clone(), u64::from(rank).into());
+        }
+        Hop::Peer { .. } => {
+            headers.insert(forwarded::HEADER, attempted.forwarded.clone()?);
+        }
+    }
+    *request.headers_mut() = headers;
+    Some(request)
+}
+
+/// Judges an answer by its head; `None` if the body counts as well.
+fn judge_head(
+    entry: &Entry,
+    attempted: &Attempted,
+    hop: &Hop,
+    answer: &Response<Incoming>,
+) -> Option<Outcome> {
+    let names = &entry.names;
+    let headers = answer.headers();
+    let id = headers.get(&names.call_id).and_then(|id| id.to_str().ok());
+    if id.is_some_and(|id| id != attempted.call.id) {
+        return Some(Outcome::Unknown(Unknown::Foreign));
+    }
+    if matches!(hop, Hop::Peer { .. }) && headers.contains_key(forwarded::NOT_RUN) {
+        return Some(Outcome::NotRun(NotRun::Refused { after: retry_after(headers) }));
+    }
+    if headers.contains_key(&names.not_run) {
+        return Some(Outcome::NotRun(NotRun::Refused { after: retry_after(headers) }));
+    }
+    if answer.status() == StatusCode::MISDIRECTED_REQUEST {
+        ended(entry, hop, CallEnd::Unreachable);
+        return Some(Outcome::NotRun(NotRun::Misdirected));
+    }
+    let is_signed = headers.contains_key(&names.signature);
+    let is_encoded = headers.contains_key(header::CONTENT_ENCODING);
+    if answer.status().is_success() && (!is_signed || is_encoded) {
+        ended(entry, hop, CallEnd::Failed);
+        return Some(Outcome::Unknown(Unknown::Foreign));
+    }
+    None
+}
+
+/// The time to come back that an answer names.
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    let seconds: f64 = value.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
+fn failed(entry: &Entry, hop: &Hop, error: &CallError) -> Outcome {
+    match error {
+        CallError::Connect { .. } => {
+            ended(entry, hop, CallEnd::Unreachable);
+            Outcome::NotRun(NotRun::Unreachable)
+        }
+        CallError::Lost { .. } => {
+            ended(entry, hop, CallEnd::Failed);
+            Outcome::Unknown(Unknown::Lost)
+        }
+        CallError::Silent { address, .. } => {
+            ended(entry, hop, CallEnd::Failed);
+            entry.client.forget(*address);
+            Outcome::Unknown(Unknown::Silent)
+        }
+    }
+}
+
+/// Takes in what a call shows of the health of its upstream.
+pub(super) fn ended(entry: &Entry, hop: &Hop, end: CallEnd) {
+    let Hop::Upstream { choice, .. } = hop else { return };
+    let avoided = entry.healths.borrow_mut().ended(entry.now(), &choice.id, end);
+    if let Some(pause) = avoided {
+        tracing::warn!(upstream = %choice.id, avoid_ms = pause.as_millis() as u64, "upstream unreachable");
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-gateway/src/entry/call.rs
@@ -0,0 +1,106 @@
+//! A call as its caller sent it, read once.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, header, http::request};
+use medlarlug_core::gateway::placing::{Demand, PromptPart};
+use smol_str::SmolStr;
+
+use crate::headers::HeaderNames;
+
+/// A call with what decisions need of it.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) method: Method,
+    /// Path and query, as sent.
+    pub(super) target: SmolStr,
+    pub(super) host: SmolStr,
+    /// The caller's id of the call; empty if it sent none.
+    pub(super) id: SmolStr,
+    /// Time that the caller waits; `None` if it didn't say.
+    pub(super) deadline: Option<Duration>,
+    pub(super) demand: Demand,
+    /// The headers to pass on.
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+impl Call {
+    /// Reads the head of a request; the body comes later.
+    pub(super) fn read(parts: request::Parts, names: &HeaderNames) -> Call {
+        let request::Parts { method, uri, mut headers, .. } = parts;
+        let text = |name: &header::HeaderName| {
+            headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+        };
+        let host = text(&header::HOST);
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let host = host.to_ascii_lowercase().into();
+        let id = text(&names.call_id).into();
+        let deadline = text(&names.deadline).trim().parse().ok().map(Duration::from_millis);
+        let demand = read_demand(text(&names.prompt_parts), text(&names.token_counts));
+        let target = uri.path_and_query().map_or("/", |target| target.as_str()).into();
+        strip(&mut headers, names);
+        Call { method, target, host, id, deadline, demand, headers, body: Bytes::new() }
+    }
+
+    /// The path without its query.
+    pub(super) fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+}
+
+/// Drops the headers that concern one connection only, and those that only the system sets.
+fn strip(headers: &mut HeaderMap, names: &HeaderNames) {
+    strip_connection(headers);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    headers.remove(&names.deadline);
+    headers.remove(&names.expected_upstream);
+    headers.remove(&names.rank);
+    headers.remove(super::forwarded::HEADER);
+    for name in &names.reserved {
+        headers.remove(name);
+    }
+}
+
+/// Drops the headers that concern one connection only (RFC 9110, section 7.6.1).
+pub(super) fn strip_connection(headers: &mut HeaderMap) {
+    let listed: Vec<header::HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in listed {
+        headers.remove(name);
+    }
+    let fixed = [
+        header::CONNECTION,
+        header::TRANSFER_ENCODING,
+        header::TE,
+        header::TRAILER,
+        header::UPGRADE,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+        header::HeaderName::from_static("keep-alive"),
+        header::HeaderName::from_static("proxy-connection"),
+    ];
+    for name in fixed {
+        headers.remove(name);
+    }
+}
+
+/// What a call asks of an engine; parts that can't be read count as unknown.
+fn read_demand(parts: &str, counts: &str) -> Demand {
+    let parts = parts.split(',').filter_map(|part| {
+        let (id, tokens) = part.trim().split_once(':')?;
+        let id = u64::from_str_radix(id, 16).ok()?;
+        Some(PromptPart { id, tokens: tokens.parse().ok()? })
+    });
+    let mut counts = counts.split(',').map(|count| count.trim().parse().unwrap_or(0));
+    let prompt = counts.next().unwrap_or(0);
+    let output = counts.next().unwrap_or(0);
+    Demand { parts: parts.collect(), prompt, output }
+}
--- /dev/null
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -0,0 +1,191 @@
+//! Where a call goes next: an upstream of the own region, or an entry instance of another one.
+
+use std::{net::SocketAddr, time::Duration};
+
+use medlarlug_core::{
+    gateway::{
+        cold,
+        contacts::Contact,
+        placing::{Candidate, Choice, Demand},
+        table::{Route, RouteTable, ServiceName},
+        upstreams::{Known, UpstreamState},
+    },
+    ids::{InstanceId, UpstreamId},
+    time::Time,
+};
+use rand::RngExt;
+
+use super::Entry;
+
+/// Time from one region to another and back, and the work of the instance there.
+const REGION_TRIP: Duration = Duration::from_millis(130);
+/// Part of the local wait that the wait elsewhere has to stay below: news from there is old, and
+/// every call that crosses costs.
+const AWAY_SHARE: f64 = 0.6;
+/// Part of the latency objective below which a local wait is good enough.
+const NEAR_SHARE: f64 = 0.5;
+/// Age of an announcement after which an upstream may be dead: three announcements missed.
+const FRESH_FOR: Duration = Duration::from_millis(4_500);
+
+/// Where to send a call.
+#[derive(Debug, Clone)]
+pub(super) enum Hop {
+    /// To an upstream of the own region.
+    Upstream {
+        choice: Choice,
+        address: SocketAddr,
+        memory: u64,
+        cold_rate: Option<f64>,
+        age: Duration,
+    },
+    /// To an entry instance of another region.
+    Peer { id: InstanceId, address: SocketAddr, wait: Duration },
+}
+
+impl Hop {
+    /// Predicted time to the first token or the answer.
+    pub(super) fn wait(&self) -> Duration {
+        match self {
+            Hop::Upstream { choice, .. } => choice.wait,
+            Hop::Peer { wait, .. } => *wait,
+        }
+    }
+}
+
+/// What was tried before for the same call.
+#[derive(Debug, Default)]
+pub(super) struct Tried {
+    pub(super) upstreams: Vec<UpstreamId>,
+    pub(super) peers: Vec<InstanceId>,
+}
+
+impl Entry {
+    /// The best hop for a call, if there is any.
+    pub(super) fn choose(
+        &self,
+        table: &RouteTable,
+        route: &Route,
+        service: &ServiceName,
+        demand: &Demand,
+        tried: &Tried,
+        may_leave: bool,
+    ) -> Option<Hop> {
+        let own = self.settings.borrow().card.region.clone();
+        let local = match route.may_be_served_in(&own) {
+            true => self.choose_local(table, service, demand, &tried.upstreams),
+            false => None,
+        };
+        let is_near = local.as_ref().is_some_and(|it| it.wait <= route.objective.mul_f64(NEAR_SHARE));
+        let away = match may_leave && !is_near {
+            true => self.choose_peer(route, service, &tried.peers),
+            false => None,
+        };
+        match (local, away) {
+            (Some(local), Some(away)) if away.wait() < local.wait.mul_f64(AWAY_SHARE) => Some(away),
+            (Some(local), _) => self.local_hop(table, service, local),
+            (None, away) => away,
+        }
+    }
+
+    fn local_hop(&self, table: &RouteTable, service: &ServiceName, choice: Choice) -> Option<Hop> {
+        let now = self.now();
+        let upstreams = self.upstreams.borrow();
+        let known = upstreams.get(&choice.id)?;
+        let spec = table.service(service);
+        let memory = spec.and_then(|spec| spec.engine).map_or(0, |engine| engine.memory);
+        let is_cold = !known.cold_left(now).is_zero();
+        let cold_rate = spec.map(|spec| spec.cold_rate).filter(|_| is_cold);
+        let (address, age) = (known.upstream.address, now - known.heard);
+        Some(Hop::Upstream { choice, address, memory, cold_rate, age })
+    }
+
+    /// The best upstream of the own region; one that was not heard of lately only if there is no
+    /// other.
+    pub(super) fn choose_local(
+        &self,
+        table: &RouteTable,
+        service: &ServiceName,
+        demand: &Demand,
+        tried: &[UpstreamId],
+    ) -> Option<Choice> {
+        let now = self.now();
+        let spec = table.service(service)?;
+        let memory = spec.engine.map_or(0, |engine| engine.memory);
+        let entries = self.region_entries();
+        let upstreams = self.upstreams.borrow();
+        let usable: Vec<&Known> = upstreams
+            .of(service)
+            .filter(|known| !tried.contains(&known.upstream.id))
+            .filter(|known| self.is_usable(now, known, spec.cold_rate, &entries))
+            .collect();
+        let healths = self.healths.borrow();
+        let is_fresh = |known: &Known| now - known.heard <= FRESH_FOR;
+        let has_fresh = usable.iter().any(|known| is_fresh(known));
+        let candidates = usable.iter().filter(|known| is_fresh(known) == has_fresh);
+        let candidates: Vec<Candidate> = candidates
+            .map(|known| Candidate {
+                id: &known.upstream.id,
+                slots: known.upstream.slots,
+                memory,
+                failures: healths.failures(&known.upstream.id),
+            })
+            .collect();
+        self.loads.borrow().choose(now, demand, &candidates, entries.len())
+    }
+
+    fn is_usable(
+        &self,
+        now: Time,
+        known: &Known,
+        cold_rate: f64,
+        entries: &[InstanceId],
+    ) -> bool {
+        let upstream = &known.upstream;
+        let settings = self.settings.borrow();
+        let is_here = settings.region_of(&upstream.zone) == Some(&settings.card.region);
+        if upstream.state != UpstreamState::Ready || !is_here {
+            return false;
+        }
+        if self.head.borrow().evacuated.binary_search(&upstream.zone).is_ok() {
+            return false;
+        }
+        if self.healths.borrow().is_avoided(now, &upstream.id) {
+            return false;
+        }
+        if known.cold_left(now).is_zero() || cold_rate <= 0.0 {
+            return true;
+        }
+        let is_sender = cold::sender(&upstream.id, entries) == Some(&settings.card.id);
+        is_sender && self.cold.borrow().may_send(now, &upstream.id, cold_rate)
+    }
+
+    /// The entry instance of another region that can serve the call soonest.
+    fn choose_peer(
+        &self,
+        route: &Route,
+        service: &ServiceName,
+        tried: &[InstanceId],
+    ) -> Option<Hop> {
+        let now = self.now();
+        let own = self.settings.borrow().card.region.clone();
+        let contacts = self.contacts.borrow();
+        let is_fit = |contact: &&Contact| {
+            contact.status.ready
+                && contact.card.region != own
+                && route.may_be_served_in(&contact.card.region)
+                && !tried.contains(&contact.card.id)
+        };
+        let fit = contacts.live_entries(now).filter(is_fit);
+        let mut waits: Vec<(u32, &Contact)> =
+            fit.filter_map(|it| Some((it.status.wait_ms(service)?, it))).collect();
+        waits.sort_by_key(|it| it.0);
+        let best = waits.first()?.1;
+        // Any instance of that region will do: their news is old, and one alone would be flooded.
+        let region: Vec<&(u32, &Contact)> =
+            waits.iter().filter(|it| it.1.card.region == best.card.region).collect();
+        let (wait, contact) = region[rand::rng().random_range(0..region.len())];
+        let wait = Duration::from_millis((*wait).into()) + REGION_TRIP;
+        let (id, address) = (contact.card.id.clone(), contact.card.internal);
+        Some(Hop::Peer { id, address, wait })
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -0,0 +1,365 @@
+//! An entry instance: takes callers' calls in and relays them.
+//!
+//! The life of a call:
+//!
+//! 1. [`serve`] finds its route, reads its body and repeats attempts until one succeeds, none is
+//!    left, or the time is up.
+//! 2. Each attempt begins with a choice of an upstream in the own region or of an entry instance
+//!    in another one ([`choice`]), or with a refusal.
+//! 3. [`attempt`] sends the call and judges what comes back: an answer, a promise that the call was
+//!    not run, or a failure after which nobody knows.
+//! 4. A whole answer is passed on at once. A stream is passed on event by event by [`relay`], which
+//!    goes on at another upstream if the first one breaks off and the route allows it.
+//!
+//! A call that another region has handed over takes the same way, but is never handed on.
+
+mod attempt;
+mod call;
+mod choice;
+mod forwarded;
+mod relay;
+mod serve;
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use medlarlug::{
+    coordination::clock::Clock,
+    transport::{
+        http_client::HttpClient,
+        http_server::{self, ServerError, ServerLimits},
+    },
+};
+use medlarlug_core::{
+    gateway::{
+        budget::RetryWindow,
+        cold::ColdSends,
+        contacts::{Card, Contacts, Part, Spare, Status},
+        health::Healths,
+        placing::{Demand, Loads},
+        table::{RouteTable, ServiceName, TableVersion},
+        upstreams::{Effect, UpstreamState, Upstreams},
+    },
+    ids::InstanceId,
+    time::Time,
+};
+use tokio::{
+    sync::watch,
+    task,
+    time::{MissedTickBehavior, interval, sleep},
+};
+
+pub use serve::Ended;
+
+use crate::{
+    follower::{Links, Owner, chain},
+    headers::HeaderNames,
+    link::{Head, Message, News},
+    metrics as names,
+    settings::NodeSettings,
+};
+
+/// Time between two rounds of upkeep.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which a table that was asked for is asked for again.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time for which callers still come after this instance has said that it is leaving: until they
+/// have asked for the directory again.
+const LINGER: Duration = Duration::from_millis(3_500);
+/// Part of the grace period after which calls that still run are cut.
+const GRACE_SHARE: f64 = 0.92;
+/// Pause between two looks at whether calls still run.
+const DRAIN_PAUSE: Duration = Duration::from_millis(50);
+/// Prompt tokens of the call for which the wait is told to other regions.
+const USUAL_PROMPT: u32 = 2_000;
+/// Connections of callers and other instances; the system's own limit on descriptors is lower.
+const CONNECTIONS: usize = 3_000;
+/// Time for which a connection may be idle or send a head. Callers are told in the table how long
+/// they may reuse a connection, which is less.
+const CONNECTION_IDLE: Duration = Duration::from_secs(120);
+
+/// A running entry instance.
+pub struct Entry {
+    settings: RefCell<NodeSettings>,
+    names: HeaderNames,
+    clock: Clock,
+    table: RefCell<Option<Rc<RouteTable>>>,
+    /// Newest replicated state that was heard of; the table may still be on its way.
+    head: RefCell<Head>,
+    /// The version that was asked for, and when.
+    fetching: Cell<Option<(TableVersion, Time)>>,
+    upstreams: RefCell<Upstreams>,
+    contacts: RefCell<Contacts>,
+    loads: RefCell<Loads>,
+    healths: RefCell<Healths>,
+    cold: RefCell<ColdSends>,
+    /// Calls and repeats of each service, sorted by service.
+    windows: RefCell<Vec<(ServiceName, RetryWindow)>>,
+    links: Links,
+    client: HttpClient,
+    is_draining: Cell<bool>,
+    running: Cell<usize>,
+}
+
+impl Entry {
+    /// Starts the loops of an entry instance on the current thread, and listens for other
+    /// instances.
+    ///
+    /// # Errors
+    ///
+    /// The internal address can't be listened at.
+    pub async fn start(
+        settings: NodeSettings,
+        names: HeaderNames,
+        stop: watch::Receiver<bool>,
+    ) -> Result<Rc<Entry>, ServerError> {
+        let internal = http_server::listen("peers", settings.card.internal).await?;
+        let entry = Rc::new(Entry {
+            settings: RefCell::new(settings),
+            names,
+            clock: Clock::start(),
+            table: RefCell::default(),
+            head: RefCell::default(),
+            fetching: Cell::default(),
+            upstreams: RefCell::default(),
+            contacts: RefCell::default(),
+            loads: RefCell::default(),
+            healths: RefCell::default(),
+            cold: RefCell::default(),
+            windows: RefCell::default(),
+            links: Links::default(),
+            client: HttpClient::default(),
+            is_draining: Cell::new(false),
+            running: Cell::new(0),
+        });
+        entry.links.follow(&entry);
+        task::spawn_local(upkeep(entry.clone()));
+        let this = entry.clone();
+        task::spawn_local(http_server::serve(internal, limits(), stop, move |request, _| {
+            serve::forwarded(this.clone(), request)
+        }));
+        Ok(entry)
+    }
+
+    /// Serves callers until `stop` turns true and open calls have ended.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be listened at.
+    pub async fn serve(
+        self: &Rc<Entry>,
+        front: SocketAddr,
+        stop: watch::Receiver<bool>,
+    ) -> Result<(), ServerError> {
+        let listener = http_server::listen("callers", front).await?;
+        let this = self.clone();
+        let handler = move |request, _| serve::from_caller(this.clone(), request);
+        http_server::serve(listener, limits(), stop, handler).await;
+        Ok(())
+    }
+
+    /// Takes changed settings over: other contacts and bounds.
+    pub fn reload(self: &Rc<Entry>, settings: NodeSettings) {
+        *self.settings.borrow_mut() = settings;
+        self.links.follow(self);
+    }
+
+    /// Whether callers may be sent here: a table is in force, and the instance stays.
+    pub fn is_ready(&self) -> bool {
+        self.table.borrow().is_some() && !self.is_draining.get()
+    }
+
+    /// Tells everyone that this instance leaves, and returns once callers have moved and open
+    /// calls have ended, or the grace period is nearly over.
+    pub async fn drain(&self) {
+        self.is_draining.set(true);
+        self.links.send_all(&Message::Ping(self.status()));
+        let grace = self.settings.borrow().grace;
+        let began = self.now();
+        let latest = began + grace.mul_f64(GRACE_SHARE);
+        sleep(LINGER.min(grace / 2)).await;
+        while self.running.get() > 0 && self.now() < latest {
+            sleep(DRAIN_PAUSE).await;
+        }
+        tracing::info!(running = self.running.get(), "drained");
+    }
+
+    fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+
+    /// Live entry instances of the own region, this one included.
+    fn region_entries(&self) -> Vec<InstanceId> {
+        let settings = self.settings.borrow();
+        let own = &settings.card;
+        let contacts = self.contacts.borrow();
+        let live = contacts.live_entries(self.now()).map(|contact| &contact.card);
+        let mut ids: Vec<InstanceId> =
+            live.filter(|card| card.region == own.region).map(|card| card.id.clone()).collect();
+        ids.push(own.id.clone());
+        ids.sort();
+        ids.dedup();
+        ids
+    }
+
+    fn on_news(&self, from: SocketAddr, news: News) {
+        let now = self.now();
+        for (upstream, age) in news.upstreams {
+            let age = Duration::from_millis(age.into());
+            let (id, state) = (upstream.id.clone(), upstream.state);
+            let (birth, sequence) = (upstream.birth.0, upstream.sequence);
+            let before = self.upstreams.borrow().get(&id).map(|it| it.upstream.birth);
+            let effect = match state {
+                UpstreamState::Gone => self.upstreams.borrow_mut().leave_unknown(now, upstream),
+                _ => self.upstreams.borrow_mut().announce(now, upstream, age),
+            };
+            if effect != Effect::Changed {
+                continue;
+            }
+            tracing::info!(upstream = %id, birth, sequence, ?state, age_ms = age.as_millis() as u64, %from, "upstream changed");
+            let is_new = before.is_some_and(|before| before.0 < birth);
+            if is_new {
+                self.healths.borrow_mut().forget(&id);
+                self.loads.borrow_mut().forget(&id);
+            }
+        }
+        for (card, status, age) in news.contacts {
+            let age = Duration::from_millis(age.into());
+            self.contacts.borrow_mut().hear(now, card, Some(status), age);
+        }
+        if let Some(head) = news.head {
+            self.on_head(from, head);
+        }
+        self.links.send(from, &Message::Seen(news.number));
+    }
+
+    fn on_head(&self, from: SocketAddr, head: Head) {
+        let mut own = self.head.borrow_mut();
+        if head.round > own.round {
+            tracing::info!(round = head.round, evacuated = ?head.evacuated, %from, "evacuated zones changed");
+            own.round = head.round;
+            own.evacuated = head.evacuated;
+        }
+        if head.version > own.version {
+            own.version = head.version;
+        }
+        drop(own);
+        self.fetch(from, head.version);
+    }
+
+    /// Asks a keeper for a table that is newer than the own one, unless that was just done.
+    fn fetch(&self, from: SocketAddr, version: TableVersion) {
+        let now = self.now();
+        let own = self.version();
+        let is_asked = self.fetching.get().is_some_and(|(asked, when)| {
+            asked >= version && now - when < FETCH_TIMEOUT
+        });
+        if version > own && !is_asked && self.links.send(from, &Message::Fetch(version)) {
+            self.fetching.set(Some((version, now)));
+        }
+    }
+
+    /// Version of the table in force; zero before the first one.
+    fn version(&self) -> TableVersion {
+        self.table.borrow().as_ref().map(|table| table.version()).unwrap_or_default()
+    }
+
+    fn on_document(&self, from: SocketAddr, version: TableVersion, bytes: &[u8]) {
+        if version <= self.version() {
+            return;
+        }
+        let read = self.settings.borrow().read_table;
+        match read(bytes) {
+            Ok(table) => {
+                let routes = table.routes().len();
+                tracing::info!(version = version.0, routes, %from, "table in force");
+                metrics::gauge!(names::TABLE_VERSION).set(version.0 as f64);
+                *self.table.borrow_mut() = Some(Rc::new(table));
+            }
+            Err(error) => {
+                tracing::error!(version = version.0, error = %chain(&error), %from, "table refused");
+            }
+        }
+    }
+
+    /// Waits that calls of usual size would have here, by service.
+    fn spare(&self) -> Vec<Spare> {
+        let Some(table) = self.table.borrow().clone() else { return Vec::new() };
+        let spare = table.services().iter().map(|service| {
+            let prompt = service.engine.map_or(0, |_| USUAL_PROMPT);
+            let demand = Demand { parts: Vec::new(), prompt, output: 0 };
+            let choice = self.choose_local(&table, &service.name, &demand, &[]);
+            let wait = choice.map(|choice| choice.wait.as_millis());
+            let wait_ms = wait.map(|wait| u32::try_from(wait).unwrap_or(u32::MAX));
+            Spare { service: service.name.clone(), wait_ms }
+        });
+        spare.collect()
+    }
+}
+
+fn limits() -> ServerLimits {
+    ServerLimits {
+        header_bytes: 64 * 1024,
+        header_time: CONNECTION_IDLE,
+        connections: CONNECTIONS,
+        requests: u32::MAX,
+    }
+}
+
+impl Owner for Entry {
+    fn card(&self) -> Card {
+        self.settings.borrow().card.clone()
+    }
+
+    fn status(&self) -> Status {
+        Status { ready: self.is_ready(), spare: self.spare() }
+    }
+
+    fn keepers(&self) -> Vec<SocketAddr> {
+        let contacts = self.contacts.borrow();
+        let heard = contacts.all().iter().filter(|it| it.card.part == Part::Keeper);
+        let mut all = self.settings.borrow().contacts.clone();
+        all.extend(heard.map(|it| it.card.internal));
+        all.sort();
+        all.dedup();
+        all
+    }
+
+    fn receive(&self, from: SocketAddr, message: Message) {
+        match message {
+            Message::News(news) => self.on_news(from, news),
+            Message::Document { version, bytes } => self.on_document(from, version, &bytes),
+            Message::Pong => {}
+            _ => tracing::warn!(keeper = %from, "unexpected message"),
+        }
+    }
+}
+
+async fn upkeep(entry: Rc<Entry>) {
+    let mut ticks = interval(UPKEEP_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let now = entry.now();
+        entry.contacts.borrow_mut().forget(now);
+        for id in entry.upstreams.borrow_mut().forget(now) {
+            tracing::info!(upstream = %id, "upstream forgotten");
+        }
+        entry.links.follow(&entry);
+        let wanted = entry.head.borrow().version;
+        if wanted > entry.version() {
+            for keeper in entry.keepers() {
+                entry.fetch(keeper, wanted);
+            }
+        }
+        metrics::gauge!(names::LINKS).set(entry.links.open() as f64);
+        let upstreams = entry.upstreams.borrow();
+        let ready = upstreams.all().iter().filter(|it| it.upstream.state == UpstreamState::Ready);
+        metrics::gauge!(names::UPSTREAMS).set(ready.count() as f64);
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-gateway/src/entry/relay.rs
@@ -0,0 +1,131 @@
+//! Passes a stream on to its caller, and goes on elsewhere when its upstream breaks off.
+//!
+//! Only whole events are passed on, so that another upstream can go on right after the last one.
+//! The answer ends well only when an upstream has ended the stream; in every other case the
+//! connection is cut, so that a caller never takes a part for the whole.
+
+use std::{rc::Rc, time::Duration};
+
+use medlarlug::{protocol::events, transport::body::Part};
+use medlarlug_core::gateway::health::CallEnd;
+use tokio::{
+    sync::mpsc::Sender,
+    time::{sleep, timeout},
+};
+
+use super::{
+    Entry,
+    attempt::{self, EventStream, Outcome, Piece},
+    call::Call,
+    serve::{Ended, Plan},
+};
+
+/// Silence within a stream after which its upstream is taken for dead, as a multiple of the
+/// longest pause of a stream that is on time. Engines that preempt a request pause it as well.
+const SILENT_PAUSES: u32 = 3;
+
+/// What has become of a stream.
+enum Step {
+    /// All of it was passed on.
+    Done,
+    /// The caller has left.
+    Left,
+    /// The time is up.
+    Late,
+    /// The upstream broke off.
+    Broken,
+}
+
+/// Passes a stream on until it ends, its caller leaves or the time is up.
+pub(super) async fn run(
+    entry: Rc<Entry>,
+    call: Call,
+    mut plan: Plan,
+    stream: Box<EventStream>,
+    sender: Sender<Part>,
+) {
+    let mut stream = stream;
+    loop {
+        let step = pass(&entry, &mut plan, &mut stream, &sender).await;
+        match step {
+            Step::Done => {
+                stream.finish(&entry);
+                let _ = sender.send(Part::End).await;
+                return plan.end(&entry, &call, Ended::Answered);
+            }
+            Step::Left => return plan.end(&entry, &call, Ended::Left),
+            Step::Late => return plan.end(&entry, &call, Ended::TimedOut),
+            Step::Broken => {}
+        }
+        attempt::ended(&entry, stream.hop(), CallEnd::Failed);
+        // Closes the connection before another upstream goes on.
+        drop(stream);
+        match resume(&entry, &call, &mut plan, &sender).await {
+            Some(next) => stream = next,
+            None => return plan.end(&entry, &call, Ended::BrokenOff),
+        }
+    }
+}
+
+/// Passes on what one upstream sends.
+async fn pass(
+    entry: &Rc<Entry>,
+    plan: &mut Plan,
+    stream: &mut EventStream,
+    sender: &Sender<Part>,
+) -> Step {
+    let silence = plan.route.pause.max(Duration::from_millis(300)) * SILENT_PAUSES;
+    loop {
+        let left = plan.end - entry.now();
+        if left.is_zero() {
+            return Step::Late;
+        }
+        let piece = tokio::select! {
+            piece = timeout(silence.min(left), stream.next()) => piece,
+            () = sender.closed() => return Step::Left,
+        };
+        let events = match piece {
+            Ok(Piece::Events(events)) => events,
+            Ok(Piece::End) => return Step::Done,
+            Ok(Piece::Broken) => return Step::Broken,
+            Err(_) if plan.route.kind.is_repeatable() => return Step::Broken,
+            // Nobody else can go on, so the upstream may take its time.
+            Err(_) => continue,
+        };
+        if let Some(last) = events::last_id(&events) {
+            plan.last_event = Some(last);
+        }
+        let sent = tokio::select! {
+            sent = sender.send(Part::Chunk(events)) => sent.is_ok(),
+            () = sleep(left) => return Step::Late,
+        };
+        if !sent {
+            return Step::Left;
+        }
+    }
+}
+
+/// Has another upstream go on, if the route allows it.
+async fn resume(
+    entry: &Rc<Entry>,
+    call: &Call,
+    plan: &mut Plan,
+    sender: &Sender<Part>,
+) -> Option<Box<EventStream>> {
+    while plan.route.kind.is_repeatable() && plan.last_event.is_some() {
+        let hop = plan.next_hop(entry, call)?;
+        if !plan.may_repeat(entry) {
+            return None;
+        }
+        let outcome = tokio::select! {
+            outcome = plan.attempt(entry, call, &hop) => outcome,
+            () = sender.closed() => return None,
+        };
+        tracing::info!(request = %call.id, after = plan.last_event, "stream goes on elsewhere");
+        match outcome {
+            Outcome::Stream(stream) => return Some(stream),
+            Outcome::Answer(_) | Outcome::NotRun(_) | Outcome::Unknown(_) => {}
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -0,0 +1,474 @@
+//! Serving one call, from its route to its last answer.
+
+use std::{fmt, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use hyper::{Request, Response, StatusCode, body::Incoming, header};
+use medlarlug::transport::body::{self, Answer, BodyError};
+use medlarlug_core::{
+    gateway::{
+        refusing::{self, Outlook, Verdict},
+        table::{Route, RouteTable, ServiceName},
+    },
+    time::Time,
+};
+use rand::RngExt;
+use tokio::task;
+
+use super::{
+    Entry,
+    attempt::{self, Attempted, NotRun, Outcome, Unknown},
+    call::{Call, strip_connection},
+    choice::{Hop, Tried},
+    forwarded::{self, Forwarded},
+    relay,
+};
+use crate::metrics as names;
+
+/// Time that an attempt gets before another upstream is tried, as a multiple of the predicted one.
+const PATIENCE_FACTOR: u32 = 4;
+/// Shortest time that an attempt gets before another upstream is tried.
+const MIN_PATIENCE: Duration = Duration::from_millis(800);
+/// Time left below which nothing is sent any more.
+const MIN_LEFT: Duration = Duration::from_millis(20);
+/// Connections that may fail before a call is given up.
+const MAX_UNREACHABLE: u32 = 4;
+/// Time that a call has if neither its caller nor its route sets one.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+
+/// How a call ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// With an answer of an upstream.
+    Answered,
+    /// Refused; it was not run.
+    Refused,
+    /// With a failure of the gateway; it may have run.
+    Failed,
+    /// Its time was up.
+    TimedOut,
+    /// Its stream was cut.
+    BrokenOff,
+    /// Its caller left first.
+    Left,
+    /// It fits no route or breaks a limit.
+    Rejected,
+}
+
+impl fmt::Display for Ended {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Ended::Answered => "answered",
+            Ended::Refused => "refused",
+            Ended::Failed => "failed",
+            Ended::TimedOut => "timed_out",
+            Ended::BrokenOff => "broken_off",
+            Ended::Left => "left",
+            Ended::Rejected => "rejected",
+        })
+    }
+}
+
+/// How a call is served: its route, its times, and what was tried.
+pub(super) struct Plan {
+    pub(super) table: Rc<RouteTable>,
+    pub(super) route: Route,
+    pub(super) service: ServiceName,
+    /// When the call arrived.
+    began: Time,
+    /// When it has to be answered: its caller's deadline or its route's timeout.
+    pub(super) end: Time,
+    deadline: Time,
+    /// Whether another region may serve it.
+    may_leave: bool,
+    pub(super) last_event: Option<u64>,
+    tried: Tried,
+    /// Requests that reached an upstream.
+    arrivals: u32,
+    unreachable: u32,
+    /// The hops that were tried, for the log.
+    path: Vec<String>,
+    _running: Running,
+}
+
+/// Counts a call that runs.
+struct Running(Rc<Entry>);
+
+impl Running {
+    fn begin(entry: &Rc<Entry>) -> Running {
+        entry.running.set(entry.running.get() + 1);
+        Running(entry.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
+impl Plan {
+    /// The next hop; `None` if there is none.
+    pub(super) fn next_hop(&self, entry: &Entry, call: &Call) -> Option<Hop> {
+        let (table, route) = (&self.table, &self.route);
+        entry.choose(table, route, &self.service, &call.demand, &self.tried, self.may_leave)
+    }
+
+    /// Whether another request may go out that repeats an earlier one, and counts it.
+    pub(super) fn may_repeat(&mut self, entry: &Entry) -> bool {
+        if self.arrivals >= self.route.attempts.max(1) {
+            return false;
+        }
+        self.arrivals == 0 || entry.take_repeat(&self.service)
+    }
+
+    /// Sends the call to a hop.
+    pub(super) async fn attempt(&mut self, entry: &Rc<Entry>, call: &Call, hop: &Hop) -> Outcome {
+        match hop {
+            Hop::Upstream { choice, .. } => {
+                self.tried.upstreams.push(choice.id.clone());
+                self.path.push(choice.id.to_string());
+            }
+            Hop::Peer { id, .. } => {
+                self.tried.peers.push(id.clone());
+                self.path.push(id.to_string());
+                metrics::counter!(names::FORWARDED).increment(1);
+            }
+        }
+        let left = self.end - entry.now();
+        let is_last = !self.route.kind.is_repeatable() || self.arrivals + 1 >= self.route.attempts;
+        let patience = match is_last {
+            true => left,
+            false => (hop.wait() * PATIENCE_FACTOR).max(MIN_PATIENCE),
+        };
+        let forwarded = match hop {
+            Hop::Peer { .. } => Forwarded {
+                version: self.table.version(),
+                route: self.route.clone(),
+                service: self.service.clone(),
+            }
+            .encode(),
+            Hop::Upstream { .. } => None,
+        };
+        let attempted = Attempted {
+            call,
+            kind: self.route.kind,
+            priority: self.route.priority,
+            forwarded,
+            end: self.end,
+            deadline: self.deadline,
+            last_event: self.last_event,
+            patience,
+        };
+        let outcome = attempt::send(entry, &attempted, hop).await;
+        match outcome {
+            Outcome::NotRun(NotRun::Unreachable | NotRun::Misdirected) => self.unreachable += 1,
+            _ => self.arrivals += 1,
+        }
+        outcome
+    }
+
+    /// Logs and counts the end of the call.
+    pub(super) fn end(&self, entry: &Entry, call: &Call, ended: Ended) {
+        let took = entry.now() - self.began;
+        metrics::counter!(names::CALLS, "outcome" => ended.to_string()).increment(1);
+        tracing::info!(
+            request = %call.id,
+            route = %self.route.name,
+            table = self.table.version().0,
+            path = %self.path.join(","),
+            arrivals = self.arrivals,
+            outcome = %ended,
+            took_ms = took.as_millis() as u64,
+            "call ended"
+        );
+    }
+}
+
+impl Entry {
+    /// Takes one repeat out of the budget of a service.
+    fn take_repeat(&self, service: &ServiceName) -> bool {
+        let bounds = self.settings.borrow().retries;
+        let others = self.contacts.borrow().entry_count();
+        let now = self.now();
+        let taken = self.with_window(service, |window| window.take(now, bounds, others.max(1)));
+        match taken {
+            true => metrics::counter!(names::REPEATS).increment(1),
+            false => tracing::debug!(%service, "retry budget used up"),
+        }
+        taken
+    }
+
+    fn count_call(&self, service: &ServiceName) {
+        let bounds = self.settings.borrow().retries;
+        let now = self.now();
+        self.with_window(service, |window| window.count(now, bounds));
+    }
+
+    fn with_window<T>(
+        &self,
+        service: &ServiceName,
+        act: impl FnOnce(&mut medlarlug_core::gateway::budget::RetryWindow) -> T,
+    ) -> T {
+        let mut windows = self.windows.borrow_mut();
+        let at = match windows.binary_search_by(|it| it.0.cmp(service)) {
+            Ok(at) => at,
+            Err(at) => {
+                windows.insert(at, (service.clone(), Default::default()));
+                at
+            }
+        };
+        act(&mut windows[at].1)
+    }
+}
+
+/// Serves a call that came from a caller.
+pub(super) async fn from_caller(entry: Rc<Entry>, request: Request<Incoming>) -> Answer {
+    let is_draining = entry.is_draining.get();
+    let mut answer = serve(&entry, request, None).await;
+    if is_draining || entry.is_draining.get() {
+        let close = header::HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer
+}
+
+/// Serves a call that another instance handed over.
+pub(super) async fn forwarded(entry: Rc<Entry>, request: Request<Incoming>) -> Answer {
+    let forwarded = request.headers().get(forwarded::HEADER).and_then(Forwarded::decode);
+    match forwarded {
+        Some(forwarded) => serve(&entry, request, Some(forwarded)).await,
+        None => {
+            tracing::warn!("a call from another instance without its route");
+            plain(StatusCode::BAD_REQUEST, "the route is missing")
+        }
+    }
+}
+
+async fn serve(
+    entry: &Rc<Entry>,
+    request: Request<Incoming>,
+    forwarded: Option<Forwarded>,
+) -> Answer {
+    let began = entry.now();
+    let (parts, incoming) = request.into_parts();
+    let mut call = Call::read(parts, &entry.names);
+    let is_forwarded = forwarded.is_some();
+    let mut plan = match plan(entry, &call, forwarded, began) {
+        Ok(plan) => plan,
+        Err(answer) => return *answer,
+    };
+    let limit = plan.table.limits().body_bytes;
+    call.body = match body::read(incoming, limit).await {
+        Ok(bytes) => bytes,
+        Err(BodyError::TooLong { .. }) => {
+            plan.end(entry, &call, Ended::Rejected);
+            return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
+        }
+        Err(BodyError::Cut) => {
+            plan.end(entry, &call, Ended::Left);
+            return plain(StatusCode::BAD_REQUEST, "the body was cut");
+        }
+    };
+    if !is_forwarded {
+        entry.count_call(&plan.service);
+    }
+    let result = attempts(entry, &call, &mut plan).await;
+    finish(entry, call, plan, result, is_forwarded)
+}
+
+/// The route of a call and its times.
+fn plan(
+    entry: &Rc<Entry>,
+    call: &Call,
+    forwarded: Option<Forwarded>,
+    began: Time,
+) -> Result<Plan, Box<Answer>> {
+    let table = entry.table.borrow().clone();
+    let Some(table) = table else {
+        tracing::info!(request = %call.id, outcome = "refused", "no table yet");
+        return Err(Box::new(refusal(entry, call, Duration::from_millis(500), false)));
+    };
+    let is_forwarded = forwarded.is_some();
+    let (route, service) = match forwarded {
+        // The first instance has a newer table, so its route goes before the own one.
+        Some(forwarded) if forwarded.version > table.version() => {
+            (forwarded.route, forwarded.service)
+        }
+        forwarded => {
+            let Some(route) = table.route(&call.host, call.path()) else {
+                tracing::info!(request = %call.id, host = %call.host, path = call.path(), table = table.version().0, outcome = "rejected", "no route");
+                return Err(Box::new(plain(StatusCode::NOT_FOUND, "no route")));
+            };
+            let picked = forwarded.map(|it| it.service);
+            let is_target =
+                |name: &ServiceName| route.targets.iter().any(|it| it.service == *name);
+            let service = picked.filter(is_target).unwrap_or_else(|| {
+                route.target_at(rand::rng().random()).service.clone()
+            });
+            (route.clone(), service)
+        }
+    };
+    let deadline = call.deadline.unwrap_or(DEFAULT_DEADLINE.max(route.timeout));
+    let limit = deadline.min(route.timeout);
+    let last = call.headers.get(&entry.names.last_event).and_then(|it| it.to_str().ok());
+    Ok(Plan {
+        table,
+        service,
+        began,
+        end: began + limit,
+        deadline: began + deadline,
+        may_leave: !is_forwarded,
+        last_event: last.and_then(|last| last.trim().parse().ok()),
+        tried: Tried::default(),
+        arrivals: 0,
+        unreachable: 0,
+        path: Vec::new(),
+        route,
+        _running: Running::begin(entry),
+    })
+}
+
+/// The last outcome of a call.
+enum Last {
+    Answer(Response<Bytes>),
+    Stream(Box<attempt::EventStream>),
+    Refuse { after: Duration },
+    Fail { status: StatusCode, why: Unknown },
+}
+
+/// Tries hops until the call is answered, or nothing more may be tried.
+async fn attempts(entry: &Rc<Entry>, call: &Call, plan: &mut Plan) -> Last {
+    let mut answer: Option<Response<Bytes>> = None;
+    let mut unknown: Option<Unknown> = None;
+    let mut after: Option<Duration> = None;
+    loop {
+        let now = entry.now();
+        let left = plan.end - now;
+        let hop = match plan.unreachable < MAX_UNREACHABLE && left > MIN_LEFT {
+            true => plan.next_hop(entry, call),
+            false => None,
+        };
+        let wait = hop.as_ref().map(Hop::wait);
+        let objective = plan.route.objective;
+        let verdict = refusing::judge(Outlook { wait, left, objective }, rand::rng().random());
+        let hop = match (hop, verdict) {
+            (Some(hop), Verdict::Serve) if plan.may_repeat(entry) => hop,
+            (hop, verdict) => {
+                if let Some(answer) = answer {
+                    return Last::Answer(answer);
+                }
+                if let Some(why) = unknown {
+                    let status = match why {
+                        Unknown::Silent => StatusCode::GATEWAY_TIMEOUT,
+                        Unknown::Lost | Unknown::Foreign => StatusCode::BAD_GATEWAY,
+                    };
+                    return Last::Fail { status, why };
+                }
+                let own = match verdict {
+                    Verdict::Refuse { after } => after,
+                    Verdict::Serve => {
+                        refusing::after(Duration::ZERO, left, rand::rng().random())
+                    }
+                };
+                tracing::info!(
+                    request = %call.id,
+                    service = %plan.service,
+                    wait_ms = wait.map(|wait| wait.as_millis() as u64),
+                    left_ms = left.as_millis() as u64,
+                    has_hop = hop.is_some(),
+                    tried = %plan.path.join(","),
+                    "refusing"
+                );
+                return Last::Refuse { after: after.unwrap_or(own) };
+            }
+        };
+        match plan.attempt(entry, call, &hop).await {
+            Outcome::Answer(found) => {
+                let is_failure = found.status().is_server_error();
+                if !is_failure || !plan.route.kind.is_repeatable() {
+                    return Last::Answer(found);
+                }
+                tracing::debug!(request = %call.id, status = found.status().as_u16(), "upstream failed");
+                answer = Some(found);
+            }
+            Outcome::Stream(stream) => return Last::Stream(stream),
+            Outcome::NotRun(NotRun::Refused { after: told }) => after = told.or(after),
+            Outcome::NotRun(NotRun::Misdirected | NotRun::Unreachable) => {}
+            Outcome::Unknown(why) => {
+                unknown = Some(why);
+                if !plan.route.kind.is_repeatable() {
+                    let status = match why {
+                        Unknown::Silent => StatusCode::GATEWAY_TIMEOUT,
+                        Unknown::Lost | Unknown::Foreign => StatusCode::BAD_GATEWAY,
+                    };
+                    return Last::Fail { status, why };
+                }
+            }
+        }
+    }
+}
+
+/// Turns the last outcome into the answer.
+fn finish(entry: &Rc<Entry>, call: Call, plan: Plan, last: Last, is_forwarded: bool) -> Answer {
+    metrics::histogram!(names::HEAD_TIME).record((entry.now() - plan.began).as_secs_f64());
+    match last {
+        Last::Answer(found) => {
+            plan.end(entry, &call, Ended::Answered);
+            let (mut parts, bytes) = found.into_parts();
+            strip_connection(&mut parts.headers);
+            parts.headers.remove(header::CONTENT_LENGTH);
+            Response::from_parts(parts, body::whole(bytes))
+        }
+        Last::Stream(stream) => {
+            let (sender, content) = body::streamed();
+            let mut answer = Response::new(content);
+            *answer.status_mut() = stream.status;
+            let mut headers = stream.headers.clone();
+            strip_connection(&mut headers);
+            headers.remove(header::CONTENT_LENGTH);
+            *answer.headers_mut() = headers;
+            task::spawn_local(relay::run(entry.clone(), call, plan, stream, sender));
+            answer
+        }
+        Last::Refuse { after } => {
+            plan.end(entry, &call, Ended::Refused);
+            refusal(entry, &call, after, is_forwarded)
+        }
+        Last::Fail { status, why } => {
+            let ended = match why {
+                Unknown::Silent => Ended::TimedOut,
+                Unknown::Lost | Unknown::Foreign => Ended::Failed,
+            };
+            plan.end(entry, &call, ended);
+            let mut answer = plain(status, "the upstream's answer was lost; the call may have run");
+            echo_id(entry, &call, &mut answer);
+            answer
+        }
+    }
+}
+
+/// Refuses a call as not run.
+fn refusal(entry: &Entry, call: &Call, after: Duration, is_forwarded: bool) -> Answer {
+    let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "not run; come back later");
+    let seconds = format!("{:.3}", after.as_secs_f64());
+    body::insert(answer.headers_mut(), header::RETRY_AFTER.as_str(), &seconds);
+    if is_forwarded {
+        let yes = header::HeaderValue::from_static("1");
+        answer.headers_mut().insert(forwarded::NOT_RUN, yes);
+    }
+    echo_id(entry, call, &mut answer);
+    answer
+}
+
+fn echo_id(entry: &Entry, call: &Call, answer: &mut Answer) {
+    if let Ok(id) = header::HeaderValue::from_str(&call.id) {
+        answer.headers_mut().insert(entry.names.call_id.clone(), id);
+    }
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Answer {
+    let mut answer = body::text(text.into());
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/medlarlug-gateway/src/keeper.rs
@@ -0,0 +1,676 @@
+//! A keeper: replicates the route table and the evacuated zones, takes announcements of upstreams
+//! in, and passes all news on to whoever has opened a link to it.
+//!
+//! Requests of operators may reach any keeper. One that does not lead the group passes them to the
+//! leader and answers what the leader answers; without a leader it answers that it is unavailable.
+//! A read is answered only after the leader has confirmed with a majority that it still leads.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use medlarlug::{
+    coordination::{
+        clock::Clock,
+        keeper::{
+            group::{Caller, Group, Output},
+            machine::{Machine, MachineError},
+            storage::group_name,
+        },
+    },
+    protocol::{GroupId, GroupReply, GroupRequest},
+    state::{DataFolder, Journal, StateError, Writer},
+    transport::http_server::{self, ServerError},
+};
+use medlarlug_core::{
+    gateway::{
+        contacts::{Card, Contacts, Part, Status, directory},
+        publication::{Command, Publication},
+        table::{RouteTable, TableVersion},
+        upstreams::{self, Effect, Upstream, UpstreamState, Upstreams},
+    },
+    ids::{InstanceId, RegionId, UpstreamId, ZoneId},
+    replication::{Config, MemberKey, Persist, Replica, Role},
+    time::Time,
+};
+use serde_bytes::ByteBuf;
+use thiserror::Error;
+use tokio::{
+    net::TcpListener,
+    sync::{oneshot, watch},
+    task,
+    time::{MissedTickBehavior, interval, sleep, timeout},
+};
+
+use crate::{
+    follower::{Links, Owner, chain},
+    link::{self, Head, LinkReceiver, Message, News},
+    metrics as names,
+    settings::{NO_TABLE, NodeSettings, address_of, instance_at},
+    subscribers::Subscribers,
+};
+
+/// Time between two ticks of the replica, a part of its heartbeat.
+const TICK: Duration = Duration::from_millis(50);
+/// Heartbeat of the leader. Voters wait for four to eight of them, several round trips between
+/// regions.
+const HEARTBEAT: Duration = Duration::from_millis(150);
+/// Time between two rounds of news; changes that matter are told at once.
+const NEWS_INTERVAL: Duration = Duration::from_millis(250);
+/// Time that an operator's request has: callers try the next keeper after a second.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(950);
+/// Pause before a request is tried again while there is no leader.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Time that entry instances have to confirm the leaving of an upstream, which gives an answer a
+/// second.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause between two looks at who has confirmed.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(5);
+/// Time for which the disk may be behind before a leader hands over.
+const DISK_PATIENCE: Duration = Duration::from_millis(600);
+/// Time after the start in which too few entry instances are linked to name them to callers.
+const WARM_UP: Duration = Duration::from_millis(1_500);
+
+/// Why a keeper stops or does not start.
+#[derive(Debug, Error)]
+pub enum KeeperError {
+    /// No folder for durable state was given.
+    #[error("a keeper needs a data folder")]
+    NoFolder,
+    /// The durable state can't be used.
+    #[error("failed to open the durable state")]
+    State(#[from] StateError),
+    /// What is stored can't be decoded.
+    #[error("failed to read the replicated state")]
+    Machine(#[from] MachineError),
+    /// An address can't be listened at.
+    #[error(transparent)]
+    Server(#[from] ServerError),
+}
+
+/// A request that no leader has answered; it may have been carried out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("no leader of the keepers answered in time")]
+pub struct Unavailable;
+
+/// A running keeper.
+pub struct Keeper {
+    settings: RefCell<NodeSettings>,
+    clock: Clock,
+    started: Time,
+    group: RefCell<Group>,
+    writer: Writer,
+    _folder: DataFolder,
+    upstreams: RefCell<Upstreams>,
+    contacts: RefCell<Contacts>,
+    subscribers: RefCell<Subscribers>,
+    links: Links,
+    /// Requests of this process that wait for their answer, sorted by number.
+    calls: RefCell<Vec<(u64, oneshot::Sender<GroupReply>)>>,
+    last_call: Cell<u64>,
+    head: RefCell<Head>,
+    table: RefCell<Option<Rc<RouteTable>>>,
+    /// The oldest batch that the disk has not confirmed: its number and when it was handed over.
+    unsynced: RefCell<Vec<(u64, Time)>>,
+    /// The state machine failed; the process has to end.
+    failure: RefCell<Option<MachineError>>,
+}
+
+impl Keeper {
+    /// Opens the durable state and starts the keeper's loops on the current thread.
+    ///
+    /// # Errors
+    ///
+    /// The durable state can't be used, or the internal address can't be listened at.
+    pub async fn start(settings: NodeSettings) -> Result<Rc<Keeper>, KeeperError> {
+        let clock = Clock::start();
+        let path = settings.data.clone().ok_or(KeeperError::NoFolder)?;
+        let folder = DataFolder::open(&path, &settings.card.id)?;
+        let journal = Journal::open(&folder)?;
+        let group = new_group(&settings, &folder, &journal, clock.now())?;
+        let (writer, mut reports) = Writer::start_persistent(journal)?;
+        let listener = http_server::listen("peers", settings.card.internal).await?;
+        let keeper = Rc::new(Keeper {
+            settings: RefCell::new(settings),
+            clock,
+            started: clock.now(),
+            group: RefCell::new(group),
+            writer,
+            _folder: folder,
+            upstreams: RefCell::default(),
+            contacts: RefCell::default(),
+            subscribers: RefCell::default(),
+            links: Links::default(),
+            calls: RefCell::default(),
+            last_call: Cell::new(0),
+            head: RefCell::default(),
+            table: RefCell::default(),
+            unsynced: RefCell::default(),
+            failure: RefCell::default(),
+        });
+        keeper.refresh_head();
+        keeper.links.follow(&keeper);
+        task::spawn_local(accept_links(keeper.clone(), listener));
+        let this = keeper.clone();
+        task::spawn_local(async move {
+            while let Some(report) = reports.recv().await {
+                match report {
+                    Ok(synced) => this.on_synced(synced.sequence),
+                    Err(error) => tracing::warn!(error = %chain(&error), "disk failed"),
+                }
+            }
+        });
+        task::spawn_local(tick(keeper.clone()));
+        task::spawn_local(tell_news(keeper.clone()));
+        Ok(keeper)
+    }
+
+    /// Runs until the process has to stop, then hands leadership over.
+    ///
+    /// # Errors
+    ///
+    /// The replicated state can't be decoded.
+    pub async fn run_until(&self, mut stop: watch::Receiver<bool>) -> Result<(), KeeperError> {
+        loop {
+            tokio::select! {
+                _ = stop.wait_for(|stop| *stop) => break,
+                () = sleep(TICK) => {}
+            }
+            if let Some(error) = self.failure.borrow_mut().take() {
+                return Err(error.into());
+            }
+        }
+        let deadline = self.now() + HANDOVER_TIME;
+        while self.is_leader() && self.now() < deadline {
+            self.run(|group, now, out| group.transfer(now, out));
+            sleep(HANDOVER_PAUSE).await;
+        }
+        Ok(())
+    }
+
+    /// Takes changed settings over: other contacts.
+    pub fn reload(self: &Rc<Keeper>, settings: NodeSettings) {
+        *self.settings.borrow_mut() = settings;
+        self.links.follow(self);
+    }
+
+    /// Takes an announcement in. Returns once every linked entry instance knows of it, if the
+    /// upstream is leaving.
+    pub async fn announce(&self, upstream: Upstream) {
+        let is_leaving = upstream.state != UpstreamState::Ready;
+        let id = upstream.id.clone();
+        let (birth, sequence, state) = (upstream.birth.0, upstream.sequence, upstream.state);
+        let effect = self.upstreams.borrow_mut().announce(self.now(), upstream, Duration::ZERO);
+        self.count(effect);
+        if effect == Effect::Changed {
+            tracing::info!(upstream = %id, birth, sequence, ?state, "upstream changed");
+            self.push();
+        }
+        if is_leaving {
+            self.wait_for_entries().await;
+        }
+    }
+
+    /// Takes in that an upstream has left. Returns once every linked entry instance knows.
+    pub async fn leave(&self, id: &UpstreamId, unknown: Upstream) {
+        let now = self.now();
+        let effect = self.upstreams.borrow_mut().leave_unknown(now, unknown);
+        self.count(effect);
+        if effect == Effect::Changed {
+            tracing::info!(upstream = %id, "upstream left");
+            self.push();
+        }
+        self.wait_for_entries().await;
+    }
+
+    /// Puts a table in force that was checked before.
+    ///
+    /// # Errors
+    ///
+    /// No leader answered in time.
+    pub async fn publish(
+        &self,
+        version: TableVersion,
+        document: Vec<u8>,
+    ) -> Result<(), Unavailable> {
+        if version <= self.head.borrow().version {
+            // An applied version is committed, so it is in force or overtaken already.
+            return Ok(());
+        }
+        let command = Command::Publish { version, document: ByteBuf::from(document) };
+        self.submit(GroupRequest::Publish(command)).await.map(|_| ())
+    }
+
+    /// Evacuates a zone, or withdraws that.
+    ///
+    /// # Errors
+    ///
+    /// No leader answered in time.
+    pub async fn evacuate(&self, zone: ZoneId, is_evacuated: bool) -> Result<(), Unavailable> {
+        let command = match is_evacuated {
+            true => Command::Evacuate(zone),
+            false => Command::Restore(zone),
+        };
+        self.submit(GroupRequest::Publish(command)).await.map(|_| ())
+    }
+
+    /// The newest replicated state, confirmed by a majority.
+    ///
+    /// # Errors
+    ///
+    /// No leader answered in time.
+    pub async fn published(&self) -> Result<Publication, Unavailable> {
+        match self.submit(GroupRequest::Published).await? {
+            GroupReply::Published(publication) => Ok(*publication),
+            _ => Err(Unavailable),
+        }
+    }
+
+    /// Entry instances to name to a caller, near ones first; empty while too few are known.
+    pub fn directory(
+        &self,
+        host: Option<&str>,
+        zone: Option<&ZoneId>,
+        region: Option<&RegionId>,
+    ) -> Vec<SocketAddr> {
+        if self.now() - self.started < WARM_UP {
+            return Vec::new();
+        }
+        let table = self.table.borrow();
+        let homes = match (&*table, host) {
+            (Some(table), Some(host)) => table.homes_of(host),
+            _ => Vec::new(),
+        };
+        directory(&self.contacts.borrow(), self.now(), zone, region, &homes)
+    }
+
+    /// Reads a table, as the settings say.
+    ///
+    /// # Errors
+    ///
+    /// The document is no valid table.
+    pub fn read_table(
+        &self,
+        document: &[u8],
+    ) -> Result<RouteTable, crate::settings::DocumentError> {
+        let read = self.settings.borrow().read_table;
+        read(document)
+    }
+
+    /// The keeper's availability zone.
+    pub fn zone(&self) -> ZoneId {
+        self.settings.borrow().card.zone.clone()
+    }
+
+    fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    fn is_leader(&self) -> bool {
+        self.group.borrow().is_leader()
+    }
+
+    fn count(&self, effect: Effect) {
+        let effect = match effect {
+            Effect::Ignored => "ignored",
+            Effect::Renewed => "renewed",
+            Effect::Changed => "changed",
+        };
+        metrics::counter!(names::ANNOUNCEMENTS, "effect" => effect).increment(1);
+    }
+
+    async fn wait_for_entries(&self) {
+        let waited = self.subscribers.borrow().unseen_by_entries();
+        let seen = async {
+            while !self.subscribers.borrow().have_seen(&waited) {
+                sleep(CONFIRM_PAUSE).await;
+            }
+        };
+        if timeout(CONFIRM_TIMEOUT, seen).await.is_err() {
+            tracing::warn!("entry instances didn't confirm that an upstream leaves");
+        }
+    }
+
+    /// Carries a request out at the leader, wherever that is.
+    async fn submit(&self, request: GroupRequest) -> Result<GroupReply, Unavailable> {
+        let attempts = async {
+            loop {
+                match self.attempt(request.clone()).await {
+                    Some(GroupReply::NotLeader(_)) | None => sleep(RETRY_PAUSE).await,
+                    Some(GroupReply::Uncertain | GroupReply::Unfit) => return Err(Unavailable),
+                    Some(reply) => return Ok(reply),
+                }
+            }
+        };
+        timeout(REQUEST_TIMEOUT, attempts).await.unwrap_or(Err(Unavailable))
+    }
+
+    /// One attempt; `None` if no leader is known.
+    async fn attempt(&self, request: GroupRequest) -> Option<GroupReply> {
+        let own = self.settings.borrow().card.id.clone();
+        let leader = self.group.borrow().replica().leader().cloned()?;
+        let call = self.last_call.get() + 1;
+        self.last_call.set(call);
+        let (sender, receiver) = oneshot::channel();
+        self.calls.borrow_mut().push((call, sender));
+        if leader == own {
+            let caller = Caller { instance: own, call };
+            self.run(|group, now, out| group.call(now, caller, request, out));
+        } else {
+            let port = self.settings.borrow().card.internal.port();
+            let address = address_of(&leader, port)?;
+            self.links.send(address, &Message::Call { call, request });
+        }
+        let reply = receiver.await.ok();
+        reply
+    }
+
+    fn answer(&self, call: u64, reply: GroupReply) {
+        let mut calls = self.calls.borrow_mut();
+        calls.retain(|it| !it.1.is_closed());
+        if let Ok(at) = calls.binary_search_by(|it| it.0.cmp(&call)) {
+            // A caller that gave up in this moment needs no answer.
+            let _ = calls.remove(at).1.send(reply);
+        }
+    }
+
+    fn on_synced(&self, sequence: u64) {
+        self.unsynced.borrow_mut().retain(|it| it.0 > sequence);
+        self.run(|group, now, out| group.persisted(now, sequence, out));
+    }
+
+    /// Feeds the group and carries out what it asks for.
+    fn run<F>(&self, feed: F)
+    where
+        F: FnOnce(&mut Group, Time, &mut Vec<Output>) -> Result<(), MachineError>,
+    {
+        let mut out = Vec::new();
+        let result = feed(&mut self.group.borrow_mut(), self.now(), &mut out);
+        if let Err(error) = result {
+            tracing::error!(error = %chain(&error), "the replicated state can't be decoded");
+            *self.failure.borrow_mut() = Some(error);
+        }
+        let mut is_changed = false;
+        for output in out {
+            match output {
+                Output::Send { to, message } => self.send(&to, message),
+                Output::Persist(batch) => self.persist(batch),
+                Output::Reply { caller, reply } => self.reply(caller, reply),
+                Output::Applied => is_changed = true,
+                Output::Role { role, term } => {
+                    tracing::info!(?role, term = term.0, "role changed");
+                    if role == Role::Leader {
+                        is_changed = true;
+                    }
+                }
+            }
+        }
+        if is_changed {
+            self.refresh_head();
+            self.push();
+        }
+    }
+
+    fn send(&self, to: &InstanceId, message: medlarlug_core::replication::Message) {
+        let port = self.settings.borrow().card.internal.port();
+        if let Some(address) = address_of(to, port) {
+            self.links.send(address, &Message::Replication(message));
+        }
+    }
+
+    fn persist(&self, batch: Persist) {
+        self.unsynced.borrow_mut().push((batch.sequence, self.now()));
+        self.writer.persist(group_name(&GroupId::Publication), batch);
+    }
+
+    fn reply(&self, caller: Caller, reply: GroupReply) {
+        if caller.instance == self.settings.borrow().card.id {
+            return self.answer(caller.call, reply);
+        }
+        let message = Message::Reply { call: caller.call, reply };
+        self.subscribers.borrow().send(&caller.instance, &message);
+    }
+
+    /// Takes over what the state machine has applied.
+    fn refresh_head(&self) {
+        let group = self.group.borrow();
+        let Some(publication) = group.machine().publication() else { return };
+        let head = Head {
+            version: publication.version(),
+            round: publication.round(),
+            evacuated: publication.evacuated().to_vec(),
+        };
+        if *self.head.borrow() == head {
+            return;
+        }
+        tracing::info!(
+            version = head.version.0,
+            evacuated = ?head.evacuated,
+            round = head.round,
+            "replicated state applied"
+        );
+        if head.version != self.head.borrow().version && head.version > NO_TABLE {
+            let read = self.settings.borrow().read_table;
+            match read(publication.document()) {
+                Ok(table) => *self.table.borrow_mut() = Some(Rc::new(table)),
+                Err(error) => {
+                    tracing::error!(error = %chain(&error), "the table in force can't be read");
+                }
+            }
+        }
+        *self.head.borrow_mut() = head;
+    }
+
+    /// Sends everyone the news that they lack.
+    fn push(&self) {
+        let mut subscribers = self.subscribers.borrow_mut();
+        let head = self.head.borrow();
+        subscribers.push(self.now(), &self.upstreams.borrow(), &self.contacts.borrow(), &head);
+    }
+
+    fn on_news(&self, from: SocketAddr, news: News) {
+        let now = self.now();
+        let mut is_changed = false;
+        {
+            let mut upstreams = self.upstreams.borrow_mut();
+            for (upstream, age) in news.upstreams {
+                let age = Duration::from_millis(age.into());
+                let is_gone = upstream.state == UpstreamState::Gone;
+                let id = upstream.id.clone();
+                let effect = match is_gone {
+                    true => upstreams.leave_unknown(now, upstream),
+                    false => upstreams.announce(now, upstream, age),
+                };
+                if effect == Effect::Changed {
+                    tracing::debug!(upstream = %id, %from, "upstream changed, by another keeper");
+                    is_changed = true;
+                }
+            }
+            let mut contacts = self.contacts.borrow_mut();
+            let keepers = news.contacts.into_iter().filter(|it| it.0.part == Part::Keeper);
+            for (card, status, age) in keepers {
+                let age = Duration::from_millis(age.into());
+                contacts.hear(now, card, Some(status), age);
+            }
+        }
+        self.links.send(from, &Message::Seen(news.number));
+        if is_changed {
+            self.push();
+        }
+    }
+
+    /// A message that came over a link that the peer opened.
+    fn on_subscriber(&self, link: u64, card: &Card, message: Message) {
+        let now = self.now();
+        match message {
+            Message::Ping(status) => {
+                let mut contacts = self.contacts.borrow_mut();
+                let was_ready = contacts.get(&card.id).is_some_and(|it| it.status.ready);
+                if was_ready != status.ready {
+                    tracing::info!(instance = %card.id, ready = status.ready, "readiness changed");
+                }
+                contacts.hear(now, card.clone(), Some(status), Duration::ZERO);
+                self.subscribers.borrow().send(&card.id, &Message::Pong);
+            }
+            Message::Seen(number) => self.subscribers.borrow_mut().seen(link, number),
+            Message::Fetch(version) => {
+                let group = self.group.borrow();
+                let Some(publication) = group.machine().publication() else { return };
+                if publication.version() < version {
+                    return;
+                }
+                let version = publication.version();
+                let bytes = publication.document().to_vec();
+                let document = Message::Document { version, bytes };
+                self.subscribers.borrow().send(&card.id, &document);
+            }
+            Message::Replication(message) => {
+                let from = card.id.clone();
+                self.run(|group, now, out| group.receive(now, from, message, out));
+            }
+            Message::Call { call, request } => {
+                let caller = Caller { instance: card.id.clone(), call };
+                self.run(|group, now, out| group.call(now, caller, request, out));
+            }
+            Message::Hello(_)
+            | Message::Pong
+            | Message::News(_)
+            | Message::Document { .. }
+            | Message::Reply { .. } => {
+                tracing::warn!(instance = %card.id, "unexpected message");
+            }
+        }
+    }
+}
+
+/// Time in which a leader that stops hands over: a few round trips between regions.
+const HANDOVER_TIME: Duration = Duration::from_millis(1_200);
+/// Pause between two looks at whether another member leads.
+const HANDOVER_PAUSE: Duration = Duration::from_millis(100);
+
+impl Owner for Keeper {
+    fn card(&self) -> Card {
+        self.settings.borrow().card.clone()
+    }
+
+    fn status(&self) -> Status {
+        Status::default()
+    }
+
+    fn keepers(&self) -> Vec<SocketAddr> {
+        let settings = self.settings.borrow();
+        let port = settings.card.internal.port();
+        let group = self.group.borrow();
+        let members = group.replica().membership().map(|it| it.members()).unwrap_or_default();
+        let members = members.iter().filter_map(|member| address_of(&member.key.id, port));
+        let contacts = self.contacts.borrow();
+        let heard = contacts.all().iter().filter(|it| it.card.part == Part::Keeper);
+        let mut all: Vec<SocketAddr> = settings.contacts.clone();
+        all.extend(members);
+        all.extend(heard.map(|it| it.card.internal));
+        all.sort();
+        all.dedup();
+        all
+    }
+
+    fn receive(&self, from: SocketAddr, message: Message) {
+        match message {
+            Message::News(news) => self.on_news(from, news),
+            Message::Reply { call, reply } => self.answer(call, reply),
+            Message::Pong => {}
+            _ => tracing::warn!(keeper = %from, "unexpected message"),
+        }
+    }
+}
+
+fn new_group(
+    settings: &NodeSettings,
+    folder: &DataFolder,
+    journal: &Journal,
+    now: Time,
+) -> Result<Group, MachineError> {
+    let id = GroupId::Publication;
+    let restored = journal.group(&group_name(&id));
+    let mut machine = Machine::new(&id);
+    if let Some(snapshot) = &restored.snapshot {
+        machine.restore(&id, &snapshot.data)?;
+    }
+    let key = MemberKey { id: settings.card.id.clone(), storage: folder.storage() };
+    let founders = settings.contacts.iter().filter_map(|it| instance_at(it.ip()).ok()).collect();
+    let mut config = Config::new(key, founders).with_heartbeat(HEARTBEAT);
+    config.may_form = settings.first_start;
+    let replica = Replica::new(config, restored, rand::random(), now);
+    Ok(Group::new(id, replica, machine))
+}
+
+async fn accept_links(keeper: Rc<Keeper>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                task::spawn_local(serve_link(keeper.clone(), stream));
+            }
+            Err(error) => {
+                tracing::warn!(%error, "failed to accept a link");
+                sleep(TICK).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(keeper: Rc<Keeper>, stream: tokio::net::TcpStream) {
+    let (card, sender, mut receiver): (Card, _, LinkReceiver) = match link::accept(stream).await {
+        Ok(accepted) => accepted,
+        Err(error) => {
+            tracing::debug!(error = %chain(&error), "a link didn't begin");
+            return;
+        }
+    };
+    let now = keeper.now();
+    let is_new = keeper.contacts.borrow_mut().hear(now, card.clone(), None, Duration::ZERO);
+    tracing::info!(instance = %card.id, part = ?card.part, is_new, "link accepted");
+    let link = keeper.subscribers.borrow_mut().add(card.id.clone(), card.part, sender);
+    keeper.links.follow(&keeper);
+    keeper.push();
+    let error = loop {
+        match receiver.receive().await {
+            Ok(message) => keeper.on_subscriber(link, &card, message),
+            Err(error) => break error,
+        }
+    };
+    keeper.subscribers.borrow_mut().remove(link);
+    tracing::info!(instance = %card.id, error = %chain(&error), "link ended");
+}
+
+async fn tick(keeper: Rc<Keeper>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        keeper.run(|group, now, out| group.tick(now, out));
+        let now = keeper.now();
+        let is_behind =
+            keeper.unsynced.borrow().first().is_some_and(|it| now - it.1 > DISK_PATIENCE);
+        if is_behind && keeper.is_leader() {
+            tracing::warn!("the disk is behind, handing leadership over");
+            keeper.run(|group, now, out| group.transfer(now, out));
+        }
+    }
+}
+
+async fn tell_news(keeper: Rc<Keeper>) {
+    let mut ticks = interval(NEWS_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let now = keeper.now();
+        keeper.contacts.borrow_mut().forget(now);
+        for id in keeper.upstreams.borrow_mut().forget(now) {
+            tracing::info!(upstream = %id, silent_s = upstreams::FORGET_AFTER.as_secs(), "upstream forgotten");
+        }
+        keeper.push();
+        keeper.links.follow(&keeper);
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-gateway/src/metrics.rs
@@ -0,0 +1,35 @@
+//! Names of the gateway's metrics.
+
+use metrics::{Unit, describe_counter, describe_gauge, describe_histogram};
+
+/// Counter: calls that ended. Label: `outcome` (see [`crate::entry::Ended`]).
+pub const CALLS: &str = "medlarlug_gateway_calls_total";
+/// Histogram in seconds: from the arrival of a call to the head of its answer.
+pub const HEAD_TIME: &str = "medlarlug_gateway_head_seconds";
+/// Counter: requests to upstreams beyond the first of their call.
+pub const REPEATS: &str = "medlarlug_gateway_repeats_total";
+/// Counter: calls handed to another region.
+pub const FORWARDED: &str = "medlarlug_gateway_forwarded_total";
+/// Gauge: version of the route table in force.
+pub const TABLE_VERSION: &str = "medlarlug_gateway_table_version";
+/// Gauge: upstreams that are known and take calls.
+pub const UPSTREAMS: &str = "medlarlug_gateway_upstreams";
+/// Gauge: open links to keepers.
+pub const LINKS: &str = "medlarlug_gateway_links";
+/// Counter: announcements of upstreams. Label: `effect`.
+pub const ANNOUNCEMENTS: &str = "medlarlug_gateway_announcements_total";
+/// Counter: announcements that could not be read.
+pub const UNREADABLE: &str = "medlarlug_gateway_unreadable_announcements_total";
+
+/// Describes the metrics to the recorder.
+pub fn describe() {
+    describe_counter!(CALLS, "Calls that ended, by outcome");
+    describe_histogram!(HEAD_TIME, Unit::Seconds, "Arrival of a call to the head of its answer");
+    describe_counter!(REPEATS, "Requests to upstreams beyond the first of their call");
+    describe_counter!(FORWARDED, "Calls handed to another region");
+    describe_gauge!(TABLE_VERSION, "Version of the route table in force");
+    describe_gauge!(UPSTREAMS, "Upstreams that are known and take calls");
+    describe_gauge!(LINKS, "Open links to keepers");
+    describe_counter!(ANNOUNCEMENTS, "Announcements of upstreams, by effect");
+    describe_counter!(UNREADABLE, "Announcements that could not be read");
+}
--- a/src/coordination/clock.rs
+++ b/src/coordination/clock.rs
@@ -1,8 +1,12 @@
 //! The process's clocks: monotonic time for the cores, wall-clock time for incarnations only.
+//!
+//! The monotonic clock counts the time for which the machine is suspended, so that a lease or the
+//! age of news never outlives a suspension.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use medlarlug_core::{ids::Incarnation, time::Time};
+use rustix::time::{ClockId, clock_gettime};
 
 /// Reads the monotonic clock as cores see it.
 ///
@@ -14,21 +18,28 @@
 /// ```
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    origin: Instant,
+    origin: Duration,
 }
 
 impl Clock {
     /// A clock whose origin is now.
     pub fn start() -> Clock {
-        Clock { origin: Instant::now() }
+        Clock { origin: boot_time() }
     }
 
     /// The current reading.
     pub fn now(&self) -> Time {
-        Time::ZERO + self.origin.elapsed()
+        Time::ZERO + boot_time().saturating_sub(self.origin)
     }
 }
 
+/// Time since the machine was started, suspension included.
+fn boot_time() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or_default())
+}
+
 /// An incarnation for a process without a disk: the wall-clock time of its start.
 ///
 /// Milliseconds since 1970 rise from one start to the next unless the clock was set back, in
--- a/src/coordination/keeper/duties/confirmations.rs
+++ b/src/coordination/keeper/duties/confirmations.rs
@@ -118,7 +118,7 @@
         Machine::Configuration(machine) => {
             Some(machine.configuration()).filter(|it| !it.draining().is_empty()).cloned()
         }
-        Machine::Home(_) => None,
+        Machine::Home(_) | Machine::Publication(_) => None,
     });
     newest.flatten()
 }
--- a/src/coordination/keeper/duties/founding.rs
+++ b/src/coordination/keeper/duties/founding.rs
@@ -49,7 +49,7 @@
     let group = GroupId::Home(region.clone());
     let is_founded = keeper.with_machine(&group, |machine| match machine {
         Machine::Home(machine) => machine.founded().is_some(),
-        Machine::Configuration(_) => true,
+        Machine::Configuration(_) | Machine::Publication(_) => true,
     });
     let is_configured =
         || keeper.node.configuration().is_some_and(|it| it.region(region).is_some());
--- a/src/coordination/keeper/duties/mod.rs
+++ b/src/coordination/keeper/duties/mod.rs
@@ -85,7 +85,7 @@
     let ask = follower::Ask { token: 0, revision, full: false };
     let newer = keeper.with_machine(&group, |machine| match machine {
         Machine::Configuration(machine) => machine.update_for(&ask),
-        Machine::Home(_) => None,
+        Machine::Home(_) | Machine::Publication(_) => None,
     });
     let Some(update) = newer.flatten() else { return };
     node.push(update.clone());
--- a/src/coordination/keeper/duties/moves.rs
+++ b/src/coordination/keeper/duties/moves.rs
@@ -139,7 +139,7 @@
     let group = GroupId::Home(it.to.clone());
     let is_held = keeper.with_machine(&group, |machine| match machine {
         Machine::Home(machine) => machine.is_held(&home),
-        Machine::Configuration(_) => false,
+        Machine::Configuration(_) | Machine::Publication(_) => false,
     });
     is_held.unwrap_or(false)
 }
--- a/src/coordination/keeper/duties/outcomes.rs
+++ b/src/coordination/keeper/duties/outcomes.rs
@@ -41,7 +41,7 @@
     let group = GroupId::Home(region.clone());
     let questions = keeper.with_machine(&group, |machine| match machine {
         Machine::Home(machine) => machine.questions().collect(),
-        Machine::Configuration(_) => Vec::new(),
+        Machine::Configuration(_) | Machine::Publication(_) => Vec::new(),
     });
     let mut questions: Vec<Question> = questions.unwrap_or_default();
     if questions.is_empty() {
--- a/src/coordination/keeper/duties/owners.rs
+++ b/src/coordination/keeper/duties/owners.rs
@@ -53,7 +53,7 @@
     }
     let owners = keeper.with_machine(group, |machine| match machine {
         Machine::Home(machine) => machine.open_owners(),
-        Machine::Configuration(_) => Vec::new(),
+        Machine::Configuration(_) | Machine::Publication(_) => Vec::new(),
     });
     owners.unwrap_or_default().into_iter().filter(|it| is_gone(keeper, it)).collect()
 }
--- a/src/coordination/keeper/group.rs
+++ b/src/coordination/keeper/group.rs
@@ -200,12 +200,14 @@
                 let elapsed = self.elapsed(now);
                 postcard::to_stdvec(&home::Command { elapsed, action: action.clone() })
             }
+            GroupRequest::Publish(command) => postcard::to_stdvec(command),
             GroupRequest::LookUp(_)
             | GroupRequest::History
             | GroupRequest::Revision
             | GroupRequest::Founding
             | GroupRequest::Moves
-            | GroupRequest::Force(_) => return None,
+            | GroupRequest::Force(_)
+            | GroupRequest::Published => return None,
         };
         command.ok()
     }
--- a/src/coordination/keeper/machine.rs
+++ b/src/coordination/keeper/machine.rs
@@ -1,7 +1,11 @@
 //! The state machine of one replication group.
 
 use medlarlug_core::{
-    configuration_group, configuration_group::ConfigurationGroup, home, home::HomeGroup,
+    configuration_group,
+    configuration_group::ConfigurationGroup,
+    gateway::publication::{self, Publication},
+    home,
+    home::HomeGroup,
     ids::Revision,
 };
 use thiserror::Error;
@@ -38,6 +42,8 @@
     Configuration(Box<ConfigurationGroup>),
     /// Of a home group.
     Home(Box<HomeGroup>),
+    /// Of the publication group.
+    Publication(Box<Publication>),
 }
 
 impl Machine {
@@ -46,6 +52,7 @@
         match group {
             GroupId::Configuration => Machine::Configuration(Box::default()),
             GroupId::Home(_) => Machine::Home(Box::default()),
+            GroupId::Publication => Machine::Publication(Box::default()),
         }
     }
 
@@ -67,6 +74,12 @@
                 let command: home::Command = postcard::from_bytes(command).map_err(error)?;
                 Ok(GroupReply::Acted(machine.apply(command)))
             }
+            Machine::Publication(machine) => {
+                let command: publication::Command =
+                    postcard::from_bytes(command).map_err(error)?;
+                machine.apply(command);
+                Ok(GroupReply::Accepted)
+            }
         }
     }
 
@@ -88,6 +101,9 @@
             (Machine::Home(machine), GroupRequest::Founding) => {
                 GroupReply::Founding(machine.founded())
             }
+            (Machine::Publication(machine), GroupRequest::Published) => {
+                GroupReply::Published(machine.clone())
+            }
             _ => GroupReply::Unfit,
         }
     }
@@ -96,7 +112,15 @@
     pub fn revision(&self) -> Option<Revision> {
         match self {
             Machine::Configuration(machine) => Some(machine.configuration().revision),
-            Machine::Home(_) => None,
+            Machine::Home(_) | Machine::Publication(_) => None,
+        }
+    }
+
+    /// The state of the publication group; `None` in other groups.
+    pub fn publication(&self) -> Option<&Publication> {
+        match self {
+            Machine::Publication(machine) => Some(machine),
+            Machine::Configuration(_) | Machine::Home(_) => None,
         }
     }
 
@@ -105,6 +129,7 @@
         match self {
             Machine::Configuration(machine) => machine.encode_snapshot(),
             Machine::Home(machine) => machine.encode_snapshot(),
+            Machine::Publication(machine) => machine.encode_snapshot(),
         }
     }
 
@@ -122,6 +147,9 @@
             Machine::Home(machine) => {
                 **machine = HomeGroup::decode_snapshot(snapshot).map_err(error)?;
             }
+            Machine::Publication(machine) => {
+                **machine = Publication::decode_snapshot(snapshot).map_err(error)?;
+            }
         }
         Ok(())
     }
--- a/src/coordination/keeper/rebuild.rs
+++ b/src/coordination/keeper/rebuild.rs
@@ -5,7 +5,9 @@
 //! doesn't know as unknown. The other voters are let in again once they come with empty folders.
 
 use medlarlug_core::{
-    configuration_group, home,
+    configuration_group,
+    gateway::publication,
+    home,
     replication::{FormationId, Member, MemberKey, MemberRole, Persist},
 };
 use smol_str::{SmolStr, ToSmolStr};
@@ -96,5 +98,6 @@
             let (elapsed, action) = (std::time::Duration::ZERO, home::Action::Rebuilt);
             postcard::to_stdvec(&home::Command { elapsed, action })
         }
+        GroupId::Publication => postcard::to_stdvec(&publication::Command::Rebuilt),
     }
 }
--- a/src/coordination/keeper/status.rs
+++ b/src/coordination/keeper/status.rs
@@ -31,7 +31,7 @@
     let replica = group.replica();
     let founded = match group.machine() {
         Machine::Home(machine) => machine.founded(),
-        Machine::Configuration(_) => None,
+        Machine::Configuration(_) | Machine::Publication(_) => None,
     };
     serde_json::json!({
         "group": group.id().to_string(),
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -166,6 +166,8 @@
             GroupId::Home(region) => {
                 self.cluster.home(region).map(|it| it.voters.clone()).unwrap_or_default()
             }
+            // Its members find each other by contact addresses, not by the cluster file.
+            GroupId::Publication => Vec::new(),
         };
         let is_far =
             |id: &InstanceId| self.cluster.peer(id).is_none_or(|it| it.zone != self.own.zone);
--- a/src/protocol/events.rs
+++ b/src/protocol/events.rs
@@ -73,12 +73,46 @@
         Some(Event { bytes: self.buffer.split_to(end).freeze() })
     }
 
+    /// All whole events so far, as one piece.
+    ///
+    /// ```
+    /// use medlarlug::protocol::events::EventSplitter;
+    ///
+    /// let mut splitter = EventSplitter::default();
+    /// splitter.push(b"id: 1\n\nid: 2\n\nid: ");
+    /// assert_eq!(&splitter.take_whole().unwrap()[..], b"id: 1\n\nid: 2\n\n");
+    /// assert!(splitter.take_whole().is_none());
+    /// ```
+    pub fn take_whole(&mut self) -> Option<Bytes> {
+        let plain = self.buffer.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
+        let carriage =
+            self.buffer.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
+        let end = plain.max(carriage)?;
+        Some(self.buffer.split_to(end).freeze())
+    }
+
+    /// Whether bytes of an event wait that is not whole.
+    pub fn has_rest(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// Whether an event was begun that exceeds [`MAX_EVENT_BYTES`].
     pub fn is_overfull(&self) -> bool {
         self.buffer.len() > MAX_EVENT_BYTES
     }
 }
 
+/// The last event id in whole events, if they carry numbers as ids.
+///
+/// ```
+/// assert_eq!(medlarlug::protocol::events::last_id(b"id: 1\n\nid: 12\ndata: a\n\n"), Some(12));
+/// ```
+pub fn last_id(events: &[u8]) -> Option<u64> {
+    let lines = events.rsplit(|byte| *byte == b'\n');
+    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    ids.filter_map(|id| std::str::from_utf8(id.trim_ascii()).ok()?.parse().ok()).next()
+}
+
 /// Length of the first event, with its empty line.
 fn end_of_event(buffer: &[u8]) -> Option<usize> {
     let plain = buffer.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
--- a/src/protocol/message.rs
+++ b/src/protocol/message.rs
@@ -3,7 +3,9 @@
 use std::{fmt, time::Duration};
 
 use medlarlug_core::{
-    configuration_group, follower, home,
+    configuration_group, follower,
+    gateway::publication::{self, Publication},
+    home,
     ids::{InstanceId, RegionId, RequestId, Revision, UpstreamId},
     limits, membership, replication, suspects,
 };
@@ -16,6 +18,8 @@
     Configuration,
     /// The group that records the bookings and requests of a region.
     Home(RegionId),
+    /// The group that keeps the route table and the evacuated zones of a gateway.
+    Publication,
 }
 
 impl fmt::Display for GroupId {
@@ -23,6 +27,7 @@
         match self {
             GroupId::Configuration => f.write_str("configuration"),
             GroupId::Home(region) => write!(f, "home-{region}"),
+            GroupId::Publication => f.write_str("publication"),
         }
     }
 }
@@ -112,6 +117,10 @@
     Moves,
     /// Reads where a revision is in force; the newest one if none is named.
     Force(Option<Revision>),
+    /// A command for the state machine of the publication group.
+    Publish(publication::Command),
+    /// Reads the newest route table and the evacuated zones.
+    Published,
 }
 
 /// The answer of a replication group.
@@ -133,6 +142,10 @@
     Moves(Vec<configuration_group::Move>),
     /// Where a revision is in force.
     Force(configuration_group::Force),
+    /// A command of the publication group is in force.
+    Accepted,
+    /// The newest route table and the evacuated zones.
+    Published(Box<Publication>),
     /// The receiver doesn't lead the group; the leader, if it knows it.
     NotLeader(Option<InstanceId>),
     /// The request was taken in, and whether it is in force is not known.
--- a/src/state/journal.rs
+++ b/src/state/journal.rs
@@ -128,6 +128,16 @@
     ///
     /// The disk failed. What is on it is unknown then, so the journal must not be used further.
     pub fn write(&mut self, batches: Batches) -> Result<(), StateError> {
+        self.append(batches)?;
+        self.rotate()
+    }
+
+    /// Writes the batches and syncs them, without beginning a new file.
+    ///
+    /// # Errors
+    ///
+    /// The disk failed; only [`Journal::recover`] may follow.
+    pub fn append(&mut self, batches: Batches) -> Result<(), StateError> {
         let payload = postcard::to_stdvec(&batches).map_err(StateError::Encode)?;
         let frame = frame::encode(self.next, &payload)?;
         let name = self.folder.join(file_name(self.number));
@@ -138,6 +148,15 @@
         self.next += 1;
         self.length += frame.len() as u64;
         apply(&mut self.groups, batches);
+        Ok(())
+    }
+
+    /// Begins a new file when the present one has grown large.
+    ///
+    /// # Errors
+    ///
+    /// The disk failed. The present file holds everything that was written.
+    pub fn rotate(&mut self) -> Result<(), StateError> {
         let limit = MIN_GROWTH.max(GROWTH_FACTOR * self.checkpoint);
         if self.length - self.checkpoint > limit {
             self.begin_file()?;
@@ -145,6 +164,17 @@
         Ok(())
     }
 
+    /// Writes the batches into a new file with the whole state, after [`Journal::append`]
+    /// has failed: what the failed write left in the old file is unknown and is never built upon.
+    ///
+    /// # Errors
+    ///
+    /// The disk failed again. The batches are part of the state that the next call writes.
+    pub fn recover(&mut self, batches: Batches) -> Result<(), StateError> {
+        apply(&mut self.groups, batches);
+        self.begin_file()
+    }
+
     /// Fills the file with zeros up to `end` and some way beyond.
     fn allocate(&mut self, name: &Path, end: u64) -> Result<(), StateError> {
         if end <= self.allocated {
--- a/src/state/writer.rs
+++ b/src/state/writer.rs
@@ -2,7 +2,7 @@
 //!
 //! Whatever arrives during one sync is written together and shares the next one (group commit).
 
-use std::{path::PathBuf, sync::mpsc, thread};
+use std::{path::PathBuf, sync::mpsc, thread, time::Duration};
 
 use medlarlug_core::replication::Persist;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -25,7 +25,8 @@
     pub sequence: u64,
 }
 
-/// What the writer reports. After an error it writes nothing more.
+/// What the writer reports. After an error it writes nothing more, unless it is a persistent one:
+/// then it goes on with a new file as soon as the disk takes it.
 pub type Report = Result<Synced, StateError>;
 
 #[derive(Debug)]
@@ -47,12 +48,28 @@
     /// # Errors
     ///
     /// The operating system starts no thread.
-    pub fn start(mut journal: Journal) -> Result<(Writer, UnboundedReceiver<Report>), StateError> {
+    pub fn start(journal: Journal) -> Result<(Writer, UnboundedReceiver<Report>), StateError> {
+        Self::spawn(journal, write_all)
+    }
+
+    /// The same with a writer that survives failures of the disk: it reports each, and goes on
+    /// with a new file once the disk takes it. Nothing is reported as synced meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// The operating system starts no thread.
+    pub fn start_persistent(
+        journal: Journal,
+    ) -> Result<(Writer, UnboundedReceiver<Report>), StateError> {
+        Self::spawn(journal, write_persistently)
+    }
+
+    fn spawn(mut journal: Journal, write: Loop) -> Result<(Writer, UnboundedReceiver<Report>), StateError> {
         let (sender, batches) = mpsc::channel();
         let (reports, receiver) = unbounded_channel();
         thread::Builder::new()
             .name("journal".into())
-            .spawn(move || write_all(&mut journal, &batches, &reports))
+            .spawn(move || write(&mut journal, &batches, &reports))
             .map_err(StateError::io(Attempt::Start, PathBuf::from("journal")))?;
         Ok((Writer { target: Target::Disk(sender) }, receiver))
     }
@@ -76,6 +93,41 @@
     }
 }
 
+/// The loop of the writer's thread.
+type Loop = fn(&mut Journal, &mpsc::Receiver<(GroupName, Persist)>, &UnboundedSender<Report>);
+
+/// Pause before the disk is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+fn write_persistently(
+    journal: &mut Journal,
+    batches: &mpsc::Receiver<(GroupName, Persist)>,
+    reports: &UnboundedSender<Report>,
+) {
+    while let Ok(first) = batches.recv() {
+        let mut together = vec![first];
+        together.extend(batches.try_iter().take(MAX_BATCHES - 1));
+        let synced = last_sequences(&together);
+        let mut result = journal.append(together.clone());
+        let mut missing = together;
+        while let Err(error) = result {
+            // A closed channel means that the process is ending.
+            if reports.send(Err(error)).is_err() {
+                return;
+            }
+            thread::sleep(RETRY_PAUSE);
+            result = journal.recover(std::mem::take(&mut missing));
+        }
+        if let Err(error) = journal.rotate() {
+            // The present file holds everything; a smaller one is begun after a later write.
+            tracing::warn!(%error, "failed to begin a new journal file");
+        }
+        for report in synced {
+            let _ = reports.send(Ok(report));
+        }
+    }
+}
+
 fn write_all(
     journal: &mut Journal,
     batches: &mpsc::Receiver<(GroupName, Persist)>,
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -1,8 +1,14 @@
-//! Logs: one JSON object a line on standard error.
+//! Logs: one JSON object a line, on standard error or, without ever blocking, on standard output.
 //!
 //! Request events carry the fields `request`, `instance` and `zone`.
 
-use std::{fmt, io, str::FromStr};
+use std::{
+    fmt, io,
+    str::FromStr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -85,6 +91,9 @@
     /// The process has logs already.
     #[error("logs are started already")]
     Started,
+    /// The thread that writes can't be started.
+    #[error("failed to start the thread that writes logs")]
+    Thread(#[source] io::Error),
     /// The subscriber is gone.
     #[error("the level of the logs can't be changed")]
     Gone(#[source] reload::Error),
@@ -101,7 +110,7 @@
     }
 }
 
-/// Starts the logs of the process.
+/// Starts the logs of the process on standard error.
 ///
 /// ```
 /// use medlarlug::telemetry::logs::{self, LogLevel};
@@ -123,3 +132,94 @@
     subscriber.try_init().map_err(|_| LogError::Started)?;
     Ok(LevelHandle(handle))
 }
+
+/// Starts the logs of the process on standard output, through a bounded buffer that a thread
+/// empties: a reader that stops reading costs lines, which are counted, and delays nothing.
+///
+/// # Errors
+///
+/// Fails when the process has logs already, or no thread can be started.
+pub fn start_buffered(level: LogLevel) -> Result<(LevelHandle, LineBuffer), LogError> {
+    let (filter, handle) = reload::Layer::new(level.filter());
+    let buffer = LineBuffer::default();
+    let sink = buffer.clone();
+    let lines = format::layer()
+        .json()
+        .flatten_event(true)
+        .with_current_span(false)
+        .with_target(false)
+        .with_writer(move || sink.clone());
+    let subscriber = tracing_subscriber::registry().with(filter).with(lines);
+    subscriber.try_init().map_err(|_| LogError::Started)?;
+    let writer = buffer.clone();
+    let spawned = thread::Builder::new().name("logs".into()).spawn(move || {
+        loop {
+            thread::sleep(FLUSH_INTERVAL);
+            writer.flush_to(&mut io::stdout());
+        }
+    });
+    spawned.map_err(LogError::Thread)?;
+    Ok((LevelHandle(handle), buffer))
+}
+
+/// Time between two writes of buffered lines.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Bytes of lines that wait to be written at most; more are dropped and counted.
+const BUFFER_BYTES: usize = 1 << 20;
+
+#[derive(Debug, Default)]
+struct Buffered {
+    bytes: Vec<u8>,
+    dropped: u64,
+}
+
+/// Lines that wait to be written.
+///
+/// ```
+/// use std::io::Write;
+/// use medlarlug::telemetry::logs::LineBuffer;
+///
+/// let mut buffer = LineBuffer::default();
+/// buffer.write_all(b"{}\n")?;
+/// let mut out = Vec::new();
+/// buffer.flush_to(&mut out);
+/// assert_eq!(out, b"{}\n");
+/// # Ok::<(), std::io::Error>(())
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct LineBuffer(Arc<Mutex<Buffered>>);
+
+impl LineBuffer {
+    /// Writes what waits to `out`, and a line that counts what was dropped. A failure of `out`
+    /// loses the lines: there is nowhere left to report it.
+    pub fn flush_to(&self, out: &mut impl io::Write) {
+        let waiting = std::mem::take(&mut *self.lock());
+        let _ = out.write_all(&waiting.bytes);
+        if waiting.dropped > 0 {
+            let dropped = waiting.dropped;
+            let line = format!("{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"dropped\":{dropped}}}\n");
+            let _ = out.write_all(line.as_bytes());
+        }
+        let _ = out.flush();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Buffered> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl io::Write for LineBuffer {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let mut buffered = self.lock();
+        match buffered.bytes.len() + line.len() > BUFFER_BYTES {
+            true => buffered.dropped += 1,
+            false => buffered.bytes.extend_from_slice(line),
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
