Calls refused by an upstream rest it for a while; drained instances close their listeners

Cause: an upstream that refuses calls stays idle, so every call went there and was refused in turn (refusals named one upstream 40 times within a second). Change: a refusal rests an upstream for 150 ms and longer; listeners close 2.5 s after SIGTERM; the attempts that are left travel with the call, and the runs come back with the answer. Ruled out: load on the entry instances (0.02 of 0.25 cores).

--- a/crates/medlarlug-core/src/gateway/health.rs
+++ b/crates/medlarlug-core/src/gateway/health.rs
@@ -8,6 +8,11 @@
 
 use crate::{ids::UpstreamId, time::Time};
 
+/// First time for which an upstream is avoided that takes no more calls; places free up within a
+/// few steps of an engine.
+const FIRST_REST: Duration = Duration::from_millis(150);
+/// Longest time for which an upstream is avoided that takes no more calls.
+const LONGEST_REST: Duration = Duration::from_millis(1_200);
 /// First time for which a broken upstream is avoided; a restart takes seconds.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time for which a broken upstream is avoided.
@@ -22,6 +27,8 @@
     Answered,
     /// The upstream answered with a failure of its own, or broke its answer off.
     Failed,
+    /// The upstream refused the call as not run: it is full, or says so.
+    Refused,
     /// No connection, or silence.
     Unreachable,
 }
@@ -40,6 +47,19 @@
     known: Vec<Health>,
 }
 
+impl Health {
+    /// Avoids the upstream for a time that doubles with each strike, unless it is avoided already.
+    fn strike(&mut self, now: Time, first: Duration, longest: Duration) -> Option<Duration> {
+        if self.avoid.is_some_and(|until| now < until) {
+            return None;
+        }
+        let pause = (first * 2u32.pow(self.strikes.min(3))).min(longest);
+        self.strikes += 1;
+        self.avoid = Some(now + pause);
+        Some(pause)
+    }
+}
+
 impl Healths {
     /// Takes in how a call ended. Returns how long the upstream is avoided from now on, if that
     /// is news.
@@ -56,16 +76,8 @@
                 health.failures += SMOOTHING * (1.0 - health.failures);
                 None
             }
-            CallEnd::Unreachable => {
-                if health.avoid.is_some_and(|until| now < until) {
-                    return None;
-                }
-                let pause = FIRST_PAUSE * 2u32.pow(health.strikes.min(3));
-                let pause = pause.min(LONGEST_PAUSE);
-                health.strikes += 1;
-                health.avoid = Some(now + pause);
-                Some(pause)
-            }
+            CallEnd::Refused => health.strike(now, FIRST_REST, LONGEST_REST),
+            CallEnd::Unreachable => health.strike(now, FIRST_PAUSE, LONGEST_PAUSE),
         }
     }
 
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -310,6 +310,7 @@
         return Some(Outcome::NotRun(NotRun::Refused { after: retry_after(headers) }));
     }
     if headers.contains_key(&names.not_run) {
+        ended(entry, hop, CallEnd::Refused);
         return Some(Outcome::NotRun(NotRun::Refused { after: retry_after(headers) }));
     }
     if answer.status() == StatusCode::MISDIRECTED_REQUEST {
@@ -355,6 +356,6 @@
     let Hop::Upstream { choice, .. } = hop else { return };
     let avoided = entry.healths.borrow_mut().ended(entry.now(), &choice.id, end);
     if let Some(pause) = avoided {
-        tracing::warn!(upstream = %choice.id, avoid_ms = pause.as_millis() as u64, "upstream unreachable");
+        tracing::warn!(upstream = %choice.id, avoid_ms = pause.as_millis() as u64, ?end, "upstream avoided");
     }
 }
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -36,6 +36,7 @@
         address: SocketAddr,
         memory: u64,
         cold_rate: Option<f64>,
+        /// Age of the upstream's newest announcement.
         age: Duration,
     },
     /// To an entry instance of another region.
--- a/crates/medlarlug-gateway/src/entry/forwarded.rs
+++ b/crates/medlarlug-gateway/src/entry/forwarded.rs
@@ -9,12 +9,15 @@
 /// Header of an answer to such a call: it was refused and not run.
 pub(super) const NOT_RUN: &str = "medlarlug-not-run";
 
+/// Header of an answer to such a call: how many requests to upstreams it took.
+pub(super) const ARRIVALS: &str = "medlarlug-arrivals";
+
 /// The route of a call that was handed over, as the first instance saw it.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct Forwarded {
     /// The table that the route is from.
     pub(super) version: TableVersion,
-    /// The route.
+    /// The route, with the attempts that are left.
     pub(super) route: Route,
     /// The service that was picked by the route's weights.
     pub(super) service: ServiceName,
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -67,13 +67,15 @@
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which a table that was asked for is asked for again.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
-/// Time for which callers still come after this instance has said that it is leaving: until they
-/// have asked for the directory again.
-const LINGER: Duration = Duration::from_millis(3_500);
+/// Time for which callers still come after this instance has said that it is leaving: until most
+/// have asked for the directory again, and early enough for streams to end within the grace period.
+const LINGER: Duration = Duration::from_millis(2_500);
 /// Part of the grace period after which calls that still run are cut.
 const GRACE_SHARE: f64 = 0.92;
 /// Pause between two looks at whether calls still run.
 const DRAIN_PAUSE: Duration = Duration::from_millis(50);
+/// Time in which the last bytes of answers go out.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// Prompt tokens of the call for which the wait is told to other regions.
 const USUAL_PROMPT: u32 = 2_000;
 /// Connections of callers and other instances; the system's own limit on descriptors is lower.
@@ -173,19 +175,21 @@
         self.table.borrow().is_some() && !self.is_draining.get()
     }
 
-    /// Tells everyone that this instance leaves, and returns once callers have moved and open
-    /// calls have ended, or the grace period is nearly over.
-    pub async fn drain(&self) {
+    /// Tells everyone that this instance leaves, closes its listeners once callers have moved, and
+    /// returns when open calls have ended or the grace period is nearly over.
+    pub async fn drain(&self, close: &watch::Sender<bool>) {
         self.is_draining.set(true);
         self.links.send_all(&Message::Ping(self.status()));
         let grace = self.settings.borrow().grace;
         let began = self.now();
         let latest = began + grace.mul_f64(GRACE_SHARE);
         sleep(LINGER.min(grace / 2)).await;
+        close.send_replace(true);
         while self.running.get() > 0 && self.now() < latest {
             sleep(DRAIN_PAUSE).await;
         }
         tracing::info!(running = self.running.get(), "drained");
+        sleep(FLUSH_TIME).await;
     }
 
     fn now(&self) -> Time {
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -33,6 +33,8 @@
 const MIN_LEFT: Duration = Duration::from_millis(20);
 /// Connections that may fail before a call is given up.
 const MAX_UNREACHABLE: u32 = 4;
+/// Requests of one call that may reach upstreams, those included that refused it.
+const MAX_ARRIVALS: u32 = 4;
 /// Time that a call has if neither its caller nor its route sets one.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
@@ -83,7 +85,9 @@
     may_leave: bool,
     pub(super) last_event: Option<u64>,
     tried: Tried,
-    /// Requests that reached an upstream.
+    /// Requests that an upstream has begun to run, or may have.
+    runs: u32,
+    /// Requests that reached an upstream, refused ones included.
     arrivals: u32,
     unreachable: u32,
     /// The hops that were tried, for the log.
@@ -116,7 +120,7 @@
 
     /// Whether another request may go out that repeats an earlier one, and counts it.
     pub(super) fn may_repeat(&mut self, entry: &Entry) -> bool {
-        if self.arrivals >= self.route.attempts.max(1) {
+        if self.runs >= self.route.attempts.max(1) || self.arrivals >= MAX_ARRIVALS {
             return false;
         }
         self.arrivals == 0 || entry.take_repeat(&self.service)
@@ -136,7 +140,7 @@
             }
         }
         let left = self.end - entry.now();
-        let is_last = !self.route.kind.is_repeatable() || self.arrivals + 1 >= self.route.attempts;
+        let is_last = !self.route.kind.is_repeatable() || self.runs + 1 >= self.route.attempts;
         let patience = match is_last {
             true => left,
             false => (hop.wait() * PATIENCE_FACTOR).max(MIN_PATIENCE),
@@ -144,7 +148,10 @@
         let forwarded = match hop {
             Hop::Peer { .. } => Forwarded {
                 version: self.table.version(),
-                route: self.route.clone(),
+                route: Route {
+                    attempts: self.route.attempts.max(1).saturating_sub(self.runs).max(1),
+                    ..self.route.clone()
+                },
                 service: self.service.clone(),
             }
             .encode(),
@@ -161,6 +168,14 @@
             patience,
         };
         let outcome = attempt::send(entry, &attempted, hop).await;
+        self.runs += match (&outcome, hop) {
+            (Outcome::NotRun(_), _) => 0,
+            (Outcome::Answer(answer), Hop::Peer { .. }) => arrivals(answer.headers()),
+            (Outcome::Stream(stream), Hop::Peer { .. }) => arrivals(&stream.headers),
+            // Nobody tells how many requests it took.
+            (Outcome::Unknown(_), Hop::Peer { .. }) => self.route.attempts,
+            _ => 1,
+        };
         match outcome {
             Outcome::NotRun(NotRun::Unreachable | NotRun::Misdirected) => self.unreachable += 1,
             _ => self.arrivals += 1,
@@ -178,6 +193,7 @@
             table = self.table.version().0,
             path = %self.path.join(","),
             arrivals = self.arrivals,
+            runs = self.runs,
             outcome = %ended,
             took_ms = took.as_millis() as u64,
             "call ended"
@@ -321,6 +337,7 @@
         may_leave: !is_forwarded,
         last_event: last.and_then(|last| last.trim().parse().ok()),
         tried: Tried::default(),
+        runs: 0,
         arrivals: 0,
         unreachable: 0,
         path: Vec::new(),
@@ -329,6 +346,12 @@
     })
 }
 
+/// Requests to upstreams that the answer of another instance took.
+fn arrivals(headers: &header::HeaderMap) -> u32 {
+    let value = headers.get(forwarded::ARRIVALS).and_then(|value| value.to_str().ok());
+    value.and_then(|value| value.parse().ok()).unwrap_or(1)
+}
+
 /// The last outcome of a call.
 enum Last {
     Answer(Response<Bytes>),
@@ -411,6 +434,7 @@
 
 /// Turns the last outcome into the answer.
 fn finish(entry: &Rc<Entry>, call: Call, plan: Plan, last: Last, is_forwarded: bool) -> Answer {
+    let arrivals = plan.runs;
     metrics::histogram!(names::HEAD_TIME).record((entry.now() - plan.began).as_secs_f64());
     match last {
         Last::Answer(found) => {
@@ -418,6 +442,7 @@
             let (mut parts, bytes) = found.into_parts();
             strip_connection(&mut parts.headers);
             parts.headers.remove(header::CONTENT_LENGTH);
+            tell_arrivals(&mut parts.headers, arrivals, is_forwarded);
             Response::from_parts(parts, body::whole(bytes))
         }
         Last::Stream(stream) => {
@@ -427,6 +452,7 @@
             let mut headers = stream.headers.clone();
             strip_connection(&mut headers);
             headers.remove(header::CONTENT_LENGTH);
+            tell_arrivals(&mut headers, arrivals, is_forwarded);
             *answer.headers_mut() = headers;
             task::spawn_local(relay::run(entry.clone(), call, plan, stream, sender));
             answer
@@ -448,6 +474,14 @@
     }
 }
 
+/// Tells another instance how many requests to upstreams its call took, and nobody else.
+fn tell_arrivals(headers: &mut header::HeaderMap, arrivals: u32, is_forwarded: bool) {
+    headers.remove(forwarded::ARRIVALS);
+    if is_forwarded {
+        headers.insert(forwarded::ARRIVALS, arrivals.into());
+    }
+}
+
 /// Refuses a call as not run.
 fn refusal(entry: &Entry, call: &Call, after: Duration, is_forwarded: bool) -> Answer {
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "not run; come back later");
