--- a/crates/medlarlug-core/src/gateway/placing.rs
+++ b/crates/medlarlug-core/src/gateway/placing.rs
@@ -2,11 +2,15 @@
 //!
 //! For model engines the time to the first token is mostly the time in which prompts are read:
 //! those that wait already, and the parts of this prompt that the engine does not hold in its
-//! cache. [`Loads`] estimates both from what this instance has sent itself, taking its peers to
-//! send as much. Calls that share a prompt part prefer the same engine, which every instance finds
-//! by the same rank without asking; as soon as waiting there costs more than reading the part
-//! again elsewhere, the call goes elsewhere. For plain services it is the time until a slot is
-//! free.
+//! cache. [`Loads`] estimates both from what this instance has sent itself; its peers are taken to
+//! have sent as much as it did on average of late, not as much as at this moment, so that a single
+//! call of its own does not make an engine look busy. For plain services the time is that until a
+//! slot is free.
+//!
+//! Reading a part again delays every stream of its engine, since engines read prompts between the
+//! steps of all others. So a part that is not held counts for more than the time in which it is
+//! read, and calls that share a part stay on the engine that every instance finds for it by the
+//! same rank, until waiting there has grown well above reading it again elsewhere.
 //!
 //! This answers load that is high but bearable. What to do when no upstream can serve in time is
 //! decided by [`refusing`](super::refusing).
@@ -77,19 +81,33 @@
 /// Time of one call to a plain service, in milliseconds, until it is known better.
 const PLAIN_CALL_MS: f64 = 30.0;
 /// Time for which a part is taken to be held after its last use.
-const WARM_FOR: Duration = Duration::from_secs(30);
+const WARM_FOR: Duration = Duration::from_secs(10);
 /// Part of an engine's memory that shared parts are taken to fill at most.
 const WARM_SHARE: f64 = 0.5;
 /// Extra wait of an upstream that fails all its calls, in milliseconds.
 const FAILURE_MS: f64 = 2_000.0;
 /// Part of the reading of a shared part that is taken to be saved on its preferred engine, where
 /// peers have probably sent it.
-const PREFERRED_GAIN: f64 = 0.8;
+const PREFERRED_GAIN: f64 = 0.9;
+/// Weight of reading a shared part again, which delays all streams of the engine.
+const REREAD_WEIGHT: f64 = 3.0;
+/// Time over which the load of peers is averaged.
+const AVERAGE_TIME: Duration = Duration::from_secs(2);
 /// Weight of the newest call in the smoothed slowness.
 const SMOOTHING: f64 = 0.1;
 /// Bounds of the smoothed slowness.
 const SLOWNESS: std::ops::RangeInclusive<f64> = 0.5..=12.0;
 
+/// What a candidate would cost a call.
+struct Predicted {
+    /// Tokens to read.
+    unread: u32,
+    /// Time to the first token or the answer, in milliseconds.
+    wait: f64,
+    /// Delay of others by parts that are read again, in milliseconds.
+    reread: f64,
+}
+
 #[derive(Debug, Clone)]
 struct Warm {
     part: u64,
@@ -100,15 +118,43 @@
 #[derive(Debug, Clone)]
 struct Load {
     id: UpstreamId,
-    running: u32,
+    running: Averaged,
     /// Prompt tokens sent and not yet read.
-    unread: u64,
+    unread: Averaged,
     /// Held parts, sorted by part.
     warm: Vec<Warm>,
     /// Measured time to the first token, or of a plain call, against the prediction.
     slowness: f64,
 }
 
+/// A quantity with its average over [`AVERAGE_TIME`].
+#[derive(Debug, Clone, Default)]
+struct Averaged {
+    value: u64,
+    average: f64,
+    /// When the average was last brought up to date.
+    updated: Time,
+}
+
+impl Averaged {
+    fn average_at(&self, now: Time) -> f64 {
+        let age = (now - self.updated).as_secs_f64() / AVERAGE_TIME.as_secs_f64();
+        let value = self.value as f64;
+        value + (self.average - value) * (-age).exp()
+    }
+
+    fn change(&mut self, now: Time, value: u64) {
+        self.average = self.average_at(now);
+        self.updated = now;
+        self.value = value;
+    }
+
+    /// The own value, and the average of each of the other `peers`.
+    fn with_peers(&self, now: Time, peers: usize) -> f64 {
+        self.value as f64 + self.average_at(now) * peers.saturating_sub(1) as f64
+    }
+}
+
 /// What this instance has under way at each upstream, sorted by id.
 #[derive(Debug, Clone, Default)]
 pub struct Loads {
@@ -162,19 +208,19 @@
         });
         let predicted = candidates.iter().map(|candidate| {
             let is_preferred = preferred == Some(candidate.id);
-            let (unread, wait) = self.predict(now, demand, candidate, peers, is_preferred);
-            (wait + candidate.failures * FAILURE_MS, unread, wait, candidate)
+            let predicted = self.predict(now, demand, candidate, peers, is_preferred);
+            let cost = predicted.wait + predicted.reread + candidate.failures * FAILURE_MS;
+            (cost, predicted, candidate)
         });
         let best = predicted.min_by(|a, b| {
             // Equal waits are spread by the instance's own order of upstreams.
-            a.0.total_cmp(&b.0).then_with(|| self.running(a.3.id).cmp(&self.running(b.3.id)))
+            a.0.total_cmp(&b.0).then_with(|| self.running(a.2.id).cmp(&self.running(b.2.id)))
         })?;
-        let (_, unread, wait, candidate) = best;
-        let wait = Duration::from_secs_f64(wait / 1_000.0);
-        Some(Choice { id: candidate.id.clone(), wait, unread })
+        let (_, predicted, candidate) = best;
+        let wait = Duration::from_secs_f64(predicted.wait / 1_000.0);
+        Some(Choice { id: candidate.id.clone(), wait, unread: predicted.unread })
     }
 
-    /// Tokens to read and the predicted wait in milliseconds.
     fn predict(
         &self,
         now: Time,
@@ -182,35 +228,38 @@
         candidate: &Candidate,
         peers: usize,
         is_preferred: bool,
-    ) -> (u32, f64) {
+    ) -> Predicted {
         let load = self.place(candidate.id).ok().map(|at| &self.known[at]);
         let slowness = load.map_or(1.0, |load| load.slowness);
-        let running = f64::from(load.map_or(0, |load| load.running)) * peers as f64;
+        let running = load.map_or(0.0, |load| load.running.with_peers(now, peers));
         if candidate.memory == 0 {
             let queue = (running + 1.0 - f64::from(candidate.slots)).max(0.0);
             let busy = 0.1 * running / f64::from(candidate.slots.max(1));
             let calls = 1.0 + busy + queue / f64::from(candidate.slots.max(1));
-            return (0, calls * PLAIN_CALL_MS * slowness);
+            let wait = calls * PLAIN_CALL_MS * slowness;
+            return Predicted { unread: 0, wait, reread: 0.0 };
         }
         let held = load.map_or(0, |load| load.held(now, &demand.parts));
         let mut unread = f64::from(demand.prompt.saturating_sub(held));
         let own = demand.parts.last().map_or(demand.prompt, |part| part.tokens);
+        let mut shared = (unread - f64::from(own)).max(0.0);
         if is_preferred {
-            let shared = (unread - f64::from(own)).max(0.0);
             unread -= shared * PREFERRED_GAIN;
+            shared *= 1.0 - PREFERRED_GAIN;
         }
-        let waiting = load.map_or(0.0, |load| load.unread as f64) * peers as f64;
+        let waiting = load.map_or(0.0, |load| load.unread.with_peers(now, peers));
         let excess = (running + 1.0 - f64::from(candidate.slots)).max(0.0);
         let read = (waiting + unread) / READ_RATE;
         let wait = FIRST_TOKEN_MS + read + running * BESIDE_MS + excess * FIRST_TOKEN_MS;
-        (unread as u32, wait * slowness)
+        let reread = shared / READ_RATE * REREAD_WEIGHT;
+        Predicted { unread: unread as u32, wait: wait * slowness, reread }
     }
 
     /// Counts a call that goes out to `choice`; `memory` is that of the upstream in tokens.
     pub fn sent(&mut self, now: Time, choice: &Choice, demand: &Demand, memory: u64) {
         let load = self.entry(&choice.id);
-        load.running += 1;
-        load.unread += u64::from(choice.unread);
+        load.running.change(now, load.running.value + 1);
+        load.unread.change(now, load.unread.value + u64::from(choice.unread));
         for part in demand.parts.iter().rev().skip(1) {
             load.use_part(now, *part);
         }
@@ -218,20 +267,20 @@
     }
 
     /// The first token or the answer of a call came after `took`.
-    pub fn answered(&mut self, choice: &Choice, took: Duration) {
+    pub fn answered(&mut self, now: Time, choice: &Choice, took: Duration) {
         let load = self.entry(&choice.id);
-        load.unread = load.unread.saturating_sub(u64::from(choice.unread));
+        load.unread.change(now, load.unread.value.saturating_sub(u64::from(choice.unread)));
         let predicted = choice.wait.as_secs_f64().max(0.001) / load.slowness;
         let ratio = (took.as_secs_f64() / predicted).clamp(*SLOWNESS.start(), *SLOWNESS.end());
         load.slowness += SMOOTHING * (ratio - load.slowness);
     }
 
     /// A call ended; `was_read` tells whether [`Loads::answered`] was called for it.
-    pub fn ended(&mut self, choice: &Choice, was_read: bool) {
+    pub fn ended(&mut self, now: Time, choice: &Choice, was_read: bool) {
         let load = self.entry(&choice.id);
-        load.running = load.running.saturating_sub(1);
+        load.running.change(now, load.running.value.saturating_sub(1));
         if !was_read {
-            load.unread = load.unread.saturating_sub(u64::from(choice.unread));
+            load.unread.change(now, load.unread.value.saturating_sub(u64::from(choice.unread)));
         }
     }
 
@@ -244,8 +293,8 @@
     }
 
     /// Calls of this instance that run at the upstream.
-    pub fn running(&self, id: &UpstreamId) -> u32 {
-        self.place(id).map_or(0, |at| self.known[at].running)
+    pub fn running(&self, id: &UpstreamId) -> u64 {
+        self.place(id).map_or(0, |at| self.known[at].running.value)
     }
 
     fn place(&self, id: &UpstreamId) -> Result<usize, usize> {
@@ -256,8 +305,13 @@
         let at = match self.place(id) {
             Ok(at) => at,
             Err(at) => {
-                let load =
-                    Load { id: id.clone(), running: 0, unread: 0, warm: Vec::new(), slowness: 1.0 };
+                let load = Load {
+                    id: id.clone(),
+                    running: Averaged::default(),
+                    unread: Averaged::default(),
+                    warm: Vec::new(),
+                    slowness: 1.0,
+                };
                 self.known.insert(at, load);
                 at
             }
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -94,15 +94,16 @@
     fn answered(&mut self) {
         if !self.is_read {
             self.is_read = true;
-            let took = self.entry.now() - self.began;
-            self.entry.loads.borrow_mut().answered(&self.choice, took);
+            let now = self.entry.now();
+            self.entry.loads.borrow_mut().answered(now, &self.choice, now - self.began);
         }
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.entry.loads.borrow_mut().ended(&self.choice, self.is_read);
+        let now = self.entry.now();
+        self.entry.loads.borrow_mut().ended(now, &self.choice, self.is_read);
     }
 }
 
