--- a/crates/medlarlug-core/src/gateway/placing.rs
+++ b/crates/medlarlug-core/src/gateway/placing.rs
@@ -2,22 +2,27 @@
 //!
 //! For model engines the time to the first token is mostly the time in which prompts are read:
 //! those that wait already, and the parts of this prompt that the engine does not hold in its
-//! cache. [`Loads`] estimates both from what this instance has sent itself; its peers are taken to
-//! have sent as much as it did on average of late, not as much as at this moment, so that a single
-//! call of its own does not make an engine look busy. For plain services the time is that until a
-//! slot is free.
+//! cache. [`Loads`] counts the former from what this instance has sent itself and what the other
+//! instances of its region have reported; a peer without a fresh report is taken to send as much as
+//! this instance does on average. For plain services the time is that until a slot is free.
 //!
 //! Reading a part again delays every stream of its engine, since engines read prompts between the
 //! steps of all others. So a part that is not held counts for more than the time in which it is
 //! read, and calls that share a part stay on the engine that every instance finds for it by the
-//! same rank, until waiting there has grown well above reading it again elsewhere.
+//! same rank, until waiting there has grown well above reading it again elsewhere. A long queue of
+//! prompts stalls the streams of its engine, so it weighs more than the time that it takes.
 //!
 //! This answers load that is high but bearable. What to do when no upstream can serve in time is
 //! decided by [`refusing`](super::refusing).
 
 use std::time::Duration;
 
-use crate::{ids::UpstreamId, time::Time};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{InstanceId, UpstreamId},
+    time::Time,
+};
 
 /// A part of a prompt that other prompts may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -91,21 +96,35 @@
 const PREFERRED_GAIN: f64 = 0.9;
 /// Weight of reading a shared part again, which delays all streams of the engine.
 const REREAD_WEIGHT: f64 = 3.0;
-/// Time over which the load of peers is averaged.
+/// Queued prompt tokens above which the streams of an engine stall noticeably: a few steps in which
+/// it reads as much as it takes at once.
+const STALL_TOKENS: f64 = 12_000.0;
+/// Weight of the time that queued tokens above [`STALL_TOKENS`] take.
+const STALL_WEIGHT: f64 = 2.0;
+/// Age after which a peer's report counts no more.
+const REPORT_LIFETIME: Duration = Duration::from_millis(1_200);
+/// Time over which the own load is averaged, for peers without a report.
 const AVERAGE_TIME: Duration = Duration::from_secs(2);
 /// Weight of the newest call in the smoothed slowness.
 const SMOOTHING: f64 = 0.1;
 /// Bounds of the smoothed slowness.
 const SLOWNESS: std::ops::RangeInclusive<f64> = 0.5..=12.0;
 
+/// What peers have under way at an upstream.
+#[derive(Debug, Default)]
+struct Others {
+    running: f64,
+    unread: f64,
+}
+
 /// What a candidate would cost a call.
 struct Predicted {
     /// Tokens to read.
     unread: u32,
     /// Time to the first token or the answer, in milliseconds.
     wait: f64,
-    /// Delay of others by parts that are read again, in milliseconds.
-    reread: f64,
+    /// Delay of other calls, in milliseconds: by parts that are read again, and by stalls.
+    others: f64,
 }
 
 #[derive(Debug, Clone)]
@@ -149,16 +168,34 @@
         self.value = value;
     }
 
-    /// The own value, and the average of each of the other `peers`.
-    fn with_peers(&self, now: Time, peers: usize) -> f64 {
-        self.value as f64 + self.average_at(now) * peers.saturating_sub(1) as f64
-    }
 }
 
-/// What this instance has under way at each upstream, sorted by id.
+/// What an instance has under way at an upstream, as it tells its peers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// The upstream.
+    pub id: UpstreamId,
+    /// Calls that run.
+    pub running: u32,
+    /// Prompt tokens sent and not yet read.
+    pub unread: u32,
+}
+
+/// The newest reports of a peer, sorted by upstream.
+#[derive(Debug, Clone)]
+struct PeerLoads {
+    peer: InstanceId,
+    heard: Time,
+    loads: Vec<LoadReport>,
+}
+
+/// What this instance and its peers have under way at each upstream.
 #[derive(Debug, Clone, Default)]
 pub struct Loads {
+    /// Sorted by id.
     known: Vec<Load>,
+    /// Sorted by peer.
+    peers: Vec<PeerLoads>,
 }
 
 /// Orders upstreams for a key, alike at every instance: the highest rank is preferred.
@@ -209,7 +246,7 @@
         let predicted = candidates.iter().map(|candidate| {
             let is_preferred = preferred == Some(candidate.id);
             let predicted = self.predict(now, demand, candidate, peers, is_preferred);
-            let cost = predicted.wait + predicted.reread + candidate.failures * FAILURE_MS;
+            let cost = predicted.wait + predicted.others + candidate.failures * FAILURE_MS;
             (cost, predicted, candidate)
         });
         let best = predicted.min_by(|a, b| {
@@ -231,13 +268,14 @@
     ) -> Predicted {
         let load = self.place(candidate.id).ok().map(|at| &self.known[at]);
         let slowness = load.map_or(1.0, |load| load.slowness);
-        let running = load.map_or(0.0, |load| load.running.with_peers(now, peers));
+        let others = self.others(now, candidate.id, peers);
+        let running = load.map_or(0.0, |load| load.running.value as f64) + others.running;
         if candidate.memory == 0 {
             let queue = (running + 1.0 - f64::from(candidate.slots)).max(0.0);
             let busy = 0.1 * running / f64::from(candidate.slots.max(1));
             let calls = 1.0 + busy + queue / f64::from(candidate.slots.max(1));
             let wait = calls * PLAIN_CALL_MS * slowness;
-            return Predicted { unread: 0, wait, reread: 0.0 };
+            return Predicted { unread: 0, wait, others: 0.0 };
         }
         let held = load.map_or(0, |load| load.held(now, &demand.parts));
         let mut unread = f64::from(demand.prompt.saturating_sub(held));
@@ -247,12 +285,55 @@
             unread -= shared * PREFERRED_GAIN;
             shared *= 1.0 - PREFERRED_GAIN;
         }
-        let waiting = load.map_or(0.0, |load| load.unread.with_peers(now, peers));
+        let waiting = load.map_or(0.0, |load| load.unread.value as f64) + others.unread;
         let excess = (running + 1.0 - f64::from(candidate.slots)).max(0.0);
         let read = (waiting + unread) / READ_RATE;
         let wait = FIRST_TOKEN_MS + read + running * BESIDE_MS + excess * FIRST_TOKEN_MS;
-        let reread = shared / READ_RATE * REREAD_WEIGHT;
-        Predicted { unread: unread as u32, wait: wait * slowness, reread }
+        let stall = (waiting + unread - STALL_TOKENS).max(0.0) * STALL_WEIGHT;
+        let others = (shared * REREAD_WEIGHT + stall) / READ_RATE;
+        Predicted { unread: unread as u32, wait: wait * slowness, others: others * slowness }
+    }
+
+    /// What this instance has under way, to be told to its peers; idle upstreams are left out.
+    pub fn report(&self) -> Vec<LoadReport> {
+        let busy = self.known.iter().filter(|load| load.running.value > 0);
+        let report = |load: &Load| LoadReport {
+            id: load.id.clone(),
+            running: u32::try_from(load.running.value).unwrap_or(u32::MAX),
+            unread: u32::try_from(load.unread.value).unwrap_or(u32::MAX),
+        };
+        busy.map(report).collect()
+    }
+
+    /// Takes in what a peer has under way; `loads` is sorted by upstream.
+    pub fn hear(&mut self, now: Time, peer: InstanceId, loads: Vec<LoadReport>) {
+        self.peers.retain(|it| now - it.heard < REPORT_LIFETIME);
+        match self.peers.binary_search_by(|it| it.peer.cmp(&peer)) {
+            Ok(at) => self.peers[at] = PeerLoads { peer, heard: now, loads },
+            Err(at) => self.peers.insert(at, PeerLoads { peer, heard: now, loads }),
+        }
+    }
+
+    /// What the other `peers` have under way at an upstream.
+    fn others(&self, now: Time, id: &UpstreamId, peers: usize) -> Others {
+        let fresh = self.peers.iter().filter(|it| now - it.heard < REPORT_LIFETIME);
+        let mut others = Others::default();
+        let mut reported = 0;
+        for peer in fresh {
+            reported += 1;
+            if let Ok(at) = peer.loads.binary_search_by(|it| it.id.cmp(id)) {
+                others.running += f64::from(peer.loads[at].running);
+                others.unread += f64::from(peer.loads[at].unread);
+            }
+        }
+        let silent = peers.saturating_sub(1 + reported) as f64;
+        if silent > 0.0
+            && let Ok(at) = self.place(id)
+        {
+            others.running += self.known[at].running.average_at(now) * silent;
+            others.unread += self.known[at].unread.average_at(now) * silent;
+        }
+        others
     }
 
     /// Counts a call that goes out to `choice`; `memory` is that of the upstream in tokens.
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -40,7 +40,7 @@
         cold::ColdSends,
         contacts::{Card, Contacts, Part, Spare, Status},
         health::Healths,
-        placing::{Demand, Loads},
+        placing::{Demand, LoadReport, Loads},
         table::{RouteTable, ServiceName, TableVersion},
         upstreams::{Effect, UpstreamState, Upstreams},
     },
@@ -59,6 +59,7 @@
     follower::{Links, Owner, chain},
     headers::HeaderNames,
     link::{Head, Message, News},
+    loads,
     metrics as names,
     settings::NodeSettings,
 };
@@ -140,6 +141,13 @@
         });
         entry.links.follow(&entry);
         task::spawn_local(upkeep(entry.clone()));
+        let address = entry.card().internal;
+        let socket = loads::open(address)
+            .await
+            .map_err(|source| ServerError::Listen { role: "load reports", address, source })?;
+        let socket = Rc::new(socket);
+        task::spawn_local(loads::tell(entry.clone(), socket.clone()));
+        task::spawn_local(loads::hear(entry.clone(), socket));
         let this = entry.clone();
         task::spawn_local(http_server::serve(internal, limits(), stop, move |request, _| {
             serve::forwarded(this.clone(), request)
@@ -211,6 +219,26 @@
         ids
     }
 
+    /// Internal addresses of the other live entry instances of the own region.
+    pub(crate) fn region_peers(&self) -> Vec<SocketAddr> {
+        let settings = self.settings.borrow();
+        let own = &settings.card;
+        let contacts = self.contacts.borrow();
+        let live = contacts.live_entries(self.now()).map(|contact| &contact.card);
+        let peers = live.filter(|card| card.region == own.region && card.id != own.id);
+        peers.map(|card| card.internal).collect()
+    }
+
+    /// What this instance has under way at upstreams.
+    pub(crate) fn load_report(&self) -> (InstanceId, Vec<LoadReport>) {
+        (self.settings.borrow().card.id.clone(), self.loads.borrow().report())
+    }
+
+    /// Takes in what a peer has under way.
+    pub(crate) fn hear_loads(&self, from: InstanceId, loads: Vec<LoadReport>) {
+        self.loads.borrow_mut().hear(self.now(), from, loads);
+    }
+
     fn on_news(&self, from: SocketAddr, news: News) {
         let now = self.now();
         for (upstream, age) in news.upstreams {
--- a/crates/medlarlug-gateway/src/lib.rs
+++ b/crates/medlarlug-gateway/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod settings;
 
 mod follower;
+mod loads;
 mod subscribers;
