Calls cross regions by cost, with the attempts that are left

Change: core module handover resolves a route with the attempts left; the cost of an upstream includes the delay of others and failures squared; what was handed over counts until it is answered; kept connections between instances carry every kind of call.

--- a/crates/medlarlug-core/src/gateway/health.rs
+++ b/crates/medlarlug-core/src/gateway/health.rs
@@ -17,8 +17,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time for which a broken upstream is avoided.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
-/// Weight of the newest call in the share of failed calls.
-const SMOOTHING: f64 = 0.15;
+/// Weight of the newest call in the share of failed calls: a few failures in a row, as they happen
+/// everywhere, do not make an upstream look broken.
+const SMOOTHING: f64 = 0.06;
 
 /// How a call ended, as far as the health of its upstream is concerned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod budget;
 pub mod cold;
 pub mod contacts;
+pub mod handover;
 pub mod health;
 pub mod placing;
 pub mod publication;
--- a/crates/medlarlug-core/src/gateway/placing.rs
+++ b/crates/medlarlug-core/src/gateway/placing.rs
@@ -72,6 +72,8 @@
     pub id: UpstreamId,
     /// Predicted time until the first token or the answer.
     pub wait: Duration,
+    /// The same with the delay of other calls and the risk of a failure.
+    pub cost: Duration,
     /// Tokens of the prompt that it is expected to read.
     pub unread: u32,
 }
@@ -89,7 +91,8 @@
 const WARM_FOR: Duration = Duration::from_secs(10);
 /// Part of an engine's memory that shared parts are taken to fill at most.
 const WARM_SHARE: f64 = 0.5;
-/// Extra wait of an upstream that fails all its calls, in milliseconds.
+/// Extra cost of an upstream that fails all its calls, in milliseconds. It grows with the square of
+/// the share of failures: some calls fail everywhere, and a share that is common counts for little.
 const FAILURE_MS: f64 = 2_000.0;
 /// Part of the reading of a shared part that is taken to be saved on its preferred engine, where
 /// peers have probably sent it.
@@ -220,6 +223,13 @@
     hash ^ (hash >> 31)
 }
 
+/// Time that a call of usual size costs in another region: what an instance there told, and what
+/// this one has sent there since and is not answered yet, divided among the upstreams there.
+pub fn away_cost(told: Duration, unread: u64, upstreams: usize) -> Duration {
+    let queued = unread as f64 / READ_RATE / upstreams.max(1) as f64;
+    told + Duration::from_secs_f64(queued / 1_000.0)
+}
+
 impl Loads {
     /// The candidate with the shortest predicted wait. `peers` entry instances, this one included,
     /// send to the same upstreams.
@@ -246,16 +256,17 @@
         let predicted = candidates.iter().map(|candidate| {
             let is_preferred = preferred == Some(candidate.id);
             let predicted = self.predict(now, demand, candidate, peers, is_preferred);
-            let cost = predicted.wait + predicted.others + candidate.failures * FAILURE_MS;
+            let cost = predicted.wait + predicted.others + candidate.failures.powi(2) * FAILURE_MS;
             (cost, predicted, candidate)
         });
         let best = predicted.min_by(|a, b| {
             // Equal waits are spread by the instance's own order of upstreams.
             a.0.total_cmp(&b.0).then_with(|| self.running(a.2.id).cmp(&self.running(b.2.id)))
         })?;
-        let (_, predicted, candidate) = best;
+        let (cost, predicted, candidate) = best;
         let wait = Duration::from_secs_f64(predicted.wait / 1_000.0);
-        Some(Choice { id: candidate.id.clone(), wait, unread: predicted.unread })
+        let cost = Duration::from_secs_f64(cost / 1_000.0);
+        Some(Choice { id: candidate.id.clone(), wait, cost, unread: predicted.unread })
     }
 
     fn predict(
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -11,6 +11,7 @@
 };
 use medlarlug_core::{
     gateway::{health::CallEnd, placing::Choice, table::RouteKind},
+    ids::RegionId,
     time::Time,
 };
 use tokio::time::timeout;
@@ -81,21 +82,35 @@
     Foreign,
 }
 
-/// Counts a call at its upstream for as long as it lives.
+/// Counts a call at its upstream, or as handed over, for as long as it lives.
 pub(super) struct Slot {
     entry: Rc<Entry>,
-    choice: Choice,
+    place: Place,
     began: Time,
     is_read: bool,
 }
 
+/// Where a call is counted.
+enum Place {
+    Upstream(Choice),
+    /// Handed over to a region, with the tokens of its prompt.
+    Away(RegionId, u64),
+}
+
 impl Slot {
     /// The first token or the answer has come.
     fn answered(&mut self) {
         if !self.is_read {
             self.is_read = true;
             let now = self.entry.now();
-            self.entry.loads.borrow_mut().answered(now, &self.choice, now - self.began);
+            match &self.place {
+                Place::Upstream(choice) => {
+                    self.entry.loads.borrow_mut().answered(now, choice, now - self.began);
+                }
+                Place::Away(region, tokens) => {
+                    self.entry.change_away(region, |unread| unread.saturating_sub(*tokens));
+                }
+            }
         }
     }
 }
@@ -103,7 +118,15 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let now = self.entry.now();
-        self.entry.loads.borrow_mut().ended(now, &self.choice, self.is_read);
+        match &self.place {
+            Place::Upstream(choice) => {
+                self.entry.loads.borrow_mut().ended(now, choice, self.is_read);
+            }
+            Place::Away(region, tokens) if !self.is_read => {
+                self.entry.change_away(region, |unread| unread.saturating_sub(*tokens));
+            }
+            Place::Away(..) => {}
+        }
     }
 }
 
@@ -114,7 +137,7 @@
     body: Incoming,
     splitter: EventSplitter,
     connection: Option<Connection>,
-    slot: Option<Slot>,
+    slot: Slot,
     hop: Hop,
     /// Whole events that have arrived and were not taken yet.
     ready: Option<Bytes>,
@@ -142,9 +165,7 @@
                     let Ok(data) = frame.into_data() else { continue };
                     self.splitter.push(&data);
                     if let Some(events) = self.splitter.take_whole() {
-                        if let Some(slot) = &mut self.slot {
-                            slot.answered();
-                        }
+                        self.slot.answered();
                         return Piece::Events(events);
                     }
                     if self.splitter.is_overfull() {
@@ -176,9 +197,12 @@
     let now = entry.now();
     let left = attempted.end - now;
     let patience = attempted.patience.min(left);
-    let reuse = match attempted.kind.is_repeatable() {
-        true => Reuse::Allowed,
-        false => Reuse::Never,
+    // An upstream may leave a late answer on a connection, or close it as a call goes out, so a call
+    // that runs at most once takes a new one. Instances don't, and a new connection to another
+    // region takes as long as the call.
+    let reuse = match (hop, attempted.kind.is_repeatable()) {
+        (Hop::Upstream { .. }, false) => Reuse::Never,
+        _ => Reuse::Allowed,
     };
     let (address, connect) = match hop {
         Hop::Upstream { address, .. } => (*address, UPSTREAM_CONNECT),
@@ -206,9 +230,7 @@
         let read = medlarlug::transport::body::read(body, MAX_ANSWER_BYTES);
         return match timeout(left, read).await {
             Ok(Ok(bytes)) => {
-                if let Some(slot) = &mut slot {
-                    slot.answered();
-                }
+                slot.answered();
                 let end = match parts.status.is_server_error() {
                     true => CallEnd::Failed,
                     false => CallEnd::Answered,
@@ -251,14 +273,24 @@
     }
 }
 
-/// Counts the call at its upstream.
-fn begin(entry: &Rc<Entry>, attempted: &Attempted, hop: &Hop, now: Time) -> Option<Slot> {
-    let Hop::Upstream { choice, memory, cold_rate, .. } = hop else { return None };
-    entry.loads.borrow_mut().sent(now, choice, &attempted.call.demand, *memory);
-    if let Some(rate) = cold_rate {
-        entry.cold.borrow_mut().sent(now, &choice.id, *rate);
-    }
-    Some(Slot { entry: entry.clone(), choice: choice.clone(), began: now, is_read: false })
+/// Counts the call where it goes.
+fn begin(entry: &Rc<Entry>, attempted: &Attempted, hop: &Hop, now: Time) -> Slot {
+    let demand = &attempted.call.demand;
+    let place = match hop {
+        Hop::Upstream { choice, memory, cold_rate, .. } => {
+            entry.loads.borrow_mut().sent(now, choice, demand, *memory);
+            if let Some(rate) = cold_rate {
+                entry.cold.borrow_mut().sent(now, &choice.id, *rate);
+            }
+            Place::Upstream(choice.clone())
+        }
+        Hop::Peer { region, .. } => {
+            let tokens = u64::from(demand.prompt);
+            entry.change_away(region, |unread| unread + tokens);
+            Place::Away(region.clone(), tokens)
+        }
+    };
+    Slot { entry: entry.clone(), place, began: now, is_read: false }
 }
 
 /// The request as it goes to the hop.
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -6,11 +6,11 @@
     gateway::{
         cold,
         contacts::Contact,
-        placing::{Candidate, Choice, Demand},
+        placing::{self, Candidate, Choice, Demand},
         table::{Route, RouteTable, ServiceName},
         upstreams::{Known, UpstreamState},
     },
-    ids::{InstanceId, UpstreamId},
+    ids::{InstanceId, RegionId, UpstreamId},
     time::Time,
 };
 use rand::RngExt;
@@ -19,11 +19,11 @@
 
 /// Time from one region to another and back, and the work of the instance there.
 const REGION_TRIP: Duration = Duration::from_millis(130);
-/// Part of the local wait that the wait elsewhere has to stay below: news from there is old, and
-/// every call that crosses costs.
-const AWAY_SHARE: f64 = 0.6;
-/// Part of the latency objective below which a local wait is good enough.
-const NEAR_SHARE: f64 = 0.5;
+/// Part of the local cost that the cost elsewhere has to stay below: news from there is old, and
+/// every call that crosses is paid for.
+const AWAY_SHARE: f64 = 0.8;
+/// Part of the latency objective below which a local cost is good enough.
+const NEAR_SHARE: f64 = 0.2;
 /// Age of an announcement after which an upstream may be dead: three announcements missed.
 const FRESH_FOR: Duration = Duration::from_millis(4_500);
 
@@ -40,7 +40,7 @@
         age: Duration,
     },
     /// To an entry instance of another region.
-    Peer { id: InstanceId, address: SocketAddr, wait: Duration },
+    Peer { id: InstanceId, region: RegionId, address: SocketAddr, wait: Duration },
 }
 
 impl Hop {
@@ -76,13 +76,13 @@
             true => self.choose_local(table, service, demand, &tried.upstreams),
             false => None,
         };
-        let is_near = local.as_ref().is_some_and(|it| it.wait <= route.objective.mul_f64(NEAR_SHARE));
+        let is_near = local.as_ref().is_some_and(|it| it.cost <= route.objective.mul_f64(NEAR_SHARE));
         let away = match may_leave && !is_near {
             true => self.choose_peer(route, service, &tried.peers),
             false => None,
         };
         match (local, away) {
-            (Some(local), Some(away)) if away.wait() < local.wait.mul_f64(AWAY_SHARE) => Some(away),
+            (Some(local), Some(away)) if away.wait() < local.cost.mul_f64(AWAY_SHARE) => Some(away),
             (Some(local), _) => self.local_hop(table, service, local),
             (None, away) => away,
         }
@@ -177,16 +177,56 @@
                 && !tried.contains(&contact.card.id)
         };
         let fit = contacts.live_entries(now).filter(is_fit);
-        let mut waits: Vec<(u32, &Contact)> =
-            fit.filter_map(|it| Some((it.status.wait_ms(service)?, it))).collect();
+        let cost = |contact: &Contact| {
+            let told = Duration::from_millis(contact.status.wait_ms(service)?.into());
+            let region = &contact.card.region;
+            let unread = self.away_unread(region);
+            Some(placing::away_cost(told, unread, self.upstreams_in(region, service)))
+        };
+        let mut waits: Vec<(Duration, &Contact)> =
+            fit.filter_map(|it| Some((cost(it)?, it))).collect();
         waits.sort_by_key(|it| it.0);
         let best = waits.first()?.1;
         // Any instance of that region will do: their news is old, and one alone would be flooded.
-        let region: Vec<&(u32, &Contact)> =
+        let region: Vec<&(Duration, &Contact)> =
             waits.iter().filter(|it| it.1.card.region == best.card.region).collect();
         let (wait, contact) = region[rand::rng().random_range(0..region.len())];
-        let wait = Duration::from_millis((*wait).into()) + REGION_TRIP;
-        let (id, address) = (contact.card.id.clone(), contact.card.internal);
-        Some(Hop::Peer { id, address, wait })
+        let card = &contact.card;
+        Some(Hop::Peer {
+            id: card.id.clone(),
+            region: card.region.clone(),
+            address: card.internal,
+            wait: *wait + REGION_TRIP,
+        })
+    }
+
+    /// Prompt tokens that were handed over to a region and are not answered yet.
+    fn away_unread(&self, region: &RegionId) -> u64 {
+        let away = self.away.borrow();
+        away.binary_search_by(|it| it.0.cmp(region)).map_or(0, |at| away[at].1)
+    }
+
+    /// Counts prompt tokens that are handed over to a region, or were answered there.
+    pub(super) fn change_away(&self, region: &RegionId, change: impl Fn(u64) -> u64) {
+        let mut away = self.away.borrow_mut();
+        let at = match away.binary_search_by(|it| it.0.cmp(region)) {
+            Ok(at) => at,
+            Err(at) => {
+                away.insert(at, (region.clone(), 0));
+                at
+            }
+        };
+        away[at].1 = change(away[at].1);
+    }
+
+    /// Ready upstreams of a service in a region.
+    fn upstreams_in(&self, region: &RegionId, service: &ServiceName) -> usize {
+        let settings = self.settings.borrow();
+        let upstreams = self.upstreams.borrow();
+        let ready = upstreams.of(service).filter(|known| {
+            known.upstream.state == UpstreamState::Ready
+                && settings.region_of(&known.upstream.zone) == Some(region)
+        });
+        ready.count()
     }
 }
--- a/crates/medlarlug-gateway/src/entry/forwarded.rs
+++ b/crates/medlarlug-gateway/src/entry/forwarded.rs
@@ -1,35 +1,20 @@
-//! What an entry instance tells another region's about a call that it hands over.
+//! Headers of calls that one region hands over to another.
 
 use hyper::header::HeaderValue;
-use medlarlug_core::gateway::table::{Route, ServiceName, TableVersion};
-use serde::{Deserialize, Serialize};
+use medlarlug_core::gateway::handover::Handover;
 
-/// Header of a call that was handed over: a [`Forwarded`] in JSON.
+/// Header of a call that was handed over: a [`Handover`] in JSON.
 pub(super) const HEADER: &str = "medlarlug-forwarded";
 /// Header of an answer to such a call: it was refused and not run.
 pub(super) const NOT_RUN: &str = "medlarlug-not-run";
+/// Header of an answer to such a call: how many upstreams ran it.
+pub(super) const RUNS: &str = "medlarlug-runs";
 
-/// Header of an answer to such a call: how many requests to upstreams it took.
-pub(super) const ARRIVALS: &str = "medlarlug-arrivals";
-
-/// The route of a call that was handed over, as the first instance saw it.
-#[derive(Debug, Serialize, Deserialize)]
-pub(super) struct Forwarded {
-    /// The table that the route is from.
-    pub(super) version: TableVersion,
-    /// The route, with the attempts that are left.
-    pub(super) route: Route,
-    /// The service that was picked by the route's weights.
-    pub(super) service: ServiceName,
+pub(super) fn encode(handover: &Handover) -> Option<HeaderValue> {
+    let text = serde_json::to_vec(handover).ok()?;
+    HeaderValue::from_bytes(&text).ok()
 }
 
-impl Forwarded {
-    pub(super) fn encode(&self) -> Option<HeaderValue> {
-        let text = serde_json::to_vec(self).ok()?;
-        HeaderValue::from_bytes(&text).ok()
-    }
-
-    pub(super) fn decode(value: &HeaderValue) -> Option<Forwarded> {
-        serde_json::from_slice(value.as_bytes()).ok()
-    }
+pub(super) fn decode(value: &HeaderValue) -> Option<Handover> {
+    serde_json::from_slice(value.as_bytes()).ok()
 }
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -44,7 +44,7 @@
         table::{RouteTable, ServiceName, TableVersion},
         upstreams::{Effect, UpstreamState, Upstreams},
     },
-    ids::InstanceId,
+    ids::{InstanceId, RegionId},
     time::Time,
 };
 use tokio::{
@@ -100,6 +100,8 @@
     loads: RefCell<Loads>,
     healths: RefCell<Healths>,
     cold: RefCell<ColdSends>,
+    /// Prompt tokens handed over to each region and not answered yet, sorted by region.
+    away: RefCell<Vec<(RegionId, u64)>>,
     /// Calls and repeats of each service, sorted by service.
     windows: RefCell<Vec<(ServiceName, RetryWindow)>>,
     links: Links,
@@ -133,6 +135,7 @@
             loads: RefCell::default(),
             healths: RefCell::default(),
             cold: RefCell::default(),
+            away: RefCell::default(),
             windows: RefCell::default(),
             links: Links::default(),
             client: HttpClient::default(),
@@ -326,7 +329,7 @@
             let prompt = service.engine.map_or(0, |_| USUAL_PROMPT);
             let demand = Demand { parts: Vec::new(), prompt, output: 0 };
             let choice = self.choose_local(&table, &service.name, &demand, &[]);
-            let wait = choice.map(|choice| choice.wait.as_millis());
+            let wait = choice.map(|choice| choice.cost.as_millis());
             let wait_ms = wait.map(|wait| u32::try_from(wait).unwrap_or(u32::MAX));
             Spare { service: service.name.clone(), wait_ms }
         });
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -7,6 +7,7 @@
 use medlarlug::transport::body::{self, Answer, BodyError};
 use medlarlug_core::{
     gateway::{
+        handover::Handover,
         refusing::{self, Outlook, Verdict},
         table::{Route, RouteTable, ServiceName},
     },
@@ -20,7 +21,7 @@
     attempt::{self, Attempted, NotRun, Outcome, Unknown},
     call::{Call, strip_connection},
     choice::{Hop, Tried},
-    forwarded::{self, Forwarded},
+    forwarded,
     relay,
 };
 use crate::metrics as names;
@@ -146,15 +147,14 @@
             false => (hop.wait() * PATIENCE_FACTOR).max(MIN_PATIENCE),
         };
         let forwarded = match hop {
-            Hop::Peer { .. } => Forwarded {
+            Hop::Peer { .. } => forwarded::encode(&Handover {
                 version: self.table.version(),
                 route: Route {
                     attempts: self.route.attempts.max(1).saturating_sub(self.runs).max(1),
                     ..self.route.clone()
                 },
                 service: self.service.clone(),
-            }
-            .encode(),
+            }),
             Hop::Upstream { .. } => None,
         };
         let attempted = Attempted {
@@ -170,8 +170,8 @@
         let outcome = attempt::send(entry, &attempted, hop).await;
         self.runs += match (&outcome, hop) {
             (Outcome::NotRun(_), _) => 0,
-            (Outcome::Answer(answer), Hop::Peer { .. }) => arrivals(answer.headers()),
-            (Outcome::Stream(stream), Hop::Peer { .. }) => arrivals(&stream.headers),
+            (Outcome::Answer(answer), Hop::Peer { .. }) => runs(answer.headers()),
+            (Outcome::Stream(stream), Hop::Peer { .. }) => runs(&stream.headers),
             // Nobody tells how many requests it took.
             (Outcome::Unknown(_), Hop::Peer { .. }) => self.route.attempts,
             _ => 1,
@@ -251,7 +251,7 @@
 
 /// Serves a call that another instance handed over.
 pub(super) async fn forwarded(entry: Rc<Entry>, request: Request<Incoming>) -> Answer {
-    let forwarded = request.headers().get(forwarded::HEADER).and_then(Forwarded::decode);
+    let forwarded = request.headers().get(forwarded::HEADER).and_then(forwarded::decode);
     match forwarded {
         Some(forwarded) => serve(&entry, request, Some(forwarded)).await,
         None => {
@@ -264,7 +264,7 @@
 async fn serve(
     entry: &Rc<Entry>,
     request: Request<Incoming>,
-    forwarded: Option<Forwarded>,
+    forwarded: Option<Handover>,
 ) -> Answer {
     let began = entry.now();
     let (parts, incoming) = request.into_parts();
@@ -297,7 +297,7 @@
 fn plan(
     entry: &Rc<Entry>,
     call: &Call,
-    forwarded: Option<Forwarded>,
+    forwarded: Option<Handover>,
     began: Time,
 ) -> Result<Plan, Box<Answer>> {
     let table = entry.table.borrow().clone();
@@ -306,24 +306,18 @@
         return Err(Box::new(refusal(entry, call, Duration::from_millis(500), false)));
     };
     let is_forwarded = forwarded.is_some();
-    let (route, service) = match forwarded {
-        // The first instance has a newer table, so its route goes before the own one.
-        Some(forwarded) if forwarded.version > table.version() => {
-            (forwarded.route, forwarded.service)
-        }
-        forwarded => {
-            let Some(route) = table.route(&call.host, call.path()) else {
-                tracing::info!(request = %call.id, host = %call.host, path = call.path(), table = table.version().0, outcome = "rejected", "no route");
-                return Err(Box::new(plain(StatusCode::NOT_FOUND, "no route")));
-            };
-            let picked = forwarded.map(|it| it.service);
-            let is_target =
-                |name: &ServiceName| route.targets.iter().any(|it| it.service == *name);
-            let service = picked.filter(is_target).unwrap_or_else(|| {
-                route.target_at(rand::rng().random()).service.clone()
-            });
+    let point = rand::rng().random();
+    let (host, path) = (call.host.as_str(), call.path());
+    let found = match forwarded {
+        Some(handover) => handover.resolve(&table, host, path, point),
+        None => table.route(host, path).map(|route| {
+            let service = route.target_at(point).service.clone();
             (route.clone(), service)
-        }
+        }),
+    };
+    let Some((route, service)) = found else {
+        tracing::info!(request = %call.id, host, path, table = table.version().0, outcome = "rejected", "no route");
+        return Err(Box::new(plain(StatusCode::NOT_FOUND, "no route")));
     };
     let deadline = call.deadline.unwrap_or(DEFAULT_DEADLINE.max(route.timeout));
     let limit = deadline.min(route.timeout);
@@ -346,9 +340,9 @@
     })
 }
 
-/// Requests to upstreams that the answer of another instance took.
-fn arrivals(headers: &header::HeaderMap) -> u32 {
-    let value = headers.get(forwarded::ARRIVALS).and_then(|value| value.to_str().ok());
+/// Upstreams that ran a call which another instance answered.
+fn runs(headers: &header::HeaderMap) -> u32 {
+    let value = headers.get(forwarded::RUNS).and_then(|value| value.to_str().ok());
     value.and_then(|value| value.parse().ok()).unwrap_or(1)
 }
 
@@ -434,7 +428,7 @@
 
 /// Turns the last outcome into the answer.
 fn finish(entry: &Rc<Entry>, call: Call, plan: Plan, last: Last, is_forwarded: bool) -> Answer {
-    let arrivals = plan.runs;
+    let runs = plan.runs;
     metrics::histogram!(names::HEAD_TIME).record((entry.now() - plan.began).as_secs_f64());
     match last {
         Last::Answer(found) => {
@@ -442,7 +436,7 @@
             let (mut parts, bytes) = found.into_parts();
             strip_connection(&mut parts.headers);
             parts.headers.remove(header::CONTENT_LENGTH);
-            tell_arrivals(&mut parts.headers, arrivals, is_forwarded);
+            tell_runs(&mut parts.headers, runs, is_forwarded);
             Response::from_parts(parts, body::whole(bytes))
         }
         Last::Stream(stream) => {
@@ -452,7 +446,7 @@
             let mut headers = stream.headers.clone();
             strip_connection(&mut headers);
             headers.remove(header::CONTENT_LENGTH);
-            tell_arrivals(&mut headers, arrivals, is_forwarded);
+            tell_runs(&mut headers, runs, is_forwarded);
             *answer.headers_mut() = headers;
             task::spawn_local(relay::run(entry.clone(), call, plan, stream, sender));
             answer
@@ -474,11 +468,11 @@
     }
 }
 
-/// Tells another instance how many requests to upstreams its call took, and nobody else.
-fn tell_arrivals(headers: &mut header::HeaderMap, arrivals: u32, is_forwarded: bool) {
-    headers.remove(forwarded::ARRIVALS);
+/// Tells another instance how many upstreams ran its call, and nobody else.
+fn tell_runs(headers: &mut header::HeaderMap, runs: u32, is_forwarded: bool) {
+    headers.remove(forwarded::RUNS);
     if is_forwarded {
-        headers.insert(forwarded::ARRIVALS, arrivals.into());
+        headers.insert(forwarded::RUNS, runs.into());
     }
 }
 
