--- a/crates/medlarlug-core/src/gateway/contacts.rs
+++ b/crates/medlarlug-core/src/gateway/contacts.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    gateway::table::ServiceName,
     ids::{InstanceId, RegionId, ZoneId},
     time::Time,
 };
@@ -45,11 +46,22 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Spare {
     /// The service.
-    pub service: crate::gateway::table::ServiceName,
+    pub service: ServiceName,
     /// Predicted wait of a call of usual size, in milliseconds; `None` if no upstream is usable.
     pub wait_ms: Option<u32>,
 }
 
+/// Predicted wait of a call of usual size in a region.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RegionWait {
+    /// The region.
+    pub region: RegionId,
+    /// The service.
+    pub service: ServiceName,
+    /// The wait, in milliseconds.
+    pub wait_ms: u32,
+}
+
 /// What an entry instance tells of its state.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Status {
@@ -59,14 +71,6 @@
     pub spare: Vec<Spare>,
 }
 
-impl Status {
-    /// Predicted wait for a service in milliseconds, if it can be served.
-    pub fn wait_ms(&self, service: &crate::gateway::table::ServiceName) -> Option<u32> {
-        let at = self.spare.binary_search_by(|spare| spare.service.cmp(service)).ok()?;
-        self.spare[at].wait_ms
-    }
-}
-
 /// A known instance.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Contact {
@@ -76,44 +80,101 @@
     pub status: Status,
     /// When it was last heard, by this process or by the one that told of it.
     pub heard: Time,
+    /// Number of its last change, see [`Contacts::since`].
+    change: u64,
 }
 
 /// Silence after which an instance is no longer taken to be alive.
 pub const ALIVE_FOR: Duration = Duration::from_millis(2_500);
-/// Silence after which an instance is forgotten.
+/// Silence after which a keeper forgets an instance.
 pub const FORGET_AFTER: Duration = Duration::from_secs(30);
 
 /// The known instances, sorted by id.
 #[derive(Debug, Clone, Default)]
 pub struct Contacts {
     known: Vec<Contact>,
+    change: u64,
 }
 
 impl Contacts {
-    /// Takes in that an instance was heard `age` before `now`. Returns whether it is new.
+    /// Takes in that an instance was heard `age` before `now`. Returns whether it is new or has
+    /// changed.
     pub fn hear(&mut self, now: Time, card: Card, status: Option<Status>, age: Duration) -> bool {
         let heard = now.saturating_sub(age);
         match self.place(&card.id) {
             Ok(at) => {
                 let known = &mut self.known[at];
-                let is_new = known.card != card;
-                if heard >= known.heard {
-                    known.card = card;
-                    known.heard = heard;
-                    if let Some(status) = status {
-                        known.status = status;
-                    }
+                if heard < known.heard {
+                    return false;
+                }
+                let is_ready = status.as_ref().map_or(known.status.ready, |it| it.ready);
+                let is_new = known.card != card || known.status.ready != is_ready;
+                known.card = card;
+                known.heard = heard;
+                if let Some(status) = status {
+                    known.status = status;
+                }
+                if is_new {
+                    self.change += 1;
+                    known.change = self.change;
                 }
                 is_new
             }
             Err(at) => {
                 let status = status.unwrap_or_default();
-                self.known.insert(at, Contact { card, status, heard });
+                self.change += 1;
+                self.known.insert(at, Contact { card, status, heard, change: self.change });
                 true
             }
         }
     }
 
+    /// Takes in a sign of life of a known instance.
+    pub fn renew(&mut self, now: Time, id: &InstanceId, age: Duration) {
+        if let Ok(at) = self.place(id) {
+            let heard = now.saturating_sub(age);
+            self.known[at].heard = self.known[at].heard.max(heard);
+        }
+    }
+
+    /// Takes in a sign of life of the instance at an internal address.
+    pub fn renew_at(&mut self, now: Time, address: SocketAddr) {
+        if let Some(contact) = self.known.iter_mut().find(|it| it.card.internal == address) {
+            contact.heard = now;
+        }
+    }
+
+    /// Number of the last change.
+    pub fn change(&self) -> u64 {
+        self.change
+    }
+
+    /// The instances that changed after the change with number `change`.
+    pub fn since(&self, change: u64) -> impl Iterator<Item = &Contact> {
+        self.known.iter().filter(move |contact| contact.change > change)
+    }
+
+    /// Predicted waits in milliseconds by region and service, sorted: the median of what the live
+    /// entry instances of the region tell.
+    pub fn waits(&self, now: Time) -> Vec<RegionWait> {
+        let mut all: Vec<(RegionId, ServiceName, u32)> = self
+            .live_entries(now)
+            .filter(|contact| contact.status.ready)
+            .flat_map(|contact| {
+                let region = &contact.card.region;
+                let told = contact.status.spare.iter();
+                told.filter_map(|it| Some((region.clone(), it.service.clone(), it.wait_ms?)))
+            })
+            .collect();
+        all.sort();
+        let groups = all.chunk_by(|a, b| (&a.0, &a.1) == (&b.0, &b.1));
+        let medians = groups.map(|group| {
+            let (region, service, wait_ms) = group[group.len() / 2].clone();
+            RegionWait { region, service, wait_ms }
+        });
+        medians.collect()
+    }
+
     /// Forgets an instance that has left for good or was found dead.
     pub fn remove(&mut self, id: &InstanceId) {
         if let Ok(at) = self.place(id) {
@@ -121,9 +182,9 @@
         }
     }
 
-    /// Forgets instances that were silent for [`FORGET_AFTER`].
-    pub fn forget(&mut self, now: Time) {
-        self.known.retain(|contact| now - contact.heard <= FORGET_AFTER);
+    /// Forgets instances that were silent for `limit`.
+    pub fn forget(&mut self, now: Time, limit: Duration) {
+        self.known.retain(|contact| now - contact.heard <= limit);
     }
 
     /// All known instances, sorted by id.
@@ -136,12 +197,14 @@
         self.place(id).ok().map(|at| &self.known[at])
     }
 
+    /// Instances that were heard within [`ALIVE_FOR`].
+    pub fn live(&self, now: Time) -> impl Iterator<Item = &Contact> {
+        self.known.iter().filter(move |contact| now - contact.heard <= ALIVE_FOR)
+    }
+
     /// Entry instances that were heard within [`ALIVE_FOR`].
     pub fn live_entries(&self, now: Time) -> impl Iterator<Item = &Contact> {
-        let is_live = move |contact: &&Contact| {
-            contact.card.part == Part::Entry && now - contact.heard <= ALIVE_FOR
-        };
-        self.known.iter().filter(is_live)
+        self.live(now).filter(|contact| contact.card.part == Part::Entry)
     }
 
     /// Number of entry instances that are not forgotten yet.
--- a/crates/medlarlug-core/src/gateway/upstreams.rs
+++ b/crates/medlarlug-core/src/gateway/upstreams.rs
@@ -64,8 +64,12 @@
     pub upstream: Upstream,
     /// When that was made, as far as known.
     pub heard: Time,
-    /// Number of the last change of this entry, see [`Upstreams::since`].
+    /// Number of the last change, see [`Upstreams::since`].
     change: u64,
+    /// Number of the last renewal, see [`Upstreams::renewed_since`].
+    renewal: u64,
+    /// Whether the upstream announced itself to this process.
+    pub is_local: bool,
 }
 
 impl Known {
@@ -99,6 +103,20 @@
 pub struct Upstreams {
     known: Vec<Known>,
     change: u64,
+    renewal: u64,
+}
+
+/// The renewal of an upstream that is known already.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewal {
+    /// The upstream.
+    pub id: UpstreamId,
+    /// Its incarnation.
+    pub birth: Birth,
+    /// Counts its announcements.
+    pub sequence: u64,
+    /// Age of the announcement, in milliseconds.
+    pub age_ms: u32,
 }
 
 impl Upstreams {
@@ -112,7 +130,11 @@
             Ok(at) => at,
             Err(at) => {
                 self.change += 1;
-                self.known.insert(at, Known { upstream, heard, change: self.change });
+                self.renewal += 1;
+                let (change, renewal) = (self.change, self.renewal);
+                let is_local = age.is_zero();
+                let known = Known { upstream, heard, change, renewal, is_local };
+                self.known.insert(at, known);
                 return Effect::Changed;
             }
         };
@@ -124,10 +146,39 @@
         let is_same = old.birth == upstream.birth
             && old.state == upstream.state
             && old.address == upstream.address
-            && old.service == upstream.service;
+            && old.service == upstream.service
+            && old.cold.is_zero() == upstream.cold.is_zero();
+        self.renewal += 1;
+        known.heard = heard.max(known.heard);
+        known.upstream = upstream;
+        known.renewal = self.renewal;
+        known.is_local = age.is_zero();
+        if is_same {
+            return Effect::Renewed;
+        }
         self.change += 1;
-        *known = Known { upstream, heard: heard.max(known.heard), change: self.change };
-        if is_same { Effect::Renewed } else { Effect::Changed }
+        known.change = self.change;
+        Effect::Changed
+    }
+
+    /// Takes in that an upstream has renewed itself. Ignored for an incarnation that is not known
+    /// yet: its whole announcement is on its way.
+    pub fn renew(&mut self, now: Time, renewal: &Renewal) -> Effect {
+        let Ok(at) = self.place(&renewal.id) else { return Effect::Ignored };
+        let known = &mut self.known[at];
+        let is_same = known.upstream.birth == renewal.birth;
+        if !is_same || renewal.sequence <= known.upstream.sequence {
+            return Effect::Ignored;
+        }
+        let heard = now.saturating_sub(Duration::from_millis(renewal.age_ms.into()));
+        // The time that is left to be cold counts from the announcement that told it.
+        known.upstream.cold = known.upstream.cold.saturating_sub(heard - known.heard);
+        known.upstream.sequence = renewal.sequence;
+        known.heard = known.heard.max(heard);
+        known.is_local = false;
+        self.renewal += 1;
+        known.renewal = self.renewal;
+        Effect::Renewed
     }
 
     /// Takes in that the present incarnation of `id` has left.
@@ -138,6 +189,7 @@
             return Effect::Ignored;
         }
         known.upstream.state = UpstreamState::Gone;
+        known.is_local = true;
         self.change += 1;
         known.change = self.change;
         Effect::Changed
@@ -186,6 +238,16 @@
         self.known.iter().filter(move |known| known.change > change)
     }
 
+    /// Number of the last renewal.
+    pub fn renewal(&self) -> u64 {
+        self.renewal
+    }
+
+    /// The upstreams that renewed themselves after the renewal with number `renewal`.
+    pub fn renewed_since(&self, renewal: u64) -> impl Iterator<Item = &Known> {
+        self.known.iter().filter(move |known| known.renewal > renewal)
+    }
+
     fn place(&self, id: &UpstreamId) -> Result<usize, usize> {
         self.known.binary_search_by(|known| known.upstream.id.cmp(id))
     }
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -177,26 +177,28 @@
                 && !tried.contains(&contact.card.id)
         };
         let fit = contacts.live_entries(now).filter(is_fit);
-        let cost = |contact: &Contact| {
-            let told = Duration::from_millis(contact.status.wait_ms(service)?.into());
-            let region = &contact.card.region;
+        let waits = self.waits.borrow();
+        let cost = |region: &RegionId| {
+            let at = waits.binary_search_by(|it| (&it.region, &it.service).cmp(&(region, service)));
+            let told = Duration::from_millis(waits[at.ok()?].wait_ms.into());
             let unread = self.away_unread(region);
             Some(placing::away_cost(told, unread, self.upstreams_in(region, service)))
         };
-        let mut waits: Vec<(Duration, &Contact)> =
-            fit.filter_map(|it| Some((cost(it)?, it))).collect();
-        waits.sort_by_key(|it| it.0);
-        let best = waits.first()?.1;
-        // Any instance of that region will do: their news is old, and one alone would be flooded.
-        let region: Vec<&(Duration, &Contact)> =
-            waits.iter().filter(|it| it.1.card.region == best.card.region).collect();
-        let (wait, contact) = region[rand::rng().random_range(0..region.len())];
+        let fit: Vec<&Contact> = fit.collect();
+        let mut regions: Vec<&RegionId> = fit.iter().map(|it| &it.card.region).collect();
+        regions.sort();
+        regions.dedup();
+        let costs = regions.into_iter().filter_map(|region| Some((cost(region)?, region)));
+        let (wait, region) = costs.min()?;
+        // Any instance of that region will do; one alone would be flooded.
+        let there: Vec<&&Contact> = fit.iter().filter(|it| it.card.region == *region).collect();
+        let contact = there[rand::rng().random_range(0..there.len())];
         let card = &contact.card;
         Some(Hop::Peer {
             id: card.id.clone(),
             region: card.region.clone(),
             address: card.internal,
-            wait: *wait + REGION_TRIP,
+            wait: wait + REGION_TRIP,
         })
     }
 
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -38,7 +38,7 @@
     gateway::{
         budget::RetryWindow,
         cold::ColdSends,
-        contacts::{Card, Contacts, Part, Spare, Status},
+        contacts::{Card, Contacts, Part, RegionWait, Spare, Status},
         health::Healths,
         placing::{Demand, LoadReport, Loads},
         table::{RouteTable, ServiceName, TableVersion},
@@ -71,6 +71,11 @@
 /// Time for which callers still come after this instance has said that it is leaving: until most
 /// have asked for the directory again, and early enough for streams to end within the grace period.
 const LINGER: Duration = Duration::from_millis(2_500);
+/// Silence after which an instance is forgotten: longer than with keepers, which tell only of
+/// changes, so that an instance that returns after a long silence is told of anew.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+/// Keepers that tell renewals, besides changes, which all keepers tell: one may be lost.
+const PRIMARY_KEEPERS: usize = 2;
 /// Part of the grace period after which calls that still run are cut.
 const GRACE_SHARE: f64 = 0.92;
 /// Pause between two looks at whether calls still run.
@@ -100,6 +105,8 @@
     loads: RefCell<Loads>,
     healths: RefCell<Healths>,
     cold: RefCell<ColdSends>,
+    /// Predicted waits of other regions, sorted.
+    waits: RefCell<Vec<RegionWait>>,
     /// Prompt tokens handed over to each region and not answered yet, sorted by region.
     away: RefCell<Vec<(RegionId, u64)>>,
     /// Calls and repeats of each service, sorted by service.
@@ -135,6 +142,7 @@
             loads: RefCell::default(),
             healths: RefCell::default(),
             cold: RefCell::default(),
+            waits: RefCell::default(),
             away: RefCell::default(),
             windows: RefCell::default(),
             links: Links::default(),
@@ -190,7 +198,7 @@
     /// returns when open calls have ended or the grace period is nearly over.
     pub async fn drain(&self, close: &watch::Sender<bool>) {
         self.is_draining.set(true);
-        self.links.send_all(&Message::Ping(self.status()));
+        self.links.send_all(&Message::Ping { status: self.status(), is_primary: false });
         let grace = self.settings.borrow().grace;
         let began = self.now();
         let latest = began + grace.mul_f64(GRACE_SHARE);
@@ -263,9 +271,12 @@
                 self.loads.borrow_mut().forget(&id);
             }
         }
-        for (card, status, age) in news.contacts {
-            let age = Duration::from_millis(age.into());
-            self.contacts.borrow_mut().hear(now, card, Some(status), age);
+        self.take_contacts(now, news.contacts, news.pulses);
+        for renewal in &news.renewals {
+            self.upstreams.borrow_mut().renew(now, renewal);
+        }
+        if !news.waits.is_empty() {
+            *self.waits.borrow_mut() = news.waits;
         }
         if let Some(head) = news.head {
             self.on_head(from, head);
@@ -273,6 +284,41 @@
         self.links.send(from, &Message::Seen(news.number));
     }
 
+    fn take_contacts(
+        &self,
+        now: Time,
+        changed: Vec<(Card, bool, u32)>,
+        pulses: Vec<(InstanceId, u32)>,
+    ) {
+        let mut contacts = self.contacts.borrow_mut();
+        for (card, ready, age) in changed {
+            let age = Duration::from_millis(age.into());
+            let status = Status { ready, spare: Vec::new() };
+            contacts.hear(now, card, Some(status), age);
+        }
+        for (id, age) in pulses {
+            contacts.renew(now, &id, Duration::from_millis(age.into()));
+        }
+    }
+
+    /// The keepers with an open link that are nearest, see [`PRIMARY_KEEPERS`].
+    fn primaries(&self) -> Vec<SocketAddr> {
+        let own = self.card();
+        let contacts = self.contacts.borrow();
+        let distance = |address: &SocketAddr| {
+            let known = contacts.all().iter().find(|it| it.card.internal == *address);
+            known.map_or(3, |it| match &it.card {
+                card if card.zone == own.zone => 0,
+                card if card.region == own.region => 1,
+                _ => 2,
+            })
+        };
+        let mut open = self.links.open_to();
+        open.sort_by_key(|address| (distance(address), *address));
+        open.truncate(PRIMARY_KEEPERS);
+        open
+    }
+
     fn on_head(&self, from: SocketAddr, head: Head) {
         let mut own = self.head.borrow_mut();
         if head.round > own.round {
@@ -355,6 +401,10 @@
         Status { ready: self.is_ready(), spare: self.spare() }
     }
 
+    fn is_primary(&self, address: SocketAddr) -> bool {
+        self.primaries().contains(&address)
+    }
+
     fn keepers(&self) -> Vec<SocketAddr> {
         let contacts = self.contacts.borrow();
         let heard = contacts.all().iter().filter(|it| it.card.part == Part::Keeper);
@@ -366,6 +416,7 @@
     }
 
     fn receive(&self, from: SocketAddr, message: Message) {
+        self.contacts.borrow_mut().renew_at(self.now(), from);
         match message {
             Message::News(news) => self.on_news(from, news),
             Message::Document { version, bytes } => self.on_document(from, version, &bytes),
@@ -381,7 +432,7 @@
     loop {
         ticks.tick().await;
         let now = entry.now();
-        entry.contacts.borrow_mut().forget(now);
+        entry.contacts.borrow_mut().forget(now, FORGET_AFTER);
         for id in entry.upstreams.borrow_mut().forget(now) {
             tracing::info!(upstream = %id, "upstream forgotten");
         }
--- a/crates/medlarlug-gateway/src/follower.rs
+++ b/crates/medlarlug-gateway/src/follower.rs
@@ -16,6 +16,8 @@
     fn card(&self) -> Card;
     /// What it tells of its state in pings.
     fn status(&self) -> Status;
+    /// Whether it wants renewals from the keeper at `address`, not only changes.
+    fn is_primary(&self, address: SocketAddr) -> bool;
     /// The keepers that it wants links to.
     fn keepers(&self) -> Vec<SocketAddr>;
     /// Takes a message in that came from the keeper at `from`.
@@ -45,6 +47,12 @@
         }
     }
 
+    /// The keepers with an open link.
+    pub(crate) fn open_to(&self) -> Vec<SocketAddr> {
+        let links = self.0.borrow();
+        links.iter().filter(|it| it.1.is_some()).map(|it| it.0).collect()
+    }
+
     /// Number of open links.
     pub(crate) fn open(&self) -> usize {
         self.0.borrow().iter().filter(|it| it.1.is_some()).count()
@@ -116,7 +124,8 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            if !sender.send(&Message::Ping(owner.status())) {
+            let (status, is_primary) = (owner.status(), owner.is_primary(address));
+            if !sender.send(&Message::Ping { status, is_primary }) {
                 return LinkError::Closed;
             }
         }
--- a/crates/medlarlug-gateway/src/keeper.rs
+++ b/crates/medlarlug-gateway/src/keeper.rs
@@ -27,7 +27,7 @@
 };
 use medlarlug_core::{
     gateway::{
-        contacts::{Card, Contacts, Part, Status, directory},
+        contacts::{self, Card, Contacts, Part, Status, directory},
         publication::{Command, Publication},
         table::{RouteTable, TableVersion},
         upstreams::{self, Effect, Upstream, UpstreamState, Upstreams},
@@ -50,7 +50,7 @@
     link::{self, Head, LinkReceiver, Message, News},
     metrics as names,
     settings::{NO_TABLE, NodeSettings, address_of, instance_at},
-    subscribers::Subscribers,
+    subscribers::{Knowledge, Subscribers},
 };
 
 /// Time between two ticks of the replica, a part of its heartbeat.
@@ -468,7 +468,10 @@
     fn push(&self) {
         let mut subscribers = self.subscribers.borrow_mut();
         let head = self.head.borrow();
-        subscribers.push(self.now(), &self.upstreams.borrow(), &self.contacts.borrow(), &head);
+        let upstreams = self.upstreams.borrow();
+        let contacts = self.contacts.borrow();
+        let knowledge = Knowledge { upstreams: &upstreams, contacts: &contacts, head: &head };
+        subscribers.push(self.now(), knowledge);
     }
 
     fn on_news(&self, from: SocketAddr, news: News) {
@@ -489,11 +492,14 @@
                     is_changed = true;
                 }
             }
+            for renewal in &news.renewals {
+                upstreams.renew(now, renewal);
+            }
             let mut contacts = self.contacts.borrow_mut();
             let keepers = news.contacts.into_iter().filter(|it| it.0.part == Part::Keeper);
-            for (card, status, age) in keepers {
+            for (card, _, age) in keepers {
                 let age = Duration::from_millis(age.into());
-                contacts.hear(now, card, Some(status), age);
+                contacts.hear(now, card, None, age);
             }
         }
         self.links.send(from, &Message::Seen(news.number));
@@ -506,7 +512,8 @@
     fn on_subscriber(&self, link: u64, card: &Card, message: Message) {
         let now = self.now();
         match message {
-            Message::Ping(status) => {
+            Message::Ping { status, is_primary } => {
+                self.subscribers.borrow_mut().set_primary(link, is_primary);
                 let mut contacts = self.contacts.borrow_mut();
                 let was_ready = contacts.get(&card.id).is_some_and(|it| it.status.ready);
                 if was_ready != status.ready {
@@ -560,6 +567,10 @@
         Status::default()
     }
 
+    fn is_primary(&self, _: SocketAddr) -> bool {
+        true
+    }
+
     fn keepers(&self) -> Vec<SocketAddr> {
         let settings = self.settings.borrow();
         let port = settings.card.internal.port();
@@ -666,7 +677,7 @@
     loop {
         ticks.tick().await;
         let now = keeper.now();
-        keeper.contacts.borrow_mut().forget(now);
+        keeper.contacts.borrow_mut().forget(now, contacts::FORGET_AFTER);
         for id in keeper.upstreams.borrow_mut().forget(now) {
             tracing::info!(upstream = %id, silent_s = upstreams::FORGET_AFTER.as_secs(), "upstream forgotten");
         }
--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -10,11 +10,11 @@
 use medlarlug::protocol::{GroupReply, GroupRequest};
 use medlarlug_core::{
     gateway::{
-        contacts::{Card, Status},
+        contacts::{Card, RegionWait, Status},
         table::TableVersion,
-        upstreams::Upstream,
+        upstreams::{Renewal, Upstream},
     },
-    ids::ZoneId,
+    ids::{InstanceId, ZoneId},
     replication,
 };
 use serde::{Deserialize, Serialize};
@@ -47,13 +47,19 @@
 pub struct News {
     /// Counts the news on this link; the receiver answers with [`Message::Seen`].
     pub number: u64,
-    /// Upstreams that changed or renewed themselves, and the age of what they said, in
-    /// milliseconds.
+    /// Upstreams that are new or have changed, and the age of what they said, in milliseconds.
     pub upstreams: Vec<(Upstream, u32)>,
+    /// Upstreams that renewed themselves.
+    pub renewals: Vec<Renewal>,
     /// The replicated state.
     pub head: Option<Head>,
-    /// The instances of the system, and for how long each was silent, in milliseconds.
-    pub contacts: Vec<(Card, Status, u32)>,
+    /// Instances that are new or have changed, whether each is ready, and for how long it was
+    /// silent, in milliseconds.
+    pub contacts: Vec<(Card, bool, u32)>,
+    /// All live instances, and for how long each was silent, in milliseconds.
+    pub pulses: Vec<(InstanceId, u32)>,
+    /// Predicted waits by region and service.
+    pub waits: Vec<RegionWait>,
 }
 
 /// The replicated state without its document.
@@ -73,7 +79,12 @@
     /// The first message on a link, from the side that opened it.
     Hello(Card),
     /// Asks for a sign of life and tells the sender's state.
-    Ping(Status),
+    Ping {
+        /// The sender's state.
+        status: Status,
+        /// Whether the sender wants renewals, pulses and waits from this keeper, not only changes.
+        is_primary: bool,
+    },
     /// The answer to a ping.
     Pong,
     /// From a keeper.
