Tests of the gateway's decisions, without a network

Seeded histories of announcements in any order, of retries and cold requests over all instances, and a load of 36 calls a second on five emulated engines against naive policies.

--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/gateway/announcements.rs
@@ -0,0 +1,159 @@
+//! Announcements of upstreams that arrive late, twice or from an earlier incarnation.
+
+use std::time::Duration;
+
+use medlarlug_core::{
+    gateway::upstreams::{Birth, Effect, Renewal, Upstream, UpstreamState, Upstreams},
+    time::Time,
+};
+
+use super::fixture::upstream;
+
+const NOW: Duration = Duration::ZERO;
+
+fn draining(sequence: u64) -> Upstream {
+    Upstream { state: UpstreamState::Draining, ..upstream("engine-1", sequence) }
+}
+
+fn state(upstreams: &Upstreams) -> UpstreamState {
+    upstreams.get(&"engine-1".parse().unwrap()).unwrap().upstream.state
+}
+
+#[test]
+fn late_announcement_does_not_revive_a_draining_upstream() {
+    let mut upstreams = Upstreams::default();
+    upstreams.announce(Time::ZERO, draining(5), NOW);
+
+    let late = upstreams.announce(Time::ZERO, upstream("engine-1", 4), NOW);
+    let newer = upstreams.announce(Time::ZERO, upstream("engine-1", 6), NOW);
+
+    assert_eq!((late, newer), (Effect::Ignored, Effect::Ignored));
+    assert_eq!(state(&upstreams), UpstreamState::Draining);
+}
+
+#[test]
+fn announcement_after_leaving_is_ignored_within_the_incarnation() {
+    let mut upstreams = Upstreams::default();
+    upstreams.announce(Time::ZERO, upstream("engine-1", 1), NOW);
+    upstreams.leave(&"engine-1".parse().unwrap());
+
+    let late = upstreams.announce(Time::ZERO, upstream("engine-1", 9), NOW);
+
+    assert_eq!((late, state(&upstreams)), (Effect::Ignored, UpstreamState::Gone));
+}
+
+#[test]
+fn new_incarnation_under_the_same_id_is_taken_in() {
+    let mut upstreams = Upstreams::default();
+    upstreams.announce(Time::ZERO, upstream("engine-1", 40), NOW);
+    upstreams.leave(&"engine-1".parse().unwrap());
+
+    let reborn = Upstream { birth: Birth(2_000), ..upstream("engine-1", 1) };
+    let effect = upstreams.announce(Time::ZERO, reborn, NOW);
+
+    assert_eq!((effect, state(&upstreams)), (Effect::Changed, UpstreamState::Ready));
+}
+
+#[test]
+fn delayed_announcement_of_an_older_upstream_at_a_reused_address_is_ignored() {
+    let mut upstreams = Upstreams::default();
+    let younger = Upstream { birth: Birth(5_000), ..upstream("engine-2", 1) };
+    upstreams.announce(Time::ZERO, younger, NOW);
+
+    let effect = upstreams.announce(Time::ZERO, upstream("engine-1", 7), NOW);
+
+    assert_eq!(effect, Effect::Ignored);
+    assert!(upstreams.get(&"engine-1".parse().unwrap()).is_none());
+}
+
+#[test]
+fn leaving_of_an_unknown_upstream_holds_back_its_late_announcement() {
+    let mut upstreams = Upstreams::default();
+    upstreams.leave_unknown(Time::ZERO, upstream("engine-1", 0));
+
+    let late = upstreams.announce(Time::ZERO, upstream("engine-1", 17), NOW);
+    let first = Upstream { birth: Birth(9_000), ..upstream("engine-1", 1) };
+    let reborn = upstreams.announce(Time::ZERO, first, NOW);
+
+    assert_eq!((late, reborn), (Effect::Ignored, Effect::Changed));
+}
+
+#[test]
+fn upstream_that_turns_cold_again_has_changed() {
+    let mut upstreams = Upstreams::default();
+    upstreams.announce(Time::ZERO, upstream("engine-1", 1), NOW);
+
+    let cold = Upstream { cold: Duration::from_secs(3), ..upstream("engine-1", 2) };
+    let effect = upstreams.announce(Time::from_millis(1_200), cold, NOW);
+
+    let known = upstreams.get(&"engine-1".parse().unwrap()).unwrap();
+    assert_eq!(effect, Effect::Changed);
+    assert_eq!(known.cold_left(Time::from_millis(2_200)), Duration::from_secs(2));
+}
+
+#[test]
+fn renewal_keeps_the_end_of_the_cold_time() {
+    let mut upstreams = Upstreams::default();
+    let cold = Upstream { cold: Duration::from_secs(3), ..upstream("engine-1", 1) };
+    upstreams.announce(Time::ZERO, cold, NOW);
+
+    let id = "engine-1".parse().unwrap();
+    let renewal = Renewal { id, birth: Birth(1_000), sequence: 2, age_ms: 0 };
+    let effect = upstreams.renew(Time::from_millis(1_000), &renewal);
+
+    let known = upstreams.get(&"engine-1".parse().unwrap()).unwrap();
+    assert_eq!(effect, Effect::Renewed);
+    assert_eq!(known.cold_left(Time::from_millis(1_000)), Duration::from_secs(2));
+}
+
+#[test]
+fn renewal_of_another_incarnation_is_ignored() {
+    let mut upstreams = Upstreams::default();
+    upstreams.announce(Time::ZERO, upstream("engine-1", 1), NOW);
+
+    let id = "engine-1".parse().unwrap();
+    let renewal = Renewal { id, birth: Birth(2_000), sequence: 2, age_ms: 0 };
+
+    assert_eq!(upstreams.renew(Time::ZERO, &renewal), Effect::Ignored);
+}
+
+#[test]
+fn silent_upstream_is_forgotten() {
+    let mut upstreams = Upstreams::default();
+    upstreams.announce(Time::ZERO, upstream("engine-1", 1), NOW);
+
+    let early = upstreams.forget(Time::from_millis(39_000));
+    let late = upstreams.forget(Time::from_millis(41_000));
+
+    assert_eq!((early.len(), late.len()), (0, 1));
+}
+
+/// Any order of the same announcements leads to the same knowledge.
+#[test]
+fn order_of_arrival_does_not_matter() {
+    use rand::{SeedableRng, seq::SliceRandom};
+
+    let reborn = |sequence| Upstream { birth: Birth(2_000), ..upstream("engine-1", sequence) };
+    let news = [
+        upstream("engine-1", 1),
+        upstream("engine-1", 2),
+        draining(3),
+        upstream("engine-1", 4),
+        reborn(1),
+        reborn(2),
+        Upstream { state: UpstreamState::Draining, ..reborn(3) },
+    ];
+    for seed in 0..500 {
+        let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+        let mut shuffled = news.clone();
+        shuffled.shuffle(&mut random);
+        let mut upstreams = Upstreams::default();
+        for upstream in shuffled {
+            upstreams.announce(Time::ZERO, upstream, NOW);
+        }
+
+        let known = upstreams.get(&"engine-1".parse().unwrap()).unwrap();
+        let newest = (known.upstream.birth, known.upstream.state);
+        assert_eq!(newest, (Birth(2_000), UpstreamState::Draining), "seed {seed}");
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/gateway/contacts.rs
@@ -0,0 +1,96 @@
+//! Which instances are known, and which of them callers are sent to.
+
+use std::time::Duration;
+
+use medlarlug_core::{
+    gateway::contacts::{Contacts, Spare, Status, directory},
+    time::Time,
+};
+
+use super::fixture::{entry, region, service};
+
+const NOW: Duration = Duration::ZERO;
+
+fn ready() -> Option<Status> {
+    Some(Status { ready: true, spare: Vec::new() })
+}
+
+fn waiting(wait_ms: u32) -> Option<Status> {
+    let spare = vec![Spare { service: service("scribe"), wait_ms: Some(wait_ms) }];
+    Some(Status { ready: true, spare })
+}
+
+fn two_regions() -> Contacts {
+    let mut contacts = Contacts::default();
+    for (id, region) in [("e-1", "kochi"), ("e-2", "kochi"), ("e-3", "kollam")] {
+        contacts.hear(Time::ZERO, entry(id, region), ready(), NOW);
+    }
+    contacts
+}
+
+fn named(contacts: &Contacts, now: Time, near: &str, homes: &[&str]) -> Vec<String> {
+    let homes: Vec<_> = homes.iter().map(|it| region(it)).collect();
+    let zone = format!("{near}-a").parse().unwrap();
+    let found = directory(contacts, now, Some(&zone), Some(&region(near)), &homes);
+    found.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn callers_are_sent_to_their_own_zone() {
+    let found = named(&two_regions(), Time::ZERO, "kochi", &[]);
+
+    assert_eq!(found, ["10.1.0.1:8100", "10.1.0.2:8100"]);
+}
+
+#[test]
+fn callers_of_a_region_without_instances_are_sent_to_a_home() {
+    let found = named(&two_regions(), Time::ZERO, "kozhikode", &["kollam"]);
+
+    assert_eq!(found, ["10.1.0.3:8100"]);
+}
+
+#[test]
+fn silent_instance_is_not_named() {
+    let mut contacts = two_regions();
+    contacts.hear(Time::from_millis(4_000), entry("e-2", "kochi"), ready(), NOW);
+
+    let found = named(&contacts, Time::from_millis(4_000), "kochi", &[]);
+
+    assert_eq!(found, ["10.1.0.2:8100"]);
+}
+
+#[test]
+fn leaving_instance_is_not_named() {
+    let mut contacts = two_regions();
+    contacts.hear(Time::ZERO, entry("e-1", "kochi"), Some(Status::default()), NOW);
+
+    let found = named(&contacts, Time::ZERO, "kochi", &[]);
+
+    assert_eq!(found, ["10.1.0.2:8100"]);
+}
+
+#[test]
+fn only_changes_count_as_news() {
+    let mut contacts = two_regions();
+    let before = contacts.change();
+
+    contacts.hear(Time::from_millis(1), entry("e-1", "kochi"), ready(), NOW);
+    let renewed = contacts.since(before).count();
+    contacts.hear(Time::from_millis(2), entry("e-1", "kochi"), Some(Status::default()), NOW);
+    let changed = contacts.since(before).count();
+
+    assert_eq!((renewed, changed), (0, 1));
+}
+
+#[test]
+fn wait_of_a_region_is_the_median_of_its_instances() {
+    let mut contacts = Contacts::default();
+    for (id, wait_ms) in [("e-1", 900), ("e-2", 40), ("e-3", 60)] {
+        contacts.hear(Time::ZERO, entry(id, "kochi"), waiting(wait_ms), NOW);
+    }
+
+    let waits = contacts.waits(Time::ZERO);
+
+    assert_eq!(waits.len(), 1);
+    assert_eq!((waits[0].region.clone(), waits[0].wait_ms), (region("kochi"), 60));
+}
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
@@ -0,0 +1,143 @@
+//! Limits that are sums over all entry instances: retries and requests to cold upstreams; and the
+//! health of upstreams.
+
+use std::time::Duration;
+
+use medlarlug_core::{
+    gateway::{
+        budget::{RetryBounds, RetryWindow},
+        cold::{ColdSends, sender},
+        health::{CallEnd, Healths},
+    },
+    ids::InstanceId,
+    time::Time,
+};
+
+const BOUNDS: RetryBounds =
+    RetryBounds { ratio: 0.2, allowance: 54.0, window: Duration::from_secs(10) };
+
+fn instances(count: usize) -> Vec<InstanceId> {
+    (0..count).map(|at| format!("entry-{at}").parse().unwrap()).collect()
+}
+
+/// All instances take as many repeats as they can, in every window of a minute.
+#[test]
+fn repeats_of_all_instances_stay_within_the_bounds() {
+    let instances = 7;
+    let mut windows = vec![RetryWindow::default(); instances];
+    let mut calls: Vec<Time> = Vec::new();
+    let mut repeats: Vec<Time> = Vec::new();
+
+    for millis in (0..60_000).step_by(20) {
+        let now = Time::from_millis(millis);
+        for window in &mut windows {
+            // Calls stop for a while, as when callers leave.
+            if millis < 20_000 || millis > 40_000 {
+                window.count(now, BOUNDS);
+                calls.push(now);
+            }
+            if window.take(now, BOUNDS, instances) {
+                repeats.push(now);
+            }
+        }
+    }
+
+    for millis in (10_000..60_000).step_by(100) {
+        let end = Time::from_millis(millis);
+        let within = |from: u64, time: &Time| *time > Time::from_millis(from) && *time <= end;
+        let repeated = repeats.iter().filter(|it| within(millis - 10_000, it)).count() as f64;
+        let called = calls.iter().filter(|it| within(millis.saturating_sub(20_000), it)).count();
+        let limit = BOUNDS.ratio * called as f64 + BOUNDS.allowance;
+        assert!(repeated <= limit, "{repeated} repeats above {limit} at {millis} ms");
+    }
+}
+
+#[test]
+fn service_without_calls_still_has_its_share_of_the_allowance() {
+    let mut window = RetryWindow::default();
+
+    let taken = (0..20).filter(|_| window.take(Time::ZERO, BOUNDS, 7)).count();
+
+    assert_eq!(taken, 5);
+}
+
+#[test]
+fn instances_that_see_the_same_peers_agree_on_one_sender() {
+    let upstream = "engine-1".parse().unwrap();
+    let peers = instances(5);
+    let mut reversed = peers.clone();
+    reversed.reverse();
+
+    assert_eq!(sender(&upstream, &peers), sender(&upstream, &reversed));
+}
+
+/// Two instances that disagree about who is alive stay below 1.5 times the rate and 3 more.
+#[test]
+fn two_senders_stay_below_the_limit_of_a_cold_upstream() {
+    let (rate, limit) = (2.7, 2.7 * 1.5 + 3.0);
+    let upstream = "engine-1".parse().unwrap();
+    let mut senders = vec![ColdSends::default(); 2];
+    let mut sent: Vec<u64> = Vec::new();
+
+    for millis in 0..5_000 {
+        let now = Time::from_millis(millis);
+        for cold in &mut senders {
+            if cold.may_send(now, &upstream, rate) {
+                cold.sent(now, &upstream, rate);
+                sent.push(millis);
+            }
+        }
+    }
+
+    let in_second = |from: u64| sent.iter().filter(|at| **at >= from && **at < from + 1_000).count();
+    let most = (0..4_000).map(in_second).max().unwrap();
+    assert!(most as f64 <= limit, "{most} requests in a second");
+}
+
+#[test]
+fn upstream_that_refuses_rests_and_returns() {
+    let mut healths = Healths::default();
+    let id = "engine-1".parse().unwrap();
+
+    healths.ended(Time::ZERO, &id, CallEnd::Refused);
+
+    assert!(healths.is_avoided(Time::from_millis(100), &id));
+    assert!(!healths.is_avoided(Time::from_millis(200), &id));
+}
+
+/// Found on the first standard days: a full upstream looks idle, so that every call went there and
+/// was refused in turn.
+#[test]
+fn upstream_that_goes_on_refusing_rests_longer() {
+    let mut healths = Healths::default();
+    let id = "engine-1".parse().unwrap();
+
+    healths.ended(Time::ZERO, &id, CallEnd::Refused);
+    healths.ended(Time::from_millis(200), &id, CallEnd::Refused);
+
+    assert!(healths.is_avoided(Time::from_millis(450), &id));
+}
+
+#[test]
+fn answer_ends_the_rest_of_an_upstream() {
+    let mut healths = Healths::default();
+    let id = "engine-1".parse().unwrap();
+    healths.ended(Time::ZERO, &id, CallEnd::Unreachable);
+
+    healths.ended(Time::from_millis(10), &id, CallEnd::Answered);
+
+    assert!(!healths.is_avoided(Time::from_millis(20), &id));
+}
+
+#[test]
+fn upstream_that_fails_a_part_of_its_calls_is_not_avoided() {
+    let mut healths = Healths::default();
+    let id = "engine-1".parse().unwrap();
+
+    for _ in 0..20 {
+        healths.ended(Time::ZERO, &id, CallEnd::Failed);
+    }
+
+    assert!(!healths.is_avoided(Time::ZERO, &id));
+    assert!(healths.failures(&id) > 0.6);
+}
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -0,0 +1,11 @@
+//! Decisions of a gateway in front of upstreams that announce themselves.
+
+mod announcements;
+mod contacts;
+mod fixture;
+mod handover;
+mod limits;
+mod placing;
+mod publication;
+mod refusing;
+mod table;
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/gateway/placing.rs
@@ -0,0 +1,197 @@
+//! Placing under load, against naive policies.
+
+use std::time::Duration;
+
+use medlarlug_core::{
+    gateway::placing::{Candidate, Demand, LoadReport, Loads, PromptPart, away_cost},
+    ids::UpstreamId,
+    time::Time,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Prompt tokens that an emulated engine reads in a millisecond.
+const READ_RATE: f64 = 40.0;
+
+fn ids(count: usize) -> Vec<UpstreamId> {
+    (0..count).map(|at| format!("engine-{at}").parse().unwrap()).collect()
+}
+
+fn engines(ids: &[UpstreamId]) -> Vec<Candidate<'_>> {
+    let engine = |id| Candidate { id, slots: 128, memory: 250_000, failures: 0.0 };
+    ids.iter().map(engine).collect()
+}
+
+/// A prompt with a part that all share, one of its session and one of its own.
+fn session(number: u64, call: u64) -> Demand {
+    let parts = vec![
+        PromptPart { id: 1, tokens: 2_500 },
+        PromptPart { id: 100 + number, tokens: 3_800 },
+        PromptPart { id: 1_000_000 + call, tokens: 2_900 },
+    ];
+    Demand { parts, prompt: 9_200, output: 50 }
+}
+
+#[test]
+fn calls_of_a_session_stay_on_one_engine_while_it_is_free() {
+    let ids = ids(5);
+    let mut loads = Loads::default();
+    let mut used = Vec::new();
+
+    for call in 0..10 {
+        let now = Time::from_millis(call * 500);
+        let choice = loads.choose(now, &session(7, call), &engines(&ids), 3).unwrap();
+        loads.sent(now, &choice, &session(7, call), 250_000);
+        loads.answered(now, &choice, choice.wait);
+        loads.ended(now, &choice, true);
+        used.push(choice.id);
+    }
+
+    used.dedup();
+    assert_eq!(used.len(), 1);
+}
+
+#[test]
+fn instances_prefer_the_same_engine_for_a_session() {
+    let ids = ids(5);
+    let (first, second) = (Loads::default(), Loads::default());
+
+    for number in 0..40 {
+        let demand = session(number, 0);
+        let at_first = first.choose(Time::ZERO, &demand, &engines(&ids), 3).unwrap();
+        let at_second = second.choose(Time::ZERO, &demand, &engines(&ids), 3).unwrap();
+
+        assert_eq!(at_first.id, at_second.id);
+    }
+}
+
+#[test]
+fn long_queue_moves_a_session_to_another_engine() {
+    let ids = ids(5);
+    let mut loads = Loads::default();
+    let home = loads.choose(Time::ZERO, &session(7, 0), &engines(&ids), 1).unwrap();
+
+    let busy = LoadReport { id: home.id.clone(), running: 8, unread: 60_000 };
+    loads.hear(Time::ZERO, "entry-2".parse().unwrap(), vec![busy]);
+    let moved = loads.choose(Time::ZERO, &session(7, 1), &engines(&ids), 2).unwrap();
+
+    assert_ne!(moved.id, home.id);
+}
+
+#[test]
+fn report_of_a_silent_peer_counts_no_more() {
+    let ids = ids(2);
+    let mut loads = Loads::default();
+    let home = loads.choose(Time::ZERO, &session(7, 0), &engines(&ids), 1).unwrap();
+    let busy = LoadReport { id: home.id.clone(), running: 8, unread: 60_000 };
+    loads.hear(Time::ZERO, "entry-2".parse().unwrap(), vec![busy]);
+
+    let later = loads.choose(Time::from_millis(1_300), &session(7, 1), &engines(&ids), 2);
+
+    assert_eq!(later.unwrap().id, home.id);
+}
+
+#[test]
+fn engine_that_fails_half_of_its_calls_is_used_last() {
+    let ids = ids(2);
+    let mut candidates = engines(&ids);
+    let demand = Demand { prompt: 800, ..Demand::default() };
+    candidates[0].failures = 0.5;
+
+    let choice = Loads::default().choose(Time::ZERO, &demand, &candidates, 1).unwrap();
+
+    assert_eq!(choice.id, ids[1]);
+}
+
+#[test]
+fn cost_elsewhere_grows_with_what_was_handed_over() {
+    let told = Duration::from_millis(50);
+
+    assert!(away_cost(told, 40_000, 4) > away_cost(told, 0, 4) + Duration::from_millis(200));
+}
+
+/// Engines that read one prompt after the other and keep the parts used last.
+struct Emulated {
+    free: f64,
+    held: Vec<(u64, u32)>,
+}
+
+impl Emulated {
+    /// Reads a prompt that arrives at `now` and returns when that is done, in milliseconds.
+    fn read(&mut self, now: f64, demand: &Demand) -> f64 {
+        let mut unread = 0;
+        let mut is_held = true;
+        for part in &demand.parts {
+            is_held &= self.held.iter().any(|it| it.0 == part.id);
+            if !is_held {
+                unread += part.tokens;
+            }
+            self.held.retain(|it| it.0 != part.id);
+            self.held.push((part.id, part.tokens));
+        }
+        while self.held.iter().map(|it| it.1).sum::<u32>() > 150_000 {
+            self.held.remove(0);
+        }
+        self.free = self.free.max(now) + f64::from(unread) / READ_RATE;
+        self.free
+    }
+}
+
+/// Share of calls whose first token comes within a second, when `place` picks the engine.
+fn share_in_time(
+    seed: u64,
+    mut place: impl FnMut(f64, &Demand, &mut ChaCha8Rng, &mut Vec<Emulated>) -> usize,
+) -> f64 {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut engines: Vec<Emulated> =
+        (0..5).map(|_| Emulated { free: 0.0, held: Vec::new() }).collect();
+    let (mut now, mut in_time, calls) = (0.0, 0, 3_000);
+    for call in 0..calls {
+        // About 36 calls a second, more than cold engines can read.
+        now += -random.random::<f64>().max(1e-9).ln() * 28.0;
+        let demand = session(random.random_range(0..95), call);
+        let at = place(now, &demand, &mut random, &mut engines);
+        if engines[at].read(now, &demand) - now <= 1_000.0 {
+            in_time += 1;
+        }
+    }
+    in_time as f64 / calls as f64
+}
+
+/// The heaviest minutes: prompts of many sessions, more than engines can read without their caches.
+#[test]
+fn more_calls_are_in_time_than_with_the_least_loaded_engine() {
+    for seed in 0..5 {
+        let ids = ids(5);
+        let mut loads = Loads::default();
+        let mut open: Vec<(f64, medlarlug_core::gateway::placing::Choice)> = Vec::new();
+
+        let placed = share_in_time(seed, |now, demand, _, emulated| {
+            let time = Time::from_micros((now * 1_000.0) as u64);
+            open.retain(|(done, choice)| {
+                let is_done = *done <= now;
+                if is_done {
+                    loads.answered(time, choice, choice.wait);
+                    loads.ended(time, choice, true);
+                }
+                !is_done
+            });
+            let choice = loads.choose(time, demand, &engines(&ids), 1).unwrap();
+            loads.sent(time, &choice, demand, 250_000);
+            let at = ids.iter().position(|id| *id == choice.id).unwrap();
+            let done = emulated[at].free.max(now) + f64::from(choice.unread) / READ_RATE;
+            open.push((done, choice));
+            at
+        });
+        let least_loaded = share_in_time(seed, |_, _, _, engines| {
+            let free = |at: &usize| (engines[*at].free * 1_000.0) as u64;
+            (0..engines.len()).min_by_key(free).unwrap()
+        });
+        let at_random =
+            share_in_time(seed, |_, _, random, engines| random.random_range(0..engines.len()));
+
+        assert!(placed > 0.9, "seed {seed}: {placed} in time");
+        assert!(placed > least_loaded, "seed {seed}: {placed} against {least_loaded}");
+        assert!(placed > at_random, "seed {seed}: {placed} against {at_random}");
+    }
+}
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/gateway/refusing.rs
@@ -0,0 +1,48 @@
+//! When calls are refused, and when their callers are told to come back.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use medlarlug_core::gateway::refusing::{Outlook, Verdict, judge};
+
+fn outlook(wait_ms: Option<u64>, left_ms: u64) -> Outlook {
+    Outlook {
+        wait: wait_ms.map(Duration::from_millis),
+        left: Duration::from_millis(left_ms),
+        objective: Duration::from_secs(1),
+    }
+}
+
+#[test]
+fn call_that_can_be_answered_in_time_is_served() {
+    assert_eq!(judge(outlook(Some(3_000), 5_000), 0.5), Verdict::Serve);
+}
+
+#[test]
+fn call_that_cannot_be_answered_in_time_is_refused_at_once() {
+    assert_matches!(judge(outlook(Some(4_500), 5_000), 0.5), Verdict::Refuse { .. });
+}
+
+#[test]
+fn call_without_any_upstream_is_refused() {
+    assert_matches!(judge(outlook(None, 5_000), 0.5), Verdict::Refuse { .. });
+}
+
+#[test]
+fn caller_is_told_a_time_within_a_third_of_what_it_has_left() {
+    for spread in [0.0, 0.5, 1.0] {
+        let verdict = judge(outlook(Some(60_000), 3_000), spread);
+
+        assert_matches!(verdict, Verdict::Refuse { after } if after <= Duration::from_secs(1));
+    }
+}
+
+#[test]
+fn callers_are_spread_over_the_time_to_come_back() {
+    let after = |spread| match judge(outlook(None, 10_000), spread) {
+        Verdict::Refuse { after } => after,
+        Verdict::Serve => Duration::ZERO,
+    };
+
+    assert!(after(1.0) > after(0.0).mul_f64(1.5));
+}
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/gateway/table.rs
@@ -0,0 +1,77 @@
+//! Route tables: what is refused, and which route serves a path.
+
+use assert_matches::assert_matches;
+use medlarlug_core::gateway::table::{Route, TableError};
+
+use super::fixture::{route, table, target};
+
+#[test]
+fn longest_prefix_serves_a_path() {
+    let table = table(1, vec![route("/mend/"), route("/mend/nets/")]).unwrap();
+
+    let found = table.route("kochi.example", "/mend/nets/7").map(|it| it.prefix.as_str());
+    let shorter = table.route("kochi.example", "/mend/7").map(|it| it.prefix.as_str());
+
+    assert_eq!((found, shorter), (Some("/mend/nets/"), Some("/mend/")));
+}
+
+#[test]
+fn host_is_compared_without_case() {
+    let table = table(1, vec![route("/mend/")]).unwrap();
+
+    assert!(table.route("Kochi.Example", "/mend/7").is_some());
+}
+
+#[test]
+fn path_without_the_prefix_has_no_route() {
+    let table = table(1, vec![route("/mend/")]).unwrap();
+
+    assert!(table.route("kochi.example", "/mending/7").is_none());
+    assert!(table.route("kollam.example", "/mend/7").is_none());
+}
+
+#[test]
+fn unknown_service_is_refused() {
+    let lost = Route { targets: vec![target("loft", 1)], ..route("/mend/") };
+
+    assert_matches!(table(1, vec![lost]), Err(TableError::UnknownService { .. }));
+}
+
+#[test]
+fn two_routes_at_one_place_are_refused() {
+    let routes = vec![route("/mend/"), route("/mend/")];
+
+    assert_matches!(table(1, routes), Err(TableError::SamePlace { .. }));
+}
+
+#[test]
+fn weights_that_add_up_to_zero_are_refused() {
+    let idle = Route { targets: vec![target("scribe", 0)], ..route("/mend/") };
+
+    assert_matches!(table(1, vec![idle]), Err(TableError::NoWeight { .. }));
+}
+
+#[test]
+fn timeout_of_zero_is_refused() {
+    let hasty = Route { timeout: std::time::Duration::ZERO, ..route("/mend/") };
+
+    assert_matches!(table(1, vec![hasty]), Err(TableError::NoTimeout { .. }));
+}
+
+#[test]
+fn weights_split_the_calls() {
+    let split = Route { targets: vec![target("scribe", 90), target("desk", 10)], ..route("/a/") };
+
+    let picked = [0.0, 0.89, 0.91, 0.999].map(|point| split.target_at(point).service.to_string());
+
+    assert_eq!(picked, ["scribe", "scribe", "desk", "desk"]);
+}
+
+#[test]
+fn target_without_weight_is_never_picked() {
+    let split = Route { targets: vec![target("scribe", 0), target("desk", 1)], ..route("/a/") };
+
+    let picked = [0.0, 0.5, 1.0].map(|point| split.target_at(point).service.to_string());
+
+    assert_eq!(picked, ["desk", "desk", "desk"]);
+}
--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod draining;
 mod follower;
+mod gateway;
 mod home_limits;
 mod home_model;
 mod home_tables;
