--- a/crates/medlarlug-core/src/replication/config.rs
+++ b/crates/medlarlug-core/src/replication/config.rs
@@ -35,6 +35,10 @@
     pub max_proposals: usize,
     /// Payload of one snapshot message, in bytes.
     pub chunk_bytes: usize,
+    /// For an open group, into which strangers are let: the voters that it is to have.
+    pub voters: Option<usize>,
+    /// In an open group, silence of a voter after which another member takes its vote.
+    pub replace_after: Duration,
 }
 
 impl Config {
@@ -54,6 +58,20 @@
         Config { heartbeat, election_min: heartbeat * 4, election_max: heartbeat * 8, ..self }
     }
 
+    /// The same for an open group that is to have `voters` voters: strangers are let in without a
+    /// vote, and get one while votes are missing or their owners are silent.
+    ///
+    /// ```
+    /// use medlarlug_core::replication::{Config, MemberKey, StorageId};
+    ///
+    /// let key = MemberKey { id: "keeper-1".parse().unwrap(), storage: StorageId(7) };
+    /// let founders = vec![key.id.clone()];
+    /// assert_eq!(Config::new(key, founders).open(3).voters, Some(3));
+    /// ```
+    pub fn open(self, voters: usize) -> Config {
+        Config { voters: Some(voters), ..self }
+    }
+
     /// The defaults for the replica `key`.
     pub fn new(key: MemberKey, founders: Vec<InstanceId>) -> Config {
         Config {
@@ -70,6 +88,8 @@
             max_inflight: 16,
             max_proposals: 4_096,
             chunk_bytes: 256 * 1024,
+            voters: None,
+            replace_after: Duration::from_millis(2_500),
         }
     }
 }
--- a/crates/medlarlug-core/src/replication/formation.rs
+++ b/crates/medlarlug-core/src/replication/formation.rs
@@ -1,5 +1,7 @@
 //! Formation of a group, and the way back for members that lost their storage.
 
+use std::time::Duration;
+
 use rand::RngExt;
 
 use crate::{
@@ -14,6 +16,12 @@
     replica::{Replica, State},
 };
 
+/// Members of an open group at most; further strangers wait outside.
+const MAX_MEMBERS: usize = 9;
+
+/// Silence after which a member without a vote is removed, as a multiple of that of a voter.
+const LEARNER_PATIENCE: u32 = 4;
+
 /// Unanswered heartbeats after which a member is removed whose instance has returned.
 const SILENT_HEARTBEATS: u32 = 3;
 
@@ -160,7 +168,8 @@
 
     /// Lets members back in that lost their storage: add, catch up, remove the old, promote.
     pub(super) fn reconcile(&mut self, now: Time, _out: &mut Vec<Effect>) {
-        if let Some(change) = self.next_change(now) {
+        let change = self.next_change(now).or_else(|| self.next_open_change(now));
+        if let Some(change) = change {
             // A change that does not fit yet is tried again at the next tick.
             let _ = self.try_change(&change, now);
         }
@@ -187,6 +196,39 @@
         is_alone.then(|| Change::Promote(returned.key.clone()))
     }
 
+    /// In an open group: gives a vote to a member without one while votes are missing or a voter
+    /// is silent, then takes the silent one's.
+    fn next_open_change(&self, now: Time) -> Option<Change> {
+        let wanted = self.config.voters?;
+        let members = self.log.members()?;
+        let limit = self.config.replace_after;
+        let silent_for = |member: &Member, limit: Duration| {
+            member.key != self.config.key && self.silence(&member.key, now) >= limit
+        };
+        let dead = members.voters().find(|voter| silent_for(voter, limit));
+        let count = members.voters().count();
+        if count > wanted
+            && let Some(dead) = dead
+        {
+            return Some(Change::Remove(dead.key.clone()));
+        }
+        let mut learners = members.members().iter().filter(|it| it.role == MemberRole::Learner);
+        let fit = learners.clone().find(|it| self.is_caught_up(&it.key, now));
+        if let Some(fit) = fit
+            && (count < wanted || dead.is_some())
+        {
+            return Some(Change::Promote(fit.key.clone()));
+        }
+        let lost = learners.find(|it| silent_for(it, limit * LEARNER_PATIENCE))?;
+        Some(Change::Remove(lost.key.clone()))
+    }
+
+    /// Time for which the leader has not heard a member.
+    fn silence(&self, key: &MemberKey, now: Time) -> Duration {
+        let State::Leader(leader) = &self.state else { return Duration::ZERO };
+        leader.progress(key).map_or(Duration::ZERO, |progress| now - progress.heard)
+    }
+
     /// The member that an instance with new storage becomes.
     fn replacement(&self, hello: &Hello, members: &Membership) -> Option<Member> {
         let is_foreign = hello.formation.is_some_and(|own| own != members.formation);
@@ -194,7 +236,11 @@
             return None;
         }
         let mut old = members.members().iter().filter(|m| m.key.id == hello.key.id).peekable();
-        old.peek()?;
+        let is_stranger = old.peek().is_none();
+        let is_full = members.members().len() >= MAX_MEMBERS;
+        if is_stranger && (self.config.voters.is_none() || is_full) {
+            return None;
+        }
         let role = match old.any(|member| member.role != MemberRole::Learner) {
             true => MemberRole::Joining,
             false => MemberRole::Learner,
--- a/crates/medlarlug-core/src/replication/mod.rs
+++ b/crates/medlarlug-core/src/replication/mod.rs
@@ -24,6 +24,13 @@
 //! member is removed, the new one promoted. Each step is a change of one voter and is committed
 //! before the next begins. A voter without a disk draws a new storage id at every start.
 //!
+//! # Open groups
+//!
+//! A group may be open ([`Config::open`]): an instance that no membership has named is let in
+//! without a vote, so that it holds the log and can answer for it. It gets a vote while the group
+//! has fewer than it is to have, or when a voter has been silent for [`Config::replace_after`];
+//! the silent one is removed next, and let in again without a vote when it returns.
+//!
 //! # Durable and volatile voters
 //!
 //! A volatile voter acknowledges from memory. While a durable voter is a member, every commit
--- a/crates/medlarlug-gateway/src/keeper.rs
+++ b/crates/medlarlug-gateway/src/keeper.rs
@@ -33,7 +33,7 @@
         upstreams::{self, Effect, Upstream, UpstreamState, Upstreams},
     },
     ids::{InstanceId, RegionId, UpstreamId, ZoneId},
-    replication::{Config, MemberKey, Persist, Replica, Role},
+    replication::{Config, MemberKey, Membership, Persist, Replica, Role},
     time::Time,
 };
 use serde_bytes::ByteBuf;
@@ -112,6 +112,8 @@
     calls: RefCell<Vec<(u64, oneshot::Sender<GroupReply>)>>,
     last_call: Cell<u64>,
     head: RefCell<Head>,
+    /// The membership that was logged last.
+    membership: RefCell<Option<Membership>>,
     table: RefCell<Option<Rc<RouteTable>>>,
     /// The oldest batch that the disk has not confirmed: its number and when it was handed over.
     unsynced: RefCell<Vec<(u64, Time)>>,
@@ -147,6 +149,7 @@
             calls: RefCell::default(),
             last_call: Cell::new(0),
             head: RefCell::default(),
+            membership: RefCell::default(),
             table: RefCell::default(),
             unsynced: RefCell::default(),
             failure: RefCell::default(),
@@ -408,12 +411,29 @@
                 }
             }
         }
+        self.log_membership();
         if is_changed {
             self.refresh_head();
             self.push();
         }
     }
 
+    /// Logs the membership when it has changed.
+    fn log_membership(&self) {
+        let group = self.group.borrow();
+        let members = group.replica().membership();
+        let mut logged = self.membership.borrow_mut();
+        if members == logged.as_ref() {
+            return;
+        }
+        if let Some(members) = members {
+            let ids = members.members().iter().map(|it| format!("{}:{:?}", it.key.id, it.role));
+            let (ids, voters) = (ids.collect::<Vec<_>>().join(","), members.voters().count());
+            tracing::info!(voters, members = %ids, "membership changed");
+        }
+        *logged = members.cloned();
+    }
+
     fn send(&self, to: &InstanceId, message: medlarlug_core::replication::Message) {
         let port = self.settings.borrow().card.internal.port();
         if let Some(address) = address_of(to, port) {
@@ -611,7 +631,8 @@
     }
     let key = MemberKey { id: settings.card.id.clone(), storage: folder.storage() };
     let founders = settings.contacts.iter().filter_map(|it| instance_at(it.ip()).ok()).collect();
-    let mut config = Config::new(key, founders).with_heartbeat(HEARTBEAT);
+    let voters = 2 * settings.tolerance + 1;
+    let mut config = Config::new(key, founders).with_heartbeat(HEARTBEAT).open(voters);
     config.may_form = settings.first_start;
     let replica = Replica::new(config, restored, rand::random(), now);
     Ok(Group::new(id, replica, machine))
--- a/crates/medlarlug-gateway/src/settings.rs
+++ b/crates/medlarlug-gateway/src/settings.rs
@@ -44,6 +44,8 @@
     pub contacts: Vec<SocketAddr>,
     /// Whether the system starts for the first time.
     pub first_start: bool,
+    /// Keepers whose loss at the same time has to be borne.
+    pub tolerance: usize,
     /// Folder for durable state; keepers only.
     pub data: Option<PathBuf>,
     /// Bounds on retries.
