--- a/crates/medlarlug-core/src/gateway/placing.rs
+++ b/crates/medlarlug-core/src/gateway/placing.rs
@@ -12,12 +12,6 @@
 //! same rank, until waiting there has grown well above reading it again elsewhere. A long queue of
 //! prompts stalls the streams of its engine, so it weighs more than the time that it takes.
 //!
-//! Long prompts and long answers on one engine are bad for each other: while it reads, all its
-//! streams stand still. So in a region and service under load some engines are for calls that
-//! mostly read, as many as their prompts keep busy, and the others for calls that mostly write.
-//! Every instance finds the same engines by rank. The border is soft: a call crosses it when that
-//! saves more than it disturbs.
-//!
 //! This answers load that is high but bearable. What to do when no upstream can serve in time is
 //! decided by [`refusing`](super::refusing).
 
@@ -51,11 +45,6 @@
 }
 
 impl Demand {
-    /// Whether an engine spends its time on the call's prompt rather than on its answer.
-    fn is_reading(&self) -> bool {
-        self.prompt >= READING_RATIO * self.output.max(1)
-    }
-
     /// The part by which calls are kept together: the last one that others share.
     fn affinity(&self) -> Option<u64> {
         let shared = self.parts.len().checked_sub(2)?;
@@ -89,15 +78,6 @@
     pub unread: u32,
 }
 
-/// Prompt tokens for each token of an answer from which on a call mostly reads: a step that writes a
-/// token of a few streams takes as long as reading some hundred tokens.
-const READING_RATIO: u32 = 10;
-/// Part of their time that the engines for reading calls are to read.
-const READING_SHARE: f64 = 0.6;
-/// Part of all engines that are for reading calls at most.
-const MOST_READERS: f64 = 0.6;
-/// Cost of a call on an engine that is for calls of the other sort, in milliseconds.
-const CROSSING_MS: f64 = 150.0;
 /// Prompt tokens that an engine reads in a millisecond, until it is known better; the engines of
 /// the first deployments read 38 to 52.
 const READ_RATE: f64 = 40.0;
@@ -128,8 +108,6 @@
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_200);
 /// Time over which the own load is averaged, for peers without a report.
 const AVERAGE_TIME: Duration = Duration::from_secs(2);
-/// Key of the rank by which the engines for reading calls are found.
-const READERS_KEY: u64 = 0x7265_6164;
 /// Weight of the newest call in the smoothed slowness.
 const SMOOTHING: f64 = 0.1;
 /// Bounds of the smoothed slowness.
@@ -206,40 +184,12 @@
     pub unread: u32,
 }
 
-/// What an instance tells its peers.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Report {
-    /// Prompt tokens of reading calls that it sends in a second.
-    pub reading: u32,
-    /// What it has under way, sorted by upstream; idle ones are left out.
-    pub loads: Vec<LoadReport>,
-}
-
-/// The newest report of a peer.
+/// The newest reports of a peer, sorted by upstream.
 #[derive(Debug, Clone)]
 struct PeerLoads {
     peer: InstanceId,
     heard: Time,
-    report: Report,
-}
-
-/// A rate, averaged over [`AVERAGE_TIME`] with exponentially falling weights.
-#[derive(Debug, Clone, Copy, Default)]
-struct Rate {
-    sum: f64,
-    updated: Time,
-}
-
-impl Rate {
-    fn per_second(&self, now: Time) -> f64 {
-        let age = (now - self.updated).as_secs_f64() / AVERAGE_TIME.as_secs_f64();
-        self.sum * (-age).exp() / AVERAGE_TIME.as_secs_f64()
-    }
-
-    fn add(&mut self, now: Time, amount: f64) {
-        self.sum = self.per_second(now) * AVERAGE_TIME.as_secs_f64() + amount;
-        self.updated = now;
-    }
+    loads: Vec<LoadReport>,
 }
 
 /// What this instance and its peers have under way at each upstream.
@@ -249,8 +199,6 @@
     known: Vec<Load>,
     /// Sorted by peer.
     peers: Vec<PeerLoads>,
-    /// Prompt tokens of reading calls that were sent.
-    reading: Rate,
 }
 
 /// Orders upstreams for a key, alike at every instance: the highest rank is preferred.
@@ -301,20 +249,14 @@
         candidates: &[Candidate],
         peers: usize,
     ) -> Option<Choice> {
-        let readers = self.readers(now, candidates, peers);
-        let is_fit = |candidate: &Candidate| {
-            readers.is_empty() || readers.contains(&candidate.id) == demand.is_reading()
-        };
         let preferred = demand.affinity().and_then(|part| {
-            let fit = candidates.iter().filter(|candidate| is_fit(candidate));
-            fit.max_by_key(|it| part_rank(part, it.id)).map(|candidate| candidate.id)
+            let ranked = candidates.iter().max_by_key(|it| part_rank(part, it.id));
+            ranked.map(|candidate| candidate.id)
         });
         let predicted = candidates.iter().map(|candidate| {
             let is_preferred = preferred == Some(candidate.id);
             let predicted = self.predict(now, demand, candidate, peers, is_preferred);
-            let crossing = if is_fit(candidate) { 0.0 } else { CROSSING_MS };
-            let risk = candidate.failures.powi(2) * FAILURE_MS;
-            let cost = predicted.wait + predicted.others + risk + crossing;
+            let cost = predicted.wait + predicted.others + candidate.failures.powi(2) * FAILURE_MS;
             (cost, predicted, candidate)
         });
         let best = predicted.min_by(|a, b| {
@@ -327,33 +269,6 @@
         Some(Choice { id: candidate.id.clone(), wait, cost, unread: predicted.unread })
     }
 
-    /// The engines for reading calls, of those that may be chosen; none if there are too few
-    /// engines to divide.
-    fn readers<'a>(
-        &self,
-        now: Time,
-        candidates: &[Candidate<'a>],
-        peers: usize,
-    ) -> Vec<&'a UpstreamId> {
-        let total = candidates.len();
-        if total < 2 || candidates.iter().any(|it| it.memory == 0) {
-            return Vec::new();
-        }
-        let own = self.reading.per_second(now);
-        let fresh = self.peers.iter().filter(|it| now - it.heard < REPORT_LIFETIME);
-        let told: Vec<f64> = fresh.map(|it| f64::from(it.report.reading)).collect();
-        let silent = peers.saturating_sub(1 + told.len()) as f64;
-        let tokens = own * (1.0 + silent) + told.iter().sum::<f64>();
-        let busy = tokens / (READ_RATE * 1_000.0);
-        let most = ((total as f64 * MOST_READERS).round() as usize).min(total - 1);
-        // One engine at least, so that sessions don't move as soon as there is something to read.
-        let wanted = ((busy / READING_SHARE).round() as usize).clamp(1, most.max(1));
-        let mut ranked: Vec<(u64, &UpstreamId)> =
-            candidates.iter().map(|it| (part_rank(READERS_KEY, it.id), it.id)).collect();
-        ranked.sort();
-        ranked.into_iter().take(wanted).map(|it| it.1).collect()
-    }
-
     fn predict(
         &self,
         now: Time,
@@ -391,23 +306,22 @@
     }
 
     /// What this instance has under way, to be told to its peers; idle upstreams are left out.
-    pub fn report(&self, now: Time) -> Report {
+    pub fn report(&self) -> Vec<LoadReport> {
         let busy = self.known.iter().filter(|load| load.running.value > 0);
         let report = |load: &Load| LoadReport {
             id: load.id.clone(),
             running: u32::try_from(load.running.value).unwrap_or(u32::MAX),
             unread: u32::try_from(load.unread.value).unwrap_or(u32::MAX),
         };
-        let reading = self.reading.per_second(now) as u32;
-        Report { reading, loads: busy.map(report).collect() }
+        busy.map(report).collect()
     }
 
-    /// Takes in what a peer has told.
-    pub fn hear(&mut self, now: Time, peer: InstanceId, report: Report) {
+    /// Takes in what a peer has under way; `loads` is sorted by upstream.
+    pub fn hear(&mut self, now: Time, peer: InstanceId, loads: Vec<LoadReport>) {
         self.peers.retain(|it| now - it.heard < REPORT_LIFETIME);
         match self.peers.binary_search_by(|it| it.peer.cmp(&peer)) {
-            Ok(at) => self.peers[at] = PeerLoads { peer, heard: now, report },
-            Err(at) => self.peers.insert(at, PeerLoads { peer, heard: now, report }),
+            Ok(at) => self.peers[at] = PeerLoads { peer, heard: now, loads },
+            Err(at) => self.peers.insert(at, PeerLoads { peer, heard: now, loads }),
         }
     }
 
@@ -418,10 +332,9 @@
         let mut reported = 0;
         for peer in fresh {
             reported += 1;
-            let loads = &peer.report.loads;
-            if let Ok(at) = loads.binary_search_by(|it| it.id.cmp(id)) {
-                others.running += f64::from(loads[at].running);
-                others.unread += f64::from(loads[at].unread);
+            if let Ok(at) = peer.loads.binary_search_by(|it| it.id.cmp(id)) {
+                others.running += f64::from(peer.loads[at].running);
+                others.unread += f64::from(peer.loads[at].unread);
             }
         }
         let silent = peers.saturating_sub(1 + reported) as f64;
@@ -436,9 +349,6 @@
 
     /// Counts a call that goes out to `choice`; `memory` is that of the upstream in tokens.
     pub fn sent(&mut self, now: Time, choice: &Choice, demand: &Demand, memory: u64) {
-        if demand.is_reading() {
-            self.reading.add(now, f64::from(choice.unread));
-        }
         let load = self.entry(&choice.id);
         load.running.change(now, load.running.value + 1);
         load.unread.change(now, load.unread.value + u64::from(choice.unread));
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -40,7 +40,7 @@
         cold::ColdSends,
         contacts::{Card, Contacts, Part, RegionWait, Spare, Status},
         health::Healths,
-        placing::{Demand, Loads, Report},
+        placing::{Demand, LoadReport, Loads},
         table::{RouteTable, ServiceName, TableVersion},
         upstreams::{Effect, UpstreamState, Upstreams},
     },
@@ -241,14 +241,13 @@
     }
 
     /// What this instance has under way at upstreams.
-    pub(crate) fn load_report(&self) -> (InstanceId, Report) {
-        let id = self.settings.borrow().card.id.clone();
-        (id, self.loads.borrow().report(self.now()))
+    pub(crate) fn load_report(&self) -> (InstanceId, Vec<LoadReport>) {
+        (self.settings.borrow().card.id.clone(), self.loads.borrow().report())
     }
 
     /// Takes in what a peer has under way.
-    pub(crate) fn hear_loads(&self, from: InstanceId, report: Report) {
-        self.loads.borrow_mut().hear(self.now(), from, report);
+    pub(crate) fn hear_loads(&self, from: InstanceId, loads: Vec<LoadReport>) {
+        self.loads.borrow_mut().hear(self.now(), from, loads);
     }
 
     fn on_news(&self, from: SocketAddr, news: News) {
--- a/crates/medlarlug-gateway/src/loads.rs
+++ b/crates/medlarlug-gateway/src/loads.rs
@@ -5,7 +5,7 @@
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use medlarlug_core::{gateway::placing::Report, ids::InstanceId};
+use medlarlug_core::{gateway::placing::LoadReport, ids::InstanceId};
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::UdpSocket,
@@ -22,11 +22,11 @@
 /// Longest datagram, below the usual size of a packet.
 const MAX_BYTES: usize = 1_400;
 
-/// A report with its sender.
+/// What one instance has under way.
 #[derive(Debug, Serialize, Deserialize)]
-struct Signed {
+struct Report {
     from: InstanceId,
-    report: Report,
+    loads: Vec<LoadReport>,
 }
 
 /// Opens the socket of the reports.
@@ -45,15 +45,15 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let (from, report) = entry.load_report();
-        let is_idle = report.loads.is_empty();
+        let (from, loads) = entry.load_report();
+        let is_idle = loads.is_empty();
         // The last report before idleness tells that nothing is left.
         if is_idle && was_idle {
             continue;
         }
         was_idle = is_idle;
         let peers = entry.region_peers();
-        send(&socket, &Signed { from, report }, &peers);
+        send(&socket, &Report { from, loads }, &peers);
         if peers.len() > FEW_PEERS {
             let factor = u32::try_from(peers.len() / FEW_PEERS).unwrap_or(u32::MAX);
             sleep(INTERVAL * factor).await;
@@ -61,7 +61,7 @@
     }
 }
 
-fn send(socket: &UdpSocket, report: &Signed, peers: &[SocketAddr]) {
+fn send(socket: &UdpSocket, report: &Report, peers: &[SocketAddr]) {
     let datagram = match postcard::to_stdvec(report) {
         Ok(datagram) if datagram.len() <= MAX_BYTES => datagram,
         Ok(datagram) => {
@@ -81,8 +81,8 @@
     let mut buffer = [0; MAX_BYTES + 1];
     loop {
         match socket.recv(&mut buffer).await {
-            Ok(bytes) => match postcard::from_bytes::<Signed>(&buffer[..bytes]) {
-                Ok(signed) => entry.hear_loads(signed.from, signed.report),
+            Ok(bytes) => match postcard::from_bytes::<Report>(&buffer[..bytes]) {
+                Ok(report) => entry.hear_loads(report.from, report.loads),
                 Err(error) => tracing::debug!(%error, "load report can't be read"),
             },
             Err(error) => {
