Faster return after a restart of everything

Cause: after the final fault voters waited for the silence of a leader that could not exist, and entry instances sent callers away while the table and the upstreams were on their way to them; callers have one more try. Change: the first campaign after a start begins after half the time (a pre-vote still needs that nobody hears a leader); for 4 s after its start an instance keeps a call for up to a third of its time until it can be placed, and tells a second to come back.

--- a/crates/medlarlug-core/src/replication/replica.rs
+++ b/crates/medlarlug-core/src/replication/replica.rs
@@ -137,7 +137,9 @@
         };
         replica.config.founders.sort();
         replica.config.founders.dedup();
-        replica.reset_deadline(now);
+        // A leader that stands is heard long before, and one that has fallen is not waited for:
+        // nobody gives a pre-vote who has heard a leader.
+        replica.retry_after(now);
         replica
     }
 
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -82,6 +82,9 @@
 const DRAIN_PAUSE: Duration = Duration::from_millis(50);
 /// Time in which the last bytes of answers go out.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
+/// Time after the start in which the table and the upstreams become known: upstreams announce
+/// themselves every second or so, also to keepers that have just started.
+const STARTING_TIME: Duration = Duration::from_secs(4);
 /// Prompt tokens of the call for which the wait is told to other regions.
 const USUAL_PROMPT: u32 = 2_000;
 /// Connections of callers and other instances; the system's own limit on descriptors is lower.
@@ -95,6 +98,7 @@
     settings: RefCell<NodeSettings>,
     names: HeaderNames,
     clock: Clock,
+    started: Time,
     table: RefCell<Option<Rc<RouteTable>>>,
     /// Newest replicated state that was heard of; the table may still be on its way.
     head: RefCell<Head>,
@@ -130,10 +134,12 @@
         stop: watch::Receiver<bool>,
     ) -> Result<Rc<Entry>, ServerError> {
         let internal = http_server::listen("peers", settings.card.internal).await?;
+        let clock = Clock::start();
         let entry = Rc::new(Entry {
             settings: RefCell::new(settings),
             names,
-            clock: Clock::start(),
+            started: clock.now(),
+            clock,
             table: RefCell::default(),
             head: RefCell::default(),
             fetching: Cell::default(),
@@ -215,6 +221,11 @@
         self.clock.now()
     }
 
+    /// Whether the instance has started so recently that news may be on its way to it.
+    fn is_starting(&self) -> bool {
+        self.now() - self.started < STARTING_TIME
+    }
+
 
     /// Live entry instances of the own region, this one included.
     fn region_entries(&self) -> Vec<InstanceId> {
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -14,7 +14,7 @@
     time::Time,
 };
 use rand::RngExt;
-use tokio::task;
+use tokio::{task, time::sleep};
 
 use super::{
     Entry,
@@ -36,6 +36,14 @@
 const MAX_UNREACHABLE: u32 = 4;
 /// Requests of one call that may reach upstreams, those included that refused it.
 const MAX_ARRIVALS: u32 = 4;
+/// Time to come back when there is no table yet: an election and the way of the table.
+const NO_TABLE_AFTER: Duration = Duration::from_secs(1);
+/// Part of its time that a call may wait for an instance that is starting.
+const START_SHARE: f64 = 0.35;
+/// Longest time that a call may wait for an instance that is starting.
+const START_WAIT: Duration = Duration::from_millis(1_500);
+/// Pause between two looks at whether the instance has started.
+const START_PAUSE: Duration = Duration::from_millis(20);
 /// Time that a call has if neither its caller nor its route sets one.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
@@ -270,6 +278,7 @@
     let (parts, incoming) = request.into_parts();
     let mut call = Call::read(parts, &entry.names);
     let is_forwarded = forwarded.is_some();
+    wait_for_start(entry, &call, began, |entry| entry.table.borrow().is_some()).await;
     let mut plan = match plan(entry, &call, forwarded, began) {
         Ok(plan) => plan,
         Err(answer) => return *answer,
@@ -289,10 +298,26 @@
     if !is_forwarded {
         entry.count_call(&plan.service);
     }
+    wait_for_start(entry, &call, began, |entry| plan.next_hop(entry, &call).is_some()).await;
     let result = attempts(entry, &call, &mut plan).await;
     finish(entry, call, plan, result, is_forwarded)
 }
 
+/// While the instance starts, waits for `holds` for a part of the time that the call has: a caller
+/// that is sent away would soon be back, and has few tries.
+async fn wait_for_start(
+    entry: &Rc<Entry>,
+    call: &Call,
+    began: Time,
+    holds: impl Fn(&Rc<Entry>) -> bool,
+) {
+    let deadline = call.deadline.unwrap_or(DEFAULT_DEADLINE);
+    let latest = began + deadline.mul_f64(START_SHARE).min(START_WAIT);
+    while entry.is_starting() && entry.now() < latest && !holds(entry) {
+        sleep(START_PAUSE).await;
+    }
+}
+
 /// The route of a call and its times.
 fn plan(
     entry: &Rc<Entry>,
@@ -303,7 +328,7 @@
     let table = entry.table.borrow().clone();
     let Some(table) = table else {
         tracing::info!(request = %call.id, outcome = "refused", "no table yet");
-        return Err(Box::new(refusal(entry, call, Duration::from_millis(500), false)));
+        return Err(Box::new(refusal(entry, call, NO_TABLE_AFTER, false)));
     };
     let is_forwarded = forwarded.is_some();
     let point = rand::rng().random();
