Refuse calls far behind their objective; urgent prompts don't wait for others

Change: a predicted wait above 1.5 times the objective is refused at once with the time in which the excess drains; the wait of a call of rank 0 counts the prompts of its rank and one step.

--- a/crates/medlarlug-core/src/gateway/placing.rs
+++ b/crates/medlarlug-core/src/gateway/placing.rs
@@ -42,6 +42,8 @@
     pub prompt: u32,
     /// Tokens of the answer, at most.
     pub output: u32,
+    /// Rank of the call; engines read the prompts of rank 0 first.
+    pub rank: u8,
 }
 
 impl Demand {
@@ -76,6 +78,8 @@
     pub cost: Duration,
     /// Tokens of the prompt that it is expected to read.
     pub unread: u32,
+    /// Rank of the call.
+    pub rank: u8,
 }
 
 /// Prompt tokens that an engine reads in a millisecond, until it is known better; the engines of
@@ -102,6 +106,8 @@
 /// Queued prompt tokens above which the streams of an engine stall noticeably: a few steps in which
 /// it reads as much as it takes at once.
 const STALL_TOKENS: f64 = 12_000.0;
+/// Prompt tokens that an engine reads in one step; a more urgent prompt waits for these at most.
+const STEP_TOKENS: f64 = 4_096.0;
 /// Weight of the time that queued tokens above [`STALL_TOKENS`] take.
 const STALL_WEIGHT: f64 = 2.0;
 /// Age after which a peer's report counts no more.
@@ -118,6 +124,7 @@
 struct Others {
     running: f64,
     unread: f64,
+    urgent: f64,
 }
 
 /// What a candidate would cost a call.
@@ -143,6 +150,8 @@
     running: Averaged,
     /// Prompt tokens sent and not yet read.
     unread: Averaged,
+    /// Those of them that have rank 0.
+    urgent: Averaged,
     /// Held parts, sorted by part.
     warm: Vec<Warm>,
     /// Measured time to the first token, or of a plain call, against the prediction.
@@ -182,6 +191,8 @@
     pub running: u32,
     /// Prompt tokens sent and not yet read.
     pub unread: u32,
+    /// Those of them that have rank 0.
+    pub urgent: u32,
 }
 
 /// The newest reports of a peer, sorted by upstream.
@@ -266,7 +277,8 @@
         let (cost, predicted, candidate) = best;
         let wait = Duration::from_secs_f64(predicted.wait / 1_000.0);
         let cost = Duration::from_secs_f64(cost / 1_000.0);
-        Some(Choice { id: candidate.id.clone(), wait, cost, unread: predicted.unread })
+        let (unread, rank) = (predicted.unread, demand.rank);
+        Some(Choice { id: candidate.id.clone(), wait, cost, unread, rank })
     }
 
     fn predict(
@@ -298,7 +310,12 @@
         }
         let waiting = load.map_or(0.0, |load| load.unread.value as f64) + others.unread;
         let excess = (running + 1.0 - f64::from(candidate.slots)).max(0.0);
-        let read = (waiting + unread) / READ_RATE;
+        let urgent = load.map_or(0.0, |load| load.urgent.value as f64) + others.urgent;
+        let ahead = match demand.rank {
+            0 => urgent + (waiting - urgent).clamp(0.0, STEP_TOKENS),
+            _ => waiting,
+        };
+        let read = (ahead + unread) / READ_RATE;
         let wait = FIRST_TOKEN_MS + read + running * BESIDE_MS + excess * FIRST_TOKEN_MS;
         let stall = (waiting + unread - STALL_TOKENS).max(0.0) * STALL_WEIGHT;
         let others = (shared * REREAD_WEIGHT + stall) / READ_RATE;
@@ -312,6 +329,7 @@
             id: load.id.clone(),
             running: u32::try_from(load.running.value).unwrap_or(u32::MAX),
             unread: u32::try_from(load.unread.value).unwrap_or(u32::MAX),
+            urgent: u32::try_from(load.urgent.value).unwrap_or(u32::MAX),
         };
         busy.map(report).collect()
     }
@@ -335,6 +353,7 @@
             if let Ok(at) = peer.loads.binary_search_by(|it| it.id.cmp(id)) {
                 others.running += f64::from(peer.loads[at].running);
                 others.unread += f64::from(peer.loads[at].unread);
+                others.urgent += f64::from(peer.loads[at].urgent);
             }
         }
         let silent = peers.saturating_sub(1 + reported) as f64;
@@ -343,6 +362,7 @@
         {
             others.running += self.known[at].running.average_at(now) * silent;
             others.unread += self.known[at].unread.average_at(now) * silent;
+            others.urgent += self.known[at].urgent.average_at(now) * silent;
         }
         others
     }
@@ -352,6 +372,9 @@
         let load = self.entry(&choice.id);
         load.running.change(now, load.running.value + 1);
         load.unread.change(now, load.unread.value + u64::from(choice.unread));
+        if demand.rank == 0 {
+            load.urgent.change(now, load.urgent.value + u64::from(choice.unread));
+        }
         for part in demand.parts.iter().rev().skip(1) {
             load.use_part(now, *part);
         }
@@ -361,7 +384,7 @@
     /// The first token or the answer of a call came after `took`.
     pub fn answered(&mut self, now: Time, choice: &Choice, took: Duration) {
         let load = self.entry(&choice.id);
-        load.unread.change(now, load.unread.value.saturating_sub(u64::from(choice.unread)));
+        load.was_read(now, choice);
         let predicted = choice.wait.as_secs_f64().max(0.001) / load.slowness;
         let ratio = (took.as_secs_f64() / predicted).clamp(*SLOWNESS.start(), *SLOWNESS.end());
         load.slowness += SMOOTHING * (ratio - load.slowness);
@@ -372,7 +395,7 @@
         let load = self.entry(&choice.id);
         load.running.change(now, load.running.value.saturating_sub(1));
         if !was_read {
-            load.unread.change(now, load.unread.value.saturating_sub(u64::from(choice.unread)));
+            load.was_read(now, choice);
         }
     }
 
@@ -401,6 +424,7 @@
                     id: id.clone(),
                     running: Averaged::default(),
                     unread: Averaged::default(),
+                    urgent: Averaged::default(),
                     warm: Vec::new(),
                     slowness: 1.0,
                 };
@@ -413,6 +437,15 @@
 }
 
 impl Load {
+    /// The prompt of a call was read, or nobody waits for it any more.
+    fn was_read(&mut self, now: Time, choice: &Choice) {
+        let tokens = u64::from(choice.unread);
+        self.unread.change(now, self.unread.value.saturating_sub(tokens));
+        if choice.rank == 0 {
+            self.urgent.change(now, self.urgent.value.saturating_sub(tokens));
+        }
+    }
+
     /// Tokens at the beginning of the prompt that are held.
     fn held(&self, now: Time, parts: &[PromptPart]) -> u32 {
         let is_held = |part: &&PromptPart| {
--- a/crates/medlarlug-core/src/gateway/refusing.rs
+++ b/crates/medlarlug-core/src/gateway/refusing.rs
@@ -19,6 +19,13 @@
     pub objective: Duration,
 }
 
+impl Outlook {
+    /// Longest predicted wait with which the call is still worth its upstream's time.
+    fn patience(&self) -> Duration {
+        self.left.mul_f64(WAIT_SHARE).min(self.objective.mul_f64(LATE_FACTOR))
+    }
+}
+
 /// What to do with the call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -34,6 +41,9 @@
 /// Part of the time left that a predicted wait may take: predictions are not exact, and the answer
 /// itself takes time after its first token.
 const WAIT_SHARE: f64 = 0.8;
+/// Predicted wait, as a multiple of the latency objective, above which a call is refused although
+/// its caller would wait longer: its upstreams are behind, and each further call makes all later.
+const LATE_FACTOR: f64 = 1.5;
 /// Shortest time to come back.
 const MIN_AFTER: Duration = Duration::from_millis(150);
 /// Time to come back when no upstream is known: a beat of news from upstreams.
@@ -54,7 +64,7 @@
 pub fn judge(outlook: Outlook, spread: f64) -> Verdict {
     let excess = match outlook.wait {
         None => UNKNOWN_AFTER,
-        Some(wait) if wait <= outlook.left.mul_f64(WAIT_SHARE) => return Verdict::Serve,
+        Some(wait) if wait <= outlook.patience() => return Verdict::Serve,
         Some(wait) => wait.saturating_sub(outlook.objective),
     };
     Verdict::Refuse { after: after(excess, outlook.left, spread) }
--- a/crates/medlarlug-gateway/src/entry/call.rs
+++ b/crates/medlarlug-gateway/src/entry/call.rs
@@ -102,5 +102,5 @@
     let mut counts = counts.split(',').map(|count| count.trim().parse().unwrap_or(0));
     let prompt = counts.next().unwrap_or(0);
     let output = counts.next().unwrap_or(0);
-    Demand { parts: parts.collect(), prompt, output }
+    Demand { parts: parts.collect(), prompt, output, rank: 0 }
 }
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -384,7 +384,7 @@
         let Some(table) = self.table.borrow().clone() else { return Vec::new() };
         let spare = table.services().iter().map(|service| {
             let prompt = service.engine.map_or(0, |_| USUAL_PROMPT);
-            let demand = Demand { parts: Vec::new(), prompt, output: 0 };
+            let demand = Demand { prompt, rank: 1, ..Demand::default() };
             let choice = self.choose_local(&table, &service.name, &demand, &[]);
             let wait = choice.map(|choice| choice.cost.as_millis());
             let wait_ms = wait.map(|wait| u32::try_from(wait).unwrap_or(u32::MAX));
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -283,6 +283,7 @@
         Ok(plan) => plan,
         Err(answer) => return *answer,
     };
+    call.demand.rank = plan.route.priority;
     let limit = plan.table.limits().body_bytes;
     call.body = match body::read(incoming, limit).await {
         Ok(bytes) => bytes,
