--- a/crates/medlarlug-core/src/gateway/contacts.rs
+++ b/crates/medlarlug-core/src/gateway/contacts.rs
@@ -231,20 +231,22 @@
         .filter(|contact| contact.status.ready)
         .map(|contact| &contact.card)
         .collect();
-    let in_zone = |card: &Card| Some(&card.zone) == zone;
-    let in_region = |card: &Card| Some(&card.region) == region;
-    let at_home = |card: &Card| homes.contains(&card.region);
-    let anywhere = |_: &Card| true;
-    let filters: [(&dyn Fn(&Card) -> bool, usize); 4] =
-        [(&in_zone, MIN_ZONE_ENTRIES), (&in_region, 1), (&at_home, 1), (&anywhere, 1)];
-    for (filter, least) in filters {
-        let found: Vec<SocketAddr> =
-            ready.iter().filter(|card| filter(card)).filter_map(|card| card.front).collect();
-        if found.len() >= least {
-            return found;
-        }
+    let named = |filter: &dyn Fn(&Card) -> bool| -> Vec<SocketAddr> {
+        ready.iter().filter(|card| filter(card)).filter_map(|card| card.front).collect()
+    };
+    let in_zone = named(&|card| Some(&card.zone) == zone);
+    if in_zone.len() >= MIN_ZONE_ENTRIES {
+        return in_zone;
+    }
+    let in_region = named(&|card| Some(&card.region) == region);
+    if !in_region.is_empty() {
+        return in_region;
+    }
+    let at_home = named(&|card| homes.contains(&card.region));
+    if !at_home.is_empty() {
+        return at_home;
     }
-    Vec::new()
+    named(&|_| true)
 }
 
 /// Entry instances that a zone has at least if its callers are kept within it.
--- a/crates/medlarlug-core/src/gateway/placing.rs
+++ b/crates/medlarlug-core/src/gateway/placing.rs
@@ -179,7 +179,6 @@
         self.updated = now;
         self.value = value;
     }
-
 }
 
 /// What an instance has under way at an upstream, as it tells its peers.
--- a/crates/medlarlug-core/src/gateway/table.rs
+++ b/crates/medlarlug-core/src/gateway/table.rs
@@ -314,9 +314,9 @@
         let slashes = path.char_indices().rev().filter(|(_, c)| *c == '/');
         for (end, _) in slashes {
             let prefix = &path[..=end];
-            let found = self
-                .routes
-                .binary_search_by(|it| (it.host.as_str(), it.prefix.as_str()).cmp(&(&host, prefix)));
+            let found = self.routes.binary_search_by(|it| {
+                (it.host.as_str(), it.prefix.as_str()).cmp(&(&host, prefix))
+            });
             if let Ok(at) = found {
                 return Some(&self.routes[at]);
             }
--- a/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
@@ -32,7 +32,7 @@
         let now = Time::from_millis(millis);
         for window in &mut windows {
             // Calls stop for a while, as when callers leave.
-            if millis < 20_000 || millis > 40_000 {
+            if !(20_000..=40_000).contains(&millis) {
                 window.count(now, BOUNDS);
                 calls.push(now);
             }
@@ -89,7 +89,8 @@
         }
     }
 
-    let in_second = |from: u64| sent.iter().filter(|at| **at >= from && **at < from + 1_000).count();
+    let in_second =
+        |from: u64| sent.iter().filter(|at| **at >= from && **at < from + 1_000).count();
     let most = (0..4_000).map(in_second).max().unwrap();
     assert!(most as f64 <= limit, "{most} requests in a second");
 }
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -76,7 +76,8 @@
             true => self.choose_local(table, service, demand, &tried.upstreams),
             false => None,
         };
-        let is_near = local.as_ref().is_some_and(|it| it.cost <= route.objective.mul_f64(NEAR_SHARE));
+        let is_near =
+            local.as_ref().is_some_and(|it| it.cost <= route.objective.mul_f64(NEAR_SHARE));
         let away = match may_leave && !is_near {
             true => self.choose_peer(route, service, &tried.peers),
             false => None,
@@ -134,13 +135,7 @@
         self.loads.borrow().choose(now, demand, &candidates, entries.len())
     }
 
-    fn is_usable(
-        &self,
-        now: Time,
-        known: &Known,
-        cold_rate: f64,
-        entries: &[InstanceId],
-    ) -> bool {
+    fn is_usable(&self, now: Time, known: &Known, cold_rate: f64, entries: &[InstanceId]) -> bool {
         let upstream = &known.upstream;
         let settings = self.settings.borrow();
         let is_here = settings.region_of(&upstream.zone) == Some(&settings.card.region);
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -59,8 +59,7 @@
     follower::{Links, Owner, chain},
     headers::HeaderNames,
     link::{Head, Message, News},
-    loads,
-    metrics as names,
+    loads, metrics as names,
     settings::NodeSettings,
 };
 
@@ -159,9 +158,11 @@
         entry.links.follow(&entry);
         task::spawn_local(upkeep(entry.clone()));
         let address = entry.card().internal;
-        let socket = loads::open(address)
-            .await
-            .map_err(|source| ServerError::Listen { role: "load reports", address, source })?;
+        let socket = loads::open(address).await.map_err(|source| ServerError::Listen {
+            role: "load reports",
+            address,
+            source,
+        })?;
         let socket = Rc::new(socket);
         task::spawn_local(loads::tell(entry.clone(), socket.clone()));
         task::spawn_local(loads::hear(entry.clone(), socket));
@@ -226,7 +227,6 @@
         self.now() - self.started < STARTING_TIME
     }
 
-
     /// Live entry instances of the own region, this one included.
     fn region_entries(&self) -> Vec<InstanceId> {
         let settings = self.settings.borrow();
@@ -348,9 +348,10 @@
     fn fetch(&self, from: SocketAddr, version: TableVersion) {
         let now = self.now();
         let own = self.version();
-        let is_asked = self.fetching.get().is_some_and(|(asked, when)| {
-            asked >= version && now - when < FETCH_TIMEOUT
-        });
+        let is_asked = self
+            .fetching
+            .get()
+            .is_some_and(|(asked, when)| asked >= version && now - when < FETCH_TIMEOUT);
         if version > own && !is_asked && self.links.send(from, &Message::Fetch(version)) {
             self.fetching.set(Some((version, now)));
         }
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -21,8 +21,7 @@
     attempt::{self, Attempted, NotRun, Outcome, Unknown},
     call::{Call, strip_connection},
     choice::{Hop, Tried},
-    forwarded,
-    relay,
+    forwarded, relay,
 };
 use crate::metrics as names;
 
@@ -99,7 +98,8 @@
     /// Requests that reached an upstream, refused ones included.
     arrivals: u32,
     unreachable: u32,
-    /// The hops that were tried, for the log.
+    /// The hops that were tried, each with its predicted wait and the age of the news that the choice
+    /// rests on, for the log.
     path: Vec<String>,
     _running: Running,
 }
@@ -138,13 +138,15 @@
     /// Sends the call to a hop.
     pub(super) async fn attempt(&mut self, entry: &Rc<Entry>, call: &Call, hop: &Hop) -> Outcome {
         match hop {
-            Hop::Upstream { choice, .. } => {
+            Hop::Upstream { choice, age, .. } => {
                 self.tried.upstreams.push(choice.id.clone());
-                self.path.push(choice.id.to_string());
+                let (wait, age) = (choice.wait.as_millis(), age.as_millis());
+                self.path.push(format!("{}(wait={wait}ms,age={age}ms)", choice.id));
             }
             Hop::Peer { id, .. } => {
                 self.tried.peers.push(id.clone());
-                self.path.push(id.to_string());
+                let wait = hop.wait().as_millis();
+                self.path.push(format!("{id}(wait={wait}ms)"));
                 metrics::counter!(names::FORWARDED).increment(1);
             }
         }
@@ -410,9 +412,7 @@
                 }
                 let own = match verdict {
                     Verdict::Refuse { after } => after,
-                    Verdict::Serve => {
-                        refusing::after(Duration::ZERO, left, rand::rng().random())
-                    }
+                    Verdict::Serve => refusing::after(Duration::ZERO, left, rand::rng().random()),
                 };
                 tracing::info!(
                     request = %call.id,
--- a/crates/medlarlug-gateway/src/subscribers.rs
+++ b/crates/medlarlug-gateway/src/subscribers.rs
@@ -72,7 +72,16 @@
         let sent = Sent::default();
         // Keepers always want renewals.
         let is_primary = part == Part::Keeper;
-        self.links.push(Subscriber { id, part, link, sender, is_primary, sent, number: 0, seen: 0 });
+        self.links.push(Subscriber {
+            id,
+            part,
+            link,
+            sender,
+            is_primary,
+            sent,
+            number: 0,
+            seen: 0,
+        });
         link
     }
 
@@ -156,8 +165,7 @@
             self.sent.renewed = Some(now);
             if !is_keeper {
                 let live = contacts.live(now);
-                news.pulses =
-                    live.map(|it| (it.card.id.clone(), millis(now - it.heard))).collect();
+                news.pulses = live.map(|it| (it.card.id.clone(), millis(now - it.heard))).collect();
                 news.waits = contacts.waits(now);
             }
         }
--- a/src/coordination/keeper/machine.rs
+++ b/src/coordination/keeper/machine.rs
@@ -75,8 +75,7 @@
                 Ok(GroupReply::Acted(machine.apply(command)))
             }
             Machine::Publication(machine) => {
-                let command: publication::Command =
-                    postcard::from_bytes(command).map_err(error)?;
+                let command: publication::Command = postcard::from_bytes(command).map_err(error)?;
                 machine.apply(command);
                 Ok(GroupReply::Accepted)
             }
--- a/src/state/writer.rs
+++ b/src/state/writer.rs
@@ -64,7 +64,10 @@
         Self::spawn(journal, write_persistently)
     }
 
-    fn spawn(mut journal: Journal, write: Loop) -> Result<(Writer, UnboundedReceiver<Report>), StateError> {
+    fn spawn(
+        mut journal: Journal,
+        write: Loop,
+    ) -> Result<(Writer, UnboundedReceiver<Report>), StateError> {
         let (sender, batches) = mpsc::channel();
         let (reports, receiver) = unbounded_channel();
         thread::Builder::new()
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -198,7 +198,9 @@
         let _ = out.write_all(&waiting.bytes);
         if waiting.dropped > 0 {
             let dropped = waiting.dropped;
-            let line = format!("{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"dropped\":{dropped}}}\n");
+            let line = format!(
+                "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"dropped\":{dropped}}}\n"
+            );
             let _ = out.write_all(line.as_bytes());
         }
         let _ = out.flush();
