--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -15,7 +15,7 @@
 };
 use rand::RngExt;
 
-use super::Entry;
+use super::{Entry, serve::Plan};
 
 /// Time from one region to another and back, and the work of the instance there.
 const REGION_TRIP: Duration = Duration::from_millis(130);
@@ -62,15 +62,8 @@
 
 impl Entry {
     /// The best hop for a call, if there is any.
-    pub(super) fn choose(
-        &self,
-        table: &RouteTable,
-        route: &Route,
-        service: &ServiceName,
-        demand: &Demand,
-        tried: &Tried,
-        may_leave: bool,
-    ) -> Option<Hop> {
+    pub(super) fn choose(&self, plan: &Plan, demand: &Demand) -> Option<Hop> {
+        let Plan { table, route, service, tried, .. } = plan;
         let own = self.settings.borrow().card.region.clone();
         let local = match route.may_be_served_in(&own) {
             true => self.choose_local(table, service, demand, &tried.upstreams),
@@ -78,7 +71,7 @@
         };
         let is_near =
             local.as_ref().is_some_and(|it| it.cost <= route.objective.mul_f64(NEAR_SHARE));
-        let away = match may_leave && !is_near {
+        let away = match plan.may_leave && !is_near {
             true => self.choose_peer(route, service, &tried.peers),
             false => None,
         };
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -90,9 +90,9 @@
     pub(super) end: Time,
     deadline: Time,
     /// Whether another region may serve it.
-    may_leave: bool,
+    pub(super) may_leave: bool,
     pub(super) last_event: Option<u64>,
-    tried: Tried,
+    pub(super) tried: Tried,
     /// Requests that an upstream has begun to run, or may have.
     runs: u32,
     /// Requests that reached an upstream, refused ones included.
@@ -123,8 +123,7 @@
 impl Plan {
     /// The next hop; `None` if there is none.
     pub(super) fn next_hop(&self, entry: &Entry, call: &Call) -> Option<Hop> {
-        let (table, route) = (&self.table, &self.route);
-        entry.choose(table, route, &self.service, &call.demand, &self.tried, self.may_leave)
+        entry.choose(self, &call.demand)
     }
 
     /// Whether another request may go out that repeats an earlier one, and counts it.
--- a/crates/medlarlug-gateway/src/keeper.rs
+++ b/crates/medlarlug-gateway/src/keeper.rs
@@ -367,8 +367,7 @@
             let address = address_of(&leader, port)?;
             self.links.send(address, &Message::Call { call, request });
         }
-        let reply = receiver.await.ok();
-        reply
+        receiver.await.ok()
     }
 
     fn answer(&self, call: u64, reply: GroupReply) {
