Cold upstreams after an evacuation, plain services and broken streams: three findings mended

Change: an upstream counts as cold from the end of an evacuation, or from a connection that did not open, until it is heard anew; the limit on late calls holds for engines only; a broken stream from another instance counts as two runs. Tests: gateway::limits::upstream_of_a_restored_zone_counts_as_cold_until_it_is_heard_anew, gateway::refusing::call_to_a_plain_service_is_served_as_long_as_its_caller_waits.

--- a/crates/medlarlug-core/src/gateway/cold.rs
+++ b/crates/medlarlug-core/src/gateway/cold.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use crate::{
-    gateway::placing::rank,
-    ids::{InstanceId, UpstreamId},
+    gateway::{placing::rank, upstreams::Known},
+    ids::{InstanceId, UpstreamId, ZoneId},
     time::Time,
 };
 
@@ -29,6 +29,35 @@
     instances.iter().max_by_key(|instance| rank(instance.as_str(), upstream.as_str()))
 }
 
+/// What may have turned upstreams cold without their having told so yet: the end of an evacuation,
+/// or a crash that is seen as a connection that does not open.
+///
+/// Such an upstream counts as cold until it announces itself anew.
+#[derive(Debug, Clone, Default)]
+pub struct Suspicions {
+    /// When the evacuation of a zone was withdrawn last, sorted by zone.
+    restored: Vec<(ZoneId, Time)>,
+}
+
+impl Suspicions {
+    /// The evacuation of a zone was withdrawn.
+    pub fn restored(&mut self, now: Time, zone: &ZoneId) {
+        match self.restored.binary_search_by(|it| it.0.cmp(zone)) {
+            Ok(at) => self.restored[at].1 = now,
+            Err(at) => self.restored.insert(at, (zone.clone(), now)),
+        }
+    }
+
+    /// Whether the upstream counts as cold: it has said so, or may have turned cold since it was
+    /// last heard. `unreachable` is when a connection to it last failed.
+    pub fn is_cold(&self, now: Time, known: &Known, unreachable: Option<Time>) -> bool {
+        let zone = self.restored.binary_search_by(|it| it.0.cmp(&known.upstream.zone));
+        let restored = zone.ok().map(|at| self.restored[at].1);
+        let is_suspect = restored.max(unreachable).is_some_and(|since| known.heard <= since);
+        is_suspect || !known.cold_left(now).is_zero()
+    }
+}
+
 /// When this instance may send to the cold upstreams that it is the sender for.
 #[derive(Debug, Clone, Default)]
 pub struct ColdSends {
--- a/crates/medlarlug-core/src/gateway/health.rs
+++ b/crates/medlarlug-core/src/gateway/health.rs
@@ -39,6 +39,8 @@
     id: UpstreamId,
     strikes: u32,
     avoid: Option<Time>,
+    /// When it was last unreachable.
+    unreachable: Option<Time>,
     failures: f64,
 }
 
@@ -78,7 +80,10 @@
                 None
             }
             CallEnd::Refused => health.strike(now, FIRST_REST, LONGEST_REST),
-            CallEnd::Unreachable => health.strike(now, FIRST_PAUSE, LONGEST_PAUSE),
+            CallEnd::Unreachable => {
+                health.unreachable = Some(now);
+                health.strike(now, FIRST_PAUSE, LONGEST_PAUSE)
+            }
         }
     }
 
@@ -95,6 +100,11 @@
         at.is_ok_and(|at| self.known[at].avoid.is_some_and(|until| now < until))
     }
 
+    /// When the upstream was last unreachable.
+    pub fn unreachable(&self, id: &UpstreamId) -> Option<Time> {
+        self.place(id).ok().and_then(|at| self.known[at].unreachable)
+    }
+
     /// Share of the upstream's recent calls that failed, 0 to 1.
     pub fn failures(&self, id: &UpstreamId) -> f64 {
         self.place(id).map_or(0.0, |at| self.known[at].failures)
@@ -108,7 +118,13 @@
         let at = match self.place(id) {
             Ok(at) => at,
             Err(at) => {
-                let health = Health { id: id.clone(), strikes: 0, avoid: None, failures: 0.0 };
+                let health = Health {
+                    id: id.clone(),
+                    strikes: 0,
+                    avoid: None,
+                    unreachable: None,
+                    failures: 0.0,
+                };
                 self.known.insert(at, health);
                 at
             }
--- a/crates/medlarlug-core/src/gateway/refusing.rs
+++ b/crates/medlarlug-core/src/gateway/refusing.rs
@@ -15,14 +15,16 @@
     pub wait: Option<Duration>,
     /// Time that the caller has left.
     pub left: Duration,
-    /// Latency objective of the route.
-    pub objective: Duration,
+    /// Latency objective of the route, if calls that are behind it delay others: at model engines,
+    /// not at plain services, whose predicted wait is mostly the risk of a failure.
+    pub objective: Option<Duration>,
 }
 
 impl Outlook {
     /// Longest predicted wait with which the call is still worth its upstream's time.
     fn patience(&self) -> Duration {
-        self.left.mul_f64(WAIT_SHARE).min(self.objective.mul_f64(LATE_FACTOR))
+        let most = self.left.mul_f64(WAIT_SHARE);
+        self.objective.map_or(most, |objective| most.min(objective.mul_f64(LATE_FACTOR)))
     }
 }
 
@@ -58,14 +60,14 @@
 /// use medlarlug_core::gateway::refusing::{Outlook, Verdict, judge};
 ///
 /// let second = Duration::from_secs(1);
-/// let outlook = Outlook { wait: Some(second), left: second * 5, objective: second };
+/// let outlook = Outlook { wait: Some(second), left: second * 5, objective: Some(second) };
 /// assert_eq!(judge(outlook, 0.5), Verdict::Serve);
 /// ```
 pub fn judge(outlook: Outlook, spread: f64) -> Verdict {
     let excess = match outlook.wait {
         None => UNKNOWN_AFTER,
         Some(wait) if wait <= outlook.patience() => return Verdict::Serve,
-        Some(wait) => wait.saturating_sub(outlook.objective),
+        Some(wait) => wait.saturating_sub(outlook.objective.unwrap_or_default()),
     };
     Verdict::Refuse { after: after(excess, outlook.left, spread) }
 }
--- a/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
@@ -6,13 +6,16 @@
 use medlarlug_core::{
     gateway::{
         budget::{RetryBounds, RetryWindow},
-        cold::{ColdSends, sender},
+        cold::{ColdSends, Suspicions, sender},
         health::{CallEnd, Healths},
+        upstreams::Upstreams,
     },
     ids::InstanceId,
     time::Time,
 };
 
+use super::fixture::upstream;
+
 const BOUNDS: RetryBounds =
     RetryBounds { ratio: 0.2, allowance: 54.0, window: Duration::from_secs(10) };
 
@@ -95,6 +98,38 @@
     assert!(most as f64 <= limit, "{most} requests in a second");
 }
 
+/// Found by a hunted day: engines were cold when their evacuation was withdrawn, and got nine
+/// requests in a second before they had announced it.
+#[test]
+fn upstream_of_a_restored_zone_counts_as_cold_until_it_is_heard_anew() {
+    let mut upstreams = Upstreams::default();
+    let mut suspicions = Suspicions::default();
+    let id = "engine-1".parse().unwrap();
+    upstreams.announce(Time::ZERO, upstream("engine-1", 1), Duration::ZERO);
+
+    suspicions.restored(Time::from_millis(500), &"kochi-a".parse().unwrap());
+    let now = Time::from_millis(900);
+    let before = suspicions.is_cold(now, upstreams.get(&id).unwrap(), None);
+    upstreams.announce(now, upstream("engine-1", 2), Duration::ZERO);
+    let after = suspicions.is_cold(now, upstreams.get(&id).unwrap(), None);
+
+    assert_eq!((before, after), (true, false));
+}
+
+#[test]
+fn unreachable_upstream_counts_as_cold_until_it_is_heard_anew() {
+    let mut upstreams = Upstreams::default();
+    let mut healths = Healths::default();
+    let id = "engine-1".parse().unwrap();
+    upstreams.announce(Time::ZERO, upstream("engine-1", 1), Duration::ZERO);
+
+    healths.ended(Time::from_millis(500), &id, CallEnd::Unreachable);
+
+    let known = upstreams.get(&id).unwrap();
+    let now = Time::from_millis(1_500);
+    assert!(Suspicions::default().is_cold(now, known, healths.unreachable(&id)));
+}
+
 #[test]
 fn upstream_that_refuses_rests_and_returns() {
     let mut healths = Healths::default();
--- a/crates/medlarlug-core/tests/testsuite/gateway/refusing.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/refusing.rs
@@ -9,7 +9,7 @@
     Outlook {
         wait: wait_ms.map(Duration::from_millis),
         left: Duration::from_millis(left_ms),
-        objective: Duration::from_secs(1),
+        objective: Some(Duration::from_secs(1)),
     }
 }
 
@@ -24,6 +24,15 @@
     assert_matches!(judge(outlook(Some(1_600), 5_000), 0.5), Verdict::Refuse { .. });
 }
 
+/// Found in a recorded day: bookings were refused for the risk of a failure that their predicted
+/// wait holds.
+#[test]
+fn call_to_a_plain_service_is_served_as_long_as_its_caller_waits() {
+    let plain = Outlook { objective: None, ..outlook(Some(1_900), 2_500) };
+
+    assert_eq!(judge(plain, 0.5), Verdict::Serve);
+}
+
 #[test]
 fn call_with_little_time_is_refused_before_its_objective() {
     assert_matches!(judge(outlook(Some(900), 1_000), 0.5), Verdict::Refuse { .. });
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -88,7 +88,7 @@
         let known = upstreams.get(&choice.id)?;
         let spec = table.service(service);
         let memory = spec.and_then(|spec| spec.engine).map_or(0, |engine| engine.memory);
-        let is_cold = !known.cold_left(now).is_zero();
+        let is_cold = self.is_cold(now, known);
         let cold_rate = spec.map(|spec| spec.cold_rate).filter(|_| is_cold);
         let (address, age) = (known.upstream.address, now - known.heard);
         Some(Hop::Upstream { choice, address, memory, cold_rate, age })
@@ -128,6 +128,11 @@
         self.loads.borrow().choose(now, demand, &candidates, entries.len())
     }
 
+    fn is_cold(&self, now: Time, known: &Known) -> bool {
+        let unreachable = self.healths.borrow().unreachable(&known.upstream.id);
+        self.suspicions.borrow().is_cold(now, known, unreachable)
+    }
+
     fn is_usable(&self, now: Time, known: &Known, cold_rate: f64, entries: &[InstanceId]) -> bool {
         let upstream = &known.upstream;
         let settings = self.settings.borrow();
@@ -141,7 +146,7 @@
         if self.healths.borrow().is_avoided(now, &upstream.id) {
             return false;
         }
-        if known.cold_left(now).is_zero() || cold_rate <= 0.0 {
+        if cold_rate <= 0.0 || !self.is_cold(now, known) {
             return true;
         }
         let is_sender = cold::sender(&upstream.id, entries) == Some(&settings.card.id);
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -37,7 +37,7 @@
 use medlarlug_core::{
     gateway::{
         budget::RetryWindow,
-        cold::ColdSends,
+        cold::{ColdSends, Suspicions},
         contacts::{Card, Contacts, Part, RegionWait, Spare, Status},
         health::Healths,
         placing::{Demand, LoadReport, Loads},
@@ -108,6 +108,7 @@
     loads: RefCell<Loads>,
     healths: RefCell<Healths>,
     cold: RefCell<ColdSends>,
+    suspicions: RefCell<Suspicions>,
     /// Predicted waits of other regions, sorted.
     waits: RefCell<Vec<RegionWait>>,
     /// Prompt tokens handed over to each region and not answered yet, sorted by region.
@@ -147,6 +148,7 @@
             loads: RefCell::default(),
             healths: RefCell::default(),
             cold: RefCell::default(),
+            suspicions: RefCell::default(),
             waits: RefCell::default(),
             away: RefCell::default(),
             windows: RefCell::default(),
@@ -334,6 +336,10 @@
         let mut own = self.head.borrow_mut();
         if head.round > own.round {
             tracing::info!(round = head.round, evacuated = ?head.evacuated, %from, "evacuated zones changed");
+            let restored = own.evacuated.iter().filter(|zone| !head.evacuated.contains(zone));
+            for zone in restored {
+                self.suspicions.borrow_mut().restored(self.now(), zone);
+            }
             own.round = head.round;
             own.evacuated = head.evacuated;
         }
--- a/crates/medlarlug-gateway/src/entry/relay.rs
+++ b/crates/medlarlug-gateway/src/entry/relay.rs
@@ -58,6 +58,7 @@
             Step::Broken => {}
         }
         attempt::ended(&entry, stream.hop(), CallEnd::Failed);
+        plan.count_broken(stream.hop());
         // Closes the connection before another upstream goes on.
         drop(stream);
         match resume(&entry, &call, &mut plan, &sender).await {
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -126,6 +126,19 @@
         entry.choose(self, &call.demand)
     }
 
+    /// A stream broke off. Another instance has gone on elsewhere before it gave up, which it can no
+    /// longer tell.
+    pub(super) fn count_broken(&mut self, hop: &Hop) {
+        if matches!(hop, Hop::Peer { .. }) {
+            self.runs += 1;
+        }
+    }
+
+    /// Whether the call goes to model engines.
+    fn is_on_engines(&self) -> bool {
+        self.table.service(&self.service).is_some_and(|service| service.engine.is_some())
+    }
+
     /// Whether another request may go out that repeats an earlier one, and counts it.
     pub(super) fn may_repeat(&mut self, entry: &Entry) -> bool {
         if self.runs >= self.route.attempts.max(1) || self.arrivals >= MAX_ARRIVALS {
@@ -394,7 +407,7 @@
             false => None,
         };
         let wait = hop.as_ref().map(Hop::wait);
-        let objective = plan.route.objective;
+        let objective = plan.is_on_engines().then_some(plan.route.objective);
         let verdict = refusing::judge(Outlook { wait, left, objective }, rand::rng().random());
         let hop = match (hop, verdict) {
             (Some(hop), Verdict::Serve) if plan.may_repeat(entry) => hop,
