Idle connections within what an upstream accepts; waits of regions told as they change

Waits of other regions were up to 1.5 s old. Change: an instance keeps half of what an upstream accepts, divided by the instances; waits go out with every round of news.

--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -187,7 +187,7 @@
     /// Gives the connection back after the end of the stream.
     pub(super) fn finish(mut self, entry: &Entry) {
         if let Some(connection) = self.connection.take() {
-            entry.client.give_back(connection);
+            entry.client.give_back_among(connection, self.hop.idle());
         }
     }
 }
@@ -236,7 +236,7 @@
                     false => CallEnd::Answered,
                 };
                 ended(entry, hop, end);
-                entry.client.give_back(connection);
+                entry.client.give_back_among(connection, hop.idle());
                 Outcome::Answer(Response::from_parts(parts, bytes))
             }
             Ok(Err(_)) => {
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -24,6 +24,8 @@
 const AWAY_SHARE: f64 = 0.8;
 /// Part of the latency objective below which a local cost is good enough.
 const NEAR_SHARE: f64 = 0.2;
+/// Idle connections that are kept to an instance of another region.
+const PEER_IDLE: usize = 32;
 /// Age of an announcement after which an upstream may be dead: three announcements missed.
 const FRESH_FOR: Duration = Duration::from_millis(4_500);
 
@@ -36,6 +38,8 @@
         address: SocketAddr,
         memory: u64,
         cold_rate: Option<f64>,
+        /// Idle connections to it that may be kept.
+        idle: usize,
         /// Age of the upstream's newest announcement.
         age: Duration,
     },
@@ -44,6 +48,14 @@
 }
 
 impl Hop {
+    /// Idle connections that may be kept to it.
+    pub(super) fn idle(&self) -> usize {
+        match self {
+            Hop::Upstream { idle, .. } => *idle,
+            Hop::Peer { .. } => PEER_IDLE,
+        }
+    }
+
     /// Predicted time to the first token or the answer.
     pub(super) fn wait(&self) -> Duration {
         match self {
@@ -90,8 +102,11 @@
         let memory = spec.and_then(|spec| spec.engine).map_or(0, |engine| engine.memory);
         let is_cold = self.is_cold(now, known);
         let cold_rate = spec.map(|spec| spec.cold_rate).filter(|_| is_cold);
+        let accepted = spec.map_or(0, |spec| spec.connections) as usize;
+        // Half of what it accepts, divided among the instances, is left for calls that take a new one.
+        let idle = (accepted / 2 / self.region_entries().len().max(1)).max(1);
         let (address, age) = (known.upstream.address, now - known.heard);
-        Some(Hop::Upstream { choice, address, memory, cold_rate, age })
+        Some(Hop::Upstream { choice, address, memory, cold_rate, idle, age })
     }
 
     /// The best upstream of the own region; one that was not heard of lately only if there is no
--- a/crates/medlarlug-gateway/src/subscribers.rs
+++ b/crates/medlarlug-gateway/src/subscribers.rs
@@ -8,7 +8,7 @@
 
 use medlarlug_core::{
     gateway::{
-        contacts::{Contacts, Part},
+        contacts::{Contacts, Part, RegionWait},
         upstreams::{Known, Renewal, Upstreams},
     },
     ids::InstanceId,
@@ -17,7 +17,7 @@
 
 use crate::link::{Head, LinkSender, Message, News};
 
-/// Time between two tellings of renewals, signs of life and waits on one link.
+/// Time between two tellings of renewals and signs of life on one link.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(800);
 
 /// One link that another process opened.
@@ -47,6 +47,7 @@
     head: Option<Head>,
     /// When renewals were last sent.
     renewed: Option<Time>,
+    waits: Vec<RegionWait>,
 }
 
 /// What a keeper knows and tells.
@@ -166,7 +167,13 @@
             if !is_keeper {
                 let live = contacts.live(now);
                 news.pulses = live.map(|it| (it.card.id.clone(), millis(now - it.heard))).collect();
-                news.waits = contacts.waits(now);
+            }
+        }
+        if self.is_primary && !is_keeper {
+            let waits = contacts.waits(now);
+            if waits != self.sent.waits {
+                news.waits.clone_from(&waits);
+                self.sent.waits = waits;
             }
         }
         if news == News::default() {
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -143,13 +143,19 @@
 
     /// Keeps a connection for further calls.
     pub fn give_back(&self, connection: Connection) {
+        self.give_back_among(connection, IDLE_CONNECTIONS);
+    }
+
+    /// The same, with `most` idle connections to its address: what the other side accepts is shared
+    /// with other clients.
+    pub fn give_back_among(&self, connection: Connection, most: usize) {
         let Connection { address, sender } = connection;
         if sender.is_closed() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
         match idle.binary_search_by(|it| it.0.cmp(&address)) {
-            Ok(found) if idle[found].1.len() >= IDLE_CONNECTIONS => {}
+            Ok(found) if idle[found].1.len() >= most => {}
             Ok(found) => idle[found].1.push(sender),
             Err(place) => idle.insert(place, (address, vec![sender])),
         }
