The keeper in three modules, the plan of a call in its own; fields that nothing read are gone

No change of behaviour: requests, loops and state of the keeper apart; Plan out of serve. The start number of an instance's card was always zero, and the header of cold times was never read.

--- a/crates/medlarlug-core/src/gateway/contacts.rs
+++ b/crates/medlarlug-core/src/gateway/contacts.rs
@@ -28,8 +28,6 @@
 pub struct Card {
     /// Its id.
     pub id: InstanceId,
-    /// Differs from start to start.
-    pub start: u64,
     /// What it does.
     pub part: Part,
     /// Its availability zone.
--- a/crates/medlarlug-core/tests/testsuite/gateway/fixture.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/fixture.rs
@@ -71,7 +71,6 @@
     let last = id.rsplit('-').next().unwrap();
     Card {
         id: id.parse().unwrap(),
-        start: 0,
         part: Part::Entry,
         zone: format!("{region}-a").parse().unwrap(),
         region: region.parse().unwrap(),
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -15,7 +15,7 @@
 };
 use rand::RngExt;
 
-use super::{Entry, serve::Plan};
+use super::{Entry, plan::Plan};
 
 /// Time from one region to another and back, and the work of the instance there.
 const REGION_TRIP: Duration = Duration::from_millis(130);
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod call;
 mod choice;
 mod forwarded;
+mod plan;
 mod relay;
 mod serve;
 
--- /dev/null
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -0,0 +1,190 @@
+//! How one call is served: its route, its times, and what was tried.
+
+use std::{rc::Rc, time::Duration};
+
+use hyper::header;
+use medlarlug_core::{
+    gateway::{
+        handover::Handover,
+        table::{Route, RouteTable, ServiceName},
+    },
+    time::Time,
+};
+
+use super::{
+    Entry,
+    attempt::{self, Attempted, NotRun, Outcome},
+    call::Call,
+    choice::{Hop, Tried},
+    forwarded,
+    serve::Ended,
+};
+use crate::metrics as names;
+
+/// Time that an attempt gets before another upstream is tried, as a multiple of the predicted one.
+const PATIENCE_FACTOR: u32 = 4;
+/// Shortest time that an attempt gets before another upstream is tried.
+const MIN_PATIENCE: Duration = Duration::from_millis(800);
+/// Requests of one call that may reach upstreams, those included that refused it.
+const MAX_ARRIVALS: u32 = 4;
+/// Part of its latency objective that a call may wait for its turn at an engine.
+const TURN_SHARE: f64 = 0.35;
+
+/// How a call is served: its route, its times, and what was tried.
+pub(super) struct Plan {
+    pub(super) table: Rc<RouteTable>,
+    pub(super) route: Route,
+    pub(super) service: ServiceName,
+    /// When the call arrived.
+    pub(super) began: Time,
+    /// When it has to be answered: its caller's deadline or its route's timeout.
+    pub(super) end: Time,
+    pub(super) deadline: Time,
+    /// Whether another region may serve it.
+    pub(super) may_leave: bool,
+    pub(super) last_event: Option<u64>,
+    pub(super) tried: Tried,
+    /// Requests that an upstream has begun to run, or may have.
+    pub(super) runs: u32,
+    /// Requests that reached an upstream, refused ones included.
+    pub(super) arrivals: u32,
+    pub(super) unreachable: u32,
+    /// The hops that were tried, each with its predicted wait and the age of the news that the choice
+    /// rests on, for the log.
+    pub(super) path: Vec<String>,
+    pub(super) _running: Running,
+}
+
+/// Counts a call that runs.
+pub(super) struct Running(Rc<Entry>);
+
+impl Running {
+    pub(super) fn begin(entry: &Rc<Entry>) -> Running {
+        entry.running.set(entry.running.get() + 1);
+        Running(entry.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
+impl Plan {
+    /// The next hop; `None` if there is none.
+    pub(super) fn next_hop(&self, entry: &Entry, call: &Call) -> Option<Hop> {
+        entry.choose(self, &call.demand)
+    }
+
+    /// Whether the call should wait for its turn at an engine; not for long, and not for a repeat.
+    pub(super) fn should_wait(&self, entry: &Entry, hop: Option<&Hop>) -> bool {
+        let Some(Hop::Upstream { choice, .. }) = hop else { return false };
+        let now = entry.now();
+        let has_time = now - self.began < self.route.objective.mul_f64(TURN_SHARE);
+        let peers = entry.region_entries().len();
+        self.arrivals == 0 && has_time && entry.loads.borrow().should_wait(now, choice, peers)
+    }
+
+    /// A stream broke off. Another instance has gone on elsewhere before it gave up, which it can no
+    /// longer tell.
+    pub(super) fn count_broken(&mut self, hop: &Hop) {
+        if matches!(hop, Hop::Peer { .. }) {
+            self.runs += 1;
+        }
+    }
+
+    /// Whether the call goes to model engines.
+    pub(super) fn is_on_engines(&self) -> bool {
+        self.table.service(&self.service).is_some_and(|service| service.engine.is_some())
+    }
+
+    /// Whether another request may go out that repeats an earlier one, and counts it.
+    pub(super) fn may_repeat(&mut self, entry: &Entry) -> bool {
+        if self.runs >= self.route.attempts.max(1) || self.arrivals >= MAX_ARRIVALS {
+            return false;
+        }
+        self.arrivals == 0 || entry.take_repeat(&self.service)
+    }
+
+    /// Sends the call to a hop.
+    pub(super) async fn attempt(&mut self, entry: &Rc<Entry>, call: &Call, hop: &Hop) -> Outcome {
+        match hop {
+            Hop::Upstream { choice, age, .. } => {
+                self.tried.upstreams.push(choice.id.clone());
+                let (wait, age) = (choice.wait.as_millis(), age.as_millis());
+                self.path.push(format!("{}(wait={wait}ms,age={age}ms)", choice.id));
+            }
+            Hop::Peer { id, .. } => {
+                self.tried.peers.push(id.clone());
+                let wait = hop.wait().as_millis();
+                self.path.push(format!("{id}(wait={wait}ms)"));
+                metrics::counter!(names::FORWARDED).increment(1);
+            }
+        }
+        let left = self.end - entry.now();
+        let is_last = !self.route.kind.is_repeatable() || self.runs + 1 >= self.route.attempts;
+        let patience = match is_last {
+            true => left,
+            false => (hop.wait() * PATIENCE_FACTOR).max(MIN_PATIENCE),
+        };
+        let forwarded = match hop {
+            Hop::Peer { .. } => forwarded::encode(&Handover {
+                version: self.table.version(),
+                route: Route {
+                    attempts: self.route.attempts.max(1).saturating_sub(self.runs).max(1),
+                    ..self.route.clone()
+                },
+                service: self.service.clone(),
+            }),
+            Hop::Upstream { .. } => None,
+        };
+        let attempted = Attempted {
+            call,
+            kind: self.route.kind,
+            priority: self.route.priority,
+            forwarded,
+            end: self.end,
+            deadline: self.deadline,
+            last_event: self.last_event,
+            patience,
+        };
+        let outcome = attempt::send(entry, &attempted, hop).await;
+        self.runs += match (&outcome, hop) {
+            (Outcome::NotRun(_), _) => 0,
+            (Outcome::Answer(answer), Hop::Peer { .. }) => runs(answer.headers()),
+            (Outcome::Stream(stream), Hop::Peer { .. }) => runs(&stream.headers),
+            // Nobody tells how many requests it took.
+            (Outcome::Unknown(_), Hop::Peer { .. }) => self.route.attempts,
+            _ => 1,
+        };
+        match outcome {
+            Outcome::NotRun(NotRun::Unreachable | NotRun::Misdirected) => self.unreachable += 1,
+            _ => self.arrivals += 1,
+        }
+        outcome
+    }
+
+    /// Logs and counts the end of the call.
+    pub(super) fn end(&self, entry: &Entry, call: &Call, ended: Ended) {
+        let took = entry.now() - self.began;
+        metrics::counter!(names::CALLS, "outcome" => ended.to_string()).increment(1);
+        tracing::info!(
+            request = %call.id,
+            route = %self.route.name,
+            table = self.table.version().0,
+            path = %self.path.join(","),
+            arrivals = self.arrivals,
+            runs = self.runs,
+            outcome = %ended,
+            took_ms = took.as_millis() as u64,
+            "call ended"
+        );
+    }
+}
+
+/// Upstreams that ran a call which another instance answered.
+fn runs(headers: &header::HeaderMap) -> u32 {
+    let value = headers.get(forwarded::RUNS).and_then(|value| value.to_str().ok());
+    value.and_then(|value| value.parse().ok()).unwrap_or(1)
+}
--- a/crates/medlarlug-gateway/src/entry/relay.rs
+++ b/crates/medlarlug-gateway/src/entry/relay.rs
@@ -17,7 +17,8 @@
     Entry,
     attempt::{self, EventStream, Outcome, Piece},
     call::Call,
-    serve::{Ended, Plan},
+    plan::Plan,
+    serve::Ended,
 };
 
 /// Silence within a stream after which its upstream is taken for dead, as a multiple of the
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -9,7 +9,7 @@
     gateway::{
         handover::Handover,
         refusing::{self, Outlook, Verdict},
-        table::{Route, RouteTable, ServiceName},
+        table::ServiceName,
     },
     time::Time,
 };
@@ -18,27 +18,21 @@
 
 use super::{
     Entry,
-    attempt::{self, Attempted, NotRun, Outcome, Unknown},
+    attempt::{self, NotRun, Outcome, Unknown},
     call::{Call, strip_connection},
     choice::{Hop, Tried},
-    forwarded, relay,
+    forwarded,
+    plan::{Plan, Running},
+    relay,
 };
 use crate::metrics as names;
 
-/// Time that an attempt gets before another upstream is tried, as a multiple of the predicted one.
-const PATIENCE_FACTOR: u32 = 4;
-/// Shortest time that an attempt gets before another upstream is tried.
-const MIN_PATIENCE: Duration = Duration::from_millis(800);
 /// Time left below which nothing is sent any more.
 const MIN_LEFT: Duration = Duration::from_millis(20);
 /// Connections that may fail before a call is given up.
 const MAX_UNREACHABLE: u32 = 4;
-/// Requests of one call that may reach upstreams, those included that refused it.
-const MAX_ARRIVALS: u32 = 4;
 /// Time to come back when there is no table yet: an election and the way of the table.
 const NO_TABLE_AFTER: Duration = Duration::from_secs(1);
-/// Part of its latency objective that a call may wait for its turn at an engine.
-const TURN_SHARE: f64 = 0.35;
 /// Pause between two looks at whether it is a call's turn: a few steps of an engine.
 const TURN_PAUSE: Duration = Duration::from_millis(12);
 /// Part of its time that a call may wait for an instance that is starting.
@@ -83,162 +77,9 @@
     }
 }
 
-/// How a call is served: its route, its times, and what was tried.
-pub(super) struct Plan {
-    pub(super) table: Rc<RouteTable>,
-    pub(super) route: Route,
-    pub(super) service: ServiceName,
-    /// When the call arrived.
-    began: Time,
-    /// When it has to be answered: its caller's deadline or its route's timeout.
-    pub(super) end: Time,
-    deadline: Time,
-    /// Whether another region may serve it.
-    pub(super) may_leave: bool,
-    pub(super) last_event: Option<u64>,
-    pub(super) tried: Tried,
-    /// Requests that an upstream has begun to run, or may have.
-    runs: u32,
-    /// Requests that reached an upstream, refused ones included.
-    arrivals: u32,
-    unreachable: u32,
-    /// The hops that were tried, each with its predicted wait and the age of the news that the choice
-    /// rests on, for the log.
-    path: Vec<String>,
-    _running: Running,
-}
-
-/// Counts a call that runs.
-struct Running(Rc<Entry>);
-
-impl Running {
-    fn begin(entry: &Rc<Entry>) -> Running {
-        entry.running.set(entry.running.get() + 1);
-        Running(entry.clone())
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
-    }
-}
-
-impl Plan {
-    /// The next hop; `None` if there is none.
-    pub(super) fn next_hop(&self, entry: &Entry, call: &Call) -> Option<Hop> {
-        entry.choose(self, &call.demand)
-    }
-
-    /// Whether the call should wait for its turn at an engine; not for long, and not for a repeat.
-    fn should_wait(&self, entry: &Entry, hop: Option<&Hop>) -> bool {
-        let Some(Hop::Upstream { choice, .. }) = hop else { return false };
-        let now = entry.now();
-        let has_time = now - self.began < self.route.objective.mul_f64(TURN_SHARE);
-        let peers = entry.region_entries().len();
-        self.arrivals == 0 && has_time && entry.loads.borrow().should_wait(now, choice, peers)
-    }
-
-    /// A stream broke off. Another instance has gone on elsewhere before it gave up, which it can no
-    /// longer tell.
-    pub(super) fn count_broken(&mut self, hop: &Hop) {
-        if matches!(hop, Hop::Peer { .. }) {
-            self.runs += 1;
-        }
-    }
-
-    /// Whether the call goes to model engines.
-    fn is_on_engines(&self) -> bool {
-        self.table.service(&self.service).is_some_and(|service| service.engine.is_some())
-    }
-
-    /// Whether another request may go out that repeats an earlier one, and counts it.
-    pub(super) fn may_repeat(&mut self, entry: &Entry) -> bool {
-        if self.runs >= self.route.attempts.max(1) || self.arrivals >= MAX_ARRIVALS {
-            return false;
-        }
-        self.arrivals == 0 || entry.take_repeat(&self.service)
-    }
-
-    /// Sends the call to a hop.
-    pub(super) async fn attempt(&mut self, entry: &Rc<Entry>, call: &Call, hop: &Hop) -> Outcome {
-        match hop {
-            Hop::Upstream { choice, age, .. } => {
-                self.tried.upstreams.push(choice.id.clone());
-                let (wait, age) = (choice.wait.as_millis(), age.as_millis());
-                self.path.push(format!("{}(wait={wait}ms,age={age}ms)", choice.id));
-            }
-            Hop::Peer { id, .. } => {
-                self.tried.peers.push(id.clone());
-                let wait = hop.wait().as_millis();
-                self.path.push(format!("{id}(wait={wait}ms)"));
-                metrics::counter!(names::FORWARDED).increment(1);
-            }
-        }
-        let left = self.end - entry.now();
-        let is_last = !self.route.kind.is_repeatable() || self.runs + 1 >= self.route.attempts;
-        let patience = match is_last {
-            true => left,
-            false => (hop.wait() * PATIENCE_FACTOR).max(MIN_PATIENCE),
-        };
-        let forwarded = match hop {
-            Hop::Peer { .. } => forwarded::encode(&Handover {
-                version: self.table.version(),
-                route: Route {
-                    attempts: self.route.attempts.max(1).saturating_sub(self.runs).max(1),
-                    ..self.route.clone()
-                },
-                service: self.service.clone(),
-            }),
-            Hop::Upstream { .. } => None,
-        };
-        let attempted = Attempted {
-            call,
-            kind: self.route.kind,
-            priority: self.route.priority,
-            forwarded,
-            end: self.end,
-            deadline: self.deadline,
-            last_event: self.last_event,
-            patience,
-        };
-        let outcome = attempt::send(entry, &attempted, hop).await;
-        self.runs += match (&outcome, hop) {
-            (Outcome::NotRun(_), _) => 0,
-            (Outcome::Answer(answer), Hop::Peer { .. }) => runs(answer.headers()),
-            (Outcome::Stream(stream), Hop::Peer { .. }) => runs(&stream.headers),
-            // Nobody tells how many requests it took.
-            (Outcome::Unknown(_), Hop::Peer { .. }) => self.route.attempts,
-            _ => 1,
-        };
-        match outcome {
-            Outcome::NotRun(NotRun::Unreachable | NotRun::Misdirected) => self.unreachable += 1,
-            _ => self.arrivals += 1,
-        }
-        outcome
-    }
-
-    /// Logs and counts the end of the call.
-    pub(super) fn end(&self, entry: &Entry, call: &Call, ended: Ended) {
-        let took = entry.now() - self.began;
-        metrics::counter!(names::CALLS, "outcome" => ended.to_string()).increment(1);
-        tracing::info!(
-            request = %call.id,
-            route = %self.route.name,
-            table = self.table.version().0,
-            path = %self.path.join(","),
-            arrivals = self.arrivals,
-            runs = self.runs,
-            outcome = %ended,
-            took_ms = took.as_millis() as u64,
-            "call ended"
-        );
-    }
-}
-
 impl Entry {
     /// Takes one repeat out of the budget of a service.
-    fn take_repeat(&self, service: &ServiceName) -> bool {
+    pub(super) fn take_repeat(&self, service: &ServiceName) -> bool {
         let bounds = self.settings.borrow().retries;
         let others = self.contacts.borrow().entry_count();
         let now = self.now();
@@ -393,12 +234,6 @@
     })
 }
 
-/// Upstreams that ran a call which another instance answered.
-fn runs(headers: &header::HeaderMap) -> u32 {
-    let value = headers.get(forwarded::RUNS).and_then(|value| value.to_str().ok());
-    value.and_then(|value| value.parse().ok()).unwrap_or(1)
-}
-
 /// The last outcome of a call.
 enum Last {
     Answer(Response<Bytes>),
--- a/crates/medlarlug-gateway/src/headers.rs
+++ b/crates/medlarlug-gateway/src/headers.rs
@@ -23,8 +23,6 @@
     pub signature: HeaderName,
     /// Rank of a call at an engine, 0 first.
     pub rank: HeaderName,
-    /// In the answer to a health check: for how long the upstream stays cold, in milliseconds.
-    pub cold_time: HeaderName,
     /// Headers that only the system may set; those of callers are dropped.
     pub reserved: Vec<HeaderName>,
 }
--- a/crates/medlarlug-gateway/src/keeper.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -5,6 +5,9 @@
 //! leader and answers what the leader answers; without a leader it answers that it is unavailable.
 //! A read is answered only after the leader has confirmed with a majority that it still leads.
 
+mod loops;
+mod requests;
+
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -21,58 +24,39 @@
             storage::group_name,
         },
     },
-    protocol::{GroupId, GroupReply, GroupRequest},
+    protocol::{GroupId, GroupReply},
     state::{DataFolder, Journal, StateError, Writer},
     transport::http_server::{self, ServerError},
 };
 use medlarlug_core::{
     gateway::{
-        contacts::{self, Card, Contacts, Part, Status, directory},
-        publication::{Command, Publication},
-        table::{RouteTable, TableVersion},
-        upstreams::{self, Effect, Upstream, UpstreamState, Upstreams},
+        contacts::{Card, Contacts, Part, Status},
+        table::RouteTable,
+        upstreams::{Effect, UpstreamState, Upstreams},
     },
-    ids::{InstanceId, RegionId, UpstreamId, ZoneId},
+    ids::{InstanceId, ZoneId},
     replication::{Config, MemberKey, Membership, Persist, Replica, Role},
     time::Time,
 };
-use serde_bytes::ByteBuf;
 use thiserror::Error;
 use tokio::{
-    net::TcpListener,
     sync::{oneshot, watch},
     task,
-    time::{MissedTickBehavior, interval, sleep, timeout},
+    time::sleep,
 };
 
+pub use requests::Unavailable;
+
 use crate::{
     follower::{Links, Owner, chain},
-    link::{self, Head, LinkReceiver, Message, News},
-    metrics as names,
+    link::{Head, Message, News},
     settings::{NO_TABLE, NodeSettings, address_of, instance_at},
     subscribers::{Knowledge, Subscribers},
 };
 
-/// Time between two ticks of the replica, a part of its heartbeat.
-const TICK: Duration = Duration::from_millis(50);
 /// Heartbeat of the leader. Voters wait for four to eight of them, several round trips between
 /// regions.
 const HEARTBEAT: Duration = Duration::from_millis(150);
-/// Time between two rounds of news; changes that matter are told at once.
-const NEWS_INTERVAL: Duration = Duration::from_millis(250);
-/// Time that an operator's request has: callers try the next keeper after a second.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(950);
-/// Pause before a request is tried again while there is no leader.
-const RETRY_PAUSE: Duration = Duration::from_millis(60);
-/// Time that entry instances have to confirm the leaving of an upstream, which gives an answer a
-/// second.
-const CONFIRM_TIMEOUT: Duration = Duration::from_millis(700);
-/// Pause between two looks at who has confirmed.
-const CONFIRM_PAUSE: Duration = Duration::from_millis(5);
-/// Time for which the disk may be behind before a leader hands over.
-const DISK_PATIENCE: Duration = Duration::from_millis(600);
-/// Time after the start in which too few entry instances are linked to name them to callers.
-const WARM_UP: Duration = Duration::from_millis(1_500);
 
 /// Why a keeper stops or does not start.
 #[derive(Debug, Error)]
@@ -91,11 +75,6 @@
     Server(#[from] ServerError),
 }
 
-/// A request that no leader has answered; it may have been carried out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
-#[error("no leader of the keepers answered in time")]
-pub struct Unavailable;
-
 /// A running keeper.
 pub struct Keeper {
     settings: RefCell<NodeSettings>,
@@ -156,7 +135,7 @@
         });
         keeper.refresh_head();
         keeper.links.follow(&keeper);
-        task::spawn_local(accept_links(keeper.clone(), listener));
+        task::spawn_local(loops::accept_links(keeper.clone(), listener));
         let this = keeper.clone();
         task::spawn_local(async move {
             while let Some(report) = reports.recv().await {
@@ -166,8 +145,8 @@
                 }
             }
         });
-        task::spawn_local(tick(keeper.clone()));
-        task::spawn_local(tell_news(keeper.clone()));
+        task::spawn_local(loops::tick(keeper.clone()));
+        task::spawn_local(loops::tell_news(keeper.clone()));
         Ok(keeper)
     }
 
@@ -180,7 +159,7 @@
         loop {
             tokio::select! {
                 _ = stop.wait_for(|stop| *stop) => break,
-                () = sleep(TICK) => {}
+                () = sleep(loops::TICK) => {}
             }
             if let Some(error) = self.failure.borrow_mut().take() {
                 return Err(error.into());
@@ -200,109 +179,6 @@
         self.links.follow(self);
     }
 
-    /// Takes an announcement in. Returns once every linked entry instance knows of it, if the
-    /// upstream is leaving.
-    pub async fn announce(&self, upstream: Upstream) {
-        let is_leaving = upstream.state != UpstreamState::Ready;
-        let id = upstream.id.clone();
-        let (birth, sequence, state) = (upstream.birth.0, upstream.sequence, upstream.state);
-        let effect = self.upstreams.borrow_mut().announce(self.now(), upstream, Duration::ZERO);
-        self.count(effect);
-        if effect == Effect::Changed {
-            tracing::info!(upstream = %id, birth, sequence, ?state, "upstream changed");
-            self.push();
-        }
-        if is_leaving {
-            self.wait_for_entries().await;
-        }
-    }
-
-    /// Takes in that an upstream has left. Returns once every linked entry instance knows.
-    pub async fn leave(&self, id: &UpstreamId, unknown: Upstream) {
-        let now = self.now();
-        let effect = self.upstreams.borrow_mut().leave_unknown(now, unknown);
-        self.count(effect);
-        if effect == Effect::Changed {
-            tracing::info!(upstream = %id, "upstream left");
-            self.push();
-        }
-        self.wait_for_entries().await;
-    }
-
-    /// Puts a table in force that was checked before.
-    ///
-    /// # Errors
-    ///
-    /// No leader answered in time.
-    pub async fn publish(
-        &self,
-        version: TableVersion,
-        document: Vec<u8>,
-    ) -> Result<(), Unavailable> {
-        if version <= self.head.borrow().version {
-            // An applied version is committed, so it is in force or overtaken already.
-            return Ok(());
-        }
-        let command = Command::Publish { version, document: ByteBuf::from(document) };
-        self.submit(GroupRequest::Publish(command)).await.map(|_| ())
-    }
-
-    /// Evacuates a zone, or withdraws that.
-    ///
-    /// # Errors
-    ///
-    /// No leader answered in time.
-    pub async fn evacuate(&self, zone: ZoneId, is_evacuated: bool) -> Result<(), Unavailable> {
-        let command = match is_evacuated {
-            true => Command::Evacuate(zone),
-            false => Command::Restore(zone),
-        };
-        self.submit(GroupRequest::Publish(command)).await.map(|_| ())
-    }
-
-    /// The newest replicated state, confirmed by a majority.
-    ///
-    /// # Errors
-    ///
-    /// No leader answered in time.
-    pub async fn published(&self) -> Result<Publication, Unavailable> {
-        match self.submit(GroupRequest::Published).await? {
-            GroupReply::Published(publication) => Ok(*publication),
-            _ => Err(Unavailable),
-        }
-    }
-
-    /// Entry instances to name to a caller, near ones first; empty while too few are known.
-    pub fn directory(
-        &self,
-        host: Option<&str>,
-        zone: Option<&ZoneId>,
-        region: Option<&RegionId>,
-    ) -> Vec<SocketAddr> {
-        if self.now() - self.started < WARM_UP {
-            return Vec::new();
-        }
-        let table = self.table.borrow();
-        let homes = match (&*table, host) {
-            (Some(table), Some(host)) => table.homes_of(host),
-            _ => Vec::new(),
-        };
-        directory(&self.contacts.borrow(), self.now(), zone, region, &homes)
-    }
-
-    /// Reads a table, as the settings say.
-    ///
-    /// # Errors
-    ///
-    /// The document is no valid table.
-    pub fn read_table(
-        &self,
-        document: &[u8],
-    ) -> Result<RouteTable, crate::settings::DocumentError> {
-        let read = self.settings.borrow().read_table;
-        read(document)
-    }
-
     /// The keeper's availability zone.
     pub fn zone(&self) -> ZoneId {
         self.settings.borrow().card.zone.clone()
@@ -316,69 +192,6 @@
         self.group.borrow().is_leader()
     }
 
-    fn count(&self, effect: Effect) {
-        let effect = match effect {
-            Effect::Ignored => "ignored",
-            Effect::Renewed => "renewed",
-            Effect::Changed => "changed",
-        };
-        metrics::counter!(names::ANNOUNCEMENTS, "effect" => effect).increment(1);
-    }
-
-    async fn wait_for_entries(&self) {
-        let waited = self.subscribers.borrow().unseen_by_entries();
-        let seen = async {
-            while !self.subscribers.borrow().have_seen(&waited) {
-                sleep(CONFIRM_PAUSE).await;
-            }
-        };
-        if timeout(CONFIRM_TIMEOUT, seen).await.is_err() {
-            tracing::warn!("entry instances didn't confirm that an upstream leaves");
-        }
-    }
-
-    /// Carries a request out at the leader, wherever that is.
-    async fn submit(&self, request: GroupRequest) -> Result<GroupReply, Unavailable> {
-        let attempts = async {
-            loop {
-                match self.attempt(request.clone()).await {
-                    Some(GroupReply::NotLeader(_)) | None => sleep(RETRY_PAUSE).await,
-                    Some(GroupReply::Uncertain | GroupReply::Unfit) => return Err(Unavailable),
-                    Some(reply) => return Ok(reply),
-                }
-            }
-        };
-        timeout(REQUEST_TIMEOUT, attempts).await.unwrap_or(Err(Unavailable))
-    }
-
-    /// One attempt; `None` if no leader is known.
-    async fn attempt(&self, request: GroupRequest) -> Option<GroupReply> {
-        let own = self.settings.borrow().card.id.clone();
-        let leader = self.group.borrow().replica().leader().cloned()?;
-        let call = self.last_call.get() + 1;
-        self.last_call.set(call);
-        let (sender, receiver) = oneshot::channel();
-        self.calls.borrow_mut().push((call, sender));
-        if leader == own {
-            let caller = Caller { instance: own, call };
-            self.run(|group, now, out| group.call(now, caller, request, out));
-        } else {
-            let port = self.settings.borrow().card.internal.port();
-            let address = address_of(&leader, port)?;
-            self.links.send(address, &Message::Call { call, request });
-        }
-        receiver.await.ok()
-    }
-
-    fn answer(&self, call: u64, reply: GroupReply) {
-        let mut calls = self.calls.borrow_mut();
-        calls.retain(|it| !it.1.is_closed());
-        if let Ok(at) = calls.binary_search_by(|it| it.0.cmp(&call)) {
-            // A caller that gave up in this moment needs no answer.
-            let _ = calls.remove(at).1.send(reply);
-        }
-    }
-
     fn on_synced(&self, sequence: u64) {
         self.unsynced.borrow_mut().retain(|it| it.0 > sequence);
         self.run(|group, now, out| group.persisted(now, sequence, out));
@@ -636,72 +449,3 @@
     let replica = Replica::new(config, restored, rand::random(), now);
     Ok(Group::new(id, replica, machine))
 }
-
-async fn accept_links(keeper: Rc<Keeper>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                task::spawn_local(serve_link(keeper.clone(), stream));
-            }
-            Err(error) => {
-                tracing::warn!(%error, "failed to accept a link");
-                sleep(TICK).await;
-            }
-        }
-    }
-}
-
-async fn serve_link(keeper: Rc<Keeper>, stream: tokio::net::TcpStream) {
-    let (card, sender, mut receiver): (Card, _, LinkReceiver) = match link::accept(stream).await {
-        Ok(accepted) => accepted,
-        Err(error) => {
-            tracing::debug!(error = %chain(&error), "a link didn't begin");
-            return;
-        }
-    };
-    let now = keeper.now();
-    let is_new = keeper.contacts.borrow_mut().hear(now, card.clone(), None, Duration::ZERO);
-    tracing::info!(instance = %card.id, part = ?card.part, is_new, "link accepted");
-    let link = keeper.subscribers.borrow_mut().add(card.id.clone(), card.part, sender);
-    keeper.links.follow(&keeper);
-    keeper.push();
-    let error = loop {
-        match receiver.receive().await {
-            Ok(message) => keeper.on_subscriber(link, &card, message),
-            Err(error) => break error,
-        }
-    };
-    keeper.subscribers.borrow_mut().remove(link);
-    tracing::info!(instance = %card.id, error = %chain(&error), "link ended");
-}
-
-async fn tick(keeper: Rc<Keeper>) {
-    let mut ticks = interval(TICK);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        keeper.run(|group, now, out| group.tick(now, out));
-        let now = keeper.now();
-        let is_behind =
-            keeper.unsynced.borrow().first().is_some_and(|it| now - it.1 > DISK_PATIENCE);
-        if is_behind && keeper.is_leader() {
-            tracing::warn!("the disk is behind, handing leadership over");
-            keeper.run(|group, now, out| group.transfer(now, out));
-        }
-    }
-}
-
-async fn tell_news(keeper: Rc<Keeper>) {
-    let mut ticks = interval(NEWS_INTERVAL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        let now = keeper.now();
-        keeper.contacts.borrow_mut().forget(now, contacts::FORGET_AFTER);
-        for id in keeper.upstreams.borrow_mut().forget(now) {
-            tracing::info!(upstream = %id, silent_s = upstreams::FORGET_AFTER.as_secs(), "upstream forgotten");
-        }
-        keeper.push();
-        keeper.links.follow(&keeper);
-    }
-}
