A stream handed over is cut only after the other instance could go on with it

Cause: both instances of a stream that crosses regions had the same limit on its silence. It also cut streams that nobody could go on with. Ruled out: the change of configuration beside it, which touched neither route. Change: the limit is a decision of its own (gateway::silence): none without an attempt left, and longer at the caller's instance. Tests fail with the equal limits of before.

--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -18,5 +18,6 @@
 pub mod placing;
 pub mod publication;
 pub mod refusing;
+pub mod silence;
 pub mod table;
 pub mod upstreams;
--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -8,4 +8,5 @@
 mod placing;
 mod publication;
 mod refusing;
+mod silence;
 mod table;
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -6,6 +6,7 @@
 use medlarlug_core::{
     gateway::{
         handover::Handover,
+        silence::{self, Source},
         table::{Route, RouteTable, ServiceName},
     },
     time::Time,
@@ -94,6 +95,17 @@
         }
     }
 
+    /// How long a stream from a hop may be silent before another hop goes on with it.
+    pub(super) fn silence_limit(&self, hop: &Hop) -> Option<Duration> {
+        // What an instance has run at last counts once its stream has ended, see `count_broken`.
+        let (source, runs) = match hop {
+            Hop::Upstream { .. } => (Source::Upstream, self.runs),
+            Hop::Peer { .. } => (Source::Instance, self.runs + 1),
+        };
+        let is_left = runs < self.route.attempts.max(1) && self.arrivals < MAX_ARRIVALS;
+        silence::limit(source, self.route.pause, self.route.kind.is_repeatable() && is_left)
+    }
+
     /// Whether the call goes to model engines.
     pub(super) fn is_on_engines(&self) -> bool {
         self.table.service(&self.service).is_some_and(|service| service.engine.is_some())
--- a/crates/medlarlug-gateway/src/entry/relay.rs
+++ b/crates/medlarlug-gateway/src/entry/relay.rs
@@ -4,7 +4,7 @@
 //! The answer ends well only when an upstream has ended the stream; in every other case the
 //! connection is cut, so that a caller never takes a part for the whole.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use medlarlug::{protocol::events, transport::body::Part};
 use medlarlug_core::gateway::health::CallEnd;
@@ -21,10 +21,6 @@
     serve::Ended,
 };
 
-/// Silence within a stream after which its upstream is taken for dead, as a multiple of the
-/// longest pause of a stream that is on time. Engines that preempt a request pause it as well.
-const SILENT_PAUSES: u32 = 3;
-
 /// What has become of a stream.
 enum Step {
     /// All of it was passed on.
@@ -76,23 +72,22 @@
     stream: &mut EventStream,
     sender: &Sender<Part>,
 ) -> Step {
-    let silence = plan.route.pause.max(Duration::from_millis(300)) * SILENT_PAUSES;
+    let silence = plan.silence_limit(stream.hop());
     loop {
         let left = plan.end - entry.now();
         if left.is_zero() {
             return Step::Late;
         }
         let piece = tokio::select! {
-            piece = timeout(silence.min(left), stream.next()) => piece,
+            piece = timeout(silence.map_or(left, |limit| limit.min(left)), stream.next()) => piece,
             () = sender.closed() => return Step::Left,
         };
         let events = match piece {
             Ok(Piece::Events(events)) => events,
             Ok(Piece::End) => return Step::Done,
             Ok(Piece::Broken) => return Step::Broken,
-            Err(_) if plan.route.kind.is_repeatable() => return Step::Broken,
-            // Nobody else can go on, so the upstream may take its time.
-            Err(_) => continue,
+            Err(_) if entry.now() >= plan.end => return Step::Late,
+            Err(_) => return Step::Broken,
         };
         if let Some(last) = events::last_id(&events) {
             plan.last_event = Some(last);
