Attempts keep their time: a call handed over until its end, a prompt in a queue past its objective

Cause: an attempt was given up after 4 times its predicted wait or 0.8 s. Change: gateway::patience decides, with tests that fail under the rule of before. Connections end when data is not acknowledged for 1.5 s, so that a vanished upstream is noticed without it.

--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod contacts;
 pub mod handover;
 pub mod health;
+pub mod patience;
 pub mod placing;
 pub mod publication;
 pub mod refusing;
--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod fixture;
 mod handover;
 mod limits;
+mod patience;
 mod placing;
 mod publication;
 mod refusing;
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -7,6 +7,7 @@
         cold,
         contacts::Contact,
         placing::{self, Candidate, Choice, Demand},
+        silence::Source,
         table::{Route, RouteTable, ServiceName},
         upstreams::{Known, UpstreamState},
     },
@@ -56,6 +57,14 @@
         }
     }
 
+    /// What answers there.
+    pub(super) fn source(&self) -> Source {
+        match self {
+            Hop::Upstream { .. } => Source::Upstream,
+            Hop::Peer { .. } => Source::Instance,
+        }
+    }
+
     /// Predicted time to the first token or the answer.
     pub(super) fn wait(&self) -> Duration {
         match self {
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -6,6 +6,7 @@
 use medlarlug_core::{
     gateway::{
         handover::Handover,
+        patience,
         silence::{self, Source},
         table::{Route, RouteTable, ServiceName},
     },
@@ -22,10 +23,6 @@
 };
 use crate::metrics as names;
 
-/// Time that an attempt gets before another upstream is tried, as a multiple of the predicted one.
-const PATIENCE_FACTOR: u32 = 4;
-/// Shortest time that an attempt gets before another upstream is tried.
-const MIN_PATIENCE: Duration = Duration::from_millis(800);
 /// Requests of one call that may reach upstreams, those included that refused it.
 const MAX_ARRIVALS: u32 = 4;
 /// Part of its latency objective that a call may wait for its turn at an engine.
@@ -98,10 +95,8 @@
     /// How long a stream from a hop may be silent before another hop goes on with it.
     pub(super) fn silence_limit(&self, hop: &Hop) -> Option<Duration> {
         // What an instance has run at last counts once its stream has ended, see `count_broken`.
-        let (source, runs) = match hop {
-            Hop::Upstream { .. } => (Source::Upstream, self.runs),
-            Hop::Peer { .. } => (Source::Instance, self.runs + 1),
-        };
+        let source = hop.source();
+        let runs = self.runs + u32::from(source == Source::Instance);
         let is_left = runs < self.route.attempts.max(1) && self.arrivals < MAX_ARRIVALS;
         silence::limit(source, self.route.pause, self.route.kind.is_repeatable() && is_left)
     }
@@ -135,11 +130,13 @@
             }
         }
         let left = self.end - entry.now();
-        let is_last = !self.route.kind.is_repeatable() || self.runs + 1 >= self.route.attempts;
-        let patience = match is_last {
-            true => left,
-            false => (hop.wait() * PATIENCE_FACTOR).max(MIN_PATIENCE),
-        };
+        let patience = patience::limit(patience::Attempt {
+            source: hop.source(),
+            wait: hop.wait(),
+            objective: self.route.objective,
+            left,
+            is_last: !self.route.kind.is_repeatable() || self.runs + 1 >= self.route.attempts,
+        });
         let forwarded = match hop {
             Hop::Peer { .. } => forwarded::encode(&Handover {
                 version: self.table.version(),
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -17,6 +17,7 @@
     },
 };
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use thiserror::Error;
 use tokio::{
     net::TcpStream,
@@ -30,6 +31,10 @@
 /// New connections that a call tries, as long as not a byte of it has gone out.
 const NEW_CONNECTIONS: usize = 3;
 
+/// Time after which a connection ends whose data the other side does not acknowledge: several
+/// retransmissions between two regions.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// Body of a request that a client sends.
 pub type RequestBody = Full<Bytes>;
 
@@ -216,6 +221,10 @@
         Err(_) => return Err(failed(None)),
     };
     let _ = stream.set_nodelay(true);
+    // Without it, a connection whose other side has vanished hangs until the call's time is up.
+    if let Err(error) = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT)) {
+        tracing::debug!(%error, %address, "no limit on unacknowledged data");
+    }
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|_| failed(None))?;
     task::spawn_local(async move {
