--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -120,7 +120,8 @@
             Hop::Upstream { choice, age, .. } => {
                 self.tried.upstreams.push(choice.id.clone());
                 let (wait, age) = (choice.wait.as_millis(), age.as_millis());
-                self.path.push(format!("{}(wait={wait}ms,age={age}ms)", choice.id));
+                let unread = choice.unread;
+                self.path.push(format!("{}(wait={wait}ms,unread={unread},age={age}ms)", choice.id));
             }
             Hop::Peer { id, .. } => {
                 self.tried.peers.push(id.clone());
