Calls are measured by their own prompt in another region

Change: gateway::away adds what is read beyond the usual prompt and the delay of others by shared parts that are read again there.

--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! within the [`budget`] of their service, and avoids upstreams that [`health`] found broken.
 //! [`contacts`] keeps track of the instances of the system itself.
 
+pub mod away;
 pub mod budget;
 pub mod cold;
 pub mod contacts;
--- a/crates/medlarlug-core/src/gateway/placing.rs
+++ b/crates/medlarlug-core/src/gateway/placing.rs
@@ -48,6 +48,11 @@
 }
 
 impl Demand {
+    /// Tokens of the parts that others may share: all but the last one.
+    pub fn shared(&self) -> u32 {
+        self.parts.iter().rev().skip(1).map(|part| part.tokens).sum()
+    }
+
     /// The part by which calls are kept together: the last one that others share.
     fn affinity(&self) -> Option<u64> {
         let shared = self.parts.len().checked_sub(2)?;
@@ -85,7 +90,7 @@
 
 /// Prompt tokens that an engine reads in a millisecond, until it is known better; the engines of
 /// the first deployments read 38 to 52.
-const READ_RATE: f64 = 40.0;
+pub(super) const READ_RATE: f64 = 40.0;
 /// Time to the first token beside reading, in milliseconds: a step and the way there and back.
 const FIRST_TOKEN_MS: f64 = 30.0;
 /// Delay by each request that runs beside, in milliseconds.
@@ -103,7 +108,7 @@
 /// peers have probably sent it.
 const PREFERRED_GAIN: f64 = 0.9;
 /// Weight of reading a shared part again, which delays all streams of the engine.
-const REREAD_WEIGHT: f64 = 3.0;
+pub(super) const REREAD_WEIGHT: f64 = 3.0;
 /// Queued prompt tokens above which the streams of an engine stall noticeably: a few steps in which
 /// it reads as much as it takes at once.
 const STALL_TOKENS: f64 = 12_000.0;
@@ -238,13 +243,6 @@
     hash ^ (hash >> 31)
 }
 
-/// Time that a call of usual size costs in another region: what an instance there told, and what
-/// this one has sent there since and is not answered yet, divided among the upstreams there.
-pub fn away_cost(told: Duration, unread: u64, upstreams: usize) -> Duration {
-    let queued = unread as f64 / READ_RATE / upstreams.max(1) as f64;
-    told + Duration::from_secs_f64(queued / 1_000.0)
-}
-
 impl Loads {
     /// The candidate with the shortest predicted wait. `peers` entry instances, this one included,
     /// send to the same upstreams.
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -4,9 +4,9 @@
 
 use medlarlug_core::{
     gateway::{
-        cold,
+        away, cold,
         contacts::Contact,
-        placing::{self, Candidate, Choice, Demand},
+        placing::{Candidate, Choice, Demand},
         silence::Source,
         table::{Route, RouteTable, ServiceName},
         upstreams::{Known, UpstreamState},
@@ -93,7 +93,7 @@
         let is_near =
             local.as_ref().is_some_and(|it| it.cost <= route.objective.mul_f64(NEAR_SHARE));
         let away = match plan.may_leave && !is_near {
-            true => self.choose_peer(route, service, &tried.peers),
+            true => self.choose_peer(route, service, demand, &tried.peers),
             false => None,
         };
         match (local, away) {
@@ -182,6 +182,7 @@
         &self,
         route: &Route,
         service: &ServiceName,
+        demand: &Demand,
         tried: &[InstanceId],
     ) -> Option<Hop> {
         let now = self.now();
@@ -199,7 +200,8 @@
             let at = waits.binary_search_by(|it| (&it.region, &it.service).cmp(&(region, service)));
             let told = Duration::from_millis(waits[at.ok()?].wait_ms.into());
             let unread = self.away_unread(region);
-            Some(placing::away_cost(told, unread, self.upstreams_in(region, service)))
+            let upstreams = self.upstreams_in(region, service);
+            Some(away::cost(away::Region { told, unread, upstreams }, demand))
         };
         let fit: Vec<&Contact> = fit.collect();
         let mut regions: Vec<&RegionId> = fit.iter().map(|it| &it.card.region).collect();
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -37,6 +37,7 @@
 };
 use medlarlug_core::{
     gateway::{
+        away::USUAL_PROMPT,
         budget::RetryWindow,
         cold::{ColdSends, Suspicions},
         contacts::{Card, Contacts, Part, RegionWait, Spare, Status},
@@ -85,8 +86,6 @@
 /// Time after the start in which the table and the upstreams become known: upstreams announce
 /// themselves every second or so, also to keepers that have just started.
 const STARTING_TIME: Duration = Duration::from_secs(4);
-/// Prompt tokens of the call for which the wait is told to other regions.
-const USUAL_PROMPT: u32 = 2_000;
 /// Connections of callers and other instances; the system's own limit on descriptors is lower.
 const CONNECTIONS: usize = 3_000;
 /// Time for which a connection may be idle or send a head. Callers are told in the table how long
