Instances tell each other of long prompts at once

Cause: the 24 entry instances of a region report their load every 0.5 s, so several of them placed long prompts at one engine before they knew of each other's; its streams paused for over 0.6 s. Ruled out: single prompts that are long enough to pause streams alone (over 15,000 tokens: 91 of 5,394; 5% of the queries ran beside one). Change: a datagram with the load of one engine as soon as a long prompt goes there or has been read.

--- a/crates/medlarlug-core/src/gateway/placing.rs
+++ b/crates/medlarlug-core/src/gateway/placing.rs
@@ -47,6 +47,13 @@
     pub rank: u8,
 }
 
+impl Choice {
+    /// Whether it makes its engine's queue so much longer that peers have to know at once.
+    pub fn is_long(&self) -> bool {
+        self.unread >= LONG_PROMPT
+    }
+}
+
 impl Demand {
     /// Tokens of the parts that others may share: all but the last one.
     pub fn shared(&self) -> u32 {
@@ -114,7 +121,8 @@
 const STALL_TOKENS: f64 = 12_000.0;
 /// Prompt tokens that an engine reads in one step; a more urgent prompt waits for these at most.
 const STEP_TOKENS: f64 = 4_096.0;
-/// Tokens to read from which on a prompt waits for its turn; shorter ones hardly stop streams.
+/// Tokens to read from which on a prompt waits for its turn, and peers are told of it at once;
+/// shorter ones hardly stop streams.
 const LONG_PROMPT: u32 = 1_000;
 /// Queued prompt tokens at an engine above which a long prompt waits for its turn: one prompt.
 const TURN_TOKENS: f64 = 3_000.0;
@@ -327,13 +335,7 @@
     /// What this instance has under way, to be told to its peers; idle upstreams are left out.
     pub fn report(&self) -> Vec<LoadReport> {
         let busy = self.known.iter().filter(|load| load.running.value > 0);
-        let report = |load: &Load| LoadReport {
-            id: load.id.clone(),
-            running: u32::try_from(load.running.value).unwrap_or(u32::MAX),
-            unread: u32::try_from(load.unread.value).unwrap_or(u32::MAX),
-            urgent: u32::try_from(load.urgent.value).unwrap_or(u32::MAX),
-        };
-        busy.map(report).collect()
+        busy.map(Load::report).collect()
     }
 
     /// Takes in what a peer has under way; `loads` is sorted by upstream.
@@ -345,6 +347,25 @@
         }
     }
 
+    /// What this instance has under way at one upstream.
+    pub fn report_of(&self, id: &UpstreamId) -> LoadReport {
+        match self.place(id) {
+            Ok(at) => self.known[at].report(),
+            Err(_) => LoadReport { id: id.clone(), running: 0, unread: 0, urgent: 0 },
+        }
+    }
+
+    /// Takes in what a peer has under way at one upstream. It says nothing of the peer's other
+    /// upstreams, so it is left out for a peer without a whole report.
+    pub fn hear_change(&mut self, peer: &InstanceId, change: LoadReport) {
+        let Ok(at) = self.peers.binary_search_by(|it| it.peer.cmp(peer)) else { return };
+        let loads = &mut self.peers[at].loads;
+        match loads.binary_search_by(|it| it.id.cmp(&change.id)) {
+            Ok(at) => loads[at] = change,
+            Err(at) => loads.insert(at, change),
+        }
+    }
+
     /// What the other `peers` have under way at an upstream.
     fn others(&self, now: Time, id: &UpstreamId, peers: usize) -> Others {
         let fresh = self.peers.iter().filter(|it| now - it.heard < REPORT_LIFETIME);
@@ -373,7 +394,7 @@
     /// the other leave steps in between, in which the engine's streams go on, while a queue of them
     /// is read without a break.
     pub fn should_wait(&self, now: Time, choice: &Choice, peers: usize) -> bool {
-        if choice.unread < LONG_PROMPT {
+        if !choice.is_long() {
             return false;
         }
         let own = self.place(&choice.id).map_or(0, |at| self.known[at].unread.value);
@@ -450,6 +471,16 @@
 }
 
 impl Load {
+    fn report(&self) -> LoadReport {
+        let count = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
+        LoadReport {
+            id: self.id.clone(),
+            running: count(self.running.value),
+            unread: count(self.unread.value),
+            urgent: count(self.urgent.value),
+        }
+    }
+
     /// The prompt of a call was read, or nobody waits for it any more.
     fn was_read(&mut self, now: Time, choice: &Choice) {
         let tokens = u64::from(choice.unread);
--- a/crates/medlarlug-core/tests/testsuite/gateway/placing.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/placing.rs
@@ -236,3 +236,38 @@
 
     assert!(loads.should_wait(Time::ZERO, &choice, 2));
 }
+
+/// Seen on the grown sites: 24 instances report twice a second, so several of them sent long prompts
+/// to one engine before they knew of each other's.
+#[test]
+fn long_prompt_of_a_peer_counts_as_soon_as_it_is_told_alone() {
+    let ids = ids(1);
+    let (mut loads, mut peer) = (Loads::default(), Loads::default());
+    let peer_id = "entry-2".parse().unwrap();
+    loads.hear(Time::ZERO, "entry-2".parse().unwrap(), Vec::new());
+    let choice = loads.choose(Time::ZERO, &session(1, 1), &engines(&ids), 2).unwrap();
+
+    peer.sent(Time::ZERO, &choice, &session(2, 2), 250_000);
+    let before = loads.should_wait(Time::ZERO, &choice, 2);
+    loads.hear_change(&peer_id, peer.report_of(&ids[0]));
+    let during = loads.should_wait(Time::ZERO, &choice, 2);
+    peer.answered(Time::from_millis(200), &choice, Duration::from_millis(200));
+    loads.hear_change(&peer_id, peer.report_of(&ids[0]));
+    let after = loads.should_wait(Time::from_millis(200), &choice, 2);
+
+    assert_eq!((before, during, after), (false, true, false));
+}
+
+/// What a peer without a whole report has at other upstreams is estimated, and one load alone must
+/// not replace that.
+#[test]
+fn change_of_a_peer_without_a_whole_report_is_left_out() {
+    let ids = ids(1);
+    let mut loads = Loads::default();
+    let choice = loads.choose(Time::ZERO, &session(1, 1), &engines(&ids), 2).unwrap();
+    let change = LoadReport { id: ids[0].clone(), running: 1, unread: 60_000, urgent: 0 };
+
+    loads.hear_change(&"entry-2".parse().unwrap(), change);
+
+    assert!(!loads.should_wait(Time::ZERO, &choice, 2));
+}
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -106,6 +106,7 @@
             match &self.place {
                 Place::Upstream(choice) => {
                     self.entry.loads.borrow_mut().answered(now, choice, now - self.began);
+                    tell_if_long(&self.entry, choice);
                 }
                 Place::Away(region, tokens) => {
                     self.entry.change_away(region, |unread| unread.saturating_sub(*tokens));
@@ -121,6 +122,9 @@
         match &self.place {
             Place::Upstream(choice) => {
                 self.entry.loads.borrow_mut().ended(now, choice, self.is_read);
+                if !self.is_read {
+                    tell_if_long(&self.entry, choice);
+                }
             }
             Place::Away(region, tokens) if !self.is_read => {
                 self.entry.change_away(region, |unread| unread.saturating_sub(*tokens));
@@ -273,12 +277,19 @@
     }
 }
 
+fn tell_if_long(entry: &Entry, choice: &Choice) {
+    if choice.is_long() {
+        entry.changes().note(&choice.id);
+    }
+}
+
 /// Counts the call where it goes.
 fn begin(entry: &Rc<Entry>, attempted: &Attempted, hop: &Hop, now: Time) -> Slot {
     let demand = &attempted.call.demand;
     let place = match hop {
         Hop::Upstream { choice, memory, cold_rate, .. } => {
             entry.loads.borrow_mut().sent(now, choice, demand, *memory);
+            tell_if_long(entry, choice);
             if let Some(rate) = cold_rate {
                 entry.cold.borrow_mut().sent(now, &choice.id, *rate);
             }
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -46,7 +46,7 @@
         table::{RouteTable, ServiceName, TableVersion},
         upstreams::{Effect, UpstreamState, Upstreams},
     },
-    ids::{InstanceId, RegionId},
+    ids::{InstanceId, RegionId, UpstreamId},
     time::Time,
 };
 use tokio::{
@@ -61,7 +61,8 @@
     follower::{Links, Owner, chain},
     headers::HeaderNames,
     link::{Head, Message, News},
-    loads, metrics as names,
+    loads::{self, Changes},
+    metrics as names,
     settings::NodeSettings,
 };
 
@@ -106,6 +107,7 @@
     upstreams: RefCell<Upstreams>,
     contacts: RefCell<Contacts>,
     loads: RefCell<Loads>,
+    changes: Changes,
     healths: RefCell<Healths>,
     cold: RefCell<ColdSends>,
     suspicions: RefCell<Suspicions>,
@@ -146,6 +148,7 @@
             upstreams: RefCell::default(),
             contacts: RefCell::default(),
             loads: RefCell::default(),
+            changes: Changes::default(),
             healths: RefCell::default(),
             cold: RefCell::default(),
             suspicions: RefCell::default(),
@@ -167,6 +170,7 @@
         })?;
         let socket = Rc::new(socket);
         task::spawn_local(loads::tell(entry.clone(), socket.clone()));
+        task::spawn_local(loads::tell_changes(entry.clone(), socket.clone()));
         task::spawn_local(loads::hear(entry.clone(), socket));
         let this = entry.clone();
         task::spawn_local(http_server::serve(internal, limits(), stop, move |request, _| {
@@ -258,6 +262,25 @@
         (self.settings.borrow().card.id.clone(), self.loads.borrow().report())
     }
 
+    /// What this instance has under way at some upstreams.
+    pub(crate) fn load_report_of(&self, upstreams: &[UpstreamId]) -> (InstanceId, Vec<LoadReport>) {
+        let loads = self.loads.borrow();
+        let reports = upstreams.iter().map(|id| loads.report_of(id)).collect();
+        (self.settings.borrow().card.id.clone(), reports)
+    }
+
+    /// Upstreams whose load peers have to know at once.
+    pub(crate) fn changes(&self) -> &Changes {
+        &self.changes
+    }
+
+    /// Takes in what a peer has under way at some upstreams.
+    pub(crate) fn hear_changes(&self, from: &InstanceId, changes: Vec<LoadReport>) {
+        for change in changes {
+            self.loads.borrow_mut().hear_change(from, change);
+        }
+    }
+
     /// Takes in what a peer has under way.
     pub(crate) fn hear_loads(&self, from: InstanceId, loads: Vec<LoadReport>) {
         self.loads.borrow_mut().hear(self.now(), from, loads);
--- a/crates/medlarlug-gateway/src/loads.rs
+++ b/crates/medlarlug-gateway/src/loads.rs
@@ -1,14 +1,19 @@
 //! Tells the entry instances of the own region what this one has under way at upstreams.
 //!
-//! The reports are datagrams: each holds all there is to tell and replaces the one before, so a
-//! lost one costs nothing but time.
+//! The reports are datagrams. Most hold all there is to tell and replace the one before, so a lost
+//! one costs nothing but time. A long prompt changes the queue of its engine so much that others
+//! have to know before they place their own: it is told at once, as the load of that engine alone.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use medlarlug_core::{gateway::placing::LoadReport, ids::InstanceId};
+use medlarlug_core::{
+    gateway::placing::LoadReport,
+    ids::{InstanceId, UpstreamId},
+};
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::UdpSocket,
+    sync::Notify,
     time::{MissedTickBehavior, interval, sleep},
 };
 
@@ -26,9 +31,35 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct Report {
     from: InstanceId,
+    /// Whether `loads` are all upstreams at which the instance has calls, or only changed ones.
+    is_whole: bool,
+    /// Sorted by upstream.
     loads: Vec<LoadReport>,
 }
 
+/// Upstreams whose load peers have to know at once.
+#[derive(Debug, Default)]
+pub(crate) struct Changes {
+    upstreams: RefCell<Vec<UpstreamId>>,
+    noted: Notify,
+}
+
+impl Changes {
+    /// Has the load of an upstream told.
+    pub(crate) fn note(&self, upstream: &UpstreamId) {
+        let mut upstreams = self.upstreams.borrow_mut();
+        if let Err(at) = upstreams.binary_search(upstream) {
+            upstreams.insert(at, upstream.clone());
+        }
+        self.noted.notify_one();
+    }
+
+    async fn next(&self) -> Vec<UpstreamId> {
+        self.noted.notified().await;
+        std::mem::take(&mut *self.upstreams.borrow_mut())
+    }
+}
+
 /// Opens the socket of the reports.
 ///
 /// # Errors
@@ -53,7 +84,7 @@
         }
         was_idle = is_idle;
         let peers = entry.region_peers();
-        send(&socket, &Report { from, loads }, &peers);
+        send(&socket, &Report { from, is_whole: true, loads }, &peers);
         if peers.len() > FEW_PEERS {
             let factor = u32::try_from(peers.len() / FEW_PEERS).unwrap_or(u32::MAX);
             sleep(INTERVAL * factor).await;
@@ -61,6 +92,15 @@
     }
 }
 
+/// Tells noted changes for as long as the process runs.
+pub(crate) async fn tell_changes(entry: Rc<Entry>, socket: Rc<UdpSocket>) {
+    loop {
+        let upstreams = entry.changes().next().await;
+        let (from, loads) = entry.load_report_of(&upstreams);
+        send(&socket, &Report { from, is_whole: false, loads }, &entry.region_peers());
+    }
+}
+
 fn send(socket: &UdpSocket, report: &Report, peers: &[SocketAddr]) {
     let datagram = match postcard::to_stdvec(report) {
         Ok(datagram) if datagram.len() <= MAX_BYTES => datagram,
@@ -82,7 +122,8 @@
     loop {
         match socket.recv(&mut buffer).await {
             Ok(bytes) => match postcard::from_bytes::<Report>(&buffer[..bytes]) {
-                Ok(report) => entry.hear_loads(report.from, report.loads),
+                Ok(report) if report.is_whole => entry.hear_loads(report.from, report.loads),
+                Ok(report) => entry.hear_changes(&report.from, report.loads),
                 Err(error) => tracing::debug!(%error, "load report can't be read"),
             },
             Err(error) => {
