Calls whose turn at an engine does not come are refused; waits for turns count in costs

Cause: long prompts waited for their turn for 0.35 of their objective and were sent all the same, so overloaded engines read prompts without a break. Ruled out: slots (128 an engine) and memory (786 requests preempted of 22,594). Change: gateway::turns refuses calls after 0.6 of their objective, but for the most urgent rank; what calls have waited lately counts in the cost told to other regions and weighed against theirs. A refusal by another region is no arrival at an upstream, and the call leaves no second time. The test plays more prompts than an engine can read beside a stream, with turns and without.

--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -22,4 +22,5 @@
 pub mod refusing;
 pub mod silence;
 pub mod table;
+pub mod turns;
 pub mod upstreams;
--- a/crates/medlarlug-core/src/gateway/placing.rs
+++ b/crates/medlarlug-core/src/gateway/placing.rs
@@ -11,7 +11,7 @@
 //! read, and calls that share a part stay on the engine that every instance finds for it by the
 //! same rank, until waiting there has grown well above reading it again elsewhere. A long queue of
 //! prompts stalls the streams of its engine, so it weighs more than the time that it takes, and long
-//! prompts take turns at an engine ([`Loads::should_wait`]).
+//! prompts take turns at an engine, see [`turns`](super::turns).
 //!
 //! This answers load that is high but bearable. What to do when no upstream can serve in time is
 //! decided by [`refusing`](super::refusing).
@@ -390,15 +390,14 @@
         others
     }
 
-    /// Whether a call should wait for its turn at the engine that was chosen: long prompts one after
-    /// the other leave steps in between, in which the engine's streams go on, while a queue of them
-    /// is read without a break.
-    pub fn should_wait(&self, now: Time, choice: &Choice, peers: usize) -> bool {
+    /// Whether the engine that was chosen would take the call now: long prompts go to an engine one
+    /// after the other, short ones at any time.
+    pub fn is_free(&self, now: Time, choice: &Choice, peers: usize) -> bool {
         if !choice.is_long() {
-            return false;
+            return true;
         }
         let own = self.place(&choice.id).map_or(0, |at| self.known[at].unread.value);
-        own as f64 + self.others(now, &choice.id, peers).unread > TURN_TOKENS
+        own as f64 + self.others(now, &choice.id, peers).unread <= TURN_TOKENS
     }
 
     /// Counts a call that goes out to `choice`; `memory` is that of the upstream in tokens.
--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -12,3 +12,4 @@
 mod refusing;
 mod silence;
 mod table;
+mod turns;
--- a/crates/medlarlug-core/tests/testsuite/gateway/placing.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/placing.rs
@@ -215,14 +215,14 @@
     let second = loads.choose(Time::ZERO, &session(2, 2), &engines(&ids), 1).unwrap();
     let query = loads.choose(Time::ZERO, &short, &engines(&ids), 1).unwrap();
 
-    let before = loads.should_wait(Time::ZERO, &first, 1);
+    let before = loads.is_free(Time::ZERO, &first, 1);
     loads.sent(Time::ZERO, &first, &session(1, 1), 250_000);
-    let during = loads.should_wait(Time::ZERO, &second, 1);
-    let beside = loads.should_wait(Time::ZERO, &query, 1);
+    let during = loads.is_free(Time::ZERO, &second, 1);
+    let beside = loads.is_free(Time::ZERO, &query, 1);
     loads.answered(Time::from_millis(200), &first, Duration::from_millis(200));
-    let after = loads.should_wait(Time::from_millis(200), &second, 1);
+    let after = loads.is_free(Time::from_millis(200), &second, 1);
 
-    assert_eq!((before, during, beside, after), (false, true, false, false));
+    assert_eq!((before, during, beside, after), (true, false, true, true));
 }
 
 #[test]
@@ -234,7 +234,7 @@
 
     loads.hear(Time::ZERO, "entry-2".parse().unwrap(), vec![busy]);
 
-    assert!(loads.should_wait(Time::ZERO, &choice, 2));
+    assert!(!loads.is_free(Time::ZERO, &choice, 2));
 }
 
 /// Seen on the grown sites: 24 instances report twice a second, so several of them sent long prompts
@@ -248,14 +248,14 @@
     let choice = loads.choose(Time::ZERO, &session(1, 1), &engines(&ids), 2).unwrap();
 
     peer.sent(Time::ZERO, &choice, &session(2, 2), 250_000);
-    let before = loads.should_wait(Time::ZERO, &choice, 2);
+    let before = loads.is_free(Time::ZERO, &choice, 2);
     loads.hear_change(&peer_id, peer.report_of(&ids[0]));
-    let during = loads.should_wait(Time::ZERO, &choice, 2);
+    let during = loads.is_free(Time::ZERO, &choice, 2);
     peer.answered(Time::from_millis(200), &choice, Duration::from_millis(200));
     loads.hear_change(&peer_id, peer.report_of(&ids[0]));
-    let after = loads.should_wait(Time::from_millis(200), &choice, 2);
+    let after = loads.is_free(Time::from_millis(200), &choice, 2);
 
-    assert_eq!((before, during, after), (false, true, false));
+    assert_eq!((before, during, after), (true, false, true));
 }
 
 /// What a peer without a whole report has at other upstreams is estimated, and one load alone must
@@ -269,5 +269,5 @@
 
     loads.hear_change(&"entry-2".parse().unwrap(), change);
 
-    assert!(!loads.should_wait(Time::ZERO, &choice, 2));
+    assert!(loads.is_free(Time::ZERO, &choice, 2));
 }
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -90,19 +90,29 @@
             true => self.choose_local(table, service, demand, &tried.upstreams),
             false => None,
         };
-        let is_near =
-            local.as_ref().is_some_and(|it| it.cost <= route.objective.mul_f64(NEAR_SHARE));
+        let cost = local.as_ref().map(|local| self.cost(local));
+        let is_near = cost.is_some_and(|cost| cost <= route.objective.mul_f64(NEAR_SHARE));
         let away = match plan.may_leave && !is_near {
             true => self.choose_peer(route, service, demand, &tried.peers),
             false => None,
         };
         match (local, away) {
-            (Some(local), Some(away)) if away.wait() < local.cost.mul_f64(AWAY_SHARE) => Some(away),
+            (Some(local), Some(away)) if away.wait() < self.cost(&local).mul_f64(AWAY_SHARE) => {
+                Some(away)
+            }
             (Some(local), _) => self.local_hop(table, service, local),
             (None, away) => away,
         }
     }
 
+    /// Cost of an upstream with the wait for its turn.
+    pub(super) fn cost(&self, choice: &Choice) -> Duration {
+        match choice.is_long() {
+            true => choice.cost + self.turn_waits.borrow().expected(self.now()),
+            false => choice.cost,
+        }
+    }
+
     fn local_hop(&self, table: &RouteTable, service: &ServiceName, choice: Choice) -> Option<Hop> {
         let now = self.now();
         let upstreams = self.upstreams.borrow();
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -44,6 +44,7 @@
         health::Healths,
         placing::{Demand, LoadReport, Loads},
         table::{RouteTable, ServiceName, TableVersion},
+        turns::TurnWaits,
         upstreams::{Effect, UpstreamState, Upstreams},
     },
     ids::{InstanceId, RegionId, UpstreamId},
@@ -108,6 +109,7 @@
     contacts: RefCell<Contacts>,
     loads: RefCell<Loads>,
     changes: Changes,
+    turn_waits: RefCell<TurnWaits>,
     healths: RefCell<Healths>,
     cold: RefCell<ColdSends>,
     suspicions: RefCell<Suspicions>,
@@ -149,6 +151,7 @@
             contacts: RefCell::default(),
             loads: RefCell::default(),
             changes: Changes::default(),
+            turn_waits: RefCell::default(),
             healths: RefCell::default(),
             cold: RefCell::default(),
             suspicions: RefCell::default(),
@@ -416,7 +419,7 @@
             let prompt = service.engine.map_or(0, |_| USUAL_PROMPT);
             let demand = Demand { prompt, rank: 1, ..Demand::default() };
             let choice = self.choose_local(&table, &service.name, &demand, &[]);
-            let wait = choice.map(|choice| choice.cost.as_millis());
+            let wait = choice.map(|choice| self.cost(&choice).as_millis());
             let wait_ms = wait.map(|wait| u32::try_from(wait).unwrap_or(u32::MAX));
             Spare { service: service.name.clone(), wait_ms }
         });
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -9,6 +9,7 @@
         patience,
         silence::{self, Source},
         table::{Route, RouteTable, ServiceName},
+        turns::{self, Turn},
     },
     time::Time,
 };
@@ -25,8 +26,6 @@
 
 /// Requests of one call that may reach upstreams, those included that refused it.
 const MAX_ARRIVALS: u32 = 4;
-/// Part of its latency objective that a call may wait for its turn at an engine.
-const TURN_SHARE: f64 = 0.35;
 
 /// How a call is served: its route, its times, and what was tried.
 pub(super) struct Plan {
@@ -75,13 +74,20 @@
         entry.choose(self, &call.demand)
     }
 
-    /// Whether the call should wait for its turn at an engine; not for long, and not for a repeat.
-    pub(super) fn should_wait(&self, entry: &Entry, hop: Option<&Hop>) -> bool {
-        let Some(Hop::Upstream { choice, .. }) = hop else { return false };
+    /// Whether the call goes to a hop now; only first attempts at engines wait for their turn.
+    pub(super) fn turn(&self, entry: &Entry, hop: Option<&Hop>) -> Turn {
+        let Some(Hop::Upstream { choice, .. }) = hop else { return Turn::Go };
+        if self.arrivals > 0 || !choice.is_long() {
+            return Turn::Go;
+        }
         let now = entry.now();
-        let has_time = now - self.began < self.route.objective.mul_f64(TURN_SHARE);
-        let peers = entry.region_entries().len();
-        self.arrivals == 0 && has_time && entry.loads.borrow().should_wait(now, choice, peers)
+        let waited = now - self.began;
+        let is_free = entry.loads.borrow().is_free(now, choice, entry.region_entries().len());
+        let turn = turns::turn(is_free, waited, self.route.objective, self.route.priority);
+        if turn != Turn::Wait {
+            entry.turn_waits.borrow_mut().count(now, waited);
+        }
+        turn
     }
 
     /// A stream broke off. Another instance has gone on elsewhere before it gave up, which it can no
@@ -168,8 +174,12 @@
             (Outcome::Unknown(_), Hop::Peer { .. }) => self.route.attempts,
             _ => 1,
         };
-        match outcome {
-            Outcome::NotRun(NotRun::Unreachable | NotRun::Misdirected) => self.unreachable += 1,
+        match (&outcome, hop) {
+            (Outcome::NotRun(NotRun::Unreachable | NotRun::Misdirected), _) => {
+                self.unreachable += 1;
+            }
+            // The other region is as busy, and no upstream has seen the call.
+            (Outcome::NotRun(NotRun::Refused { .. }), Hop::Peer { .. }) => self.may_leave = false,
             _ => self.arrivals += 1,
         }
         outcome
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -10,6 +10,7 @@
         handover::Handover,
         refusing::{self, Outlook, Verdict},
         table::ServiceName,
+        turns::Turn,
     },
     time::Time,
 };
@@ -33,7 +34,8 @@
 const MAX_UNREACHABLE: u32 = 4;
 /// Time to come back when there is no table yet: an election and the way of the table.
 const NO_TABLE_AFTER: Duration = Duration::from_secs(1);
-/// Pause between two looks at whether it is a call's turn: a few steps of an engine.
+/// Mean pause between two looks at whether it is a call's turn: a few steps of an engine. It varies
+/// so that not all instances look at the same moment.
 const TURN_PAUSE: Duration = Duration::from_millis(12);
 /// Part of its time that a call may wait for an instance that is starting.
 const START_SHARE: f64 = 0.35;
@@ -256,10 +258,19 @@
         };
         let wait = hop.as_ref().map(Hop::wait);
         let objective = plan.is_on_engines().then_some(plan.route.objective);
-        let verdict = refusing::judge(Outlook { wait, left, objective }, rand::rng().random());
-        if verdict == Verdict::Serve && plan.should_wait(entry, hop.as_ref()) {
-            sleep(TURN_PAUSE).await;
-            continue;
+        let mut verdict = refusing::judge(Outlook { wait, left, objective }, rand::rng().random());
+        if verdict == Verdict::Serve {
+            match plan.turn(entry, hop.as_ref()) {
+                Turn::Go => {}
+                Turn::Wait => {
+                    sleep(TURN_PAUSE.mul_f64(rand::rng().random_range(0.5..1.5))).await;
+                    continue;
+                }
+                Turn::Refuse => {
+                    let after = refusing::after(plan.route.objective, left, rand::rng().random());
+                    verdict = Verdict::Refuse { after };
+                }
+            }
         }
         let hop = match (hop, verdict) {
             (Some(hop), Verdict::Serve) if plan.may_repeat(entry) => hop,
