Reading a shared part again weighs eightfold within a region

Cause: calls of a session went to 2 or 3 engines of a region; a third of the prompt tokens read were shared parts read again, which delays the streams of all. Ruled out: calls that cross regions (the share read again did not fall when they became fewer); engines chosen by stale loads (fell by a tenth with fresh ones). Change: weight 3 to 8 in placing; that of other regions stays 3, under its own name.

--- a/crates/medlarlug-core/src/gateway/away.rs
+++ b/crates/medlarlug-core/src/gateway/away.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use crate::gateway::placing::{Demand, READ_RATE, REREAD_WEIGHT};
+use crate::gateway::placing::{Demand, READ_RATE};
 
 /// Prompt tokens of the call for which a region tells the wait.
 pub const USUAL_PROMPT: u32 = 2_000;
@@ -19,6 +19,10 @@
 /// in few regions, and parts that everyone shares are held in all.
 const UNHELD_SHARE: f64 = 0.5;
 
+/// Weight of reading a shared part again there: less than within a region, where other engines read
+/// it instead of the one that holds it, since here the own engines are behind.
+const REREAD_WEIGHT: f64 = 3.0;
+
 /// What is known of a service in another region.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Region {
--- a/crates/medlarlug-core/src/gateway/placing.rs
+++ b/crates/medlarlug-core/src/gateway/placing.rs
@@ -115,7 +115,7 @@
 /// peers have probably sent it.
 const PREFERRED_GAIN: f64 = 0.9;
 /// Weight of reading a shared part again, which delays all streams of the engine.
-pub(super) const REREAD_WEIGHT: f64 = 3.0;
+const REREAD_WEIGHT: f64 = 8.0;
 /// Queued prompt tokens above which the streams of an engine stall noticeably: a few steps in which
 /// it reads as much as it takes at once.
 const STALL_TOKENS: f64 = 12_000.0;
