Upstreams of the own availability zone cost less than those of another one

Cause: calls were spread over the upstreams of a region without regard to zones; a new connection and a call take some 16 ms more to another zone, and the bytes of half of all streams cross.

--- a/crates/medlarlug-core/src/gateway/placing.rs
+++ b/crates/medlarlug-core/src/gateway/placing.rs
@@ -78,6 +78,8 @@
     pub memory: u64,
     /// Share of its recent calls that failed, 0 to 1.
     pub failures: f64,
+    /// Time on the way to it and back.
+    pub distance: Duration,
 }
 
 /// The upstream that was chosen.
@@ -259,7 +261,7 @@
     /// use medlarlug_core::{gateway::placing::*, time::Time};
     ///
     /// let id = "engine-1".parse().unwrap();
-    /// let only = Candidate { id: &id, slots: 8, memory: 0, failures: 0.0 };
+    /// let only = Candidate { id: &id, slots: 8, memory: 0, failures: 0.0, distance: Default::default() };
     /// let choice = Loads::default().choose(Time::ZERO, &Demand::default(), &[only], 1).unwrap();
     /// assert_eq!(choice.id, id);
     /// ```
@@ -277,7 +279,9 @@
         let predicted = candidates.iter().map(|candidate| {
             let is_preferred = preferred == Some(candidate.id);
             let predicted = self.predict(now, demand, candidate, peers, is_preferred);
-            let cost = predicted.wait + predicted.others + candidate.failures.powi(2) * FAILURE_MS;
+            let way = candidate.distance.as_secs_f64() * 1_000.0;
+            let cost =
+                way + predicted.wait + predicted.others + candidate.failures.powi(2) * FAILURE_MS;
             (cost, predicted, candidate)
         });
         let best = predicted.min_by(|a, b| {
--- a/crates/medlarlug-core/tests/testsuite/gateway/placing.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/placing.rs
@@ -18,7 +18,10 @@
 }
 
 fn engines(ids: &[UpstreamId]) -> Vec<Candidate<'_>> {
-    let engine = |id| Candidate { id, slots: 128, memory: 250_000, failures: 0.0 };
+    let engine = |id| {
+        let distance = Duration::ZERO;
+        Candidate { id, slots: 128, memory: 250_000, failures: 0.0, distance }
+    };
     ids.iter().map(engine).collect()
 }
 
@@ -107,6 +110,23 @@
     assert!(wait(1) > Duration::from_millis(1_000), "{:?}", wait(1));
 }
 
+/// Calls that cross availability zones take longer and are paid for.
+#[test]
+fn nearer_engine_is_preferred_while_it_is_not_busier() {
+    let ids = ids(2);
+    let mut candidates = engines(&ids);
+    candidates[0].distance = Duration::from_millis(16);
+    let query = Demand { prompt: 800, output: 300, ..Demand::default() };
+    let mut loads = Loads::default();
+
+    let idle = loads.choose(Time::ZERO, &query, &candidates, 2).unwrap();
+    let busy = LoadReport { id: ids[1].clone(), running: 60, unread: 0, urgent: 0 };
+    loads.hear(Time::ZERO, "entry-2".parse().unwrap(), vec![busy]);
+    let beside_a_busy_one = loads.choose(Time::ZERO, &query, &candidates, 2).unwrap();
+
+    assert_eq!((idle.id, beside_a_busy_one.id), (ids[1].clone(), ids[0].clone()));
+}
+
 #[test]
 fn engine_that_fails_half_of_its_calls_is_used_last() {
     let ids = ids(2);
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -20,6 +20,9 @@
 
 /// Time from one region to another and back, and the work of the instance there.
 const REGION_TRIP: Duration = Duration::from_millis(130);
+/// Time that an upstream in another availability zone of the region costs: a new connection and the
+/// request there and back, with about 4 ms one way.
+const ZONE_TRIP: Duration = Duration::from_millis(16);
 /// Part of the local cost that the cost elsewhere has to stay below: news from there is old, and
 /// every call that crosses is paid for.
 const AWAY_SHARE: f64 = 0.8;
@@ -148,6 +151,7 @@
             .filter(|known| self.is_usable(now, known, spec.cold_rate, &entries))
             .collect();
         let healths = self.healths.borrow();
+        let own_zone = self.settings.borrow().card.zone.clone();
         let is_fresh = |known: &Known| now - known.heard <= FRESH_FOR;
         let has_fresh = usable.iter().any(|known| is_fresh(known));
         let candidates = usable.iter().filter(|known| is_fresh(known) == has_fresh);
@@ -157,6 +161,10 @@
                 slots: known.upstream.slots,
                 memory,
                 failures: healths.failures(&known.upstream.id),
+                distance: match known.upstream.zone == own_zone {
+                    true => Duration::ZERO,
+                    false => ZONE_TRIP,
+                },
             })
             .collect();
         self.loads.borrow().choose(now, demand, &candidates, entries.len())
