--- a/crates/medlarlug-core/tests/testsuite/gateway/placing.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/placing.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use medlarlug_core::{
-    gateway::placing::{Candidate, Demand, LoadReport, Loads, PromptPart},
+    gateway::placing::{Candidate, Choice, Demand, LoadReport, Loads, PromptPart},
     ids::UpstreamId,
     time::Time,
 };
@@ -193,7 +193,7 @@
     for seed in 0..5 {
         let ids = ids(5);
         let mut loads = Loads::default();
-        let mut open: Vec<(f64, medlarlug_core::gateway::placing::Choice)> = Vec::new();
+        let mut open: Vec<(f64, Choice)> = Vec::new();
 
         let placed = share_in_time(seed, |now, demand, _, emulated| {
             let time = Time::from_micros((now * 1_000.0) as u64);
@@ -291,3 +291,61 @@
 
     assert!(loads.is_free(Time::ZERO, &choice, 2));
 }
+
+/// Share of calls in time when several instances place them, which report their load twice a second
+/// and, with `tells_at_once`, each long prompt as it goes out and as it was read.
+fn share_among_instances(seed: u64, tells_at_once: bool) -> f64 {
+    const INSTANCES: usize = 12;
+    let ids = ids(5);
+    let names: Vec<medlarlug_core::ids::InstanceId> =
+        (0..INSTANCES).map(|at| format!("entry-{at}").parse().unwrap()).collect();
+    let mut all: Vec<Loads> = vec![Loads::default(); INSTANCES];
+    let mut open: Vec<(f64, usize, Choice)> = Vec::new();
+    let (mut reported, mut turn) = (0.0, 0);
+    share_in_time(seed, |now, demand, _, emulated| {
+        let time = Time::from_micros((now * 1_000.0) as u64);
+        let tell = |all: &mut Vec<Loads>, from: usize, engine: &UpstreamId| {
+            let report = all[from].report_of(engine);
+            for (at, loads) in all.iter_mut().enumerate().filter(|_| tells_at_once) {
+                if at != from {
+                    loads.hear_change(&names[from], report.clone());
+                }
+            }
+        };
+        let (done, still): (Vec<_>, Vec<_>) = open.drain(..).partition(|it| it.0 <= now);
+        open = still;
+        for (_, by, choice) in done {
+            all[by].answered(time, &choice, choice.wait);
+            all[by].ended(time, &choice, true);
+            tell(&mut all, by, &choice.id);
+        }
+        if now - reported > 500.0 {
+            reported = now;
+            for from in 0..INSTANCES {
+                let report = all[from].report();
+                for (_, loads) in all.iter_mut().enumerate().filter(|it| it.0 != from) {
+                    loads.hear(time, names[from].clone(), report.clone());
+                }
+            }
+        }
+        turn = (turn + 1) % INSTANCES;
+        let choice = all[turn].choose(time, demand, &engines(&ids), INSTANCES).unwrap();
+        all[turn].sent(time, &choice, demand, 250_000);
+        tell(&mut all, turn, &choice.id);
+        let at = ids.iter().position(|id| *id == choice.id).unwrap();
+        let done = emulated[at].free.max(now) + f64::from(choice.unread) / READ_RATE;
+        open.push((done, turn, choice));
+        at
+    })
+}
+
+/// The load of the grown sites: many instances, each with few of the calls.
+#[test]
+fn more_calls_are_in_time_when_long_prompts_are_told_at_once() {
+    for seed in 0..5 {
+        let at_once = share_among_instances(seed, true);
+        let by_reports = share_among_instances(seed, false);
+
+        assert!(at_once > by_reports, "seed {seed}: {at_once} against {by_reports}");
+    }
+}
