--- a/crates/medlarlug-core/src/gateway/budget.rs
+++ b/crates/medlarlug-core/src/gateway/budget.rs
@@ -54,6 +54,11 @@
         true
     }
 
+    /// Calls and repeats in the present window, for the log.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.calls.len(), self.repeats.len())
+    }
+
     /// Repeats that are left in the present window.
     pub fn left(&self, bounds: RetryBounds, instances: usize) -> f64 {
         let earned = bounds.ratio * self.calls.len() as f64;
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use super::{Entry, call::Call, choice::Hop, forwarded};
+use crate::metrics as names;
 
 /// Time for a connection to an upstream to open: a lost packet is repeated on a new one sooner
 /// than by the system.
@@ -57,6 +58,23 @@
     Unknown(Unknown),
 }
 
+impl Outcome {
+    /// A word for the log.
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Outcome::Answer(answer) if answer.status().is_server_error() => "failed",
+            Outcome::Answer(_) => "answered",
+            Outcome::Stream(_) => "stream",
+            Outcome::NotRun(NotRun::Refused { .. }) => "refused",
+            Outcome::NotRun(NotRun::Misdirected) => "misdirected",
+            Outcome::NotRun(NotRun::Unreachable) => "unreachable",
+            Outcome::Unknown(Unknown::Lost) => "lost",
+            Outcome::Unknown(Unknown::Silent) => "silent",
+            Outcome::Unknown(Unknown::Foreign) => "foreign",
+        }
+    }
+}
+
 /// Why a call was not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum NotRun {
@@ -292,6 +310,10 @@
             tell_if_long(entry, choice);
             if let Some(rate) = cold_rate {
                 entry.cold.borrow_mut().sent(now, &choice.id, *rate);
+                let instances = entry.region_entries().len();
+                let up_ms = (now - entry.started).as_millis() as u64;
+                metrics::counter!(names::COLD_SENDS).increment(1);
+                tracing::info!(request = %attempted.call.id, upstream = %choice.id, rate, instances, up_ms, "sending to a cold upstream");
             }
             Place::Upstream(choice.clone())
         }
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -46,8 +46,8 @@
     /// Requests that reached an upstream, refused ones included.
     pub(super) arrivals: u32,
     pub(super) unreachable: u32,
-    /// The hops that were tried, each with its predicted wait and the age of the news that the choice
-    /// rests on, for the log.
+    /// The hops that were tried, each with its predicted wait, the age of the news that the choice
+    /// rests on, and what came of it, for the log.
     pub(super) path: Vec<String>,
     pub(super) _running: Running,
 }
@@ -113,11 +113,11 @@
     }
 
     /// Whether another request may go out that repeats an earlier one, and counts it.
-    pub(super) fn may_repeat(&mut self, entry: &Entry) -> bool {
+    pub(super) fn may_repeat(&mut self, entry: &Entry, call: &Call) -> bool {
         if self.runs >= self.route.attempts.max(1) || self.arrivals >= MAX_ARRIVALS {
             return false;
         }
-        self.arrivals == 0 || entry.take_repeat(&self.service)
+        self.arrivals == 0 || entry.take_repeat(call, &self.service)
     }
 
     /// Sends the call to a hop.
@@ -166,6 +166,10 @@
             patience,
         };
         let outcome = attempt::send(entry, &attempted, hop).await;
+        if let Some(hop) = self.path.last_mut() {
+            hop.push('=');
+            hop.push_str(outcome.name());
+        }
         self.runs += match (&outcome, hop) {
             (Outcome::NotRun(_), _) => 0,
             (Outcome::Answer(answer), Hop::Peer { .. }) => runs(answer.headers()),
--- a/crates/medlarlug-gateway/src/entry/relay.rs
+++ b/crates/medlarlug-gateway/src/entry/relay.rs
@@ -111,7 +111,7 @@
 ) -> Option<Box<EventStream>> {
     while plan.route.kind.is_repeatable() && plan.last_event.is_some() {
         let hop = plan.next_hop(entry, call)?;
-        if !plan.may_repeat(entry) {
+        if !plan.may_repeat(entry, call) {
             return None;
         }
         let outcome = tokio::select! {
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -80,17 +80,21 @@
 }
 
 impl Entry {
-    /// Takes one repeat out of the budget of a service.
-    pub(super) fn take_repeat(&self, service: &ServiceName) -> bool {
+    /// Takes one repeat of `call` out of the budget of a service.
+    pub(super) fn take_repeat(&self, call: &Call, service: &ServiceName) -> bool {
         let bounds = self.settings.borrow().retries;
-        let others = self.contacts.borrow().entry_count();
+        let instances = self.contacts.borrow().entry_count().max(1);
         let now = self.now();
-        let taken = self.with_window(service, |window| window.take(now, bounds, others.max(1)));
-        match taken {
-            true => metrics::counter!(names::REPEATS).increment(1),
-            false => tracing::debug!(%service, "retry budget used up"),
-        }
-        taken
+        let (is_taken, counts, left) = self.with_window(service, |window| {
+            let is_taken = window.take(now, bounds, instances);
+            (is_taken, window.counts(), window.left(bounds, instances))
+        });
+        let name = if is_taken { names::REPEATS } else { names::REPEATS_DENIED };
+        metrics::counter!(name).increment(1);
+        let (calls, repeats) = counts;
+        let up_ms = (now - self.started).as_millis() as u64;
+        tracing::info!(request = %call.id, %service, is_taken, calls, repeats, left, instances, up_ms, "repeat asked for");
+        is_taken
     }
 
     fn count_call(&self, service: &ServiceName) {
@@ -273,7 +277,7 @@
             }
         }
         let hop = match (hop, verdict) {
-            (Some(hop), Verdict::Serve) if plan.may_repeat(entry) => hop,
+            (Some(hop), Verdict::Serve) if plan.may_repeat(entry, call) => hop,
             (hop, verdict) => {
                 if let Some(answer) = answer {
                     return Last::Answer(answer);
--- a/crates/medlarlug-gateway/src/metrics.rs
+++ b/crates/medlarlug-gateway/src/metrics.rs
@@ -8,6 +8,10 @@
 pub const HEAD_TIME: &str = "medlarlug_gateway_head_seconds";
 /// Counter: requests to upstreams beyond the first of their call.
 pub const REPEATS: &str = "medlarlug_gateway_repeats_total";
+/// Counter: repeats that the budget of their service did not allow.
+pub const REPEATS_DENIED: &str = "medlarlug_gateway_repeats_denied_total";
+/// Counter: requests to upstreams that count as cold.
+pub const COLD_SENDS: &str = "medlarlug_gateway_cold_sends_total";
 /// Counter: calls handed to another region.
 pub const FORWARDED: &str = "medlarlug_gateway_forwarded_total";
 /// Gauge: version of the route table in force.
@@ -26,6 +30,8 @@
     describe_counter!(CALLS, "Calls that ended, by outcome");
     describe_histogram!(HEAD_TIME, Unit::Seconds, "Arrival of a call to the head of its answer");
     describe_counter!(REPEATS, "Requests to upstreams beyond the first of their call");
+    describe_counter!(REPEATS_DENIED, "Repeats that the budget of their service did not allow");
+    describe_counter!(COLD_SENDS, "Requests to upstreams that count as cold");
     describe_counter!(FORWARDED, "Calls handed to another region");
     describe_gauge!(TABLE_VERSION, "Version of the route table in force");
     describe_gauge!(UPSTREAMS, "Upstreams that are known and take calls");
