Attempts that another region has refused are paid for out of the retry budget

Cause: an instance of another region that refused a call was taken not to have reached any upstream, though it may have tried some which turned the call away. The first instance then sent the call to a next upstream for free. The same held for a call that an upstream turned away because the address has been given to it.

Why this works: an instance that refuses a handed-over call tells how many requests for it reached upstreams. A call's spending counts every request that may have arrived anywhere, and pays before each further one.

--- a/crates/medlarlug-core/src/gateway/budget.rs
+++ b/crates/medlarlug-core/src/gateway/budget.rs
@@ -74,3 +74,41 @@
         }
     }
 }
+
+/// What one call has spent of the budget, at one entry instance.
+///
+/// The first request that reaches an upstream is free, each further one is paid for before it goes
+/// out. What was paid for a request that reached nobody is kept for the next one.
+///
+/// ```
+/// use medlarlug_core::gateway::budget::Spending;
+///
+/// let mut spending = Spending::default();
+/// assert!(spending.is_covered());
+/// spending.arrived();
+/// assert!(!spending.is_covered());
+/// spending.pay();
+/// assert!(spending.is_covered());
+/// ```
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Spending {
+    arrived: u32,
+    paid: u32,
+}
+
+impl Spending {
+    /// Whether the next request is free or paid for.
+    pub fn is_covered(self) -> bool {
+        self.arrived <= self.paid
+    }
+
+    /// One more request is paid for.
+    pub fn pay(&mut self) {
+        self.paid += 1;
+    }
+
+    /// A request has reached an upstream, or another instance that sent it to one.
+    pub fn arrived(&mut self) {
+        self.arrived += 1;
+    }
+}
--- a/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
@@ -5,7 +5,7 @@
 
 use medlarlug_core::{
     gateway::{
-        budget::{RetryBounds, RetryWindow},
+        budget::{RetryBounds, RetryWindow, Spending},
         cold::{ColdSends, Suspicions, sender},
         health::{CallEnd, Healths},
         upstreams::Upstreams,
@@ -177,3 +177,17 @@
     assert!(!healths.is_avoided(Time::ZERO, &id));
     assert!(healths.failures(&id) > 0.6);
 }
+
+#[test]
+fn repeat_that_reached_nobody_is_not_paid_for_again() {
+    let mut spending = Spending::default();
+    spending.arrived();
+
+    spending.pay();
+    // The connection did not open.
+    let is_covered = spending.is_covered();
+    spending.arrived();
+
+    assert!(is_covered);
+    assert!(!spending.is_covered());
+}
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -82,6 +82,8 @@
     Refused {
         /// When to come back, if it says that too.
         after: Option<Duration>,
+        /// Requests that reached upstreams on the way, more than one at another instance.
+        arrivals: u32,
     },
     /// Another upstream has the address.
     Misdirected,
@@ -373,11 +375,13 @@
         return Some(Outcome::Unknown(Unknown::Foreign));
     }
     if matches!(hop, Hop::Peer { .. }) && headers.contains_key(forwarded::NOT_RUN) {
-        return Some(Outcome::NotRun(NotRun::Refused { after: retry_after(headers) }));
+        let arrivals = forwarded::count(headers, forwarded::ARRIVALS);
+        return Some(Outcome::NotRun(NotRun::Refused { after: retry_after(headers), arrivals }));
     }
     if headers.contains_key(&names.not_run) {
         ended(entry, hop, CallEnd::Refused);
-        return Some(Outcome::NotRun(NotRun::Refused { after: retry_after(headers) }));
+        let after = retry_after(headers);
+        return Some(Outcome::NotRun(NotRun::Refused { after, arrivals: 1 }));
     }
     if answer.status() == StatusCode::MISDIRECTED_REQUEST {
         ended(entry, hop, CallEnd::Unreachable);
--- a/crates/medlarlug-gateway/src/entry/forwarded.rs
+++ b/crates/medlarlug-gateway/src/entry/forwarded.rs
@@ -1,6 +1,6 @@
 //! Headers of calls that one region hands over to another.
 
-use hyper::header::HeaderValue;
+use hyper::{HeaderMap, header::HeaderValue};
 use medlarlug_core::gateway::handover::Handover;
 
 /// Header of a call that was handed over: a [`Handover`] in JSON.
@@ -9,12 +9,21 @@
 pub(super) const NOT_RUN: &str = "medlarlug-not-run";
 /// Header of an answer to such a call: how many upstreams ran it.
 pub(super) const RUNS: &str = "medlarlug-runs";
+/// Header of an answer to such a call: how many requests for it reached upstreams.
+pub(super) const ARRIVALS: &str = "medlarlug-arrivals";
 
 pub(super) fn encode(handover: &Handover) -> Option<HeaderValue> {
     let text = serde_json::to_vec(handover).ok()?;
     HeaderValue::from_bytes(&text).ok()
 }
 
+/// A count that another instance tells; one if it tells none, as after an answer that has not come
+/// from its own code.
+pub(super) fn count(headers: &HeaderMap, name: &str) -> u32 {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.and_then(|value| value.parse().ok()).unwrap_or(1)
+}
+
 pub(super) fn decode(value: &HeaderValue) -> Option<Handover> {
     serde_json::from_slice(value.as_bytes()).ok()
 }
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -2,9 +2,9 @@
 
 use std::{rc::Rc, time::Duration};
 
-use hyper::header;
 use medlarlug_core::{
     gateway::{
+        budget::Spending,
         handover::Handover,
         patience,
         silence::{self, Source},
@@ -43,8 +43,10 @@
     pub(super) tried: Tried,
     /// Requests that an upstream has begun to run, or may have.
     pub(super) runs: u32,
-    /// Requests that reached an upstream, refused ones included.
+    /// Requests that reached an upstream, refused ones and those of other instances included.
     pub(super) arrivals: u32,
+    /// What the call has spent of the retry budget at this instance.
+    pub(super) spending: Spending,
     pub(super) unreachable: u32,
     /// The hops that were tried, each with its predicted wait, the age of the news that the choice
     /// rests on, and what came of it, for the log.
@@ -117,7 +119,13 @@
         if self.runs >= self.route.attempts.max(1) || self.arrivals >= MAX_ARRIVALS {
             return false;
         }
-        self.arrivals == 0 || entry.take_repeat(call, &self.service)
+        if !self.spending.is_covered() {
+            if !entry.take_repeat(call, &self.service) {
+                return false;
+            }
+            self.spending.pay();
+        }
+        true
     }
 
     /// Sends the call to a hop.
@@ -172,19 +180,33 @@
         }
         self.runs += match (&outcome, hop) {
             (Outcome::NotRun(_), _) => 0,
-            (Outcome::Answer(answer), Hop::Peer { .. }) => runs(answer.headers()),
-            (Outcome::Stream(stream), Hop::Peer { .. }) => runs(&stream.headers),
+            (Outcome::Answer(answer), Hop::Peer { .. }) => {
+                forwarded::count(answer.headers(), forwarded::RUNS)
+            }
+            (Outcome::Stream(stream), Hop::Peer { .. }) => {
+                forwarded::count(&stream.headers, forwarded::RUNS)
+            }
             // Nobody tells how many requests it took.
             (Outcome::Unknown(_), Hop::Peer { .. }) => self.route.attempts,
             _ => 1,
         };
+        let arrivals = match &outcome {
+            Outcome::NotRun(NotRun::Unreachable) => 0,
+            Outcome::NotRun(NotRun::Refused { arrivals, .. }) => *arrivals,
+            _ => 1,
+        };
+        self.arrivals += arrivals;
+        if arrivals > 0 {
+            // What followed the first arrival at another instance was paid for there.
+            self.spending.arrived();
+        }
         match (&outcome, hop) {
             (Outcome::NotRun(NotRun::Unreachable | NotRun::Misdirected), _) => {
                 self.unreachable += 1;
             }
-            // The other region is as busy, and no upstream has seen the call.
+            // The other region is as busy.
             (Outcome::NotRun(NotRun::Refused { .. }), Hop::Peer { .. }) => self.may_leave = false,
-            _ => self.arrivals += 1,
+            _ => {}
         }
         outcome
     }
@@ -206,9 +228,3 @@
         );
     }
 }
-
-/// Upstreams that ran a call which another instance answered.
-fn runs(headers: &header::HeaderMap) -> u32 {
-    let value = headers.get(forwarded::RUNS).and_then(|value| value.to_str().ok());
-    value.and_then(|value| value.parse().ok()).unwrap_or(1)
-}
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -7,6 +7,7 @@
 use medlarlug::transport::body::{self, Answer, BodyError};
 use medlarlug_core::{
     gateway::{
+        budget::Spending,
         handover::Handover,
         refusing::{self, Outlook, Verdict},
         table::ServiceName,
@@ -203,7 +204,8 @@
     let table = entry.table.borrow().clone();
     let Some(table) = table else {
         tracing::info!(request = %call.id, outcome = "refused", "no table yet");
-        return Err(Box::new(refusal(entry, call, NO_TABLE_AFTER, false)));
+        let handed = forwarded.is_some().then_some(0);
+        return Err(Box::new(refusal(entry, call, NO_TABLE_AFTER, handed)));
     };
     let is_forwarded = forwarded.is_some();
     let point = rand::rng().random();
@@ -233,6 +235,7 @@
         tried: Tried::default(),
         runs: 0,
         arrivals: 0,
+        spending: Spending::default(),
         unreachable: 0,
         path: Vec::new(),
         route,
@@ -315,7 +318,7 @@
                 answer = Some(found);
             }
             Outcome::Stream(stream) => return Last::Stream(stream),
-            Outcome::NotRun(NotRun::Refused { after: told }) => after = told.or(after),
+            Outcome::NotRun(NotRun::Refused { after: told, .. }) => after = told.or(after),
             Outcome::NotRun(NotRun::Misdirected | NotRun::Unreachable) => {}
             Outcome::Unknown(why) => {
                 unknown = Some(why);
@@ -358,7 +361,7 @@
         }
         Last::Refuse { after } => {
             plan.end(entry, &call, Ended::Refused);
-            refusal(entry, &call, after, is_forwarded)
+            refusal(entry, &call, after, is_forwarded.then_some(plan.arrivals))
         }
         Last::Fail { status, why } => {
             let ended = match why {
@@ -381,14 +384,16 @@
     }
 }
 
-/// Refuses a call as not run.
-fn refusal(entry: &Entry, call: &Call, after: Duration, is_forwarded: bool) -> Answer {
+/// Refuses a call as not run. Another instance that handed it over is told the `arrivals` at
+/// upstreams, and nobody else.
+fn refusal(entry: &Entry, call: &Call, after: Duration, arrivals: Option<u32>) -> Answer {
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "not run; come back later");
     let seconds = format!("{:.3}", after.as_secs_f64());
     body::insert(answer.headers_mut(), header::RETRY_AFTER.as_str(), &seconds);
-    if is_forwarded {
+    if let Some(arrivals) = arrivals {
         let yes = header::HeaderValue::from_static("1");
         answer.headers_mut().insert(forwarded::NOT_RUN, yes);
+        answer.headers_mut().insert(forwarded::ARRIVALS, arrivals.into());
     }
     echo_id(entry, call, &mut answer);
     answer
