A restarted instance has no share of the retry allowance until a window has passed

What callers and upstreams saw: entry instances that were killed and started again in series repeated calls beyond the budget. In real processes, where a start takes a few milliseconds, three instances that restarted again and again made 900 repeats of 1,500 calls within ten seconds (320 allowed).

Cause: an instance keeps what it has spent in memory, so each incarnation had its share of the allowance again in the same window. The share was also the allowance divided by the instances that it happened to know then. The class: a limit that is a sum over all instances, while each keeps its part in memory and by its own view of who is there.

Why this works: the ratio is earned by calls that the same incarnation has taken in, so this part of the sum can't be exceeded by a restart, freeze, cut or join; a restart loses it. The allowance is withheld until a window has passed since the start, except at the first start of the system, and until the instance has heard enough keepers to share one with every other instance; it is divided by the most instances ever known. Calls count for a second less than a window and repeats for a second longer, as a repeat may arrive that much later. This replaces the factor of 0.75 on both parts.

A test of a service without calls expected five repeats, 0.75 of its seventh of the allowance; half of the allowance is handed out now, so it expects three. The test of the sum counted calls of two windows; it now counts those of one, as upstreams do.

--- a/crates/medlarlug-core/src/gateway/budget.rs
+++ b/crates/medlarlug-core/src/gateway/budget.rs
@@ -1,10 +1,12 @@
-//! The share of a service's retries that one entry instance may use.
+//! The retries of a service that one entry instance may make.
 //!
 //! A service bears a number of repeated arrivals in each window, a ratio of its calls and a fixed
 //! allowance, summed over all entry instances. An instance earns the ratio from the calls that it
-//! takes in itself, and an equal part of the allowance. It divides by every instance that it has
-//! known for a while, not only by the live ones, so the sum holds while a partition makes others
-//! look dead.
+//! takes in itself, so that this part of the sum holds whoever restarts, freezes or is cut off.
+//!
+//! The allowance is divided by the most entry instances that were ever known. An instance has a
+//! share only after a whole window in which it may have inherited a predecessor's repeats, and once
+//! its [`view`](super::view) of the others was complete. Half of the allowance is never handed out.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -27,10 +29,52 @@
     }
 }
 
-/// Part of the bounds that is used; the rest covers arrivals that fall into another window there.
-const SAFE_SHARE: f64 = 0.75;
+/// Longest time from the moment at which a repeat is paid for to its arrival at an upstream: a new
+/// connection to another region, and one to an upstream there.
+const LONGEST_WAY: Duration = Duration::from_secs(1);
+/// Part of a window by which the way of a repeat is reckoned with at most.
+const WAY_SHARE: u32 = 4;
+/// Part of the allowance that is handed out; the rest covers repeats that arrive later than
+/// [`LONGEST_WAY`], and instances that others do not know yet.
+const ALLOWANCE_SHARE: f64 = 0.5;
+
+/// An instance's part of an allowance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Share {
+    /// The most entry instances that were ever known, this one included.
+    pub instances: usize,
+    /// Time for which this process has run, or `None` if there was none before it.
+    pub age: Option<Duration>,
+    /// Whether its view of the other instances was complete since it started.
+    pub has_seen_all: bool,
+}
+
+impl Share {
+    /// Repeats that the instance may make in a window beyond those that it has earned.
+    pub fn of(self, bounds: RetryBounds) -> f64 {
+        let is_inherited = self.age.is_some_and(|age| age <= bounds.window + way(bounds));
+        match self.has_seen_all && !is_inherited {
+            true => ALLOWANCE_SHARE * bounds.allowance / self.instances.max(1) as f64,
+            false => 0.0,
+        }
+    }
+}
+
+/// What a service has left at this entry instance.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Balance {
+    /// Calls that count.
+    pub calls: usize,
+    /// Repeats that count.
+    pub repeats: usize,
+    /// Repeats that are left.
+    pub left: f64,
+}
 
 /// Calls and repeats of one service at this entry instance.
+///
+/// Repeats that are paid for in a window may arrive up to [`LONGEST_WAY`] later, together with those
+/// of the next one. Calls count for a shorter time than a window, and repeats for a longer one.
 #[derive(Debug, Clone, Default)]
 pub struct RetryWindow {
     calls: VecDeque<Time>,
@@ -44,34 +88,37 @@
         self.calls.push_back(now);
     }
 
-    /// Takes one repeat out of the budget; `instances` share it.
-    pub fn take(&mut self, now: Time, bounds: RetryBounds, instances: usize) -> bool {
+    /// Takes one repeat out of the budget.
+    pub fn take(&mut self, now: Time, bounds: RetryBounds, share: Share) -> bool {
         self.trim(now, bounds);
-        if self.left(bounds, instances) < 1.0 {
+        if self.balance(bounds, share).left < 1.0 {
             return false;
         }
         self.repeats.push_back(now);
         true
     }
 
-    /// Calls and repeats in the present window, for the log.
-    pub fn counts(&self) -> (usize, usize) {
-        (self.calls.len(), self.repeats.len())
+    /// What is left at the time of the last change.
+    pub fn balance(&self, bounds: RetryBounds, share: Share) -> Balance {
+        let (calls, repeats) = (self.calls.len(), self.repeats.len());
+        let left = bounds.ratio * calls as f64 + share.of(bounds) - repeats as f64;
+        Balance { calls, repeats, left }
     }
 
-    /// Repeats that are left in the present window.
-    pub fn left(&self, bounds: RetryBounds, instances: usize) -> f64 {
-        let earned = bounds.ratio * self.calls.len() as f64;
-        let share = bounds.allowance / instances.max(1) as f64;
-        SAFE_SHARE * (earned + share) - self.repeats.len() as f64
+    fn trim(&mut self, now: Time, bounds: RetryBounds) {
+        let way = way(bounds);
+        drop_older(&mut self.calls, now, bounds.window.saturating_sub(way));
+        drop_older(&mut self.repeats, now, bounds.window + way);
     }
+}
 
-    fn trim(&mut self, now: Time, bounds: RetryBounds) {
-        for times in [&mut self.calls, &mut self.repeats] {
-            while times.front().is_some_and(|time| now - *time > bounds.window) {
-                times.pop_front();
-            }
-        }
+fn way(bounds: RetryBounds) -> Duration {
+    LONGEST_WAY.min(bounds.window / WAY_SHARE)
+}
+
+fn drop_older(times: &mut VecDeque<Time>, now: Time, age: Duration) {
+    while times.front().is_some_and(|time| now - *time > age) {
+        times.pop_front();
     }
 }
 
--- a/crates/medlarlug-core/src/gateway/contacts.rs
+++ b/crates/medlarlug-core/src/gateway/contacts.rs
@@ -205,9 +205,10 @@
         self.live(now).filter(|contact| contact.card.part == Part::Entry)
     }
 
-    /// Number of entry instances that are not forgotten yet.
-    pub fn entry_count(&self) -> usize {
-        self.known.iter().filter(|contact| contact.card.part == Part::Entry).count()
+    /// Number of entry instances that are not forgotten yet, `own` included.
+    pub fn entry_count(&self, own: &InstanceId) -> usize {
+        let cards = self.known.iter().map(|contact| &contact.card);
+        1 + cards.filter(|card| card.part == Part::Entry && card.id != *own).count()
     }
 
     fn place(&self, id: &InstanceId) -> Result<usize, usize> {
--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -8,7 +8,8 @@
 //! [`upstreams`] orders that news by incarnation and sequence. An entry instance picks an upstream
 //! by [`placing`], sends no more than [`cold`] allows to one that has just started, repeats calls
 //! within the [`budget`] of their service, and avoids upstreams that [`health`] found broken.
-//! [`contacts`] keeps track of the instances of the system itself.
+//! [`contacts`] keeps track of the instances of the system itself, and [`view`] tells whether one sees
+//! enough of the others to act on its part of a common limit.
 
 pub mod away;
 pub mod budget;
@@ -24,3 +25,4 @@
 pub mod table;
 pub mod turns;
 pub mod upstreams;
+pub mod view;
--- a/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
@@ -5,7 +5,7 @@
 
 use medlarlug_core::{
     gateway::{
-        budget::{RetryBounds, RetryWindow, Spending},
+        budget::{RetryBounds, RetryWindow, Share, Spending},
         cold::{ColdSends, Suspicions, sender},
         health::{CallEnd, Healths},
         upstreams::Upstreams,
@@ -23,6 +23,30 @@
     (0..count).map(|at| format!("entry-{at}").parse().unwrap()).collect()
 }
 
+fn share(instances: usize) -> Share {
+    Share { instances, age: None, has_seen_all: true }
+}
+
+/// Asserts that repeats stay within the bounds in every window: calls count in that window, the one
+/// before it or the one half a window before it, whichever has most.
+fn assert_within_bounds(calls: &[Time], repeats: &[Time]) {
+    let count = |times: &[Time], end: u64| {
+        let within = |it: &&Time| {
+            **it > Time::from_millis(end.saturating_sub(10_000)) && **it <= Time::from_millis(end)
+        };
+        times.iter().filter(within).count() as f64
+    };
+    for end in (10_000..60_000).step_by(100) {
+        let repeated = count(repeats, end);
+        let called = [end, end.saturating_sub(5_000), end.saturating_sub(10_000)]
+            .map(|end| count(calls, end))
+            .into_iter()
+            .fold(0.0, f64::max);
+        let limit = BOUNDS.ratio * called + BOUNDS.allowance;
+        assert!(repeated <= limit, "{repeated} repeats above {limit} at {end} ms");
+    }
+}
+
 /// All instances take as many repeats as they can, in every window of a minute.
 #[test]
 fn repeats_of_all_instances_stay_within_the_bounds() {
@@ -39,29 +63,101 @@
                 window.count(now, BOUNDS);
                 calls.push(now);
             }
-            if window.take(now, BOUNDS, instances) {
+            if window.take(now, BOUNDS, share(instances)) {
+                repeats.push(now);
+            }
+        }
+    }
+
+    assert_within_bounds(&calls, &repeats);
+}
+
+/// A burst as long as a window is over when the last repeats that it has earned are taken.
+#[test]
+fn repeats_after_a_burst_stay_within_the_bounds() {
+    let mut windows = vec![RetryWindow::default(); 7];
+    let mut calls: Vec<Time> = Vec::new();
+    let mut repeats: Vec<Time> = Vec::new();
+
+    for millis in (0..60_000).step_by(10) {
+        let now = Time::from_millis(millis);
+        for window in &mut windows {
+            if (20_000..30_000).contains(&millis) || millis % 100 == 0 {
+                window.count(now, BOUNDS);
+                calls.push(now);
+            }
+            if millis >= 30_000 && window.take(now, BOUNDS, share(7)) {
+                repeats.push(now);
+            }
+        }
+    }
+
+    assert_within_bounds(&calls, &repeats);
+}
+
+#[test]
+fn repeats_of_instances_that_restart_again_and_again_stay_within_the_bounds() {
+    let mut windows = vec![RetryWindow::default(); 7];
+    let mut started = Time::ZERO;
+    let mut calls: Vec<Time> = Vec::new();
+    let mut repeats: Vec<Time> = Vec::new();
+
+    for millis in (0..60_000).step_by(20) {
+        let now = Time::from_millis(millis);
+        if millis % 1_500 == 0 {
+            windows = vec![RetryWindow::default(); 7];
+            started = now;
+        }
+        for window in &mut windows {
+            if millis % 100 == 0 {
+                window.count(now, BOUNDS);
+                calls.push(now);
+            }
+            let share = Share { age: Some(now - started), ..share(7) };
+            if window.take(now, BOUNDS, share) {
                 repeats.push(now);
             }
         }
     }
 
-    for millis in (10_000..60_000).step_by(100) {
-        let end = Time::from_millis(millis);
-        let within = |from: u64, time: &Time| *time > Time::from_millis(from) && *time <= end;
-        let repeated = repeats.iter().filter(|it| within(millis - 10_000, it)).count() as f64;
-        let called = calls.iter().filter(|it| within(millis.saturating_sub(20_000), it)).count();
-        let limit = BOUNDS.ratio * called as f64 + BOUNDS.allowance;
-        assert!(repeated <= limit, "{repeated} repeats above {limit} at {millis} ms");
+    assert_within_bounds(&calls, &repeats);
+}
+
+/// Repeats may wait in an upstream's queue of connections and arrive with later ones.
+#[test]
+fn repeats_that_arrive_a_second_late_stay_within_the_bounds() {
+    let mut window = RetryWindow::default();
+    let mut calls: Vec<Time> = Vec::new();
+    let mut repeats: Vec<Time> = Vec::new();
+
+    for millis in (0..60_000).step_by(10) {
+        let now = Time::from_millis(millis);
+        window.count(now, BOUNDS);
+        calls.push(now);
+        if window.take(now, BOUNDS, share(1)) {
+            repeats.push(Time::from_millis(millis.div_ceil(1_000) * 1_000));
+        }
     }
+
+    assert_within_bounds(&calls, &repeats);
+}
+
+#[test]
+fn instance_that_has_not_seen_the_others_has_no_share_of_the_allowance() {
+    let mut window = RetryWindow::default();
+    let unseen = Share { has_seen_all: false, ..share(1) };
+
+    assert!(!window.take(Time::ZERO, BOUNDS, unseen));
 }
 
+/// Half of the allowance is handed out: 54 / 2 / 7.
 #[test]
 fn service_without_calls_still_has_its_share_of_the_allowance() {
     let mut window = RetryWindow::default();
 
-    let taken = (0..20).filter(|_| window.take(Time::ZERO, BOUNDS, 7)).count();
+    let taken = (0..20).filter(|_| window.take(Time::ZERO, BOUNDS, share(7))).count();
 
-    assert_eq!(taken, 5);
+    assert_eq!(taken, 3);
 }
 
 #[test]
--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -13,3 +13,4 @@
 mod silence;
 mod table;
 mod turns;
+mod view;
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -46,6 +46,7 @@
         table::{RouteTable, ServiceName, TableVersion},
         turns::TurnWaits,
         upstreams::{Effect, UpstreamState, Upstreams},
+        view::{SOURCES, View},
     },
     ids::{InstanceId, RegionId, UpstreamId},
     time::Time,
@@ -77,8 +78,6 @@
 /// Silence after which an instance is forgotten: longer than with keepers, which tell only of
 /// changes, so that an instance that returns after a long silence is told of anew.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
-/// Keepers that tell renewals, besides changes, which all keepers tell: one may be lost.
-const PRIMARY_KEEPERS: usize = 2;
 /// Part of the grace period after which calls that still run are cut.
 const GRACE_SHARE: f64 = 0.92;
 /// Pause between two looks at whether calls still run.
@@ -107,6 +106,10 @@
     fetching: Cell<Option<(TableVersion, Time)>>,
     upstreams: RefCell<Upstreams>,
     contacts: RefCell<Contacts>,
+    /// Which keepers this instance hears.
+    view: RefCell<View>,
+    /// The most entry instances that were known at once.
+    most_known: Cell<usize>,
     loads: RefCell<Loads>,
     changes: Changes,
     turn_waits: RefCell<TurnWaits>,
@@ -149,6 +152,8 @@
             fetching: Cell::default(),
             upstreams: RefCell::default(),
             contacts: RefCell::default(),
+            view: RefCell::default(),
+            most_known: Cell::default(),
             loads: RefCell::default(),
             changes: Changes::default(),
             turn_waits: RefCell::default(),
@@ -340,7 +345,13 @@
         }
     }
 
-    /// The keepers with an open link that are nearest, see [`PRIMARY_KEEPERS`].
+    /// Takes in which keepers there are now, for the view.
+    fn look(&self) {
+        self.view.borrow_mut().look(self.now(), &self.keepers());
+    }
+
+    /// The keepers with an open link that are nearest; as many tell renewals, besides changes, which
+    /// all keepers tell.
     fn primaries(&self) -> Vec<SocketAddr> {
         let own = self.card();
         let contacts = self.contacts.borrow();
@@ -354,7 +365,7 @@
         };
         let mut open = self.links.open_to();
         open.sort_by_key(|address| (distance(address), *address));
-        open.truncate(PRIMARY_KEEPERS);
+        open.truncate(SOURCES);
         open
     }
 
@@ -460,7 +471,10 @@
     }
 
     fn receive(&self, from: SocketAddr, message: Message) {
-        self.contacts.borrow_mut().renew_at(self.now(), from);
+        let now = self.now();
+        self.contacts.borrow_mut().renew_at(now, from);
+        self.view.borrow_mut().hear(now, from);
+        self.look();
         match message {
             Message::News(news) => self.on_news(from, news),
             Message::Document { version, bytes } => self.on_document(from, version, &bytes),
@@ -481,6 +495,7 @@
             tracing::info!(upstream = %id, "upstream forgotten");
         }
         entry.links.follow(&entry);
+        entry.look();
         let wanted = entry.head.borrow().version;
         if wanted > entry.version() {
             for keeper in entry.keepers() {
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -7,7 +7,7 @@
 use medlarlug::transport::body::{self, Answer, BodyError};
 use medlarlug_core::{
     gateway::{
-        budget::Spending,
+        budget::{Balance, Share, Spending},
         handover::Handover,
         refusing::{self, Outlook, Verdict},
         table::ServiceName,
@@ -84,20 +84,33 @@
     /// Takes one repeat of `call` out of the budget of a service.
     pub(super) fn take_repeat(&self, call: &Call, service: &ServiceName) -> bool {
         let bounds = self.settings.borrow().retries;
-        let instances = self.contacts.borrow().entry_count().max(1);
         let now = self.now();
-        let (is_taken, counts, left) = self.with_window(service, |window| {
-            let is_taken = window.take(now, bounds, instances);
-            (is_taken, window.counts(), window.left(bounds, instances))
+        let share = self.share(now);
+        let (is_taken, balance) = self.with_window(service, |window| {
+            (window.take(now, bounds, share), window.balance(bounds, share))
         });
         let name = if is_taken { names::REPEATS } else { names::REPEATS_DENIED };
         metrics::counter!(name).increment(1);
-        let (calls, repeats) = counts;
+        let Balance { calls, repeats, left } = balance;
+        let (share, instances) = (share.of(bounds), share.instances);
         let up_ms = (now - self.started).as_millis() as u64;
-        tracing::info!(request = %call.id, %service, is_taken, calls, repeats, left, instances, up_ms, "repeat asked for");
+        tracing::info!(request = %call.id, %service, is_taken, calls, repeats, left, share, instances, up_ms, "repeat asked for");
         is_taken
     }
 
+    /// This instance's part of what services bear beyond the ratio of repeats.
+    fn share(&self, now: Time) -> Share {
+        let settings = self.settings.borrow();
+        let is_first = settings.first_start;
+        let known = self.contacts.borrow().entry_count(&settings.card.id);
+        self.most_known.set(self.most_known.get().max(known));
+        Share {
+            instances: self.most_known.get(),
+            age: (!is_first).then(|| now - self.started),
+            has_seen_all: self.view.borrow().was_complete(),
+        }
+    }
+
     fn count_call(&self, service: &ServiceName) {
         let bounds = self.settings.borrow().retries;
         let now = self.now();
