Only an instance whose view of the others is settled sends to a cold upstream

What upstreams saw: a cold upstream that bears 2.6 requests a second, 6.9 at most within one second with the tolerated excess, got 7 while the keepers stood still.

Cause: one entry instance sends to a cold upstream, picked among those that look alive. An instance that hears no keeper for 2.5 s takes all others for silent and picks itself. Where three instances serve a region, all three send. The same happens in an instance that wakes from a freeze, until the next word of a keeper.

Starts were ruled out as the main cause: an upstream is heard of in the same message as the other instances.

Why this works: an instance acts as the sender only while it hears all keepers but one, and has done so for 2.5 s without a gap, by a clock that counts suspension. Any two such instances share a keeper that tells each of the other. A cut-off instance stops 1.5 s after the last word; others take its place after 2.5 s. Behind a cut nobody sends, and the upstream becomes warm by itself.

--- a/crates/medlarlug-core/src/gateway/cold.rs
+++ b/crates/medlarlug-core/src/gateway/cold.rs
@@ -2,8 +2,9 @@
 //!
 //! The limit holds for all entry instances together. Instances that see the same peers agree on
 //! one of them that sends to a cold upstream, by the highest rank of the pair of upstream and
-//! instance. While two instances disagree about who is alive, both may send; the rate is low
-//! enough for that.
+//! instance. It sends only while its [`view`](super::view) of the others is settled: behind a cut,
+//! after a freeze or a start, and while keepers are down, a cold upstream gets nothing and becomes
+//! warm by itself.
 
 use std::time::Duration;
 
--- a/crates/medlarlug-core/src/gateway/view.rs
+++ b/crates/medlarlug-core/src/gateway/view.rs
@@ -14,6 +14,9 @@
 pub const SOURCES: usize = 2;
 /// Age of the last word of a keeper up to which it counts as heard: as long as a link may be silent.
 pub const HEARD_FOR: Duration = Duration::from_millis(1_500);
+/// Time for which a view has to be complete before an instance acts alone on it: until all others
+/// have heard of it, or count it as silent, see [`ALIVE_FOR`](super::contacts::ALIVE_FOR).
+const SETTLING_TIME: Duration = Duration::from_millis(2_500);
 
 /// Which keepers an instance hears.
 #[derive(Debug, Clone, Default)]
@@ -50,6 +53,13 @@
         self.was_complete |= is_complete;
     }
 
+    /// Whether the instance may act alone on what it sees: its view is complete, and has been for
+    /// long enough that no other one acts on an older view.
+    pub fn is_settled(&self, now: Time) -> bool {
+        let is_settled = self.complete.is_some_and(|since| now - since >= SETTLING_TIME);
+        is_settled && now - self.looked <= HEARD_FOR
+    }
+
     /// Whether the view was complete at any time.
     pub fn was_complete(&self) -> bool {
         self.was_complete
--- a/crates/medlarlug-core/tests/testsuite/gateway/view.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/view.rs
@@ -29,3 +29,49 @@
 fn instance_that_knows_no_keeper_sees_nobody() {
     assert!(!view(0, 0).was_complete());
 }
+
+/// A view of an instance that hears all of three keepers from the start to `until`, in milliseconds.
+fn heard_until(until: u64) -> View {
+    let keepers = keepers(3);
+    let mut view = View::default();
+    for millis in (0..=until).step_by(400) {
+        let now = Time::from_millis(millis);
+        keepers.iter().for_each(|keeper| view.hear(now, *keeper));
+        view.look(now, &keepers);
+    }
+    view
+}
+
+#[test]
+fn view_settles_once_others_have_heard_of_the_instance() {
+    assert!(!heard_until(2_000).is_settled(Time::from_millis(2_000)));
+    assert!(heard_until(2_800).is_settled(Time::from_millis(2_800)));
+}
+
+/// Both were senders of a cold upstream: others took the sleeper's place while it was silent.
+#[test]
+fn instance_that_wakes_from_a_freeze_does_not_act_on_its_old_view() {
+    let mut view = heard_until(8_000);
+    let woken = Time::from_millis(13_000);
+
+    let at_once = view.is_settled(woken);
+    keepers(3).iter().for_each(|keeper| view.hear(woken, *keeper));
+    view.look(woken, &keepers(3));
+
+    assert!(!at_once);
+    assert!(!view.is_settled(woken));
+}
+
+#[test]
+fn instance_that_hears_one_of_three_keepers_does_not_act_alone() {
+    let keepers = keepers(3);
+    let mut view = heard_until(4_000);
+
+    for millis in (4_000..=6_000).step_by(400) {
+        let now = Time::from_millis(millis);
+        view.hear(now, keepers[0]);
+        view.look(now, &keepers);
+    }
+
+    assert!(!view.is_settled(Time::from_millis(6_000)));
+}
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -191,7 +191,8 @@
         if cold_rate <= 0.0 || !self.is_cold(now, known) {
             return true;
         }
-        let is_sender = cold::sender(&upstream.id, entries) == Some(&settings.card.id);
+        let is_sender = self.view.borrow().is_settled(now)
+            && cold::sender(&upstream.id, entries) == Some(&settings.card.id);
         is_sender && self.cold.borrow().may_send(now, &upstream.id, cold_rate)
     }
 
