An upstream that turns cold again before it was warm is told to every entry instance

What upstreams would see: more requests than a cold upstream bears, from all entry instances of its region, from the end of its first cold time to that of the second.

Cause: keepers pass on announcements that changed something, and of the others only that they came. An announcement with a longer cold time than before, by an upstream that was still cold, counted as a renewal, so entry instances took it for warm when the first time was over.

Evidence: the test of the core, which failed before (renewed instead of changed). The users' case can't be told from their report; this is one candidate for it.

Why this works: an announcement that moves the end of the cold time back by more than the jitter of its way is a change.

--- a/crates/medlarlug-core/src/gateway/upstreams.rs
+++ b/crates/medlarlug-core/src/gateway/upstreams.rs
@@ -77,6 +77,12 @@
     pub fn cold_left(&self, now: Time) -> Duration {
         self.upstream.cold.saturating_sub(now - self.heard)
     }
+
+    /// Whether an announcement that was heard at `heard` says that it stays cold for longer than
+    /// the last one said.
+    fn is_cold_longer(&self, upstream: &Upstream, heard: Time) -> bool {
+        heard + upstream.cold > self.heard + self.upstream.cold + COLD_JITTER
+    }
 }
 
 /// What an announcement changed.
@@ -94,6 +100,10 @@
 /// partition between upstreams and keepers.
 pub const FORGET_AFTER: Duration = Duration::from_secs(40);
 
+/// Time by which the end of a cold time may seem to move from one announcement to the next: the
+/// way of one with a lost packet.
+const COLD_JITTER: Duration = Duration::from_millis(300);
+
 /// Sequence numbers with which an incarnation whose predecessor left without a known birth may
 /// begin.
 const FIRST_SEQUENCES: u64 = 3;
@@ -147,7 +157,8 @@
             && old.state == upstream.state
             && old.address == upstream.address
             && old.service == upstream.service
-            && old.cold.is_zero() == upstream.cold.is_zero();
+            && old.cold.is_zero() == upstream.cold.is_zero()
+            && (upstream.cold.is_zero() || !known.is_cold_longer(&upstream, heard));
         self.renewal += 1;
         known.heard = heard.max(known.heard);
         known.upstream = upstream;
--- a/crates/medlarlug-core/tests/testsuite/gateway/announcements.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/announcements.rs
@@ -157,3 +157,29 @@
         assert_eq!(newest, (Birth(2_000), UpstreamState::Draining), "seed {seed}");
     }
 }
+
+/// Keepers pass on what has changed; of a renewal they pass on no more than that it came.
+#[test]
+fn upstream_that_turns_cold_again_before_it_is_warm_has_changed() {
+    let mut upstreams = Upstreams::default();
+    let cold = |sequence, seconds| Upstream {
+        cold: Duration::from_secs(seconds),
+        ..upstream("engine-1", sequence)
+    };
+    upstreams.announce(Time::ZERO, cold(1, 3), NOW);
+
+    let cooling = upstreams.announce(Time::from_millis(1_000), cold(2, 2), NOW);
+    let again = upstreams.announce(Time::from_millis(2_000), cold(3, 3), NOW);
+
+    assert_eq!((cooling, again), (Effect::Renewed, Effect::Changed));
+}
+
+#[test]
+fn warm_upstream_that_stays_warm_is_renewed() {
+    let mut upstreams = Upstreams::default();
+    upstreams.announce(Time::ZERO, upstream("engine-1", 1), NOW);
+
+    let later = upstreams.announce(Time::from_millis(1_200), upstream("engine-1", 2), NOW);
+
+    assert_eq!(later, Effect::Renewed);
+}
