Instances that were away learn when zones were restored, and count them as cold

What upstreams saw: three entry instances that were killed right after the evacuation of a zone was withdrawn sent 30 requests in a second to an upstream that may have been cold; it bears 6.

Cause: upstreams of a restored zone may have turned cold before they say so, and count as cold until they are heard anew. An instance that had not seen the evacuation, since it started or was cut off meanwhile, took them for warm. So did one that got an announcement from before the withdrawal late: its age counts from its arrival at a keeper.

Why this works: keepers note when a zone was restored and tell it with the replicated state. An instance compares the number of changes of the evacuated zones with those that it can see; if some are missing, it takes the keeper's times over. A keeper that was away itself counts all zones as restored when it came back. An announcement counts only if it was made 300 ms after the withdrawal or later.

--- a/crates/medlarlug-core/src/gateway/cold.rs
+++ b/crates/medlarlug-core/src/gateway/cold.rs
@@ -30,6 +30,10 @@
     instances.iter().max_by_key(|instance| rank(instance.as_str(), upstream.as_str()))
 }
 
+/// Longest way of an announcement that its age does not show: from another region, with a lost
+/// packet.
+const NEWS_DELAY: Duration = Duration::from_millis(300);
+
 /// What may have turned upstreams cold without their having told so yet: the end of an evacuation,
 /// or a crash that is seen as a connection that does not open.
 ///
@@ -41,24 +45,51 @@
 }
 
 impl Suspicions {
-    /// The evacuation of a zone was withdrawn.
-    pub fn restored(&mut self, now: Time, zone: &ZoneId) {
+    /// The evacuation of a zone was withdrawn at `when`.
+    pub fn restored(&mut self, when: Time, zone: &ZoneId) {
         match self.restored.binary_search_by(|it| it.0.cmp(zone)) {
-            Ok(at) => self.restored[at].1 = now,
-            Err(at) => self.restored.insert(at, (zone.clone(), now)),
+            Ok(at) => self.restored[at].1 = self.restored[at].1.max(when),
+            Err(at) => self.restored.insert(at, (zone.clone(), when)),
         }
     }
 
+    /// The zones that were evacuated, and when that was withdrawn last.
+    pub fn all_restored(&self) -> &[(ZoneId, Time)] {
+        &self.restored
+    }
+
     /// Whether the upstream counts as cold: it has said so, or may have turned cold since it was
     /// last heard. `unreachable` is when a connection to it last failed.
     pub fn is_cold(&self, now: Time, known: &Known, unreachable: Option<Time>) -> bool {
         let zone = self.restored.binary_search_by(|it| it.0.cmp(&known.upstream.zone));
-        let restored = zone.ok().map(|at| self.restored[at].1);
+        let restored = zone.ok().map(|at| self.restored[at].1 + NEWS_DELAY);
         let is_suspect = restored.max(unreachable).is_some_and(|since| known.heard <= since);
         is_suspect || !known.cold_left(now).is_zero()
     }
 }
 
+/// The evacuated zones, sorted, and how often they have changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Evacuations<'a> {
+    /// Number of changes.
+    pub round: u64,
+    /// The zones.
+    pub zones: &'a [ZoneId],
+}
+
+impl Evacuations<'_> {
+    /// The zones that were restored between an earlier state and this one; `None` if there were
+    /// more changes than can be seen, so that any zone may have been evacuated and restored.
+    pub fn restored_since(self, before: Evacuations) -> Option<Vec<ZoneId>> {
+        let lacks = |zones: &[ZoneId], zone: &ZoneId| zones.binary_search(zone).is_err();
+        let restored = before.zones.iter().filter(|zone| lacks(self.zones, zone));
+        let evacuated = self.zones.iter().filter(|zone| lacks(before.zones, zone));
+        let restored: Vec<ZoneId> = restored.cloned().collect();
+        let seen = (restored.len() + evacuated.count()) as u64;
+        (self.round.saturating_sub(before.round) <= seen).then_some(restored)
+    }
+}
+
 /// When this instance may send to the cold upstreams that it is the sender for.
 #[derive(Debug, Clone, Default)]
 pub struct ColdSends {
--- a/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
@@ -6,11 +6,11 @@
 use medlarlug_core::{
     gateway::{
         budget::{RetryBounds, RetryWindow, Share, Spending},
-        cold::{ColdSends, Suspicions, sender},
+        cold::{ColdSends, Evacuations, Suspicions, sender},
         health::{CallEnd, Healths},
         upstreams::Upstreams,
     },
-    ids::InstanceId,
+    ids::{InstanceId, ZoneId},
     time::Time,
 };
 
@@ -212,6 +212,43 @@
     assert_eq!((before, after), (true, false));
 }
 
+fn zones(names: &[&str]) -> Vec<ZoneId> {
+    names.iter().map(|name| name.parse().unwrap()).collect()
+}
+
+#[test]
+fn restored_zones_are_those_that_were_evacuated_before() {
+    let (before, after) = (zones(&["kochi-a", "kollam-a"]), zones(&["kochi-a"]));
+
+    let restored = Evacuations { round: 3, zones: &after }
+        .restored_since(Evacuations { round: 2, zones: &before });
+
+    assert_eq!(restored, Some(zones(&["kollam-a"])));
+}
+
+/// An instance that was cut off, or has just started, took a restored zone for warm.
+#[test]
+fn evacuation_that_came_and_went_unseen_may_have_been_of_any_zone() {
+    let restored =
+        Evacuations { round: 2, zones: &[] }.restored_since(Evacuations { round: 0, zones: &[] });
+
+    assert_eq!(restored, None);
+}
+
+/// Its age counts from its arrival at a keeper, so it may seem a little younger than it is.
+#[test]
+fn announcement_from_before_a_zone_was_restored_does_not_make_an_upstream_warm() {
+    let mut upstreams = Upstreams::default();
+    let mut suspicions = Suspicions::default();
+    suspicions.restored(Time::from_millis(500), &"kochi-a".parse().unwrap());
+
+    let now = Time::from_millis(900);
+    upstreams.announce(now, upstream("engine-1", 1), Duration::from_millis(250));
+
+    let known = upstreams.get(&"engine-1".parse().unwrap()).unwrap();
+    assert!(suspicions.is_cold(now, known, None));
+}
+
 #[test]
 fn unreachable_upstream_counts_as_cold_until_it_is_heard_anew() {
     let mut upstreams = Upstreams::default();
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -48,7 +48,7 @@
         upstreams::{Effect, UpstreamState, Upstreams},
         view::{SOURCES, View},
     },
-    ids::{InstanceId, RegionId, UpstreamId},
+    ids::{InstanceId, RegionId, UpstreamId, ZoneId},
     time::Time,
 };
 use tokio::{
@@ -323,7 +323,7 @@
             *self.waits.borrow_mut() = news.waits;
         }
         if let Some(head) = news.head {
-            self.on_head(from, head);
+            self.on_head(from, head, &news.restored);
         }
         self.links.send(from, &Message::Seen(news.number));
     }
@@ -369,13 +369,20 @@
         open
     }
 
-    fn on_head(&self, from: SocketAddr, head: Head) {
+    fn on_head(&self, from: SocketAddr, head: Head, restored: &[(ZoneId, u32)]) {
         let mut own = self.head.borrow_mut();
         if head.round > own.round {
-            tracing::info!(round = head.round, evacuated = ?head.evacuated, %from, "evacuated zones changed");
-            let restored = own.evacuated.iter().filter(|zone| !head.evacuated.contains(zone));
-            for zone in restored {
-                self.suspicions.borrow_mut().restored(self.now(), zone);
+            let now = self.now();
+            let seen = head.evacuations().restored_since(own.evacuations());
+            let was_away = seen.is_none();
+            tracing::info!(round = head.round, evacuated = ?head.evacuated, was_away, ?restored, %from, "evacuated zones changed");
+            let mut suspicions = self.suspicions.borrow_mut();
+            match seen {
+                Some(zones) => zones.iter().for_each(|zone| suspicions.restored(now, zone)),
+                None => restored.iter().for_each(|(zone, age)| {
+                    let age = Duration::from_millis((*age).into());
+                    suspicions.restored(now.saturating_sub(age), zone);
+                }),
             }
             own.round = head.round;
             own.evacuated = head.evacuated;
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -30,6 +30,7 @@
 };
 use medlarlug_core::{
     gateway::{
+        cold::Suspicions,
         contacts::{Card, Contacts, Part, Status},
         table::RouteTable,
         upstreams::{Effect, UpstreamState, Upstreams},
@@ -91,6 +92,8 @@
     calls: RefCell<Vec<(u64, oneshot::Sender<GroupReply>)>>,
     last_call: Cell<u64>,
     head: RefCell<Head>,
+    /// When evacuations of zones were withdrawn.
+    suspicions: RefCell<Suspicions>,
     /// The membership that was logged last.
     membership: RefCell<Option<Membership>>,
     table: RefCell<Option<Rc<RouteTable>>>,
@@ -128,6 +131,7 @@
             calls: RefCell::default(),
             last_call: Cell::new(0),
             head: RefCell::default(),
+            suspicions: RefCell::default(),
             membership: RefCell::default(),
             table: RefCell::default(),
             unsynced: RefCell::default(),
@@ -293,6 +297,14 @@
                 }
             }
         }
+        let restored = head.evacuations().restored_since(self.head.borrow().evacuations());
+        let restored = restored.unwrap_or_else(|| {
+            // After a start, or a snapshot, nobody tells when that was.
+            let settings = self.settings.borrow();
+            settings.zones.iter().map(|it| it.0.clone()).collect()
+        });
+        let now = self.now();
+        restored.iter().for_each(|zone| self.suspicions.borrow_mut().restored(now, zone));
         *self.head.borrow_mut() = head;
     }
 
@@ -302,7 +314,13 @@
         let head = self.head.borrow();
         let upstreams = self.upstreams.borrow();
         let contacts = self.contacts.borrow();
-        let knowledge = Knowledge { upstreams: &upstreams, contacts: &contacts, head: &head };
+        let suspicions = self.suspicions.borrow();
+        let knowledge = Knowledge {
+            upstreams: &upstreams,
+            contacts: &contacts,
+            head: &head,
+            suspicions: &suspicions,
+        };
         subscribers.push(self.now(), knowledge);
     }
 
--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -10,6 +10,7 @@
 use medlarlug::protocol::{GroupReply, GroupRequest};
 use medlarlug_core::{
     gateway::{
+        cold::Evacuations,
         contacts::{Card, RegionWait, Status},
         table::TableVersion,
         upstreams::{Renewal, Upstream},
@@ -53,6 +54,9 @@
     pub renewals: Vec<Renewal>,
     /// The replicated state.
     pub head: Option<Head>,
+    /// With the replicated state: the zones that were evacuated before, and how long ago that was
+    /// withdrawn at most, in milliseconds.
+    pub restored: Vec<(ZoneId, u32)>,
     /// Instances that are new or have changed, whether each is ready, and for how long it was
     /// silent, in milliseconds.
     pub contacts: Vec<(Card, bool, u32)>,
@@ -62,6 +66,13 @@
     pub waits: Vec<RegionWait>,
 }
 
+impl Head {
+    /// The evacuated zones.
+    pub fn evacuations(&self) -> Evacuations<'_> {
+        Evacuations { round: self.round, zones: &self.evacuated }
+    }
+}
+
 /// The replicated state without its document.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Head {
--- a/crates/medlarlug-gateway/src/subscribers.rs
+++ b/crates/medlarlug-gateway/src/subscribers.rs
@@ -8,6 +8,7 @@
 
 use medlarlug_core::{
     gateway::{
+        cold::Suspicions,
         contacts::{Contacts, Part, RegionWait},
         upstreams::{Known, Renewal, Upstreams},
     },
@@ -56,6 +57,7 @@
     pub(crate) upstreams: &'a Upstreams,
     pub(crate) contacts: &'a Contacts,
     pub(crate) head: &'a Head,
+    pub(crate) suspicions: &'a Suspicions,
 }
 
 /// All links that other processes opened.
@@ -137,7 +139,7 @@
 
 impl Subscriber {
     fn news(&mut self, now: Time, knowledge: Knowledge) -> Option<News> {
-        let Knowledge { upstreams, contacts, head } = knowledge;
+        let Knowledge { upstreams, contacts, head, suspicions } = knowledge;
         let mut news = News::default();
         let is_keeper = self.part == Part::Keeper;
         // Another keeper hears the rest from whoever has heard it first.
@@ -156,6 +158,8 @@
         }
         if self.sent.head.as_ref() != Some(head) {
             news.head = Some(head.clone());
+            let restored = suspicions.all_restored().iter();
+            news.restored = restored.map(|it| (it.0.clone(), millis(now - it.1))).collect();
             self.sent.head = Some(head.clone());
         }
         let is_due = self.sent.renewed.is_none_or(|sent| now - sent >= RENEWAL_INTERVAL);
