A process that has just started can tell how old the news are that it is told

What callers saw: after the restart of an entry instance calls went to an upstream that had not announced itself for five seconds, all 20 of them, though another one had just done so. An upstream that crashed, or started anew behind a cut, looked like one that was heard a moment ago.

Cause: the clock of a process began at zero with its start, and the moment of what another one heard is that reading less its age, cut off at zero. Every age beyond that of the process itself was lost. The class: a time that can't be represented is turned into one that can, in silence. Ages of upstreams, of other instances and of withdrawn evacuations go through the same subtraction.

Why this works: the clock of the gateway's processes begins ten minutes into its range, and nothing is remembered for longer than a minute.

--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -65,7 +65,7 @@
     link::{Head, Message, News},
     loads::{self, Changes},
     metrics as names,
-    settings::NodeSettings,
+    settings::{LONGEST_AGE, NodeSettings},
 };
 
 /// Time between two rounds of upkeep.
@@ -141,7 +141,7 @@
         stop: watch::Receiver<bool>,
     ) -> Result<Rc<Entry>, ServerError> {
         let internal = http_server::listen("peers", settings.card.internal).await?;
-        let clock = Clock::start();
+        let clock = Clock::start_after(LONGEST_AGE);
         let entry = Rc::new(Entry {
             settings: RefCell::new(settings),
             names,
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -51,7 +51,7 @@
 use crate::{
     follower::{Links, Owner, chain},
     link::{Head, Message, News},
-    settings::{NO_TABLE, NodeSettings, address_of, instance_at},
+    settings::{LONGEST_AGE, NO_TABLE, NodeSettings, address_of, instance_at},
     subscribers::{Knowledge, Subscribers},
 };
 
@@ -110,7 +110,7 @@
     ///
     /// The durable state can't be used, or the internal address can't be listened at.
     pub async fn start(settings: NodeSettings) -> Result<Rc<Keeper>, KeeperError> {
-        let clock = Clock::start();
+        let clock = Clock::start_after(LONGEST_AGE);
         let path = settings.data.clone().ok_or(KeeperError::NoFolder)?;
         let folder = DataFolder::open(&path, &settings.card.id)?;
         let journal = Journal::open(&folder)?;
--- a/crates/medlarlug-gateway/src/settings.rs
+++ b/crates/medlarlug-gateway/src/settings.rs
@@ -91,5 +91,9 @@
     Some(SocketAddr::new(ip, port))
 }
 
+/// Age up to which a process that has just started can tell how old news are: longer than anything is
+/// remembered.
+pub(crate) const LONGEST_AGE: Duration = Duration::from_secs(600);
+
 /// The version before the first table.
 pub const NO_TABLE: TableVersion = TableVersion(0);
--- a/src/coordination/clock.rs
+++ b/src/coordination/clock.rs
@@ -18,18 +18,38 @@
 /// ```
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    origin: Duration,
+    /// Boot time of the start.
+    start: Duration,
+    /// Reading at the start.
+    first: Time,
 }
 
 impl Clock {
     /// A clock whose origin is now.
     pub fn start() -> Clock {
-        Clock { origin: boot_time() }
+        Clock::start_after(Duration::ZERO)
+    }
+
+    /// A clock that was started `past` ago, so that it can tell when something was that is up to
+    /// `past` older than the process.
+    ///
+    /// ```
+    /// use medlarlug::coordination::clock::Clock;
+    /// use medlarlug_core::time::Time;
+    /// use std::time::Duration;
+    ///
+    /// let age = Duration::from_secs(40);
+    /// let clock = Clock::start_after(Duration::from_secs(60));
+    /// let now = clock.now();
+    /// assert_eq!(now - now.saturating_sub(age), age);
+    /// ```
+    pub fn start_after(past: Duration) -> Clock {
+        Clock { start: boot_time(), first: Time::ZERO + past }
     }
 
     /// The current reading.
     pub fn now(&self) -> Time {
-        Time::ZERO + boot_time().saturating_sub(self.origin)
+        self.first + boot_time().saturating_sub(self.start)
     }
 }
 
