An upstream that is no longer heard counts as cold unless it goes on answering

What upstreams saw: three entry instances that were started again sent 30 requests in a second to an upstream whose last announcement was five seconds old. It may have started anew behind a cut from the keepers, and then bears 6.

Cause: an upstream counts as warm as its last announcement says, for 40 seconds. An instance that was there sees a crash as a connection that does not open; one that has just started has seen nothing.

Why this works: an announcement older than 4.5 s, three missed, vouches for its upstream only at an instance that has had an answer from it since and no broken connection. Upstreams that are heard are preferred as before, so this matters only where none of a region's is.

--- a/crates/medlarlug-core/src/gateway/cold.rs
+++ b/crates/medlarlug-core/src/gateway/cold.rs
@@ -34,8 +34,12 @@
 /// packet.
 const NEWS_DELAY: Duration = Duration::from_millis(300);
 
+/// Age of an announcement up to which its upstream is taken for the one that made it: three missed
+/// in a row. After that, it may have started anew where it can't announce itself.
+pub const FRESH_FOR: Duration = Duration::from_millis(4_500);
+
 /// What may have turned upstreams cold without their having told so yet: the end of an evacuation,
-/// or a crash that is seen as a connection that does not open.
+/// a crash that is seen as a connection that does not open, or a start behind a cut.
 ///
 /// Such an upstream counts as cold until it announces itself anew.
 #[derive(Debug, Clone, Default)]
@@ -59,12 +63,32 @@
     }
 
     /// Whether the upstream counts as cold: it has said so, or may have turned cold since it was
-    /// last heard. `unreachable` is when a connection to it last failed.
-    pub fn is_cold(&self, now: Time, known: &Known, unreachable: Option<Time>) -> bool {
+    /// last heard.
+    pub fn is_cold(&self, now: Time, known: &Known, contact: Contact) -> bool {
         let zone = self.restored.binary_search_by(|it| it.0.cmp(&known.upstream.zone));
         let restored = zone.ok().map(|at| self.restored[at].1 + NEWS_DELAY);
-        let is_suspect = restored.max(unreachable).is_some_and(|since| known.heard <= since);
-        is_suspect || !known.cold_left(now).is_zero()
+        let suspect = restored.max(contact.unreachable);
+        let is_suspect = suspect.is_some_and(|since| known.heard <= since);
+        let is_unheard = now - known.heard > FRESH_FOR && !contact.has_lasted_since(known.heard);
+        is_suspect || is_unheard || !known.cold_left(now).is_zero()
+    }
+}
+
+/// What an instance has seen of an upstream in its own calls.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Contact {
+    /// When it last answered.
+    pub answered: Option<Time>,
+    /// When a connection to it last broke.
+    pub broken: Option<Time>,
+    /// When a connection to it last failed to open.
+    pub unreachable: Option<Time>,
+}
+
+impl Contact {
+    /// Whether it has answered since, and no connection has broken.
+    fn has_lasted_since(self, since: Time) -> bool {
+        self.answered > Some(since) && self.broken.max(self.unreachable) <= Some(since)
     }
 }
 
--- a/crates/medlarlug-core/src/gateway/health.rs
+++ b/crates/medlarlug-core/src/gateway/health.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use crate::{ids::UpstreamId, time::Time};
+use crate::{gateway::cold::Contact, ids::UpstreamId, time::Time};
 
 /// First time for which an upstream is avoided that takes no more calls; places free up within a
 /// few steps of an engine.
@@ -26,8 +26,10 @@
 pub enum CallEnd {
     /// A whole answer.
     Answered,
-    /// The upstream answered with a failure of its own, or broke its answer off.
+    /// The upstream answered with a failure of its own, or with what is no answer.
     Failed,
+    /// The connection ended before the answer was whole.
+    Broken,
     /// The upstream refused the call as not run: it is full, or says so.
     Refused,
     /// No connection, or silence.
@@ -39,8 +41,7 @@
     id: UpstreamId,
     strikes: u32,
     avoid: Option<Time>,
-    /// When it was last unreachable.
-    unreachable: Option<Time>,
+    contact: Contact,
     failures: f64,
 }
 
@@ -70,18 +71,22 @@
         let health = self.entry(id);
         match end {
             CallEnd::Answered => {
+                health.contact.answered = Some(now);
                 health.failures *= 1.0 - SMOOTHING;
                 health.strikes = 0;
                 health.avoid = None;
                 None
             }
-            CallEnd::Failed => {
+            CallEnd::Failed | CallEnd::Broken => {
+                if end == CallEnd::Broken {
+                    health.contact.broken = Some(now);
+                }
                 health.failures += SMOOTHING * (1.0 - health.failures);
                 None
             }
             CallEnd::Refused => health.strike(now, FIRST_REST, LONGEST_REST),
             CallEnd::Unreachable => {
-                health.unreachable = Some(now);
+                health.contact.unreachable = Some(now);
                 health.strike(now, FIRST_PAUSE, LONGEST_PAUSE)
             }
         }
@@ -100,9 +105,9 @@
         at.is_ok_and(|at| self.known[at].avoid.is_some_and(|until| now < until))
     }
 
-    /// When the upstream was last unreachable.
-    pub fn unreachable(&self, id: &UpstreamId) -> Option<Time> {
-        self.place(id).ok().and_then(|at| self.known[at].unreachable)
+    /// What calls have shown of the upstream's connections.
+    pub fn contact(&self, id: &UpstreamId) -> Contact {
+        self.place(id).map(|at| self.known[at].contact).unwrap_or_default()
     }
 
     /// Share of the upstream's recent calls that failed, 0 to 1.
@@ -122,7 +127,7 @@
                     id: id.clone(),
                     strikes: 0,
                     avoid: None,
-                    unreachable: None,
+                    contact: Contact::default(),
                     failures: 0.0,
                 };
                 self.known.insert(at, health);
--- a/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
@@ -6,7 +6,7 @@
 use medlarlug_core::{
     gateway::{
         budget::{RetryBounds, RetryWindow, Share, Spending},
-        cold::{ColdSends, Evacuations, Suspicions, sender},
+        cold::{ColdSends, Contact, Evacuations, Suspicions, sender},
         health::{CallEnd, Healths},
         upstreams::Upstreams,
     },
@@ -205,9 +205,9 @@
 
     suspicions.restored(Time::from_millis(500), &"kochi-a".parse().unwrap());
     let now = Time::from_millis(900);
-    let before = suspicions.is_cold(now, upstreams.get(&id).unwrap(), None);
+    let before = suspicions.is_cold(now, upstreams.get(&id).unwrap(), Contact::default());
     upstreams.announce(now, upstream("engine-1", 2), Duration::ZERO);
-    let after = suspicions.is_cold(now, upstreams.get(&id).unwrap(), None);
+    let after = suspicions.is_cold(now, upstreams.get(&id).unwrap(), Contact::default());
 
     assert_eq!((before, after), (true, false));
 }
@@ -246,7 +246,7 @@
     upstreams.announce(now, upstream("engine-1", 1), Duration::from_millis(250));
 
     let known = upstreams.get(&"engine-1".parse().unwrap()).unwrap();
-    assert!(suspicions.is_cold(now, known, None));
+    assert!(suspicions.is_cold(now, known, Contact::default()));
 }
 
 #[test]
@@ -260,7 +260,28 @@
 
     let known = upstreams.get(&id).unwrap();
     let now = Time::from_millis(1_500);
-    assert!(Suspicions::default().is_cold(now, known, healths.unreachable(&id)));
+    assert!(Suspicions::default().is_cold(now, known, healths.contact(&id)));
+}
+
+/// It may have started anew behind a cut, and an instance that has just started has not seen how.
+#[test]
+fn upstream_that_is_no_longer_heard_counts_as_cold_unless_it_goes_on_answering() {
+    let mut upstreams = Upstreams::default();
+    let mut healths = Healths::default();
+    let id = "engine-1".parse().unwrap();
+    upstreams.announce(Time::ZERO, upstream("engine-1", 1), Duration::ZERO);
+    let known = upstreams.get(&id).unwrap();
+    let now = Time::from_millis(5_000);
+    let is_cold =
+        |healths: &Healths| Suspicions::default().is_cold(now, known, healths.contact(&id));
+
+    let unseen = is_cold(&healths);
+    healths.ended(Time::from_millis(3_000), &id, CallEnd::Answered);
+    let answering = is_cold(&healths);
+    healths.ended(Time::from_millis(4_000), &id, CallEnd::Broken);
+    let broken = is_cold(&healths);
+
+    assert_eq!((unseen, answering, broken), (true, false, true));
 }
 
 #[test]
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -264,7 +264,7 @@
                 Outcome::Answer(Response::from_parts(parts, bytes))
             }
             Ok(Err(_)) => {
-                ended(entry, hop, CallEnd::Failed);
+                ended(entry, hop, CallEnd::Broken);
                 Outcome::Unknown(Unknown::Lost)
             }
             Err(_) => Outcome::Unknown(Unknown::Silent),
@@ -290,7 +290,7 @@
         // An empty stream is whole.
         Ok(Piece::End) => Outcome::Stream(Box::new(stream)),
         Ok(Piece::Broken) => {
-            ended(entry, hop, CallEnd::Failed);
+            ended(entry, hop, CallEnd::Broken);
             Outcome::Unknown(Unknown::Lost)
         }
         Err(_) => Outcome::Unknown(Unknown::Silent),
@@ -410,7 +410,7 @@
             Outcome::NotRun(NotRun::Unreachable)
         }
         CallError::Lost { .. } => {
-            ended(entry, hop, CallEnd::Failed);
+            ended(entry, hop, CallEnd::Broken);
             Outcome::Unknown(Unknown::Lost)
         }
         CallError::Silent { address, .. } => {
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -4,7 +4,8 @@
 
 use medlarlug_core::{
     gateway::{
-        away, cold,
+        away,
+        cold::{self, FRESH_FOR},
         contacts::Contact,
         placing::{Candidate, Choice, Demand},
         silence::Source,
@@ -30,8 +31,6 @@
 const NEAR_SHARE: f64 = 0.2;
 /// Idle connections that are kept to an instance of another region.
 const PEER_IDLE: usize = 32;
-/// Age of an announcement after which an upstream may be dead: three announcements missed.
-const FRESH_FOR: Duration = Duration::from_millis(4_500);
 
 /// Where to send a call.
 #[derive(Debug, Clone)]
@@ -171,8 +170,8 @@
     }
 
     fn is_cold(&self, now: Time, known: &Known) -> bool {
-        let unreachable = self.healths.borrow().unreachable(&known.upstream.id);
-        self.suspicions.borrow().is_cold(now, known, unreachable)
+        let contact = self.healths.borrow().contact(&known.upstream.id);
+        self.suspicions.borrow().is_cold(now, known, contact)
     }
 
     fn is_usable(&self, now: Time, known: &Known, cold_rate: f64, entries: &[InstanceId]) -> bool {
--- a/crates/medlarlug-gateway/src/entry/relay.rs
+++ b/crates/medlarlug-gateway/src/entry/relay.rs
@@ -54,7 +54,7 @@
             Step::Late => return plan.end(&entry, &call, Ended::TimedOut),
             Step::Broken => {}
         }
-        attempt::ended(&entry, stream.hop(), CallEnd::Failed);
+        attempt::ended(&entry, stream.hop(), CallEnd::Broken);
         plan.count_broken(stream.hop());
         // Closes the connection before another upstream goes on.
         drop(stream);
