A stream that another region broke off counts as having used every attempt

What upstreams would see: on a route with three attempts or more, a stream run by four upstreams. The routes of today allow two, for which nothing changes.

Cause: an instance that has taken a call over tells how many upstreams ran it with the head of its answer, and may go on at others afterwards. When its stream broke, the first instance counted one more run, whatever had happened there.

Test of the core.

Why this works: what another instance did is not known any more, so no attempt is left.

--- a/crates/medlarlug-core/src/gateway/handover.rs
+++ b/crates/medlarlug-core/src/gateway/handover.rs
@@ -43,3 +43,48 @@
         Some((Route { attempts, ..route.clone() }, service))
     }
 }
+
+/// The attempts of a call: how many upstreams may run it, and how many have, or may have.
+///
+/// ```
+/// use medlarlug_core::gateway::handover::Attempts;
+///
+/// let mut attempts = Attempts::new(3);
+/// attempts.ran(1);
+/// assert_eq!(attempts.left(), 2);
+/// attempts.lose_sight();
+/// assert_eq!(attempts.left(), 0);
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Attempts {
+    allowed: u32,
+    runs: u32,
+}
+
+impl Attempts {
+    /// A call that `allowed` upstreams may run, one at least.
+    pub fn new(allowed: u32) -> Attempts {
+        Attempts { allowed: allowed.max(1), runs: 0 }
+    }
+
+    /// Upstreams have begun to run the call, or may have.
+    pub fn ran(&mut self, upstreams: u32) {
+        self.runs = self.runs.saturating_add(upstreams);
+    }
+
+    /// Another instance has the call and no longer tells how many upstreams ran it: it may have used
+    /// every attempt.
+    pub fn lose_sight(&mut self) {
+        self.runs = self.runs.max(self.allowed);
+    }
+
+    /// Upstreams that ran the call, or may have.
+    pub fn runs(self) -> u32 {
+        self.runs
+    }
+
+    /// Upstreams that may still run it.
+    pub fn left(self) -> u32 {
+        self.allowed.saturating_sub(self.runs)
+    }
+}
--- a/crates/medlarlug-core/tests/testsuite/gateway/handover.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/handover.rs
@@ -1,7 +1,7 @@
 //! Calls that one region hands over to another, under equal and different tables.
 
 use medlarlug_core::gateway::{
-    handover::Handover,
+    handover::{Attempts, Handover},
     table::{Route, TableVersion},
 };
 
@@ -52,3 +52,19 @@
 
     assert!(handover(7, 2).resolve(&own, "kochi.example", "/mend/1", 0.5).is_none());
 }
+
+/// The other region's head told of one run, and its stream went on at two more upstreams.
+#[test]
+fn stream_that_another_region_broke_off_may_have_used_every_attempt() {
+    let mut attempts = Attempts::new(3);
+    attempts.ran(1);
+
+    attempts.lose_sight();
+
+    assert_eq!(attempts.left(), 0);
+}
+
+#[test]
+fn route_without_attempts_allows_one() {
+    assert_eq!(Attempts::new(0).left(), 1);
+}
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -5,7 +5,7 @@
 use medlarlug_core::{
     gateway::{
         budget::Spending,
-        handover::Handover,
+        handover::{Attempts, Handover},
         patience,
         silence::{self, Source},
         table::{Route, RouteTable, ServiceName},
@@ -41,8 +41,7 @@
     pub(super) may_leave: bool,
     pub(super) last_event: Option<u64>,
     pub(super) tried: Tried,
-    /// Requests that an upstream has begun to run, or may have.
-    pub(super) runs: u32,
+    pub(super) attempts: Attempts,
     /// Requests that reached an upstream, refused ones and those of other instances included.
     pub(super) arrivals: u32,
     /// What the call has spent of the retry budget at this instance.
@@ -96,16 +95,16 @@
     /// longer tell.
     pub(super) fn count_broken(&mut self, hop: &Hop) {
         if matches!(hop, Hop::Peer { .. }) {
-            self.runs += 1;
+            self.attempts.lose_sight();
         }
     }
 
     /// How long a stream from a hop may be silent before another hop goes on with it.
     pub(super) fn silence_limit(&self, hop: &Hop) -> Option<Duration> {
-        // What an instance has run at last counts once its stream has ended, see `count_broken`.
         let source = hop.source();
-        let runs = self.runs + u32::from(source == Source::Instance);
-        let is_left = runs < self.route.attempts.max(1) && self.arrivals < MAX_ARRIVALS;
+        // Nothing is left after another instance, see `count_broken`.
+        let is_left =
+            source == Source::Upstream && self.attempts.left() > 0 && self.arrivals < MAX_ARRIVALS;
         silence::limit(source, self.route.pause, self.route.kind.is_repeatable() && is_left)
     }
 
@@ -116,7 +115,7 @@
 
     /// Whether another request may go out that repeats an earlier one, and counts it.
     pub(super) fn may_repeat(&mut self, entry: &Entry, call: &Call) -> bool {
-        if self.runs >= self.route.attempts.max(1) || self.arrivals >= MAX_ARRIVALS {
+        if self.attempts.left() == 0 || self.arrivals >= MAX_ARRIVALS {
             return false;
         }
         if !self.spending.is_covered() {
@@ -150,15 +149,12 @@
             wait: hop.wait(),
             objective: self.route.objective,
             left,
-            is_last: !self.route.kind.is_repeatable() || self.runs + 1 >= self.route.attempts,
+            is_last: !self.route.kind.is_repeatable() || self.attempts.left() <= 1,
         });
         let forwarded = match hop {
             Hop::Peer { .. } => forwarded::encode(&Handover {
                 version: self.table.version(),
-                route: Route {
-                    attempts: self.route.attempts.max(1).saturating_sub(self.runs).max(1),
-                    ..self.route.clone()
-                },
+                route: Route { attempts: self.attempts.left().max(1), ..self.route.clone() },
                 service: self.service.clone(),
             }),
             Hop::Upstream { .. } => None,
@@ -178,18 +174,17 @@
             hop.push('=');
             hop.push_str(outcome.name());
         }
-        self.runs += match (&outcome, hop) {
-            (Outcome::NotRun(_), _) => 0,
+        match (&outcome, hop) {
+            (Outcome::NotRun(_), _) => {}
             (Outcome::Answer(answer), Hop::Peer { .. }) => {
-                forwarded::count(answer.headers(), forwarded::RUNS)
+                self.attempts.ran(forwarded::count(answer.headers(), forwarded::RUNS));
             }
             (Outcome::Stream(stream), Hop::Peer { .. }) => {
-                forwarded::count(&stream.headers, forwarded::RUNS)
+                self.attempts.ran(forwarded::count(&stream.headers, forwarded::RUNS));
             }
-            // Nobody tells how many requests it took.
-            (Outcome::Unknown(_), Hop::Peer { .. }) => self.route.attempts,
-            _ => 1,
-        };
+            (Outcome::Unknown(_), Hop::Peer { .. }) => self.attempts.lose_sight(),
+            _ => self.attempts.ran(1),
+        }
         let arrivals = match &outcome {
             Outcome::NotRun(NotRun::Unreachable) => 0,
             Outcome::NotRun(NotRun::Refused { arrivals, .. }) => *arrivals,
@@ -221,7 +216,7 @@
             table = self.table.version().0,
             path = %self.path.join(","),
             arrivals = self.arrivals,
-            runs = self.runs,
+            runs = self.attempts.runs(),
             outcome = %ended,
             took_ms = took.as_millis() as u64,
             "call ended"
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -8,7 +8,7 @@
 use medlarlug_core::{
     gateway::{
         budget::{Balance, Share, Spending},
-        handover::Handover,
+        handover::{Attempts, Handover},
         refusing::{self, Outlook, Verdict},
         table::ServiceName,
         turns::Turn,
@@ -246,7 +246,7 @@
         may_leave: !is_forwarded,
         last_event: last.and_then(|last| last.trim().parse().ok()),
         tried: Tried::default(),
-        runs: 0,
+        attempts: Attempts::new(route.attempts),
         arrivals: 0,
         spending: Spending::default(),
         unreachable: 0,
@@ -349,7 +349,7 @@
 
 /// Turns the last outcome into the answer.
 fn finish(entry: &Rc<Entry>, call: Call, plan: Plan, last: Last, is_forwarded: bool) -> Answer {
-    let runs = plan.runs;
+    let runs = plan.attempts.runs();
     metrics::histogram!(names::HEAD_TIME).record((entry.now() - plan.began).as_secs_f64());
     match last {
         Last::Answer(found) => {
