An upstream none of whose connections outlasts a broken one counts as crashed

What upstreams saw: an upstream that crashed and came back within a fraction of a second under the same id, before it could announce itself, got 30 requests in a second while it was cold (6.9 allowed).

Cause: an instance takes an upstream for possibly cold when a connection to it does not open. A crash that is over by the next call shows only as answers that are lost, which healthy upstreams produce as well.

Why this works: a crash ends all connections of an upstream, a lost answer one. 30 ms after a connection broke, an instance that has neither a call running there nor an idle connection left counts the upstream as cold until it is heard anew.

--- a/crates/medlarlug-core/src/gateway/cold.rs
+++ b/crates/medlarlug-core/src/gateway/cold.rs
@@ -81,7 +81,7 @@
     pub answered: Option<Time>,
     /// When a connection to it last broke.
     pub broken: Option<Time>,
-    /// When a connection to it last failed to open.
+    /// When a connection to it last failed to open, or all of them broke.
     pub unreachable: Option<Time>,
 }
 
--- a/crates/medlarlug-core/src/gateway/health.rs
+++ b/crates/medlarlug-core/src/gateway/health.rs
@@ -92,6 +92,12 @@
         }
     }
 
+    /// Takes in that the upstream may have crashed at `when`. It is not avoided, since it may be back.
+    pub fn crashed(&mut self, when: Time, id: &UpstreamId) {
+        let contact = &mut self.entry(id).contact;
+        contact.unreachable = contact.unreachable.max(Some(when));
+    }
+
     /// Forgets what was learned about an upstream, which has a new incarnation.
     pub fn forget(&mut self, id: &UpstreamId) {
         if let Ok(at) = self.place(id) {
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: a call sent to one hop, and what came of it.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -11,10 +11,13 @@
 };
 use medlarlug_core::{
     gateway::{health::CallEnd, placing::Choice, table::RouteKind},
-    ids::RegionId,
+    ids::{RegionId, UpstreamId},
     time::Time,
 };
-use tokio::time::timeout;
+use tokio::{
+    task,
+    time::{sleep, timeout},
+};
 
 use super::{Entry, call::Call, choice::Hop, forwarded};
 use crate::metrics as names;
@@ -24,6 +27,8 @@
 const UPSTREAM_CONNECT: Duration = Duration::from_millis(300);
 /// Time for a connection to another region to open.
 const PEER_CONNECT: Duration = Duration::from_millis(700);
+/// Time in which the other connections to an upstream end, if it has crashed.
+const CRASH_TIME: Duration = Duration::from_millis(30);
 /// Longest answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// Rank of calls at engines when the table's ranks are exhausted; engines know 0 to 9.
@@ -303,6 +308,18 @@
     }
 }
 
+/// Takes an upstream for crashed if none of its connections outlasts one that broke.
+async fn look_for_crash(entry: Rc<Entry>, id: UpstreamId, address: SocketAddr) {
+    let began = entry.now();
+    sleep(CRASH_TIME).await;
+    let running = entry.loads.borrow().report_of(&id).running;
+    let idle = entry.client.idle(address);
+    if running == 0 && idle == 0 {
+        tracing::warn!(upstream = %id, "no connection outlasted a broken one, the upstream may have crashed");
+        entry.healths.borrow_mut().crashed(began, &id);
+    }
+}
+
 /// Counts the call where it goes.
 fn begin(entry: &Rc<Entry>, attempted: &Attempted, hop: &Hop, now: Time) -> Slot {
     let demand = &attempted.call.demand;
@@ -363,7 +380,7 @@
 
 /// Judges an answer by its head; `None` if the body counts as well.
 fn judge_head(
-    entry: &Entry,
+    entry: &Rc<Entry>,
     attempted: &Attempted,
     hop: &Hop,
     answer: &Response<Incoming>,
@@ -403,7 +420,7 @@
     Duration::try_from_secs_f64(seconds).ok()
 }
 
-fn failed(entry: &Entry, hop: &Hop, error: &CallError) -> Outcome {
+fn failed(entry: &Rc<Entry>, hop: &Hop, error: &CallError) -> Outcome {
     match error {
         CallError::Connect { .. } => {
             ended(entry, hop, CallEnd::Unreachable);
@@ -422,8 +439,11 @@
 }
 
 /// Takes in what a call shows of the health of its upstream.
-pub(super) fn ended(entry: &Entry, hop: &Hop, end: CallEnd) {
-    let Hop::Upstream { choice, .. } = hop else { return };
+pub(super) fn ended(entry: &Rc<Entry>, hop: &Hop, end: CallEnd) {
+    let Hop::Upstream { choice, address, .. } = hop else { return };
+    if end == CallEnd::Broken {
+        task::spawn_local(look_for_crash(entry.clone(), choice.id.clone(), *address));
+    }
     let avoided = entry.healths.borrow_mut().ended(entry.now(), &choice.id, end);
     if let Some(pause) = avoided {
         tracing::warn!(upstream = %choice.id, avoid_ms = pause.as_millis() as u64, ?end, "upstream avoided");
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -174,6 +174,13 @@
         }
     }
 
+    /// Idle connections to an address that the other side has not closed.
+    pub fn idle(&self, address: SocketAddr) -> usize {
+        let idle = self.idle.borrow();
+        let found = idle.binary_search_by(|it| it.0.cmp(&address));
+        found.map_or(0, |found| idle[found].1.iter().filter(|it| !it.is_closed()).count())
+    }
+
     fn take(&self, address: SocketAddr) -> Option<Sender> {
         let mut idle = self.idle.borrow_mut();
         let found = idle.binary_search_by(|it| it.0.cmp(&address)).ok()?;
