A restarted instance repeats no call until a window has passed

Cause: repeats that were earned by calls before the window. An instance that had saved them up spent them as the upstreams began to refuse, and was killed; its successor did not know and earned the ratio of its own calls at once. The sum of the two is up to twice the ratio. The withheld allowance alone did not prevent that.

A test of the core with a calm time before the refusals failed before (756 repeats, 754 allowed).

Why this works: no window holds repeats of two incarnations of an instance, so the bound of one incarnation is that of the instance. The price: for eleven seconds after a restart an instance repeats no call; refusals with a time to come back remain.

--- a/crates/medlarlug-core/src/gateway/budget.rs
+++ b/crates/medlarlug-core/src/gateway/budget.rs
@@ -2,11 +2,14 @@
 //!
 //! A service bears a number of repeated arrivals in each window, a ratio of its calls and a fixed
 //! allowance, summed over all entry instances. An instance earns the ratio from the calls that it
-//! takes in itself, so that this part of the sum holds whoever restarts, freezes or is cut off.
+//! takes in itself, so that this part of the sum holds whoever freezes, joins or is cut off.
 //!
-//! The allowance is divided by the most entry instances that were ever known. An instance has a
-//! share only after a whole window in which it may have inherited a predecessor's repeats, and once
-//! its [`view`](super::view) of the others was complete. Half of the allowance is never handed out.
+//! The allowance is divided by the most entry instances that were ever known, and an instance has a
+//! share once its [`view`](super::view) of the others was complete. Half of the allowance is never
+//! handed out.
+//!
+//! What an instance has spent is forgotten when it restarts. Its successor repeats no call until a
+//! window has passed, so that no window holds repeats of both.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -38,22 +41,27 @@
 /// [`LONGEST_WAY`], and instances that others do not know yet.
 const ALLOWANCE_SHARE: f64 = 0.5;
 
-/// An instance's part of an allowance.
+/// What an instance may spend as one of many.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Share {
     /// The most entry instances that were ever known, this one included.
     pub instances: usize,
-    /// Time for which this process has run, or `None` if there was none before it.
+    /// Time for which this process has run, or `None` if there was none before it that may have
+    /// repeated calls.
     pub age: Option<Duration>,
     /// Whether its view of the other instances was complete since it started.
     pub has_seen_all: bool,
 }
 
 impl Share {
+    /// Whether repeats of an earlier process may still count in the present window.
+    fn overlaps_former(self, bounds: RetryBounds) -> bool {
+        self.age.is_some_and(|age| age <= bounds.window + way(bounds))
+    }
+
     /// Repeats that the instance may make in a window beyond those that it has earned.
     pub fn of(self, bounds: RetryBounds) -> f64 {
-        let is_inherited = self.age.is_some_and(|age| age <= bounds.window + way(bounds));
-        match self.has_seen_all && !is_inherited {
+        match self.has_seen_all {
             true => ALLOWANCE_SHARE * bounds.allowance / self.instances.max(1) as f64,
             false => 0.0,
         }
@@ -101,7 +109,10 @@
     /// What is left at the time of the last change.
     pub fn balance(&self, bounds: RetryBounds, share: Share) -> Balance {
         let (calls, repeats) = (self.calls.len(), self.repeats.len());
-        let left = bounds.ratio * calls as f64 + share.of(bounds) - repeats as f64;
+        let left = match share.overlaps_former(bounds) {
+            true => 0.0,
+            false => bounds.ratio * calls as f64 + share.of(bounds) - repeats as f64,
+        };
         Balance { calls, repeats, left }
     }
 
--- a/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
@@ -123,6 +123,33 @@
     assert_within_bounds(&calls, &repeats);
 }
 
+/// Upstreams begin to refuse calls after a calm time, and the instances restart a second later.
+#[test]
+fn repeats_that_were_saved_up_are_not_earned_again_after_a_restart() {
+    let mut windows = vec![RetryWindow::default(); 7];
+    let mut started = None;
+    let mut calls: Vec<Time> = Vec::new();
+    let mut repeats: Vec<Time> = Vec::new();
+
+    for millis in (0..60_000).step_by(20) {
+        let now = Time::from_millis(millis);
+        if millis >= 30_000 && millis % 3_000 == 1_000 {
+            windows = vec![RetryWindow::default(); 7];
+            started = Some(now);
+        }
+        for window in &mut windows {
+            window.count(now, BOUNDS);
+            calls.push(now);
+            let share = Share { age: started.map(|started| now - started), ..share(7) };
+            if millis >= 30_000 && window.take(now, BOUNDS, share) {
+                repeats.push(now);
+            }
+        }
+    }
+
+    assert_within_bounds(&calls, &repeats);
+}
+
 /// Repeats may wait in an upstream's queue of connections and arrive with later ones.
 #[test]
 fn repeats_that_arrive_a_second_late_stay_within_the_bounds() {
