--- a/crates/medlarlug-core/src/gateway/cold.rs
+++ b/crates/medlarlug-core/src/gateway/cold.rs
@@ -70,7 +70,7 @@
         let suspect = restored.max(contact.unreachable);
         let is_suspect = suspect.is_some_and(|since| known.heard <= since);
         let is_unheard = now - known.heard > FRESH_FOR && !contact.has_lasted_since(known.heard);
-        is_suspect || is_unheard || !known.cold_left(now).is_zero()
+        is_suspect || is_unheard || known.may_be_cold(now)
     }
 }
 
--- a/crates/medlarlug-core/src/gateway/upstreams.rs
+++ b/crates/medlarlug-core/src/gateway/upstreams.rs
@@ -78,6 +78,13 @@
         self.upstream.cold.saturating_sub(now - self.heard)
     }
 
+    /// Whether the upstream may still be cold, by what it has announced: a longer time is passed on
+    /// only if it differs by more than the jitter.
+    pub fn may_be_cold(&self, now: Time) -> bool {
+        let cold = self.upstream.cold;
+        !cold.is_zero() && now - self.heard < cold + COLD_JITTER
+    }
+
     /// Whether an announcement that was heard at `heard` says that it stays cold for longer than
     /// the last one said.
     fn is_cold_longer(&self, upstream: &Upstream, heard: Time) -> bool {
@@ -183,7 +190,11 @@
         }
         let heard = now.saturating_sub(Duration::from_millis(renewal.age_ms.into()));
         // The time that is left to be cold counts from the announcement that told it.
-        known.upstream.cold = known.upstream.cold.saturating_sub(heard - known.heard);
+        // It is not over before an announcement says so, which is told as a change.
+        if !known.upstream.cold.is_zero() {
+            let left = known.upstream.cold.saturating_sub(heard - known.heard);
+            known.upstream.cold = left.max(Duration::from_millis(1));
+        }
         known.upstream.sequence = renewal.sequence;
         known.heard = known.heard.max(heard);
         known.is_local = false;
--- a/crates/medlarlug-core/tests/testsuite/gateway/announcements.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/announcements.rs
@@ -183,3 +183,25 @@
 
     assert_eq!(later, Effect::Renewed);
 }
+
+/// The soak, seed 402: an upstream turned cold twice within 234 ms, and got 12 requests in a second.
+#[test]
+fn upstream_that_turns_cold_again_within_the_jitter_does_not_become_warm_too_early() {
+    let mut upstreams = Upstreams::default();
+    let id = "engine-1".parse().unwrap();
+    let cold = |sequence, millis| Upstream {
+        cold: Duration::from_millis(millis),
+        ..upstream("engine-1", sequence)
+    };
+    upstreams.announce(Time::ZERO, cold(1, 3_000), NOW);
+
+    let renewed = upstreams.announce(Time::from_millis(400), cold(2, 2_834), NOW);
+    let renewal = Renewal { id, birth: Birth(1_000), sequence: 2, age_ms: 0 };
+    let mut told = Upstreams::default();
+    told.announce(Time::ZERO, cold(1, 3_000), NOW);
+    told.renew(Time::from_millis(400), &renewal);
+
+    let known = told.get(&renewal.id).unwrap();
+    assert_eq!(renewed, Effect::Renewed);
+    assert!(known.may_be_cold(Time::from_millis(3_230)));
+}
