After a freeze upstreams count as cold until they are heard anew

Cause: an entry instance was paused from second 7.0 to 9.6. Meanwhile its zone was evacuated and restored, and its upstreams turned cold. When it woke, the calls that had waited in its sockets were sent at once, by what it knew before; the news came after them. An age of news does not show the time for which its receiver stood still.

A start is no waking. While keepers are silent but the process runs, nothing changes.

--- a/crates/medlarlug-core/src/gateway/cold.rs
+++ b/crates/medlarlug-core/src/gateway/cold.rs
@@ -39,13 +39,16 @@
 pub const FRESH_FOR: Duration = Duration::from_millis(4_500);
 
 /// What may have turned upstreams cold without their having told so yet: the end of an evacuation,
-/// a crash that is seen as a connection that does not open, or a start behind a cut.
+/// a crash that is seen as a connection that does not open, a start behind a cut, or anything while
+/// this process stood still.
 ///
 /// Such an upstream counts as cold until it announces itself anew.
 #[derive(Debug, Clone, Default)]
 pub struct Suspicions {
     /// When the evacuation of a zone was withdrawn last, sorted by zone.
     restored: Vec<(ZoneId, Time)>,
+    /// When this process last went on after it had stood still.
+    woken: Option<Time>,
 }
 
 impl Suspicions {
@@ -57,6 +60,11 @@
         }
     }
 
+    /// This process went on at `when` after it had stood still, and may have missed anything.
+    pub fn woke(&mut self, when: Time) {
+        self.woken = self.woken.max(Some(when));
+    }
+
     /// The zones that were evacuated, and when that was withdrawn last.
     pub fn all_restored(&self) -> &[(ZoneId, Time)] {
         &self.restored
@@ -66,8 +74,9 @@
     /// last heard.
     pub fn is_cold(&self, now: Time, known: &Known, contact: Contact) -> bool {
         let zone = self.restored.binary_search_by(|it| it.0.cmp(&known.upstream.zone));
-        let restored = zone.ok().map(|at| self.restored[at].1 + NEWS_DELAY);
-        let suspect = restored.max(contact.unreachable);
+        let restored = zone.ok().map(|at| self.restored[at].1);
+        let missed = restored.max(self.woken).map(|when| when + NEWS_DELAY);
+        let suspect = missed.max(contact.unreachable);
         let is_suspect = suspect.is_some_and(|since| known.heard <= since);
         let is_unheard = now - known.heard > FRESH_FOR && !contact.has_lasted_since(known.heard);
         is_suspect || is_unheard || known.may_be_cold(now)
--- a/crates/medlarlug-core/src/gateway/view.rs
+++ b/crates/medlarlug-core/src/gateway/view.rs
@@ -26,7 +26,9 @@
     /// Since when the view is complete.
     complete: Option<Time>,
     /// When it was last looked at.
-    looked: Time,
+    looked: Option<Time>,
+    /// When the process last went on after it had stood still.
+    woken: Option<Time>,
     was_complete: bool,
 }
 
@@ -44,12 +46,13 @@
         self.heard.retain(|it| keepers.binary_search(&it.0).is_ok());
         let heard = self.heard.iter().filter(|it| now - it.1 <= HEARD_FOR).count();
         let is_complete = heard >= needed(keepers.len());
-        let has_gap = now - self.looked > HEARD_FOR;
+        self.woken = self.woken(now);
+        let has_gap = self.woken == Some(now);
         self.complete = match self.complete.filter(|_| !has_gap) {
             Some(since) if is_complete => Some(since),
             _ => is_complete.then_some(now),
         };
-        self.looked = now;
+        self.looked = Some(now);
         self.was_complete |= is_complete;
     }
 
@@ -57,7 +60,20 @@
     /// long enough that no other one acts on an older view.
     pub fn is_settled(&self, now: Time) -> bool {
         let is_settled = self.complete.is_some_and(|since| now - since >= SETTLING_TIME);
-        is_settled && now - self.looked <= HEARD_FOR
+        is_settled && !self.is_overdue(now)
+    }
+
+    /// When the process last went on after it had stood still, or had no turn, for [`HEARD_FOR`].
+    /// What it knows is as old, though no age shows it.
+    pub fn woken(&self, now: Time) -> Option<Time> {
+        match self.is_overdue(now) {
+            true => Some(now),
+            false => self.woken,
+        }
+    }
+
+    fn is_overdue(&self, now: Time) -> bool {
+        self.looked.is_some_and(|looked| now - looked > HEARD_FOR)
     }
 
     /// Whether the view was complete at any time.
--- a/crates/medlarlug-core/tests/testsuite/gateway/view.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/view.rs
@@ -1,8 +1,17 @@
 //! When an instance sees enough of the others.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
-use medlarlug_core::{gateway::view::View, time::Time};
+use medlarlug_core::{
+    gateway::{
+        cold::{Contact, Suspicions},
+        upstreams::Upstreams,
+        view::View,
+    },
+    time::Time,
+};
+
+use super::fixture::upstream;
 
 fn keepers(count: u8) -> Vec<SocketAddr> {
     (1..=count).map(|last| SocketAddr::from(([10, 1, 0, last], 7_660))).collect()
@@ -75,3 +84,35 @@
 
     assert!(!view.is_settled(Time::from_millis(6_000)));
 }
+
+#[test]
+fn start_is_no_waking() {
+    let mut view = View::default();
+
+    view.look(Time::from_millis(600_000), &keepers(3));
+
+    assert_eq!(view.woken(Time::from_millis(600_400)), None);
+}
+
+/// The soak, seed 307: calls that had waited for a paused instance went to an upstream that had
+/// turned cold meanwhile, 56 in a second.
+#[test]
+fn upstreams_count_as_cold_after_a_freeze_until_they_are_heard_anew() {
+    let mut upstreams = Upstreams::default();
+    let mut suspicions = Suspicions::default();
+    let id = "engine-1".parse().unwrap();
+    let view = heard_until(4_000);
+    upstreams.announce(Time::from_millis(4_000), upstream("engine-1", 1), Duration::ZERO);
+    let is_cold = |suspicions: &Suspicions, upstreams: &Upstreams, now| {
+        suspicions.is_cold(now, upstreams.get(&id).unwrap(), Contact::default())
+    };
+
+    let woken = Time::from_millis(6_500);
+    suspicions.woke(view.woken(woken).unwrap());
+    let at_once = is_cold(&suspicions, &upstreams, woken);
+    let later = Time::from_millis(7_000);
+    upstreams.announce(later, upstream("engine-1", 2), Duration::ZERO);
+    let anew = is_cold(&suspicions, &upstreams, later);
+
+    assert_eq!((at_once, anew), (true, false));
+}
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -170,6 +170,9 @@
     }
 
     fn is_cold(&self, now: Time, known: &Known) -> bool {
+        if let Some(when) = self.view.borrow().woken(now) {
+            self.suspicions.borrow_mut().woke(when);
+        }
         let contact = self.healths.borrow().contact(&known.upstream.id);
         self.suspicions.borrow().is_cold(now, known, contact)
     }
