A keeper that has stood still tells how old what it reads may be

Cause: keeper 1 was paused for two seconds. Announcements that upstreams had sent it before they turned cold waited in its sockets; it read them when it woke, took them for new ones and told entry instances so, which ended their suspicion.

A test of the core.

--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -9,7 +9,8 @@
 //! by [`placing`], sends no more than [`cold`] allows to one that has just started, repeats calls
 //! within the [`budget`] of their service, and avoids upstreams that [`health`] found broken.
 //! [`contacts`] keeps track of the instances of the system itself, and [`view`] tells whether one sees
-//! enough of the others to act on its part of a common limit.
+//! enough of the others to act on its part of a common limit. [`stall`] notices when a process has
+//! stood still.
 
 pub mod away;
 pub mod budget;
@@ -22,6 +23,7 @@
 pub mod publication;
 pub mod refusing;
 pub mod silence;
+pub mod stall;
 pub mod table;
 pub mod turns;
 pub mod upstreams;
--- a/crates/medlarlug-core/src/gateway/upstreams.rs
+++ b/crates/medlarlug-core/src/gateway/upstreams.rs
@@ -137,8 +137,18 @@
 }
 
 impl Upstreams {
-    /// Takes in what an upstream announced `age` before `now`.
+    /// Takes in what another process heard an upstream announce `age` before `now`, or, if that is
+    /// zero, this process.
     pub fn announce(&mut self, now: Time, upstream: Upstream, age: Duration) -> Effect {
+        self.take(now, upstream, age, age.is_zero())
+    }
+
+    /// Takes in what an upstream announced to this process, which reads it up to `age` late.
+    pub fn announce_here(&mut self, now: Time, upstream: Upstream, age: Duration) -> Effect {
+        self.take(now, upstream, age, true)
+    }
+
+    fn take(&mut self, now: Time, upstream: Upstream, age: Duration, is_local: bool) -> Effect {
         let heard = now.saturating_sub(age);
         if self.is_superseded(&upstream) {
             return Effect::Ignored;
@@ -149,7 +159,6 @@
                 self.change += 1;
                 self.renewal += 1;
                 let (change, renewal) = (self.change, self.renewal);
-                let is_local = age.is_zero();
                 let known = Known { upstream, heard, change, renewal, is_local };
                 self.known.insert(at, known);
                 return Effect::Changed;
@@ -170,7 +179,7 @@
         known.heard = heard.max(known.heard);
         known.upstream = upstream;
         known.renewal = self.renewal;
-        known.is_local = age.is_zero();
+        known.is_local = is_local;
         if is_same {
             return Effect::Renewed;
         }
--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod publication;
 mod refusing;
 mod silence;
+mod stall;
 mod table;
 mod turns;
 mod view;
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/gateway/stall.rs
@@ -0,0 +1,47 @@
+//! What a process reads after it has stood still.
+
+use std::time::Duration;
+
+use medlarlug_core::{
+    gateway::{
+        cold::{Contact, Suspicions},
+        stall::Stall,
+        upstreams::Upstreams,
+    },
+    time::Time,
+};
+
+use super::fixture::upstream;
+
+/// A process that has its turns until second 4, stands still, and goes on at second 6.
+fn stalled() -> Stall {
+    let mut stall = Stall::default();
+    (0..=4_000).step_by(50).for_each(|millis| stall.turn(Time::from_millis(millis)));
+    stall.turn(Time::from_millis(6_000));
+    stall
+}
+
+#[test]
+fn what_has_waited_is_as_old_as_the_standstill_at_most() {
+    let mut stall = stalled();
+    (6_050..=7_000).step_by(50).for_each(|millis| stall.turn(Time::from_millis(millis)));
+
+    assert_eq!(stalled().age(Time::from_millis(6_010)), Duration::from_millis(2_010));
+    assert_eq!(stall.age(Time::from_millis(7_000)), Duration::ZERO);
+}
+
+/// The soak, seed 523: a keeper that was paused read an announcement from before the upstream had
+/// turned cold, and told it as new.
+#[test]
+fn announcement_that_waited_for_a_frozen_keeper_does_not_make_an_upstream_warm() {
+    let mut keeper = Upstreams::default();
+    let mut suspicions = Suspicions::default();
+    suspicions.restored(Time::from_millis(5_000), &"kochi-a".parse().unwrap());
+
+    let now = Time::from_millis(6_010);
+    keeper.announce_here(now, upstream("engine-1", 1), stalled().age(now));
+
+    let known = keeper.get(&"engine-1".parse().unwrap()).unwrap();
+    assert!(known.is_local);
+    assert!(suspicions.is_cold(now, known, Contact::default()));
+}
--- a/crates/medlarlug-gateway/src/keeper/loops.rs
+++ b/crates/medlarlug-gateway/src/keeper/loops.rs
@@ -68,6 +68,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
+        keeper.stall.borrow_mut().turn(keeper.now());
         keeper.run(|group, now, out| group.tick(now, out));
         let now = keeper.now();
         let is_behind =
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -32,8 +32,9 @@
     gateway::{
         cold::Suspicions,
         contacts::{Card, Contacts, Part, Status},
+        stall::Stall,
         table::RouteTable,
-        upstreams::{Effect, UpstreamState, Upstreams},
+        upstreams::{Effect, Renewal, UpstreamState, Upstreams},
     },
     ids::{InstanceId, ZoneId},
     replication::{Config, MemberKey, Membership, Persist, Replica, Role},
@@ -97,6 +98,8 @@
     /// The membership that was logged last.
     membership: RefCell<Option<Membership>>,
     table: RefCell<Option<Rc<RouteTable>>>,
+    /// Whether this process has stood still.
+    stall: RefCell<Stall>,
     /// The oldest batch that the disk has not confirmed: its number and when it was handed over.
     unsynced: RefCell<Vec<(u64, Time)>>,
     /// The state machine failed; the process has to end.
@@ -134,6 +137,7 @@
             suspicions: RefCell::default(),
             membership: RefCell::default(),
             table: RefCell::default(),
+            stall: RefCell::default(),
             unsynced: RefCell::default(),
             failure: RefCell::default(),
         });
@@ -326,11 +330,13 @@
 
     fn on_news(&self, from: SocketAddr, news: News) {
         let now = self.now();
+        // What has waited for this process is older than it says.
+        let late = self.stall.borrow().age(now);
         let mut is_changed = false;
         {
             let mut upstreams = self.upstreams.borrow_mut();
             for (upstream, age) in news.upstreams {
-                let age = Duration::from_millis(age.into());
+                let age = Duration::from_millis(age.into()) + late;
                 let is_gone = upstream.state == UpstreamState::Gone;
                 let id = upstream.id.clone();
                 let effect = match is_gone {
@@ -342,8 +348,10 @@
                     is_changed = true;
                 }
             }
-            for renewal in &news.renewals {
-                upstreams.renew(now, renewal);
+            let late_ms = u32::try_from(late.as_millis()).unwrap_or(u32::MAX);
+            for renewal in news.renewals {
+                let age_ms = renewal.age_ms.saturating_add(late_ms);
+                upstreams.renew(now, &Renewal { age_ms, ..renewal });
             }
             let mut contacts = self.contacts.borrow_mut();
             let keepers = news.contacts.into_iter().filter(|it| it.0.part == Part::Keeper);
--- a/crates/medlarlug-gateway/src/keeper/requests.rs
+++ b/crates/medlarlug-gateway/src/keeper/requests.rs
@@ -53,10 +53,13 @@
         let is_leaving = upstream.state != UpstreamState::Ready;
         let id = upstream.id.clone();
         let (birth, sequence, state) = (upstream.birth.0, upstream.sequence, upstream.state);
-        let effect = self.upstreams.borrow_mut().announce(self.now(), upstream, Duration::ZERO);
+        let now = self.now();
+        let age = self.stall.borrow().age(now);
+        let effect = self.upstreams.borrow_mut().announce_here(now, upstream, age);
         self.count(effect);
         if effect == Effect::Changed {
-            tracing::info!(upstream = %id, birth, sequence, ?state, "upstream changed");
+            let age_ms = age.as_millis() as u64;
+            tracing::info!(upstream = %id, birth, sequence, ?state, age_ms, "upstream changed");
             self.push();
         }
         if is_leaving {
