A cold time that is read late ends no earlier than if it were new

A keeper that had stood still counted what it read as older than it was, and the cold time that was told then ended before its time.

Evidence: keeper 3 was paused from 34.6 to 36.1 and 35.1 to 36.4, the requests came at 36.4 with news 1.8 s old, of an upstream that was cold until 36.465.

Why this works: what is read late is extended by the same time.

--- a/crates/medlarlug-core/src/gateway/upstreams.rs
+++ b/crates/medlarlug-core/src/gateway/upstreams.rs
@@ -57,6 +57,17 @@
     pub cold: Duration,
 }
 
+impl Upstream {
+    /// What it tells, read up to `age` late: its cold time ends no earlier than if it were new.
+    pub fn read_late(self, age: Duration) -> Upstream {
+        let cold = match self.cold {
+            Duration::ZERO => Duration::ZERO,
+            cold => cold + age,
+        };
+        Upstream { cold, ..self }
+    }
+}
+
 /// A known upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Known {
@@ -145,7 +156,7 @@
 
     /// Takes in what an upstream announced to this process, which reads it up to `age` late.
     pub fn announce_here(&mut self, now: Time, upstream: Upstream, age: Duration) -> Effect {
-        self.take(now, upstream, age, true)
+        self.take(now, upstream.read_late(age), age, true)
     }
 
     fn take(&mut self, now: Time, upstream: Upstream, age: Duration, is_local: bool) -> Effect {
--- a/crates/medlarlug-core/tests/testsuite/gateway/stall.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/stall.rs
@@ -6,7 +6,7 @@
     gateway::{
         cold::{Contact, Suspicions},
         stall::Stall,
-        upstreams::Upstreams,
+        upstreams::{Upstream, Upstreams},
     },
     time::Time,
 };
@@ -45,3 +45,16 @@
     assert!(known.is_local);
     assert!(suspicions.is_cold(now, known, Contact::default()));
 }
+
+/// The soak, seed 604: 13 requests in a second, before the cold time that was told had ended.
+#[test]
+fn cold_time_that_is_read_late_ends_no_earlier() {
+    let mut keeper = Upstreams::default();
+    let cold = Upstream { cold: Duration::from_secs(2), ..upstream("engine-1", 1) };
+
+    let now = Time::from_millis(6_010);
+    keeper.announce_here(now, cold, stalled().age(now));
+
+    let known = keeper.get(&"engine-1".parse().unwrap()).unwrap();
+    assert!(known.may_be_cold(now + Duration::from_millis(1_990)));
+}
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -337,6 +337,7 @@
             let mut upstreams = self.upstreams.borrow_mut();
             for (upstream, age) in news.upstreams {
                 let age = Duration::from_millis(age.into()) + late;
+                let upstream = upstream.read_late(late);
                 let is_gone = upstream.state == UpstreamState::Gone;
                 let id = upstream.id.clone();
                 let effect = match is_gone {
