--- a/crates/medlarlug-core/src/gateway/cold.rs
+++ b/crates/medlarlug-core/src/gateway/cold.rs
@@ -72,20 +72,20 @@
 
     /// Whether the upstream counts as cold: it has said so, or may have turned cold since it was
     /// last heard.
-    pub fn is_cold(&self, now: Time, known: &Known, contact: Contact) -> bool {
+    pub fn is_cold(&self, now: Time, known: &Known, sightings: Sightings) -> bool {
         let zone = self.restored.binary_search_by(|it| it.0.cmp(&known.upstream.zone));
         let restored = zone.ok().map(|at| self.restored[at].1);
         let missed = restored.max(self.woken).map(|when| when + NEWS_DELAY);
-        let suspect = missed.max(contact.unreachable);
+        let suspect = missed.max(sightings.unreachable);
         let is_suspect = suspect.is_some_and(|since| known.heard <= since);
-        let is_unheard = now - known.heard > FRESH_FOR && !contact.has_lasted_since(known.heard);
+        let is_unheard = now - known.heard > FRESH_FOR && !sightings.has_lasted_since(known.heard);
         is_suspect || is_unheard || known.may_be_cold(now)
     }
 }
 
 /// What an instance has seen of an upstream in its own calls.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Contact {
+pub struct Sightings {
     /// When it last answered.
     pub answered: Option<Time>,
     /// When a connection to it last broke.
@@ -94,7 +94,7 @@
     pub unreachable: Option<Time>,
 }
 
-impl Contact {
+impl Sightings {
     /// Whether it has answered since, and no connection has broken.
     fn has_lasted_since(self, since: Time) -> bool {
         self.answered > Some(since) && self.broken.max(self.unreachable) <= Some(since)
--- a/crates/medlarlug-core/src/gateway/health.rs
+++ b/crates/medlarlug-core/src/gateway/health.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use crate::{gateway::cold::Contact, ids::UpstreamId, time::Time};
+use crate::{gateway::cold::Sightings, ids::UpstreamId, time::Time};
 
 /// First time for which an upstream is avoided that takes no more calls; places free up within a
 /// few steps of an engine.
@@ -41,7 +41,7 @@
     id: UpstreamId,
     strikes: u32,
     avoid: Option<Time>,
-    contact: Contact,
+    sightings: Sightings,
     failures: f64,
 }
 
@@ -71,7 +71,7 @@
         let health = self.entry(id);
         match end {
             CallEnd::Answered => {
-                health.contact.answered = Some(now);
+                health.sightings.answered = Some(now);
                 health.failures *= 1.0 - SMOOTHING;
                 health.strikes = 0;
                 health.avoid = None;
@@ -79,14 +79,14 @@
             }
             CallEnd::Failed | CallEnd::Broken => {
                 if end == CallEnd::Broken {
-                    health.contact.broken = Some(now);
+                    health.sightings.broken = Some(now);
                 }
                 health.failures += SMOOTHING * (1.0 - health.failures);
                 None
             }
             CallEnd::Refused => health.strike(now, FIRST_REST, LONGEST_REST),
             CallEnd::Unreachable => {
-                health.contact.unreachable = Some(now);
+                health.sightings.unreachable = Some(now);
                 health.strike(now, FIRST_PAUSE, LONGEST_PAUSE)
             }
         }
@@ -94,8 +94,8 @@
 
     /// Takes in that the upstream may have crashed at `when`. It is not avoided, since it may be back.
     pub fn crashed(&mut self, when: Time, id: &UpstreamId) {
-        let contact = &mut self.entry(id).contact;
-        contact.unreachable = contact.unreachable.max(Some(when));
+        let sightings = &mut self.entry(id).sightings;
+        sightings.unreachable = sightings.unreachable.max(Some(when));
     }
 
     /// Forgets what was learned about an upstream, which has a new incarnation.
@@ -112,8 +112,8 @@
     }
 
     /// What calls have shown of the upstream's connections.
-    pub fn contact(&self, id: &UpstreamId) -> Contact {
-        self.place(id).map(|at| self.known[at].contact).unwrap_or_default()
+    pub fn sightings(&self, id: &UpstreamId) -> Sightings {
+        self.place(id).map(|at| self.known[at].sightings).unwrap_or_default()
     }
 
     /// Share of the upstream's recent calls that failed, 0 to 1.
@@ -133,7 +133,7 @@
                     id: id.clone(),
                     strikes: 0,
                     avoid: None,
-                    contact: Contact::default(),
+                    sightings: Sightings::default(),
                     failures: 0.0,
                 };
                 self.known.insert(at, health);
--- a/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
@@ -6,7 +6,7 @@
 use medlarlug_core::{
     gateway::{
         budget::{RetryBounds, RetryWindow, Share, Spending},
-        cold::{ColdSends, Contact, Evacuations, Suspicions, sender},
+        cold::{ColdSends, Evacuations, Sightings, Suspicions, sender},
         health::{CallEnd, Healths},
         upstreams::Upstreams,
     },
@@ -232,9 +232,9 @@
 
     suspicions.restored(Time::from_millis(500), &"kochi-a".parse().unwrap());
     let now = Time::from_millis(900);
-    let before = suspicions.is_cold(now, upstreams.get(&id).unwrap(), Contact::default());
+    let before = suspicions.is_cold(now, upstreams.get(&id).unwrap(), Sightings::default());
     upstreams.announce(now, upstream("engine-1", 2), Duration::ZERO);
-    let after = suspicions.is_cold(now, upstreams.get(&id).unwrap(), Contact::default());
+    let after = suspicions.is_cold(now, upstreams.get(&id).unwrap(), Sightings::default());
 
     assert_eq!((before, after), (true, false));
 }
@@ -273,7 +273,7 @@
     upstreams.announce(now, upstream("engine-1", 1), Duration::from_millis(250));
 
     let known = upstreams.get(&"engine-1".parse().unwrap()).unwrap();
-    assert!(suspicions.is_cold(now, known, Contact::default()));
+    assert!(suspicions.is_cold(now, known, Sightings::default()));
 }
 
 #[test]
@@ -287,7 +287,7 @@
 
     let known = upstreams.get(&id).unwrap();
     let now = Time::from_millis(1_500);
-    assert!(Suspicions::default().is_cold(now, known, healths.contact(&id)));
+    assert!(Suspicions::default().is_cold(now, known, healths.sightings(&id)));
 }
 
 /// It may have started anew behind a cut, and an instance that has just started has not seen how.
@@ -300,7 +300,7 @@
     let known = upstreams.get(&id).unwrap();
     let now = Time::from_millis(5_000);
     let is_cold =
-        |healths: &Healths| Suspicions::default().is_cold(now, known, healths.contact(&id));
+        |healths: &Healths| Suspicions::default().is_cold(now, known, healths.sightings(&id));
 
     let unseen = is_cold(&healths);
     healths.ended(Time::from_millis(3_000), &id, CallEnd::Answered);
--- a/crates/medlarlug-core/tests/testsuite/gateway/view.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/view.rs
@@ -4,7 +4,7 @@
 
 use medlarlug_core::{
     gateway::{
-        cold::{Contact, Suspicions},
+        cold::{Sightings, Suspicions},
         upstreams::Upstreams,
         view::View,
     },
@@ -104,7 +104,7 @@
     let view = heard_until(4_000);
     upstreams.announce(Time::from_millis(4_000), upstream("engine-1", 1), Duration::ZERO);
     let is_cold = |suspicions: &Suspicions, upstreams: &Upstreams, now| {
-        suspicions.is_cold(now, upstreams.get(&id).unwrap(), Contact::default())
+        suspicions.is_cold(now, upstreams.get(&id).unwrap(), Sightings::default())
     };
 
     let woken = Time::from_millis(6_500);
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -173,8 +173,8 @@
         if let Some(when) = self.view.borrow().woken(now) {
             self.suspicions.borrow_mut().woke(when);
         }
-        let contact = self.healths.borrow().contact(&known.upstream.id);
-        self.suspicions.borrow().is_cold(now, known, contact)
+        let sightings = self.healths.borrow().sightings(&known.upstream.id);
+        self.suspicions.borrow().is_cold(now, known, sightings)
     }
 
     fn is_usable(&self, now: Time, known: &Known, cold_rate: f64, entries: &[InstanceId]) -> bool {
