--- a/crates/medlarlug-core/src/gateway/stall.rs
+++ b/crates/medlarlug-core/src/gateway/stall.rs
@@ -31,12 +31,15 @@
 }
 
 impl Stall {
-    /// The process has a turn. Has to be called more often than every [`SHORTEST`].
-    pub fn turn(&mut self, now: Time) {
-        if let Some(turned) = self.turned.filter(|turned| now - *turned > SHORTEST) {
-            self.newest = Some((turned, now));
+    /// The process has a turn; returns for how long it has stood still, if it has. Has to be called
+    /// more often than every [`SHORTEST`].
+    pub fn turn(&mut self, now: Time) -> Option<Duration> {
+        let began = self.turned.filter(|turned| now - *turned > SHORTEST);
+        if let Some(began) = began {
+            self.newest = Some((began, now));
         }
         self.turned = Some(now);
+        began.map(|began| now - began)
     }
 
     /// How old what is read now may be.
--- a/crates/medlarlug-core/tests/testsuite/gateway/stall.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/stall.rs
@@ -16,7 +16,9 @@
 /// A process that has its turns until second 4, stands still, and goes on at second 6.
 fn stalled() -> Stall {
     let mut stall = Stall::default();
-    (0..=4_000).step_by(50).for_each(|millis| stall.turn(Time::from_millis(millis)));
+    for millis in (0..=4_000).step_by(50) {
+        stall.turn(Time::from_millis(millis));
+    }
     stall.turn(Time::from_millis(6_000));
     stall
 }
@@ -24,7 +26,9 @@
 #[test]
 fn what_has_waited_is_as_old_as_the_standstill_at_most() {
     let mut stall = stalled();
-    (6_050..=7_000).step_by(50).for_each(|millis| stall.turn(Time::from_millis(millis)));
+    for millis in (6_050..=7_000).step_by(50) {
+        stall.turn(Time::from_millis(millis));
+    }
 
     assert_eq!(stalled().age(Time::from_millis(6_010)), Duration::from_millis(2_010));
     assert_eq!(stall.age(Time::from_millis(7_000)), Duration::ZERO);
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -347,7 +347,12 @@
 
     /// Takes in which keepers there are now, for the view.
     fn look(&self) {
-        self.view.borrow_mut().look(self.now(), &self.keepers());
+        let now = self.now();
+        let mut view = self.view.borrow_mut();
+        view.look(now, &self.keepers());
+        if view.woken(now) == Some(now) {
+            tracing::warn!("stood still; upstreams count as cold until they are heard anew");
+        }
     }
 
     /// The keepers with an open link that are nearest; as many tell renewals, besides changes, which
--- a/crates/medlarlug-gateway/src/keeper/loops.rs
+++ b/crates/medlarlug-gateway/src/keeper/loops.rs
@@ -68,7 +68,13 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        keeper.stall.borrow_mut().turn(keeper.now());
+        let still = keeper.stall.borrow_mut().turn(keeper.now());
+        if let Some(time) = still {
+            tracing::warn!(
+                still_ms = time.as_millis() as u64,
+                "stood still; what waited is taken for as old"
+            );
+        }
         keeper.run(|group, now, out| group.tick(now, out));
         let now = keeper.now();
         let is_behind =
