The answer of an upstream that counts as cold does not make it warm

Cause: an upstream that is no longer heard counts as warm at an instance that it has gone on answering. The first call that the cold rate let through was answered, which counted as that. The test saw it only on a busy machine, where calls came late enough for one instance to have become the sender.

--- a/crates/medlarlug-core/src/gateway/cold.rs
+++ b/crates/medlarlug-core/src/gateway/cold.rs
@@ -78,7 +78,7 @@
         let missed = restored.max(self.woken).map(|when| when + NEWS_DELAY);
         let suspect = missed.max(sightings.unreachable);
         let is_suspect = suspect.is_some_and(|since| known.heard <= since);
-        let is_unheard = now - known.heard > FRESH_FOR && !sightings.has_lasted_since(known.heard);
+        let is_unheard = now - known.heard > FRESH_FOR && !sightings.has_lasted(now, known.heard);
         is_suspect || is_unheard || known.may_be_cold(now)
     }
 }
@@ -86,7 +86,7 @@
 /// What an instance has seen of an upstream in its own calls.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Sightings {
-    /// When it last answered.
+    /// When it last answered a call, while it did not count as cold.
     pub answered: Option<Time>,
     /// When a connection to it last broke.
     pub broken: Option<Time>,
@@ -95,9 +95,10 @@
 }
 
 impl Sightings {
-    /// Whether it has answered since, and no connection has broken.
-    fn has_lasted_since(self, since: Time) -> bool {
-        self.answered > Some(since) && self.broken.max(self.unreachable) <= Some(since)
+    /// Whether it has gone on answering since, and no connection has broken.
+    fn has_lasted(self, now: Time, since: Time) -> bool {
+        let is_answering = self.answered.is_some_and(|it| it > since && now - it <= FRESH_FOR);
+        is_answering && self.broken.max(self.unreachable) <= Some(since)
     }
 }
 
--- a/crates/medlarlug-core/src/gateway/health.rs
+++ b/crates/medlarlug-core/src/gateway/health.rs
@@ -26,6 +26,8 @@
 pub enum CallEnd {
     /// A whole answer.
     Answered,
+    /// A whole answer of an upstream that counted as cold.
+    AnsweredCold,
     /// The upstream answered with a failure of its own, or with what is no answer.
     Failed,
     /// The connection ended before the answer was whole.
@@ -70,8 +72,10 @@
     pub fn ended(&mut self, now: Time, id: &UpstreamId, end: CallEnd) -> Option<Duration> {
         let health = self.entry(id);
         match end {
-            CallEnd::Answered => {
-                health.sightings.answered = Some(now);
+            CallEnd::Answered | CallEnd::AnsweredCold => {
+                if end == CallEnd::Answered {
+                    health.sightings.answered = Some(now);
+                }
                 health.failures *= 1.0 - SMOOTHING;
                 health.strikes = 0;
                 health.avoid = None;
--- a/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
@@ -311,6 +311,21 @@
     assert_eq!((unseen, answering, broken), (true, false, true));
 }
 
+/// The first call that its cold rate let through was answered, and nine more followed at once.
+#[test]
+fn answer_of_an_upstream_that_counts_as_cold_does_not_make_it_warm() {
+    let mut upstreams = Upstreams::default();
+    let mut healths = Healths::default();
+    let id = "engine-1".parse().unwrap();
+    upstreams.announce(Time::ZERO, upstream("engine-1", 1), Duration::ZERO);
+
+    healths.ended(Time::from_millis(5_000), &id, CallEnd::AnsweredCold);
+
+    let now = Time::from_millis(5_100);
+    let known = upstreams.get(&id).unwrap();
+    assert!(Suspicions::default().is_cold(now, known, healths.sightings(&id)));
+}
+
 #[test]
 fn upstream_that_refuses_rests_and_returns() {
     let mut healths = Healths::default();
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -440,7 +440,11 @@
 
 /// Takes in what a call shows of the health of its upstream.
 pub(super) fn ended(entry: &Rc<Entry>, hop: &Hop, end: CallEnd) {
-    let Hop::Upstream { choice, address, .. } = hop else { return };
+    let Hop::Upstream { choice, address, cold_rate, .. } = hop else { return };
+    let end = match end {
+        CallEnd::Answered if cold_rate.is_some() => CallEnd::AnsweredCold,
+        end => end,
+    };
     if end == CallEnd::Broken {
         task::spawn_local(look_for_crash(entry.clone(), choice.id.clone(), *address));
     }
