The most entry instances that were known are counted when they are heard

They were counted when a repeat was asked for, so those that came and were forgotten between two repeats did not count, and a share of the allowance could be too large. Found by reading. The contacts count them now; test of the core.

--- a/crates/medlarlug-core/src/gateway/contacts.rs
+++ b/crates/medlarlug-core/src/gateway/contacts.rs
@@ -92,6 +92,8 @@
 pub struct Contacts {
     known: Vec<Contact>,
     change: u64,
+    /// The most entry instances that were known at once.
+    most_entries: usize,
 }
 
 impl Contacts {
@@ -122,6 +124,8 @@
                 let status = status.unwrap_or_default();
                 self.change += 1;
                 self.known.insert(at, Contact { card, status, heard, change: self.change });
+                let entries = self.known.iter().filter(|it| it.card.part == Part::Entry);
+                self.most_entries = self.most_entries.max(entries.count());
                 true
             }
         }
@@ -205,10 +209,9 @@
         self.live(now).filter(|contact| contact.card.part == Part::Entry)
     }
 
-    /// Number of entry instances that are not forgotten yet, `own` included.
-    pub fn entry_count(&self, own: &InstanceId) -> usize {
-        let cards = self.known.iter().map(|contact| &contact.card);
-        1 + cards.filter(|card| card.part == Part::Entry && card.id != *own).count()
+    /// The most entry instances that were known at once, forgotten ones included.
+    pub fn most_entries(&self) -> usize {
+        self.most_entries
     }
 
     fn place(&self, id: &InstanceId) -> Result<usize, usize> {
--- a/crates/medlarlug-core/tests/testsuite/gateway/contacts.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/contacts.rs
@@ -94,3 +94,16 @@
     assert_eq!(waits.len(), 1);
     assert_eq!((waits[0].region.clone(), waits[0].wait_ms), (region("kochi"), 60));
 }
+
+/// A share of a limit must not grow because others are silent.
+#[test]
+fn instances_that_were_forgotten_count_among_the_most_that_were_known() {
+    let mut contacts = two_regions();
+
+    let later = Time::from_millis(90_000);
+    contacts.forget(later, Duration::from_secs(60));
+    contacts.hear(later, entry("e-1", "kochi"), ready(), NOW);
+
+    assert_eq!(contacts.live_entries(later).count(), 1);
+    assert_eq!(contacts.most_entries(), 3);
+}
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -108,8 +108,6 @@
     contacts: RefCell<Contacts>,
     /// Which keepers this instance hears.
     view: RefCell<View>,
-    /// The most entry instances that were known at once.
-    most_known: Cell<usize>,
     loads: RefCell<Loads>,
     changes: Changes,
     turn_waits: RefCell<TurnWaits>,
@@ -153,7 +151,6 @@
             upstreams: RefCell::default(),
             contacts: RefCell::default(),
             view: RefCell::default(),
-            most_known: Cell::default(),
             loads: RefCell::default(),
             changes: Changes::default(),
             turn_waits: RefCell::default(),
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -100,12 +100,9 @@
 
     /// This instance's part of what services bear beyond the ratio of repeats.
     fn share(&self, now: Time) -> Share {
-        let settings = self.settings.borrow();
-        let is_first = settings.first_start;
-        let known = self.contacts.borrow().entry_count(&settings.card.id);
-        self.most_known.set(self.most_known.get().max(known));
+        let is_first = self.settings.borrow().first_start;
         Share {
-            instances: self.most_known.get(),
+            instances: self.contacts.borrow().most_entries(),
             age: (!is_first).then(|| now - self.started),
             has_seen_all: self.view.borrow().was_complete(),
         }
