What another keeper heard within the same millisecond is not passed on as one's own

Whether an announcement came from its upstream was guessed from an age of zero. The two ways in tell it now. Found by reading; test of the core, which the former code fails by its definition.

--- a/crates/medlarlug-core/src/gateway/upstreams.rs
+++ b/crates/medlarlug-core/src/gateway/upstreams.rs
@@ -148,10 +148,9 @@
 }
 
 impl Upstreams {
-    /// Takes in what another process heard an upstream announce `age` before `now`, or, if that is
-    /// zero, this process.
+    /// Takes in what another process heard an upstream announce `age` before `now`.
     pub fn announce(&mut self, now: Time, upstream: Upstream, age: Duration) -> Effect {
-        self.take(now, upstream, age, age.is_zero())
+        self.take(now, upstream, age, false)
     }
 
     /// Takes in what an upstream announced to this process, which reads it up to `age` late.
@@ -243,7 +242,7 @@
             return self.leave(&upstream.id);
         }
         let gone = Upstream { state: UpstreamState::Gone, birth: Birth(0), ..upstream };
-        self.announce(now, gone, Duration::ZERO)
+        self.take(now, gone, Duration::ZERO, true)
     }
 
     /// Forgets upstreams that have announced nothing for [`FORGET_AFTER`], and returns their ids.
--- a/crates/medlarlug-core/tests/testsuite/gateway/announcements.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/announcements.rs
@@ -205,3 +205,13 @@
     assert_eq!(renewed, Effect::Renewed);
     assert!(known.may_be_cold(Time::from_millis(3_230)));
 }
+
+/// Keepers pass on what upstreams told them, not what they have from each other.
+#[test]
+fn announcement_that_another_process_has_just_heard_is_not_local() {
+    let mut upstreams = Upstreams::default();
+
+    upstreams.announce(Time::ZERO, upstream("engine-1", 1), Duration::ZERO);
+
+    assert!(!upstreams.get(&"engine-1".parse().unwrap()).unwrap().is_local);
+}
