--- a/crates/medlarlug-core/src/gateway/budget.rs
+++ b/crates/medlarlug-core/src/gateway/budget.rs
@@ -54,8 +54,8 @@
 }
 
 impl Share {
-    /// Whether repeats of an earlier process may still count in the present window.
-    fn overlaps_former(self, bounds: RetryBounds) -> bool {
+    /// Whether repeats of the process before this one may still count in the present window.
+    fn overlaps_predecessor(self, bounds: RetryBounds) -> bool {
         self.age.is_some_and(|age| age <= bounds.window + way(bounds))
     }
 
@@ -109,7 +109,7 @@
     /// What is left at the time of the last change.
     pub fn balance(&self, bounds: RetryBounds, share: Share) -> Balance {
         let (calls, repeats) = (self.calls.len(), self.repeats.len());
-        let left = match share.overlaps_former(bounds) {
+        let left = match share.overlaps_predecessor(bounds) {
             true => 0.0,
             false => bounds.ratio * calls as f64 + share.of(bounds) - repeats as f64,
         };
--- a/crates/medlarlug-core/src/gateway/cold.rs
+++ b/crates/medlarlug-core/src/gateway/cold.rs
@@ -69,22 +69,23 @@
         &self,
         now: Time,
         known: &Known,
-        sightings: Sightings,
+        observations: Observations,
         resumed: Option<Time>,
     ) -> bool {
         let zone = self.restored.binary_search_by(|it| it.0.cmp(&known.upstream.zone));
         let restored = zone.ok().map(|at| self.restored[at].1);
         let missed = restored.max(resumed).map(|when| when + NEWS_DELAY);
-        let suspect = missed.max(sightings.unreachable);
+        let suspect = missed.max(observations.unreachable);
         let is_suspect = suspect.is_some_and(|since| known.heard <= since);
-        let is_unheard = now - known.heard > FRESH_FOR && !sightings.has_lasted(now, known.heard);
+        let is_unheard =
+            now - known.heard > FRESH_FOR && !observations.is_still_serving(now, known.heard);
         is_suspect || is_unheard || known.may_be_cold(now)
     }
 }
 
 /// What an instance has seen of an upstream in its own calls.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Sightings {
+pub struct Observations {
     /// When it last answered a call, while it did not count as cold.
     pub answered: Option<Time>,
     /// When a connection to it last broke.
@@ -93,9 +94,9 @@
     pub unreachable: Option<Time>,
 }
 
-impl Sightings {
+impl Observations {
     /// Whether it has gone on answering since, and no connection has broken.
-    fn has_lasted(self, now: Time, since: Time) -> bool {
+    fn is_still_serving(self, now: Time, since: Time) -> bool {
         let is_answering = self.answered.is_some_and(|it| it > since && now - it <= FRESH_FOR);
         is_answering && self.broken.max(self.unreachable) <= Some(since)
     }
--- a/crates/medlarlug-core/src/gateway/handover.rs
+++ b/crates/medlarlug-core/src/gateway/handover.rs
@@ -52,7 +52,7 @@
 /// let mut attempts = Attempts::new(3);
 /// attempts.ran(1);
 /// assert_eq!(attempts.left(), 2);
-/// attempts.lose_sight();
+/// attempts.use_all();
 /// assert_eq!(attempts.left(), 0);
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -72,9 +72,9 @@
         self.runs = self.runs.saturating_add(upstreams);
     }
 
-    /// Another instance has the call and no longer tells how many upstreams ran it: it may have used
+    /// Another instance failed before it reported how many upstreams ran the call: it may have used
     /// every attempt.
-    pub fn lose_sight(&mut self) {
+    pub fn use_all(&mut self) {
         self.runs = self.runs.max(self.allowed);
     }
 
--- a/crates/medlarlug-core/src/gateway/health.rs
+++ b/crates/medlarlug-core/src/gateway/health.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use crate::{gateway::cold::Sightings, ids::UpstreamId, time::Time};
+use crate::{gateway::cold::Observations, ids::UpstreamId, time::Time};
 
 /// First time for which an upstream is avoided that takes no more calls; places free up within a
 /// few steps of an engine.
@@ -43,7 +43,7 @@
     id: UpstreamId,
     strikes: u32,
     avoid: Option<Time>,
-    sightings: Sightings,
+    observations: Observations,
     failures: f64,
 }
 
@@ -74,7 +74,7 @@
         match end {
             CallEnd::Answered | CallEnd::AnsweredCold => {
                 if end == CallEnd::Answered {
-                    health.sightings.answered = Some(now);
+                    health.observations.answered = Some(now);
                 }
                 health.failures *= 1.0 - SMOOTHING;
                 health.strikes = 0;
@@ -83,14 +83,14 @@
             }
             CallEnd::Failed | CallEnd::Broken => {
                 if end == CallEnd::Broken {
-                    health.sightings.broken = Some(now);
+                    health.observations.broken = Some(now);
                 }
                 health.failures += SMOOTHING * (1.0 - health.failures);
                 None
             }
             CallEnd::Refused => health.strike(now, FIRST_REST, LONGEST_REST),
             CallEnd::Unreachable => {
-                health.sightings.unreachable = Some(now);
+                health.observations.unreachable = Some(now);
                 health.strike(now, FIRST_PAUSE, LONGEST_PAUSE)
             }
         }
@@ -98,8 +98,8 @@
 
     /// Takes in that the upstream may have crashed at `when`. It is not avoided, since it may be back.
     pub fn crashed(&mut self, when: Time, id: &UpstreamId) {
-        let sightings = &mut self.entry(id).sightings;
-        sightings.unreachable = sightings.unreachable.max(Some(when));
+        let observations = &mut self.entry(id).observations;
+        observations.unreachable = observations.unreachable.max(Some(when));
     }
 
     /// Forgets what was learned about an upstream, which has a new incarnation.
@@ -116,8 +116,8 @@
     }
 
     /// What calls have shown of the upstream's connections.
-    pub fn sightings(&self, id: &UpstreamId) -> Sightings {
-        self.place(id).map(|at| self.known[at].sightings).unwrap_or_default()
+    pub fn observations(&self, id: &UpstreamId) -> Observations {
+        self.place(id).map(|at| self.known[at].observations).unwrap_or_default()
     }
 
     /// Share of the upstream's recent calls that failed, 0 to 1.
@@ -137,7 +137,7 @@
                     id: id.clone(),
                     strikes: 0,
                     avoid: None,
-                    sightings: Sightings::default(),
+                    observations: Observations::default(),
                     failures: 0.0,
                 };
                 self.known.insert(at, health);
--- a/crates/medlarlug-core/tests/testsuite/gateway/handover.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/handover.rs
@@ -59,7 +59,7 @@
     let mut attempts = Attempts::new(3);
     attempts.ran(1);
 
-    attempts.lose_sight();
+    attempts.use_all();
 
     assert_eq!(attempts.left(), 0);
 }
--- a/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
@@ -6,7 +6,7 @@
 use medlarlug_core::{
     gateway::{
         budget::{RetryBounds, RetryWindow, Share, Spending},
-        cold::{ColdSends, Evacuations, Sightings, Suspicions, sender},
+        cold::{ColdSends, Evacuations, Observations, Suspicions, sender},
         health::{CallEnd, Healths},
         upstreams::Upstreams,
     },
@@ -232,9 +232,10 @@
 
     suspicions.restored(Time::from_millis(500), &"kochi-a".parse().unwrap());
     let now = Time::from_millis(900);
-    let before = suspicions.is_cold(now, upstreams.get(&id).unwrap(), Sightings::default(), None);
+    let before =
+        suspicions.is_cold(now, upstreams.get(&id).unwrap(), Observations::default(), None);
     upstreams.announce(now, upstream("engine-1", 2), Duration::ZERO);
-    let after = suspicions.is_cold(now, upstreams.get(&id).unwrap(), Sightings::default(), None);
+    let after = suspicions.is_cold(now, upstreams.get(&id).unwrap(), Observations::default(), None);
 
     assert_eq!((before, after), (true, false));
 }
@@ -273,7 +274,7 @@
     upstreams.announce(now, upstream("engine-1", 1), Duration::from_millis(250));
 
     let known = upstreams.get(&"engine-1".parse().unwrap()).unwrap();
-    assert!(suspicions.is_cold(now, known, Sightings::default(), None));
+    assert!(suspicions.is_cold(now, known, Observations::default(), None));
 }
 
 #[test]
@@ -287,7 +288,7 @@
 
     let known = upstreams.get(&id).unwrap();
     let now = Time::from_millis(1_500);
-    assert!(Suspicions::default().is_cold(now, known, healths.sightings(&id), None));
+    assert!(Suspicions::default().is_cold(now, known, healths.observations(&id), None));
 }
 
 /// It may have started anew behind a cut, and an instance that has just started has not seen how.
@@ -299,8 +300,9 @@
     upstreams.announce(Time::ZERO, upstream("engine-1", 1), Duration::ZERO);
     let known = upstreams.get(&id).unwrap();
     let now = Time::from_millis(5_000);
-    let is_cold =
-        |healths: &Healths| Suspicions::default().is_cold(now, known, healths.sightings(&id), None);
+    let is_cold = |healths: &Healths| {
+        Suspicions::default().is_cold(now, known, healths.observations(&id), None)
+    };
 
     let unseen = is_cold(&healths);
     healths.ended(Time::from_millis(3_000), &id, CallEnd::Answered);
@@ -323,7 +325,7 @@
 
     let now = Time::from_millis(5_100);
     let known = upstreams.get(&id).unwrap();
-    assert!(Suspicions::default().is_cold(now, known, healths.sightings(&id), None));
+    assert!(Suspicions::default().is_cold(now, known, healths.observations(&id), None));
 }
 
 #[test]
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -330,7 +330,7 @@
             if let Some(rate) = cold_rate {
                 entry.cold.borrow_mut().sent(now, &choice.id, *rate);
                 let instances = entry.region_entries().len();
-                let up_ms = (now - entry.started).as_millis() as u64;
+                let up_ms = entry.uptime().as_millis() as u64;
                 metrics::counter!(names::COLD_SENDS).increment(1);
                 tracing::info!(request = %attempted.call.id, upstream = %choice.id, rate, instances, up_ms, "sending to a cold upstream");
             }
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -170,9 +170,9 @@
     }
 
     fn is_cold(&self, now: Time, known: &Known) -> bool {
-        let sightings = self.healths.borrow().sightings(&known.upstream.id);
+        let observations = self.healths.borrow().observations(&known.upstream.id);
         let resumed = self.view.borrow().resumed(now);
-        self.suspicions.borrow().is_cold(now, known, sightings, resumed)
+        self.suspicions.borrow().is_cold(now, known, observations, resumed)
     }
 
     fn is_usable(&self, now: Time, known: &Known, cold_rate: f64, entries: &[InstanceId]) -> bool {
--- a/crates/medlarlug-gateway/src/entry/forwarded.rs
+++ b/crates/medlarlug-gateway/src/entry/forwarded.rs
@@ -17,8 +17,8 @@
     HeaderValue::from_bytes(&text).ok()
 }
 
-/// A count that another instance tells; one if it tells none, as after an answer that has not come
-/// from its own code.
+/// A count that another instance reports; one if the header is missing, since the call was sent to
+/// it.
 pub(super) fn count(headers: &HeaderMap, name: &str) -> u32 {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
     value.and_then(|value| value.parse().ok()).unwrap_or(1)
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -233,9 +233,14 @@
         self.clock.now()
     }
 
+    /// Time since the process started.
+    fn uptime(&self) -> Duration {
+        self.now() - self.started
+    }
+
     /// Whether the instance has started so recently that news may be on its way to it.
     fn is_starting(&self) -> bool {
-        self.now() - self.started < STARTING_TIME
+        self.uptime() < STARTING_TIME
     }
 
     /// Live entry instances of the own region, this one included.
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -41,6 +41,7 @@
     pub(super) may_leave: bool,
     pub(super) last_event: Option<u64>,
     pub(super) tried: Tried,
+    /// Upstreams that may run it, and those that have.
     pub(super) attempts: Attempts,
     /// Requests that reached an upstream, refused ones and those of other instances included.
     pub(super) arrivals: u32,
@@ -95,7 +96,7 @@
     /// longer tell.
     pub(super) fn count_broken(&mut self, hop: &Hop) {
         if matches!(hop, Hop::Peer { .. }) {
-            self.attempts.lose_sight();
+            self.attempts.use_all();
         }
     }
 
@@ -182,7 +183,7 @@
             (Outcome::Stream(stream), Hop::Peer { .. }) => {
                 self.attempts.ran(forwarded::count(&stream.headers, forwarded::RUNS));
             }
-            (Outcome::Unknown(_), Hop::Peer { .. }) => self.attempts.lose_sight(),
+            (Outcome::Unknown(_), Hop::Peer { .. }) => self.attempts.use_all(),
             _ => self.attempts.ran(1),
         }
         let arrivals = match &outcome {
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -85,7 +85,7 @@
     pub(super) fn take_repeat(&self, call: &Call, service: &ServiceName) -> bool {
         let bounds = self.settings.borrow().retries;
         let now = self.now();
-        let share = self.share(now);
+        let share = self.share();
         let (is_taken, balance) = self.with_window(service, |window| {
             (window.take(now, bounds, share), window.balance(bounds, share))
         });
@@ -93,17 +93,17 @@
         metrics::counter!(name).increment(1);
         let Balance { calls, repeats, left } = balance;
         let (share, instances) = (share.of(bounds), share.instances);
-        let up_ms = (now - self.started).as_millis() as u64;
+        let up_ms = self.uptime().as_millis() as u64;
         tracing::info!(request = %call.id, %service, is_taken, calls, repeats, left, share, instances, up_ms, "repeat asked for");
         is_taken
     }
 
     /// This instance's part of what services bear beyond the ratio of repeats.
-    fn share(&self, now: Time) -> Share {
+    fn share(&self) -> Share {
         let is_first = self.settings.borrow().first_start;
         Share {
             instances: self.contacts.borrow().most_entries(),
-            age: (!is_first).then(|| now - self.started),
+            age: (!is_first).then(|| self.uptime()),
             has_seen_all: self.view.borrow().was_complete(),
         }
     }
