A process that a test stops stands still before the test goes on

Cause: kill(2) with SIGSTOP returns before the threads of the process have stopped; each stops when it next leaves the kernel, and on a busy machine that takes a while. Until then the keeper votes, so the home group has a majority, and the answer is right. Ruled out: an answer by a leader without a majority: Begin is a committed command. Change: the fixtures' signals wait for every thread after SIGSTOP, in one place for both test suites.

--- a/crates/test-support/src/deployment/mod.rs
+++ b/crates/test-support/src/deployment/mod.rs
@@ -16,14 +16,11 @@
     time::{Duration, Instant},
 };
 
-use nix::{
-    sys::signal::{Signal, kill},
-    unistd::Pid,
-};
+use nix::sys::signal::Signal;
 use tempfile::TempDir;
 
 pub use self::requests::{Reply, call};
-use crate::{free_address, free_block, relay::Network};
+use crate::{free_address, free_block, relay::Network, signals};
 
 /// Bearer key of the operator `anna`.
 pub const OPERATOR_KEY: &str = "operator-key-of-anna";
@@ -307,8 +304,14 @@
     pub fn signal(&self, id: &str, signal: Signal) {
         let processes = self.processes.lock().expect("no test has panicked here");
         let child = processes.iter().find(|it| it.0 == id).expect("a running process");
-        let pid = Pid::from_raw(child.1.id() as i32);
-        kill(pid, signal).expect("the process is there");
+        signals::send(child.1.id(), signal);
+    }
+
+    /// Whether no thread of a process runs any more.
+    pub fn is_stopped(&self, id: &str) -> bool {
+        let processes = self.processes.lock().expect("no test has panicked here");
+        let child = processes.iter().find(|it| it.0 == id).expect("a running process");
+        signals::is_stopped(child.1.id())
     }
 
     /// Kills a process and waits for its end.
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod deployment;
 pub mod relay;
 pub mod scale;
+pub mod signals;
 pub mod stream;
 
 use std::{
--- a/tests/testsuite/processes/outcomes.rs
+++ b/tests/testsuite/processes/outcomes.rs
@@ -126,10 +126,12 @@
 
     deployment.signal("keeper-2", Signal::SIGSTOP);
     deployment.signal("keeper-3", Signal::SIGSTOP);
+    let stopped = ["keeper-2", "keeper-3"].map(|id| deployment.is_stopped(id));
     let cut_off = deployment.book("entry-2", "parcel-7", "{}");
     deployment.signal("keeper-2", Signal::SIGCONT);
     deployment.signal("keeper-3", Signal::SIGCONT);
 
+    assert_eq!(stopped, [true; 2]);
     assert_eq!(first.status, 200, "{}", first.text);
     assert_eq!(cut_off.json["type"], "home-unreachable", "{}", cut_off.text);
     assert_eq!(cut_off.json["outcome"], "not_run", "{}", cut_off.text);
