An upstream that has missed an announcement counts as cold without answers of its own

Cause: news counted for 4.5 s, three announcements, for everybody. An instance that has had answers since knows more than the news; one that has just started, or has not called the upstream lately, does not. Change: without an answer since the last announcement it counts for 2.5 s: the next one is made after 1.2 s and keepers pass it on within a second. The preference for upstreams that are heard keeps its 4.5 s. Test of the core: failed before (2,792 ms counted as warm). What remains: a crash and return within 2.5 s that no keeper hears.

--- a/crates/medlarlug-core/src/gateway/cold.rs
+++ b/crates/medlarlug-core/src/gateway/cold.rs
@@ -34,10 +34,15 @@
 /// packet.
 const NEWS_DELAY: Duration = Duration::from_millis(300);
 
-/// Age of an announcement up to which its upstream is taken for the one that made it: three missed
-/// in a row. After that, it may have started anew where it can't announce itself.
+/// Age of an announcement up to which its upstream is preferred to those that are silent: three
+/// missed in a row.
 pub const FRESH_FOR: Duration = Duration::from_millis(4_500);
 
+/// Age of an announcement up to which its upstream is taken for the one that made it: the next one
+/// is made 1.2 s later, and keepers pass it on within a second. A silent upstream may have crashed
+/// and started anew where nobody hears it.
+pub const ANNOUNCED_FOR: Duration = Duration::from_millis(2_500);
+
 /// What may have turned upstreams cold without their having told so yet: the end of an evacuation,
 /// a crash that is seen as a connection that does not open, a start behind a cut, or anything while
 /// this process was stalled.
@@ -78,7 +83,7 @@
         let suspect = missed.max(observations.unreachable);
         let is_suspect = suspect.is_some_and(|since| known.heard <= since);
         let is_unheard =
-            now - known.heard > FRESH_FOR && !observations.is_still_serving(now, known.heard);
+            now - known.heard > ANNOUNCED_FOR && !observations.is_still_serving(now, known.heard);
         is_suspect || is_unheard || known.may_be_cold(now)
     }
 }
--- a/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
@@ -313,6 +313,27 @@
     assert_eq!((unseen, answering, broken), (true, false, true));
 }
 
+/// Soak, seeds 523 and 9103: an upstream crashed and came back cold while no keeper heard it, and an
+/// instance that had just started, which had seen no connection break, took it for warm.
+#[test]
+fn upstream_that_has_missed_an_announcement_counts_as_cold_to_an_instance_without_its_answers() {
+    let mut upstreams = Upstreams::default();
+    let id = "engine-1".parse().unwrap();
+    upstreams.announce(Time::ZERO, upstream("engine-1", 1), Duration::ZERO);
+    let known = upstreams.get(&id).unwrap();
+    let is_cold = |millis, healths: &Healths| {
+        let now = Time::from_millis(millis);
+        Suspicions::default().is_cold(now, known, healths.observations(&id), None)
+    };
+
+    let mut serving = Healths::default();
+    serving.ended(Time::from_millis(2_700), &id, CallEnd::Answered);
+
+    let regular = is_cold(2_200, &Healths::default());
+    let missed = is_cold(2_792, &Healths::default());
+    assert_eq!((regular, missed, is_cold(2_792, &serving)), (false, true, false));
+}
+
 /// The first call that its cold rate let through was answered, and nine more followed at once.
 #[test]
 fn answer_of_an_upstream_that_counts_as_cold_does_not_make_it_warm() {
