In large regions collectors sum up the load that entry instances tell

Cause: each instance told all others of its region everything, and of long prompts at once: 440 datagrams a second sent and as many received by each of 65. To bound the work, whole reports came less often the more peers there were, each 1.36 s with 65, while a report counts for 1.2 s: most peers counted as silent, and each instance took them to have as much at an engine as it had itself. Change: up to eight instances tell each other as before. In a larger region each zone has four collectors, by rank among the live ones; instances report to them, they pass changes on within 20 ms and everything each 240 ms, in their zone and between zones. An instance whose collector is silent asks the next one. Upstreams are named by 32 bits in reports. Calls to plain services are told at once as well. The total over all peers is kept up to date, so a choice looks each upstream up once and not once for each peer. The spare capacity told in pings is predicted once for all keepers.

--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -6,7 +6,8 @@
 //!
 //! Upstreams announce themselves to the keepers, which pass the news on to every entry instance.
 //! [`upstreams`] orders that news by incarnation and sequence. An entry instance picks an upstream
-//! by [`placing`], sends no more than [`cold`] allows to one that has just started, repeats calls
+//! by [`placing`] and by what others have under way there, which [`exchange`] spreads within a region
+//! and [`peer_loads`] sums up. It sends no more than [`cold`] allows to one that has just started, repeats calls
 //! within the [`budget`] of their service, and avoids upstreams that [`health`] found broken.
 //! [`contacts`] keeps track of the instances of the system itself, and [`view`] tells whether one sees
 //! enough of the others to act on its part of a common limit. [`stall`] notices when a process was
@@ -16,9 +17,11 @@
 pub mod budget;
 pub mod cold;
 pub mod contacts;
+pub mod exchange;
 pub mod handover;
 pub mod health;
 pub mod patience;
+pub mod peer_loads;
 pub mod placing;
 pub mod publication;
 pub mod refusing;
--- a/crates/medlarlug-core/src/gateway/placing.rs
+++ b/crates/medlarlug-core/src/gateway/placing.rs
@@ -3,8 +3,8 @@
 //! For model engines the time to the first token is mostly the time in which prompts are read:
 //! those that wait already, and the parts of this prompt that the engine does not hold in its
 //! cache. [`Loads`] counts the former from what this instance has sent itself and what the other
-//! instances of its region have reported; a peer without a fresh report is taken to send as much as
-//! this instance does on average. For plain services the time is that until a slot is free.
+//! instances of its region have [reported](super::peer_loads); a peer without a fresh report is taken
+//! to send as much as this instance does on average. For plain services the time is that until a slot is free.
 //!
 //! Reading a part again delays every stream of its engine, since engines read prompts between the
 //! steps of all others. So a part that is not held counts for more than the time in which it is
@@ -18,9 +18,8 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
 use crate::{
+    gateway::peer_loads::{LoadReport, PeerLoads, Source, UpstreamKey},
     ids::{InstanceId, UpstreamId},
     time::Time,
 };
@@ -48,10 +47,16 @@
 }
 
 impl Choice {
-    /// Whether it makes its engine's queue so much longer that peers have to know at once.
+    /// Whether it is a long prompt, which takes turns with others at its engine.
     pub fn is_long(&self) -> bool {
         self.unread >= LONG_PROMPT
     }
+
+    /// Whether peers have to know of it at once: it is a long prompt, or a call to a plain service,
+    /// which has few places.
+    pub fn is_told(&self) -> bool {
+        self.is_long() || self.unread == 0
+    }
 }
 
 impl Demand {
@@ -130,8 +135,6 @@
 const TURN_TOKENS: f64 = 3_000.0;
 /// Weight of the time that queued tokens above [`STALL_TOKENS`] take.
 const STALL_WEIGHT: f64 = 2.0;
-/// Age after which a peer's report counts no more.
-const REPORT_LIFETIME: Duration = Duration::from_millis(1_200);
 /// Time over which the own load is averaged, for peers without a report.
 const AVERAGE_TIME: Duration = Duration::from_secs(2);
 /// Weight of the newest call in the smoothed slowness.
@@ -201,34 +204,12 @@
     }
 }
 
-/// What an instance has under way at an upstream, as it tells its peers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadReport {
-    /// The upstream.
-    pub id: UpstreamId,
-    /// Calls that run.
-    pub running: u32,
-    /// Prompt tokens sent and not yet read.
-    pub unread: u32,
-    /// Those of them that have rank 0.
-    pub urgent: u32,
-}
-
-/// The newest reports of a peer, sorted by upstream.
-#[derive(Debug, Clone)]
-struct PeerLoads {
-    peer: InstanceId,
-    heard: Time,
-    loads: Vec<LoadReport>,
-}
-
 /// What this instance and its peers have under way at each upstream.
 #[derive(Debug, Clone, Default)]
 pub struct Loads {
     /// Sorted by id.
     known: Vec<Load>,
-    /// Sorted by peer.
-    peers: Vec<PeerLoads>,
+    peers: PeerLoads,
 }
 
 /// Orders upstreams for a key, alike at every instance: the highest rank is preferred.
@@ -336,54 +317,58 @@
         Predicted { unread: unread as u32, wait: wait * slowness, others: others * slowness }
     }
 
-    /// What this instance has under way, to be told to its peers; idle upstreams are left out.
+    /// What this instance has under way, to be told to its peers, sorted by upstream; idle upstreams
+    /// are left out.
     pub fn report(&self) -> Vec<LoadReport> {
         let busy = self.known.iter().filter(|load| load.running.value > 0);
-        busy.map(Load::report).collect()
-    }
-
-    /// Takes in what a peer has under way; `loads` is sorted by upstream.
-    pub fn hear(&mut self, now: Time, peer: InstanceId, loads: Vec<LoadReport>) {
-        self.peers.retain(|it| now - it.heard < REPORT_LIFETIME);
-        match self.peers.binary_search_by(|it| it.peer.cmp(&peer)) {
-            Ok(at) => self.peers[at] = PeerLoads { peer, heard: now, loads },
-            Err(at) => self.peers.insert(at, PeerLoads { peer, heard: now, loads }),
-        }
+        let mut reports: Vec<LoadReport> = busy.map(Load::report).collect();
+        reports.sort_by_key(|it| it.upstream);
+        reports
     }
 
     /// What this instance has under way at one upstream.
     pub fn report_of(&self, id: &UpstreamId) -> LoadReport {
-        match self.place(id) {
-            Ok(at) => self.known[at].report(),
-            Err(_) => LoadReport { id: id.clone(), running: 0, unread: 0, urgent: 0 },
-        }
+        let idle = || LoadReport::idle(UpstreamKey::of(id));
+        self.place(id).map_or_else(|_| idle(), |at| self.known[at].report())
     }
 
-    /// Takes in what a peer has under way at one upstream. It says nothing of the peer's other
-    /// upstreams, so it is left out for a peer without a whole report.
-    pub fn hear_change(&mut self, peer: &InstanceId, change: LoadReport) {
-        let Ok(at) = self.peers.binary_search_by(|it| it.peer.cmp(peer)) else { return };
-        let loads = &mut self.peers[at].loads;
-        match loads.binary_search_by(|it| it.id.cmp(&change.id)) {
-            Ok(at) => loads[at] = change,
-            Err(at) => loads.insert(at, change),
-        }
+    /// Takes in what peers have under way, see [`PeerLoads::hear`].
+    pub fn hear(&mut self, now: Time, source: Source, instances: usize, loads: Vec<LoadReport>) {
+        self.peers.hear(now, source, instances, loads);
+    }
+
+    /// Takes in what peers have under way at one upstream, see [`PeerLoads::hear_change`].
+    pub fn hear_change(&mut self, source: &Source, change: LoadReport) {
+        self.peers.hear_change(source, change);
+    }
+
+    /// Drops reports of peers that count no more.
+    pub fn forget_silent(&mut self, now: Time) {
+        self.peers.forget(now);
+    }
+
+    /// What a collector tells the instance `to`: the sum over all instances but that one, and how many
+    /// they are.
+    pub fn sum_for(&self, to: &InstanceId) -> (usize, Vec<LoadReport>) {
+        let is_receiver = |source: &Source| matches!(source, Source::Peer(id) if id == to);
+        self.peers.sum(&self.report(), is_receiver)
+    }
+
+    /// What a collector tells other zones: the sum over the instances of its own, and how many they
+    /// are.
+    pub fn zone_sum(&self) -> (usize, Vec<LoadReport>) {
+        self.peers.sum(&self.report(), |source| matches!(source, Source::Zone(_)))
     }
 
     /// What the other `peers` have under way at an upstream.
     fn others(&self, now: Time, id: &UpstreamId, peers: usize) -> Others {
-        let fresh = self.peers.iter().filter(|it| now - it.heard < REPORT_LIFETIME);
-        let mut others = Others::default();
-        let mut reported = 0;
-        for peer in fresh {
-            reported += 1;
-            if let Ok(at) = peer.loads.binary_search_by(|it| it.id.cmp(id)) {
-                others.running += f64::from(peer.loads[at].running);
-                others.unread += f64::from(peer.loads[at].unread);
-                others.urgent += f64::from(peer.loads[at].urgent);
-            }
-        }
-        let silent = peers.saturating_sub(1 + reported) as f64;
+        let (told, instances) = self.peers.at(now, UpstreamKey::of(id));
+        let mut others = Others {
+            running: f64::from(told.running),
+            unread: f64::from(told.unread),
+            urgent: f64::from(told.urgent),
+        };
+        let silent = peers.saturating_sub(1 + instances) as f64;
         if silent > 0.0
             && let Ok(at) = self.place(id)
         {
@@ -477,7 +462,7 @@
     fn report(&self) -> LoadReport {
         let count = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
         LoadReport {
-            id: self.id.clone(),
+            upstream: UpstreamKey::of(&self.id),
             running: count(self.running.value),
             unread: count(self.unread.value),
             urgent: count(self.urgent.value),
--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod away;
 mod contacts;
+mod exchange;
 mod fixture;
 mod handover;
 mod limits;
--- a/crates/medlarlug-core/tests/testsuite/gateway/placing.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/placing.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use medlarlug_core::{
-    gateway::placing::{Candidate, Choice, Demand, LoadReport, Loads, PromptPart},
+    gateway::{
+        peer_loads::{LoadReport, Source, UpstreamKey},
+        placing::{Candidate, Choice, Demand, Loads, PromptPart},
+    },
     ids::UpstreamId,
     time::Time,
 };
@@ -35,6 +38,15 @@
     Demand { parts, prompt: 9_200, output: 50, rank: 1 }
 }
 
+/// A report of 0 urgent tokens.
+fn load(upstream: &UpstreamId, running: u32, unread: u32) -> LoadReport {
+    LoadReport { upstream: UpstreamKey::of(upstream), running, unread, urgent: 0 }
+}
+
+fn from_peer(id: &str) -> Source {
+    Source::Peer(id.parse().unwrap())
+}
+
 #[test]
 fn calls_of_a_session_stay_on_one_engine_while_it_is_free() {
     let ids = ids(5);
@@ -74,8 +86,8 @@
     let mut loads = Loads::default();
     let home = loads.choose(Time::ZERO, &session(7, 0), &engines(&ids), 1).unwrap();
 
-    let busy = LoadReport { id: home.id.clone(), running: 8, unread: 60_000, urgent: 0 };
-    loads.hear(Time::ZERO, "entry-2".parse().unwrap(), vec![busy]);
+    let busy = load(&home.id, 8, 60_000);
+    loads.hear(Time::ZERO, from_peer("entry-2"), 1, vec![busy]);
     let moved = loads.choose(Time::ZERO, &session(7, 1), &engines(&ids), 2).unwrap();
 
     assert_ne!(moved.id, home.id);
@@ -86,8 +98,8 @@
     let ids = ids(2);
     let mut loads = Loads::default();
     let home = loads.choose(Time::ZERO, &session(7, 0), &engines(&ids), 1).unwrap();
-    let busy = LoadReport { id: home.id.clone(), running: 8, unread: 60_000, urgent: 0 };
-    loads.hear(Time::ZERO, "entry-2".parse().unwrap(), vec![busy]);
+    let busy = load(&home.id, 8, 60_000);
+    loads.hear(Time::ZERO, from_peer("entry-2"), 1, vec![busy]);
 
     let later = loads.choose(Time::from_millis(1_300), &session(7, 1), &engines(&ids), 2);
 
@@ -99,8 +111,8 @@
 fn urgent_call_does_not_wait_for_less_urgent_prompts() {
     let ids = ids(1);
     let mut loads = Loads::default();
-    let busy = LoadReport { id: ids[0].clone(), running: 8, unread: 60_000, urgent: 0 };
-    loads.hear(Time::ZERO, "entry-2".parse().unwrap(), vec![busy]);
+    let busy = load(&ids[0], 8, 60_000);
+    loads.hear(Time::ZERO, from_peer("entry-2"), 1, vec![busy]);
     let wait = |rank| {
         let demand = Demand { prompt: 800, rank, ..Demand::default() };
         loads.choose(Time::ZERO, &demand, &engines(&ids), 2).unwrap().wait
@@ -120,8 +132,8 @@
     let mut loads = Loads::default();
 
     let idle = loads.choose(Time::ZERO, &query, &candidates, 2).unwrap();
-    let busy = LoadReport { id: ids[1].clone(), running: 60, unread: 0, urgent: 0 };
-    loads.hear(Time::ZERO, "entry-2".parse().unwrap(), vec![busy]);
+    let busy = load(&ids[1], 60, 0);
+    loads.hear(Time::ZERO, from_peer("entry-2"), 1, vec![busy]);
     let beside_a_busy_one = loads.choose(Time::ZERO, &query, &candidates, 2).unwrap();
 
     assert_eq!((idle.id, beside_a_busy_one.id), (ids[1].clone(), ids[0].clone()));
@@ -166,25 +178,37 @@
     }
 }
 
+/// Calls that arrive at engines.
+struct Traffic {
+    engines: usize,
+    sessions: u64,
+    calls: u64,
+    /// Mean time between two calls, in milliseconds.
+    gap: f64,
+}
+
+/// About 36 calls a second, more than five cold engines can read.
+const FIVE_ENGINES: Traffic = Traffic { engines: 5, sessions: 95, calls: 3_000, gap: 28.0 };
+
 /// Share of calls whose first token comes within a second, when `place` picks the engine.
 fn share_in_time(
     seed: u64,
+    traffic: &Traffic,
     mut place: impl FnMut(f64, &Demand, &mut ChaCha8Rng, &mut Vec<Emulated>) -> usize,
 ) -> f64 {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut engines: Vec<Emulated> =
-        (0..5).map(|_| Emulated { free: 0.0, held: Vec::new() }).collect();
-    let (mut now, mut in_time, calls) = (0.0, 0, 3_000);
-    for call in 0..calls {
-        // About 36 calls a second, more than cold engines can read.
-        now += -random.random::<f64>().max(1e-9).ln() * 28.0;
-        let demand = session(random.random_range(0..95), call);
+        (0..traffic.engines).map(|_| Emulated { free: 0.0, held: Vec::new() }).collect();
+    let (mut now, mut in_time) = (0.0, 0);
+    for call in 0..traffic.calls {
+        now += -random.random::<f64>().max(1e-9).ln() * traffic.gap;
+        let demand = session(random.random_range(0..traffic.sessions), call);
         let at = place(now, &demand, &mut random, &mut engines);
         if engines[at].read(now, &demand) - now <= 1_000.0 {
             in_time += 1;
         }
     }
-    in_time as f64 / calls as f64
+    f64::from(in_time) / traffic.calls as f64
 }
 
 /// The heaviest minutes: prompts of many sessions, more than engines can read without their caches.
@@ -195,7 +219,7 @@
         let mut loads = Loads::default();
         let mut open: Vec<(f64, Choice)> = Vec::new();
 
-        let placed = share_in_time(seed, |now, demand, _, emulated| {
+        let placed = share_in_time(seed, &FIVE_ENGINES, |now, demand, _, emulated| {
             let time = Time::from_micros((now * 1_000.0) as u64);
             open.retain(|(done, choice)| {
                 let is_done = *done <= now;
@@ -212,12 +236,13 @@
             open.push((done, choice));
             at
         });
-        let least_loaded = share_in_time(seed, |_, _, _, engines| {
+        let least_loaded = share_in_time(seed, &FIVE_ENGINES, |_, _, _, engines| {
             let free = |at: &usize| (engines[*at].free * 1_000.0) as u64;
             (0..engines.len()).min_by_key(free).unwrap()
         });
-        let at_random =
-            share_in_time(seed, |_, _, random, engines| random.random_range(0..engines.len()));
+        let at_random = share_in_time(seed, &FIVE_ENGINES, |_, _, random, engines| {
+            random.random_range(0..engines.len())
+        });
 
         assert!(placed > 0.9, "seed {seed}: {placed} in time");
         assert!(placed > least_loaded, "seed {seed}: {placed} against {least_loaded}");
@@ -249,10 +274,10 @@
 fn long_prompt_waits_for_those_of_peers() {
     let ids = ids(1);
     let mut loads = Loads::default();
-    let busy = LoadReport { id: ids[0].clone(), running: 1, unread: 6_000, urgent: 0 };
+    let busy = load(&ids[0], 1, 6_000);
     let choice = loads.choose(Time::ZERO, &session(1, 1), &engines(&ids), 2).unwrap();
 
-    loads.hear(Time::ZERO, "entry-2".parse().unwrap(), vec![busy]);
+    loads.hear(Time::ZERO, from_peer("entry-2"), 1, vec![busy]);
 
     assert!(!loads.is_free(Time::ZERO, &choice, 2));
 }
@@ -263,8 +288,8 @@
 fn long_prompt_of_a_peer_counts_as_soon_as_it_is_told_alone() {
     let ids = ids(1);
     let (mut loads, mut peer) = (Loads::default(), Loads::default());
-    let peer_id = "entry-2".parse().unwrap();
-    loads.hear(Time::ZERO, "entry-2".parse().unwrap(), Vec::new());
+    let peer_id = from_peer("entry-2");
+    loads.hear(Time::ZERO, from_peer("entry-2"), 1, Vec::new());
     let choice = loads.choose(Time::ZERO, &session(1, 1), &engines(&ids), 2).unwrap();
 
     peer.sent(Time::ZERO, &choice, &session(2, 2), 250_000);
@@ -285,9 +310,9 @@
     let ids = ids(1);
     let mut loads = Loads::default();
     let choice = loads.choose(Time::ZERO, &session(1, 1), &engines(&ids), 2).unwrap();
-    let change = LoadReport { id: ids[0].clone(), running: 1, unread: 60_000, urgent: 0 };
+    let change = load(&ids[0], 1, 60_000);
 
-    loads.hear_change(&"entry-2".parse().unwrap(), change);
+    loads.hear_change(&from_peer("entry-2"), change);
 
     assert!(loads.is_free(Time::ZERO, &choice, 2));
 }
@@ -297,18 +322,17 @@
 fn share_among_instances(seed: u64, tells_at_once: bool) -> f64 {
     const INSTANCES: usize = 12;
     let ids = ids(5);
-    let names: Vec<medlarlug_core::ids::InstanceId> =
-        (0..INSTANCES).map(|at| format!("entry-{at}").parse().unwrap()).collect();
+    let names: Vec<Source> = (0..INSTANCES).map(|at| from_peer(&format!("entry-{at}"))).collect();
     let mut all: Vec<Loads> = vec![Loads::default(); INSTANCES];
     let mut open: Vec<(f64, usize, Choice)> = Vec::new();
     let (mut reported, mut turn) = (0.0, 0);
-    share_in_time(seed, |now, demand, _, emulated| {
+    share_in_time(seed, &FIVE_ENGINES, |now, demand, _, emulated| {
         let time = Time::from_micros((now * 1_000.0) as u64);
         let tell = |all: &mut Vec<Loads>, from: usize, engine: &UpstreamId| {
             let report = all[from].report_of(engine);
             for (at, loads) in all.iter_mut().enumerate().filter(|_| tells_at_once) {
                 if at != from {
-                    loads.hear_change(&names[from], report.clone());
+                    loads.hear_change(&names[from], report);
                 }
             }
         };
@@ -324,7 +348,7 @@
             for from in 0..INSTANCES {
                 let report = all[from].report();
                 for (_, loads) in all.iter_mut().enumerate().filter(|it| it.0 != from) {
-                    loads.hear(time, names[from].clone(), report.clone());
+                    loads.hear(time, names[from].clone(), 1, report.clone());
                 }
             }
         }
@@ -349,3 +373,90 @@
         assert!(at_once > by_reports, "seed {seed}: {at_once} against {by_reports}");
     }
 }
+
+/// How the instances of a large region tell each other of their loads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Telling {
+    /// Each tells all others, of long prompts at once and of everything each 1.36 s: more often would
+    /// take more of the processor than the calls.
+    All,
+    /// Each reports at once to the collector of its zone, which tells all each 20 ms.
+    Collectors,
+}
+
+/// Share of calls in time in a region as large as the largest one of the large deployment.
+fn share_in_a_large_region(seed: u64, telling: Telling) -> f64 {
+    const INSTANCES: usize = 66;
+    const TRAFFIC: Traffic = Traffic { engines: 70, sessions: 900, calls: 6_000, gap: 1.6 };
+    let ids = ids(TRAFFIC.engines);
+    let names: Vec<Source> = (0..INSTANCES).map(|at| from_peer(&format!("entry-{at}"))).collect();
+    let zone = |at: usize| at % 2;
+    let mut all: Vec<Loads> = vec![Loads::default(); INSTANCES];
+    // The collectors are instances 0 and 1.
+    let mut open: Vec<(f64, usize, Choice)> = Vec::new();
+    let mut told = 0.0;
+    share_in_time(seed, &TRAFFIC, |now, demand, random, emulated| {
+        let time = Time::from_micros((now * 1_000.0) as u64);
+        let tell = |all: &mut Vec<Loads>, from: usize, engine: &UpstreamId| {
+            let report = all[from].report_of(engine);
+            let to = match telling {
+                Telling::All => 0..INSTANCES,
+                Telling::Collectors => zone(from)..zone(from) + 1,
+            };
+            to.filter(|to| *to != from).for_each(|to| all[to].hear_change(&names[from], report));
+        };
+        let (done, still): (Vec<_>, Vec<_>) = open.drain(..).partition(|it| it.0 <= now);
+        open = still;
+        for (_, by, choice) in done {
+            all[by].answered(time, &choice, choice.wait);
+            all[by].ended(time, &choice, true);
+            tell(&mut all, by, &choice.id);
+        }
+        let interval = if telling == Telling::All { 1_360.0 } else { 20.0 };
+        if told == 0.0 || now - told > interval {
+            told = now;
+            let reports: Vec<_> = all.iter().map(Loads::report).collect();
+            for (from, to) in
+                (0..INSTANCES).flat_map(|from| (0..INSTANCES).map(move |to| (from, to)))
+            {
+                let hears = telling == Telling::All || to == zone(from);
+                if from != to && hears {
+                    all[to].hear(time, names[from].clone(), 1, reports[from].clone());
+                }
+            }
+            if telling == Telling::Collectors {
+                let sums = [all[0].zone_sum(), all[1].zone_sum()];
+                for (at, (instances, loads)) in sums.into_iter().enumerate() {
+                    let source = Source::Zone(format!("zone-{at}").parse().unwrap());
+                    all[1 - at].hear(time, source, instances, loads);
+                }
+                for to in 2..INSTANCES {
+                    let (instances, loads) =
+                        all[zone(to)].sum_for(&format!("entry-{to}").parse().unwrap());
+                    all[to].hear(time, Source::Collector, instances, loads);
+                }
+            }
+        }
+        let by = random.random_range(0..INSTANCES);
+        let choice = all[by].choose(time, demand, &engines(&ids), INSTANCES).unwrap();
+        all[by].sent(time, &choice, demand, 250_000);
+        tell(&mut all, by, &choice.id);
+        let at = ids.iter().position(|id| *id == choice.id).unwrap();
+        let done = emulated[at].free.max(now) + f64::from(choice.unread) / READ_RATE;
+        open.push((done, by, choice));
+        at
+    })
+}
+
+/// The load of the heaviest seconds of the large deployment. What all instances told all others at once
+/// took some 900 messages a second of each; the reports to collectors and their sums are some 80.
+#[test]
+fn calls_of_a_large_region_fare_as_well_when_collectors_sum_loads_up() {
+    for seed in 0..3 {
+        let summed = share_in_a_large_region(seed, Telling::Collectors);
+        let by_all = share_in_a_large_region(seed, Telling::All);
+
+        assert!(summed > by_all - 0.02, "seed {seed}: {summed} against {by_all}");
+        assert!(summed > 0.95, "seed {seed}: {summed}");
+    }
+}
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -131,7 +131,7 @@
             match &self.place {
                 Place::Upstream(choice) => {
                     self.entry.loads.borrow_mut().answered(now, choice, now - self.began);
-                    tell_if_long(&self.entry, choice);
+                    tell_at_once(&self.entry, choice);
                 }
                 Place::Away(region, tokens) => {
                     self.entry.change_away(region, |unread| unread.saturating_sub(*tokens));
@@ -148,7 +148,7 @@
             Place::Upstream(choice) => {
                 self.entry.loads.borrow_mut().ended(now, choice, self.is_read);
                 if !self.is_read {
-                    tell_if_long(&self.entry, choice);
+                    tell_at_once(&self.entry, choice);
                 }
             }
             Place::Away(region, tokens) if !self.is_read => {
@@ -302,9 +302,9 @@
     }
 }
 
-fn tell_if_long(entry: &Entry, choice: &Choice) {
-    if choice.is_long() {
-        entry.changes().note(&choice.id);
+fn tell_at_once(entry: &Entry, choice: &Choice) {
+    if choice.is_told() {
+        entry.exchange().note(&choice.id);
     }
 }
 
@@ -326,7 +326,7 @@
     let place = match hop {
         Hop::Upstream { choice, memory, cold_rate, .. } => {
             entry.loads.borrow_mut().sent(now, choice, demand, *memory);
-            tell_if_long(entry, choice);
+            tell_at_once(entry, choice);
             if let Some(rate) = cold_rate {
                 entry.cold.borrow_mut().sent(now, &choice.id, *rate);
                 let instances = entry.region_entries().len();
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -1,6 +1,6 @@
 //! Where a call goes next: an upstream of the own region, or an entry instance of another one.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::OnceCell, net::SocketAddr, time::Duration};
 
 use medlarlug_core::{
     gateway::{
@@ -125,7 +125,7 @@
         let cold_rate = spec.map(|spec| spec.cold_rate).filter(|_| is_cold);
         let accepted = spec.map_or(0, |spec| spec.connections) as usize;
         // Half of what it accepts, divided among the instances, is left for calls that take a new one.
-        let idle = (accepted / 2 / self.region_entries().len().max(1)).max(1);
+        let idle = (accepted / 2 / self.exchange.instances()).max(1);
         let (address, age) = (known.upstream.address, now - known.heard);
         Some(Hop::Upstream { choice, address, memory, cold_rate, idle, age })
     }
@@ -142,7 +142,8 @@
         let now = self.now();
         let spec = table.service(service)?;
         let memory = spec.engine.map_or(0, |engine| engine.memory);
-        let entries = self.region_entries();
+        // Needed for cold upstreams only.
+        let entries = OnceCell::new();
         let upstreams = self.upstreams.borrow();
         let usable: Vec<&Known> = upstreams
             .of(service)
@@ -166,7 +167,7 @@
                 },
             })
             .collect();
-        self.loads.borrow().choose(now, demand, &candidates, entries.len())
+        self.loads.borrow().choose(now, demand, &candidates, self.exchange.instances())
     }
 
     fn is_cold(&self, now: Time, known: &Known) -> bool {
@@ -175,7 +176,13 @@
         self.suspicions.borrow().is_cold(now, known, observations, resumed)
     }
 
-    fn is_usable(&self, now: Time, known: &Known, cold_rate: f64, entries: &[InstanceId]) -> bool {
+    fn is_usable(
+        &self,
+        now: Time,
+        known: &Known,
+        cold_rate: f64,
+        entries: &OnceCell<Vec<InstanceId>>,
+    ) -> bool {
         let upstream = &known.upstream;
         let settings = self.settings.borrow();
         let is_here = settings.region_of(&upstream.zone) == Some(&settings.card.region);
@@ -191,6 +198,7 @@
         if cold_rate <= 0.0 || !self.is_cold(now, known) {
             return true;
         }
+        let entries = entries.get_or_init(|| self.region_entries());
         let is_sender = self.view.borrow().is_settled(now)
             && cold::sender(&upstream.id, entries) == Some(&settings.card.id);
         is_sender && self.cold.borrow().may_send(now, &upstream.id, cold_rate)
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -41,8 +41,10 @@
         budget::RetryWindow,
         cold::{ColdSends, Suspicions},
         contacts::{Card, Contacts, Part, RegionWait, Spare, Status},
+        exchange::Member,
         health::Healths,
-        placing::{Demand, LoadReport, Loads},
+        peer_loads::{LoadReport, Source},
+        placing::{Demand, Loads},
         table::{RouteTable, ServiceName, TableVersion},
         turns::TurnWaits,
         upstreams::{Effect, UpstreamState, Upstreams},
@@ -63,7 +65,7 @@
     follower::{Links, Owner, chain},
     headers::HeaderNames,
     link::{Head, Message, News},
-    loads::{self, Changes},
+    loads::{self, Exchange},
     metrics as names,
     settings::{LONGEST_AGE, NodeSettings},
 };
@@ -78,6 +80,8 @@
 /// Silence after which an instance is forgotten: longer than with keepers, which tell only of
 /// changes, so that an instance that returns after a long silence is told of anew.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
+/// Time for which the predicted spare capacity is told: it goes to all keepers, each at its own time.
+const SPARE_LIFETIME: Duration = Duration::from_millis(300);
 /// Part of the grace period after which calls that still run are cut.
 const GRACE_SHARE: f64 = 0.92;
 /// Pause between two looks at whether calls still run.
@@ -109,13 +113,15 @@
     /// Which keepers this instance hears.
     view: RefCell<View>,
     loads: RefCell<Loads>,
-    changes: Changes,
+    exchange: Exchange,
     turn_waits: RefCell<TurnWaits>,
     healths: RefCell<Healths>,
     cold: RefCell<ColdSends>,
     suspicions: RefCell<Suspicions>,
     /// Predicted waits of other regions, sorted.
     waits: RefCell<Vec<RegionWait>>,
+    /// What this instance could take over, and when that was predicted.
+    spare: RefCell<(Option<Time>, Vec<Spare>)>,
     /// Prompt tokens handed over to each region and not answered yet, sorted by region.
     away: RefCell<Vec<(RegionId, u64)>>,
     /// Calls and repeats of each service, sorted by service.
@@ -152,12 +158,13 @@
             contacts: RefCell::default(),
             view: RefCell::default(),
             loads: RefCell::default(),
-            changes: Changes::default(),
+            exchange: Exchange::default(),
             turn_waits: RefCell::default(),
             healths: RefCell::default(),
             cold: RefCell::default(),
             suspicions: RefCell::default(),
             waits: RefCell::default(),
+            spare: RefCell::default(),
             away: RefCell::default(),
             windows: RefCell::default(),
             links: Links::default(),
@@ -176,6 +183,7 @@
         let socket = Rc::new(socket);
         task::spawn_local(loads::tell(entry.clone(), socket.clone()));
         task::spawn_local(loads::tell_changes(entry.clone(), socket.clone()));
+        task::spawn_local(loads::pass_changes_on(entry.clone(), socket.clone()));
         task::spawn_local(loads::hear(entry.clone(), socket));
         let this = entry.clone();
         task::spawn_local(http_server::serve(internal, limits(), stop, move |request, _| {
@@ -229,7 +237,7 @@
         sleep(FLUSH_TIME).await;
     }
 
-    fn now(&self) -> Time {
+    pub(crate) fn now(&self) -> Time {
         self.clock.now()
     }
 
@@ -257,43 +265,66 @@
         ids
     }
 
-    /// Internal addresses of the other live entry instances of the own region.
-    pub(crate) fn region_peers(&self) -> Vec<SocketAddr> {
+    /// This instance and all live entry instances of its region, with their internal addresses.
+    pub(crate) fn region_members(&self) -> (Member, Vec<(Member, SocketAddr)>) {
         let settings = self.settings.borrow();
         let own = &settings.card;
+        let member = |card: &Card| Member { id: card.id.clone(), zone: card.zone.clone() };
         let contacts = self.contacts.borrow();
         let live = contacts.live_entries(self.now()).map(|contact| &contact.card);
-        let peers = live.filter(|card| card.region == own.region && card.id != own.id);
-        peers.map(|card| card.internal).collect()
+        let others = live.filter(|card| card.region == own.region && card.id != own.id);
+        let mut all: Vec<(Member, SocketAddr)> =
+            others.map(|card| (member(card), card.internal)).collect();
+        all.push((member(own), own.internal));
+        (member(own), all)
+    }
+
+    /// The own id.
+    pub(crate) fn id(&self) -> InstanceId {
+        self.settings.borrow().card.id.clone()
+    }
+
+    /// What this instance knows of the exchange of loads.
+    pub(crate) fn exchange(&self) -> &Exchange {
+        &self.exchange
     }
 
     /// What this instance has under way at upstreams.
-    pub(crate) fn load_report(&self) -> (InstanceId, Vec<LoadReport>) {
-        (self.settings.borrow().card.id.clone(), self.loads.borrow().report())
+    pub(crate) fn load_report(&self) -> Vec<LoadReport> {
+        self.loads.borrow().report()
     }
 
     /// What this instance has under way at some upstreams.
-    pub(crate) fn load_report_of(&self, upstreams: &[UpstreamId]) -> (InstanceId, Vec<LoadReport>) {
+    pub(crate) fn load_report_of(&self, upstreams: &[UpstreamId]) -> Vec<LoadReport> {
         let loads = self.loads.borrow();
-        let reports = upstreams.iter().map(|id| loads.report_of(id)).collect();
-        (self.settings.borrow().card.id.clone(), reports)
+        upstreams.iter().map(|id| loads.report_of(id)).collect()
     }
 
-    /// Upstreams whose load peers have to know at once.
-    pub(crate) fn changes(&self) -> &Changes {
-        &self.changes
+    /// What all instances of the region but one have under way, and how many they are.
+    pub(crate) fn sum_for(&self, to: &InstanceId) -> (usize, Vec<LoadReport>) {
+        self.loads.borrow().sum_for(to)
     }
 
-    /// Takes in what a peer has under way at some upstreams.
-    pub(crate) fn hear_changes(&self, from: &InstanceId, changes: Vec<LoadReport>) {
-        for change in changes {
-            self.loads.borrow_mut().hear_change(from, change);
-        }
+    /// The own zone, what its instances have under way, and how many they are.
+    pub(crate) fn zone_sum(&self) -> (ZoneId, usize, Vec<LoadReport>) {
+        let (instances, loads) = self.loads.borrow().zone_sum();
+        (self.settings.borrow().card.zone.clone(), instances, loads)
+    }
+
+    /// Drops reports of peers that count no more.
+    pub(crate) fn forget_silent(&self) {
+        self.loads.borrow_mut().forget_silent(self.now());
     }
 
-    /// Takes in what a peer has under way.
-    pub(crate) fn hear_loads(&self, from: InstanceId, loads: Vec<LoadReport>) {
-        self.loads.borrow_mut().hear(self.now(), from, loads);
+    /// Takes in what other instances have under way at some upstreams.
+    pub(crate) fn hear_changes(&self, from: &Source, changes: Vec<LoadReport>) {
+        let mut loads = self.loads.borrow_mut();
+        changes.into_iter().for_each(|change| loads.hear_change(from, change));
+    }
+
+    /// Takes in what other instances have under way.
+    pub(crate) fn hear_loads(&self, from: Source, instances: usize, loads: Vec<LoadReport>) {
+        self.loads.borrow_mut().hear(self.now(), from, instances, loads);
     }
 
     fn on_news(&self, from: SocketAddr, news: News) {
@@ -439,8 +470,17 @@
         }
     }
 
-    /// Waits that calls of usual size would have here, by service.
+    /// Waits that calls of usual size would have here, by service, as of the last ping or so.
     fn spare(&self) -> Vec<Spare> {
+        let now = self.now();
+        let mut spare = self.spare.borrow_mut();
+        if spare.0.is_none_or(|when| now - when > SPARE_LIFETIME) {
+            *spare = (Some(now), self.predict_spare());
+        }
+        spare.1.clone()
+    }
+
+    fn predict_spare(&self) -> Vec<Spare> {
         let Some(table) = self.table.borrow().clone() else { return Vec::new() };
         let spare = table.services().iter().map(|service| {
             let prompt = service.engine.map_or(0, |_| USUAL_PROMPT);
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -84,7 +84,7 @@
         }
         let now = entry.now();
         let waited = now - self.began;
-        let is_free = entry.loads.borrow().is_free(now, choice, entry.region_entries().len());
+        let is_free = entry.loads.borrow().is_free(now, choice, entry.exchange.instances());
         let turn = turns::turn(is_free, waited, self.route.objective, self.route.priority);
         if turn != Turn::Wait {
             entry.turn_waits.borrow_mut().count(now, waited);
--- a/crates/medlarlug-gateway/src/metrics.rs
+++ b/crates/medlarlug-gateway/src/metrics.rs
@@ -14,6 +14,8 @@
 pub const COLD_SENDS: &str = "medlarlug_gateway_cold_sends_total";
 /// Counter: calls handed to another region.
 pub const FORWARDED: &str = "medlarlug_gateway_forwarded_total";
+/// Counter in bytes: load reports sent to other instances of the region.
+pub const LOAD_BYTES: &str = "medlarlug_gateway_load_bytes_total";
 /// Gauge: version of the route table in force.
 pub const TABLE_VERSION: &str = "medlarlug_gateway_table_version";
 /// Gauge: upstreams that are known and take calls.
@@ -33,6 +35,7 @@
     describe_counter!(REPEATS_DENIED, "Repeats that the budget of their service did not allow");
     describe_counter!(COLD_SENDS, "Requests to upstreams that count as cold");
     describe_counter!(FORWARDED, "Calls handed to another region");
+    describe_counter!(LOAD_BYTES, Unit::Bytes, "Load reports sent to instances of the region");
     describe_gauge!(TABLE_VERSION, "Version of the route table in force");
     describe_gauge!(UPSTREAMS, "Upstreams that are known and take calls");
     describe_gauge!(LINKS, "Open links to keepers");
