Calls that wait for their turn at an engine are told, so that others go elsewhere

Cause: a long prompt waits at its entry instance until its engine has read the one before. Load reports held what was sent only, so an engine with five waiting calls looked as free as one with none, and calls joined the queue until they were refused at 0.6 of their objective while other engines were idle. Change: reports carry the prompt tokens that wait for their turn; placing adds them to what is ahead of a call that is not urgent. Turns themselves look at what was sent only, as before, and a call does not stand in its own way. Test of the core: a call goes elsewhere when others wait at its engine, and whoever waits there still goes when it is free.

--- a/crates/medlarlug-core/src/gateway/peer_loads.rs
+++ b/crates/medlarlug-core/src/gateway/peer_loads.rs
@@ -51,16 +51,18 @@
     pub unread: u32,
     /// Those of them that have rank 0.
     pub urgent: u32,
+    /// Prompt tokens of calls that wait for their turn there, and were not sent yet.
+    pub waiting: u32,
 }
 
 impl LoadReport {
     /// An idle upstream.
     pub fn idle(upstream: UpstreamKey) -> LoadReport {
-        LoadReport { upstream, running: 0, unread: 0, urgent: 0 }
+        LoadReport { upstream, running: 0, unread: 0, urgent: 0, waiting: 0 }
     }
 
     fn is_idle(&self) -> bool {
-        self.running == 0 && self.unread == 0 && self.urgent == 0
+        self.running == 0 && self.unread == 0 && self.urgent == 0 && self.waiting == 0
     }
 
     fn plus(self, other: LoadReport) -> LoadReport {
@@ -69,6 +71,7 @@
             running: self.running.saturating_add(other.running),
             unread: self.unread.saturating_add(other.unread),
             urgent: self.urgent.saturating_add(other.urgent),
+            waiting: self.waiting.saturating_add(other.waiting),
         }
     }
 
@@ -78,6 +81,7 @@
             running: self.running.saturating_sub(other.running),
             unread: self.unread.saturating_sub(other.unread),
             urgent: self.urgent.saturating_sub(other.urgent),
+            waiting: self.waiting.saturating_sub(other.waiting),
         }
     }
 }
--- a/crates/medlarlug-core/src/gateway/placing.rs
+++ b/crates/medlarlug-core/src/gateway/placing.rs
@@ -148,6 +148,7 @@
     running: f64,
     unread: f64,
     urgent: f64,
+    waiting: f64,
 }
 
 /// What a candidate would cost a call.
@@ -175,6 +176,8 @@
     unread: Averaged,
     /// Those of them that have rank 0.
     urgent: Averaged,
+    /// Prompt tokens of calls that wait for their turn.
+    waiting: u64,
     /// Held parts, sorted by part.
     warm: Vec<Warm>,
     /// Measured time to the first token, or of a plain call, against the prediction.
@@ -306,9 +309,10 @@
         let waiting = load.map_or(0.0, |load| load.unread.value as f64) + others.unread;
         let excess = (running + 1.0 - f64::from(candidate.slots)).max(0.0);
         let urgent = load.map_or(0.0, |load| load.urgent.value as f64) + others.urgent;
+        let queued = load.map_or(0.0, |load| load.waiting as f64) + others.waiting;
         let ahead = match demand.rank {
             0 => urgent + (waiting - urgent).clamp(0.0, STEP_TOKENS),
-            _ => waiting,
+            _ => waiting + queued,
         };
         let read = (ahead + unread) / READ_RATE;
         let wait = FIRST_TOKEN_MS + read + running * BESIDE_MS + excess * FIRST_TOKEN_MS;
@@ -320,7 +324,7 @@
     /// What this instance has under way, to be told to its peers, sorted by upstream; idle upstreams
     /// are left out.
     pub fn report(&self) -> Vec<LoadReport> {
-        let busy = self.known.iter().filter(|load| load.running.value > 0);
+        let busy = self.known.iter().filter(|load| load.running.value > 0 || load.waiting > 0);
         let mut reports: Vec<LoadReport> = busy.map(Load::report).collect();
         reports.sort_by_key(|it| it.upstream);
         reports
@@ -367,6 +371,7 @@
             running: f64::from(told.running),
             unread: f64::from(told.unread),
             urgent: f64::from(told.urgent),
+            waiting: f64::from(told.waiting),
         };
         let silent = peers.saturating_sub(1 + instances) as f64;
         if silent > 0.0
@@ -389,6 +394,17 @@
         own as f64 + self.others(now, &choice.id, peers).unread <= TURN_TOKENS
     }
 
+    /// Counts a call that waits for its turn at `choice`, so that others go elsewhere.
+    pub fn waits(&mut self, choice: &Choice) {
+        self.entry(&choice.id).waiting += u64::from(choice.unread);
+    }
+
+    /// A call waits no longer for its turn.
+    pub fn waits_no_longer(&mut self, choice: &Choice) {
+        let load = self.entry(&choice.id);
+        load.waiting = load.waiting.saturating_sub(u64::from(choice.unread));
+    }
+
     /// Counts a call that goes out to `choice`; `memory` is that of the upstream in tokens.
     pub fn sent(&mut self, now: Time, choice: &Choice, demand: &Demand, memory: u64) {
         let load = self.entry(&choice.id);
@@ -447,6 +463,7 @@
                     running: Averaged::default(),
                     unread: Averaged::default(),
                     urgent: Averaged::default(),
+                    waiting: 0,
                     warm: Vec::new(),
                     slowness: 1.0,
                 };
@@ -466,6 +483,7 @@
             running: count(self.running.value),
             unread: count(self.unread.value),
             urgent: count(self.urgent.value),
+            waiting: count(self.waiting),
         }
     }
 
--- a/crates/medlarlug-core/tests/testsuite/gateway/exchange.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/exchange.rs
@@ -22,7 +22,7 @@
 
 fn load(upstream: &str, running: u32, unread: u32) -> LoadReport {
     let upstream = UpstreamKey::of(&upstream.parse().unwrap());
-    LoadReport { upstream, running, unread, urgent: 0 }
+    LoadReport { upstream, running, unread, urgent: 0, waiting: 0 }
 }
 
 fn peer(at: usize) -> Source {
--- a/crates/medlarlug-core/tests/testsuite/gateway/placing.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/placing.rs
@@ -40,7 +40,7 @@
 
 /// A report of 0 urgent tokens.
 fn load(upstream: &UpstreamId, running: u32, unread: u32) -> LoadReport {
-    LoadReport { upstream: UpstreamKey::of(upstream), running, unread, urgent: 0 }
+    LoadReport { upstream: UpstreamKey::of(upstream), running, unread, urgent: 0, waiting: 0 }
 }
 
 fn from_peer(id: &str) -> Source {
@@ -122,6 +122,24 @@
     assert!(wait(1) > Duration::from_millis(1_000), "{:?}", wait(1));
 }
 
+/// Calls that wait for their turn were not seen by others, which joined them while other engines were
+/// free.
+#[test]
+fn call_goes_elsewhere_when_others_wait_for_their_turn_at_its_engine() {
+    let ids = ids(5);
+    let mut loads = Loads::default();
+    let home = loads.choose(Time::ZERO, &session(7, 0), &engines(&ids), 2).unwrap();
+    let queue = LoadReport { waiting: 60_000, ..load(&home.id, 1, 3_000) };
+
+    loads.hear(Time::ZERO, from_peer("entry-2"), 1, vec![queue]);
+    let moved = loads.choose(Time::ZERO, &session(7, 1), &engines(&ids), 2).unwrap();
+    // Whoever waits there itself goes as soon as the engine is free.
+    let is_free = loads.is_free(Time::ZERO, &home, 2);
+
+    assert_ne!(moved.id, home.id);
+    assert!(is_free);
+}
+
 /// Calls that cross availability zones take longer and are paid for.
 #[test]
 fn nearer_engine_is_preferred_while_it_is_not_busier() {
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -7,6 +7,7 @@
         budget::Spending,
         handover::{Attempts, Handover},
         patience,
+        placing::Choice,
         silence::{self, Source},
         table::{Route, RouteTable, ServiceName},
         turns::{self, Turn},
@@ -51,9 +52,32 @@
     /// The hops that were tried, each with its predicted wait, the age of the news that the choice
     /// rests on, and what came of it, for the log.
     pub(super) path: Vec<String>,
+    /// The upstream whose turn it waits for.
+    pub(super) waiting: Option<Waiting>,
     pub(super) _running: Running,
 }
 
+/// Counts a call that waits for its turn at an upstream, for as long as it does.
+pub(super) struct Waiting {
+    entry: Rc<Entry>,
+    choice: Choice,
+}
+
+impl Waiting {
+    fn begin(entry: &Rc<Entry>, choice: &Choice) -> Waiting {
+        entry.loads.borrow_mut().waits(choice);
+        entry.exchange.note(&choice.id);
+        Waiting { entry: entry.clone(), choice: choice.clone() }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.entry.loads.borrow_mut().waits_no_longer(&self.choice);
+        self.entry.exchange.note(&self.choice.id);
+    }
+}
+
 /// Counts a call that runs.
 pub(super) struct Running(Rc<Entry>);
 
@@ -73,11 +97,32 @@
 impl Plan {
     /// The next hop; `None` if there is none.
     pub(super) fn next_hop(&self, entry: &Entry, call: &Call) -> Option<Hop> {
-        entry.choose(self, &call.demand)
+        // The call does not stand in its own way.
+        let own = self.waiting.as_ref().map(|it| &it.choice);
+        if let Some(choice) = own {
+            entry.loads.borrow_mut().waits_no_longer(choice);
+        }
+        let hop = entry.choose(self, &call.demand);
+        if let Some(choice) = own {
+            entry.loads.borrow_mut().waits(choice);
+        }
+        hop
     }
 
     /// Whether the call goes to a hop now; only first attempts at engines wait for their turn.
-    pub(super) fn turn(&self, entry: &Entry, hop: Option<&Hop>) -> Turn {
+    pub(super) fn turn(&mut self, entry: &Rc<Entry>, hop: Option<&Hop>) -> Turn {
+        let turn = self.next_turn(entry, hop);
+        self.waiting = match hop {
+            Some(Hop::Upstream { choice, .. }) if turn == Turn::Wait => {
+                let same = self.waiting.take().filter(|it| it.choice.id == choice.id);
+                same.or_else(|| Some(Waiting::begin(entry, choice)))
+            }
+            _ => None,
+        };
+        turn
+    }
+
+    fn next_turn(&self, entry: &Entry, hop: Option<&Hop>) -> Turn {
         let Some(Hop::Upstream { choice, .. }) = hop else { return Turn::Go };
         if self.arrivals > 0 || !choice.is_long() {
             return Turn::Go;
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -248,6 +248,7 @@
         spending: Spending::default(),
         unreachable: 0,
         path: Vec::new(),
+        waiting: None,
         route,
         _running: Running::begin(entry),
     })
