News from before the own start count for less, and only those

The rule that news count for 2.5 s without own answers held for every instance. With 300 instances before 3,000 upstreams most have no answers of most upstreams, and late news of busy keepers would make these look cold. Change: 2.5 s for an announcement from before the own start, 4.5 s for others as before. The test of the core holds all four cases.

--- a/crates/medlarlug-core/src/gateway/cold.rs
+++ b/crates/medlarlug-core/src/gateway/cold.rs
@@ -34,14 +34,13 @@
 /// packet.
 const NEWS_DELAY: Duration = Duration::from_millis(300);
 
-/// Age of an announcement up to which its upstream is preferred to those that are silent: three
-/// missed in a row.
+/// Age of an announcement up to which its upstream is taken for the one that made it: three missed
+/// in a row. After that, it may have started anew where it can't announce itself.
 pub const FRESH_FOR: Duration = Duration::from_millis(4_500);
 
-/// Age of an announcement up to which its upstream is taken for the one that made it: the next one
-/// is made 1.2 s later, and keepers pass it on within a second. A silent upstream may have crashed
-/// and started anew where nobody hears it.
-pub const ANNOUNCED_FOR: Duration = Duration::from_millis(2_500);
+/// The same for an announcement from before this process started, which has seen no connection to the
+/// upstream break: the next one is made 1.2 s later, and keepers pass it on within a second.
+const TOLD_FOR: Duration = Duration::from_millis(2_500);
 
 /// What may have turned upstreams cold without their having told so yet: the end of an evacuation,
 /// a crash that is seen as a connection that does not open, a start behind a cut, or anything while
@@ -69,25 +68,36 @@
     }
 
     /// Whether the upstream counts as cold: it has said so, or may have turned cold since it was
-    /// last heard. `resumed` is when this process last resumed after a stall.
+    /// last heard. `process` is when this process started, and when it last resumed after a stall.
     pub fn is_cold(
         &self,
         now: Time,
         known: &Known,
         observations: Observations,
-        resumed: Option<Time>,
+        process: Process,
     ) -> bool {
+        let Process { started, resumed } = process;
         let zone = self.restored.binary_search_by(|it| it.0.cmp(&known.upstream.zone));
         let restored = zone.ok().map(|at| self.restored[at].1);
         let missed = restored.max(resumed).map(|when| when + NEWS_DELAY);
         let suspect = missed.max(observations.unreachable);
         let is_suspect = suspect.is_some_and(|since| known.heard <= since);
+        let limit = if known.heard < started { TOLD_FOR } else { FRESH_FOR };
         let is_unheard =
-            now - known.heard > ANNOUNCED_FOR && !observations.is_still_serving(now, known.heard);
+            now - known.heard > limit && !observations.is_still_serving(now, known.heard);
         is_suspect || is_unheard || known.may_be_cold(now)
     }
 }
 
+/// Moments of a process before which it has seen nothing itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Process {
+    /// When it started.
+    pub started: Time,
+    /// When it last resumed after a stall.
+    pub resumed: Option<Time>,
+}
+
 /// What an instance has seen of an upstream in its own calls.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Observations {
--- a/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/limits.rs
@@ -6,7 +6,7 @@
 use medlarlug_core::{
     gateway::{
         budget::{RetryBounds, RetryWindow, Share, Spending},
-        cold::{ColdSends, Evacuations, Observations, Suspicions, sender},
+        cold::{ColdSends, Evacuations, Observations, Process, Suspicions, sender},
         health::{CallEnd, Healths},
         upstreams::Upstreams,
     },
@@ -232,10 +232,19 @@
 
     suspicions.restored(Time::from_millis(500), &"kochi-a".parse().unwrap());
     let now = Time::from_millis(900);
-    let before =
-        suspicions.is_cold(now, upstreams.get(&id).unwrap(), Observations::default(), None);
+    let before = suspicions.is_cold(
+        now,
+        upstreams.get(&id).unwrap(),
+        Observations::default(),
+        Process::default(),
+    );
     upstreams.announce(now, upstream("engine-1", 2), Duration::ZERO);
-    let after = suspicions.is_cold(now, upstreams.get(&id).unwrap(), Observations::default(), None);
+    let after = suspicions.is_cold(
+        now,
+        upstreams.get(&id).unwrap(),
+        Observations::default(),
+        Process::default(),
+    );
 
     assert_eq!((before, after), (true, false));
 }
@@ -274,7 +283,7 @@
     upstreams.announce(now, upstream("engine-1", 1), Duration::from_millis(250));
 
     let known = upstreams.get(&"engine-1".parse().unwrap()).unwrap();
-    assert!(suspicions.is_cold(now, known, Observations::default(), None));
+    assert!(suspicions.is_cold(now, known, Observations::default(), Process::default()));
 }
 
 #[test]
@@ -288,7 +297,12 @@
 
     let known = upstreams.get(&id).unwrap();
     let now = Time::from_millis(1_500);
-    assert!(Suspicions::default().is_cold(now, known, healths.observations(&id), None));
+    assert!(Suspicions::default().is_cold(
+        now,
+        known,
+        healths.observations(&id),
+        Process::default()
+    ));
 }
 
 /// It may have started anew behind a cut, and an instance that has just started has not seen how.
@@ -301,7 +315,7 @@
     let known = upstreams.get(&id).unwrap();
     let now = Time::from_millis(5_000);
     let is_cold = |healths: &Healths| {
-        Suspicions::default().is_cold(now, known, healths.observations(&id), None)
+        Suspicions::default().is_cold(now, known, healths.observations(&id), Process::default())
     };
 
     let unseen = is_cold(&healths);
@@ -316,22 +330,26 @@
 /// Soak, seeds 523 and 9103: an upstream crashed and came back cold while no keeper heard it, and an
 /// instance that had just started, which had seen no connection break, took it for warm.
 #[test]
-fn upstream_that_has_missed_an_announcement_counts_as_cold_to_an_instance_without_its_answers() {
+fn upstream_that_has_missed_an_announcement_counts_as_cold_to_an_instance_that_started_since() {
     let mut upstreams = Upstreams::default();
     let id = "engine-1".parse().unwrap();
     upstreams.announce(Time::ZERO, upstream("engine-1", 1), Duration::ZERO);
     let known = upstreams.get(&id).unwrap();
-    let is_cold = |millis, healths: &Healths| {
-        let now = Time::from_millis(millis);
-        Suspicions::default().is_cold(now, known, healths.observations(&id), None)
+    let started = Time::from_millis(1_000);
+    let is_cold = |millis, healths: &Healths, started| {
+        let (now, process) = (Time::from_millis(millis), Process { started, resumed: None });
+        Suspicions::default().is_cold(now, known, healths.observations(&id), process)
     };
-
     let mut serving = Healths::default();
     serving.ended(Time::from_millis(2_700), &id, CallEnd::Answered);
 
-    let regular = is_cold(2_200, &Healths::default());
-    let missed = is_cold(2_792, &Healths::default());
-    assert_eq!((regular, missed, is_cold(2_792, &serving)), (false, true, false));
+    let regular = is_cold(2_200, &Healths::default(), started);
+    let missed = is_cold(2_792, &Healths::default(), started);
+    let answering = is_cold(2_792, &serving, started);
+    let to_an_older_instance = is_cold(2_792, &Healths::default(), Time::ZERO);
+
+    assert_eq!((regular, missed), (false, true));
+    assert_eq!((answering, to_an_older_instance), (false, false));
 }
 
 /// The first call that its cold rate let through was answered, and nine more followed at once.
@@ -346,7 +364,12 @@
 
     let now = Time::from_millis(5_100);
     let known = upstreams.get(&id).unwrap();
-    assert!(Suspicions::default().is_cold(now, known, healths.observations(&id), None));
+    assert!(Suspicions::default().is_cold(
+        now,
+        known,
+        healths.observations(&id),
+        Process::default()
+    ));
 }
 
 #[test]
--- a/crates/medlarlug-core/tests/testsuite/gateway/stall.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/stall.rs
@@ -4,7 +4,7 @@
 
 use medlarlug_core::{
     gateway::{
-        cold::{Observations, Suspicions},
+        cold::{Observations, Process, Suspicions},
         stall::Stall,
         upstreams::{Upstream, Upstreams},
     },
@@ -47,7 +47,7 @@
 
     let known = keeper.get(&"engine-1".parse().unwrap()).unwrap();
     assert!(known.is_local);
-    assert!(suspicions.is_cold(now, known, Observations::default(), None));
+    assert!(suspicions.is_cold(now, known, Observations::default(), Process::default()));
 }
 
 /// The soak, seed 604: 13 requests in a second, before the cold time that was told had ended.
--- a/crates/medlarlug-core/tests/testsuite/gateway/view.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/view.rs
@@ -4,7 +4,7 @@
 
 use medlarlug_core::{
     gateway::{
-        cold::{Observations, Suspicions},
+        cold::{Observations, Process, Suspicions},
         upstreams::Upstreams,
         view::View,
     },
@@ -106,7 +106,12 @@
     let when = view.resumed(resumed);
     let is_cold = |upstreams: &Upstreams, now| {
         let known = upstreams.get(&id).unwrap();
-        Suspicions::default().is_cold(now, known, Observations::default(), when)
+        Suspicions::default().is_cold(
+            now,
+            known,
+            Observations::default(),
+            Process { resumed: when, ..Process::default() },
+        )
     };
 
     let at_once = is_cold(&upstreams, resumed);
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -5,7 +5,7 @@
 use medlarlug_core::{
     gateway::{
         away,
-        cold::{self, FRESH_FOR},
+        cold::{self, FRESH_FOR, Process},
         contacts::Contact,
         placing::{Candidate, Choice, Demand},
         silence::Source,
@@ -173,7 +173,8 @@
     fn is_cold(&self, now: Time, known: &Known) -> bool {
         let observations = self.healths.borrow().observations(&known.upstream.id);
         let resumed = self.view.borrow().resumed(now);
-        self.suspicions.borrow().is_cold(now, known, observations, resumed)
+        let process = Process { started: self.started, resumed };
+        self.suspicions.borrow().is_cold(now, known, observations, process)
     }
 
     fn is_usable(
