--- a/crates/medlarlug-core/src/gateway/exchange.rs
+++ b/crates/medlarlug-core/src/gateway/exchange.rs
@@ -5,7 +5,7 @@
 //! instances, so in a larger one each availability zone has a few *collectors*: the instances of the
 //! zone report to all of these, the first one sends the sum over the zone to those of the other zones,
 //! and each tells those that ask it what all others have under way. Instances ask different collectors
-//! first, and the next one only while theirs is silent, so news are missing for [`SILENCE`] after a
+//! first, and the others only while theirs is silent, so news are missing for [`SILENCE`] after a
 //! collector has died, and not until it is known to be dead.
 //!
 //! Everything here follows from the live entry instances that an instance knows. Two that disagree
