--- a/crates/medlarlug-core/tests/testsuite/gateway/placing.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/placing.rs
@@ -467,7 +467,8 @@
 }
 
 /// The load of the heaviest seconds of the large deployment. What all instances told all others at once
-/// took some 900 messages a second of each; the reports to collectors and their sums are some 80.
+/// would take some 900 messages a second of each; reports to collectors and their sums, some 80 (both
+/// calculated).
 #[test]
 fn calls_of_a_large_region_fare_as_well_when_collectors_sum_loads_up() {
     for seed in 0..3 {
