--- a/crates/medlarlug-core/src/gateway/upstreams.rs
+++ b/crates/medlarlug-core/src/gateway/upstreams.rs
@@ -295,6 +295,19 @@
         Effect::Renewed
     }
 
+    /// Incarnations that an announcement shows to have crashed: an older one with the same id or
+    /// address that took requests until then.
+    pub fn crashed_before(&self, upstream: &Upstream) -> Vec<(UpstreamId, Birth)> {
+        let is_replaced = |known: &&Known| {
+            let old = &known.upstream;
+            (old.id == upstream.id || old.address == upstream.address)
+                && old.birth < upstream.birth
+                && old.state == UpstreamState::Ready
+        };
+        let replaced = self.known.iter().filter(is_replaced);
+        replaced.map(|it| (it.upstream.id.clone(), it.upstream.birth)).collect()
+    }
+
     /// Takes in that the present incarnation of `id` has left.
     pub fn leave(&mut self, id: &UpstreamId) -> Effect {
         let Ok(at) = self.place(id) else { return Effect::Ignored };
--- a/crates/medlarlug-core/src/suspects/isolation.rs
+++ b/crates/medlarlug-core/src/suspects/isolation.rs
@@ -103,6 +103,11 @@
         Some(self.flights[found].incarnation)
     }
 
+    /// Takes in facts that arrived together.
+    pub fn learn_all(&mut self, now: Time, facts: &[Fact]) {
+        self.ledger.learn_all(now, facts);
+    }
+
     /// Feeds one event in.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
         match event {
--- a/crates/medlarlug-core/src/suspects/ledger.rs
+++ b/crates/medlarlug-core/src/suspects/ledger.rs
@@ -82,12 +82,20 @@
 
     /// Merges a fact; tells whether it was new, so that it is worth handing on.
     pub fn learn(&mut self, now: Time, fact: &Fact) -> bool {
-        let is_new = match fact {
-            Fact::Lost(report) => self.learn_loss(now, report),
-            Fact::Cleared { fingerprint, losses, age } => {
-                self.learn_clearance(now.saturating_sub(*age), *fingerprint, losses)
-            }
-        };
+        self.learn_all(now, std::slice::from_ref(fact))
+    }
+
+    /// Merges facts that arrived together; tells whether any was new.
+    pub fn learn_all(&mut self, now: Time, facts: &[Fact]) -> bool {
+        let mut is_new = false;
+        for fact in facts {
+            is_new |= match fact {
+                Fact::Lost(report) => self.learn_loss(now, report),
+                Fact::Cleared { fingerprint, losses, age } => {
+                    self.learn_clearance(now.saturating_sub(*age), *fingerprint, losses)
+                }
+            };
+        }
         if is_new {
             self.drop_oldest();
             self.quarantine_all();
@@ -155,6 +163,23 @@
         facts
     }
 
+    /// The losses of contents that more than one loss counts against: what is needed to keep them
+    /// from running, and no more.
+    pub fn repeated_losses(&self, now: Time) -> Vec<Fact> {
+        let suspects = self.losses.iter().flat_map(Loss::suspects);
+        let mut suspects: Vec<Fingerprint> = suspects.collect();
+        suspects.sort_unstable();
+        let repeated: Vec<Fingerprint> =
+            suspects.chunk_by(|a, b| a == b).filter(|it| it.len() > 1).map(|it| it[0]).collect();
+        let facts = self.losses.iter().filter_map(|loss| {
+            let mut flying = loss.suspects();
+            flying.retain(|it| repeated.binary_search(it).is_ok());
+            let report = LossReport { key: loss.key.clone(), age: now - loss.at, flying };
+            (!report.flying.is_empty()).then_some(Fact::Lost(report))
+        });
+        facts.collect()
+    }
+
     fn find(&self, key: &LossKey) -> Result<usize, usize> {
         self.losses.binary_search_by(|it| it.key.cmp(key))
     }
--- a/crates/medlarlug-core/src/suspects/mod.rs
+++ b/crates/medlarlug-core/src/suspects/mod.rs
@@ -23,6 +23,7 @@
 //! sends that overlap at `c` instances, or that outrun the facts, add one loss for each instance.
 //! Sends that were in flight when the first upstream was lost add one loss each. On two sides of a partition the bound holds for each side.
 
+mod fact_log;
 mod isolation;
 mod ledger;
 
@@ -36,6 +37,7 @@
 };
 
 pub use self::{
+    fact_log::{FactLog, MAX_CONTENTS_TOLD},
     isolation::Suspects,
     ledger::{LossLedger, Standing},
 };
@@ -69,6 +71,26 @@
     },
 }
 
+impl Fact {
+    /// The fact as it is told `time` later.
+    pub fn after(&self, time: Duration) -> Fact {
+        match self.clone() {
+            Fact::Lost(report) => Fact::Lost(LossReport { age: report.age + time, ..report }),
+            Fact::Cleared { fingerprint, losses, age } => {
+                Fact::Cleared { fingerprint, losses, age: age + time }
+            }
+        }
+    }
+
+    /// Contents that the fact names.
+    fn contents(&self) -> usize {
+        match self {
+            Fact::Lost(report) => report.flying.len(),
+            Fact::Cleared { .. } => 1,
+        }
+    }
+}
+
 /// Names a loss.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct LossKey {
--- /dev/null
+++ b/crates/medlarlug-core/tests/testsuite/fact_log.rs
@@ -0,0 +1,69 @@
+//! What is passed on about contents that crash upstreams.
+
+use std::time::Duration;
+
+use medlarlug_core::{
+    fingerprint::Fingerprint,
+    ids::Incarnation,
+    suspects::{Fact, FactLog, LossKey, LossLedger, LossReport, MAX_CONTENTS_TOLD},
+    time::Time,
+};
+use test_support::id;
+
+fn content(number: u32) -> Fingerprint {
+    Fingerprint::of(&number.to_be_bytes())
+}
+
+fn lost(upstream: u32, contents: std::ops::Range<u32>) -> Fact {
+    let mut flying: Vec<Fingerprint> = contents.map(content).collect();
+    flying.sort();
+    let key = LossKey { upstream: id(&format!("engine-{upstream}")), incarnation: Incarnation(1) };
+    Fact::Lost(LossReport { key, age: Duration::ZERO, flying })
+}
+
+#[test]
+fn fact_is_told_with_the_age_that_it_has_by_then() {
+    let mut log = FactLog::default();
+    log.learn(Time::ZERO, &lost(1, 0..1));
+
+    let told = log.since(Time::ZERO + Duration::from_secs(3), 0);
+
+    assert_eq!(told, [lost(1, 0..1).after(Duration::from_secs(3))]);
+}
+
+#[test]
+fn receiver_that_lacks_dropped_facts_gets_all_that_are_left() {
+    let mut log = FactLog::default();
+    let each = 100;
+    let facts = MAX_CONTENTS_TOLD as u32 / each + 5;
+    for upstream in 0..facts {
+        log.learn(Time::ZERO, &lost(upstream, upstream * each..(upstream + 1) * each));
+    }
+
+    let told = log.since(Time::ZERO, 0);
+
+    assert_eq!(log.end(), u64::from(facts));
+    assert_eq!(told.len(), MAX_CONTENTS_TOLD / each as usize);
+    assert_eq!(told.last(), Some(&lost(facts - 1, (facts - 1) * each..facts * each)));
+}
+
+#[test]
+fn repeated_losses_name_only_contents_that_were_lost_more_than_once() {
+    let mut ledger = LossLedger::default();
+    ledger.learn_all(Time::ZERO, &[lost(1, 0..9), lost(2, 8..12), lost(3, 20..25)]);
+
+    let kept = ledger.repeated_losses(Time::ZERO);
+
+    assert_eq!(kept, [lost(1, 8..9), lost(2, 8..9)]);
+}
+
+#[test]
+fn facts_that_arrive_together_count_like_facts_that_arrive_one_by_one() {
+    let facts = [lost(1, 0..9), lost(2, 8..12), lost(3, 8..9)];
+    let mut together = LossLedger::default();
+    together.learn_all(Time::ZERO, &facts);
+    let mut single = LossLedger::default();
+    facts.iter().for_each(|fact| drop(single.learn(Time::ZERO, fact)));
+
+    assert_eq!(together, single);
+}
--- a/crates/medlarlug-core/tests/testsuite/gateway/announcements.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/announcements.rs
@@ -312,3 +312,21 @@
     assert!(known.may_be_cold(Time::from_millis(5_900)));
     assert!(!known.may_be_cold(Time::from_millis(6_400)));
 }
+
+#[test]
+fn upstream_that_comes_back_has_crashed_unless_it_was_leaving() {
+    let mut upstreams = Upstreams::default();
+    let other = Upstream { address: "10.128.0.10:8080".parse().unwrap(), ..draining(1) };
+    upstreams.announce(Time::ZERO, upstream("engine-0", 1), NOW);
+    upstreams.announce(Time::ZERO, other, NOW);
+    let back = Upstream { birth: Birth(2_000), ..upstream("engine-2", 1) };
+    let returned = Upstream { birth: Birth(2_000), ..upstream("engine-1", 1) };
+
+    let at_address = upstreams.crashed_before(&back);
+    let after_leaving = upstreams
+        .crashed_before(&Upstream { address: "10.128.0.11:8080".parse().unwrap(), ..returned });
+    let same = upstreams.crashed_before(&upstream("engine-0", 2));
+
+    assert_eq!(at_address, [("engine-0".parse().unwrap(), Birth(1_000))]);
+    assert_eq!((after_leaving, same), (Vec::new(), Vec::new()));
+}
--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod directory;
 mod drain;
 mod draining;
+mod fact_log;
 mod follower;
 mod gateway;
 mod home_limits;
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: a call sent to one hop, and what came of it.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{io::ErrorKind, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -11,15 +11,18 @@
 };
 use medlarlug_core::{
     gateway::{health::CallEnd, placing::Choice, table::RouteKind},
-    ids::{RegionId, UpstreamId},
+    ids::RegionId,
     time::Time,
 };
-use tokio::{
-    task,
-    time::{sleep, timeout},
-};
+use tokio::time::timeout;
 
-use super::{Entry, call::Call, choice::Hop, forwarded};
+use super::{
+    Entry,
+    call::Call,
+    choice::Hop,
+    crashes::{Flight, Landing},
+    forwarded,
+};
 use crate::metrics as names;
 
 /// Time for a connection to an upstream to open: a lost packet is repeated on a new one sooner
@@ -27,8 +30,6 @@
 const UPSTREAM_CONNECT: Duration = Duration::from_millis(300);
 /// Time for a connection to another region to open.
 const PEER_CONNECT: Duration = Duration::from_millis(700);
-/// Time in which the other connections to an upstream end, if it has crashed.
-const CRASH_TIME: Duration = Duration::from_millis(30);
 /// Longest answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// Rank of calls at engines when the table's ranks are exhausted; engines know 0 to 9.
@@ -113,6 +114,9 @@
     place: Place,
     began: Time,
     is_read: bool,
+    /// The request to the upstream, and how it has ended if nothing else happens.
+    flight: Option<Flight>,
+    landing: Landing,
 }
 
 /// Where a call is counted.
@@ -144,6 +148,9 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let now = self.entry.now();
+        if let Some(flight) = self.flight.take() {
+            self.entry.lands(flight, self.landing);
+        }
         match &self.place {
             Place::Upstream(choice) => {
                 self.entry.loads.borrow_mut().ended(now, choice, self.is_read);
@@ -201,9 +208,18 @@
                         return Piece::Broken;
                     }
                 }
-                Some(Err(_)) => return Piece::Broken,
-                None if self.splitter.has_rest() => return Piece::Broken,
-                None => return Piece::End,
+                Some(Err(_)) => {
+                    self.slot.landing = Landing::Unanswered;
+                    return Piece::Broken;
+                }
+                None if self.splitter.has_rest() => {
+                    self.slot.landing = Landing::Unanswered;
+                    return Piece::Broken;
+                }
+                None => {
+                    self.slot.landing = Landing::Answered;
+                    return Piece::End;
+                }
             }
         }
     }
@@ -213,6 +229,11 @@
         &self.hop
     }
 
+    /// The stream fell silent, and another hop goes on with it.
+    pub(super) fn give_up(&mut self) {
+        self.slot.landing = Landing::Unanswered;
+    }
+
     /// Gives the connection back after the end of the stream.
     pub(super) fn finish(mut self, entry: &Entry) {
         if let Some(connection) = self.connection.take() {
@@ -246,6 +267,9 @@
         Ok(answered) => answered,
         Err(error) => {
             tracing::debug!(request = %attempted.call.id, %error, "attempt failed");
+            if !error.is_unsent() {
+                slot.landing = Landing::Unanswered;
+            }
             return failed(entry, hop, &error);
         }
     };
@@ -260,6 +284,7 @@
         return match timeout(left, read).await {
             Ok(Ok(bytes)) => {
                 slot.answered();
+                slot.landing = Landing::Answered;
                 let end = match parts.status.is_server_error() {
                     true => CallEnd::Failed,
                     false => CallEnd::Answered,
@@ -269,10 +294,14 @@
                 Outcome::Answer(Response::from_parts(parts, bytes))
             }
             Ok(Err(_)) => {
+                slot.landing = Landing::Unanswered;
                 ended(entry, hop, CallEnd::Broken);
                 Outcome::Unknown(Unknown::Lost)
             }
-            Err(_) => Outcome::Unknown(Unknown::Silent),
+            Err(_) => {
+                slot.landing = Landing::Unanswered;
+                Outcome::Unknown(Unknown::Silent)
+            }
         };
     }
     let mut stream = EventStream {
@@ -298,7 +327,10 @@
             ended(entry, hop, CallEnd::Broken);
             Outcome::Unknown(Unknown::Lost)
         }
-        Err(_) => Outcome::Unknown(Unknown::Silent),
+        Err(_) => {
+            stream.give_up();
+            Outcome::Unknown(Unknown::Silent)
+        }
     }
 }
 
@@ -308,18 +340,6 @@
     }
 }
 
-/// Takes an upstream for crashed if none of its connections outlasts one that broke.
-async fn look_for_crash(entry: Rc<Entry>, id: UpstreamId, address: SocketAddr) {
-    let began = entry.now();
-    sleep(CRASH_TIME).await;
-    let running = entry.loads.borrow().report_of(&id).running;
-    let idle = entry.client.idle(address);
-    if running == 0 && idle == 0 {
-        tracing::warn!(upstream = %id, "no connection outlasted a broken one, the upstream may have crashed");
-        entry.healths.borrow_mut().crashed(began, &id);
-    }
-}
-
 /// Counts the call where it goes.
 fn begin(entry: &Rc<Entry>, attempted: &Attempted, hop: &Hop, now: Time) -> Slot {
     let demand = &attempted.call.demand;
@@ -342,7 +362,12 @@
             Place::Away(region.clone(), tokens)
         }
     };
-    Slot { entry: entry.clone(), place, began: now, is_read: false }
+    let flight = match &place {
+        Place::Upstream(choice) => entry.takes_off(attempted.call.content, &choice.id),
+        Place::Away(..) => None,
+    };
+    let landing = Landing::Other;
+    Slot { entry: entry.clone(), place, began: now, is_read: false, flight, landing }
 }
 
 /// The request as it goes to the hop.
@@ -422,7 +447,13 @@
 
 fn failed(entry: &Rc<Entry>, hop: &Hop, error: &CallError) -> Outcome {
     match error {
-        CallError::Connect { .. } => {
+        CallError::Connect { source, .. } => {
+            let is_refused = |error: &std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
+            if let Hop::Upstream { choice, .. } = hop
+                && source.as_ref().is_some_and(is_refused)
+            {
+                entry.refused_connection(&choice.id);
+            }
             ended(entry, hop, CallEnd::Unreachable);
             Outcome::NotRun(NotRun::Unreachable)
         }
@@ -446,7 +477,7 @@
         end => end,
     };
     if end == CallEnd::Broken {
-        task::spawn_local(look_for_crash(entry.clone(), choice.id.clone(), *address));
+        entry.examine(&choice.id, *address);
     }
     let avoided = entry.healths.borrow_mut().ended(entry.now(), &choice.id, end);
     if let Some(pause) = avoided {
--- a/crates/medlarlug-gateway/src/entry/call.rs
+++ b/crates/medlarlug-gateway/src/entry/call.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, header, http::request};
-use medlarlug_core::gateway::placing::{Demand, PromptPart};
+use medlarlug_core::{
+    fingerprint::Fingerprint,
+    gateway::placing::{Demand, PromptPart},
+};
 use smol_str::SmolStr;
 
 use crate::headers::HeaderNames;
@@ -24,6 +27,8 @@
     /// The headers to pass on.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// Names what the call asks for; set with the body.
+    pub(super) content: Fingerprint,
 }
 
 impl Call {
@@ -41,7 +46,36 @@
         let demand = read_demand(text(&names.prompt_parts), text(&names.token_counts));
         let target = uri.path_and_query().map_or("/", |target| target.as_str()).into();
         strip(&mut headers, names);
-        Call { method, target, host, id, deadline, demand, headers, body: Bytes::new() }
+        Call {
+            method,
+            target,
+            host,
+            id,
+            deadline,
+            demand,
+            headers,
+            body: Bytes::new(),
+            content: Fingerprint(0),
+        }
+    }
+
+    /// Takes in the body, which comes after the head.
+    pub(super) fn take_body(&mut self, body: Bytes) {
+        let key = self.headers.get(header::AUTHORIZATION);
+        let fields = [
+            self.method.as_str().as_bytes(),
+            self.host.as_bytes(),
+            self.target.as_bytes(),
+            key.map_or(&[], |key| key.as_bytes()),
+            &body,
+        ];
+        let mut content = Vec::with_capacity(fields.iter().map(|it| it.len() + 8).sum());
+        for field in fields {
+            content.extend_from_slice(&(field.len() as u64).to_le_bytes());
+            content.extend_from_slice(field);
+        }
+        self.content = Fingerprint::of(&content);
+        self.body = body;
     }
 
     /// The path without its query.
--- /dev/null
+++ b/crates/medlarlug-gateway/src/entry/crashes.rs
@@ -0,0 +1,257 @@
+//! Contents that crash upstreams, and the calls that are kept from running because of it.
+//!
+//! Each call to an upstream is noted with the fingerprint of its content. When the upstream is lost,
+//! the contents in flight there become suspects; see [`medlarlug_core::suspects`] for how
+//! suspicion turns into quarantine. The facts go to all entry instances through the keepers, which keep
+//! them for instances that start.
+//!
+//! A broken connection is no loss by itself. It becomes one when the upstream takes no
+//! connection any more, when a younger incarnation announces itself under its id or address, or when
+//! another instance reports the loss. Until then the call stays noted.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use medlarlug::transport::http_client;
+use medlarlug_core::{
+    fingerprint::Fingerprint,
+    gateway::upstreams::{Birth, Upstream},
+    ids::{Incarnation, InstanceId, RegionId, RequestId, UpstreamId},
+    suspects::{Effect, Event, Fact, LossKey, Standing, Suspects},
+    time::Time,
+};
+use tokio::{task, time::sleep};
+
+use super::Entry;
+use crate::{link::Message, metrics as names};
+
+/// Time in which the other connections to an upstream end, if it has crashed.
+const CRASH_TIME: Duration = Duration::from_millis(30);
+/// Time for a connection to open to an upstream that may have crashed.
+const PROBE_LIMIT: Duration = Duration::from_millis(300);
+/// Time for which a call that ended without an answer stays noted: a crashed upstream restarts and
+/// announces itself within a few seconds.
+const LOST_FOR: Duration = Duration::from_secs(15);
+
+/// What an instance knows of contents that crash upstreams.
+#[derive(Default)]
+pub(super) struct Crashes {
+    suspects: Suspects,
+    /// Requests to upstreams so far.
+    sequence: u64,
+    /// Requests that ended without an answer, and when.
+    unanswered: Vec<(Flight, Time)>,
+    /// Upstreams that are being looked at.
+    examined: Vec<LossKey>,
+}
+
+/// A request to an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Flight {
+    request: RequestId,
+    key: LossKey,
+}
+
+/// How a request to an upstream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Landing {
+    /// With its whole answer.
+    Answered,
+    /// The connection ended, or fell silent, before the answer was whole.
+    Unanswered,
+    /// In another way, which says nothing about the content.
+    Other,
+}
+
+fn key(upstream: &UpstreamId, birth: Birth) -> LossKey {
+    LossKey { upstream: upstream.clone(), incarnation: Incarnation(birth.0) }
+}
+
+impl Crashes {
+    fn next_request(&mut self, region: RegionId, instance: InstanceId) -> RequestId {
+        self.sequence += 1;
+        RequestId { region, instance, incarnation: Incarnation(0), sequence: self.sequence }
+    }
+
+    fn has_unanswered(&self, key: &LossKey) -> bool {
+        self.unanswered.iter().any(|(flight, _)| flight.key == *key)
+    }
+}
+
+impl Entry {
+    /// Time for which calls with this content are not run; `None` if they are.
+    pub(super) fn quarantine(&self, content: Fingerprint) -> Option<Duration> {
+        match self.crashes.borrow().suspects.standing(self.now(), content) {
+            Standing::Quarantined { after } => Some(after),
+            Standing::Clear | Standing::Suspect => None,
+        }
+    }
+
+    /// Notes that a request goes to an upstream.
+    pub(super) fn takes_off(&self, content: Fingerprint, upstream: &UpstreamId) -> Option<Flight> {
+        let key = self.newest(upstream)?;
+        let (region, instance) = {
+            let settings = self.settings.borrow();
+            (settings.card.region.clone(), settings.card.id.clone())
+        };
+        let request = self.crashes.borrow_mut().next_request(region, instance);
+        self.suspect(Event::Sent {
+            request: request.clone(),
+            fingerprint: content,
+            upstream: upstream.clone(),
+            incarnation: key.incarnation,
+        });
+        Some(Flight { request, key })
+    }
+
+    /// Notes how a request to an upstream ended.
+    pub(super) fn lands(&self, flight: Flight, landing: Landing) {
+        match landing {
+            Landing::Answered => self.suspect(Event::Answered { request: flight.request }),
+            Landing::Other => self.suspect(Event::Ended { request: flight.request }),
+            Landing::Unanswered => {
+                let now = self.now();
+                let mut crashes = self.crashes.borrow_mut();
+                // The loss of its upstream may have been noted before.
+                if crashes.suspects.incarnation_of(&flight.request).is_some() {
+                    crashes.unanswered.push((flight, now));
+                }
+            }
+        }
+    }
+
+    /// An upstream refuses connections: it has crashed if requests there ended without an answer.
+    pub(super) fn refused_connection(&self, upstream: &UpstreamId) {
+        let Some(key) = self.newest(upstream) else { return };
+        if self.crashes.borrow().has_unanswered(&key) {
+            self.lose(key, "it refuses connections");
+        }
+    }
+
+    /// The newest incarnation of an upstream.
+    fn newest(&self, upstream: &UpstreamId) -> Option<LossKey> {
+        let upstreams = self.upstreams.borrow();
+        upstreams.get(upstream).map(|it| key(upstream, it.upstream.birth))
+    }
+
+    /// Finds out whether an upstream has crashed, after a connection to it broke.
+    pub(super) fn examine(self: &Rc<Self>, upstream: &UpstreamId, address: SocketAddr) {
+        let Some(key) = self.newest(upstream) else { return };
+        let mut crashes = self.crashes.borrow_mut();
+        if !crashes.examined.contains(&key) {
+            crashes.examined.push(key.clone());
+            task::spawn_local(look_for_crash(self.clone(), key, address));
+        }
+    }
+
+    /// An upstream announces itself: an older one with its id or address has crashed, unless it
+    /// said that it was leaving.
+    pub(super) fn replaced_by(&self, upstream: &Upstream) {
+        let replaced = self.upstreams.borrow().crashed_before(upstream);
+        for (id, birth) in replaced {
+            let key = key(&id, birth);
+            if self.crashes.borrow().has_unanswered(&key) {
+                self.lose(key, "another incarnation announced itself");
+            }
+        }
+    }
+
+    /// Takes in what others know of contents that crash upstreams.
+    pub(super) fn learn_facts(&self, facts: Vec<Fact>) {
+        let lost = facts.iter().filter_map(|fact| match fact {
+            Fact::Lost(report) => Some(&report.key),
+            Fact::Cleared { .. } => None,
+        });
+        let lost: Vec<LossKey> = lost.cloned().collect();
+        self.change_suspects(|suspects, now| suspects.learn_all(now, &facts));
+        for key in lost {
+            if self.crashes.borrow().has_unanswered(&key) {
+                self.lose(key, "another instance reports it");
+            }
+        }
+    }
+
+    /// What a keeper that may have lost its memory has to know.
+    pub(super) fn facts_to_keep(&self) -> Vec<Fact> {
+        self.crashes.borrow().suspects.ledger().repeated_losses(self.now())
+    }
+
+    /// Forgets what is too old.
+    pub(super) fn expire_crashes(&self) {
+        let now = self.now();
+        let is_old = |it: &mut (Flight, Time)| now - it.1 > LOST_FOR;
+        let old: Vec<Flight> = {
+            let mut crashes = self.crashes.borrow_mut();
+            crashes.unanswered.extract_if(.., is_old).map(|it| it.0).collect()
+        };
+        for flight in old {
+            self.suspect(Event::Ended { request: flight.request });
+        }
+        self.suspect(Event::Tick);
+    }
+
+    /// An upstream was lost with all requests that were in flight there.
+    fn lose(&self, key: LossKey, evidence: &'static str) {
+        self.crashes.borrow_mut().unanswered.retain(|(flight, _)| flight.key != key);
+        metrics::counter!(names::CRASHES).increment(1);
+        tracing::warn!(upstream = %key.upstream, birth = key.incarnation.0, evidence, "upstream crashed");
+        self.suspect(Event::UpstreamLost { upstream: key.upstream, incarnation: key.incarnation });
+    }
+
+    /// Feeds an event to the suspects and tells the keepers what follows from it.
+    fn suspect(&self, event: Event) {
+        let mut effects = Vec::new();
+        self.change_suspects(|suspects, now| suspects.handle(now, event, &mut effects));
+        let facts = effects.into_iter().filter_map(|effect| match effect {
+            // Others need to know of a clearance only if they might quarantine the content.
+            Effect::Share(Fact::Cleared { losses, .. }) if losses.len() < 2 => None,
+            Effect::Share(fact) => Some(fact),
+            // Suspects share upstreams here, which run a hundred requests at once.
+            Effect::Reserve { .. } | Effect::Free { .. } | Effect::Lost { .. } => None,
+        });
+        let facts: Vec<Fact> = facts.collect();
+        if facts.is_empty() {
+            return;
+        }
+        for fact in &facts {
+            if let Fact::Lost(report) = fact {
+                let (upstream, birth) = (&report.key.upstream, report.key.incarnation.0);
+                let contents = report.flying.len();
+                tracing::info!(%upstream, birth, contents, "contents in flight at a crashed upstream are suspects");
+            }
+        }
+        self.links.send_all(&Message::Facts(facts));
+    }
+
+    /// Changes the suspects and logs the contents that are quarantined since.
+    fn change_suspects(&self, change: impl FnOnce(&mut Suspects, Time)) {
+        let now = self.now();
+        let suspects = &mut self.crashes.borrow_mut().suspects;
+        let before = suspects.ledger().quarantines(now);
+        change(suspects, now);
+        for (content, after) in suspects.ledger().quarantines(now) {
+            if before.binary_search_by_key(&content, |it| it.0).is_err() {
+                let losses = suspects.ledger().losses_of(content);
+                let upstreams = losses.iter().map(|it| it.upstream.as_str());
+                let upstreams = upstreams.collect::<Vec<_>>().join(",");
+                tracing::warn!(%content, upstreams, for_s = after.as_secs(), "content quarantined");
+            }
+        }
+    }
+}
+
+/// Takes an upstream for crashed if none of its connections outlasts one that broke, and counts
+/// what was in flight there as suspect if it takes no new connection either.
+async fn look_for_crash(entry: Rc<Entry>, key: LossKey, address: SocketAddr) {
+    let began = entry.now();
+    sleep(CRASH_TIME).await;
+    let running = entry.loads.borrow().report_of(&key.upstream).running;
+    let idle = entry.client.idle(address);
+    if running == 0 && idle == 0 {
+        tracing::warn!(upstream = %key.upstream, "no connection outlasted a broken one, the upstream may have crashed");
+        entry.healths.borrow_mut().crashed(began, &key.upstream);
+        if http_client::is_refused(address, PROBE_LIMIT).await {
+            entry.lose(key.clone(), "it refuses connections");
+        }
+    }
+    entry.crashes.borrow_mut().examined.retain(|it| *it != key);
+}
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod attempt;
 mod call;
 mod choice;
+mod crashes;
 mod forwarded;
 mod plan;
 mod relay;
@@ -59,6 +60,7 @@
     time::{MissedTickBehavior, interval, sleep},
 };
 
+use self::crashes::Crashes;
 pub use serve::Ended;
 
 use crate::{
@@ -117,6 +119,7 @@
     turn_waits: RefCell<TurnWaits>,
     healths: RefCell<Healths>,
     cold: RefCell<ColdSends>,
+    crashes: RefCell<Crashes>,
     suspicions: RefCell<Suspicions>,
     /// Predicted waits of other regions, sorted.
     waits: RefCell<Vec<RegionWait>>,
@@ -162,6 +165,7 @@
             turn_waits: RefCell::default(),
             healths: RefCell::default(),
             cold: RefCell::default(),
+            crashes: RefCell::default(),
             suspicions: RefCell::default(),
             waits: RefCell::default(),
             spare: RefCell::default(),
@@ -334,6 +338,7 @@
             let (id, state) = (upstream.id.clone(), upstream.state);
             let (birth, sequence) = (upstream.birth.0, upstream.sequence);
             let before = self.upstreams.borrow().get(&id).map(|it| it.upstream.birth);
+            self.replaced_by(&upstream);
             let effect = match state {
                 UpstreamState::Gone => self.upstreams.borrow_mut().leave_unknown(now, upstream),
                 _ => self.upstreams.borrow_mut().announce(now, upstream, age),
@@ -359,6 +364,9 @@
         if let Some(head) = news.head {
             self.on_head(from, head, &news.restored);
         }
+        if !news.facts.is_empty() {
+            self.learn_facts(news.facts);
+        }
         self.links.send(from, &Message::Seen(news.number));
     }
 
@@ -529,6 +537,10 @@
 
     fn opened(&self, address: SocketAddr) {
         self.upstreams.borrow_mut().forget_teller(address);
+        let facts = self.facts_to_keep();
+        if !facts.is_empty() {
+            self.links.send(address, &Message::Facts(facts));
+        }
     }
 
     fn receive(&self, from: SocketAddr, message: Message) {
@@ -552,6 +564,7 @@
         ticks.tick().await;
         let now = entry.now();
         entry.contacts.borrow_mut().forget(now, FORGET_AFTER);
+        entry.expire_crashes();
         for id in entry.upstreams.borrow_mut().forget(now) {
             tracing::info!(upstream = %id, "upstream forgotten");
         }
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -95,8 +95,11 @@
 }
 
 impl Plan {
-    /// The next hop; `None` if there is none.
+    /// The next hop; `None` if there is none, or the call may not run anywhere.
     pub(super) fn next_hop(&self, entry: &Entry, call: &Call) -> Option<Hop> {
+        if entry.quarantine(call.content).is_some() {
+            return None;
+        }
         // The call does not stand in its own way.
         let own = self.waiting.as_ref().map(|it| &it.choice);
         if let Some(choice) = own {
--- a/crates/medlarlug-gateway/src/entry/relay.rs
+++ b/crates/medlarlug-gateway/src/entry/relay.rs
@@ -87,7 +87,10 @@
             Ok(Piece::End) => return Step::Done,
             Ok(Piece::Broken) => return Step::Broken,
             Err(_) if entry.now() >= plan.end => return Step::Late,
-            Err(_) => return Step::Broken,
+            Err(_) => {
+                stream.give_up();
+                return Step::Broken;
+            }
         };
         if let Some(last) = events::last_id(&events) {
             plan.last_event = Some(last);
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -170,8 +170,8 @@
     };
     call.demand.rank = plan.route.priority;
     let limit = plan.table.limits().body_bytes;
-    call.body = match body::read(incoming, limit).await {
-        Ok(bytes) => bytes,
+    match body::read(incoming, limit).await {
+        Ok(bytes) => call.take_body(bytes),
         Err(BodyError::TooLong { .. }) => {
             plan.end(entry, &call, Ended::Rejected);
             return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
@@ -180,11 +180,14 @@
             plan.end(entry, &call, Ended::Left);
             return plain(StatusCode::BAD_REQUEST, "the body was cut");
         }
-    };
+    }
     if !is_forwarded {
         entry.count_call(&plan.service);
     }
-    wait_for_start(entry, &call, began, |entry| plan.next_hop(entry, &call).is_some()).await;
+    wait_for_start(entry, &call, began, |entry| {
+        entry.quarantine(call.content).is_some() || plan.next_hop(entry, &call).is_some()
+    })
+    .await;
     let result = attempts(entry, &call, &mut plan).await;
     finish(entry, call, plan, result, is_forwarded)
 }
@@ -270,6 +273,7 @@
     loop {
         let now = entry.now();
         let left = plan.end - now;
+        let quarantine = entry.quarantine(call.content);
         let hop = match plan.unreachable < MAX_UNREACHABLE && left > MIN_LEFT {
             true => plan.next_hop(entry, call),
             false => None,
@@ -303,6 +307,12 @@
                     };
                     return Last::Fail { status, why };
                 }
+                if let Some(after) = quarantine {
+                    let (content, for_s) = (call.content, after.as_secs());
+                    metrics::counter!(names::QUARANTINED).increment(1);
+                    tracing::info!(request = %call.id, %content, for_s, "refusing quarantined content");
+                    return Last::Refuse { after };
+                }
                 let own = match verdict {
                     Verdict::Refuse { after } => after,
                     Verdict::Serve => refusing::after(Duration::ZERO, left, rand::rng().random()),
--- a/crates/medlarlug-gateway/src/keeper/loops.rs
+++ b/crates/medlarlug-gateway/src/keeper/loops.rs
@@ -97,6 +97,7 @@
         for id in keeper.upstreams.borrow_mut().forget(now) {
             tracing::info!(upstream = %id, silent_s = upstreams::FORGET_AFTER.as_secs(), "upstream forgotten");
         }
+        keeper.facts.borrow_mut().expire(now);
         keeper.push();
         keeper.links.follow(&keeper);
     }
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -38,6 +38,7 @@
     },
     ids::{InstanceId, ZoneId},
     replication::{Config, MemberKey, Membership, Persist, Replica, Role},
+    suspects::{Fact, FactLog},
     time::Time,
 };
 use thiserror::Error;
@@ -99,6 +100,8 @@
     head: RefCell<Head>,
     /// When evacuations of zones were withdrawn.
     suspicions: RefCell<Suspicions>,
+    /// What entry instances have learned of contents that crash upstreams.
+    facts: RefCell<FactLog>,
     /// The membership that was logged last.
     membership: RefCell<Option<Membership>>,
     table: RefCell<Option<Rc<RouteTable>>>,
@@ -139,6 +142,7 @@
             last_call: Cell::new(0),
             head: RefCell::default(),
             suspicions: RefCell::default(),
+            facts: RefCell::default(),
             membership: RefCell::default(),
             table: RefCell::default(),
             stall: RefCell::new(Stall::new(STALL_LIMIT)),
@@ -328,6 +332,7 @@
             contacts: &contacts,
             head: &head,
             suspicions: &suspicions,
+            facts: &self.facts.borrow(),
         };
         subscribers.push(self.now(), knowledge);
     }
@@ -365,12 +370,21 @@
                 contacts.hear(now, card, None, age);
             }
         }
+        is_changed |= self.learn_facts(&news.facts);
         self.links.send(from, &Message::Seen(news.number));
         if is_changed {
             self.push();
         }
     }
 
+    /// Takes in what is known of contents that crash upstreams; tells whether any of it is new.
+    fn learn_facts(&self, facts: &[Fact]) -> bool {
+        let now = self.now();
+        let mut known = self.facts.borrow_mut();
+        let new = facts.iter().filter(|fact| known.learn(now, fact));
+        new.count() > 0
+    }
+
     /// A message that came over a link that the peer opened.
     fn on_subscriber(&self, link: u64, card: &Card, message: Message) {
         let now = self.now();
@@ -401,6 +415,11 @@
                 let from = card.id.clone();
                 self.run(|group, now, out| group.receive(now, from, message, out));
             }
+            Message::Facts(facts) => {
+                if self.learn_facts(&facts) {
+                    self.push();
+                }
+            }
             Message::Call { call, request } => {
                 let caller = Caller { instance: card.id.clone(), call };
                 self.run(|group, now, out| group.call(now, caller, request, out));
--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -17,6 +17,7 @@
     },
     ids::{InstanceId, ZoneId},
     replication,
+    suspects::Fact,
 };
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -66,6 +67,8 @@
     pub pulses: Vec<(InstanceId, u32)>,
     /// Predicted waits by region and service.
     pub waits: Vec<RegionWait>,
+    /// What is known of contents that crash upstreams.
+    pub facts: Vec<Fact>,
 }
 
 impl Head {
@@ -114,6 +117,8 @@
         #[serde(with = "serde_bytes")]
         bytes: Vec<u8>,
     },
+    /// From an entry instance: what it has learned of contents that crash upstreams.
+    Facts(Vec<Fact>),
     /// Between the replicas of the publication group.
     Replication(replication::Message),
     /// A request to the leader of the publication group.
--- a/crates/medlarlug-gateway/src/subscribers.rs
+++ b/crates/medlarlug-gateway/src/subscribers.rs
@@ -14,6 +14,7 @@
         upstreams::{Known, Pulse, Renewal, Upstreams},
     },
     ids::InstanceId,
+    suspects::FactLog,
     time::Time,
 };
 
@@ -53,6 +54,7 @@
     /// When the signs of life of all instances were last sent.
     lives: Option<Time>,
     waits: Vec<RegionWait>,
+    facts: u64,
 }
 
 /// What a keeper knows and tells.
@@ -62,6 +64,7 @@
     pub(crate) contacts: &'a Contacts,
     pub(crate) head: &'a Head,
     pub(crate) suspicions: &'a Suspicions,
+    pub(crate) facts: &'a FactLog,
 }
 
 /// What is the same for all links that are told it in one round.
@@ -182,7 +185,7 @@
 impl Subscriber {
     fn news(&mut self, round: &Round) -> Option<News> {
         let now = round.now;
-        let Knowledge { upstreams, contacts, head, suspicions } = round.knowledge;
+        let Knowledge { upstreams, contacts, head, suspicions, facts } = round.knowledge;
         let mut news = News::default();
         let is_keeper = self.part == Part::Keeper;
         // Another keeper hears the rest from whoever has heard it first.
@@ -223,6 +226,12 @@
             news.waits.clone_from(round.waits());
             self.sent.waits.clone_from(round.waits());
         }
+        // One keeper has heard them from another, and entry instances from any: two sources are
+        // enough.
+        if self.is_primary && facts.end() > self.sent.facts {
+            news.facts = facts.since(now, self.sent.facts);
+            self.sent.facts = facts.end();
+        }
         if news == News::default() {
             return None;
         }
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -214,6 +214,12 @@
     }
 }
 
+/// Whether nothing listens at `address` any more.
+pub async fn is_refused(address: SocketAddr, limit: Duration) -> bool {
+    let connected = timeout(limit, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
 /// A connection whose answer is being read; dropping it closes it.
 pub struct Connection {
     address: SocketAddr,
