--- a/crates/medlarlug-core/src/gateway/handover.rs
+++ b/crates/medlarlug-core/src/gateway/handover.rs
@@ -17,6 +17,8 @@
     pub route: Route,
     /// The service that was picked by the route's weights.
     pub service: ServiceName,
+    /// Requests for the call that may still reach an upstream.
+    pub arrivals: u32,
 }
 
 impl Handover {
@@ -44,38 +46,77 @@
     }
 }
 
-/// The attempts of a call: how many upstreams may run it, and how many have, or may have.
+/// What an instance did with a call that another one handed to it.
+///
+/// Every answer to such a call carries it, whatever kind of answer it is. An answer without one, or no answer,
+/// may stand for everything that was left; see [`Attempts::unreported`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Upstreams that began to run the call, or may have.
+    pub runs: u32,
+    /// Requests that reached an upstream, refused ones included.
+    pub arrivals: u32,
+    /// Whether the instance promises that the call has not run, and never will by this hand-over.
+    pub is_refused: bool,
+}
+
+impl Report {
+    /// A call that reached no upstream, and was refused for another reason than its own faults.
+    pub const REFUSED: Report = Report { runs: 0, arrivals: 0, is_refused: true };
+    /// A call that the instance rejected by itself.
+    pub const REJECTED: Report = Report { is_refused: false, ..Report::REFUSED };
+}
+
+/// The attempts of a call: how many upstreams may run it and how many requests for it may reach one, and
+/// how many have, or may have.
 ///
 /// ```
-/// use medlarlug_core::gateway::handover::Attempts;
+/// use medlarlug_core::gateway::handover::{Attempts, Report};
 ///
-/// let mut attempts = Attempts::new(3);
-/// attempts.ran(1);
-/// assert_eq!(attempts.left(), 2);
-/// attempts.use_all();
-/// assert_eq!(attempts.left(), 0);
+/// let mut attempts = Attempts::new(3, 4);
+/// attempts.refused();
+/// attempts.reported(Report { runs: 1, arrivals: 2, is_refused: false });
+/// assert_eq!((attempts.left(), attempts.arrivals_left()), (2, 1));
+/// attempts.unreported();
+/// assert_eq!((attempts.left(), attempts.arrivals_left()), (0, 0));
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Attempts {
     allowed: u32,
     runs: u32,
+    most_arrivals: u32,
+    arrivals: u32,
 }
 
 impl Attempts {
-    /// A call that `allowed` upstreams may run, one at least.
-    pub fn new(allowed: u32) -> Attempts {
-        Attempts { allowed: allowed.max(1), runs: 0 }
+    /// A call that `allowed` upstreams may run, with `most_arrivals` requests that reach one; one
+    /// of each at least.
+    pub fn new(allowed: u32, most_arrivals: u32) -> Attempts {
+        let (allowed, most_arrivals) = (allowed.max(1), most_arrivals.max(1));
+        Attempts { allowed, runs: 0, most_arrivals, arrivals: 0 }
+    }
+
+    /// An upstream has begun to run the call, or may have.
+    pub fn ran(&mut self) {
+        self.reported(Report { runs: 1, arrivals: 1, is_refused: false });
+    }
+
+    /// An upstream was reached and has not run the call.
+    pub fn refused(&mut self) {
+        self.reported(Report { runs: 0, arrivals: 1, is_refused: true });
     }
 
-    /// Upstreams have begun to run the call, or may have.
-    pub fn ran(&mut self, upstreams: u32) {
-        self.runs = self.runs.saturating_add(upstreams);
+    /// Another instance reports what it did with the call.
+    pub fn reported(&mut self, report: Report) {
+        self.runs = self.runs.saturating_add(report.runs);
+        self.arrivals = self.arrivals.saturating_add(report.arrivals);
     }
 
-    /// Another instance failed before it reported how many upstreams ran the call: it may have used
-    /// every attempt.
-    pub fn use_all(&mut self) {
+    /// Another instance had the call, and what it did with it is not known: it may have used all that was
+    /// left.
+    pub fn unreported(&mut self) {
         self.runs = self.runs.max(self.allowed);
+        self.arrivals = self.arrivals.max(self.most_arrivals);
     }
 
     /// Upstreams that ran the call, or may have.
@@ -83,8 +124,28 @@
         self.runs
     }
 
+    /// Requests for the call that reached an upstream, or may have.
+    pub fn arrivals(self) -> u32 {
+        self.arrivals
+    }
+
     /// Upstreams that may still run it.
     pub fn left(self) -> u32 {
         self.allowed.saturating_sub(self.runs)
     }
+
+    /// Requests that may still reach an upstream.
+    pub fn arrivals_left(self) -> u32 {
+        self.most_arrivals.saturating_sub(self.arrivals)
+    }
+
+    /// Whether another request may go out.
+    pub fn may_send(self) -> bool {
+        self.left() > 0 && self.arrivals_left() > 0
+    }
+
+    /// What is told to the instance that handed the call over.
+    pub fn report(self, is_refused: bool) -> Report {
+        Report { runs: self.runs, arrivals: self.arrivals, is_refused }
+    }
 }
--- a/crates/medlarlug-core/tests/testsuite/gateway/handover.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/handover.rs
@@ -1,9 +1,10 @@
 //! Calls that one region hands over to another, under equal and different tables.
 
 use medlarlug_core::gateway::{
-    handover::{Attempts, Handover},
+    handover::{Attempts, Handover, Report},
     table::{Route, TableVersion},
 };
+use proptest::prelude::*;
 
 use super::fixture::{route, service, table, target};
 
@@ -12,6 +13,7 @@
         version: TableVersion(version),
         route: Route { attempts, ..route("/mend/") },
         service: service("scribe"),
+        arrivals: 4,
     }
 }
 
@@ -56,15 +58,103 @@
 /// The other region's head told of one run, and its stream went on at two more upstreams.
 #[test]
 fn stream_that_another_region_broke_off_may_have_used_every_attempt() {
-    let mut attempts = Attempts::new(3);
-    attempts.ran(1);
+    let mut attempts = Attempts::new(3, 4);
+    attempts.ran();
 
-    attempts.use_all();
+    attempts.unreported();
 
-    assert_eq!(attempts.left(), 0);
+    assert_eq!((attempts.left(), attempts.arrivals_left()), (0, 0));
 }
 
 #[test]
 fn route_without_attempts_allows_one() {
-    assert_eq!(Attempts::new(0).left(), 1);
+    assert_eq!(Attempts::new(0, 0).left(), 1);
+}
+
+/// How a request to an upstream ends, as the instance that sent it sees it.
+#[derive(Debug, Clone, Copy)]
+enum End {
+    /// The upstream refuses it.
+    Refused,
+    /// The upstream runs it, and its answer is lost or a failure.
+    Run,
+}
+
+/// How a call that was handed over ends, as the first instance sees it.
+#[derive(Debug, Clone, Copy)]
+enum Return {
+    /// With an answer and its report.
+    Reported,
+    /// With an answer without a report, by a connection that breaks, or by the first instance's
+    /// patience, while the other instance goes on.
+    Unreported,
+}
+
+/// What upstreams count of one call.
+#[derive(Debug, Default)]
+struct Counted {
+    runs: u32,
+    arrivals: u32,
+}
+
+/// Serves a call until an end has no successor or nothing may be sent any more.
+fn serve(attempts: &mut Attempts, ends: &[End], counted: &mut Counted) {
+    for end in ends {
+        if !attempts.may_send() {
+            return;
+        }
+        counted.arrivals += 1;
+        match end {
+            End::Refused => attempts.refused(),
+            End::Run => {
+                counted.runs += 1;
+                attempts.ran();
+            }
+        }
+    }
+}
+
+fn ends() -> impl Strategy<Value = Vec<End>> {
+    prop::collection::vec(prop_oneof![Just(End::Refused), Just(End::Run)], 0..6)
+}
+
+proptest! {
+    /// A call that goes to upstreams and other regions in turn stays within what its route allows,
+    /// as upstreams count it.
+    #[test]
+    fn hand_overs_of_every_end_keep_to_the_attempts_of_the_route(
+        allowed in 1u32..5,
+        rounds in prop::collection::vec(
+            (ends(), ends(), prop_oneof![Just(Return::Reported), Just(Return::Unreported)]),
+            1..6,
+        ),
+    ) {
+        let mut counted = Counted::default();
+        let mut first = Attempts::new(allowed, 4);
+
+        for (here, there, returned) in rounds {
+            serve(&mut first, &here, &mut counted);
+            if !first.may_send() {
+                break;
+            }
+            let mut other = Attempts::new(first.left(), first.arrivals_left());
+            serve(&mut other, &there, &mut counted);
+            match returned {
+                Return::Reported => first.reported(other.report(other.runs() == 0)),
+                Return::Unreported => first.unreported(),
+            }
+        }
+
+        prop_assert!(counted.runs <= allowed, "{:?}", counted);
+        prop_assert!(counted.arrivals <= 4, "{:?}", counted);
+    }
+}
+
+#[test]
+fn report_survives_its_way_as_a_header() {
+    let report = Report { runs: 2, arrivals: 3, is_refused: false };
+
+    let text = serde_json::to_string(&report).unwrap();
+
+    assert_eq!(serde_json::from_str::<Report>(&text).unwrap(), report);
 }
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -10,7 +10,12 @@
     transport::http_client::{CallError, CallLimits, Connection, Reuse},
 };
 use medlarlug_core::{
-    gateway::{health::CallEnd, placing::Choice, table::RouteKind},
+    gateway::{
+        handover::{Attempts, Report},
+        health::CallEnd,
+        placing::Choice,
+        table::RouteKind,
+    },
     ids::RegionId,
     time::Time,
 };
@@ -88,8 +93,6 @@
     Refused {
         /// When to come back, if it says that too.
         after: Option<Duration>,
-        /// Requests that reached upstreams on the way, more than one at another instance.
-        arrivals: u32,
     },
     /// Another upstream has the address.
     Misdirected,
@@ -242,8 +245,35 @@
     }
 }
 
-/// Sends a call to a hop and waits for the whole answer, or for the first events of a stream.
-pub(super) async fn send(entry: &Rc<Entry>, attempted: &Attempted<'_>, hop: &Hop) -> Outcome {
+/// Sends a call to a hop and waits for the whole answer, or for the first events of a stream. Counts
+/// in `attempts` what that may have run.
+pub(super) async fn send(
+    entry: &Rc<Entry>,
+    attempted: &Attempted<'_>,
+    hop: &Hop,
+    attempts: &mut Attempts,
+) -> Outcome {
+    let mut report = None;
+    let outcome = exchange(entry, attempted, hop, &mut report).await;
+    match (&outcome, hop) {
+        (Outcome::NotRun(NotRun::Unreachable), _) => {}
+        (_, Hop::Peer { .. }) => match report {
+            Some(report) if !matches!(outcome, Outcome::Unknown(_)) => attempts.reported(report),
+            _ => attempts.unreported(),
+        },
+        (Outcome::NotRun(_), Hop::Upstream { .. }) => attempts.refused(),
+        (_, Hop::Upstream { .. }) => attempts.ran(),
+    }
+    outcome
+}
+
+/// Sends a call to a hop. What another instance reports of it goes to `report`.
+async fn exchange(
+    entry: &Rc<Entry>,
+    attempted: &Attempted<'_>,
+    hop: &Hop,
+    report: &mut Option<Report>,
+) -> Outcome {
     let now = entry.now();
     let left = attempted.end - now;
     let patience = attempted.patience.min(left);
@@ -273,7 +303,10 @@
             return failed(entry, hop, &error);
         }
     };
-    if let Some(outcome) = judge_head(entry, attempted, hop, &answer) {
+    if matches!(hop, Hop::Peer { .. }) {
+        *report = forwarded::report(answer.headers());
+    }
+    if let Some(outcome) = judge_head(entry, attempted, hop, &answer, *report) {
         return outcome;
     }
     let is_stream = attempted.kind.is_stream() && answer.status().is_success();
@@ -409,6 +442,7 @@
     attempted: &Attempted,
     hop: &Hop,
     answer: &Response<Incoming>,
+    report: Option<Report>,
 ) -> Option<Outcome> {
     let names = &entry.names;
     let headers = answer.headers();
@@ -416,14 +450,12 @@
     if id.is_some_and(|id| id != attempted.call.id) {
         return Some(Outcome::Unknown(Unknown::Foreign));
     }
-    if matches!(hop, Hop::Peer { .. }) && headers.contains_key(forwarded::NOT_RUN) {
-        let arrivals = forwarded::count(headers, forwarded::ARRIVALS);
-        return Some(Outcome::NotRun(NotRun::Refused { after: retry_after(headers), arrivals }));
+    if report.is_some_and(|report| report.is_refused) {
+        return Some(Outcome::NotRun(NotRun::Refused { after: retry_after(headers) }));
     }
     if headers.contains_key(&names.not_run) {
         ended(entry, hop, CallEnd::Refused);
-        let after = retry_after(headers);
-        return Some(Outcome::NotRun(NotRun::Refused { after, arrivals: 1 }));
+        return Some(Outcome::NotRun(NotRun::Refused { after: retry_after(headers) }));
     }
     if answer.status() == StatusCode::MISDIRECTED_REQUEST {
         ended(entry, hop, CallEnd::Unreachable);
--- a/crates/medlarlug-gateway/src/entry/forwarded.rs
+++ b/crates/medlarlug-gateway/src/entry/forwarded.rs
@@ -1,29 +1,61 @@
 //! Headers of calls that one region hands over to another.
 
 use hyper::{HeaderMap, header::HeaderValue};
-use medlarlug_core::gateway::handover::Handover;
+use medlarlug::transport::body::Answer;
+use medlarlug_core::gateway::handover::{Handover, Report};
+use serde::{Serialize, de::DeserializeOwned};
 
 /// Header of a call that was handed over: a [`Handover`] in JSON.
 pub(super) const HEADER: &str = "medlarlug-forwarded";
-/// Header of an answer to such a call: it was refused and not run.
-pub(super) const NOT_RUN: &str = "medlarlug-not-run";
-/// Header of an answer to such a call: how many upstreams ran it.
-pub(super) const RUNS: &str = "medlarlug-runs";
-/// Header of an answer to such a call: how many requests for it reached upstreams.
-pub(super) const ARRIVALS: &str = "medlarlug-arrivals";
-
-pub(super) fn encode(handover: &Handover) -> Option<HeaderValue> {
-    let text = serde_json::to_vec(handover).ok()?;
-    HeaderValue::from_bytes(&text).ok()
+/// Header of an answer to such a call: a [`Report`] in JSON.
+const REPORT: &str = "medlarlug-report";
+
+/// The answer to a call, with what this instance did to get it.
+pub(super) struct Reported {
+    pub(super) answer: Answer,
+    pub(super) report: Report,
+}
+
+impl Reported {
+    /// The answer for the instance that handed the call over.
+    pub(super) fn for_instance(self) -> Answer {
+        let Reported { mut answer, report } = self;
+        answer.headers_mut().remove(REPORT);
+        if let Some(report) = encode(&report) {
+            answer.headers_mut().insert(REPORT, report);
+        }
+        answer
+    }
+
+    /// The answer for the caller, which is not told how it came about.
+    pub(super) fn for_caller(self) -> Answer {
+        let mut answer = self.answer;
+        answer.headers_mut().remove(REPORT);
+        answer
+    }
 }
 
-/// A count that another instance reports; one if the header is missing, since the call was sent to
-/// it.
-pub(super) fn count(headers: &HeaderMap, name: &str) -> u32 {
-    let value = headers.get(name).and_then(|value| value.to_str().ok());
-    value.and_then(|value| value.parse().ok()).unwrap_or(1)
+/// What another instance reports with an answer; `None` if there is no readable report.
+pub(super) fn report(headers: &HeaderMap) -> Option<Report> {
+    let report = headers.get(REPORT).and_then(decode);
+    if report.is_none() {
+        tracing::warn!(
+            "an instance answered without a readable report, all attempts count as used"
+        );
+    }
+    report
+}
+
+/// The route of a call that was handed over.
+pub(super) fn handover(headers: &HeaderMap) -> Option<Handover> {
+    headers.get(HEADER).and_then(decode)
+}
+
+pub(super) fn encode(message: &impl Serialize) -> Option<HeaderValue> {
+    let text = serde_json::to_vec(message).ok()?;
+    HeaderValue::from_bytes(&text).ok()
 }
 
-pub(super) fn decode(value: &HeaderValue) -> Option<Handover> {
+fn decode<T: DeserializeOwned>(value: &HeaderValue) -> Option<T> {
     serde_json::from_slice(value.as_bytes()).ok()
 }
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -26,7 +26,7 @@
 use crate::metrics as names;
 
 /// Requests of one call that may reach upstreams, those included that refused it.
-const MAX_ARRIVALS: u32 = 4;
+pub(super) const MAX_ARRIVALS: u32 = 4;
 
 /// How a call is served: its route, its times, and what was tried.
 pub(super) struct Plan {
@@ -42,10 +42,9 @@
     pub(super) may_leave: bool,
     pub(super) last_event: Option<u64>,
     pub(super) tried: Tried,
-    /// Upstreams that may run it, and those that have.
+    /// Upstreams that may run it and requests that may reach one, those of other instances
+    /// included.
     pub(super) attempts: Attempts,
-    /// Requests that reached an upstream, refused ones and those of other instances included.
-    pub(super) arrivals: u32,
     /// What the call has spent of the retry budget at this instance.
     pub(super) spending: Spending,
     pub(super) unreachable: u32,
@@ -127,7 +126,7 @@
 
     fn next_turn(&self, entry: &Entry, hop: Option<&Hop>) -> Turn {
         let Some(Hop::Upstream { choice, .. }) = hop else { return Turn::Go };
-        if self.arrivals > 0 || !choice.is_long() {
+        if self.attempts.arrivals() > 0 || !choice.is_long() {
             return Turn::Go;
         }
         let now = entry.now();
@@ -144,7 +143,7 @@
     /// longer tell.
     pub(super) fn count_broken(&mut self, hop: &Hop) {
         if matches!(hop, Hop::Peer { .. }) {
-            self.attempts.use_all();
+            self.attempts.unreported();
         }
     }
 
@@ -152,8 +151,7 @@
     pub(super) fn silence_limit(&self, hop: &Hop) -> Option<Duration> {
         let source = hop.source();
         // Nothing is left after another instance, see `count_broken`.
-        let is_left =
-            source == Source::Upstream && self.attempts.left() > 0 && self.arrivals < MAX_ARRIVALS;
+        let is_left = source == Source::Upstream && self.attempts.may_send();
         silence::limit(source, self.route.pause, self.route.kind.is_repeatable() && is_left)
     }
 
@@ -164,7 +162,7 @@
 
     /// Whether another request may go out that repeats an earlier one, and counts it.
     pub(super) fn may_repeat(&mut self, entry: &Entry, call: &Call) -> bool {
-        if self.attempts.left() == 0 || self.arrivals >= MAX_ARRIVALS {
+        if !self.attempts.may_send() {
             return false;
         }
         if !self.spending.is_covered() {
@@ -205,6 +203,7 @@
                 version: self.table.version(),
                 route: Route { attempts: self.attempts.left().max(1), ..self.route.clone() },
                 service: self.service.clone(),
+                arrivals: self.attempts.arrivals_left(),
             }),
             Hop::Upstream { .. } => None,
         };
@@ -218,29 +217,13 @@
             last_event: self.last_event,
             patience,
         };
-        let outcome = attempt::send(entry, &attempted, hop).await;
+        let before = self.attempts.arrivals();
+        let outcome = attempt::send(entry, &attempted, hop, &mut self.attempts).await;
         if let Some(hop) = self.path.last_mut() {
             hop.push('=');
             hop.push_str(outcome.name());
         }
-        match (&outcome, hop) {
-            (Outcome::NotRun(_), _) => {}
-            (Outcome::Answer(answer), Hop::Peer { .. }) => {
-                self.attempts.ran(forwarded::count(answer.headers(), forwarded::RUNS));
-            }
-            (Outcome::Stream(stream), Hop::Peer { .. }) => {
-                self.attempts.ran(forwarded::count(&stream.headers, forwarded::RUNS));
-            }
-            (Outcome::Unknown(_), Hop::Peer { .. }) => self.attempts.use_all(),
-            _ => self.attempts.ran(1),
-        }
-        let arrivals = match &outcome {
-            Outcome::NotRun(NotRun::Unreachable) => 0,
-            Outcome::NotRun(NotRun::Refused { arrivals, .. }) => *arrivals,
-            _ => 1,
-        };
-        self.arrivals += arrivals;
-        if arrivals > 0 {
+        if self.attempts.arrivals() > before {
             // What followed the first arrival at another instance was paid for there.
             self.spending.arrived();
         }
@@ -264,7 +247,7 @@
             route = %self.route.name,
             table = self.table.version().0,
             path = %self.path.join(","),
-            arrivals = self.arrivals,
+            arrivals = self.attempts.arrivals(),
             runs = self.attempts.runs(),
             outcome = %ended,
             took_ms = took.as_millis() as u64,
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -8,7 +8,7 @@
 use medlarlug_core::{
     gateway::{
         budget::{Balance, Share, Spending},
-        handover::{Attempts, Handover},
+        handover::{Attempts, Handover, Report},
         refusing::{self, Outlook, Verdict},
         table::ServiceName,
         turns::Turn,
@@ -23,8 +23,8 @@
     attempt::{self, NotRun, Outcome, Unknown},
     call::{Call, strip_connection},
     choice::{Hop, Tried},
-    forwarded,
-    plan::{Plan, Running},
+    forwarded::{self, Reported},
+    plan::{MAX_ARRIVALS, Plan, Running},
     relay,
 };
 use crate::metrics as names;
@@ -134,7 +134,7 @@
 /// Serves a call that came from a caller.
 pub(super) async fn from_caller(entry: Rc<Entry>, request: Request<Incoming>) -> Answer {
     let is_draining = entry.is_draining.get();
-    let mut answer = serve(&entry, request, None).await;
+    let mut answer = serve(&entry, request, None).await.for_caller();
     if is_draining || entry.is_draining.get() {
         let close = header::HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
@@ -144,21 +144,22 @@
 
 /// Serves a call that another instance handed over.
 pub(super) async fn forwarded(entry: Rc<Entry>, request: Request<Incoming>) -> Answer {
-    let forwarded = request.headers().get(forwarded::HEADER).and_then(forwarded::decode);
-    match forwarded {
-        Some(forwarded) => serve(&entry, request, Some(forwarded)).await,
+    let reported = match forwarded::handover(request.headers()) {
+        Some(handover) => serve(&entry, request, Some(handover)).await,
         None => {
-            tracing::warn!("a call from another instance without its route");
-            plain(StatusCode::BAD_REQUEST, "the route is missing")
+            tracing::warn!("a call from another instance without a readable route, refused");
+            let call = Call::read(request.into_parts().0, &entry.names);
+            refusal(&entry, &call, NO_TABLE_AFTER, Report::REFUSED)
         }
-    }
+    };
+    reported.for_instance()
 }
 
 async fn serve(
     entry: &Rc<Entry>,
     request: Request<Incoming>,
     forwarded: Option<Handover>,
-) -> Answer {
+) -> Reported {
     let began = entry.now();
     let (parts, incoming) = request.into_parts();
     let mut call = Call::read(parts, &entry.names);
@@ -166,7 +167,7 @@
     wait_for_start(entry, &call, began, |entry| entry.table.borrow().is_some()).await;
     let mut plan = match plan(entry, &call, forwarded, began) {
         Ok(plan) => plan,
-        Err(answer) => return *answer,
+        Err(reported) => return *reported,
     };
     call.demand.rank = plan.route.priority;
     let limit = plan.table.limits().body_bytes;
@@ -174,11 +175,11 @@
         Ok(bytes) => call.take_body(bytes),
         Err(BodyError::TooLong { .. }) => {
             plan.end(entry, &call, Ended::Rejected);
-            return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
+            return rejected(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
         }
         Err(BodyError::Cut) => {
             plan.end(entry, &call, Ended::Left);
-            return plain(StatusCode::BAD_REQUEST, "the body was cut");
+            return rejected(StatusCode::BAD_REQUEST, "the body was cut");
         }
     }
     if !is_forwarded {
@@ -189,7 +190,7 @@
     })
     .await;
     let result = attempts(entry, &call, &mut plan).await;
-    finish(entry, call, plan, result, is_forwarded)
+    finish(entry, call, plan, result)
 }
 
 /// While the instance starts, waits for `holds` for a part of the time that the call has: a caller
@@ -213,14 +214,14 @@
     call: &Call,
     forwarded: Option<Handover>,
     began: Time,
-) -> Result<Plan, Box<Answer>> {
+) -> Result<Plan, Box<Reported>> {
     let table = entry.table.borrow().clone();
     let Some(table) = table else {
         tracing::info!(request = %call.id, outcome = "refused", "no table yet");
-        let handed = forwarded.is_some().then_some(0);
-        return Err(Box::new(refusal(entry, call, NO_TABLE_AFTER, handed)));
+        return Err(Box::new(refusal(entry, call, NO_TABLE_AFTER, Report::REFUSED)));
     };
     let is_forwarded = forwarded.is_some();
+    let most_arrivals = forwarded.as_ref().map_or(MAX_ARRIVALS, |it| it.arrivals);
     let point = rand::rng().random();
     let (host, path) = (call.host.as_str(), call.path());
     let found = match forwarded {
@@ -232,7 +233,7 @@
     };
     let Some((route, service)) = found else {
         tracing::info!(request = %call.id, host, path, table = table.version().0, outcome = "rejected", "no route");
-        return Err(Box::new(plain(StatusCode::NOT_FOUND, "no route")));
+        return Err(Box::new(rejected(StatusCode::NOT_FOUND, "no route")));
     };
     let deadline = call.deadline.unwrap_or(DEFAULT_DEADLINE.max(route.timeout));
     let limit = deadline.min(route.timeout);
@@ -246,8 +247,7 @@
         may_leave: !is_forwarded,
         last_event: last.and_then(|last| last.trim().parse().ok()),
         tried: Tried::default(),
-        attempts: Attempts::new(route.attempts),
-        arrivals: 0,
+        attempts: Attempts::new(route.attempts, most_arrivals.min(MAX_ARRIVALS)),
         spending: Spending::default(),
         unreachable: 0,
         path: Vec::new(),
@@ -356,8 +356,8 @@
 }
 
 /// Turns the last outcome into the answer.
-fn finish(entry: &Rc<Entry>, call: Call, plan: Plan, last: Last, is_forwarded: bool) -> Answer {
-    let runs = plan.attempts.runs();
+fn finish(entry: &Rc<Entry>, call: Call, plan: Plan, last: Last) -> Reported {
+    let report = plan.attempts.report(false);
     metrics::histogram!(names::HEAD_TIME).record((entry.now() - plan.began).as_secs_f64());
     match last {
         Last::Answer(found) => {
@@ -365,8 +365,7 @@
             let (mut parts, bytes) = found.into_parts();
             strip_connection(&mut parts.headers);
             parts.headers.remove(header::CONTENT_LENGTH);
-            tell_runs(&mut parts.headers, runs, is_forwarded);
-            Response::from_parts(parts, body::whole(bytes))
+            Reported { answer: Response::from_parts(parts, body::whole(bytes)), report }
         }
         Last::Stream(stream) => {
             let (sender, content) = body::streamed();
@@ -375,14 +374,13 @@
             let mut headers = stream.headers.clone();
             strip_connection(&mut headers);
             headers.remove(header::CONTENT_LENGTH);
-            tell_runs(&mut headers, runs, is_forwarded);
             *answer.headers_mut() = headers;
             task::spawn_local(relay::run(entry.clone(), call, plan, stream, sender));
-            answer
+            Reported { answer, report }
         }
         Last::Refuse { after } => {
             plan.end(entry, &call, Ended::Refused);
-            refusal(entry, &call, after, is_forwarded.then_some(plan.arrivals))
+            refusal(entry, &call, after, plan.attempts.report(true))
         }
         Last::Fail { status, why } => {
             let ended = match why {
@@ -392,32 +390,23 @@
             plan.end(entry, &call, ended);
             let mut answer = plain(status, "the upstream's answer was lost; the call may have run");
             echo_id(entry, &call, &mut answer);
-            answer
+            Reported { answer, report }
         }
     }
 }
 
-/// Tells another instance how many upstreams ran its call, and nobody else.
-fn tell_runs(headers: &mut header::HeaderMap, runs: u32, is_forwarded: bool) {
-    headers.remove(forwarded::RUNS);
-    if is_forwarded {
-        headers.insert(forwarded::RUNS, runs.into());
-    }
-}
-
-/// Refuses a call as not run. Another instance that handed it over is told the `arrivals` at
-/// upstreams, and nobody else.
-fn refusal(entry: &Entry, call: &Call, after: Duration, arrivals: Option<u32>) -> Answer {
+/// Refuses a call as not run.
+fn refusal(entry: &Entry, call: &Call, after: Duration, report: Report) -> Reported {
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "not run; come back later");
     let seconds = format!("{:.3}", after.as_secs_f64());
     body::insert(answer.headers_mut(), header::RETRY_AFTER.as_str(), &seconds);
-    if let Some(arrivals) = arrivals {
-        let yes = header::HeaderValue::from_static("1");
-        answer.headers_mut().insert(forwarded::NOT_RUN, yes);
-        answer.headers_mut().insert(forwarded::ARRIVALS, arrivals.into());
-    }
     echo_id(entry, call, &mut answer);
-    answer
+    Reported { answer, report }
+}
+
+/// Rejects a call that fits no route or breaks a limit.
+fn rejected(status: StatusCode, text: &'static str) -> Reported {
+    Reported { answer: plain(status, text), report: Report::REJECTED }
 }
 
 fn echo_id(entry: &Entry, call: &Call, answer: &mut Answer) {
