--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 //! enough of the others to act on its part of a common limit. [`stall`] notices when a process was
 //! stalled.
 
+pub mod availability;
 pub mod away;
 pub mod budget;
 pub mod cold;
--- a/crates/medlarlug-core/src/gateway/refusing.rs
+++ b/crates/medlarlug-core/src/gateway/refusing.rs
@@ -72,6 +72,11 @@
     Verdict::Refuse { after: after(excess, outlook.left, spread) }
 }
 
+/// When to come back if all upstreams want no requests for `rest`: no sooner, and not all together.
+pub fn after_rest(rest: Duration, spread: f64) -> Duration {
+    rest.max(MIN_AFTER).mul_f64(1.0 + 0.25 * spread)
+}
+
 /// When to come back if the excess of work drains within `excess`.
 pub fn after(excess: Duration, left: Duration, spread: f64) -> Duration {
     let latest = left.mul_f64(RETURN_SHARE);
--- a/crates/medlarlug-core/src/gateway/upstreams.rs
+++ b/crates/medlarlug-core/src/gateway/upstreams.rs
@@ -308,6 +308,21 @@
         replaced.map(|it| (it.upstream.id.clone(), it.upstream.birth)).collect()
     }
 
+    /// Takes in that an incarnation has said in an answer that it is leaving. Later announcements of the
+    /// same incarnation do not take it back.
+    pub fn leaves(&mut self, id: &UpstreamId, birth: Birth) -> Effect {
+        let Ok(at) = self.place(id) else { return Effect::Ignored };
+        let known = &mut self.known[at];
+        if known.upstream.birth != birth || known.upstream.state != UpstreamState::Ready {
+            return Effect::Ignored;
+        }
+        known.upstream.state = UpstreamState::Draining;
+        known.is_local = true;
+        self.change += 1;
+        known.change = self.change;
+        Effect::Changed
+    }
+
     /// Takes in that the present incarnation of `id` has left.
     pub fn leave(&mut self, id: &UpstreamId) -> Effect {
         let Ok(at) = self.place(id) else { return Effect::Ignored };
@@ -404,6 +419,8 @@
         (UpstreamState::Gone, _) => false,
         (_, UpstreamState::Gone) => true,
         (UpstreamState::Draining, UpstreamState::Ready) => false,
+        // An answer may have told it between two announcements.
+        (UpstreamState::Ready, UpstreamState::Draining) => true,
         _ => new.sequence > old.sequence,
     }
 }
--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of a gateway in front of upstreams that announce themselves.
 
 mod announcements;
+mod availability;
 mod away;
 mod contacts;
 mod exchange;
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: a call sent to one hop, and what came of it.
 
-use std::{io::ErrorKind, rc::Rc, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -11,14 +11,17 @@
 };
 use medlarlug_core::{
     gateway::{
+        availability::Rest,
         handover::{Attempts, Report},
         health::CallEnd,
         placing::Choice,
         table::RouteKind,
+        upstreams::Birth,
     },
-    ids::RegionId,
+    ids::{RegionId, UpstreamId},
     time::Time,
 };
+use rand::RngExt;
 use tokio::time::timeout;
 
 use super::{
@@ -28,7 +31,7 @@
     crashes::{Flight, Landing},
     forwarded,
 };
-use crate::metrics as names;
+use crate::{link::Message, metrics as names};
 
 /// Time for a connection to an upstream to open: a lost packet is repeated on a new one sooner
 /// than by the system.
@@ -303,8 +306,11 @@
             return failed(entry, hop, &error);
         }
     };
-    if matches!(hop, Hop::Peer { .. }) {
-        *report = forwarded::report(answer.headers());
+    match hop {
+        Hop::Peer { .. } => *report = forwarded::report(answer.headers()),
+        Hop::Upstream { choice, birth, address, .. } => {
+            entry.hear_availability(attempted.call, &choice.id, *birth, *address, &answer);
+        }
     }
     if let Some(outcome) = judge_head(entry, attempted, hop, &answer, *report) {
         return outcome;
@@ -396,7 +402,12 @@
         }
     };
     let flight = match &place {
-        Place::Upstream(choice) => entry.takes_off(attempted.call.content, &choice.id),
+        Place::Upstream(choice) => match hop {
+            Hop::Upstream { birth, .. } => {
+                Some(entry.takes_off(attempted.call.content, &choice.id, *birth))
+            }
+            Hop::Peer { .. } => None,
+        },
         Place::Away(..) => None,
     };
     let landing = Landing::Other;
@@ -436,6 +447,46 @@
     Some(request)
 }
 
+impl Entry {
+    /// Takes in what the head of an answer says about whether its upstream wants requests.
+    fn hear_availability(
+        &self,
+        call: &Call,
+        id: &UpstreamId,
+        birth: Birth,
+        address: SocketAddr,
+        answer: &Response<Incoming>,
+    ) {
+        let now = self.now();
+        let headers = answer.headers();
+        let is_leaving = headers.get(&self.names.leaving).is_some_and(|value| value == "1");
+        if is_leaving && self.availabilities.borrow_mut().leaves(now, id, birth) {
+            metrics::counter!(names::LEAVING).increment(1);
+            tracing::info!(request = %call.id, upstream = %id, birth = birth.0, "upstream leaves, by its answer");
+            self.client.forget(address);
+            self.links.send_all(&Message::Leaving { upstream: id.clone(), birth });
+        }
+        if answer.status() != StatusCode::SERVICE_UNAVAILABLE {
+            return;
+        }
+        let Some(value) = headers.get(header::RETRY_AFTER) else { return };
+        match value.to_str().unwrap_or_default().parse::<Rest>() {
+            Ok(rest) => {
+                let spread = rand::rng().random();
+                let news = self.availabilities.borrow_mut().rests(now, id, birth, rest, spread);
+                if let Some(left) = news {
+                    let for_ms = left.as_millis() as u64;
+                    metrics::counter!(names::RESTS).increment(1);
+                    tracing::info!(request = %call.id, upstream = %id, birth = birth.0, %rest, for_ms, "upstream rests");
+                }
+            }
+            Err(error) => {
+                tracing::warn!(upstream = %id, ?value, %error, "time to rest can't be read, the upstream counts as full");
+            }
+        }
+    }
+}
+
 /// Judges an answer by its head; `None` if the body counts as well.
 fn judge_head(
     entry: &Rc<Entry>,
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -4,13 +4,14 @@
 
 use medlarlug_core::{
     gateway::{
+        availability::Availability,
         away,
         cold::{self, FRESH_FOR, Process},
         contacts::Contact,
         placing::{Candidate, Choice, Demand},
         silence::Source,
         table::{Route, RouteTable, ServiceName},
-        upstreams::{Known, UpstreamState},
+        upstreams::{Birth, Known, UpstreamState},
     },
     ids::{InstanceId, RegionId, UpstreamId},
     time::Time,
@@ -38,6 +39,8 @@
     /// To an upstream of the own region.
     Upstream {
         choice: Choice,
+        /// Its incarnation.
+        birth: Birth,
         address: SocketAddr,
         memory: u64,
         cold_rate: Option<f64>,
@@ -127,7 +130,8 @@
         // Half of what it accepts, divided among the instances, is left for calls that take a new one.
         let idle = (accepted / 2 / self.exchange.instances()).max(1);
         let (address, age) = (known.upstream.address, now - known.heard);
-        Some(Hop::Upstream { choice, address, memory, cold_rate, idle, age })
+        let birth = known.upstream.birth;
+        Some(Hop::Upstream { choice, birth, address, memory, cold_rate, idle, age })
     }
 
     /// The best upstream of the own region; one that was not heard of lately only if there is no
@@ -177,6 +181,32 @@
         self.suspicions.borrow().is_cold(now, known, observations, process)
     }
 
+    /// Whether an upstream wants requests, by its answers.
+    fn availability(&self, now: Time, known: &Known) -> Availability {
+        let Known { upstream, .. } = known;
+        self.availabilities.borrow().of(now, &upstream.id, upstream.birth)
+    }
+
+    /// Time until the first of the region's upstreams of a service has rested; `None` if none that could
+    /// serve rests.
+    pub(super) fn rest_left(&self, service: &ServiceName) -> Option<Duration> {
+        let now = self.now();
+        let settings = self.settings.borrow();
+        let own = Some(&settings.card.region);
+        let upstreams = self.upstreams.borrow();
+        let here = upstreams.of(service).filter(|known| {
+            known.upstream.state == UpstreamState::Ready
+                && settings.region_of(&known.upstream.zone) == own
+        });
+        let rests = here.filter_map(|known| match self.availability(now, known) {
+            Availability::Resting { left } => Some(left),
+            Availability::Open | Availability::Leaving => None,
+        });
+        rests.min()
+    }
+
+    /// Whether a request may go to an upstream now. Every request asks here: first ones, repeats, those
+    /// that have waited, those of other regions, and streams that go on.
     fn is_usable(
         &self,
         now: Time,
@@ -193,7 +223,9 @@
         if self.head.borrow().evacuated.binary_search(&upstream.zone).is_ok() {
             return false;
         }
-        if self.healths.borrow().is_avoided(now, &upstream.id) {
+        if self.availability(now, known) != Availability::Open
+            || self.healths.borrow().is_avoided(now, &upstream.id)
+        {
             return false;
         }
         if cold_rate <= 0.0 || !self.is_cold(now, known) {
--- a/crates/medlarlug-gateway/src/entry/crashes.rs
+++ b/crates/medlarlug-gateway/src/entry/crashes.rs
@@ -86,9 +86,14 @@
         }
     }
 
-    /// Notes that a request goes to an upstream.
-    pub(super) fn takes_off(&self, content: Fingerprint, upstream: &UpstreamId) -> Option<Flight> {
-        let key = self.newest(upstream)?;
+    /// Notes that a request goes to an incarnation of an upstream.
+    pub(super) fn takes_off(
+        &self,
+        content: Fingerprint,
+        upstream: &UpstreamId,
+        birth: Birth,
+    ) -> Flight {
+        let key = key(upstream, birth);
         let (region, instance) = {
             let settings = self.settings.borrow();
             (settings.card.region.clone(), settings.card.id.clone())
@@ -100,7 +105,7 @@
             upstream: upstream.clone(),
             incarnation: key.incarnation,
         });
-        Some(Flight { request, key })
+        Flight { request, key }
     }
 
     /// Notes how a request to an upstream ended.
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -38,6 +38,7 @@
 };
 use medlarlug_core::{
     gateway::{
+        availability::Availabilities,
         away::USUAL_PROMPT,
         budget::RetryWindow,
         cold::{ColdSends, Suspicions},
@@ -118,6 +119,7 @@
     exchange: Exchange,
     turn_waits: RefCell<TurnWaits>,
     healths: RefCell<Healths>,
+    availabilities: RefCell<Availabilities>,
     cold: RefCell<ColdSends>,
     crashes: RefCell<Crashes>,
     suspicions: RefCell<Suspicions>,
@@ -164,6 +166,7 @@
             exchange: Exchange::default(),
             turn_waits: RefCell::default(),
             healths: RefCell::default(),
+            availabilities: RefCell::default(),
             cold: RefCell::default(),
             crashes: RefCell::default(),
             suspicions: RefCell::default(),
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -314,7 +314,12 @@
                     return Last::Refuse { after };
                 }
                 let own = match verdict {
-                    Verdict::Refuse { after } => after,
+                    Verdict::Refuse { after } => match hop {
+                        None => entry
+                            .rest_left(&plan.service)
+                            .map_or(after, |rest| refusing::after_rest(rest, rand::rng().random())),
+                        Some(_) => after,
+                    },
                     Verdict::Serve => refusing::after(Duration::ZERO, left, rand::rng().random()),
                 };
                 tracing::info!(
--- a/crates/medlarlug-gateway/src/headers.rs
+++ b/crates/medlarlug-gateway/src/headers.rs
@@ -21,6 +21,8 @@
     pub not_run: HeaderName,
     /// In an answer: it was made by an upstream.
     pub signature: HeaderName,
+    /// In an answer: the upstream that made it is leaving.
+    pub leaving: HeaderName,
     /// Rank of a call at an engine, 0 first.
     pub rank: HeaderName,
     /// Headers that only the system may set; those of callers are dropped.
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -415,6 +415,14 @@
                 let from = card.id.clone();
                 self.run(|group, now, out| group.receive(now, from, message, out));
             }
+            Message::Leaving { upstream, birth } => {
+                let effect = self.upstreams.borrow_mut().leaves(&upstream, birth);
+                if effect == Effect::Changed {
+                    let birth = birth.0;
+                    tracing::info!(%upstream, birth, instance = %card.id, "upstream leaves, by its answer");
+                    self.push();
+                }
+            }
             Message::Facts(facts) => {
                 if self.learn_facts(&facts) {
                     self.push();
--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -13,9 +13,9 @@
         cold::Evacuations,
         contacts::{Card, RegionWait, Status},
         table::TableVersion,
-        upstreams::{Pulse, Renewal, Upstream},
+        upstreams::{Birth, Pulse, Renewal, Upstream},
     },
-    ids::{InstanceId, ZoneId},
+    ids::{InstanceId, UpstreamId, ZoneId},
     replication,
     suspects::Fact,
 };
@@ -117,6 +117,13 @@
         #[serde(with = "serde_bytes")]
         bytes: Vec<u8>,
     },
+    /// From an entry instance: an incarnation of an upstream has said in an answer that it is leaving.
+    Leaving {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Its incarnation.
+        birth: Birth,
+    },
     /// From an entry instance: what it has learned of contents that crash upstreams.
     Facts(Vec<Fact>),
     /// Between the replicas of the publication group.
--- a/crates/medlarlug-gateway/src/metrics.rs
+++ b/crates/medlarlug-gateway/src/metrics.rs
@@ -12,6 +12,10 @@
 pub const REPEATS_DENIED: &str = "medlarlug_gateway_repeats_denied_total";
 /// Counter: requests to upstreams that count as cold.
 pub const COLD_SENDS: &str = "medlarlug_gateway_cold_sends_total";
+/// Counter: upstreams that said in an answer that they are leaving.
+pub const LEAVING: &str = "medlarlug_gateway_leaving_total";
+/// Counter: rests that upstreams asked for.
+pub const RESTS: &str = "medlarlug_gateway_rests_total";
 /// Counter: upstreams that crashed with requests of this instance in flight.
 pub const CRASHES: &str = "medlarlug_gateway_crashes_total";
 /// Counter: calls that were not run because their content crashes upstreams.
@@ -38,6 +42,8 @@
     describe_counter!(REPEATS, "Requests to upstreams beyond the first of their call");
     describe_counter!(REPEATS_DENIED, "Repeats that the budget of their service did not allow");
     describe_counter!(COLD_SENDS, "Requests to upstreams that count as cold");
+    describe_counter!(LEAVING, "Upstreams that said in an answer that they are leaving");
+    describe_counter!(RESTS, "Rests that upstreams asked for");
     describe_counter!(CRASHES, "Upstreams that crashed with requests in flight");
     describe_counter!(QUARANTINED, "Calls not run because their content crashes upstreams");
     describe_counter!(FORWARDED, "Calls handed to another region");
