--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -26,6 +26,7 @@
 
 use super::{
     Entry,
+    answers::Unread,
     call::Call,
     choice::Hop,
     crashes::{Flight, Landing},
@@ -38,8 +39,9 @@
 const UPSTREAM_CONNECT: Duration = Duration::from_millis(300);
 /// Time for a connection to another region to open.
 const PEER_CONNECT: Duration = Duration::from_millis(700);
-/// Longest answer that is not a stream, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Longest stream, in bytes: ten times the longest answer of the first deployments, with 200 events of
+/// 4 KB.
+const LONGEST_STREAM: usize = 8 << 20;
 /// Rank of calls at engines when the table's ranks are exhausted; engines know 0 to 9.
 const LOWEST_RANK: u8 = 9;
 
@@ -178,6 +180,8 @@
     pub(super) headers: HeaderMap,
     body: Incoming,
     splitter: EventSplitter,
+    /// Bytes that have come so far.
+    received: usize,
     connection: Option<Connection>,
     slot: Slot,
     hop: Hop,
@@ -206,13 +210,18 @@
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
                     self.splitter.push(&data);
+                    self.received += data.len();
+                    if self.splitter.is_overfull() || self.received > LONGEST_STREAM {
+                        tracing::warn!(
+                            received = self.received,
+                            "stream cut, it or an event is too long"
+                        );
+                        return Piece::Broken;
+                    }
                     if let Some(events) = self.splitter.take_whole() {
                         self.slot.answered();
                         return Piece::Events(events);
                     }
-                    if self.splitter.is_overfull() {
-                        return Piece::Broken;
-                    }
                 }
                 Some(Err(_)) => {
                     self.slot.landing = Landing::Unanswered;
@@ -319,9 +328,13 @@
     let (parts, body) = answer.into_parts();
     if !is_stream {
         let left = attempted.end - entry.now();
-        let read = medlarlug::transport::body::read(body, MAX_ANSWER_BYTES);
-        return match timeout(left, read).await {
-            Ok(Ok(bytes)) => {
+        let read = entry.answers.read(body, left).await;
+        if let Err(unread) = read {
+            slot.landing = Landing::Unanswered;
+            tracing::info!(request = %attempted.call.id, ?unread, "answer not read to its end");
+        }
+        return match read {
+            Ok(bytes) => {
                 slot.answered();
                 slot.landing = Landing::Answered;
                 let end = match parts.status.is_server_error() {
@@ -332,13 +345,16 @@
                 entry.client.give_back_among(connection, hop.idle());
                 Outcome::Answer(Response::from_parts(parts, bytes))
             }
-            Ok(Err(_)) => {
-                slot.landing = Landing::Unanswered;
+            Err(Unread::Cut) => {
                 ended(entry, hop, CallEnd::Broken);
                 Outcome::Unknown(Unknown::Lost)
             }
-            Err(_) => {
-                slot.landing = Landing::Unanswered;
+            Err(Unread::TooLong) => {
+                ended(entry, hop, CallEnd::Failed);
+                Outcome::Unknown(Unknown::Foreign)
+            }
+            Err(Unread::Late) => {
+                ended(entry, hop, CallEnd::Failed);
                 Outcome::Unknown(Unknown::Silent)
             }
         };
@@ -348,6 +364,7 @@
         headers: parts.headers,
         body,
         splitter: EventSplitter::default(),
+        received: 0,
         connection: Some(connection),
         slot,
         hop: hop.clone(),
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -13,6 +13,7 @@
 //!
 //! A call that another region has handed over takes the same way, but is never handed on.
 
+mod answers;
 mod attempt;
 mod call;
 mod choice;
@@ -61,7 +62,7 @@
     time::{MissedTickBehavior, interval, sleep},
 };
 
-use self::crashes::Crashes;
+use self::{answers::Answers, crashes::Crashes};
 pub use serve::Ended;
 
 use crate::{
@@ -133,6 +134,7 @@
     windows: RefCell<Vec<(ServiceName, RetryWindow)>>,
     links: Links,
     client: HttpClient,
+    answers: Answers,
     is_draining: Cell<bool>,
     running: Cell<usize>,
 }
@@ -176,6 +178,7 @@
             windows: RefCell::default(),
             links: Links::default(),
             client: HttpClient::default(),
+            answers: Answers::default(),
             is_draining: Cell::new(false),
             running: Cell::new(0),
         });
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -16,7 +16,10 @@
     time::Time,
 };
 use rand::RngExt;
-use tokio::{task, time::sleep};
+use tokio::{
+    task,
+    time::{sleep, timeout},
+};
 
 use super::{
     Entry,
@@ -171,13 +174,17 @@
     };
     call.demand.rank = plan.route.priority;
     let limit = plan.table.limits().body_bytes;
-    match body::read(incoming, limit).await {
-        Ok(bytes) => call.take_body(bytes),
-        Err(BodyError::TooLong { .. }) => {
+    match timeout(plan.end - entry.now(), body::read(incoming, limit)).await {
+        Ok(Ok(bytes)) => call.take_body(bytes),
+        Err(_) => {
+            plan.end(entry, &call, Ended::TimedOut);
+            return rejected(StatusCode::REQUEST_TIMEOUT, "the body took too long; not run");
+        }
+        Ok(Err(BodyError::TooLong { .. })) => {
             plan.end(entry, &call, Ended::Rejected);
             return rejected(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
         }
-        Err(BodyError::Cut) => {
+        Ok(Err(BodyError::Cut)) => {
             plan.end(entry, &call, Ended::Left);
             return rejected(StatusCode::BAD_REQUEST, "the body was cut");
         }
--- a/src/protocol/events.rs
+++ b/src/protocol/events.rs
@@ -13,7 +13,7 @@
 const END_DATA: &[u8] = b"[DONE]";
 
 /// Longest event, in bytes.
-pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// One whole event, as received, with its terminating empty line.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -59,8 +59,13 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Bytes that were searched for the end of an event in vain.
+    searched: usize,
 }
 
+/// Bytes before the searched ones in which the end of an event may have begun.
+const OVERLAP: usize = 3;
+
 impl EventSplitter {
     /// Takes further bytes in.
     pub fn push(&mut self, bytes: &[u8]) {
@@ -69,7 +74,7 @@
 
     /// The next whole event.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = end_of_event(&self.buffer)?;
+        let end = self.find(end_of_event)?;
         Some(Event { bytes: self.buffer.split_to(end).freeze() })
     }
 
@@ -84,13 +89,19 @@
     /// assert!(splitter.take_whole().is_none());
     /// ```
     pub fn take_whole(&mut self) -> Option<Bytes> {
-        let plain = self.buffer.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
-        let carriage =
-            self.buffer.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
-        let end = plain.max(carriage)?;
+        let end = self.find(end_of_events)?;
         Some(self.buffer.split_to(end).freeze())
     }
 
+    /// Searches what has come since the last search in vain, so that an event in many pieces is
+    /// searched once.
+    fn find(&mut self, search: impl Fn(&[u8]) -> Option<usize>) -> Option<usize> {
+        let from = self.searched.saturating_sub(OVERLAP);
+        let found = search(&self.buffer[from..]).map(|end| from + end);
+        self.searched = if found.is_some() { 0 } else { self.buffer.len() };
+        found
+    }
+
     /// Whether bytes of an event wait that is not whole.
     pub fn has_rest(&self) -> bool {
         !self.buffer.is_empty()
@@ -113,6 +124,13 @@
     ids.filter_map(|id| std::str::from_utf8(id.trim_ascii()).ok()?.parse().ok()).next()
 }
 
+/// Length of all whole events, with the empty line of the last one.
+fn end_of_events(buffer: &[u8]) -> Option<usize> {
+    let plain = buffer.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
+    let carriage = buffer.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    plain.max(carriage)
+}
+
 /// Length of the first event, with its empty line.
 fn end_of_event(buffer: &[u8]) -> Option<usize> {
     let plain = buffer.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -4,7 +4,15 @@
 //! a new connection: an idle one may have gone silent, and its failure would not tell whether the
 //! call began.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -20,6 +28,7 @@
 use socket2::SockRef;
 use thiserror::Error;
 use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
     task,
     time::{error::Elapsed, timeout},
@@ -35,6 +44,12 @@
 /// retransmissions between two regions.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Longest head of an answer, in bytes: four times what the first deployments let callers send.
+const HEAD_BYTES: usize = 64 * 1024;
+/// Bytes that may come before the head of an answer is read, those of informational heads and of the
+/// part of the body that is read along included.
+const HEAD_ROOM: usize = 4 * HEAD_BYTES;
+
 /// Body of a request that a client sends.
 pub type RequestBody = Full<Bytes>;
 
@@ -94,7 +109,81 @@
     pub head: Duration,
 }
 
-type Sender = SendRequest<RequestBody>;
+/// Bytes that may still come before the head of an answer; `None` once the head is there.
+type HeadRoom = Rc<Cell<Option<usize>>>;
+
+/// One connection.
+struct Sender {
+    requests: SendRequest<RequestBody>,
+    room: HeadRoom,
+}
+
+impl Sender {
+    /// Sends a request and waits for the head of its answer.
+    async fn send(&mut self, request: Request<RequestBody>) -> Sent {
+        self.room.set(Some(HEAD_ROOM));
+        let sent = self.requests.try_send_request(request).await;
+        self.room.set(None);
+        sent
+    }
+}
+
+/// The reading side of a connection, which bounds what comes before the head of an answer: hyper
+/// reads informational heads, of which there may be any number, as long as some are there.
+struct Guarded {
+    stream: TcpStream,
+    room: HeadRoom,
+}
+
+impl AsyncRead for Guarded {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        if let Some(room) = self.room.get() {
+            let bytes = buffer.filled().len() - before;
+            let Some(left) = room.checked_sub(bytes) else {
+                let text = "the head of the answer is too long";
+                return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, text)));
+            };
+            self.room.set(Some(left));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Guarded {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
 
 /// Idle connections, sorted by address.
 type IdleSenders = Vec<(SocketAddr, Vec<Sender>)>;
@@ -125,7 +214,7 @@
         while reuse == Reuse::Allowed
             && let Some(mut sender) = self.take(address)
         {
-            match timeout(limits.head, sender.try_send_request(request)).await {
+            match timeout(limits.head, sender.send(request)).await {
                 // The other side had closed the connection before the request went out.
                 Ok(Err(mut error)) if error.message().is_some() => {
                     request = error.take_message().expect("it was just seen");
@@ -135,7 +224,7 @@
         }
         for _ in 0..NEW_CONNECTIONS {
             let mut sender = connect(address, limits.connect).await?;
-            match timeout(limits.head, sender.try_send_request(request)).await {
+            match timeout(limits.head, sender.send(request)).await {
                 // The new connection was cut before the request went out.
                 Ok(Err(mut error)) if error.message().is_some() => {
                     request = error.take_message().expect("it was just seen");
@@ -155,7 +244,7 @@
     /// with other clients.
     pub fn give_back_among(&self, connection: Connection, most: usize) {
         let Connection { address, sender } = connection;
-        if sender.is_closed() {
+        if sender.requests.is_closed() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
@@ -178,7 +267,7 @@
     pub fn idle(&self, address: SocketAddr) -> usize {
         let idle = self.idle.borrow();
         let found = idle.binary_search_by(|it| it.0.cmp(&address));
-        found.map_or(0, |found| idle[found].1.iter().filter(|it| !it.is_closed()).count())
+        found.map_or(0, |found| idle[found].1.iter().filter(|it| !it.requests.is_closed()).count())
     }
 
     fn take(&self, address: SocketAddr) -> Option<Sender> {
@@ -186,7 +275,7 @@
         let found = idle.binary_search_by(|it| it.0.cmp(&address)).ok()?;
         let senders = &mut idle[found].1;
         while let Some(sender) = senders.pop() {
-            if sender.is_ready() {
+            if sender.requests.is_ready() {
                 return Some(sender);
             }
         }
@@ -238,12 +327,17 @@
     if let Err(error) = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT)) {
         tracing::debug!(%error, %address, "no limit on unacknowledged data");
     }
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|_| failed(None))?;
+    let room = HeadRoom::default();
+    let guarded = Guarded { stream, room: room.clone() };
+    let (requests, connection) = http1::Builder::new()
+        .max_buf_size(HEAD_BYTES)
+        .handshake(TokioIo::new(guarded))
+        .await
+        .map_err(|_| failed(None))?;
     task::spawn_local(async move {
         if let Err(error) = connection.await {
             tracing::debug!(%error, %address, "connection ended early");
         }
     });
-    Ok(sender)
+    Ok(Sender { requests, room })
 }
