A body that comes too late is a refusal to the instance that handed the call over; clearances wait for the next news

Read in the diff: a 408 of the second instance would have gone to the caller as a promise although the first one may have run the call; it is reported as a refusal now. After a crash each cleared content made the keepers push news to every link.

--- a/crates/medlarlug-core/src/gateway/handover.rs
+++ b/crates/medlarlug-core/src/gateway/handover.rs
@@ -61,7 +61,7 @@
 }
 
 impl Report {
-    /// A call that reached no upstream, and was refused for another reason than its own faults.
+    /// A call that reached no upstream and may be tried elsewhere.
     pub const REFUSED: Report = Report { runs: 0, arrivals: 0, is_refused: true };
     /// A call that the instance rejected by itself.
     pub const REJECTED: Report = Report { is_refused: false, ..Report::REFUSED };
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -418,14 +418,11 @@
             Place::Away(region.clone(), tokens)
         }
     };
-    let flight = match &place {
-        Place::Upstream(choice) => match hop {
-            Hop::Upstream { birth, .. } => {
-                Some(entry.takes_off(attempted.call.content, &choice.id, *birth))
-            }
-            Hop::Peer { .. } => None,
-        },
-        Place::Away(..) => None,
+    let flight = match hop {
+        Hop::Upstream { choice, birth, .. } => {
+            Some(entry.takes_off(attempted.call.content, &choice.id, *birth))
+        }
+        Hop::Peer { .. } => None,
     };
     let landing = Landing::Other;
     Slot { entry: entry.clone(), place, began: now, is_read: false, flight, landing }
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -178,7 +178,8 @@
         Ok(Ok(bytes)) => call.take_body(bytes),
         Err(_) => {
             plan.end(entry, &call, Ended::TimedOut);
-            return rejected(StatusCode::REQUEST_TIMEOUT, "the body took too long; not run");
+            let answer = plain(StatusCode::REQUEST_TIMEOUT, "the body took too long; not run");
+            return Reported { answer, report: Report::REFUSED };
         }
         Ok(Err(BodyError::TooLong { .. })) => {
             plan.end(entry, &call, Ended::Rejected);
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -424,7 +424,9 @@
                 }
             }
             Message::Facts(facts) => {
-                if self.learn_facts(&facts) {
+                // Clearances are many after a crash, and can wait for the next round of news.
+                let is_urgent = facts.iter().any(|fact| matches!(fact, Fact::Lost(_)));
+                if self.learn_facts(&facts) && is_urgent {
                     self.push();
                 }
             }
