--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -29,7 +29,7 @@
     answers::Unread,
     call::Call,
     choice::Hop,
-    crashes::{Flight, Landing},
+    crashes::{Flight, RequestEnd},
     forwarded,
 };
 use crate::{link::Message, metrics as names};
@@ -124,7 +124,7 @@
     is_read: bool,
     /// The request to the upstream, and how it has ended if nothing else happens.
     flight: Option<Flight>,
-    landing: Landing,
+    request_end: RequestEnd,
 }
 
 /// Where a call is counted.
@@ -157,7 +157,7 @@
     fn drop(&mut self) {
         let now = self.entry.now();
         if let Some(flight) = self.flight.take() {
-            self.entry.lands(flight, self.landing);
+            self.entry.request_ended(flight, self.request_end);
         }
         match &self.place {
             Place::Upstream(choice) => {
@@ -224,15 +224,15 @@
                     }
                 }
                 Some(Err(_)) => {
-                    self.slot.landing = Landing::Unanswered;
+                    self.slot.request_end = RequestEnd::Unanswered;
                     return Piece::Broken;
                 }
                 None if self.splitter.has_rest() => {
-                    self.slot.landing = Landing::Unanswered;
+                    self.slot.request_end = RequestEnd::Unanswered;
                     return Piece::Broken;
                 }
                 None => {
-                    self.slot.landing = Landing::Answered;
+                    self.slot.request_end = RequestEnd::Answered;
                     return Piece::End;
                 }
             }
@@ -246,7 +246,7 @@
 
     /// The stream fell silent, and another hop goes on with it.
     pub(super) fn give_up(&mut self) {
-        self.slot.landing = Landing::Unanswered;
+        self.slot.request_end = RequestEnd::Unanswered;
     }
 
     /// Gives the connection back after the end of the stream.
@@ -310,7 +310,7 @@
         Err(error) => {
             tracing::debug!(request = %attempted.call.id, %error, "attempt failed");
             if !error.is_unsent() {
-                slot.landing = Landing::Unanswered;
+                slot.request_end = RequestEnd::Unanswered;
             }
             return failed(entry, hop, &error);
         }
@@ -330,13 +330,13 @@
         let left = attempted.end - entry.now();
         let read = entry.answers.read(body, left).await;
         if let Err(unread) = read {
-            slot.landing = Landing::Unanswered;
+            slot.request_end = RequestEnd::Unanswered;
             tracing::info!(request = %attempted.call.id, ?unread, "answer not read to its end");
         }
         return match read {
             Ok(bytes) => {
                 slot.answered();
-                slot.landing = Landing::Answered;
+                slot.request_end = RequestEnd::Answered;
                 let end = match parts.status.is_server_error() {
                     true => CallEnd::Failed,
                     false => CallEnd::Answered,
@@ -420,12 +420,12 @@
     };
     let flight = match hop {
         Hop::Upstream { choice, birth, .. } => {
-            Some(entry.takes_off(attempted.call.content, &choice.id, *birth))
+            Some(entry.request_sent(attempted.call.content, &choice.id, *birth))
         }
         Hop::Peer { .. } => None,
     };
-    let landing = Landing::Other;
-    Slot { entry: entry.clone(), place, began: now, is_read: false, flight, landing }
+    let request_end = RequestEnd::Other;
+    Slot { entry: entry.clone(), place, began: now, is_read: false, flight, request_end }
 }
 
 /// The request as it goes to the hop.
--- a/crates/medlarlug-gateway/src/entry/crashes.rs
+++ b/crates/medlarlug-gateway/src/entry/crashes.rs
@@ -53,7 +53,7 @@
 
 /// How a request to an upstream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Landing {
+pub(super) enum RequestEnd {
     /// With its whole answer.
     Answered,
     /// The connection ended, or fell silent, before the answer was whole.
@@ -87,7 +87,7 @@
     }
 
     /// Notes that a request goes to an incarnation of an upstream.
-    pub(super) fn takes_off(
+    pub(super) fn request_sent(
         &self,
         content: Fingerprint,
         upstream: &UpstreamId,
@@ -109,11 +109,11 @@
     }
 
     /// Notes how a request to an upstream ended.
-    pub(super) fn lands(&self, flight: Flight, landing: Landing) {
-        match landing {
-            Landing::Answered => self.suspect(Event::Answered { request: flight.request }),
-            Landing::Other => self.suspect(Event::Ended { request: flight.request }),
-            Landing::Unanswered => {
+    pub(super) fn request_ended(&self, flight: Flight, request_end: RequestEnd) {
+        match request_end {
+            RequestEnd::Answered => self.suspect(Event::Answered { request: flight.request }),
+            RequestEnd::Other => self.suspect(Event::Ended { request: flight.request }),
+            RequestEnd::Unanswered => {
                 let now = self.now();
                 let mut crashes = self.crashes.borrow_mut();
                 // The loss of its upstream may have been noted before.
