--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -9,10 +9,12 @@
 //! by [`placing`] and by what others have under way there, which [`exchange`] spreads within a region
 //! and [`peer_loads`] sums up. It sends no more than [`cold`] allows to one that has just started, repeats calls
 //! within the [`budget`] of their service, and avoids upstreams that [`health`] found broken.
+//! Where an upstream names a limit for all instances ([`named_limits`]), these share it by [`allotment`].
 //! [`contacts`] keeps track of the instances of the system itself, and [`view`] tells whether one sees
 //! enough of the others to act on its part of a common limit. [`stall`] notices when a process was
 //! stalled.
 
+pub mod allotment;
 pub mod availability;
 pub mod away;
 pub mod budget;
@@ -21,6 +23,7 @@
 pub mod exchange;
 pub mod handover;
 pub mod health;
+pub mod named_limits;
 pub mod patience;
 pub mod peer_loads;
 pub mod placing;
--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions of a gateway in front of upstreams that announce themselves.
 
+mod allotment;
 mod announcements;
 mod availability;
 mod away;
@@ -8,6 +9,7 @@
 mod fixture;
 mod handover;
 mod limits;
+mod named_limits;
 mod patience;
 mod placing;
 mod publication;
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -319,6 +319,9 @@
         Hop::Peer { .. } => *report = forwarded::report(answer.headers()),
         Hop::Upstream { choice, birth, address, .. } => {
             entry.hear_availability(attempted.call, &choice.id, *birth, *address, &answer);
+            if answer.status() != StatusCode::MISDIRECTED_REQUEST {
+                entry.hear_limit(attempted.call, now, &choice.id, *birth, answer.headers());
+            }
         }
     }
     if let Some(outcome) = judge_head(entry, attempted, hop, &answer, *report) {
@@ -400,7 +403,7 @@
 fn begin(entry: &Rc<Entry>, attempted: &Attempted, hop: &Hop, now: Time) -> Slot {
     let demand = &attempted.call.demand;
     let place = match hop {
-        Hop::Upstream { choice, memory, cold_rate, .. } => {
+        Hop::Upstream { choice, birth, memory, cold_rate, .. } => {
             entry.loads.borrow_mut().sent(now, choice, demand, *memory);
             tell_at_once(entry, choice);
             if let Some(rate) = cold_rate {
@@ -410,6 +413,10 @@
                 metrics::counter!(names::COLD_SENDS).increment(1);
                 tracing::info!(request = %attempted.call.id, upstream = %choice.id, rate, instances, up_ms, "sending to a cold upstream");
             }
+            if let Some(limit) = entry.use_permit(&choice.id, *birth) {
+                metrics::counter!(names::LIMITED_SENDS).increment(1);
+                tracing::info!(request = %attempted.call.id, upstream = %choice.id, %limit, "sending to an upstream with a limit");
+            }
             Place::Upstream(choice.clone())
         }
         Hop::Peer { region, .. } => {
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -213,6 +213,17 @@
         known: &Known,
         cold_rate: f64,
         entries: &OnceCell<Vec<InstanceId>>,
+    ) -> bool {
+        self.is_permitted(now, known) && self.is_open(now, known, cold_rate, entries)
+    }
+
+    /// The same but for the limit that the upstream may have named.
+    pub(super) fn is_open(
+        &self,
+        now: Time,
+        known: &Known,
+        cold_rate: f64,
+        entries: &OnceCell<Vec<InstanceId>>,
     ) -> bool {
         let upstream = &known.upstream;
         let settings = self.settings.borrow();
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod choice;
 mod crashes;
 mod forwarded;
+mod limited;
 mod plan;
 mod relay;
 mod serve;
@@ -62,7 +63,8 @@
     time::{MissedTickBehavior, interval, sleep},
 };
 
-use self::{answers::Answers, crashes::Crashes};
+pub(crate) use self::limited::LimitMessage;
+use self::{answers::Answers, crashes::Crashes, limited::Limited};
 pub use serve::Ended;
 
 use crate::{
@@ -121,6 +123,7 @@
     turn_waits: RefCell<TurnWaits>,
     healths: RefCell<Healths>,
     availabilities: RefCell<Availabilities>,
+    limited: Limited,
     cold: RefCell<ColdSends>,
     crashes: RefCell<Crashes>,
     suspicions: RefCell<Suspicions>,
@@ -137,6 +140,8 @@
     answers: Answers,
     is_draining: Cell<bool>,
     running: Cell<usize>,
+    /// Calls that wait for a permit.
+    permit_waits: Cell<usize>,
 }
 
 impl Entry {
@@ -169,6 +174,7 @@
             turn_waits: RefCell::default(),
             healths: RefCell::default(),
             availabilities: RefCell::default(),
+            limited: Limited::default(),
             cold: RefCell::default(),
             crashes: RefCell::default(),
             suspicions: RefCell::default(),
@@ -181,6 +187,7 @@
             answers: Answers::default(),
             is_draining: Cell::new(false),
             running: Cell::new(0),
+            permit_waits: Cell::new(0),
         });
         entry.links.follow(&entry);
         task::spawn_local(upkeep(entry.clone()));
@@ -194,6 +201,7 @@
         task::spawn_local(loads::tell(entry.clone(), socket.clone()));
         task::spawn_local(loads::tell_changes(entry.clone(), socket.clone()));
         task::spawn_local(loads::pass_changes_on(entry.clone(), socket.clone()));
+        task::spawn_local(limited::run(entry.clone(), socket.clone()));
         task::spawn_local(loads::hear(entry.clone(), socket));
         let this = entry.clone();
         task::spawn_local(http_server::serve(internal, limits(), stop, move |request, _| {
@@ -572,6 +580,7 @@
         entry.contacts.borrow_mut().forget(now, FORGET_AFTER);
         entry.expire_crashes();
         for id in entry.upstreams.borrow_mut().forget(now) {
+            entry.forget_limit(&id);
             tracing::info!(upstream = %id, "upstream forgotten");
         }
         entry.links.follow(&entry);
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -21,6 +21,7 @@
     call::Call,
     choice::{Hop, Tried},
     forwarded,
+    limited::PERMIT_WAIT,
     serve::Ended,
 };
 use crate::metrics as names;
@@ -53,6 +54,10 @@
     pub(super) path: Vec<String>,
     /// The upstream whose turn it waits for.
     pub(super) waiting: Option<Waiting>,
+    /// Whether it has asked for permits of upstreams with a limit.
+    pub(super) has_asked: bool,
+    /// Set while it waits for one.
+    pub(super) permit: Option<PermitWait>,
     pub(super) _running: Running,
 }
 
@@ -77,6 +82,25 @@
     }
 }
 
+/// Counts a call that waits for a permit, for as long as it does.
+pub(super) struct PermitWait {
+    entry: Rc<Entry>,
+    began: Time,
+}
+
+impl PermitWait {
+    fn begin(entry: &Rc<Entry>) -> PermitWait {
+        entry.permit_waits.set(entry.permit_waits.get() + 1);
+        PermitWait { entry: entry.clone(), began: entry.now() }
+    }
+}
+
+impl Drop for PermitWait {
+    fn drop(&mut self) {
+        self.entry.permit_waits.set(self.entry.permit_waits.get() - 1);
+    }
+}
+
 /// Counts a call that runs.
 pub(super) struct Running(Rc<Entry>);
 
@@ -111,6 +135,26 @@
         hop
     }
 
+    /// Asks for permits of the upstreams with a limit, and tells whether the call waits for one: if it has no
+    /// hop, and those that wait already can expect theirs in time.
+    pub(super) fn waits_for_permit(&mut self, entry: &Rc<Entry>, hop: Option<&Hop>) -> bool {
+        let limited = entry.limited_upstreams(self);
+        let is_asked = entry.want_permits(&limited, !self.has_asked);
+        self.has_asked |= is_asked;
+        if hop.is_some() || !is_asked || !self.attempts.may_send() {
+            self.permit = None;
+            return false;
+        }
+        if let Some(wait) = &self.permit {
+            return entry.now() - wait.began < PERMIT_WAIT;
+        }
+        let Some(interval) = entry.permit_interval(&limited) else { return false };
+        let served = PERMIT_WAIT.as_secs_f64() / interval.as_secs_f64();
+        let may_wait = (entry.permit_waits.get() as f64) < served.max(1.0);
+        self.permit = may_wait.then(|| PermitWait::begin(entry));
+        may_wait
+    }
+
     /// Whether the call goes to a hop now; only first attempts at engines wait for their turn.
     pub(super) fn turn(&mut self, entry: &Rc<Entry>, hop: Option<&Hop>) -> Turn {
         let turn = self.next_turn(entry, hop);
--- a/crates/medlarlug-gateway/src/entry/relay.rs
+++ b/crates/medlarlug-gateway/src/entry/relay.rs
@@ -17,6 +17,8 @@
     Entry,
     attempt::{self, EventStream, Outcome, Piece},
     call::Call,
+    choice::Hop,
+    limited::PERMIT_PAUSE,
     plan::Plan,
     serve::Ended,
 };
@@ -105,6 +107,17 @@
     }
 }
 
+/// The next hop; waits for a permit where only upstreams with a limit are left.
+async fn permitted_hop(entry: &Rc<Entry>, call: &Call, plan: &mut Plan) -> Option<Hop> {
+    loop {
+        let hop = plan.next_hop(entry, call);
+        if !plan.waits_for_permit(entry, hop.as_ref()) {
+            return hop;
+        }
+        sleep(PERMIT_PAUSE).await;
+    }
+}
+
 /// Has another upstream go on, if the route allows it.
 async fn resume(
     entry: &Rc<Entry>,
@@ -113,7 +126,10 @@
     sender: &Sender<Part>,
 ) -> Option<Box<EventStream>> {
     while plan.route.kind.is_repeatable() && plan.last_event.is_some() {
-        let hop = plan.next_hop(entry, call)?;
+        let hop = tokio::select! {
+            hop = permitted_hop(entry, call, plan) => hop?,
+            () = sender.closed() => return None,
+        };
         if !plan.may_repeat(entry, call) {
             return None;
         }
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -27,6 +27,7 @@
     call::{Call, strip_connection},
     choice::{Hop, Tried},
     forwarded::{self, Reported},
+    limited::PERMIT_PAUSE,
     plan::{MAX_ARRIVALS, Plan, Running},
     relay,
 };
@@ -101,6 +102,18 @@
         is_taken
     }
 
+    /// When to come back if what keeps upstreams of a service from taking a call is a rest or a limit of
+    /// their own.
+    fn time_back(&self, plan: &Plan, left: Duration) -> Option<Duration> {
+        let spread = rand::rng().random();
+        let interval = self.permit_interval(&self.limited_upstreams(plan));
+        match (self.rest_left(&plan.service), interval) {
+            (_, Some(interval)) => Some(refusing::after(interval, left, spread)),
+            (Some(rest), None) => Some(refusing::after_rest(rest, spread)),
+            (None, None) => None,
+        }
+    }
+
     /// This instance's part of what services bear beyond the ratio of repeats.
     fn share(&self) -> Share {
         let is_first = self.settings.borrow().first_start;
@@ -194,7 +207,9 @@
         entry.count_call(&plan.service);
     }
     wait_for_start(entry, &call, began, |entry| {
-        entry.quarantine(call.content).is_some() || plan.next_hop(entry, &call).is_some()
+        entry.quarantine(call.content).is_some()
+            || plan.next_hop(entry, &call).is_some()
+            || !entry.limited_upstreams(&plan).is_empty()
     })
     .await;
     let result = attempts(entry, &call, &mut plan).await;
@@ -260,6 +275,8 @@
         unreachable: 0,
         path: Vec::new(),
         waiting: None,
+        has_asked: false,
+        permit: None,
         route,
         _running: Running::begin(entry),
     })
@@ -286,6 +303,14 @@
             true => plan.next_hop(entry, call),
             false => None,
         };
+        if quarantine.is_none()
+            && left > MIN_LEFT
+            && plan.unreachable < MAX_UNREACHABLE
+            && plan.waits_for_permit(entry, hop.as_ref())
+        {
+            sleep(PERMIT_PAUSE).await;
+            continue;
+        }
         let wait = hop.as_ref().map(Hop::wait);
         let objective = plan.is_on_engines().then_some(plan.route.objective);
         let mut verdict = refusing::judge(Outlook { wait, left, objective }, rand::rng().random());
@@ -323,9 +348,7 @@
                 }
                 let own = match verdict {
                     Verdict::Refuse { after } => match hop {
-                        None => entry
-                            .rest_left(&plan.service)
-                            .map_or(after, |rest| refusing::after_rest(rest, rand::rng().random())),
+                        None => entry.time_back(plan, left).unwrap_or(after),
                         Some(_) => after,
                     },
                     Verdict::Serve => refusing::after(Duration::ZERO, left, rand::rng().random()),
--- a/crates/medlarlug-gateway/src/headers.rs
+++ b/crates/medlarlug-gateway/src/headers.rs
@@ -23,6 +23,8 @@
     pub signature: HeaderName,
     /// In an answer: the upstream that made it is leaving.
     pub leaving: HeaderName,
+    /// In an answer: requests a second that the upstream which made it takes from all instances together.
+    pub limit: HeaderName,
     /// Rank of a call at an engine, 0 first.
     pub rank: HeaderName,
     /// Headers that only the system may set; those of callers are dropped.
--- a/crates/medlarlug-gateway/src/loads.rs
+++ b/crates/medlarlug-gateway/src/loads.rs
@@ -25,7 +25,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, sync::Notify, time::sleep};
 
-use crate::entry::Entry;
+use crate::entry::{Entry, LimitMessage};
 
 /// Time between two whole reports to all instances of a small region.
 const DIRECT_INTERVAL: Duration = Duration::from_millis(80);
@@ -64,6 +64,8 @@
         instances: usize,
         loads: Vec<LoadReport>,
     },
+    /// About the limits that upstreams name.
+    Limit(LimitMessage),
 }
 
 /// A peer that the plan names.
@@ -293,6 +295,11 @@
     }
 }
 
+/// Sends a message about a limit that an upstream names.
+pub(crate) fn send_limit(socket: &UdpSocket, message: LimitMessage, to: SocketAddr) {
+    send(socket, &Datagram::Limit(message), to);
+}
+
 /// Takes reports and sums in for as long as the process runs.
 pub(crate) async fn hear(entry: Rc<Entry>, socket: Rc<UdpSocket>) {
     let mut buffer = [0; MAX_BYTES + 1];
@@ -316,6 +323,7 @@
     let exchange = entry.exchange();
     let now = entry.now();
     let (source, is_whole, instances, loads) = match (datagram, exchange.role.get()) {
+        (Datagram::Limit(message), _) => return entry.hear_limit_message(address, message),
         (
             Datagram::Report { from, is_whole, asks, loads },
             Some(Role::Direct | Role::Collector { .. }),
--- a/crates/medlarlug-gateway/src/metrics.rs
+++ b/crates/medlarlug-gateway/src/metrics.rs
@@ -16,6 +16,10 @@
 pub const LEAVING: &str = "medlarlug_gateway_leaving_total";
 /// Counter: rests that upstreams asked for.
 pub const RESTS: &str = "medlarlug_gateway_rests_total";
+/// Counter: limits that upstreams named.
+pub const NAMED_LIMITS: &str = "medlarlug_gateway_named_limits_total";
+/// Counter: requests to upstreams that have named a limit.
+pub const LIMITED_SENDS: &str = "medlarlug_gateway_limited_sends_total";
 /// Counter: upstreams that crashed with requests of this instance in flight.
 pub const CRASHES: &str = "medlarlug_gateway_crashes_total";
 /// Counter: calls that were not run because their content crashes upstreams.
@@ -44,6 +48,8 @@
     describe_counter!(COLD_SENDS, "Requests to upstreams that count as cold");
     describe_counter!(LEAVING, "Upstreams that said in an answer that they are leaving");
     describe_counter!(RESTS, "Rests that upstreams asked for");
+    describe_counter!(NAMED_LIMITS, "Limits that upstreams named");
+    describe_counter!(LIMITED_SENDS, "Requests to upstreams that have named a limit");
     describe_counter!(CRASHES, "Upstreams that crashed with requests in flight");
     describe_counter!(QUARANTINED, "Calls not run because their content crashes upstreams");
     describe_counter!(FORWARDED, "Calls handed to another region");
