--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -84,6 +84,7 @@
             Outcome::NotRun(NotRun::Refused { .. }) => "refused",
             Outcome::NotRun(NotRun::Misdirected) => "misdirected",
             Outcome::NotRun(NotRun::Unreachable) => "unreachable",
+            Outcome::NotRun(NotRun::Withdrawn) => "withdrawn",
             Outcome::Unknown(Unknown::Lost) => "lost",
             Outcome::Unknown(Unknown::Silent) => "silent",
             Outcome::Unknown(Unknown::Foreign) => "foreign",
@@ -103,6 +104,8 @@
     Misdirected,
     /// No connection.
     Unreachable,
+    /// The upstream wanted no request any more when the connection had opened.
+    Withdrawn,
 }
 
 /// Why it is not known whether a call has run.
@@ -268,7 +271,7 @@
     let mut report = None;
     let outcome = exchange(entry, attempted, hop, &mut report).await;
     match (&outcome, hop) {
-        (Outcome::NotRun(NotRun::Unreachable), _) => {}
+        (Outcome::NotRun(NotRun::Unreachable | NotRun::Withdrawn), _) => {}
         (_, Hop::Peer { .. }) => match report {
             Some(report) if !matches!(outcome, Outcome::Unknown(_)) => attempts.reported(report),
             _ => attempts.unreported(),
@@ -305,7 +308,12 @@
     };
     let mut slot = begin(entry, attempted, hop, now);
     let limits = CallLimits { connect: connect.min(patience), head: patience };
-    let (answer, connection) = match entry.client.call(address, request, reuse, limits).await {
+    let is_wanted = || match hop {
+        Hop::Upstream { choice, birth, .. } => entry.still_takes(&choice.id, *birth),
+        Hop::Peer { .. } => true,
+    };
+    let called = entry.client.call_while(address, request, reuse, limits, is_wanted).await;
+    let (answer, connection) = match called {
         Ok(answered) => answered,
         Err(error) => {
             tracing::debug!(request = %attempted.call.id, %error, "attempt failed");
@@ -561,6 +569,7 @@
             ended(entry, hop, CallEnd::Unreachable);
             Outcome::NotRun(NotRun::Unreachable)
         }
+        CallError::Withdrawn { .. } => Outcome::NotRun(NotRun::Withdrawn),
         CallError::Lost { .. } => {
             ended(entry, hop, CallEnd::Broken);
             Outcome::Unknown(Unknown::Lost)
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -226,28 +226,37 @@
         entries: &OnceCell<Vec<InstanceId>>,
     ) -> bool {
         let upstream = &known.upstream;
-        let settings = self.settings.borrow();
-        let is_here = settings.region_of(&upstream.zone) == Some(&settings.card.region);
-        if upstream.state != UpstreamState::Ready || !is_here {
-            return false;
-        }
-        if self.head.borrow().evacuated.binary_search(&upstream.zone).is_ok() {
-            return false;
-        }
-        if self.availability(now, known) != Availability::Open
-            || self.healths.borrow().is_avoided(now, &upstream.id)
-        {
+        if !self.takes(now, known) || self.healths.borrow().is_avoided(now, &upstream.id) {
             return false;
         }
         if cold_rate <= 0.0 || !self.is_cold(now, known) {
             return true;
         }
+        let settings = self.settings.borrow();
         let entries = entries.get_or_init(|| self.region_entries());
         let is_sender = self.view.borrow().is_settled(now)
             && cold::sender(&upstream.id, entries) == Some(&settings.card.id);
         is_sender && self.cold.borrow().may_send(now, &upstream.id, cold_rate)
     }
 
+    /// Whether an upstream of the region takes new requests, by its announcements, its answers and the
+    /// evacuated zones.
+    fn takes(&self, now: Time, known: &Known) -> bool {
+        let upstream = &known.upstream;
+        let settings = self.settings.borrow();
+        upstream.state == UpstreamState::Ready
+            && settings.region_of(&upstream.zone) == Some(&settings.card.region)
+            && self.head.borrow().evacuated.binary_search(&upstream.zone).is_err()
+            && self.availability(now, known) == Availability::Open
+    }
+
+    /// Whether an incarnation that a request was decided for takes it still.
+    pub(super) fn still_takes(&self, id: &UpstreamId, birth: Birth) -> bool {
+        let upstreams = self.upstreams.borrow();
+        let known = upstreams.get(id).filter(|known| known.upstream.birth == birth);
+        known.is_some_and(|known| self.takes(self.now(), known))
+    }
+
     /// The entry instance of another region that can serve the call soonest.
     fn choose_peer(
         &self,
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -376,7 +376,7 @@
             }
             Outcome::Stream(stream) => return Last::Stream(stream),
             Outcome::NotRun(NotRun::Refused { after: told, .. }) => after = told.or(after),
-            Outcome::NotRun(NotRun::Misdirected | NotRun::Unreachable) => {}
+            Outcome::NotRun(NotRun::Misdirected | NotRun::Unreachable | NotRun::Withdrawn) => {}
             Outcome::Unknown(why) => {
                 unknown = Some(why);
                 if !plan.route.kind.is_repeatable() {
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -65,6 +65,12 @@
         #[source]
         source: Option<std::io::Error>,
     },
+    /// The request was not wanted any more when its connection opened: nothing was sent.
+    #[error("withdrew the request when the connection to {address} opened")]
+    Withdrawn {
+        /// The other side.
+        address: SocketAddr,
+    },
     /// The connection ended before the head of the answer; the request may have begun.
     #[error("{address} ended the connection without an answer")]
     Lost {
@@ -87,7 +93,7 @@
 impl CallError {
     /// Whether the other side can't have begun the call.
     pub fn is_unsent(&self) -> bool {
-        matches!(self, CallError::Connect { .. })
+        matches!(self, CallError::Connect { .. } | CallError::Withdrawn { .. })
     }
 }
 
@@ -209,6 +215,23 @@
         request: Request<RequestBody>,
         reuse: Reuse,
         limits: CallLimits,
+    ) -> Result<(Response<Incoming>, Connection), CallError> {
+        self.call_while(address, request, reuse, limits, || true).await
+    }
+
+    /// The same, but sends the request only if it `is_wanted` still when a new connection has opened,
+    /// which may be [`CallLimits::connect`] later, several times.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::call`]; and when the request is not wanted any more.
+    pub async fn call_while(
+        &self,
+        address: SocketAddr,
+        request: Request<RequestBody>,
+        reuse: Reuse,
+        limits: CallLimits,
+        is_wanted: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, Connection), CallError> {
         let mut request = request;
         while reuse == Reuse::Allowed
@@ -224,6 +247,9 @@
         }
         for _ in 0..NEW_CONNECTIONS {
             let mut sender = connect(address, limits.connect).await?;
+            if !is_wanted() {
+                return Err(CallError::Withdrawn { address });
+            }
             match timeout(limits.head, sender.send(request)).await {
                 // The new connection was cut before the request went out.
                 Ok(Err(mut error)) if error.message().is_some() => {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod cli;
 mod docs;
+mod http_client;
 mod journal;
 mod logs;
 mod processes;
