--- a/crates/medlarlug-core/src/suspects/fact_log.rs
+++ b/crates/medlarlug-core/src/suspects/fact_log.rs
@@ -59,6 +59,11 @@
         true
     }
 
+    /// The losses of contents that more than one loss counts against.
+    pub fn repeated_losses(&self, now: Time) -> Vec<Fact> {
+        self.ledger.repeated_losses(now)
+    }
+
     /// Forgets the facts that are too old.
     pub fn expire(&mut self, now: Time) {
         self.ledger.expire(now);
--- a/crates/medlarlug-core/src/suspects/mod.rs
+++ b/crates/medlarlug-core/src/suspects/mod.rs
@@ -85,8 +85,26 @@
         }
     }
 
+    /// The fact without its age, to tell whether two say the same.
+    pub fn ageless(&self) -> Fact {
+        match self.clone() {
+            Fact::Lost(report) => Fact::Lost(LossReport { age: Duration::ZERO, ..report }),
+            Fact::Cleared { fingerprint, losses, .. } => {
+                Fact::Cleared { fingerprint, losses, age: Duration::ZERO }
+            }
+        }
+    }
+
+    /// Its age.
+    pub fn age(&self) -> Duration {
+        match self {
+            Fact::Lost(report) => report.age,
+            Fact::Cleared { age, .. } => *age,
+        }
+    }
+
     /// Contents that the fact names.
-    fn contents(&self) -> usize {
+    pub fn contents(&self) -> usize {
         match self {
             Fact::Lost(report) => report.flying.len(),
             Fact::Cleared { .. } => 1,
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -269,6 +269,12 @@
         self.uptime() < STARTING_TIME
     }
 
+    /// Whether the instance can judge calls: it has a table, and has heard all keepers but one since it
+    /// started, of which one at least knows the contents that crash upstreams.
+    fn is_informed(&self) -> bool {
+        self.table.borrow().is_some() && self.view.borrow().was_complete()
+    }
+
     /// Live entry instances of the own region, this one included.
     fn region_entries(&self) -> Vec<InstanceId> {
         let settings = self.settings.borrow();
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -180,7 +180,7 @@
     let (parts, incoming) = request.into_parts();
     let mut call = Call::read(parts, &entry.names);
     let is_forwarded = forwarded.is_some();
-    wait_for_start(entry, &call, began, |entry| entry.table.borrow().is_some()).await;
+    wait_for_start(entry, &call, began, |entry| entry.is_informed()).await;
     let mut plan = match plan(entry, &call, forwarded, began) {
         Ok(plan) => plan,
         Err(reported) => return *reported,
--- a/crates/medlarlug-gateway/src/keeper/loops.rs
+++ b/crates/medlarlug-gateway/src/keeper/loops.rs
@@ -98,6 +98,7 @@
             tracing::info!(upstream = %id, silent_s = upstreams::FORGET_AFTER.as_secs(), "upstream forgotten");
         }
         keeper.facts.borrow_mut().expire(now);
+        keeper.keep_facts();
         keeper.push();
         keeper.links.follow(&keeper);
     }
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -5,6 +5,7 @@
 //! leader and answers what the leader answers; without a leader it answers that it is unavailable.
 //! A read is answered only after the leader has confirmed with a majority that it still leads.
 
+mod facts;
 mod loops;
 mod requests;
 
@@ -50,6 +51,7 @@
 
 pub use requests::Unavailable;
 
+use self::facts::KeptFacts;
 use crate::{
     follower::{Links, Owner, chain},
     link::{Head, Message, News},
@@ -102,6 +104,8 @@
     suspicions: RefCell<Suspicions>,
     /// What entry instances have learned of contents that crash upstreams.
     facts: RefCell<FactLog>,
+    /// What of that is on the disk, or on its way there.
+    kept: RefCell<KeptFacts>,
     /// The membership that was logged last.
     membership: RefCell<Option<Membership>>,
     table: RefCell<Option<Rc<RouteTable>>>,
@@ -125,6 +129,10 @@
         let folder = DataFolder::open(&path, &settings.card.id)?;
         let journal = Journal::open(&folder)?;
         let group = new_group(&settings, &folder, &journal, clock.now())?;
+        let mut known = FactLog::default();
+        for fact in facts::restore(&journal) {
+            known.learn(clock.now(), &fact);
+        }
         let (writer, mut reports) = Writer::start_persistent(journal)?;
         let listener = http_server::listen("peers", settings.card.internal).await?;
         let keeper = Rc::new(Keeper {
@@ -142,7 +150,8 @@
             last_call: Cell::new(0),
             head: RefCell::default(),
             suspicions: RefCell::default(),
-            facts: RefCell::default(),
+            facts: RefCell::new(known),
+            kept: RefCell::default(),
             membership: RefCell::default(),
             table: RefCell::default(),
             stall: RefCell::new(Stall::new(STALL_LIMIT)),
@@ -156,6 +165,8 @@
         task::spawn_local(async move {
             while let Some(report) = reports.recv().await {
                 match report {
+                    // Nobody waits for the facts.
+                    Ok(synced) if synced.group == facts::name() => {}
                     Ok(synced) => this.on_synced(synced.sequence),
                     Err(error) => tracing::warn!(error = %chain(&error), "disk failed"),
                 }
@@ -382,7 +393,20 @@
         let now = self.now();
         let mut known = self.facts.borrow_mut();
         let new = facts.iter().filter(|fact| known.learn(now, fact));
-        new.count() > 0
+        let is_new = new.count() > 0;
+        drop(known);
+        if is_new {
+            self.keep_facts();
+        }
+        is_new
+    }
+
+    /// Writes down what has to outlive a loss of power, if it has changed.
+    fn keep_facts(&self) {
+        let facts = self.facts.borrow().repeated_losses(self.now());
+        if let Some(batch) = self.kept.borrow_mut().batch(facts) {
+            self.writer.persist(facts::name(), batch);
+        }
     }
 
     /// A message that came over a link that the peer opened.
--- a/crates/medlarlug-gateway/src/subscribers.rs
+++ b/crates/medlarlug-gateway/src/subscribers.rs
@@ -227,8 +227,10 @@
             self.sent.waits.clone_from(round.waits());
         }
         // One keeper has heard them from another, and entry instances from any: two sources are
-        // enough.
-        if self.is_primary && facts.end() > self.sent.facts {
+        // enough for what is new. Whoever has just connected knows nothing, and is told with the table's
+        // version, before it has the table.
+        let is_first = self.number == 0;
+        if (self.is_primary || is_first) && facts.end() > self.sent.facts {
             news.facts = facts.since(now, self.sent.facts);
             self.sent.facts = facts.end();
         }
