--- a/crates/medlarlug-core/src/suspects/fact_log.rs
+++ b/crates/medlarlug-core/src/suspects/fact_log.rs
@@ -24,7 +24,7 @@
 ///
 /// let key = LossKey { upstream: "engine-1".parse().unwrap(), incarnation: Incarnation(1) };
 /// let flying = vec![Fingerprint::of(b"crash")];
-/// let fact = Fact::Lost(LossReport { key, age: Duration::ZERO, flying });
+/// let fact = Fact::Lost(LossReport { key, age: Duration::ZERO, flying, tried: Vec::new() });
 /// let mut log = FactLog::default();
 /// let told = log.end();
 /// log.learn(Time::ZERO, &fact);
--- a/crates/medlarlug-core/src/suspects/isolation.rs
+++ b/crates/medlarlug-core/src/suspects/isolation.rs
@@ -23,6 +23,8 @@
     upstream: UpstreamId,
     incarnation: Incarnation,
     suspect: bool,
+    /// Whether its content was quarantined and not cleared when it was sent.
+    trial: bool,
 }
 
 /// The core of one entry instance.
@@ -108,6 +110,11 @@
         Some(self.flights[found].incarnation)
     }
 
+    /// Whether a trial of a content is under way, or has ended without an answer and without a finding.
+    pub fn is_tried(&self, fingerprint: Fingerprint) -> bool {
+        self.flights.iter().any(|it| it.trial && it.fingerprint == fingerprint)
+    }
+
     /// Takes in facts that arrived together.
     pub fn learn_all(&mut self, now: Time, facts: &[Fact], out: &mut Vec<Effect>) {
         if self.ledger.learn_all(now, facts) {
@@ -120,7 +127,8 @@
         match event {
             Event::Sent { request, fingerprint, upstream, incarnation } => {
                 let suspect = self.standing(now, fingerprint) != Standing::Clear;
-                let flight = Flight { request, fingerprint, upstream, incarnation, suspect };
+                let trial = self.ledger.trials(fingerprint).is_some();
+                let flight = Flight { request, fingerprint, upstream, incarnation, suspect, trial };
                 self.send(flight, out);
             }
             Event::Answered { request } => self.answer(now, &request, out),
@@ -211,8 +219,12 @@
         let mut flying: Vec<Fingerprint> = lost.iter().map(|it| it.fingerprint).collect();
         flying.sort_unstable();
         flying.dedup();
+        let trials = lost.iter().filter(|it| it.trial);
+        let mut tried: Vec<Fingerprint> = trials.map(|it| it.fingerprint).collect();
+        tried.sort_unstable();
+        tried.dedup();
         let key = LossKey { upstream, incarnation };
-        let report = LossReport { key, age: Duration::ZERO, flying };
+        let report = LossReport { key, age: Duration::ZERO, flying, tried };
         let fact = Fact::Lost(report);
         self.ledger.learn(now, &fact);
         out.push(Effect::Share(fact.clone()));
--- a/crates/medlarlug-core/src/suspects/ledger.rs
+++ b/crates/medlarlug-core/src/suspects/ledger.rs
@@ -6,7 +6,7 @@
     fingerprint::Fingerprint,
     suspects::{
         CERTAIN_LOSSES, FACT_LIFETIME, Fact, LossKey, LossReport, MAX_LOSSES_KEPT,
-        QUARANTINE_LIFETIME, QUARANTINING_LOSSES,
+        QUARANTINE_LIFETIME, QUARANTINING_LOSSES, Trials,
     },
     time::Time,
 };
@@ -31,6 +31,7 @@
     at: Time,
     flying: Vec<Fingerprint>,
     cleared: Vec<Fingerprint>,
+    tried: Vec<Fingerprint>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,6 +40,18 @@
     last: Time,
     losses: usize,
     alone: usize,
+    failed: usize,
+}
+
+/// One loss that may be due to a content.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Evidence {
+    fingerprint: Fingerprint,
+    at: Time,
+    /// Whether no other content can have caused it.
+    is_alone: bool,
+    /// Whether the content ran as a trial.
+    is_trial: bool,
 }
 
 /// A set of facts and the quarantines that follow from it.
@@ -59,6 +72,7 @@
 ///     },
 ///     age: Duration::ZERO,
 ///     flying: vec![crashing],
+///     tried: Vec::new(),
 /// });
 /// let mut ledger = LossLedger::default();
 /// ledger.learn(Time::ZERO, &lost("engine-1"));
@@ -129,6 +143,15 @@
         }
     }
 
+    /// The trials of a content that was quarantined and has not been cleared since; `None` if it may run as any
+    /// other.
+    pub fn trials(&self, fingerprint: Fingerprint) -> Option<Trials> {
+        let found =
+            self.quarantines.binary_search_by_key(&fingerprint, |it| it.fingerprint).ok()?;
+        let Quarantine { last, failed, .. } = self.quarantines[found];
+        Some(Trials { last, failed })
+    }
+
     /// The quarantines in force, sorted by fingerprint, and the time until each ends.
     pub fn quarantines(&self, now: Time) -> Vec<(Fingerprint, Duration)> {
         let standing = |it: &Quarantine| match self.standing(now, it.fingerprint) {
@@ -158,7 +181,8 @@
             for &fingerprint in &loss.cleared {
                 facts.push(Fact::Cleared { fingerprint, losses: vec![key.clone()], age });
             }
-            facts.push(Fact::Lost(LossReport { key, age, flying: loss.flying.clone() }));
+            let (flying, tried) = (loss.flying.clone(), loss.tried.clone());
+            facts.push(Fact::Lost(LossReport { key, age, flying, tried }));
         }
         facts
     }
@@ -174,7 +198,9 @@
         let facts = self.losses.iter().filter_map(|loss| {
             let mut flying = loss.suspects();
             flying.retain(|it| repeated.binary_search(it).is_ok());
-            let report = LossReport { key: loss.key.clone(), age: now - loss.at, flying };
+            let mut tried = loss.tried.clone();
+            tried.retain(|it| flying.binary_search(it).is_ok());
+            let report = LossReport { key: loss.key.clone(), age: now - loss.at, flying, tried };
             (!report.flying.is_empty()).then_some(Fact::Lost(report))
         });
         facts.collect()
@@ -189,7 +215,8 @@
         let place = match self.find(key) {
             Ok(found) => found,
             Err(place) => {
-                let loss = Loss { key: key.clone(), at, flying: Vec::new(), cleared: Vec::new() };
+                let (flying, cleared, tried) = (Vec::new(), Vec::new(), Vec::new());
+                let loss = Loss { key: key.clone(), at, flying, cleared, tried };
                 self.losses.insert(place, loss);
                 place
             }
@@ -204,7 +231,8 @@
             return false;
         }
         let loss = self.loss(&report.key, now.saturating_sub(report.age));
-        merge(&mut loss.flying, &report.flying)
+        let is_tried = merge(&mut loss.tried, &report.tried);
+        merge(&mut loss.flying, &report.flying) || is_tried
     }
 
     fn learn_clearance(&mut self, at: Time, fingerprint: Fingerprint, losses: &[LossKey]) -> bool {
@@ -227,10 +255,12 @@
         self.quarantines.clear();
         loop {
             let open = self.unexplained_losses();
-            let candidates: Vec<Quarantine> =
-                open.chunk_by(|a, b| a.0 == b.0).filter_map(candidate).collect();
+            let candidates: Vec<Quarantine> = open
+                .chunk_by(|a, b| a.fingerprint == b.fingerprint)
+                .filter_map(candidate)
+                .collect();
             let Some(strongest) = candidates.iter().map(Quarantine::strength).max() else {
-                self.suspects = open.into_iter().map(|it| it.0).collect();
+                self.suspects = open.into_iter().map(|it| it.fingerprint).collect();
                 self.suspects.dedup();
                 return;
             };
@@ -240,9 +270,8 @@
         }
     }
 
-    /// Each unexplained loss of each content, sorted by content: when it was, and whether no other
-    /// content can have caused it.
-    fn unexplained_losses(&self) -> Vec<(Fingerprint, Time, bool)> {
+    /// Each unexplained loss of each content, sorted by content and time.
+    fn unexplained_losses(&self) -> Vec<Evidence> {
         let mut evidence = Vec::new();
         for loss in &self.losses {
             let suspects = loss.suspects();
@@ -254,8 +283,11 @@
             if suspects.iter().any(is_quarantined) {
                 continue;
             }
-            let alone = suspects.len() == 1;
-            evidence.extend(suspects.into_iter().map(|it| (it, loss.at, alone)));
+            let is_alone = suspects.len() == 1;
+            evidence.extend(suspects.into_iter().map(|fingerprint| {
+                let is_trial = loss.tried.binary_search(&fingerprint).is_ok();
+                Evidence { fingerprint, at: loss.at, is_alone, is_trial }
+            }));
         }
         evidence.sort_unstable();
         evidence
@@ -281,15 +313,16 @@
 }
 
 /// The quarantine of one content, if its losses are reason for it.
-fn candidate(evidence: &[(Fingerprint, Time, bool)]) -> Option<Quarantine> {
+fn candidate(evidence: &[Evidence]) -> Option<Quarantine> {
     let losses = evidence.len();
-    let alone = evidence.iter().filter(|it| it.2).count();
+    let alone = evidence.iter().filter(|it| it.is_alone).count();
+    let failed = evidence.iter().filter(|it| it.is_trial).count();
     let is_likely = losses >= QUARANTINING_LOSSES && alone > 0;
     if !is_likely && losses < CERTAIN_LOSSES {
         return None;
     }
-    let &(fingerprint, last, _) = evidence.last()?;
-    Some(Quarantine { fingerprint, last, losses, alone })
+    let &Evidence { fingerprint, at: last, .. } = evidence.last()?;
+    Some(Quarantine { fingerprint, last, losses, alone, failed })
 }
 
 /// Adds `more` to a sorted set; tells whether it grew.
--- a/crates/medlarlug-core/src/suspects/mod.rs
+++ b/crates/medlarlug-core/src/suspects/mod.rs
@@ -29,6 +29,7 @@
 mod fact_log;
 mod isolation;
 mod ledger;
+mod trials;
 
 use std::time::Duration;
 
@@ -43,6 +44,7 @@
     fact_log::{FactLog, MAX_CONTENTS_TOLD},
     isolation::Suspects,
     ledger::{LossLedger, Standing},
+    trials::{Trials, tester},
 };
 
 /// First lifetime of a quarantine.
@@ -130,6 +132,8 @@
     pub age: Duration,
     /// Contents that the reporting instance had in flight there, sorted.
     pub flying: Vec<Fingerprint>,
+    /// Those of them that were quarantined and ran as a trial, sorted.
+    pub tried: Vec<Fingerprint>,
 }
 
 /// Whether a request may run on an upstream.
--- a/crates/medlarlug-core/tests/testsuite/fact_log.rs
+++ b/crates/medlarlug-core/tests/testsuite/fact_log.rs
@@ -18,7 +18,7 @@
     let mut flying: Vec<Fingerprint> = contents.map(content).collect();
     flying.sort();
     let key = LossKey { upstream: id(&format!("engine-{upstream}")), incarnation: Incarnation(1) };
-    Fact::Lost(LossReport { key, age: Duration::ZERO, flying })
+    Fact::Lost(LossReport { key, age: Duration::ZERO, flying, tried: Vec::new() })
 }
 
 #[test]
--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -28,3 +28,4 @@
 mod routing_slow;
 mod stream;
 mod suspects;
+mod trials;
--- a/crates/medlarlug-core/tests/testsuite/suspects.rs
+++ b/crates/medlarlug-core/tests/testsuite/suspects.rs
@@ -27,7 +27,7 @@
 fn lost(upstream: u32, contents: &[u32]) -> Fact {
     let mut flying: Vec<Fingerprint> = contents.iter().map(|it| content(*it)).collect();
     flying.sort();
-    Fact::Lost(LossReport { key: key(upstream), age: Duration::ZERO, flying })
+    Fact::Lost(LossReport { key: key(upstream), age: Duration::ZERO, flying, tried: Vec::new() })
 }
 
 fn cleared(number: u32, upstreams: &[u32]) -> Fact {
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -321,7 +321,7 @@
     }
 
     /// Ready upstreams of a service in a region.
-    fn upstreams_in(&self, region: &RegionId, service: &ServiceName) -> usize {
+    pub(super) fn upstreams_in(&self, region: &RegionId, service: &ServiceName) -> usize {
         let settings = self.settings.borrow();
         let upstreams = self.upstreams.borrow();
         let ready = upstreams.of(service).filter(|known| {
--- a/crates/medlarlug-gateway/src/entry/crashes.rs
+++ b/crates/medlarlug-gateway/src/entry/crashes.rs
@@ -1,5 +1,8 @@
 //! Contents that crash upstreams, and the calls that are kept from running because of it.
 //!
+//! A quarantined content runs as a trial only, once at a time at one instance of all, see
+//! [`medlarlug_core::suspects`].
+//!
 //! Each call to an upstream is noted with the fingerprint of its content. When the upstream is lost,
 //! the contents in flight there become suspects; see [`medlarlug_core::suspects`] for how
 //! suspicion turns into quarantine. The facts go to all entry instances through the keepers, which keep
@@ -16,12 +19,12 @@
     fingerprint::Fingerprint,
     gateway::upstreams::{Birth, Upstream},
     ids::{Incarnation, InstanceId, RegionId, RequestId, UpstreamId},
-    suspects::{Effect, Event, Fact, LossKey, Standing, Suspects},
+    suspects::{self, Effect, Event, Fact, LossKey, Suspects},
     time::Time,
 };
 use tokio::{task, time::sleep};
 
-use super::Entry;
+use super::{Entry, call::Call, plan::Plan};
 use crate::{link::Message, metrics as names};
 
 /// Time in which the other connections to an upstream end, if it has crashed.
@@ -32,6 +35,11 @@
 /// announces itself within a few seconds.
 const LOST_FOR: Duration = Duration::from_secs(15);
 
+/// Time in which a call that has the trial of its content sends it: its turn at an engine, or a permit.
+const RESERVED_FOR: Duration = Duration::from_secs(1);
+/// Time to come back while a trial is under way or due: until it has ended and all have heard of it.
+const TRIAL_TIME: Duration = Duration::from_secs(1);
+
 /// What an instance knows of contents that crash upstreams.
 #[derive(Default)]
 pub(super) struct Crashes {
@@ -42,6 +50,20 @@
     unanswered: Vec<(Flight, Time)>,
     /// Upstreams that are being looked at.
     examined: Vec<LossKey>,
+    /// Trials of quarantined contents at this instance.
+    tries: Vec<Tries>,
+}
+
+/// The trials of one content at this instance.
+#[derive(Debug, Clone)]
+struct Tries {
+    content: Fingerprint,
+    /// Requests that went out.
+    attempts: u32,
+    /// When the newest one did.
+    tried: Option<Time>,
+    /// Until when a call has the next one.
+    reserved: Time,
 }
 
 /// A request to an upstream.
@@ -72,18 +94,66 @@
         RequestId { region, instance, incarnation: Incarnation(0), sequence: self.sequence }
     }
 
+    fn tries_of(&mut self, content: Fingerprint) -> &mut Tries {
+        let at = self.tries.iter().position(|it| it.content == content).unwrap_or_else(|| {
+            self.tries.push(Tries { content, attempts: 0, tried: None, reserved: Time::ZERO });
+            self.tries.len() - 1
+        });
+        &mut self.tries[at]
+    }
+
     fn has_unanswered(&self, key: &LossKey) -> bool {
         self.unanswered.iter().any(|(flight, _)| flight.key == *key)
     }
 }
 
 impl Entry {
-    /// Time for which calls with this content are not run; `None` if they are.
-    pub(super) fn quarantine(&self, content: Fingerprint) -> Option<Duration> {
-        match self.crashes.borrow().suspects.standing(self.now(), content) {
-            Standing::Quarantined { after } => Some(after),
-            Standing::Clear | Standing::Suspect => None,
+    /// Whether a content runs as a trial only.
+    pub(super) fn is_quarantined(&self, content: Fingerprint) -> bool {
+        self.crashes.borrow().suspects.ledger().trials(content).is_some()
+    }
+
+    /// Time for which a call is not run because of its content; `None` if it is. The call may become the trial
+    /// of its content.
+    pub(super) fn quarantine(&self, call: &Call, plan: &mut Plan) -> Option<Duration> {
+        let content = call.content;
+        let trials = self.crashes.borrow().suspects.ledger().trials(content)?;
+        if plan.is_trial && plan.attempts.arrivals() == 0 {
+            return None;
         }
+        let now = self.now();
+        let mut crashes = self.crashes.borrow_mut();
+        let tries = crashes.tries.iter().find(|it| it.content == content).cloned();
+        let (attempts, tried) = tries.as_ref().map_or((0, None), |it| (it.attempts, it.tried));
+        let next = trials.next(attempts, tried);
+        let is_reserved = tries.is_some_and(|it| it.reserved > now);
+        let is_free = now >= next && !is_reserved && !crashes.suspects.is_tried(content);
+        if !plan.is_trial && is_free && self.is_tester(content, plan) {
+            crashes.tries_of(content).reserved = now + RESERVED_FOR;
+            (plan.is_trial, plan.may_leave) = (true, false);
+            let failed = trials.failed;
+            tracing::info!(request = %call.id, %content, failed, attempts, "trying quarantined content");
+            return None;
+        }
+        Some((next - now).max(TRIAL_TIME))
+    }
+
+    /// Whether this instance tries a content, of all that could.
+    fn is_tester(&self, content: Fingerprint, plan: &Plan) -> bool {
+        let now = self.now();
+        let settings = self.settings.borrow();
+        let own = &settings.card;
+        let can_try = |region: &RegionId| {
+            plan.route.may_be_served_in(region) && self.upstreams_in(region, &plan.service) > 0
+        };
+        let contacts = self.contacts.borrow();
+        let live = contacts.live_entries(now).map(|contact| &contact.card);
+        let others = live.filter(|card| card.id != own.id && can_try(&card.region));
+        let mut instances: Vec<InstanceId> = others.map(|card| card.id.clone()).collect();
+        if can_try(&own.region) {
+            instances.push(own.id.clone());
+        }
+        self.view.borrow().is_settled(now) && suspects::tester(content, &instances) == Some(&own.id)
     }
 
     /// Notes that a request goes to an incarnation of an upstream.
@@ -98,7 +168,14 @@
             let settings = self.settings.borrow();
             (settings.card.region.clone(), settings.card.id.clone())
         };
-        let request = self.crashes.borrow_mut().next_request(region, instance);
+        let is_trial = self.is_quarantined(content);
+        let mut crashes = self.crashes.borrow_mut();
+        if is_trial {
+            let tries = crashes.tries_of(content);
+            (tries.attempts, tries.tried) = (tries.attempts + 1, Some(self.now()));
+        }
+        let request = crashes.next_request(region, instance);
+        drop(crashes);
         self.suspect(Event::Sent {
             request: request.clone(),
             fingerprint: content,
@@ -193,6 +270,11 @@
             let mut crashes = self.crashes.borrow_mut();
             crashes.unanswered.extract_if(.., is_old).map(|it| it.0).collect()
         };
+        {
+            let mut crashes = self.crashes.borrow_mut();
+            let Crashes { suspects, tries, .. } = &mut *crashes;
+            tries.retain(|it| suspects.ledger().trials(it.content).is_some());
+        }
         for flight in old {
             self.suspect(Event::Ended { request: flight.request });
         }
@@ -242,12 +324,13 @@
         let suspects = &mut self.crashes.borrow_mut().suspects;
         let before = suspects.ledger().quarantines(now);
         change(suspects, now);
-        for (content, after) in suspects.ledger().quarantines(now) {
+        for (content, _) in suspects.ledger().quarantines(now) {
             if before.binary_search_by_key(&content, |it| it.0).is_err() {
                 let losses = suspects.ledger().losses_of(content);
                 let upstreams = losses.iter().map(|it| it.upstream.as_str());
                 let upstreams = upstreams.collect::<Vec<_>>().join(",");
-                tracing::warn!(%content, upstreams, for_s = after.as_secs(), "content quarantined");
+                let failed = suspects.ledger().trials(content).map_or(0, |it| it.failed);
+                tracing::warn!(%content, upstreams, failed, "content quarantined");
             }
         }
     }
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -41,6 +41,8 @@
     pub(super) deadline: Time,
     /// Whether another region may serve it.
     pub(super) may_leave: bool,
+    /// Whether it is the trial of a quarantined content.
+    pub(super) is_trial: bool,
     pub(super) last_event: Option<u64>,
     pub(super) tried: Tried,
     /// Upstreams that may run it and requests that may reach one, those of other instances
@@ -120,7 +122,8 @@
 impl Plan {
     /// The next hop; `None` if there is none, or the call may not run anywhere.
     pub(super) fn next_hop(&self, entry: &Entry, call: &Call) -> Option<Hop> {
-        if entry.quarantine(call.content).is_some() {
+        let may_try = self.is_trial && self.attempts.arrivals() == 0;
+        if !may_try && entry.is_quarantined(call.content) {
             return None;
         }
         // The call does not stand in its own way.
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -207,7 +207,7 @@
         entry.count_call(&plan.service);
     }
     wait_for_start(entry, &call, began, |entry| {
-        entry.quarantine(call.content).is_some()
+        entry.is_quarantined(call.content)
             || plan.next_hop(entry, &call).is_some()
             || !entry.limited_upstreams(&plan).is_empty()
     })
@@ -268,6 +268,7 @@
         end: began + limit,
         deadline: began + deadline,
         may_leave: !is_forwarded,
+        is_trial: false,
         last_event: last.and_then(|last| last.trim().parse().ok()),
         tried: Tried::default(),
         attempts: Attempts::new(route.attempts, most_arrivals.min(MAX_ARRIVALS)),
@@ -298,7 +299,7 @@
     loop {
         let now = entry.now();
         let left = plan.end - now;
-        let quarantine = entry.quarantine(call.content);
+        let quarantine = entry.quarantine(call, plan);
         let hop = match plan.unreachable < MAX_UNREACHABLE && left > MIN_LEFT {
             true => plan.next_hop(entry, call),
             false => None,
