--- a/crates/medlarlug-core/src/gateway/allotment.rs
+++ b/crates/medlarlug-core/src/gateway/allotment.rs
@@ -87,16 +87,28 @@
     pub permits: u32,
 }
 
+/// An instance that waits for permits.
+#[derive(Debug, Clone)]
+struct Waiter {
+    id: InstanceId,
+    /// Calls that would use a permit.
+    calls: u32,
+    asked: Time,
+}
+
+/// What an allotter gives out for one upstream.
 #[derive(Debug, Clone)]
 struct Account {
     upstream: UpstreamId,
     birth: Birth,
     pace: Pace,
+    /// Permits that are saved up, as of `filled`.
     saved: f64,
     filled: Time,
+    /// When an instance last asked.
     asked: Time,
     /// Instances that wait, those that got a permit longest ago first.
-    queue: VecDeque<(InstanceId, u32, Time)>,
+    queue: VecDeque<Waiter>,
 }
 
 impl Account {
@@ -104,14 +116,14 @@
         let gained = self.pace.0 * (now - self.filled).as_secs_f64();
         self.saved = (self.saved + gained).min(self.pace.capacity());
         self.filled = now;
-        self.queue.retain(|it| now - it.2 <= WANT_LIFETIME);
+        self.queue.retain(|it| now - it.asked <= WANT_LIFETIME);
     }
 
-    fn ask(&mut self, now: Time, from: InstanceId, calls: u32) {
+    fn ask(&mut self, now: Time, id: InstanceId, calls: u32) {
         self.asked = now;
-        match self.queue.iter_mut().find(|it| it.0 == from) {
-            Some(waiting) => (waiting.1, waiting.2) = (calls, now),
-            None => self.queue.push_back((from, calls, now)),
+        match self.queue.iter_mut().find(|it| it.id == id) {
+            Some(waiter) => (waiter.calls, waiter.asked) = (calls, now),
+            None => self.queue.push_back(Waiter { id, calls, asked: now }),
         }
     }
 
@@ -120,18 +132,18 @@
         self.fill(now);
         let mut grants: Vec<Grant> = Vec::new();
         while self.saved >= 1.0
-            && let Some((to, calls, asked)) = self.queue.pop_front()
+            && let Some(waiter) = self.queue.pop_front()
         {
             self.saved -= 1.0;
-            match grants.iter_mut().find(|it| it.to == to) {
+            match grants.iter_mut().find(|it| it.to == waiter.id) {
                 Some(grant) => grant.permits += 1,
                 None => {
                     let (upstream, birth) = (self.upstream.clone(), self.birth);
-                    grants.push(Grant { to: to.clone(), upstream, birth, permits: 1 });
+                    grants.push(Grant { to: waiter.id.clone(), upstream, birth, permits: 1 });
                 }
             }
-            if calls > 1 {
-                self.queue.push_back((to, calls - 1, asked));
+            if waiter.calls > 1 {
+                self.queue.push_back(Waiter { calls: waiter.calls - 1, ..waiter });
             }
         }
         grants
@@ -181,10 +193,25 @@
 /// The permits that an instance holds, and those that it asks for.
 #[derive(Debug, Clone, Default)]
 pub struct Permits {
-    held: Vec<(UpstreamId, Birth, Time)>,
+    held: Vec<Permit>,
     wanted: Vec<Wanted>,
 }
 
+/// The right to send one request to an incarnation of an upstream.
+#[derive(Debug, Clone)]
+struct Permit {
+    upstream: UpstreamId,
+    birth: Birth,
+    until: Time,
+}
+
+impl Permit {
+    fn is_for(&self, now: Time, upstream: &UpstreamId, birth: Birth) -> bool {
+        self.upstream == *upstream && self.birth == birth && self.until > now
+    }
+}
+
+/// An upstream for which calls want permits.
 #[derive(Debug, Clone)]
 struct Wanted {
     upstream: UpstreamId,
@@ -200,21 +227,19 @@
     /// Takes in permits that were granted to this instance.
     pub fn hold(&mut self, now: Time, upstream: &UpstreamId, birth: Birth, permits: u32) {
         let until = now + PERMIT_LIFETIME;
-        let granted = (0..permits).map(|_| (upstream.clone(), birth, until));
-        self.held.retain(|it| it.2 > now);
+        let granted = (0..permits).map(|_| Permit { upstream: upstream.clone(), birth, until });
+        self.held.retain(|it| it.until > now);
         self.held.extend(granted);
     }
 
     /// Whether a request may go out to an incarnation.
     pub fn has(&self, now: Time, upstream: &UpstreamId, birth: Birth) -> bool {
-        self.held.iter().any(|it| it.0 == *upstream && it.1 == birth && it.2 > now)
+        self.held.iter().any(|it| it.is_for(now, upstream, birth))
     }
 
     /// Uses a permit for a request that goes out; returns whether there was one.
     pub fn take(&mut self, now: Time, upstream: &UpstreamId, birth: Birth) -> bool {
-        let fits =
-            |it: &(UpstreamId, Birth, Time)| it.0 == *upstream && it.1 == birth && it.2 > now;
-        let at = self.held.iter().position(fits);
+        let at = self.held.iter().position(|it| it.is_for(now, upstream, birth));
         at.map(|at| self.held.remove(at)).is_some()
     }
 
--- a/crates/medlarlug-core/src/gateway/named_limits.rs
+++ b/crates/medlarlug-core/src/gateway/named_limits.rs
@@ -32,7 +32,7 @@
 /// assert!("few".parse::<NamedLimit>().is_err());
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize)]
-#[serde(transparent)]
+#[serde(try_from = "f64", into = "f64")]
 pub struct NamedLimit(f64);
 
 /// A text that holds no limit.
@@ -50,11 +50,16 @@
     }
 }
 
-impl FromStr for NamedLimit {
-    type Err = LimitError;
+impl From<NamedLimit> for f64 {
+    fn from(limit: NamedLimit) -> f64 {
+        limit.0
+    }
+}
 
-    fn from_str(text: &str) -> Result<NamedLimit, LimitError> {
-        let rate: f64 = text.trim().parse().map_err(|_| LimitError)?;
+impl TryFrom<f64> for NamedLimit {
+    type Error = LimitError;
+
+    fn try_from(rate: f64) -> Result<NamedLimit, LimitError> {
         match rate.is_nan() || rate < 0.0 {
             true => Err(LimitError),
             false => Ok(NamedLimit(rate.clamp(LOWEST_RATE, HIGHEST_RATE))),
@@ -62,6 +67,15 @@
     }
 }
 
+impl FromStr for NamedLimit {
+    type Err = LimitError;
+
+    fn from_str(text: &str) -> Result<NamedLimit, LimitError> {
+        let rate: f64 = text.trim().parse().map_err(|_| LimitError)?;
+        NamedLimit::try_from(rate)
+    }
+}
+
 impl fmt::Display for NamedLimit {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}/s", self.0)
--- a/crates/medlarlug-gateway/src/entry/limited.rs
+++ b/crates/medlarlug-gateway/src/entry/limited.rs
@@ -5,7 +5,7 @@
 //! as datagrams: a lost one is asked again, or made up for by the next answer.
 
 use std::{
-    cell::{OnceCell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -33,7 +33,7 @@
 /// availability zones.
 const ROUND: Duration = Duration::from_millis(10);
 /// Longest time for which a call waits for a permit: a question, its answer, and a lost datagram.
-pub(super) const PERMIT_WAIT: Duration = Duration::from_millis(250);
+const PERMIT_WAIT: Duration = Duration::from_millis(250);
 
 /// Pause between two looks at whether a call has got a permit: the way of a datagram between availability
 /// zones.
@@ -50,8 +50,13 @@
     Grant { upstream: UpstreamId, birth: Birth, permits: u32 },
 }
 
-/// An upstream with a limit, its incarnation, and the limit.
-pub(super) type LimitedUpstream = (UpstreamId, Birth, NamedLimit);
+/// An upstream with a limit to which a call could go.
+#[derive(Debug, Clone)]
+pub(super) struct LimitedUpstream {
+    id: UpstreamId,
+    birth: Birth,
+    limit: NamedLimit,
+}
 
 /// What an instance knows of such limits.
 #[derive(Default)]
@@ -62,6 +67,41 @@
     /// News that are to be sent.
     news: RefCell<Vec<LimitMessage>>,
     noted: Notify,
+    /// Calls that wait for a permit.
+    waiting: Cell<usize>,
+}
+
+/// Counts a call that waits for a permit, for as long as it does.
+pub(super) struct PermitWait {
+    entry: Rc<Entry>,
+    began: Time,
+}
+
+impl PermitWait {
+    /// A call begins to wait for a permit of one of these upstreams; `None` if those that wait already take all
+    /// that this instance can expect in time.
+    pub(super) fn begin(entry: &Rc<Entry>, limited: &[LimitedUpstream]) -> Option<PermitWait> {
+        let interval = entry.permit_interval(limited)?;
+        let served = PERMIT_WAIT.as_secs_f64() / interval.as_secs_f64();
+        let waiting = entry.limited.waiting.get();
+        if waiting as f64 >= served.max(1.0) {
+            return None;
+        }
+        entry.limited.waiting.set(waiting + 1);
+        Some(PermitWait { entry: entry.clone(), began: entry.now() })
+    }
+
+    /// Whether it has waited for long enough.
+    pub(super) fn is_over(&self) -> bool {
+        self.entry.now() - self.began >= PERMIT_WAIT
+    }
+}
+
+impl Drop for PermitWait {
+    fn drop(&mut self) {
+        let waiting = &self.entry.limited.waiting;
+        waiting.set(waiting.get() - 1);
+    }
 }
 
 /// What the head of an answer says about a limit.
@@ -131,7 +171,7 @@
         let now = self.now();
         let mut permits = self.limited.permits.borrow_mut();
         let mut is_asked = false;
-        for (id, birth, _) in limited {
+        for LimitedUpstream { id, birth, .. } in limited {
             if !permits.has(now, id, *birth) {
                 permits.want(id, *birth, is_first);
                 is_asked = true;
@@ -145,7 +185,7 @@
 
     /// Time between two permits that this instance can expect for upstreams with a limit.
     pub(super) fn permit_interval(&self, limited: &[LimitedUpstream]) -> Option<Duration> {
-        let pace: f64 = limited.iter().map(|it| Pace::whole(it.2).per_second()).sum();
+        let pace: f64 = limited.iter().map(|it| Pace::whole(it.limit).per_second()).sum();
         let instances = self.exchange.instances() as f64;
         (!limited.is_empty()).then(|| Duration::from_secs_f64(instances / pace))
     }
@@ -164,8 +204,9 @@
                 && self.is_open(now, known, spec.cold_rate, &entries)
         });
         let limited = open.map(|known| &known.upstream).filter_map(|upstream| {
-            let limit = limits.of(&upstream.id, upstream.birth)?;
-            Some((upstream.id.clone(), upstream.birth, limit))
+            let (id, birth) = (upstream.id.clone(), upstream.birth);
+            let limit = limits.of(&id, birth)?;
+            Some(LimitedUpstream { id, birth, limit })
         });
         limited.collect()
     }
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -140,8 +140,6 @@
     answers: Answers,
     is_draining: Cell<bool>,
     running: Cell<usize>,
-    /// Calls that wait for a permit.
-    permit_waits: Cell<usize>,
 }
 
 impl Entry {
@@ -187,7 +185,6 @@
             answers: Answers::default(),
             is_draining: Cell::new(false),
             running: Cell::new(0),
-            permit_waits: Cell::new(0),
         });
         entry.links.follow(&entry);
         task::spawn_local(upkeep(entry.clone()));
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -21,7 +21,7 @@
     call::Call,
     choice::{Hop, Tried},
     forwarded,
-    limited::PERMIT_WAIT,
+    limited::PermitWait,
     serve::Ended,
 };
 use crate::metrics as names;
@@ -84,25 +84,6 @@
     }
 }
 
-/// Counts a call that waits for a permit, for as long as it does.
-pub(super) struct PermitWait {
-    entry: Rc<Entry>,
-    began: Time,
-}
-
-impl PermitWait {
-    fn begin(entry: &Rc<Entry>) -> PermitWait {
-        entry.permit_waits.set(entry.permit_waits.get() + 1);
-        PermitWait { entry: entry.clone(), began: entry.now() }
-    }
-}
-
-impl Drop for PermitWait {
-    fn drop(&mut self) {
-        self.entry.permit_waits.set(self.entry.permit_waits.get() - 1);
-    }
-}
-
 /// Counts a call that runs.
 pub(super) struct Running(Rc<Entry>);
 
@@ -149,13 +130,10 @@
             return false;
         }
         if let Some(wait) = &self.permit {
-            return entry.now() - wait.began < PERMIT_WAIT;
+            return !wait.is_over();
         }
-        let Some(interval) = entry.permit_interval(&limited) else { return false };
-        let served = PERMIT_WAIT.as_secs_f64() / interval.as_secs_f64();
-        let may_wait = (entry.permit_waits.get() as f64) < served.max(1.0);
-        self.permit = may_wait.then(|| PermitWait::begin(entry));
-        may_wait
+        self.permit = PermitWait::begin(entry, &limited);
+        self.permit.is_some()
     }
 
     /// Whether the call goes to a hop now; only first attempts at engines wait for their turn.
