Log the software version of upstreams, and which calls take up a stream

Announcements name the version; it was dropped when they were parsed. It is now kept with the upstream, passed on between processes, and written to 'upstream changed' and to the path of 'call ended'. 'caller takes up a stream' names the call that brought the first event. No decision changes.

Frames: the versions stand in a list at the end of an update, which earlier builds don't read, and whose absence in their frames reads as empty. A version that a process of an earlier build left out is completed when another one sends it.

--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 pub mod publication;
 pub mod remote_region;
 pub mod retry_budget;
+pub mod software_version;
 pub mod stall_detector;
 pub mod stream_timeout;
 pub mod table;
--- a/crates/medlarlug-core/src/gateway/upstreams.rs
+++ b/crates/medlarlug-core/src/gateway/upstreams.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    gateway::table::ServiceName,
+    gateway::{software_version::SoftwareVersion, table::ServiceName},
     ids::{UpstreamId, ZoneId},
     time::Time,
 };
@@ -55,6 +55,10 @@
     pub slots: u32,
     /// Time from the announcement on for which it stays cold; zero if it is warm.
     pub cold: Duration,
+    /// The software that it runs; `None` if it did not say. It is not part of the serialized form,
+    /// which earlier builds read as well.
+    #[serde(skip)]
+    pub software: Option<SoftwareVersion>,
 }
 
 impl Upstream {
@@ -67,6 +71,21 @@
         };
         Upstream { cold, ..self }
     }
+
+    /// Whether this is the newest announcement, `old`, with the software version that a process of an
+    /// earlier build has left out.
+    fn completes(&self, old: &Upstream) -> bool {
+        self.software.is_some()
+            && old.software.is_none()
+            && *old == Upstream { software: None, cold: old.cold, ..self.clone() }
+    }
+
+    /// The announcement with the software version of an earlier one of the same incarnation, if it
+    /// holds none itself.
+    fn completed_by(self, old: &Upstream) -> Upstream {
+        let earlier = old.software.as_ref().filter(|_| old.birth == self.birth);
+        Upstream { software: self.software.or_else(|| earlier.cloned()), ..self }
+    }
 }
 
 /// A known upstream.
@@ -262,13 +281,16 @@
         };
         let known = &mut self.known[at];
         let old = &known.upstream;
-        if !is_newer(&upstream, old) {
+        let completes = upstream.completes(old);
+        if !is_newer(&upstream, old) && !completes {
             return Effect::Ignored;
         }
+        let upstream = upstream.completed_by(old);
         let is_same = old.birth == upstream.birth
             && old.state == upstream.state
             && old.address == upstream.address
             && old.service == upstream.service
+            && old.software == upstream.software
             && old.cold.is_zero() == upstream.cold.is_zero()
             && (upstream.cold.is_zero() || !known.is_cold_longer(&upstream, announced_at));
         self.renewal += 1;
--- a/crates/medlarlug-core/tests/testsuite/gateway/announcements.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/announcements.rs
@@ -335,3 +335,37 @@
     assert_eq!(at_address, [("engine-0".parse().unwrap(), Birth(1_000))]);
     assert_eq!((after_leaving, same), (Vec::new(), Vec::new()));
 }
+
+fn with_software(upstream: Upstream, version: &str) -> Upstream {
+    Upstream { software: Some(version.parse().unwrap()), ..upstream }
+}
+
+fn software(upstreams: &Upstreams) -> Option<String> {
+    let known = upstreams.get(&"engine-1".parse().unwrap()).unwrap();
+    known.upstream.software.as_ref().map(ToString::to_string)
+}
+
+#[test]
+fn id_that_comes_back_with_another_software_version_is_known_by_the_new_one() {
+    let mut upstreams = Upstreams::default();
+    upstreams.announce(Time::ZERO, with_software(upstream("engine-1", 40), "v1"), NOW);
+
+    let restarted = Upstream { birth: Birth(2_000), ..upstream("engine-1", 1) };
+    upstreams.announce(Time::ZERO, with_software(restarted, "v1.1"), NOW);
+    let late = upstreams.announce(Time::ZERO, with_software(upstream("engine-1", 41), "v1"), NOW);
+
+    assert_eq!(late, Effect::Ignored);
+    assert_eq!(software(&upstreams).as_deref(), Some("v1.1"));
+}
+
+#[test]
+fn software_version_that_a_process_of_an_earlier_build_left_out_is_completed() {
+    let mut upstreams = Upstreams::default();
+    upstreams.announce(Time::ZERO, upstream("engine-1", 5), NOW);
+
+    let effect = upstreams.announce(Time::ZERO, with_software(upstream("engine-1", 5), "v1"), NOW);
+    upstreams.announce(Time::ZERO, upstream("engine-1", 6), NOW);
+
+    assert_eq!(effect, Effect::Changed);
+    assert_eq!(software(&upstreams).as_deref(), Some("v1"));
+}
--- a/crates/medlarlug-core/tests/testsuite/gateway/fixture.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/fixture.rs
@@ -63,6 +63,7 @@
         state: UpstreamState::Ready,
         slots: 128,
         cold: Duration::ZERO,
+        software: None,
     }
 }
 
--- a/crates/medlarlug-gateway/src/entry/call.rs
+++ b/crates/medlarlug-gateway/src/entry/call.rs
@@ -22,6 +22,9 @@
     pub(super) host: SmolStr,
     /// The id that the caller gave the call; empty if it sent none.
     pub(super) id: SmolStr,
+    /// Id of the call that brought the first event of the stream that this call takes up; `None` if
+    /// the caller names none.
+    pub(super) resumed_call: Option<SmolStr>,
     /// Time for which the caller waits; `None` if it did not say.
     pub(super) deadline: Option<Duration>,
     pub(super) demand: Demand,
@@ -44,6 +47,8 @@
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
         let host = host.to_ascii_lowercase().into();
         let id = text(&names.call_id).into();
+        let resumed_call = Some(text(&names.resumed_call).trim()).filter(|it| !it.is_empty());
+        let resumed_call = resumed_call.map(SmolStr::from);
         let deadline = text(&names.deadline).trim().parse().ok().map(Duration::from_millis);
         let demand = parse_demand(text(&names.prompt_parts), text(&names.token_counts));
         let target = uri.path_and_query().map_or("/", |target| target.as_str()).into();
@@ -53,6 +58,7 @@
             target,
             host,
             id,
+            resumed_call,
             deadline,
             demand,
             headers,
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -10,6 +10,7 @@
         contacts::Contact,
         placement::{Candidate, Choice, Demand},
         remote_region,
+        software_version::SoftwareVersion,
         stream_timeout::StreamSource,
         table::{Route, RouteTable, ServiceName},
         upstreams::{Birth, KnownUpstream, UpstreamState},
@@ -50,6 +51,8 @@
         idle: usize,
         /// Age of the newest announcement of the upstream.
         age: Duration,
+        /// The software that the upstream runs, as it announced.
+        software: Option<SoftwareVersion>,
     },
     /// An entry instance of another region.
     Peer { id: InstanceId, region: RegionId, address: SocketAddr, wait: Duration },
@@ -136,8 +139,8 @@
         // other half is left for calls that open a new connection.
         let idle = (accepted / 2 / self.exchange.instances()).max(1);
         let (address, age) = (known.upstream.address, now - known.announced_at);
-        let birth = known.upstream.birth;
-        Some(Hop::Upstream { choice, birth, address, memory, cold_rate, idle, age })
+        let (birth, software) = (known.upstream.birth, known.upstream.software.clone());
+        Some(Hop::Upstream { choice, birth, address, memory, cold_rate, idle, age, software })
     }
 
     /// Chooses the best upstream of the own region. One without a recent announcement is chosen
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -356,10 +356,10 @@
         self.loads.borrow_mut().apply_report(self.now(), from, instances, loads);
     }
 
-    fn on_update(&self, from: SocketAddr, update: Update) {
+    fn on_update(&self, from: SocketAddr, mut update: Update) {
         let now = self.now();
-        for (upstream, age) in update.upstreams {
-            let age = Duration::from_millis(age.into());
+        for (upstream, age) in update.take_upstreams() {
+            let software = upstream.software.clone();
             let (id, state) = (upstream.id.clone(), upstream.state);
             let (birth, sequence) = (upstream.birth.0, upstream.sequence);
             let before = self.upstreams.borrow().get(&id).map(|it| it.upstream.birth);
@@ -372,7 +372,8 @@
             if effect != Effect::Changed {
                 continue;
             }
-            tracing::info!(upstream = %id, birth, sequence, ?state, age_ms = age.as_millis() as u64, %from, "upstream changed");
+            let software = software.map(tracing::field::display);
+            tracing::info!(upstream = %id, birth, sequence, ?state, software, age_ms = age.as_millis() as u64, %from, "upstream changed");
             let is_new = before.is_some_and(|before| before.0 < birth);
             if is_new {
                 self.healths.borrow_mut().forget(&id);
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -221,11 +221,16 @@
     /// Sends the call to a hop.
     pub(super) async fn attempt(&mut self, entry: &Rc<Entry>, call: &Call, hop: &Hop) -> Outcome {
         match hop {
-            Hop::Upstream { choice, age, .. } => {
+            Hop::Upstream { choice, age, software, .. } => {
                 self.tried.upstreams.push(choice.id.clone());
                 let (wait, age) = (choice.wait.as_millis(), age.as_millis());
                 let unread = choice.prefill_tokens;
-                self.path.push(format!("{}(wait={wait}ms,unread={unread},age={age}ms)", choice.id));
+                let software = software.as_ref().map(|it| format!(",software={it}"));
+                self.path.push(format!(
+                    "{}(wait={wait}ms,unread={unread},age={age}ms{})",
+                    choice.id,
+                    software.unwrap_or_default()
+                ));
             }
             Hop::Peer { id, .. } => {
                 self.tried.peers.push(id.clone());
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -217,6 +217,10 @@
             || !entry.limited_upstreams(&plan).is_empty()
     })
     .await;
+    if plan.last_event.is_some() || call.resumed_call.is_some() {
+        let resumed = call.resumed_call.as_ref().map(tracing::field::display);
+        tracing::info!(request = %call.id, resumed, after = plan.last_event, "caller takes up a stream");
+    }
     let result = run_attempts(entry, &call, &mut plan).await;
     finish(entry, call, plan, result)
 }
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -350,15 +350,15 @@
         subscribers.push(self.now(), state);
     }
 
-    fn on_update(&self, from: SocketAddr, update: Update) {
+    fn on_update(&self, from: SocketAddr, mut update: Update) {
         let now = self.now();
         // Updates that were queued during a stall are older than they state.
         let time_queued = self.stall.borrow().max_message_age(now);
         let mut is_changed = false;
         {
             let mut upstreams = self.upstreams.borrow_mut();
-            for (upstream, age) in update.upstreams {
-                let age = Duration::from_millis(age.into()) + time_queued;
+            for (upstream, age) in update.take_upstreams() {
+                let age = age + time_queued;
                 let upstream = upstream.extend_cold(time_queued);
                 let is_gone = upstream.state == UpstreamState::Gone;
                 let id = upstream.id.clone();
--- a/crates/medlarlug-gateway/src/keeper/requests.rs
+++ b/crates/medlarlug-gateway/src/keeper/requests.rs
@@ -53,13 +53,14 @@
         let is_leaving = upstream.state != UpstreamState::Ready;
         let id = upstream.id.clone();
         let (birth, sequence, state) = (upstream.birth.0, upstream.sequence, upstream.state);
+        let software = upstream.software.clone().map(tracing::field::display);
         let now = self.now();
         let age = self.stall.borrow().max_message_age(now);
         let effect = self.upstreams.borrow_mut().announce_local(now, upstream, age);
         self.count_announcement(effect);
         if effect == Effect::Changed {
             let age_ms = age.as_millis() as u64;
-            tracing::info!(upstream = %id, birth, sequence, ?state, age_ms, "upstream changed");
+            tracing::info!(upstream = %id, birth, sequence, ?state, software, age_ms, "upstream changed");
             self.push();
         }
         if is_leaving {
--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -13,6 +13,7 @@
     gateway::{
         cold::Evacuations,
         contacts::{InstanceInfo, RegionWait, Status},
+        software_version::SoftwareVersion,
         table::TableVersion,
         upstreams::{Birth, Heartbeat, Renewal, Upstream},
     },
@@ -75,6 +76,27 @@
     pub waits: Vec<RegionWait>,
     /// Crashes and clearances of contents that crash upstreams.
     pub facts: Vec<Fact>,
+    /// Software versions of `upstreams`, in the same order. Earlier builds neither send nor read it,
+    /// so it has to remain at the end.
+    pub software: Vec<Option<SoftwareVersion>>,
+}
+
+impl Update {
+    /// Adds an upstream and the age of its newest announcement.
+    pub fn push_upstream(&mut self, upstream: Upstream, age_ms: u32) {
+        self.software.push(upstream.software.clone());
+        self.upstreams.push((upstream, age_ms));
+    }
+
+    /// Takes the upstreams with the ages of their newest announcements.
+    pub fn take_upstreams(&mut self) -> impl Iterator<Item = (Upstream, Duration)> + use<> {
+        let upstreams = std::mem::take(&mut self.upstreams);
+        let software = std::mem::take(&mut self.software).into_iter();
+        let software = software.chain(std::iter::repeat(None));
+        upstreams.into_iter().zip(software).map(|((upstream, age_ms), software)| {
+            (Upstream { software, ..upstream }, Duration::from_millis(age_ms.into()))
+        })
+    }
 }
 
 impl PublicationHead {
@@ -237,7 +259,7 @@
         }
         let mut frame = vec![0; bytes as usize];
         self.0.read_exact(&mut frame).await.map_err(LinkError::Disconnected)?;
-        postcard::from_bytes(&frame).map_err(LinkError::Decode)
+        decode(frame).map_err(LinkError::Decode)
     }
 }
 
@@ -302,7 +324,33 @@
     }
 }
 
-fn encode(message: &Message) -> Result<Bytes, postcard::Error> {
+/// Decodes the message in a frame. In a frame of an earlier build, a list that was added at the end of
+/// the message is missing; the appended zero stands for its length.
+///
+/// # Errors
+///
+/// The frame holds no message.
+///
+/// ```
+/// use medlarlug_gateway::link::{Message, Update, decode, encode};
+///
+/// let message = Message::Update(Update::default());
+/// let mut content = encode(&message)?.to_vec().split_off(4);
+/// assert_eq!(content.pop(), Some(0));
+/// assert_eq!(decode(content)?, message);
+/// # Ok::<(), postcard::Error>(())
+/// ```
+pub fn decode(mut content: Vec<u8>) -> Result<Message, postcard::Error> {
+    content.push(0);
+    postcard::from_bytes(&content)
+}
+
+/// Encodes a message as a frame, with its length before it.
+///
+/// # Errors
+///
+/// The message can't be represented.
+pub fn encode(message: &Message) -> Result<Bytes, postcard::Error> {
     let encoded = postcard::to_extend(message, vec![0; 4])?;
     let length = u32::try_from(encoded.len() - 4).unwrap_or(u32::MAX);
     let mut frame = encoded;
--- a/crates/medlarlug-gateway/src/subscribers.rs
+++ b/crates/medlarlug-gateway/src/subscribers.rs
@@ -197,9 +197,9 @@
         // themselves to.
         let is_forwarded = |known: &&KnownUpstream| !is_keeper || known.is_local;
         if upstreams.last_change() > self.sent.upstreams {
-            let changed = upstreams.changed_since(self.sent.upstreams).filter(is_forwarded);
-            let with_ages = changed.map(|it| (it.upstream.clone(), millis(now - it.announced_at)));
-            update.upstreams = with_ages.collect();
+            for it in upstreams.changed_since(self.sent.upstreams).filter(is_forwarded) {
+                update.push_upstream(it.upstream.clone(), millis(now - it.announced_at));
+            }
             self.sent.upstreams = upstreams.last_change();
         }
         if contacts.last_change() > self.sent.contacts {
