Resume a stream only at the software version that began it

Cause: the choice of the next hop knew no versions. The first event that a caller gets now binds its stream; the local choice, the choice of another region and permits of limited upstreams ask the same predicate. A call handed to another region carries the version, and the answer names the version that wrote it. A stream whose upstream named no version goes on nowhere.

--- a/crates/medlarlug-core/src/gateway/handover.rs
+++ b/crates/medlarlug-core/src/gateway/handover.rs
@@ -6,7 +6,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::table::{Route, RouteTable, ServiceName, TableVersion};
+use super::{
+    software_version::SoftwareVersion,
+    table::{Route, RouteTable, ServiceName, TableVersion},
+};
 
 /// How the first instance routed the call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +22,9 @@
     pub service: ServiceName,
     /// Requests for the call that may still reach an upstream.
     pub arrivals: u32,
+    /// The software version at which the stream has to go on, if the caller has events of it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
 }
 
 impl Handover {
--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 pub mod software_version;
 pub mod stall_detector;
 pub mod stream_timeout;
+pub mod stream_version;
 pub mod table;
 pub mod upstream_limits;
 pub mod upstreams;
--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -17,5 +17,6 @@
 mod remote_region;
 mod stall_detector;
 mod stream_timeout;
+mod stream_versions;
 mod table;
 mod upstream_limits;
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -15,6 +15,7 @@
         handover::{Attempts, HandoverReport},
         health::UpstreamOutcome,
         placement::Choice,
+        software_version::SoftwareVersion,
         table::RouteKind,
         upstreams::Birth,
     },
@@ -196,6 +197,8 @@
     connection: Option<Connection>,
     slot: LoadSlot,
     hop: Hop,
+    /// Software version of the upstream that writes the stream, if it is known.
+    software: Option<SoftwareVersion>,
     /// Complete events that have arrived and were not returned yet.
     ready: Option<Bytes>,
 }
@@ -257,6 +260,11 @@
         &self.hop
     }
 
+    /// Software version of the upstream that writes the stream, if it is known.
+    pub(super) fn software(&self) -> Option<&SoftwareVersion> {
+        self.software.as_ref()
+    }
+
     /// Records that the stream stopped sending and another hop resumes it.
     pub(super) fn abandon(&mut self) {
         self.slot.request_end = RequestEnd::Unanswered;
@@ -388,6 +396,10 @@
             }
         };
     }
+    let software = match hop {
+        Hop::Upstream { software, .. } => software.clone(),
+        Hop::Peer { .. } => forwarded::software(&parts.headers),
+    };
     let mut stream = EventStream {
         status: parts.status,
         headers: parts.headers,
@@ -397,6 +409,7 @@
         connection: Some(connection),
         slot,
         hop: hop.clone(),
+        software,
         ready: None,
     };
     let left = (now + answer_timeout) - entry.now();
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -12,8 +12,9 @@
         remote_region,
         software_version::SoftwareVersion,
         stream_timeout::StreamSource,
-        table::{Route, RouteTable, ServiceName},
-        upstreams::{Birth, KnownUpstream, UpstreamState},
+        stream_version::StreamVersion,
+        table::{RouteTable, ServiceName},
+        upstreams::{Birth, KnownUpstream, Upstream, UpstreamState},
     },
     ids::{InstanceId, RegionId, UpstreamId},
     time::Time,
@@ -94,17 +95,17 @@
 impl Entry {
     /// Chooses the best hop for a call; `None` if there is none.
     pub(super) fn choose(&self, plan: &Plan, demand: &Demand) -> Option<Hop> {
-        let Plan { table, route, service, tried, .. } = plan;
+        let Plan { table, route, service, .. } = plan;
         let own = self.settings.borrow().info.region.clone();
         let local = match route.may_be_served_in(&own) {
-            true => self.choose_local(table, service, demand, &tried.upstreams),
+            true => self.choose_local(table, service, demand, &|it| plan.may_use(it)),
             false => None,
         };
         let cost = local.as_ref().map(|local| self.cost(local));
         let is_local_good =
             cost.is_some_and(|cost| cost <= route.objective.mul_f64(LOCAL_COST_FRACTION));
         let remote = match plan.may_forward && !is_local_good {
-            true => self.choose_peer(route, service, demand, &tried.peers),
+            true => self.choose_peer(plan, demand),
             false => None,
         };
         match (local, remote) {
@@ -143,14 +144,14 @@
         Some(Hop::Upstream { choice, birth, address, memory, cold_rate, idle, age, software })
     }
 
-    /// Chooses the best upstream of the own region. One without a recent announcement is chosen
-    /// only if there is no other.
+    /// Chooses the best of the upstreams of the own region that `may_use` allows. One without a recent
+    /// announcement is chosen only if there is no other.
     pub(super) fn choose_local(
         &self,
         table: &RouteTable,
         service: &ServiceName,
         demand: &Demand,
-        tried: &[UpstreamId],
+        may_use: &dyn Fn(&Upstream) -> bool,
     ) -> Option<Choice> {
         let now = self.now();
         let spec = table.service(service)?;
@@ -160,7 +161,7 @@
         let upstreams = self.upstreams.borrow();
         let usable: Vec<&KnownUpstream> = upstreams
             .of_service(service)
-            .filter(|known| !tried.contains(&known.upstream.id))
+            .filter(|known| may_use(&known.upstream))
             .filter(|known| self.is_usable(now, known, spec.cold_rate, &entries))
             .collect();
         let healths = self.healths.borrow();
@@ -271,13 +272,8 @@
 
     /// Chooses an entry instance of the region, other than the own, that can serve the call
     /// soonest.
-    fn choose_peer(
-        &self,
-        route: &Route,
-        service: &ServiceName,
-        demand: &Demand,
-        tried: &[InstanceId],
-    ) -> Option<Hop> {
+    fn choose_peer(&self, plan: &Plan, demand: &Demand) -> Option<Hop> {
+        let Plan { route, service, tried, version, .. } = plan;
         let now = self.now();
         let own = self.settings.borrow().info.region.clone();
         let contacts = self.contacts.borrow();
@@ -285,7 +281,7 @@
             contact.status.ready
                 && contact.info.region != own
                 && route.may_be_served_in(&contact.info.region)
-                && !tried.contains(&contact.info.id)
+                && !tried.peers.contains(&contact.info.id)
         };
         let eligible = contacts.live_entries(now).filter(is_eligible);
         let waits = self.waits.borrow();
@@ -293,7 +289,10 @@
             let at = waits.binary_search_by(|it| (&it.region, &it.service).cmp(&(region, service)));
             let reported_wait = Duration::from_millis(waits[at.ok()?].wait_ms.into());
             let pending_tokens = self.forwarded_tokens(region);
-            let upstreams = self.upstreams_in(region, service);
+            let upstreams = self.upstreams_in(region, service, version);
+            if upstreams == 0 && *version != StreamVersion::Free {
+                return None;
+            }
             Some(remote_region::predicted_cost(
                 remote_region::RemoteService { reported_wait, pending_tokens, upstreams },
                 demand,
@@ -338,13 +337,19 @@
         by_region[at].1 = change(by_region[at].1);
     }
 
-    /// Number of ready upstreams of a service in a region.
-    pub(super) fn upstreams_in(&self, region: &RegionId, service: &ServiceName) -> usize {
+    /// Number of ready upstreams of a service in a region at which a stream may go on.
+    pub(super) fn upstreams_in(
+        &self,
+        region: &RegionId,
+        service: &ServiceName,
+        version: &StreamVersion,
+    ) -> usize {
         let settings = self.settings.borrow();
         let upstreams = self.upstreams.borrow();
         let ready = upstreams.of_service(service).filter(|known| {
             known.upstream.state == UpstreamState::Ready
                 && settings.region_of(&known.upstream.zone) == Some(region)
+                && version.allows(known.upstream.software.as_ref())
         });
         ready.count()
     }
--- a/crates/medlarlug-gateway/src/entry/crashes.rs
+++ b/crates/medlarlug-gateway/src/entry/crashes.rs
@@ -16,7 +16,10 @@
 use medlarlug::transport::http_client;
 use medlarlug_core::{
     fingerprint::Fingerprint,
-    gateway::upstreams::{Birth, Upstream},
+    gateway::{
+        stream_version::StreamVersion,
+        upstreams::{Birth, Upstream},
+    },
     ids::{Incarnation, InstanceId, RegionId, RequestId, UpstreamId},
     suspects::{self, CrashId, Effect, Event, Fact, RequestContents, SuspectTracker},
     time::Time,
@@ -178,7 +181,8 @@
         let settings = self.settings.borrow();
         let own = &settings.info;
         let can_try = |region: &RegionId| {
-            plan.route.may_be_served_in(region) && self.upstreams_in(region, &plan.service) > 0
+            plan.route.may_be_served_in(region)
+                && self.upstreams_in(region, &plan.service, &StreamVersion::Free) > 0
         };
         let contacts = self.contacts.borrow();
         let live = contacts.live_entries(now).map(|contact| &contact.info);
--- a/crates/medlarlug-gateway/src/entry/forwarded.rs
+++ b/crates/medlarlug-gateway/src/entry/forwarded.rs
@@ -2,39 +2,67 @@
 
 use hyper::{HeaderMap, header::HeaderValue};
 use medlarlug::transport::body::Answer;
-use medlarlug_core::gateway::handover::{Handover, HandoverReport};
+use medlarlug_core::gateway::{
+    handover::{Handover, HandoverReport},
+    software_version::SoftwareVersion,
+};
 use serde::{Serialize, de::DeserializeOwned};
 
 /// Header of a forwarded call: a [`Handover`] in JSON.
 pub(super) const HANDOVER_HEADER: &str = "medlarlug-forwarded";
 /// Header of the answer to a forwarded call: a [`HandoverReport`] in JSON.
 const REPORT_HEADER: &str = "medlarlug-report";
+/// Header of the answer to a forwarded call, if it is a stream: the [`SoftwareVersion`] of the
+/// upstream that writes it, in JSON.
+const SOFTWARE_HEADER: &str = "medlarlug-software";
 
 /// The answer to a call, with the number of attempts that this instance made.
 pub(super) struct Reported {
     pub(super) answer: Answer,
     pub(super) report: HandoverReport,
+    /// Software version of the upstream that writes the stream, if the answer is one.
+    pub(super) software: Option<SoftwareVersion>,
 }
 
 impl Reported {
+    /// An answer that is no stream.
+    pub(super) fn new(answer: Answer, report: HandoverReport) -> Reported {
+        Reported { answer, report, software: None }
+    }
+
     /// The answer for the instance that forwarded the call, with the report.
     pub(super) fn for_instance(self) -> Answer {
-        let Reported { mut answer, report } = self;
-        answer.headers_mut().remove(REPORT_HEADER);
+        let Reported { mut answer, report, software } = self;
+        remove_internal(answer.headers_mut());
         if let Some(report) = encode(&report) {
             answer.headers_mut().insert(REPORT_HEADER, report);
         }
+        if let Some(software) = software.as_ref().and_then(encode) {
+            answer.headers_mut().insert(SOFTWARE_HEADER, software);
+        }
         answer
     }
 
     /// The answer for the caller, without the report.
     pub(super) fn for_caller(self) -> Answer {
         let mut answer = self.answer;
-        answer.headers_mut().remove(REPORT_HEADER);
+        remove_internal(answer.headers_mut());
         answer
     }
 }
 
+/// Removes the headers that only instances send to each other.
+fn remove_internal(headers: &mut HeaderMap) {
+    headers.remove(REPORT_HEADER);
+    headers.remove(SOFTWARE_HEADER);
+}
+
+/// The software version of the upstream that writes a stream of another instance; `None` if it is
+/// missing or can't be parsed.
+pub(super) fn software(headers: &HeaderMap) -> Option<SoftwareVersion> {
+    headers.get(SOFTWARE_HEADER).and_then(decode)
+}
+
 /// The report in the answer of another instance; `None` if it is missing or can't be parsed.
 pub(super) fn report(headers: &HeaderMap) -> Option<HandoverReport> {
     let report = headers.get(REPORT_HEADER).and_then(decode);
--- a/crates/medlarlug-gateway/src/entry/limited.rs
+++ b/crates/medlarlug-gateway/src/entry/limited.rs
@@ -206,7 +206,7 @@
         let (now, entries) = (self.now(), OnceCell::new());
         let upstreams = self.upstreams.borrow();
         let open = upstreams.of_service(&plan.service).filter(|known| {
-            !plan.tried.upstreams.contains(&known.upstream.id)
+            plan.may_use(&known.upstream)
                 && self.is_usable_with_permit(now, known, spec.cold_rate, &entries)
         });
         let limited = open.map(|known| &known.upstream).filter_map(|upstream| {
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -520,7 +520,7 @@
         let spare = table.services().iter().map(|service| {
             let prompt = service.engine.map_or(0, |_| REFERENCE_PROMPT_TOKENS);
             let demand = Demand { prompt_tokens: prompt, priority: 1, ..Demand::default() };
-            let choice = self.choose_local(&table, &service.name, &demand, &[]);
+            let choice = self.choose_local(&table, &service.name, &demand, &|_| true);
             let wait = choice.map(|choice| self.cost(&choice).as_millis());
             let wait_ms = wait.map(|wait| u32::try_from(wait).unwrap_or(u32::MAX));
             ServiceWait { service: service.name.clone(), wait_ms }
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -10,7 +10,9 @@
         prefill_queue::{self, PrefillDecision},
         retry_budget::Spending,
         stream_timeout::{self, StreamSource},
+        stream_version::StreamVersion,
         table::{Route, RouteTable, ServiceName},
+        upstreams::Upstream,
     },
     time::Time,
 };
@@ -46,6 +48,8 @@
     /// Whether it is the trial of a quarantined content.
     pub(super) is_trial: bool,
     pub(super) last_event: Option<u64>,
+    /// The software version to which the stream is bound.
+    pub(super) version: StreamVersion,
     pub(super) tried: Tried,
     /// Requests that may have run and requests that may have reached an upstream, including those
     /// of other instances that the call was forwarded to.
@@ -121,6 +125,13 @@
         hop
     }
 
+    /// Whether the call may be sent to an upstream: it was not tried, and runs the version to which
+    /// the stream is bound.
+    pub(super) fn may_use(&self, upstream: &Upstream) -> bool {
+        !self.tried.upstreams.contains(&upstream.id)
+            && self.version.allows(upstream.software.as_ref())
+    }
+
     /// Requests permits for the upstreams with a rate limit. Returns whether the call has to wait
     /// for one: it has no hop, and there are enough permits for the calls that wait already.
     pub(super) fn waits_for_permit(&mut self, entry: &Rc<Entry>, hop: Option<&Hop>) -> bool {
@@ -253,6 +264,7 @@
                 route: Route { attempts: self.attempts.runs_left().max(1), ..self.route.clone() },
                 service: self.service.clone(),
                 arrivals: self.attempts.arrivals_left(),
+                software: self.version.bound().cloned(),
             }),
             Hop::Upstream { .. } => None,
         };
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -11,6 +11,7 @@
         load_shedding::{self, CallForecast, Verdict},
         prefill_queue::PrefillDecision,
         retry_budget::{Balance, InstanceShare, Spending},
+        stream_version::StreamVersion,
         table::ServiceName,
     },
     time::Time,
@@ -197,7 +198,7 @@
         Err(_) => {
             plan.record_outcome(entry, &call, CallOutcome::TimedOut);
             let answer = plain(StatusCode::REQUEST_TIMEOUT, "the body took too long; not run");
-            return Reported { answer, report: HandoverReport::REFUSED };
+            return Reported::new(answer, HandoverReport::REFUSED);
         }
         Ok(Err(BodyError::TooLong { .. })) => {
             plan.record_outcome(entry, &call, CallOutcome::Rejected);
@@ -254,6 +255,7 @@
         return Err(Box::new(refusal(entry, call, NO_TABLE_RETRY_AFTER, HandoverReport::REFUSED)));
     };
     let is_forwarded = forwarded.is_some();
+    let software = forwarded.as_ref().and_then(|it| it.software.clone());
     let most_arrivals = forwarded.as_ref().map_or(MAX_ARRIVALS, |it| it.arrivals);
     let point = rand::rng().random();
     let (host, path) = (call.host.as_str(), call.path());
@@ -280,6 +282,7 @@
         may_forward: !is_forwarded,
         is_trial: false,
         last_event: last.and_then(|last| last.trim().parse().ok()),
+        version: software.map_or(StreamVersion::Free, StreamVersion::Bound),
         tried: Tried::default(),
         attempts: Attempts::new(route.attempts, most_arrivals.min(MAX_ARRIVALS)),
         spending: Spending::default(),
@@ -424,7 +427,7 @@
             let (mut parts, bytes) = found.into_parts();
             strip_connection(&mut parts.headers);
             parts.headers.remove(header::CONTENT_LENGTH);
-            Reported { answer: Response::from_parts(parts, body::full(bytes)), report }
+            Reported::new(Response::from_parts(parts, body::full(bytes)), report)
         }
         Resolution::Stream(stream) => {
             let (sender, content) = body::channel();
@@ -434,8 +437,9 @@
             strip_connection(&mut headers);
             headers.remove(header::CONTENT_LENGTH);
             *answer.headers_mut() = headers;
+            let software = stream.software().cloned();
             task::spawn_local(relay::run(entry.clone(), call, plan, stream, sender));
-            Reported { answer, report }
+            Reported { answer, report, software }
         }
         Resolution::Refuse { retry_after } => {
             plan.record_outcome(entry, &call, CallOutcome::Refused);
@@ -449,7 +453,7 @@
             plan.record_outcome(entry, &call, ended);
             let mut answer = plain(status, "the upstream's answer was lost; the call may have run");
             echo_id(entry, &call, &mut answer);
-            Reported { answer, report }
+            Reported::new(answer, report)
         }
     }
 }
@@ -460,12 +464,12 @@
     let seconds = format!("{:.3}", retry_after.as_secs_f64());
     body::insert(answer.headers_mut(), header::RETRY_AFTER.as_str(), &seconds);
     echo_id(entry, call, &mut answer);
-    Reported { answer, report }
+    Reported::new(answer, report)
 }
 
 /// The answer to a call that matches no route or exceeds a size limit.
 fn rejected(status: StatusCode, text: &'static str) -> Reported {
-    Reported { answer: plain(status, text), report: HandoverReport::REJECTED }
+    Reported::new(plain(status, text), HandoverReport::REJECTED)
 }
 
 fn echo_id(entry: &Entry, call: &Call, answer: &mut Answer) {
