A stream that its caller takes up goes on only at the version that began it

The instance that passes on the first event remembers the version. Unless every instance can tell that only one version has served for as long as a stream may last, it also sends it to two instances of its region and one of each other, chosen by a hash of the call. An instance that is asked for a stream it does not know asks three of its region (a round trip, 120 ms at most). What stays unknown is refused at once: 503, not run, without Retry-After, as is a stream whose version has gone.

Bindings cost nothing while one version serves and all keepers are heard; the view then decides. Callers that name no call are served on a settled view of one version, as before.

--- a/crates/medlarlug-core/src/gateway/keeper_view.rs
+++ b/crates/medlarlug-core/src/gateway/keeper_view.rs
@@ -27,6 +27,8 @@
     last_heard: Vec<(SocketAddr, Time)>,
     /// Time since which the view is complete.
     complete_since: Option<Time>,
+    /// Time since which all keepers are heard.
+    whole_since: Option<Time>,
     /// Stalls of this process, during which it hears no keeper.
     stall: StallDetector,
     was_complete: bool,
@@ -35,7 +37,13 @@
 impl Default for KeeperView {
     fn default() -> KeeperView {
         let stall = StallDetector::new(KEEPER_TIMEOUT);
-        KeeperView { last_heard: Vec::new(), complete_since: None, stall, was_complete: false }
+        KeeperView {
+            last_heard: Vec::new(),
+            complete_since: None,
+            whole_since: None,
+            stall,
+            was_complete: false,
+        }
     }
 }
 
@@ -55,10 +63,13 @@
         let heard = self.last_heard.iter().filter(|it| now - it.1 <= KEEPER_TIMEOUT).count();
         let is_complete = heard >= required_keepers(keepers.len());
         let stalled = self.stall.tick(now);
-        self.complete_since = match self.complete_since.filter(|_| stalled.is_none()) {
-            Some(since) if is_complete => Some(since),
-            _ => is_complete.then_some(now),
+        let is_whole = is_complete && heard == keepers.len();
+        let since = |before: Option<Time>, holds: bool| match before {
+            Some(since) if holds && stalled.is_none() => Some(since),
+            _ => holds.then_some(now),
         };
+        self.complete_since = since(self.complete_since, is_complete);
+        self.whole_since = since(self.whole_since, is_whole);
         self.was_complete |= is_complete;
         stalled
     }
@@ -66,8 +77,17 @@
     /// Whether the instance may act alone on its view: it is complete, and has been for long enough
     /// that no other instance acts on an older view.
     pub fn is_settled(&self, now: Time) -> bool {
-        let is_settled = self.complete_since.is_some_and(|since| now - since >= SETTLING_TIME);
-        is_settled && !self.stall.is_overdue(now)
+        self.has_held(now, self.complete_since)
+    }
+
+    /// Whether no keeper can know something that this instance has not heard: all are heard, and have
+    /// been for long enough that what they know has arrived.
+    pub fn is_whole(&self, now: Time) -> bool {
+        self.has_held(now, self.whole_since)
+    }
+
+    fn has_held(&self, now: Time, since: Option<Time>) -> bool {
+        since.is_some_and(|since| now - since >= SETTLING_TIME) && !self.stall.is_overdue(now)
     }
 
     /// When the process last resumed after a stall of [`KEEPER_TIMEOUT`] or more. What it knew then
--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -11,7 +11,9 @@
 //! its region report ([`load_exchange`], [`peer_loads`]). It limits requests to upstreams that have
 //! just started ([`cold`]), retries calls within the [`retry_budget`] of their service, and avoids
 //! upstreams that [`health`] found broken. Where an upstream limits the requests of all instances
-//! together ([`upstream_limits`]), they share the limit through [`permits`]. [`contacts`] tracks the
+//! together ([`upstream_limits`]), they share the limit through [`permits`]. A stream goes on only at the
+//! [`software_version`] that began it ([`stream_version`]); instances tell each other which one that was
+//! ([`stream_bindings`]). [`contacts`] tracks the
 //! instances of the system itself, and [`keeper_view`] tells whether an instance sees enough of the
 //! others to act on its share of a common limit. [`stall_detector`] detects that a process was
 //! stalled.
@@ -34,6 +36,7 @@
 pub mod retry_budget;
 pub mod software_version;
 pub mod stall_detector;
+pub mod stream_bindings;
 pub mod stream_timeout;
 pub mod stream_version;
 pub mod table;
--- a/crates/medlarlug-core/src/gateway/upstreams.rs
+++ b/crates/medlarlug-core/src/gateway/upstreams.rs
@@ -165,6 +165,8 @@
     known: Vec<KnownUpstream>,
     change: u64,
     renewal: u64,
+    /// Software of earlier incarnations of known upstreams, and when it was replaced.
+    replaced: Vec<(ServiceName, Option<SoftwareVersion>, Time)>,
 }
 
 /// The renewal of a known upstream.
@@ -297,6 +299,10 @@
         if old.birth != upstream.birth {
             known.keepers.clear();
         }
+        let is_completed = old.birth == upstream.birth && old.software.is_none();
+        if !is_completed && (old.software != upstream.software || old.service != upstream.service) {
+            self.replaced.push((old.service.clone(), old.software.clone(), now));
+        }
         known.announced_at = announced_at.max(known.announced_at);
         known.upstream = upstream;
         known.renewal = self.renewal;
@@ -385,6 +391,7 @@
         let ids = self.known.iter().filter(|it| is_old(it)).map(|it| it.upstream.id.clone());
         let ids = ids.collect();
         self.known.retain(|known| !is_old(known));
+        self.replaced.retain(|it| now - it.2 <= FORGET_AFTER);
         ids
     }
 
@@ -406,6 +413,22 @@
         self.known.iter().filter(move |known| known.upstream.service == *service)
     }
 
+    /// The software versions of the upstreams of `service` that announced themselves within
+    /// [`FORGET_AFTER`], whatever became of them; sorted, each once. `None` stands for upstreams that
+    /// name no version.
+    pub fn software_versions<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> Vec<Option<&'a SoftwareVersion>> {
+        let known = self.of_service(service).map(|known| known.upstream.software.as_ref());
+        let replaced = self.replaced.iter().filter(|it| it.0 == *service);
+        let mut versions: Vec<Option<&SoftwareVersion>> =
+            known.chain(replaced.map(|it| it.1.as_ref())).collect();
+        versions.sort();
+        versions.dedup();
+        versions
+    }
+
     /// Number of the last change.
     pub fn last_change(&self) -> u64 {
         self.change
--- a/crates/medlarlug-core/tests/testsuite/gateway/keeper_view.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/keeper_view.rs
@@ -122,3 +122,20 @@
 
     assert_eq!((at_once, anew), (true, false));
 }
+
+/// Guards against a version of software that only the unheard keeper knows.
+#[test]
+fn view_is_whole_only_while_all_keepers_are_heard() {
+    let keepers = keepers(3);
+    let mut view = heard_until(4_000);
+    let was_whole = view.is_whole(Time::from_millis(4_000));
+
+    for millis in (4_000..=6_000).step_by(400) {
+        let now = Time::from_millis(millis);
+        keepers[..2].iter().for_each(|keeper| view.record_keeper(now, *keeper));
+        view.update(now, &keepers);
+    }
+
+    let now = Time::from_millis(6_000);
+    assert_eq!((was_whole, view.is_settled(now), view.is_whole(now)), (true, true, false));
+}
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -337,6 +337,22 @@
         by_region[at].1 = change(by_region[at].1);
     }
 
+    /// Whether no upstream is left, in any region that may serve the call, at which its stream could go
+    /// on.
+    pub(super) fn has_version_gone(&self, plan: &Plan) -> bool {
+        let settings = self.settings.borrow();
+        let upstreams = self.upstreams.borrow();
+        let mut ready = upstreams.of_service(&plan.service).filter(|known| {
+            known.upstream.state == UpstreamState::Ready
+                && plan.version.allows(known.upstream.software.as_ref())
+        });
+        let may_serve = |known: &KnownUpstream| {
+            let region = settings.region_of(&known.upstream.zone);
+            region.is_some_and(|region| plan.route.may_be_served_in(region))
+        };
+        plan.version != StreamVersion::Free && !ready.any(may_serve)
+    }
+
     /// Number of ready upstreams of a service in a region at which a stream may go on.
     pub(super) fn upstreams_in(
         &self,
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -23,6 +23,7 @@
 mod plan;
 mod relay;
 mod serve;
+mod stream_lookup;
 
 use std::{
     cell::{Cell, RefCell},
@@ -63,8 +64,10 @@
     time::{MissedTickBehavior, interval, sleep},
 };
 
-pub(crate) use self::limited::LimitMessage;
-use self::{answers::AnswerReader, crashes::Crashes, limited::LimitState};
+use self::{
+    answers::AnswerReader, crashes::Crashes, limited::LimitState, stream_lookup::StreamState,
+};
+pub(crate) use self::{limited::LimitMessage, stream_lookup::StreamMessage};
 pub use serve::CallOutcome;
 
 use crate::{
@@ -128,6 +131,7 @@
     healths: RefCell<HealthTracker>,
     availabilities: RefCell<AvailabilityTracker>,
     limited: LimitState,
+    streams: StreamState,
     cold_pacer: RefCell<ColdSendPacer>,
     crashes: RefCell<Crashes>,
     cold_detector: RefCell<ColdDetector>,
@@ -177,6 +181,7 @@
             healths: RefCell::default(),
             availabilities: RefCell::default(),
             limited: LimitState::default(),
+            streams: StreamState::default(),
             cold_pacer: RefCell::default(),
             crashes: RefCell::default(),
             cold_detector: RefCell::default(),
@@ -203,6 +208,7 @@
         task::spawn_local(load_exchange::send_changes(entry.clone(), socket.clone()));
         task::spawn_local(load_exchange::forward_changes(entry.clone(), socket.clone()));
         task::spawn_local(limited::run(entry.clone(), socket.clone()));
+        task::spawn_local(stream_lookup::run(entry.clone(), socket.clone()));
         task::spawn_local(load_exchange::receive_datagrams(entry.clone(), socket));
         let this = entry.clone();
         task::spawn_local(http_server::serve(
@@ -374,6 +380,7 @@
             }
             let software = software.map(tracing::field::display);
             tracing::info!(upstream = %id, birth, sequence, ?state, software, age_ms = age.as_millis() as u64, %from, "upstream changed");
+            self.streams.review();
             let is_new = before.is_some_and(|before| before.0 < birth);
             if is_new {
                 self.healths.borrow_mut().forget(&id);
@@ -591,6 +598,8 @@
         let now = entry.now();
         entry.contacts.borrow_mut().forget_expired(now, CONTACT_EXPIRY);
         entry.expire_crashes();
+        entry.expire_streams();
+        entry.streams.review();
         for id in entry.upstreams.borrow_mut().forget_expired(now) {
             entry.forget_limit(&id);
             tracing::info!(upstream = %id, "upstream expired");
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -9,6 +9,7 @@
         placement::Choice,
         prefill_queue::{self, PrefillDecision},
         retry_budget::Spending,
+        software_version::SoftwareVersion,
         stream_timeout::{self, StreamSource},
         stream_version::StreamVersion,
         table::{Route, RouteTable, ServiceName},
@@ -50,6 +51,8 @@
     pub(super) last_event: Option<u64>,
     /// The software version to which the stream is bound.
     pub(super) version: StreamVersion,
+    /// Whether an event has been passed on to the caller.
+    pub(super) has_event: bool,
     pub(super) tried: Tried,
     /// Requests that may have run and requests that may have reached an upstream, including those
     /// of other instances that the call was forwarded to.
@@ -125,6 +128,20 @@
         hop
     }
 
+    /// Records that an event of an upstream with this software version is passed on to the caller.
+    pub(super) fn record_event(
+        &mut self,
+        entry: &Entry,
+        call: &Call,
+        software: Option<&SoftwareVersion>,
+    ) {
+        if !self.has_event {
+            self.has_event = true;
+            self.version.bind(software);
+            entry.remember_stream(call, self);
+        }
+    }
+
     /// Whether the call may be sent to an upstream: it was not tried, and runs the version to which
     /// the stream is bound.
     pub(super) fn may_use(&self, upstream: &Upstream) -> bool {
--- a/crates/medlarlug-gateway/src/entry/relay.rs
+++ b/crates/medlarlug-gateway/src/entry/relay.rs
@@ -106,7 +106,7 @@
                 continue;
             }
         };
-        plan.version.bind(stream.software());
+        plan.record_event(entry, call, stream.software());
         let has_content = events::have_content(&events);
         if let Some(last) = events::last_id(&events) {
             plan.last_event = Some(last);
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -171,7 +171,7 @@
         None => {
             tracing::warn!("refusing a forwarded call without a valid route");
             let call = Call::read(request.into_parts().0, &entry.names);
-            refusal(&entry, &call, NO_TABLE_RETRY_AFTER, HandoverReport::REFUSED)
+            refusal(&entry, &call, Some(NO_TABLE_RETRY_AFTER), HandoverReport::REFUSED)
         }
     };
     reported.for_instance()
@@ -218,9 +218,10 @@
             || !entry.limited_upstreams(&plan).is_empty()
     })
     .await;
-    if plan.last_event.is_some() || call.resumed_call.is_some() {
-        let resumed = call.resumed_call.as_ref().map(tracing::field::display);
-        tracing::info!(request = %call.id, resumed, after = plan.last_event, "caller takes up a stream");
+    let takes_up = plan.last_event.is_some() || call.resumed_call.is_some();
+    let is_unbound = takes_up && plan.version == StreamVersion::Free;
+    if plan.route.kind.is_stream() && is_unbound && !entry.take_up_stream(&call, &mut plan).await {
+        return finish(entry, call, plan, Resolution::Refuse { retry_after: None });
     }
     let result = run_attempts(entry, &call, &mut plan).await;
     finish(entry, call, plan, result)
@@ -252,7 +253,12 @@
     let table = entry.table.borrow().clone();
     let Some(table) = table else {
         tracing::info!(request = %call.id, outcome = "refused", "no table yet");
-        return Err(Box::new(refusal(entry, call, NO_TABLE_RETRY_AFTER, HandoverReport::REFUSED)));
+        return Err(Box::new(refusal(
+            entry,
+            call,
+            Some(NO_TABLE_RETRY_AFTER),
+            HandoverReport::REFUSED,
+        )));
     };
     let is_forwarded = forwarded.is_some();
     let software = forwarded.as_ref().and_then(|it| it.software.clone());
@@ -282,6 +288,7 @@
         may_forward: !is_forwarded,
         is_trial: false,
         last_event: last.and_then(|last| last.trim().parse().ok()),
+        has_event: false,
         version: software.map_or(StreamVersion::Free, StreamVersion::Bound),
         tried: Tried::default(),
         attempts: Attempts::new(route.attempts, most_arrivals.min(MAX_ARRIVALS)),
@@ -300,8 +307,14 @@
 enum Resolution {
     Answer(Response<Bytes>),
     Stream(Box<attempt::EventStream>),
-    Refuse { retry_after: Duration },
-    Fail { status: StatusCode, why: Unknown },
+    /// `None` if the caller can't be served later either.
+    Refuse {
+        retry_after: Option<Duration>,
+    },
+    Fail {
+        status: StatusCode,
+        why: Unknown,
+    },
 }
 
 /// Tries hops until the call is answered, or no further attempt is allowed.
@@ -366,7 +379,7 @@
                     let for_s = retry_after.as_secs();
                     metrics::counter!(names::QUARANTINED_CALLS).increment(1);
                     tracing::info!(request = %call.id, %content, for_s, "refusing quarantined content");
-                    return Resolution::Refuse { retry_after };
+                    return Resolution::Refuse { retry_after: Some(retry_after) };
                 }
                 let own = match verdict {
                     Verdict::Refuse { retry_after } => match hop {
@@ -386,7 +399,9 @@
                     tried = %plan.path.join(","),
                     "refusing"
                 );
-                return Resolution::Refuse { retry_after: retry_after.unwrap_or(own) };
+                let is_gone = entry.has_version_gone(plan);
+                let retry_after = retry_after.or(Some(own).filter(|_| !is_gone));
+                return Resolution::Refuse { retry_after };
             }
         };
         match plan.attempt(entry, call, &hop).await {
@@ -458,11 +473,23 @@
     }
 }
 
-/// The answer to a call that was not run; the caller may retry it after `retry_after`.
-fn refusal(entry: &Entry, call: &Call, retry_after: Duration, report: HandoverReport) -> Reported {
-    let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "not run; come back later");
-    let seconds = format!("{:.3}", retry_after.as_secs_f64());
-    body::insert(answer.headers_mut(), header::RETRY_AFTER.as_str(), &seconds);
+/// The answer to a call that was not run. The caller may retry it after `retry_after`; `None` if that is
+/// of no use.
+fn refusal(
+    entry: &Entry,
+    call: &Call,
+    retry_after: Option<Duration>,
+    report: HandoverReport,
+) -> Reported {
+    let text = match retry_after {
+        Some(_) => "not run; come back later",
+        None => "not run; nothing can go on with this stream",
+    };
+    let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, text);
+    if let Some(retry_after) = retry_after {
+        let seconds = format!("{:.3}", retry_after.as_secs_f64());
+        body::insert(answer.headers_mut(), header::RETRY_AFTER.as_str(), &seconds);
+    }
     echo_id(entry, call, &mut answer);
     Reported::new(answer, report)
 }
--- a/crates/medlarlug-gateway/src/load_exchange.rs
+++ b/crates/medlarlug-gateway/src/load_exchange.rs
@@ -25,7 +25,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, sync::Notify, time::sleep};
 
-use crate::entry::{Entry, LimitMessage};
+use crate::entry::{Entry, LimitMessage, StreamMessage};
 
 /// Time between two complete reports when the instances of a small region report to each other.
 const DIRECT_INTERVAL: Duration = Duration::from_millis(80);
@@ -69,6 +69,8 @@
     },
     /// A message about the rate limits that upstreams name.
     Limit(LimitMessage),
+    /// A message about the software versions of streams.
+    Stream(StreamMessage),
 }
 
 /// Id and internal address of another instance.
@@ -309,6 +311,11 @@
     send(socket, &Datagram::Limit(message), to);
 }
 
+/// Sends a message about the software versions of streams.
+pub(crate) fn send_stream_message(socket: &UdpSocket, message: StreamMessage, to: SocketAddr) {
+    send(socket, &Datagram::Stream(message), to);
+}
+
 /// Receives datagrams for as long as the process runs.
 pub(crate) async fn receive_datagrams(entry: Rc<Entry>, socket: Rc<UdpSocket>) {
     let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
@@ -333,6 +340,7 @@
     let now = entry.now();
     let (source, is_whole, instances, loads) = match (datagram, exchange.role.get()) {
         (Datagram::Limit(message), _) => return entry.on_limit_message(address, message),
+        (Datagram::Stream(message), _) => return entry.on_stream_message(address, message),
         (
             Datagram::Report { from, is_whole, wants_aggregate, loads },
             Some(Role::Direct | Role::Collector { .. }),
