A resumed stream goes on only with events that follow the last one

Here an error with status 200 went into the stream (text, JSON, or a whole head, each with an empty line at its end), and an answer without a length that ended before its first event completed the stream. Errors with their own status did not. The first event of a resumed answer must now have an id above the last one of the caller; an unframed answer that ends before it is broken off. Weighed: refusing by media type lets a head within an event stream pass.

broken_answers::error_of_the_next_upstream_* failed before for four of seven answers.

--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -201,6 +201,10 @@
     software: Option<SoftwareVersion>,
     /// Complete events that have arrived and were not returned yet.
     ready: Option<Bytes>,
+    /// Until the first event of a resumed stream has arrived: id of the event that it has to follow.
+    follows: Option<u64>,
+    /// Whether the end of the connection alone ends the answer.
+    ends_with_connection: bool,
 }
 
 /// The next part of a stream.
@@ -209,7 +213,8 @@
     Events(Bytes),
     /// The upstream ended the stream properly.
     End,
-    /// The connection ended before the stream did, or a limit was exceeded.
+    /// The connection ended before the stream did, a limit was exceeded, or what arrived does not go on
+    /// with the stream.
     Broken,
 }
 
@@ -233,7 +238,11 @@
                         return Piece::Broken;
                     }
                     if let Some(events) = self.splitter.take_complete() {
-                        if !self.slot.has_first_token && events::have_content(&events) {
+                        let has_content = events::have_content(&events);
+                        if has_content && !self.goes_on(&events) {
+                            return Piece::Broken;
+                        }
+                        if has_content && !self.slot.has_first_token {
                             self.slot.answered();
                         }
                         return Piece::Events(events);
@@ -247,6 +256,11 @@
                     self.slot.request_end = RequestEnd::Unanswered;
                     return Piece::Broken;
                 }
+                // An upstream that fails before its first event ends its connection in the same way.
+                None if self.follows.is_some() && self.ends_with_connection => {
+                    self.slot.request_end = RequestEnd::Unanswered;
+                    return Piece::Broken;
+                }
                 None => {
                     self.slot.request_end = RequestEnd::Answered;
                     return Piece::End;
@@ -255,6 +269,18 @@
         }
     }
 
+    /// Whether the first events of a resumed stream follow the last one that the caller has, and are
+    /// not, for example, the text of an error.
+    fn goes_on(&mut self, events: &[u8]) -> bool {
+        let Some(last) = self.follows.take() else { return true };
+        let first = events::first_id(events);
+        let goes_on = first.is_some_and(|first| first > last);
+        if !goes_on {
+            tracing::warn!(last, first, "answer dropped: it does not go on with the stream");
+        }
+        goes_on
+    }
+
     /// Where the stream comes from.
     pub(super) fn hop(&self) -> &Hop {
         &self.hop
@@ -400,6 +426,8 @@
         Hop::Upstream { software, .. } => software.clone(),
         Hop::Peer { .. } => forwarded::software(&parts.headers),
     };
+    let ends_with_connection = !parts.headers.contains_key(header::CONTENT_LENGTH)
+        && !parts.headers.contains_key(header::TRANSFER_ENCODING);
     let mut stream = EventStream {
         status: parts.status,
         headers: parts.headers,
@@ -411,6 +439,8 @@
         hop: hop.clone(),
         software,
         ready: None,
+        follows: context.last_event,
+        ends_with_connection,
     };
     let left = (now + answer_timeout) - entry.now();
     match timeout(left, stream.next()).await {
--- a/src/protocol/events.rs
+++ b/src/protocol/events.rs
@@ -125,6 +125,22 @@
     ids.filter_map(|id| std::str::from_utf8(id.trim_ascii()).ok()?.parse().ok()).next()
 }
 
+/// The id of the first of several complete events, if it is a number.
+///
+/// ```
+/// use medlarlug::protocol::events::first_id;
+///
+/// assert_eq!(first_id(b": ping\n\nid: 7\ndata: a\n\nid: 8\ndata: b\n\n"), Some(7));
+/// assert_eq!(first_id(b"HTTP/1.1 500 Failed\r\n\r\nid: 8\ndata: b\n\n"), None);
+/// ```
+pub fn first_id(events: &[u8]) -> Option<u64> {
+    let lines = events.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii);
+    let first = lines.skip_while(|line| line.is_empty() || line.starts_with(b":"));
+    let mut first = first.take_while(|line| !line.is_empty());
+    let id = first.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(id.trim_ascii()).ok()?.parse().ok()
+}
+
 /// Whether complete events hold anything but comments, which a sender uses to keep a connection open.
 ///
 /// ```
