Calls without an id get a new connection each

A call without an id took an answer without one as its own there, so a request that had run was said not to have run. Nothing tells such answers apart, so these calls share no connection. broken_answers::repeated_refusal_* failed before.

--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -340,10 +340,12 @@
     let left = context.answer_by - now;
     let answer_timeout = context.answer_timeout.min(left);
     // An upstream may send a late answer on a reused connection, or close it while the request is
-    // sent, so a call that must run at most once gets a new connection. Other instances do neither,
-    // and opening a connection to another region takes as long as the call itself.
-    let reuse = match (hop, context.kind.is_retryable()) {
-        (Hop::Upstream { .. }, false) => Reuse::Never,
+    // sent, so a call that must run at most once gets a new connection, and so does one without an id
+    // by which its answer could be told. Other instances do neither, and opening a connection to
+    // another region takes as long as the call itself.
+    let is_safe_to_reuse = context.kind.is_retryable() && !context.call.id.is_empty();
+    let reuse = match hop {
+        Hop::Upstream { .. } if !is_safe_to_reuse => Reuse::Never,
         _ => Reuse::Allowed,
     };
     let (address, connect) = match hop {
@@ -601,7 +603,7 @@
     match id {
         Some(id) => id == call.id,
         None if matches!(hop, Hop::Peer { .. }) => true,
-        None => call.id.is_empty() || !connection.is_reused(),
+        None => !connection.is_reused(),
     }
 }
 
