Lookups of streams end with their caller; ids that nobody remembers are not asked for

A caller that left during a lookup left the lookup behind. A call id beyond the longest that is remembered made a datagram that no instance could read, and a wait of 120 ms. In the code, 'resume' is the one word for a caller that goes on with its stream.

--- a/crates/medlarlug-core/src/gateway/stream_bindings.rs
+++ b/crates/medlarlug-core/src/gateway/stream_bindings.rs
@@ -1,4 +1,4 @@
-//! Software versions of the streams of recent calls, for callers that take a stream up again.
+//! Software versions of the streams of recent calls, for callers that resume a stream.
 //!
 //! A caller whose connection broke comes to any entry instance and names the call that brought the
 //! first event of its stream. The stream may go on only at the software version that wrote this
@@ -42,7 +42,7 @@
     pub call: SmolStr,
     /// The binding of the stream.
     pub binding: StreamBinding,
-    /// Time for which the caller may still take the stream up, in milliseconds.
+    /// Time for which the caller may still resume the stream, in milliseconds.
     pub lifetime_ms: u32,
 }
 
@@ -145,7 +145,7 @@
         self.known.iter().any(|it| !it.is_published)
     }
 
-    /// Forgets streams that their callers no longer take up.
+    /// Forgets streams that their callers no longer resume.
     pub fn forget_expired(&mut self, now: Time) {
         self.known.retain(|it| now < it.expires);
     }
--- a/crates/medlarlug-core/src/gateway/stream_version.rs
+++ b/crates/medlarlug-core/src/gateway/stream_version.rs
@@ -5,7 +5,7 @@
 /// Which upstreams may write the next event of a stream.
 ///
 /// The first event that a caller receives binds its stream: only upstreams of the version that wrote
-/// the event may go on, within the answer and when the caller takes the stream up in another call.
+/// the event may go on, within the answer and when the caller resumes the stream in another call.
 ///
 /// ```
 /// use medlarlug_core::gateway::stream_version::StreamVersion;
--- a/crates/medlarlug-gateway/src/entry/call.rs
+++ b/crates/medlarlug-gateway/src/entry/call.rs
@@ -22,7 +22,7 @@
     pub(super) host: SmolStr,
     /// The id that the caller gave the call; empty if it sent none.
     pub(super) id: SmolStr,
-    /// Id of the call that brought the first event of the stream that this call takes up; `None` if
+    /// Id of the call that brought the first event of the stream that this call resumes; `None` if
     /// the caller names none.
     pub(super) resumed_call: Option<SmolStr>,
     /// Time for which the caller waits; `None` if it did not say.
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -218,9 +218,9 @@
             || !entry.limited_upstreams(&plan).is_empty()
     })
     .await;
-    let takes_up = plan.last_event.is_some() || call.resumed_call.is_some();
-    let is_unbound = takes_up && plan.version == StreamVersion::Free;
-    if plan.route.kind.is_stream() && is_unbound && !entry.take_up_stream(&call, &mut plan).await {
+    let resumes = plan.last_event.is_some() || call.resumed_call.is_some();
+    let is_unbound = plan.route.kind.is_stream() && plan.version == StreamVersion::Free;
+    if resumes && is_unbound && !entry.resolve_stream_version(&call, &mut plan).await {
         return finish(entry, call, plan, Resolution::Refuse { retry_after: None });
     }
     let result = run_attempts(entry, &call, &mut plan).await;
--- a/crates/medlarlug-gateway/src/entry/stream_lookup.rs
+++ b/crates/medlarlug-gateway/src/entry/stream_lookup.rs
@@ -1,4 +1,4 @@
-//! Finds the software version of a stream that its caller takes up, and tells other instances the
+//! Finds the software version of a stream that its caller resumes, and tells other instances the
 //! versions of the own streams; see [`medlarlug_core::gateway::stream_bindings`].
 //!
 //! The messages are datagrams. A lost question is asked again, a lost binding is made up for by the
@@ -7,7 +7,7 @@
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
-    rc::Rc,
+    rc::{Rc, Weak},
     time::Duration,
 };
 
@@ -106,7 +106,8 @@
 #[derive(Default)]
 pub(super) struct StreamState {
     bindings: RefCell<StreamBindings>,
-    lookups: RefCell<Vec<Rc<Lookup>>>,
+    /// Ended ones are removed with the next lookup: a caller may leave during one.
+    lookups: RefCell<Vec<Weak<Lookup>>>,
     last_lookup: Cell<u64>,
     /// Messages to send.
     outbox: RefCell<Vec<(SocketAddr, StreamMessage)>>,
@@ -114,6 +115,21 @@
 }
 
 impl StreamState {
+    fn begin_lookup(&self, asked: Vec<SocketAddr>, query: BindingQuery) -> Rc<Lookup> {
+        let number = self.last_lookup.get() + 1;
+        self.last_lookup.set(number);
+        let lookup = Rc::new(Lookup {
+            number,
+            unanswered: RefCell::new(asked),
+            query: RefCell::new(query),
+            has_answer: Notify::new(),
+        });
+        let mut lookups = self.lookups.borrow_mut();
+        lookups.retain(|it| it.strong_count() > 0);
+        lookups.push(Rc::downgrade(&lookup));
+        lookup
+    }
+
     fn send(&self, to: SocketAddr, message: StreamMessage) {
         self.outbox.borrow_mut().push((to, message));
         self.wake.notify_one();
@@ -136,7 +152,7 @@
             return;
         }
         if stream.len() > MAX_CALL_ID_BYTES {
-            tracing::info!(request = %call.id, bytes = stream.len(), "call id too long; its stream can't be taken up");
+            tracing::info!(request = %call.id, bytes = stream.len(), "call id too long; its stream can't be resumed by its caller");
             return;
         }
         let binding = StreamBinding { service: plan.service.clone(), software: software.clone() };
@@ -151,9 +167,13 @@
         }
     }
 
-    /// Finds the version of the stream that a call takes up, and binds the plan to it. Returns false if
+    /// Finds the version of the stream that a call resumes, and binds the plan to it. Returns false if
     /// the version stays unknown, or the route no longer leads to the service of the stream.
-    pub(super) async fn take_up_stream(self: &Rc<Entry>, call: &Call, plan: &mut Plan) -> bool {
+    pub(super) async fn resolve_stream_version(
+        self: &Rc<Entry>,
+        call: &Call,
+        plan: &mut Plan,
+    ) -> bool {
         let began = self.now();
         let scope = LookupScope {
             call: call.resumed_call.clone(),
@@ -162,6 +182,7 @@
         };
         let own = self.answer_about(&scope);
         let is_named = scope.call.is_some();
+        let call_bytes = scope.call.as_ref().map_or(0, |call| call.len());
         let (found, asked) = match own {
             BindingAnswer::Bound(binding) => (Some(binding), 0),
             // Without the name of the call, no instance can know more than the versions that serve.
@@ -170,8 +191,9 @@
                 let mut query = BindingQuery::new(plan.service.clone());
                 query.record(own.clone());
                 match is_named || own == BindingAnswer::Unsure {
-                    true => self.ask_holders(scope, query).await,
-                    false => (query.result(), 0),
+                    // No instance remembers a call with a longer id.
+                    true if call_bytes <= MAX_CALL_ID_BYTES => self.ask_holders(scope, query).await,
+                    _ => (query.result(), 0),
                 }
             }
         };
@@ -186,7 +208,7 @@
             software = found.as_ref().map(|it| tracing::field::display(&it.software)),
             asked,
             took_ms = millis(self.now() - began),
-            "caller takes up a stream"
+            "caller resumes a stream"
         );
         let Some(StreamBinding { service, software }) = found else { return false };
         plan.service = service;
@@ -201,26 +223,17 @@
         query: BindingQuery,
     ) -> (Option<StreamBinding>, usize) {
         let asked = self.holders_to_ask(scope.call.as_deref().unwrap_or_default());
-        let number = self.streams.last_lookup.get() + 1;
-        self.streams.last_lookup.set(number);
-        let lookup = Rc::new(Lookup {
-            number,
-            unanswered: RefCell::new(asked.clone()),
-            query: RefCell::new(query),
-            has_answer: Notify::new(),
-        });
-        self.streams.lookups.borrow_mut().push(lookup.clone());
+        let lookup = self.streams.begin_lookup(asked.clone(), query);
         let began = Instant::now();
         for deadline in [began + ASK_AGAIN_AFTER, began + ANSWER_TIMEOUT] {
             for to in lookup.unanswered.borrow().iter() {
                 let scope = scope.clone();
-                self.streams.send(*to, StreamMessage::Question { lookup: number, scope });
+                self.streams.send(*to, StreamMessage::Question { lookup: lookup.number, scope });
             }
             if timeout_at(deadline, lookup.wait()).await.is_ok() {
                 break;
             }
         }
-        self.streams.lookups.borrow_mut().retain(|it| it.number != number);
         let result = lookup.query.borrow().result();
         (result, asked.len())
     }
@@ -341,7 +354,7 @@
         by_receiver
     }
 
-    /// Forgets streams that their callers no longer take up.
+    /// Forgets streams that their callers no longer resume.
     pub(super) fn expire_streams(&self) {
         self.streams.bindings.borrow_mut().forget_expired(self.now());
         metrics::gauge!(names::REMEMBERED_STREAMS).set(self.streams.bindings.borrow().len() as f64);
@@ -364,8 +377,9 @@
             }
             StreamMessage::Answer { lookup, answer } => {
                 let lookups = self.streams.lookups.borrow();
+                let mut open = lookups.iter().filter_map(Weak::upgrade);
                 // An answer to a repeated question may arrive after the lookup has ended.
-                let Some(lookup) = lookups.iter().find(|it| it.number == lookup) else { return };
+                let Some(lookup) = open.find(|it| it.number == lookup) else { return };
                 let mut unanswered = lookup.unanswered.borrow_mut();
                 if unanswered.contains(&from) {
                     unanswered.retain(|it| *it != from);
--- a/crates/medlarlug-gateway/src/headers.rs
+++ b/crates/medlarlug-gateway/src/headers.rs
@@ -11,7 +11,7 @@
     pub deadline: HeaderName,
     /// Id of the last stream event that the caller has received; the stream resumes after it.
     pub last_event: HeaderName,
-    /// Sent when a caller takes up a stream: id of the call that brought the first event of it.
+    /// Sent when a caller resumes a stream: id of the call that brought the first event of it.
     pub resumed_call: HeaderName,
     /// Parts of the prompt: `id:tokens` with the id in hexadecimal, separated by commas.
     pub prompt_parts: HeaderName,
--- a/crates/medlarlug-gateway/src/metrics.rs
+++ b/crates/medlarlug-gateway/src/metrics.rs
@@ -42,7 +42,7 @@
 /// Counter: announcements that could not be parsed.
 pub const INVALID_ANNOUNCEMENTS: &str = "medlarlug_gateway_unreadable_announcements_total";
 
-/// Counter: calls that took up a stream, by whether its software version was found. Label: `version`.
+/// Counter: calls that resumed a stream, by whether its software version was found. Label: `version`.
 pub const RESUMED_STREAMS: &str = "medlarlug_gateway_resumed_streams_total";
 /// Gauge: streams whose software version is remembered.
 pub const REMEMBERED_STREAMS: &str = "medlarlug_gateway_remembered_streams";
@@ -69,7 +69,7 @@
     describe_gauge!(READY_UPSTREAMS, "Upstreams that are known and take calls");
     describe_gauge!(OPEN_LINKS, "Open links to keepers");
     describe_counter!(ANNOUNCEMENTS, "Announcements of upstreams, by effect");
-    describe_counter!(RESUMED_STREAMS, "Calls that took up a stream, by version found or unknown");
+    describe_counter!(RESUMED_STREAMS, "Calls that resumed a stream, by version found or unknown");
     describe_gauge!(REMEMBERED_STREAMS, "Streams whose software version is remembered");
     describe_counter!(FORGOTTEN_STREAMS, "Streams forgotten early for lack of room");
     describe_counter!(INVALID_ANNOUNCEMENTS, "Announcements that could not be read");
