Lookups of streams ask one instance of each other region as well

A caller that names no call gets the first settled view; one that names it waits for a holder, 280 ms at most.

--- a/crates/medlarlug-core/src/gateway/stream_bindings.rs
+++ b/crates/medlarlug-core/src/gateway/stream_bindings.rs
@@ -195,15 +195,18 @@
 #[derive(Debug, Clone)]
 pub struct BindingQuery {
     service: ServiceName,
+    /// Whether the caller names the call, so that a holder may know the stream.
+    is_named: bool,
     bound: Option<StreamBinding>,
     only: Option<SoftwareVersion>,
     has_several: bool,
 }
 
 impl BindingQuery {
-    /// A query about a stream of `service`, if nothing tells otherwise.
-    pub fn new(service: ServiceName) -> BindingQuery {
-        BindingQuery { service, bound: None, only: None, has_several: false }
+    /// A query about a stream, of `service` if nothing tells otherwise. `is_named` tells whether the
+    /// caller names the call that brought its first event.
+    pub fn new(service: ServiceName, is_named: bool) -> BindingQuery {
+        BindingQuery { service, is_named, bound: None, only: None, has_several: false }
     }
 
     /// Adds what one instance tells.
@@ -219,9 +222,9 @@
         }
     }
 
-    /// Whether further answers can't change the result.
+    /// Whether no further answers are needed.
     pub fn is_decided(&self) -> bool {
-        self.bound.is_some()
+        self.bound.is_some() || !self.is_named && (self.only.is_some() || self.has_several)
     }
 
     /// The binding of the stream; `None` if it is unknown.
--- a/crates/medlarlug-core/tests/testsuite/gateway/stream_versions.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/stream_versions.rs
@@ -121,8 +121,9 @@
 
 #[test]
 fn binding_of_a_holder_decides_whatever_versions_serve() {
-    let mut query = BindingQuery::new(service("scribe"));
+    let mut query = BindingQuery::new(service("scribe"), true);
     query.record(BindingAnswer::Several);
+    assert!(!query.is_decided());
 
     query.record(BindingAnswer::Bound(binding("v1")));
 
@@ -134,7 +135,7 @@
 fn only_version_counts_unless_an_instance_knows_of_another() {
     let only = |text| BindingAnswer::Only(version(text));
     let result = |answers: &[BindingAnswer]| {
-        let mut query = BindingQuery::new(service("scribe"));
+        let mut query = BindingQuery::new(service("scribe"), true);
         answers.iter().cloned().for_each(|it| query.record(it));
         query.result()
     };
@@ -145,6 +146,18 @@
     assert_eq!(result(&[BindingAnswer::Unsure]), None);
 }
 
+#[test]
+fn first_settled_view_decides_about_a_stream_that_no_holder_can_know() {
+    let mut query = BindingQuery::new(service("scribe"), false);
+    query.record(BindingAnswer::Unsure);
+    assert!(!query.is_decided());
+
+    query.record(BindingAnswer::Only(version("v1")));
+
+    assert!(query.is_decided());
+    assert_eq!(query.result(), Some(binding("v1")));
+}
+
 /// A version has served even if no upstream of it is left: they left, crashed, or run another one now.
 #[test]
 fn versions_of_upstreams_that_are_gone_count_for_as_long_as_streams_may_last() {
--- a/crates/medlarlug-gateway/src/entry/stream_lookup.rs
+++ b/crates/medlarlug-gateway/src/entry/stream_lookup.rs
@@ -39,12 +39,12 @@
 const OTHER_REGION_HOLDERS: usize = 1;
 /// Instances of the own region that are asked for a stream: one more than hold it, because one may have
 /// just ended.
-const ASKED_HOLDERS: usize = 3;
-/// Time after which unanswered questions are asked again: a round trip between availability zones,
-/// and the time that a busy instance takes.
-const ASK_AGAIN_AFTER: Duration = Duration::from_millis(40);
-/// Longest time for which answers are awaited.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
+const ASKED_IN_OWN_REGION: usize = 3;
+/// Time after which unanswered questions are asked again: a round trip between regions, and the time
+/// that a busy instance takes.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(140);
+/// Longest time for which answers are awaited: two such times.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(280);
 /// Time between two rounds in which bindings are sent, so that those of many streams share a datagram.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(10);
 /// Time after the deadline of a call for which its stream is remembered: clocks and links delay the
@@ -188,7 +188,7 @@
             // Without the name of the call, no instance can know more than the versions that serve.
             BindingAnswer::Several if !is_named => (None, 0),
             own => {
-                let mut query = BindingQuery::new(plan.service.clone());
+                let mut query = BindingQuery::new(plan.service.clone(), is_named);
                 query.record(own.clone());
                 match is_named || own == BindingAnswer::Unsure {
                     // No instance remembers a call with a longer id.
@@ -222,7 +222,8 @@
         scope: LookupScope,
         query: BindingQuery,
     ) -> (Option<StreamBinding>, usize) {
-        let asked = self.holders_to_ask(scope.call.as_deref().unwrap_or_default());
+        let call = scope.call.as_deref().unwrap_or_default();
+        let asked = self.holders_of(call, &self.other_entries(), ASKED_IN_OWN_REGION);
         let lookup = self.streams.begin_lookup(asked.clone(), query);
         let began = Instant::now();
         for deadline in [began + ASK_AGAIN_AFTER, began + ANSWER_TIMEOUT] {
@@ -280,20 +281,18 @@
         !matches!(self.served_versions(service, max_age, true), BindingAnswer::Only(_))
     }
 
-    /// The addresses of the instances to ask about a stream.
-    fn holders_to_ask(&self, call: &str) -> Vec<SocketAddr> {
-        let own = self.settings.borrow().info.region.clone();
-        let regions = self.other_entries();
-        let found = regions.iter().find(|it| it.region == own);
-        found.map_or_else(Vec::new, |it| it.holders(call, ASKED_HOLDERS))
-    }
-
-    /// The addresses of the instances that hold the binding of a stream.
-    fn holders_to_send(&self, call: &str, regions: &[RegionEntries]) -> Vec<SocketAddr> {
+    /// The addresses of the holders of a stream: `in_own_region` of the own region, and some of each
+    /// other one.
+    fn holders_of(
+        &self,
+        call: &str,
+        regions: &[RegionEntries],
+        in_own_region: usize,
+    ) -> Vec<SocketAddr> {
         let settings = self.settings.borrow();
         let holders = regions.iter().flat_map(|entries| {
             let count = match entries.region == settings.info.region {
-                true => OWN_REGION_HOLDERS,
+                true => in_own_region,
                 false => OTHER_REGION_HOLDERS,
             };
             entries.holders(call, count)
@@ -344,7 +343,7 @@
         let records = self.streams.bindings.borrow_mut().take_unpublished(self.now(), is_needed);
         let mut by_receiver: Vec<(SocketAddr, Vec<BindingRecord>)> = Vec::new();
         for record in records {
-            for to in self.holders_to_send(&record.call, &regions) {
+            for to in self.holders_of(&record.call, &regions, OWN_REGION_HOLDERS) {
                 match by_receiver.binary_search_by(|it| it.0.cmp(&to)) {
                     Ok(at) => by_receiver[at].1.push(record.clone()),
                     Err(at) => by_receiver.insert(at, (to, vec![record.clone()])),
