review: case 5, a server that comes back cold is taken for warm

Cause: an entry instance takes a server for the incarnation that it knows until its last announcement is 4.5 s old, unless a request of its own was under way there at the crash.

Change: a script in which one server of four crashes and comes back under its id, with its first heartbeat a second late. The stand-in server can crash and return.

--- a/review/standin/configuration.rs
+++ b/review/standin/configuration.rs
@@ -31,7 +31,7 @@
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"desk\",\
          \"healthPath\":\"/healthz\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false,\
-         \"coldStartS\":0.0,\"coldPerS\":0.0}}],\"limits\":{{\"maxHeaderBytes\":16384,\
+         \"coldStartS\":3.0,\"coldPerS\":2.7}}],\"limits\":{{\"maxHeaderBytes\":16384,\
          \"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
         routes.join(",")
     )
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 //! 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod case_bodies;
+mod case_cold;
 mod case_config;
 mod case_evacuation;
 mod case_shutdown;
@@ -61,6 +62,7 @@
         "evacuation" => case_evacuation::run(&record, has_trouble),
         "shutdown" => case_shutdown::run(&record, has_trouble),
         "bodies" => case_bodies::run(&record, has_trouble),
+        "cold" => case_cold::run(&record, has_trouble),
         other => panic!("no case is named {other}"),
     }));
     deployment::kill_all();
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -4,11 +4,11 @@
     io::{self, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
@@ -39,6 +39,14 @@
     work: Work,
     record: Record,
     runs: AtomicUsize,
+    /// Whether it has crashed and is not back yet.
+    is_down: AtomicBool,
+    /// Its open connections, which end when it crashes.
+    connections: Mutex<Vec<TcpStream>>,
+    /// Until when it is cold.
+    cold_until: Mutex<Option<Instant>>,
+    /// Requests that arrived while it was cold.
+    cold_arrivals: Mutex<Vec<Instant>>,
 }
 
 impl Server {
@@ -59,14 +67,12 @@
             work,
             record: record.clone(),
             runs: AtomicUsize::new(0),
+            is_down: AtomicBool::new(false),
+            connections: Mutex::default(),
+            cold_until: Mutex::default(),
+            cold_arrivals: Mutex::default(),
         });
-        let this = server.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let this = this.clone();
-                thread::spawn(move || this.serve(stream));
-            }
-        });
+        server.accept(listener);
         let (this, deployment) = (server.clone(), deployment.clone());
         thread::spawn(move || this.send_heartbeats(&deployment));
         server
@@ -77,14 +83,85 @@
         self.runs.load(Ordering::Relaxed)
     }
 
+    /// Serves connections until the server crashes.
+    fn accept(self: &Arc<Server>, listener: TcpListener) {
+        let this = self.clone();
+        listener.set_nonblocking(true).expect("a listener that doesn't block");
+        thread::spawn(move || {
+            while !this.is_down.load(Ordering::Relaxed) {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        stream.set_nonblocking(false).expect("a connection that blocks");
+                        if let Ok(copy) = stream.try_clone() {
+                            this.connections.lock().unwrap().push(copy);
+                        }
+                        let this = this.clone();
+                        thread::spawn(move || this.serve(stream));
+                    }
+                    Err(_) => thread::sleep(Duration::from_millis(1)),
+                }
+            }
+        });
+    }
+
+    /// Crashes: all connections end, and new ones are refused.
+    pub fn crash(&self) {
+        self.record.note(&format!("server {} crashes", self.id));
+        self.is_down.store(true, Ordering::Relaxed);
+        for connection in self.connections.lock().unwrap().drain(..) {
+            // It may have ended already.
+            let _ = connection.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    /// Starts again under the same id and at the same address, cold for a time. Its first heartbeat is
+    /// answered at once, or arrives too late at the node that it is sent to first, so that the next
+    /// node gets it after a second.
+    pub fn restart(
+        self: &Arc<Server>,
+        deployment: &Arc<Deployment>,
+        cold: Duration,
+        is_first_beat_late: bool,
+    ) {
+        let listener = TcpListener::bind(self.address).expect("the server's own port");
+        *self.cold_until.lock().unwrap() = Some(Instant::now() + cold);
+        self.is_down.store(false, Ordering::Relaxed);
+        self.record.note(&format!("server {} is back, cold for {cold:?}", self.id));
+        self.accept(listener);
+        let (this, deployment) = (self.clone(), deployment.clone());
+        thread::spawn(move || {
+            if is_first_beat_late {
+                thread::sleep(Duration::from_secs(1));
+            }
+            this.send_heartbeats(&deployment);
+        });
+    }
+
+    /// Times of the requests that arrived while the server was cold.
+    pub fn cold_arrivals(&self) -> Vec<Instant> {
+        self.cold_arrivals.lock().unwrap().clone()
+    }
+
+    fn cold_remaining(&self) -> Duration {
+        let until = *self.cold_until.lock().unwrap();
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+    }
+
+    /// Sends heartbeats until the server crashes.
     fn send_heartbeats(&self, deployment: &Deployment) {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("the time").as_millis();
         for sequence in 1.. {
+            if self.is_down.load(Ordering::Relaxed) {
+                return;
+            }
             let body = format!(
                 "{{\"service\":\"desk\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
-                 \"slots\":{},\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":{sequence},\
+                 \"slots\":{},\"state\":\"ready\",\"coldRemainingMs\":{},\"seq\":{sequence},\
                  \"born\":{born}}}",
-                self.address, self.zone, self.work.slots
+                self.address,
+                self.zone,
+                self.work.slots,
+                self.cold_remaining().as_millis()
             );
             let request = Request::new("PUT", format!("/instances/{}", self.id)).with_body(body);
             let patience = Duration::from_secs(1);
@@ -117,6 +194,10 @@
                 continue;
             }
             self.runs.fetch_add(1, Ordering::Relaxed);
+            if !self.cold_remaining().is_zero() {
+                self.record.note(&format!("server {} gets {id} while it is cold", self.id));
+                self.cold_arrivals.lock().unwrap().push(Instant::now());
+            }
             self.record.note(&format!("server {} in {} runs {id}", self.id, self.zone));
             thread::sleep(self.work.time);
             let head =
