--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -36,8 +36,6 @@
 
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
