--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod relay;
 pub mod scale;
 pub mod signals;
+pub mod socket_owner;
 pub mod stream;
 
 use std::{
--- a/crates/test-support/src/relay.rs
+++ b/crates/test-support/src/relay.rs
@@ -3,7 +3,7 @@
 //! A *held* relay accepts connections and bytes and delivers nothing until it is released, which
 //! is how a network partition that drops packets appears to both ends. *Black-holed* connections
 //! stay open and never deliver anything again, while later ones work. A *disconnected* relay
-//! closes every connection at once.
+//! closes every connection at once. A relay may also be [cut](Relay::cut) for some processes only.
 
 use std::{
     io::{Read, Write},
@@ -16,9 +16,22 @@
     time::{Duration, Instant},
 };
 
+use crate::socket_owner::is_owned_by;
+
 /// Size of the read buffer.
 const CHUNK_BYTES: usize = 16 * 1024;
 
+/// What happens to the connections of a process for which a relay is cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// Open connections are closed, and so are new ones.
+    Closed,
+    /// New connections are closed; open ones live on.
+    NewClosed,
+    /// Open connections and new ones deliver nothing.
+    Silent,
+}
+
 #[derive(Debug, Default)]
 struct State {
     delay: Duration,
@@ -29,6 +42,10 @@
     last_connection: u64,
     /// Connections up to this number are black-holed.
     last_blackholed: u64,
+    /// The processes for which the relay is cut, and how.
+    cut: Option<(Vec<u32>, Cut)>,
+    /// Further connections that are black-holed.
+    silenced: Vec<u64>,
     open: Vec<(u64, TcpStream, TcpStream)>,
 }
 
@@ -58,10 +75,10 @@
     /// Waits until the relay is not held. Returns whether the connection still delivers.
     fn may_deliver(&self, number: u64) -> bool {
         let mut state = self.state();
-        while state.is_held && !state.is_closed && number > state.last_blackholed {
+        while state.is_held && !state.is_closed && !state.is_blackholed(number) {
             state = self.changed.wait(state).expect("no relay thread panics");
         }
-        !state.is_closed && number > state.last_blackholed
+        !state.is_closed && !state.is_blackholed(number)
     }
 }
 
@@ -72,7 +89,7 @@
         let address = listener.local_addr().expect("the address of a listener");
         let shared = Arc::new(Shared::default());
         let accepting = shared.clone();
-        thread::spawn(move || accept(&listener, target, &accepting));
+        thread::spawn(move || accept(&listener, address, target, &accepting));
         Relay { address, shared }
     }
 
@@ -96,6 +113,32 @@
         self.shared.update(|it| it.last_blackholed = it.last_connection);
     }
 
+    /// Cuts the relay for some processes, by their ids.
+    pub fn cut(&self, processes: &[u32], cut: Cut) {
+        let relay = self.address;
+        self.shared.update(|it| {
+            it.cut = Some((processes.to_vec(), cut));
+            let is_cut = |client: &TcpStream| {
+                client.peer_addr().is_ok_and(|client| is_owned_by(processes, client, relay))
+            };
+            match cut {
+                Cut::NewClosed => {}
+                Cut::Silent => {
+                    let cut = it.open.iter().filter(|open| is_cut(&open.1)).map(|open| open.0);
+                    it.silenced.extend(cut);
+                }
+                Cut::Closed => {
+                    it.open.extract_if(.., |open| is_cut(&open.1)).for_each(close);
+                }
+            }
+        });
+    }
+
+    /// Ends a cut. Connections that were silent during the cut stay so.
+    pub fn heal(&self) {
+        self.shared.update(|it| it.cut = None);
+    }
+
     /// Closes every open and every new connection at once, or accepts new connections again.
     pub fn set_disconnected(&self, is_disconnected: bool) {
         self.shared.update(|it| {
@@ -118,13 +161,27 @@
 
 impl State {
     fn close_all(&mut self) {
-        for (_, client, server) in self.open.drain(..) {
-            let _ = client.shutdown(Shutdown::Both);
-            let _ = server.shutdown(Shutdown::Both);
-        }
+        self.open.drain(..).for_each(close);
+    }
+
+    fn is_blackholed(&self, number: u64) -> bool {
+        number <= self.last_blackholed || self.silenced.contains(&number)
+    }
+
+    /// How a connection is cut; `None` if it is not.
+    fn cut_of(&self, client: &TcpStream, relay: SocketAddr) -> Option<Cut> {
+        let (processes, cut) = self.cut.as_ref()?;
+        let client = client.peer_addr().ok()?;
+        is_owned_by(processes, client, relay).then_some(*cut)
     }
 }
 
+fn close((_, client, server): (u64, TcpStream, TcpStream)) {
+    // The peer may have closed them before.
+    let _ = client.shutdown(Shutdown::Both);
+    let _ = server.shutdown(Shutdown::Both);
+}
+
 /// Listens at a free address. Tries again if another process binds it between check and bind.
 fn listen() -> TcpListener {
     loop {
@@ -134,7 +191,7 @@
     }
 }
 
-fn accept(listener: &TcpListener, target: SocketAddr, shared: &Arc<Shared>) {
+fn accept(listener: &TcpListener, relay: SocketAddr, target: SocketAddr, shared: &Arc<Shared>) {
     for client in listener.incoming() {
         if shared.state().is_closed {
             return;
@@ -143,20 +200,27 @@
         if shared.state().is_disconnected {
             continue;
         }
+        let cut = shared.state().cut_of(&client, relay);
+        if matches!(cut, Some(Cut::Closed | Cut::NewClosed)) {
+            continue;
+        }
         // If the target refuses the connection, the client's is closed as well.
         if let Ok(server) = TcpStream::connect(target) {
-            relay_connection(client, server, shared);
+            relay_connection(client, server, cut == Some(Cut::Silent), shared);
         }
     }
 }
 
-fn relay_connection(client: TcpStream, server: TcpStream, shared: &Arc<Shared>) {
+fn relay_connection(client: TcpStream, server: TcpStream, is_silent: bool, shared: &Arc<Shared>) {
     let copy = |it: &TcpStream| it.try_clone().expect("an open connection can be cloned");
     let _ = client.set_nodelay(true);
     let _ = server.set_nodelay(true);
     let mut state = shared.state();
     state.last_connection += 1;
     let number = state.last_connection;
+    if is_silent {
+        state.silenced.push(number);
+    }
     state.open.push((number, copy(&client), copy(&server)));
     drop(state);
     start_forwarding(number, copy(&client), copy(&server), shared);
