Calls of an instance that reaches no upstream go to another one of its region

What callers saw: entry instances that were cut off from all upstreams served 103 of 266 first attempts, the others 371 of 379.

Cause: a hop was an upstream of the own region or an instance of another one. With all upstreams out of reach a call was refused at once, or after one hop to an instance of another region that was cut off as well.

Change: an instance checks its paths after a failed call (gateway::connectivity). While it lacks them, the choice of hops includes the instances of its own region. An instance without a path says so in its refusal, so that another one is tried.

--- a/crates/medlarlug-core/src/gateway/handover.rs
+++ b/crates/medlarlug-core/src/gateway/handover.rs
@@ -66,11 +66,16 @@
     /// Whether the instance guarantees that the call has not run, and will not run because of this
     /// forwarding.
     pub is_refused: bool,
+    /// Whether it refused because it reaches no upstream of the service, so that another instance of
+    /// its region may serve the call.
+    #[serde(default)]
+    pub lacks_path: bool,
 }
 
 impl HandoverReport {
     /// The call reached no upstream and may be tried elsewhere.
-    pub const REFUSED: HandoverReport = HandoverReport { runs: 0, arrivals: 0, is_refused: true };
+    pub const REFUSED: HandoverReport =
+        HandoverReport { runs: 0, arrivals: 0, is_refused: true, lacks_path: false };
     /// The instance itself rejected the call.
     pub const REJECTED: HandoverReport =
         HandoverReport { is_refused: false, ..HandoverReport::REFUSED };
@@ -84,7 +89,7 @@
 ///
 /// let mut attempts = Attempts::new(3, 4);
 /// attempts.record_refusal();
-/// attempts.record_report(HandoverReport { runs: 1, arrivals: 2, is_refused: false });
+/// attempts.record_report(HandoverReport { runs: 1, arrivals: 2, ..HandoverReport::REJECTED });
 /// assert_eq!((attempts.runs_left(), attempts.arrivals_left()), (2, 1));
 /// attempts.record_missing_report();
 /// assert_eq!((attempts.runs_left(), attempts.arrivals_left()), (0, 0));
@@ -107,12 +112,12 @@
 
     /// Records that an upstream has started to run the call, or may have.
     pub fn record_run(&mut self) {
-        self.record_report(HandoverReport { runs: 1, arrivals: 1, is_refused: false });
+        self.record_report(HandoverReport { runs: 1, arrivals: 1, ..HandoverReport::REJECTED });
     }
 
     /// Records that a request reached an upstream, which has not run the call.
     pub fn record_refusal(&mut self) {
-        self.record_report(HandoverReport { runs: 0, arrivals: 1, is_refused: true });
+        self.record_report(HandoverReport { arrivals: 1, ..HandoverReport::REFUSED });
     }
 
     /// Adds what another instance reports that it did with the call.
@@ -155,6 +160,6 @@
 
     /// The report to the instance that forwarded the call.
     pub fn report(self, is_refused: bool) -> HandoverReport {
-        HandoverReport { runs: self.runs, arrivals: self.arrivals, is_refused }
+        HandoverReport { runs: self.runs, arrivals: self.arrivals, is_refused, lacks_path: false }
     }
 }
--- a/crates/medlarlug-core/src/gateway/health.rs
+++ b/crates/medlarlug-core/src/gateway/health.rs
@@ -43,6 +43,8 @@
     id: UpstreamId,
     consecutive_failures: u32,
     avoided_until: Option<Time>,
+    /// Whether it is avoided because no connection to it opened.
+    is_unreachable: bool,
     observations: Observations,
     failure_rate: f64,
 }
@@ -77,6 +79,7 @@
         outcome: UpstreamOutcome,
     ) -> Option<Duration> {
         let health = self.entry(id);
+        health.is_unreachable = outcome == UpstreamOutcome::Unreachable;
         match outcome {
             UpstreamOutcome::Answered | UpstreamOutcome::AnsweredCold => {
                 if outcome == UpstreamOutcome::Answered {
@@ -124,6 +127,11 @@
         at.is_ok_and(|at| self.known[at].avoided_until.is_some_and(|until| now < until))
     }
 
+    /// Whether calls should avoid the upstream now because no connection to it opened.
+    pub fn is_unreachable(&self, now: Time, id: &UpstreamId) -> bool {
+        self.is_avoided(now, id) && self.index_of(id).is_ok_and(|at| self.known[at].is_unreachable)
+    }
+
     /// What calls have shown of the upstream's connections.
     pub fn observations(&self, id: &UpstreamId) -> Observations {
         self.index_of(id).map(|at| self.known[at].observations).unwrap_or_default()
@@ -146,6 +154,7 @@
                     id: id.clone(),
                     consecutive_failures: 0,
                     avoided_until: None,
+                    is_unreachable: false,
                     observations: Observations::default(),
                     failure_rate: 0.0,
                 };
--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -15,12 +15,14 @@
 //! [`software_version`] that began it ([`stream_version`]); instances tell each other which one that was
 //! ([`stream_bindings`]). [`contacts`] tracks the
 //! instances of the system itself, and [`keeper_view`] tells whether an instance sees enough of the
-//! others to act on its share of a common limit. [`stall_detector`] detects that a process was
+//! others to act on its share of a common limit. [`connectivity`] detects that a network partition cuts
+//! an instance off from all upstreams. [`stall_detector`] detects that a process was
 //! stalled.
 
 pub mod attempt_timeout;
 pub mod availability;
 pub mod cold;
+pub mod connectivity;
 pub mod contacts;
 pub mod handover;
 pub mod health;
--- a/crates/medlarlug-core/src/gateway/remote_region.rs
+++ b/crates/medlarlug-core/src/gateway/remote_region.rs
@@ -1,4 +1,4 @@
-//! Predicted cost of a call in another region.
+//! Predicted cost of a call in another region, or at another instance of the own one.
 //!
 //! Entry instances report how long a prompt of [reference size](REFERENCE_PROMPT_TOKENS) would wait
 //! in their region. The cost of a call is estimated from that and its own prompt: tokens beyond the
@@ -24,7 +24,7 @@
 /// engine recomputes what one already has cached, since here the local engines are behind.
 const RECOMPUTE_WEIGHT: f64 = 3.0;
 
-/// What is known of a service in another region.
+/// What is known of a service in a region.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RemoteService {
     /// Time to the first token of a call of reference size, as the instances there report it.
@@ -34,6 +34,9 @@
     pub pending_tokens: u64,
     /// Number of upstreams there.
     pub upstreams: usize,
+    /// Whether it is the own region, whose upstreams have the parts cached that they share with
+    /// earlier calls.
+    pub is_own: bool,
 }
 
 /// Predicted time to the first token there, including the delay to other calls but not the network
@@ -44,13 +47,14 @@
 /// use medlarlug_core::gateway::{placement::Demand, remote_region::{RemoteService, predicted_cost}};
 ///
 /// let reported_wait = Duration::from_millis(80);
-/// let service = RemoteService { reported_wait, pending_tokens: 0, upstreams: 4 };
+/// let service = RemoteService { reported_wait, pending_tokens: 0, upstreams: 4, is_own: false };
 /// assert_eq!(predicted_cost(service, &Demand::default()), reported_wait);
 /// ```
 pub fn predicted_cost(service: RemoteService, demand: &Demand) -> Duration {
     let queued_ms =
         service.pending_tokens as f64 / PREFILL_TOKENS_PER_MS / service.upstreams.max(1) as f64;
-    let recomputed = f64::from(demand.shared_tokens()) * UNCACHED_SHARE;
+    let uncached_share = if service.is_own { 0.0 } else { UNCACHED_SHARE };
+    let recomputed = f64::from(demand.shared_tokens()) * uncached_share;
     let own_tokens = f64::from(demand.prompt_tokens.saturating_sub(demand.shared_tokens()));
     let extra_ms = (own_tokens + recomputed - f64::from(REFERENCE_PROMPT_TOKENS)).max(0.0)
         / PREFILL_TOKENS_PER_MS;
--- a/crates/medlarlug-core/tests/testsuite/gateway/handover.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/handover.rs
@@ -154,7 +154,7 @@
 
 #[test]
 fn report_survives_its_encoding_as_a_header() {
-    let report = HandoverReport { runs: 2, arrivals: 3, is_refused: false };
+    let report = HandoverReport { runs: 2, arrivals: 3, ..HandoverReport::REJECTED };
 
     let text = serde_json::to_string(&report).unwrap();
 
--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod attempt_timeout;
 mod availability;
+mod connectivity;
 mod contacts;
 mod fixture;
 mod handover;
--- a/crates/medlarlug-core/tests/testsuite/gateway/remote_region.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/remote_region.rs
@@ -10,7 +10,7 @@
 const REPORTED_WAIT: Duration = Duration::from_millis(50);
 
 fn region(pending_tokens: u64) -> RemoteService {
-    RemoteService { reported_wait: REPORTED_WAIT, pending_tokens, upstreams: 4 }
+    RemoteService { reported_wait: REPORTED_WAIT, pending_tokens, upstreams: 4, is_own: false }
 }
 
 /// A prompt with a part that all prompts share and a part of its session.
@@ -46,6 +46,15 @@
     assert!(predicted_cost(region(0), &session()) > REPORTED_WAIT + own_part);
 }
 
+/// Instances of one region send to the same upstreams.
+#[test]
+fn shared_parts_are_not_computed_again_at_another_instance_of_the_region() {
+    let own = RemoteService { is_own: true, ..region(0) };
+    let own_part = Duration::from_secs_f64(0.9 / 40.0);
+
+    assert_eq!(predicted_cost(own, &session()), REPORTED_WAIT + own_part);
+}
+
 /// The part of the session is cached locally, so the session moves only when the local region is
 /// well behind.
 #[test]
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -38,8 +38,8 @@
 /// Timeout for opening a connection to an upstream. If a packet is lost, a new connection is faster
 /// than the retransmission by the system.
 const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Timeout for opening a connection to another region.
-const REGION_CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Timeout for opening a connection to another instance, possibly in another region.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Longest stream, in bytes: ten times the longest answer of the first deployments, which has 200
 /// events of 4 KB.
 const MAX_STREAM_BYTES: usize = 8 << 20;
@@ -51,7 +51,7 @@
     pub(super) call: &'a Call,
     pub(super) kind: RouteKind,
     pub(super) priority: u8,
-    /// The route for an entry instance of another region, if the hop is one.
+    /// The route for another entry instance, if the hop is one.
     pub(super) forwarded: Option<header::HeaderValue>,
     /// When the call has to be answered: its deadline or the timeout of its route, whichever is
     /// earlier.
@@ -87,6 +87,7 @@
             Outcome::NotRun(NotRun::Misdirected) => "misdirected",
             Outcome::NotRun(NotRun::Unreachable) => "unreachable",
             Outcome::NotRun(NotRun::Withdrawn) => "withdrawn",
+            Outcome::NotRun(NotRun::NoPath) => "no_path",
             Outcome::Unknown(Unknown::ConnectionLost) => "lost",
             Outcome::Unknown(Unknown::TimedOut) => "silent",
             Outcome::Unknown(Unknown::ForeignAnswer) => "foreign",
@@ -108,6 +109,8 @@
     Unreachable,
     /// The upstream stopped accepting requests while the connection was being opened.
     Withdrawn,
+    /// The other instance reaches no upstream of the service.
+    NoPath,
 }
 
 /// Why it is unknown whether a call has run.
@@ -350,7 +353,7 @@
     };
     let (address, connect) = match hop {
         Hop::Upstream { address, .. } => (*address, UPSTREAM_CONNECT_TIMEOUT),
-        Hop::Peer { address, .. } => (*address, REGION_CONNECT_TIMEOUT),
+        Hop::Peer { address, .. } => (*address, PEER_CONNECT_TIMEOUT),
     };
     let Some(request) = build_request(entry, context, hop, now) else {
         return Outcome::Unknown(Unknown::ForeignAnswer);
@@ -380,6 +383,7 @@
     match hop {
         Hop::Peer { .. } => *report = forwarded::report(answer.headers()),
         Hop::Upstream { choice, birth, address, .. } => {
+            entry.record_upstream_answer();
             entry.record_availability(context.call, &choice.id, *birth, *address, &answer);
             if answer.status() != StatusCode::MISDIRECTED_REQUEST {
                 entry.record_limit(context.call, now, &choice.id, *birth, answer.headers());
@@ -616,6 +620,9 @@
 ) -> Option<Outcome> {
     let names = &entry.names;
     let headers = answer.headers();
+    if report.is_some_and(|report| report.is_refused && report.lacks_path) {
+        return Some(Outcome::NotRun(NotRun::NoPath));
+    }
     if report.is_some_and(|report| report.is_refused) {
         return Some(Outcome::NotRun(NotRun::Refused { retry_after: retry_after(headers) }));
     }
@@ -663,6 +670,9 @@
         HttpCallError::TimedOut { address, .. } => {
             record_health(entry, hop, UpstreamOutcome::Failed);
             entry.client.close_idle(*address);
+            if matches!(hop, Hop::Upstream { .. }) {
+                entry.suspect_path();
+            }
             Outcome::Unknown(Unknown::TimedOut)
         }
     }
@@ -678,6 +688,9 @@
     if end == UpstreamOutcome::Broken {
         entry.start_crash_check(&choice.id, *address);
     }
+    if matches!(end, UpstreamOutcome::Broken | UpstreamOutcome::Unreachable) {
+        entry.suspect_path();
+    }
     let avoided = entry.healths.borrow_mut().record(entry.now(), &choice.id, end);
     if let Some(pause) = avoided {
         tracing::warn!(upstream = %choice.id, avoid_ms = pause.as_millis() as u64, ?end, "upstream avoided");
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -1,5 +1,5 @@
-//! Chooses the next hop of a call: an upstream of the own region, or an entry instance of another
-//! one.
+//! Chooses the next hop of a call: an upstream of the own region, or another entry instance. That is
+//! one of another region or, while this instance lacks a path to upstreams, of the own one.
 
 use std::{cell::OnceCell, net::SocketAddr, time::Duration};
 
@@ -7,9 +7,9 @@
     gateway::{
         availability::Availability,
         cold::{self, ANNOUNCEMENT_LIFETIME, ProcessTimes},
-        contacts::Contact,
+        contacts::{Contact, InstanceInfo},
         placement::{Candidate, Choice, Demand},
-        remote_region,
+        remote_region::{self, RemoteService},
         software_version::SoftwareVersion,
         stream_timeout::StreamSource,
         stream_version::StreamVersion,
@@ -25,6 +25,9 @@
 
 /// Round trip to another region, and the processing time of the instance there.
 const REGION_ROUND_TRIP: Duration = Duration::from_millis(130);
+/// Round trip to another instance of the region, which may be in another availability zone, and its
+/// processing time.
+const INSTANCE_ROUND_TRIP: Duration = Duration::from_millis(20);
 /// Added time of a request to an upstream in another availability zone of the region: opening a
 /// connection, the request and the answer, with about 4 ms each way.
 const ZONE_CROSSING_COST: Duration = Duration::from_millis(16);
@@ -34,7 +37,9 @@
 /// A local cost below this fraction of the latency objective is good enough not to consider other
 /// regions.
 const LOCAL_COST_FRACTION: f64 = 0.2;
-/// Idle connections that are kept to an instance of another region.
+/// Connections to upstreams that failed for a call, from which on it is forwarded if possible.
+const MAX_FAILED_BEFORE_FORWARD: u32 = 2;
+/// Idle connections that are kept to another instance.
 const MAX_IDLE_PEER_CONNECTIONS: usize = 32;
 
 /// Where to send a call.
@@ -55,7 +60,7 @@
         /// The software that the upstream runs, as it announced.
         software: Option<SoftwareVersion>,
     },
-    /// An entry instance of another region.
+    /// Another entry instance, in another region or in the own one.
     Peer { id: InstanceId, region: RegionId, address: SocketAddr, wait: Duration },
 }
 
@@ -90,6 +95,9 @@
 pub(super) struct Tried {
     pub(super) upstreams: Vec<UpstreamId>,
     pub(super) peers: Vec<InstanceId>,
+    /// Regions with an instance that has refused the call for another reason than that it lacks a
+    /// path to upstreams.
+    pub(super) regions: Vec<RegionId>,
 }
 
 impl Entry {
@@ -104,11 +112,15 @@
         let cost = local.as_ref().map(|local| self.cost(local));
         let is_local_good =
             cost.is_some_and(|cost| cost <= route.objective.mul_f64(LOCAL_COST_FRACTION));
+        let may_pass_on = route.may_be_served_in(&own) && self.lacks_path(service);
         let remote = match plan.may_forward && !is_local_good {
-            true => self.choose_peer(plan, demand),
+            true => self.choose_peer(plan, demand, may_pass_on),
             false => None,
         };
         match (local, remote) {
+            (Some(_), Some(remote)) if plan.failed_connections >= MAX_FAILED_BEFORE_FORWARD => {
+                Some(remote)
+            }
             (Some(local), Some(remote))
                 if remote.wait() < self.cost(&local).mul_f64(FORWARD_COST_RATIO) =>
             {
@@ -153,6 +165,9 @@
         demand: &Demand,
         may_use: &dyn Fn(&Upstream) -> bool,
     ) -> Option<Choice> {
+        if self.is_isolated() {
+            return None;
+        }
         let now = self.now();
         let spec = table.service(service)?;
         let memory = spec.engine.map_or(0, |engine| engine.memory);
@@ -254,7 +269,7 @@
 
     /// Whether an upstream of the region accepts new requests, according to its announcements, its
     /// answers and the evacuated zones.
-    fn accepts_requests(&self, now: Time, known: &KnownUpstream) -> bool {
+    pub(super) fn accepts_requests(&self, now: Time, known: &KnownUpstream) -> bool {
         let upstream = &known.upstream;
         let settings = self.settings.borrow();
         upstream.state == UpstreamState::Ready
@@ -270,18 +285,23 @@
         known.is_some_and(|known| self.accepts_requests(self.now(), known))
     }
 
-    /// Chooses an entry instance of the region, other than the own, that can serve the call
-    /// soonest.
-    fn choose_peer(&self, plan: &Plan, demand: &Demand) -> Option<Hop> {
+    /// Chooses an entry instance of the region that can serve the call soonest: of another region or,
+    /// if `may_pass_on`, of the own one.
+    fn choose_peer(&self, plan: &Plan, demand: &Demand, may_pass_on: bool) -> Option<Hop> {
         let Plan { route, service, tried, version, .. } = plan;
         let now = self.now();
-        let own = self.settings.borrow().info.region.clone();
+        let settings = self.settings.borrow();
+        let own = &settings.info;
         let contacts = self.contacts.borrow();
         let is_eligible = |contact: &&Contact| {
+            let InstanceInfo { id, region, .. } = &contact.info;
             contact.status.ready
-                && contact.info.region != own
-                && route.may_be_served_in(&contact.info.region)
-                && !tried.peers.contains(&contact.info.id)
+                && *id != own.id
+                && (may_pass_on || *region != own.region)
+                && route.may_be_served_in(region)
+                && !tried.peers.contains(id)
+                && !tried.regions.contains(region)
+                && !self.is_path_missing(id, service)
         };
         let eligible = contacts.live_entries(now).filter(is_eligible);
         let waits = self.waits.borrow();
@@ -293,10 +313,10 @@
             if upstreams == 0 && *version != StreamVersion::Free {
                 return None;
             }
-            Some(remote_region::predicted_cost(
-                remote_region::RemoteService { reported_wait, pending_tokens, upstreams },
-                demand,
-            ))
+            let is_own = *region == own.region;
+            let round_trip = if is_own { INSTANCE_ROUND_TRIP } else { REGION_ROUND_TRIP };
+            let there = RemoteService { reported_wait, pending_tokens, upstreams, is_own };
+            Some(remote_region::predicted_cost(there, demand) + round_trip)
         };
         let eligible: Vec<&Contact> = eligible.collect();
         let mut regions: Vec<&RegionId> = eligible.iter().map(|it| &it.info.region).collect();
@@ -313,7 +333,7 @@
             id: info.id.clone(),
             region: info.region.clone(),
             address: info.internal,
-            wait: wait + REGION_ROUND_TRIP,
+            wait,
         })
     }
 
--- a/crates/medlarlug-gateway/src/entry/crashes.rs
+++ b/crates/medlarlug-gateway/src/entry/crashes.rs
@@ -191,7 +191,8 @@
         if can_try(&own.region) {
             instances.push(own.id.clone());
         }
-        self.view.borrow().is_settled(now)
+        !self.is_isolated()
+            && self.view.borrow().is_settled(now)
             && suspects::trial_instance(content, &instances) == Some(&own.id)
     }
 
@@ -422,6 +423,7 @@
     if running == 0 && idle == 0 {
         tracing::warn!(upstream = %key.upstream, "all connections to the upstream broke; it may have crashed");
         entry.healths.borrow_mut().record_crash(began, &key.upstream);
+        entry.check_path();
         if http_client::refuses_connections(address, PROBE_TIMEOUT).await {
             entry.record_crash(key.clone(), "refuses connections");
         }
--- a/crates/medlarlug-gateway/src/entry/forwarded.rs
+++ b/crates/medlarlug-gateway/src/entry/forwarded.rs
@@ -1,4 +1,4 @@
-//! Headers of calls that are forwarded to another region.
+//! Headers of calls that are forwarded to another instance.
 
 use hyper::{HeaderMap, header::HeaderValue};
 use medlarlug::transport::body::Answer;
--- a/crates/medlarlug-gateway/src/entry/limited.rs
+++ b/crates/medlarlug-gateway/src/entry/limited.rs
@@ -199,7 +199,10 @@
     /// The upstreams of the own region that the call could be sent to if a permit were available.
     pub(super) fn limited_upstreams(&self, plan: &Plan) -> Vec<LimitedUpstream> {
         let limits = self.limited.limits.borrow();
-        if limits.is_empty() || !plan.route.may_be_served_in(&self.settings.borrow().info.region) {
+        if limits.is_empty()
+            || self.is_isolated()
+            || !plan.route.may_be_served_in(&self.settings.borrow().info.region)
+        {
             return Vec::new();
         }
         let Some(spec) = plan.table.service(&plan.service) else { return Vec::new() };
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -5,13 +5,14 @@
 //! 1. [`serve`] finds its route, reads its body and makes attempts until one succeeds, none is
 //!    left, or the time is up.
 //! 2. Each attempt begins with the choice of an upstream in the own region or of an entry instance
-//!    in another one ([`choice`]), or with a refusal.
+//!    in another one ([`choice`]), or with a refusal. While this instance reaches no upstream
+//!    ([`path_check`]), other entry instances of the own region may be chosen as well.
 //! 3. [`attempt`] sends the call and classifies the result: an answer, a guarantee that the call
 //!    was not run, or a failure after which it is unknown whether the call has run.
 //! 4. A complete answer is passed on at once. A stream is passed on event by event by [`relay`],
 //!    which resumes it at another upstream if the first one breaks off and the route allows it.
 //!
-//! A call that another region has forwarded is served in the same way, but never forwarded again.
+//! A call that another instance has forwarded is served in the same way, but never forwarded again.
 
 mod answers;
 mod attempt;
@@ -20,6 +21,7 @@
 mod crashes;
 mod forwarded;
 mod limited;
+mod path_check;
 mod plan;
 mod relay;
 mod serve;
@@ -65,7 +67,8 @@
 };
 
 use self::{
-    answers::AnswerReader, crashes::Crashes, limited::LimitState, stream_lookup::StreamState,
+    answers::AnswerReader, crashes::Crashes, limited::LimitState, path_check::PathState,
+    stream_lookup::StreamState,
 };
 pub(crate) use self::{limited::LimitMessage, stream_lookup::StreamMessage};
 pub use serve::CallOutcome;
@@ -131,6 +134,7 @@
     healths: RefCell<HealthTracker>,
     availabilities: RefCell<AvailabilityTracker>,
     limited: LimitState,
+    paths: PathState,
     streams: StreamState,
     cold_pacer: RefCell<ColdSendPacer>,
     crashes: RefCell<Crashes>,
@@ -181,6 +185,7 @@
             healths: RefCell::default(),
             availabilities: RefCell::default(),
             limited: LimitState::default(),
+            paths: PathState::default(),
             streams: StreamState::default(),
             cold_pacer: RefCell::default(),
             crashes: RefCell::default(),
@@ -197,6 +202,7 @@
         });
         entry.links.connect_new(&entry);
         task::spawn_local(upkeep(entry.clone()));
+        task::spawn_local(path_check::run(entry.clone()));
         let address = entry.info().internal;
         let socket = load_exchange::open(address).await.map_err(|source| ServerError::Listen {
             role: "load reports",
@@ -381,6 +387,7 @@
             let software = software.map(tracing::field::display);
             tracing::info!(upstream = %id, birth, sequence, ?state, software, age_ms = age.as_millis() as u64, %from, "upstream changed");
             self.streams.review();
+            self.recheck_path();
             let is_new = before.is_some_and(|before| before.0 < birth);
             if is_new {
                 self.healths.borrow_mut().forget(&id);
--- /dev/null
+++ b/crates/medlarlug-gateway/src/entry/path_check.rs
@@ -0,0 +1,161 @@
+//! Checks whether this instance reaches upstreams, see [`medlarlug_core::gateway::connectivity`].
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use medlarlug::transport::http_client;
+use medlarlug_core::{
+    gateway::{
+        cold::ANNOUNCEMENT_LIFETIME,
+        connectivity::{
+            CHECK_SIZE, Change, Check, Connectivity, ISOLATED_CHECK_INTERVAL, PeerPaths,
+        },
+        table::ServiceName,
+    },
+    ids::InstanceId,
+};
+use rand::{RngExt, seq::IndexedRandom};
+use tokio::{
+    sync::Notify,
+    task::JoinSet,
+    time::{sleep, timeout},
+};
+
+use super::Entry;
+use crate::metrics as names;
+
+/// Timeout for opening a connection in a check: the same as for a call.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which a connection has to stay open: an intermediary may accept connections and close
+/// them because it does not reach the upstream.
+const HOLD_TIME: Duration = Duration::from_millis(50);
+
+/// What this instance knows about the paths to upstreams.
+#[derive(Default)]
+pub(super) struct PathState {
+    connectivity: RefCell<Connectivity>,
+    peers: RefCell<PeerPaths>,
+    wake: Notify,
+}
+
+impl Entry {
+    /// Whether this instance reaches no upstream.
+    pub(super) fn is_isolated(&self) -> bool {
+        self.paths.connectivity.borrow().is_isolated()
+    }
+
+    /// Whether half or more of the upstreams of a service that accept requests are out of reach for this
+    /// instance.
+    pub(super) fn lacks_path(&self, service: &ServiceName) -> bool {
+        if self.is_isolated() {
+            return true;
+        }
+        let now = self.now();
+        let upstreams = self.upstreams.borrow();
+        let accepting = upstreams.of_service(service).filter(|it| self.accepts_requests(now, it));
+        let healths = self.healths.borrow();
+        let (unreachable, others): (Vec<_>, Vec<_>) =
+            accepting.partition(|it| healths.is_unreachable(now, &it.upstream.id));
+        !unreachable.is_empty() && unreachable.len() >= others.len()
+    }
+
+    /// Records that an upstream has answered a request.
+    pub(super) fn record_upstream_answer(&self) {
+        self.paths.connectivity.borrow_mut().record_answer(self.now());
+    }
+
+    /// Starts a check if one is due, after a request to an upstream has failed.
+    pub(super) fn suspect_path(&self) {
+        if self.paths.connectivity.borrow().needs_check(self.now()) {
+            self.check_path();
+        }
+    }
+
+    /// Starts a check because all connections to an upstream have broken at once.
+    pub(super) fn check_path(&self) {
+        self.paths.wake.notify_one();
+    }
+
+    /// Checks the paths of an isolated instance at once, since an upstream has announced a change.
+    pub(super) fn recheck_path(&self) {
+        if self.is_isolated() {
+            self.check_path();
+        }
+    }
+
+    /// Records that another instance reaches no upstream of a service.
+    pub(super) fn record_missing_path(&self, instance: &InstanceId, service: &ServiceName) {
+        self.paths.peers.borrow_mut().record_missing(self.now(), instance, service);
+    }
+
+    /// Whether another instance has recently said that it reaches no upstream of a service.
+    pub(super) fn is_path_missing(&self, instance: &InstanceId, service: &ServiceName) -> bool {
+        self.paths.peers.borrow().is_missing(self.now(), instance, service)
+    }
+
+    /// Opens connections to up to `size` random upstreams of the region that announce themselves.
+    async fn check_paths(&self, size: usize) -> Check {
+        let began = self.now();
+        let targets: Vec<_> = {
+            let upstreams = self.upstreams.borrow();
+            let fresh = upstreams.all().iter().filter(|known| {
+                self.accepts_requests(began, known)
+                    && began - known.announced_at <= ANNOUNCEMENT_LIFETIME
+            });
+            fresh.map(|known| known.upstream.address).collect()
+        };
+        let mut connections = JoinSet::new();
+        for address in targets.sample(&mut rand::rng(), size) {
+            let opens = http_client::holds_connection(*address, CONNECT_TIMEOUT, HOLD_TIME);
+            connections.spawn_local(opens);
+        }
+        let opened = connections.join_all().await;
+        let reached = opened.iter().filter(|opened| **opened).count();
+        metrics::counter!(names::PATH_CHECKS).increment(opened.len() as u64);
+        Check { began, reached, failed: opened.len() - reached }
+    }
+
+    fn record_check(&self, check: Check) {
+        let change = self.paths.connectivity.borrow_mut().record_check(self.now(), check);
+        let Check { reached, failed, .. } = check;
+        match change {
+            Some(Change::Isolated { since_answer }) => {
+                metrics::counter!(names::ISOLATIONS).increment(1);
+                let since_answer_ms = since_answer.map(|it| it.as_millis() as u64);
+                tracing::warn!(failed, since_answer_ms, "instance reaches no upstream");
+                self.close_upstream_connections();
+            }
+            Some(Change::Connected { isolated_for }) => {
+                let isolated_ms = isolated_for.as_millis() as u64;
+                tracing::info!(reached, failed, isolated_ms, "instance reaches upstreams again");
+            }
+            None => {}
+        }
+        metrics::gauge!(names::ISOLATED).set(f64::from(u8::from(self.is_isolated())));
+    }
+
+    /// Closes the idle connections to upstreams, which may no longer deliver anything after a partition.
+    fn close_upstream_connections(&self) {
+        let upstreams = self.upstreams.borrow();
+        upstreams.all().iter().for_each(|known| self.client.close_idle(known.upstream.address));
+    }
+}
+
+/// Runs the checks that are due, for as long as the process runs.
+pub(super) async fn run(entry: Rc<Entry>) {
+    loop {
+        let wake = entry.paths.wake.notified();
+        if entry.is_isolated() {
+            let pause = ISOLATED_CHECK_INTERVAL.mul_f64(rand::rng().random_range(0.75..1.25));
+            // A time-out is no error: the next check is due then.
+            drop(timeout(pause, wake).await);
+            let check = entry.check_paths(1).await;
+            entry.record_check(check);
+        } else {
+            wake.await;
+            let check = entry.check_paths(CHECK_SIZE).await;
+            entry.record_check(check);
+            // Bounds the rate of checks while calls go on failing.
+            sleep(ISOLATED_CHECK_INTERVAL).await;
+        }
+    }
+}
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -44,7 +44,9 @@
     /// earlier.
     pub(super) answer_by: Time,
     pub(super) deadline: Time,
-    /// Whether it may be forwarded to another region.
+    /// Whether another instance has forwarded it.
+    pub(super) is_forwarded: bool,
+    /// Whether it may be forwarded to another instance.
     pub(super) may_forward: bool,
     /// Whether it is the trial of a quarantined content.
     pub(super) is_trial: bool,
@@ -59,7 +61,10 @@
     pub(super) attempts: Attempts,
     /// What the call has taken from the retry budget at this instance.
     pub(super) spending: Spending,
+    /// Hops to which no connection opened, or that could not serve the call for another reason than load.
     pub(super) unreachable: u32,
+    /// Upstreams to which no connection opened.
+    pub(super) failed_connections: u32,
     /// For the log: the hops that were tried, each with its predicted waiting time, the age of the
     /// announcement that the choice is based on, and the outcome.
     pub(super) path: Vec<String>,
@@ -260,11 +265,13 @@
                     software.unwrap_or_default()
                 ));
             }
-            Hop::Peer { id, .. } => {
+            Hop::Peer { id, region, .. } => {
                 self.tried.peers.push(id.clone());
                 let wait = hop.wait().as_millis();
                 self.path.push(format!("{id}(wait={wait}ms)"));
-                metrics::counter!(names::FORWARDED_CALLS).increment(1);
+                let is_passed_on = *region == entry.settings.borrow().info.region;
+                let name = if is_passed_on { names::PASSED_CALLS } else { names::FORWARDED_CALLS };
+                metrics::counter!(name).increment(1);
             }
         }
         let left = self.answer_by - entry.now();
@@ -306,11 +313,19 @@
             self.spending.record_arrival();
         }
         match (&outcome, hop) {
-            (Outcome::NotRun(NotRun::Unreachable | NotRun::Misdirected), _) => {
+            (Outcome::NotRun(NotRun::Unreachable | NotRun::Misdirected), hop) => {
                 self.unreachable += 1;
+                self.failed_connections += u32::from(matches!(hop, Hop::Upstream { .. }));
+            }
+            (Outcome::NotRun(NotRun::NoPath), Hop::Peer { id, .. }) => {
+                self.unreachable += 1;
+                entry.record_missing_path(id, &self.service);
+            }
+            (Outcome::NotRun(NotRun::Refused { .. }), Hop::Peer { region, .. }) => {
+                // Another region that is full is a sign that all are.
+                self.may_forward &= *region == entry.settings.borrow().info.region;
+                self.tried.regions.push(region.clone());
             }
-            // The other region is full as well.
-            (Outcome::NotRun(NotRun::Refused { .. }), Hop::Peer { .. }) => self.may_forward = false,
             _ => {}
         }
         outcome
@@ -328,6 +343,7 @@
             arrivals = self.attempts.arrivals(),
             runs = self.attempts.runs(),
             outcome = %ended,
+            is_forwarded = self.is_forwarded,
             took_ms = took.as_millis() as u64,
             "call ended"
         );
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -164,7 +164,7 @@
     answer
 }
 
-/// Serves a call that an instance of another region has forwarded.
+/// Serves a call that another instance has forwarded.
 pub(super) async fn forwarded(entry: Rc<Entry>, request: Request<Incoming>) -> Answer {
     let reported = match forwarded::handover(request.headers()) {
         Some(handover) => serve(&entry, request, Some(handover)).await,
@@ -285,6 +285,7 @@
         began,
         answer_by: began + limit,
         deadline: began + deadline,
+        is_forwarded,
         may_forward: !is_forwarded,
         is_trial: false,
         last_event: last.and_then(|last| last.trim().parse().ok()),
@@ -294,6 +295,7 @@
         attempts: Attempts::new(route.attempts, most_arrivals.min(MAX_ARRIVALS)),
         spending: Spending::default(),
         unreachable: 0,
+        failed_connections: 0,
         path: Vec::new(),
         admission_wait: None,
         has_requested_permits: false,
@@ -396,6 +398,8 @@
                     wait_ms = wait.map(|wait| wait.as_millis() as u64),
                     left_ms = left.as_millis() as u64,
                     has_hop = hop.is_some(),
+                    is_forwarded = plan.is_forwarded,
+                    lacks_path = entry.lacks_path(&plan.service),
                     tried = %plan.path.join(","),
                     "refusing"
                 );
@@ -417,7 +421,9 @@
             Outcome::NotRun(NotRun::Refused { retry_after: named, .. }) => {
                 retry_after = named.or(retry_after)
             }
-            Outcome::NotRun(NotRun::Misdirected | NotRun::Unreachable | NotRun::Withdrawn) => {}
+            Outcome::NotRun(
+                NotRun::Misdirected | NotRun::Unreachable | NotRun::Withdrawn | NotRun::NoPath,
+            ) => {}
             Outcome::Unknown(why) => {
                 unknown = Some(why);
                 if !plan.route.kind.is_retryable() {
@@ -458,7 +464,9 @@
         }
         Resolution::Refuse { retry_after } => {
             plan.record_outcome(entry, &call, CallOutcome::Refused);
-            refusal(entry, &call, retry_after, plan.attempts.report(true))
+            let lacks_path = entry.lacks_path(&plan.service);
+            let report = HandoverReport { lacks_path, ..plan.attempts.report(true) };
+            refusal(entry, &call, retry_after, report)
         }
         Resolution::Fail { status, why } => {
             let ended = match why {
--- a/crates/medlarlug-gateway/src/metrics.rs
+++ b/crates/medlarlug-gateway/src/metrics.rs
@@ -29,6 +29,15 @@
 pub const FOREIGN_ANSWERS: &str = "medlarlug_gateway_foreign_answers_total";
 /// Counter: calls forwarded to another region.
 pub const FORWARDED_CALLS: &str = "medlarlug_gateway_forwarded_total";
+/// Counter: calls passed on to another instance of the region, because this one lacks a path to
+/// upstreams.
+pub const PASSED_CALLS: &str = "medlarlug_gateway_passed_on_total";
+/// Counter: times at which this instance no longer reached any upstream.
+pub const ISOLATIONS: &str = "medlarlug_gateway_isolations_total";
+/// Gauge: 1 while this instance reaches no upstream, otherwise 0.
+pub const ISOLATED: &str = "medlarlug_gateway_isolated";
+/// Counter: connections opened to check whether upstreams can be reached.
+pub const PATH_CHECKS: &str = "medlarlug_gateway_path_checks_total";
 /// Counter in bytes: load reports sent to other instances of the region.
 pub const LOAD_BYTES: &str = "medlarlug_gateway_load_bytes_total";
 /// Gauge: version of the route table in effect.
@@ -64,6 +73,10 @@
     describe_counter!(QUARANTINED_CALLS, "Calls not run because their content crashes upstreams");
     describe_counter!(FOREIGN_ANSWERS, "Answers dropped because they belong to another call");
     describe_counter!(FORWARDED_CALLS, "Calls handed to another region");
+    describe_counter!(PASSED_CALLS, "Calls passed on to another instance of the region");
+    describe_counter!(ISOLATIONS, "Times at which no upstream could be reached any more");
+    describe_gauge!(ISOLATED, "1 while no upstream can be reached");
+    describe_counter!(PATH_CHECKS, "Connections opened to check the paths to upstreams");
     describe_counter!(LOAD_BYTES, Unit::Bytes, "Load reports sent to instances of the region");
     describe_gauge!(TABLE_VERSION, "Version of the route table in force");
     describe_gauge!(READY_UPSTREAMS, "Upstreams that are known and take calls");
--- a/crates/test-support/src/relay.rs
+++ b/crates/test-support/src/relay.rs
@@ -118,9 +118,7 @@
         let relay = self.address;
         self.shared.update(|it| {
             it.cut = Some((processes.to_vec(), cut));
-            let is_cut = |client: &TcpStream| {
-                client.peer_addr().is_ok_and(|client| is_owned_by(processes, client, relay))
-            };
+            let is_cut = |client: &TcpStream| is_owned(processes, client, relay);
             match cut {
                 Cut::NewClosed => {}
                 Cut::Silent => {
@@ -171,11 +169,18 @@
     /// How a connection is cut; `None` if it is not.
     fn cut_of(&self, client: &TcpStream, relay: SocketAddr) -> Option<Cut> {
         let (processes, cut) = self.cut.as_ref()?;
-        let client = client.peer_addr().ok()?;
-        is_owned_by(processes, client, relay).then_some(*cut)
+        is_owned(processes, client, relay).then_some(*cut)
     }
 }
 
+/// Whether one of `processes` has opened the connection `client` to the relay.
+fn is_owned(processes: &[u32], client: &TcpStream, relay: SocketAddr) -> bool {
+    // A connection that is closed already has no peer.
+    let Ok(SocketAddr::V4(client)) = client.peer_addr() else { return false };
+    let SocketAddr::V4(relay) = relay else { return false };
+    is_owned_by(processes, client, relay).expect("the owner of a connection")
+}
+
 fn close((_, client, server): (u64, TcpStream, TcpStream)) {
     // The peer may have closed them before.
     let _ = client.shutdown(Shutdown::Both);
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -341,6 +341,17 @@
     matches!(connected, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
+/// Whether a connection to `address` opens within `connect`, and the peer keeps it open for `hold`.
+pub async fn holds_connection(address: SocketAddr, connect: Duration, hold: Duration) -> bool {
+    let Ok(Ok(stream)) = timeout(connect, TcpStream::connect(address)).await else { return false };
+    let closed = async {
+        let mut byte = [0];
+        stream.peek(&mut byte).await.map_or(true, |bytes| bytes == 0)
+    };
+    // A time-out means that the connection is still open.
+    !timeout(hold, closed).await.unwrap_or(false)
+}
+
 /// A connection whose answer is being read; dropping it closes it.
 pub struct Connection {
     address: SocketAddr,
--- a/tests/testsuite/http_client.rs
+++ b/tests/testsuite/http_client.rs
@@ -6,8 +6,16 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
-use medlarlug::transport::http_client::{CallLimits, HttpCallError, HttpClient, Reuse};
-use tokio::{io::AsyncReadExt, net::TcpListener, runtime::Builder, task::LocalSet};
+use medlarlug::transport::http_client::{
+    CallLimits, HttpCallError, HttpClient, Reuse, holds_connection,
+};
+use tokio::{
+    io::AsyncReadExt,
+    net::{TcpListener, TcpStream},
+    runtime::Builder,
+    task::LocalSet,
+    time::timeout,
+};
 
 const LIMITS: CallLimits =
     CallLimits { connect: Duration::from_secs(5), head: Duration::from_secs(5) };
@@ -40,3 +48,56 @@
         assert_eq!(bytes, b"");
     });
 }
+
+const CONNECT: Duration = Duration::from_millis(300);
+const HOLD: Duration = Duration::from_millis(50);
+
+#[test]
+fn connection_that_stays_open_is_held() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+
+        assert!(holds_connection(listener.local_addr().unwrap(), CONNECT, HOLD).await);
+    });
+}
+
+#[test]
+fn connection_that_is_closed_at_once_is_not_held() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let close = async { drop(listener.accept().await) };
+
+        let (is_held, ()) = tokio::join!(holds_connection(address, CONNECT, HOLD), close);
+
+        assert!(!is_held);
+    });
+}
+
+#[test]
+fn connection_that_is_refused_is_not_held() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        drop(listener);
+
+        assert!(!holds_connection(address, CONNECT, HOLD).await);
+    });
+}
+
+/// The queue of the listener is full, so that the system drops further connections as a partition does.
+#[test]
+fn connection_that_hangs_is_not_held() {
+    run(async {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(1).unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut waiting = Vec::new();
+        while let Ok(Ok(stream)) = timeout(CONNECT, TcpStream::connect(address)).await {
+            waiting.push(stream);
+        }
+
+        assert!(!holds_connection(address, CONNECT, HOLD).await);
+    });
+}
