An upstream that only this instance can't reach is not recorded as crashed

Cause: a refused connection was taken as proof of a crash.

Change: it is one only if another upstream of the region accepts connections. If none does, announcements decide within 4 s.

upstream_cuts::upstreams_that_are_out_of_reach_... failed before and passes; crashing::* pass, among them the case in which all upstreams crash at once.

--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -654,10 +654,10 @@
     match error {
         HttpCallError::Connect { source, .. } => {
             let is_refused = |error: &std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
-            if let Hop::Upstream { choice, .. } = hop
+            if let Hop::Upstream { choice, address, .. } = hop
                 && source.as_ref().is_some_and(is_refused)
             {
-                entry.refused_connection(&choice.id);
+                entry.refused_connection(&choice.id, *address);
             }
             record_health(entry, hop, UpstreamOutcome::Unreachable);
             Outcome::NotRun(NotRun::Unreachable)
--- a/crates/medlarlug-gateway/src/entry/crashes.rs
+++ b/crates/medlarlug-gateway/src/entry/crashes.rs
@@ -8,7 +8,7 @@
 //! keepers, which store them for instances that start later.
 //!
 //! A broken connection alone does not count as a crash. It does when the upstream refuses new
-//! connections, when a newer incarnation announces itself with its id or address, or when another
+//! connections while another one accepts them, when a newer incarnation announces itself with its id or address, or when another
 //! instance reports the crash. Until then the request stays recorded.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -34,6 +34,12 @@
 const CRASH_SETTLE_TIME: Duration = Duration::from_millis(30);
 /// Timeout for opening a connection to an upstream that may have crashed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time without an announcement after which an upstream that refuses connections has crashed, even
+/// if no other upstream can be reached: two heartbeats, and the time until keepers have reported the
+/// second one.
+const CRASH_CONFIRM_TIME: Duration = Duration::from_secs(4);
+/// Time between two looks whether an upstream has crashed or only can't be reached.
+const CRASH_POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which a request that ended without an answer stays recorded. A crashed upstream
 /// restarts and announces itself within a few seconds.
 const UNANSWERED_LIFETIME: Duration = Duration::from_secs(15);
@@ -257,15 +263,29 @@
         }
     }
 
-    /// Called when an upstream refuses connections: it has crashed if requests there ended without
+    /// Called when an upstream refuses connections: it may have crashed if requests there ended without
     /// an answer.
-    pub(super) fn refused_connection(&self, upstream: &UpstreamId) {
+    pub(super) fn refused_connection(self: &Rc<Self>, upstream: &UpstreamId, address: SocketAddr) {
         let Some(key) = self.newest_incarnation(upstream) else { return };
-        if self.crashes.borrow().has_unanswered(&key) {
-            self.record_crash(key, "refuses connections");
+        let mut crashes = self.crashes.borrow_mut();
+        if crashes.has_unanswered(&key) && !crashes.under_check.contains(&key) {
+            crashes.under_check.push(key.clone());
+            let entry = self.clone();
+            task::spawn_local(async move {
+                confirm_crash(&entry, &key, address).await;
+                entry.crashes.borrow_mut().under_check.retain(|it| *it != key);
+            });
         }
     }
 
+    /// Whether an incarnation has announced itself after `since`.
+    fn has_announced_since(&self, key: &CrashId, since: Time) -> bool {
+        let upstreams = self.upstreams.borrow();
+        upstreams.get(&key.upstream).is_some_and(|known| {
+            known.upstream.birth.0 == key.incarnation.0 && known.announced_at > since
+        })
+    }
+
     fn newest_incarnation(&self, upstream: &UpstreamId) -> Option<CrashId> {
         let upstreams = self.upstreams.borrow();
         upstreams.get(upstream).map(|it| key(upstream, it.upstream.birth))
@@ -425,8 +445,29 @@
         entry.healths.borrow_mut().record_crash(began, &key.upstream);
         entry.check_path();
         if http_client::refuses_connections(address, PROBE_TIMEOUT).await {
-            entry.record_crash(key.clone(), "refuses connections");
+            confirm_crash(&entry, &key, address).await;
         }
     }
     entry.crashes.borrow_mut().under_check.retain(|it| *it != key);
 }
+
+/// Records the crash of an upstream that refuses connections. If no other upstream can be reached
+/// either, the network may be the cause: then waits until another one can be reached or the upstream
+/// has missed its heartbeats, and records nothing if it announces itself or accepts connections.
+async fn confirm_crash(entry: &Entry, key: &CrashId, address: SocketAddr) {
+    let began = entry.now();
+    while !entry.reaches_another(&key.upstream).await {
+        if entry.now() - began > CRASH_CONFIRM_TIME {
+            return entry
+                .record_crash(key.clone(), "refuses connections, announcements are missing");
+        }
+        sleep(CRASH_POLL_INTERVAL).await;
+        if entry.has_announced_since(key, began) {
+            tracing::info!(upstream = %key.upstream, "no upstream can be reached, but it announces itself; not recorded as crashed");
+            return;
+        }
+    }
+    if http_client::refuses_connections(address, PROBE_TIMEOUT).await {
+        entry.record_crash(key.clone(), "refuses connections");
+    }
+}
--- a/crates/medlarlug-gateway/src/entry/path_check.rs
+++ b/crates/medlarlug-gateway/src/entry/path_check.rs
@@ -11,7 +11,7 @@
         },
         table::ServiceName,
     },
-    ids::InstanceId,
+    ids::{InstanceId, UpstreamId},
 };
 use rand::{RngExt, seq::IndexedRandom};
 use tokio::{
@@ -92,14 +92,21 @@
         self.paths.peers.borrow().is_missing(self.now(), instance, service)
     }
 
+    /// Whether a connection opens to an upstream of the region other than this one, or there is no other.
+    pub(super) async fn reaches_another(&self, upstream: &UpstreamId) -> bool {
+        let check = self.check_paths(CHECK_SIZE, Some(upstream)).await;
+        check.reached > 0 || check.failed == 0
+    }
+
     /// Opens connections to up to `size` random upstreams of the region that announce themselves.
-    async fn check_paths(&self, size: usize) -> Check {
+    async fn check_paths(&self, size: usize, except: Option<&UpstreamId>) -> Check {
         let began = self.now();
         let targets: Vec<_> = {
             let upstreams = self.upstreams.borrow();
             let fresh = upstreams.all().iter().filter(|known| {
                 self.accepts_requests(began, known)
                     && began - known.announced_at <= ANNOUNCEMENT_LIFETIME
+                    && Some(&known.upstream.id) != except
             });
             fresh.map(|known| known.upstream.address).collect()
         };
@@ -148,11 +155,11 @@
             let pause = ISOLATED_CHECK_INTERVAL.mul_f64(rand::rng().random_range(0.75..1.25));
             // A time-out is no error: the next check is due then.
             drop(timeout(pause, wake).await);
-            let check = entry.check_paths(1).await;
+            let check = entry.check_paths(1, None).await;
             entry.record_check(check);
         } else {
             wake.await;
-            let check = entry.check_paths(CHECK_SIZE).await;
+            let check = entry.check_paths(CHECK_SIZE, None).await;
             entry.record_check(check);
             // Bounds the rate of checks while calls go on failing.
             sleep(ISOLATED_CHECK_INTERVAL).await;
