Own path: requests of an instance that can't connect to its zone's upstreams go to another instance of the zone

What callers would see: 0 of 20 requests and bookings answered at an instance whose connections to upstreams are closed, 20 of 20 at the other (processes::upstream_cuts, failing before).

A hop was an upstream of the own zone or another zone.

Change: if all upstreams that serve a request are in cool-down, the router chooses another entry instance of the zone, by the forward that exists; it can't be forwarded again. A connection that breaks at once starts the cool-down as well. The stand-in can announce another address than its own, for the test's relay.

--- a/crates/medlarlug-core/src/routing/remote.rs
+++ b/crates/medlarlug-core/src/routing/remote.rs
@@ -1,15 +1,16 @@
-//! Chooses the best other zone, and decides whether a request is forwarded to it.
+//! Chooses the best other zone, or another instance of the own one, and decides whether a request is
+//! forwarded to it.
 
 use std::time::Duration;
 
 use rand::RngExt;
 
 use crate::{
-    ids::ZoneId,
+    ids::{InstanceId, ZoneId},
     membership::{Row, load::PREFILL_TOKENS_PER_SECOND},
     routing::{
         destination_stats::DestinationStats,
-        local::within_deadline,
+        local::{MIN_RETRY_AFTER, within_deadline},
         request::{CallerRequest, RequestFacts},
         residency::Permit,
         route::{Choice, Refusal, Route, ZoneRoute},
@@ -100,6 +101,41 @@
         Ok(route)
     }
 
+    /// Chooses one of the other entry instances `peers` of the own zone, for a request that this
+    /// instance can't send to the zone's upstreams because no connection to them opens. The upstreams
+    /// that the request excludes count as usable there.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there are no peers, when one of them has refused the request before, and as
+    /// [`Router::decide_forwarded`] does.
+    pub fn decide_in_zone(
+        &mut self,
+        now: Time,
+        view: View<'_>,
+        request: &CallerRequest,
+        peers: &[InstanceId],
+    ) -> Result<ZoneRoute, Refusal> {
+        let own = view.membership.own();
+        let facts = RequestFacts { excluded: Vec::new(), ..request.facts.clone() };
+        let local = self.best_local_upstream(now, view, &facts)?;
+        if peers.is_empty() || request.excluded_zones.binary_search(&own.zone).is_ok() {
+            let target = facts.target.key();
+            return Err(Refusal::NoUpstream { target, retry_after: MIN_RETRY_AFTER });
+        }
+        let entry = peers[self.random.random_range(0..peers.len())].clone();
+        Ok(ZoneRoute {
+            attempt_id: local.attempt_id,
+            zone: own.zone.clone(),
+            region: own.region.clone(),
+            entry,
+            predicted: local.predicted,
+            own: own.region.clone(),
+            tokens: local.tokens,
+            base: local.base,
+        })
+    }
+
     /// Serves a request in the own zone unless another one is better by a margin, which is smaller
     /// while requests are already forwarded.
     pub(super) fn local_or_remote(
--- a/crates/medlarlug-core/src/routing/route.rs
+++ b/crates/medlarlug-core/src/routing/route.rs
@@ -22,7 +22,7 @@
 pub enum Choice {
     /// The request is sent to an upstream of the own zone.
     Serve(Route),
-    /// The request is forwarded to another zone.
+    /// The request is forwarded to another zone, or to another instance of the own one.
     Forward(ZoneRoute),
 }
 
@@ -46,7 +46,7 @@
     pub(super) base: f64,
 }
 
-/// A route to another zone.
+/// A route to an instance of another zone, or to another instance of the own one.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ZoneRoute {
     /// Identifies the attempt in the router's events.
--- a/crates/test-support/src/deployment/mod.rs
+++ b/crates/test-support/src/deployment/mod.rs
@@ -20,7 +20,11 @@
 use tempfile::TempDir;
 
 pub use self::requests::{Reply, call};
-use crate::{free_address, free_port_range, relay::Network, signals};
+use crate::{
+    free_address, free_port_range,
+    relay::{Network, Relay},
+    signals,
+};
 
 /// Bearer key of the operator `anna`.
 pub const OPERATOR_KEY: &str = "operator-key-of-anna";
@@ -108,6 +112,10 @@
     processes: Mutex<Vec<(String, Child)>>,
     /// The relays between instances, if enabled by [`Deployment::with_relays`].
     pub network: Option<Network>,
+    /// The relays in front of upstreams, by their ids, if enabled by
+    /// [`Deployment::with_upstream_relays`].
+    pub upstream_relays: Vec<(String, Relay)>,
+    has_upstream_relays: bool,
     home_voters: Vec<(String, Vec<String>)>,
     /// Limits in the settings of entry instances, as lines of YAML.
     pub limits: String,
@@ -126,11 +134,19 @@
             upstreams: Vec::new(),
             processes: Mutex::default(),
             network: None,
+            upstream_relays: Vec::new(),
+            has_upstream_relays: false,
             home_voters: Vec::new(),
             limits: String::new(),
         }
     }
 
+    /// Puts a relay in front of each upstream.
+    pub fn with_upstream_relays(mut self) -> Deployment {
+        self.has_upstream_relays = true;
+        self
+    }
+
     /// Puts relays between the instances.
     pub fn with_relays(mut self) -> Deployment {
         self.network = Some(Network::default());
--- a/crates/test-support/src/deployment/settings.rs
+++ b/crates/test-support/src/deployment/settings.rs
@@ -5,9 +5,14 @@
 use medlarlug_core::fingerprint::Fingerprint;
 
 use super::{Deployment, OPERATOR_KEY, Upstream};
+use crate::relay::Relay;
 
 impl Deployment {
     pub(super) fn start_relays(&mut self) {
+        if self.has_upstream_relays {
+            let started = self.upstreams.iter().map(|it| (it.id.clone(), Relay::start(it.address)));
+            self.upstream_relays = started.collect();
+        }
         let Some(network) = &mut self.network else { return };
         for from in &self.instances {
             for to in self.instances.iter().filter(|it| it.id != from.id) {
@@ -109,6 +114,9 @@
             upstream.kind,
             upstream.slots
         );
+        if let Some((_, relay)) = self.upstream_relays.iter().find(|it| it.0 == upstream.id) {
+            text.push_str(&format!("    announced: {}\n", relay.address()));
+        }
         for line in &upstream.extra {
             text.push_str(&format!("    {line}\n"));
         }
--- a/src/coordination/entry/crashes.rs
+++ b/src/coordination/entry/crashes.rs
@@ -135,10 +135,11 @@
         address: SocketAddr,
     ) {
         let incarnation = self.suspects.borrow().incarnation_of(request);
-        let is_refused = refuses_connections(address).await;
-        if is_refused {
+        let connection = probe(address).await;
+        if connection != Probe::Open {
             self.cooldowns.begin(self.node.now(), upstream);
         }
+        let is_refused = connection == Probe::Refused;
         match incarnation.filter(|_| is_refused) {
             Some(incarnation) => {
                 tracing::warn!(%upstream, %incarnation, %request, "upstream crashed");
@@ -178,20 +179,33 @@
     }
 }
 
-/// Whether an upstream refuses new connections.
+/// What became of new connections to an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Probe {
+    /// One stayed open.
+    Open,
+    /// The upstream refused one.
+    Refused,
+    /// They did not open in time, or broke at once.
+    Broken,
+}
+
+/// Opens a connection to an upstream.
 ///
 /// While a process exits, its port may still accept a connection that breaks a moment later; in that
 /// case another connection is tried.
-async fn refuses_connections(address: SocketAddr) -> bool {
+async fn probe(address: SocketAddr) -> Probe {
     for _ in 0..MAX_PROBES {
         let mut stream = match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return error.kind() == std::io::ErrorKind::ConnectionRefused,
-            Err(_) => return false,
+            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                return Probe::Refused;
+            }
+            Ok(Err(_)) | Err(_) => return Probe::Broken,
         };
         if timeout(PROBE_HOLD_TIME, stream.read(&mut [0])).await.is_err() {
-            return false;
+            return Probe::Open;
         }
     }
-    false
+    Probe::Broken
 }
--- a/src/coordination/entry/forward.rs
+++ b/src/coordination/entry/forward.rs
@@ -1,4 +1,5 @@
-//! Requests that are forwarded from one zone to another.
+//! Requests that are forwarded from one zone to another, or to another instance of the own zone if
+//! this one can't connect to its upstreams.
 //!
 //! The sender encodes the call and the header of the forwarded request in one postcard document,
 //! authenticated by the deployment key. The receiver serves it in its own zone or refuses it; what
@@ -25,7 +26,7 @@
 use crate::{
     coordination::entry::{
         Entry,
-        exchange::{Call, Exchange, FailedAttempt},
+        exchange::{Call, Destination, Exchange, FailedAttempt},
     },
     protocol::{Problem, headers},
     transport::{body, http_client::RequestBody},
@@ -91,15 +92,16 @@
     Some(request)
 }
 
-/// The instances of a zone to which a request is forwarded in turn, at most two: `preferred` first,
-/// unless it was recently unavailable.
+/// The other instances of a zone to which a request is forwarded in turn, at most two: `preferred`
+/// first, unless it was recently unavailable.
 pub fn receivers(
     entry: &Entry,
     zone: &ZoneId,
     preferred: &InstanceId,
 ) -> Vec<(InstanceId, SocketAddr)> {
     let unavailable = entry.unavailable_entries.ids(entry.node.now());
-    let in_zone = entry.node.cluster.entries().filter(|it| it.zone == *zone);
+    let own = &entry.node.own.id;
+    let in_zone = entry.node.cluster.entries().filter(|it| it.zone == *zone && it.id != *own);
     let mut receivers: Vec<(InstanceId, SocketAddr)> =
         in_zone.map(|it| (it.id.clone(), it.internal)).collect();
     receivers.sort_by_key(|it| (unavailable.binary_search(&it.0).is_ok(), it.0 != *preferred));
@@ -147,10 +149,15 @@
         Ok(Ok(content)) => serde_json::from_slice::<Problem>(&content).ok(),
         _ => None,
     };
+    let is_in_own_zone = failed.destination == Destination::Zone(entry.node.own.zone.clone());
     match problem {
         Some(problem) if problem.kind == Reason::Leaving.slug() => {
             Err(ForwardFailure::ByInstance(failed))
         }
+        // It reaches no upstream either; a third instance may.
+        Some(problem) if is_in_own_zone && problem.kind == Reason::NoUpstream.slug() => {
+            Err(ForwardFailure::ByInstance(failed))
+        }
         _ => Err(ForwardFailure::ByZone(failed)),
     }
 }
--- a/src/coordination/entry/inference/choice.rs
+++ b/src/coordination/entry/inference/choice.rs
@@ -1,14 +1,15 @@
 //! The choice of an upstream or a zone for one attempt, and the sending of the request.
 //!
 //! Upstreams that run a suspect, that are in cooldown, or at which an attempt has failed are left out
-//! as long as others serve the request.
+//! as long as others serve the request. If all that serve it are in cooldown, this instance may be cut
+//! off from them: the request is forwarded to another instance of the zone.
 
 use std::time::Duration;
 
 use medlarlug_core::{
-    ids::UpstreamId,
+    ids::{InstanceId, UpstreamId},
     refusal::Reason,
-    routing::{self, Choice, View},
+    routing::{self, CallerRequest, Choice, View, ZoneRoute},
 };
 use tokio::time::sleep;
 
@@ -46,13 +47,49 @@
     let cooling = entry.cooldowns.ids(entry.node.now());
     denied.iter().chain(&cooling).for_each(|it| candidate.exclude(it));
     let choice = choose(entry, &candidate);
-    if !denied.is_empty() || !is_without_upstream(&choice) {
+    if !denied.is_empty() || matches!(choice, Ok(Choice::Serve(_))) {
+        return choice;
+    }
+    if !cooling.is_empty()
+        && let Some(route) = choose_in_zone(entry, job)
+    {
+        return Ok(Choice::Forward(route));
+    }
+    if !is_without_upstream(&choice) {
         return choice;
     }
     candidate.clear_excluded();
     choose(entry, &candidate)
 }
 
+/// Chooses another instance of the own zone; `None` if there is none, or if the request has been
+/// forwarded or refused there before.
+fn choose_in_zone(entry: &Entry, job: &Job) -> Option<ZoneRoute> {
+    let JobOrigin::Caller(origin) = &job.origin else { return None };
+    let configuration = entry.configuration()?;
+    let now = entry.node.now();
+    let membership = &entry.node.members.borrow();
+    let view = View { membership, configuration: &configuration, lease: entry.lease() };
+    let unavailable = entry.unavailable_entries.ids(now);
+    let own = &entry.node.own;
+    let peers = entry.node.cluster.entries().filter(|it| {
+        it.zone == own.zone && it.id != own.id && unavailable.binary_search(&it.id).is_err()
+    });
+    let peers: Vec<InstanceId> = peers.map(|it| it.id.clone()).collect();
+    let route = entry.router.borrow_mut().decide_in_zone(now, view, origin, &peers).ok()?;
+    tracing::info!(request = %origin.facts.id, instance = %route.entry, "no upstream of the zone can be connected to; forwarding to another instance");
+    Some(route)
+}
+
+/// The request as another instance of the own zone may serve it: at upstreams to which this instance
+/// can't connect.
+fn without_cooldowns(entry: &Entry, origin: &CallerRequest) -> CallerRequest {
+    let cooling = entry.cooldowns.ids(entry.node.now());
+    let mut origin = origin.clone();
+    origin.facts.excluded.retain(|it| cooling.binary_search(it).is_err());
+    origin
+}
+
 fn is_without_upstream(choice: &Result<Choice, AttemptError>) -> bool {
     let is_without = |reason| matches!(reason, Reason::NoUpstream | Reason::ServedElsewhere);
     matches!(choice, Err(AttemptError::Refused(it)) if is_without(it.reason))
@@ -109,6 +146,8 @@
             exchange::send_to_upstream(entry, authorized, facts, &job.call).await
         }
         (Choice::Forward(route), JobOrigin::Caller(origin)) => {
+            let is_in_zone = route.zone == entry.node.own.zone;
+            let origin = if is_in_zone { &without_cooldowns(entry, origin) } else { origin };
             let authorized =
                 route.authorize(&configuration, entry.lease(), origin).map_err(not_permitted)?;
             exchange::forward_to_zone(entry, authorized, facts, &job.call).await
--- a/src/settings/standin.rs
+++ b/src/settings/standin.rs
@@ -61,6 +61,8 @@
     pub zone: ZoneId,
     /// Address at which it accepts requests and orders.
     pub address: SocketAddr,
+    /// Address that it announces, if requests reach it through a relay; otherwise `address`.
+    pub announced: SocketAddr,
     /// Address of the control port, which injects faults and reports what ran.
     pub control: SocketAddr,
     /// Internal addresses of the entry instances to which it sends announcements.
@@ -113,6 +115,7 @@
     id: Text,
     zone: Text,
     address: Text,
+    announced: Option<Text>,
     control: Text,
     announce_to: Vec<Text>,
     kind: UpstreamKind,
@@ -181,6 +184,7 @@
         id: id("upstreams.id", &raw.id)?,
         zone: id("upstreams.zone", &raw.zone)?,
         address: address("upstreams.address", &raw.address)?,
+        announced: address("upstreams.announced", raw.announced.as_ref().unwrap_or(&raw.address))?,
         control: address("upstreams.control", &raw.control)?,
         announce_to: announce_to?,
         kind: with_sorted_models(raw.kind.clone()),
@@ -233,6 +237,7 @@
             Ok(UpstreamSettings {
                 id: id("upstreams.id", &name)?,
                 address: offset_port(template.address, index, &raw.address)?,
+                announced: offset_port(template.announced, index, &raw.address)?,
                 control: offset_port(template.control, index, &raw.control)?,
                 ..template.clone()
             })
--- a/src/standin/announcer.rs
+++ b/src/standin/announcer.rs
@@ -100,7 +100,7 @@
         incarnation: upstream.incarnation.get(),
         sequence,
         zone: settings.zone.clone(),
-        address: settings.address,
+        address: settings.announced,
         kind,
         slots: settings.slots,
         fencing: settings.fencing,
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -17,4 +17,5 @@
 mod shutdown;
 mod streams;
 mod suspects;
+mod upstream_cuts;
 mod upstreams;
