An entry instance that stops writes its answers to the end

Cause: the process ended 0.1 s after the last answer was chosen, not written.

Change: it waits for the connections of callers and of other instances to close, for as long as calls that still run may take.

--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -62,8 +62,8 @@
 };
 use tokio::{
     sync::watch,
-    task,
-    time::{MissedTickBehavior, interval, sleep},
+    task::{self, JoinHandle},
+    time::{MissedTickBehavior, interval, sleep, timeout},
 };
 
 use self::{
@@ -151,6 +151,8 @@
     client: HttpClient,
     answers: AnswerReader,
     is_draining: Cell<bool>,
+    /// The server for other instances; it ends once its connections are closed.
+    internal: RefCell<Option<JoinHandle<()>>>,
     running: Cell<usize>,
 }
 
@@ -198,6 +200,7 @@
             client: HttpClient::default(),
             answers: AnswerReader::default(),
             is_draining: Cell::new(false),
+            internal: RefCell::default(),
             running: Cell::new(0),
         });
         entry.links.connect_new(&entry);
@@ -217,12 +220,9 @@
         task::spawn_local(stream_lookup::run(entry.clone(), socket.clone()));
         task::spawn_local(load_exchange::receive_datagrams(entry.clone(), socket));
         let this = entry.clone();
-        task::spawn_local(http_server::serve(
-            internal,
-            server_limits(),
-            stop,
-            move |request, _| serve::forwarded(this.clone(), request),
-        ));
+        let handler = move |request, _| serve::forwarded(this.clone(), request);
+        let server = http_server::serve(internal, server_limits(), stop, handler);
+        *entry.internal.borrow_mut() = Some(task::spawn_local(server));
         Ok(entry)
     }
 
@@ -255,8 +255,9 @@
     }
 
     /// Announces to all keepers that this instance is leaving, closes its listeners once callers
-    /// have moved, and returns when open calls have ended or the grace period is nearly over.
-    pub async fn drain(&self, close: &watch::Sender<bool>) {
+    /// have moved, and returns when open calls have ended or the grace period is nearly over. Returns
+    /// the time that is left for their answers to be written.
+    pub async fn drain(&self, close: &watch::Sender<bool>) -> Duration {
         self.is_draining.set(true);
         self.links.send_all(&Message::Ping { status: self.status(), is_primary: false });
         let grace = self.settings.borrow().grace;
@@ -269,7 +270,14 @@
             sleep(DRAIN_POLL_INTERVAL).await;
         }
         tracing::info!(running = self.running.get(), "drained");
+        let forwarded = self.internal.borrow_mut().take();
+        if let Some(forwarded) = forwarded
+            && timeout(latest - self.now(), forwarded).await.is_err()
+        {
+            tracing::warn!("connections of other instances cut at the end of the grace period");
+        }
         sleep(FLUSH_TIME).await;
+        latest - self.now()
     }
 
     pub(crate) fn now(&self) -> Time {
