--- a/crates/medlarlug-gateway/src/entry/stream_lookup.rs
+++ b/crates/medlarlug-gateway/src/entry/stream_lookup.rs
@@ -235,7 +235,9 @@
                 break;
             }
         }
-        let result = lookup.query.borrow().result();
+        // An instance that no other one answers may be cut off, and its view out of date.
+        let is_alone = !asked.is_empty() && lookup.unanswered.borrow().len() == asked.len();
+        let result = lookup.query.borrow().result().filter(|_| !is_alone);
         (result, asked.len())
     }
 
