--- a/crates/medlarlug-gateway/src/entry/crashes.rs
+++ b/crates/medlarlug-gateway/src/entry/crashes.rs
@@ -8,8 +8,8 @@
 //! keepers, which store them for instances that start later.
 //!
 //! A broken connection alone does not count as a crash. It does when the upstream refuses new
-//! connections while another one accepts them, when a newer incarnation announces itself with its id or address, or when another
-//! instance reports the crash. Until then the request stays recorded.
+//! connections while another one accepts them, when a newer incarnation announces itself with its id
+//! or address, or when another instance reports the crash. Until then the request stays recorded.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
--- a/crates/medlarlug-gateway/src/entry/path_check.rs
+++ b/crates/medlarlug-gateway/src/entry/path_check.rs
@@ -94,6 +94,9 @@
 
     /// Whether a connection opens to an upstream of the region other than this one, or there is no other.
     pub(super) async fn reaches_another(&self, upstream: &UpstreamId) -> bool {
+        if self.is_isolated() {
+            return false;
+        }
         let check = self.check_paths(CHECK_SIZE, Some(upstream)).await;
         check.reached > 0 || check.failed == 0
     }
