A check that fails to reach an upstream counts as a sign that it may have crashed

Cause: an isolated instance sends no calls to upstreams, so no call met the failed connection of an upstream that had crashed; the checks that did were not recorded. With its announcements lost, the upstream was taken for warm on its return.

Change: a failed check is recorded like all connections broken: cold until the next announcement. Such an upstream counts as out of reach as well, so that calls go on to other instances meanwhile.

--- a/crates/medlarlug-gateway/src/entry/path_check.rs
+++ b/crates/medlarlug-gateway/src/entry/path_check.rs
@@ -44,7 +44,8 @@
     }
 
     /// Whether half or more of the upstreams of a service that accept requests are out of reach for this
-    /// instance.
+    /// instance. One that could not be reached stays so until it announces itself, since it may have
+    /// restarted cold.
     pub(super) fn lacks_path(&self, service: &ServiceName) -> bool {
         if self.is_isolated() {
             return true;
@@ -53,8 +54,11 @@
         let upstreams = self.upstreams.borrow();
         let accepting = upstreams.of_service(service).filter(|it| self.accepts_requests(now, it));
         let healths = self.healths.borrow();
-        let (unreachable, others): (Vec<_>, Vec<_>) =
-            accepting.partition(|it| healths.is_unreachable(now, &it.upstream.id));
+        let (unreachable, others): (Vec<_>, Vec<_>) = accepting.partition(|it| {
+            let id = &it.upstream.id;
+            healths.is_unreachable(now, id)
+                || healths.observations(id).last_unreachable >= Some(it.announced_at)
+        });
         !unreachable.is_empty() && unreachable.len() >= others.len()
     }
 
@@ -111,17 +115,21 @@
                     && began - known.announced_at <= ANNOUNCEMENT_LIFETIME
                     && Some(&known.upstream.id) != except
             });
-            fresh.map(|known| known.upstream.address).collect()
+            fresh.map(|known| (known.upstream.id.clone(), known.upstream.address)).collect()
         };
         let mut connections = JoinSet::new();
-        for address in targets.sample(&mut rand::rng(), size) {
-            let opens = http_client::holds_connection(*address, CONNECT_TIMEOUT, HOLD_TIME);
-            connections.spawn_local(opens);
+        for (id, address) in targets.sample(&mut rand::rng(), size).cloned() {
+            connections.spawn_local(async move {
+                (id, http_client::holds_connection(address, CONNECT_TIMEOUT, HOLD_TIME).await)
+            });
         }
         let opened = connections.join_all().await;
-        let reached = opened.iter().filter(|opened| **opened).count();
         metrics::counter!(names::PATH_CHECKS).increment(opened.len() as u64);
-        Check { began, reached, failed: opened.len() - reached }
+        let failed = opened.iter().filter(|(_, is_open)| !is_open);
+        let failed: Vec<&UpstreamId> = failed.map(|(id, _)| id).collect();
+        // Seen from here, an upstream out of reach may as well have crashed.
+        failed.iter().for_each(|id| self.healths.borrow_mut().record_crash(began, id));
+        Check { began, reached: opened.len() - failed.len(), failed: failed.len() }
     }
 
     fn record_check(&self, check: Check) {
