The log of a replication group is compacted by bytes, and held once

Nothing was acknowledged any more, and the configuration couldn't be read back.

Cause: the log was compacted after 4,096 entries, however long they are, and each entry holds a whole document.

Ruled out: queues of links (memory stays after the changes stop).

--- a/benches/capacity/replication.rs
+++ b/benches/capacity/replication.rs
@@ -152,8 +152,11 @@
     let command = home::Command { elapsed, action: home::Action::Records(batch) };
     let command = postcard::to_stdvec(&command).expect("a command");
     let position = replication::Position { term: Term(7), index: LogIndex(1_000_000) };
-    let entry =
-        Entry { index: LogIndex(1_000_001), term: Term(7), payload: Payload::Command(command) };
+    let entry = Entry {
+        index: LogIndex(1_000_001),
+        term: Term(7),
+        payload: Payload::Command(command.into()),
+    };
     let envelope = replication::Envelope {
         formation: replication::FormationId(u64::MAX),
         from: StorageId(u64::MAX),
--- a/benches/replication.rs
+++ b/benches/replication.rs
@@ -50,7 +50,7 @@
     let entry = |index| Entry {
         index: LogIndex(index),
         term: Term(1),
-        payload: Payload::Command(vec![1; COMMAND_BYTES]),
+        payload: Payload::Command(vec![1; COMMAND_BYTES].into()),
     };
     let first = (sequence - 1) * count + 1;
     Persist { sequence, entries: (first..first + count).map(entry).collect(), ..Persist::default() }
@@ -94,7 +94,7 @@
             let mut table = transaction.open_table(TABLE).expect("a table");
             for entry in batch(sequence, count).entries {
                 let Payload::Command(command) = &entry.payload else { continue };
-                table.insert(entry.index.0, command.as_slice()).expect("an insert");
+                table.insert(entry.index.0, command.as_ref()).expect("an insert");
             }
         }
         transaction.commit().expect("a commit");
@@ -233,7 +233,7 @@
         while bench.in_flight.len() < clients {
             ticket += 1;
             bench.in_flight.push((ticket, Instant::now()));
-            bench.handle(leader, Event::Propose { ticket, command: vec![1; COMMAND_BYTES] });
+            bench.handle(leader, Event::Propose { ticket, command: vec![1; COMMAND_BYTES].into() });
         }
         bench.step(&mut next_tick);
     }
@@ -268,10 +268,10 @@
     let mut largest = 0;
     let mut events = VecDeque::from([Event::Tick]);
     for ticket in 1..=10_000 {
-        events.push_back(Event::Propose { ticket, command: vec![1; COMMAND_BYTES] });
+        events.push_back(Event::Propose { ticket, command: vec![1; COMMAND_BYTES].into() });
         if compacts && ticket % 1_000 == 0 {
             let index = replica.applied();
-            events.push_back(Event::Compact { index, snapshot: vec![1; 50_000] });
+            events.push_back(Event::Compact { index, snapshot: vec![1; 50_000].into() });
         }
         while let Some(event) = events.pop_front() {
             let mut out = Vec::new();
--- a/crates/medlarlug-core/src/replication/append.rs
+++ b/crates/medlarlug-core/src/replication/append.rs
@@ -7,7 +7,7 @@
     leader::Leader,
     membership::{FormationId, MemberKey},
     message::{Body, Entry, Position},
-    progress::{Mode, Progress},
+    progress::{Mode, Progress, SentAppend},
     replica::{Replica, State},
 };
 
@@ -111,7 +111,8 @@
             let is_due = match progress.mode {
                 Mode::Probe { is_in_flight } => !is_in_flight,
                 Mode::Stream => {
-                    let has_room = progress.inflight.len() < self.config.max_inflight;
+                    let has_room = progress.inflight.len() < self.config.max_inflight
+                        && progress.inflight_bytes() < self.config.max_inflight_bytes;
                     has_room && progress.next_index <= self.log.last().index
                 }
                 Mode::Snapshot { .. } => false,
@@ -126,11 +127,12 @@
             }
             let entries = self.log.entries_from(progress.next_index, self.config.batch_bytes);
             let last = LogIndex(prev.0 + entries.len() as u64);
+            let bytes = entries.iter().map(|entry| entry.payload.len()).sum();
             self.send_append(progress, prev, entries, round, out);
             match &mut progress.mode {
                 Mode::Probe { is_in_flight } => *is_in_flight = true,
                 Mode::Stream => {
-                    progress.inflight.push_back(last);
+                    progress.inflight.push_back(SentAppend { last, bytes });
                     progress.next_index = last.next();
                 }
                 Mode::Snapshot { .. } => {}
--- a/crates/medlarlug-core/src/replication/config.rs
+++ b/crates/medlarlug-core/src/replication/config.rs
@@ -33,8 +33,14 @@
     pub batch_bytes: usize,
     /// Most unacknowledged append messages to one member.
     pub max_inflight: usize,
+    /// Unacknowledged payload to one member from which on no further append message is sent, in bytes.
+    pub max_inflight_bytes: usize,
     /// Most uncommitted proposals; further ones are rejected as [`Rejection::Busy`](super::Rejection::Busy).
     pub max_proposals: usize,
+    /// Payload in the log from which on a leader rejects proposals as
+    /// [`Rejection::LogFull`](super::Rejection::LogFull), in bytes. From half of it on, the log is
+    /// compacted even if that restarts the transfer of a snapshot.
+    pub max_log_bytes: usize,
     /// Most payload in one snapshot message, in bytes.
     pub chunk_bytes: usize,
     /// Number of voters that an open group aims at; `None` if the group is not open.
@@ -93,7 +99,9 @@
             check_quorum: true,
             batch_bytes: 256 * 1024,
             max_inflight: 16,
+            max_inflight_bytes: 4 << 20,
             max_proposals: 4_096,
+            max_log_bytes: 32 << 20,
             chunk_bytes: 256 * 1024,
             target_voters: None,
             replace_after: Duration::from_millis(2_500),
--- a/crates/medlarlug-core/src/replication/event.rs
+++ b/crates/medlarlug-core/src/replication/event.rs
@@ -1,5 +1,6 @@
 //! Events that a replica handles and effects that it requests.
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -41,7 +42,7 @@
         /// Returned in the answer.
         ticket: Ticket,
         /// Encoded command, opaque to the replica; returned by [`Effect::Apply`].
-        command: Vec<u8>,
+        command: Bytes,
     },
     /// Linearizable read. Answered by [`Effect::ReadReady`] or [`Effect::Rejected`].
     Read {
@@ -60,13 +61,13 @@
         /// Member to add, promote or remove.
         change: Change,
     },
-    /// Replaces the log up to `index` by a snapshot of the applied state. Ignored while a member is
-    /// receiving the previous snapshot; retry once the log has grown further.
+    /// Replaces the log up to `index` by a snapshot of the applied state. Ignored unless
+    /// [`Replica::can_compact`](super::Replica::can_compact).
     Compact {
         /// Last entry that the snapshot covers; at most the last applied one.
         index: LogIndex,
         /// Encoded state of the embedding program.
-        snapshot: Vec<u8>,
+        snapshot: Bytes,
     },
     /// Transfers leadership to the voter with the most complete log, as before a graceful shutdown.
     TransferLeadership,
@@ -87,6 +88,14 @@
     pub entries: Vec<Entry>,
 }
 
+impl Persist {
+    /// Length of the commands and of the snapshot in the batch, in bytes.
+    pub fn payload_bytes(&self) -> usize {
+        let snapshot = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.data.len());
+        snapshot + self.entries.iter().map(|entry| entry.payload.len()).sum::<usize>()
+    }
+}
+
 /// Reason for which a request was not carried out.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum Rejection {
@@ -111,6 +120,12 @@
         /// Limit set by [`Config::max_proposals`](super::Config::max_proposals).
         limit: usize,
     },
+    /// The log holds too many bytes that could not be compacted yet. The request has no effect.
+    #[error("the log has reached its limit of {limit} bytes")]
+    LogFull {
+        /// Limit set by [`Config::max_log_bytes`](super::Config::max_log_bytes).
+        limit: usize,
+    },
     /// An earlier membership change is not committed yet. The request has no effect.
     #[error("an earlier membership change is not committed yet")]
     ChangePending,
@@ -164,7 +179,7 @@
         /// Term of that entry.
         term: Term,
         /// Bytes of an [`Event::Propose`] of this or another replica.
-        command: Vec<u8>,
+        command: Bytes,
     },
     /// The proposal is committed and, if it was a command, applied by an earlier effect.
     Committed {
@@ -192,7 +207,7 @@
         /// Last entry that the snapshot covers.
         index: LogIndex,
         /// Encoded state of the embedding program.
-        data: Vec<u8>,
+        data: Bytes,
     },
     /// The role of the replica has changed.
     RoleChanged {
@@ -254,7 +269,7 @@
         mut self,
         member: Member,
         formation: FormationId,
-        command: Option<Vec<u8>>,
+        command: Option<Bytes>,
     ) -> Option<StoredState> {
         let own = member.key.clone();
         let others = self.membership()?.members().iter().filter(|it| it.key != own);
--- a/crates/medlarlug-core/src/replication/leader.rs
+++ b/crates/medlarlug-core/src/replication/leader.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 
+use bytes::Bytes;
+
 use crate::{ids::LogIndex, time::Time};
 
 use super::{
@@ -92,16 +94,20 @@
     pub(super) fn propose(
         &mut self,
         ticket: Ticket,
-        command: Vec<u8>,
+        command: Bytes,
         _now: Time,
         out: &mut Vec<Effect>,
     ) {
         let limit = self.config.max_proposals;
+        let max_bytes = self.config.max_log_bytes;
         let refusal = match &self.state {
             State::Leader(leader) if leader.is_transferring() => Some(Rejection::TransferPending),
             State::Leader(leader) if leader.pending_proposals.len() >= limit => {
                 Some(Rejection::Busy { limit })
             }
+            State::Leader(_) if self.log.bytes() >= max_bytes => {
+                Some(Rejection::LogFull { limit: max_bytes })
+            }
             State::Leader(_) => None,
             _ => Some(self.not_leader()),
         };
--- a/crates/medlarlug-core/src/replication/log.rs
+++ b/crates/medlarlug-core/src/replication/log.rs
@@ -1,5 +1,7 @@
 //! The in-memory log: the newest snapshot, the entries after it and the memberships that they hold.
 
+use bytes::Bytes;
+
 use crate::ids::{LogIndex, Term};
 
 use super::{
@@ -12,13 +14,16 @@
 pub(super) struct Log {
     snapshot: Option<Snapshot>,
     entries: Vec<Entry>,
+    /// Payload of `entries`, in bytes.
+    bytes: usize,
     /// Memberships with the index from which each applies, ascending.
     memberships: Vec<(LogIndex, Membership)>,
 }
 
 impl Log {
     pub(super) fn new(restored: StoredState) -> Log {
-        let mut log = Log { snapshot: None, entries: Vec::new(), memberships: Vec::new() };
+        let mut log =
+            Log { snapshot: None, entries: Vec::new(), bytes: 0, memberships: Vec::new() };
         if let Some(snapshot) = restored.snapshot {
             log.memberships.push((snapshot.index, snapshot.members.clone()));
             log.snapshot = Some(snapshot);
@@ -40,6 +45,11 @@
         self.snapshot.as_ref()
     }
 
+    /// Payload of the entries after the snapshot, in bytes.
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     pub(super) fn last(&self) -> Position {
         match self.entries.last() {
             Some(entry) => Position { term: entry.term, index: entry.index },
@@ -80,12 +90,14 @@
         if let Payload::Members(members) = &entry.payload {
             self.memberships.push((entry.index, members.clone()));
         }
+        self.bytes += entry.payload.len();
         self.entries.push(entry);
     }
 
     /// Drops the entries at and after `index`, with the memberships that they hold.
     pub(super) fn truncate_from(&mut self, index: LogIndex) {
         let keep = index.0.saturating_sub(self.snapshot_position().index.0 + 1) as usize;
+        self.bytes -= payload_bytes(&self.entries[keep.min(self.entries.len())..]);
         self.entries.truncate(keep);
         self.memberships.retain(|(from, _)| *from < index);
     }
@@ -126,7 +138,7 @@
 
     /// Replaces the entries up to `index` by a snapshot and returns it. Returns `None` if a snapshot
     /// covers `index` already, or if the log lacks it.
-    pub(super) fn compact(&mut self, index: LogIndex, data: Vec<u8>) -> Option<Snapshot> {
+    pub(super) fn compact(&mut self, index: LogIndex, data: Bytes) -> Option<Snapshot> {
         if index <= self.snapshot_position().index {
             return None;
         }
@@ -146,6 +158,7 @@
             return false;
         }
         self.entries.clear();
+        self.bytes = 0;
         self.memberships = vec![(snapshot.index, snapshot.members.clone())];
         self.snapshot = Some(snapshot);
         true
@@ -153,12 +166,19 @@
 
     fn discard_covered(&mut self, snapshot: Snapshot) {
         let count = (snapshot.index.0 - self.snapshot_position().index.0) as usize;
+        self.bytes -= payload_bytes(&self.entries[..count]);
         self.entries.drain(..count);
+        // The capacity follows the length, which has been large after a restart with a long log.
+        self.entries.shrink_to(2 * self.entries.len());
         self.memberships.retain(|(from, _)| *from > snapshot.index);
         self.memberships.insert(0, (snapshot.index, snapshot.members.clone()));
         self.snapshot = Some(snapshot);
     }
 }
 
+fn payload_bytes(entries: &[Entry]) -> usize {
+    entries.iter().map(|entry| entry.payload.len()).sum()
+}
+
 /// Encoded size of an entry in a message without its payload.
 const ENTRY_OVERHEAD_BYTES: usize = 24;
--- a/crates/medlarlug-core/src/replication/message.rs
+++ b/crates/medlarlug-core/src/replication/message.rs
@@ -1,5 +1,6 @@
 //! Messages between replicas, and the log entries and snapshots that they carry.
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{InstanceId, LogIndex, Term};
@@ -11,8 +12,8 @@
 pub enum Payload {
     /// No content. A leader appends it first, to commit the entries of earlier terms.
     Empty,
-    /// A command of the embedding program.
-    Command(Vec<u8>),
+    /// A command of the embedding program. Clones share its bytes.
+    Command(Bytes),
     /// Membership that applies from this entry on, before it is committed.
     Members(Membership),
 }
@@ -52,8 +53,8 @@
     pub term: Term,
     /// Membership at that entry.
     pub members: Membership,
-    /// Encoded state of the embedding program.
-    pub data: Vec<u8>,
+    /// Encoded state of the embedding program. Clones share its bytes.
+    pub data: Bytes,
 }
 
 /// State that a replica has to keep over restarts besides the log.
@@ -175,7 +176,7 @@
         /// Length of the snapshot in bytes.
         total: u64,
         /// Bytes of this part.
-        data: Vec<u8>,
+        data: Bytes,
         /// Quorum round of the leader, returned in the answer.
         round: u64,
     },
--- a/crates/medlarlug-core/src/replication/mod.rs
+++ b/crates/medlarlug-core/src/replication/mod.rs
@@ -66,7 +66,7 @@
 //! ```
 //! use medlarlug_core::{replication::*, time::Time};
 //!
-//! fn drive(replica: &mut Replica, now: Time, event: Event, applied: &mut Vec<Vec<u8>>) {
+//! fn drive(replica: &mut Replica, now: Time, event: Event, applied: &mut Vec<bytes::Bytes>) {
 //!     let mut events = vec![event];
 //!     while let Some(event) = events.pop() {
 //!         let mut effects = Vec::new();
@@ -92,9 +92,9 @@
 //! drive(&mut replica, Time::ZERO, Event::Tick, &mut applied);
 //! assert_eq!(replica.role(), Role::Leader);
 //!
-//! let propose = Event::Propose { ticket: 1, command: b"hello".to_vec() };
+//! let propose = Event::Propose { ticket: 1, command: b"hello".to_vec().into() };
 //! drive(&mut replica, Time::from_millis(1), propose, &mut applied);
-//! assert_eq!(applied, [b"hello"]);
+//! assert_eq!(applied, [&b"hello"[..]]);
 //! ```
 
 mod append;
--- a/crates/medlarlug-core/src/replication/progress.rs
+++ b/crates/medlarlug-core/src/replication/progress.rs
@@ -25,6 +25,15 @@
     },
 }
 
+/// An append message that the member has not acknowledged.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SentAppend {
+    /// Last entry of the message.
+    pub(super) last: LogIndex,
+    /// Payload of its entries, in bytes.
+    pub(super) bytes: usize,
+}
+
 /// A leader's view of one member's log.
 #[derive(Debug)]
 pub(super) struct Progress {
@@ -33,8 +42,8 @@
     pub(super) match_index: LogIndex,
     /// Next entry to send.
     pub(super) next_index: LogIndex,
-    /// Last entry of each append in flight, in the order sent.
-    pub(super) inflight: VecDeque<LogIndex>,
+    /// Appends in flight, in the order sent.
+    pub(super) inflight: VecDeque<SentAppend>,
     pub(super) mode: Mode,
     /// When the leader last received a message from the member.
     pub(super) last_contact: Time,
@@ -58,6 +67,11 @@
         }
     }
 
+    /// Payload of the appends in flight, in bytes.
+    pub(super) fn inflight_bytes(&self) -> usize {
+        self.inflight.iter().map(|sent| sent.bytes).sum()
+    }
+
     pub(super) fn record_contact(&mut self, round: u64, now: Time) {
         self.last_contact = now;
         self.has_answered = true;
@@ -68,7 +82,7 @@
     pub(super) fn record_match(&mut self, last: LogIndex) {
         self.match_index = self.match_index.max(last);
         self.next_index = self.next_index.max(last.next());
-        while self.inflight.front().is_some_and(|sent| *sent <= last) {
+        while self.inflight.front().is_some_and(|sent| sent.last <= last) {
             self.inflight.pop_front();
         }
         match self.mode {
--- a/crates/medlarlug-core/src/replication/replica.rs
+++ b/crates/medlarlug-core/src/replication/replica.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use bytes::Bytes;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -217,6 +218,17 @@
         self.log.snapshot_position().index
     }
 
+    /// Payload of the entries in the log, in bytes, without the snapshot.
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
+    /// Whether [`Event::Compact`] is accepted: no member is receiving the present snapshot, or the log
+    /// has grown so large that the transfer has to start over with a newer one.
+    pub fn can_compact(&self, now: Time) -> bool {
+        !self.is_sending_snapshot(now) || self.log.bytes() >= self.config.max_log_bytes / 2
+    }
+
     pub(super) fn formation(&self) -> Option<FormationId> {
         self.log.membership().map(|members| members.formation)
     }
@@ -390,8 +402,8 @@
         self.step_down_if_removed(now, out);
     }
 
-    fn compact(&mut self, index: LogIndex, data: Vec<u8>, now: Time) {
-        if index > self.applied || self.is_sending_snapshot(now) {
+    fn compact(&mut self, index: LogIndex, data: Bytes, now: Time) {
+        if index > self.applied || !self.can_compact(now) {
             return;
         }
         if let Some(snapshot) = self.log.compact(index, data) {
--- a/crates/medlarlug-core/src/replication/snapshot_transfer.rs
+++ b/crates/medlarlug-core/src/replication/snapshot_transfer.rs
@@ -1,5 +1,7 @@
 //! Transfer of snapshots in chunks.
 
+use bytes::Bytes;
+
 use crate::{ids::LogIndex, time::Time};
 
 use super::{
@@ -17,7 +19,7 @@
     pub(super) members: Membership,
     pub(super) offset: u64,
     pub(super) total: u64,
-    pub(super) data: Vec<u8>,
+    pub(super) data: Bytes,
 }
 
 /// Partly received snapshot.
@@ -67,7 +69,7 @@
             members: snapshot.members.clone(),
             offset: start as u64,
             total: total as u64,
-            data: snapshot.data[start..end].to_vec(),
+            data: snapshot.data.slice(start..end),
             round,
         };
         self.send(self.envelope(progress.key.clone(), formation, body), out);
@@ -106,11 +108,11 @@
         }
         let data = std::mem::take(&mut incoming.data);
         self.incoming = None;
-        self.install(chunk, data, out);
+        self.install(chunk, data.into(), out);
         self.acknowledge(requester, self.commit, round, out);
     }
 
-    fn install(&mut self, chunk: SnapshotChunk, data: Vec<u8>, out: &mut Vec<Effect>) {
+    fn install(&mut self, chunk: SnapshotChunk, data: Bytes, out: &mut Vec<Effect>) {
         let Position { term, index } = chunk.at;
         let snapshot = Snapshot { index, term, members: chunk.members, data: data.clone() };
         if self.log.install(snapshot.clone()) {
--- a/crates/medlarlug-core/tests/testsuite/replication/cluster.rs
+++ b/crates/medlarlug-core/tests/testsuite/replication/cluster.rs
@@ -410,7 +410,10 @@
             return 0;
         }
         let value = self.history.begin_write(node);
-        self.handle(node, Event::Propose { ticket: value, command: value.to_le_bytes().to_vec() });
+        self.handle(
+            node,
+            Event::Propose { ticket: value, command: value.to_le_bytes().to_vec().into() },
+        );
         value
     }
 
@@ -439,7 +442,7 @@
         };
         let index = replica.applied();
         let snapshot = encode(&self.nodes[node].applied);
-        self.handle(node, Event::Compact { index, snapshot });
+        self.handle(node, Event::Compact { index, snapshot: snapshot.into() });
     }
 
     /// Node that leads in the highest term.
--- a/crates/medlarlug-core/tests/testsuite/replication/failures.rs
+++ b/crates/medlarlug-core/tests/testsuite/replication/failures.rs
@@ -7,8 +7,9 @@
     configuration_group::{Command, ConfigurationGroup, Reply},
     ids::{LogIndex, Term},
     replication::{
-        Body, Change, Config, Effect, Envelope, Event, FormationId, Hello, Member, MemberKey,
-        MemberRole, Message, Persist, Position, Replica, StorageId, StoredState,
+        Body, Change, Config, Effect, Entry, Envelope, Event, FormationId, Hello, Member,
+        MemberKey, MemberRole, Membership, Message, Payload, Persist, Position, Rejection, Replica,
+        Role, StorageId, StoredState,
     },
     time::Time,
 };
@@ -366,3 +367,70 @@
     assert_eq!(second, first);
     assert_matches!(rebuilt, Reply::Founded { first: false, .. });
 }
+
+/// Payload of the log entries that a leader has sent to a member that does not acknowledge them.
+fn propose_without_answers(config: Config, payloads: &[usize]) -> (Vec<Rejection>, usize) {
+    let key = config.key.clone();
+    let other = MemberKey { id: id("b"), storage: StorageId(2) };
+    let voter =
+        |key: &MemberKey| Member { key: key.clone(), role: MemberRole::Voter, durable: true };
+    let members = Membership::new(FormationId(1), vec![voter(&key), voter(&other)]);
+    let entry = Entry { index: LogIndex(1), term: Term(1), payload: Payload::Members(members) };
+    let restored = StoredState { entries: vec![entry], ..StoredState::default() };
+    let mut replica = Replica::new(config, restored, 1, Time::ZERO);
+    let mut out = Vec::new();
+    let now = Time::from_millis(2_000);
+    replica.handle(now, Event::Tick, &mut out);
+    let answer = |term, body| {
+        let (formation, from, to) = (FormationId(1), other.storage, key.storage);
+        let envelope = Envelope { formation, from, to, term, body };
+        Event::Message { from: other.id.clone(), message: Message::Group(envelope) }
+    };
+    let pre_voted = Body::PreVoted { term: Term(1), granted: true };
+    replica.handle(now, answer(Term(0), pre_voted), &mut out);
+    replica.handle(now, Event::Persisted { sequence: 1 }, &mut out);
+    replica.handle(now, answer(Term(1), Body::Voted { granted: true }), &mut out);
+    let last = replica.last_index();
+    replica.handle(now, answer(Term(1), Body::Appended { last, round: 1 }), &mut out);
+    assert_eq!(replica.role(), Role::Leader);
+    out.clear();
+    for (ticket, bytes) in payloads.iter().enumerate() {
+        let command = vec![0; *bytes].into();
+        replica.handle(now, Event::Propose { ticket: ticket as u64, command }, &mut out);
+    }
+    let rejected = out.iter().filter_map(|effect| match effect {
+        Effect::Rejected { reason, .. } => Some(reason.clone()),
+        _ => None,
+    });
+    let sent = out.iter().map(|effect| match effect {
+        Effect::Send { message: Message::Group(envelope), .. } => match &envelope.body {
+            Body::Append { entries, .. } => entries.iter().map(|it| it.payload.len()).sum(),
+            _ => 0,
+        },
+        _ => 0,
+    });
+    (rejected.collect(), sent.sum())
+}
+
+/// Guards against a window that counts messages only: sixteen long entries to a member that does not
+/// answer filled the memory of both.
+#[test]
+fn window_of_a_member_is_bounded_by_bytes() {
+    let config = Config::new(key("a", 1), vec![id("a"), id("b")]);
+    let limit = config.max_inflight_bytes;
+
+    let (_, sent) = propose_without_answers(config, &[1 << 20; 14]);
+
+    assert!(sent <= limit + (1 << 20), "{sent} bytes were sent, {limit} is the limit");
+}
+
+/// Guards against a log that grows without bound while nothing is applied, as with a disk that hangs.
+#[test]
+fn leader_with_a_full_log_rejects_proposals() {
+    let config =
+        Config { max_log_bytes: 4_000, ..Config::new(key("a", 1), vec![id("a"), id("b")]) };
+
+    let (rejected, _) = propose_without_answers(config, &[1_000; 6]);
+
+    assert_matches!(rejected[..], [Rejection::LogFull { limit: 4_000 }, Rejection::LogFull { .. }]);
+}
--- a/crates/medlarlug-gateway/src/keeper/facts.rs
+++ b/crates/medlarlug-gateway/src/keeper/facts.rs
@@ -96,7 +96,8 @@
         };
         self.facts = without_ages;
         self.sequence += 1;
-        let entry = Entry { index: ENTRY_INDEX, term: Term(0), payload: Payload::Command(bytes) };
+        let entry =
+            Entry { index: ENTRY_INDEX, term: Term(0), payload: Payload::Command(bytes.into()) };
         Some(Persist {
             sequence: self.sequence,
             cut: Some(ENTRY_INDEX),
--- a/src/coordination/keeper/group.rs
+++ b/src/coordination/keeper/group.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::VecDeque, time::Duration};
 
+use bytes::Bytes;
+
 use medlarlug_core::{
     home,
     ids::{InstanceId, LogIndex, Term},
@@ -17,6 +19,12 @@
 /// Number of applied log entries after which a snapshot is taken and the log compacted.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 4_096;
 
+/// Length of the applied commands after which a snapshot is taken at the latest, in bytes: as much as
+/// the snapshot is long, within these limits. So the log takes no more memory and disk than a small
+/// multiple of the state, and a large state is not encoded for every command.
+const MIN_SNAPSHOT_INTERVAL_BYTES: usize = 4 << 20;
+const MAX_SNAPSHOT_INTERVAL_BYTES: usize = 16 << 20;
+
 /// Maximum number of replies buffered between the application of a command and the replica's report
 /// of which ticket it belongs to.
 const MAX_BUFFERED_REPLIES: usize = 4_096;
@@ -83,6 +91,10 @@
     // When the last action on a home group was proposed in this leadership.
     proposed_at: Option<Time>,
     snapshot_index: LogIndex,
+    // Length of the newest snapshot.
+    snapshot_bytes: usize,
+    // Length of the commands that were applied since the newest snapshot.
+    applied_bytes: usize,
 }
 
 impl Group {
@@ -98,6 +110,8 @@
             buffered_replies: VecDeque::new(),
             proposed_at: None,
             snapshot_index,
+            snapshot_bytes: 0,
+            applied_bytes: 0,
         }
     }
 
@@ -193,7 +207,7 @@
             return self.run(now, Event::Read { ticket }, out);
         };
         self.pending_calls.push(PendingCall { ticket, caller, read: None, index: None });
-        self.run(now, Event::Propose { ticket, command }, out)
+        self.run(now, Event::Propose { ticket, command: command.into() }, out)
     }
 
     /// The encoded command of a request; `None` if the request is read-only.
@@ -246,6 +260,7 @@
             Effect::Persist(batch) => out.push(Output::Persist(batch)),
             Effect::Apply { index, command, .. } => {
                 let reply = self.machine.apply(&self.id, &command)?;
+                self.applied_bytes += command.len();
                 self.applied(index, reply, out);
             }
             Effect::Committed { ticket, index } => self.committed(ticket, index, out),
@@ -254,6 +269,8 @@
             Effect::InstallSnapshot { data, .. } => {
                 self.machine.restore(&self.id, &data)?;
                 self.snapshot_index = self.replica.snapshot_index();
+                self.snapshot_bytes = data.len();
+                self.applied_bytes = 0;
                 out.push(Output::Applied);
             }
             Effect::RoleChanged { role, term } => {
@@ -316,11 +333,24 @@
 
     fn compact(&mut self, now: Time, out: &mut Vec<Output>) -> Result<(), StateMachineError> {
         let index = self.replica.applied();
-        if index.0 < self.snapshot_index.0 + SNAPSHOT_INTERVAL_ENTRIES {
+        let max_bytes =
+            self.snapshot_bytes.clamp(MIN_SNAPSHOT_INTERVAL_BYTES, MAX_SNAPSHOT_INTERVAL_BYTES);
+        let is_due = index.0 >= self.snapshot_index.0 + SNAPSHOT_INTERVAL_ENTRIES
+            || self.applied_bytes >= max_bytes;
+        if !is_due || !self.replica.can_compact(now) {
             return Ok(());
         }
+        let snapshot = Bytes::from(self.machine.encode());
+        tracing::info!(
+            group = %self.id,
+            index = index.0,
+            snapshot_bytes = snapshot.len(),
+            log_bytes = self.replica.log_bytes(),
+            "log compacted"
+        );
         self.snapshot_index = index;
-        let snapshot = self.machine.encode();
+        self.snapshot_bytes = snapshot.len();
+        self.applied_bytes = 0;
         self.run(now, Event::Compact { index, snapshot }, out)
     }
 }
--- a/src/coordination/keeper/rebuild.rs
+++ b/src/coordination/keeper/rebuild.rs
@@ -63,7 +63,7 @@
     let member = Member { key, role: MemberRole::Voter, durable: true };
     let stored = journal.group(&group_name(&group));
     let command = rebuilt_command(&group)?;
-    let rebuilt = stored.rebuild(member, FormationId(rand::random()), Some(command));
+    let rebuilt = stored.rebuild(member, FormationId(rand::random()), Some(command.into()));
     let rebuilt = rebuilt.ok_or_else(|| RebuildError::NoStoredState { group: group.clone() })?;
     let batch = Persist {
         hard: Some(rebuilt.hard),
--- a/src/state/error.rs
+++ b/src/state/error.rs
@@ -44,8 +44,8 @@
     }
 }
 
-/// An error of durable state. The process has to stop: after a failed sync the content of the disk is
-/// unknown, so the operation is not retried.
+/// An error of durable state. After a failed sync the content of the disk is unknown, so the operation
+/// is not retried: the process stops, or [`Journal::recover`](super::Journal::recover) writes a new file.
 #[derive(Debug, Error)]
 pub enum StateError {
     /// An operation of the operating system failed.
@@ -98,6 +98,12 @@
         /// The folder.
         path: PathBuf,
     },
+    /// A newer journal file may exist, since an attempt to replace this one failed halfway.
+    #[error("{path} may have been replaced by a newer file; write a new one")]
+    Superseded {
+        /// The replaced file.
+        path: PathBuf,
+    },
     /// A record is longer than a frame can hold.
     #[error("a record of {bytes} bytes exceeds the limit of {limit} bytes")]
     TooLarge {
--- a/src/state/folder.rs
+++ b/src/state/folder.rs
@@ -111,8 +111,7 @@
 fn create(path: &Path, instance: &InstanceId) -> Result<Owner, StateError> {
     let owner = Owner { instance: instance.clone(), storage: StorageId(rand::random()) };
     journal::create_empty(path)?;
-    let payload = postcard::to_stdvec(&owner).map_err(StateError::Encode)?;
-    write_atomically(path, OWNER_FILE, &frame::encode(0, &payload)?)?;
+    write_atomically(path, OWNER_FILE, &frame::encode(0, &owner)?)?;
     if let Some(parent) = path.canonicalize().ok().as_deref().and_then(Path::parent) {
         sync_folder(parent)?;
     }
@@ -124,16 +123,56 @@
     folder: &Path,
     name: &str,
     content: &[u8],
-) -> Result<File, StateError> {
-    let temporary = folder.join(format!("{name}.new"));
-    let target = folder.join(name);
-    let mut file =
-        File::create(&temporary).map_err(StateError::io(Operation::Create, &temporary))?;
-    file.write_all(content).map_err(StateError::io(Operation::Write, &temporary))?;
-    file.sync_all().map_err(StateError::io(Operation::Sync, &temporary))?;
-    fs::rename(&temporary, &target).map_err(StateError::io(Operation::Rename, &target))?;
-    sync_folder(folder)?;
-    Ok(file)
+) -> Result<(), StateError> {
+    let (temporary, _) = TemporaryFile::write(folder, name, |file, path| {
+        file.write_all(content).map_err(StateError::io(Operation::Write, path))
+    })?;
+    temporary.publish()
+}
+
+/// A complete and synced file under a temporary name. It is removed unless it is published, so that an
+/// incomplete file takes no space.
+#[derive(Debug)]
+pub(super) struct TemporaryFile {
+    folder: PathBuf,
+    path: PathBuf,
+    target: PathBuf,
+    is_renamed: bool,
+}
+
+impl TemporaryFile {
+    /// Creates the file that is to get `name`. `write` writes its content; it gets the temporary path
+    /// for its errors.
+    pub(super) fn write(
+        folder: &Path,
+        name: &str,
+        write: impl FnOnce(&mut File, &Path) -> Result<(), StateError>,
+    ) -> Result<(TemporaryFile, File), StateError> {
+        let path = folder.join(format!("{name}.new"));
+        let mut file = File::create(&path).map_err(StateError::io(Operation::Create, &path))?;
+        let target = folder.join(name);
+        let temporary = TemporaryFile { folder: folder.into(), path, target, is_renamed: false };
+        write(&mut file, &temporary.path)?;
+        file.sync_all().map_err(StateError::io(Operation::Sync, &temporary.path))?;
+        Ok((temporary, file))
+    }
+
+    /// Gives the file its name. After an error it is unknown which name a restart finds.
+    pub(super) fn publish(mut self) -> Result<(), StateError> {
+        fs::rename(&self.path, &self.target)
+            .map_err(StateError::io(Operation::Rename, &self.target))?;
+        self.is_renamed = true;
+        sync_folder(&self.folder)
+    }
+}
+
+impl Drop for TemporaryFile {
+    fn drop(&mut self) {
+        if !self.is_renamed {
+            // The next attempt replaces a file that can't be removed now.
+            let _ = fs::remove_file(&self.path);
+        }
+    }
 }
 
 pub(super) fn sync_folder(path: &Path) -> Result<(), StateError> {
--- a/src/state/journal.rs
+++ b/src/state/journal.rs
@@ -1,9 +1,10 @@
 //! The journal: one file of frames for all replication groups of a process.
 //!
 //! The first frame is a checkpoint with the complete state of every group; each further frame holds
-//! the batches that were written and synced together. When the file has grown to a multiple of its
+//! the batches that were written and synced together. When the file has grown to twice its
 //! checkpoint, it is replaced by a new file that starts with a checkpoint of the current state. Disk
-//! usage is therefore proportional to the current state and not to everything ever written.
+//! usage is therefore proportional to the current state and not to everything ever written. The same
+//! holds for memory: files are read frame by frame, and checkpoints are written piece by piece.
 //!
 //! Exactly one frame is written between two syncs. A damaged frame that no intact frame follows is
 //! therefore the one that was being written during a crash and was never acknowledged. Opening the
@@ -12,6 +13,7 @@
 
 use std::{
     fs::{self, File, OpenOptions},
+    io::{self, BufReader, Read, Seek, SeekFrom},
     os::unix::fs::FileExt,
     path::{Path, PathBuf},
 };
@@ -20,8 +22,8 @@
 
 use super::{
     error::{Operation, StateError},
-    folder::{self, DataFolder},
-    frame,
+    folder::{DataFolder, TemporaryFile},
+    frame::{self, WriteError},
     group::GroupName,
 };
 
@@ -31,7 +33,7 @@
 /// Preallocated length: with it, a sync need not write a new file size.
 const PREALLOCATION_BYTES: u64 = 1 << 20;
 /// Growth of the file since its checkpoint, as a multiple of the checkpoint, that starts a new file.
-const GROWTH_FACTOR: u64 = 2;
+const GROWTH_FACTOR: u64 = 1;
 
 /// The stored state of each group, sorted by group name.
 pub type Groups = Vec<(GroupName, StoredState)>;
@@ -67,6 +69,9 @@
     length_bytes: u64,
     /// Length of the file; the part behind [`Self::length_bytes`] holds zeros.
     allocated_bytes: u64,
+    /// Whether a newer file may have got its name although its creation failed. A restart would then
+    /// read that one, so nothing may be appended to this one any more.
+    is_superseded: bool,
     groups: Groups,
 }
 
@@ -82,13 +87,14 @@
             return Err(StateError::MissingJournal { path: path.into() });
         };
         let name = path.join(file_name(file_number));
-        let bytes = fs::read(&name).map_err(StateError::io(Operation::Read, &name))?;
-        let content = parse(&name, &bytes)?;
-        let file = OpenOptions::new()
+        let mut file = OpenOptions::new()
+            .read(true)
             .write(true)
             .open(&name)
             .map_err(StateError::io(Operation::Open, &name))?;
-        if content.length_bytes < bytes.len() as u64 {
+        let metadata = file.metadata().map_err(StateError::io(Operation::Read, &name))?;
+        let content = read(&name, &mut file, metadata.len())?;
+        if content.length_bytes < metadata.len() {
             file.set_len(content.length_bytes).map_err(StateError::io(Operation::Write, &name))?;
             file.sync_all().map_err(StateError::io(Operation::Sync, &name))?;
         }
@@ -100,6 +106,7 @@
             checkpoint_bytes: content.checkpoint_bytes,
             length_bytes: content.length_bytes,
             allocated_bytes: content.length_bytes,
+            is_superseded: false,
             groups: content.groups,
         })
     }
@@ -135,11 +142,14 @@
     ///
     /// # Errors
     ///
-    /// The write or sync failed; only [`Journal::recover`] may be called next.
+    /// The write or sync failed, or an earlier rotation left a newer file; only [`Journal::recover`] may
+    /// be called next.
     pub fn append(&mut self, batches: Batches) -> Result<(), StateError> {
-        let payload = postcard::to_stdvec(&batches).map_err(StateError::Encode)?;
-        let frame = frame::encode(self.next_frame, &payload)?;
         let name = self.folder.join(file_name(self.file_number));
+        if self.is_superseded {
+            return Err(StateError::Superseded { path: name });
+        }
+        let frame = frame::encode(self.next_frame, &batches)?;
         self.allocate(&name, self.length_bytes + frame.len() as u64)?;
         let write = self.file.write_all_at(&frame, self.length_bytes);
         write.map_err(StateError::io(Operation::Write, &name))?;
@@ -154,7 +164,8 @@
     ///
     /// # Errors
     ///
-    /// The new file could not be written. The current file still holds everything.
+    /// The new file could not be written. The current file still holds everything; if the new one may
+    /// have its name already, the next [`Journal::append`] fails.
     pub fn rotate(&mut self) -> Result<(), StateError> {
         let limit = MIN_GROWTH_BYTES.max(GROWTH_FACTOR * self.checkpoint_bytes);
         if self.length_bytes - self.checkpoint_bytes > limit {
@@ -189,36 +200,54 @@
 
     /// Replaces the file by one that starts with a checkpoint of the current state.
     fn start_new_file(&mut self) -> Result<(), StateError> {
-        let old = self.folder.join(file_name(self.file_number));
         let file_number = self.file_number + 1;
-        let length_bytes = create(&self.folder, file_number, &self.groups)?;
-        let name = self.folder.join(file_name(file_number));
-        self.file = OpenOptions::new()
-            .write(true)
-            .open(&name)
-            .map_err(StateError::io(Operation::Open, &name))?;
+        let (new, length_bytes) = NewFile::write(&self.folder, file_number, &self.groups)?;
+        self.is_superseded = true;
+        self.file = new.publish()?;
+        self.is_superseded = false;
+        let old = self.folder.join(file_name(self.file_number));
         self.file_number = file_number;
         self.next_frame = 1;
         self.checkpoint_bytes = length_bytes;
         self.length_bytes = length_bytes;
         self.allocated_bytes = length_bytes;
-        fs::remove_file(&old).map_err(StateError::io(Operation::Remove, &old))
+        if let Err(error) = fs::remove_file(&old) {
+            // The next start removes it.
+            tracing::warn!(path = %old.display(), %error, "failed to remove a replaced journal file");
+        }
+        Ok(())
     }
 }
 
-fn file_name(number: u64) -> String {
-    format!("{FILE_NAME_PREFIX}{number:08}")
+/// A journal file that holds a checkpoint and has no name yet.
+struct NewFile {
+    temporary: TemporaryFile,
+    file: File,
 }
 
-fn encode(groups: &Groups) -> Result<Vec<u8>, StateError> {
-    postcard::to_stdvec(groups).map_err(StateError::Encode)
+impl NewFile {
+    /// Writes a checkpoint of `groups`; returns its length in bytes as well.
+    fn write(folder: &Path, number: u64, groups: &Groups) -> Result<(NewFile, u64), StateError> {
+        let mut length = 0;
+        let written = TemporaryFile::write(folder, &file_name(number), |file, path| {
+            length = frame::write(file, 0, groups).map_err(|error| match error {
+                WriteError::Io(source) => StateError::io(Operation::Write, path)(source),
+                WriteError::Value(error) => error,
+            })?;
+            Ok(())
+        });
+        written.map(|(temporary, file)| (NewFile { temporary, file }, length))
+    }
+
+    /// Gives the file its name.
+    fn publish(self) -> Result<File, StateError> {
+        self.temporary.publish()?;
+        Ok(self.file)
+    }
 }
 
-/// Creates a journal file with a checkpoint and returns its length in bytes.
-fn create(folder: &Path, number: u64, groups: &Groups) -> Result<u64, StateError> {
-    let frame = frame::encode(0, &encode(groups)?)?;
-    folder::write_atomically(folder, &file_name(number), &frame)?;
-    Ok(frame.len() as u64)
+fn file_name(number: u64) -> String {
+    format!("{FILE_NAME_PREFIX}{number:08}")
 }
 
 /// Creates the first journal of a new folder. A journal without an owner file is overwritten if
@@ -227,13 +256,12 @@
     if let Some(number) = remove_stale_files(folder)? {
         let name = folder.join(file_name(number));
         let bytes = fs::read(&name).map_err(StateError::io(Operation::Read, &name))?;
-        let is_unused = number == 1 && bytes == frame::encode(0, &encode(&Groups::new())?)?;
+        let is_unused = number == 1 && bytes == frame::encode(0, &Groups::new())?;
         if !is_unused {
             return Err(StateError::MissingOwner { path: folder.into() });
         }
     }
-    create(folder, 1, &Groups::new())?;
-    Ok(())
+    NewFile::write(folder, 1, &Groups::new())?.0.publish().map(|_| ())
 }
 
 /// Removes replaced and incomplete files; returns the number of the current file.
@@ -272,23 +300,23 @@
     length_bytes: u64,
 }
 
-fn parse(path: &Path, bytes: &[u8]) -> Result<JournalContent, StateError> {
+/// Reads a journal file of `length` bytes, one frame at a time.
+fn read(path: &Path, file: &mut File, length: u64) -> Result<JournalContent, StateError> {
     let corrupt = |offset: u64| StateError::Corrupt { path: path.into(), offset };
-    let checkpoint = frame::decode(bytes).filter(|(number, _)| *number == 0);
+    let mut reader = BufReader::new(&mut *file);
+    let mut next = |remaining| {
+        frame::read(&mut reader, remaining).map_err(StateError::io(Operation::Read, path))
+    };
+    let checkpoint = next(length)?.filter(|(number, _)| *number == 0);
     let (_, payload) = checkpoint.ok_or_else(|| corrupt(0))?;
-    let groups: Groups = postcard::from_bytes(payload).map_err(|_| corrupt(0))?;
+    let groups: Groups = postcard::from_bytes(&payload).map_err(|_| corrupt(0))?;
     let start = (frame::HEADER_BYTES + payload.len()) as u64;
+    drop(payload);
     let mut content =
         JournalContent { groups, next_frame: 1, checkpoint_bytes: start, length_bytes: start };
-    while content.length_bytes < bytes.len() as u64 {
-        let remaining = &bytes[content.length_bytes as usize..];
-        let Some((number, payload)) = frame::decode(remaining) else {
-            if frame::has_later_frame(remaining) {
-                return Err(corrupt(content.length_bytes));
-            }
-            break;
-        };
-        let batches: Option<Batches> = postcard::from_bytes(payload).ok();
+    while content.length_bytes < length {
+        let Some((number, payload)) = next(length - content.length_bytes)? else { break };
+        let batches: Option<Batches> = postcard::from_bytes(&payload).ok();
         let Some(batches) = batches.filter(|_| number == content.next_frame) else {
             return Err(corrupt(content.length_bytes));
         };
@@ -296,9 +324,21 @@
         content.next_frame += 1;
         content.length_bytes += (frame::HEADER_BYTES + payload.len()) as u64;
     }
+    let end = content.length_bytes;
+    let remaining = read_to_end(file, end).map_err(StateError::io(Operation::Read, path))?;
+    if frame::has_later_frame(&remaining) {
+        return Err(corrupt(end));
+    }
     Ok(content)
 }
 
+fn read_to_end(file: &mut File, offset: u64) -> io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    file.seek(SeekFrom::Start(offset))?;
+    file.read_to_end(&mut bytes)?;
+    Ok(bytes)
+}
+
 fn apply(groups: &mut Groups, batches: Batches) {
     for (group, batch) in batches {
         let index = match groups.binary_search_by(|(name, _)| name.cmp(&group)) {
--- a/src/state/saved.rs
+++ b/src/state/saved.rs
@@ -49,8 +49,6 @@
     ///
     /// The file cannot be written.
     pub fn write(&self, configuration: &Configuration) -> Result<(), StateError> {
-        let payload = postcard::to_stdvec(configuration).map_err(StateError::Encode)?;
-        write_atomically(&self.folder, FILE_NAME, &frame::encode(0, &payload)?)?;
-        Ok(())
+        write_atomically(&self.folder, FILE_NAME, &frame::encode(0, configuration)?)
     }
 }
--- a/src/state/writer.rs
+++ b/src/state/writer.rs
@@ -15,6 +15,9 @@
 };
 
 const MAX_BATCHES_PER_SYNC: usize = 1_024;
+/// Length of the commands in the batches of a sync from which on no further batch is added. A frame is
+/// encoded in memory.
+const MAX_BYTES_PER_SYNC: usize = 4 << 20;
 
 /// All batches of `group` up to `sequence` are synced.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -112,8 +115,7 @@
     reports: &UnboundedSender<SyncResult>,
 ) {
     while let Ok(first) = batches.recv() {
-        let mut pending = vec![first];
-        pending.extend(batches.try_iter().take(MAX_BATCHES_PER_SYNC - 1));
+        let pending = with_waiting(first, batches);
         let synced = last_sequences(&pending);
         let mut result = journal.append(pending.clone());
         let mut missing = pending;
@@ -141,8 +143,7 @@
     reports: &UnboundedSender<SyncResult>,
 ) {
     while let Ok(first) = batches.recv() {
-        let mut pending = vec![first];
-        pending.extend(batches.try_iter().take(MAX_BATCHES_PER_SYNC - 1));
+        let pending = with_waiting(first, batches);
         let synced = last_sequences(&pending);
         if let Err(error) = journal.write(pending) {
             let _ = reports.send(Err(error));
@@ -154,6 +155,21 @@
     }
 }
 
+/// The batches of the next sync: `first` and those that have arrived since.
+fn with_waiting(
+    first: (GroupName, Persist),
+    batches: &mpsc::Receiver<(GroupName, Persist)>,
+) -> Vec<(GroupName, Persist)> {
+    let mut bytes = first.1.payload_bytes();
+    let mut pending = vec![first];
+    while pending.len() < MAX_BATCHES_PER_SYNC && bytes < MAX_BYTES_PER_SYNC {
+        let Ok(next) = batches.try_recv() else { break };
+        bytes += next.1.payload_bytes();
+        pending.push(next);
+    }
+    pending
+}
+
 /// The last sequence number of each group, sorted by group name.
 fn last_sequences(batches: &[(GroupName, Persist)]) -> Vec<Synced> {
     let mut synced: Vec<Synced> = Vec::new();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod calls;
 mod cli;
+mod compaction;
 mod docs;
 mod http_client;
 mod http_server;
--- a/tests/testsuite/state.rs
+++ b/tests/testsuite/state.rs
@@ -26,7 +26,7 @@
     let entry = |index| Entry {
         index: LogIndex(index),
         term: Term(1),
-        payload: Payload::Command(vec![index as u8; bytes]),
+        payload: Payload::Command(vec![index as u8; bytes].into()),
     };
     (first..first + count).map(entry).collect()
 }
@@ -40,7 +40,7 @@
         index: LogIndex(index),
         term: Term(1),
         members: Membership::new(FormationId(1), Vec::new()),
-        data: vec![7; 50],
+        data: vec![7; 50].into(),
     }
 }
 
@@ -204,6 +204,53 @@
     journal_file(&path);
 }
 
+/// Guards against copies of the whole log at a start: a keeper that was killed over its memory limit
+/// was killed again for as long as it read the same folder.
+#[test]
+fn restored_state_shares_its_bytes_with_the_journal() {
+    let path = TempDir::new().unwrap();
+    let mut journal = Journal::open(&open(&path)).expect("a journal");
+    journal.write(vec![(id("g"), append(1, 1, 3))]).expect("a write");
+    drop(journal);
+
+    let journal = Journal::open(&open(&path)).expect("a journal");
+    let (first, second) = (journal.group(&id("g")), journal.group(&id("g")));
+
+    let address = |state: &StoredState| match &state.entries[0].payload {
+        Payload::Command(bytes) => bytes.as_ptr(),
+        _ => panic!("a command is stored"),
+    };
+    assert_eq!(address(&first), address(&second));
+}
+
+/// A rotation fails halfway: the new file may have its name after a loss of power. Guards against
+/// records that are acknowledged from the old file, which a restart then removes.
+#[test]
+fn nothing_is_appended_to_a_journal_file_that_may_have_been_replaced() {
+    let path = TempDir::new().unwrap();
+    let mut journal = Journal::open(&open(&path)).unwrap();
+    // A folder in place of the next file makes the rename fail.
+    let blocked = path.path().join("journal-00000002");
+    fs::create_dir(&blocked).unwrap();
+    fs::create_dir(blocked.join("full")).unwrap();
+    let large = Persist { sequence: 1, entries: entries(1, 1, 5 << 20), ..Persist::default() };
+    journal.append(vec![(id("g"), large)]).unwrap();
+
+    let rotated = journal.rotate();
+    let appended = journal.append(vec![(id("g"), append(2, 2, 1))]);
+    fs::remove_dir_all(&blocked).unwrap();
+    journal.recover(vec![(id("g"), append(2, 2, 1))]).unwrap();
+    journal.append(vec![(id("g"), append(3, 3, 1))]).unwrap();
+
+    assert_matches!(rotated, Err(StateError::Io { .. }));
+    assert_matches!(appended, Err(StateError::Superseded { .. }));
+    drop(journal);
+    let journal = Journal::open(&open(&path)).unwrap();
+    let indexes: Vec<u64> = journal.group(&id("g")).entries.iter().map(|it| it.index.0).collect();
+    assert_eq!(indexes, [1, 2, 3]);
+    journal_file(&path);
+}
+
 fn random_batch(rng: &mut ChaCha8Rng, sequence: u64, model: &StoredState) -> Persist {
     let base = model.snapshot.as_ref().map_or(0, |snapshot| snapshot.index.0);
     let last = model.entries.last().map_or(base, |entry| entry.index.0);
