The send queue of a link is bounded in bytes, and tables are encoded once for all links

Each entry instance that fetches a table got a copy of its own, and the buffer of a link kept the length of the largest batch for ever. Nobody saw this fail; read, and shown by a test.

Change: a link whose queue holds more than 16 MB takes no further message and ends, so that its peer gets everything anew over the next one (a message that did not fit was lost before); long frames are written without a copy, and all links share the encoded table.

--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -16,6 +16,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use medlarlug::{
     coordination::{
         clock::Clock,
@@ -33,8 +34,9 @@
     gateway::{
         cold::ColdDetector,
         contacts::{Contacts, InstanceInfo, InstanceKind, Status},
+        publication::Publication,
         stall_detector::StallDetector,
-        table::RouteTable,
+        table::{RouteTable, TableVersion},
         upstreams::{Effect, Renewal, UpstreamState, Upstreams},
     },
     ids::{InstanceId, ZoneId},
@@ -54,7 +56,7 @@
 use self::facts::FactStore;
 use crate::{
     keeper_links::{LinkOwner, Links, error_chain},
-    link::{Message, PublicationHead, Update},
+    link::{self, Message, PublicationHead, Update},
     settings::{MAX_UPDATE_AGE, NO_TABLE, NodeSettings, address_of, instance_at},
     subscribers::{KeeperState, Subscribers},
 };
@@ -109,6 +111,8 @@
     /// The membership that was last logged.
     membership: RefCell<Option<Membership>>,
     table: RefCell<Option<Rc<RouteTable>>>,
+    /// The newest table that was fetched, as an encoded [`Message::Document`] that all links share.
+    document: RefCell<Option<(TableVersion, Bytes)>>,
     /// Stalls of this process, during which announcements queue.
     stall: RefCell<StallDetector>,
     /// Batches that are not durable yet, oldest first: sequence number, and when each was passed to
@@ -155,6 +159,7 @@
             stored_facts: RefCell::default(),
             membership: RefCell::default(),
             table: RefCell::default(),
+            document: RefCell::default(),
             stall: RefCell::new(StallDetector::new(STALL_LIMIT)),
             unsynced: RefCell::default(),
             failure: RefCell::default(),
@@ -216,6 +221,21 @@
         self.clock.now()
     }
 
+    /// The newest table as an encoded [`Message::Document`].
+    fn encoded_document(&self, publication: &Publication) -> Result<Bytes, postcard::Error> {
+        let version = publication.version();
+        let mut document = self.document.borrow_mut();
+        if let Some((encoded, frame)) = &*document
+            && *encoded == version
+        {
+            return Ok(frame.clone());
+        }
+        let bytes = publication.document().to_vec();
+        let frame = link::encode(&Message::Document { version, bytes })?;
+        *document = Some((version, frame.clone()));
+        Ok(frame)
+    }
+
     fn is_leader(&self) -> bool {
         self.group.borrow().is_leader()
     }
@@ -435,10 +455,10 @@
                 if publication.version() < version {
                     return;
                 }
-                let version = publication.version();
-                let bytes = publication.document().to_vec();
-                let document = Message::Document { version, bytes };
-                self.subscribers.borrow().send(&info.id, &document);
+                match self.encoded_document(publication) {
+                    Ok(frame) => self.subscribers.borrow().send_frame(&info.id, frame),
+                    Err(error) => tracing::error!(%error, "failed to encode the table"),
+                }
             }
             Message::Replication(message) => {
                 let from = info.id.clone();
--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -5,7 +5,7 @@
 //! peer has stopped reading. The side that opened the link sends pings, by which both sides detect
 //! an unresponsive peer.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use medlarlug::protocol::{GroupReply, GroupRequest};
@@ -45,6 +45,11 @@
 const MAX_FRAME_BYTES: u32 = 16 << 20;
 /// Capacity of the send queue of a link, in messages.
 const QUEUE_MESSAGES: usize = 1_024;
+/// Length of the frames in the send queue of a link above which a further message is refused, in bytes.
+const MAX_QUEUED_BYTES: usize = 16 << 20;
+/// Length up to which queued frames are copied together for one write, in bytes. A longer frame is
+/// written by itself.
+const MAX_BATCH_BYTES: usize = 64 << 10;
 
 /// An update from a keeper to a process that opened a link to it. It holds only what has changed
 /// since the update before.
@@ -213,14 +218,27 @@
 
 /// The sending side of a link. The link closes when all senders are dropped.
 #[derive(Debug, Clone)]
-pub struct LinkSender(mpsc::Sender<Bytes>);
+pub struct LinkSender {
+    frames: mpsc::Sender<Bytes>,
+    load: Rc<QueueLoad>,
+}
+
+/// How full the send queue of a link is.
+#[derive(Debug, Default)]
+struct QueueLoad {
+    /// Length of the frames that have not been written yet.
+    bytes: Cell<usize>,
+    /// Whether a message did not fit. The link then ends: its peer lacks that message, and gets
+    /// everything anew over the next link.
+    has_overflowed: Cell<bool>,
+}
 
 impl LinkSender {
     /// Queues a message. Returns false if the link is closed or its queue is full, which means that
     /// the peer has stopped reading.
     pub fn send(&self, message: &Message) -> bool {
         match encode(message) {
-            Ok(frame) => self.0.try_send(frame).is_ok(),
+            Ok(frame) => self.send_frame(frame),
             Err(error) => {
                 tracing::error!(%error, "failed to encode a message");
                 false
@@ -228,9 +246,23 @@
         }
     }
 
+    /// Queues an encoded message, whose bytes may be shared with other links. Returns false as
+    /// [`LinkSender::send`] does.
+    pub fn send_frame(&self, frame: Bytes) -> bool {
+        let load = &self.load;
+        let bytes = load.bytes.get() + frame.len();
+        let has_room = load.bytes.get() <= MAX_QUEUED_BYTES && !load.has_overflowed.get();
+        let is_queued = has_room && self.frames.try_send(frame).is_ok();
+        match is_queued {
+            true => load.bytes.set(bytes),
+            false => load.has_overflowed.set(true),
+        }
+        is_queued
+    }
+
     /// Whether the connection has ended and queued messages will not be sent any more.
     pub fn is_closed(&self) -> bool {
-        self.0.is_closed()
+        self.frames.is_closed()
     }
 }
 
@@ -302,25 +334,48 @@
         tracing::debug!(%error, "failed to disable Nagle's algorithm");
     }
     let (read, write) = stream.into_split();
-    let (sender, queue) = mpsc::channel(QUEUE_MESSAGES);
-    task::spawn_local(write_frames(write, queue));
-    (LinkSender(sender), LinkReceiver(read))
+    let (frames, queue) = mpsc::channel(QUEUE_MESSAGES);
+    let load = Rc::new(QueueLoad::default());
+    task::spawn_local(write_frames(write, queue, load.clone()));
+    (LinkSender { frames, load }, LinkReceiver(read))
 }
 
-/// Writes frames until the queue is closed or the connection ends. All queued frames go out in one
-/// write.
-async fn write_frames(mut write: OwnedWriteHalf, mut queue: mpsc::Receiver<Bytes>) {
+/// Writes frames until the queue is closed, a message did not fit, or the connection ends. Short frames that are queued go out
+/// in one write.
+async fn write_frames(
+    mut write: OwnedWriteHalf,
+    mut queue: mpsc::Receiver<Bytes>,
+    load: Rc<QueueLoad>,
+) {
     let mut batch = Vec::new();
-    while let Some(first) = queue.recv().await {
+    let mut next = None;
+    while !load.has_overflowed.get() {
+        let first = match next.take() {
+            Some(frame) => frame,
+            None => match queue.recv().await {
+                Some(frame) => frame,
+                None => return,
+            },
+        };
         batch.clear();
-        batch.extend_from_slice(&first);
-        while let Ok(next) = queue.try_recv() {
-            batch.extend_from_slice(&next);
+        let is_long = first.len() > MAX_BATCH_BYTES;
+        if !is_long {
+            batch.extend_from_slice(&first);
+            while batch.len() <= MAX_BATCH_BYTES {
+                let Ok(frame) = queue.try_recv() else { break };
+                if frame.len() > MAX_BATCH_BYTES {
+                    next = Some(frame);
+                    break;
+                }
+                batch.extend_from_slice(&frame);
+            }
         }
-        if write.write_all(&batch).await.is_err() {
+        let content = if is_long { &first } else { &batch[..] };
+        if write.write_all(content).await.is_err() {
             // The receiving half reports the error.
             return;
         }
+        load.bytes.set(load.bytes.get() - content.len());
     }
 }
 
--- a/crates/medlarlug-gateway/src/subscribers.rs
+++ b/crates/medlarlug-gateway/src/subscribers.rs
@@ -8,6 +8,7 @@
 
 use std::{cell::OnceCell, time::Duration};
 
+use bytes::Bytes;
 use medlarlug_core::{
     gateway::{
         cold::ColdDetector,
@@ -156,6 +157,13 @@
         link.is_some_and(|it| it.sender.send(message))
     }
 
+    /// Sends an encoded message to a process over its newest link.
+    pub(crate) fn send_frame(&self, id: &InstanceId, frame: Bytes) {
+        if let Some(link) = self.links.iter().rfind(|it| it.id == *id) {
+            link.sender.send_frame(frame);
+        }
+    }
+
     /// Sends each link the changes that it has not been sent yet.
     pub(crate) fn push(&mut self, now: Time, state: KeeperState) {
         let round = UpdateRound::new(now, state);
