Late orders of operators and upstreams don't undo later ones

Cause: orders about zones carry neither number nor age, and a keeper carried them out in the first turn after their head was read. The same held for orders in the socket of a keeper that stood still, for calls in a link between keepers, and for the departure of an upstream, which names no incarnation. Ruled out: entry instances that go back to older news (their round is the newer one).

Change: the caller of an order is watched for 250 ms before it is carried out (the server drops the request when its connection ends), and the leader drops an order if its zone has changed since the receiving keeper took it in. The number of known changes travels at the end of a frame, where earlier builds ignore it.

An evacuation is acknowledged 0.25 s later than before.

--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //! Callers are anonymous: a [`table::RouteTable`] maps host and path to the service that answers a
 //! call and says how often the call may be tried. Operators replace the whole table under a version
 //! number; keepers agree on the table and on evacuated availability zones through the
-//! [`publication`] state machine.
+//! [`publication`] state machine. [`evacuation_orders`] tells late orders from current ones.
 //!
 //! Upstreams announce themselves to the keepers, which forward the announcements to every entry
 //! instance. [`upstreams`] orders announcements by incarnation and sequence number. An entry
@@ -24,6 +24,7 @@
 pub mod cold;
 pub mod connectivity;
 pub mod contacts;
+pub mod evacuation_orders;
 pub mod handover;
 pub mod health;
 pub mod keeper_view;
--- a/crates/medlarlug-core/src/gateway/publication.rs
+++ b/crates/medlarlug-core/src/gateway/publication.rs
@@ -30,6 +30,17 @@
     Rebuilt,
 }
 
+impl Command {
+    /// For a change of the evacuated zones: the zone, and whether the command evacuates it.
+    pub fn evacuation(&self) -> Option<(&ZoneId, bool)> {
+        match self {
+            Command::Evacuate(zone) => Some((zone, true)),
+            Command::Restore(zone) => Some((zone, false)),
+            Command::Publish { .. } | Command::Rebuilt => None,
+        }
+    }
+}
+
 /// The replicated state.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Publication {
--- a/crates/medlarlug-core/src/replication/replica.rs
+++ b/crates/medlarlug-core/src/replication/replica.rs
@@ -193,6 +193,15 @@
         self.leader.as_ref()
     }
 
+    /// Whether the replica leads and has applied all entries of earlier terms, so that its state is the
+    /// newest one up to what it has proposed itself.
+    pub fn has_newest_state(&self) -> bool {
+        match &self.state {
+            State::Leader(leader) => self.applied >= leader.first_index,
+            _ => false,
+        }
+    }
+
     /// Newest membership in the log, committed or not; `None` before the replica belongs to a group.
     pub fn membership(&self) -> Option<&Membership> {
         self.log.membership()
--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod availability;
 mod connectivity;
 mod contacts;
+mod evacuation_orders;
 mod fixture;
 mod handover;
 mod keeper_view;
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -34,6 +34,7 @@
     gateway::{
         cold::ColdDetector,
         contacts::{Contacts, InstanceInfo, InstanceKind, Status},
+        evacuation_orders::EvacuationLog,
         publication::Publication,
         stall_detector::StallDetector,
         table::{RouteTable, TableVersion},
@@ -102,6 +103,8 @@
     calls: RefCell<Vec<(u64, oneshot::Sender<GroupReply>)>>,
     last_call: Cell<u64>,
     head: RefCell<PublicationHead>,
+    /// When each zone was last evacuated or taken back, to tell late orders.
+    evacuations: RefCell<EvacuationLog>,
     /// When the evacuation of each zone was withdrawn.
     cold_detector: RefCell<ColdDetector>,
     /// Facts from entry instances about contents that crash upstreams.
@@ -154,6 +157,7 @@
             calls: RefCell::default(),
             last_call: Cell::new(0),
             head: RefCell::default(),
+            evacuations: RefCell::default(),
             cold_detector: RefCell::default(),
             facts: RefCell::new(facts),
             stored_facts: RefCell::default(),
@@ -341,6 +345,7 @@
                 }
             }
         }
+        self.evacuations.borrow_mut().observe(head.round, &head.evacuated);
         let restored = head.evacuations().restored_since(self.head.borrow().evacuations());
         let restored = restored.unwrap_or_else(|| {
             // After a start or a snapshot it is unknown which zones were restored since, so all
@@ -480,9 +485,9 @@
                     self.push();
                 }
             }
-            Message::Call { call, request } => {
+            Message::Call { call, request, known_round } => {
                 let caller = Caller { instance: info.id.clone(), call };
-                self.drive_group(|group, now, out| group.call(now, caller, request, out));
+                self.call_group(caller, request, known_round);
             }
             Message::Hello(_)
             | Message::Pong
--- a/crates/medlarlug-gateway/src/keeper/requests.rs
+++ b/crates/medlarlug-gateway/src/keeper/requests.rs
@@ -9,11 +9,13 @@
 use medlarlug_core::{
     gateway::{
         contacts::entry_addresses,
+        evacuation_orders::Timeliness,
         publication::{Command, Publication},
         table::{RouteTable, TableVersion},
         upstreams::{Effect, Upstream, UpstreamState},
     },
     ids::{RegionId, UpstreamId, ZoneId},
+    time::Time,
 };
 use serde_bytes::ByteBuf;
 use thiserror::Error;
@@ -41,11 +43,27 @@
 /// Time after start in which too few entry instances are connected to list them to callers.
 const WARM_UP_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time for which the caller of an order is watched before the order is carried out. Bytes that a
+/// partition held up arrive before the end of their connection, which follows at the latest one round
+/// trip later: 120 ms between distant regions, and as much again for a lost packet.
+const CALLER_WATCH_TIME: Duration = Duration::from_millis(250);
+
 /// No leader answered the request in time; it may have been carried out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("no leader of the keepers answered in time")]
 pub struct Unavailable;
 
+/// Why an order of an operator is not acknowledged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum OrderError {
+    /// No leader answered in time; the order may have been carried out.
+    #[error(transparent)]
+    Unavailable(#[from] Unavailable),
+    /// The zone has changed since the order was received; the order has no effect.
+    #[error("the zone was evacuated or taken back since the order was received; send it again")]
+    Outdated,
+}
+
 impl Keeper {
     /// Applies an announcement. If the upstream is leaving, returns once every connected entry
     /// instance knows, or when a timeout passes.
@@ -64,13 +82,21 @@
             self.push();
         }
         if is_leaving {
-            self.wait_for_entries().await;
+            self.wait_for_entries(CONFIRM_TIMEOUT).await;
         }
     }
 
     /// Records that an upstream has left. Returns once every connected entry instance knows, or
     /// when a timeout passes.
+    ///
+    /// The request names no incarnation. If the upstream is in service, it may be a late one of an
+    /// earlier incarnation, so its caller is watched first.
     pub async fn upstream_left(&self, id: &UpstreamId, unknown: Upstream) {
+        let mut limit = CONFIRM_TIMEOUT;
+        if self.is_in_service(id) {
+            watch_caller(format!("upstream {id} leaves"), None).await;
+            limit -= CALLER_WATCH_TIME;
+        }
         let now = self.now();
         let effect = self.upstreams.borrow_mut().mark_unknown_gone(now, unknown);
         self.count_announcement(effect);
@@ -78,7 +104,12 @@
             tracing::info!(upstream = %id, "upstream left");
             self.push();
         }
-        self.wait_for_entries().await;
+        self.wait_for_entries(limit).await;
+    }
+
+    fn is_in_service(&self, id: &UpstreamId) -> bool {
+        let upstreams = self.upstreams.borrow();
+        upstreams.get(id).is_some_and(|it| it.upstream.state == UpstreamState::Ready)
     }
 
     /// Publishes a table that was validated before. Does nothing if it is not newer than the one in
@@ -100,17 +131,31 @@
         self.submit(GroupRequest::Publish(command)).await.map(|_| ())
     }
 
-    /// Evacuates a zone, or withdraws its evacuation.
+    /// Evacuates a zone, or withdraws its evacuation. Returns after [`CALLER_WATCH_TIME`] at the
+    /// earliest; a caller that drops the future before has left, and its order is not carried out.
     ///
     /// # Errors
     ///
-    /// No leader answered in time.
-    pub async fn evacuate(&self, zone: ZoneId, is_evacuated: bool) -> Result<(), Unavailable> {
+    /// No leader answered in time, or the zone has changed since the call.
+    pub async fn evacuate(&self, zone: ZoneId, is_evacuated: bool) -> Result<(), OrderError> {
+        let received = self.now();
+        let known_round = self.evacuation_round();
+        let description = format!("evacuation of {zone}: {is_evacuated}");
+        watch_caller(description, known_round).await;
         let command = match is_evacuated {
             true => Command::Evacuate(zone),
             false => Command::Restore(zone),
         };
-        self.submit(GroupRequest::Publish(command)).await.map(|_| ())
+        let order = Order { request: GroupRequest::Publish(command), known_round };
+        match self.submit_until(received + REQUEST_TIMEOUT, order).await? {
+            GroupReply::Outdated => Err(OrderError::Outdated),
+            _ => Ok(()),
+        }
+    }
+
+    /// Number of changes of the evacuated zones that this keeper knows.
+    fn evacuation_round(&self) -> Option<u64> {
+        self.group.borrow().state_machine().publication().map(Publication::round)
     }
 
     /// Reads the newest replicated state, confirmed by a majority.
@@ -162,23 +207,32 @@
         metrics::counter!(names::ANNOUNCEMENTS, "effect" => effect).increment(1);
     }
 
-    async fn wait_for_entries(&self) {
+    async fn wait_for_entries(&self, limit: Duration) {
         let pending = self.subscribers.borrow().unacknowledged_by_entries();
         let confirmed = async {
             while !self.subscribers.borrow().all_acknowledged(&pending) {
                 sleep(CONFIRM_POLL_INTERVAL).await;
             }
         };
-        if timeout(CONFIRM_TIMEOUT, confirmed).await.is_err() {
+        if timeout(limit, confirmed).await.is_err() {
             tracing::warn!("entry instances did not confirm in time that an upstream is leaving");
         }
     }
 
     /// Carries out a request at the leader, which may be this keeper or another one.
     async fn submit(&self, request: GroupRequest) -> Result<GroupReply, Unavailable> {
+        let order = Order { request, known_round: None };
+        self.submit_until(self.now() + REQUEST_TIMEOUT, order).await
+    }
+
+    async fn submit_until(&self, deadline: Time, order: Order) -> Result<GroupReply, Unavailable> {
         let retries = async {
             loop {
-                match self.attempt(request.clone()).await {
+                // The process may have stood still, and its caller may have gone elsewhere.
+                if self.now() >= deadline {
+                    return Err(Unavailable);
+                }
+                match self.attempt(order.clone()).await {
                     Some(GroupReply::NotLeader(_)) | None => sleep(RETRY_DELAY).await,
                     Some(GroupReply::Uncertain | GroupReply::UnsupportedRequest) => {
                         return Err(Unavailable);
@@ -187,11 +241,13 @@
                 }
             }
         };
-        timeout(REQUEST_TIMEOUT, retries).await.unwrap_or(Err(Unavailable))
+        let limit = deadline - self.now();
+        timeout(limit, retries).await.unwrap_or(Err(Unavailable))
     }
 
     /// Makes one attempt; `None` if no leader is known or it does not answer.
-    async fn attempt(&self, request: GroupRequest) -> Option<GroupReply> {
+    async fn attempt(&self, order: Order) -> Option<GroupReply> {
+        let Order { request, known_round } = order;
         let own = self.settings.borrow().info.id.clone();
         let leader = self.group.borrow().replica().leader().cloned()?;
         let call = self.last_call.get() + 1;
@@ -200,15 +256,49 @@
         self.calls.borrow_mut().push((call, sender));
         if leader == own {
             let caller = Caller { instance: own, call };
-            self.drive_group(|group, now, out| group.call(now, caller, request, out));
+            self.call_group(caller, request, known_round);
         } else {
             let port = self.settings.borrow().info.internal.port();
             let address = address_of(&leader, port)?;
-            self.links.send(address, &Message::Call { call, request });
+            self.links.send(address, &Message::Call { call, request, known_round });
         }
         receiver.await.ok()
     }
 
+    /// Passes a request to the group, unless it is an order that arrives too late.
+    pub(super) fn call_group(
+        &self,
+        caller: Caller,
+        request: GroupRequest,
+        known_round: Option<u64>,
+    ) {
+        if let (Some((zone, evacuates)), Some(known)) = (request.evacuation(), known_round)
+            && self.is_leader()
+            && let Some(reply) = self.judge_order(zone, evacuates, known)
+        {
+            return self.reply(caller, reply);
+        }
+        self.drive_group(|group, now, out| group.call(now, caller, request, out));
+    }
+
+    /// The reply to an order that is not carried out; `None` if it is.
+    fn judge_order(&self, zone: &ZoneId, evacuates: bool, known_round: u64) -> Option<GroupReply> {
+        // The sender asks again soon.
+        let not_now = Some(GroupReply::NotLeader(None));
+        if !self.group.borrow().holds_all_evacuations() {
+            return not_now;
+        }
+        match self.evacuations.borrow().judge(zone, evacuates, known_round) {
+            Timeliness::Current => None,
+            Timeliness::Unknown => not_now,
+            Timeliness::Outdated => {
+                let round = self.evacuation_round();
+                tracing::warn!(%zone, evacuates, known_round, round, "late order dropped");
+                Some(GroupReply::Outdated)
+            }
+        }
+    }
+
     pub(super) fn complete_call(&self, call: u64, reply: GroupReply) {
         let mut calls = self.calls.borrow_mut();
         calls.retain(|it| !it.1.is_closed());
@@ -218,3 +308,34 @@
         }
     }
 }
+
+/// A request for the leader.
+#[derive(Debug, Clone)]
+struct Order {
+    request: GroupRequest,
+    /// For a change of the evacuated zones: how many this keeper knew when it received the order.
+    known_round: Option<u64>,
+}
+
+/// Waits for [`CALLER_WATCH_TIME`]. The server drops the future if the connection of the caller ends,
+/// also if only the caller's sending direction was closed.
+async fn watch_caller(description: String, known_round: Option<u64>) {
+    struct Watch {
+        description: String,
+        known_round: Option<u64>,
+        is_over: bool,
+    }
+
+    impl Drop for Watch {
+        fn drop(&mut self) {
+            if !self.is_over {
+                let (order, known_round) = (&self.description, self.known_round);
+                tracing::warn!(order, known_round, "order dropped: its caller has left");
+            }
+        }
+    }
+
+    let mut watch = Watch { description, known_round, is_over: false };
+    sleep(CALLER_WATCH_TIME).await;
+    watch.is_over = true;
+}
--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -171,6 +171,9 @@
         call: u64,
         /// The operation to carry out.
         request: GroupRequest,
+        /// For a change of the evacuated zones: how many the sender knew when it received the order.
+        /// Earlier builds neither send nor read it, so it has to remain at the end.
+        known_round: Option<u64>,
     },
     /// The answer to [`Message::Call`].
     Reply {
@@ -379,8 +382,8 @@
     }
 }
 
-/// Decodes the message in a frame. In a frame of an earlier build, a list that was added at the end of
-/// the message is missing; the appended zero stands for its length.
+/// Decodes the message in a frame. In a frame of an earlier build, a list or an option that was added at
+/// the end of the message is missing; the appended zero stands for an empty one.
 ///
 /// # Errors
 ///
--- a/src/coordination/keeper/group.rs
+++ b/src/coordination/keeper/group.rs
@@ -76,6 +76,7 @@
     read: Option<GroupRequest>,
     // Log index of the command, once it is known.
     index: Option<LogIndex>,
+    is_evacuation: bool,
 }
 
 /// One replication group in a keeper.
@@ -130,6 +131,12 @@
         &self.machine
     }
 
+    /// Whether this replica leads and no change of the evacuated zones is in progress, so that the state
+    /// machine holds all of them.
+    pub fn holds_all_evacuations(&self) -> bool {
+        self.replica.has_newest_state() && !self.pending_calls.iter().any(|it| it.is_evacuation)
+    }
+
     /// Whether the local replica is the leader.
     pub fn is_leader(&self) -> bool {
         self.replica.role() == Role::Leader
@@ -201,12 +208,13 @@
         }
         self.last_ticket += 1;
         let ticket = self.last_ticket;
+        let is_evacuation = request.evacuation().is_some();
+        let call = PendingCall { ticket, caller, read: None, index: None, is_evacuation };
         let Some(command) = self.command(now, &request) else {
-            let read = Some(request);
-            self.pending_calls.push(PendingCall { ticket, caller, read, index: None });
+            self.pending_calls.push(PendingCall { read: Some(request), ..call });
             return self.run(now, Event::Read { ticket }, out);
         };
-        self.pending_calls.push(PendingCall { ticket, caller, read: None, index: None });
+        self.pending_calls.push(call);
         self.run(now, Event::Propose { ticket, command: command.into() }, out)
     }
 
--- a/src/protocol/message.rs
+++ b/src/protocol/message.rs
@@ -6,7 +6,7 @@
     configuration_group, follower,
     gateway::publication::{self, Publication},
     home,
-    ids::{InstanceId, RegionId, RequestId, Revision, UpstreamId},
+    ids::{InstanceId, RegionId, RequestId, Revision, UpstreamId, ZoneId},
     limits, membership, replication, suspects,
 };
 use serde::{Deserialize, Serialize};
@@ -132,6 +132,16 @@
     Published,
 }
 
+impl GroupRequest {
+    /// For a change of the evacuated zones: the zone, and whether the request evacuates it.
+    pub fn evacuation(&self) -> Option<(&ZoneId, bool)> {
+        match self {
+            GroupRequest::Publish(command) => command.evacuation(),
+            _ => None,
+        }
+    }
+}
+
 /// The answer of a replication group.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum GroupReply {
@@ -166,4 +176,6 @@
     /// The group doesn't support the request.
     #[serde(rename = "Unfit")]
     UnsupportedRequest,
+    /// What the request changes has been changed since it was received; it has no effect.
+    Outdated,
 }
