A leader with a full disk hands over at once

Here: changes were unanswered for as long as the leader's disk was full, and it handed over only when it had room again.

Cause: the message by which a leader makes another voter campaign waited for the sync of the leader's own disk. Besides, by reading: the product's own keepers ended at the first error of a disk, and a keeper whose writer thread had ended ran on without storing anything.

Ruled out: a voter with a full disk is replaced (it answers heartbeats).

Evidence: failures::leader_with_a_full_disk_hands_over_and_changes_go_on fails with the old order of the message.

--- a/crates/medlarlug-core/src/replication/leader.rs
+++ b/crates/medlarlug-core/src/replication/leader.rs
@@ -336,8 +336,10 @@
         }
         transfer.is_sent = true;
         if let Some(formation) = formation {
+            // The target has synced the whole log. Nothing waits for the storage of this replica, which may
+            // be the reason for the transfer.
             let envelope = self.envelope(target, formation, Body::Campaign);
-            self.send_after_sync(envelope, out);
+            self.send(envelope, out);
         }
     }
 }
--- a/crates/medlarlug-core/tests/testsuite/replication/cluster.rs
+++ b/crates/medlarlug-core/tests/testsuite/replication/cluster.rs
@@ -39,6 +39,8 @@
     pub is_leader: bool,
     disk: StoredState,
     unsynced: Vec<Persist>,
+    /// Whether the disk is full: nothing is synced until it has room again.
+    full: bool,
     frozen: bool,
     backlog: Vec<Event>,
     /// Rate of the node's clock in thousandths of the simulated time.
@@ -139,6 +141,7 @@
                 is_leader: false,
                 disk: StoredState::default(),
                 unsynced: Vec::new(),
+                full: false,
                 frozen: false,
                 backlog: Vec::new(),
                 clock_permille,
@@ -199,6 +202,7 @@
         it.frozen = false;
         it.backlog.clear();
         it.unsynced.clear();
+        it.full = false;
         if self.fault == Fault::LostVote {
             it.disk.hard.vote = None;
         }
@@ -225,6 +229,20 @@
         it.disk = it.disk.clone().rebuild(member, formation, None).expect("a group to rebuild");
     }
 
+    /// Lets the disk of a node refuse every write until [`Cluster::free_disk`].
+    pub fn fill_disk(&mut self, node: usize) {
+        self.nodes[node].full = true;
+    }
+
+    /// Gives the disk of a node room again; what was refused is written.
+    pub fn free_disk(&mut self, node: usize) {
+        self.nodes[node].full = false;
+        let start = self.nodes[node].start_count;
+        if let Some(sequence) = self.nodes[node].unsynced.last().map(|batch| batch.sequence) {
+            self.schedule(node, 0, Action::Sync { sequence, start });
+        }
+    }
+
     /// Stops the event loop of a running node; messages are queued until [`Cluster::thaw`].
     pub fn freeze(&mut self, node: usize) {
         self.nodes[node].frozen = self.nodes[node].replica.is_some();
@@ -302,7 +320,8 @@
                 }
             }
             Action::Sync { sequence, start } => {
-                if start == self.nodes[node].start_count && self.nodes[node].replica.is_some() {
+                let it = &self.nodes[node];
+                if start == it.start_count && it.replica.is_some() && !it.full {
                     self.sync(node, sequence);
                     self.handle(node, Event::Persisted { sequence });
                 }
@@ -376,6 +395,9 @@
         let sequence = batch.sequence;
         let start = self.nodes[node].start_count;
         self.nodes[node].unsynced.push(batch);
+        if self.nodes[node].full {
+            return;
+        }
         let (min, max) = self.network.sync_micros;
         let delay = self.rng.random_range(min..max);
         if self.fault == Fault::EarlySync {
--- a/crates/medlarlug-core/tests/testsuite/replication/failures.rs
+++ b/crates/medlarlug-core/tests/testsuite/replication/failures.rs
@@ -434,3 +434,35 @@
 
     assert_matches!(rejected[..], [Rejection::LogFull { limit: 4_000 }, Rejection::LogFull { .. }]);
 }
+
+/// Guards against a leader whose transfer waits for its own disk: all changes were unanswered for as long
+/// as its disk was full, and the transfer began when it had room again.
+#[test]
+fn leader_with_a_full_disk_hands_over_and_changes_go_on() {
+    for seed in 0..20 {
+        let mut cluster = formed_cluster(seed, ALL_DURABLE, |_| {});
+        for _ in 0..3 {
+            let leader = cluster.leader().expect("a leader");
+            cluster.fill_disk(leader);
+            cluster.propose(leader);
+            cluster.run(Duration::from_millis(600));
+            cluster.handle(leader, Event::TransferLeadership);
+            cluster.run(ELECTION_LIMIT);
+
+            let next = cluster.leader().expect("a leader");
+            assert_ne!(next, leader, "seed {seed}");
+            let before = cluster.nodes[next].applied.len();
+            cluster.propose(next);
+            cluster.run(Duration::from_millis(500));
+            assert!(cluster.nodes[next].applied.len() > before, "seed {seed}");
+
+            cluster.free_disk(leader);
+            cluster.run(ELECTION_LIMIT);
+        }
+        assert!(cluster.recover(10));
+        let leader = cluster.leader().expect("a leader");
+        let applied = cluster.nodes[leader].applied.clone();
+        cluster.history.check_final(&applied);
+        assert_eq!(cluster.history.failures, Vec::<String>::new(), "seed {seed}");
+    }
+}
--- a/crates/medlarlug-gateway/src/keeper/loops.rs
+++ b/crates/medlarlug-gateway/src/keeper/loops.rs
@@ -22,8 +22,6 @@
 pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two rounds of updates; important changes are sent at once.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(250);
-/// Time for which the disk may fall behind before a leader transfers leadership.
-const DISK_LAG_LIMIT: Duration = Duration::from_millis(600);
 
 pub(super) async fn accept_links(keeper: Rc<Keeper>, listener: TcpListener) {
     loop {
@@ -78,13 +76,6 @@
             );
         }
         keeper.drive_group(|group, now, out| group.tick(now, out));
-        let now = keeper.now();
-        let is_behind =
-            keeper.unsynced.borrow().first().is_some_and(|it| now - it.1 > DISK_LAG_LIMIT);
-        if is_behind && keeper.is_leader() {
-            tracing::warn!("the disk is falling behind; transferring leadership");
-            keeper.drive_group(|group, now, out| group.transfer(now, out));
-        }
     }
 }
 
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -118,11 +118,8 @@
     document: RefCell<Option<(TableVersion, Bytes)>>,
     /// Stalls of this process, during which announcements queue.
     stall: RefCell<StallDetector>,
-    /// Batches that are not durable yet, oldest first: sequence number, and when each was passed to
-    /// the writer.
-    unsynced: RefCell<Vec<(u64, Time)>>,
-    /// Error of the state machine; the process has to end.
-    failure: RefCell<Option<StateMachineError>>,
+    /// Error after which the process has to end.
+    failure: RefCell<Option<KeeperError>>,
 }
 
 impl Keeper {
@@ -165,7 +162,6 @@
             table: RefCell::default(),
             document: RefCell::default(),
             stall: RefCell::new(StallDetector::new(STALL_LIMIT)),
-            unsynced: RefCell::default(),
             failure: RefCell::default(),
         });
         keeper.refresh_head();
@@ -181,6 +177,7 @@
                     Err(error) => tracing::warn!(error = %error_chain(&error), "disk failed"),
                 }
             }
+            *this.failure.borrow_mut() = Some(StateError::WriterEnded.into());
         });
         task::spawn_local(loops::tick(keeper.clone()));
         task::spawn_local(loops::push_updates(keeper.clone()));
@@ -191,7 +188,7 @@
     ///
     /// # Errors
     ///
-    /// The replicated state can't be decoded.
+    /// The replicated state can't be decoded, or nothing can be stored any more.
     pub async fn run_until(&self, mut stop: watch::Receiver<bool>) -> Result<(), KeeperError> {
         loop {
             tokio::select! {
@@ -199,7 +196,7 @@
                 () = sleep(loops::TICK_INTERVAL) => {}
             }
             if let Some(error) = self.failure.borrow_mut().take() {
-                return Err(error.into());
+                return Err(error);
             }
         }
         let deadline = self.now() + LEADERSHIP_TRANSFER_TIMEOUT;
@@ -245,7 +242,6 @@
     }
 
     fn on_synced(&self, sequence: u64) {
-        self.unsynced.borrow_mut().retain(|it| it.0 > sequence);
         self.drive_group(|group, now, out| group.persisted(now, sequence, out));
     }
 
@@ -258,7 +254,7 @@
         let result = feed(&mut self.group.borrow_mut(), self.now(), &mut out);
         if let Err(error) = result {
             tracing::error!(error = %error_chain(&error), "failed to decode the replicated state");
-            *self.failure.borrow_mut() = Some(error);
+            *self.failure.borrow_mut() = Some(error.into());
         }
         let mut is_changed = false;
         for output in out {
@@ -306,7 +302,6 @@
     }
 
     fn persist(&self, batch: Persist) {
-        self.unsynced.borrow_mut().push((batch.sequence, self.now()));
         self.writer.persist(group_name(&GroupId::Publication), batch);
     }
 
--- a/src/coordination/keeper/mod.rs
+++ b/src/coordination/keeper/mod.rs
@@ -17,7 +17,7 @@
 pub mod status;
 pub mod storage;
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, error::Error as _, rc::Rc, time::Duration};
 
 use medlarlug_core::{
     follower,
@@ -136,7 +136,10 @@
                     keeper.receive(from, message)?;
                 }
             }
-            Some(report) = reports.recv() => keeper.persisted(report?)?,
+            report = reports.recv() => {
+                let report = report.ok_or(StateError::WriterEnded)?;
+                keeper.handle_report(report)?;
+            }
             _ = ticks.tick() => {
                 count = count.wrapping_add(1);
                 keeper.tick(count.is_multiple_of(TICKS_PER_SLOW_TICK))?;
@@ -223,6 +226,19 @@
         }
     }
 
+    /// Handles a report of the writer, which continues after an error as soon as the disk accepts writes
+    /// again. Until then a leader transfers its leaderships, and nothing is acknowledged from here.
+    fn handle_report(&self, report: SyncResult) -> Result<(), StateMachineError> {
+        match report {
+            Ok(synced) => self.persisted(synced),
+            Err(error) => {
+                let cause = error.source().map(ToString::to_string);
+                tracing::warn!(%error, cause, "disk failed");
+                Ok(())
+            }
+        }
+    }
+
     /// Reports to a group that one of its batches has been synced.
     fn persisted(&self, synced: Synced) -> Result<(), StateMachineError> {
         let Synced { group, sequence } = synced;
@@ -367,7 +383,7 @@
                         self.receive(from, message)?;
                     }
                 }
-                Some(report) = reports.recv() => self.persisted(report?)?,
+                Some(report) = reports.recv() => self.handle_report(report)?,
                 _ = ticks.tick() => self.tick(false)?,
             }
         }
--- a/src/state/error.rs
+++ b/src/state/error.rs
@@ -104,6 +104,9 @@
         /// The replaced file.
         path: PathBuf,
     },
+    /// The thread that writes to the disk has ended.
+    #[error("the writer has ended; nothing can be stored any more")]
+    WriterEnded,
     /// A record is longer than a frame can hold.
     #[error("a record of {bytes} bytes exceeds the limit of {limit} bytes")]
     TooLarge {
