--- a/crates/medlarlug-core/src/replication/event.rs
+++ b/crates/medlarlug-core/src/replication/event.rs
@@ -91,11 +91,15 @@
 impl Persist {
     /// Length of the commands and of the snapshot in the batch, in bytes.
     pub fn payload_bytes(&self) -> usize {
-        let snapshot = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.data.len());
-        snapshot + self.entries.iter().map(|entry| entry.payload.len()).sum::<usize>()
+        payload_bytes(self.snapshot.as_ref(), &self.entries)
     }
 }
 
+fn payload_bytes(snapshot: Option<&Snapshot>, entries: &[Entry]) -> usize {
+    let commands: usize = entries.iter().map(|entry| entry.payload.len()).sum();
+    snapshot.map_or(0, |snapshot| snapshot.data.len()) + commands
+}
+
 /// Reason for which a request was not carried out.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum Rejection {
@@ -244,6 +248,11 @@
         self.entries.extend(batch.entries);
     }
 
+    /// Length of the commands and of the snapshot, in bytes.
+    pub fn payload_bytes(&self) -> usize {
+        payload_bytes(self.snapshot.as_ref(), &self.entries)
+    }
+
     /// Newest membership in the log or, failing that, in the snapshot.
     pub fn membership(&self) -> Option<&Membership> {
         let members = |entry: &Entry| match &entry.payload {
--- a/src/state/journal.rs
+++ b/src/state/journal.rs
@@ -1,10 +1,10 @@
 //! The journal: one file of frames for all replication groups of a process.
 //!
 //! The first frame is a checkpoint with the complete state of every group; each further frame holds
-//! the batches that were written and synced together. When the file has grown to twice its
-//! checkpoint, it is replaced by a new file that starts with a checkpoint of the current state. Disk
-//! usage is therefore proportional to the current state and not to everything ever written. The same
-//! holds for memory: files are read frame by frame, and checkpoints are written piece by piece.
+//! the batches that were written and synced together. Once more than half of the file is obsolete, it
+//! is replaced by a new file that starts with a checkpoint of the current state. Disk usage is
+//! therefore proportional to the current state and not to everything ever written. The same holds for
+//! memory: files are read frame by frame, and checkpoints are written piece by piece.
 //!
 //! Exactly one frame is written between two syncs. A damaged frame that no intact frame follows is
 //! therefore the one that was being written during a crash and was never acknowledged. Opening the
@@ -28,12 +28,10 @@
 };
 
 const FILE_NAME_PREFIX: &str = "journal-";
-/// Growth of the file since its checkpoint below which no new file is started.
-const MIN_GROWTH_BYTES: u64 = 4 << 20;
+/// Length of the obsolete part of the file below which no new file is started.
+const MIN_OBSOLETE_BYTES: u64 = 4 << 20;
 /// Preallocated length: with it, a sync need not write a new file size.
 const PREALLOCATION_BYTES: u64 = 1 << 20;
-/// Growth of the file since its checkpoint, as a multiple of the checkpoint, that starts a new file.
-const GROWTH_FACTOR: u64 = 1;
 
 /// The stored state of each group, sorted by group name.
 pub type Groups = Vec<(GroupName, StoredState)>;
@@ -64,7 +62,8 @@
     file: File,
     file_number: u64,
     next_frame: u64,
-    checkpoint_bytes: u64,
+    /// Length of the commands and snapshots in the current state.
+    state_bytes: u64,
     /// Length of the checkpoint and all frames.
     length_bytes: u64,
     /// Length of the file; the part behind [`Self::length_bytes`] holds zeros.
@@ -103,7 +102,7 @@
             file,
             file_number,
             next_frame: content.next_frame,
-            checkpoint_bytes: content.checkpoint_bytes,
+            state_bytes: state_bytes(&content.groups),
             length_bytes: content.length_bytes,
             allocated_bytes: content.length_bytes,
             is_superseded: false,
@@ -156,19 +155,19 @@
         self.file.sync_data().map_err(StateError::io(Operation::Sync, &name))?;
         self.next_frame += 1;
         self.length_bytes += frame.len() as u64;
-        apply(&mut self.groups, batches);
+        self.apply(batches);
         Ok(())
     }
 
-    /// Starts a new file when the current one has grown large.
+    /// Starts a new file when more of the current one is obsolete than in use.
     ///
     /// # Errors
     ///
     /// The new file could not be written. The current file still holds everything; if the new one may
     /// have its name already, the next [`Journal::append`] fails.
     pub fn rotate(&mut self) -> Result<(), StateError> {
-        let limit = MIN_GROWTH_BYTES.max(GROWTH_FACTOR * self.checkpoint_bytes);
-        if self.length_bytes - self.checkpoint_bytes > limit {
+        let obsolete_bytes = self.length_bytes.saturating_sub(self.state_bytes);
+        if obsolete_bytes > MIN_OBSOLETE_BYTES.max(self.state_bytes) {
             self.start_new_file()?;
         }
         Ok(())
@@ -181,10 +180,22 @@
     ///
     /// The disk failed again. The batches are kept in memory, and the next call writes them.
     pub fn recover(&mut self, batches: Batches) -> Result<(), StateError> {
-        apply(&mut self.groups, batches);
+        self.apply(batches);
         self.start_new_file()
     }
 
+    /// Applies batches to the state in memory.
+    fn apply(&mut self, batches: Batches) {
+        let only_grows =
+            batches.iter().all(|(_, batch)| batch.snapshot.is_none() && batch.cut.is_none());
+        let added: usize = batches.iter().map(|(_, batch)| batch.payload_bytes()).sum();
+        apply(&mut self.groups, batches);
+        self.state_bytes = match only_grows {
+            true => self.state_bytes + added as u64,
+            false => state_bytes(&self.groups),
+        };
+    }
+
     /// Extends the file with zeros to [`PREALLOCATION_BYTES`] beyond `end`.
     fn allocate(&mut self, name: &Path, end: u64) -> Result<(), StateError> {
         if end <= self.allocated_bytes {
@@ -208,7 +219,6 @@
         let old = self.folder.join(file_name(self.file_number));
         self.file_number = file_number;
         self.next_frame = 1;
-        self.checkpoint_bytes = length_bytes;
         self.length_bytes = length_bytes;
         self.allocated_bytes = length_bytes;
         if let Err(error) = fs::remove_file(&old) {
@@ -296,7 +306,6 @@
 struct JournalContent {
     groups: Groups,
     next_frame: u64,
-    checkpoint_bytes: u64,
     length_bytes: u64,
 }
 
@@ -312,8 +321,7 @@
     let groups: Groups = postcard::from_bytes(&payload).map_err(|_| corrupt(0))?;
     let start = (frame::HEADER_BYTES + payload.len()) as u64;
     drop(payload);
-    let mut content =
-        JournalContent { groups, next_frame: 1, checkpoint_bytes: start, length_bytes: start };
+    let mut content = JournalContent { groups, next_frame: 1, length_bytes: start };
     while content.length_bytes < length {
         let Some((number, payload)) = next(length - content.length_bytes)? else { break };
         let batches: Option<Batches> = postcard::from_bytes(&payload).ok();
@@ -339,6 +347,11 @@
     Ok(bytes)
 }
 
+/// Length of the commands and snapshots of all groups.
+fn state_bytes(groups: &Groups) -> u64 {
+    groups.iter().map(|(_, state)| state.payload_bytes() as u64).sum()
+}
+
 fn apply(groups: &mut Groups, batches: Batches) {
     for (group, batch) in batches {
         let index = match groups.binary_search_by(|(name, _)| name.cmp(&group)) {
