--- a/crates/medlarlug-gateway/src/keeper/requests.rs
+++ b/crates/medlarlug-gateway/src/keeper/requests.rs
@@ -94,7 +94,7 @@
     pub async fn upstream_left(&self, id: &UpstreamId, unknown: Upstream) {
         let mut limit = CONFIRM_TIMEOUT;
         if self.is_in_service(id) {
-            watch_caller(format!("upstream {id} leaves"), None).await;
+            watch_caller(format!("remove {id}"), None).await;
             limit -= CALLER_WATCH_TIME;
         }
         let now = self.now();
@@ -140,12 +140,11 @@
     pub async fn evacuate(&self, zone: ZoneId, is_evacuated: bool) -> Result<(), OrderError> {
         let received = self.now();
         let known_round = self.evacuation_round();
-        let description = format!("evacuation of {zone}: {is_evacuated}");
-        watch_caller(description, known_round).await;
-        let command = match is_evacuated {
-            true => Command::Evacuate(zone),
-            false => Command::Restore(zone),
+        let (command, verb) = match is_evacuated {
+            true => (Command::Evacuate(zone.clone()), "evacuate"),
+            false => (Command::Restore(zone.clone()), "restore"),
         };
+        watch_caller(format!("{verb} {zone}"), known_round).await;
         let order = Order { request: GroupRequest::Publish(command), known_round };
         match self.submit_until(received + REQUEST_TIMEOUT, order).await? {
             GroupReply::Outdated => Err(OrderError::Outdated),
--- a/src/coordination/keeper/group.rs
+++ b/src/coordination/keeper/group.rs
@@ -83,6 +83,7 @@
     read: Option<GroupRequest>,
     // Log index of the command, once it is known.
     index: Option<LogIndex>,
+    // Whether the command changes the evacuated zones.
     is_evacuation: bool,
 }
 
