--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -343,8 +343,8 @@
     (LinkSender { frames, load }, LinkReceiver(read))
 }
 
-/// Writes frames until the queue is closed, a message did not fit, or the connection ends. Short frames that are queued go out
-/// in one write.
+/// Writes frames until the queue is closed, a message did not fit, or the connection ends. Short
+/// frames that are queued go out in one write.
 async fn write_frames(
     mut write: OwnedWriteHalf,
     mut queue: mpsc::Receiver<Bytes>,
