Late orders are judged by the list of changes that cold upstreams use already

Read as a newcomer: EvacuationLog held the evacuated zones and their round a second time, and compared two lists as Evacuations does. Evacuations::changed_since is shared by both now. Names: a request for the leader is no order.

--- a/crates/medlarlug-core/src/gateway/cold.rs
+++ b/crates/medlarlug-core/src/gateway/cold.rs
@@ -144,12 +144,22 @@
     /// there were more changes than the two states show, so that any zone may have been evacuated
     /// and restored.
     pub fn restored_since(self, before: Evacuations) -> Option<Vec<ZoneId>> {
-        let lacks = |zones: &[ZoneId], zone: &ZoneId| zones.binary_search(zone).is_err();
-        let restored = before.zones.iter().filter(|zone| lacks(self.zones, zone));
-        let evacuated = self.zones.iter().filter(|zone| lacks(before.zones, zone));
-        let restored: Vec<ZoneId> = restored.cloned().collect();
-        let visible_changes = (restored.len() + evacuated.count()) as u64;
-        (self.round.saturating_sub(before.round) <= visible_changes).then_some(restored)
+        let changed = self.changed_since(before)?;
+        Some(changed.into_iter().filter(|zone| !self.contains(zone)).collect())
+    }
+
+    /// The zones that were evacuated or restored since `before`; `None` if there were changes that the
+    /// two states don't show.
+    pub fn changed_since(self, before: Evacuations) -> Option<Vec<ZoneId>> {
+        let restored = before.zones.iter().filter(|zone| !self.contains(zone));
+        let evacuated = self.zones.iter().filter(|zone| !before.contains(zone));
+        let changed: Vec<ZoneId> = restored.chain(evacuated).cloned().collect();
+        (self.round.saturating_sub(before.round) <= changed.len() as u64).then_some(changed)
+    }
+
+    /// Whether a zone is evacuated.
+    pub fn contains(self, zone: &ZoneId) -> bool {
+        self.zones.binary_search(zone).is_ok()
     }
 }
 
--- a/crates/medlarlug-core/src/gateway/evacuation_orders.rs
+++ b/crates/medlarlug-core/src/gateway/evacuation_orders.rs
@@ -9,7 +9,7 @@
 //! Operators may order the same again at any time, so an order that is already in effect is never
 //! outdated.
 
-use crate::ids::ZoneId;
+use crate::{gateway::cold::Evacuations, ids::ZoneId};
 
 /// Whether an order may still be carried out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,57 +25,56 @@
 /// When each zone was last evacuated or taken back, as the number of changes up to then.
 ///
 /// ```
-/// use medlarlug_core::{gateway::evacuation_orders::{EvacuationLog, Timeliness}, ids::ZoneId};
+/// use medlarlug_core::{
+///     gateway::{cold::Evacuations, evacuation_orders::{EvacuationLog, Timeliness}},
+///     ids::ZoneId,
+/// };
 ///
-/// let zone: ZoneId = "riga-a".parse().unwrap();
+/// let zones: [ZoneId; 1] = ["riga-a".parse().unwrap()];
+/// let states = [(0, 0), (1, 1), (2, 0), (3, 1)];
+/// let states = states.map(|(round, count)| Evacuations { round, zones: &zones[..count] });
 /// let mut log = EvacuationLog::default();
-/// log.observe(1, &[zone.clone()]);
-/// log.observe(2, &[]);
-/// log.observe(3, &[zone.clone()]);
+/// states.windows(2).for_each(|pair| log.observe(pair[0], pair[1]));
 ///
-/// assert_eq!(log.judge(&zone, false, 1), Timeliness::Outdated);
-/// assert_eq!(log.judge(&zone, true, 1), Timeliness::Current);
-/// assert_eq!(log.judge(&zone, false, 3), Timeliness::Current);
+/// assert_eq!(log.judge(states[3], &zones[0], false, 1), Timeliness::Outdated);
+/// assert_eq!(log.judge(states[3], &zones[0], true, 1), Timeliness::Current);
+/// assert_eq!(log.judge(states[3], &zones[0], false, 3), Timeliness::Current);
 /// ```
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct EvacuationLog {
-    /// Number of changes observed.
-    round: u64,
-    /// Evacuated zones, sorted.
-    evacuated: Vec<ZoneId>,
-    /// The change after which each zone is as it is now, sorted by zone.
+    /// The number of changes up to the last one of each zone, sorted by zone.
     changes: Vec<(ZoneId, u64)>,
-    /// The last change that may have concerned any zone, since several were observed at once.
+    /// The same for all other zones: an upper bound, as changes were not seen one by one.
     common: u64,
 }
 
 impl EvacuationLog {
-    /// Records the evacuated zones, sorted, after `round` changes.
-    pub fn observe(&mut self, round: u64, evacuated: &[ZoneId]) {
-        if round <= self.round {
-            return;
-        }
-        match (round - self.round, self.changed_zone(evacuated)) {
-            (1, Some(zone)) => match self.changes.binary_search_by(|it| it.0.cmp(&zone)) {
-                Ok(at) => self.changes[at].1 = round,
-                Err(at) => self.changes.insert(at, (zone, round)),
-            },
-            _ => {
-                self.common = round;
-                self.changes.clear();
+    /// Records that the evacuated zones have changed.
+    pub fn observe(&mut self, before: Evacuations, now: Evacuations) {
+        let Some(zones) = now.changed_since(before) else {
+            self.common = now.round;
+            return self.changes.clear();
+        };
+        for zone in zones {
+            match self.changes.binary_search_by(|it| it.0.cmp(&zone)) {
+                Ok(at) => self.changes[at].1 = now.round,
+                Err(at) => self.changes.insert(at, (zone, now.round)),
             }
         }
-        self.round = round;
-        self.evacuated = evacuated.to_vec();
     }
 
-    /// Judges an order for `zone` that was received after `known_round` changes.
-    pub fn judge(&self, zone: &ZoneId, evacuates: bool, known_round: u64) -> Timeliness {
-        let is_evacuated = self.evacuated.binary_search(zone).is_ok();
-        if known_round > self.round {
+    /// Judges an order for `zone` that was received after `known_round` changes, in the present state.
+    pub fn judge(
+        &self,
+        now: Evacuations,
+        zone: &ZoneId,
+        evacuates: bool,
+        known_round: u64,
+    ) -> Timeliness {
+        if known_round > now.round {
             return Timeliness::Unknown;
         }
-        if is_evacuated == evacuates || self.last_change(zone) <= known_round {
+        if now.contains(zone) == evacuates || self.last_change(zone) <= known_round {
             return Timeliness::Current;
         }
         Timeliness::Outdated
@@ -85,13 +84,4 @@
         let own = self.changes.binary_search_by(|it| it.0.cmp(zone));
         own.map_or(self.common, |at| self.changes[at].1)
     }
-
-    /// The zone by which `evacuated` differs from what was observed last, if it is a single one.
-    fn changed_zone(&self, evacuated: &[ZoneId]) -> Option<ZoneId> {
-        let added = evacuated.iter().filter(|it| self.evacuated.binary_search(it).is_err());
-        let removed = self.evacuated.iter().filter(|it| evacuated.binary_search(it).is_err());
-        let mut changed = added.chain(removed);
-        let first = changed.next()?;
-        changed.next().is_none().then(|| first.clone())
-    }
 }
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -340,8 +340,9 @@
                 }
             }
         }
-        self.evacuations.borrow_mut().observe(head.round, &head.evacuated);
-        let restored = head.evacuations().restored_since(self.head.borrow().evacuations());
+        let before = self.head.borrow().clone();
+        self.evacuations.borrow_mut().observe(before.evacuations(), head.evacuations());
+        let restored = head.evacuations().restored_since(before.evacuations());
         let restored = restored.unwrap_or_else(|| {
             // After a start or a snapshot it is unknown which zones were restored since, so all
             // count as restored now.
--- a/crates/medlarlug-gateway/src/keeper/requests.rs
+++ b/crates/medlarlug-gateway/src/keeper/requests.rs
@@ -139,24 +139,19 @@
     /// No leader answered in time, or the zone has changed since the call.
     pub async fn evacuate(&self, zone: ZoneId, is_evacuated: bool) -> Result<(), OrderError> {
         let received = self.now();
-        let known_round = self.evacuation_round();
+        let known_round = Some(self.head.borrow().round);
         let (command, verb) = match is_evacuated {
             true => (Command::Evacuate(zone.clone()), "evacuate"),
             false => (Command::Restore(zone.clone()), "restore"),
         };
         watch_caller(format!("{verb} {zone}"), known_round).await;
-        let order = Order { request: GroupRequest::Publish(command), known_round };
-        match self.submit_until(received + REQUEST_TIMEOUT, order).await? {
+        let request = LeaderRequest { request: GroupRequest::Publish(command), known_round };
+        match self.submit_until(received + REQUEST_TIMEOUT, request).await? {
             GroupReply::Outdated => Err(OrderError::Outdated),
             _ => Ok(()),
         }
     }
 
-    /// Number of changes of the evacuated zones that this keeper knows.
-    fn evacuation_round(&self) -> Option<u64> {
-        self.group.borrow().state_machine().publication().map(Publication::round)
-    }
-
     /// Reads the newest replicated state, confirmed by a majority.
     ///
     /// # Errors
@@ -220,18 +215,22 @@
 
     /// Carries out a request at the leader, which may be this keeper or another one.
     async fn submit(&self, request: GroupRequest) -> Result<GroupReply, Unavailable> {
-        let order = Order { request, known_round: None };
-        self.submit_until(self.now() + REQUEST_TIMEOUT, order).await
+        let request = LeaderRequest { request, known_round: None };
+        self.submit_until(self.now() + REQUEST_TIMEOUT, request).await
     }
 
-    async fn submit_until(&self, deadline: Time, order: Order) -> Result<GroupReply, Unavailable> {
+    async fn submit_until(
+        &self,
+        deadline: Time,
+        request: LeaderRequest,
+    ) -> Result<GroupReply, Unavailable> {
         let retries = async {
             loop {
                 // The process may have stood still, and its caller may have gone elsewhere.
                 if self.now() >= deadline {
                     return Err(Unavailable);
                 }
-                match self.attempt(order.clone()).await {
+                match self.attempt(request.clone()).await {
                     Some(GroupReply::NotLeader(_)) | None => sleep(RETRY_DELAY).await,
                     Some(GroupReply::Uncertain | GroupReply::UnsupportedRequest) => {
                         return Err(Unavailable);
@@ -245,8 +244,8 @@
     }
 
     /// Makes one attempt; `None` if no leader is known or it does not answer.
-    async fn attempt(&self, order: Order) -> Option<GroupReply> {
-        let Order { request, known_round } = order;
+    async fn attempt(&self, request: LeaderRequest) -> Option<GroupReply> {
+        let LeaderRequest { request, known_round } = request;
         let own = self.settings.borrow().info.id.clone();
         let leader = self.group.borrow().replica().leader().cloned()?;
         let call = self.last_call.get() + 1;
@@ -287,11 +286,12 @@
         if !self.group.borrow().holds_all_evacuations() {
             return not_now;
         }
-        match self.evacuations.borrow().judge(zone, evacuates, known_round) {
+        let head = self.head.borrow();
+        match self.evacuations.borrow().judge(head.evacuations(), zone, evacuates, known_round) {
             Timeliness::Current => None,
             Timeliness::Unknown => not_now,
             Timeliness::Outdated => {
-                let round = self.evacuation_round();
+                let round = head.round;
                 tracing::warn!(%zone, evacuates, known_round, round, "late order dropped");
                 Some(GroupReply::Outdated)
             }
@@ -310,7 +310,7 @@
 
 /// A request for the leader.
 #[derive(Debug, Clone)]
-struct Order {
+struct LeaderRequest {
     request: GroupRequest,
     /// For a change of the evacuated zones: how many this keeper knew when it received the order.
     known_round: Option<u64>,
