--- a/crates/medlarlug-core/src/replication/replica.rs
+++ b/crates/medlarlug-core/src/replication/replica.rs
@@ -1,6 +1,6 @@
 //! State of a replica, dispatch of events, persistence, and application of committed entries.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 
 use bytes::Bytes;
 use rand::{RngExt, SeedableRng};
@@ -53,6 +53,8 @@
 struct Unsynced {
     sequence: u64,
     last: LogIndex,
+    /// When it was handed to storage.
+    since: Time,
 }
 
 /// One member of a replication group.
@@ -227,6 +229,16 @@
         self.log.snapshot_position().index
     }
 
+    /// How long storage has had the oldest batch that it has not synced; zero without one.
+    pub fn storage_lag(&self, now: Time) -> Duration {
+        self.unsynced.front().map_or(Duration::ZERO, |batch| now - batch.since)
+    }
+
+    /// Whether the replica leads and is transferring its leadership.
+    pub fn is_transferring(&self) -> bool {
+        matches!(&self.state, State::Leader(leader) if leader.is_transferring())
+    }
+
     /// Payload of the entries in the log, in bytes, without the snapshot.
     pub fn log_bytes(&self) -> usize {
         self.log.bytes()
@@ -390,7 +402,7 @@
             self.hard_sequence = self.sequence;
         }
         let last = self.log.last().index;
-        self.unsynced.push_back(Unsynced { sequence: self.sequence, last });
+        self.unsynced.push_back(Unsynced { sequence: self.sequence, last, since: now });
         out.push(Effect::Persist(batch));
     }
 
--- a/crates/medlarlug-core/tests/testsuite/replication/failures.rs
+++ b/crates/medlarlug-core/tests/testsuite/replication/failures.rs
@@ -466,3 +466,18 @@
         assert_eq!(cluster.history.failures, Vec::<String>::new(), "seed {seed}");
     }
 }
+
+#[test]
+fn storage_lag_counts_from_the_oldest_batch_that_is_not_synced() {
+    let config = Config::new(key("a", 1), vec![id("a")]);
+    let mut replica = Replica::new(config, StoredState::default(), 1, Time::ZERO);
+    let mut out = Vec::new();
+
+    replica.handle(Time::from_millis(100), Event::Tick, &mut out);
+    let batch = persist(&out).expect("a batch").sequence;
+    let before = replica.storage_lag(Time::from_millis(900));
+    replica.handle(Time::from_millis(900), Event::Persisted { sequence: batch }, &mut out);
+
+    assert_eq!(before, Duration::from_millis(800));
+    assert_eq!(replica.storage_lag(Time::from_millis(900)), Duration::ZERO);
+}
--- a/src/coordination/keeper/group.rs
+++ b/src/coordination/keeper/group.rs
@@ -29,9 +29,6 @@
 /// hangs or is full, and it answers no proposal meanwhile.
 const DISK_LAG_LIMIT: Duration = Duration::from_millis(600);
 
-/// Time between two attempts to transfer leadership away from a disk that lags.
-const TRANSFER_INTERVAL: Duration = Duration::from_millis(300);
-
 /// Maximum number of replies buffered between the application of a command and the replica's report
 /// of which ticket it belongs to.
 const MAX_BUFFERED_REPLIES: usize = 4_096;
@@ -104,10 +101,6 @@
     snapshot_bytes: usize,
     // Length of the commands that were applied since the newest snapshot.
     applied_bytes: usize,
-    // Batches that are not synced yet, oldest first: sequence number, and when each was passed on.
-    unsynced: VecDeque<(u64, Time)>,
-    // When leadership was last to be transferred since the disk lags.
-    transferred_at: Option<Time>,
 }
 
 impl Group {
@@ -125,8 +118,6 @@
             snapshot_index,
             snapshot_bytes: 0,
             applied_bytes: 0,
-            unsynced: VecDeque::new(),
-            transferred_at: None,
         }
     }
 
@@ -163,12 +154,12 @@
     /// Fails when a committed command or a snapshot can't be decoded.
     pub fn tick(&mut self, now: Time, out: &mut Vec<Output>) -> Result<(), StateMachineError> {
         self.run(now, Event::Tick, out)?;
-        let is_behind = self.unsynced.front().is_some_and(|it| now - it.1 > DISK_LAG_LIMIT);
-        let is_due = self.transferred_at.is_none_or(|at| now - at >= TRANSFER_INTERVAL);
-        if is_behind && is_due && self.is_leader() {
-            self.transferred_at = Some(now);
-            tracing::warn!(group = %self.id, "the disk is falling behind; transferring leadership");
+        let is_behind = self.replica.storage_lag(now) > DISK_LAG_LIMIT;
+        if is_behind && self.is_leader() && !self.replica.is_transferring() {
             self.transfer(now, out)?;
+            if self.replica.is_transferring() {
+                tracing::warn!(group = %self.id, "the disk is falling behind; transferring leadership");
+            }
         }
         Ok(())
     }
@@ -199,7 +190,6 @@
         sequence: u64,
         out: &mut Vec<Output>,
     ) -> Result<(), StateMachineError> {
-        self.unsynced.retain(|it| it.0 > sequence);
         self.run(now, Event::Persisted { sequence }, out)
     }
 
@@ -276,23 +266,19 @@
         let mut effects = Vec::new();
         self.replica.handle(now, event, &mut effects);
         for effect in effects {
-            self.carry_out(now, effect, out)?;
+            self.carry_out(effect, out)?;
         }
         self.compact(now, out)
     }
 
     fn carry_out(
         &mut self,
-        now: Time,
         effect: Effect,
         out: &mut Vec<Output>,
     ) -> Result<(), StateMachineError> {
         match effect {
             Effect::Send { to, message } => out.push(Output::Send { to, message }),
-            Effect::Persist(batch) => {
-                self.unsynced.push_back((batch.sequence, now));
-                out.push(Output::Persist(batch));
-            }
+            Effect::Persist(batch) => out.push(Output::Persist(batch)),
             Effect::Apply { index, command, .. } => {
                 let reply = self.machine.apply(&self.id, &command)?;
                 self.applied_bytes += command.len();
