--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -50,6 +50,8 @@
 /// Length up to which queued frames are copied together for one write, in bytes. A longer frame is
 /// written by itself.
 const MAX_BATCH_BYTES: usize = 64 << 10;
+/// Most queued frames that are copied together.
+const MAX_BATCH_FRAMES: usize = 64;
 
 /// An update from a keeper to a process that opened a link to it. It holds only what has changed
 /// since the update before.
@@ -236,6 +238,15 @@
     has_overflowed: Cell<bool>,
 }
 
+impl QueueLoad {
+    /// Writes queued frames.
+    async fn write(&self, connection: &mut OwnedWriteHalf, content: &[u8]) -> io::Result<()> {
+        connection.write_all(content).await?;
+        self.bytes.set(self.bytes.get() - content.len());
+        Ok(())
+    }
+}
+
 impl LinkSender {
     /// Queues a message. Returns false if the link is closed or its queue is full, which means that
     /// the peer has stopped reading.
@@ -339,47 +350,38 @@
     let (read, write) = stream.into_split();
     let (frames, queue) = mpsc::channel(QUEUE_MESSAGES);
     let load = Rc::new(QueueLoad::default());
-    task::spawn_local(write_frames(write, queue, load.clone()));
+    let writing = write_frames(write, queue, load.clone());
+    // The receiving half reports an error of the connection.
+    task::spawn_local(async move { drop(writing.await) });
     (LinkSender { frames, load }, LinkReceiver(read))
 }
 
 /// Writes frames until the queue is closed, a message did not fit, or the connection ends. Short
-/// frames that are queued go out in one write.
+/// frames that are queued go out together.
 async fn write_frames(
-    mut write: OwnedWriteHalf,
+    mut connection: OwnedWriteHalf,
     mut queue: mpsc::Receiver<Bytes>,
     load: Rc<QueueLoad>,
-) {
-    let mut batch = Vec::new();
-    let mut next = None;
-    while !load.has_overflowed.get() {
-        let first = match next.take() {
-            Some(frame) => frame,
-            None => match queue.recv().await {
-                Some(frame) => frame,
-                None => return,
-            },
-        };
-        batch.clear();
-        let is_long = first.len() > MAX_BATCH_BYTES;
-        if !is_long {
-            batch.extend_from_slice(&first);
-            while batch.len() <= MAX_BATCH_BYTES {
-                let Ok(frame) = queue.try_recv() else { break };
-                if frame.len() > MAX_BATCH_BYTES {
-                    next = Some(frame);
-                    break;
-                }
-                batch.extend_from_slice(&frame);
+) -> io::Result<()> {
+    let (mut frames, mut batch) = (Vec::new(), Vec::new());
+    while queue.recv_many(&mut frames, MAX_BATCH_FRAMES).await > 0 {
+        for frame in frames.drain(..) {
+            if load.has_overflowed.get() {
+                return Ok(());
+            }
+            if batch.len() + frame.len() > MAX_BATCH_BYTES {
+                load.write(&mut connection, &batch).await?;
+                batch.clear();
+            }
+            match frame.len() > MAX_BATCH_BYTES {
+                true => load.write(&mut connection, &frame).await?,
+                false => batch.extend_from_slice(&frame),
             }
         }
-        let content = if is_long { &first } else { &batch[..] };
-        if write.write_all(content).await.is_err() {
-            // The receiving half reports the error.
-            return;
-        }
-        load.bytes.set(load.bytes.get() - content.len());
+        load.write(&mut connection, &batch).await?;
+        batch.clear();
     }
+    Ok(())
 }
 
 /// Decodes the message in a frame. In a frame of an earlier build, a list or an option that was added at
