--- a/src/state/frame.rs
+++ b/src/state/frame.rs
@@ -10,11 +10,12 @@
 use std::{
     fs::File,
     io::{self, BufWriter, Read, Seek, Write},
+    path::Path,
 };
 
 use serde::Serialize;
 
-use super::error::StateError;
+use super::error::{Operation, StateError};
 
 const MAGIC: [u8; 4] = *b"mdlg";
 const CHECKSUM_BYTES: usize = 16;
@@ -111,39 +112,31 @@
     Ok(is_intact.then_some((header.number, payload)))
 }
 
-/// Why a frame could not be written to a file.
-#[derive(Debug)]
-pub(super) enum WriteError {
-    /// The file could not be written.
-    Io(io::Error),
-    /// The value can't be put into a frame.
-    Value(StateError),
-}
-
-/// Writes the frame of `value` to the start of an empty file, piece by piece: the value may be as
-/// large as the state of the process. Returns the length of the frame.
+/// Writes the frame of `value` to the start of the empty file at `path`, piece by piece: the value may
+/// be as large as the state of the process. Returns the length of the frame.
 pub(super) fn write<T: Serialize>(
     file: &mut File,
+    path: &Path,
     number: u64,
     value: &T,
-) -> Result<u64, WriteError> {
-    let value_error = |error| WriteError::Value(StateError::Encode(error));
-    let length = postcard::experimental::serialized_size(value).map_err(value_error)?;
-    let hasher = hasher(number, length).map_err(WriteError::Value)?;
-    file.write_all(&[0; HEADER_BYTES]).map_err(WriteError::Io)?;
+) -> Result<u64, StateError> {
+    let write_error = || StateError::io(Operation::Write, path);
+    let length = postcard::experimental::serialized_size(value).map_err(StateError::Encode)?;
+    let hasher = hasher(number, length)?;
+    file.write_all(&[0; HEADER_BYTES]).map_err(write_error())?;
     let mut content = BufWriter::new(HashedFile { file, hasher, error: None });
     let encoded = postcard::to_io(value, &mut content).map(|_| ());
     let flushed = content.flush();
     let (content, _) = content.into_parts();
     if let Some(error) = content.error.or(flushed.err()) {
-        return Err(WriteError::Io(error));
+        return Err(write_error()(error));
     }
-    encoded.map_err(value_error)?;
+    encoded.map_err(StateError::Encode)?;
     let checksum = finish(&content.hasher);
     let header = Header { length: length as u32, number, checksum };
     let file = content.file;
-    file.rewind().map_err(WriteError::Io)?;
-    file.write_all(&header.encode()).map_err(WriteError::Io)?;
+    file.rewind().map_err(write_error())?;
+    file.write_all(&header.encode()).map_err(write_error())?;
     Ok((HEADER_BYTES + length) as u64)
 }
 
--- a/src/state/journal.rs
+++ b/src/state/journal.rs
@@ -23,7 +23,7 @@
 use super::{
     error::{Operation, StateError},
     folder::{DataFolder, TemporaryFile},
-    frame::{self, WriteError},
+    frame,
     group::GroupName,
 };
 
@@ -126,12 +126,12 @@
         self.length_bytes
     }
 
-    /// Writes the batches, syncs them once and starts a new file when the current one has grown large.
+    /// Writes the batches, syncs them once and starts a new file when more of the current one is
+    /// obsolete than in use.
     ///
     /// # Errors
     ///
-    /// The write or sync failed. The content of the disk is then unknown, so the journal must not be
-    /// used any further.
+    /// Those of [`Journal::append`] and [`Journal::rotate`].
     pub fn write(&mut self, batches: Batches) -> Result<(), StateError> {
         self.append(batches)?;
         self.rotate()
@@ -212,10 +212,12 @@
     /// Replaces the file by one that starts with a checkpoint of the current state.
     fn start_new_file(&mut self) -> Result<(), StateError> {
         let file_number = self.file_number + 1;
-        let (new, length_bytes) = NewFile::write(&self.folder, file_number, &self.groups)?;
+        let (temporary, file, length_bytes) =
+            write_checkpoint(&self.folder, file_number, &self.groups)?;
         self.is_superseded = true;
-        self.file = new.publish()?;
+        temporary.publish()?;
         self.is_superseded = false;
+        self.file = file;
         let old = self.folder.join(file_name(self.file_number));
         self.file_number = file_number;
         self.next_frame = 1;
@@ -229,31 +231,19 @@
     }
 }
 
-/// A journal file that holds a checkpoint and has no name yet.
-struct NewFile {
-    temporary: TemporaryFile,
-    file: File,
-}
-
-impl NewFile {
-    /// Writes a checkpoint of `groups`; returns its length in bytes as well.
-    fn write(folder: &Path, number: u64, groups: &Groups) -> Result<(NewFile, u64), StateError> {
-        let mut length = 0;
-        let written = TemporaryFile::write(folder, &file_name(number), |file, path| {
-            length = frame::write(file, 0, groups).map_err(|error| match error {
-                WriteError::Io(source) => StateError::io(Operation::Write, path)(source),
-                WriteError::Value(error) => error,
-            })?;
-            Ok(())
-        });
-        written.map(|(temporary, file)| (NewFile { temporary, file }, length))
-    }
-
-    /// Gives the file its name.
-    fn publish(self) -> Result<File, StateError> {
-        self.temporary.publish()?;
-        Ok(self.file)
-    }
+/// Writes a checkpoint of `groups` to the journal file with this number, which has no name yet. Returns
+/// its length in bytes as well.
+fn write_checkpoint(
+    folder: &Path,
+    number: u64,
+    groups: &Groups,
+) -> Result<(TemporaryFile, File, u64), StateError> {
+    let mut length = 0;
+    let (temporary, file) = TemporaryFile::write(folder, &file_name(number), |file, path| {
+        length = frame::write(file, path, 0, groups)?;
+        Ok(())
+    })?;
+    Ok((temporary, file, length))
 }
 
 fn file_name(number: u64) -> String {
@@ -271,7 +261,7 @@
             return Err(StateError::MissingOwner { path: folder.into() });
         }
     }
-    NewFile::write(folder, 1, &Groups::new())?.0.publish().map(|_| ())
+    write_checkpoint(folder, 1, &Groups::new())?.0.publish()
 }
 
 /// Removes replaced and incomplete files; returns the number of the current file.
