One kind of writer, which survives errors of the disk

Read as a newcomer: since the product's own keepers survive errors as well, the writer that stops at the first one was used by tests and benches only. It goes, and with it writer_reports_a_failure_once_and_stops, which tested just that stop. In its place writer_reports_failures_and_syncs_nothing_until_the_disk_accepts_writes checks the writer that runs: each failure is reported, nothing is reported as synced meanwhile, and afterwards every record is there once.

--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -138,7 +138,7 @@
         for fact in facts::restore(&journal) {
             facts.apply(clock.now(), &fact);
         }
-        let (writer, mut sync_reports) = Writer::start_persistent(journal)?;
+        let (writer, mut sync_reports) = Writer::start(journal)?;
         let listener = http_server::listen("peers", settings.info.internal).await?;
         let keeper = Rc::new(Keeper {
             settings: RefCell::new(settings),
--- a/src/coordination/keeper/storage.rs
+++ b/src/coordination/keeper/storage.rs
@@ -79,7 +79,7 @@
     pub fn start(self) -> Result<(StateWriter, UnboundedReceiver<SyncResult>), StateError> {
         match self {
             Storage::Disk(folder, journal) => {
-                let (writer, reports) = Writer::start_persistent(*journal)?;
+                let (writer, reports) = Writer::start(*journal)?;
                 Ok((StateWriter { writer, _folder: Some(folder) }, reports))
             }
             Storage::Memory(_) => {
--- a/src/state/writer.rs
+++ b/src/state/writer.rs
@@ -28,8 +28,8 @@
     pub sequence: u64,
 }
 
-/// A report of the writer. After an error a writer of [`Writer::start`] stops; a persistent one
-/// continues with a new file as soon as the disk accepts writes again.
+/// A report of the writer. After an error it continues with a new file as soon as the disk accepts
+/// writes again.
 pub type SyncResult = Result<Synced, StateError>;
 
 #[derive(Debug)]
@@ -45,38 +45,21 @@
 }
 
 impl Writer {
-    /// Starts a thread that writes to `journal` and stops at the first error. It also ends when the
-    /// writer is dropped and all accepted batches are synced.
+    /// Starts a thread that writes to `journal`. It reports each error of the disk, and continues with a
+    /// new file once the disk accepts writes. Until then it reports no batch as synced. The thread ends
+    /// when the writer is dropped and all accepted batches are synced.
     ///
     /// # Errors
     ///
     /// The operating system starts no thread.
-    pub fn start(journal: Journal) -> Result<(Writer, UnboundedReceiver<SyncResult>), StateError> {
-        Self::spawn(journal, write_until_failure)
-    }
-
-    /// Starts a thread like [`Writer::start`] that survives disk errors: it reports each error, and
-    /// continues with a new file once the disk accepts writes. Until then it reports no batch as
-    /// synced.
-    ///
-    /// # Errors
-    ///
-    /// The operating system starts no thread.
-    pub fn start_persistent(
-        journal: Journal,
-    ) -> Result<(Writer, UnboundedReceiver<SyncResult>), StateError> {
-        Self::spawn(journal, write_with_retries)
-    }
-
-    fn spawn(
+    pub fn start(
         mut journal: Journal,
-        write: WriteLoop,
     ) -> Result<(Writer, UnboundedReceiver<SyncResult>), StateError> {
         let (sender, batches) = mpsc::channel();
         let (reports, receiver) = unbounded_channel();
         thread::Builder::new()
             .name("journal".into())
-            .spawn(move || write(&mut journal, &batches, &reports))
+            .spawn(move || write_batches(&mut journal, &batches, &reports))
             .map_err(StateError::io(Operation::Start, PathBuf::from("journal")))?;
         Ok((Writer { target: Target::Disk(sender) }, receiver))
     }
@@ -88,8 +71,7 @@
         (Writer { target: Target::Memory(reports) }, receiver)
     }
 
-    /// Queues a batch. After the writer has stopped because of an error, which it has reported, the
-    /// batch is dropped.
+    /// Queues a batch. If the thread has ended, the batch is dropped and the reports end as well.
     pub fn persist(&self, group: GroupName, batch: Persist) {
         match &self.target {
             Target::Disk(sender) => {
@@ -102,14 +84,10 @@
     }
 }
 
-/// Main function of the writer's thread.
-type WriteLoop =
-    fn(&mut Journal, &mpsc::Receiver<(GroupName, Persist)>, &UnboundedSender<SyncResult>);
-
 /// Time after a disk error until the next write is attempted.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-fn write_with_retries(
+fn write_batches(
     journal: &mut Journal,
     batches: &mpsc::Receiver<(GroupName, Persist)>,
     reports: &UnboundedSender<SyncResult>,
@@ -137,24 +115,6 @@
     }
 }
 
-fn write_until_failure(
-    journal: &mut Journal,
-    batches: &mpsc::Receiver<(GroupName, Persist)>,
-    reports: &UnboundedSender<SyncResult>,
-) {
-    while let Ok(first) = batches.recv() {
-        let pending = with_waiting(first, batches);
-        let synced = last_sequences(&pending);
-        if let Err(error) = journal.write(pending) {
-            let _ = reports.send(Err(error));
-            return;
-        }
-        for report in synced {
-            let _ = reports.send(Ok(report));
-        }
-    }
-}
-
 /// The batches of the next sync: `first` and those that have arrived since.
 fn with_waiting(
     first: (GroupName, Persist),
--- a/tests/testsuite/state.rs
+++ b/tests/testsuite/state.rs
@@ -347,21 +347,35 @@
     assert_eq!(journal.group(&id("h")).entries.len(), 50);
 }
 
+/// Guards against a batch that is reported as synced although the disk refused it.
 #[test]
-fn writer_reports_a_failure_once_and_stops() {
+fn writer_reports_failures_and_syncs_nothing_until_the_disk_accepts_writes() {
     let path = TempDir::new().unwrap();
     let folder = open(&path);
     let (writer, mut reports) = Writer::start(Journal::open(&folder).unwrap()).unwrap();
+    // A folder in place of the next file makes its creation fail halfway, so that nothing may be
+    // appended to the present one any more.
+    let blocked = path.path().join("journal-00000002");
+    fs::create_dir(&blocked).unwrap();
+    fs::create_dir(blocked.join("full")).unwrap();
     writer.persist(id("g"), large(1, 1));
     assert_matches!(reports.blocking_recv(), Some(Ok(Synced { sequence: 1, .. })));
-    fs::remove_dir_all(path.path()).unwrap();
-
-    // The folder was deleted, so creating the next file fails.
     writer.persist(id("g"), replace(2, 1));
+    assert_matches!(reports.blocking_recv(), Some(Ok(Synced { sequence: 2, .. })));
+
     writer.persist(id("g"), append(3, 2, 1));
+    assert_matches!(reports.blocking_recv(), Some(Err(StateError::Superseded { .. })));
+    for _ in 0..3 {
+        assert_matches!(reports.blocking_recv(), Some(Err(StateError::Io { .. })));
+    }
+    fs::remove_dir_all(&blocked).unwrap();
+    let synced = std::iter::from_fn(|| reports.blocking_recv()).find(Result::is_ok);
 
-    assert_matches!(reports.blocking_recv(), Some(Err(StateError::Io { .. })));
-    assert_matches!(reports.blocking_recv(), None);
+    assert_matches!(synced, Some(Ok(Synced { sequence: 3, .. })));
+    drop((writer, folder));
+    let journal = Journal::open(&open(&path)).unwrap();
+    let indexes: Vec<u64> = journal.group(&id("g")).entries.iter().map(|it| it.index.0).collect();
+    assert_eq!(indexes, [1, 2]);
 }
 
 /// While no new journal file can be created, records are still synced to the present file; once
@@ -371,7 +385,7 @@
     let path = TempDir::new().unwrap();
     let folder = open(&path);
     let journal = Journal::open(&folder).unwrap();
-    let (writer, mut reports) = Writer::start_persistent(journal).unwrap();
+    let (writer, mut reports) = Writer::start(journal).unwrap();
     writer.persist(id("g"), append(1, 1, 1));
     assert_matches!(reports.blocking_recv(), Some(Ok(Synced { sequence: 1, .. })));
 
