--- a/tests/testsuite/compaction.rs
+++ b/tests/testsuite/compaction.rs
@@ -1,5 +1,7 @@
 //! Memory and disk of a replication group whose state is replaced again and again.
 
+use std::time::Duration;
+
 use medlarlug::{
     coordination::keeper::{
         group::{Caller, Group, Output},
@@ -54,7 +56,7 @@
     }
 
     fn publish(&mut self, version: u64) {
-        self.now = self.now + std::time::Duration::from_millis(10);
+        self.now = self.now + Duration::from_millis(10);
         let document = ByteBuf::from(vec![version as u8; DOCUMENT_BYTES]);
         let command = Command::Publish { version: TableVersion(version), document };
         let caller = Caller { instance: id("keeper-1"), call: version };
