--- a/crates/medlarlug-core/src/replication/replica.rs
+++ b/crates/medlarlug-core/src/replication/replica.rs
@@ -229,6 +229,11 @@
         self.log.snapshot_position().index
     }
 
+    /// Length of the newest snapshot in bytes; zero without a snapshot.
+    pub fn snapshot_bytes(&self) -> usize {
+        self.log.snapshot().map_or(0, |snapshot| snapshot.data.len())
+    }
+
     /// How long storage has had the oldest batch that it has not synced; zero without one.
     pub fn storage_lag(&self, now: Time) -> Duration {
         self.unsynced.front().map_or(Duration::ZERO, |batch| now - batch.since)
--- a/src/coordination/keeper/group.rs
+++ b/src/coordination/keeper/group.rs
@@ -96,9 +96,6 @@
     buffered_replies: VecDeque<(LogIndex, GroupReply)>,
     // When the last action on a home group was proposed in this leadership.
     proposed_at: Option<Time>,
-    snapshot_index: LogIndex,
-    // Length of the newest snapshot.
-    snapshot_bytes: usize,
     // Length of the commands that were applied since the newest snapshot.
     applied_bytes: usize,
 }
@@ -106,7 +103,6 @@
 impl Group {
     /// Creates a group from a restored replica; `machine` holds the state of its snapshot.
     pub fn new(id: GroupId, replica: Replica, machine: StateMachine) -> Group {
-        let snapshot_index = replica.snapshot_index();
         Group {
             id,
             replica,
@@ -115,8 +111,6 @@
             pending_calls: Vec::new(),
             buffered_replies: VecDeque::new(),
             proposed_at: None,
-            snapshot_index,
-            snapshot_bytes: 0,
             applied_bytes: 0,
         }
     }
@@ -289,8 +283,6 @@
             Effect::ReadReady { ticket, .. } => self.read(ticket, out),
             Effect::InstallSnapshot { data, .. } => {
                 self.machine.restore(&self.id, &data)?;
-                self.snapshot_index = self.replica.snapshot_index();
-                self.snapshot_bytes = data.len();
                 self.applied_bytes = 0;
                 out.push(Output::Applied);
             }
@@ -354,9 +346,9 @@
 
     fn compact(&mut self, now: Time, out: &mut Vec<Output>) -> Result<(), StateMachineError> {
         let index = self.replica.applied();
-        let max_bytes =
-            self.snapshot_bytes.clamp(MIN_SNAPSHOT_INTERVAL_BYTES, MAX_SNAPSHOT_INTERVAL_BYTES);
-        let is_due = index.0 >= self.snapshot_index.0 + SNAPSHOT_INTERVAL_ENTRIES
+        let max_bytes = self.replica.snapshot_bytes();
+        let max_bytes = max_bytes.clamp(MIN_SNAPSHOT_INTERVAL_BYTES, MAX_SNAPSHOT_INTERVAL_BYTES);
+        let is_due = index.0 >= self.replica.snapshot_index().0 + SNAPSHOT_INTERVAL_ENTRIES
             || self.applied_bytes >= max_bytes;
         if !is_due || !self.replica.can_compact(now) {
             return Ok(());
@@ -369,8 +361,6 @@
             log_bytes = self.replica.log_bytes(),
             "log compacted"
         );
-        self.snapshot_index = index;
-        self.snapshot_bytes = snapshot.len();
         self.applied_bytes = 0;
         self.run(now, Event::Compact { index, snapshot }, out)
     }
