--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -43,5 +43,6 @@
 pub mod stream_timeout;
 pub mod stream_version;
 pub mod table;
+pub mod teams;
 pub mod upstream_limits;
 pub mod upstreams;
--- a/crates/medlarlug-core/src/gateway/table.rs
+++ b/crates/medlarlug-core/src/gateway/table.rs
@@ -9,6 +9,7 @@
 use smol_str::SmolStr;
 use thiserror::Error;
 
+use super::teams::{TeamError, TeamTable};
 use crate::ids::RegionId;
 
 /// Number that operators give to a whole table; the highest is active.
@@ -116,6 +117,9 @@
     pub attempts: u32,
     /// Regions that may serve the route, sorted; all if empty.
     pub homes: Vec<RegionId>,
+    /// Whether callers need no key although the table has teams.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_anonymous: bool,
 }
 
 impl Route {
@@ -146,6 +150,8 @@
     pub slots: u32,
     /// Tokens that fit into an engine's memory.
     pub memory: u64,
+    /// Tokens in one event of a stream; zero if the table does not say.
+    pub stride: u32,
 }
 
 /// A service.
@@ -222,6 +228,9 @@
         /// Name of the route.
         route: SmolStr,
     },
+    /// The teams are inconsistent.
+    #[error(transparent)]
+    Teams(#[from] TeamError),
     /// A prefix does not start and end with a slash.
     #[error("prefix `{prefix}` of route `{route}` has to begin and end with a slash")]
     InvalidPrefix {
@@ -241,6 +250,7 @@
     /// Sorted by name.
     services: Vec<Service>,
     limits: CallerLimits,
+    teams: Option<TeamTable>,
 }
 
 impl RouteTable {
@@ -279,7 +289,17 @@
                 });
             }
         }
-        Ok(RouteTable { version, routes, services, limits })
+        Ok(RouteTable { version, routes, services, limits, teams: None })
+    }
+
+    /// Adds the teams whose keys callers have to present.
+    pub fn with_teams(self, teams: TeamTable) -> RouteTable {
+        RouteTable { teams: Some(teams), ..self }
+    }
+
+    /// The teams whose keys callers have to present; `None` if callers need no key.
+    pub fn teams(&self) -> Option<&TeamTable> {
+        self.teams.as_ref()
     }
 
     /// Number that operators gave to the table.
--- a/crates/medlarlug-core/tests/testsuite/gateway/fixture.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/fixture.rs
@@ -36,6 +36,7 @@
         targets: vec![target("scribe", 1)],
         attempts: 2,
         homes: Vec::new(),
+        is_anonymous: false,
     }
 }
 
--- a/crates/medlarlug-gateway/src/settings.rs
+++ b/crates/medlarlug-gateway/src/settings.rs
@@ -56,6 +56,40 @@
     pub grace: Duration,
     /// Parses the tables that operators publish.
     pub read_table: ReadTable,
+    /// What the quotas of teams tolerate beyond their rate and burst.
+    pub quotas: QuotaBounds,
+    /// Resources of the process.
+    pub resources: Resources,
+    /// Whether engines crash when the requests that they hold exceed their memory. Only then are
+    /// tokens booked at engines, and started upstreams ramped up.
+    pub has_pressure: bool,
+}
+
+/// What the quotas of teams tolerate, summed over all entry instances: in every window,
+/// `(rate * window + burst) * (1 + overage) + slack`.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaBounds {
+    /// Length of a window.
+    pub window: Duration,
+    /// Share of the quota that may be used beyond it.
+    pub overage: f64,
+    /// Units that may be used beyond it, in the unit of the quota.
+    pub slack: f64,
+}
+
+impl Default for QuotaBounds {
+    fn default() -> QuotaBounds {
+        QuotaBounds { window: Duration::from_secs(8), overage: 0.0, slack: 0.0 }
+    }
+}
+
+/// Resources of a process; `None` for no limit.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Resources {
+    /// Bytes of memory above which the process is killed.
+    pub memory_bytes: Option<u64>,
+    /// Open file descriptors, sockets included.
+    pub descriptors: Option<u32>,
 }
 
 impl NodeSettings {
