Calls are served for the team that holds their key

Cause: calls carry keys that nothing checks, and upstreams receive them. Change: gateway::authentication decides by table, key, forwarding and whether the table is current; the plan has the accepted team and a route with the team's priority and the common home regions. The key is removed and the team's name set before the first attempt, and a forwarded call carries the team.

--- a/crates/medlarlug-core/src/gateway/handover.rs
+++ b/crates/medlarlug-core/src/gateway/handover.rs
@@ -9,7 +9,9 @@
 use super::{
     software_version::SoftwareVersion,
     table::{Route, RouteTable, ServiceName, TableVersion},
+    teams::TeamName,
 };
+use crate::fingerprint::Fingerprint;
 
 /// How the first instance routed the call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,6 +27,18 @@
     /// The software version at which the stream has to go on, if the caller has events of it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub software: Option<SoftwareVersion>,
+    /// The team that the call is served for. Earlier builds skip it and send none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub team: Option<ForwardedTeam>,
+}
+
+/// The team of a forwarded call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ForwardedTeam {
+    /// Name that upstreams receive.
+    pub name: TeamName,
+    /// Fingerprint of the key that the call was accepted with.
+    pub key: Fingerprint,
 }
 
 impl Handover {
--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -1,7 +1,8 @@
 //! Decisions of a gateway in front of upstreams that announce themselves.
 //!
-//! Callers are anonymous: a [`table::RouteTable`] maps host and path to the service that answers a
-//! call and says how often the call may be tried. Operators replace the whole table under a version
+//! A [`table::RouteTable`] maps host and path to the service that answers a call and says how often
+//! the call may be tried. Callers are anonymous unless the table has [`teams`]; then
+//! [`authentication`] decides by the key of a call which team it is served for. Operators replace the whole table under a version
 //! number; keepers agree on the table and on evacuated availability zones through the
 //! [`publication`] state machine. [`evacuation_orders`] tells late orders from current ones.
 //!
@@ -20,6 +21,7 @@
 //! stalled.
 
 pub mod attempt_timeout;
+pub mod authentication;
 pub mod availability;
 pub mod cold;
 pub mod connectivity;
--- a/crates/medlarlug-core/src/gateway/teams.rs
+++ b/crates/medlarlug-core/src/gateway/teams.rs
@@ -11,7 +11,8 @@
 
 use crate::{fingerprint::Fingerprint, ids::RegionId};
 
-/// Name of a team in a table; visible ASCII characters, so that it can be sent in a header.
+/// Name of a team in a table; visible ASCII characters and spaces between them, so that it can be sent
+/// in a header.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "SmolStr", into = "SmolStr")]
 pub struct TeamName(SmolStr);
@@ -39,7 +40,9 @@
     type Error = TeamError;
 
     fn try_from(text: SmolStr) -> Result<TeamName, TeamError> {
-        match !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic()) {
+        let is_visible = |byte: u8| byte == b' ' || byte.is_ascii_graphic();
+        // Receivers of a header remove spaces around its value.
+        match !text.is_empty() && text.trim() == text && text.bytes().all(is_visible) {
             true => Ok(TeamName(text)),
             false => Err(TeamError::InvalidName { name: text }),
         }
@@ -111,7 +114,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum TeamError {
     /// A name is empty or can't be sent in a header.
-    #[error("invalid team name `{name}`: it has to consist of visible ASCII characters")]
+    #[error(
+        "invalid team name `{name}`: it has to consist of visible ASCII characters and spaces between them"
+    )]
     InvalidName {
         /// The rejected name.
         name: SmolStr,
--- a/crates/medlarlug-core/tests/testsuite/gateway/handover.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/handover.rs
@@ -11,6 +11,7 @@
 fn handover(version: u64, attempts: u32) -> Handover {
     Handover {
         software: None,
+        team: None,
         version: TableVersion(version),
         route: Route { attempts, ..route("/mend/") },
         service: service("scribe"),
--- a/crates/medlarlug-gateway/src/entry/call.rs
+++ b/crates/medlarlug-gateway/src/entry/call.rs
@@ -6,7 +6,10 @@
 use hyper::{HeaderMap, Method, header, http::request};
 use medlarlug_core::{
     fingerprint::Fingerprint,
-    gateway::placement::{Demand, PromptPart},
+    gateway::{
+        authentication::Identity,
+        placement::{Demand, PromptPart},
+    },
     suspects::RequestContents,
 };
 use smol_str::SmolStr;
@@ -28,6 +31,10 @@
     /// Time for which the caller waits; `None` if it did not say.
     pub(super) deadline: Option<Duration>,
     pub(super) demand: Demand,
+    /// Fingerprint of the key in `Authorization`, if there is one.
+    pub(super) key: Option<Fingerprint>,
+    /// Whether `key` was accepted as that of a team, or the call needs none.
+    is_checked: bool,
     /// The headers to pass on to the hop.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
@@ -52,6 +59,8 @@
         let deadline = text(&names.deadline).trim().parse().ok().map(Duration::from_millis);
         let demand = parse_demand(text(&names.prompt_parts), text(&names.token_counts));
         let target = uri.path_and_query().map_or("/", |target| target.as_str()).into();
+        // Before the headers that `Connection` lists are removed.
+        let key = bearer_key(&headers).map(Fingerprint::of);
         strip(&mut headers, names);
         Call {
             method,
@@ -61,21 +70,45 @@
             resumed_call,
             deadline,
             demand,
+            key,
+            is_checked: false,
             headers,
             body: Bytes::new(),
             contents: RequestContents::new(Fingerprint(0), Vec::new()),
         }
     }
 
+    /// Removes the key, and the name of a team that the caller sent, and sets the name of the accepted
+    /// team. Leaves the headers as they are if there are no teams.
+    pub(super) fn set_identity(&mut self, identity: &Identity, names: &HeaderNames) {
+        let team = match identity {
+            Identity::Unchecked => return,
+            Identity::Anonymous => None,
+            Identity::Team(accepted) => Some(accepted),
+        };
+        self.headers.remove(header::AUTHORIZATION);
+        self.headers.remove(&names.team);
+        self.is_checked = true;
+        // A forwarded call has a fingerprint from its first instance instead of a key.
+        self.key = team.map(|it| it.key);
+        let name = team.and_then(|it| header::HeaderValue::from_str(it.team.name.as_str()).ok());
+        if let Some(name) = name {
+            self.headers.insert(names.team.clone(), name);
+        }
+    }
+
     /// Stores the body and computes the fingerprints of the request and of the parts of its prompt.
     /// The last part belongs to this request alone, so the fingerprint of the request covers it.
     pub(super) fn set_body(&mut self, body: Bytes) {
-        let key = self.headers.get(header::AUTHORIZATION);
+        // With teams, the fingerprint of the key, which is known at both instances of a forwarded call.
+        let digest = self.key.filter(|_| self.is_checked).map(|key| key.0.to_be_bytes());
+        let sent = self.headers.get(header::AUTHORIZATION).map(|it| it.as_bytes());
+        let key = digest.as_ref().map(|it| &it[..]).or(sent).unwrap_or_default();
         let fields = [
             self.method.as_str().as_bytes(),
             self.host.as_bytes(),
             self.target.as_bytes(),
-            key.map_or(&[], |key| key.as_bytes()),
+            key,
             &body,
         ];
         let whole = fingerprint(&fields);
@@ -91,6 +124,18 @@
     }
 }
 
+/// The key in `Authorization: Bearer KEY`; `None` without one or with another scheme.
+fn bearer_key(headers: &HeaderMap) -> Option<&[u8]> {
+    let value = headers.get(header::AUTHORIZATION)?.as_bytes();
+    let (scheme, key) = value.split_at_checked(BEARER.len())?;
+    let is_bearer = scheme.eq_ignore_ascii_case(BEARER);
+    Some(key.trim_ascii()).filter(|key| is_bearer && !key.is_empty())
+}
+
+/// Scheme of the keys, with the space that follows it. Schemes are compared in any case (RFC 9110,
+/// section 11.1).
+const BEARER: &[u8] = b"Bearer ";
+
 /// First field of the fingerprint of a prompt part; distinguishes it from a request.
 const PROMPT_PART: &[u8] = b"prompt part";
 
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -527,6 +527,12 @@
         }
     }
 
+    /// Whether no newer table than the one in effect is known, and the instance would have heard of
+    /// one.
+    fn has_newest_table(&self) -> bool {
+        self.head.borrow().version <= self.version() && self.view.borrow().is_settled(self.now())
+    }
+
     /// Predicted waiting times of calls of usual size at this instance, by service.
     fn spare(&self) -> Vec<ServiceWait> {
         let now = self.now();
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -5,7 +5,8 @@
 use medlarlug_core::{
     gateway::{
         attempt_timeout,
-        handover::{Attempts, Handover},
+        authentication::AcceptedTeam,
+        handover::{Attempts, ForwardedTeam, Handover},
         placement::Choice,
         prefill_queue::{self, PrefillDecision},
         retry_budget::Spending,
@@ -36,7 +37,10 @@
 /// The state of one call while it is served: its route, its deadlines, and the attempts so far.
 pub(super) struct Plan {
     pub(super) table: Rc<RouteTable>,
+    /// The route, restricted to what the team may use.
     pub(super) route: Route,
+    /// The team that the call is served for; `None` on an anonymous route and without teams.
+    pub(super) team: Option<Rc<AcceptedTeam>>,
     pub(super) service: ServiceName,
     /// When the call arrived.
     pub(super) began: Time,
@@ -289,6 +293,10 @@
                 service: self.service.clone(),
                 arrivals: self.attempts.arrivals_left(),
                 software: self.version.bound().cloned(),
+                team: self
+                    .team
+                    .as_ref()
+                    .map(|it| ForwardedTeam { name: it.team.name.clone(), key: it.key }),
             }),
             Hop::Upstream { .. } => None,
         };
@@ -338,6 +346,7 @@
         tracing::info!(
             request = %call.id,
             route = %self.route.name,
+            team = self.team.as_ref().map(|it| it.team.name.as_str()),
             table = self.table.version().0,
             path = %self.path.join(","),
             arrivals = self.attempts.arrivals(),
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -7,12 +7,13 @@
 use medlarlug::transport::body::{self, Answer, BodyError};
 use medlarlug_core::{
     gateway::{
+        authentication::{self, Acceptance, AuthenticationError, Evidence, Forwarding, Identity},
         handover::{Attempts, Handover, HandoverReport},
         load_shedding::{self, CallForecast, Verdict},
         prefill_queue::PrefillDecision,
         retry_budget::{Balance, InstanceShare, Spending},
         stream_version::StreamVersion,
-        table::ServiceName,
+        table::{Route, RouteTable, ServiceName},
     },
     time::Time,
 };
@@ -39,8 +40,8 @@
 const MIN_REMAINING: Duration = Duration::from_millis(20);
 /// Number of failed connections after which a call is given up.
 const MAX_FAILED_CONNECTIONS: u32 = 4;
-/// `Retry-After` while there is no table yet: the time for an election, and for the table to
-/// arrive.
+/// `Retry-After` while there is no table yet, or the table may be out of date: the time for an election,
+/// and for the table to arrive.
 const NO_TABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Mean time between two checks whether a long prompt is admitted to its engine: a few steps of an
 /// engine. It is randomized so that instances do not check at the same moment.
@@ -70,7 +71,7 @@
     BrokenOff,
     /// The caller disconnected first.
     Left,
-    /// The call matches no route or exceeds a size limit.
+    /// The call matches no route, has no valid key or exceeds a size limit.
     Rejected,
 }
 
@@ -187,7 +188,7 @@
     let mut call = Call::read(parts, &entry.names);
     let is_forwarded = forwarded.is_some();
     wait_for_start(entry, &call, began, |entry| entry.is_informed()).await;
-    let mut plan = match plan_call(entry, &call, forwarded, began) {
+    let mut plan = match plan_call(entry, &mut call, forwarded, began) {
         Ok(plan) => plan,
         Err(reported) => return *reported,
     };
@@ -246,7 +247,7 @@
 /// served.
 fn plan_call(
     entry: &Rc<Entry>,
-    call: &Call,
+    call: &mut Call,
     forwarded: Option<Handover>,
     began: Time,
 ) -> Result<Plan, Box<Reported>> {
@@ -262,6 +263,8 @@
     };
     let is_forwarded = forwarded.is_some();
     let software = forwarded.as_ref().and_then(|it| it.software.clone());
+    let forwarding =
+        forwarded.as_ref().map(|it| Forwarding { version: it.version, team: it.team.clone() });
     let most_arrivals = forwarded.as_ref().map_or(MAX_ARRIVALS, |it| it.arrivals);
     let point = rand::rng().random();
     let (host, path) = (call.host.as_str(), call.path());
@@ -276,6 +279,12 @@
         tracing::info!(request = %call.id, host, path, table = table.version().0, outcome = "rejected", "no route");
         return Err(Box::new(rejected(StatusCode::NOT_FOUND, "no route")));
     };
+    let Acceptance { identity, route } = accept_call(entry, call, &table, route, forwarding)?;
+    call.set_identity(&identity, &entry.names);
+    let team = match identity {
+        Identity::Team(team) => Some(Rc::new(team)),
+        Identity::Anonymous | Identity::Unchecked => None,
+    };
     let deadline = call.deadline.unwrap_or(DEFAULT_DEADLINE.max(route.timeout));
     let limit = deadline.min(route.timeout);
     let last = call.headers.get(&entry.names.last_event).and_then(|it| it.to_str().ok());
@@ -300,11 +309,45 @@
         admission_wait: None,
         has_requested_permits: false,
         permit_wait: None,
+        team,
         route,
         _running: RunningCall::begin(entry),
     })
 }
 
+/// Decides which team a call is served for; returns the answer if it can't be served.
+fn accept_call(
+    entry: &Entry,
+    call: &Call,
+    table: &RouteTable,
+    route: Route,
+    forwarding: Option<Forwarding>,
+) -> Result<Acceptance, Box<Reported>> {
+    let region = entry.settings.borrow().info.region.clone();
+    let is_current = entry.has_newest_table();
+    let evidence = Evidence { key: call.key, forwarding, is_current, region: &region };
+    authentication::authenticate(table, route, evidence).map_err(|error| {
+        let version = table.version().0;
+        let reason = <&'static str>::from(error);
+        metrics::counter!(names::UNACCEPTED_CALLS, "reason" => reason).increment(1);
+        tracing::info!(request = %call.id, table = version, is_current, %error, "call not accepted");
+        Box::new(match error {
+            AuthenticationError::MissingKey | AuthenticationError::UnknownKey => {
+                unauthorized(entry, call)
+            }
+            AuthenticationError::Undecided | AuthenticationError::ForeignRegion => {
+                refusal(entry, call, Some(NO_TABLE_RETRY_AFTER), HandoverReport::REFUSED)
+            }
+            AuthenticationError::NoCommonHome => {
+                let text = "not run; no region may serve this team on this route";
+                let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, text);
+                echo_id(entry, call, &mut answer);
+                Reported::new(answer, HandoverReport::REFUSED)
+            }
+        })
+    })
+}
+
 /// The final result of a call.
 enum Resolution {
     Answer(Response<Bytes>),
@@ -502,6 +545,15 @@
     Reported::new(answer, report)
 }
 
+/// The answer to a call without a valid key.
+fn unauthorized(entry: &Entry, call: &Call) -> Reported {
+    let mut reported = rejected(StatusCode::UNAUTHORIZED, "no valid key; not run");
+    let scheme = header::HeaderValue::from_static("Bearer");
+    reported.answer.headers_mut().insert(header::WWW_AUTHENTICATE, scheme);
+    echo_id(entry, call, &mut reported.answer);
+    reported
+}
+
 /// The answer to a call that matches no route or exceeds a size limit.
 fn rejected(status: StatusCode, text: &'static str) -> Reported {
     Reported::new(plain(status, text), HandoverReport::REJECTED)
--- a/crates/medlarlug-gateway/src/headers.rs
+++ b/crates/medlarlug-gateway/src/headers.rs
@@ -30,6 +30,8 @@
     pub limit: HeaderName,
     /// Scheduling priority of a call at a model engine; 0 is served first.
     pub priority: HeaderName,
+    /// Name of the team that a call is served for, if the table has teams.
+    pub team: HeaderName,
     /// Headers that only the system sets; they are removed from callers' requests.
     pub reserved: Vec<HeaderName>,
 }
--- a/crates/medlarlug-gateway/src/metrics.rs
+++ b/crates/medlarlug-gateway/src/metrics.rs
@@ -25,6 +25,9 @@
 pub const UPSTREAM_CRASHES: &str = "medlarlug_gateway_crashes_total";
 /// Counter: calls that were not run because their content crashes upstreams.
 pub const QUARANTINED_CALLS: &str = "medlarlug_gateway_quarantined_total";
+/// Counter: calls that were not accepted for a team. Label: `reason` (see
+/// [`medlarlug_core::gateway::authentication::AuthenticationError`]).
+pub const UNACCEPTED_CALLS: &str = "medlarlug_gateway_unaccepted_total";
 /// Counter: answers that were dropped because they belong to another call.
 pub const FOREIGN_ANSWERS: &str = "medlarlug_gateway_foreign_answers_total";
 /// Counter: calls forwarded to another region.
@@ -71,6 +74,7 @@
     describe_counter!(LIMITED_REQUESTS, "Requests to upstreams that have named a limit");
     describe_counter!(UPSTREAM_CRASHES, "Upstreams that crashed with requests in flight");
     describe_counter!(QUARANTINED_CALLS, "Calls not run because their content crashes upstreams");
+    describe_counter!(UNACCEPTED_CALLS, "Calls not accepted for a team, by reason");
     describe_counter!(FOREIGN_ANSWERS, "Answers dropped because they belong to another call");
     describe_counter!(FORWARDED_CALLS, "Calls handed to another region");
     describe_counter!(PASSED_CALLS, "Calls passed on to another instance of the region");
