--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod attempt_timeout;
+mod authentication;
 mod availability;
 mod connectivity;
 mod contacts;
--- a/crates/medlarlug-gateway/src/settings.rs
+++ b/crates/medlarlug-gateway/src/settings.rs
@@ -14,6 +14,7 @@
     },
     ids::{IdError, InstanceId, RegionId, ZoneId},
 };
+use smol_str::SmolStr;
 use thiserror::Error;
 
 /// The document is not a valid route table.
@@ -25,6 +26,15 @@
         /// What is wrong, and where in the document.
         reason: String,
     },
+    /// A field has a value of the wrong type or an unknown one. The value is left out, since it may be
+    /// a key.
+    #[error("`{path}` has to be {expected}")]
+    Field {
+        /// Where the field is in the document.
+        path: SmolStr,
+        /// What the field may hold.
+        expected: &'static str,
+    },
     /// The document parses, but the table is inconsistent.
     #[error(transparent)]
     Table(#[from] medlarlug_core::gateway::table::TableError),
