Ramp-up of upstreams that started or recovered

Cause: after its cold time, a backoff or an evacuation an upstream gets the full share of all entry instances at once. In the test with 30 instances that want 60 calls there, 323 first tokens of an upstream with a knee at 16 calls are late within 10 s, one with room for 20 refuses 220 calls, and one that crashes above 40 requests in 200 ms crashes 10 times without coming up.

Change: gateway::pace gives an upstream in its ramp a window of calls that all instances of the region hold together. The designated sender owns the window and sends it to the others, which report first tokens and strain to it.

--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -9,7 +9,7 @@
 //! instance. [`upstreams`] orders announcements by incarnation and sequence number. An entry
 //! instance picks an upstream by [`placement`], using the in-flight load that the other instances of
 //! its region report ([`load_exchange`], [`peer_loads`]). It limits requests to upstreams that have
-//! just started ([`cold`]), retries calls within the [`retry_budget`] of their service, and avoids
+//! just started ([`cold`]) and to those that ramp up after that ([`pace`]), retries calls within the [`retry_budget`] of their service, and avoids
 //! upstreams that [`health`] found broken. Where an upstream limits the requests of all instances
 //! together ([`upstream_limits`]), they share the limit through [`permits`]. A stream goes on only at the
 //! [`software_version`] that began it ([`stream_version`]); instances tell each other which one that was
@@ -30,6 +30,7 @@
 pub mod keeper_view;
 pub mod load_exchange;
 pub mod load_shedding;
+pub mod pace;
 pub mod peer_loads;
 pub mod permits;
 pub mod placement;
--- a/crates/medlarlug-core/src/gateway/placement.rs
+++ b/crates/medlarlug-core/src/gateway/placement.rs
@@ -484,6 +484,11 @@
         self.index_of(id).map_or(0, |at| self.known[at].running.value)
     }
 
+    /// Calls of this instance and of the other `peers` in flight at the upstream.
+    pub fn region_running(&self, now: Time, id: &UpstreamId, peers: usize) -> f64 {
+        self.running(id) as f64 + self.peer_load(now, id, peers).running
+    }
+
     fn index_of(&self, id: &UpstreamId) -> Result<usize, usize> {
         self.known.binary_search_by(|load| load.id.cmp(id))
     }
--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod load_exchange;
 mod load_shedding;
+mod pace;
 mod permits;
 mod placement;
 mod prefill_queue;
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -144,8 +144,8 @@
 }
 
 impl LoadSlot {
-    /// Records that the first token or the answer has arrived.
-    fn answered(&mut self) {
+    /// Records that the first token of a stream or the answer has arrived.
+    fn answered(&mut self, is_stream: bool) {
         if !self.has_first_token {
             self.has_first_token = true;
             if let Some(in_flight) = &self.in_flight {
@@ -155,6 +155,7 @@
             match &self.counted_at {
                 CountedAt::Upstream(choice) => {
                     self.entry.loads.borrow_mut().record_first_token(now, choice, now - self.began);
+                    self.entry.record_ramp_token(choice, self.began, is_stream);
                     report_at_once(&self.entry, choice);
                 }
                 CountedAt::Region(region, tokens) => {
@@ -177,6 +178,7 @@
             CountedAt::Upstream(choice) => {
                 self.entry.loads.borrow_mut().record_end(now, choice, self.has_first_token);
                 if !self.has_first_token {
+                    self.entry.record_ramp_silence(choice, self.began);
                     report_at_once(&self.entry, choice);
                 }
             }
@@ -246,7 +248,7 @@
                             return Piece::Broken;
                         }
                         if has_content && !self.slot.has_first_token {
-                            self.slot.answered();
+                            self.slot.answered(true);
                         }
                         return Piece::Events(events);
                     }
@@ -404,7 +406,7 @@
         }
         return match read {
             Ok(bytes) => {
-                slot.answered();
+                slot.answered(false);
                 slot.request_end = RequestEnd::Answered;
                 let end = match parts.status.is_server_error() {
                     true => UpstreamOutcome::Failed,
@@ -691,6 +693,17 @@
     if matches!(end, UpstreamOutcome::Broken | UpstreamOutcome::Unreachable) {
         entry.suspect_path();
     }
+    let sign = match end {
+        UpstreamOutcome::Refused => Some("refused"),
+        UpstreamOutcome::Broken => Some("broken"),
+        UpstreamOutcome::Unreachable => Some("unreachable"),
+        UpstreamOutcome::Answered | UpstreamOutcome::AnsweredCold | UpstreamOutcome::Failed => None,
+    };
+    if let Some(sign) = sign {
+        // When the call was sent is not known here; one predicted wait earlier is late enough that
+        // calls that were sent before a reduction don't reduce the window again.
+        entry.record_ramp_strain(choice, sign, entry.now().saturating_sub(choice.wait));
+    }
     let avoided = entry.healths.borrow_mut().record(entry.now(), &choice.id, end);
     if let Some(pause) = avoided {
         tracing::warn!(upstream = %choice.id, avoid_ms = pause.as_millis() as u64, ?end, "upstream avoided");
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -207,7 +207,7 @@
     }
 
     /// The availability of an upstream according to its answers.
-    fn availability(&self, now: Time, known: &KnownUpstream) -> Availability {
+    pub(super) fn availability(&self, now: Time, known: &KnownUpstream) -> Availability {
         let KnownUpstream { upstream, .. } = known;
         self.availabilities.borrow().get(now, &upstream.id, upstream.birth)
     }
@@ -258,7 +258,7 @@
             return false;
         }
         if cold_rate <= 0.0 || !self.is_cold(now, known) {
-            return true;
+            return self.has_ramp_room(now, known);
         }
         let settings = self.settings.borrow();
         let entries = entries.get_or_init(|| self.region_entries());
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -21,6 +21,7 @@
 mod crashes;
 mod forwarded;
 mod limited;
+mod pace;
 mod path_check;
 mod plan;
 mod relay;
@@ -49,6 +50,7 @@
         health::HealthTracker,
         keeper_view::{KEEPER_SOURCES, KeeperView},
         load_exchange::Member,
+        pace::Ramps,
         peer_loads::{LoadReport, ReportSource},
         placement::{Demand, Loads},
         prefill_queue::QueueWaits,
@@ -137,6 +139,7 @@
     paths: PathState,
     streams: StreamState,
     cold_pacer: RefCell<ColdSendPacer>,
+    ramps: RefCell<Ramps>,
     crashes: RefCell<Crashes>,
     cold_detector: RefCell<ColdDetector>,
     /// Predicted waiting times of other regions, sorted by region and service.
@@ -190,6 +193,7 @@
             paths: PathState::default(),
             streams: StreamState::default(),
             cold_pacer: RefCell::default(),
+            ramps: RefCell::default(),
             crashes: RefCell::default(),
             cold_detector: RefCell::default(),
             waits: RefCell::default(),
@@ -218,6 +222,7 @@
         task::spawn_local(load_exchange::forward_changes(entry.clone(), socket.clone()));
         task::spawn_local(limited::run(entry.clone(), socket.clone()));
         task::spawn_local(stream_lookup::run(entry.clone(), socket.clone()));
+        task::spawn_local(pace::run(entry.clone(), socket.clone()));
         task::spawn_local(load_exchange::receive_datagrams(entry.clone(), socket));
         let this = entry.clone();
         let handler = move |request, _| serve::forwarded(this.clone(), request);
--- a/crates/medlarlug-gateway/src/load_exchange.rs
+++ b/crates/medlarlug-gateway/src/load_exchange.rs
@@ -17,6 +17,7 @@
 use medlarlug_core::{
     gateway::{
         load_exchange::{COLLECTOR_TIMEOUT, ExchangePlan, Member, Role},
+        pace::RampNotice,
         peer_loads::{LoadReport, ReportSource, UpstreamKey, load_of},
     },
     ids::{InstanceId, UpstreamId, ZoneId},
@@ -71,6 +72,8 @@
     Limit(LimitMessage),
     /// A message about the software versions of streams.
     Stream(StreamMessage),
+    /// A message about the ramp of an upstream. Earlier builds can't decode it and drop it.
+    Ramp(RampNotice),
 }
 
 /// Id and internal address of another instance.
@@ -316,6 +319,11 @@
     send(socket, &Datagram::Stream(message), to);
 }
 
+/// Sends a message about the ramp of an upstream.
+pub(crate) fn send_ramp_notice(socket: &UdpSocket, notice: RampNotice, to: SocketAddr) {
+    send(socket, &Datagram::Ramp(notice), to);
+}
+
 /// Receives datagrams for as long as the process runs.
 pub(crate) async fn receive_datagrams(entry: Rc<Entry>, socket: Rc<UdpSocket>) {
     let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
@@ -341,6 +349,7 @@
     let (source, is_whole, instances, loads) = match (datagram, exchange.role.get()) {
         (Datagram::Limit(message), _) => return entry.on_limit_message(address, message),
         (Datagram::Stream(message), _) => return entry.on_stream_message(address, message),
+        (Datagram::Ramp(notice), _) => return entry.on_ramp_notice(address, notice),
         (
             Datagram::Report { from, is_whole, wants_aggregate, loads },
             Some(Role::Direct | Role::Collector { .. }),
--- a/crates/medlarlug-gateway/src/metrics.rs
+++ b/crates/medlarlug-gateway/src/metrics.rs
@@ -58,6 +58,13 @@
 /// Counter: streams whose software version was forgotten early, for lack of room.
 pub const FORGOTTEN_STREAMS: &str = "medlarlug_gateway_forgotten_streams_total";
 
+/// Gauge: upstreams of the region that ramp up after a start or a recovery.
+pub const RAMPS: &str = "medlarlug_gateway_ramps";
+/// Gauge: calls that all instances of the region together may hold at upstreams that ramp up.
+pub const RAMP_WINDOWS: &str = "medlarlug_gateway_ramp_windows";
+/// Counter: signs of strain that halved the window of an upstream that ramps up. Label: `sign`.
+pub const RAMP_STRAINS: &str = "medlarlug_gateway_ramp_strains_total";
+
 /// Registers the descriptions of all metrics with the installed recorder.
 pub fn describe() {
     describe_counter!(CALLS_ENDED, "Calls that ended, by outcome");
@@ -85,5 +92,8 @@
     describe_counter!(RESUMED_STREAMS, "Calls that resumed a stream, by version found or unknown");
     describe_gauge!(REMEMBERED_STREAMS, "Streams whose software version is remembered");
     describe_counter!(FORGOTTEN_STREAMS, "Streams forgotten early for lack of room");
+    describe_gauge!(RAMPS, "Upstreams of the region that ramp up");
+    describe_gauge!(RAMP_WINDOWS, "Calls that upstreams that ramp up may hold in the region");
+    describe_counter!(RAMP_STRAINS, "Signs of strain that halved the window of a ramp, by sign");
     describe_counter!(INVALID_ANNOUNCEMENTS, "Announcements that could not be read");
 }
