Calls wait for room at an upstream that ramps up

Cause: a call whose only hop is an upstream in its ramp was refused at once, although the window doubles within 0.1 to 0.2 s.

Change: such a call waits for 0.4 s at most, 32 calls an instance.

--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -199,7 +199,7 @@
         self.loads.borrow().choose(now, demand, &candidates, self.exchange.instances())
     }
 
-    fn is_cold(&self, now: Time, known: &KnownUpstream) -> bool {
+    pub(super) fn is_cold(&self, now: Time, known: &KnownUpstream) -> bool {
         let observations = self.healths.borrow().observations(&known.upstream.id);
         let resumed = self.view.borrow().last_resumed(now);
         let process = ProcessTimes { started: self.started, resumed };
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -140,6 +140,8 @@
     streams: StreamState,
     cold_pacer: RefCell<ColdSendPacer>,
     ramps: RefCell<Ramps>,
+    /// Number of calls that wait for room at upstreams that ramp up.
+    room_waits: Cell<usize>,
     crashes: RefCell<Crashes>,
     cold_detector: RefCell<ColdDetector>,
     /// Predicted waiting times of other regions, sorted by region and service.
@@ -194,6 +196,7 @@
             streams: StreamState::default(),
             cold_pacer: RefCell::default(),
             ramps: RefCell::default(),
+            room_waits: Cell::default(),
             crashes: RefCell::default(),
             cold_detector: RefCell::default(),
             waits: RefCell::default(),
--- a/crates/medlarlug-gateway/src/entry/pace.rs
+++ b/crates/medlarlug-gateway/src/entry/pace.rs
@@ -18,13 +18,70 @@
     time::{MissedTickBehavior, interval},
 };
 
-use super::Entry;
+use super::{Entry, plan::Plan};
 use crate::{load_exchange, metrics as names};
 
 /// Time between two rounds: a fraction of the time to the first token, in which a window doubles.
 const ROUND_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Longest time that a call without another hop waits for room at an upstream that ramps up: a window
+/// doubles a few times within it.
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(400);
+/// Time between two checks whether there is room.
+pub(super) const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Calls of this instance that may wait for room at the same time. Each is chosen a hop for anew at
+/// every check.
+const MAX_ROOM_WAITS: usize = 32;
+
+/// Counts a call that waits for room at an upstream that ramps up, until it is dropped.
+pub(super) struct RoomWait {
+    entry: Rc<Entry>,
+    began: Time,
+}
+
+impl RoomWait {
+    /// Starts to wait; `None` if enough calls wait already.
+    pub(super) fn begin(entry: &Rc<Entry>) -> Option<RoomWait> {
+        let waiting = entry.room_waits.get();
+        if waiting >= MAX_ROOM_WAITS {
+            return None;
+        }
+        entry.room_waits.set(waiting + 1);
+        Some(RoomWait { entry: entry.clone(), began: entry.now() })
+    }
+
+    /// Whether [`MAX_ROOM_WAIT`] has passed.
+    pub(super) fn is_over(&self) -> bool {
+        self.entry.now() - self.began >= MAX_ROOM_WAIT
+    }
+}
+
+impl Drop for RoomWait {
+    fn drop(&mut self) {
+        self.entry.room_waits.set(self.entry.room_waits.get() - 1);
+    }
+}
+
 impl Entry {
+    /// Whether an upstream of the own region could take the call if its ramp left room for it.
+    pub(super) fn lacks_ramp_room(&self, plan: &Plan) -> bool {
+        if !self.settings.borrow().has_pressure
+            || self.is_isolated()
+            || !plan.route.may_be_served_in(&self.settings.borrow().info.region)
+        {
+            return false;
+        }
+        let now = self.now();
+        let upstreams = self.upstreams.borrow();
+        upstreams.of_service(&plan.service).any(|known| {
+            plan.may_use(&known.upstream)
+                && self.accepts_requests(now, known)
+                && !self.healths.borrow().is_avoided(now, &known.upstream.id)
+                && !self.is_cold(now, known)
+                && !self.has_ramp_room(now, known)
+        })
+    }
+
     /// Whether the ramp of an upstream leaves room for another call of this instance.
     pub(super) fn has_ramp_room(&self, now: Time, known: &KnownUpstream) -> bool {
         let (id, birth) = (&known.upstream.id, known.upstream.birth);
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -25,6 +25,7 @@
     choice::{Hop, Tried},
     forwarded,
     limited::PermitWait,
+    pace::RoomWait,
     serve::CallOutcome,
 };
 use crate::metrics as names;
@@ -74,6 +75,8 @@
     pub(super) has_requested_permits: bool,
     /// Set while it waits for a permit.
     pub(super) permit_wait: Option<PermitWait>,
+    /// Set while it waits for room at an upstream that ramps up.
+    pub(super) room_wait: Option<RoomWait>,
     pub(super) _running: RunningCall,
 }
 
@@ -171,6 +174,20 @@
         self.permit_wait.is_some()
     }
 
+    /// Whether the call has to wait for room at an upstream that ramps up: it has no hop, and has not
+    /// waited for long.
+    pub(super) fn waits_for_room(&mut self, entry: &Rc<Entry>, hop: Option<&Hop>) -> bool {
+        if hop.is_some() || !self.attempts.may_send() || !entry.lacks_ramp_room(self) {
+            self.room_wait = None;
+            return false;
+        }
+        if let Some(wait) = &self.room_wait {
+            return !wait.is_over();
+        }
+        self.room_wait = RoomWait::begin(entry);
+        self.room_wait.is_some()
+    }
+
     /// Decides whether the call is sent to the hop now. Only first attempts with long prompts at
     /// engines are queued for prefill.
     pub(super) fn admission(&mut self, entry: &Rc<Entry>, hop: Option<&Hop>) -> PrefillDecision {
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -30,6 +30,7 @@
     crashes::Quarantine,
     forwarded::{self, Reported},
     limited::PERMIT_POLL_INTERVAL,
+    pace::ROOM_POLL_INTERVAL,
     plan::{MAX_ARRIVALS, Plan, RunningCall},
     relay,
 };
@@ -300,6 +301,7 @@
         admission_wait: None,
         has_requested_permits: false,
         permit_wait: None,
+        room_wait: None,
         route,
         _running: RunningCall::begin(entry),
     })
@@ -340,6 +342,14 @@
             sleep(PERMIT_POLL_INTERVAL).await;
             continue;
         }
+        if quarantine.is_none()
+            && left > MIN_REMAINING
+            && plan.unreachable < MAX_FAILED_CONNECTIONS
+            && plan.waits_for_room(entry, hop.as_ref())
+        {
+            sleep(ROOM_POLL_INTERVAL).await;
+            continue;
+        }
         let wait = hop.as_ref().map(Hop::wait);
         let objective = plan.is_on_engines().then_some(plan.route.objective);
         let mut verdict = load_shedding::decide(
