Explanation of where a call would go now

Cause: an operator could see where calls went from the log, but not where the next call of a route would go, and why an upstream is left out.

Choice, forecast, Retry-After and admission are split into functions without effects for that.

--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -179,26 +179,28 @@
             .filter(|known| may_use(&known.upstream))
             .filter(|known| self.is_usable(now, known, spec.cold_rate, &entries))
             .collect();
-        let healths = self.healths.borrow();
-        let own_zone = self.settings.borrow().info.zone.clone();
         let is_fresh = |known: &KnownUpstream| now - known.announced_at <= ANNOUNCEMENT_LIFETIME;
         let has_fresh = usable.iter().any(|known| is_fresh(known));
         let candidates = usable.iter().filter(|known| is_fresh(known) == has_fresh);
-        let candidates: Vec<Candidate> = candidates
-            .map(|known| Candidate {
-                id: &known.upstream.id,
-                slots: known.upstream.slots,
-                memory_tokens: memory,
-                failure_rate: healths.failure_rate(&known.upstream.id),
-                round_trip: match known.upstream.zone == own_zone {
-                    true => Duration::ZERO,
-                    false => ZONE_CROSSING_COST,
-                },
-            })
-            .collect();
+        let candidates: Vec<Candidate> =
+            candidates.map(|known| self.candidate(known, memory)).collect();
         self.loads.borrow().choose(now, demand, &candidates, self.exchange.instances())
     }
 
+    /// An upstream of the region as a candidate; `memory` is its memory in tokens.
+    pub(super) fn candidate<'a>(&self, known: &'a KnownUpstream, memory: u64) -> Candidate<'a> {
+        Candidate {
+            id: &known.upstream.id,
+            slots: known.upstream.slots,
+            memory_tokens: memory,
+            failure_rate: self.healths.borrow().failure_rate(&known.upstream.id),
+            round_trip: match known.upstream.zone == self.settings.borrow().info.zone {
+                true => Duration::ZERO,
+                false => ZONE_CROSSING_COST,
+            },
+        }
+    }
+
     pub(super) fn is_cold(&self, now: Time, known: &KnownUpstream) -> bool {
         let observations = self.healths.borrow().observations(&known.upstream.id);
         let resumed = self.view.borrow().last_resumed(now);
@@ -233,7 +235,7 @@
     /// Whether a request may be sent to an upstream now. Every request is checked here: first
     /// attempts, retries, those that were queued, those forwarded by other regions, and resumed
     /// streams.
-    fn is_usable(
+    pub(super) fn is_usable(
         &self,
         now: Time,
         known: &KnownUpstream,
@@ -288,7 +290,7 @@
     /// Chooses an entry instance of the region that can serve the call soonest: of another region or,
     /// if `may_pass_on`, of the own one.
     fn choose_peer(&self, plan: &Plan, demand: &Demand, may_pass_on: bool) -> Option<Hop> {
-        let Plan { route, service, tried, version, .. } = plan;
+        let Plan { route, service, tried, .. } = plan;
         let now = self.now();
         let settings = self.settings.borrow();
         let own = &settings.info;
@@ -304,20 +306,7 @@
                 && !self.is_path_missing(id, service)
         };
         let eligible = contacts.live_entries(now).filter(is_eligible);
-        let waits = self.waits.borrow();
-        let cost = |region: &RegionId| {
-            let at = waits.binary_search_by(|it| (&it.region, &it.service).cmp(&(region, service)));
-            let reported_wait = Duration::from_millis(waits[at.ok()?].wait_ms.into());
-            let pending_tokens = self.forwarded_tokens(region);
-            let upstreams = self.upstreams_in(region, service, version);
-            if upstreams == 0 && *version != StreamVersion::Free {
-                return None;
-            }
-            let is_own = *region == own.region;
-            let round_trip = if is_own { INSTANCE_ROUND_TRIP } else { REGION_ROUND_TRIP };
-            let there = RemoteService { reported_wait, pending_tokens, upstreams, is_own };
-            Some(remote_region::predicted_cost(there, demand) + round_trip)
-        };
+        let cost = |region: &RegionId| self.region_cost(plan, demand, region);
         let eligible: Vec<&Contact> = eligible.collect();
         let mut regions: Vec<&RegionId> = eligible.iter().map(|it| &it.info.region).collect();
         regions.sort();
@@ -337,6 +326,29 @@
         })
     }
 
+    /// Predicted cost of forwarding a call to a region; `None` if that can't serve it or has reported
+    /// no wait for its service.
+    pub(super) fn region_cost(
+        &self,
+        plan: &Plan,
+        demand: &Demand,
+        region: &RegionId,
+    ) -> Option<Duration> {
+        let Plan { service, version, .. } = plan;
+        let waits = self.waits.borrow();
+        let at = waits.binary_search_by(|it| (&it.region, &it.service).cmp(&(region, service)));
+        let reported_wait = Duration::from_millis(waits[at.ok()?].wait_ms.into());
+        let pending_tokens = self.forwarded_tokens(region);
+        let upstreams = self.upstreams_in(region, service, version);
+        if upstreams == 0 && *version != StreamVersion::Free {
+            return None;
+        }
+        let is_own = *region == self.settings.borrow().info.region;
+        let round_trip = if is_own { INSTANCE_ROUND_TRIP } else { REGION_ROUND_TRIP };
+        let there = RemoteService { reported_wait, pending_tokens, upstreams, is_own };
+        Some(remote_region::predicted_cost(there, demand) + round_trip)
+    }
+
     /// Prompt tokens of calls that were forwarded to a region and are not answered yet.
     fn forwarded_tokens(&self, region: &RegionId) -> u64 {
         let by_region = self.forwarded_tokens.borrow();
--- a/crates/medlarlug-gateway/src/entry/limited.rs
+++ b/crates/medlarlug-gateway/src/entry/limited.rs
@@ -161,6 +161,11 @@
             || self.limited.permits.borrow().has(now, id, birth)
     }
 
+    /// The limit that an incarnation has named, in requests per second.
+    pub(super) fn named_limit(&self, id: &UpstreamId, birth: Birth) -> Option<f64> {
+        self.limited.limits.borrow().get(id, birth).map(UpstreamLimit::per_second)
+    }
+
     /// Uses a permit for a request to an upstream with a limit. Returns the limit; `None` if there
     /// is none.
     pub(super) fn use_permit(&self, id: &UpstreamId, birth: Birth) -> Option<UpstreamLimit> {
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod call;
 mod choice;
 mod crashes;
+mod explain;
 mod forwarded;
 mod limited;
 mod pace;
@@ -68,6 +69,7 @@
     time::{MissedTickBehavior, interval, sleep, timeout},
 };
 
+pub use self::explain::ExplainError;
 use self::{
     answers::AnswerReader, crashes::Crashes, limited::LimitState, path_check::PathState,
     stream_lookup::StreamState,
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -203,21 +203,32 @@
     }
 
     fn next_admission(&self, entry: &Entry, hop: Option<&Hop>) -> PrefillDecision {
-        let Some(Hop::Upstream { choice, .. }) = hop else { return PrefillDecision::Send };
-        if self.attempts.arrivals() > 0 || !choice.is_long() {
+        let Some(decision) = self.prefill_decision(entry, hop) else {
             return PrefillDecision::Send;
-        }
-        let now = entry.now();
-        let waited = now - self.began;
-        let is_free = entry.loads.borrow().can_admit(now, choice, entry.exchange.instances());
-        let decision =
-            prefill_queue::decide(is_free, waited, self.route.objective, self.route.priority);
+        };
         if decision != PrefillDecision::Wait {
-            entry.queue_waits.borrow_mut().record(now, waited);
+            let now = entry.now();
+            entry.queue_waits.borrow_mut().record(now, now - self.began);
         }
         decision
     }
 
+    /// Decides whether a call with a long prompt is admitted to the hop; `None` for other calls.
+    pub(super) fn prefill_decision(
+        &self,
+        entry: &Entry,
+        hop: Option<&Hop>,
+    ) -> Option<PrefillDecision> {
+        let Some(Hop::Upstream { choice, .. }) = hop else { return None };
+        if self.attempts.arrivals() > 0 || !choice.is_long() {
+            return None;
+        }
+        let now = entry.now();
+        let is_free = entry.loads.borrow().can_admit(now, choice, entry.exchange.instances());
+        let (objective, priority) = (self.route.objective, self.route.priority);
+        Some(prefill_queue::decide(is_free, now - self.began, objective, priority))
+    }
+
     /// Counts a stream that broke off. If it came from another instance, that one has resumed it
     /// elsewhere before it gave up, but can no longer report its attempts.
     pub(super) fn count_broken(&mut self, hop: &Hop) {
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -37,7 +37,7 @@
 use crate::metrics as names;
 
 /// Remaining time below which no request is sent any more.
-const MIN_REMAINING: Duration = Duration::from_millis(20);
+pub(super) const MIN_REMAINING: Duration = Duration::from_millis(20);
 /// Number of failed connections after which a call is given up.
 const MAX_FAILED_CONNECTIONS: u32 = 4;
 /// `Retry-After` while there is no table yet: the time for an election, and for the table to
@@ -245,7 +245,7 @@
 
 /// Finds the route of a call and computes its deadlines; returns the answer if the call can't be
 /// served.
-fn plan_call(
+pub(super) fn plan_call(
     entry: &Rc<Entry>,
     call: &Call,
     forwarded: Option<Handover>,
@@ -321,6 +321,30 @@
     },
 }
 
+/// Decides whether a call is worth sending to a hop.
+pub(super) fn forecast(plan: &Plan, hop: Option<&Hop>, left: Duration, jitter: f64) -> Verdict {
+    let objective = plan.is_on_engines().then_some(plan.route.objective);
+    let predicted_wait = hop.map(Hop::wait);
+    load_shedding::decide(CallForecast { predicted_wait, time_left: left, objective }, jitter)
+}
+
+/// `Retry-After` of a refusal, unless an upstream or another instance has named one.
+pub(super) fn own_retry_after(
+    entry: &Entry,
+    plan: &Plan,
+    hop: Option<&Hop>,
+    verdict: Verdict,
+    left: Duration,
+) -> Duration {
+    match verdict {
+        Verdict::Refuse { retry_after } => match hop {
+            None => entry.upstream_retry_after(plan, left).unwrap_or(retry_after),
+            Some(_) => retry_after,
+        },
+        Verdict::Serve => load_shedding::retry_after(Duration::ZERO, left, rand::rng().random()),
+    }
+}
+
 /// Tries hops until the call is answered, or no further attempt is allowed.
 async fn run_attempts(entry: &Rc<Entry>, call: &Call, plan: &mut Plan) -> Resolution {
     let mut answer: Option<Response<Bytes>> = None;
@@ -351,11 +375,7 @@
             continue;
         }
         let wait = hop.as_ref().map(Hop::wait);
-        let objective = plan.is_on_engines().then_some(plan.route.objective);
-        let mut verdict = load_shedding::decide(
-            CallForecast { predicted_wait: wait, time_left: left, objective },
-            rand::rng().random(),
-        );
+        let mut verdict = forecast(plan, hop.as_ref(), left, rand::rng().random());
         if verdict == Verdict::Serve {
             match plan.admission(entry, hop.as_ref()) {
                 PrefillDecision::Send => {}
@@ -393,15 +413,7 @@
                     tracing::info!(request = %call.id, %content, for_s, "refusing quarantined content");
                     return Resolution::Refuse { retry_after: Some(retry_after) };
                 }
-                let own = match verdict {
-                    Verdict::Refuse { retry_after } => match hop {
-                        None => entry.upstream_retry_after(plan, left).unwrap_or(retry_after),
-                        Some(_) => retry_after,
-                    },
-                    Verdict::Serve => {
-                        load_shedding::retry_after(Duration::ZERO, left, rand::rng().random())
-                    }
-                };
+                let own = own_retry_after(entry, plan, hop.as_ref(), verdict, left);
                 tracing::info!(
                     request = %call.id,
                     service = %plan.service,
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -9,6 +9,7 @@
 mod drain;
 mod dump;
 pub mod error;
+mod explain;
 mod key;
 mod log_level;
 mod release;
@@ -50,6 +51,9 @@
     /// Lists the upstreams that an entry instance knows
     #[bpaf(command)]
     Upstreams(#[bpaf(external(upstreams::upstreams))] upstreams::Upstreams),
+    /// Tells where a call would go now from an entry instance of the platform, and why
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain::explain))] explain::Explain),
     /// Prints the complete state of a process as JSON
     #[bpaf(command)]
     Dump(#[bpaf(external(dump::dump))] dump::Dump),
@@ -71,6 +75,7 @@
             Command::Status(it) => it.exec().await,
             Command::Request(it) => it.exec().await,
             Command::Upstreams(it) => it.exec().await,
+            Command::Explain(it) => it.exec().await,
             Command::Dump(it) => it.exec().await,
             Command::Drain(it) => it.exec().await,
             Command::LogLevel(it) => it.exec().await,
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod deployment_key;
 pub mod events;
+pub mod explain;
 pub mod frame;
 pub mod headers;
 pub mod inference;
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -11,6 +11,7 @@
 
 use medlarlug::protocol::{
     Problem,
+    explain::{Decision, Explanation, UpstreamView},
     operators::{AcceptedNote, Confirmations, LevelChange, ZoneConfirmation},
 };
 use medlarlug_core::{
@@ -166,7 +167,7 @@
 
 #[test]
 fn every_command_has_help() {
-    let commands: [&[&str]; 12] = [
+    let commands: [&[&str]; 13] = [
         &["release"],
         &["release", "check"],
         &["release", "apply"],
@@ -175,6 +176,7 @@
         &["status"],
         &["request"],
         &["upstreams"],
+        &["explain"],
         &["dump"],
         &["drain"],
         &["log-level"],
@@ -324,6 +326,55 @@
     assert_eq!(code(&output), 1);
 }
 
+#[test]
+fn explanation_is_printed_with_the_state_of_each_upstream() {
+    let upstream = UpstreamView {
+        id: "engine-1".into(),
+        zone: "riga-a".into(),
+        is_usable: false,
+        wait_ms: 42,
+        cost_ms: 58,
+        running: 3,
+        age_ms: 700,
+        is_ready: true,
+        is_cold: true,
+        is_evacuated: false,
+        is_avoided: false,
+        is_leaving: false,
+        backoff_ms: Some(900),
+        limit: Some(1.7),
+        has_permit: false,
+        ramp_calls: Some(1),
+    };
+    let explanation = Explanation {
+        route: "safe".into(),
+        service: "scribe".into(),
+        table: 7,
+        newest_table: 8,
+        prompt_tokens: 0,
+        is_isolated: false,
+        may_serve: true,
+        decision: Decision::Refuse { retry_after_s: 0.6, wait_ms: None },
+        upstreams: vec![upstream],
+        regions: Vec::new(),
+    };
+    let server = serve_canned(vec![ok(&explanation)]);
+    let arguments = ["explain", "AT", "--host", "riga.example", "--path", "/safe/a"];
+
+    let printed = stdout(&run_at(server.address, &arguments));
+
+    let expected = [
+        "route safe, service scribe, table 7 (behind 8)",
+        "refused, no hop; Retry-After about 0.6 s",
+        "cold, backoff 900 ms, ramp 1, limit 1.7/s, no permit",
+    ];
+    assert!(expected.iter().all(|part| printed.contains(part)), "{printed}");
+    let requests = server.thread.join().unwrap();
+    assert_eq!(requests[0].request_line(), "GET /explain?host=riga.example&path=/safe/a HTTP/1.1");
+    let invalid = medlarlug(&["explain", "127.0.0.1:1", "--host", "h", "--path", "/a?b"]);
+    assert_eq!(code(&invalid), 2, "{}", stderr(&invalid));
+}
+
 #[test]
 fn record_of_a_request_is_printed_as_a_timeline_or_as_json() {
     let step =
