--- a/crates/medlarlug-core/src/gateway/teams.rs
+++ b/crates/medlarlug-core/src/gateway/teams.rs
@@ -213,6 +213,13 @@
         Some(&self.teams[self.keys[at].1])
     }
 
+    /// The fingerprint of a key of the team with `name`; `None` if there is no such team or it has no
+    /// key.
+    pub fn key_of(&self, name: &TeamName) -> Option<Fingerprint> {
+        let team = self.teams.binary_search_by(|team| team.name.cmp(name)).ok()?;
+        self.keys.iter().find(|it| it.1 == team).map(|it| it.0)
+    }
+
     /// The team with `name`.
     pub fn by_name(&self, name: &TeamName) -> Option<&Team> {
         let at = self.teams.binary_search_by(|team| team.name.cmp(name)).ok()?;
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -19,8 +19,10 @@
 mod call;
 mod choice;
 mod crashes;
+mod explain;
 mod forwarded;
 mod limited;
+mod pace;
 mod path_check;
 mod plan;
 mod relay;
@@ -49,6 +51,7 @@
         health::HealthTracker,
         keeper_view::{KEEPER_SOURCES, KeeperView},
         load_exchange::Member,
+        pace::Ramps,
         peer_loads::{LoadReport, ReportSource},
         placement::{Demand, Loads},
         prefill_queue::QueueWaits,
@@ -66,6 +69,7 @@
     time::{MissedTickBehavior, interval, sleep, timeout},
 };
 
+pub use self::explain::ExplainError;
 use self::{
     answers::AnswerReader, crashes::Crashes, limited::LimitState, path_check::PathState,
     stream_lookup::StreamState,
@@ -137,6 +141,9 @@
     paths: PathState,
     streams: StreamState,
     cold_pacer: RefCell<ColdSendPacer>,
+    ramps: RefCell<Ramps>,
+    /// Number of calls that wait for room at upstreams that ramp up.
+    room_waits: Cell<usize>,
     crashes: RefCell<Crashes>,
     cold_detector: RefCell<ColdDetector>,
     /// Predicted waiting times of other regions, sorted by region and service.
@@ -190,6 +197,8 @@
             paths: PathState::default(),
             streams: StreamState::default(),
             cold_pacer: RefCell::default(),
+            ramps: RefCell::default(),
+            room_waits: Cell::default(),
             crashes: RefCell::default(),
             cold_detector: RefCell::default(),
             waits: RefCell::default(),
@@ -218,6 +227,7 @@
         task::spawn_local(load_exchange::forward_changes(entry.clone(), socket.clone()));
         task::spawn_local(limited::run(entry.clone(), socket.clone()));
         task::spawn_local(stream_lookup::run(entry.clone(), socket.clone()));
+        task::spawn_local(pace::run(entry.clone(), socket.clone()));
         task::spawn_local(load_exchange::receive_datagrams(entry.clone(), socket));
         let this = entry.clone();
         let handler = move |request, _| serve::forwarded(this.clone(), request);
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -26,6 +26,7 @@
     choice::{Hop, Tried},
     forwarded,
     limited::PermitWait,
+    pace::RoomWait,
     serve::CallOutcome,
 };
 use crate::metrics as names;
@@ -78,6 +79,8 @@
     pub(super) has_requested_permits: bool,
     /// Set while it waits for a permit.
     pub(super) permit_wait: Option<PermitWait>,
+    /// Set while it waits for room at an upstream that ramps up.
+    pub(super) room_wait: Option<RoomWait>,
     pub(super) _running: RunningCall,
 }
 
@@ -175,6 +178,20 @@
         self.permit_wait.is_some()
     }
 
+    /// Whether the call has to wait for room at an upstream that ramps up: it has no hop, and has not
+    /// waited for long.
+    pub(super) fn waits_for_room(&mut self, entry: &Rc<Entry>, hop: Option<&Hop>) -> bool {
+        if hop.is_some() || !self.attempts.may_send() || !entry.lacks_ramp_room(self) {
+            self.room_wait = None;
+            return false;
+        }
+        if let Some(wait) = &self.room_wait {
+            return !wait.is_over();
+        }
+        self.room_wait = RoomWait::begin(entry);
+        self.room_wait.is_some()
+    }
+
     /// Decides whether the call is sent to the hop now. Only first attempts with long prompts at
     /// engines are queued for prefill.
     pub(super) fn admission(&mut self, entry: &Rc<Entry>, hop: Option<&Hop>) -> PrefillDecision {
@@ -190,21 +207,32 @@
     }
 
     fn next_admission(&self, entry: &Entry, hop: Option<&Hop>) -> PrefillDecision {
-        let Some(Hop::Upstream { choice, .. }) = hop else { return PrefillDecision::Send };
-        if self.attempts.arrivals() > 0 || !choice.is_long() {
+        let Some(decision) = self.prefill_decision(entry, hop) else {
             return PrefillDecision::Send;
-        }
-        let now = entry.now();
-        let waited = now - self.began;
-        let is_free = entry.loads.borrow().can_admit(now, choice, entry.exchange.instances());
-        let decision =
-            prefill_queue::decide(is_free, waited, self.route.objective, self.route.priority);
+        };
         if decision != PrefillDecision::Wait {
-            entry.queue_waits.borrow_mut().record(now, waited);
+            let now = entry.now();
+            entry.queue_waits.borrow_mut().record(now, now - self.began);
         }
         decision
     }
 
+    /// Decides whether a call with a long prompt is admitted to the hop; `None` for other calls.
+    pub(super) fn prefill_decision(
+        &self,
+        entry: &Entry,
+        hop: Option<&Hop>,
+    ) -> Option<PrefillDecision> {
+        let Some(Hop::Upstream { choice, .. }) = hop else { return None };
+        if self.attempts.arrivals() > 0 || !choice.is_long() {
+            return None;
+        }
+        let now = entry.now();
+        let is_free = entry.loads.borrow().can_admit(now, choice, entry.exchange.instances());
+        let (objective, priority) = (self.route.objective, self.route.priority);
+        Some(prefill_queue::decide(is_free, now - self.began, objective, priority))
+    }
+
     /// Counts a stream that broke off. If it came from another instance, that one has resumed it
     /// elsewhere before it gave up, but can no longer report its attempts.
     pub(super) fn count_broken(&mut self, hop: &Hop) {
