Property test of the division of a window

Cause: only examples guarded that the parts of all instances add up to the window of a ramp.

Change: a property over windows up to 200 and up to 149 instances, with the designated sender's part.

--- a/crates/medlarlug-core/tests/testsuite/gateway/pace.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/pace.rs
@@ -1,10 +1,11 @@
 //! Ramp-up of a started or recovered upstream by many instances, as the upstream observes it,
-//! against the present behaviour: the full share of all instances at once.
+//! against the behaviour without a ramp: the full share of all instances at once.
 
 use std::time::Duration;
 
 use medlarlug_core::{
     gateway::{
+        cold::designated_sender,
         health::{HealthTracker, UpstreamOutcome},
         pace::{FirstToken, OWNER_SILENCE, Part, RampCause, RampNotice, Ramps, Sight},
         upstreams::Birth,
@@ -12,6 +13,7 @@
     ids::{InstanceId, UpstreamId},
     time::Time,
 };
+use proptest::prelude::*;
 
 /// Time between two steps of a history.
 const STEP: Duration = Duration::from_millis(10);
@@ -404,3 +406,23 @@
     assert!(changes.iter().all(Option::is_none));
     assert_eq!(world.allowed(), u32::MAX);
 }
+
+proptest! {
+    /// Guards against parts that together exceed the window, and against a designated sender without a
+    /// call.
+    #[test]
+    fn parts_of_instances_with_the_same_view_add_up_to_the_window(
+        window in 1..200_u32,
+        instances in 1..150_usize,
+    ) {
+        let ids: Vec<InstanceId> =
+            (0..instances).map(|it| format!("entry-{it}").parse().unwrap()).collect();
+        let parts: Vec<Part> = ids.iter().map(|it| Part::of(it, &engine(), &ids)).collect();
+        let shares: Vec<u32> = parts.iter().map(|it| it.share(window)).collect();
+
+        prop_assert_eq!(shares.iter().sum::<u32>(), window);
+        let sender = designated_sender(&engine(), &ids).unwrap();
+        let at = ids.iter().position(|it| it == sender).unwrap();
+        prop_assert!(parts[at].rank == 0 && shares[at] >= 1);
+    }
+}
