Core of the quotas of teams, which hold for all instances together

Cause: a limit that each of 70 to 140 instances applies alone is either exceeded many times or leaves a team that uses one instance with 1 % of it.

Change: each region keeps a pool for each team at one of its instances, the allocator. Instances ask it for the cost of each waiting call, and pools that are short of tokens ask those of other regions. Without an allocator, an instance has its part of a quarter of the allowance. No I/O; time and messages are arguments.

--- a/crates/medlarlug-core/src/gateway/cold.rs
+++ b/crates/medlarlug-core/src/gateway/cold.rs
@@ -30,7 +30,15 @@
     upstream: &UpstreamId,
     instances: &'a [InstanceId],
 ) -> Option<&'a InstanceId> {
-    instances.iter().max_by_key(|instance| rendezvous_rank(instance.as_str(), upstream.as_str()))
+    designated_instance(upstream.as_str(), instances)
+}
+
+/// The instance with the highest rendezvous rank for a key; `None` if there are no instances.
+pub(super) fn designated_instance<'a>(
+    key: &str,
+    instances: &'a [InstanceId],
+) -> Option<&'a InstanceId> {
+    instances.iter().max_by_key(|instance| rendezvous_rank(instance.as_str(), key))
 }
 
 /// Longest delay of an announcement that its age does not include: it comes from another region,
--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -12,7 +12,8 @@
 //! its region report ([`load_exchange`], [`peer_loads`]). It limits requests to upstreams that have
 //! just started ([`cold`]), retries calls within the [`retry_budget`] of their service, and avoids
 //! upstreams that [`health`] found broken. Where an upstream limits the requests of all instances
-//! together ([`upstream_limits`]), they share the limit through [`permits`]. A stream goes on only at the
+//! together ([`upstream_limits`]), they share the limit through [`permits`]. The quotas of teams hold for
+//! all instances together as well ([`quota`]). A stream goes on only at the
 //! [`software_version`] that began it ([`stream_version`]); instances tell each other which one that was
 //! ([`stream_bindings`]). [`contacts`] tracks the
 //! instances of the system itself, and [`keeper_view`] tells whether an instance sees enough of the
@@ -37,6 +38,7 @@
 pub mod placement;
 pub mod prefill_queue;
 pub mod publication;
+pub mod quota;
 pub mod remote_region;
 pub mod retry_budget;
 pub mod software_version;
--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod placement;
 mod prefill_queue;
 mod publication;
+mod quota;
 mod remote_region;
 mod stall_detector;
 mod stream_timeout;
