Calls of teams with a quota are charged before their first attempt

Cause: the core of the quotas decides, but nothing asked it.

Change: an entry instance charges a call after it has read the body, at the instance that the caller called, and refuses it with 429 and Retry-After beyond the quota, or with 503 if no allocator answers. The messages are a new last variant of the datagrams. From the first attempt on, only a refusal refunds: a caller that disconnects would otherwise use upstreams without a charge. A malformed token count costs as much as none.

--- a/crates/medlarlug-gateway/src/entry/call.rs
+++ b/crates/medlarlug-gateway/src/entry/call.rs
@@ -31,6 +31,8 @@
     /// Time for which the caller waits; `None` if it did not say.
     pub(super) deadline: Option<Duration>,
     pub(super) demand: Demand,
+    /// Prompt tokens and the maximum number of output tokens, as far as the caller has stated both.
+    pub(super) tokens: Option<u64>,
     /// Fingerprint of the key in `Authorization`, if there is one.
     pub(super) key: Option<Fingerprint>,
     /// Whether `key` was accepted as that of a team, or the call needs none.
@@ -58,6 +60,7 @@
         let resumed_call = resumed_call.map(SmolStr::from);
         let deadline = text(&names.deadline).trim().parse().ok().map(Duration::from_millis);
         let demand = parse_demand(text(&names.prompt_parts), text(&names.token_counts));
+        let tokens = stated_tokens(text(&names.token_counts));
         let target = uri.path_and_query().map_or("/", |target| target.as_str()).into();
         // Before the headers that `Connection` lists are removed.
         let key = bearer_key(&headers).map(Fingerprint::of);
@@ -70,6 +73,7 @@
             resumed_call,
             deadline,
             demand,
+            tokens,
             key,
             is_checked: false,
             headers,
@@ -192,6 +196,14 @@
     }
 }
 
+/// The sum of the stated numbers of tokens; `None` if there are not two valid ones. Such a call must not
+/// cost less than one that states nothing.
+fn stated_tokens(counts: &str) -> Option<u64> {
+    let (prompt, output) = counts.split_once(',')?;
+    let count = |text: &str| text.trim().parse::<u64>().ok();
+    Some(count(prompt)?.saturating_add(count(output)?))
+}
+
 /// Parses what a call demands of an engine. Prompt parts that can't be parsed are left out, and
 /// counts that can't be parsed are 0.
 fn parse_demand(parts: &str, counts: &str) -> Demand {
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -23,6 +23,7 @@
 mod limited;
 mod path_check;
 mod plan;
+mod quota;
 mod relay;
 mod serve;
 mod stream_lookup;
@@ -68,7 +69,7 @@
 
 use self::{
     answers::AnswerReader, crashes::Crashes, limited::LimitState, path_check::PathState,
-    stream_lookup::StreamState,
+    quota::QuotaState, stream_lookup::StreamState,
 };
 pub(crate) use self::{limited::LimitMessage, stream_lookup::StreamMessage};
 pub use serve::CallOutcome;
@@ -136,6 +137,7 @@
     limited: LimitState,
     paths: PathState,
     streams: StreamState,
+    quota: QuotaState,
     cold_pacer: RefCell<ColdSendPacer>,
     crashes: RefCell<Crashes>,
     cold_detector: RefCell<ColdDetector>,
@@ -170,6 +172,7 @@
     ) -> Result<Rc<Entry>, ServerError> {
         let internal = http_server::listen("peers", settings.info.internal).await?;
         let clock = Clock::start_with_offset(MAX_UPDATE_AGE);
+        let quota = QuotaState::new(settings.info.id.clone());
         let entry = Rc::new(Entry {
             settings: RefCell::new(settings),
             names,
@@ -189,6 +192,7 @@
             limited: LimitState::default(),
             paths: PathState::default(),
             streams: StreamState::default(),
+            quota,
             cold_pacer: RefCell::default(),
             crashes: RefCell::default(),
             cold_detector: RefCell::default(),
@@ -218,6 +222,7 @@
         task::spawn_local(load_exchange::forward_changes(entry.clone(), socket.clone()));
         task::spawn_local(limited::run(entry.clone(), socket.clone()));
         task::spawn_local(stream_lookup::run(entry.clone(), socket.clone()));
+        task::spawn_local(quota::run(entry.clone(), socket.clone()));
         task::spawn_local(load_exchange::receive_datagrams(entry.clone(), socket));
         let this = entry.clone();
         let handler = move |request, _| serve::forwarded(this.clone(), request);
@@ -520,6 +525,7 @@
                 tracing::info!(version = version.0, routes, %from, "table in force");
                 metrics::gauge!(names::TABLE_VERSION).set(version.0 as f64);
                 *self.table.borrow_mut() = Some(Rc::new(table));
+                self.review_quotas();
             }
             Err(error) => {
                 tracing::error!(version = version.0, error = %error_chain(&error), %from, "invalid table ignored");
@@ -627,6 +633,7 @@
         }
         entry.links.connect_new(&entry);
         entry.update_view();
+        entry.review_quotas();
         let wanted = entry.head.borrow().version;
         if wanted > entry.version() {
             for keeper in entry.keepers() {
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -32,6 +32,7 @@
     forwarded::{self, Reported},
     limited::PERMIT_POLL_INTERVAL,
     plan::{MAX_ARRIVALS, Plan, RunningCall},
+    quota::{Charge, QuotaRefusal},
     relay,
 };
 use crate::metrics as names;
@@ -210,6 +211,10 @@
             return rejected(StatusCode::BAD_REQUEST, "the body was cut");
         }
     }
+    let charge = match charge(entry, &call, &plan).await {
+        Ok(charge) => charge,
+        Err(refusal) => return refuse_charge(entry, &call, &plan, refusal),
+    };
     if !is_forwarded {
         entry.count_call(&plan.service);
     }
@@ -224,10 +229,41 @@
     if resumes && is_unbound && !entry.resolve_stream_version(&call, &mut plan).await {
         return finish(entry, call, plan, Resolution::Refuse { retry_after: None });
     }
+    let settled = charge.map(Charge::settle);
     let result = run_attempts(entry, &call, &mut plan).await;
+    if let (Some(settled), Resolution::Refuse { .. }) = (settled, &result) {
+        settled.refund();
+    }
     finish(entry, call, plan, result)
 }
 
+/// Charges a call to the quota of its team, unless the instance that forwarded it has done so.
+async fn charge(
+    entry: &Rc<Entry>,
+    call: &Call,
+    plan: &Plan,
+) -> Result<Option<Charge>, QuotaRefusal> {
+    match &plan.team {
+        Some(accepted) if !accepted.is_charged => entry.charge(&accepted.team, call.tokens).await,
+        _ => Ok(None),
+    }
+}
+
+/// The answer to a call that can't be charged.
+fn refuse_charge(entry: &Entry, call: &Call, plan: &Plan, refusal: QuotaRefusal) -> Reported {
+    let (status, retry_after) = match refusal {
+        QuotaRefusal::Exceeded { retry_after } => (StatusCode::TOO_MANY_REQUESTS, retry_after),
+        QuotaRefusal::Unavailable { retry_after } => (StatusCode::SERVICE_UNAVAILABLE, retry_after),
+    };
+    let team = plan.team.as_ref().map(|it| it.team.name.as_str());
+    let retry_ms = retry_after.as_millis() as u64;
+    tracing::info!(request = %call.id, team, tokens = call.tokens, retry_ms, %refusal, "call not charged");
+    plan.record_outcome(entry, call, CallOutcome::Refused);
+    let mut reported = self::refusal(entry, call, Some(retry_after), HandoverReport::REFUSED);
+    *reported.answer.status_mut() = status;
+    reported
+}
+
 /// While the instance is starting, waits until `holds` returns true, for at most a fraction of the
 /// time of the call. A caller that is refused would return soon, and has few attempts.
 async fn wait_for_start(
--- a/crates/medlarlug-gateway/src/load_exchange.rs
+++ b/crates/medlarlug-gateway/src/load_exchange.rs
@@ -18,6 +18,7 @@
     gateway::{
         load_exchange::{COLLECTOR_TIMEOUT, ExchangePlan, Member, Role},
         peer_loads::{LoadReport, ReportSource, UpstreamKey, load_of},
+        quota::QuotaMessage,
     },
     ids::{InstanceId, UpstreamId, ZoneId},
     time::Time,
@@ -43,7 +44,7 @@
 /// Maximum number of loads in one datagram. One load takes up to ten bytes.
 const MAX_DATAGRAM_LOADS: usize = 130;
 
-/// A message between entry instances of a region.
+/// A message between entry instances.
 #[derive(Debug, Serialize, Deserialize)]
 enum Datagram {
     /// The in-flight load of one instance.
@@ -71,6 +72,8 @@
     Limit(LimitMessage),
     /// A message about the software versions of streams.
     Stream(StreamMessage),
+    /// A message about the quotas of teams. Builds without quotas can't decode it and go on.
+    Quota(QuotaMessage),
 }
 
 /// Id and internal address of another instance.
@@ -316,6 +319,11 @@
     send(socket, &Datagram::Stream(message), to);
 }
 
+/// Sends a message about the quotas of teams.
+pub(crate) fn send_quota_message(socket: &UdpSocket, message: QuotaMessage, to: SocketAddr) {
+    send(socket, &Datagram::Quota(message), to);
+}
+
 /// Receives datagrams for as long as the process runs.
 pub(crate) async fn receive_datagrams(entry: Rc<Entry>, socket: Rc<UdpSocket>) {
     let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
@@ -341,6 +349,7 @@
     let (source, is_whole, instances, loads) = match (datagram, exchange.role.get()) {
         (Datagram::Limit(message), _) => return entry.on_limit_message(address, message),
         (Datagram::Stream(message), _) => return entry.on_stream_message(address, message),
+        (Datagram::Quota(message), _) => return entry.on_quota_message(address, message),
         (
             Datagram::Report { from, is_whole, wants_aggregate, loads },
             Some(Role::Direct | Role::Collector { .. }),
--- a/crates/medlarlug-gateway/src/metrics.rs
+++ b/crates/medlarlug-gateway/src/metrics.rs
@@ -61,6 +61,14 @@
 /// Counter: streams whose software version was forgotten early, for lack of room.
 pub const FORGOTTEN_STREAMS: &str = "medlarlug_gateway_forgotten_streams_total";
 
+/// Counter: calls of teams with a quota. Label: `outcome`, one of `charged`, `refunded`, `exceeded` and
+/// `unavailable`.
+pub const QUOTA_CALLS: &str = "medlarlug_gateway_quota_calls_total";
+/// Counter: messages about quotas sent to other instances.
+pub const QUOTA_MESSAGES: &str = "medlarlug_gateway_quota_messages_total";
+/// Gauge: teams whose tokens this instance keeps for its region.
+pub const QUOTA_POOLS: &str = "medlarlug_gateway_quota_pools";
+
 /// Registers the descriptions of all metrics with the installed recorder.
 pub fn describe() {
     describe_counter!(CALLS_ENDED, "Calls that ended, by outcome");
@@ -89,5 +97,8 @@
     describe_counter!(RESUMED_STREAMS, "Calls that resumed a stream, by version found or unknown");
     describe_gauge!(REMEMBERED_STREAMS, "Streams whose software version is remembered");
     describe_counter!(FORGOTTEN_STREAMS, "Streams forgotten early for lack of room");
+    describe_counter!(QUOTA_CALLS, "Calls of teams with a quota, by outcome");
+    describe_counter!(QUOTA_MESSAGES, "Messages about quotas sent to other instances");
+    describe_gauge!(QUOTA_POOLS, "Teams whose tokens this instance keeps for its region");
     describe_counter!(INVALID_ANNOUNCEMENTS, "Announcements that could not be read");
 }
