--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod placement;
 mod prefill_queue;
 mod publication;
+mod quota;
 mod remote_region;
 mod stall_detector;
 mod stream_timeout;
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -25,6 +25,7 @@
 mod pace;
 mod path_check;
 mod plan;
+mod quota;
 mod relay;
 mod serve;
 mod stream_lookup;
@@ -72,7 +73,7 @@
 pub use self::explain::ExplainError;
 use self::{
     answers::AnswerReader, crashes::Crashes, limited::LimitState, path_check::PathState,
-    stream_lookup::StreamState,
+    quota::QuotaState, stream_lookup::StreamState,
 };
 pub(crate) use self::{limited::LimitMessage, stream_lookup::StreamMessage};
 pub use serve::CallOutcome;
@@ -140,6 +141,7 @@
     limited: LimitState,
     paths: PathState,
     streams: StreamState,
+    quota: QuotaState,
     cold_pacer: RefCell<ColdSendPacer>,
     ramps: RefCell<Ramps>,
     /// Number of calls that wait for room at upstreams that ramp up.
@@ -177,6 +179,7 @@
     ) -> Result<Rc<Entry>, ServerError> {
         let internal = http_server::listen("peers", settings.info.internal).await?;
         let clock = Clock::start_with_offset(MAX_UPDATE_AGE);
+        let quota = QuotaState::new(settings.info.id.clone());
         let entry = Rc::new(Entry {
             settings: RefCell::new(settings),
             names,
@@ -196,6 +199,7 @@
             limited: LimitState::default(),
             paths: PathState::default(),
             streams: StreamState::default(),
+            quota,
             cold_pacer: RefCell::default(),
             ramps: RefCell::default(),
             room_waits: Cell::default(),
@@ -228,6 +232,7 @@
         task::spawn_local(limited::run(entry.clone(), socket.clone()));
         task::spawn_local(stream_lookup::run(entry.clone(), socket.clone()));
         task::spawn_local(pace::run(entry.clone(), socket.clone()));
+        task::spawn_local(quota::run(entry.clone(), socket.clone()));
         task::spawn_local(load_exchange::receive_datagrams(entry.clone(), socket));
         let this = entry.clone();
         let handler = move |request, _| serve::forwarded(this.clone(), request);
@@ -530,6 +535,7 @@
                 tracing::info!(version = version.0, routes, %from, "table in force");
                 metrics::gauge!(names::TABLE_VERSION).set(version.0 as f64);
                 *self.table.borrow_mut() = Some(Rc::new(table));
+                self.review_quotas();
             }
             Err(error) => {
                 tracing::error!(version = version.0, error = %error_chain(&error), %from, "invalid table ignored");
@@ -637,6 +643,7 @@
         }
         entry.links.connect_new(&entry);
         entry.update_view();
+        entry.review_quotas();
         let wanted = entry.head.borrow().version;
         if wanted > entry.version() {
             for keeper in entry.keepers() {
--- a/crates/medlarlug-gateway/src/load_exchange.rs
+++ b/crates/medlarlug-gateway/src/load_exchange.rs
@@ -19,6 +19,7 @@
         load_exchange::{COLLECTOR_TIMEOUT, ExchangePlan, Member, Role},
         pace::RampNotice,
         peer_loads::{LoadReport, ReportSource, UpstreamKey, load_of},
+        quota::QuotaMessage,
     },
     ids::{InstanceId, UpstreamId, ZoneId},
     time::Time,
@@ -44,7 +45,7 @@
 /// Maximum number of loads in one datagram. One load takes up to ten bytes.
 const MAX_DATAGRAM_LOADS: usize = 130;
 
-/// A message between entry instances of a region.
+/// A message between entry instances.
 #[derive(Debug, Serialize, Deserialize)]
 enum Datagram {
     /// The in-flight load of one instance.
@@ -74,6 +75,8 @@
     Stream(StreamMessage),
     /// A message about the ramp of an upstream. Earlier builds can't decode it and drop it.
     Ramp(RampNotice),
+    /// A message about the quotas of teams. Builds without quotas can't decode it and go on.
+    Quota(QuotaMessage),
 }
 
 /// Id and internal address of another instance.
@@ -324,6 +327,11 @@
     send(socket, &Datagram::Ramp(notice), to);
 }
 
+/// Sends a message about the quotas of teams.
+pub(crate) fn send_quota_message(socket: &UdpSocket, message: QuotaMessage, to: SocketAddr) {
+    send(socket, &Datagram::Quota(message), to);
+}
+
 /// Receives datagrams for as long as the process runs.
 pub(crate) async fn receive_datagrams(entry: Rc<Entry>, socket: Rc<UdpSocket>) {
     let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
@@ -350,6 +358,7 @@
         (Datagram::Limit(message), _) => return entry.on_limit_message(address, message),
         (Datagram::Stream(message), _) => return entry.on_stream_message(address, message),
         (Datagram::Ramp(notice), _) => return entry.on_ramp_notice(address, notice),
+        (Datagram::Quota(message), _) => return entry.on_quota_message(address, message),
         (
             Datagram::Report { from, is_whole, wants_aggregate, loads },
             Some(Role::Direct | Role::Collector { .. }),
--- a/crates/medlarlug-gateway/src/metrics.rs
+++ b/crates/medlarlug-gateway/src/metrics.rs
@@ -67,6 +67,13 @@
 pub const RAMP_WINDOWS: &str = "medlarlug_gateway_ramp_windows";
 /// Counter: signs of strain that halved the window of an upstream that ramps up. Label: `sign`.
 pub const RAMP_STRAINS: &str = "medlarlug_gateway_ramp_strains_total";
+/// Counter: calls of teams with a quota. Label: `outcome`, one of `charged`, `refunded`, `exceeded` and
+/// `unavailable`.
+pub const QUOTA_CALLS: &str = "medlarlug_gateway_quota_calls_total";
+/// Counter: messages about quotas sent to other instances.
+pub const QUOTA_MESSAGES: &str = "medlarlug_gateway_quota_messages_total";
+/// Gauge: teams whose tokens this instance keeps for its region.
+pub const QUOTA_POOLS: &str = "medlarlug_gateway_quota_pools";
 
 /// Registers the descriptions of all metrics with the installed recorder.
 pub fn describe() {
@@ -99,5 +106,8 @@
     describe_gauge!(RAMPS, "Upstreams of the region that ramp up");
     describe_gauge!(RAMP_WINDOWS, "Calls that upstreams that ramp up may hold in the region");
     describe_counter!(RAMP_STRAINS, "Signs of strain that halved the window of a ramp, by sign");
+    describe_counter!(QUOTA_CALLS, "Calls of teams with a quota, by outcome");
+    describe_counter!(QUOTA_MESSAGES, "Messages about quotas sent to other instances");
+    describe_gauge!(QUOTA_POOLS, "Teams whose tokens this instance keeps for its region");
     describe_counter!(INVALID_ANNOUNCEMENTS, "Announcements that could not be read");
 }
