Calls go to engines that have room in their memory, and teams share it

Cause: engines with pressure crash when the requests that they hold exceed their memory, and the team that asks most often takes the room of the others. Change: gateway::engine_memory books each call's prompt and longest answer at its engine, with shared parts once; instances report bookings along the plan of load reports. Placement prefers engines with room, calls without room wait and are refused by forecast, and gateway::fair_share orders teams by recently admitted tokens. A crash above the memory is recorded as explained. Active only with has_pressure.

--- a/crates/medlarlug-core/src/gateway/load_shedding.rs
+++ b/crates/medlarlug-core/src/gateway/load_shedding.rs
@@ -9,6 +9,8 @@
 
 use std::time::Duration;
 
+use crate::gateway::fair_share::Standing;
+
 /// What is known about a call before it is placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallForecast {
@@ -47,6 +49,8 @@
 /// Predicted wait, as a multiple of the latency objective, above which a call is refused even if
 /// its caller would wait longer: its upstreams are behind, and each further call delays all others.
 const MAX_WAIT_OBJECTIVES: f64 = 1.5;
+/// The same multiple for a team that has had more than its part.
+const OVER_PART_OBJECTIVES: f64 = 1.0;
 /// Shortest retry delay.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Retry delay when no upstream is known: one interval of announcement updates.
@@ -77,6 +81,23 @@
     Verdict::Refuse { retry_after: retry_after(excess, forecast.time_left, jitter) }
 }
 
+/// Decides about a call of a team with `standing`. While engines are behind, a team that has had more
+/// than its part is refused first. One that has had less is refused only if its call can't be answered
+/// in time: others are refused before it.
+pub fn decide_fairly(forecast: CallForecast, standing: Standing, jitter: f64) -> Verdict {
+    let forecast = match standing {
+        Standing::Below => CallForecast { objective: None, ..forecast },
+        Standing::Even => forecast,
+        Standing::Over => CallForecast {
+            objective: forecast
+                .objective
+                .map(|it| it.mul_f64(OVER_PART_OBJECTIVES / MAX_WAIT_OBJECTIVES)),
+            ..forecast
+        },
+    };
+    decide(forecast, jitter)
+}
+
 /// Retry delay if all upstreams want no requests for `backoff`: no shorter, and with jitter.
 pub fn retry_after_backoff(backoff: Duration, jitter: f64) -> Duration {
     backoff.max(MIN_RETRY_AFTER).mul_f64(1.0 + 0.25 * jitter)
--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -17,14 +17,17 @@
 //! instances of the system itself, and [`keeper_view`] tells whether an instance sees enough of the
 //! others to act on its share of a common limit. [`connectivity`] detects that a network partition cuts
 //! an instance off from all upstreams. [`stall_detector`] detects that a process was
-//! stalled.
+//! stalled. Where engines crash when their memory is exceeded,
+//! [`engine_memory`] tells which have room for a call, and [`fair_share`] which team goes first.
 
 pub mod attempt_timeout;
 pub mod availability;
 pub mod cold;
 pub mod connectivity;
 pub mod contacts;
+pub mod engine_memory;
 pub mod evacuation_orders;
+pub mod fair_share;
 pub mod handover;
 pub mod health;
 pub mod keeper_view;
--- a/crates/medlarlug-core/src/gateway/placement.rs
+++ b/crates/medlarlug-core/src/gateway/placement.rs
@@ -20,7 +20,10 @@
 use std::time::Duration;
 
 use crate::{
-    gateway::peer_loads::{LoadReport, PeerLoads, ReportSource, UpstreamKey},
+    gateway::{
+        engine_memory::EngineMemory,
+        peer_loads::{LoadReport, PeerLoads, ReportSource, UpstreamKey},
+    },
     ids::{InstanceId, UpstreamId},
     time::Time,
 };
@@ -102,6 +105,10 @@
     pub prefill_tokens: u32,
     /// Priority of the call.
     pub priority: u8,
+    /// Whether no engine has room for the call in its memory, so that it has to wait.
+    pub lacks_room: bool,
+    /// Number of engines that have room for the call; 0 if the memory of engines does not matter.
+    pub roomy_engines: usize,
 }
 
 /// Prompt tokens that an engine prefills in a millisecond, before measurements correct the
@@ -287,7 +294,31 @@
         let wait = Duration::from_secs_f64(predicted.wait_ms / 1_000.0);
         let cost = Duration::from_secs_f64(cost_ms / 1_000.0);
         let (prefill_tokens, priority) = (predicted.prefill_tokens, demand.priority);
-        Some(Choice { id: candidate.id.clone(), wait, cost, prefill_tokens, priority })
+        Some(Choice {
+            id: candidate.id.clone(),
+            wait,
+            cost,
+            prefill_tokens,
+            priority,
+            lacks_room: false,
+            roomy_engines: 0,
+        })
+    }
+
+    /// The same choice among the engines that have room for the call in their memory. If none has,
+    /// the call waits for that with the lowest cost; `None` if it exceeds the memory of all.
+    pub fn choose_with_room(
+        &self,
+        now: Time,
+        demand: &Demand,
+        candidates: &[Candidate],
+        peers: usize,
+        memory: &EngineMemory,
+    ) -> Option<Choice> {
+        let (roomy, lacks_room) = memory.with_room(demand, candidates, peers);
+        let choice = self.choose(now, demand, &roomy, peers)?;
+        let roomy_engines = if lacks_room { 0 } else { roomy.len() };
+        Some(Choice { lacks_room, roomy_engines, ..choice })
     }
 
     fn predict(
--- a/crates/medlarlug-core/src/suspects/isolation.rs
+++ b/crates/medlarlug-core/src/suspects/isolation.rs
@@ -162,6 +162,12 @@
             Event::UpstreamCrashed { upstream, incarnation } => {
                 self.record_crash(now, upstream, incarnation, out);
             }
+            Event::CrashExplained { upstream, incarnation } => {
+                for sent in self.interrupted(&upstream, incarnation) {
+                    self.remove(&sent.request, out);
+                    out.push(Effect::Interrupted { request: sent.request });
+                }
+            }
             Event::FactReceived(fact) => self.apply_all(now, std::slice::from_ref(&fact), out),
             Event::Reserved { upstream, lifetime } => {
                 self.reserve(upstream, now + lifetime.min(RESERVATION_LIFETIME));
@@ -254,6 +260,13 @@
         found.is_ok_and(|found| now - self.sound[found].1 < SOUND_LIFETIME)
     }
 
+    /// The requests in flight on an incarnation of an upstream.
+    fn interrupted(&self, upstream: &UpstreamId, incarnation: Incarnation) -> Vec<InFlightRequest> {
+        let is_interrupted =
+            |it: &&InFlightRequest| it.upstream == *upstream && it.incarnation == incarnation;
+        self.in_flight.iter().filter(is_interrupted).cloned().collect()
+    }
+
     fn record_crash(
         &mut self,
         now: Time,
@@ -261,10 +274,7 @@
         incarnation: Incarnation,
         out: &mut Vec<Effect>,
     ) {
-        let is_interrupted =
-            |it: &InFlightRequest| it.upstream == upstream && it.incarnation == incarnation;
-        let interrupted: Vec<InFlightRequest> =
-            self.in_flight.iter().filter(|it| is_interrupted(it)).cloned().collect();
+        let interrupted = self.interrupted(&upstream, incarnation);
         if interrupted.is_empty() {
             return;
         }
--- a/crates/medlarlug-core/src/suspects/mod.rs
+++ b/crates/medlarlug-core/src/suspects/mod.rs
@@ -210,6 +210,14 @@
         /// The incarnation that crashed.
         incarnation: Incarnation,
     },
+    /// An upstream crashed for a reason that is known and lies in none of its requests, such as more
+    /// requests than its memory holds. This is no evidence against their contents.
+    CrashExplained {
+        /// Upstream whose requests in flight on that incarnation are interrupted.
+        upstream: UpstreamId,
+        /// The incarnation that crashed.
+        incarnation: Incarnation,
+    },
     /// A fact was received from a peer or from the home group.
     FactReceived(Fact),
     /// A peer of the zone reserved an upstream for a suspect.
--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod availability;
 mod connectivity;
 mod contacts;
+mod engine_memory;
 mod evacuation_orders;
 mod fixture;
 mod handover;
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -12,6 +12,7 @@
 use medlarlug_core::{
     gateway::{
         availability::Backoff,
+        fair_share::Holder,
         handover::{Attempts, HandoverReport},
         health::UpstreamOutcome,
         placement::Choice,
@@ -32,6 +33,7 @@
     choice::Hop,
     crashes::{InFlight, RequestEnd},
     forwarded,
+    pressure::BookedCall,
 };
 use crate::{link::Message, metrics as names};
 
@@ -62,6 +64,8 @@
     pub(super) last_event: Option<u64>,
     /// Timeout for the head of the answer, or for the first event of a stream.
     pub(super) answer_timeout: Duration,
+    /// The service and the team of the call.
+    pub(super) holder: Holder,
 }
 
 /// Result of an attempt.
@@ -134,6 +138,8 @@
     /// The request to the upstream; `request_end` is reported for it when the slot is dropped.
     in_flight: Option<InFlight>,
     request_end: RequestEnd,
+    /// What the call has booked in the memory of its engine.
+    booked: Option<BookedCall>,
 }
 
 /// Where a call is counted.
@@ -170,6 +176,11 @@
 impl Drop for LoadSlot {
     fn drop(&mut self) {
         let now = self.entry.now();
+        if self.request_end == RequestEnd::Unanswered
+            && let Some(booked) = &self.booked
+        {
+            booked.record_break();
+        }
         if let Some(in_flight) = self.in_flight.take() {
             self.entry.request_ended(in_flight, self.request_end, self.has_first_token);
         }
@@ -507,6 +518,7 @@
         Hop::Peer { .. } => None,
     };
     let request_end = RequestEnd::Other;
+    let booked = entry.book(hop, demand, &context.holder);
     LoadSlot {
         entry: entry.clone(),
         counted_at,
@@ -514,6 +526,7 @@
         has_first_token: false,
         in_flight,
         request_end,
+        booked,
     }
 }
 
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Whether the call has to wait until an engine has room for it.
+    pub(super) fn lacks_room(&self) -> bool {
+        matches!(self, Hop::Upstream { choice, .. } if choice.lacks_room)
+    }
+
     /// Predicted time to the first token or the answer.
     pub(super) fn wait(&self) -> Duration {
         match self {
@@ -131,11 +136,12 @@
         }
     }
 
-    /// Cost of sending a call to an upstream, including the time queued for prefill.
+    /// Cost of sending a call to an upstream, including the time queued for prefill and for room.
     pub(super) fn cost(&self, choice: &Choice) -> Duration {
+        let cost = choice.cost + self.room_wait(choice);
         match choice.is_long() {
-            true => choice.cost + self.queue_waits.borrow().expected(self.now()),
-            false => choice.cost,
+            true => cost + self.queue_waits.borrow().expected(self.now()),
+            false => cost,
         }
     }
 
@@ -196,7 +202,12 @@
                 },
             })
             .collect();
-        self.loads.borrow().choose(now, demand, &candidates, self.exchange.instances())
+        let (loads, peers) = (self.loads.borrow(), self.exchange.instances());
+        if memory == 0 || !self.has_pressure() {
+            return loads.choose(now, demand, &candidates, peers);
+        }
+        let memory = self.pressure.memory.borrow();
+        loads.choose_with_room(now, demand, &candidates, peers, &memory)
     }
 
     fn is_cold(&self, now: Time, known: &KnownUpstream) -> bool {
--- a/crates/medlarlug-gateway/src/entry/crashes.rs
+++ b/crates/medlarlug-gateway/src/entry/crashes.rs
@@ -359,12 +359,20 @@
 
     /// Records that an upstream has crashed with all requests that were in flight there.
     fn record_crash(&self, key: CrashId, evidence: &'static str) {
-        self.crashes.borrow_mut().unanswered.retain(|(in_flight, _)| in_flight.key != key);
+        let broke_at = {
+            let mut crashes = self.crashes.borrow_mut();
+            let is_there = |it: &&(InFlight, Time)| it.0.key == key;
+            let broke_at = crashes.unanswered.iter().filter(is_there).map(|it| it.1).min();
+            crashes.unanswered.retain(|(in_flight, _)| in_flight.key != key);
+            broke_at.unwrap_or_else(|| self.now())
+        };
+        let has_exceeded = self.has_exceeded_memory(&key.upstream, broke_at);
         metrics::counter!(names::UPSTREAM_CRASHES).increment(1);
-        tracing::warn!(upstream = %key.upstream, birth = key.incarnation.0, evidence, "upstream crashed");
-        self.handle_event(Event::UpstreamCrashed {
-            upstream: key.upstream,
-            incarnation: key.incarnation,
+        tracing::warn!(upstream = %key.upstream, birth = key.incarnation.0, evidence, has_exceeded, "upstream crashed");
+        let CrashId { upstream, incarnation } = key;
+        self.handle_event(match has_exceeded {
+            true => Event::CrashExplained { upstream, incarnation },
+            false => Event::UpstreamCrashed { upstream, incarnation },
         });
     }
 
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -23,6 +23,7 @@
 mod limited;
 mod path_check;
 mod plan;
+mod pressure;
 mod relay;
 mod serve;
 mod stream_lookup;
@@ -68,7 +69,7 @@
 
 use self::{
     answers::AnswerReader, crashes::Crashes, limited::LimitState, path_check::PathState,
-    stream_lookup::StreamState,
+    pressure::PressureState, stream_lookup::StreamState,
 };
 pub(crate) use self::{limited::LimitMessage, stream_lookup::StreamMessage};
 pub use serve::CallOutcome;
@@ -136,6 +137,7 @@
     limited: LimitState,
     paths: PathState,
     streams: StreamState,
+    pressure: PressureState,
     cold_pacer: RefCell<ColdSendPacer>,
     crashes: RefCell<Crashes>,
     cold_detector: RefCell<ColdDetector>,
@@ -189,6 +191,7 @@
             limited: LimitState::default(),
             paths: PathState::default(),
             streams: StreamState::default(),
+            pressure: PressureState::default(),
             cold_pacer: RefCell::default(),
             crashes: RefCell::default(),
             cold_detector: RefCell::default(),
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -5,6 +5,7 @@
 use medlarlug_core::{
     gateway::{
         attempt_timeout,
+        fair_share::Holder,
         handover::{Attempts, Handover},
         placement::Choice,
         prefill_queue::{self, PrefillDecision},
@@ -25,6 +26,7 @@
     choice::{Hop, Tried},
     forwarded,
     limited::PermitWait,
+    pressure::RoomWait,
     serve::CallOutcome,
 };
 use crate::metrics as names;
@@ -70,6 +72,8 @@
     pub(super) path: Vec<String>,
     /// The upstream at which the call is queued for prefill.
     pub(super) admission_wait: Option<AdmissionWait>,
+    /// Since when it has waited for an engine with room, or for its turn.
+    pub(super) room_wait_since: Option<Time>,
     /// Whether it has requested permits for upstreams with a rate limit before.
     pub(super) has_requested_permits: bool,
     /// Set while it waits for a permit.
@@ -81,13 +85,20 @@
 pub(super) struct AdmissionWait {
     entry: Rc<Entry>,
     choice: Choice,
+    /// The same call in the shares of teams; `None` if shares don't matter.
+    room_wait: Option<RoomWait>,
 }
 
 impl AdmissionWait {
-    fn begin(entry: &Rc<Entry>, choice: &Choice) -> AdmissionWait {
+    fn begin(entry: &Rc<Entry>, choice: &Choice, room_wait: Option<RoomWait>) -> AdmissionWait {
         entry.loads.borrow_mut().enqueue(choice);
         entry.exchange.report_at_once(&choice.id);
-        AdmissionWait { entry: entry.clone(), choice: choice.clone() }
+        AdmissionWait { entry: entry.clone(), choice: choice.clone(), room_wait }
+    }
+
+    /// Whether it waits for the same as a call with `choice`.
+    fn matches(&self, choice: &Choice) -> bool {
+        self.choice.id == choice.id && self.room_wait.as_ref().is_none_or(|it| it.matches(choice))
     }
 }
 
@@ -172,21 +183,43 @@
     }
 
     /// Decides whether the call is sent to the hop now. Only first attempts with long prompts at
-    /// engines are queued for prefill.
-    pub(super) fn admission(&mut self, entry: &Rc<Entry>, hop: Option<&Hop>) -> PrefillDecision {
-        let decision = self.next_admission(entry, hop);
+    /// engines are queued for prefill. Where engines crash when their memory is exceeded, every
+    /// request waits for an engine with room.
+    pub(super) fn admission(
+        &mut self,
+        entry: &Rc<Entry>,
+        call: &Call,
+        hop: Option<&Hop>,
+    ) -> PrefillDecision {
+        let decision = self.next_admission(entry, call, hop);
         self.admission_wait = match hop {
             Some(Hop::Upstream { choice, .. }) if decision == PrefillDecision::Wait => {
-                let current = self.admission_wait.take().filter(|it| it.choice.id == choice.id);
-                current.or_else(|| Some(AdmissionWait::begin(entry, choice)))
+                let current = self.admission_wait.take().filter(|it| it.matches(choice));
+                current.or_else(|| {
+                    let room_wait =
+                        entry.has_pressure().then(|| RoomWait::begin(entry, self, choice));
+                    Some(AdmissionWait::begin(entry, choice, room_wait))
+                })
             }
             _ => None,
         };
+        self.room_wait_since = match decision {
+            PrefillDecision::Wait => self.room_wait_since.or(Some(entry.now())),
+            PrefillDecision::Send | PrefillDecision::Refuse => None,
+        };
         decision
     }
 
-    fn next_admission(&self, entry: &Entry, hop: Option<&Hop>) -> PrefillDecision {
-        let Some(Hop::Upstream { choice, .. }) = hop else { return PrefillDecision::Send };
+    /// The service and the team of the call.
+    pub(super) fn holder(&self) -> Holder {
+        (self.service.clone(), None)
+    }
+
+    fn next_admission(&self, entry: &Entry, call: &Call, hop: Option<&Hop>) -> PrefillDecision {
+        let Some(Hop::Upstream { choice, memory, .. }) = hop else { return PrefillDecision::Send };
+        if *memory > 0 && entry.has_pressure() {
+            return entry.admit(self, call, choice, *memory);
+        }
         if self.attempts.arrivals() > 0 || !choice.is_long() {
             return PrefillDecision::Send;
         }
@@ -225,7 +258,7 @@
     /// has been taken from the budget for it.
     pub(super) fn may_resume(&mut self, entry: &Entry, call: &Call) -> bool {
         let left = self.answer_by - entry.now();
-        let is_in_time = |hop: Hop| hop.wait() < left;
+        let is_in_time = |hop: Hop| hop.wait() < left && !hop.lacks_room();
         self.last_event.is_some()
             && self.next_hop(entry, call).is_some_and(is_in_time)
             && self.may_send(entry, call)
@@ -301,6 +334,7 @@
             deadline: self.deadline,
             last_event: self.last_event,
             answer_timeout,
+            holder: self.holder(),
         };
         let before = self.attempts.arrivals();
         let outcome = attempt::send(entry, &context, hop, &mut self.attempts).await;
--- a/crates/medlarlug-gateway/src/entry/relay.rs
+++ b/crates/medlarlug-gateway/src/entry/relay.rs
@@ -8,7 +8,8 @@
 use std::rc::Rc;
 
 use medlarlug::{protocol::events, transport::body::Part};
-use medlarlug_core::gateway::health::UpstreamOutcome;
+use medlarlug_core::gateway::{health::UpstreamOutcome, prefill_queue::PrefillDecision};
+use rand::RngExt;
 use tokio::{
     sync::mpsc::Sender,
     time::{sleep, timeout},
@@ -21,7 +22,7 @@
     choice::Hop,
     limited::PERMIT_POLL_INTERVAL,
     plan::Plan,
-    serve::CallOutcome,
+    serve::{ADMISSION_POLL_INTERVAL, CallOutcome},
 };
 
 /// Why passing on the stream of one upstream stopped.
@@ -124,14 +125,27 @@
     }
 }
 
-/// Chooses the next hop. Waits for a permit if only upstreams with a rate limit are left.
+/// Chooses the next hop. Waits for a permit if only upstreams with a rate limit are left, and for room
+/// where engines crash when their memory is exceeded.
 async fn permitted_hop(entry: &Rc<Entry>, call: &Call, plan: &mut Plan) -> Option<Hop> {
     loop {
         let hop = plan.next_hop(entry, call);
-        if !plan.waits_for_permit(entry, hop.as_ref()) {
+        if plan.waits_for_permit(entry, hop.as_ref()) {
+            sleep(PERMIT_POLL_INTERVAL).await;
+            continue;
+        }
+        if !entry.has_pressure() {
             return hop;
         }
-        sleep(PERMIT_POLL_INTERVAL).await;
+        match plan.admission(entry, call, hop.as_ref()) {
+            PrefillDecision::Send => return hop,
+            PrefillDecision::Refuse => return None,
+            PrefillDecision::Wait if entry.now() >= plan.answer_by => return None,
+            PrefillDecision::Wait => {
+                let share = rand::rng().random_range(0.5..1.5);
+                sleep(ADMISSION_POLL_INTERVAL.mul_f64(share)).await;
+            }
+        }
     }
 }
 
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -44,7 +44,7 @@
 const NO_TABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Mean time between two checks whether a long prompt is admitted to its engine: a few steps of an
 /// engine. It is randomized so that instances do not check at the same moment.
-const ADMISSION_POLL_INTERVAL: Duration = Duration::from_millis(12);
+pub(super) const ADMISSION_POLL_INTERVAL: Duration = Duration::from_millis(12);
 /// Fraction of its time for which a call may wait for an instance that is starting.
 const START_WAIT_FRACTION: f64 = 0.35;
 /// Longest time for which a call may wait for an instance that is starting.
@@ -298,6 +298,7 @@
         failed_connections: 0,
         path: Vec::new(),
         admission_wait: None,
+        room_wait_since: None,
         has_requested_permits: false,
         permit_wait: None,
         route,
@@ -324,6 +325,7 @@
     let mut answer: Option<Response<Bytes>> = None;
     let mut unknown: Option<Unknown> = None;
     let mut retry_after: Option<Duration> = None;
+    entry.record_demand(plan);
     loop {
         let now = entry.now();
         let left = plan.answer_by - now;
@@ -340,14 +342,19 @@
             sleep(PERMIT_POLL_INTERVAL).await;
             continue;
         }
-        let wait = hop.as_ref().map(Hop::wait);
+        let wait = hop.as_ref().map(|hop| match hop {
+            Hop::Upstream { choice, .. } => hop.wait() + entry.room_wait(choice),
+            Hop::Peer { .. } => hop.wait(),
+        });
         let objective = plan.is_on_engines().then_some(plan.route.objective);
-        let mut verdict = load_shedding::decide(
-            CallForecast { predicted_wait: wait, time_left: left, objective },
-            rand::rng().random(),
-        );
+        let forecast = CallForecast { predicted_wait: wait, time_left: left, objective };
+        let jitter = rand::rng().random();
+        let mut verdict = match entry.standing(plan) {
+            Some(standing) => load_shedding::decide_fairly(forecast, standing, jitter),
+            None => load_shedding::decide(forecast, jitter),
+        };
         if verdict == Verdict::Serve {
-            match plan.admission(entry, hop.as_ref()) {
+            match plan.admission(entry, call, hop.as_ref()) {
                 PrefillDecision::Send => {}
                 PrefillDecision::Wait => {
                     sleep(ADMISSION_POLL_INTERVAL.mul_f64(rand::rng().random_range(0.5..1.5)))
--- a/crates/medlarlug-gateway/src/load_exchange.rs
+++ b/crates/medlarlug-gateway/src/load_exchange.rs
@@ -16,6 +16,7 @@
 
 use medlarlug_core::{
     gateway::{
+        engine_memory::BookingReport,
         load_exchange::{COLLECTOR_TIMEOUT, ExchangePlan, Member, Role},
         peer_loads::{LoadReport, ReportSource, UpstreamKey, load_of},
     },
@@ -40,6 +41,11 @@
 const SUBSCRIPTION_LIFETIME: Duration = Duration::from_secs(1);
 /// Longest datagram, in bytes; below the usual packet size, so that it is not fragmented.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Maximum number of engines in one report of bookings without parts. One takes up to 13 bytes.
+const MAX_DATAGRAM_BOOKINGS: usize = 100;
+/// Time for which reports without bookings are sent after the last booking has ended, so that a lost
+/// one leaves nobody with the bookings before it.
+const EMPTY_REPORT_TIME: Duration = Duration::from_secs(2);
 /// Maximum number of loads in one datagram. One load takes up to ten bytes.
 const MAX_DATAGRAM_LOADS: usize = 130;
 
@@ -71,6 +77,24 @@
     Limit(LimitMessage),
     /// A message about the software versions of streams.
     Stream(StreamMessage),
+    /// What calls have booked in the memory of engines.
+    Bookings {
+        from: BookingSource,
+        /// Whether `reports` holds all engines with bookings, or only changed ones.
+        is_whole: bool,
+        reports: Vec<BookingReport>,
+    },
+}
+
+/// Whose bookings a message holds.
+#[derive(Debug, Serialize, Deserialize)]
+enum BookingSource {
+    /// Those of one instance.
+    Instance(InstanceId),
+    /// Those of all instances of a zone.
+    Zone(ZoneId),
+    /// Those of all instances of the region except the receiver.
+    Region,
 }
 
 /// Id and internal address of another instance.
@@ -99,6 +123,26 @@
     aggregate_received: Cell<Option<Time>>,
     /// Number of live entry instances of the region, this one included.
     instances: Cell<usize>,
+    /// Engines whose changed bookings are to be reported at once, sorted.
+    changed_bookings: RefCell<Vec<UpstreamId>>,
+    /// At a collector: engines whose bookings have changed since changes were last forwarded, sorted.
+    bookings_to_forward: RefCell<Vec<UpstreamKey>>,
+    /// The part of `bookings_to_forward` that was reported by the own zone.
+    zone_bookings: RefCell<Vec<UpstreamKey>>,
+}
+
+/// When a list of bookings was last not empty.
+#[derive(Debug, Default)]
+struct LastBooked(Option<Time>);
+
+impl LastBooked {
+    /// Whether a list of bookings has to be sent: something is booked, or was until recently.
+    fn is_due(&mut self, now: Time, reports: &[BookingReport]) -> bool {
+        if !reports.is_empty() {
+            self.0 = Some(now);
+        }
+        self.0.is_some_and(|booked| now - booked < EMPTY_REPORT_TIME)
+    }
 }
 
 impl Exchange {
@@ -109,6 +153,26 @@
         self.forward(UpstreamKey::new(upstream), true);
     }
 
+    /// Reports the bookings at an engine to the peers at once.
+    pub(crate) fn report_bookings_at_once(&self, upstream: &UpstreamId) {
+        insert_sorted(&mut self.changed_bookings.borrow_mut(), upstream.clone());
+        self.has_changed.notify_one();
+        self.forward_bookings(UpstreamKey::new(upstream), true);
+    }
+
+    /// At a collector: queues the bookings at an engine for forwarding; `is_own_zone` tells whether
+    /// the report came from the own zone.
+    fn forward_bookings(&self, upstream: UpstreamKey, is_own_zone: bool) {
+        if !matches!(self.role.get(), Some(Role::Collector { .. })) {
+            return;
+        }
+        insert_sorted(&mut self.bookings_to_forward.borrow_mut(), upstream);
+        if is_own_zone {
+            insert_sorted(&mut self.zone_bookings.borrow_mut(), upstream);
+        }
+        self.has_to_forward.notify_one();
+    }
+
     /// At a collector: queues the load of an upstream for forwarding; `is_own_zone` tells whether
     /// the report came from the own zone.
     fn forward(&self, upstream: UpstreamKey, is_own_zone: bool) {
@@ -127,9 +191,12 @@
         self.instances.get().max(1)
     }
 
-    async fn next_changes(&self) -> Vec<UpstreamId> {
+    /// Waits for changes that have to be reported at once: the upstreams whose load has changed, and
+    /// the engines whose bookings have.
+    async fn next_changes(&self) -> (Vec<UpstreamId>, Vec<UpstreamId>) {
         self.has_changed.notified().await;
-        std::mem::take(&mut *self.changed.borrow_mut())
+        let changed = std::mem::take(&mut *self.changed.borrow_mut());
+        (changed, std::mem::take(&mut *self.changed_bookings.borrow_mut()))
     }
 
     /// Assigns roles from the instances that are alive now.
@@ -192,6 +259,7 @@
 /// Sends complete reports and aggregates for as long as the process runs.
 pub(crate) async fn send_reports(entry: Rc<Entry>, socket: Rc<UdpSocket>) {
     let (mut last, mut reported) = (Vec::new(), Time::ZERO);
+    let mut bookings = BookingRounds::default();
     loop {
         let exchange = entry.exchange();
         let (own, region) = entry.region_members();
@@ -202,6 +270,9 @@
             report(&entry, &socket, true, &loads);
             (last, reported) = (loads, now);
         }
+        if entry.has_pressure() {
+            bookings.send(&entry, &socket, now);
+        }
         match exchange.role.get() {
             Some(Role::Collector { place }) => {
                 entry.expire_peer_loads();
@@ -221,8 +292,43 @@
 /// Reports changes that peers have to know at once, for as long as the process runs.
 pub(crate) async fn send_changes(entry: Rc<Entry>, socket: Rc<UdpSocket>) {
     loop {
-        let upstreams = entry.exchange().next_changes().await;
-        report(&entry, &socket, false, &entry.load_report_of(&upstreams));
+        let (upstreams, booked) = entry.exchange().next_changes().await;
+        if !upstreams.is_empty() {
+            report(&entry, &socket, false, &entry.load_report_of(&upstreams));
+        }
+        if !booked.is_empty() {
+            report_bookings(&entry, &socket, false, entry.booking_report_of(&booked));
+        }
+    }
+}
+
+/// The complete reports and aggregates of bookings.
+#[derive(Debug, Default)]
+struct BookingRounds {
+    last: Vec<BookingReport>,
+    reported: Time,
+    own: LastBooked,
+    zone: LastBooked,
+    region: LastBooked,
+}
+
+impl BookingRounds {
+    /// Sends what this instance reports in one round, if anything is booked.
+    fn send(&mut self, entry: &Entry, socket: &UdpSocket, now: Time) {
+        entry.expire_bookings();
+        let own = entry.booking_report();
+        let is_news = own != self.last || now - self.reported >= KEEPALIVE_INTERVAL;
+        if self.own.is_due(now, &own) && is_news {
+            report_bookings(entry, socket, true, own.clone());
+            (self.last, self.reported) = (own, now);
+        }
+        let Some(Role::Collector { place }) = entry.exchange().role.get() else { return };
+        if self.region.is_due(now, &entry.bookings_for(&entry.id(), None)) {
+            send_bookings(entry, socket, None);
+        }
+        if place <= 1 && self.zone.is_due(now, &entry.zone_bookings(None)) {
+            send_zone_bookings(entry, socket, None);
+        }
     }
 }
 
@@ -233,11 +339,21 @@
         exchange.has_to_forward.notified().await;
         let to_forward = std::mem::take(&mut *exchange.to_forward.borrow_mut());
         let zone_updates = std::mem::take(&mut *exchange.zone_updates.borrow_mut());
+        let bookings = std::mem::take(&mut *exchange.bookings_to_forward.borrow_mut());
+        let zone_bookings = std::mem::take(&mut *exchange.zone_bookings.borrow_mut());
         if let Some(Role::Collector { place }) = exchange.role.get() {
-            send_aggregate(&entry, &socket, Some(&to_forward));
+            if !to_forward.is_empty() {
+                send_aggregate(&entry, &socket, Some(&to_forward));
+            }
             if place == 0 && !zone_updates.is_empty() {
                 send_zone_aggregate(&entry, &socket, Some(&zone_updates));
             }
+            if !bookings.is_empty() {
+                send_bookings(&entry, &socket, Some(&bookings));
+            }
+            if place == 0 && !zone_bookings.is_empty() {
+                send_zone_bookings(&entry, &socket, Some(&zone_bookings));
+            }
         }
         sleep(FORWARD_INTERVAL).await;
     }
@@ -252,6 +368,55 @@
         send(socket, &Datagram::Report { from, is_whole, wants_aggregate, loads }, peer.1);
     }
 }
+
+/// Sends the bookings of this instance to those that it reports to.
+fn report_bookings(entry: &Entry, socket: &UdpSocket, is_whole: bool, reports: Vec<BookingReport>) {
+    let reports = fit(reports);
+    for peer in entry.exchange().report_to.borrow().iter() {
+        let (from, reports) = (BookingSource::Instance(entry.id()), reports.clone());
+        send(socket, &Datagram::Bookings { from, is_whole, reports }, peer.1);
+    }
+}
+
+/// Sends each subscriber the bookings of all instances but itself: at all engines, or only at those in
+/// `only`.
+fn send_bookings(entry: &Entry, socket: &UdpSocket, only: Option<&[UpstreamKey]>) {
+    for (id, address) in entry.exchange().subscribers(entry.now()) {
+        let reports = fit(entry.bookings_for(&id, only));
+        let (from, is_whole) = (BookingSource::Region, only.is_none());
+        send(socket, &Datagram::Bookings { from, is_whole, reports }, address);
+    }
+}
+
+/// Sends the bookings of the own zone to other zones: at all engines, or only at those in `only`.
+fn send_zone_bookings(entry: &Entry, socket: &UdpSocket, only: Option<&[UpstreamKey]>) {
+    let (own, _) = entry.region_members();
+    let (from, reports) = (BookingSource::Zone(own.zone), fit(entry.zone_bookings(only)));
+    let datagram = Datagram::Bookings { from, is_whole: only.is_none(), reports };
+    entry.exchange().aggregate_to.borrow().iter().for_each(|it| send(socket, &datagram, it.1));
+}
+
+/// Shortens reports of bookings to what fits into a datagram. Without their lists of parts they count
+/// too much rather than too little. Of more engines than fit, the fullest are kept.
+fn fit(reports: Vec<BookingReport>) -> Vec<BookingReport> {
+    // The sender's id and the other fields take up to 80 bytes.
+    let fits = |it: &Vec<BookingReport>| {
+        postcard::to_stdvec(it).is_ok_and(|bytes| bytes.len() + 80 <= MAX_DATAGRAM_BYTES)
+    };
+    if fits(&reports) {
+        return reports;
+    }
+    let mut reports: Vec<BookingReport> =
+        reports.iter().map(BookingReport::without_parts).collect();
+    if reports.len() > MAX_DATAGRAM_BOOKINGS {
+        tracing::warn!(engines = reports.len(), "report of bookings cut to the fullest engines");
+        reports.sort_by_key(|it| std::cmp::Reverse(it.tokens));
+        reports.truncate(MAX_DATAGRAM_BOOKINGS);
+        reports.sort_by_key(|it| it.upstream);
+    }
+    reports
+}
+
 /// Sends each subscriber the aggregate load of all instances but itself: all upstreams, or only
 /// those in `changed`.
 fn send_aggregate(entry: &Entry, socket: &UdpSocket, changed: Option<&[UpstreamKey]>) {
@@ -300,7 +465,11 @@
         Ok(bytes) => bytes,
         Err(error) => return tracing::error!(%error, "failed to encode a load report"),
     };
-    metrics::counter!(crate::metrics::LOAD_BYTES).increment(bytes.len() as u64);
+    let counted = match datagram {
+        Datagram::Bookings { .. } => crate::metrics::BOOKING_BYTES,
+        _ => crate::metrics::LOAD_BYTES,
+    };
+    metrics::counter!(counted).increment(bytes.len() as u64);
     if let Err(error) = socket.try_send_to(&bytes, to) {
         tracing::debug!(%error, peer = %to, "load report not sent");
     }
@@ -341,6 +510,9 @@
     let (source, is_whole, instances, loads) = match (datagram, exchange.role.get()) {
         (Datagram::Limit(message), _) => return entry.on_limit_message(address, message),
         (Datagram::Stream(message), _) => return entry.on_stream_message(address, message),
+        (Datagram::Bookings { from, is_whole, reports }, role) => {
+            return handle_bookings(entry, role, from, is_whole, reports);
+        }
         (
             Datagram::Report { from, is_whole, wants_aggregate, loads },
             Some(Role::Direct | Role::Collector { .. }),
@@ -371,3 +543,27 @@
         entry.apply_load_changes(&source, loads);
     }
 }
+
+/// Handles bookings of other instances if they match the role of this instance.
+fn handle_bookings(
+    entry: &Entry,
+    role: Option<Role>,
+    from: BookingSource,
+    is_whole: bool,
+    reports: Vec<BookingReport>,
+) {
+    let source = match (from, role) {
+        (BookingSource::Instance(id), Some(Role::Direct | Role::Collector { .. })) => {
+            ReportSource::Peer(id)
+        }
+        (BookingSource::Zone(zone), Some(Role::Collector { .. })) => ReportSource::Zone(zone),
+        (BookingSource::Region, Some(Role::Reporter)) => ReportSource::Collector,
+        _ => return,
+    };
+    if !is_whole {
+        let is_own_zone = matches!(source, ReportSource::Peer(_));
+        let exchange = entry.exchange();
+        reports.iter().for_each(|it| exchange.forward_bookings(it.upstream, is_own_zone));
+    }
+    entry.apply_bookings(source, is_whole, reports);
+}
--- a/crates/medlarlug-gateway/src/metrics.rs
+++ b/crates/medlarlug-gateway/src/metrics.rs
@@ -40,6 +40,13 @@
 pub const PATH_CHECKS: &str = "medlarlug_gateway_path_checks_total";
 /// Counter in bytes: load reports sent to other instances of the region.
 pub const LOAD_BYTES: &str = "medlarlug_gateway_load_bytes_total";
+/// Counter in bytes: reports of booked tokens sent to other instances of the region.
+pub const BOOKING_BYTES: &str = "medlarlug_gateway_booking_bytes_total";
+/// Histogram in seconds: time that calls waited for room at an engine, or for their turn.
+pub const ROOM_WAIT_SECONDS: &str = "medlarlug_gateway_room_wait_seconds";
+/// Counter: calls refused after they had waited for room at an engine, or for their turn. Label:
+/// `standing`.
+pub const ROOM_REFUSALS: &str = "medlarlug_gateway_room_refusals_total";
 /// Gauge: version of the route table in effect.
 pub const TABLE_VERSION: &str = "medlarlug_gateway_table_version";
 /// Gauge: upstreams that accept calls.
@@ -78,6 +85,9 @@
     describe_gauge!(ISOLATED, "1 while no upstream can be reached");
     describe_counter!(PATH_CHECKS, "Connections opened to check the paths to upstreams");
     describe_counter!(LOAD_BYTES, Unit::Bytes, "Load reports sent to instances of the region");
+    describe_counter!(BOOKING_BYTES, Unit::Bytes, "Reports of booked tokens sent to instances");
+    describe_histogram!(ROOM_WAIT_SECONDS, Unit::Seconds, "Wait for room at an engine or a turn");
+    describe_counter!(ROOM_REFUSALS, "Calls refused for lack of room at engines, by standing");
     describe_gauge!(TABLE_VERSION, "Version of the route table in force");
     describe_gauge!(READY_UPSTREAMS, "Upstreams that are known and take calls");
     describe_gauge!(OPEN_LINKS, "Open links to keepers");
