--- a/crates/medlarlug-core/src/gateway/engine_memory.rs
+++ b/crates/medlarlug-core/src/gateway/engine_memory.rs
@@ -352,8 +352,7 @@
     /// Tokens that a call would add to those booked at an engine.
     pub fn cost_at(&self, upstream: &UpstreamId, demand: &Demand) -> u64 {
         let (tokens, parts) = split(demand);
-        let with_parts = self.booked_with(upstream, &parts);
-        tokens + with_parts.saturating_sub(self.booked(upstream))
+        tokens + self.booked_with(upstream, &parts) - self.booked(upstream)
     }
 
     /// The candidates that have room for a call. If none has, those that could hold the call at all
@@ -365,9 +364,10 @@
         candidates: &[Candidate<'a>],
         peers: usize,
     ) -> (Vec<Candidate<'a>>, bool) {
+        let parts = split(demand);
         let is_plain = |it: &Candidate| it.memory_tokens == 0;
         let has_room = |it: &&Candidate| {
-            is_plain(it) || self.free_calls(now, it.id, it.memory_tokens, demand, peers) > 0
+            is_plain(it) || self.free_calls(now, it.id, it.memory_tokens, &parts, peers) > 0
         };
         let roomy: Vec<Candidate> = candidates.iter().filter(has_room).copied().collect();
         if !roomy.is_empty() {
@@ -379,16 +379,18 @@
     }
 
     /// How many calls of this size fit into the room that an engine has left. The margin for what
-    /// other instances send meanwhile is not counted as room.
+    /// other instances send meanwhile is not counted as room. The tokens and parts of the call are
+    /// those of [`split`].
     fn free_calls(
         &self,
         now: Time,
         id: &UpstreamId,
         memory: u64,
-        demand: &Demand,
+        (tokens, parts): &(u64, Vec<HeldPart>),
         peers: usize,
     ) -> u64 {
-        let (booked, cost) = (self.booked(id), self.cost_at(id, demand));
+        let booked = self.booked(id);
+        let cost = tokens + self.booked_with(id, parts) - booked;
         if booked == 0 {
             return u64::from(cost <= memory);
         }
@@ -409,7 +411,7 @@
         conditions: RoomTry,
     ) -> bool {
         let RoomTry { memory, peers, engines, standing, draw } = conditions;
-        let free = self.free_calls(now, id, memory, demand, peers);
+        let free = self.free_calls(now, id, memory, &split(demand), peers);
         let rivals: u32 = self.peers.iter().map(|it| it.waiting).sum();
         if u64::from(rivals) * MARGIN_CALLS < free {
             return true;
