--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -25,6 +25,7 @@
 mod pace;
 mod path_check;
 mod plan;
+mod pressure;
 mod quota;
 mod relay;
 mod serve;
@@ -73,7 +74,7 @@
 pub use self::explain::ExplainError;
 use self::{
     answers::AnswerReader, crashes::Crashes, limited::LimitState, path_check::PathState,
-    quota::QuotaState, stream_lookup::StreamState,
+    pressure::PressureState, quota::QuotaState, stream_lookup::StreamState,
 };
 pub(crate) use self::{limited::LimitMessage, stream_lookup::StreamMessage};
 pub use serve::CallOutcome;
@@ -142,6 +143,7 @@
     paths: PathState,
     streams: StreamState,
     quota: QuotaState,
+    pressure: PressureState,
     cold_pacer: RefCell<ColdSendPacer>,
     ramps: RefCell<Ramps>,
     /// Number of calls that wait for room at upstreams that ramp up.
@@ -200,6 +202,7 @@
             paths: PathState::default(),
             streams: StreamState::default(),
             quota,
+            pressure: PressureState::default(),
             cold_pacer: RefCell::default(),
             ramps: RefCell::default(),
             room_waits: Cell::default(),
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -47,7 +47,7 @@
 const NO_TABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Mean time between two checks whether a long prompt is admitted to its engine: a few steps of an
 /// engine. It is randomized so that instances do not check at the same moment.
-const ADMISSION_POLL_INTERVAL: Duration = Duration::from_millis(12);
+pub(super) const ADMISSION_POLL_INTERVAL: Duration = Duration::from_millis(12);
 /// Fraction of its time for which a call may wait for an instance that is starting.
 const START_WAIT_FRACTION: f64 = 0.35;
 /// Longest time for which a call may wait for an instance that is starting.
@@ -344,6 +344,7 @@
         failed_connections: 0,
         path: Vec::new(),
         admission_wait: None,
+        room_wait_since: None,
         has_requested_permits: false,
         permit_wait: None,
         team,
@@ -401,10 +402,20 @@
 }
 
 /// Decides whether a call is worth sending to a hop.
-pub(super) fn forecast(plan: &Plan, hop: Option<&Hop>, left: Duration, jitter: f64) -> Verdict {
+pub(super) fn forecast(
+    entry: &Entry,
+    plan: &Plan,
+    hop: Option<&Hop>,
+    left: Duration,
+    jitter: f64,
+) -> Verdict {
     let objective = plan.is_on_engines().then_some(plan.route.objective);
-    let predicted_wait = hop.map(Hop::wait);
-    load_shedding::decide(CallForecast { predicted_wait, time_left: left, objective }, jitter)
+    let predicted_wait = hop.map(|hop| entry.predicted_wait(hop));
+    let forecast = CallForecast { predicted_wait, time_left: left, objective };
+    match entry.standing(plan) {
+        Some(standing) => load_shedding::decide_fairly(forecast, standing, jitter),
+        None => load_shedding::decide(forecast, jitter),
+    }
 }
 
 /// `Retry-After` of a refusal, unless an upstream or another instance has named one.
@@ -429,6 +440,7 @@
     let mut answer: Option<Response<Bytes>> = None;
     let mut unknown: Option<Unknown> = None;
     let mut retry_after: Option<Duration> = None;
+    entry.record_demand(plan);
     loop {
         let now = entry.now();
         let left = plan.answer_by - now;
@@ -453,10 +465,10 @@
             sleep(ROOM_POLL_INTERVAL).await;
             continue;
         }
-        let wait = hop.as_ref().map(Hop::wait);
-        let mut verdict = forecast(plan, hop.as_ref(), left, rand::rng().random());
+        let wait = hop.as_ref().map(|hop| entry.predicted_wait(hop));
+        let mut verdict = forecast(entry, plan, hop.as_ref(), left, rand::rng().random());
         if verdict == Verdict::Serve {
-            match plan.admission(entry, hop.as_ref()) {
+            match plan.admission(entry, call, hop.as_ref()) {
                 PrefillDecision::Send => {}
                 PrefillDecision::Wait => {
                     sleep(ADMISSION_POLL_INTERVAL.mul_f64(rand::rng().random_range(0.5..1.5)))
