Tests of crowds that exhaust the memory of a process

Cause: bodies of many clients at once are bounded each, not together, and nothing bounds the descriptors below the limit of 3,000 connections.

Change: six kinds of crowd (240 clients, bodies of 2 MiB, 1 GiB announced, 16 MiB sent without announcement, chunks of one byte) against an entry instance and a keeper of the platform and of the product's own path. The bounds are memoryMb=112 and maxFds=192; memory is VmHWM, or RSS with the bytes in the receive queues. One ordinary request has to be answered while the crowd is still connected. The tests of one process share a lock, so that one crowd runs at a time. The product's own path has no setting for its memory yet; its tests use the same bounds. The fake upstream reads bodies of up to 8 MiB.

--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -1,6 +1,7 @@
 //! Builders and fixtures for the tests and benchmarks of the workspace.
 
 pub mod caller;
+pub mod crowd;
 pub mod deployment;
 pub mod relay;
 pub mod scale;
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -3,6 +3,7 @@
 mod booking;
 mod bounds;
 mod confirmations;
+mod crowds;
 mod fixture;
 mod history;
 mod isolation;
