One memory budget for the bodies, answers and connections of an instance

Cause: bodies were bounded each, not together, kept as frames, and held until the end of the call; connections and socket buffers did not follow from the machine.

Change: a core without I/O (memory_budget) grants bytes before they are read, lets the oldest bodies complete first, keeps a floor for one body at the limit and a pool for small bodies, and ends stalled bodies in favor of others. Its carrier (transport/memory) reads bodies into one buffer, refuses announced long bodies with 413 before reading, and answers 503 with Retry-After or 408 with Connection: close otherwise. Connections follow from memory and descriptors; when there are too many, the one that waits longest for its client is closed. Socket buffers are bounded. A body is released when no attempt can follow. The product's own path has the setting 'resources'; its crowd tests now write it. Without limits only the copying remains.

--- a/crates/medlarlug-core/src/lib.rs
+++ b/crates/medlarlug-core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod ids;
 pub mod limits;
 pub mod membership;
+pub mod memory_budget;
 pub mod orders;
 pub mod record;
 pub mod refusal;
--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod home_tables;
 mod limits;
 mod membership;
+mod memory_budget;
 mod network;
 mod order_plan;
 mod orders;
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -39,6 +39,7 @@
     transport::{
         http_client::HttpClient,
         http_server::{self, ServerError, ServerLimits},
+        memory::Memory,
     },
 };
 use medlarlug_core::{
@@ -54,7 +55,7 @@
         prefill_queue::QueueWaits,
         remote_region::REFERENCE_PROMPT_TOKENS,
         retry_budget::RetryWindow,
-        table::{RouteTable, ServiceName, TableVersion},
+        table::{CallerLimits, RouteTable, ServiceName, TableVersion},
         upstreams::{Birth, Effect, UpstreamState, Upstreams},
     },
     ids::{InstanceId, RegionId, UpstreamId, ZoneId},
@@ -154,6 +155,8 @@
     /// The server for other instances; it ends once its connections are closed.
     internal: RefCell<Option<JoinHandle<()>>>,
     running: Cell<usize>,
+    /// What the servers of the process hold for their clients.
+    memory: Memory,
 }
 
 impl Entry {
@@ -168,7 +171,8 @@
         names: HeaderNames,
         stop: watch::Receiver<bool>,
     ) -> Result<Rc<Entry>, ServerError> {
-        let internal = http_server::listen("peers", settings.info.internal).await?;
+        let memory = settings.resources.client_memory(CallerLimits::default().body_bytes);
+        let internal = http_server::listen_within("peers", settings.info.internal, &memory).await?;
         let clock = Clock::start_with_offset(MAX_UPDATE_AGE);
         let entry = Rc::new(Entry {
             settings: RefCell::new(settings),
@@ -202,6 +206,7 @@
             is_draining: Cell::new(false),
             internal: RefCell::default(),
             running: Cell::new(0),
+            memory: memory.clone(),
         });
         entry.links.connect_new(&entry);
         task::spawn_local(upkeep(entry.clone()));
@@ -221,7 +226,8 @@
         task::spawn_local(load_exchange::receive_datagrams(entry.clone(), socket));
         let this = entry.clone();
         let handler = move |request, _| serve::forwarded(this.clone(), request);
-        let server = http_server::serve(internal, server_limits(), stop, handler);
+        let limits = server_limits(&memory, PEERS_SHARE);
+        let server = http_server::serve_within(internal, limits, memory, stop, handler);
         *entry.internal.borrow_mut() = Some(task::spawn_local(server));
         Ok(entry)
     }
@@ -236,13 +242,19 @@
         front: SocketAddr,
         stop: watch::Receiver<bool>,
     ) -> Result<(), ServerError> {
-        let listener = http_server::listen("callers", front).await?;
+        let listener = http_server::listen_within("callers", front, &self.memory).await?;
         let this = self.clone();
         let handler = move |request, _| serve::from_caller(this.clone(), request);
-        http_server::serve(listener, server_limits(), stop, handler).await;
+        let (limits, memory) = (server_limits(&self.memory, CALLERS_SHARE), self.memory.clone());
+        http_server::serve_within(listener, limits, memory, stop, handler).await;
         Ok(())
     }
 
+    /// What the servers of the process hold for their clients.
+    pub fn memory(&self) -> &Memory {
+        &self.memory
+    }
+
     /// Applies changed settings. Contacts and retry bounds take effect at once.
     pub fn reload(self: &Rc<Entry>, settings: NodeSettings) {
         *self.settings.borrow_mut() = settings;
@@ -551,11 +563,21 @@
     }
 }
 
-fn server_limits() -> ServerLimits {
+/// Share of the descriptors and of the memory for connections that callers may use. As many are left for
+/// the connections to upstreams.
+const CALLERS_SHARE: f64 = 0.3125;
+/// The share of other instances.
+const PEERS_SHARE: f64 = 0.125;
+/// Buffer for a head and the bytes that are read with it: four times the longest head that the first
+/// deployments permit, and twice within a memory limit.
+const HEADER_BYTES: usize = 64 * 1024;
+const LIMITED_HEADER_BYTES: usize = 32 * 1024;
+
+fn server_limits(memory: &Memory, share: f64) -> ServerLimits {
     ServerLimits {
-        header_bytes: 64 * 1024,
+        header_bytes: if memory.is_limited() { LIMITED_HEADER_BYTES } else { HEADER_BYTES },
         header_time: CONNECTION_IDLE_TIMEOUT,
-        connections: MAX_CONNECTIONS,
+        connections: memory.connections(MAX_CONNECTIONS, share),
         requests: u32::MAX,
     }
 }
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -251,6 +251,11 @@
         true
     }
 
+    /// Whether an attempt may follow the present one. Otherwise the body is not needed any more.
+    pub(super) fn can_repeat(&self) -> bool {
+        self.route.kind.is_retryable() && self.attempts.may_send()
+    }
+
     /// Sends the call to a hop.
     pub(super) async fn attempt(&mut self, entry: &Rc<Entry>, call: &Call, hop: &Hop) -> Outcome {
         match hop {
--- a/crates/medlarlug-gateway/src/entry/relay.rs
+++ b/crates/medlarlug-gateway/src/entry/relay.rs
@@ -7,7 +7,11 @@
 
 use std::rc::Rc;
 
-use medlarlug::{protocol::events, transport::body::Part};
+use bytes::Bytes;
+use medlarlug::{
+    protocol::events,
+    transport::{body::Part, memory::AnswerMemory},
+};
 use medlarlug_core::gateway::health::UpstreamOutcome;
 use tokio::{
     sync::mpsc::Sender,
@@ -24,6 +28,24 @@
     serve::CallOutcome,
 };
 
+/// Takes the parts of the answer for the caller.
+pub(super) struct Caller {
+    pub(super) parts: Sender<Part>,
+    /// Counts the parts until they are written.
+    pub(super) memory: AnswerMemory,
+}
+
+impl Caller {
+    /// Passes on events. Returns false if the caller has disconnected, or was cut because it does not
+    /// read.
+    async fn send(&self, events: Bytes) -> bool {
+        match self.memory.hold(events).await {
+            Some(events) => self.parts.send(Part::Chunk(events)).await.is_ok(),
+            None => false,
+        }
+    }
+}
+
 /// Why passing on the stream of one upstream stopped.
 enum Step {
     /// The stream is complete.
@@ -42,15 +64,15 @@
     call: Call,
     mut plan: Plan,
     stream: Box<EventStream>,
-    sender: Sender<Part>,
+    caller: Caller,
 ) {
     let mut stream = stream;
     loop {
-        let step = pass(&entry, &call, &mut plan, &mut stream, &sender).await;
+        let step = pass(&entry, &call, &mut plan, &mut stream, &caller).await;
         match step {
             Step::Done => {
                 stream.finish(&entry);
-                let _ = sender.send(Part::End).await;
+                let _ = caller.parts.send(Part::End).await;
                 return plan.record_outcome(&entry, &call, CallOutcome::Answered);
             }
             Step::Left => return plan.record_outcome(&entry, &call, CallOutcome::Left),
@@ -61,7 +83,7 @@
         plan.count_broken(stream.hop());
         // Closes the connection before another upstream resumes the stream.
         drop(stream);
-        match resume(&entry, &call, &mut plan, &sender).await {
+        match resume(&entry, &call, &mut plan, &caller.parts).await {
             Some(next) => stream = next,
             None => return plan.record_outcome(&entry, &call, CallOutcome::BrokenOff),
         }
@@ -75,7 +97,7 @@
     call: &Call,
     plan: &mut Plan,
     stream: &mut EventStream,
-    sender: &Sender<Part>,
+    caller: &Caller,
 ) -> Step {
     let idle_timeout = plan.idle_timeout(stream.hop());
     let mut last_content = entry.now();
@@ -88,7 +110,7 @@
         let limit = idle_timeout.map_or(left, |limit| ((last_content + limit) - now).min(left));
         let piece = tokio::select! {
             piece = timeout(limit, stream.next()) => piece,
-            () = sender.closed() => return Step::Left,
+            () = caller.parts.closed() => return Step::Left,
         };
         let events = match piece {
             Ok(Piece::Events(events)) => events,
@@ -112,7 +134,8 @@
             plan.last_event = Some(last);
         }
         let sent = tokio::select! {
-            sent = sender.send(Part::Chunk(events)) => sent.is_ok(),
+            sent = caller.send(events) => sent,
+            () = caller.parts.closed() => false,
             () = sleep(left) => return Step::Late,
         };
         if !sent {
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
-use medlarlug::transport::body::{self, Answer, BodyError};
+use medlarlug::transport::{
+    body::{self, Answer, BodyError},
+    memory::ClientMemory,
+};
 use medlarlug_core::{
     gateway::{
         handover::{Attempts, Handover, HandoverReport},
@@ -42,6 +45,8 @@
 /// `Retry-After` while there is no table yet: the time for an election, and for the table to
 /// arrive.
 const NO_TABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// `Retry-After` while there is no memory for a body: the time in which a body that stalls is ended.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Mean time between two checks whether a long prompt is admitted to its engine: a few steps of an
 /// engine. It is randomized so that instances do not check at the same moment.
 const ADMISSION_POLL_INTERVAL: Duration = Duration::from_millis(12);
@@ -183,6 +188,7 @@
     forwarded: Option<Handover>,
 ) -> Reported {
     let began = entry.now();
+    let memory = ClientMemory::of(&request);
     let (parts, incoming) = request.into_parts();
     let mut call = Call::read(parts, &entry.names);
     let is_forwarded = forwarded.is_some();
@@ -193,20 +199,12 @@
     };
     call.demand.priority = plan.route.priority;
     let limit = plan.table.limits().body_bytes;
-    match timeout(plan.answer_by - entry.now(), body::read(incoming, limit)).await {
-        Ok(Ok(bytes)) => call.set_body(bytes),
-        Err(_) => {
-            plan.record_outcome(entry, &call, CallOutcome::TimedOut);
-            let answer = plain(StatusCode::REQUEST_TIMEOUT, "the body took too long; not run");
-            return Reported::new(answer, HandoverReport::REFUSED);
-        }
-        Ok(Err(BodyError::TooLong { .. })) => {
-            plan.record_outcome(entry, &call, CallOutcome::Rejected);
-            return rejected(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
-        }
-        Ok(Err(BodyError::Truncated)) => {
-            plan.record_outcome(entry, &call, CallOutcome::Left);
-            return rejected(StatusCode::BAD_REQUEST, "the body was cut");
+    let reading = timeout(plan.answer_by - entry.now(), memory.read_body(incoming, limit));
+    match reading.await.unwrap_or(Err(BodyError::Stalled)) {
+        Ok(bytes) => call.set_body(bytes),
+        Err(error) => {
+            plan.record_outcome(entry, &call, outcome_of(&error));
+            return unread(entry, &call, &error);
         }
     }
     if !is_forwarded {
@@ -221,10 +219,39 @@
     let resumes = plan.last_event.is_some() || call.resumed_call.is_some();
     let is_unbound = plan.route.kind.is_stream() && plan.version == StreamVersion::Free;
     if resumes && is_unbound && !entry.resolve_stream_version(&call, &mut plan).await {
-        return finish(entry, call, plan, Resolution::Refuse { retry_after: None });
+        let refused = Resolution::Refuse { retry_after: None };
+        return finish(entry, call, plan, refused, &memory).await;
     }
     let result = run_attempts(entry, &call, &mut plan).await;
-    finish(entry, call, plan, result)
+    finish(entry, call, plan, result, &memory).await
+}
+
+fn outcome_of(error: &BodyError) -> CallOutcome {
+    match error {
+        BodyError::TooLong { .. } => CallOutcome::Rejected,
+        BodyError::Truncated => CallOutcome::Left,
+        BodyError::Stalled => CallOutcome::TimedOut,
+        BodyError::NoRoom => CallOutcome::Refused,
+    }
+}
+
+/// The answer to a call whose body was not read to its end. It has not run.
+fn unread(entry: &Entry, call: &Call, error: &BodyError) -> Reported {
+    let mut reported = match error {
+        BodyError::TooLong { .. } => {
+            rejected(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")
+        }
+        BodyError::Truncated => rejected(StatusCode::BAD_REQUEST, "the body was cut"),
+        BodyError::Stalled => {
+            let answer = plain(StatusCode::REQUEST_TIMEOUT, "the body took too long; not run");
+            Reported::new(answer, HandoverReport::REFUSED)
+        }
+        BodyError::NoRoom => {
+            refusal(entry, call, Some(NO_ROOM_RETRY_AFTER), HandoverReport::REFUSED)
+        }
+    };
+    body::close_connection(&mut reported.answer);
+    reported
 }
 
 /// While the instance is starting, waits until `holds` returns true, for at most a fraction of the
@@ -439,13 +466,25 @@
 }
 
 /// Converts the final result into the answer.
-fn finish(entry: &Rc<Entry>, call: Call, plan: Plan, last: Resolution) -> Reported {
+async fn finish(
+    entry: &Rc<Entry>,
+    mut call: Call,
+    plan: Plan,
+    last: Resolution,
+    memory: &ClientMemory,
+) -> Reported {
     let report = plan.attempts.report(false);
     metrics::histogram!(names::HEAD_SECONDS).record((entry.now() - plan.began).as_secs_f64());
     match last {
         Resolution::Answer(found) => {
             plan.record_outcome(entry, &call, CallOutcome::Answered);
             let (mut parts, bytes) = found.into_parts();
+            // No attempt follows.
+            call.body = Bytes::new();
+            let length = bytes.len();
+            // Without room the connection is closed already, so the answer does not arrive.
+            let bytes = memory.answer().hold(bytes).await.unwrap_or_default();
+            debug_assert!(bytes.len() == length || memory.memory().is_limited());
             strip_connection(&mut parts.headers);
             parts.headers.remove(header::CONTENT_LENGTH);
             Reported::new(Response::from_parts(parts, body::full(bytes)), report)
@@ -459,7 +498,11 @@
             headers.remove(header::CONTENT_LENGTH);
             *answer.headers_mut() = headers;
             let software = stream.software().cloned();
-            task::spawn_local(relay::run(entry.clone(), call, plan, stream, sender));
+            if !plan.can_repeat() {
+                call.body = Bytes::new();
+            }
+            let caller = relay::Caller { parts: sender, memory: memory.answer() };
+            task::spawn_local(relay::run(entry.clone(), call, plan, stream, caller));
             Reported { answer, report, software }
         }
         Resolution::Refuse { retry_after } => {
--- a/crates/medlarlug-gateway/src/settings.rs
+++ b/crates/medlarlug-gateway/src/settings.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use medlarlug::transport::memory::{Memory, MemoryLimits};
 use medlarlug_core::{
     gateway::{
         contacts::{InstanceInfo, InstanceKind},
@@ -13,6 +14,7 @@
         table::{RouteTable, TableVersion},
     },
     ids::{IdError, InstanceId, RegionId, ZoneId},
+    units::ByteSize,
 };
 use thiserror::Error;
 
@@ -92,6 +94,19 @@
     pub descriptors: Option<u32>,
 }
 
+impl Resources {
+    /// The memory for the clients of a process whose longest body has `largest` bytes; unlimited if the
+    /// memory of the process is.
+    pub fn client_memory(self, largest: usize) -> Memory {
+        let Some(bytes) = self.memory_bytes else { return Memory::unlimited() };
+        Memory::new(MemoryLimits {
+            memory: ByteSize(bytes),
+            descriptors: self.descriptors,
+            largest_body: ByteSize(largest as u64),
+        })
+    }
+}
+
 impl NodeSettings {
     /// The region of a zone; `None` if the zone is not configured.
     pub fn region_of(&self, zone: &ZoneId) -> Option<&RegionId> {
--- a/crates/test-support/src/deployment/mod.rs
+++ b/crates/test-support/src/deployment/mod.rs
@@ -119,6 +119,8 @@
     home_voters: Vec<(String, Vec<String>)>,
     /// Limits in the settings of entry instances, as lines of YAML.
     pub limits: String,
+    /// Resources in the settings of entry instances and keepers, as a line of YAML.
+    pub resources: String,
 }
 
 impl Deployment {
@@ -138,6 +140,7 @@
             has_upstream_relays: false,
             home_voters: Vec::new(),
             limits: String::new(),
+            resources: String::new(),
         }
     }
 
--- a/crates/test-support/src/deployment/settings.rs
+++ b/crates/test-support/src/deployment/settings.rs
@@ -33,8 +33,8 @@
             let limits = if it.is_entry { self.limits.as_str() } else { "" };
             let text = format!(
                 "instance: {0}\ncluster: cluster-{0}.yaml\nkey: [deployment.key]\noperators:\n  \
-                 - {{ id: anna, key: {key} }}\n{data}{limits}",
-                it.id
+                 - {{ id: anna, key: {key} }}\n{data}{limits}{1}",
+                it.id, self.resources
             );
             self.write(&format!("{}.yaml", it.id), &text);
         }
--- a/src/coordination/entry/callers.rs
+++ b/src/coordination/entry/callers.rs
@@ -42,13 +42,14 @@
         },
         lookup::{self, RecordStatus},
         node::ActiveConfiguration,
-        operators::{bearer_key, record_status_answer},
+        operators::{bearer_key, record_status_answer, refuse_body},
     },
     protocol::{Problem, headers, inference::InferenceParams},
     transport::{
         body::{self, Answer, BodyError},
         http_client::Reuse,
         http_server,
+        memory::ClientMemory,
     },
 };
 
@@ -61,11 +62,12 @@
 /// Serves the callers' interface until `stop` turns true.
 pub async fn serve(entry: Rc<Entry>, listener: TcpListener, stop: watch::Receiver<bool>) {
     let limits = entry.server_limits();
+    let entry_memory = entry.memory.clone();
     let handler = move |request, _| {
         let entry = entry.clone();
         async move { handle_request(entry, request).await }
     };
-    http_server::serve(listener, limits, stop, handler).await;
+    http_server::serve_within(listener, limits, entry_memory, stop, handler).await;
 }
 
 /// An authenticated caller, with the configuration by which it was authenticated.
@@ -162,15 +164,10 @@
 /// Reads the body of a caller's request within the limits of size and time.
 async fn read_body(entry: &Entry, request: Request<Incoming>) -> Result<Bytes, Answer> {
     let limits = &entry.settings.limits;
-    let reading = body::read(request.into_body(), limits.body.0 as usize);
-    match timeout(limits.receive_timeout, reading).await {
-        Ok(Ok(content)) => Ok(content),
-        Ok(Err(error @ BodyError::TooLong { .. })) => {
-            Err(refuse(413, "body-too-long", &error.to_string()))
-        }
-        Ok(Err(error)) => Err(refuse(400, "body-cut", &error.to_string())),
-        Err(_) => Err(refuse(408, "sender-too-slow", "the body did not arrive in time")),
-    }
+    let memory = ClientMemory::of(&request);
+    let reading = memory.read_body(request.into_body(), limits.body.0 as usize);
+    let result = timeout(limits.receive_timeout, reading).await;
+    result.unwrap_or(Err(BodyError::Stalled)).map_err(|error| refuse_body(&error))
 }
 
 /// Deadline for the first token: that of the policy, or a shorter one that the caller requests.
--- a/src/coordination/entry/internal.rs
+++ b/src/coordination/entry/internal.rs
@@ -23,11 +23,13 @@
         forward::{self, ForwardedCall},
         inference::{self, Job, JobOrigin},
     },
+    coordination::operators::refuse_body,
     protocol::{Problem, headers},
     transport::{
-        body::{self, Answer},
+        body::{self, Answer, BodyError},
         http_client::Reuse,
         http_server::{self, ServerLimits},
+        memory::ClientMemory,
     },
 };
 
@@ -35,23 +37,28 @@
 const MAX_ANNOUNCEMENT_BYTES: usize = 256 * 1024;
 
 /// Maximum size of a forwarded request without its body.
-const FORWARD_OVERHEAD_BYTES: usize = 64 * 1024;
+pub const FORWARD_OVERHEAD_BYTES: usize = 64 * 1024;
 
 /// Maximum number of open connections from upstreams and other instances.
 const MAX_CONNECTIONS: usize = 4096;
 
+/// Share of the descriptors and of the memory for connections that it may use.
+const INTERNAL_SHARE: f64 = 0.125;
+
 /// Serves the internal interface until `stop` turns true.
 ///
 /// The limits on callers' connections and requests do not apply here: a burst of callers' requests
 /// that other zones forward must not block announcements.
 pub async fn serve(entry: Rc<Entry>, listener: TcpListener, stop: watch::Receiver<bool>) {
     let callers = entry.server_limits();
-    let limits = ServerLimits { connections: MAX_CONNECTIONS, requests: u32::MAX, ..callers };
+    let memory = entry.memory.clone();
+    let connections = memory.connections(MAX_CONNECTIONS, INTERNAL_SHARE);
+    let limits = ServerLimits { connections, requests: u32::MAX, ..callers };
     let handler = move |request, _| {
         let entry = entry.clone();
         async move { handle_request(entry, request).await }
     };
-    http_server::serve(listener, limits, stop, handler).await;
+    http_server::serve_within(listener, limits, memory, stop, handler).await;
 }
 
 async fn handle_request(entry: Rc<Entry>, request: Request<Incoming>) -> Answer {
@@ -75,9 +82,12 @@
 ) -> Result<Bytes, Answer> {
     let mac = request.headers().get(headers::MAC).and_then(|it| it.to_str().ok());
     let mac = mac.unwrap_or_default().to_owned();
-    let content = body::read(request.into_body(), limit)
-        .await
-        .map_err(|error| refuse(413, "body-unreadable", &error.to_string()))?;
+    let memory = ClientMemory::of(&request);
+    let content =
+        memory.read_body(request.into_body(), limit).await.map_err(|error| match error {
+            BodyError::NoRoom | BodyError::Stalled => refuse_body(&error),
+            _ => refuse(413, "body-unreadable", &error.to_string()),
+        })?;
     if !entry.node.keys.verify(&content, &mac) {
         return Err(refuse(401, "unauthorized", "the deployment key does not authenticate it"));
     }
@@ -129,7 +139,7 @@
     };
     let head_timeout = inference::head_timeout(forwarded.facts());
     let method = method.parse().unwrap_or(Method::POST);
-    let body = Bytes::from(body);
+    let body = entry.memory.charge(Bytes::from(body));
     let call = Call { method, path, media, key, contents, body, stream, reuse, head_timeout };
     if let Err(refusal) = entry.admit_request() {
         return refuse_as(refusal.reason, refusal.reason.title());
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -58,6 +58,7 @@
     retry::RetryBudget,
     routing::{ConfigurationLease, Router, router},
     suspects::{self, SuspectTracker},
+    units::ByteSize,
 };
 use serde_json::json;
 use tokio::task;
@@ -69,13 +70,14 @@
             admission::ZoneAdmission, cooldown::Cooldowns, graceful_shutdown::Intake,
             journal::Journal,
         },
+        keeper::memory_of,
         node::{ActiveConfiguration, Node, Received},
         operators::ProcessDetails,
     },
     protocol::Message,
     settings::{EntrySettings, Peer},
     telemetry::metrics,
-    transport::{http_client::HttpClient, http_server::ServerLimits},
+    transport::{http_client::HttpClient, http_server::ServerLimits, memory::Memory},
 };
 
 /// Ticks between two reports of the teams' demand to the other entry instances of the region.
@@ -110,8 +112,14 @@
     configured_revision: Cell<Revision>,
     tick_count: Cell<u32>,
     retry_budgets: RefCell<Vec<(Target, RetryBudget)>>,
+    /// What the servers of the process hold for their clients.
+    pub memory: Memory,
 }
 
+/// Share of the descriptors and of the memory for connections that callers may use. As many are left for
+/// the connections to upstreams.
+const CALLERS_SHARE: f64 = 0.3125;
+
 impl Entry {
     fn new(node: Rc<Node>, settings: EntrySettings) -> Entry {
         let seed = node.incarnation.0;
@@ -132,6 +140,10 @@
             tick_count: Cell::new(0),
             retry_budgets: RefCell::default(),
             intake: Intake::default(),
+            memory: memory_of(
+                settings.resources,
+                ByteSize(settings.limits.body.0 + internal::FORWARD_OVERHEAD_BYTES as u64),
+            ),
             settings,
             node,
         }
@@ -143,7 +155,7 @@
         ServerLimits {
             header_bytes: limits.header.0 as usize,
             header_time: limits.receive_timeout,
-            connections: limits.connections as usize,
+            connections: self.memory.connections(limits.connections as usize, CALLERS_SHARE),
             requests: limits.requests,
         }
     }
--- a/src/coordination/entry/process.rs
+++ b/src/coordination/entry/process.rs
@@ -126,14 +126,17 @@
     let dump = entry.clone();
     let process = entry.clone();
     let api = api.with_dump(move || dump.dump()).with_details(move || process.details());
-    let listener = http_server::listen("operators", node.own.operators).await?;
-    task::spawn_local(operators::serve(api, listener, operator_server_limits(), closed.clone()));
+    let memory = entry.memory.clone();
+    let limits = operator_server_limits(&memory);
+    let listener = http_server::listen_within("operators", node.own.operators, &memory).await?;
+    let server = operators::serve(api, listener, limits, memory.clone(), closed.clone());
+    task::spawn_local(server);
 
-    let listener = http_server::listen("internal", node.own.internal).await?;
+    let listener = http_server::listen_within("internal", node.own.internal, &memory).await?;
     task::spawn_local(internal::serve(entry.clone(), listener, closed.clone()));
 
     let address = node.own.callers.expect("the settings were checked");
-    let listener = http_server::listen("callers", address).await?;
+    let listener = http_server::listen_within("callers", address, &memory).await?;
     let callers = task::spawn_local(callers::serve(entry.clone(), listener, closed.clone()));
     tracing::info!(instance = %node.own.id, zone = %node.own.zone, %address, "serving callers");
     Ok(callers)
--- a/src/coordination/keeper/mod.rs
+++ b/src/coordination/keeper/mod.rs
@@ -24,6 +24,7 @@
     ids::{InstanceId, Revision},
     membership::Notice,
     replication::FormationId,
+    units::ByteSize,
 };
 use thiserror::Error;
 use tokio::{
@@ -47,11 +48,12 @@
         operators::{self, OperatorApi, ProcessDetails},
     },
     protocol::{GroupId, GroupReply, GroupRequest, Message},
-    settings::KeeperSettings,
+    settings::{KeeperSettings, Resources},
     state::{StateError, SyncResult, Synced},
     transport::{
         http_server::{self, ServerError, ServerLimits},
         links::{Incoming, LinkError, Links},
+        memory::{Memory, MemoryLimits},
     },
 };
 
@@ -121,8 +123,10 @@
     let dump = keeper.clone();
     let details = keeper.clone();
     let api = api.with_dump(move || dump.dump()).with_details(move || details.details());
-    let listener = http_server::listen("operators", node.own.operators).await?;
-    let server = operators::serve(api, listener, operator_server_limits(), stop.clone());
+    let memory = memory_of(settings.resources, ByteSize(operators::MAX_NOTE_BYTES as u64));
+    let listener = http_server::listen_within("operators", node.own.operators, &memory).await?;
+    let limits = operator_server_limits(&memory);
+    let server = operators::serve(api, listener, limits, memory, stop.clone());
     task::spawn_local(server);
 
     duties::start(&keeper, &stop);
@@ -150,12 +154,22 @@
     keeper.transfer_leaderships(&mut incoming, &mut reports).await
 }
 
+/// Share of the descriptors and of the memory for connections that operators may use.
+const OPERATORS_SHARE: f64 = 0.125;
+
+/// The memory for clients of a process with these resources, whose longest body is `largest`.
+pub fn memory_of(resources: Resources, largest: ByteSize) -> Memory {
+    let Some(memory) = resources.memory else { return Memory::unlimited() };
+    let descriptors = resources.descriptors;
+    Memory::new(MemoryLimits { memory, descriptors, largest_body: largest })
+}
+
 /// Limits of the operators' HTTP server, which entry instances use as well.
-pub fn operator_server_limits() -> ServerLimits {
+pub fn operator_server_limits(memory: &Memory) -> ServerLimits {
     ServerLimits {
         header_bytes: 16 * 1024,
         header_time: Duration::from_secs(10),
-        connections: 64,
+        connections: memory.connections(64, OPERATORS_SHARE),
         requests: u32::MAX,
     }
 }
--- a/src/coordination/operators/mod.rs
+++ b/src/coordination/operators/mod.rs
@@ -21,6 +21,8 @@
 mod releases;
 mod status;
 
+pub use releases::MAX_NOTE_BYTES;
+
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
@@ -48,6 +50,7 @@
     transport::{
         body::{self, Answer, BodyError},
         http_server::{self, ServerLimits},
+        memory::{ClientMemory, Memory},
     },
 };
 
@@ -112,6 +115,7 @@
     api: OperatorApi,
     listener: TcpListener,
     limits: ServerLimits,
+    memory: Memory,
     stop: watch::Receiver<bool>,
 ) {
     let api = Rc::new(api);
@@ -119,7 +123,7 @@
         let api = api.clone();
         async move { answer(&api, request).await }
     };
-    http_server::serve(listener, limits, stop, handler).await;
+    http_server::serve_within(listener, limits, memory, stop, handler).await;
 }
 
 /// The bearer key in the `Authorization` header; `None` without one or with another scheme.
@@ -169,10 +173,24 @@
 
 /// Reads a body of at most `limit` bytes; the error is the answer to the operator.
 async fn read_body(request: Request<Incoming>, limit: usize) -> Result<Bytes, Answer> {
-    body::read(request.into_body(), limit).await.map_err(|error| match error {
-        BodyError::TooLong { .. } => refuse(413, "body-too-long", &error.to_string()),
-        BodyError::Truncated => refuse(400, "body-cut", &error.to_string()),
-    })
+    let memory = ClientMemory::of(&request);
+    memory.read_body(request.into_body(), limit).await.map_err(|error| refuse_body(&error))
+}
+
+/// The answer to a request whose body was not read to its end.
+pub fn refuse_body(error: &BodyError) -> Answer {
+    let title = error.to_string();
+    let mut answer = match error {
+        BodyError::TooLong { .. } => refuse(413, "body-too-long", &title),
+        BodyError::Truncated => refuse(400, "body-cut", &title),
+        BodyError::Stalled => refuse(408, "sender-too-slow", &title),
+        BodyError::NoRoom => {
+            let problem = Problem::new(503, "overloaded", &title, Outcome::NotRun);
+            body::problem_answer(&problem.with_retry_after(Duration::from_secs(1)))
+        }
+    };
+    body::close_connection(&mut answer);
+    answer
 }
 
 /// The answer to an operator or caller whose call to a group failed: 503, with outcome `unknown` if
--- a/src/coordination/operators/releases.rs
+++ b/src/coordination/operators/releases.rs
@@ -19,7 +19,7 @@
 };
 
 /// Maximum size of the body of a release note.
-const MAX_NOTE_BYTES: usize = 8 * 1024 * 1024;
+pub const MAX_NOTE_BYTES: usize = 8 * 1024 * 1024;
 
 /// Time-out of the commit of a release note.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(8);
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -23,5 +23,5 @@
 pub use error::{Fault, SettingsError};
 pub use key::DeploymentKeys;
 pub use limits::Limits;
-pub use process::{EntrySettings, KeeperSettings, Operator};
+pub use process::{EntrySettings, KeeperSettings, Operator, Resources};
 pub use standin::{StandinSettings, UpstreamSettings};
--- a/src/settings/process.rs
+++ b/src/settings/process.rs
@@ -10,6 +10,7 @@
 //! drain_seconds: 30
 //! log: info
 //! data: data/entry-1
+//! resources: { memory_mb: 512, descriptors: 4096 }
 //! ```
 
 use std::{
@@ -20,6 +21,7 @@
 use medlarlug_core::{
     fingerprint::Fingerprint,
     ids::{InstanceId, OperatorId},
+    units::ByteSize,
 };
 use serde::Deserialize;
 use smol_str::{SmolStr, ToSmolStr};
@@ -60,6 +62,17 @@
     pub log: LogLevel,
     /// Data folder; `None` if the instance has no disk.
     pub data: Option<PathBuf>,
+    /// Resources of the process.
+    pub resources: Resources,
+}
+
+/// Resources that a process may use; `None` for no limit.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Resources {
+    /// Memory above which the process is killed.
+    pub memory: Option<ByteSize>,
+    /// Open file descriptors, sockets included.
+    pub descriptors: Option<u32>,
 }
 
 /// Settings of a keeper.
@@ -81,6 +94,8 @@
     pub data: Option<PathBuf>,
     /// Whether a group may be formed when all its voters start with new storage.
     pub may_form: bool,
+    /// Resources of the process.
+    pub resources: Resources,
 }
 
 /// An operator who may use the operators' port.
@@ -117,6 +132,7 @@
             drain_timeout: common.drain_timeout,
             log: common.log,
             data: common.data,
+            resources: common.resources,
         })
     }
 
@@ -169,6 +185,7 @@
             log: common.log,
             data: common.data,
             may_form,
+            resources: common.resources,
         })
     }
 
@@ -200,6 +217,14 @@
     log: Option<Text>,
     data: Option<Text>,
     may_form: Option<Lined<bool>>,
+    resources: Option<RawResources>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawResources {
+    memory_mb: Option<Lined<u64>>,
+    descriptors: Option<Lined<u64>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -218,6 +243,7 @@
     drain_timeout: Duration,
     log: LogLevel,
     data: Option<PathBuf>,
+    resources: Resources,
 }
 
 impl CommonSettings {
@@ -233,6 +259,7 @@
             drain_timeout: check_drain_timeout(raw.drain_seconds.as_ref()).map_err(in_file)?,
             log: check_log_level(raw.log.as_ref()).map_err(in_file)?,
             data: raw.data.map(|it| resolve_beside(file, &it.value)),
+            resources: check_resources(raw.resources).map_err(in_file)?,
         })
     }
 }
@@ -292,6 +319,22 @@
     Ok(Duration::from_secs(seconds))
 }
 
+fn check_resources(raw: Option<RawResources>) -> Result<Resources, LineFault> {
+    let Some(RawResources { memory_mb, descriptors }) = raw else {
+        return Ok(Resources::default());
+    };
+    let memory = memory_mb.map(|it| bounded("resources.memory_mb", &it, 64, MAX_MEMORY_MB));
+    let descriptors =
+        descriptors.map(|it| bounded("resources.descriptors", &it, 128, 1_000_000)).transpose()?;
+    Ok(Resources {
+        memory: memory.transpose()?.map(|it| ByteSize(it << 20)),
+        descriptors: descriptors.map(|it| it as u32),
+    })
+}
+
+/// Largest permitted value of `resources.memory_mb`.
+const MAX_MEMORY_MB: u64 = 1 << 20;
+
 fn check_log_level(raw: Option<&Text>) -> Result<LogLevel, LineFault> {
     let Some(text) = raw else {
         return Ok(LogLevel::Info);
--- a/src/transport/body.rs
+++ b/src/transport/body.rs
@@ -4,15 +4,16 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use http_body_util::{
-    BodyExt, Full, LengthLimitError, Limited, StreamBody, combinators::UnsyncBoxBody,
-};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{Response, StatusCode, body::Frame, header};
 use serde::Serialize;
 use thiserror::Error;
 use tokio::sync::mpsc;
 
-use crate::protocol::{Problem, headers, problem};
+use crate::{
+    protocol::{Problem, headers, problem},
+    transport::memory::ClientMemory,
+};
 
 /// The sender of a streamed body was dropped before the body ended.
 ///
@@ -52,23 +53,30 @@
     /// The connection failed before the body ended.
     #[error("the body was cut before its end")]
     Truncated,
+    /// There is no memory for the body; the request may be repeated later.
+    #[error("there is no memory for the body")]
+    NoRoom,
+    /// The body made no progress.
+    #[error("the body did not arrive in time")]
+    Stalled,
 }
 
-/// Reads a complete body of at most `limit` bytes.
+/// Reads a complete body of at most `limit` bytes into one buffer. A server reads the bodies of its
+/// clients with [`ClientMemory::read_body`].
 ///
 /// # Errors
 ///
 /// Fails when the body is longer than `limit` or truncated.
 pub async fn read<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
 where
-    B: hyper::body::Body<Data = Bytes>,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B: hyper::body::Body<Data = Bytes> + Unpin,
 {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(BodyError::TooLong { limit }),
-        Err(_) => Err(BodyError::Truncated),
-    }
+    ClientMemory::default().read_body(body, limit).await
+}
+
+/// Adds `Connection: close` to the answer to a request whose body was not read to its end.
+pub fn close_connection(answer: &mut Answer) {
+    answer.headers_mut().insert(header::CONNECTION, header::HeaderValue::from_static("close"));
 }
 
 /// A body with complete content.
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -4,12 +4,14 @@
 //! * [`http_server`]: HTTP/1 servers with limits on clients.
 //! * [`http_client`]: pooled HTTP/1 connections to upstreams and other instances.
 //! * [`body`]: the bodies of requests and answers.
+//! * [`memory`]: what the servers of a process hold for their clients, within one budget.
 //! * [`signals`]: graceful shutdown on SIGTERM and SIGINT.
 
 pub mod body;
 pub mod http_client;
 pub mod http_server;
 pub mod links;
+pub mod memory;
 pub mod signals;
 
 /// Counter: received messages that were dropped because the queue to the event loop was full.
--- a/tests/testsuite/processes/crowds.rs
+++ b/tests/testsuite/processes/crowds.rs
@@ -5,7 +5,7 @@
 
 use medlarlug_core::release::item::Residency;
 use test_support::{
-    crowd::{Crowd, Kind, Meter, Target, run_alone},
+    crowd::{Crowd, Kind, MAX_FDS, MEMORY_MB, Meter, Target, run_alone},
     deployment::{CALLER_KEY, OPERATOR_KEY, wait_for},
 };
 
@@ -15,7 +15,10 @@
 /// limits of its settings, and that one ordinary request is answered while the crowd is still connected.
 fn assert_crowd_does_no_harm(kind: Kind, id: &str) {
     let _alone = run_alone();
-    let deployment = add_engines(two_regions(), 1, 500).start();
+    let mut deployment = add_engines(two_regions(), 1, 500);
+    deployment.resources =
+        format!("resources: {{ memory_mb: {MEMORY_MB}, descriptors: {MAX_FDS} }}\n");
+    let deployment = deployment.start();
     deployment.configure(items(Residency::Anywhere));
     deployment.wait_upstreams("entry-1", 1);
     let is_keeper = id.starts_with("keeper");
