Answers that callers don't read count against the memory budget

Cause: an answer was held until its caller had read it, whatever all of them took together, and sent bytes of hundreds of connections could wait in the buffers of the kernel.

Change: parts of streams reserve room before they are passed on, complete answers are counted while they are read from an upstream and until they are written, and the connection of the slowest caller is closed when there is no room. Sockets to upstreams have bounded buffers.

--- a/crates/medlarlug-core/src/memory_budget.rs
+++ b/crates/medlarlug-core/src/memory_budget.rs
@@ -194,7 +194,9 @@
             Stage::Waiting(since) => since,
             _ => now,
         };
-        self.holders[at].stage = Stage::Waiting(since);
+        if holder.stage != Stage::Complete {
+            self.holders[at].stage = Stage::Waiting(since);
+        }
         if let Some(victim) = self.evict_stalled(now, holder.pool == Pool::Answers) {
             return Decision::Evict(victim);
         }
@@ -212,6 +214,12 @@
         self.used[holder.pool as usize] += bytes;
     }
 
+    /// Ends the answer that is read least, if the answers take more than their pool.
+    pub fn relieve_answers(&mut self, now: Time) -> Option<HolderId> {
+        let is_over = self.used[Pool::Answers as usize] > self.limits.answers.0;
+        if is_over { self.evict_stalled(now, true) } else { None }
+    }
+
     /// Releases a part of the bytes of a holder.
     pub fn release(&mut self, id: HolderId, bytes: u64) {
         let Some(at) = self.find(id) else { return };
@@ -232,7 +240,8 @@
         }
     }
 
-    /// Records that a body is complete; it is not evicted any more.
+    /// Records that a body is complete, or that an answer does not depend on a caller yet; the holder is
+    /// not evicted any more.
     pub fn complete(&mut self, id: HolderId) {
         let Some(at) = self.find(id) else { return };
         if self.holders[at].stage != Stage::Evicted {
--- a/crates/medlarlug-gateway/src/entry/answers.rs
+++ b/crates/medlarlug-gateway/src/entry/answers.rs
@@ -11,6 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use medlarlug::transport::memory::Memory;
 use tokio::{sync::Semaphore, time::timeout};
 
 /// Maximum size of a complete answer: twice the longest request body that the first deployments
@@ -40,18 +41,19 @@
     with_length: Semaphore,
     /// For answers without a known length.
     without_length: Semaphore,
+    memory: Memory,
 }
 
-impl Default for AnswerReader {
-    fn default() -> AnswerReader {
+impl AnswerReader {
+    /// Creates a reader that counts what it reads in `memory`.
+    pub(super) fn new(memory: Memory) -> AnswerReader {
         AnswerReader {
             with_length: Semaphore::new(MAX_LONG_ANSWERS),
             without_length: Semaphore::new(MAX_LONG_ANSWERS),
+            memory,
         }
     }
-}
 
-impl AnswerReader {
     /// Reads an answer completely within `limit`.
     pub(super) async fn read(&self, body: Incoming, limit: Duration) -> Result<Bytes, ReadError> {
         timeout(limit, self.read_unbounded(body)).await.unwrap_or(Err(ReadError::Late))
@@ -66,6 +68,9 @@
         let mut content =
             BytesMut::with_capacity(length.unwrap_or_default().min(SHORT_ANSWER_BYTES));
         let mut permit = None;
+        let counted = self.memory.incoming_answer();
+        counted.reserve(content.capacity()).await;
+        let mut reserved = content.capacity();
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(|_| ReadError::Cut)?.into_data() else { continue };
             let size = content.len() + data.len();
@@ -76,6 +81,12 @@
                 permit = Some(permits.acquire().await.expect("the semaphore is never closed"));
                 content.reserve(length.map_or(0, |length| length - content.len()));
             }
+            if size > reserved {
+                // The capacity doubles when it is used up.
+                let capacity = size.max(2 * reserved).max(content.capacity());
+                counted.reserve(capacity - reserved).await;
+                reserved = capacity;
+            }
             content.extend_from_slice(&data);
         }
         Ok(content.freeze())
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -220,10 +220,10 @@
     let is_unbound = plan.route.kind.is_stream() && plan.version == StreamVersion::Free;
     if resumes && is_unbound && !entry.resolve_stream_version(&call, &mut plan).await {
         let refused = Resolution::Refuse { retry_after: None };
-        return finish(entry, call, plan, refused, &memory).await;
+        return finish(entry, call, plan, refused, &memory);
     }
     let result = run_attempts(entry, &call, &mut plan).await;
-    finish(entry, call, plan, result, &memory).await
+    finish(entry, call, plan, result, &memory)
 }
 
 fn outcome_of(error: &BodyError) -> CallOutcome {
@@ -466,7 +466,7 @@
 }
 
 /// Converts the final result into the answer.
-async fn finish(
+fn finish(
     entry: &Rc<Entry>,
     mut call: Call,
     plan: Plan,
@@ -481,10 +481,7 @@
             let (mut parts, bytes) = found.into_parts();
             // No attempt follows.
             call.body = Bytes::new();
-            let length = bytes.len();
-            // Without room the connection is closed already, so the answer does not arrive.
-            let bytes = memory.answer().hold(bytes).await.unwrap_or_default();
-            debug_assert!(bytes.len() == length || memory.memory().is_limited());
+            let bytes = memory.answer().charge(bytes);
             strip_connection(&mut parts.headers);
             parts.headers.remove(header::CONTENT_LENGTH);
             Reported::new(Response::from_parts(parts, body::full(bytes)), report)
--- a/crates/medlarlug-gateway/src/metrics.rs
+++ b/crates/medlarlug-gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Names of the gateway's metrics.
 
+use medlarlug::transport::memory;
 use metrics::{Unit, describe_counter, describe_gauge, describe_histogram};
 
 /// Counter: calls that ended. Label: `outcome` (see [`crate::entry::CallOutcome`]).
@@ -85,5 +86,6 @@
     describe_counter!(RESUMED_STREAMS, "Calls that resumed a stream, by version found or unknown");
     describe_gauge!(REMEMBERED_STREAMS, "Streams whose software version is remembered");
     describe_counter!(FORGOTTEN_STREAMS, "Streams forgotten early for lack of room");
+    memory::describe();
     describe_counter!(INVALID_ANNOUNCEMENTS, "Announcements that could not be read");
 }
--- a/src/coordination/entry/inference/delivery.rs
+++ b/src/coordination/entry/inference/delivery.rs
@@ -70,9 +70,11 @@
     let media = header::HeaderValue::from_static("text/event-stream");
     fields.insert(header::CONTENT_TYPE, media);
     body::insert(fields, headers::REQUEST_ID, &id.to_string());
+    let memory = entry.memory.answer();
+    answer.extensions_mut().insert(memory.clone());
     let (entry, slot) = (entry.clone(), slot.take());
     task::spawn_local(async move {
-        let end = relay.deliver(sender).await;
+        let end = relay.deliver(sender, memory).await;
         drop(slot);
         if let (StreamEnd::Failed(_), Destination::Upstream(upstream)) = (&end, &destination) {
             entry.check_for_crash(&id, upstream, address).await;
@@ -153,7 +155,7 @@
     credit_retry_budget(entry, &facts.target, &destination, status);
     entry.handle_suspect_event(suspects::Event::Completed { request: facts.id.clone() });
     entry.end_request(&facts.id, Outcome::Answered, "whole answer");
-    Ok(build_answer(&facts.id, status, head.headers.get(header::CONTENT_TYPE), content))
+    Ok(build_answer(entry, &facts.id, status, head.headers.get(header::CONTENT_TYPE), content))
 }
 
 /// Credits an answer to the retry budget of `target`. Errors are not credited, and neither are
@@ -171,12 +173,15 @@
 
 /// Builds the answer to the caller from the parts of an upstream's answer.
 pub fn build_answer(
+    entry: &Entry,
     id: &RequestId,
     status: StatusCode,
     media: Option<&header::HeaderValue>,
     content: Bytes,
 ) -> Answer {
-    let mut answer = Response::new(body::full(content));
+    let memory = entry.memory.answer();
+    let mut answer = Response::new(body::full(memory.charge(content)));
+    answer.extensions_mut().insert(memory);
     *answer.status_mut() = status;
     if let Some(media) = media {
         answer.headers_mut().insert(header::CONTENT_TYPE, media.clone());
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -126,8 +126,10 @@
         let policy = LimitPolicy { seed, ..LimitPolicy::default() };
         let limits = RateLimiter::new(node.own.id.clone(), node.incarnation, policy);
         let journal = Journal::new(node.region.clone(), node.own.id.clone(), node.incarnation);
+        let largest = settings.limits.body.0 + internal::FORWARD_OVERHEAD_BYTES as u64;
+        let memory = memory_of(settings.resources, ByteSize(largest));
         Entry {
-            client: HttpClient::default(),
+            client: HttpClient::within(&memory),
             router: RefCell::new(Router::new(node.now(), seed)),
             journal: RefCell::new(journal),
             retry_jitter: RefCell::new(RetryJitter::new(seed)),
@@ -140,10 +142,7 @@
             tick_count: Cell::new(0),
             retry_budgets: RefCell::default(),
             intake: Intake::default(),
-            memory: memory_of(
-                settings.resources,
-                ByteSize(settings.limits.body.0 + internal::FORWARD_OVERHEAD_BYTES as u64),
-            ),
+            memory,
             settings,
             node,
         }
--- a/src/coordination/entry/relay.rs
+++ b/src/coordination/entry/relay.rs
@@ -34,6 +34,7 @@
         body,
         body::Part,
         http_client::{CallLimits, Connection, HttpCallError, Reuse},
+        memory::AnswerMemory,
     },
 };
 
@@ -138,11 +139,17 @@
     }
 
     /// Delivers the answer through `sender`, and returns how it ended.
-    pub async fn deliver(mut self, sender: mpsc::Sender<Part>) -> StreamEnd {
+    ///
+    /// An answer that is ended because its caller does not read it counts as disconnected.
+    pub async fn deliver(mut self, sender: mpsc::Sender<Part>, memory: AnswerMemory) -> StreamEnd {
         let entry = self.entry.clone();
         loop {
             while let Some(bytes) = self.chunks.pop_front() {
-                if sender.send(Part::Chunk(bytes)).await.is_err() {
+                let is_sent = match memory.hold(bytes).await {
+                    Some(bytes) => sender.send(Part::Chunk(bytes)).await.is_ok(),
+                    None => false,
+                };
+                if !is_sent {
                     self.caller_disconnected();
                 }
             }
--- a/src/coordination/entry/services.rs
+++ b/src/coordination/entry/services.rs
@@ -134,7 +134,7 @@
     let problem = match answer {
         attempt_core::Answer::Done(recorded) => {
             entry.end_request(id, Outcome::Answered, "recorded answer of an earlier request");
-            return recorded_answer(id, recorded);
+            return recorded_answer(entry, id, recorded);
         }
         attempt_core::Answer::Unknown => {
             let title = "An earlier request with this key may have run; it is not sent again";
@@ -303,7 +303,7 @@
     attempt.send_event(Event::Answered(recorded));
     attempt.next(OUTCOME_COMMIT_TIMEOUT).await;
     entry.end_request(id, Outcome::Answered, "whole answer");
-    inference::build_answer(id, status, media.as_ref(), content)
+    inference::build_answer(entry, id, status, media.as_ref(), content)
 }
 
 /// Queries the upstream that may have run a call for the outcome.
@@ -326,7 +326,7 @@
     (status, header::HeaderValue::from_str(&answer.content_type).ok())
 }
 
-fn recorded_answer(id: &RequestId, answer: &RecordedAnswer) -> Answer {
+fn recorded_answer(entry: &Entry, id: &RequestId, answer: &RecordedAnswer) -> Answer {
     let (status, media) = answer_head(answer);
     let content = match &answer.body {
         Body::Whole(content) => Bytes::from(content.clone()),
@@ -336,5 +336,5 @@
             Bytes::from(note.to_string())
         }
     };
-    inference::build_answer(id, status, media.as_ref(), content)
+    inference::build_answer(entry, id, status, media.as_ref(), content)
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -7,6 +7,8 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use thiserror::Error;
 
+use crate::transport::memory;
+
 /// Counter: completed requests. Label: `outcome`.
 pub const REQUESTS: &str = "medlarlug_requests_total";
 /// Histogram in seconds: from a request's arrival to the first byte of its answer.
@@ -73,6 +75,7 @@
     describe_counter!(REQUESTS, "Requests that ended, by outcome");
     describe_histogram!(FIRST_BYTE, Unit::Seconds, "Arrival to first byte of the answer");
     describe_histogram!(DURATION, Unit::Seconds, "Arrival to end of the answer");
+    memory::describe();
     describe_counter!(FORWARDED, "Requests handed to another availability zone");
     describe_counter!(RETRIES, "Attempts after the first one");
     describe_counter!(CROSSED, "Answers dropped because they belong to another request");
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -29,11 +29,13 @@
 use thiserror::Error;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     task,
     time::{error::Elapsed, timeout},
 };
 
+use crate::transport::memory::Memory;
+
 /// Idle connections that are kept for each address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -202,9 +204,16 @@
 #[derive(Clone, Default)]
 pub struct HttpClient {
     idle: Rc<RefCell<IdleSenders>>,
+    /// Size of the buffers of a socket in each direction; `None` to leave it to the system.
+    socket_buffer: Option<usize>,
 }
 
 impl HttpClient {
+    /// A client whose connections have socket buffers that fit into the memory of the process.
+    pub fn within(memory: &Memory) -> HttpClient {
+        HttpClient { socket_buffer: memory.socket_buffer(), ..HttpClient::default() }
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// After the body of the answer was read to its end, [`HttpClient::release`] returns the connection
@@ -251,7 +260,7 @@
             }
         }
         for _ in 0..MAX_CONNECTION_ATTEMPTS {
-            let mut sender = connect(address, limits.connect).await?;
+            let mut sender = connect(address, limits.connect, self.socket_buffer).await?;
             if !is_wanted() {
                 return Err(HttpCallError::Withdrawn { address });
             }
@@ -366,9 +375,26 @@
     }
 }
 
-async fn connect(address: SocketAddr, limit: Duration) -> Result<RequestSender, HttpCallError> {
+/// Opens a connection. The buffers have to be set before, because the peer learns their size then.
+async fn open(address: SocketAddr, socket_buffer: Option<usize>) -> io::Result<TcpStream> {
+    let Some(bytes) = socket_buffer else { return TcpStream::connect(address).await };
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+    socket.set_recv_buffer_size(bytes)?;
+    socket.set_send_buffer_size(bytes)?;
+    socket.connect(address).await
+}
+
+async fn connect(
+    address: SocketAddr,
+    limit: Duration,
+    socket_buffer: Option<usize>,
+) -> Result<RequestSender, HttpCallError> {
     let failed = |source| HttpCallError::Connect { address, source };
-    let stream = match timeout(limit, TcpStream::connect(address)).await {
+    let stream = match timeout(limit, open(address, socket_buffer)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(source)) => return Err(failed(Some(source))),
         Err(_) => return Err(failed(None)),
--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -35,7 +35,7 @@
     coordination::clock::Clock,
     transport::{
         body::{Answer, AnswerBody, TruncatedBody},
-        memory::{ClientConnection, ClientMemory, Memory},
+        memory::{AnswerMemory, ClientConnection, ClientMemory, Memory},
     },
 };
 
@@ -370,9 +370,13 @@
         remaining_requests.set(remaining_requests.get().saturating_sub(1));
         let is_last = remaining_requests.get() == 0;
         let answer = handler(request, peer);
+        let connection = client.clone();
         let is_stopped = is_stopped.clone();
         async move {
             let mut answer = answer.await;
+            if let Some(memory) = answer.extensions().get::<AnswerMemory>() {
+                memory.attach(&connection);
+            }
             if is_last || *is_stopped.borrow() {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(CONNECTION, close);
--- a/src/transport/memory.rs
+++ b/src/transport/memory.rs
@@ -22,6 +22,7 @@
     time::Time,
     units::ByteSize,
 };
+use metrics::{Unit, describe_counter, describe_gauge};
 use tokio::{
     sync::Notify,
     time::{sleep, timeout},
@@ -34,6 +35,12 @@
 /// Gauge in bytes: memory held for clients. Label: `class`.
 pub const HELD_BYTES: &str = "medlarlug_memory_held_bytes";
 
+/// Describes the metrics of this module.
+pub fn describe() {
+    describe_counter!(ENDED, "Bodies and answers ended or refused for lack of memory, by reason");
+    describe_gauge!(HELD_BYTES, Unit::Bytes, "Memory held for clients, by class");
+}
+
 /// Capacity of the buffer of a body at first.
 const MIN_CAPACITY: usize = 8 * 1024;
 /// Free capacity that is reserved before the next bytes are read.
@@ -143,6 +150,20 @@
         Bytes::from_owner(Held { bytes, _holder: holder })
     }
 
+    /// Counts the parts of an answer whose caller is not known yet; see [`AnswerMemory::attach`].
+    pub fn answer(&self) -> AnswerMemory {
+        AnswerMemory(self.open(Class::Answer, None).map(Arc::new))
+    }
+
+    /// Counts the bytes of an answer that is read from an upstream. It is not ended in favor of others.
+    pub fn incoming_answer(&self) -> AnswerMemory {
+        let memory = self.answer();
+        if let Some(holder) = &memory.0 {
+            holder.with_state(|state, _| state.budget.complete(holder.id));
+        }
+        memory
+    }
+
     fn open(&self, class: Class, connection: Option<Arc<ClientConnection>>) -> Option<Holder> {
         let shared = self.0.clone()?;
         let wake = Arc::<Notify>::default();
@@ -440,10 +461,13 @@
         Ok(Bytes::from_owner(Held { bytes: buffer, _holder: holder }))
     }
 
-    /// Counts the parts of one answer.
+    /// Counts the parts of the answer to this request.
     pub fn answer(&self) -> AnswerMemory {
-        let holder = self.memory.open(Class::Answer, self.connection.clone()).map(Arc::new);
-        AnswerMemory(holder)
+        let memory = self.memory.answer();
+        if let Some(connection) = &self.connection {
+            memory.attach(connection);
+        }
+        memory
     }
 }
 
@@ -455,11 +479,48 @@
     /// Waits for room for a part. Returns `None` if the answer was ended in favor of others.
     pub async fn hold(&self, bytes: Bytes) -> Option<Bytes> {
         let Some(holder) = &self.0 else { return Some(bytes) };
+        if bytes.is_empty() {
+            return Some(bytes);
+        }
         holder.reserve(bytes.len()).await.ok()?;
         Some(Bytes::from_owner(HeldPart { bytes, holder: holder.clone() }))
     }
 }
 
+impl AnswerMemory {
+    /// Waits for room for bytes that are about to be read. They are counted until this is dropped.
+    pub async fn reserve(&self, bytes: usize) {
+        if let Some(holder) = &self.0 {
+            // Fails only for an answer that was ended.
+            let _ = holder.reserve(bytes).await;
+        }
+    }
+
+    /// Counts a part that is in memory already. If there is no room, the answer that is read least is
+    /// ended.
+    pub fn charge(&self, bytes: Bytes) -> Bytes {
+        let Some(holder) = self.0.clone().filter(|_| !bytes.is_empty()) else { return bytes };
+        holder.with_state(|state, now| {
+            state.budget.charge(holder.id, bytes.len() as u64);
+            if let Some(victim) = state.budget.relieve_answers(now) {
+                state.end(victim);
+            }
+        });
+        Bytes::from_owner(HeldPart { bytes, holder })
+    }
+
+    /// Names the connection that is closed when the answer is ended in favor of others.
+    pub(super) fn attach(&self, connection: &Arc<ClientConnection>) {
+        let Some(holder) = &self.0 else { return };
+        holder.with_state(|state, _| {
+            let found = state.owners.binary_search_by(|it| it.holder.cmp(&holder.id));
+            if let Ok(at) = found {
+                state.owners[at].connection = Some(connection.clone());
+            }
+        });
+    }
+}
+
 /// Makes room for `bytes` more. The capacity at least doubles, up to `longest`.
 async fn grow(
     buffer: &mut Vec<u8>,
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -4,9 +4,10 @@
 
 use assert_matches::assert_matches;
 use medlarlug::{
-    settings::{ClusterSettings, EntrySettings, Fault, KeeperSettings, StandinSettings},
+    settings::{ClusterSettings, EntrySettings, Fault, KeeperSettings, Resources, StandinSettings},
     telemetry::logs::LogLevel,
 };
+use medlarlug_core::units::ByteSize;
 use proptest::prelude::*;
 use tempfile::TempDir;
 use test_support::id;
@@ -218,6 +219,23 @@
     );
 }
 
+#[test]
+fn resources_are_read_for_both_kinds_and_checked() {
+    let folder = Folder::new();
+    let resources = "resources: { memory_mb: 112, descriptors: 192 }\n";
+    let entry = folder.write("entry.yaml", &format!("{ENTRY}{resources}"));
+    let few = folder.write("few.yaml", &format!("{KEEPER}resources: {{ descriptors: 3 }}\n"));
+
+    let settings = EntrySettings::load(&entry).unwrap().resources;
+
+    let expected = Resources { memory: Some(ByteSize(112 << 20)), descriptors: Some(192) };
+    assert_eq!(settings, expected);
+    assert_matches!(
+        KeeperSettings::load(&few).unwrap_err().fault,
+        Fault::Invalid { field, .. } if field == "resources.descriptors"
+    );
+}
+
 #[test]
 fn short_key_is_refused_without_being_shown() {
     let folder = Folder::new();
