--- a/crates/medlarlug-gateway/src/metrics.rs
+++ b/crates/medlarlug-gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Names of the gateway's metrics.
 
+use medlarlug::transport::memory;
 use metrics::{Unit, describe_counter, describe_gauge, describe_histogram};
 
 /// Counter: calls that ended. Label: `outcome` (see [`crate::entry::CallOutcome`]).
@@ -119,5 +120,6 @@
     describe_counter!(QUOTA_CALLS, "Calls of teams with a quota, by outcome");
     describe_counter!(QUOTA_MESSAGES, "Messages about quotas sent to other instances");
     describe_gauge!(QUOTA_POOLS, "Teams whose tokens this instance keeps for its region");
+    memory::describe();
     describe_counter!(INVALID_ANNOUNCEMENTS, "Announcements that could not be read");
 }
