Socket buffers of 64 KiB, and refusals that a sending client can read

A client that was still sending could not read a 503.

Change: buffers of 64 KiB in each direction; connections follow from 32 KiB of memory each. The rest of a body without room is read and dropped for at most 2 s before the 503.

The crowd tests of the product's own path were not run again after this change.

--- a/src/transport/memory.rs
+++ b/src/transport/memory.rs
@@ -51,8 +51,14 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Least time without activity after which a connection may be closed in favor of a new one.
 const MIN_IDLE: Duration = Duration::from_secs(1);
-/// Smallest and largest buffer of a socket. 64 KiB carry 7 Mbit/s over a round trip of 75 ms.
-const SOCKET_BUFFER_BYTES: (u64, u64) = (16 * 1024, 64 * 1024);
+/// Buffer of a socket in each direction. It carries 7 Mbit/s over a round trip of 75 ms; with 16 KiB,
+/// bodies of 4 MB took longer than 15 s on loopback.
+const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
+/// Memory for a connection. Few connections fill the buffer in both directions at the same time.
+const CONNECTION_BYTES: u64 = 32 * 1024;
+/// Time in which the rest of a body is read and dropped after there was no room for it. A client that is
+/// still sending would not read the refusal.
+const DISCARD_TIME: Duration = Duration::from_secs(2);
 /// Descriptors that are left to files, listeners and links.
 const OWN_DESCRIPTORS: u32 = 64;
 
@@ -119,13 +125,12 @@
         self.0.is_some()
     }
 
-    /// The share of the connections of a server that may have `most` of them: not more than its fraction
-    /// of the descriptors, and not more than fit into a quarter of the memory with the smallest buffers
-    /// of a socket in both directions.
+    /// The connections of a server that may have `most` of them: not more than `fraction` of the
+    /// descriptors, and not more than twice the fraction of those that fit into a quarter of the memory.
     pub fn connections(&self, most: usize, fraction: f64) -> usize {
         let Some(shared) = &self.0 else { return most };
         let limits = shared.limits;
-        let by_memory = limits.memory.0 / 4 / (2 * SOCKET_BUFFER_BYTES.0);
+        let by_memory = limits.memory.0 / 4 / CONNECTION_BYTES;
         let by_memory = (by_memory as f64 * 2.0 * fraction) as usize;
         let descriptors = limits.descriptors.map(|it| it.saturating_sub(OWN_DESCRIPTORS));
         let by_descriptors = descriptors.map_or(most, |it| (f64::from(it) * fraction) as usize);
@@ -134,10 +139,7 @@
 
     /// Size of the buffers of a socket in each direction; `None` to leave it to the system.
     pub fn socket_buffer(&self) -> Option<usize> {
-        let limits = self.0.as_ref()?.limits;
-        let connections = self.connections(usize::MAX, 0.5) as u64;
-        let bytes = limits.memory.0 / 8 / connections.max(1);
-        Some(bytes.clamp(SOCKET_BUFFER_BYTES.0, SOCKET_BUFFER_BYTES.1) as usize)
+        self.is_limited().then_some(SOCKET_BUFFER_BYTES)
     }
 
     /// Counts bytes that are already in memory until they are dropped.
@@ -401,14 +403,18 @@
     /// Fails when the body is longer than `limit`, announced or not, when it is truncated, and when
     /// there is no memory for it or it makes no progress. In the last two cases the connection has to be
     /// closed, because the rest of the body is not read.
-    pub async fn read_body<B>(&self, body: B, limit: usize) -> Result<Bytes, BodyError>
+    pub async fn read_body<B>(&self, mut body: B, limit: usize) -> Result<Bytes, BodyError>
     where
         B: hyper::body::Body<Data = Bytes> + Unpin,
     {
         if let Some(connection) = &self.connection {
             connection.is_receiving.store(true, Ordering::Relaxed);
         }
-        let result = self.read(body, limit).await;
+        let result = self.read(&mut body, limit).await;
+        if matches!(result, Err(BodyError::NoRoom)) {
+            let discarding = async { while let Some(Ok(_)) = body.frame().await {} };
+            let _ = timeout(DISCARD_TIME, discarding).await;
+        }
         if let Some(connection) = &self.connection {
             connection.is_receiving.store(false, Ordering::Relaxed);
         }
@@ -422,7 +428,7 @@
         result
     }
 
-    async fn read<B>(&self, mut body: B, limit: usize) -> Result<Bytes, BodyError>
+    async fn read<B>(&self, body: &mut B, limit: usize) -> Result<Bytes, BodyError>
     where
         B: hyper::body::Body<Data = Bytes> + Unpin,
     {
