--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod availability;
 mod connectivity;
 mod contacts;
+mod engine_memory;
 mod evacuation_orders;
 mod fixture;
 mod handover;
--- a/crates/medlarlug-gateway/src/entry/explain.rs
+++ b/crates/medlarlug-gateway/src/entry/explain.rs
@@ -101,7 +101,7 @@
         if hop.is_none() && self.lacks_ramp_room(plan) {
             return Decision::Wait { reason: WaitReason::RampRoom };
         }
-        let verdict = forecast(plan, hop.as_ref(), left, 0.5);
+        let verdict = forecast(self, plan, hop.as_ref(), left, 0.5);
         if verdict == Verdict::Serve
             && plan.prefill_decision(self, hop.as_ref()) == Some(PrefillDecision::Wait)
         {
--- a/crates/medlarlug-gateway/src/entry/relay.rs
+++ b/crates/medlarlug-gateway/src/entry/relay.rs
@@ -7,8 +7,13 @@
 
 use std::rc::Rc;
 
-use medlarlug::{protocol::events, transport::body::Part};
-use medlarlug_core::gateway::health::UpstreamOutcome;
+use bytes::Bytes;
+use medlarlug::{
+    protocol::events,
+    transport::{body::Part, memory::AnswerMemory},
+};
+use medlarlug_core::gateway::{health::UpstreamOutcome, prefill_queue::PrefillDecision};
+use rand::RngExt;
 use tokio::{
     sync::mpsc::Sender,
     time::{sleep, timeout},
@@ -21,9 +26,27 @@
     choice::Hop,
     limited::PERMIT_POLL_INTERVAL,
     plan::Plan,
-    serve::CallOutcome,
+    serve::{ADMISSION_POLL_INTERVAL, CallOutcome},
 };
 
+/// Takes the parts of the answer for the caller.
+pub(super) struct Caller {
+    pub(super) parts: Sender<Part>,
+    /// Counts the parts until they are written.
+    pub(super) memory: AnswerMemory,
+}
+
+impl Caller {
+    /// Passes on events. Returns false if the caller has disconnected, or was cut because it does not
+    /// read.
+    async fn send(&self, events: Bytes) -> bool {
+        match self.memory.hold(events).await {
+            Some(events) => self.parts.send(Part::Chunk(events)).await.is_ok(),
+            None => false,
+        }
+    }
+}
+
 /// Why passing on the stream of one upstream stopped.
 enum Step {
     /// The stream is complete.
@@ -42,15 +65,15 @@
     call: Call,
     mut plan: Plan,
     stream: Box<EventStream>,
-    sender: Sender<Part>,
+    caller: Caller,
 ) {
     let mut stream = stream;
     loop {
-        let step = pass(&entry, &call, &mut plan, &mut stream, &sender).await;
+        let step = pass(&entry, &call, &mut plan, &mut stream, &caller).await;
         match step {
             Step::Done => {
                 stream.finish(&entry);
-                let _ = sender.send(Part::End).await;
+                let _ = caller.parts.send(Part::End).await;
                 return plan.record_outcome(&entry, &call, CallOutcome::Answered);
             }
             Step::Left => return plan.record_outcome(&entry, &call, CallOutcome::Left),
@@ -61,7 +84,7 @@
         plan.count_broken(stream.hop());
         // Closes the connection before another upstream resumes the stream.
         drop(stream);
-        match resume(&entry, &call, &mut plan, &sender).await {
+        match resume(&entry, &call, &mut plan, &caller.parts).await {
             Some(next) => stream = next,
             None => return plan.record_outcome(&entry, &call, CallOutcome::BrokenOff),
         }
@@ -75,7 +98,7 @@
     call: &Call,
     plan: &mut Plan,
     stream: &mut EventStream,
-    sender: &Sender<Part>,
+    caller: &Caller,
 ) -> Step {
     let idle_timeout = plan.idle_timeout(stream.hop());
     let mut last_content = entry.now();
@@ -88,7 +111,7 @@
         let limit = idle_timeout.map_or(left, |limit| ((last_content + limit) - now).min(left));
         let piece = tokio::select! {
             piece = timeout(limit, stream.next()) => piece,
-            () = sender.closed() => return Step::Left,
+            () = caller.parts.closed() => return Step::Left,
         };
         let events = match piece {
             Ok(Piece::Events(events)) => events,
@@ -112,7 +135,8 @@
             plan.last_event = Some(last);
         }
         let sent = tokio::select! {
-            sent = sender.send(Part::Chunk(events)) => sent.is_ok(),
+            sent = caller.send(events) => sent,
+            () = caller.parts.closed() => false,
             () = sleep(left) => return Step::Late,
         };
         if !sent {
@@ -124,14 +148,27 @@
     }
 }
 
-/// Chooses the next hop. Waits for a permit if only upstreams with a rate limit are left.
+/// Chooses the next hop. Waits for a permit if only upstreams with a rate limit are left, and for room
+/// where engines crash when their memory is exceeded.
 async fn permitted_hop(entry: &Rc<Entry>, call: &Call, plan: &mut Plan) -> Option<Hop> {
     loop {
         let hop = plan.next_hop(entry, call);
-        if !plan.waits_for_permit(entry, hop.as_ref()) {
+        if plan.waits_for_permit(entry, hop.as_ref()) {
+            sleep(PERMIT_POLL_INTERVAL).await;
+            continue;
+        }
+        if !entry.has_pressure() {
             return hop;
         }
-        sleep(PERMIT_POLL_INTERVAL).await;
+        match plan.admission(entry, call, hop.as_ref()) {
+            PrefillDecision::Send => return hop,
+            PrefillDecision::Refuse => return None,
+            PrefillDecision::Wait if entry.now() >= plan.answer_by => return None,
+            PrefillDecision::Wait => {
+                let share = rand::rng().random_range(0.5..1.5);
+                sleep(ADMISSION_POLL_INTERVAL.mul_f64(share)).await;
+            }
+        }
     }
 }
 
