Log how far the directory leads callers, and the region of a forwarded call

A keeper logs a line when the reach of its answers for a region changes, with the ready instances by region and their newest message, the table, its age and its last stall, and counts its answers by reach. An entry instance adds the homes to `call ended`, and region and age to a hop that is an instance. No decision changes.

--- a/crates/medlarlug-core/src/gateway/contacts.rs
+++ b/crates/medlarlug-core/src/gateway/contacts.rs
@@ -236,6 +236,26 @@
         self.live(now).filter(|contact| contact.info.kind == InstanceKind::Entry)
     }
 
+    /// The number of ready entry instances of each region, and the time since the newest message of one
+    /// of them, sorted by region. Instances that no longer count as live are included, so the time shows
+    /// whether the others of their region went silent together.
+    pub fn ready_by_region(&self, now: Time) -> Vec<(RegionId, usize, Duration)> {
+        let mut regions: Vec<(RegionId, usize, Duration)> = Vec::new();
+        let entries = self.known.iter().filter(|it| it.info.kind == InstanceKind::Entry);
+        for contact in entries.filter(|it| it.status.ready) {
+            let age = now - contact.last_seen;
+            let live = usize::from(age <= LIVENESS_TIMEOUT);
+            match regions.binary_search_by(|it| it.0.cmp(&contact.info.region)) {
+                Ok(at) => {
+                    regions[at].1 += live;
+                    regions[at].2 = regions[at].2.min(age);
+                }
+                Err(at) => regions.insert(at, (contact.info.region.clone(), live, age)),
+            }
+        }
+        regions
+    }
+
     /// Largest number of entry instances that were known at once, forgotten ones included.
     pub fn peak_entries(&self) -> usize {
         self.peak_entries
@@ -250,16 +270,63 @@
 /// which it accepts connections by the time for which callers cache an answer.
 const LEAVING_NAMED_TIME: Duration = Duration::from_millis(500);
 
-/// The addresses of entry instances for a caller in `zone` of `region`, nearest first: ready ones of
-/// its zone, else of its region, else of a region in `homes`; else those of these regions that have
-/// just begun to leave, as in a rolling restart; else any ready ones.
-pub fn entry_addresses(
-    contacts: &Contacts,
-    now: Time,
-    zone: Option<&ZoneId>,
-    region: Option<&RegionId>,
-    homes: &[RegionId],
-) -> Vec<SocketAddr> {
+/// A caller that asks for entry instances.
+#[derive(Debug, Clone, Copy)]
+pub struct DirectoryQuery<'a> {
+    /// The availability zone of the caller.
+    pub zone: Option<&'a ZoneId>,
+    /// The region of the caller.
+    pub region: Option<&'a RegionId>,
+    /// The regions that may serve the routes of the host, sorted; all if empty.
+    pub homes: &'a [RegionId],
+}
+
+/// How far from its caller an answer of the directory leads. The names are values of the label `reach`
+/// of the metric of answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// To ready instances of the caller's availability zone.
+    Zone,
+    /// To ready instances of the caller's region.
+    Region,
+    /// To ready instances of the home regions.
+    Homes,
+    /// To instances of the caller's region or of the home regions that have just begun to leave.
+    Leaving,
+    /// To all ready instances.
+    Anywhere,
+    /// No instance is known.
+    Nowhere,
+}
+
+impl Reach {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Reach::Zone => "zone",
+            Reach::Region => "region",
+            Reach::Homes => "homes",
+            Reach::Leaving => "leaving",
+            Reach::Anywhere => "anywhere",
+            Reach::Nowhere => "nowhere",
+        }
+    }
+}
+
+/// An answer of the directory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listing {
+    /// Addresses of entry instances for callers.
+    pub addresses: Vec<SocketAddr>,
+    /// How far from the caller they are.
+    pub reach: Reach,
+}
+
+/// The entry instances for a caller: ready ones of its zone, else of its region, else of a home
+/// region; else those of these regions that have just begun to leave, as in a rolling restart; else
+/// any ready ones.
+pub fn entry_addresses(contacts: &Contacts, now: Time, query: DirectoryQuery) -> Listing {
+    let DirectoryQuery { zone, region, homes } = query;
     let infos = |is_named: &dyn Fn(&Contact) -> bool| -> Vec<&InstanceInfo> {
         contacts.live_entries(now).filter(|it| is_named(it)).map(|contact| &contact.info).collect()
     };
@@ -272,22 +339,24 @@
     let is_in_home_region = |info: &InstanceInfo| homes.contains(&info.region);
     let in_zone = addresses(&ready, &|info| Some(&info.zone) == zone);
     if in_zone.len() >= MIN_ZONE_ENTRIES {
-        return in_zone;
+        return Listing { addresses: in_zone, reach: Reach::Zone };
     }
     let in_region = addresses(&ready, &is_in_region);
     if !in_region.is_empty() {
-        return in_region;
+        return Listing { addresses: in_region, reach: Reach::Region };
     }
     let in_home_region = addresses(&ready, &is_in_home_region);
     if !in_home_region.is_empty() {
-        return in_home_region;
+        return Listing { addresses: in_home_region, reach: Reach::Homes };
     }
     let leaving = infos(&|contact| contact.has_begun_to_leave(now));
     let near = addresses(&leaving, &|info| is_in_region(info) || is_in_home_region(info));
     if !near.is_empty() {
-        return near;
+        return Listing { addresses: near, reach: Reach::Leaving };
     }
-    addresses(&ready, &|_| true)
+    let anywhere = addresses(&ready, &|_| true);
+    let reach = if anywhere.is_empty() { Reach::Nowhere } else { Reach::Anywhere };
+    Listing { addresses: anywhere, reach }
 }
 
 /// Minimum number of ready entry instances in a zone for its callers to be kept within it.
--- a/crates/medlarlug-core/tests/testsuite/gateway/contacts.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/contacts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use medlarlug_core::{
-    gateway::contacts::{Contacts, ServiceWait, Status, entry_addresses},
+    gateway::contacts::{Contacts, DirectoryQuery, ServiceWait, Status, entry_addresses},
     time::Time,
 };
 
@@ -31,8 +31,10 @@
 fn addresses(contacts: &Contacts, now: Time, near: &str, homes: &[&str]) -> Vec<String> {
     let homes: Vec<_> = homes.iter().map(|it| region(it)).collect();
     let zone = format!("{near}-a").parse().unwrap();
-    let found = entry_addresses(contacts, now, Some(&zone), Some(&region(near)), &homes);
-    found.iter().map(ToString::to_string).collect()
+    let query =
+        DirectoryQuery { zone: Some(&zone), region: Some(&region(near)), homes: &homes };
+    let found = entry_addresses(contacts, now, query);
+    found.addresses.iter().map(ToString::to_string).collect()
 }
 
 #[test]
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -61,7 +61,14 @@
         software: Option<SoftwareVersion>,
     },
     /// Another entry instance, in another region or in the own one.
-    Peer { id: InstanceId, region: RegionId, address: SocketAddr, wait: Duration },
+    Peer {
+        id: InstanceId,
+        region: RegionId,
+        address: SocketAddr,
+        wait: Duration,
+        /// Time since the instance was last heard.
+        age: Duration,
+    },
 }
 
 impl Hop {
@@ -334,6 +341,7 @@
             region: info.region.clone(),
             address: info.internal,
             wait,
+            age: now - contact.last_seen,
         })
     }
 
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -17,6 +17,7 @@
         table::{Route, RouteTable, ServiceName},
         upstreams::Upstream,
     },
+    ids::RegionId,
     time::Time,
 };
 
@@ -338,10 +339,10 @@
                     software.unwrap_or_default()
                 ));
             }
-            Hop::Peer { id, region, .. } => {
+            Hop::Peer { id, region, wait, age, .. } => {
                 self.tried.peers.push(id.clone());
-                let wait = hop.wait().as_millis();
-                self.path.push(format!("{id}(wait={wait}ms)"));
+                let (wait, age) = (wait.as_millis(), age.as_millis());
+                self.path.push(format!("{id}(region={region},wait={wait}ms,age={age}ms)"));
                 let is_passed_on = *region == entry.settings.borrow().info.region;
                 let name = if is_passed_on { names::PASSED_CALLS } else { names::FORWARDED_CALLS };
                 metrics::counter!(name).increment(1);
@@ -409,6 +410,12 @@
         outcome
     }
 
+    /// The home regions of the route and the team for the log; `None` if there are none.
+    fn homes_text(&self) -> Option<String> {
+        let homes: Vec<&str> = self.route.homes.iter().map(RegionId::as_str).collect();
+        (!homes.is_empty()).then(|| homes.join(","))
+    }
+
     /// Logs and counts the end of the call.
     pub(super) fn record_outcome(&self, entry: &Entry, call: &Call, ended: CallOutcome) {
         let took = entry.now() - self.began;
@@ -416,6 +423,7 @@
         tracing::info!(
             request = %call.id,
             route = %self.route.name,
+            homes = self.homes_text(),
             team = self.team.as_ref().map(|it| it.team.name.as_str()),
             table = self.table.version().0,
             path = %self.path.join(","),
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -33,14 +33,14 @@
 use medlarlug_core::{
     gateway::{
         cold::ColdDetector,
-        contacts::{Contacts, InstanceInfo, InstanceKind, Status},
+        contacts::{Contacts, InstanceInfo, InstanceKind, Reach, Status},
         evacuation_orders::EvacuationLog,
         publication::Publication,
         stall_detector::StallDetector,
         table::{RouteTable, TableVersion},
         upstreams::{Effect, Renewal, UpstreamState, Upstreams},
     },
-    ids::{InstanceId, ZoneId},
+    ids::{InstanceId, RegionId, ZoneId},
     replication::{Config, MemberKey, Membership, Persist, Replica, Role},
     suspects::{Fact, FactLog},
     time::Time,
@@ -118,6 +118,8 @@
     document: RefCell<Option<(TableVersion, Bytes)>>,
     /// Stalls of this process, during which announcements queue.
     stall: RefCell<StallDetector>,
+    /// How far the directory last led the callers of each region, sorted; for the log.
+    reaches: RefCell<Vec<(RegionId, Reach)>>,
     /// Error after which the process has to end.
     failure: RefCell<Option<KeeperError>>,
 }
@@ -162,6 +164,7 @@
             table: RefCell::default(),
             document: RefCell::default(),
             stall: RefCell::new(StallDetector::new(STALL_LIMIT)),
+            reaches: RefCell::default(),
             failure: RefCell::default(),
         });
         keeper.refresh_head();
--- a/crates/medlarlug-gateway/src/keeper/requests.rs
+++ b/crates/medlarlug-gateway/src/keeper/requests.rs
@@ -8,7 +8,7 @@
 };
 use medlarlug_core::{
     gateway::{
-        contacts::entry_addresses,
+        contacts::{DirectoryQuery, Listing, Reach, entry_addresses},
         evacuation_orders::Timeliness,
         publication::{Command, Publication},
         table::{RouteTable, TableVersion},
@@ -164,7 +164,7 @@
         }
     }
 
-    /// The entry instances to list to a caller, near ones first; empty while too few are known.
+    /// The entry instances to list to a caller; empty while too few are known.
     pub fn directory(
         &self,
         host: Option<&str>,
@@ -179,7 +179,49 @@
             (Some(table), Some(host)) => table.homes_of(host),
             _ => Vec::new(),
         };
-        entry_addresses(&self.contacts.borrow(), self.now(), zone, region, &homes)
+        let query = DirectoryQuery { zone, region, homes: &homes };
+        let listing = entry_addresses(&self.contacts.borrow(), self.now(), query);
+        metrics::counter!(names::DIRECTORY_ANSWERS, "reach" => listing.reach.name()).increment(1);
+        self.log_reach(&query, &listing);
+        listing.addresses
+    }
+
+    /// Logs how far the directory leads the callers of a region if that has changed.
+    fn log_reach(&self, query: &DirectoryQuery, listing: &Listing) {
+        let now = self.now();
+        let settings = self.settings.borrow();
+        // Callers may send any name; only the regions of the deployment are kept.
+        let is_known = |region: &&RegionId| settings.zones.iter().any(|it| it.1 == **region);
+        let Some(region) = query.region.filter(is_known) else { return };
+        let mut logged = self.reaches.borrow_mut();
+        // A change between the zone and the region is no news.
+        let near = |reach: Reach| matches!(reach, Reach::Zone | Reach::Region);
+        let before = match logged.binary_search_by(|it| it.0.cmp(region)) {
+            Ok(at) => std::mem::replace(&mut logged[at].1, listing.reach),
+            Err(at) => {
+                logged.insert(at, (region.clone(), listing.reach));
+                Reach::Region
+            }
+        };
+        if before == listing.reach || (near(before) && near(listing.reach)) {
+            return;
+        }
+        let ready = self.contacts.borrow().ready_by_region(now);
+        let ready = ready.iter().map(|it| format!("{}:{}@{}ms", it.0, it.1, it.2.as_millis()));
+        let stalled = self.stall.borrow().last_resumed(now);
+        tracing::info!(
+            %region,
+            homes = %query.homes.iter().map(RegionId::as_str).collect::<Vec<_>>().join(","),
+            reach = listing.reach.name(),
+            before = before.name(),
+            addresses = listing.addresses.len(),
+            ready = %ready.collect::<Vec<_>>().join(","),
+            table = self.head.borrow().version.0,
+            has_table = self.table.borrow().is_some(),
+            up_ms = (now - self.started).as_millis() as u64,
+            since_stall_ms = stalled.map(|it| (now - it).as_millis() as u64),
+            "reach of the directory changed"
+        );
     }
 
     /// Parses a table with the function from the settings.
