Keepers agree that a region is empty before the directory leads callers out of their homes

Callers of a host with home regions were named instances of other regions, to which they then sent the bodies of their calls.

Cause: a keeper takes an instance that it has not heard for 2.5 s for gone. After a start, a stall, or behind a partition it hears none of a region although they run, and the last resort of the directory, any ready instance, took what little it heard for all there is. A keeper without a table knew no homes, and took such hosts for ones that may be served anywhere.

Keepers now report to each other in which regions they hear ready instances. Callers of a host with home regions are led out of them and of their own region only while a majority of the keepers, this one among them, hears no ready instance there and none does. A keeper does not report, and leads nobody away, before it has listened for 2.5 s since its start or its last stall, nor without a table. Otherwise it names no instance, and the caller asks the next keeper.

The report is at the end of the update between keepers; earlier builds skip it and send none, so beside them keepers of this build name no instance in that case.

--- a/crates/medlarlug-core/src/gateway/contacts.rs
+++ b/crates/medlarlug-core/src/gateway/contacts.rs
@@ -277,8 +277,9 @@
     pub zone: Option<&'a ZoneId>,
     /// The region of the caller.
     pub region: Option<&'a RegionId>,
-    /// The regions that may serve the routes of the host, sorted; all if empty.
-    pub homes: &'a [RegionId],
+    /// The regions that may serve the routes of the host; all if empty, `None` if the routes are not
+    /// known.
+    pub homes: Option<&'a [RegionId]>,
 }
 
 /// How far from its caller an answer of the directory leads. The names are values of the label `reach`
@@ -293,8 +294,11 @@
     Homes,
     /// To instances of the caller's region or of the home regions that have just begun to leave.
     Leaving,
-    /// To all ready instances.
+    /// To all ready instances, since the regions that should come first have none.
     Anywhere,
+    /// No instance is named: the regions that should come first may have ready ones that this keeper
+    /// does not hear.
+    Withheld,
     /// No instance is known.
     Nowhere,
 }
@@ -308,6 +312,7 @@
             Reach::Homes => "homes",
             Reach::Leaving => "leaving",
             Reach::Anywhere => "anywhere",
+            Reach::Withheld => "withheld",
             Reach::Nowhere => "nowhere",
         }
     }
@@ -323,9 +328,17 @@
 }
 
 /// The entry instances for a caller: ready ones of its zone, else of its region, else of a home
-/// region; else those of these regions that have just begun to leave, as in a rolling restart; else
-/// any ready ones.
-pub fn entry_addresses(contacts: &Contacts, now: Time, query: DirectoryQuery) -> Listing {
+/// region; else those of these regions that have just begun to leave, as in a rolling restart.
+///
+/// Any other ready ones are named only if `are_empty` confirms that these regions have none, or if the
+/// host has no home regions. The body of a call may not enter another region, and a caller without an
+/// answer asks the next keeper.
+pub fn entry_addresses(
+    contacts: &Contacts,
+    now: Time,
+    query: DirectoryQuery,
+    are_empty: impl FnOnce(&[&RegionId]) -> bool,
+) -> Listing {
     let DirectoryQuery { zone, region, homes } = query;
     let infos = |is_named: &dyn Fn(&Contact) -> bool| -> Vec<&InstanceInfo> {
         contacts.live_entries(now).filter(|it| is_named(it)).map(|contact| &contact.info).collect()
@@ -336,7 +349,8 @@
     };
     let ready = infos(&|contact| contact.status.ready);
     let is_in_region = |info: &InstanceInfo| Some(&info.region) == region;
-    let is_in_home_region = |info: &InstanceInfo| homes.contains(&info.region);
+    let is_in_home_region =
+        |info: &InstanceInfo| homes.is_some_and(|homes| homes.contains(&info.region));
     let in_zone = addresses(&ready, &|info| Some(&info.zone) == zone);
     if in_zone.len() >= MIN_ZONE_ENTRIES {
         return Listing { addresses: in_zone, reach: Reach::Zone };
@@ -355,8 +369,16 @@
         return Listing { addresses: near, reach: Reach::Leaving };
     }
     let anywhere = addresses(&ready, &|_| true);
-    let reach = if anywhere.is_empty() { Reach::Nowhere } else { Reach::Anywhere };
-    Listing { addresses: anywhere, reach }
+    let may_leave = match homes {
+        None => false,
+        Some([]) => true,
+        Some(homes) => are_empty(&region.into_iter().chain(homes).collect::<Vec<_>>()),
+    };
+    match anywhere.is_empty() {
+        true => Listing { addresses: anywhere, reach: Reach::Nowhere },
+        false if may_leave => Listing { addresses: anywhere, reach: Reach::Anywhere },
+        false => Listing { addresses: Vec::new(), reach: Reach::Withheld },
+    }
 }
 
 /// Minimum number of ready entry instances in a zone for its callers to be kept within it.
--- a/crates/medlarlug-core/tests/testsuite/gateway/contacts.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/contacts.rs
@@ -32,8 +32,8 @@
     let homes: Vec<_> = homes.iter().map(|it| region(it)).collect();
     let zone = format!("{near}-a").parse().unwrap();
     let query =
-        DirectoryQuery { zone: Some(&zone), region: Some(&region(near)), homes: &homes };
-    let found = entry_addresses(contacts, now, query);
+        DirectoryQuery { zone: Some(&zone), region: Some(&region(near)), homes: Some(&homes) };
+    let found = entry_addresses(contacts, now, query, |_| true);
     found.addresses.iter().map(ToString::to_string).collect()
 }
 
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -36,6 +36,7 @@
         contacts::{Contacts, InstanceInfo, InstanceKind, Reach, Status},
         evacuation_orders::EvacuationLog,
         publication::Publication,
+        region_reports::RegionReports,
         stall_detector::StallDetector,
         table::{RouteTable, TableVersion},
         upstreams::{Effect, Renewal, UpstreamState, Upstreams},
@@ -118,6 +119,8 @@
     document: RefCell<Option<(TableVersion, Bytes)>>,
     /// Stalls of this process, during which announcements queue.
     stall: RefCell<StallDetector>,
+    /// In which regions this keeper and the others hear ready entry instances.
+    region_reports: RefCell<RegionReports>,
     /// How far the directory last led the callers of each region, sorted; for the log.
     reaches: RefCell<Vec<(RegionId, Reach)>>,
     /// Error after which the process has to end.
@@ -164,6 +167,7 @@
             table: RefCell::default(),
             document: RefCell::default(),
             stall: RefCell::new(StallDetector::new(STALL_LIMIT)),
+            region_reports: RefCell::new(RegionReports::new(clock.now())),
             reaches: RefCell::default(),
             failure: RefCell::default(),
         });
@@ -364,14 +368,17 @@
         let upstreams = self.upstreams.borrow();
         let contacts = self.contacts.borrow();
         let cold_detector = self.cold_detector.borrow();
+        let now = self.now();
+        let ready_regions = self.region_reports.borrow().own(now, &contacts);
         let state = KeeperState {
             upstreams: &upstreams,
             contacts: &contacts,
             head: &head,
             cold_detector: &cold_detector,
             facts: &self.facts.borrow(),
+            ready_regions: ready_regions.as_deref(),
         };
-        subscribers.push(self.now(), state);
+        subscribers.push(now, state);
     }
 
     fn on_update(&self, from: SocketAddr, mut update: Update) {
@@ -400,6 +407,9 @@
                 let age_ms = renewal.age_ms.saturating_add(time_queued_ms);
                 upstreams.renew(now, &Renewal { age_ms, ..renewal });
             }
+            if let Some(regions) = update.ready_regions {
+                self.region_reports.borrow_mut().record(now, from, regions, time_queued);
+            }
             let mut contacts = self.contacts.borrow_mut();
             let keepers =
                 update.contacts.into_iter().filter(|it| it.0.kind == InstanceKind::Keeper);
--- a/crates/medlarlug-gateway/src/keeper/requests.rs
+++ b/crates/medlarlug-gateway/src/keeper/requests.rs
@@ -15,6 +15,7 @@
         upstreams::{Effect, Upstream, UpstreamState},
     },
     ids::{RegionId, UpstreamId, ZoneId},
+    replication::Member,
     time::Time,
 };
 use serde_bytes::ByteBuf;
@@ -164,28 +165,44 @@
         }
     }
 
-    /// The entry instances to list to a caller; empty while too few are known.
+    /// The entry instances to list to a caller; empty while too few are known, or if the caller should
+    /// ask another keeper.
     pub fn directory(
         &self,
         host: Option<&str>,
         zone: Option<&ZoneId>,
         region: Option<&RegionId>,
     ) -> Vec<SocketAddr> {
-        if self.now() - self.started < WARM_UP_TIME {
+        let now = self.now();
+        if now - self.started < WARM_UP_TIME {
             return Vec::new();
         }
-        let table = self.table.borrow();
-        let homes = match (&*table, host) {
-            (Some(table), Some(host)) => table.homes_of(host),
-            _ => Vec::new(),
-        };
-        let query = DirectoryQuery { zone, region, homes: &homes };
-        let listing = entry_addresses(&self.contacts.borrow(), self.now(), query);
+        let table = self.table.borrow().clone();
+        let homes = table.map(|table| host.map(|host| table.homes_of(host)).unwrap_or_default());
+        let query = DirectoryQuery { zone, region, homes: homes.as_deref() };
+        let contacts = self.contacts.borrow();
+        let listing = entry_addresses(&contacts, now, query, |regions| {
+            let reports = self.region_reports.borrow();
+            self.other_members()
+                .is_some_and(|others| reports.are_empty(now, &contacts, &others, regions))
+        });
         metrics::counter!(names::DIRECTORY_ANSWERS, "reach" => listing.reach.name()).increment(1);
         self.log_reach(&query, &listing);
         listing.addresses
     }
 
+    /// The addresses of the other members of the keepers' group; `None` if this keeper is no member.
+    fn other_members(&self) -> Option<Vec<SocketAddr>> {
+        let settings = self.settings.borrow();
+        let group = self.group.borrow();
+        let members = group.replica().membership()?.members();
+        let is_own = |it: &&Member| it.key.id == settings.info.id;
+        members.iter().find(is_own)?;
+        let port = settings.info.internal.port();
+        let others = members.iter().filter(|it| !is_own(it));
+        Some(others.filter_map(|it| address_of(&it.key.id, port)).collect())
+    }
+
     /// Logs how far the directory leads the callers of a region if that has changed.
     fn log_reach(&self, query: &DirectoryQuery, listing: &Listing) {
         let now = self.now();
@@ -211,13 +228,13 @@
         let stalled = self.stall.borrow().last_resumed(now);
         tracing::info!(
             %region,
-            homes = %query.homes.iter().map(RegionId::as_str).collect::<Vec<_>>().join(","),
+            homes = %query.homes.unwrap_or_default().iter().map(RegionId::as_str).collect::<Vec<_>>().join(","),
             reach = listing.reach.name(),
             before = before.name(),
             addresses = listing.addresses.len(),
             ready = %ready.collect::<Vec<_>>().join(","),
             table = self.head.borrow().version.0,
-            has_table = self.table.borrow().is_some(),
+            has_table = query.homes.is_some(),
             up_ms = (now - self.started).as_millis() as u64,
             since_stall_ms = stalled.map(|it| (now - it).as_millis() as u64),
             "reach of the directory changed"
--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -17,7 +17,7 @@
         table::TableVersion,
         upstreams::{Birth, Heartbeat, Renewal, Upstream},
     },
-    ids::{InstanceId, UpstreamId, ZoneId},
+    ids::{InstanceId, RegionId, UpstreamId, ZoneId},
     replication,
     suspects::Fact,
 };
@@ -42,6 +42,9 @@
 /// Timeout for opening a connection: a few round trips between regions, with one lost packet.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Most fields at the end of a message that an earlier build may have left out. Each decodes as empty
+/// from one byte of zero.
+const MISSING_FIELDS: usize = 2;
 const MAX_FRAME_BYTES: u32 = 16 << 20;
 /// Capacity of the send queue of a link, in messages.
 const QUEUE_MESSAGES: usize = 1_024;
@@ -84,8 +87,11 @@
     /// Crashes and clearances of contents that crash upstreams.
     pub facts: Vec<Fact>,
     /// Software versions of `upstreams`, in the same order. Earlier builds neither send nor read it,
-    /// so it has to remain at the end.
+    /// so it has to remain behind the others.
     pub software: Vec<Option<SoftwareVersion>>,
+    /// To keepers: the regions in which the sender hears ready entry instances; `None` in other updates
+    /// and while it can't tell. Earlier builds neither send nor read it, so it has to remain at the end.
+    pub ready_regions: Option<Vec<RegionId>>,
 }
 
 impl Update {
@@ -401,7 +407,7 @@
 /// # Ok::<(), postcard::Error>(())
 /// ```
 pub fn decode(mut content: Vec<u8>) -> Result<Message, postcard::Error> {
-    content.push(0);
+    content.extend([0; MISSING_FIELDS]);
     postcard::from_bytes(&content)
 }
 
