Calls obey home regions that arrive while they wait or stream

A call whose route got home regions while it waited, or while its stream ran, was sent on to upstreams and instances outside them.

Cause: a call takes its route from the table at its beginning and keeps it. A wait for admission, a permit or room lasts up to the time of the call, and a stream may be resumed many seconds later.

Each choice of a hop now restricts the route to the homes that route and team have in the newest table; without a common region the call gets no hop. The table still decides everything else as before.

streams::stream_is_not_resumed_outside_the_home_regions_that_its_route_got_meanwhile failed with the three calls taken out (2 runs, 1 expected) and passes with them.

--- a/crates/medlarlug-core/src/gateway/authentication.rs
+++ b/crates/medlarlug-core/src/gateway/authentication.rs
@@ -185,13 +185,5 @@
 /// if there are none.
 fn restrict(mut route: Route, team: &Team) -> Option<Route> {
     route.priority = team.priority.unwrap_or(route.priority);
-    if route.homes.is_empty() {
-        route.homes.clone_from(&team.homes);
-    } else if !team.homes.is_empty() {
-        route.homes.retain(|home| team.homes.binary_search(home).is_ok());
-        if route.homes.is_empty() {
-            return None;
-        }
-    }
-    Some(route)
+    route.restrict_homes(&team.homes).then_some(route)
 }
--- a/crates/medlarlug-core/src/gateway/table.rs
+++ b/crates/medlarlug-core/src/gateway/table.rs
@@ -128,6 +128,26 @@
         self.homes.is_empty() || self.homes.binary_search(region).is_ok()
     }
 
+    /// Restricts the route to regions that also belong to `homes`, which allows all if empty. Returns
+    /// false and changes nothing if that leaves none.
+    pub fn restrict_homes(&mut self, homes: &[RegionId]) -> bool {
+        if homes.is_empty() {
+            return true;
+        }
+        if self.homes.is_empty() {
+            self.homes = homes.to_vec();
+            self.homes.sort();
+            return true;
+        }
+        let common = self.homes.iter().filter(|home| homes.contains(home));
+        let common: Vec<RegionId> = common.cloned().collect();
+        let has_common = !common.is_empty();
+        if has_common {
+            self.homes = common;
+        }
+        has_common
+    }
+
     /// The target at `point` of the route's weights, where `point` lies between 0 and 1.
     pub fn target_at(&self, point: f64) -> &Target {
         let total: u32 = self.targets.iter().map(|target| target.weight).sum();
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -14,7 +14,7 @@
         software_version::SoftwareVersion,
         stream_timeout::{self, StreamSource},
         stream_version::StreamVersion,
-        table::{Route, RouteTable, ServiceName},
+        table::{Route, RouteTable, ServiceName, TableVersion},
         upstreams::Upstream,
     },
     ids::RegionId,
@@ -41,8 +41,12 @@
 /// The state of one call while it is served: its route, its deadlines, and the attempts so far.
 pub(super) struct Plan {
     pub(super) table: Rc<RouteTable>,
-    /// The route, restricted to what the team may use.
+    /// The route, restricted to what the team may use, and to the home regions of `homes_version`.
     pub(super) route: Route,
+    /// Version of the newest table whose home regions the call obeys.
+    pub(super) homes_version: TableVersion,
+    /// Whether no region may serve the call any more.
+    pub(super) is_barred: bool,
     /// The team that the call is served for; `None` on an anonymous route and without teams.
     pub(super) team: Option<Rc<AcceptedTeam>>,
     pub(super) service: ServiceName,
@@ -134,8 +138,30 @@
 }
 
 impl Plan {
-    /// Chooses the next hop; `None` if there is none, or the content of the call is quarantined.
+    /// Restricts the call to the home regions that its route and its team have in the newest table, which
+    /// may have arrived while the call waited or its stream ran.
+    pub(super) fn obey_newest_homes(&mut self, entry: &Entry, call: &Call) {
+        let newest = entry.table.borrow().clone();
+        let Some(newest) = newest.filter(|it| it.version() > self.homes_version) else { return };
+        self.homes_version = newest.version();
+        let team = self.team.as_ref().zip(newest.teams());
+        let team = team.and_then(|(own, teams)| teams.by_name(&own.team.name));
+        let team_homes = team.map_or(&[][..], |team| &team.homes);
+        let route_homes = newest.route(&call.host, call.path()).map_or(&[][..], |it| &it.homes);
+        let may_go_on =
+            self.route.restrict_homes(route_homes) && self.route.restrict_homes(team_homes);
+        if !may_go_on {
+            tracing::info!(request = %call.id, table = newest.version().0, "no home region left");
+            self.is_barred = true;
+        }
+    }
+
+    /// Chooses the next hop; `None` if there is none, no region may serve the call, or its content is
+    /// quarantined.
     pub(super) fn next_hop(&self, entry: &Entry, call: &Call) -> Option<Hop> {
+        if self.is_barred {
+            return None;
+        }
         let may_try = self.is_trial && self.attempts.arrivals() == 0;
         if !may_try && entry.is_quarantined(call) {
             return None;
@@ -293,6 +319,7 @@
     /// Whether another hop can take over the stream and is predicted to answer in time. If so, a retry
     /// has been taken from the budget for it.
     pub(super) fn may_resume(&mut self, entry: &Entry, call: &Call) -> bool {
+        self.obey_newest_homes(entry, call);
         let left = self.answer_by - entry.now();
         let is_in_time = |hop: Hop| hop.wait() < left && !hop.lacks_room();
         self.last_event.is_some()
--- a/crates/medlarlug-gateway/src/entry/relay.rs
+++ b/crates/medlarlug-gateway/src/entry/relay.rs
@@ -152,6 +152,7 @@
 /// where engines crash when their memory is exceeded.
 async fn permitted_hop(entry: &Rc<Entry>, call: &Call, plan: &mut Plan) -> Option<Hop> {
     loop {
+        plan.obey_newest_homes(entry, call);
         let hop = plan.next_hop(entry, call);
         if plan.waits_for_permit(entry, hop.as_ref()) {
             sleep(PERMIT_POLL_INTERVAL).await;
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -353,6 +353,8 @@
     let limit = deadline.min(route.timeout);
     let last = call.headers.get(&entry.names.last_event).and_then(|it| it.to_str().ok());
     Ok(Plan {
+        homes_version: table.version(),
+        is_barred: false,
         table,
         service,
         began,
@@ -471,6 +473,7 @@
     loop {
         let now = entry.now();
         let left = plan.answer_by - now;
+        plan.obey_newest_homes(entry, call);
         let quarantine = entry.quarantine(call, plan);
         let hop = match plan.unreachable < MAX_FAILED_CONNECTIONS && left > MIN_REMAINING {
             true => plan.next_hop(entry, call),
