A region keeps its callers while its instances start, leave or are late together

Cause: the directory counted ready instances heard within 2.5 s, the time after which a single instance is avoided. Nothing told a region that is gone from one whose instances take callers again in a moment.

For the decision to lead callers out, an instance now counts until it was silent for 5 s, while it has not been ready yet, and for 5 s after it began to leave. Which instances are named stays as it was.

region_reports::region_that_is_silent_for_a_moment_is_not_empty and region_whose_instances_all_start_or_have_just_begun_to_leave_is_not_empty fail with the old condition (ready, heard within 2.5 s) put back, the other seven pass; with the new one all nine do.

--- a/crates/medlarlug-core/src/gateway/contacts.rs
+++ b/crates/medlarlug-core/src/gateway/contacts.rs
@@ -86,6 +86,8 @@
     pub last_seen: Time,
     /// When it last reported that it no longer takes callers, after it had taken some.
     leaving_since: Option<Time>,
+    /// Whether it has ever reported that it takes callers.
+    was_ready: bool,
     /// Number of its last change, see [`Contacts::changed_since`].
     change: u64,
 }
@@ -96,10 +98,23 @@
         let since = self.leaving_since.filter(|_| !self.status.ready);
         since.is_some_and(|since| now - since < LEAVING_NAMED_TIME)
     }
+
+    /// Whether its region still counts as one with instances for callers: it is ready, starts, or began
+    /// to leave a moment ago, and was heard within [`SILENCE_TIMEOUT`].
+    pub fn keeps_region(&self, now: Time) -> bool {
+        let leaves = self.leaving_since.is_some_and(|since| now - since >= SILENCE_TIMEOUT);
+        let takes_callers = self.status.ready || !self.was_ready || !leaves;
+        takes_callers
+            && self.info.kind == InstanceKind::Entry
+            && now - self.last_seen <= SILENCE_TIMEOUT
+    }
 }
 
 /// Time without a heartbeat after which an instance no longer counts as live.
 pub const LIVENESS_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time without a heartbeat of any of its instances after which a region may count as empty. A region
+/// whose instances are overloaded together is silent for longer than a single one.
+pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time without a heartbeat after which a keeper forgets an instance.
 pub const FORGET_AFTER: Duration = Duration::from_secs(30);
 
@@ -137,6 +152,7 @@
                 known.info = info;
                 known.last_seen = last_seen;
                 if let Some(status) = status {
+                    known.was_ready |= status.ready;
                     known.status = status;
                 }
                 if has_changed {
@@ -149,7 +165,9 @@
                 let status = status.unwrap_or_default();
                 self.change += 1;
                 let change = self.change;
-                let contact = Contact { info, status, last_seen, leaving_since: None, change };
+                let was_ready = status.ready;
+                let contact =
+                    Contact { info, status, last_seen, leaving_since: None, was_ready, change };
                 self.known.insert(at, contact);
                 let entries = self.known.iter().filter(|it| it.info.kind == InstanceKind::Entry);
                 self.peak_entries = self.peak_entries.max(entries.count());
--- a/crates/medlarlug-core/src/gateway/region_reports.rs
+++ b/crates/medlarlug-core/src/gateway/region_reports.rs
@@ -1,15 +1,16 @@
-//! What the keepers know together about the regions that have ready entry instances.
+//! What the keepers know together about the regions that have entry instances for callers.
 //!
 //! Each keeper hears the entry instances over its own links. A keeper that has just started, was
 //! stalled, or is cut off from a region hears none of the instances there, as if they were gone. So no
 //! keeper concludes alone that a region is empty: keepers report to each other in which regions they
-//! hear ready instances, and a region counts as empty once a majority of them hears none there.
+//! hear instances, and a region counts as empty once a majority of them hears none there. Instances that
+//! start, or have just begun to leave, keep their region: they take callers within a moment.
 
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{
     gateway::{
-        contacts::{Contacts, LIVENESS_TIMEOUT},
+        contacts::{Contacts, SILENCE_TIMEOUT},
         stall_detector::StallDetector,
     },
     ids::RegionId,
@@ -20,11 +21,10 @@
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(800);
 /// Age up to which a report counts: two intervals, and the time in which it arrives.
 const REPORT_LIFETIME: Duration = Duration::from_millis(2_000);
-/// Shortest stall after which contacts may look silent only because their messages were not read: the
-/// time in which a live instance is heard, less the interval of its messages with a margin.
+/// Shortest stall after which contacts may look silent only because their messages were not read.
 const STALL_LIMIT: Duration = Duration::from_millis(1_500);
 /// Time for which a keeper has to listen before its view shows who is silent.
-const LISTENING_TIME: Duration = LIVENESS_TIMEOUT;
+const LISTENING_TIME: Duration = SILENCE_TIMEOUT;
 
 /// The reports of the other keepers, and whether this one has listened for long enough to report.
 #[derive(Debug, Clone)]
@@ -39,7 +39,7 @@
 struct Report {
     keeper: SocketAddr,
     made: Time,
-    /// Regions with ready entry instances, sorted.
+    /// Regions with entry instances, sorted.
     regions: Vec<RegionId>,
 }
 
@@ -71,21 +71,21 @@
         self.reports.retain(|it| now - it.made <= REPORT_LIFETIME);
     }
 
-    /// The regions in which this keeper hears ready entry instances, sorted; `None` while it has not
-    /// listened for long enough since its start or its last stall.
+    /// The regions in which this keeper hears entry instances, sorted; `None` while it has not listened
+    /// for long enough since its start or its last stall.
     pub fn own(&self, now: Time, contacts: &Contacts) -> Option<Vec<RegionId>> {
         let since = self.stall.last_resumed(now).map_or(self.started, |it| it.max(self.started));
         if now - since < LISTENING_TIME {
             return None;
         }
-        let ready = contacts.live_entries(now).filter(|it| it.status.ready);
-        let mut regions: Vec<RegionId> = ready.map(|it| it.info.region.clone()).collect();
+        let heard = contacts.all().iter().filter(|it| it.keeps_region(now));
+        let mut regions: Vec<RegionId> = heard.map(|it| it.info.region.clone()).collect();
         regions.sort();
         regions.dedup();
         Some(regions)
     }
 
-    /// Whether `regions` have no ready entry instance: a majority of all keepers hears none there, this
+    /// Whether `regions` have no entry instance for callers: a majority of all keepers hears none there, this
     /// one among them, and no keeper hears one. `others` are the addresses of the other keepers.
     pub fn are_empty(
         &self,
--- a/crates/medlarlug-core/tests/testsuite/gateway/region_reports.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/region_reports.rs
@@ -68,9 +68,9 @@
 
 #[test]
 fn caller_is_led_out_of_an_empty_home_once_a_majority_hears_nothing_there() {
-    let now = Time::from_millis(4_000);
+    let now = Time::from_millis(7_000);
     let mut keeper = Keeper::new(4);
-    keeper.listen(0, 4_000, &["kollam"]);
+    keeper.listen(0, 7_000, &["kollam"]);
 
     keeper.report(now, 0, &["kollam"]);
     let with_two = keeper.reach(now);
@@ -82,9 +82,9 @@
 
 #[test]
 fn keeper_that_is_cut_off_from_a_home_does_not_lead_callers_out_of_it() {
-    let now = Time::from_millis(4_000);
+    let now = Time::from_millis(7_000);
     let mut keeper = Keeper::new(4);
-    keeper.listen(0, 4_000, &["kollam"]);
+    keeper.listen(0, 7_000, &["kollam"]);
     (0..3).for_each(|other| keeper.report(now, other, &["kollam"]));
 
     keeper.report(now, 3, &["kochi", "kollam"]);
@@ -95,24 +95,24 @@
 #[test]
 fn keeper_that_hears_no_other_keeper_does_not_lead_callers_out_of_their_home() {
     let mut keeper = Keeper::new(2);
-    keeper.listen(0, 9_000, &["kollam"]);
-    keeper.report(Time::from_millis(4_000), 0, &["kollam"]);
+    keeper.listen(0, 14_000, &["kollam"]);
+    keeper.report(Time::from_millis(7_000), 0, &["kollam"]);
 
-    assert_eq!(keeper.reach(Time::from_millis(9_000)), Reach::Withheld);
+    assert_eq!(keeper.reach(Time::from_millis(14_000)), Reach::Withheld);
 }
 
 #[test]
 fn keeper_that_resumes_from_a_stall_does_not_lead_callers_to_the_first_instance_it_reads() {
-    let resumed = Time::from_millis(9_000);
+    let resumed = Time::from_millis(14_000);
     let mut keeper = Keeper::new(0);
-    keeper.listen(0, 4_000, &["kochi", "kollam"]);
+    keeper.listen(0, 7_000, &["kochi", "kollam"]);
 
     keeper.hear(resumed, &["kollam"]);
     let before_tick = keeper.reach(resumed);
     keeper.reports.tick(resumed);
     let after_tick = keeper.reach(resumed);
-    keeper.listen(9_200, 12_000, &["kollam"]);
-    let settled = keeper.reach(Time::from_millis(12_000));
+    keeper.listen(14_200, 20_000, &["kollam"]);
+    let settled = keeper.reach(Time::from_millis(20_000));
 
     assert_eq!((before_tick, after_tick), (Reach::Withheld, Reach::Withheld));
     assert_eq!(settled, Reach::Anywhere);
@@ -121,8 +121,8 @@
 #[test]
 fn keeper_that_has_just_started_does_not_report_or_lead_callers_away() {
     let mut keeper = Keeper::new(0);
-    keeper.listen(0, 2_400, &["kollam"]);
-    let early = Time::from_millis(2_400);
+    keeper.listen(0, 4_800, &["kollam"]);
+    let early = Time::from_millis(4_800);
 
     assert_eq!(keeper.reports.own(early, &keeper.contacts), None);
     assert_eq!(keeper.reach(early), Reach::Withheld);
@@ -130,9 +130,9 @@
 
 #[test]
 fn instance_that_leaves_the_keepers_no_longer_counts() {
-    let now = Time::from_millis(4_000);
+    let now = Time::from_millis(7_000);
     let mut keeper = Keeper::new(2);
-    keeper.listen(0, 4_000, &["kollam"]);
+    keeper.listen(0, 7_000, &["kollam"]);
     keeper.report(now, 0, &["kollam"]);
     keeper.report(now, 1, &["kochi"]);
 
@@ -147,11 +147,45 @@
 #[test]
 fn keeper_that_knows_no_routes_does_not_lead_callers_out_of_their_region() {
     let mut keeper = Keeper::new(0);
-    keeper.listen(0, 4_000, &["kollam"]);
+    keeper.listen(0, 7_000, &["kollam"]);
     let own = region("kochi");
     let query = DirectoryQuery { zone: None, region: Some(&own), homes: None };
 
-    let found = entry_addresses(&keeper.contacts, Time::from_millis(4_000), query, |_| true);
+    let found = entry_addresses(&keeper.contacts, Time::from_millis(7_000), query, |_| true);
 
     assert_eq!((found.reach, found.addresses.len()), (Reach::Withheld, 0));
 }
+
+#[test]
+fn region_whose_instances_all_start_or_have_just_begun_to_leave_is_not_empty() {
+    let (left, later) = (Time::from_millis(6_000), Time::from_millis(11_000));
+    let not_ready = || Some(Status::default());
+    let mut keeper = Keeper::new(0);
+    keeper.listen(0, 6_000, &["kochi", "kollam"]);
+    keeper.contacts.update(left, entry("kochi-1", "kochi"), not_ready(), FRESH);
+
+    keeper.listen(6_200, 8_000, &["kollam"]);
+    let after_a_moment = keeper.reach(Time::from_millis(8_000));
+    keeper.contacts.update(later, entry("kochi-1", "kochi"), not_ready(), FRESH);
+    keeper.listen(8_200, 11_000, &["kollam"]);
+    let after_long = keeper.reach(later);
+    keeper.contacts.update(later, entry("kochi-2", "kochi"), not_ready(), FRESH);
+    let beside_one_that_starts = keeper.reach(later);
+
+    assert_eq!((after_a_moment, after_long), (Reach::Withheld, Reach::Anywhere));
+    assert_eq!(beside_one_that_starts, Reach::Withheld);
+}
+
+/// Instances of a busy region were late with their heartbeats together.
+#[test]
+fn region_that_is_silent_for_a_moment_is_not_empty() {
+    let mut keeper = Keeper::new(0);
+    keeper.listen(0, 7_000, &["kochi", "kollam"]);
+
+    keeper.listen(7_200, 11_800, &["kollam"]);
+    let silent = keeper.reach(Time::from_millis(11_800));
+    keeper.listen(12_000, 12_200, &["kollam"]);
+    let gone = keeper.reach(Time::from_millis(12_200));
+
+    assert_eq!((silent, gone), (Reach::Withheld, Reach::Anywhere));
+}
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -119,7 +119,7 @@
     document: RefCell<Option<(TableVersion, Bytes)>>,
     /// Stalls of this process, during which announcements queue.
     stall: RefCell<StallDetector>,
-    /// In which regions this keeper and the others hear ready entry instances.
+    /// In which regions this keeper and the others hear entry instances.
     region_reports: RefCell<RegionReports>,
     /// How far the directory last led the callers of each region, sorted; for the log.
     reaches: RefCell<Vec<(RegionId, Reach)>>,
@@ -369,14 +369,14 @@
         let contacts = self.contacts.borrow();
         let cold_detector = self.cold_detector.borrow();
         let now = self.now();
-        let ready_regions = self.region_reports.borrow().own(now, &contacts);
+        let heard_regions = self.region_reports.borrow().own(now, &contacts);
         let state = KeeperState {
             upstreams: &upstreams,
             contacts: &contacts,
             head: &head,
             cold_detector: &cold_detector,
             facts: &self.facts.borrow(),
-            ready_regions: ready_regions.as_deref(),
+            heard_regions: heard_regions.as_deref(),
         };
         subscribers.push(now, state);
     }
@@ -407,7 +407,7 @@
                 let age_ms = renewal.age_ms.saturating_add(time_queued_ms);
                 upstreams.renew(now, &Renewal { age_ms, ..renewal });
             }
-            if let Some(regions) = update.ready_regions {
+            if let Some(regions) = update.heard_regions {
                 self.region_reports.borrow_mut().record(now, from, regions, time_queued);
             }
             let mut contacts = self.contacts.borrow_mut();
--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -89,9 +89,9 @@
     /// Software versions of `upstreams`, in the same order. Earlier builds neither send nor read it,
     /// so it has to remain behind the others.
     pub software: Vec<Option<SoftwareVersion>>,
-    /// To keepers: the regions in which the sender hears ready entry instances; `None` in other updates
+    /// To keepers: the regions in which the sender hears entry instances; `None` in other updates
     /// and while it can't tell. Earlier builds neither send nor read it, so it has to remain at the end.
-    pub ready_regions: Option<Vec<RegionId>>,
+    pub heard_regions: Option<Vec<RegionId>>,
 }
 
 impl Update {
--- a/crates/medlarlug-gateway/src/subscribers.rs
+++ b/crates/medlarlug-gateway/src/subscribers.rs
@@ -60,8 +60,8 @@
     heartbeats_sent: Option<Time>,
     waits: Vec<RegionWait>,
     facts: u64,
-    /// When the ready regions were last sent, and which.
-    ready_regions: Option<(Time, Vec<RegionId>)>,
+    /// When the heard regions were last sent, and which.
+    heard_regions: Option<(Time, Vec<RegionId>)>,
 }
 
 /// The state of a keeper that updates are made from.
@@ -72,8 +72,8 @@
     pub(crate) head: &'a PublicationHead,
     pub(crate) cold_detector: &'a ColdDetector,
     pub(crate) facts: &'a FactLog,
-    /// Regions in which this keeper hears ready entry instances; `None` while it can't tell.
-    pub(crate) ready_regions: Option<&'a [RegionId]>,
+    /// Regions in which this keeper hears entry instances; `None` while it can't tell.
+    pub(crate) heard_regions: Option<&'a [RegionId]>,
 }
 
 /// Parts of an update that are computed once per round and shared by all links.
@@ -203,7 +203,7 @@
 impl Subscriber {
     fn next_update(&mut self, round: &UpdateRound) -> Option<Update> {
         let now = round.now;
-        let KeeperState { upstreams, contacts, head, cold_detector, facts, ready_regions } =
+        let KeeperState { upstreams, contacts, head, cold_detector, facts, heard_regions } =
             round.state;
         let mut update = Update::default();
         let is_keeper = self.part == InstanceKind::Keeper;
@@ -233,7 +233,7 @@
             let renewed = upstreams.renewed_since(self.sent.renewals).filter(is_forwarded);
             update.renewals = renewed.map(|known| renewal(now, known)).collect();
             self.sent.renewals = upstreams.last_renewal();
-            update.ready_regions = self.due_report(now, ready_regions);
+            update.heard_regions = self.due_report(now, heard_regions);
         } else if self.is_primary {
             let is_due =
                 self.sent.heartbeats_sent.is_none_or(|sent| now - sent >= HEARTBEAT_INTERVAL);
@@ -265,16 +265,16 @@
         Some(update)
     }
 
-    /// The report of the ready regions, if it has changed or is due again.
+    /// The report of the heard regions, if it has changed or is due again.
     fn due_report(&mut self, now: Time, regions: Option<&[RegionId]>) -> Option<Vec<RegionId>> {
         let regions = regions?;
-        let is_current = self.sent.ready_regions.as_ref().is_some_and(|(sent, known)| {
+        let is_current = self.sent.heard_regions.as_ref().is_some_and(|(sent, known)| {
             now - *sent < region_reports::REPORT_INTERVAL && known == regions
         });
         if is_current {
             return None;
         }
-        self.sent.ready_regions = Some((now, regions.to_vec()));
+        self.sent.heard_regions = Some((now, regions.to_vec()));
         Some(regions.to_vec())
     }
 }
