Callers of a host are led to the home regions that its routes have in common

The directory led callers of a host to the home regions of any of its routes, so a call of one route could go to a home of another, where it may not run.

Cause: a caller names a host, not a route, and the directory took the union of the homes. It takes their intersection now, and the union only if that is empty. The host is compared without case, as for calls.

table::callers_of_a_host_are_led_to_the_homes_that_its_routes_have_in_common failed with the union ([kochi, kollam] instead of [kollam]) and passes.

--- a/crates/medlarlug-core/src/gateway/table.rs
+++ b/crates/medlarlug-core/src/gateway/table.rs
@@ -364,12 +364,19 @@
         None
     }
 
-    /// Regions that may serve any route of `host`, sorted; all if empty.
+    /// Regions to which callers of `host` may be led, sorted; all if empty. These are the regions that may
+    /// serve each of its routes, or any of its routes with homes if no region may serve them all.
     pub fn homes_of(&self, host: &str) -> Vec<RegionId> {
-        let homes = self.routes.iter().filter(|route| route.host == host).flat_map(|it| &it.homes);
-        let mut homes: Vec<RegionId> = homes.cloned().collect();
+        let host = host.to_ascii_lowercase();
+        let routes = self.routes.iter().filter(|it| it.host == host && !it.homes.is_empty());
+        let routes: Vec<&Route> = routes.collect();
+        let mut homes: Vec<RegionId> = routes.iter().flat_map(|it| &it.homes).cloned().collect();
         homes.sort();
         homes.dedup();
+        let serves_all = |region: &RegionId| routes.iter().all(|it| it.may_be_served_in(region));
+        if homes.iter().any(serves_all) {
+            homes.retain(serves_all);
+        }
         homes
     }
 }
--- a/crates/medlarlug-core/tests/testsuite/gateway/table.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/table.rs
@@ -3,7 +3,7 @@
 use assert_matches::assert_matches;
 use medlarlug_core::gateway::table::{Route, TableError};
 
-use super::fixture::{route, table, target};
+use super::fixture::{region, route, table, target};
 
 #[test]
 fn longest_prefix_serves_a_path() {
@@ -75,3 +75,17 @@
 
     assert_eq!(picked, ["desk", "desk", "desk"]);
 }
+
+/// Callers of one route were led to the home regions of another route of their host.
+#[test]
+fn callers_of_a_host_are_led_to_the_homes_that_its_routes_have_in_common() {
+    let homes = |names: &[&str]| names.iter().map(|it| region(it)).collect::<Vec<_>>();
+    let with_homes = |prefix, names| Route { homes: homes(names), ..route(prefix) };
+    let common = [with_homes("/a/", &["kochi", "kollam"]), with_homes("/b/", &["kollam"])];
+    let apart = [with_homes("/a/", &["kochi"]), with_homes("/b/", &["kollam"]), route("/c/")];
+
+    let common = table(1, common.to_vec()).unwrap().homes_of("kochi.example");
+    let apart = table(1, apart.to_vec()).unwrap().homes_of("kochi.example");
+
+    assert_eq!((common, apart), (homes(&["kollam"]), homes(&["kochi", "kollam"])));
+}
