The directory never leads callers of a host out of homes that all of its routes have

Callers of a host whose routes all have home regions were named instances of other regions when none of the homes was heard. No instance there can serve such a call: it forwards it to a home or refuses it. Its body had left the homes for nothing.

The directory now names other instances only for a host that has routes without homes.

* An instance holds its region while it was heard within 5 s, whether it is ready, starts or leaves.
Before, a region whose instances drained for more than 5 s, or were restarted under their ids, counted as empty.
* A report of a keeper that is no member of the group yet counts against an empty region.
* A member whose address can't be told makes the agreement impossible.
Before, it lowered the majority.

What was called reach is the scope of an answer.

--- a/crates/medlarlug-core/src/gateway/contacts.rs
+++ b/crates/medlarlug-core/src/gateway/contacts.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    gateway::table::ServiceName,
+    gateway::table::{HostHomes, ServiceName},
     ids::{InstanceId, RegionId, ZoneId},
     time::Time,
 };
@@ -86,8 +86,6 @@
     pub last_seen: Time,
     /// When it last reported that it no longer takes callers, after it had taken some.
     leaving_since: Option<Time>,
-    /// Whether it has ever reported that it takes callers.
-    was_ready: bool,
     /// Number of its last change, see [`Contacts::changed_since`].
     change: u64,
 }
@@ -99,14 +97,10 @@
         since.is_some_and(|since| now - since < LEAVING_NAMED_TIME)
     }
 
-    /// Whether its region still counts as one with instances for callers: it is ready, starts, or began
-    /// to leave a moment ago, and was heard within [`SILENCE_TIMEOUT`].
-    pub fn keeps_region(&self, now: Time) -> bool {
-        let leaves = self.leaving_since.is_some_and(|since| now - since >= SILENCE_TIMEOUT);
-        let takes_callers = self.status.ready || !self.was_ready || !leaves;
-        takes_callers
-            && self.info.kind == InstanceKind::Entry
-            && now - self.last_seen <= SILENCE_TIMEOUT
+    /// Whether its region still counts as one with instances: it was heard within [`SILENCE_TIMEOUT`].
+    /// One that starts or leaves counts, since it takes callers again in a moment.
+    pub fn holds_region(&self, now: Time) -> bool {
+        self.info.kind == InstanceKind::Entry && now - self.last_seen <= SILENCE_TIMEOUT
     }
 }
 
@@ -152,7 +146,6 @@
                 known.info = info;
                 known.last_seen = last_seen;
                 if let Some(status) = status {
-                    known.was_ready |= status.ready;
                     known.status = status;
                 }
                 if has_changed {
@@ -165,9 +158,7 @@
                 let status = status.unwrap_or_default();
                 self.change += 1;
                 let change = self.change;
-                let was_ready = status.ready;
-                let contact =
-                    Contact { info, status, last_seen, leaving_since: None, was_ready, change };
+                let contact = Contact { info, status, last_seen, leaving_since: None, change };
                 self.known.insert(at, contact);
                 let entries = self.known.iter().filter(|it| it.info.kind == InstanceKind::Entry);
                 self.peak_entries = self.peak_entries.max(entries.count());
@@ -295,15 +286,14 @@
     pub zone: Option<&'a ZoneId>,
     /// The region of the caller.
     pub region: Option<&'a RegionId>,
-    /// The regions that may serve the routes of the host; all if empty, `None` if the routes are not
-    /// known.
-    pub homes: Option<&'a [RegionId]>,
+    /// The home regions of the host; `None` if its routes are not known.
+    pub homes: Option<&'a HostHomes>,
 }
 
-/// How far from its caller an answer of the directory leads. The names are values of the label `reach`
-/// of the metric of answers.
+/// Which instances an answer of the directory names. The names are values of the label `scope` of the
+/// metric of answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reach {
+pub enum Scope {
     /// To ready instances of the caller's availability zone.
     Zone,
     /// To ready instances of the caller's region.
@@ -314,24 +304,24 @@
     Leaving,
     /// To all ready instances, since the regions that should come first have none.
     Anywhere,
-    /// No instance is named: the regions that should come first may have ready ones that this keeper
-    /// does not hear.
+    /// No instance is named: others can't serve the host, or the regions that should come first may have
+    /// ready ones that this keeper does not hear.
     Withheld,
     /// No instance is known.
     Nowhere,
 }
 
-impl Reach {
+impl Scope {
     /// Name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
-            Reach::Zone => "zone",
-            Reach::Region => "region",
-            Reach::Homes => "homes",
-            Reach::Leaving => "leaving",
-            Reach::Anywhere => "anywhere",
-            Reach::Withheld => "withheld",
-            Reach::Nowhere => "nowhere",
+            Scope::Zone => "zone",
+            Scope::Region => "region",
+            Scope::Homes => "homes",
+            Scope::Leaving => "leaving",
+            Scope::Anywhere => "anywhere",
+            Scope::Withheld => "withheld",
+            Scope::Nowhere => "nowhere",
         }
     }
 }
@@ -341,16 +331,17 @@
 pub struct Listing {
     /// Addresses of entry instances for callers.
     pub addresses: Vec<SocketAddr>,
-    /// How far from the caller they are.
-    pub reach: Reach,
+    /// Which instances these are.
+    pub scope: Scope,
 }
 
 /// The entry instances for a caller: ready ones of its zone, else of its region, else of a home
 /// region; else those of these regions that have just begun to leave, as in a rolling restart.
 ///
-/// Any other ready ones are named only if `are_empty` confirms that these regions have none, or if the
-/// host has no home regions. The body of a call may not enter another region, and a caller without an
-/// answer asks the next keeper.
+/// Other ready ones are named only for a host that they can serve: one that has routes without homes.
+/// If it has routes with homes as well, `are_empty` has to confirm that the nearer regions have no
+/// instances, since the bodies of their calls may not enter another region. A caller without an answer
+/// asks the next keeper.
 pub fn entry_addresses(
     contacts: &Contacts,
     now: Time,
@@ -368,34 +359,35 @@
     let ready = infos(&|contact| contact.status.ready);
     let is_in_region = |info: &InstanceInfo| Some(&info.region) == region;
     let is_in_home_region =
-        |info: &InstanceInfo| homes.is_some_and(|homes| homes.contains(&info.region));
+        |info: &InstanceInfo| homes.is_some_and(|homes| homes.regions.contains(&info.region));
     let in_zone = addresses(&ready, &|info| Some(&info.zone) == zone);
     if in_zone.len() >= MIN_ZONE_ENTRIES {
-        return Listing { addresses: in_zone, reach: Reach::Zone };
+        return Listing { addresses: in_zone, scope: Scope::Zone };
     }
     let in_region = addresses(&ready, &is_in_region);
     if !in_region.is_empty() {
-        return Listing { addresses: in_region, reach: Reach::Region };
+        return Listing { addresses: in_region, scope: Scope::Region };
     }
     let in_home_region = addresses(&ready, &is_in_home_region);
     if !in_home_region.is_empty() {
-        return Listing { addresses: in_home_region, reach: Reach::Homes };
+        return Listing { addresses: in_home_region, scope: Scope::Homes };
     }
     let leaving = infos(&|contact| contact.has_begun_to_leave(now));
     let near = addresses(&leaving, &|info| is_in_region(info) || is_in_home_region(info));
     if !near.is_empty() {
-        return Listing { addresses: near, reach: Reach::Leaving };
+        return Listing { addresses: near, scope: Scope::Leaving };
     }
     let anywhere = addresses(&ready, &|_| true);
     let may_leave = match homes {
         None => false,
-        Some([]) => true,
-        Some(homes) => are_empty(&region.into_iter().chain(homes).collect::<Vec<_>>()),
+        Some(homes) if homes.regions.is_empty() => true,
+        Some(homes) if homes.is_exclusive => false,
+        Some(homes) => are_empty(&region.into_iter().chain(&homes.regions).collect::<Vec<_>>()),
     };
     match anywhere.is_empty() {
-        true => Listing { addresses: anywhere, reach: Reach::Nowhere },
-        false if may_leave => Listing { addresses: anywhere, reach: Reach::Anywhere },
-        false => Listing { addresses: Vec::new(), reach: Reach::Withheld },
+        true => Listing { addresses: anywhere, scope: Scope::Nowhere },
+        false if may_leave => Listing { addresses: anywhere, scope: Scope::Anywhere },
+        false => Listing { addresses: Vec::new(), scope: Scope::Withheld },
     }
 }
 
--- a/crates/medlarlug-core/src/gateway/region_reports.rs
+++ b/crates/medlarlug-core/src/gateway/region_reports.rs
@@ -3,8 +3,8 @@
 //! Each keeper hears the entry instances over its own links. A keeper that has just started, was
 //! stalled, or is cut off from a region hears none of the instances there, as if they were gone. So no
 //! keeper concludes alone that a region is empty: keepers report to each other in which regions they
-//! hear instances, and a region counts as empty once a majority of them hears none there. Instances that
-//! start, or have just begun to leave, keep their region: they take callers within a moment.
+//! hear instances, and a region counts as empty once a majority of them hears none there, and none hears
+//! one. Instances that start or leave count: they take callers again in a moment.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -78,15 +78,15 @@
         if now - since < LISTENING_TIME {
             return None;
         }
-        let heard = contacts.all().iter().filter(|it| it.keeps_region(now));
+        let heard = contacts.all().iter().filter(|it| it.holds_region(now));
         let mut regions: Vec<RegionId> = heard.map(|it| it.info.region.clone()).collect();
         regions.sort();
         regions.dedup();
         Some(regions)
     }
 
-    /// Whether `regions` have no entry instance for callers: a majority of all keepers hears none there, this
-    /// one among them, and no keeper hears one. `others` are the addresses of the other keepers.
+    /// Whether `regions` have no entry instance: a majority of the keepers' group hears none there, this
+    /// keeper among them, and no keeper hears one. `others` are the other members of the group.
     pub fn are_empty(
         &self,
         now: Time,
@@ -97,10 +97,10 @@
         let Some(own) = self.own(now, contacts) else { return false };
         let hears_none = |heard: &[RegionId]| !regions.iter().any(|it| heard.contains(it));
         let fresh = self.reports.iter().filter(|it| now - it.made <= REPORT_LIFETIME);
-        let fresh: Vec<&Report> = fresh.filter(|it| others.contains(&it.keeper)).collect();
-        let agree = 1 + fresh.len();
+        let fresh: Vec<&Report> = fresh.collect();
+        let members = 1 + fresh.iter().filter(|it| others.contains(&it.keeper)).count();
         hears_none(&own)
             && fresh.iter().all(|it| hears_none(&it.regions))
-            && agree > others.len().div_ceil(2)
+            && members > others.len().div_ceil(2)
     }
 }
--- a/crates/medlarlug-core/src/gateway/table.rs
+++ b/crates/medlarlug-core/src/gateway/table.rs
@@ -83,6 +83,16 @@
     }
 }
 
+/// The home regions of a host, to which its callers are led. A caller names no route.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HostHomes {
+    /// The regions that may serve each of its routes, or any of its routes with homes if no region may
+    /// serve them all; sorted, empty if no route has homes.
+    pub regions: Vec<RegionId>,
+    /// Whether each of its routes has homes, so that no other region can serve the host.
+    pub is_exclusive: bool,
+}
+
 /// A service that a route targets, and its share of the route's calls.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
@@ -364,20 +374,19 @@
         None
     }
 
-    /// Regions to which callers of `host` may be led, sorted; all if empty. These are the regions that may
-    /// serve each of its routes, or any of its routes with homes if no region may serve them all.
-    pub fn homes_of(&self, host: &str) -> Vec<RegionId> {
+    /// The home regions of a host.
+    pub fn homes_of(&self, host: &str) -> HostHomes {
         let host = host.to_ascii_lowercase();
-        let routes = self.routes.iter().filter(|it| it.host == host && !it.homes.is_empty());
-        let routes: Vec<&Route> = routes.collect();
-        let mut homes: Vec<RegionId> = routes.iter().flat_map(|it| &it.homes).cloned().collect();
-        homes.sort();
-        homes.dedup();
+        let routes: Vec<&Route> = self.routes.iter().filter(|it| it.host == host).collect();
+        let mut regions: Vec<RegionId> = routes.iter().flat_map(|it| &it.homes).cloned().collect();
+        regions.sort();
+        regions.dedup();
         let serves_all = |region: &RegionId| routes.iter().all(|it| it.may_be_served_in(region));
-        if homes.iter().any(serves_all) {
-            homes.retain(serves_all);
+        if regions.iter().any(serves_all) {
+            regions.retain(serves_all);
         }
-        homes
+        let is_exclusive = !routes.is_empty() && routes.iter().all(|it| !it.homes.is_empty());
+        HostHomes { regions, is_exclusive }
     }
 }
 
--- a/crates/medlarlug-core/tests/testsuite/gateway/contacts.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/contacts.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use medlarlug_core::{
-    gateway::contacts::{Contacts, DirectoryQuery, ServiceWait, Status, entry_addresses},
+    gateway::{
+        contacts::{Contacts, DirectoryQuery, ServiceWait, Status, entry_addresses},
+        table::HostHomes,
+    },
     time::Time,
 };
 
@@ -29,7 +32,8 @@
 }
 
 fn addresses(contacts: &Contacts, now: Time, near: &str, homes: &[&str]) -> Vec<String> {
-    let homes: Vec<_> = homes.iter().map(|it| region(it)).collect();
+    let homes =
+        HostHomes { regions: homes.iter().map(|it| region(it)).collect(), is_exclusive: false };
     let zone = format!("{near}-a").parse().unwrap();
     let query =
         DirectoryQuery { zone: Some(&zone), region: Some(&region(near)), homes: Some(&homes) };
--- a/crates/medlarlug-core/tests/testsuite/gateway/table.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/table.rs
@@ -1,7 +1,7 @@
 //! Route tables: which are rejected, and which route serves a path.
 
 use assert_matches::assert_matches;
-use medlarlug_core::gateway::table::{Route, TableError};
+use medlarlug_core::gateway::table::{HostHomes, Route, TableError};
 
 use super::fixture::{region, route, table, target};
 
@@ -87,5 +87,11 @@
     let common = table(1, common.to_vec()).unwrap().homes_of("kochi.example");
     let apart = table(1, apart.to_vec()).unwrap().homes_of("kochi.example");
 
-    assert_eq!((common, apart), (homes(&["kollam"]), homes(&["kochi", "kollam"])));
+    assert_eq!(common, HostHomes { regions: homes(&["kollam"]), is_exclusive: true });
+    assert_eq!(apart, HostHomes { regions: homes(&["kochi", "kollam"]), is_exclusive: false });
+}
+
+#[test]
+fn host_without_routes_has_no_homes() {
+    assert_eq!(table(1, vec![]).unwrap().homes_of("kochi.example"), HostHomes::default());
 }
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -33,12 +33,12 @@
 use medlarlug_core::{
     gateway::{
         cold::ColdDetector,
-        contacts::{Contacts, InstanceInfo, InstanceKind, Reach, Status},
+        contacts::{Contacts, InstanceInfo, InstanceKind, Scope, Status},
         evacuation_orders::EvacuationLog,
         publication::Publication,
         region_reports::RegionReports,
         stall_detector::StallDetector,
-        table::{RouteTable, TableVersion},
+        table::{HostHomes, RouteTable, TableVersion},
         upstreams::{Effect, Renewal, UpstreamState, Upstreams},
     },
     ids::{InstanceId, RegionId, ZoneId},
@@ -88,6 +88,20 @@
     Server(#[from] ServerError),
 }
 
+/// The scope of an answer of the directory.
+struct LoggedScope {
+    region: RegionId,
+    homes: HostHomes,
+    scope: Scope,
+}
+
+impl LoggedScope {
+    /// What the list of scopes is sorted by.
+    fn key(&self) -> (&RegionId, &Vec<RegionId>, bool) {
+        (&self.region, &self.homes.regions, self.homes.is_exclusive)
+    }
+}
+
 /// A running keeper.
 pub struct Keeper {
     settings: RefCell<NodeSettings>,
@@ -121,8 +135,8 @@
     stall: RefCell<StallDetector>,
     /// In which regions this keeper and the others hear entry instances.
     region_reports: RefCell<RegionReports>,
-    /// How far the directory last led the callers of each region, sorted; for the log.
-    reaches: RefCell<Vec<(RegionId, Reach)>>,
+    /// The scope of the directory's last answer by region of the caller and homes, sorted; for the log.
+    scopes: RefCell<Vec<LoggedScope>>,
     /// Error after which the process has to end.
     failure: RefCell<Option<KeeperError>>,
 }
@@ -168,7 +182,7 @@
             document: RefCell::default(),
             stall: RefCell::new(StallDetector::new(STALL_LIMIT)),
             region_reports: RefCell::new(RegionReports::new(clock.now())),
-            reaches: RefCell::default(),
+            scopes: RefCell::default(),
             failure: RefCell::default(),
         });
         keeper.refresh_head();
--- a/crates/medlarlug-gateway/src/keeper/requests.rs
+++ b/crates/medlarlug-gateway/src/keeper/requests.rs
@@ -8,7 +8,7 @@
 };
 use medlarlug_core::{
     gateway::{
-        contacts::{DirectoryQuery, Listing, Reach, entry_addresses},
+        contacts::{DirectoryQuery, Listing, Scope, entry_addresses},
         evacuation_orders::Timeliness,
         publication::{Command, Publication},
         table::{RouteTable, TableVersion},
@@ -25,7 +25,7 @@
     time::{sleep, timeout},
 };
 
-use super::Keeper;
+use super::{Keeper, LoggedScope};
 use crate::{
     link::Message,
     metrics as names,
@@ -44,6 +44,9 @@
 /// Time after start in which too few entry instances are connected to list them to callers.
 const WARM_UP_TIME: Duration = Duration::from_millis(1_500);
 
+/// Most combinations of a region and homes for which the scope of the directory is logged.
+const MAX_LOGGED_SCOPES: usize = 64;
+
 /// Time for which the caller of an order is watched before the order is carried out. Bytes that a
 /// partition held up arrive before the end of their connection, which follows at the latest one round
 /// trip later: 120 ms between distant regions, and as much again for a lost packet.
@@ -179,19 +182,20 @@
         }
         let table = self.table.borrow().clone();
         let homes = table.map(|table| host.map(|host| table.homes_of(host)).unwrap_or_default());
-        let query = DirectoryQuery { zone, region, homes: homes.as_deref() };
+        let query = DirectoryQuery { zone, region, homes: homes.as_ref() };
         let contacts = self.contacts.borrow();
         let listing = entry_addresses(&contacts, now, query, |regions| {
             let reports = self.region_reports.borrow();
             self.other_members()
                 .is_some_and(|others| reports.are_empty(now, &contacts, &others, regions))
         });
-        metrics::counter!(names::DIRECTORY_ANSWERS, "reach" => listing.reach.name()).increment(1);
-        self.log_reach(&query, &listing);
+        metrics::counter!(names::DIRECTORY_ANSWERS, "scope" => listing.scope.name()).increment(1);
+        self.log_scope(&query, &listing);
         listing.addresses
     }
 
-    /// The addresses of the other members of the keepers' group; `None` if this keeper is no member.
+    /// The addresses of the other members of the keepers' group; `None` if this keeper is no member, or the
+    /// address of one can't be told.
     fn other_members(&self) -> Option<Vec<SocketAddr>> {
         let settings = self.settings.borrow();
         let group = self.group.borrow();
@@ -199,28 +203,37 @@
         let is_own = |it: &&Member| it.key.id == settings.info.id;
         members.iter().find(is_own)?;
         let port = settings.info.internal.port();
-        let others = members.iter().filter(|it| !is_own(it));
-        Some(others.filter_map(|it| address_of(&it.key.id, port)).collect())
+        let mut others: Vec<SocketAddr> = Vec::new();
+        for member in members.iter().filter(|it| !is_own(it)) {
+            others.push(address_of(&member.key.id, port)?);
+        }
+        others.sort();
+        others.dedup();
+        Some(others)
     }
 
-    /// Logs how far the directory leads the callers of a region if that has changed.
-    fn log_reach(&self, query: &DirectoryQuery, listing: &Listing) {
+    /// Logs the scope of the directory's answers to the callers of a region if it has changed.
+    fn log_scope(&self, query: &DirectoryQuery, listing: &Listing) {
         let now = self.now();
         let settings = self.settings.borrow();
         // Callers may send any name; only the regions of the deployment are kept.
         let is_known = |region: &&RegionId| settings.zones.iter().any(|it| it.1 == **region);
         let Some(region) = query.region.filter(is_known) else { return };
-        let mut logged = self.reaches.borrow_mut();
+        let homes = query.homes.cloned().unwrap_or_default();
+        let mut scopes = self.scopes.borrow_mut();
         // A change between the zone and the region is no news.
-        let near = |reach: Reach| matches!(reach, Reach::Zone | Reach::Region);
-        let before = match logged.binary_search_by(|it| it.0.cmp(region)) {
-            Ok(at) => std::mem::replace(&mut logged[at].1, listing.reach),
+        let near = |scope: Scope| matches!(scope, Scope::Zone | Scope::Region);
+        let key = (region, &homes.regions, homes.is_exclusive);
+        let before = match scopes.binary_search_by(|it| it.key().cmp(&key)) {
+            Ok(at) => std::mem::replace(&mut scopes[at].scope, listing.scope),
+            Err(_) if scopes.len() >= MAX_LOGGED_SCOPES => return,
             Err(at) => {
-                logged.insert(at, (region.clone(), listing.reach));
-                Reach::Region
+                let (region, scope) = (region.clone(), listing.scope);
+                scopes.insert(at, LoggedScope { region, homes: homes.clone(), scope });
+                Scope::Region
             }
         };
-        if before == listing.reach || (near(before) && near(listing.reach)) {
+        if before == listing.scope || (near(before) && near(listing.scope)) {
             return;
         }
         let ready = self.contacts.borrow().ready_by_region(now);
@@ -228,16 +241,17 @@
         let stalled = self.stall.borrow().last_resumed(now);
         tracing::info!(
             %region,
-            homes = %query.homes.unwrap_or_default().iter().map(RegionId::as_str).collect::<Vec<_>>().join(","),
-            reach = listing.reach.name(),
+            homes = %homes.regions.iter().map(RegionId::as_str).collect::<Vec<_>>().join(","),
+            scope = listing.scope.name(),
             before = before.name(),
             addresses = listing.addresses.len(),
             ready = %ready.collect::<Vec<_>>().join(","),
             table = self.head.borrow().version.0,
+            is_exclusive = homes.is_exclusive,
             has_table = query.homes.is_some(),
             up_ms = (now - self.started).as_millis() as u64,
             since_stall_ms = stalled.map(|it| (now - it).as_millis() as u64),
-            "reach of the directory changed"
+            "scope of the directory changed"
         );
     }
 
--- a/crates/medlarlug-gateway/src/metrics.rs
+++ b/crates/medlarlug-gateway/src/metrics.rs
@@ -57,7 +57,7 @@
 pub const READY_UPSTREAMS: &str = "medlarlug_gateway_upstreams";
 /// Gauge: open links to keepers.
 pub const OPEN_LINKS: &str = "medlarlug_gateway_links";
-/// Counter: answers of the directory. Label: `reach` (see [`medlarlug_core::gateway::contacts::Reach`]).
+/// Counter: answers of the directory. Label: `scope` (see [`medlarlug_core::gateway::contacts::Scope`]).
 pub const DIRECTORY_ANSWERS: &str = "medlarlug_gateway_directory_answers_total";
 /// Counter: announcements received from upstreams. Label: `effect`.
 pub const ANNOUNCEMENTS: &str = "medlarlug_gateway_announcements_total";
@@ -112,7 +112,7 @@
     describe_gauge!(TABLE_VERSION, "Version of the route table in force");
     describe_gauge!(READY_UPSTREAMS, "Upstreams that are known and take calls");
     describe_gauge!(OPEN_LINKS, "Open links to keepers");
-    describe_counter!(DIRECTORY_ANSWERS, "Answers of the directory, by how far they lead");
+    describe_counter!(DIRECTORY_ANSWERS, "Answers of the directory, by scope");
     describe_counter!(ANNOUNCEMENTS, "Announcements of upstreams, by effect");
     describe_counter!(RESUMED_STREAMS, "Calls that resumed a stream, by version found or unknown");
     describe_gauge!(REMEMBERED_STREAMS, "Streams whose software version is remembered");
