A forwarded call keeps the homes of its sender's newer table

A call that was forwarded by a newer table than the receiver's was restricted to the homes of a table in between when that one arrived, and could end without any region. The call obeys only tables newer than both now. forwarded_calls passes; no test shows the case itself, which takes three tables on two instances within one call.

--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -43,7 +43,8 @@
     pub(super) table: Rc<RouteTable>,
     /// The route, restricted to what the team may use, and to the home regions of `homes_version`.
     pub(super) route: Route,
-    /// Version of the newest table whose home regions the call obeys.
+    /// Version of the newest table whose home regions the call obeys, here or at the instance that has
+    /// forwarded it.
     pub(super) homes_version: TableVersion,
     /// Whether no region may serve the call any more.
     pub(super) is_barred: bool,
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -326,6 +326,7 @@
         )));
     };
     let is_forwarded = forwarded.is_some();
+    let sent_version = forwarded.as_ref().map_or(table.version(), |it| it.version);
     let software = forwarded.as_ref().and_then(|it| it.software.clone());
     let forwarding =
         forwarded.as_ref().map(|it| Forwarding { version: it.version, team: it.team.clone() });
@@ -353,7 +354,7 @@
     let limit = deadline.min(route.timeout);
     let last = call.headers.get(&entry.names.last_event).and_then(|it| it.to_str().ok());
     Ok(Plan {
-        homes_version: table.version(),
+        homes_version: table.version().max(sent_version),
         is_barred: false,
         table,
         service,
