The product's directory lists forbidden regions last

What callers saw: GET /v1/entries listed instances of all other regions in one group in random order. A caller of a team with home regions, whose own region had no instance left, sent its body to a region where its team may not be served although an instance of a permitted one answered.

Cause: directory::order knew the distance from the asked instance only, not the team that asks.

Change: order and for_caller take the team. Instances in a region that the team's residency permits come before those in any other region, except that the zone and the region of the asked instance stay first. Forbidden ones remain listed as the last resort: the caller tries the list in order. The load redirect within a distance and the JSON are as before.

--- a/crates/medlarlug-core/src/directory.rs
+++ b/crates/medlarlug-core/src/directory.rs
@@ -1,8 +1,10 @@
 //! The directory: which entry instances a caller should use. It replaces a load balancer in front of them.
 //!
 //! A caller requests a list, which has a lifetime, from the instance that it uses. Instances in the
-//! same zone come first, then those in the same region. Instances that shut down are never listed;
-//! those that have just started are listed only if no other instance is ready.
+//! same zone come first, then those in the same region, then those in other regions where requests of the
+//! caller's team may be served. Instances of all other regions are listed last: a caller tries the list
+//! in order, and reaches them only if no other instance accepts it. Instances that shut down are never
+//! listed; those that have just started are listed only if no other instance is ready.
 //!
 //! The requested instance lists itself first while its load is at most the mean load of the nearest
 //! instances. Above the mean, it redirects the caller with the probability that brings its load down to
@@ -18,6 +20,7 @@
 use crate::{
     ids::InstanceId,
     membership::{EntryView, Membership, Seed},
+    release::item::Team,
     time::Time,
 };
 
@@ -32,19 +35,21 @@
     pub lifetime: Duration,
 }
 
-/// Distance of an entry instance from the caller, nearest first.
+/// Distance of an entry instance from the caller, in the order of preference.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Distance {
     Zone,
     Region,
-    Elsewhere,
+    PermittedRegion,
+    ForbiddenRegion,
 }
 
-/// The directory for a caller that requests it from this instance.
+/// The directory for a caller of `team` that requests it from this instance.
 ///
 /// ```
 /// use medlarlug_core::{directory, ids::Incarnation, time::Time};
 /// use medlarlug_core::membership::{InstanceKind, Membership, Seed, Settings};
+/// use medlarlug_core::release::item::{Residency, Team};
 ///
 /// let own = Seed {
 ///     id: "e1".parse().unwrap(),
@@ -54,18 +59,32 @@
 /// };
 /// let settings = Settings { own, incarnation: Incarnation(1), peers: Vec::new() };
 /// let membership = Membership::new(Time::ZERO, settings);
-/// let directory = directory::for_caller(Time::ZERO, &membership, &mut rand::rng());
+/// let team = Team {
+///     id: "survey".parse().unwrap(),
+///     home: "riga".parse().unwrap(),
+///     keys: Vec::new(),
+///     residency: Residency::Home,
+///     rate: "10/s".parse().unwrap(),
+///     burst: "10".parse().unwrap(),
+///     priority: 0,
+/// };
+/// let directory = directory::for_caller(Time::ZERO, &membership, &team, &mut rand::rng());
 /// assert_eq!(directory.entries.len(), 1);
 /// ```
-pub fn for_caller(now: Time, membership: &Membership, random: &mut impl Rng) -> Directory {
-    order(membership.own(), membership.entries(now), random)
+pub fn for_caller(
+    now: Time,
+    membership: &Membership,
+    team: &Team,
+    random: &mut impl Rng,
+) -> Directory {
+    order(membership.own(), membership.entries(now), team, random)
 }
 
-/// Orders `entries` for a caller that requests the directory from the instance `own`.
-pub fn order(own: &Seed, entries: Vec<EntryView>, random: &mut impl Rng) -> Directory {
+/// Orders `entries` for a caller of `team` that requests the directory from the instance `own`.
+pub fn order(own: &Seed, entries: Vec<EntryView>, team: &Team, random: &mut impl Rng) -> Directory {
     let entries = without_settling(entries);
-    let nearest = entries.iter().map(|it| distance(own, it)).min();
-    let near = entries.iter().filter(|it| Some(distance(own, it)) == nearest);
+    let nearest = entries.iter().map(|it| distance(own, team, it)).min();
+    let near = entries.iter().filter(|it| Some(distance(own, team, it)) == nearest);
     let loads: Vec<u32> = near.map(|it| it.load).collect();
     let mean = loads.iter().map(|it| f64::from(*it)).sum::<f64>() / loads.len().max(1) as f64;
     let stays = entries.iter().find(|it| it.id == own.id).is_some_and(|it| {
@@ -78,7 +97,7 @@
             let is_preferred = stays && it.id == own.id;
             let rank =
                 if is_preferred { -1.0 } else { random_rank(mean - f64::from(it.load), random) };
-            (distance(own, &it), rank, it.id)
+            (distance(own, team, &it), rank, it.id)
         })
         .collect();
     ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
@@ -92,13 +111,15 @@
     entries.into_iter().filter(|it| !it.settling || !has_ready).collect()
 }
 
-fn distance(own: &Seed, entry: &EntryView) -> Distance {
+fn distance(own: &Seed, team: &Team, entry: &EntryView) -> Distance {
     if entry.zone == own.zone {
         Distance::Zone
     } else if entry.region == own.region {
         Distance::Region
+    } else if team.residency.permits(&team.home, &entry.region) {
+        Distance::PermittedRegion
     } else {
-        Distance::Elsewhere
+        Distance::ForbiddenRegion
     }
 }
 
--- a/crates/medlarlug-core/tests/testsuite/directory.rs
+++ b/crates/medlarlug-core/tests/testsuite/directory.rs
@@ -5,10 +5,11 @@
 use medlarlug_core::{
     directory::{LIFETIME, order},
     membership::EntryView,
+    release::item::{Residency, Team},
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use test_support::id;
+use test_support::{id, team};
 
 use crate::network::entry;
 
@@ -16,6 +17,11 @@
     EntryView { id: id(name), zone: id(zone), region: id(region), load, settling: false }
 }
 
+/// A team at home in riga.
+fn survey(residency: Residency) -> Team {
+    Team { residency, ..team("survey", "riga") }
+}
+
 #[test]
 fn nearest_instances_are_listed_first() {
     let entries = vec![
@@ -25,11 +31,35 @@
     ];
     let mut random = ChaCha8Rng::seed_from_u64(1);
 
-    let directory = order(&entry("own", "riga-a", "riga"), entries, &mut random);
+    let directory =
+        order(&entry("own", "riga-a", "riga"), entries, &survey(Residency::Anywhere), &mut random);
 
     assert_eq!(directory.entries, [id("own"), id("near"), id("far")]);
 }
 
+#[test]
+fn caller_whose_region_lost_its_instances_is_not_sent_to_a_forbidden_region_first() {
+    let entries = vec![
+        view("forbidden", "kochi-a", "kochi", 0),
+        view("home", "riga-a", "riga", 500),
+        view("listed", "liepaja-a", "kurzeme", 500),
+        view("own", "tartu-a", "tartu", 50),
+    ];
+    let own = entry("own", "tartu-a", "tartu");
+    let two_regions = Residency::Regions(vec![id("kurzeme"), id("riga")]);
+
+    for seed in 0..50 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let at_home = order(&own, entries.clone(), &survey(Residency::Home), &mut random).entries;
+        let in_two = order(&own, entries.clone(), &survey(two_regions.clone()), &mut random);
+
+        assert_eq!(at_home[..2], [id("own"), id("home")], "seed {seed}");
+        assert_eq!(at_home.len(), 4, "seed {seed}");
+        assert_eq!(in_two.entries[0], id("own"), "seed {seed}");
+        assert_eq!(in_two.entries[3], id("forbidden"), "seed {seed}");
+    }
+}
+
 #[test]
 fn instance_that_has_just_started_is_listed_only_when_no_other_is_ready() {
     let settling = |name, zone| EntryView { settling: true, ..view(name, zone, "riga", 0) };
@@ -37,9 +67,10 @@
     let mut some = started.clone();
     some.push(view("old", "riga-a", "riga", 50));
     let (own, mut random) = (entry("new", "riga-a", "riga"), ChaCha8Rng::seed_from_u64(1));
+    let survey = survey(Residency::Anywhere);
 
-    let beside_ready = order(&own, some, &mut random);
-    let alone = order(&own, started, &mut random);
+    let beside_ready = order(&own, some, &survey, &mut random);
+    let alone = order(&own, started, &survey, &mut random);
 
     assert_eq!(beside_ready.entries, [id("old")]);
     assert_eq!(alone.entries, [id("new"), id("lone")]);
@@ -56,6 +87,7 @@
         (0..CALLERS).map(|_| LIFETIME.mul_f64(random.random_range(0.0..1.0))).collect();
     let mut loads = [0u32; ENTRIES];
     let mut worst: f64 = 0.0;
+    let survey = survey(Residency::Anywhere);
     for step in 0..600u32 {
         let now = Duration::from_millis(100) * step;
         if step % 5 == 0 {
@@ -71,7 +103,7 @@
                 (0..ENTRIES).map(|it| view(&format!("e{it}"), "riga-a", "riga", loads[it]));
             let asked = used[caller].unwrap_or_else(|| random.random_range(0..ENTRIES));
             let asked = entry(&format!("e{asked}"), "riga-a", "riga");
-            let directory = order(&asked, entries.collect(), &mut random);
+            let directory = order(&asked, entries.collect(), &survey, &mut random);
             used[caller] = Some(directory.entries[0].as_str()[1..].parse().unwrap());
         }
         if now > 2 * LIFETIME && step % 10 == 0 {
--- a/src/coordination/entry/callers.rs
+++ b/src/coordination/entry/callers.rs
@@ -83,7 +83,7 @@
     };
     let path = request.uri().path().to_owned();
     match (request.method(), path.as_str()) {
-        (&Method::GET, "/v1/entries") => entries(&entry),
+        (&Method::GET, "/v1/entries") => entries(&entry, &caller.team),
         (&Method::GET, "/v1/models") => models(&caller.configuration),
         (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
             infer(entry, caller, request).await
@@ -116,10 +116,10 @@
     }
 }
 
-fn entries(entry: &Entry) -> Answer {
+fn entries(entry: &Entry, team: &Team) -> Answer {
     let node = &entry.node;
     let members = node.members.borrow();
-    let listed = directory::for_caller(node.now(), &members, &mut rand::rng());
+    let listed = directory::for_caller(node.now(), &members, team, &mut rand::rng());
     let addresses = listed.entries.iter().filter_map(|id| {
         let peer = node.cluster.peer(id)?;
         let address = peer.callers?;
