An instance that started or was stalled leads no caller to a forbidden region

What callers would see: the directory leaves out instances that have just started while any other is ready. Where none of its own region was ready, or none had been heard yet, it named ready ones of other regions only, forbidden ones among them, and not even itself. Its callers sent their bodies there until their next list.

Cause: without_settling took any ready instance, in whatever region, as a replacement.

Change: a ready instance in a region that the team forbids replaces no instance that has just started in the asked instance's region or a permitted one. Where a permitted one is ready, all is as before.

--- a/crates/medlarlug-core/src/directory.rs
+++ b/crates/medlarlug-core/src/directory.rs
@@ -4,7 +4,8 @@
 //! same zone come first, then those in the same region, then those in other regions where requests of the
 //! caller's team may be served. Instances of all other regions are listed last: a caller tries the list
 //! in order, and reaches them only if no other instance accepts it. Instances that shut down are never
-//! listed; those that have just started are listed only if no other instance is ready.
+//! listed. Those that have just started are listed only if no other instance is ready, not counting
+//! ready ones in forbidden regions.
 //!
 //! The requested instance lists itself first while its load is at most the mean load of the nearest
 //! instances. Above the mean, it redirects the caller with the probability that brings its load down to
@@ -82,7 +83,7 @@
 
 /// Orders `entries` for a caller of `team` that requests the directory from the instance `own`.
 pub fn order(own: &Seed, entries: Vec<EntryView>, team: &Team, random: &mut impl Rng) -> Directory {
-    let entries = without_settling(entries);
+    let entries = without_settling(own, team, entries);
     let nearest = entries.iter().map(|it| distance(own, team, it)).min();
     let near = entries.iter().filter(|it| Some(distance(own, team, it)) == nearest);
     let loads: Vec<u32> = near.map(|it| it.load).collect();
@@ -105,10 +106,15 @@
     Directory { entries, lifetime: LIFETIME }
 }
 
-/// Removes the instances that have just started, unless there are no others.
-fn without_settling(entries: Vec<EntryView>) -> Vec<EntryView> {
+/// Removes the instances that have just started, unless there are no others. A ready instance in a
+/// forbidden region doesn't replace one in another region: an instance also counts as just started
+/// after a stall, and then may have heard of none in its own region.
+fn without_settling(own: &Seed, team: &Team, entries: Vec<EntryView>) -> Vec<EntryView> {
+    let is_forbidden = |it: &EntryView| distance(own, team, it) == Distance::ForbiddenRegion;
     let has_ready = entries.iter().any(|it| !it.settling);
-    entries.into_iter().filter(|it| !it.settling || !has_ready).collect()
+    let has_permitted = entries.iter().any(|it| !it.settling && !is_forbidden(it));
+    let is_replaced = |it: &EntryView| if is_forbidden(it) { has_ready } else { has_permitted };
+    entries.into_iter().filter(|it| !it.settling || !is_replaced(it)).collect()
 }
 
 fn distance(own: &Seed, team: &Team, entry: &EntryView) -> Distance {
--- a/crates/medlarlug-core/tests/testsuite/directory.rs
+++ b/crates/medlarlug-core/tests/testsuite/directory.rs
@@ -76,6 +76,26 @@
     assert_eq!(alone.entries, [id("new"), id("lone")]);
 }
 
+/// An instance counts as just started after a stall too, and may have heard of no other one of its region.
+#[test]
+fn instance_that_started_or_was_stalled_sends_no_caller_to_a_forbidden_region_first() {
+    let settling = |name, zone, region| EntryView { settling: true, ..view(name, zone, region, 0) };
+    let heard = vec![
+        view("forbidden", "kochi-a", "kochi", 0),
+        settling("forbidden-new", "kochi-b", "kochi"),
+        settling("own", "riga-a", "riga"),
+    ];
+    let with_permitted = [heard.clone(), vec![view("listed", "liepaja-a", "kurzeme", 5)]].concat();
+    let (own, mut random) = (entry("own", "riga-a", "riga"), ChaCha8Rng::seed_from_u64(1));
+    let two_regions = Residency::Regions(vec![id("kurzeme"), id("riga")]);
+
+    let alone = order(&own, heard, &survey(Residency::Home), &mut random);
+    let beside_permitted = order(&own, with_permitted, &survey(two_regions), &mut random);
+
+    assert_eq!(alone.entries, [id("own"), id("forbidden")]);
+    assert_eq!(beside_permitted.entries, [id("listed"), id("forbidden")]);
+}
+
 /// Highest ratio of the busiest instance's load to the mean, for callers that follow the directory. The
 /// directory uses loads that are up to half a second old.
 fn max_load_over_mean(seed: u64) -> f64 {
