Residency is checked again each time that a request's body is sent

What callers would see: the permit was made once for an attempt, before its connection opened. The body left later under the same permit in three cases: when a new connection opened late (up to three tries of a second each, and without bound if the process was stopped in between), when an engine had not received the request and it was sent again (up to the deadline and 20 s later), and when a second instance of another zone got the request after the first one. A release note that forbade the region in the meantime, or a lapsed lease, was not seen. The receiver of a forwarded request checks again, but has the body by then; an engine doesn't check.

Change: Permit::recheck, called before the request is given to the HTTP client, when a new connection has opened (call_if_wanted, as orders do) and before the next instance of a zone. If it fails, the attempt counts as not sent and the request is routed anew by the configuration in force. The target may be draining, as for other running requests. A call that an engine has run already, and that isn't sent again, no longer counts as not sent.

The second instance of a zone and the lapsed lease have a test of the core only.

--- a/crates/medlarlug-core/src/routing/request.rs
+++ b/crates/medlarlug-core/src/routing/request.rs
@@ -102,6 +102,10 @@
     pub fn request(&self) -> &RequestId {
         &self.facts.id
     }
+
+    pub(super) fn facts(&self) -> &RequestFacts {
+        &self.facts
+    }
 }
 
 /// A request that another zone forwarded. It is served in this zone or refused as not run, never
--- a/crates/medlarlug-core/src/routing/residency.rs
+++ b/crates/medlarlug-core/src/routing/residency.rs
@@ -2,13 +2,14 @@
 //!
 //! A [`Permit`] is only created by [`Permit::check`]. Whatever sends a request out of the process
 //! takes a permit by value, so that no request leaves without a check against the configuration in
-//! force at that moment.
+//! force at that moment. Whatever sends it later under the same permit, over another connection or to
+//! another instance, calls [`Permit::recheck`] before.
 
 use thiserror::Error;
 
 use crate::{
     ids::{RegionId, RequestId, Revision, TeamId},
-    release::{Configuration, ItemKey},
+    release::{Configuration, ItemKey, item::Team},
     routing::request::RequestFacts,
 };
 
@@ -82,20 +83,29 @@
         own: &RegionId,
         region: &RegionId,
     ) -> Result<Permit, ResidencyError> {
+        let is_permitted = Configuration::is_permitted;
+        check_region(configuration, lease, facts, own, region, is_permitted)?;
         let revision = configuration.revision;
-        if lease == ConfigurationLease::Lapsed && own != region {
-            return Err(ResidencyError::Unconfirmed { revision, region: own.clone() });
-        }
-        let unknown = || ResidencyError::UnknownTeam { team: facts.team.clone(), revision };
-        let team = configuration.team(&facts.team).ok_or_else(unknown)?;
-        let target = facts.target.key();
-        if !configuration.is_permitted(team, &target, region) {
-            let team = facts.team.clone();
-            return Err(ResidencyError::Forbidden { team, target, region: region.clone() });
-        }
         Ok(Permit { request: facts.id.clone(), region: region.clone(), revision })
     }
 
+    /// Checks again that the request may be served in the region. The target may be draining by now,
+    /// because the request was accepted before.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Permit::check`], except that a draining target is permitted.
+    pub fn recheck(
+        &self,
+        configuration: &Configuration,
+        lease: ConfigurationLease,
+        facts: &RequestFacts,
+        own: &RegionId,
+    ) -> Result<(), ResidencyError> {
+        let may_continue = Configuration::may_continue;
+        check_region(configuration, lease, facts, own, &self.region, may_continue)
+    }
+
     /// The request that was checked.
     pub fn request(&self) -> &RequestId {
         &self.request
@@ -111,3 +121,25 @@
         self.revision
     }
 }
+
+fn check_region(
+    configuration: &Configuration,
+    lease: ConfigurationLease,
+    facts: &RequestFacts,
+    own: &RegionId,
+    region: &RegionId,
+    is_permitted: impl Fn(&Configuration, &Team, &ItemKey, &RegionId) -> bool,
+) -> Result<(), ResidencyError> {
+    let revision = configuration.revision;
+    if lease == ConfigurationLease::Lapsed && own != region {
+        return Err(ResidencyError::Unconfirmed { revision, region: own.clone() });
+    }
+    let unknown = || ResidencyError::UnknownTeam { team: facts.team.clone(), revision };
+    let team = configuration.team(&facts.team).ok_or_else(unknown)?;
+    let target = facts.target.key();
+    if !is_permitted(configuration, team, &target, region) {
+        let team = facts.team.clone();
+        return Err(ResidencyError::Forbidden { team, target, region: region.clone() });
+    }
+    Ok(())
+}
--- a/crates/medlarlug-core/src/routing/route.rs
+++ b/crates/medlarlug-core/src/routing/route.rs
@@ -199,6 +199,20 @@
     pub fn permit(&self) -> &Permit {
         &self.permit
     }
+
+    /// Checks residency again, right before the request is sent over a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the configuration in force doesn't permit this region any more.
+    pub fn recheck(
+        &self,
+        configuration: &Configuration,
+        facts: &RequestFacts,
+    ) -> Result<(), ResidencyError> {
+        let lease = ConfigurationLease::Valid;
+        self.permit.recheck(configuration, lease, facts, &self.route.region)
+    }
 }
 
 impl AuthorizedForward {
@@ -216,4 +230,18 @@
     pub fn permit(&self) -> &Permit {
         &self.permit
     }
+
+    /// Checks residency again, right before the request is sent over a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the configuration in force doesn't permit the zone's region any more, or when its
+    /// lease has lapsed and the zone is in another region.
+    pub fn recheck(
+        &self,
+        configuration: &Configuration,
+        lease: ConfigurationLease,
+    ) -> Result<(), ResidencyError> {
+        self.permit.recheck(configuration, lease, self.header.facts(), &self.route.own)
+    }
 }
--- a/crates/medlarlug-core/tests/testsuite/routing.rs
+++ b/crates/medlarlug-core/tests/testsuite/routing.rs
@@ -224,6 +224,41 @@
     assert_matches!(elsewhere, Err(ResidencyError::Misdirected { .. }));
 }
 
+#[test]
+fn permit_does_not_outlast_the_revision_or_the_lease_while_a_connection_opens() {
+    let configuration = configuration(open_team(), Residency::Anywhere);
+    let mut membership = membership(vec![upstream("u0")]);
+    add_zone_summary(&mut membership, NOW, "kurzeme");
+    let request = CallerRequest::new(facts());
+    let view = view(&membership, &configuration);
+    let Ok(Choice::Serve(route)) = Router::new(NOW, 1).decide(NOW, view, &request) else {
+        panic!("expected a route to an upstream");
+    };
+    let local = route.authorize(&configuration, &request.facts).unwrap();
+    let away = CallerRequest::new(RequestFacts { excluded: vec![id("u0")], ..facts() });
+    let Ok(Choice::Forward(route)) = Router::new(NOW, 1).decide(NOW, view, &away) else {
+        panic!("expected a route to another zone");
+    };
+    let remote = route.authorize(&configuration, ConfigurationLease::Valid, &away).unwrap();
+    let only =
+        |region| Team { residency: Residency::Regions(vec![id(region)]), ..team("crew", "riga") };
+    let [in_riga, in_kurzeme] =
+        ["riga", "kurzeme"].map(|it| self::configuration(only(it), Residency::Anywhere));
+    let without_team = Configuration::new(Revision(2), vec![model(Residency::Anywhere)]);
+    let (valid, lapsed) = (ConfigurationLease::Valid, ConfigurationLease::Lapsed);
+
+    assert_eq!(local.recheck(&in_riga, &request.facts), Ok(()));
+    assert_eq!(remote.recheck(&in_kurzeme, valid), Ok(()));
+    let forbidden = local.recheck(&in_kurzeme, &request.facts);
+    assert_matches!(forbidden, Err(ResidencyError::Forbidden { .. }));
+    assert_matches!(remote.recheck(&in_riga, valid), Err(ResidencyError::Forbidden { .. }));
+    assert_matches!(
+        remote.recheck(&configuration, lapsed),
+        Err(ResidencyError::Unconfirmed { .. })
+    );
+    assert_matches!(remote.recheck(&without_team, valid), Err(ResidencyError::UnknownTeam { .. }));
+}
+
 #[test]
 fn forwarded_request_survives_its_encoding() {
     let configuration = configuration(open_team(), Residency::Anywhere);
--- a/src/coordination/entry/connection_recovery.rs
+++ b/src/coordination/entry/connection_recovery.rs
@@ -70,6 +70,8 @@
     pub id: &'a RequestId,
     /// The requested model, whose retry budget pays for sending the request again.
     pub target: &'a Target,
+    /// Whether the request may still be sent; called each time before it is sent over a new connection.
+    pub may_send: &'a dyn Fn() -> bool,
 }
 
 /// The result of querying an engine for a request.
@@ -86,7 +88,8 @@
 ///
 /// # Errors
 ///
-/// Fails as [`HttpClient::call`](crate::transport::http_client::HttpClient::call) does.
+/// Fails as [`HttpClient::call_if_wanted`](crate::transport::http_client::HttpClient::call_if_wanted)
+/// does.
 pub async fn call(
     entry: &Entry,
     to: EngineRequest<'_>,
@@ -94,9 +97,10 @@
     call: &Call,
     limits: CallLimits,
 ) -> Result<ReceivedHead, HttpCallError> {
+    let overdue = HttpCallError::TimedOut { address: to.address, limit: HEAD_TIMEOUT };
     let sending = send(entry, &to, request.clone(), call, limits);
     let mut sending = pin!(sending);
-    loop {
+    let has_run = loop {
         if let Ok(result) = timeout(HEAD_TIMEOUT, sending.as_mut()).await {
             return result;
         }
@@ -107,17 +111,19 @@
         };
         match action {
             OverdueAction::UseAnswer(received) => return Ok(received),
-            OverdueAction::Resend => break,
+            OverdueAction::Resend { has_run } => break has_run,
             OverdueAction::Wait => {}
-            OverdueAction::Fail => {
-                return Err(HttpCallError::TimedOut { address: to.address, limit: HEAD_TIMEOUT });
-            }
+            OverdueAction::Fail => return Err(overdue),
         }
-    }
+    };
     tracing::info!(request = %to.id, "unresponsive connection replaced");
     entry.client.close_idle(to.address);
     let new_connection_call = Call { reuse: Reuse::Never, ..call.clone() };
-    send(entry, &to, request, &new_connection_call, limits).await
+    match send(entry, &to, request, &new_connection_call, limits).await {
+        // It was not sent again, but the engine has run it before.
+        Err(error) if has_run && error.is_unsent() => Err(overdue),
+        result => result,
+    }
 }
 
 /// Sends a request, and replaces the connection if it breaks before the head of the answer.
@@ -130,7 +136,9 @@
 ) -> Result<ReceivedHead, HttpCallError> {
     let (mut reuse, mut sends_left) = (call.reuse, MAX_SENDS);
     loop {
-        let result = entry.client.call(to.address, request.clone(), reuse, limits).await;
+        let client = &entry.client;
+        let result =
+            client.call_if_wanted(to.address, request.clone(), reuse, limits, to.may_send).await;
         if !matches!(result, Err(HttpCallError::Lost { .. })) {
             return result;
         }
@@ -170,7 +178,10 @@
     /// Read the answer from the new connection.
     UseAnswer(ReceivedHead),
     /// Send the request again: its connection is unresponsive.
-    Resend,
+    Resend {
+        /// Whether the engine has run the request already.
+        has_run: bool,
+    },
     /// Go on waiting: the engine did not answer the query, but renews its announcement.
     Wait,
     /// Fail the attempt: the engine is unresponsive, or the retry budget is exhausted.
@@ -194,14 +205,14 @@
     match query_stream(entry, to).await {
         QueryResult::Unanswered if is_announced(entry, to.address) => OverdueAction::Wait,
         QueryResult::Unanswered => OverdueAction::Fail,
-        QueryResult::Unknown => OverdueAction::Resend,
+        QueryResult::Unknown => OverdueAction::Resend { has_run: false },
         QueryResult::Known(received) if call.stream => OverdueAction::UseAnswer(received),
         QueryResult::Known((answer, _connection)) => {
             let mut events = answer.into_body();
             while let Some(Ok(_)) = events.frame().await {}
             sleep(ARRIVAL_TIMEOUT).await;
             match entry.with_retry_budget(to.target, |budget| budget.take()) {
-                true => OverdueAction::Resend,
+                true => OverdueAction::Resend { has_run: true },
                 false => OverdueAction::Fail,
             }
         }
--- a/src/coordination/entry/exchange.rs
+++ b/src/coordination/entry/exchange.rs
@@ -10,8 +10,11 @@
     ids::{RequestId, UpstreamId, ZoneId},
     membership::Target,
     record::Stage,
+    release::Configuration,
     retry::Failure,
-    routing::{AttemptId, AuthorizedForward, AuthorizedRoute, RequestFacts, router},
+    routing::{
+        AttemptId, AuthorizedForward, AuthorizedRoute, RequestFacts, ResidencyError, router,
+    },
     suspects::{self, RequestContents},
 };
 use smol_str::SmolStr;
@@ -105,11 +108,30 @@
     entry.router.borrow_mut().record_sent(entry.node.now(), &authorized, facts);
     entry.track_sent(&facts.id, call, &route.upstream);
     entry.record_stage(&facts.id, Stage::Sent { upstream: route.upstream });
-    let endpoint =
-        AttemptEndpoint { destination, address: route.address, attempt_id: route.attempt_id };
+    let may_send = || may_send(entry, &facts.id, |it| authorized.recheck(it, facts));
+    let endpoint = AttemptEndpoint {
+        destination,
+        address: route.address,
+        attempt_id: route.attempt_id,
+        may_send: &may_send,
+    };
     send(entry, endpoint, facts, request, call).await
 }
 
+/// Whether residency still permits an attempt by the configuration in force now.
+fn may_send(
+    entry: &Entry,
+    id: &RequestId,
+    recheck: impl Fn(&Configuration) -> Result<(), ResidencyError>,
+) -> bool {
+    let Some(configuration) = entry.configuration() else { return false };
+    let result = recheck(&configuration);
+    if let Err(error) = &result {
+        tracing::warn!(request = %id, %error, "attempt withdrawn before its request was sent");
+    }
+    result.is_ok()
+}
+
 /// Forwards a call to another zone.
 ///
 /// An instance there that is leaving, or does not accept connections, has not run the call; the call
@@ -127,6 +149,7 @@
     let route = authorized.route().clone();
     entry.router.borrow_mut().record_forwarded(entry.node.now(), &authorized);
     entry.record_stage(&facts.id, Stage::Forwarded { zone: route.zone.clone() });
+    let may_send = || may_send(entry, &facts.id, |it| authorized.recheck(it, entry.lease()));
     let peers = forward::receivers(entry, &route.zone, &route.entry);
     let mut failed = FailedAttempt {
         destination: Destination::Zone(route.zone.clone()),
@@ -139,13 +162,21 @@
             break;
         };
         let destination = Destination::Zone(route.zone.clone());
-        let endpoint = AttemptEndpoint { destination, address, attempt_id: route.attempt_id };
+        let endpoint = AttemptEndpoint {
+            destination,
+            address,
+            attempt_id: route.attempt_id,
+            may_send: &may_send,
+        };
         let result = send(entry, endpoint, facts, request, call).await;
         failed = match forward::check_refusal(entry, result).await {
             Ok(exchange) => return Ok(exchange),
             Err(ForwardFailure::ByZone(failed)) => return Err(failed),
             Err(ForwardFailure::ByInstance(failed)) => failed,
         };
+        if !may_send() {
+            break;
+        }
         entry.unavailable_entries.begin(entry.node.now(), &id);
     }
     Err(failed)
@@ -177,28 +208,31 @@
 }
 
 /// The destination of one attempt, with the address to connect to.
-struct AttemptEndpoint {
+struct AttemptEndpoint<'a> {
     destination: Destination,
     address: SocketAddr,
     attempt_id: AttemptId,
+    /// Whether residency still permits the attempt; called each time before the request is sent.
+    may_send: &'a dyn Fn() -> bool,
 }
 
 async fn send(
     entry: &Entry,
-    endpoint: AttemptEndpoint,
+    endpoint: AttemptEndpoint<'_>,
     facts: &RequestFacts,
     request: Request<RequestBody>,
     call: &Call,
 ) -> Result<Exchange, FailedAttempt> {
     let id = &facts.id;
-    let AttemptEndpoint { destination, address, attempt_id } = endpoint;
+    let AttemptEndpoint { destination, address, attempt_id, may_send } = endpoint;
     let limits = CallLimits { connect: CONNECT_TIMEOUT, head: call.head_timeout };
     let result = match (&destination, &facts.target) {
+        _ if !may_send() => Err(HttpCallError::Withdrawn { address }),
         (Destination::Upstream(_), target @ Target::Model(_)) => {
-            let to = connection_recovery::EngineRequest { address, id, target };
+            let to = connection_recovery::EngineRequest { address, id, target, may_send };
             connection_recovery::call(entry, to, request, call, limits).await
         }
-        _ => entry.client.call(address, request, call.reuse, limits).await,
+        _ => entry.client.call_if_wanted(address, request, call.reuse, limits, may_send).await,
     };
     let (answer, connection) = match result {
         Ok(answered) => answered,
--- a/tests/testsuite/processes/upstream_cuts.rs
+++ b/tests/testsuite/processes/upstream_cuts.rs
@@ -5,10 +5,19 @@
     time::{Duration, Instant},
 };
 
-use medlarlug_core::release::item::Residency;
-use test_support::{deployment::Deployment, relay::Cut};
+use medlarlug_core::release::{
+    Item, RawNote,
+    item::{Residency, Team},
+};
+use serde_json::Value;
+use test_support::{
+    deployment::{Deployment, call, wait_for},
+    id, note,
+    relay::Cut,
+    survey_team,
+};
 
-use crate::processes::fixture::{add_engines, items, two_regions};
+use crate::processes::fixture::{add_engines, items, revision, state, two_regions};
 
 /// Time after the begin of a cut from which on callers have to be served.
 const CONTACT_TIME: Duration = Duration::from_secs(5);
@@ -53,3 +62,66 @@
         assert!(deployment.run_count(&format!("entry-1-late-{number}")) <= 1, "ran twice");
     }
 }
+
+/// An entry instance in riga with one engine of the given speed behind a relay.
+fn with_engine(speed: u32) -> Deployment {
+    let deployment = add_engines(two_regions(), 1, speed).with_upstream_relays().start();
+    deployment.configure(items(Residency::Anywhere));
+    deployment.wait_upstreams("entry-1", 1);
+    deployment
+}
+
+/// Forbids the team `survey` the region riga, and waits until entry-1 knows it.
+fn forbid_riga(deployment: &Deployment) {
+    let base = revision(deployment, "entry-1");
+    let survey = Team { residency: Residency::Regions(vec![id("kurzeme")]), ..survey_team("riga") };
+    let stricter = RawNote { changed: vec![Item::Team(survey)], ..note(base, Vec::new()) };
+    assert_eq!(deployment.apply("entry-1", &stricter).status, 200);
+    wait_for("the note", || revision(deployment, "entry-1") > base);
+}
+
+fn total_runs(deployment: &Deployment) -> Value {
+    call("GET", deployment.upstreams[0].control, "/runs", &[], "").json["total"].clone()
+}
+
+/// The note comes in force while connections to the engine deliver nothing, before the request is sent again.
+#[test]
+fn request_is_not_sent_again_to_a_region_that_its_team_has_lost_since() {
+    let deployment = with_engine(200);
+    let relay = &deployment.upstream_relays[0].1;
+
+    relay.cut(&[deployment.pid("entry-1")], Cut::Silent);
+    let answer = thread::scope(|scope| {
+        let waiting = scope.spawn(|| deployment.complete("entry-1", "medlar", "shift"));
+        wait_for("the request to be sent", || {
+            deployment.operator_get("entry-1", "/dump").json["process"]["attempts"] == 1
+        });
+        forbid_riga(&deployment);
+        relay.heal();
+        waiting.join().expect("no panic")
+    });
+
+    assert_eq!(total_runs(&deployment), 0, "{}", deployment.log("entry-1"));
+    assert_eq!(answer.status, 503, "{}", answer.text);
+    assert_eq!(answer.json["outcome"], "not_run", "{}", answer.text);
+}
+
+/// The engine has run the request, and its answer is lost with the connection.
+#[test]
+fn request_that_ran_before_its_team_lost_the_region_is_not_reported_as_not_run() {
+    let deployment = with_engine(500);
+    let relay = &deployment.upstream_relays[0].1;
+    let body = r#"{ "model": "medlar", "prompt": "shift", "max_tokens": 1000 }"#;
+
+    let answer = thread::scope(|scope| {
+        let waiting = scope
+            .spawn(|| deployment.caller_request("entry-1", "POST", "/v1/completions", &[], body));
+        wait_for("the request to run", || state(&deployment, "engine-1")["running"] == 1);
+        relay.blackhole_open();
+        forbid_riga(&deployment);
+        waiting.join().expect("no panic")
+    });
+
+    assert_eq!(total_runs(&deployment), 1, "{}", deployment.log("entry-1"));
+    assert_eq!(answer.json["outcome"], "failed", "{}", answer.text);
+}
