Test that a stalled instance leads no caller to a forbidden region

With real processes: entry-1 in riga is stopped until entry-2 in kurzeme counts it as dead, and goes on. While it counts as just started, each of its directories has to begin with itself for a team at home in riga.

--- a/tests/testsuite/processes/isolation.rs
+++ b/tests/testsuite/processes/isolation.rs
@@ -1,11 +1,15 @@
-//! A zone isolated from the others: its connections stay open and deliver nothing.
+//! Zones isolated from the others: connections stay open and deliver nothing, or the instance is stalled.
+
+use std::net::SocketAddr;
 
 use medlarlug_core::release::{
     Item, RawNote,
     item::{Residency, Team},
 };
+use nix::sys::signal::Signal;
 use serde_json::Value;
 use test_support::{
+    caller::directory_entries,
     deployment::{Deployment, call, wait_for},
     note, team,
 };
@@ -100,3 +104,33 @@
         deployment.complete("entry-2", "medlar", "healed").status == 200
     });
 }
+
+/// After a stall the instance counts as just started, and the other region's one as the only ready one.
+#[test]
+fn stalled_instance_sends_no_caller_to_a_region_that_the_team_forbids() {
+    let deployment = two_regions().start();
+    deployment.configure(items(Residency::Home));
+    let is_settled = |it: &str| dump(&deployment, it)["process"]["limits_settled"] == true;
+    wait_for("readiness", || is_settled("entry-1") && is_settled("entry-2"));
+    wait_for("the other region in the directory", || listed(&deployment).len() == 2);
+    let riga = deployment.get("entry-1").callers;
+
+    wait_for("a stall to be noticed", || {
+        deployment.signal("entry-1", Signal::SIGSTOP);
+        wait_for("silence", || state_of(&deployment, "entry-2", "entry-1") == "dead");
+        deployment.signal("entry-1", Signal::SIGCONT);
+        (0..100).any(|_| !is_settled("entry-1"))
+    });
+    let mut lists = Vec::new();
+    wait_for("readiness after the stall", || {
+        lists.push(listed(&deployment));
+        is_settled("entry-1")
+    });
+
+    assert!(lists.iter().all(|it| it.first() == Some(&riga)), "{riga}: {lists:?}");
+}
+
+/// The instances in the directory of entry-1.
+fn listed(deployment: &Deployment) -> Vec<SocketAddr> {
+    directory_entries(&deployment.caller_request("entry-1", "GET", "/v1/entries", &[], "").json)
+}
