Test of a request that ran: the note has more time before the resend

The engine generated the answer in two seconds, so that on a busy machine the request could be sent again before the note was in force. It takes eight now.

The test still guards what it did: without the guard for calls that the engine has run it fails (outcome not_run, expected failed), and without the check at each send too (the request ran twice).

--- a/tests/testsuite/processes/upstream_cuts.rs
+++ b/tests/testsuite/processes/upstream_cuts.rs
@@ -109,9 +109,9 @@
 /// The engine has run the request, and its answer is lost with the connection.
 #[test]
 fn request_that_ran_before_its_team_lost_the_region_is_not_reported_as_not_run() {
-    let deployment = with_engine(500);
+    let deployment = with_engine(100);
     let relay = &deployment.upstream_relays[0].1;
-    let body = r#"{ "model": "medlar", "prompt": "shift", "max_tokens": 1000 }"#;
+    let body = r#"{ "model": "medlar", "prompt": "shift", "max_tokens": 800 }"#;
 
     let answer = thread::scope(|scope| {
         let waiting = scope
