--- a/crates/medlarlug-core/src/gateway/contacts.rs
+++ b/crates/medlarlug-core/src/gateway/contacts.rs
@@ -294,20 +294,20 @@
 /// metric of answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Scope {
-    /// To ready instances of the caller's availability zone.
+    /// Ready instances of the caller's availability zone.
     Zone,
-    /// To ready instances of the caller's region.
+    /// Ready instances of the caller's region.
     Region,
-    /// To ready instances of the home regions.
+    /// Ready instances of the home regions.
     Homes,
-    /// To instances of the caller's region or of the home regions that have just begun to leave.
+    /// Instances of the caller's region or of the home regions that have just begun to leave.
     Leaving,
-    /// To all ready instances, since the regions that should come first have none.
+    /// All ready instances, since the regions that come first have none.
     Anywhere,
-    /// No instance is named: others can't serve the host, or the regions that should come first may have
-    /// ready ones that this keeper does not hear.
+    /// None: others can't serve the host, or the regions that come first may have ready ones that this
+    /// keeper does not hear.
     Withheld,
-    /// No instance is known.
+    /// None, since no ready instance is known.
     Nowhere,
 }
 
--- a/crates/medlarlug-gateway/src/keeper/requests.rs
+++ b/crates/medlarlug-gateway/src/keeper/requests.rs
@@ -11,7 +11,7 @@
         contacts::{DirectoryQuery, Listing, Scope, entry_addresses},
         evacuation_orders::Timeliness,
         publication::{Command, Publication},
-        table::{RouteTable, TableVersion},
+        table::{HostHomes, RouteTable, TableVersion},
         upstreams::{Effect, Upstream, UpstreamState},
     },
     ids::{RegionId, UpstreamId, ZoneId},
@@ -215,25 +215,15 @@
     /// Logs the scope of the directory's answers to the callers of a region if it has changed.
     fn log_scope(&self, query: &DirectoryQuery, listing: &Listing) {
         let now = self.now();
-        let settings = self.settings.borrow();
-        // Callers may send any name; only the regions of the deployment are kept.
-        let is_known = |region: &&RegionId| settings.zones.iter().any(|it| it.1 == **region);
-        let Some(region) = query.region.filter(is_known) else { return };
-        let homes = query.homes.cloned().unwrap_or_default();
-        let mut scopes = self.scopes.borrow_mut();
-        // A change between the zone and the region is no news.
-        let near = |scope: Scope| matches!(scope, Scope::Zone | Scope::Region);
-        let key = (region, &homes.regions, homes.is_exclusive);
-        let before = match scopes.binary_search_by(|it| it.key().cmp(&key)) {
-            Ok(at) => std::mem::replace(&mut scopes[at].scope, listing.scope),
-            Err(_) if scopes.len() >= MAX_LOGGED_SCOPES => return,
-            Err(at) => {
-                let (region, scope) = (region.clone(), listing.scope);
-                scopes.insert(at, LoggedScope { region, homes: homes.clone(), scope });
-                Scope::Region
-            }
+        let is_of_deployment = |region: &&RegionId| {
+            self.settings.borrow().zones.iter().any(|(_, known)| known == *region)
         };
-        if before == listing.scope || (near(before) && near(listing.scope)) {
+        // Callers may send any name.
+        let Some(region) = query.region.filter(is_of_deployment) else { return };
+        let homes = query.homes.cloned().unwrap_or_default();
+        let Some(before) = self.replace_scope(region, &homes, listing.scope) else { return };
+        let is_near = |scope: Scope| matches!(scope, Scope::Zone | Scope::Region);
+        if before == listing.scope || (is_near(before) && is_near(listing.scope)) {
             return;
         }
         let ready = self.contacts.borrow().ready_by_region(now);
@@ -255,6 +245,21 @@
         );
     }
 
+    /// Remembers the scope of an answer, and returns the one before; `None` if too many are remembered.
+    fn replace_scope(&self, region: &RegionId, homes: &HostHomes, scope: Scope) -> Option<Scope> {
+        let mut scopes = self.scopes.borrow_mut();
+        let key = (region, &homes.regions, homes.is_exclusive);
+        match scopes.binary_search_by(|it| it.key().cmp(&key)) {
+            Ok(at) => Some(std::mem::replace(&mut scopes[at].scope, scope)),
+            Err(_) if scopes.len() >= MAX_LOGGED_SCOPES => None,
+            Err(at) => {
+                let (region, homes) = (region.clone(), homes.clone());
+                scopes.insert(at, LoggedScope { region, homes, scope });
+                Some(Scope::Region)
+            }
+        }
+    }
+
     /// Parses a table with the function from the settings.
     ///
     /// # Errors
