Answers of upstreams on the product's path count in the memory budget

What callers saw: with `resources` set, an upstream that answered calls with bytes without end made the entry instance grow by up to 16 MB a call (4 MB a booking), until the machine's memory was used up and the requests of all other callers ended with the process.

Cause: delivery.rs, services.rs and outcomes.rs read answers up to their limit with no reference to the memory budget; only the gateway's path counted them.

Change: the gateway's reader of answers moves to transport::answers and reads the answers of both paths. Bytes are reserved before they are read, and at most two answers above 128 KiB of each kind (with and without a length) are read at a time. Without `resources` there is no limit, as before. The answer to a booking stays counted until it is built for the caller, since recording it may take a while.

The endless upstream of the tests moves to test-support.

--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -7,7 +7,10 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri, body::Incoming, header};
 use medlarlug::{
     protocol::events::{self, EventSplitter},
-    transport::http_client::{CallLimits, Connection, HttpCallError, Reuse},
+    transport::{
+        answers::ReadError,
+        http_client::{CallLimits, Connection, HttpCallError, Reuse},
+    },
 };
 use medlarlug_core::{
     gateway::{
@@ -28,7 +31,6 @@
 
 use super::{
     Entry,
-    answers::ReadError,
     call::Call,
     choice::Hop,
     crashes::{InFlight, RequestEnd},
@@ -42,6 +44,9 @@
 const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout for opening a connection to another instance, possibly in another region.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Maximum size of a complete answer: twice the longest request body that the first deployments
+/// allow.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Longest stream, in bytes: ten times the longest answer of the first deployments, which has 200
 /// events of 4 KB.
 const MAX_STREAM_BYTES: usize = 8 << 20;
@@ -410,13 +415,13 @@
     let (parts, body) = answer.into_parts();
     if !is_stream {
         let left = context.answer_by - entry.now();
-        let read = entry.answers.read(body, left).await;
+        let read = entry.answers.read(body, MAX_ANSWER_BYTES, left).await;
         if let Err(error) = read {
             slot.request_end = RequestEnd::Unanswered;
             tracing::info!(request = %context.call.id, unread = ?error, "answer not read completely");
         }
         return match read {
-            Ok(bytes) => {
+            Ok(read) => {
                 slot.answered(false);
                 slot.request_end = RequestEnd::Answered;
                 let end = match parts.status.is_server_error() {
@@ -425,7 +430,7 @@
                 };
                 record_health(entry, hop, end);
                 entry.client.release_bounded(connection, hop.idle());
-                Outcome::Answer(Response::from_parts(parts, bytes))
+                Outcome::Answer(Response::from_parts(parts, read.content))
             }
             Err(ReadError::Cut) => {
                 record_health(entry, hop, UpstreamOutcome::Broken);
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -14,7 +14,6 @@
 //!
 //! A call that another instance has forwarded is served in the same way, but never forwarded again.
 
-mod answers;
 mod attempt;
 mod call;
 mod choice;
@@ -41,6 +40,7 @@
 use medlarlug::{
     coordination::clock::Clock,
     transport::{
+        answers::AnswerReader,
         http_client::HttpClient,
         http_server::{self, ServerError, ServerLimits},
         memory::Memory,
@@ -74,8 +74,8 @@
 
 pub use self::explain::ExplainError;
 use self::{
-    answers::AnswerReader, crashes::Crashes, limited::LimitState, path_check::PathState,
-    pressure::PressureState, quota::QuotaState, stream_lookup::StreamState,
+    crashes::Crashes, limited::LimitState, path_check::PathState, pressure::PressureState,
+    quota::QuotaState, stream_lookup::StreamState,
 };
 pub(crate) use self::{limited::LimitMessage, stream_lookup::StreamMessage};
 pub use serve::CallOutcome;
@@ -108,6 +108,9 @@
 const GRACE_FRACTION: f64 = 0.92;
 /// Time between two checks whether calls are still running.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Long answers of each kind that are read at a time. Their buffers take a fifth of the memory of
+/// the smallest machine of an entry instance, which is 160 MB.
+const MAX_LONG_ANSWERS: usize = 2;
 /// Time for the last bytes of answers to be written.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// Time after start within which the table and the upstreams become known. Upstreams announce
@@ -218,7 +221,7 @@
             retry_windows: RefCell::default(),
             links: Links::default(),
             client: HttpClient::within(&memory),
-            answers: AnswerReader::new(memory.clone()),
+            answers: AnswerReader::new(memory.clone(), MAX_LONG_ANSWERS),
             is_draining: Cell::new(false),
             internal: RefCell::default(),
             running: Cell::new(0),
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod crowd;
 pub mod deployment;
+pub mod endless;
 pub mod relay;
 pub mod scale;
 pub mod signals;
--- a/src/coordination/entry/inference/delivery.rs
+++ b/src/coordination/entry/inference/delivery.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::{Response, StatusCode, header};
 use medlarlug_core::{
     ids::RequestId,
@@ -136,10 +135,10 @@
         let destination = destination.clone();
         Err(AttemptError::Failed(FailedAttempt { destination, failure, reason }))
     };
-    let limited = http_body_util::Limited::new(incoming, MAX_ANSWER_BYTES);
-    let content = match tokio::time::timeout(job.call.head_timeout, limited.collect()).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        _ => return failed(Failure::Lost, "the answer was cut before its end".into()),
+    let read = entry.answers.read(incoming, MAX_ANSWER_BYTES, job.call.head_timeout).await;
+    let content = match read {
+        Ok(read) => read.content,
+        Err(error) => return failed(Failure::Lost, smol_str::format_smolstr!("{error}")),
     };
     let status = head.status;
     if is_not_started(status, &content) {
--- a/src/coordination/entry/mod.rs
+++ b/src/coordination/entry/mod.rs
@@ -61,7 +61,7 @@
     units::ByteSize,
 };
 use serde_json::json;
-use tokio::task;
+use tokio::{sync::Semaphore, task};
 
 pub use crate::coordination::entry::process::{EntryError, run};
 use crate::{
@@ -77,7 +77,9 @@
     protocol::Message,
     settings::{EntrySettings, Peer},
     telemetry::metrics,
-    transport::{http_client::HttpClient, http_server::ServerLimits, memory::Memory},
+    transport::{
+        answers::AnswerReader, http_client::HttpClient, http_server::ServerLimits, memory::Memory,
+    },
 };
 
 /// Ticks between two reports of the teams' demand to the other entry instances of the region.
@@ -114,8 +116,13 @@
     retry_budgets: RefCell<Vec<(Target, RetryBudget)>>,
     /// What the servers of the process hold for their clients.
     pub memory: Memory,
+    /// Reads the complete answers of upstreams and of other instances within that memory.
+    pub answers: AnswerReader,
 }
 
+/// Long answers of each kind that are read at a time when the memory is limited.
+const MAX_LONG_ANSWERS: usize = 2;
+
 /// Share of the descriptors and of the memory for connections that callers may use. As many are left for
 /// the connections to upstreams.
 const CALLERS_SHARE: f64 = 0.3125;
@@ -128,7 +135,12 @@
         let journal = Journal::new(node.region.clone(), node.own.id.clone(), node.incarnation);
         let largest = settings.limits.body.0 + internal::FORWARD_OVERHEAD_BYTES as u64;
         let memory = memory_of(settings.resources, ByteSize(largest));
+        let max_long = match memory.is_limited() {
+            true => MAX_LONG_ANSWERS,
+            false => Semaphore::MAX_PERMITS,
+        };
         Entry {
+            answers: AnswerReader::new(memory.clone(), max_long),
             client: HttpClient::within(&memory),
             router: RefCell::new(Router::new(node.now(), seed)),
             journal: RefCell::new(journal),
--- a/src/coordination/entry/outcomes.rs
+++ b/src/coordination/entry/outcomes.rs
@@ -24,7 +24,6 @@
     release::ItemKey,
 };
 use smol_str::SmolStr;
-use tokio::time::timeout;
 
 use crate::{
     coordination::{calls, calls::CallError, entry::Entry},
@@ -32,6 +31,7 @@
     transport::{
         body,
         http_client::{CallLimits, Reuse},
+        memory::AnswerMemory,
     },
 };
 
@@ -51,6 +51,8 @@
     pub recorded: RecordedAnswer,
     /// The complete body, for the caller.
     pub content: Bytes,
+    /// Counts the body until this is dropped.
+    pub counted: AnswerMemory,
 }
 
 /// Queries the own zone's services about bookings of the home group of `home`, and has the outcomes
@@ -145,14 +147,15 @@
     if answer.status() != StatusCode::OK {
         return None;
     }
-    let reading = body::read(answer.into_body(), MAX_ANSWER_BYTES);
-    let content = timeout(OUTCOME_QUERY_LIMITS.head, reading).await.ok()?.ok()?;
-    parse_outcome(&content, request)
+    let limit = OUTCOME_QUERY_LIMITS.head;
+    let read = entry.answers.read(answer.into_body(), MAX_ANSWER_BYTES, limit).await.ok()?;
+    let (recorded, content) = parse_outcome(&read.content, request)?;
+    Some(ServiceAnswer { recorded, content, counted: read.counted })
 }
 
 /// Extracts the answer from a service's document, if the document states that the call of `request`
 /// ran.
-pub fn parse_outcome(document: &[u8], request: &RequestId) -> Option<ServiceAnswer> {
+pub fn parse_outcome(document: &[u8], request: &RequestId) -> Option<(RecordedAnswer, Bytes)> {
     let document: serde_json::Value = serde_json::from_slice(document).ok()?;
     if document["state"] != "ran" || document["request"] != request.to_string().as_str() {
         return None;
@@ -166,5 +169,5 @@
         content_type: SmolStr::new_static("application/json"),
         body: Body::of(&content),
     };
-    Some(ServiceAnswer { recorded, content: content.into() })
+    Some((recorded, content.into()))
 }
--- a/src/coordination/entry/services.rs
+++ b/src/coordination/entry/services.rs
@@ -34,7 +34,10 @@
         outcomes::{self, MAX_ANSWER_BYTES, ServiceAnswer},
     },
     protocol::{Problem, headers},
-    transport::body::{self, Answer},
+    transport::{
+        answers::ReadAnswer,
+        body::{self, Answer},
+    },
 };
 
 /// Time for the intent of a booking to be committed.
@@ -256,18 +259,16 @@
     let request = facts.id.clone();
     let (destination, attempt_id) = (exchange.destination, exchange.attempt_id);
     let (head, incoming) = exchange.answer.into_parts();
-    let content =
-        match tokio::time::timeout(ANSWER_BODY_TIMEOUT, body::read(incoming, MAX_ANSWER_BYTES))
-            .await
-        {
-            Ok(Ok(content)) => content,
-            _ => {
-                entry.notify_router(router::Event::Failed(attempt_id));
-                entry.handle_suspect_event(suspects::Event::Inconclusive { request });
-                let reason = "the answer was cut before its end".into();
-                return Err(FailedAttempt { destination, failure: Failure::Lost, reason });
-            }
-        };
+    let read = entry.answers.read(incoming, MAX_ANSWER_BYTES, ANSWER_BODY_TIMEOUT).await;
+    let ReadAnswer { content, counted } = match read {
+        Ok(read) => read,
+        Err(error) => {
+            entry.notify_router(router::Event::Failed(attempt_id));
+            entry.handle_suspect_event(suspects::Event::Inconclusive { request });
+            let reason = smol_str::format_smolstr!("{error}");
+            return Err(FailedAttempt { destination, failure: Failure::Lost, reason });
+        }
+    };
     entry.handle_suspect_event(suspects::Event::Completed { request });
     if inference::is_not_started(head.status, &content) {
         entry.notify_router(router::Event::Failed(attempt_id));
@@ -287,7 +288,7 @@
         content_type: media.unwrap_or("application/octet-stream").into(),
         body: Body::of(&content),
     };
-    Ok(ServiceAnswer { recorded, content })
+    Ok(ServiceAnswer { recorded, content, counted })
 }
 
 /// Answers the caller once the outcome is recorded, or after [`OUTCOME_COMMIT_TIMEOUT`].
@@ -298,11 +299,12 @@
     answer: ServiceAnswer,
 ) -> Answer {
     let id = &booking.job.facts().id;
-    let ServiceAnswer { recorded, content } = answer;
+    let ServiceAnswer { recorded, content, counted } = answer;
     let (status, media) = answer_head(&recorded);
     attempt.send_event(Event::Answered(recorded));
     attempt.next(OUTCOME_COMMIT_TIMEOUT).await;
     entry.end_request(id, Outcome::Answered, "whole answer");
+    drop(counted);
     inference::build_answer(entry, id, status, media.as_ref(), content)
 }
 
--- a/crates/medlarlug-gateway/src/entry/answers.rs
+++ b/src/transport/answers.rs
@@ -11,32 +11,39 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use medlarlug::transport::memory::Memory;
+use thiserror::Error;
 use tokio::{sync::Semaphore, time::timeout};
 
-/// Maximum size of a complete answer: twice the longest request body that the first deployments
-/// allow.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
+use crate::transport::memory::{AnswerMemory, Memory};
+
 /// Size above which an answer needs a permit; the answers of the first deployments are below 10 KB.
 const SHORT_ANSWER_BYTES: usize = 128 << 10;
-/// Long answers of each kind that are read at a time. Their buffers take a fifth of the memory of
-/// the smallest machine of an entry instance, which is 160 MB.
-const MAX_LONG_ANSWERS: usize = 2;
 
 /// Why an answer was not read completely.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum ReadError {
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum ReadError {
     /// The connection ended before the answer was complete.
+    #[error("the answer was cut before its end")]
     Cut,
-    /// The answer exceeds [`MAX_ANSWER_BYTES`].
+    /// The answer is longer than permitted.
+    #[error("the answer is too long")]
     TooLong,
     /// The answer was not complete in time.
+    #[error("the answer was not complete in time")]
     Late,
 }
 
+/// A complete answer.
+pub struct ReadAnswer {
+    /// The body.
+    pub content: Bytes,
+    /// Counts the body until this is dropped.
+    pub counted: AnswerMemory,
+}
+
 /// Reads answers, and holds the permits for long ones.
 #[derive(Debug)]
-pub(super) struct AnswerReader {
+pub struct AnswerReader {
     /// For answers with a known length.
     with_length: Semaphore,
     /// For answers without a known length.
@@ -45,23 +52,38 @@
 }
 
 impl AnswerReader {
-    /// Creates a reader that counts what it reads in `memory`.
-    pub(super) fn new(memory: Memory) -> AnswerReader {
+    /// Creates a reader that counts what it reads in `memory`, and reads at most `max_long` long answers
+    /// of each kind at a time.
+    pub fn new(memory: Memory, max_long: usize) -> AnswerReader {
         AnswerReader {
-            with_length: Semaphore::new(MAX_LONG_ANSWERS),
-            without_length: Semaphore::new(MAX_LONG_ANSWERS),
+            with_length: Semaphore::new(max_long),
+            without_length: Semaphore::new(max_long),
             memory,
         }
     }
 
-    /// Reads an answer completely within `limit`.
-    pub(super) async fn read(&self, body: Incoming, limit: Duration) -> Result<Bytes, ReadError> {
-        timeout(limit, self.read_unbounded(body)).await.unwrap_or(Err(ReadError::Late))
+    /// Reads an answer of at most `max_bytes` completely within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the answer is longer, is cut, or is not complete in time.
+    pub async fn read(
+        &self,
+        body: Incoming,
+        max_bytes: usize,
+        limit: Duration,
+    ) -> Result<ReadAnswer, ReadError> {
+        let reading = self.read_in_any_time(body, max_bytes);
+        timeout(limit, reading).await.unwrap_or(Err(ReadError::Late))
     }
 
-    async fn read_unbounded(&self, mut body: Incoming) -> Result<Bytes, ReadError> {
+    async fn read_in_any_time(
+        &self,
+        mut body: Incoming,
+        max_bytes: usize,
+    ) -> Result<ReadAnswer, ReadError> {
         let length = body.size_hint().exact().map(|it| usize::try_from(it).unwrap_or(usize::MAX));
-        if length.is_some_and(|length| length > MAX_ANSWER_BYTES) {
+        if length.is_some_and(|length| length > max_bytes) {
             return Err(ReadError::TooLong);
         }
         let permits = if length.is_some() { &self.with_length } else { &self.without_length };
@@ -74,7 +96,7 @@
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(|_| ReadError::Cut)?.into_data() else { continue };
             let size = content.len() + data.len();
-            if size > MAX_ANSWER_BYTES {
+            if size > max_bytes {
                 return Err(ReadError::TooLong);
             }
             if size > SHORT_ANSWER_BYTES && permit.is_none() {
@@ -89,6 +111,6 @@
             }
             content.extend_from_slice(&data);
         }
-        Ok(content.freeze())
+        Ok(ReadAnswer { content: content.freeze(), counted })
     }
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,10 +3,12 @@
 //! * [`links`]: one nng socket for each peer, and one that receives from all of them.
 //! * [`http_server`]: HTTP/1 servers with limits on clients.
 //! * [`http_client`]: pooled HTTP/1 connections to upstreams and other instances.
+//! * [`answers`]: complete answers of upstreams, with bounds on all together.
 //! * [`body`]: the bodies of requests and answers.
 //! * [`memory`]: what the servers of a process hold for their clients, within one budget.
 //! * [`signals`]: graceful shutdown on SIGTERM and SIGINT.
 
+pub mod answers;
 pub mod body;
 pub mod http_client;
 pub mod http_server;
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -4,6 +4,7 @@
 mod bounds;
 mod confirmations;
 mod crowds;
+mod endless;
 mod fixture;
 mod history;
 mod isolation;
--- a/tests/testsuite/service_answers.rs
+++ b/tests/testsuite/service_answers.rs
@@ -11,7 +11,7 @@
     let ran = br#"{"state": "ran", "request": "riga.entry-1.1.1", "answer": "done"}"#;
     let running = br#"{"state": "running", "request": "riga.entry-1.1.1"}"#;
 
-    let answer = parse_outcome(ran, &own).map(|it| it.recorded.body);
+    let answer = parse_outcome(ran, &own).map(|it| it.0.body);
 
     assert_eq!(answer, Some(Body::Whole(b"done".to_vec())));
     assert!(parse_outcome(ran, &other).is_none());
