Informational heads without end no longer stop the process

What callers saw: 64 upstreams that answered 500 calls with informational heads without end stopped an entry instance for 10.9 and 6.3 s (debug build); its links to keepers broke and an ordinary request was not answered in 20 s.

Cause: a connection read up to 256 KB before the head of an answer, which is 7,000 heads of 37 bytes, all parsed within a few turns of the only loop.

Change: a connection on which more than 16 informational heads arrive before the head of the answer ends at its next read, which is after 8 KB on a new one. The limit of 256 KB remains.

--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -5,11 +5,15 @@
 //! call was started.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
     io,
     net::SocketAddr,
     pin::Pin,
     rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
+    },
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -23,6 +27,7 @@
         TrySendError,
         http1::{self, SendRequest},
     },
+    ext,
 };
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -52,6 +57,9 @@
 /// and the part of the body that is read together with the head.
 const MAX_BYTES_BEFORE_HEAD: usize = 4 * MAX_HEAD_BYTES;
 
+/// Most informational heads before the head of an answer. Reading thousands of them takes seconds.
+const MAX_INFORMATIONAL_HEADS: u32 = 16;
+
 /// Body of a request that a client sends.
 pub type RequestBody = Full<Bytes>;
 
@@ -118,33 +126,68 @@
     pub head: Duration,
 }
 
-/// Bytes that may still be read before the head of the answer is complete; `None` while no answer is
-/// awaited.
-type HeadBudget = Rc<Cell<Option<usize>>>;
+/// What was read since the last request was sent. The callback of hyper for informational heads has to
+/// be `Sync`.
+#[derive(Default)]
+struct HeadProgress {
+    /// Whether the head of the answer is awaited.
+    is_awaited: AtomicBool,
+    /// Bytes that were read while it was awaited.
+    bytes: AtomicUsize,
+    /// Informational heads.
+    informational: AtomicU32,
+}
+
+impl HeadProgress {
+    fn begin(&self) {
+        self.bytes.store(0, Ordering::Relaxed);
+        self.informational.store(0, Ordering::Relaxed);
+        self.is_awaited.store(true, Ordering::Relaxed);
+    }
+
+    fn end(&self) {
+        self.is_awaited.store(false, Ordering::Relaxed);
+    }
+
+    /// Fails if more has arrived than the head of an answer may take.
+    fn check(&self) -> io::Result<()> {
+        let is_too_long = self.bytes.load(Ordering::Relaxed) > MAX_BYTES_BEFORE_HEAD
+            || self.informational.load(Ordering::Relaxed) > MAX_INFORMATIONAL_HEADS;
+        if is_too_long && self.is_awaited.load(Ordering::Relaxed) {
+            let text = "the head of the answer is too long";
+            return Err(io::Error::new(io::ErrorKind::InvalidData, text));
+        }
+        Ok(())
+    }
+}
 
 /// An open connection.
 struct RequestSender {
     requests: SendRequest<RequestBody>,
-    head_budget: HeadBudget,
+    head: Arc<HeadProgress>,
     /// Whether it has carried a request and was returned to the pool.
     is_reused: bool,
 }
 
 impl RequestSender {
     /// Sends a request and waits for the head of its answer.
-    async fn send(&mut self, request: Request<RequestBody>) -> SendResult {
-        self.head_budget.set(Some(MAX_BYTES_BEFORE_HEAD));
+    async fn send(&mut self, mut request: Request<RequestBody>) -> SendResult {
+        let head = self.head.clone();
+        ext::on_informational(&mut request, move |_| {
+            head.informational.fetch_add(1, Ordering::Relaxed);
+        });
+        self.head.begin();
         let sent = self.requests.try_send_request(request).await;
-        self.head_budget.set(None);
+        self.head.end();
         sent
     }
 }
 
-/// A stream that limits the bytes read before the head of an answer. hyper itself reads informational
-/// heads without a limit on their number.
+/// A stream that limits the bytes and the informational heads read before the head of an answer. hyper
+/// itself reads informational heads without a limit on their number.
 struct HeadLimitedStream {
     stream: TcpStream,
-    head_budget: HeadBudget,
+    head: Arc<HeadProgress>,
 }
 
 impl AsyncRead for HeadLimitedStream {
@@ -153,16 +196,11 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.head.check()?;
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        if let Some(budget) = self.head_budget.get() {
-            let bytes = buffer.filled().len() - before;
-            let Some(remaining) = budget.checked_sub(bytes) else {
-                let text = "the head of the answer is too long";
-                return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, text)));
-            };
-            self.head_budget.set(Some(remaining));
-        }
+        self.head.bytes.fetch_add(buffer.filled().len() - before, Ordering::Relaxed);
+        self.head.check()?;
         Poll::Ready(Ok(()))
     }
 }
@@ -406,8 +444,8 @@
     {
         tracing::debug!(%error, %address, "failed to set TCP_USER_TIMEOUT");
     }
-    let head_budget = HeadBudget::default();
-    let limited = HeadLimitedStream { stream, head_budget: head_budget.clone() };
+    let head = Arc::<HeadProgress>::default();
+    let limited = HeadLimitedStream { stream, head: head.clone() };
     let (requests, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(limited))
@@ -418,5 +456,5 @@
             tracing::debug!(%error, %address, "connection closed with an error");
         }
     });
-    Ok(RequestSender { requests, head_budget, is_reused: false })
+    Ok(RequestSender { requests, head, is_reused: false })
 }
--- a/tests/testsuite/http_client.rs
+++ b/tests/testsuite/http_client.rs
@@ -10,7 +10,7 @@
     CallLimits, HttpCallError, HttpClient, Reuse, holds_connection,
 };
 use tokio::{
-    io::AsyncReadExt,
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     runtime::Builder,
     task::LocalSet,
@@ -101,3 +101,38 @@
         assert!(!holds_connection(address, CONNECT, HOLD).await);
     });
 }
+
+/// Calls a server that sends this many informational heads before its answer.
+async fn call_with_informational_heads(heads: usize) -> Result<(), HttpCallError> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let serve = async {
+        let mut stream = listener.accept().await.unwrap().0;
+        let informational = "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n".repeat(heads);
+        let answer = format!("{informational}HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+        // Fails if the client has closed the connection.
+        let _ = stream.write_all(answer.as_bytes()).await;
+        stream
+    };
+    let client = HttpClient::default();
+    let call = client.call(address, request(), Reuse::Never, LIMITS);
+    let (called, _stream) = tokio::join!(call, serve);
+    called.map(|_| ())
+}
+
+#[test]
+fn answer_after_some_informational_heads_is_received() {
+    run(async {
+        assert_matches!(call_with_informational_heads(10).await, Ok(()));
+    });
+}
+
+/// Parsing thousands of informational heads on many connections stopped the process for seconds.
+#[test]
+fn connection_with_too_many_informational_heads_is_closed() {
+    run(async {
+        let called = call_with_informational_heads(2_000).await;
+
+        assert_matches!(called, Err(HttpCallError::Lost { .. }));
+    });
+}
