Ordinary answers do not wait for answers that never end

What callers saw: with a memory limit, answers that were not complete filled the pool for answers. Answers of sound upstreams, also of some bytes, then waited for room until the deadline of their calls: 'answer not read completely: Late'.

Cause: answers that are being read are never ended in favor of others, and each byte of any answer needed room in the one pool.

The sum is bounded by the number of connections, 9 MB at 112 MB. What exceeds it waits as before, so do parts of streams that a caller does not read.

--- a/crates/medlarlug-core/src/memory_budget.rs
+++ b/crates/medlarlug-core/src/memory_budget.rs
@@ -9,7 +9,7 @@
 //! | small | bodies of at most [`SMALL_BODY_BYTES`] |
 //! | shared | larger bodies |
 //! | floor | one larger body at a time, so that a body at the limit can always be read |
-//! | answers | answers; a single one may exceed the pool |
+//! | answers | answers; a single one may exceed the pool, and each may have [`ORDINARY_ANSWER_BYTES`] |
 //!
 //! Without room a holder waits, which stops reading from its client. Older holders are granted room
 //! first, so that some complete instead of all stopping halfway. While others wait, holders whose client
@@ -23,6 +23,9 @@
 /// Bodies up to this size have a pool of their own, so that many large bodies do not delay ordinary
 /// requests.
 pub const SMALL_BODY_BYTES: u64 = 64 * 1024;
+/// Bytes that an answer may always have, so that answers that never end do not delay ordinary ones. All
+/// together are bounded by the number of connections.
+pub const ORDINARY_ANSWER_BYTES: u64 = 16 * 1024;
 /// Time without progress after which a holder may be ended in favor of others. It covers several
 /// retransmissions on a slow link.
 pub const STALL_TIME: Duration = Duration::from_secs(2);
@@ -290,7 +293,9 @@
         };
         if holder.pool == Pool::Answers {
             let is_alone = self.used[Pool::Answers as usize] == holder.bytes;
-            return (is_alone || room(Pool::Answers, self.limits.answers)).then_some(Pool::Answers);
+            let may_exceed = is_alone || total <= ORDINARY_ANSWER_BYTES;
+            let has_room = may_exceed || room(Pool::Answers, self.limits.answers);
+            return has_room.then_some(Pool::Answers);
         }
         if holder.pool == Pool::Floor {
             return (total <= self.limits.largest.0).then_some(Pool::Floor);
