Long heads of answers count in the memory budget

What callers saw: an entry instance with 112 MB grew beyond that when 500 answers had a long head and then a body that was not completed; the process would have been killed there, with the requests of all callers.

Cause: heads of answers were bounded for each connection only (64 KB, in a buffer that may double), and by no budget together.

Change: within a memory limit a connection to an upstream or another instance has a buffer of 32 KiB, as those of callers, and no longer head is accepted. After 16 KiB of a head the connection reads on only when the budget for answers has room for 32 KiB, which stay counted until the connection is free again.

--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -11,7 +11,7 @@
     pin::Pin,
     rc::Rc,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
     },
     task::{Context, Poll, ready},
@@ -30,16 +30,17 @@
     ext,
 };
 use hyper_util::rt::TokioIo;
+use medlarlug_core::memory_budget::ORDINARY_ANSWER_BYTES;
 use socket2::SockRef;
 use thiserror::Error;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpSocket, TcpStream},
     task,
-    time::{error::Elapsed, timeout},
+    time::{Sleep, error::Elapsed, sleep, timeout},
 };
 
-use crate::transport::memory::Memory;
+use crate::transport::memory::{AnswerMemory, Memory, POLL_INTERVAL};
 
 /// Idle connections that are kept for each address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
@@ -53,6 +54,8 @@
 
 /// Four times the longest request head that the first deployments permitted.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// As [`MAX_HEAD_BYTES`], within a memory limit. It is also the buffer of each connection.
+const LIMITED_HEAD_BYTES: usize = 32 * 1024;
 /// Most bytes that are read until the head of an answer is complete, including informational heads
 /// and the part of the body that is read together with the head.
 const MAX_BYTES_BEFORE_HEAD: usize = 4 * MAX_HEAD_BYTES;
@@ -136,6 +139,8 @@
     bytes: AtomicUsize,
     /// Informational heads.
     informational: AtomicU32,
+    /// Counts a head that is longer than ordinary ones.
+    counted: Mutex<Option<AnswerMemory>>,
 }
 
 impl HeadProgress {
@@ -143,6 +148,25 @@
         self.bytes.store(0, Ordering::Relaxed);
         self.informational.store(0, Ordering::Relaxed);
         self.is_awaited.store(true, Ordering::Relaxed);
+        self.count(None);
+    }
+
+    fn count(&self, memory: Option<AnswerMemory>) {
+        *self.counted.lock().unwrap_or_else(PoisonError::into_inner) = memory;
+    }
+
+    /// Whether the next bytes of the head need room in `memory` and don't get it.
+    fn lacks_room(&self, memory: &Memory) -> bool {
+        let is_ordinary = self.bytes.load(Ordering::Relaxed) < ORDINARY_ANSWER_BYTES as usize;
+        if !memory.is_limited() || is_ordinary || !self.is_awaited.load(Ordering::Relaxed) {
+            return false;
+        }
+        let mut counted = self.counted.lock().unwrap_or_else(PoisonError::into_inner);
+        if counted.is_none() {
+            let head = memory.incoming_answer();
+            *counted = head.try_reserve(LIMITED_HEAD_BYTES).then_some(head);
+        }
+        counted.is_none()
     }
 
     fn end(&self) {
@@ -184,10 +208,14 @@
 }
 
 /// A stream that limits the bytes and the informational heads read before the head of an answer. hyper
-/// itself reads informational heads without a limit on their number.
+/// itself reads informational heads without a limit on their number. A long head is read only when there
+/// is memory for it.
 struct HeadLimitedStream {
     stream: TcpStream,
     head: Arc<HeadProgress>,
+    memory: Memory,
+    /// Ends when room for a long head is asked for again.
+    pause: Option<Pin<Box<Sleep>>>,
 }
 
 impl AsyncRead for HeadLimitedStream {
@@ -197,6 +225,11 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         self.head.check()?;
+        while self.head.lacks_room(&self.memory) {
+            let pause = self.pause.get_or_insert_with(|| Box::pin(sleep(POLL_INTERVAL)));
+            ready!(pause.as_mut().poll(cx));
+            self.pause = None;
+        }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
         self.head.bytes.fetch_add(buffer.filled().len() - before, Ordering::Relaxed);
@@ -242,14 +275,14 @@
 #[derive(Clone, Default)]
 pub struct HttpClient {
     idle: Rc<RefCell<IdleSenders>>,
-    /// Size of the buffers of a socket in each direction; `None` to leave it to the system.
-    socket_buffer: Option<usize>,
+    /// Limits the buffers of connections, and counts long heads of answers.
+    memory: Memory,
 }
 
 impl HttpClient {
-    /// A client whose connections have socket buffers that fit into the memory of the process.
+    /// A client whose connections have buffers that fit into the memory of the process.
     pub fn within(memory: &Memory) -> HttpClient {
-        HttpClient { socket_buffer: memory.socket_buffer(), ..HttpClient::default() }
+        HttpClient { memory: memory.clone(), ..HttpClient::default() }
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -298,7 +331,7 @@
             }
         }
         for _ in 0..MAX_CONNECTION_ATTEMPTS {
-            let mut sender = connect(address, limits.connect, self.socket_buffer).await?;
+            let mut sender = connect(address, limits.connect, &self.memory).await?;
             if !is_wanted() {
                 return Err(HttpCallError::Withdrawn { address });
             }
@@ -323,6 +356,7 @@
     pub fn release_bounded(&self, connection: Connection, max_idle: usize) {
         let Connection { address, mut sender } = connection;
         sender.is_reused = true;
+        sender.head.count(None);
         if sender.requests.is_closed() {
             return;
         }
@@ -429,10 +463,10 @@
 async fn connect(
     address: SocketAddr,
     limit: Duration,
-    socket_buffer: Option<usize>,
+    memory: &Memory,
 ) -> Result<RequestSender, HttpCallError> {
     let failed = |source| HttpCallError::Connect { address, source };
-    let stream = match timeout(limit, open(address, socket_buffer)).await {
+    let stream = match timeout(limit, open(address, memory.socket_buffer())).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(source)) => return Err(failed(Some(source))),
         Err(_) => return Err(failed(None)),
@@ -445,9 +479,10 @@
         tracing::debug!(%error, %address, "failed to set TCP_USER_TIMEOUT");
     }
     let head = Arc::<HeadProgress>::default();
-    let limited = HeadLimitedStream { stream, head: head.clone() };
+    let limited =
+        HeadLimitedStream { stream, head: head.clone(), memory: memory.clone(), pause: None };
     let (requests, connection) = http1::Builder::new()
-        .max_buf_size(MAX_HEAD_BYTES)
+        .max_buf_size(if memory.is_limited() { LIMITED_HEAD_BYTES } else { MAX_HEAD_BYTES })
         .handshake(TokioIo::new(limited))
         .await
         .map_err(|_| failed(None))?;
--- a/src/transport/memory.rs
+++ b/src/transport/memory.rs
@@ -46,7 +46,7 @@
 /// Free capacity that is reserved before the next bytes are read.
 const READ_BYTES: usize = 4 * 1024;
 /// Interval in which waiting holders ask for room. They are also woken when room is released.
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
+pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time without progress of a body; only with limits.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Least time without activity after which a connection may be closed in favor of a new one.
@@ -502,6 +502,18 @@
         }
     }
 
+    /// Counts bytes that are about to be read until this is dropped, if there is room for them.
+    pub fn try_reserve(&self, bytes: usize) -> bool {
+        let Some(holder) = &self.0 else { return true };
+        holder.with_state(|state, now| {
+            let decision = state.budget.reserve(now, holder.id, bytes as u64);
+            if let Decision::Evict(victim) = decision {
+                state.end(victim);
+            }
+            decision == Decision::Granted
+        })
+    }
+
     /// Counts a part that is in memory already. If there is no room, the answer that is read least is
     /// ended.
     pub fn charge(&self, bytes: Bytes) -> Bytes {
