--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -5,11 +5,15 @@
 //! call was started.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
     io,
     net::SocketAddr,
     pin::Pin,
     rc::Rc,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
+    },
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -23,18 +27,20 @@
         TrySendError,
         http1::{self, SendRequest},
     },
+    ext,
 };
 use hyper_util::rt::TokioIo;
+use medlarlug_core::memory_budget::ORDINARY_ANSWER_BYTES;
 use socket2::SockRef;
 use thiserror::Error;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpSocket, TcpStream},
     task,
-    time::{error::Elapsed, timeout},
+    time::{Sleep, error::Elapsed, sleep, timeout},
 };
 
-use crate::transport::memory::Memory;
+use crate::transport::memory::{AnswerMemory, Memory, POLL_INTERVAL};
 
 /// Idle connections that are kept for each address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
@@ -48,10 +54,15 @@
 
 /// Four times the longest request head that the first deployments permitted.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// As [`MAX_HEAD_BYTES`], within a memory limit. It is also the buffer of each connection.
+const LIMITED_HEAD_BYTES: usize = 32 * 1024;
 /// Most bytes that are read until the head of an answer is complete, including informational heads
 /// and the part of the body that is read together with the head.
 const MAX_BYTES_BEFORE_HEAD: usize = 4 * MAX_HEAD_BYTES;
 
+/// Most informational heads before the head of an answer. Reading thousands of them takes seconds.
+const MAX_INFORMATIONAL_HEADS: u32 = 16;
+
 /// Body of a request that a client sends.
 pub type RequestBody = Full<Bytes>;
 
@@ -118,33 +129,93 @@
     pub head: Duration,
 }
 
-/// Bytes that may still be read before the head of the answer is complete; `None` while no answer is
-/// awaited.
-type HeadBudget = Rc<Cell<Option<usize>>>;
+/// What was read since the last request was sent. The callback of hyper for informational heads has to
+/// be `Sync`.
+#[derive(Default)]
+struct HeadProgress {
+    /// Whether the head of the answer is awaited.
+    is_awaited: AtomicBool,
+    /// Bytes that were read while it was awaited.
+    bytes: AtomicUsize,
+    /// Informational heads.
+    informational: AtomicU32,
+    /// Counts a head that is longer than ordinary ones.
+    counted: Mutex<Option<AnswerMemory>>,
+}
+
+impl HeadProgress {
+    fn begin(&self) {
+        self.bytes.store(0, Ordering::Relaxed);
+        self.informational.store(0, Ordering::Relaxed);
+        self.is_awaited.store(true, Ordering::Relaxed);
+        self.count(None);
+    }
+
+    fn count(&self, memory: Option<AnswerMemory>) {
+        *self.counted.lock().unwrap_or_else(PoisonError::into_inner) = memory;
+    }
+
+    /// Whether the next bytes of the head need room in `memory` and don't get it.
+    fn lacks_room(&self, memory: &Memory) -> bool {
+        let is_ordinary = self.bytes.load(Ordering::Relaxed) < ORDINARY_ANSWER_BYTES as usize;
+        if !memory.is_limited() || is_ordinary || !self.is_awaited.load(Ordering::Relaxed) {
+            return false;
+        }
+        let mut counted = self.counted.lock().unwrap_or_else(PoisonError::into_inner);
+        if counted.is_none() {
+            let head = memory.incoming_answer();
+            *counted = head.try_reserve(LIMITED_HEAD_BYTES).then_some(head);
+        }
+        counted.is_none()
+    }
+
+    fn end(&self) {
+        self.is_awaited.store(false, Ordering::Relaxed);
+    }
+
+    /// Fails if more has arrived than the head of an answer may take.
+    fn check(&self) -> io::Result<()> {
+        let is_too_long = self.bytes.load(Ordering::Relaxed) > MAX_BYTES_BEFORE_HEAD
+            || self.informational.load(Ordering::Relaxed) > MAX_INFORMATIONAL_HEADS;
+        if is_too_long && self.is_awaited.load(Ordering::Relaxed) {
+            let text = "the head of the answer is too long";
+            return Err(io::Error::new(io::ErrorKind::InvalidData, text));
+        }
+        Ok(())
+    }
+}
 
 /// An open connection.
 struct RequestSender {
     requests: SendRequest<RequestBody>,
-    head_budget: HeadBudget,
+    head: Arc<HeadProgress>,
     /// Whether it has carried a request and was returned to the pool.
     is_reused: bool,
 }
 
 impl RequestSender {
     /// Sends a request and waits for the head of its answer.
-    async fn send(&mut self, request: Request<RequestBody>) -> SendResult {
-        self.head_budget.set(Some(MAX_BYTES_BEFORE_HEAD));
+    async fn send(&mut self, mut request: Request<RequestBody>) -> SendResult {
+        let head = self.head.clone();
+        ext::on_informational(&mut request, move |_| {
+            head.informational.fetch_add(1, Ordering::Relaxed);
+        });
+        self.head.begin();
         let sent = self.requests.try_send_request(request).await;
-        self.head_budget.set(None);
+        self.head.end();
         sent
     }
 }
 
-/// A stream that limits the bytes read before the head of an answer. hyper itself reads informational
-/// heads without a limit on their number.
+/// A stream that limits the bytes and the informational heads read before the head of an answer. hyper
+/// itself reads informational heads without a limit on their number. A long head is read only when there
+/// is memory for it.
 struct HeadLimitedStream {
     stream: TcpStream,
-    head_budget: HeadBudget,
+    head: Arc<HeadProgress>,
+    memory: Memory,
+    /// Ends when room for a long head is asked for again.
+    pause: Option<Pin<Box<Sleep>>>,
 }
 
 impl AsyncRead for HeadLimitedStream {
@@ -153,16 +224,16 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.head.check()?;
+        while self.head.lacks_room(&self.memory) {
+            let pause = self.pause.get_or_insert_with(|| Box::pin(sleep(POLL_INTERVAL)));
+            ready!(pause.as_mut().poll(cx));
+            self.pause = None;
+        }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        if let Some(budget) = self.head_budget.get() {
-            let bytes = buffer.filled().len() - before;
-            let Some(remaining) = budget.checked_sub(bytes) else {
-                let text = "the head of the answer is too long";
-                return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, text)));
-            };
-            self.head_budget.set(Some(remaining));
-        }
+        self.head.bytes.fetch_add(buffer.filled().len() - before, Ordering::Relaxed);
+        self.head.check()?;
         Poll::Ready(Ok(()))
     }
 }
@@ -204,14 +275,14 @@
 #[derive(Clone, Default)]
 pub struct HttpClient {
     idle: Rc<RefCell<IdleSenders>>,
-    /// Size of the buffers of a socket in each direction; `None` to leave it to the system.
-    socket_buffer: Option<usize>,
+    /// Limits the buffers of connections, and counts long heads of answers.
+    memory: Memory,
 }
 
 impl HttpClient {
-    /// A client whose connections have socket buffers that fit into the memory of the process.
+    /// A client whose connections have buffers that fit into the memory of the process.
     pub fn within(memory: &Memory) -> HttpClient {
-        HttpClient { socket_buffer: memory.socket_buffer(), ..HttpClient::default() }
+        HttpClient { memory: memory.clone(), ..HttpClient::default() }
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -260,7 +331,7 @@
             }
         }
         for _ in 0..MAX_CONNECTION_ATTEMPTS {
-            let mut sender = connect(address, limits.connect, self.socket_buffer).await?;
+            let mut sender = connect(address, limits.connect, &self.memory).await?;
             if !is_wanted() {
                 return Err(HttpCallError::Withdrawn { address });
             }
@@ -285,6 +356,7 @@
     pub fn release_bounded(&self, connection: Connection, max_idle: usize) {
         let Connection { address, mut sender } = connection;
         sender.is_reused = true;
+        sender.head.count(None);
         if sender.requests.is_closed() {
             return;
         }
@@ -391,10 +463,10 @@
 async fn connect(
     address: SocketAddr,
     limit: Duration,
-    socket_buffer: Option<usize>,
+    memory: &Memory,
 ) -> Result<RequestSender, HttpCallError> {
     let failed = |source| HttpCallError::Connect { address, source };
-    let stream = match timeout(limit, open(address, socket_buffer)).await {
+    let stream = match timeout(limit, open(address, memory.socket_buffer())).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(source)) => return Err(failed(Some(source))),
         Err(_) => return Err(failed(None)),
@@ -406,10 +478,11 @@
     {
         tracing::debug!(%error, %address, "failed to set TCP_USER_TIMEOUT");
     }
-    let head_budget = HeadBudget::default();
-    let limited = HeadLimitedStream { stream, head_budget: head_budget.clone() };
+    let head = Arc::<HeadProgress>::default();
+    let limited =
+        HeadLimitedStream { stream, head: head.clone(), memory: memory.clone(), pause: None };
     let (requests, connection) = http1::Builder::new()
-        .max_buf_size(MAX_HEAD_BYTES)
+        .max_buf_size(if memory.is_limited() { LIMITED_HEAD_BYTES } else { MAX_HEAD_BYTES })
         .handshake(TokioIo::new(limited))
         .await
         .map_err(|_| failed(None))?;
@@ -418,5 +491,5 @@
             tracing::debug!(%error, %address, "connection closed with an error");
         }
     });
-    Ok(RequestSender { requests, head_budget, is_reused: false })
+    Ok(RequestSender { requests, head, is_reused: false })
 }
