A keeper determines the regions that it hears once a round of updates, if one is due

It walked all instances and cloned their regions on each push, also without a link to another keeper; the directory cloned the homes of the host for its log on each answer, and a call the table for each choice of a hop. The example of decode also covers a frame in which both later fields are missing.

--- a/crates/medlarlug-core/src/gateway/region_reports.rs
+++ b/crates/medlarlug-core/src/gateway/region_reports.rs
@@ -79,10 +79,10 @@
             return None;
         }
         let heard = contacts.all().iter().filter(|it| it.holds_region(now));
-        let mut regions: Vec<RegionId> = heard.map(|it| it.info.region.clone()).collect();
+        let mut regions: Vec<&RegionId> = heard.map(|it| &it.info.region).collect();
         regions.sort();
         regions.dedup();
-        Some(regions)
+        Some(regions.into_iter().cloned().collect())
     }
 
     /// Whether `regions` have no entry instance: a majority of the keepers' group hears none there, this
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -142,8 +142,9 @@
     /// Restricts the call to the home regions that its route and its team have in the newest table, which
     /// may have arrived while the call waited or its stream ran.
     pub(super) fn obey_newest_homes(&mut self, entry: &Entry, call: &Call) {
-        let newest = entry.table.borrow().clone();
-        let Some(newest) = newest.filter(|it| it.version() > self.homes_version) else { return };
+        let table = entry.table.borrow();
+        let newest = table.as_ref().filter(|it| it.version() > self.homes_version);
+        let Some(newest) = newest else { return };
         self.homes_version = newest.version();
         let team = self.team.as_ref().zip(newest.teams());
         let team = team.and_then(|(own, teams)| teams.by_name(&own.team.name));
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -382,17 +382,15 @@
         let upstreams = self.upstreams.borrow();
         let contacts = self.contacts.borrow();
         let cold_detector = self.cold_detector.borrow();
-        let now = self.now();
-        let heard_regions = self.region_reports.borrow().own(now, &contacts);
         let state = KeeperState {
             upstreams: &upstreams,
             contacts: &contacts,
             head: &head,
             cold_detector: &cold_detector,
             facts: &self.facts.borrow(),
-            heard_regions: heard_regions.as_deref(),
+            region_reports: &self.region_reports.borrow(),
         };
-        subscribers.push(now, state);
+        subscribers.push(self.now(), state);
     }
 
     fn on_update(&self, from: SocketAddr, mut update: Update) {
--- a/crates/medlarlug-gateway/src/keeper/requests.rs
+++ b/crates/medlarlug-gateway/src/keeper/requests.rs
@@ -220,8 +220,9 @@
         };
         // Callers may send any name.
         let Some(region) = query.region.filter(is_of_deployment) else { return };
-        let homes = query.homes.cloned().unwrap_or_default();
-        let Some(before) = self.replace_scope(region, &homes, listing.scope) else { return };
+        let unknown = HostHomes::default();
+        let homes = query.homes.unwrap_or(&unknown);
+        let Some(before) = self.replace_scope(region, homes, listing.scope) else { return };
         let is_near = |scope: Scope| matches!(scope, Scope::Zone | Scope::Region);
         if before == listing.scope || (is_near(before) && is_near(listing.scope)) {
             return;
--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -390,8 +390,8 @@
     Ok(())
 }
 
-/// Decodes the message in a frame. In a frame of an earlier build, a list or an option that was added at
-/// the end of the message is missing; the appended zero stands for an empty one.
+/// Decodes the message in a frame. In a frame of an earlier build, lists or options that were added at
+/// the end of the message are missing; the appended zeros stand for empty ones.
 ///
 /// # Errors
 ///
@@ -402,8 +402,10 @@
 ///
 /// let message = Message::Update(Update::default());
 /// let mut content = encode(&message)?.to_vec().split_off(4);
-/// assert_eq!(content.pop(), Some(0));
-/// assert_eq!(decode(content)?, message);
+/// for _missing in ["heard_regions", "software"] {
+///     assert_eq!(content.pop(), Some(0));
+///     assert_eq!(decode(content.clone())?, message);
+/// }
 /// # Ok::<(), postcard::Error>(())
 /// ```
 pub fn decode(mut content: Vec<u8>) -> Result<Message, postcard::Error> {
--- a/crates/medlarlug-gateway/src/subscribers.rs
+++ b/crates/medlarlug-gateway/src/subscribers.rs
@@ -13,7 +13,7 @@
     gateway::{
         cold::ColdDetector,
         contacts::{Contacts, InstanceKind, RegionWait},
-        region_reports,
+        region_reports::{self, RegionReports},
         upstreams::{Heartbeat, KnownUpstream, Renewal, Upstreams},
     },
     ids::{InstanceId, RegionId},
@@ -72,8 +72,7 @@
     pub(crate) head: &'a PublicationHead,
     pub(crate) cold_detector: &'a ColdDetector,
     pub(crate) facts: &'a FactLog,
-    /// Regions in which this keeper hears entry instances; `None` while it can't tell.
-    pub(crate) heard_regions: Option<&'a [RegionId]>,
+    pub(crate) region_reports: &'a RegionReports,
 }
 
 /// Parts of an update that are computed once per round and shared by all links.
@@ -83,13 +82,14 @@
     heartbeat: OnceCell<Heartbeat>,
     instance_heartbeats: OnceCell<Vec<(InstanceId, u32)>>,
     waits: OnceCell<Vec<RegionWait>>,
+    heard_regions: OnceCell<Option<Vec<RegionId>>>,
 }
 
 impl<'a> UpdateRound<'a> {
     fn new(now: Time, state: KeeperState<'a>) -> UpdateRound<'a> {
-        let (heartbeat, instance_heartbeats, waits) =
-            (OnceCell::new(), OnceCell::new(), OnceCell::new());
-        UpdateRound { now, state, heartbeat, instance_heartbeats, waits }
+        let (heartbeat, instance_heartbeats) = (OnceCell::new(), OnceCell::new());
+        let (waits, heard_regions) = (OnceCell::new(), OnceCell::new());
+        UpdateRound { now, state, heartbeat, instance_heartbeats, waits, heard_regions }
     }
 
     fn heartbeat(&self) -> &Heartbeat {
@@ -106,6 +106,12 @@
     fn waits(&self) -> &Vec<RegionWait> {
         self.waits.get_or_init(|| self.state.contacts.waits(self.now))
     }
+
+    /// Regions in which this keeper hears entry instances; `None` while it can't tell.
+    fn heard_regions(&self) -> Option<&[RegionId]> {
+        let KeeperState { region_reports, contacts, .. } = self.state;
+        self.heard_regions.get_or_init(|| region_reports.own(self.now, contacts)).as_deref()
+    }
 }
 
 /// All links that other processes opened, sorted by number.
@@ -203,8 +209,7 @@
 impl Subscriber {
     fn next_update(&mut self, round: &UpdateRound) -> Option<Update> {
         let now = round.now;
-        let KeeperState { upstreams, contacts, head, cold_detector, facts, heard_regions } =
-            round.state;
+        let KeeperState { upstreams, contacts, head, cold_detector, facts, .. } = round.state;
         let mut update = Update::default();
         let is_keeper = self.part == InstanceKind::Keeper;
         // Other keepers receive the remaining upstreams from the keeper that those announced
@@ -233,7 +238,7 @@
             let renewed = upstreams.renewed_since(self.sent.renewals).filter(is_forwarded);
             update.renewals = renewed.map(|known| renewal(now, known)).collect();
             self.sent.renewals = upstreams.last_renewal();
-            update.heard_regions = self.due_report(now, heard_regions);
+            update.heard_regions = self.due_report(now, round.heard_regions());
         } else if self.is_primary {
             let is_due =
                 self.sent.heartbeats_sent.is_none_or(|sent| now - sent >= HEARTBEAT_INTERVAL);
