Directory: callers are not led out of the homes of any route of their host

Callers saw: on a host of which some routes have home regions and others have none, callers of a region whose instances were all gone got the addresses of instances in any region, and sent the bodies of calls with homes there as well.

Cause: a caller names a host, not a route. For a host of both kinds a keeper named other instances as soon as a majority of the keepers heard none in the caller's region and the homes. The agreement shows that the homes are empty, not that the calls that follow have none.

Change: only for a host none of whose routes has homes are other instances named. Nothing else used the agreement, so the region reports of the keepers go with it, in the core and in the updates between keepers. On the wire `heard_regions` was the last field of Update: earlier builds read its absence as "can't tell" and name no other instances then; this build ignores the field of earlier ones. The log line `scope of the directory changed` has no `is_exclusive` any more, which decides nothing; scopes and metric keep their names.

That callers are led elsewhere where they may be is shown by `callers_of_a_region_without_instances_are_led_elsewhere_for_a_host_without_homes`. `caller_is_sent_to_an_instance_that_begins_to_leave_...` named an instance outside the homes in the end; it now expects none.

The tests of `region_reports` said when a keeper may lead callers out of an empty home: not before a majority reports, after a start or a stall, cut off, by an old report, against the report of a keeper that is no member, while the region is silent for a moment, or its instances leave and start. What they guarded is now independent of all that: never. `callers_of_a_host_with_homes_are_never_led_out_of_their_region_and_homes` checks it for three hosts and five views of the home (not heard, silent for a moment, silent, never ready, leaving), also where the old tests allowed it; `callers_are_not_led_out_of_a_home_whose_instances_all_leave_and_start_again` and `keeper_that_knows_no_routes_...` moved to the tests of `contacts`.

--- a/crates/medlarlug-core/src/gateway/contacts.rs
+++ b/crates/medlarlug-core/src/gateway/contacts.rs
@@ -96,19 +96,10 @@
         let since = self.leaving_since.filter(|_| !self.status.ready);
         since.is_some_and(|since| now - since < LEAVING_NAMED_TIME)
     }
-
-    /// Whether its region still counts as one with instances: it was heard within [`SILENCE_TIMEOUT`].
-    /// One that starts or leaves counts, since it takes callers again in a moment.
-    pub fn holds_region(&self, now: Time) -> bool {
-        self.info.kind == InstanceKind::Entry && now - self.last_seen <= SILENCE_TIMEOUT
-    }
 }
 
 /// Time without a heartbeat after which an instance no longer counts as live.
 pub const LIVENESS_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Time without a heartbeat of any of its instances after which a region may count as empty. A region
-/// whose instances are overloaded together is silent for longer than a single one.
-pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time without a heartbeat after which a keeper forgets an instance.
 pub const FORGET_AFTER: Duration = Duration::from_secs(30);
 
@@ -302,10 +293,9 @@
     Homes,
     /// Instances of the caller's region or of the home regions that have just begun to leave.
     Leaving,
-    /// All ready instances, since the regions that come first have none.
+    /// All ready instances, since no route of the host has homes.
     Anywhere,
-    /// None: others can't serve the host, or the regions that come first may have ready ones that this
-    /// keeper does not hear.
+    /// None: the bodies of the host's calls may enter no region that has ready instances.
     Withheld,
     /// None, since no ready instance is known.
     Nowhere,
@@ -338,16 +328,10 @@
 /// The entry instances for a caller: ready ones of its zone, else of its region, else of a home
 /// region; else those of these regions that have just begun to leave, as in a rolling restart.
 ///
-/// Other ready ones are named only for a host that they can serve: one that has routes without homes.
-/// If it has routes with homes as well, `are_empty` has to confirm that the nearer regions have no
-/// instances, since the bodies of their calls may not enter another region. A caller without an answer
+/// Other ready ones are named only for a host none of whose routes has homes. A caller names no route,
+/// so it would send the bodies of calls with homes to the same instances. A caller without an answer
 /// asks the next keeper.
-pub fn entry_addresses(
-    contacts: &Contacts,
-    now: Time,
-    query: DirectoryQuery,
-    are_empty: impl FnOnce(&[&RegionId]) -> bool,
-) -> Listing {
+pub fn entry_addresses(contacts: &Contacts, now: Time, query: DirectoryQuery) -> Listing {
     let DirectoryQuery { zone, region, homes } = query;
     let infos = |is_named: &dyn Fn(&Contact) -> bool| -> Vec<&InstanceInfo> {
         contacts.live_entries(now).filter(|it| is_named(it)).map(|contact| &contact.info).collect()
@@ -378,16 +362,12 @@
         return Listing { addresses: near, scope: Scope::Leaving };
     }
     let anywhere = addresses(&ready, &|_| true);
-    let may_leave = match homes {
-        None => false,
-        Some(homes) if homes.regions.is_empty() => true,
-        Some(homes) if homes.is_exclusive => false,
-        Some(homes) => are_empty(&region.into_iter().chain(&homes.regions).collect::<Vec<_>>()),
-    };
-    match anywhere.is_empty() {
-        true => Listing { addresses: anywhere, scope: Scope::Nowhere },
-        false if may_leave => Listing { addresses: anywhere, scope: Scope::Anywhere },
-        false => Listing { addresses: Vec::new(), scope: Scope::Withheld },
+    match homes {
+        _ if anywhere.is_empty() => Listing { addresses: anywhere, scope: Scope::Nowhere },
+        Some(homes) if homes.regions.is_empty() => {
+            Listing { addresses: anywhere, scope: Scope::Anywhere }
+        }
+        _ => Listing { addresses: Vec::new(), scope: Scope::Withheld },
     }
 }
 
--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -17,8 +17,7 @@
 //! [`software_version`] that began it ([`stream_version`]); instances tell each other which one that was
 //! ([`stream_bindings`]). [`contacts`] tracks the
 //! instances of the system itself, and [`keeper_view`] tells whether an instance sees enough of the
-//! others to act on its share of a common limit. [`region_reports`] tells a keeper whether a region has no
-//! instances, or is only not heard. [`connectivity`] detects that a network partition cuts
+//! others to act on its share of a common limit. [`connectivity`] detects that a network partition cuts
 //! an instance off from all upstreams. [`stall_detector`] detects that a process was
 //! stalled. Where engines crash when their memory is exceeded,
 //! [`engine_memory`] tells which have room for a call, and [`fair_share`] which team goes first.
@@ -44,7 +43,6 @@
 pub mod prefill_queue;
 pub mod publication;
 pub mod quota;
-pub mod region_reports;
 pub mod remote_region;
 pub mod retry_budget;
 pub mod software_version;
--- a/crates/medlarlug-core/src/gateway/table.rs
+++ b/crates/medlarlug-core/src/gateway/table.rs
@@ -89,8 +89,6 @@
     /// The regions that may serve each of its routes, or any of its routes with homes if no region may
     /// serve them all; sorted, empty if no route has homes.
     pub regions: Vec<RegionId>,
-    /// Whether each of its routes has homes, so that no other region can serve the host.
-    pub is_exclusive: bool,
 }
 
 /// A service that a route targets, and its share of the route's calls.
@@ -385,8 +383,7 @@
         if regions.iter().any(serves_all) {
             regions.retain(serves_all);
         }
-        let is_exclusive = !routes.is_empty() && routes.iter().all(|it| !it.homes.is_empty());
-        HostHomes { regions, is_exclusive }
+        HostHomes { regions }
     }
 }
 
--- a/crates/medlarlug-gateway/src/keeper/loops.rs
+++ b/crates/medlarlug-gateway/src/keeper/loops.rs
@@ -68,7 +68,6 @@
     loop {
         ticks.tick().await;
         let stalled = keeper.stall.borrow_mut().tick(keeper.now());
-        keeper.region_reports.borrow_mut().tick(keeper.now());
         if let Some(time) = stalled {
             let stalled_ms = time.as_millis() as u64;
             tracing::warn!(
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -36,7 +36,6 @@
         contacts::{Contacts, InstanceInfo, InstanceKind, Scope, Status},
         evacuation_orders::EvacuationLog,
         publication::Publication,
-        region_reports::RegionReports,
         stall_detector::StallDetector,
         table::{HostHomes, RouteTable, TableVersion},
         upstreams::{Effect, Renewal, UpstreamState, Upstreams},
@@ -97,8 +96,8 @@
 
 impl LoggedScope {
     /// What the list of scopes is sorted by.
-    fn key(&self) -> (&RegionId, &Vec<RegionId>, bool) {
-        (&self.region, &self.homes.regions, self.homes.is_exclusive)
+    fn key(&self) -> (&RegionId, &Vec<RegionId>) {
+        (&self.region, &self.homes.regions)
     }
 }
 
@@ -133,8 +132,6 @@
     document: RefCell<Option<(TableVersion, Bytes)>>,
     /// Stalls of this process, during which announcements queue.
     stall: RefCell<StallDetector>,
-    /// In which regions this keeper and the others hear entry instances.
-    region_reports: RefCell<RegionReports>,
     /// The scope of the directory's last answer by region of the caller and homes, sorted; for the log.
     scopes: RefCell<Vec<LoggedScope>>,
     /// Error after which the process has to end.
@@ -181,7 +178,6 @@
             table: RefCell::default(),
             document: RefCell::default(),
             stall: RefCell::new(StallDetector::new(STALL_LIMIT)),
-            region_reports: RefCell::new(RegionReports::new(clock.now())),
             scopes: RefCell::default(),
             failure: RefCell::default(),
         });
@@ -388,7 +384,6 @@
             head: &head,
             cold_detector: &cold_detector,
             facts: &self.facts.borrow(),
-            region_reports: &self.region_reports.borrow(),
         };
         subscribers.push(self.now(), state);
     }
@@ -419,9 +414,6 @@
                 let age_ms = renewal.age_ms.saturating_add(time_queued_ms);
                 upstreams.renew(now, &Renewal { age_ms, ..renewal });
             }
-            if let Some(regions) = update.heard_regions {
-                self.region_reports.borrow_mut().record(now, from, regions, time_queued);
-            }
             let mut contacts = self.contacts.borrow_mut();
             let keepers =
                 update.contacts.into_iter().filter(|it| it.0.kind == InstanceKind::Keeper);
--- a/crates/medlarlug-gateway/src/keeper/requests.rs
+++ b/crates/medlarlug-gateway/src/keeper/requests.rs
@@ -15,7 +15,6 @@
         upstreams::{Effect, Upstream, UpstreamState},
     },
     ids::{RegionId, UpstreamId, ZoneId},
-    replication::Member,
     time::Time,
 };
 use serde_bytes::ByteBuf;
@@ -183,35 +182,12 @@
         let table = self.table.borrow().clone();
         let homes = table.map(|table| host.map(|host| table.homes_of(host)).unwrap_or_default());
         let query = DirectoryQuery { zone, region, homes: homes.as_ref() };
-        let contacts = self.contacts.borrow();
-        let listing = entry_addresses(&contacts, now, query, |regions| {
-            let reports = self.region_reports.borrow();
-            self.other_members()
-                .is_some_and(|others| reports.are_empty(now, &contacts, &others, regions))
-        });
+        let listing = entry_addresses(&self.contacts.borrow(), now, query);
         metrics::counter!(names::DIRECTORY_ANSWERS, "scope" => listing.scope.name()).increment(1);
         self.log_scope(&query, &listing);
         listing.addresses
     }
 
-    /// The addresses of the other members of the keepers' group; `None` if this keeper is no member, or the
-    /// address of one can't be told.
-    fn other_members(&self) -> Option<Vec<SocketAddr>> {
-        let settings = self.settings.borrow();
-        let group = self.group.borrow();
-        let members = group.replica().membership()?.members();
-        let is_own = |it: &&Member| it.key.id == settings.info.id;
-        members.iter().find(is_own)?;
-        let port = settings.info.internal.port();
-        let mut others: Vec<SocketAddr> = Vec::new();
-        for member in members.iter().filter(|it| !is_own(it)) {
-            others.push(address_of(&member.key.id, port)?);
-        }
-        others.sort();
-        others.dedup();
-        Some(others)
-    }
-
     /// Logs the scope of the directory's answers to the callers of a region if it has changed.
     fn log_scope(&self, query: &DirectoryQuery, listing: &Listing) {
         let now = self.now();
@@ -238,7 +214,6 @@
             addresses = listing.addresses.len(),
             ready = %ready.collect::<Vec<_>>().join(","),
             table = self.head.borrow().version.0,
-            is_exclusive = homes.is_exclusive,
             has_table = query.homes.is_some(),
             up_ms = (now - self.started).as_millis() as u64,
             since_stall_ms = stalled.map(|it| (now - it).as_millis() as u64),
@@ -249,7 +224,7 @@
     /// Remembers the scope of an answer, and returns the one before; `None` if too many are remembered.
     fn replace_scope(&self, region: &RegionId, homes: &HostHomes, scope: Scope) -> Option<Scope> {
         let mut scopes = self.scopes.borrow_mut();
-        let key = (region, &homes.regions, homes.is_exclusive);
+        let key = (region, &homes.regions);
         match scopes.binary_search_by(|it| it.key().cmp(&key)) {
             Ok(at) => Some(std::mem::replace(&mut scopes[at].scope, scope)),
             Err(_) if scopes.len() >= MAX_LOGGED_SCOPES => None,
--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -17,7 +17,7 @@
         table::TableVersion,
         upstreams::{Birth, Heartbeat, Renewal, Upstream},
     },
-    ids::{InstanceId, RegionId, UpstreamId, ZoneId},
+    ids::{InstanceId, UpstreamId, ZoneId},
     replication,
     suspects::Fact,
 };
@@ -44,7 +44,7 @@
 
 /// Most fields at the end of a message that an earlier build may have left out. Each decodes as empty
 /// from one byte of zero.
-const MISSING_FIELDS: usize = 2;
+const MISSING_FIELDS: usize = 1;
 const MAX_FRAME_BYTES: u32 = 16 << 20;
 /// Capacity of the send queue of a link, in messages.
 const QUEUE_MESSAGES: usize = 1_024;
@@ -87,11 +87,8 @@
     /// Crashes and clearances of contents that crash upstreams.
     pub facts: Vec<Fact>,
     /// Software versions of `upstreams`, in the same order. Earlier builds neither send nor read it,
-    /// so it has to remain behind the others.
+    /// so it has to remain at the end. Some send an optional list of regions behind it.
     pub software: Vec<Option<SoftwareVersion>>,
-    /// To keepers: the regions in which the sender hears entry instances; `None` in other updates
-    /// and while it can't tell. Earlier builds neither send nor read it, so it has to remain at the end.
-    pub heard_regions: Option<Vec<RegionId>>,
 }
 
 impl Update {
@@ -402,10 +399,8 @@
 ///
 /// let message = Message::Update(Update::default());
 /// let mut content = encode(&message)?.to_vec().split_off(4);
-/// for _missing in ["heard_regions", "software"] {
-///     assert_eq!(content.pop(), Some(0));
-///     assert_eq!(decode(content.clone())?, message);
-/// }
+/// assert_eq!(content.pop(), Some(0));
+/// assert_eq!(decode(content)?, message);
 /// # Ok::<(), postcard::Error>(())
 /// ```
 pub fn decode(mut content: Vec<u8>) -> Result<Message, postcard::Error> {
--- a/crates/medlarlug-gateway/src/subscribers.rs
+++ b/crates/medlarlug-gateway/src/subscribers.rs
@@ -13,10 +13,9 @@
     gateway::{
         cold::ColdDetector,
         contacts::{Contacts, InstanceKind, RegionWait},
-        region_reports::{self, RegionReports},
         upstreams::{Heartbeat, KnownUpstream, Renewal, Upstreams},
     },
-    ids::{InstanceId, RegionId},
+    ids::InstanceId,
     suspects::FactLog,
     time::Time,
 };
@@ -60,8 +59,6 @@
     heartbeats_sent: Option<Time>,
     waits: Vec<RegionWait>,
     facts: u64,
-    /// When the heard regions were last sent, and which.
-    heard_regions: Option<(Time, Vec<RegionId>)>,
 }
 
 /// The state of a keeper that updates are made from.
@@ -72,7 +69,6 @@
     pub(crate) head: &'a PublicationHead,
     pub(crate) cold_detector: &'a ColdDetector,
     pub(crate) facts: &'a FactLog,
-    pub(crate) region_reports: &'a RegionReports,
 }
 
 /// Parts of an update that are computed once per round and shared by all links.
@@ -82,14 +78,13 @@
     heartbeat: OnceCell<Heartbeat>,
     instance_heartbeats: OnceCell<Vec<(InstanceId, u32)>>,
     waits: OnceCell<Vec<RegionWait>>,
-    heard_regions: OnceCell<Option<Vec<RegionId>>>,
 }
 
 impl<'a> UpdateRound<'a> {
     fn new(now: Time, state: KeeperState<'a>) -> UpdateRound<'a> {
         let (heartbeat, instance_heartbeats) = (OnceCell::new(), OnceCell::new());
-        let (waits, heard_regions) = (OnceCell::new(), OnceCell::new());
-        UpdateRound { now, state, heartbeat, instance_heartbeats, waits, heard_regions }
+        let waits = OnceCell::new();
+        UpdateRound { now, state, heartbeat, instance_heartbeats, waits }
     }
 
     fn heartbeat(&self) -> &Heartbeat {
@@ -106,12 +101,6 @@
     fn waits(&self) -> &Vec<RegionWait> {
         self.waits.get_or_init(|| self.state.contacts.waits(self.now))
     }
-
-    /// Regions in which this keeper hears entry instances; `None` while it can't tell.
-    fn heard_regions(&self) -> Option<&[RegionId]> {
-        let KeeperState { region_reports, contacts, .. } = self.state;
-        self.heard_regions.get_or_init(|| region_reports.own(self.now, contacts)).as_deref()
-    }
 }
 
 /// All links that other processes opened, sorted by number.
@@ -238,7 +227,6 @@
             let renewed = upstreams.renewed_since(self.sent.renewals).filter(is_forwarded);
             update.renewals = renewed.map(|known| renewal(now, known)).collect();
             self.sent.renewals = upstreams.last_renewal();
-            update.heard_regions = self.due_report(now, round.heard_regions());
         } else if self.is_primary {
             let is_due =
                 self.sent.heartbeats_sent.is_none_or(|sent| now - sent >= HEARTBEAT_INTERVAL);
@@ -269,19 +257,6 @@
         update.number = self.number;
         Some(update)
     }
-
-    /// The report of the heard regions, if it has changed or is due again.
-    fn due_report(&mut self, now: Time, regions: Option<&[RegionId]>) -> Option<Vec<RegionId>> {
-        let regions = regions?;
-        let is_current = self.sent.heard_regions.as_ref().is_some_and(|(sent, known)| {
-            now - *sent < region_reports::REPORT_INTERVAL && known == regions
-        });
-        if is_current {
-            return None;
-        }
-        self.sent.heard_regions = Some((now, regions.to_vec()));
-        Some(regions.to_vec())
-    }
 }
 
 fn renewal(now: Time, known: &KnownUpstream) -> Renewal {
