Directory: a route whose homes differ draws no callers of the others there

Callers saw: on a host whose routes share no home, callers without an instance in their own region got the addresses of all regions that are a home of any route, as equal choices. One route without calls that has a third region as home led the calls of all others there, with their bodies.

Cause: `HostHomes` was the union of all homes when no region may serve every route.

Change: home regions are ranked by how many of the host's routes with homes they may serve. A rank is named if no earlier one has a ready instance. Regions that may serve half of the routes or fewer are named only if none may serve more: a caller names no route, so more of the bodies would leave their homes there than stay. If a region may serve all, no other is named, as before. Two routes that contradict each other thus don't leave the callers of a lost region without an answer: the homes of the others still serve more than half.

Weighed: only the first rank (a third route that names one of two equal homes would take the other away from the callers of the first); all ranks (leads bodies out of the homes of nearly all routes once the first ranks are lost).

The table determines the homes of all hosts when it is built, and a question costs a binary search by host; it scanned all routes. A region that a route lists twice counts once.

Test: `callers_are_led_to_the_regions_that_may_serve_the_most_routes_of_their_host` fails on (led to the third region as well). The test of `homes_of` compares ranks, with the same regions as before.

--- a/crates/medlarlug-core/src/gateway/contacts.rs
+++ b/crates/medlarlug-core/src/gateway/contacts.rs
@@ -289,7 +289,7 @@
     Zone,
     /// Ready instances of the caller's region.
     Region,
-    /// Ready instances of the home regions.
+    /// Ready instances of home regions of one rank.
     Homes,
     /// Instances of the caller's region or of the home regions that have just begun to leave.
     Leaving,
@@ -325,8 +325,9 @@
     pub scope: Scope,
 }
 
-/// The entry instances for a caller: ready ones of its zone, else of its region, else of a home
-/// region; else those of these regions that have just begun to leave, as in a rolling restart.
+/// The entry instances for a caller: ready ones of its zone, else of its region, else of the home
+/// regions of the first rank that has any; else those of all these regions that have just begun to
+/// leave, as in a rolling restart.
 ///
 /// Other ready ones are named only for a host none of whose routes has homes. A caller names no route,
 /// so it would send the bodies of calls with homes to the same instances. A caller without an answer
@@ -342,8 +343,7 @@
     };
     let ready = infos(&|contact| contact.status.ready);
     let is_in_region = |info: &InstanceInfo| Some(&info.region) == region;
-    let is_in_home_region =
-        |info: &InstanceInfo| homes.is_some_and(|homes| homes.regions.contains(&info.region));
+    let ranks = homes.map_or(&[][..], |homes| &homes.ranks);
     let in_zone = addresses(&ready, &|info| Some(&info.zone) == zone);
     if in_zone.len() >= MIN_ZONE_ENTRIES {
         return Listing { addresses: in_zone, scope: Scope::Zone };
@@ -352,19 +352,22 @@
     if !in_region.is_empty() {
         return Listing { addresses: in_region, scope: Scope::Region };
     }
-    let in_home_region = addresses(&ready, &is_in_home_region);
-    if !in_home_region.is_empty() {
-        return Listing { addresses: in_home_region, scope: Scope::Homes };
+    for rank in ranks {
+        let in_rank = addresses(&ready, &|info| rank.contains(&info.region));
+        if !in_rank.is_empty() {
+            return Listing { addresses: in_rank, scope: Scope::Homes };
+        }
     }
     let leaving = infos(&|contact| contact.has_begun_to_leave(now));
-    let near = addresses(&leaving, &|info| is_in_region(info) || is_in_home_region(info));
+    let is_in_home = |info: &InstanceInfo| ranks.iter().any(|rank| rank.contains(&info.region));
+    let near = addresses(&leaving, &|info| is_in_region(info) || is_in_home(info));
     if !near.is_empty() {
         return Listing { addresses: near, scope: Scope::Leaving };
     }
     let anywhere = addresses(&ready, &|_| true);
     match homes {
         _ if anywhere.is_empty() => Listing { addresses: anywhere, scope: Scope::Nowhere },
-        Some(homes) if homes.regions.is_empty() => {
+        Some(homes) if homes.ranks.is_empty() => {
             Listing { addresses: anywhere, scope: Scope::Anywhere }
         }
         _ => Listing { addresses: Vec::new(), scope: Scope::Withheld },
--- a/crates/medlarlug-core/src/gateway/table.rs
+++ b/crates/medlarlug-core/src/gateway/table.rs
@@ -3,7 +3,7 @@
 //! A table is validated once, when it is built. Every route targets a service of the table, no two
 //! routes have the same host and prefix, and no route has a timeout of zero.
 
-use std::{fmt, str::FromStr, time::Duration};
+use std::{cmp::Reverse, fmt, str::FromStr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -83,12 +83,38 @@
     }
 }
 
-/// The home regions of a host, to which its callers are led. A caller names no route.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+/// The home regions of a host, to which its callers are led. A caller names no route, so it sends the
+/// calls of all routes there.
+///
+/// These are the regions that may serve all routes that have homes; if there is none, those that may
+/// serve more than half of them; else those that may serve the most.
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct HostHomes {
-    /// The regions that may serve each of its routes, or any of its routes with homes if no region may
-    /// serve them all; sorted, empty if no route has homes.
-    pub regions: Vec<RegionId>,
+    /// Regions that may serve equally many routes, each rank sorted. The rank with the most routes is
+    /// first; there is none if no route has homes.
+    pub ranks: Vec<Vec<RegionId>>,
+}
+
+impl HostHomes {
+    fn of_routes(routes: &[Route]) -> HostHomes {
+        let with_homes = routes.iter().filter(|it| !it.homes.is_empty());
+        let count = with_homes.clone().count();
+        let mut homes: Vec<&RegionId> = with_homes.flat_map(|it| &it.homes).collect();
+        homes.sort();
+        let mut regions: Vec<&[&RegionId]> = homes.chunk_by(|a, b| a == b).collect();
+        regions.sort_by_key(|served| Reverse(served.len()));
+        let most = regions.first().map_or(0, |served| served.len());
+        let least = if most == count { count } else { most.min(count / 2 + 1) };
+        let ranks = regions.chunk_by(|a, b| a.len() == b.len());
+        let ranks = ranks.take_while(|rank| rank[0].len() >= least);
+        let names = |rank: &[&[&RegionId]]| rank.iter().map(|served| served[0].clone()).collect();
+        HostHomes { ranks: ranks.map(names).collect() }
+    }
+
+    /// All home regions, in order of preference.
+    pub fn regions(&self) -> impl Iterator<Item = &RegionId> {
+        self.ranks.iter().flatten()
+    }
 }
 
 /// A service that a route targets, and its share of the route's calls.
@@ -275,6 +301,8 @@
     version: TableVersion,
     /// Sorted by host and prefix.
     routes: Vec<Route>,
+    /// The homes of each host, sorted by host.
+    homes: Vec<(SmolStr, HostHomes)>,
     /// Sorted by name.
     services: Vec<Service>,
     limits: CallerLimits,
@@ -305,6 +333,7 @@
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
         for route in &mut routes {
             route.homes.sort();
+            route.homes.dedup();
             check_route(route, &services)?;
         }
         for pair in routes.windows(2) {
@@ -317,7 +346,10 @@
                 });
             }
         }
-        Ok(RouteTable { version, routes, services, limits, teams: None })
+        let hosts = routes.chunk_by(|a, b| a.host == b.host);
+        let homes = hosts.map(|routes| (routes[0].host.clone(), HostHomes::of_routes(routes)));
+        let homes = homes.collect();
+        Ok(RouteTable { version, routes, homes, services, limits, teams: None })
     }
 
     /// Adds the teams whose keys callers have to present.
@@ -375,15 +407,8 @@
     /// The home regions of a host.
     pub fn homes_of(&self, host: &str) -> HostHomes {
         let host = host.to_ascii_lowercase();
-        let routes: Vec<&Route> = self.routes.iter().filter(|it| it.host == host).collect();
-        let mut regions: Vec<RegionId> = routes.iter().flat_map(|it| &it.homes).cloned().collect();
-        regions.sort();
-        regions.dedup();
-        let serves_all = |region: &RegionId| routes.iter().all(|it| it.may_be_served_in(region));
-        if regions.iter().any(serves_all) {
-            regions.retain(serves_all);
-        }
-        HostHomes { regions }
+        let found = self.homes.binary_search_by(|it| it.0.as_str().cmp(&host));
+        found.map(|at| self.homes[at].1.clone()).unwrap_or_default()
     }
 }
 
--- a/crates/medlarlug-core/tests/testsuite/gateway/contacts.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/contacts.rs
@@ -16,6 +16,8 @@
 
 const NOW: Duration = Duration::ZERO;
 
+type Names<'a> = &'a [&'a str];
+
 fn ready() -> Option<Status> {
     Some(Status { ready: true, service_waits: Vec::new() })
 }
@@ -34,7 +36,7 @@
 }
 
 /// What is listed to a caller of a host whose routes have these homes.
-fn listing(contacts: &Contacts, now: Time, near: &str, routes: &[&[&str]]) -> Listing {
+fn listing(contacts: &Contacts, now: Time, near: &str, routes: &[Names]) -> Listing {
     let routes = routes.iter().enumerate().map(|(number, homes)| {
         let homes = homes.iter().map(|it| region(it)).collect();
         Route { homes, ..route(&format!("/{number}/")) }
@@ -47,7 +49,7 @@
     entry_addresses(contacts, now, query)
 }
 
-fn addresses(contacts: &Contacts, now: Time, near: &str, homes: &[&str]) -> Vec<String> {
+fn addresses(contacts: &Contacts, now: Time, near: &str, homes: Names) -> Vec<String> {
     let found = listing(contacts, now, near, &[homes]);
     found.addresses.iter().map(ToString::to_string).collect()
 }
@@ -95,7 +97,7 @@
         ("never ready", vec![(5_900, leaving())]),
         ("leaving", vec![(5_000, ready()), (5_200, leaving()), (5_900, leaving())]),
     ];
-    let hosts: [&[&[&str]]; 3] = [&[&["kochi"]], &[&["kochi"], &[]], &[&[], &[], &["kochi"]]];
+    let hosts: [&[Names]; 3] = [&[&["kochi"]], &[&["kochi"], &[]], &[&[], &[], &["kochi"]]];
     let now = Time::from_millis(6_000);
 
     for ((view, heard), routes) in views.iter().flat_map(|it| hosts.map(|routes| (it, routes))) {
@@ -141,6 +143,40 @@
     assert_eq!((found.scope, found.addresses.len()), (Scope::Withheld, 0));
 }
 
+/// A route without calls made its home an equal choice for the callers of all others.
+#[test]
+fn callers_are_led_to_the_regions_that_may_serve_the_most_routes_of_their_host() {
+    let (both, kochi): (Names, Names) = (&["kochi", "kollam"], &["kochi"]);
+    let (kollam, third): (Names, Names) = (&["kollam"], &["kozhikode"]);
+    let all = ["kochi", "kollam", "kozhikode"];
+    let cases: [(&[Names], Names, Names); 10] = [
+        (&[both, kochi, kollam], &all, &["kochi", "kollam"]),
+        (&[both, kochi, kollam], &["kollam", "kozhikode"], &["kollam"]),
+        (&[both, both, third], &all, &["kochi", "kollam"]),
+        (&[both, both, third], &["kozhikode"], &[]),
+        (&[both, both, kochi, kochi, kollam, &[]], &all, &["kochi"]),
+        (&[both, both, kochi, kochi, kollam, &[]], &["kollam", "kozhikode"], &["kollam"]),
+        (&[both, both, kochi], &all, &["kochi"]),
+        (&[both, both, kochi], &["kollam", "kozhikode"], &[]),
+        (&[kochi, kollam], &all, &["kochi", "kollam"]),
+        (&[third, third, kollam, kochi, &["kochi", "kochi"]], &all, &["kochi", "kozhikode"]),
+    ];
+
+    for (routes, running, expected) in cases {
+        let mut contacts = Contacts::default();
+        for name in running {
+            let number = 1 + all.iter().position(|it| it == name).unwrap();
+            contacts.update(Time::ZERO, entry(&format!("e-{number}"), name), ready(), NOW);
+        }
+
+        let found = listing(&contacts, Time::ZERO, "kottayam", routes).addresses;
+
+        let info = |it| contacts.all().iter().find(|known| known.info.public == Some(it));
+        let named = found.iter().map(|it| info(*it).unwrap().info.region.to_string());
+        assert_eq!(named.collect::<Vec<_>>(), expected, "{routes:?}, running {running:?}");
+    }
+}
+
 #[test]
 fn instance_that_was_never_ready_is_not_returned() {
     let mut contacts = Contacts::default();
--- a/crates/medlarlug-core/tests/testsuite/gateway/table.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/table.rs
@@ -87,8 +87,8 @@
     let common = table(1, common.to_vec()).unwrap().homes_of("kochi.example");
     let apart = table(1, apart.to_vec()).unwrap().homes_of("kochi.example");
 
-    assert_eq!(common, HostHomes { regions: homes(&["kollam"]) });
-    assert_eq!(apart, HostHomes { regions: homes(&["kochi", "kollam"]) });
+    assert_eq!(common, HostHomes { ranks: vec![homes(&["kollam"])] });
+    assert_eq!(apart, HostHomes { ranks: vec![homes(&["kochi", "kollam"])] });
 }
 
 #[test]
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -96,8 +96,8 @@
 
 impl LoggedScope {
     /// What the list of scopes is sorted by.
-    fn key(&self) -> (&RegionId, &Vec<RegionId>) {
-        (&self.region, &self.homes.regions)
+    fn key(&self) -> (&RegionId, &HostHomes) {
+        (&self.region, &self.homes)
     }
 }
 
--- a/crates/medlarlug-gateway/src/keeper/requests.rs
+++ b/crates/medlarlug-gateway/src/keeper/requests.rs
@@ -208,7 +208,7 @@
         let stalled = self.stall.borrow().last_resumed(now);
         tracing::info!(
             %region,
-            homes = %homes.regions.iter().map(RegionId::as_str).collect::<Vec<_>>().join(","),
+            homes = %homes.regions().map(RegionId::as_str).collect::<Vec<_>>().join(","),
             scope = listing.scope.name(),
             before = before.name(),
             addresses = listing.addresses.len(),
@@ -224,7 +224,7 @@
     /// Remembers the scope of an answer, and returns the one before; `None` if too many are remembered.
     fn replace_scope(&self, region: &RegionId, homes: &HostHomes, scope: Scope) -> Option<Scope> {
         let mut scopes = self.scopes.borrow_mut();
-        let key = (region, &homes.regions);
+        let key = (region, homes);
         match scopes.binary_search_by(|it| it.key().cmp(&key)) {
             Ok(at) => Some(std::mem::replace(&mut scopes[at].scope, scope)),
             Err(_) if scopes.len() >= MAX_LOGGED_SCOPES => None,
