A process knows for how long a majority of the keepers has confirmed its table

Each keeper now confirms every second, and at once after its start, a new version or a change of its role, by a read through the leader, which version of the table is the newest. The read is the existing request for a revision, which an earlier leader answers as unsupported; it is then replaced by the request for the whole publication. The answer to a ping carries the version and the age of the confirmation, over the link of the ping, and the instance counts from the time at which it sent that ping. A confirmation supports its version and every newer one, since what replaces one of these was committed later; so an instance that waits for a newer table still has its own.

Nothing is refused yet: the log tells when the confirmation gets too old (bounds.configApplyMs + bounds.maxStretchMs, 11 s without them), and the lines `call ended` of calls with homes tell its age. The fields are at the end of the frames; earlier builds ignore them and send none.

--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -20,7 +20,8 @@
 //! others to act on its share of a common limit. [`region_reports`] tells a keeper whether a region has no
 //! instances, or is only not heard. [`connectivity`] detects that a network partition cuts
 //! an instance off from all upstreams. [`stall_detector`] detects that a process was
-//! stalled. Where engines crash when their memory is exceeded,
+//! stalled. [`table_lease`] tells for how long the home regions of a table may be relied
+//! on. Where engines crash when their memory is exceeded,
 //! [`engine_memory`] tells which have room for a call, and [`fair_share`] which team goes first.
 
 pub mod attempt_timeout;
@@ -53,6 +54,7 @@
 pub mod stream_timeout;
 pub mod stream_version;
 pub mod table;
+pub mod table_lease;
 pub mod teams;
 pub mod upstream_limits;
 pub mod upstreams;
--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -26,4 +26,5 @@
 mod stream_timeout;
 mod stream_versions;
 mod table;
+mod table_lease;
 mod upstream_limits;
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -61,6 +61,7 @@
         remote_region::REFERENCE_PROMPT_TOKENS,
         retry_budget::RetryWindow,
         table::{CallerLimits, RouteTable, ServiceName, TableVersion},
+        table_lease::{TableLease, TableReport},
         upstreams::{Birth, Effect, UpstreamState, Upstreams},
     },
     ids::{InstanceId, RegionId, UpstreamId, ZoneId},
@@ -132,6 +133,8 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     /// Newest replicated state that a keeper has sent; the table may not have arrived yet.
     head: RefCell<PublicationHead>,
+    /// For how long the home regions of the table may be relied on.
+    lease: RefCell<TableLease>,
     /// The version that was requested, and when.
     pending_fetch: Cell<Option<(TableVersion, Time)>>,
     upstreams: RefCell<Upstreams>,
@@ -189,6 +192,7 @@
         let internal = http_server::listen_within("peers", settings.info.internal, &memory).await?;
         let clock = Clock::start_with_offset(MAX_UPDATE_AGE);
         let quota = QuotaState::new(settings.info.id.clone());
+        let lease = RefCell::new(TableLease::new(settings.table_bound));
         let entry = Rc::new(Entry {
             settings: RefCell::new(settings),
             names,
@@ -196,6 +200,7 @@
             clock,
             table: RefCell::default(),
             head: RefCell::default(),
+            lease,
             pending_fetch: Cell::default(),
             upstreams: RefCell::default(),
             contacts: RefCell::default(),
@@ -278,6 +283,7 @@
 
     /// Applies changed settings. Contacts and retry bounds take effect at once.
     pub fn reload(self: &Rc<Entry>, settings: NodeSettings) {
+        self.lease.borrow_mut().set_bound(settings.table_bound);
         *self.settings.borrow_mut() = settings;
         self.links.connect_new(self);
     }
@@ -292,7 +298,7 @@
     /// the time that is left for their answers to be written.
     pub async fn drain(&self, close: &watch::Sender<bool>) -> Duration {
         self.is_draining.set(true);
-        self.links.send_all(&Message::Ping { status: self.status(), is_primary: false });
+        self.links.send_all(&Message::Ping { status: self.status(), is_primary: false, number: 0 });
         let grace = self.settings.borrow().grace;
         let started = self.now();
         let latest = started + grace.mul_f64(GRACE_FRACTION);
@@ -561,6 +567,29 @@
         }
     }
 
+    /// Logs if the home regions of the table may be relied on no longer, or again.
+    fn review_lease(&self) {
+        let (now, version) = (self.now(), self.version());
+        let mut lease = self.lease.borrow_mut();
+        lease.retain_keepers(&self.keepers());
+        let Some(is_held) = lease.review(now, version) else { return };
+        let age_ms = lease.age(now, version).map(|it| it.as_millis() as u64);
+        let newest = self.head.borrow().version.0;
+        match is_held {
+            true => {
+                tracing::info!(version = version.0, newest, age_ms, "homes of the table confirmed")
+            }
+            false => {
+                tracing::warn!(
+                    version = version.0,
+                    newest,
+                    age_ms,
+                    "homes of the table not confirmed"
+                );
+            }
+        }
+    }
+
     /// Whether no newer table than the one in effect is known, and the instance would have heard of
     /// one.
     fn has_newest_table(&self) -> bool {
@@ -611,6 +640,10 @@
 }
 
 impl LinkOwner for Entry {
+    fn now(&self) -> Time {
+        self.now()
+    }
+
     fn info(&self) -> InstanceInfo {
         self.settings.borrow().info.clone()
     }
@@ -641,6 +674,12 @@
         }
     }
 
+    fn table_reported(&self, from: SocketAddr, sent: Time, report: TableReport) {
+        if self.lease.borrow_mut().record_report(from, sent, report) {
+            tracing::info!(keeper = %from, "keeper of an earlier build; it does not confirm tables");
+        }
+    }
+
     fn receive(&self, from: SocketAddr, message: Message) {
         let now = self.now();
         self.contacts.borrow_mut().renew_at(now, from);
@@ -649,7 +688,7 @@
         match message {
             Message::Update(update) => self.on_update(from, update),
             Message::Document { version, bytes } => self.on_document(from, version, &bytes),
-            Message::Pong => {}
+            Message::Pong { .. } => {}
             _ => tracing::warn!(keeper = %from, "unexpected message"),
         }
     }
@@ -671,6 +710,7 @@
         }
         entry.links.connect_new(&entry);
         entry.update_view();
+        entry.review_lease();
         entry.review_quotas();
         let wanted = entry.head.borrow().version;
         if wanted > entry.version() {
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -439,6 +439,13 @@
         outcome
     }
 
+    /// For a call with homes: the time since the confirmation by which they are relied on.
+    fn confirmation_age(&self, entry: &Entry) -> Option<Duration> {
+        let version = self.homes_version.max(entry.version());
+        let age = entry.lease.borrow().age(entry.now(), version);
+        age.filter(|_| !self.route.homes.is_empty())
+    }
+
     /// The home regions of the route and the team for the log; `None` if there are none.
     fn homes_text(&self) -> Option<String> {
         let homes: Vec<&str> = self.route.homes.iter().map(RegionId::as_str).collect();
@@ -455,6 +462,7 @@
             homes = self.homes_text(),
             team = self.team.as_ref().map(|it| it.team.name.as_str()),
             table = self.table.version().0,
+            confirmed_ms = self.confirmation_age(entry).map(|it| it.as_millis() as u64),
             path = %self.path.join(","),
             arrivals = self.attempts.arrivals(),
             runs = self.attempts.runs(),
--- a/crates/medlarlug-gateway/src/keeper/loops.rs
+++ b/crates/medlarlug-gateway/src/keeper/loops.rs
@@ -9,7 +9,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     task,
-    time::{MissedTickBehavior, interval, sleep},
+    time::{MissedTickBehavior, interval, sleep, timeout},
 };
 
 use super::Keeper;
@@ -20,6 +20,11 @@
 
 /// Time between two ticks of the replica; a fraction of its heartbeat interval.
 pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two confirmations that the table is the newest. A table may be relied on for several
+/// times as long.
+const CONFIRM_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after which a confirmation that failed is tried again: as long as an election takes at least.
+const CONFIRM_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Time between two rounds of updates; important changes are sent at once.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -92,7 +97,20 @@
         }
         keeper.facts.borrow_mut().expire(now);
         keeper.store_facts();
+        keeper.review_lease();
         keeper.push();
         keeper.links.connect_new(&keeper);
     }
 }
+
+/// Confirms the table again and again, and at once after its version or the own role has changed.
+pub(super) async fn confirm_table(keeper: Rc<Keeper>) {
+    loop {
+        let pause = match keeper.confirm_table().await {
+            true => CONFIRM_INTERVAL,
+            false => CONFIRM_RETRY_DELAY,
+        };
+        // Without a change, the time for the next confirmation has come.
+        let _ = timeout(pause, keeper.confirm.notified()).await;
+    }
+}
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -39,6 +39,7 @@
         region_reports::RegionReports,
         stall_detector::StallDetector,
         table::{HostHomes, RouteTable, TableVersion},
+        table_lease::{TableLease, TableReport},
         upstreams::{Effect, Renewal, UpstreamState, Upstreams},
     },
     ids::{InstanceId, RegionId, ZoneId},
@@ -48,7 +49,7 @@
 };
 use thiserror::Error;
 use tokio::{
-    sync::{oneshot, watch},
+    sync::{Notify, oneshot, watch},
     task,
     time::sleep,
 };
@@ -129,6 +130,12 @@
     /// The membership that was last logged.
     membership: RefCell<Option<Membership>>,
     table: RefCell<Option<Rc<RouteTable>>>,
+    /// For how long the home regions of the table may be relied on.
+    lease: RefCell<TableLease>,
+    /// The newest version of the table that a majority has confirmed, and when that was requested.
+    confirmed: Cell<Option<(TableVersion, Time)>>,
+    /// Wakes the task that confirms the table.
+    confirm: Notify,
     /// The newest table that was fetched, as an encoded [`Message::Document`] that all links share.
     document: RefCell<Option<(TableVersion, Bytes)>>,
     /// Stalls of this process, during which announcements queue.
@@ -158,6 +165,7 @@
             facts.apply(clock.now(), &fact);
         }
         let (writer, mut sync_reports) = Writer::start(journal)?;
+        let lease = RefCell::new(TableLease::new(settings.table_bound));
         let listener = http_server::listen("peers", settings.info.internal).await?;
         let keeper = Rc::new(Keeper {
             settings: RefCell::new(settings),
@@ -179,6 +187,9 @@
             stored_facts: RefCell::default(),
             membership: RefCell::default(),
             table: RefCell::default(),
+            lease,
+            confirmed: Cell::default(),
+            confirm: Notify::new(),
             document: RefCell::default(),
             stall: RefCell::new(StallDetector::new(STALL_LIMIT)),
             region_reports: RefCell::new(RegionReports::new(clock.now())),
@@ -202,6 +213,7 @@
         });
         task::spawn_local(loops::tick(keeper.clone()));
         task::spawn_local(loops::push_updates(keeper.clone()));
+        task::spawn_local(loops::confirm_table(keeper.clone()));
         Ok(keeper)
     }
 
@@ -230,6 +242,7 @@
 
     /// Applies changed settings. New contacts are connected to at once.
     pub fn reload(self: &Rc<Keeper>, settings: NodeSettings) {
+        self.lease.borrow_mut().set_bound(settings.table_bound);
         *self.settings.borrow_mut() = settings;
         self.links.connect_new(self);
     }
@@ -286,6 +299,7 @@
                 Output::Applied => is_changed = true,
                 Output::RoleChanged { role, term } => {
                     tracing::info!(?role, term = term.0, "role changed");
+                    self.confirm.notify_one();
                     if role == Role::Leader {
                         is_changed = true;
                     }
@@ -362,6 +376,9 @@
             }
         }
         let before = self.head.borrow().clone();
+        if before.version != head.version {
+            self.confirm.notify_one();
+        }
         self.evacuations.borrow_mut().observe(before.evacuations(), head.evacuations());
         let restored = head.evacuations().restored_since(before.evacuations());
         let restored = restored.unwrap_or_else(|| {
@@ -462,7 +479,7 @@
     fn on_subscriber_message(&self, link: u64, info: &InstanceInfo, message: Message) {
         let now = self.now();
         match message {
-            Message::Ping { status, is_primary } => {
+            Message::Ping { status, is_primary, number } => {
                 self.subscribers.borrow_mut().set_primary(link, is_primary);
                 let mut contacts = self.contacts.borrow_mut();
                 let was_ready = contacts.get(&info.id).is_some_and(|it| it.status.ready);
@@ -470,7 +487,8 @@
                     tracing::info!(instance = %info.id, ready = status.ready, "readiness changed");
                 }
                 contacts.update(now, info.clone(), Some(status), Duration::ZERO);
-                self.subscribers.borrow().send(&info.id, &Message::Pong);
+                let pong = Message::Pong { number, table: self.table_report() };
+                self.subscribers.borrow().send_over(link, &pong);
             }
             Message::Acknowledged(number) => {
                 self.subscribers.borrow_mut().acknowledged(link, number)
@@ -511,7 +529,7 @@
                 self.call_group(caller, request, known_round);
             }
             Message::Hello(_)
-            | Message::Pong
+            | Message::Pong { .. }
             | Message::Update(_)
             | Message::Document { .. }
             | Message::Reply { .. } => {
@@ -527,6 +545,10 @@
 const LEADERSHIP_TRANSFER_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 impl LinkOwner for Keeper {
+    fn now(&self) -> Time {
+        self.now()
+    }
+
     fn info(&self) -> InstanceInfo {
         self.settings.borrow().info.clone()
     }
@@ -558,11 +580,14 @@
     /// Other keepers send each renewal individually, so there is no state of the link to reset.
     fn link_opened(&self, _: SocketAddr) {}
 
+    /// A keeper asks the leader itself.
+    fn table_reported(&self, _: SocketAddr, _: Time, _: TableReport) {}
+
     fn receive(&self, from: SocketAddr, message: Message) {
         match message {
             Message::Update(update) => self.on_update(from, update),
             Message::Reply { call, reply } => self.complete_call(call, reply),
-            Message::Pong => {}
+            Message::Pong { .. } => {}
             _ => tracing::warn!(keeper = %from, "unexpected message"),
         }
     }
--- a/crates/medlarlug-gateway/src/keeper/requests.rs
+++ b/crates/medlarlug-gateway/src/keeper/requests.rs
@@ -12,6 +12,7 @@
         evacuation_orders::Timeliness,
         publication::{Command, Publication},
         table::{HostHomes, RouteTable, TableVersion},
+        table_lease::TableReport,
         upstreams::{Effect, Upstream, UpstreamState},
     },
     ids::{RegionId, UpstreamId, ZoneId},
@@ -168,6 +169,52 @@
         }
     }
 
+    /// Asks the leader for the newest version of the table, which a majority has to confirm. Returns
+    /// whether there was an answer.
+    pub(super) async fn confirm_table(&self) -> bool {
+        let requested = self.now();
+        let Some(version) = self.read_version().await else { return false };
+        self.confirmed.set(Some((version, requested)));
+        self.lease.borrow_mut().record(requested, version);
+        true
+    }
+
+    async fn read_version(&self) -> Option<TableVersion> {
+        let request = LeaderRequest { request: GroupRequest::Revision, known_round: None };
+        match timeout(REQUEST_TIMEOUT, self.attempt(request)).await.ok()?? {
+            GroupReply::Revision(revision) => Some(TableVersion(revision.0)),
+            // The leader is an earlier build.
+            GroupReply::UnsupportedRequest => Some(self.read_publication().await.ok()?.version()),
+            _ => None,
+        }
+    }
+
+    /// What this keeper reports about the newest table.
+    pub(super) fn table_report(&self) -> TableReport {
+        let Some((version, at)) = self.confirmed.get() else { return TableReport::Unconfirmed };
+        let age_ms = (self.now() - at).as_micros().div_ceil(1_000);
+        TableReport::Confirmed { version, age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX) }
+    }
+
+    /// Logs if the home regions of the table may be relied on no longer, or again.
+    pub(super) fn review_lease(&self) {
+        let (now, version) = (self.now(), self.table_version());
+        let mut lease = self.lease.borrow_mut();
+        let Some(is_held) = lease.review(now, version) else { return };
+        let age_ms = lease.age(now, version).map(|it| it.as_millis() as u64);
+        match is_held {
+            true => tracing::info!(version = version.0, age_ms, "homes of the table confirmed"),
+            false => {
+                tracing::warn!(version = version.0, age_ms, "homes of the table not confirmed")
+            }
+        }
+    }
+
+    /// Version of the table that this keeper has read; zero before the first one.
+    pub(super) fn table_version(&self) -> TableVersion {
+        self.table.borrow().as_ref().map(|table| table.version()).unwrap_or_default()
+    }
+
     /// The entry instances to list to a caller; empty while too few are known, or if the caller should
     /// ask another keeper.
     pub fn directory(
--- a/crates/medlarlug-gateway/src/keeper_links.rs
+++ b/crates/medlarlug-gateway/src/keeper_links.rs
@@ -1,8 +1,14 @@
 //! Keeps a link open to every known keeper, and passes received messages to the owner of the links.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
-
-use medlarlug_core::gateway::contacts::{InstanceInfo, Status};
+use std::{cell::RefCell, collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
+
+use medlarlug_core::{
+    gateway::{
+        contacts::{InstanceInfo, Status},
+        table_lease::TableReport,
+    },
+    time::Time,
+};
 use tokio::{task, time::MissedTickBehavior};
 
 use crate::link::{self, LinkError, LinkSender, Message, PING_INTERVAL};
@@ -12,6 +18,8 @@
 
 /// The process that owns links to keepers: supplies what is sent over them and handles messages.
 pub(crate) trait LinkOwner: 'static {
+    /// The time by the clock of this process.
+    fn now(&self) -> Time;
     /// The introduction of this process, sent when a link is opened.
     fn info(&self) -> InstanceInfo;
     /// The state that pings report.
@@ -22,6 +30,9 @@
     fn keepers(&self) -> Vec<SocketAddr>;
     /// Called when a new link to the keeper at `address` has been opened.
     fn link_opened(&self, address: SocketAddr);
+    /// Handles what the keeper at `from` reports about the newest table, in answer to a ping that was
+    /// sent at `sent`.
+    fn table_reported(&self, from: SocketAddr, sent: Time, report: TableReport);
     /// Handles a message from the keeper at `from`.
     fn receive(&self, from: SocketAddr, message: Message);
 }
@@ -116,19 +127,48 @@
     links.remove(address);
 }
 
+/// The pings on a link that were not answered yet, in the order in which they were sent.
+#[derive(Debug, Default)]
+struct Pings {
+    last: u64,
+    sent: VecDeque<(u64, Time)>,
+}
+
+impl Pings {
+    /// Adds a ping that is sent now; returns its number.
+    fn add(&mut self, now: Time) -> u64 {
+        self.last += 1;
+        self.sent.push_back((self.last, now));
+        self.last
+    }
+
+    /// Returns when the ping with this number was sent, and forgets it and those before it. The answer
+    /// of an earlier build has the number 0, and counts as one to the oldest ping.
+    fn answered(&mut self, number: u64) -> Option<Time> {
+        if number == 0 {
+            return self.sent.pop_front().map(|it| it.1);
+        }
+        let answered = self.sent.partition_point(|it| it.0 <= number);
+        let last = self.sent.drain(..answered).next_back();
+        last.filter(|it| it.0 == number).map(|it| it.1)
+    }
+}
+
 async fn serve_link<O: LinkOwner>(
     owner: &Rc<O>,
     address: SocketAddr,
     sender: LinkSender,
     mut receiver: link::LinkReceiver,
 ) -> LinkError {
+    let unanswered = RefCell::new(Pings::default());
     let pings = async {
         let mut ticks = tokio::time::interval(PING_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
             let (status, is_primary) = (owner.status(), owner.is_primary(address));
-            if !sender.send(&Message::Ping { status, is_primary }) {
+            let number = unanswered.borrow_mut().add(owner.now());
+            if !sender.send(&Message::Ping { status, is_primary, number }) {
                 return LinkError::Closed;
             }
         }
@@ -136,7 +176,15 @@
     let messages = async {
         loop {
             match receiver.receive().await {
-                Ok(message) => owner.receive(address, message),
+                Ok(message) => {
+                    if let Message::Pong { number, table } = message
+                        && let Some(sent) = unanswered.borrow_mut().answered(number)
+                        && (number > 0 || table == TableReport::Unsupported)
+                    {
+                        owner.table_reported(address, sent, table);
+                    }
+                    owner.receive(address, message);
+                }
                 Err(error) => return error,
             }
         }
--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -15,6 +15,7 @@
         contacts::{InstanceInfo, RegionWait, Status},
         software_version::SoftwareVersion,
         table::TableVersion,
+        table_lease::TableReport,
         upstreams::{Birth, Heartbeat, Renewal, Upstream},
     },
     ids::{InstanceId, RegionId, UpstreamId, ZoneId},
@@ -142,9 +143,17 @@
         /// Whether the sender wants renewals, heartbeats and waiting times from this keeper in
         /// addition to changes.
         is_primary: bool,
+        /// Number of the ping on this link; 0 if its answer does not matter. Earlier builds neither
+        /// send nor read it, so it has to remain at the end.
+        number: u64,
+    },
+    /// The answer to a ping. Earlier builds neither send nor read its fields.
+    Pong {
+        /// The number of the ping.
+        number: u64,
+        /// What the sender knows about the newest table, if it is a keeper.
+        table: TableReport,
     },
-    /// The answer to a ping.
-    Pong,
     /// Changes since the update before, from a keeper.
     #[serde(rename = "News")]
     Update(Update),
@@ -390,8 +399,9 @@
     Ok(())
 }
 
-/// Decodes the message in a frame. In a frame of an earlier build, lists or options that were added at
-/// the end of the message are missing; the appended zeros stand for empty ones.
+/// Decodes the message in a frame. In a frame of an earlier build, fields that were added at the end of the
+/// message are missing; the appended zeros stand for empty lists and options, the number 0 and the
+/// first variant of an enumeration.
 ///
 /// # Errors
 ///
--- a/crates/medlarlug-gateway/src/settings.rs
+++ b/crates/medlarlug-gateway/src/settings.rs
@@ -66,6 +66,9 @@
     /// Time between a request to stop and the end of the process, within which open calls may
     /// complete.
     pub grace: Duration,
+    /// Time after the last confirmation that a table is the newest for which its home regions may be
+    /// relied on: within it, operators expect a configuration to be in effect.
+    pub table_bound: Duration,
     /// Parses the tables that operators publish.
     pub read_table: ReadTable,
     /// What the quotas of teams tolerate beyond their rate and burst.
@@ -77,6 +80,9 @@
     pub has_pressure: bool,
 }
 
+/// The bound on the use of a table without a confirmation, if the settings name none.
+pub const DEFAULT_TABLE_BOUND: Duration = Duration::from_secs(11);
+
 /// What the quotas of teams tolerate, summed over all entry instances: in every window,
 /// `(rate * window + burst) * (1 + overage) + slack`.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/medlarlug-gateway/src/subscribers.rs
+++ b/crates/medlarlug-gateway/src/subscribers.rs
@@ -168,6 +168,11 @@
         link.is_some_and(|it| it.sender.send(message))
     }
 
+    /// Sends a message over a link. Returns false if the link has ended.
+    pub(crate) fn send_over(&self, link: u64, message: &Message) -> bool {
+        self.position(link).is_ok_and(|at| self.links[at].sender.send(message))
+    }
+
     /// Sends an encoded message to a process over its newest link.
     pub(crate) fn send_frame(&self, id: &InstanceId, frame: Bytes) {
         if let Some(link) = self.links.iter().rfind(|it| it.id == *id) {
--- a/src/coordination/keeper/machine.rs
+++ b/src/coordination/keeper/machine.rs
@@ -105,6 +105,9 @@
             (StateMachine::Home(machine), GroupRequest::FoundingRevision) => {
                 GroupReply::FoundingRevision(machine.founding_revision())
             }
+            (StateMachine::Publication(machine), GroupRequest::Revision) => {
+                GroupReply::Revision(Revision(machine.version().0))
+            }
             (StateMachine::Publication(machine), GroupRequest::Published) => {
                 GroupReply::Published(machine.clone())
             }
--- a/src/protocol/message.rs
+++ b/src/protocol/message.rs
@@ -115,7 +115,7 @@
     LookUp(RequestId),
     /// Reads the accepted release notes.
     History,
-    /// Reads the newest revision.
+    /// Reads the newest revision, or the newest version of the route table.
     Revision,
     /// Reads the revision at which a home group was founded.
     #[serde(rename = "Founding")]
@@ -154,7 +154,8 @@
     Record(home::RecordLookup),
     /// The accepted release notes, the newest last.
     History(Vec<configuration_group::Accepted>),
-    /// Newest revision of the configuration group, for [`GroupRequest::Revision`].
+    /// Newest revision of the configuration group, or newest version of the publication group's table,
+    /// for [`GroupRequest::Revision`].
     Revision(Revision),
     /// The revision at which the home group was founded, if it was.
     #[serde(rename = "Founding")]
