A call with home regions needs a recent confirmation that they are the newest

Each body now needs a ResidencyPermit, which TableLease::permit alone gives: for a call with homes, if the region of the upstream or of the other instance is among the homes of the call's table and of the newest one here, and a majority of the keepers has confirmed within bounds.configApplyMs + bounds.maxStretchMs that no newer one replaces them. It is asked for when a hop is chosen, when the request is built, and again once a connection has opened, so for retries, resumed streams, calls that waited and trials as well. Without a confirmation the call is refused at once with 503 and one second to come back, before its body is read. Routes without homes are not touched. A call at an instance that is starting waits for the first confirmation as it does for the table.

--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -21,6 +21,7 @@
         placement::Choice,
         software_version::SoftwareVersion,
         table::RouteKind,
+        table_lease::ResidencyPermit,
         upstreams::Birth,
     },
     ids::{RegionId, UpstreamId},
@@ -36,6 +37,7 @@
     crashes::{InFlight, RequestEnd},
     forwarded,
     pressure::BookedCall,
+    residency::Residency,
 };
 use crate::{link::Message, metrics as names};
 
@@ -56,6 +58,8 @@
 /// What all attempts of a call have in common.
 pub(super) struct AttemptContext<'a> {
     pub(super) call: &'a Call,
+    /// The home regions that the call obeys.
+    pub(super) residency: Residency<'a>,
     pub(super) kind: RouteKind,
     pub(super) priority: u8,
     /// The route for another entry instance, if the hop is one.
@@ -116,7 +120,8 @@
     Misdirected,
     /// No connection could be opened.
     Unreachable,
-    /// The upstream stopped accepting requests while the connection was being opened.
+    /// The upstream stopped accepting requests, or its region is no home of the call any more, while
+    /// the connection was being opened.
     Withdrawn,
     /// The other instance reaches no upstream of the service.
     NoPath,
@@ -373,14 +378,23 @@
         Hop::Upstream { address, .. } => (*address, UPSTREAM_CONNECT_TIMEOUT),
         Hop::Peer { address, .. } => (*address, PEER_CONNECT_TIMEOUT),
     };
-    let Some(request) = build_request(entry, context, hop, now) else {
+    let region = entry.region_of_hop(hop);
+    let permit = || entry.permit(context.call, context.residency, &region);
+    let request = match permit() {
+        Ok(permit) => build_request(entry, context, hop, now, &permit),
+        Err(_) => return Outcome::NotRun(NotRun::Withdrawn),
+    };
+    let Some(request) = request else {
         return Outcome::Unknown(Unknown::ForeignAnswer);
     };
     let mut slot = open_slot(entry, context, hop, now);
     let limits = CallLimits { connect: connect.min(answer_timeout), head: answer_timeout };
-    let is_wanted = || match hop {
-        Hop::Upstream { choice, birth, .. } => entry.still_accepts(&choice.id, *birth),
-        Hop::Peer { .. } => true,
+    let is_wanted = || {
+        let is_accepted = match hop {
+            Hop::Upstream { choice, birth, .. } => entry.still_accepts(&choice.id, *birth),
+            Hop::Peer { .. } => true,
+        };
+        is_accepted && permit().is_ok()
     };
     let called = entry.client.call_if_wanted(address, request, reuse, limits, is_wanted).await;
     let (answer, connection) = match called {
@@ -537,12 +551,13 @@
     }
 }
 
-/// Builds the request for the hop; `None` if a header or the target can't be represented.
+/// Builds the request for the hop, which is in the region of the permit; `None` if a header or the target can't be represented.
 fn build_request(
     entry: &Entry,
     context: &AttemptContext,
     hop: &Hop,
     now: Time,
+    _: &ResidencyPermit,
 ) -> Option<Request<Full<Bytes>>> {
     let call = context.call;
     let mut request = Request::new(Full::new(call.body.clone()));
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -21,7 +21,7 @@
 };
 use rand::RngExt;
 
-use super::{Entry, plan::Plan};
+use super::{Entry, call::Call, plan::Plan};
 
 /// Round trip to another region, and the processing time of the instance there.
 const REGION_ROUND_TRIP: Duration = Duration::from_millis(130);
@@ -114,19 +114,21 @@
 
 impl Entry {
     /// Chooses the best hop for a call; `None` if there is none.
-    pub(super) fn choose(&self, plan: &Plan, demand: &Demand) -> Option<Hop> {
+    pub(super) fn choose(&self, plan: &Plan, call: &Call) -> Option<Hop> {
         let Plan { table, route, service, .. } = plan;
+        let demand = &call.demand;
         let own = self.settings.borrow().info.region.clone();
-        let local = match route.may_be_served_in(&own) {
+        let may_stay = self.permit(call, plan.residency(), &own).is_ok();
+        let local = match may_stay {
             true => self.choose_local(table, service, demand, &|it| plan.may_use(it)),
             false => None,
         };
         let cost = local.as_ref().map(|local| self.cost(local));
         let is_local_good =
             cost.is_some_and(|cost| cost <= route.objective.mul_f64(LOCAL_COST_FRACTION));
-        let may_pass_on = route.may_be_served_in(&own) && self.lacks_path(service);
+        let may_pass_on = may_stay && self.lacks_path(service);
         let remote = match plan.may_forward && !is_local_good {
-            true => self.choose_peer(plan, demand, may_pass_on),
+            true => self.choose_peer(plan, call, may_pass_on),
             false => None,
         };
         match (local, remote) {
@@ -307,8 +309,8 @@
 
     /// Chooses an entry instance of the region that can serve the call soonest: of another region or,
     /// if `may_pass_on`, of the own one.
-    fn choose_peer(&self, plan: &Plan, demand: &Demand, may_pass_on: bool) -> Option<Hop> {
-        let Plan { route, service, tried, .. } = plan;
+    fn choose_peer(&self, plan: &Plan, call: &Call, may_pass_on: bool) -> Option<Hop> {
+        let Plan { service, tried, .. } = plan;
         let now = self.now();
         let settings = self.settings.borrow();
         let own = &settings.info;
@@ -318,13 +320,13 @@
             contact.status.ready
                 && *id != own.id
                 && (may_pass_on || *region != own.region)
-                && route.may_be_served_in(region)
+                && self.permit(call, plan.residency(), region).is_ok()
                 && !tried.peers.contains(id)
                 && !tried.regions.contains(region)
                 && !self.is_path_missing(id, service)
         };
         let eligible = contacts.live_entries(now).filter(is_eligible);
-        let cost = |region: &RegionId| self.region_cost(plan, demand, region);
+        let cost = |region: &RegionId| self.region_cost(plan, &call.demand, region);
         let eligible: Vec<&Contact> = eligible.collect();
         let mut regions: Vec<&RegionId> = eligible.iter().map(|it| &it.info.region).collect();
         regions.sort();
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -27,6 +27,7 @@
 mod pressure;
 mod quota;
 mod relay;
+mod residency;
 mod serve;
 mod stream_lookup;
 
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -30,6 +30,7 @@
     limited::PermitWait,
     pace::RoomWait,
     pressure::MemoryWait,
+    residency::Residency,
     serve::CallOutcome,
 };
 use crate::metrics as names;
@@ -145,11 +146,8 @@
         let table = entry.table.borrow();
         let newest = table.as_ref().filter(|it| it.version() > self.homes_version);
         let Some(newest) = newest else { return };
+        let [route_homes, team_homes] = self.residency().homes_in(newest, call);
         self.homes_version = newest.version();
-        let team = self.team.as_ref().zip(newest.teams());
-        let team = team.and_then(|(own, teams)| teams.by_name(&own.team.name));
-        let team_homes = team.map_or(&[][..], |team| &team.homes);
-        let route_homes = newest.route(&call.host, call.path()).map_or(&[][..], |it| &it.homes);
         let may_go_on =
             self.route.restrict_homes(route_homes) && self.route.restrict_homes(team_homes);
         if !may_go_on {
@@ -158,6 +156,15 @@
         }
     }
 
+    /// The home regions that the call obeys.
+    pub(super) fn residency(&self) -> Residency<'_> {
+        Residency {
+            route: &self.route,
+            version: self.homes_version,
+            team: self.team.as_ref().map(|it| &it.team.name),
+        }
+    }
+
     /// Chooses the next hop; `None` if there is none, no region may serve the call, or its content is
     /// quarantined.
     pub(super) fn next_hop(&self, entry: &Entry, call: &Call) -> Option<Hop> {
@@ -173,7 +180,7 @@
         if let Some(choice) = own {
             entry.loads.borrow_mut().dequeue(choice);
         }
-        let hop = entry.choose(self, &call.demand);
+        let hop = entry.choose(self, call);
         if let Some(choice) = own {
             entry.loads.borrow_mut().enqueue(choice);
         }
@@ -401,6 +408,11 @@
         };
         let context = AttemptContext {
             call,
+            residency: Residency {
+                route: &self.route,
+                version: self.homes_version,
+                team: self.team.as_ref().map(|it| &it.team.name),
+            },
             kind: self.route.kind,
             priority: self.route.priority,
             forwarded,
@@ -440,7 +452,7 @@
     }
 
     /// For a call with homes: the time since the confirmation by which they are relied on.
-    fn confirmation_age(&self, entry: &Entry) -> Option<Duration> {
+    pub(super) fn confirmation_age(&self, entry: &Entry) -> Option<Duration> {
         let version = self.homes_version.max(entry.version());
         let age = entry.lease.borrow().age(entry.now(), version);
         age.filter(|_| !self.route.homes.is_empty())
--- a/crates/medlarlug-gateway/src/entry/relay.rs
+++ b/crates/medlarlug-gateway/src/entry/relay.rs
@@ -153,6 +153,10 @@
 async fn permitted_hop(entry: &Rc<Entry>, call: &Call, plan: &mut Plan) -> Option<Hop> {
     loop {
         plan.obey_newest_homes(entry, call);
+        if entry.lacks_confirmation(plan) {
+            entry.record_unconfirmed(call, plan);
+            return None;
+        }
         let hop = plan.next_hop(entry, call);
         if plan.waits_for_permit(entry, hop.as_ref()) {
             sleep(PERMIT_POLL_INTERVAL).await;
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -195,11 +195,17 @@
     let (parts, incoming) = request.into_parts();
     let mut call = Call::read(parts, &entry.names);
     let is_forwarded = forwarded.is_some();
-    wait_for_start(entry, &call, began, |entry| entry.is_informed()).await;
+    wait_for_start(entry, &call, began, |entry| entry.is_informed() && entry.has_homes_of(&call))
+        .await;
     let mut plan = match plan_call(entry, &mut call, forwarded, began) {
         Ok(plan) => plan,
         Err(reported) => return *reported,
     };
+    if entry.lacks_confirmation(&plan) {
+        entry.record_unconfirmed(&call, &plan);
+        plan.record_outcome(entry, &call, CallOutcome::Refused);
+        return refusal(entry, &call, Some(NO_TABLE_RETRY_AFTER), HandoverReport::REFUSED);
+    }
     call.demand.priority = plan.route.priority;
     let limit = plan.table.limits().body_bytes;
     let reading = timeout(plan.answer_by - entry.now(), memory.read_body(incoming, limit));
@@ -475,12 +481,14 @@
         let now = entry.now();
         let left = plan.answer_by - now;
         plan.obey_newest_homes(entry, call);
+        let is_unconfirmed = entry.lacks_confirmation(plan);
         let quarantine = entry.quarantine(call, plan);
         let hop = match plan.unreachable < MAX_FAILED_CONNECTIONS && left > MIN_REMAINING {
             true => plan.next_hop(entry, call),
             false => None,
         };
         if quarantine.is_none()
+            && !is_unconfirmed
             && left > MIN_REMAINING
             && plan.unreachable < MAX_FAILED_CONNECTIONS
             && plan.waits_for_permit(entry, hop.as_ref())
@@ -489,6 +497,7 @@
             continue;
         }
         if quarantine.is_none()
+            && !is_unconfirmed
             && left > MIN_REMAINING
             && plan.unreachable < MAX_FAILED_CONNECTIONS
             && plan.waits_for_room(entry, hop.as_ref())
@@ -535,6 +544,10 @@
                     tracing::info!(request = %call.id, %content, for_s, "refusing quarantined content");
                     return Resolution::Refuse { retry_after: Some(retry_after) };
                 }
+                if is_unconfirmed {
+                    entry.record_unconfirmed(call, plan);
+                    return Resolution::Refuse { retry_after: Some(NO_TABLE_RETRY_AFTER) };
+                }
                 let own = own_retry_after(entry, plan, hop.as_ref(), verdict, left);
                 tracing::info!(
                     request = %call.id,
--- a/crates/medlarlug-gateway/src/metrics.rs
+++ b/crates/medlarlug-gateway/src/metrics.rs
@@ -29,6 +29,8 @@
 /// Counter: calls that were not accepted for a team. Label: `reason` (see
 /// [`medlarlug_core::gateway::authentication::AuthenticationError`]).
 pub const UNACCEPTED_CALLS: &str = "medlarlug_gateway_unaccepted_total";
+/// Counter: calls with home regions that were refused because these may be out of date.
+pub const UNCONFIRMED_CALLS: &str = "medlarlug_gateway_unconfirmed_total";
 /// Counter: answers that were dropped because they belong to another call.
 pub const FOREIGN_ANSWERS: &str = "medlarlug_gateway_foreign_answers_total";
 /// Counter: calls forwarded to another region.
@@ -99,6 +101,7 @@
     describe_counter!(UPSTREAM_CRASHES, "Upstreams that crashed with requests in flight");
     describe_counter!(QUARANTINED_CALLS, "Calls not run because their content crashes upstreams");
     describe_counter!(UNACCEPTED_CALLS, "Calls not accepted for a team, by reason");
+    describe_counter!(UNCONFIRMED_CALLS, "Calls refused because their homes may be out of date");
     describe_counter!(FOREIGN_ANSWERS, "Answers dropped because they belong to another call");
     describe_counter!(FORWARDED_CALLS, "Calls handed to another region");
     describe_counter!(PASSED_CALLS, "Calls passed on to another instance of the region");
