A forwarded call without a team is refused before its body where it is not at home

Without teams an instance in a foreign region took a forwarded call, read its body and only then found that it may send it nowhere. Only calls with a team were refused by region. Now every forwarded call is, before its body is read.

The new test failed before: no answer within 2 s to a call whose body was held back.

--- a/crates/medlarlug-core/src/gateway/authentication.rs
+++ b/crates/medlarlug-core/src/gateway/authentication.rs
@@ -154,7 +154,7 @@
         }
         // The newer table has no teams, so the team that the sender has set no longer holds.
         (None, Some(_)) => Acceptance { identity: Identity::Anonymous, route },
-        (None, None) => return Ok(Acceptance { identity: Identity::Unchecked, route }),
+        (None, None) => Acceptance { identity: Identity::Unchecked, route },
         (Some(teams), sent) => {
             let is_charged = sent.is_some();
             match sent.map(|it| it.key).or(key) {
@@ -174,8 +174,7 @@
             }
         }
     };
-    let is_team = matches!(acceptance.identity, Identity::Team(_));
-    if is_forwarded && is_team && !acceptance.route.may_be_served_in(region) {
+    if is_forwarded && !acceptance.route.may_be_served_in(region) {
         return Err(AuthenticationError::ForeignRegion);
     }
     Ok(acceptance)
