The product's directory lists a forbidden region of its own last, too

What callers saw: a caller of a team that may not be served in the region of the instance that it asks was listed that zone and region first, before the home. One that had been led there once, because its own region lost its instances or answered late, stayed there while it asked one of them, and each of its bodies went to the forbidden region first. Beside a ready instance of that region, instances of the home that had just started were not listed at all.

Cause: directory::distance asked for the zone and region of the instance before it asked whether the team's residency permits them, and without_settling took a ready instance there for one in a permitted region.

Change: permitted instances come first (same zone, same region, others), then the asked instance's zone and region if they are forbidden, then other forbidden regions. An instance that has just started gives way only to a ready one in a region that is at least as permitted.

Not covered: an instance that hears none of a permitted region still lists forbidden ones as the last resort.

--- a/crates/medlarlug-core/src/directory.rs
+++ b/crates/medlarlug-core/src/directory.rs
@@ -3,9 +3,11 @@
 //! A caller requests a list, which has a lifetime, from the instance that it uses. Instances in the
 //! same zone come first, then those in the same region, then those in other regions where requests of the
 //! caller's team may be served. Instances of all other regions are listed last: a caller tries the list
-//! in order, and reaches them only if no other instance accepts it. Instances that shut down are never
-//! listed. Those that have just started are listed only if no other instance is ready, not counting
-//! ready ones in forbidden regions.
+//! in order, and reaches them only if no other instance accepts it. If requests of the team may not be
+//! served in the region of the requested instance, its zone and region come between the last two: the
+//! caller may be there only because no instance of a permitted region answered it before. Instances
+//! that shut down are never listed. Those that have just started are listed only if no other instance
+//! is ready, not counting ready ones in regions that are less permitted.
 //!
 //! The requested instance lists itself first while its load is at most the mean load of the nearest
 //! instances. Above the mean, it redirects the caller with the probability that brings its load down to
@@ -42,6 +44,8 @@
     Zone,
     Region,
     PermittedRegion,
+    ForbiddenZone,
+    ForbiddenOwnRegion,
     ForbiddenRegion,
 }
 
@@ -110,22 +114,39 @@
 /// forbidden region doesn't replace one in another region: an instance also counts as just started
 /// after a stall, and then may have heard of none in its own region.
 fn without_settling(own: &Seed, team: &Team, entries: Vec<EntryView>) -> Vec<EntryView> {
-    let is_forbidden = |it: &EntryView| distance(own, team, it) == Distance::ForbiddenRegion;
-    let has_ready = entries.iter().any(|it| !it.settling);
-    let has_permitted = entries.iter().any(|it| !it.settling && !is_forbidden(it));
-    let is_replaced = |it: &EntryView| if is_forbidden(it) { has_ready } else { has_permitted };
+    let standing = |it: &EntryView| distance(own, team, it).standing();
+    let best_ready = entries.iter().filter(|it| !it.settling).map(standing).min();
+    let is_replaced = |it: &EntryView| best_ready.is_some_and(|ready| ready <= standing(it));
     entries.into_iter().filter(|it| !it.settling || !is_replaced(it)).collect()
 }
 
+/// How far the team's residency permits a region, in the order of preference.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    Permitted,
+    ForbiddenOwn,
+    Forbidden,
+}
+
+impl Distance {
+    fn standing(self) -> Standing {
+        match self {
+            Distance::Zone | Distance::Region | Distance::PermittedRegion => Standing::Permitted,
+            Distance::ForbiddenZone | Distance::ForbiddenOwnRegion => Standing::ForbiddenOwn,
+            Distance::ForbiddenRegion => Standing::Forbidden,
+        }
+    }
+}
+
 fn distance(own: &Seed, team: &Team, entry: &EntryView) -> Distance {
-    if entry.zone == own.zone {
-        Distance::Zone
-    } else if entry.region == own.region {
-        Distance::Region
-    } else if team.residency.permits(&team.home, &entry.region) {
-        Distance::PermittedRegion
-    } else {
-        Distance::ForbiddenRegion
+    let is_permitted = team.residency.permits(&team.home, &entry.region);
+    match (entry.zone == own.zone, entry.region == own.region) {
+        (true, _) if is_permitted => Distance::Zone,
+        (_, true) if is_permitted => Distance::Region,
+        _ if is_permitted => Distance::PermittedRegion,
+        (true, _) => Distance::ForbiddenZone,
+        (_, true) => Distance::ForbiddenOwnRegion,
+        _ => Distance::ForbiddenRegion,
     }
 }
 
