The product's own path resumes a stream only where residency permits it

What callers saw: a stream whose connection broke was resumed in a region that its team, or its model, had lost since the request was sent, and went on to its end there.

Cause: the relay keeps the address of the upstream only, not the checked route, so there was nothing to check again.

Change: an exchange carries the AuthorizedRoute of an upstream of the own zone, and the relay calls its recheck when the new connection has opened, before it asks for the stream. A lapsed lease doesn't count: no request leaves the region.

--- a/src/coordination/entry/exchange.rs
+++ b/src/coordination/entry/exchange.rs
@@ -78,6 +78,8 @@
     pub answer: Response<Incoming>,
     /// The connection over which the answer arrives; it can be reused once the body is read.
     pub connection: Connection,
+    /// The checked route, if the request was sent to an upstream of the own zone.
+    pub authorized: Option<AuthorizedRoute>,
 }
 
 /// An attempt that ended without an answer for the caller.
@@ -115,11 +117,12 @@
         attempt_id: route.attempt_id,
         may_send: &may_send,
     };
-    send(entry, endpoint, facts, request, call).await
+    let exchange = send(entry, endpoint, facts, request, call).await?;
+    Ok(Exchange { authorized: Some(authorized), ..exchange })
 }
 
 /// Whether residency still permits an attempt by the configuration in force now.
-fn may_send(
+pub fn may_send(
     entry: &Entry,
     id: &RequestId,
     recheck: impl Fn(&Configuration) -> Result<(), ResidencyError>,
@@ -247,7 +250,7 @@
         let reason = "the answer belongs to another request".into();
         return Err(FailedAttempt { destination, failure: Failure::Lost, reason });
     }
-    Ok(Exchange { destination, address, attempt_id, answer, connection })
+    Ok(Exchange { destination, address, attempt_id, answer, connection, authorized: None })
 }
 
 /// Whether the head of an answer carries the id of another request, or none.
--- a/src/coordination/entry/inference/delivery.rs
+++ b/src/coordination/entry/inference/delivery.rs
@@ -49,7 +49,7 @@
     let (id, target) = (job.facts().id.clone(), job.facts().target.clone());
     let (destination, attempt_id, address) =
         (exchange.destination.clone(), exchange.attempt_id, exchange.address);
-    let mut relay = Relay::new(entry.clone(), id.clone(), exchange);
+    let mut relay = Relay::new(entry.clone(), job.facts().clone(), exchange);
     if let Err(refusal) = relay.begin().await {
         entry.notify_router(router::Event::Failed(attempt_id));
         let reason = refusal.reason.title().into();
--- a/src/coordination/entry/relay.rs
+++ b/src/coordination/entry/relay.rs
@@ -3,6 +3,7 @@
 //! The answer is forwarded event by event. A [`StreamTracker`], whose offsets count events here,
 //! decides what happens when a connection is lost or unresponsive: either the stream is resumed at
 //! its offset on a new connection to the same upstream, or the caller gets an explicit error event.
+//! A stream is resumed only where residency still permits its request.
 //! An answer is complete only with its terminal event.
 
 use std::{collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
@@ -13,8 +14,8 @@
 use medlarlug_core::{
     ids::RequestId,
     record::{Outcome, Stage},
-    refusal::Refusal,
-    routing::{AttemptId, router},
+    refusal::{Reason, Refusal},
+    routing::{AttemptId, AuthorizedRoute, RequestFacts, router},
     stream::{Chunk, ConnectionNumber, Effect, Event, StreamPolicy, StreamTracker},
 };
 use tokio::{sync::mpsc, task, time::sleep};
@@ -22,7 +23,7 @@
 use crate::{
     coordination::entry::{
         Entry, connection_recovery,
-        exchange::{Destination, Exchange},
+        exchange::{self, Destination, Exchange},
     },
     protocol::{
         Problem,
@@ -78,15 +79,19 @@
     ConnectionLost,
     /// The upstream does not resume the stream.
     Refused,
+    /// Residency no longer permits the region of the upstream.
+    Forbidden,
 }
 
 /// A streamed answer in the course of its delivery.
 pub struct Relay {
     entry: Rc<Entry>,
     id: RequestId,
+    facts: RequestFacts,
     address: SocketAddr,
     attempt_id: AttemptId,
-    is_upstream: bool,
+    // The checked route; `None` if the stream comes from another zone.
+    authorized: Option<AuthorizedRoute>,
     tracker: StreamTracker,
     source: Option<Source>,
     chunks: VecDeque<Bytes>,
@@ -96,7 +101,8 @@
 
 impl Relay {
     /// Creates a relay of the answer whose head is in `exchange`.
-    pub fn new(entry: Rc<Entry>, id: RequestId, exchange: Exchange) -> Relay {
+    pub fn new(entry: Rc<Entry>, facts: RequestFacts, exchange: Exchange) -> Relay {
+        let id = facts.id.clone();
         let is_upstream = matches!(exchange.destination, Destination::Upstream(_));
         let (resumable, start_timeout) = (is_upstream, FIRST_EVENT_TIMEOUT);
         let policy = StreamPolicy { resumable, start_timeout, ..StreamPolicy::default() };
@@ -112,9 +118,10 @@
         Relay {
             entry,
             id,
+            facts,
             address: exchange.address,
             attempt_id: exchange.attempt_id,
-            is_upstream,
+            authorized: exchange.authorized,
             tracker,
             source: Some(source),
             chunks: VecDeque::new(),
@@ -283,6 +290,11 @@
                 ResumeResult::Resumed => Vec::new(),
                 ResumeResult::ConnectionLost => self.feed(Event::ConnectionLost { connection }),
                 ResumeResult::Refused => self.feed(Event::ResumeRefused { connection }),
+                ResumeResult::Forbidden => {
+                    let refusal = self.entry.refusal(Reason::NotPermitted, Duration::ZERO);
+                    // The upstream has begun the work.
+                    self.feed(Event::GivenUp(Refusal { outcome: Outcome::Failed, ..refusal }))
+                }
             };
             waiting.extend(new_effects);
         }
@@ -302,8 +314,7 @@
             Effect::CancelUpstream { .. } => self.cancel(),
             // The relay can't choose another upstream; that is up to the task of the request.
             Effect::Restart { .. } | Effect::Continue { .. } => {
-                let reason = medlarlug_core::refusal::Reason::UpstreamFailed;
-                let refusal = self.entry.refusal(reason, Duration::from_secs(1));
+                let refusal = self.entry.refusal(Reason::UpstreamFailed, Duration::from_secs(1));
                 self.end = Some(StreamEnd::Failed(refusal));
             }
             Effect::Deliver { .. } | Effect::Resume { .. } => {}
@@ -321,8 +332,10 @@
     async fn resume(&mut self, number: ConnectionNumber, offset: u64) -> ResumeResult {
         let path = format!("/v1/streams/{}?offset={offset}", self.id);
         let Some(request) = self.request(Method::GET, &path) else { return ResumeResult::Refused };
-        let client = &self.entry.client;
-        let result = client.call(self.address, request, Reuse::Never, RESUME_LIMITS).await;
+        let (client, address) = (&self.entry.client, self.address);
+        let may_resume = || self.may_resume();
+        let result =
+            client.call_if_wanted(address, request, Reuse::Never, RESUME_LIMITS, may_resume).await;
         let (answer, connection) = match result {
             Ok((answer, connection)) if answer.status().is_success() => (answer, connection),
             Ok((answer, _)) => {
@@ -332,6 +345,7 @@
                 );
                 return ResumeResult::Refused;
             }
+            Err(HttpCallError::Withdrawn { .. }) => return ResumeResult::Forbidden,
             Err(error @ HttpCallError::Lost { .. }) => {
                 tracing::info!(request = %self.id, %error, "failed to resume the stream");
                 return ResumeResult::ConnectionLost;
@@ -355,6 +369,14 @@
         ResumeResult::Resumed
     }
 
+    /// Whether residency still permits the request where the stream comes from. A lapsed lease is
+    /// ignored: nothing of the request leaves the region.
+    fn may_resume(&self) -> bool {
+        self.authorized.as_ref().is_some_and(|authorized| {
+            exchange::may_send(&self.entry, &self.id, |it| authorized.recheck(it, &self.facts))
+        })
+    }
+
     /// Whether resuming is retried after an engine did not answer in time.
     ///
     /// A stream of which the caller has received events can't be restarted at another engine. Any
@@ -377,7 +399,7 @@
     /// Notifies the upstream that the answer is no longer needed.
     fn cancel(&mut self) {
         self.source = None;
-        if !self.is_upstream {
+        if self.authorized.is_none() {
             return;
         }
         let path = format!("/v1/streams/{}", self.id);
--- a/tests/testsuite/processes/upstream_cuts.rs
+++ b/tests/testsuite/processes/upstream_cuts.rs
@@ -5,15 +5,17 @@
     time::{Duration, Instant},
 };
 
+use assert_matches::assert_matches;
 use medlarlug_core::release::{
     Item, RawNote,
     item::{Residency, Team},
 };
-use serde_json::Value;
+use serde_json::{Value, json};
 use test_support::{
     deployment::{Deployment, call, wait_for},
     id, note,
     relay::Cut,
+    stream::Ending,
     survey_team,
 };
 
@@ -125,3 +127,16 @@
     assert_eq!(total_runs(&deployment), 1, "{}", deployment.log("entry-1"));
     assert_eq!(answer.json["outcome"], "failed", "{}", answer.text);
 }
+
+#[test]
+fn stream_is_not_resumed_in_a_region_that_its_team_has_lost_since() {
+    let deployment = with_engine(100);
+    let mut stream = deployment.open_stream("entry-1", "shift", 300);
+    stream.read_tokens(20);
+
+    forbid_riga(&deployment);
+    deployment.inject_fault("engine-1", &json!({ "kind": "cut_open_connections" }));
+    let streamed = stream.finish();
+
+    assert_matches!(streamed.ending, Ending::Failed(_), "{}", deployment.log("entry-1"));
+}
