A team with listed regions is served in an isolated region only at home

What callers saw: an entry instance that is cut off from the keepers went on serving a team in its region after a newer revision had taken that region off the team's list, without a bound in time. /release/confirmations told the operator meanwhile that the revision is in force everywhere, since the lease of the instance (8 s) had passed.

Cause: the lease bounded requests that leave a region only. A permit for the instance's own region was always made with a valid lease: at the choice of an upstream, before sending and again when a connection had opened late.

Change: Permit::check and recheck, the only functions that permit, refuse the own region too while the lease has lapsed, if the team has listed regions and its home is another one. The instance's lease now reaches the three places; a forwarded request is judged by that of its sender, which had to be valid, or was in the region. The refusal is truthful: unconfirmed, 503, not_run, with the time to come back (a new reason, last in its enum). An instance that starts from its disk has no lease until its first confirmation, so it is covered.

Weighed: refusing every team at a lapsed lease would end the class, but "a region isolated by a network partition still serves its own callers", and isolated_zone_serves_its_callers_... requires that for a team without a rule.

The other changes to tests pass the valid lease that was implied before.

--- a/benches/routing/policy.rs
+++ b/benches/routing/policy.rs
@@ -39,7 +39,9 @@
                 let view = View { membership, configuration, lease };
                 match router.decide(now, view, request) {
                     Ok(Choice::Serve(route)) => {
-                        let authorized = route.authorize(configuration, &request.facts).unwrap();
+                        let authorized = route
+                            .authorize(configuration, ConfigurationLease::Valid, &request.facts)
+                            .unwrap();
                         router.record_sent(now, &authorized, &request.facts);
                         let route = authorized.route();
                         Decision::Serve(route.upstream.clone(), Some(route.attempt_id))
--- a/crates/medlarlug-core/src/refusal.rs
+++ b/crates/medlarlug-core/src/refusal.rs
@@ -49,11 +49,13 @@
     UpstreamFailed,
     /// The answer was lost, and the call is not idempotent; it is unknown whether the call ran.
     AnswerLost,
+    /// The instance can't confirm that the residency rule that it knows is the newest one.
+    Unconfirmed,
 }
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Reason; 12] = [
+    pub const ALL: [Reason; 13] = [
         Reason::RateLimited,
         Reason::Overloaded,
         Reason::DeadlineImpossible,
@@ -66,6 +68,7 @@
         Reason::NotStarted,
         Reason::UpstreamFailed,
         Reason::AnswerLost,
+        Reason::Unconfirmed,
     ];
 
     /// Stable name, the last segment of the problem document's `type`.
@@ -89,6 +92,7 @@
             Reason::NotStarted => "not-started",
             Reason::UpstreamFailed => "upstream-failed",
             Reason::AnswerLost => "answer-lost",
+            Reason::Unconfirmed => "unconfirmed",
         }
     }
 
@@ -109,6 +113,7 @@
             Reason::NotStarted => "No upstream could be reached",
             Reason::UpstreamFailed => "The upstream failed",
             Reason::AnswerLost => "The answer was lost",
+            Reason::Unconfirmed => "This instance can't confirm its rules of residency now",
         }
     }
 
@@ -125,7 +130,8 @@
             | Reason::NoConfiguration
             | Reason::NoUpstream
             | Reason::ServedElsewhere
-            | Reason::NotStarted => 503,
+            | Reason::NotStarted
+            | Reason::Unconfirmed => 503,
         }
     }
 
--- a/crates/medlarlug-core/src/routing/refusal.rs
+++ b/crates/medlarlug-core/src/routing/refusal.rs
@@ -41,6 +41,9 @@
         if let Some(late) = remote {
             return late;
         }
+        if matches!(local, Refusal::Residency(ResidencyError::Unconfirmed { .. })) {
+            return local;
+        }
         let statuses = self.region_statuses(now, view, facts);
         let is_somewhere_permitted = statuses.iter().any(|it| it.is_permitted);
         if !is_somewhere_permitted && matches!(local, Refusal::Residency(_)) {
--- a/crates/medlarlug-core/src/routing/residency.rs
+++ b/crates/medlarlug-core/src/routing/residency.rs
@@ -9,7 +9,10 @@
 
 use crate::{
     ids::{RegionId, RequestId, Revision, TeamId},
-    release::{Configuration, ItemKey, item::Team},
+    release::{
+        Configuration, ItemKey,
+        item::{Residency, Team},
+    },
     routing::request::RequestFacts,
 };
 
@@ -18,7 +21,9 @@
 pub enum ConfigurationLease {
     /// The revision was confirmed within the lease.
     Valid,
-    /// The revision was not confirmed in time, so requests stay in the region of the instance.
+    /// The revision was not confirmed in time, so requests stay in the region of the instance, and
+    /// those of a team with listed regions are served there only if it is the team's home: a newer
+    /// revision may have removed the region from the list.
     Lapsed,
 }
 
@@ -51,8 +56,9 @@
         /// Region in which the request would have been served.
         region: RegionId,
     },
-    /// The configuration lease has lapsed, so no request leaves the region.
-    #[error("revision {revision} is not confirmed; no request leaves region {region}")]
+    /// The configuration lease has lapsed, so no request leaves the region, and a team with listed
+    /// regions is served in its home region only.
+    #[error("revision {revision} is not confirmed in region {region}")]
     Unconfirmed {
         /// Revision in force.
         revision: Revision,
@@ -74,8 +80,9 @@
     ///
     /// # Errors
     ///
-    /// Fails when the configuration in force doesn't permit the region, and when the request would
-    /// leave its region while the lease of the configuration has lapsed.
+    /// Fails when the configuration in force doesn't permit the region, and when the lease of the
+    /// configuration has lapsed and the request would leave its region, or the team has listed
+    /// regions and another home.
     pub fn check(
         configuration: &Configuration,
         lease: ConfigurationLease,
@@ -141,5 +148,13 @@
         let team = facts.team.clone();
         return Err(ResidencyError::Forbidden { team, target, region: region.clone() });
     }
+    if lease == ConfigurationLease::Lapsed && is_listed_elsewhere(team, region) {
+        return Err(ResidencyError::Unconfirmed { revision, region: own.clone() });
+    }
     Ok(())
 }
+
+/// Whether the team's data is limited to listed regions and `region` is not its home.
+fn is_listed_elsewhere(team: &Team, region: &RegionId) -> bool {
+    matches!(team.residency, Residency::Regions(_)) && team.home != *region
+}
--- a/crates/medlarlug-core/src/routing/route.rs
+++ b/crates/medlarlug-core/src/routing/route.rs
@@ -10,6 +10,7 @@
     refusal::Reason,
     release::{Configuration, ItemKey},
     routing::{
+        local::MIN_RETRY_AFTER,
         request::{CallerRequest, ForwardHeader, ForwardedRequest, RequestFacts},
         residency::{ConfigurationLease, Permit, ResidencyError},
         router::AttemptId,
@@ -69,6 +70,7 @@
 pub struct AuthorizedRoute {
     route: Route,
     permit: Permit,
+    is_forwarded: bool,
 }
 
 /// A route to another zone whose residency was checked; forwarding the request takes it by value.
@@ -121,6 +123,7 @@
     /// The reason that is reported to the caller.
     pub fn reason(&self) -> Reason {
         match self {
+            Refusal::Residency(ResidencyError::Unconfirmed { .. }) => Reason::Unconfirmed,
             Refusal::Residency(_) => Reason::NotPermitted,
             Refusal::ServedElsewhere { .. } => Reason::ServedElsewhere,
             Refusal::NoUpstream { .. } => Reason::NoUpstream,
@@ -131,6 +134,7 @@
     /// Time after which the caller may retry; `None` when a retry can't succeed.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
+            Refusal::Residency(ResidencyError::Unconfirmed { .. }) => Some(MIN_RETRY_AFTER),
             Refusal::Residency(_) => None,
             Refusal::NoUpstream { retry_after, .. }
             | Refusal::ServedElsewhere { retry_after, .. }
@@ -144,18 +148,20 @@
     ///
     /// # Errors
     ///
-    /// Fails when the configuration in force doesn't permit this region.
+    /// Fails when the configuration in force doesn't permit this region, and as [`Permit::check`]
+    /// does when its lease has lapsed.
     pub fn authorize(
         self,
         configuration: &Configuration,
+        lease: ConfigurationLease,
         facts: &RequestFacts,
     ) -> Result<AuthorizedRoute, ResidencyError> {
-        let lease = ConfigurationLease::Valid;
         let permit = Permit::check(configuration, lease, facts, &self.region, &self.region)?;
-        Ok(AuthorizedRoute { route: self, permit })
+        Ok(AuthorizedRoute { route: self, permit, is_forwarded: false })
     }
 
-    /// Checks residency of a forwarded request, right before it is sent to the upstream.
+    /// Checks residency of a forwarded request, right before it is sent to the upstream. The lease of
+    /// the sender, which has checked residency as well, stands for that of this instance.
     ///
     /// # Errors
     ///
@@ -165,7 +171,9 @@
         configuration: &Configuration,
         request: &ForwardedRequest,
     ) -> Result<AuthorizedRoute, ResidencyError> {
-        self.authorize(configuration, request.facts())
+        let authorized =
+            self.authorize(configuration, ConfigurationLease::Valid, request.facts())?;
+        Ok(AuthorizedRoute { is_forwarded: true, ..authorized })
     }
 }
 
@@ -204,13 +212,15 @@
     ///
     /// # Errors
     ///
-    /// Fails when the configuration in force doesn't permit this region any more.
+    /// Fails when the configuration in force doesn't permit this region any more, and as
+    /// [`Permit::recheck`] does when its lease has lapsed, unless the request was forwarded.
     pub fn recheck(
         &self,
         configuration: &Configuration,
+        lease: ConfigurationLease,
         facts: &RequestFacts,
     ) -> Result<(), ResidencyError> {
-        let lease = ConfigurationLease::Valid;
+        let lease = if self.is_forwarded { ConfigurationLease::Valid } else { lease };
         self.permit.recheck(configuration, lease, facts, &self.route.region)
     }
 }
--- a/crates/medlarlug-core/src/routing/router.rs
+++ b/crates/medlarlug-core/src/routing/router.rs
@@ -162,7 +162,8 @@
         }
     }
 
-    /// Decides on a request that another zone forwarded: it is served in the own zone or refused.
+    /// Decides on a request that another zone forwarded: it is served in the own zone or refused. The
+    /// sender had a valid lease of the configuration, or was in this region.
     ///
     /// # Errors
     ///
@@ -174,6 +175,7 @@
         request: &ForwardedRequest,
     ) -> Result<Route, Refusal> {
         self.sweep(now);
+        let view = View { lease: ConfigurationLease::Valid, ..view };
         self.best_local_upstream(now, view, request.facts())
     }
 
--- a/crates/medlarlug-core/tests/testsuite/routing.rs
+++ b/crates/medlarlug-core/tests/testsuite/routing.rs
@@ -11,13 +11,14 @@
         EntryLoad, Event as MembershipEvent, Membership, Message, Millis, QueueTime, Scope, Seed,
         Settings, Sketch, Summaries, Target, TargetSummary, ZoneUpdate,
     },
+    refusal::Reason,
     release::{
         Configuration, Item,
         item::{Model, Residency, Team},
     },
     routing::{
-        CallerRequest, Choice, ConfigurationLease, Event, ForwardedRequest, Prefix, Refusal,
-        RequestFacts, ResidencyError, Router, View,
+        CallerRequest, Choice, ConfigurationLease, Event, ForwardedRequest, Permit, Prefix,
+        Refusal, RequestFacts, ResidencyError, Router, View,
     },
     time::Time,
     units::Tokens,
@@ -173,7 +174,9 @@
             naively_permits(&own, &home, region) && naively_permits(&target, &home, region)
         };
         let usable = |index: usize| !upstreams[index].0 && !upstreams[index].1;
-        let local = permits(&id("riga")) && (0..upstreams.len()).any(usable);
+        let is_listed_elsewhere = matches!(own, Residency::Regions(_)) && home != id("riga");
+        let may_stay = permits(&id("riga")) && (is_valid || !is_listed_elsewhere);
+        let local = may_stay && (0..upstreams.len()).any(usable);
         let remote = |it: usize| is_valid && known[it] && permits(&id(REGIONS[it]));
 
         let decision = Router::new(NOW, 1).decide(NOW, view, &request);
@@ -181,8 +184,8 @@
         match decision {
             Ok(Choice::Serve(route)) => {
                 let index: usize = route.upstream.as_str()[1..].parse().unwrap();
-                prop_assert!(permits(&id("riga")) && usable(index));
-                prop_assert!(route.authorize(&configuration, &request.facts).is_ok());
+                prop_assert!(may_stay && usable(index));
+                prop_assert!(route.authorize(&configuration, lease, &request.facts).is_ok());
             }
             Ok(Choice::Forward(route)) => {
                 prop_assert!(permits(&route.region) && is_valid);
@@ -234,7 +237,7 @@
     let Ok(Choice::Serve(route)) = Router::new(NOW, 1).decide(NOW, view, &request) else {
         panic!("expected a route to an upstream");
     };
-    let local = route.authorize(&configuration, &request.facts).unwrap();
+    let local = route.authorize(&configuration, ConfigurationLease::Valid, &request.facts).unwrap();
     let away = CallerRequest::new(RequestFacts { excluded: vec![id("u0")], ..facts() });
     let Ok(Choice::Forward(route)) = Router::new(NOW, 1).decide(NOW, view, &away) else {
         panic!("expected a route to another zone");
@@ -247,9 +250,9 @@
     let without_team = Configuration::new(Revision(2), vec![model(Residency::Anywhere)]);
     let (valid, lapsed) = (ConfigurationLease::Valid, ConfigurationLease::Lapsed);
 
-    assert_eq!(local.recheck(&in_riga, &request.facts), Ok(()));
+    assert_eq!(local.recheck(&in_riga, valid, &request.facts), Ok(()));
     assert_eq!(remote.recheck(&in_kurzeme, valid), Ok(()));
-    let forbidden = local.recheck(&in_kurzeme, &request.facts);
+    let forbidden = local.recheck(&in_kurzeme, valid, &request.facts);
     assert_matches!(forbidden, Err(ResidencyError::Forbidden { .. }));
     assert_matches!(remote.recheck(&in_riga, valid), Err(ResidencyError::Forbidden { .. }));
     assert_matches!(
@@ -259,6 +262,46 @@
     assert_matches!(remote.recheck(&without_team, valid), Err(ResidencyError::UnknownTeam { .. }));
 }
 
+#[test]
+fn lapsed_lease_leaves_a_team_with_listed_regions_its_home_only() {
+    let membership = membership(vec![upstream("u0")]);
+    let listed = Residency::Regions(vec![id("kurzeme"), id("riga")]);
+    let request = CallerRequest::new(facts());
+    let cases = [
+        (listed.clone(), "riga", true),
+        (listed, "kurzeme", false),
+        (Residency::Anywhere, "kurzeme", true),
+    ];
+    for (residency, home, is_served) in cases {
+        let team = Team { residency, ..team("crew", home) };
+        let configuration = configuration(team, Residency::Anywhere);
+        let view = view(&membership, &configuration);
+        let lapsed = View { lease: ConfigurationLease::Lapsed, ..view };
+        let Ok(Choice::Serve(route)) = Router::new(NOW, 1).decide(NOW, view, &request) else {
+            panic!("expected a route to an upstream");
+        };
+
+        let decided = Router::new(NOW, 1).decide(NOW, lapsed, &request);
+        let authorized = route.clone().authorize(&configuration, lapsed.lease, &request.facts);
+        let earlier = route.authorize(&configuration, view.lease, &request.facts).unwrap();
+        let rechecked = earlier.recheck(&configuration, lapsed.lease, &request.facts);
+
+        let permit =
+            Permit::check(&configuration, view.lease, &request.facts, &id("kurzeme"), &id("riga"));
+        let header = request.header(&permit.unwrap());
+        let forwarded = ForwardedRequest::receive(header, &configuration, &id("riga")).unwrap();
+        let received = Router::new(NOW, 1).decide_forwarded(NOW, lapsed, &forwarded);
+
+        assert!(received.is_ok(), "{home}: {received:?}");
+        assert_eq!(decided.is_ok(), is_served, "{home}: {decided:?}");
+        assert_eq!((authorized.is_ok(), rechecked.is_ok()), (is_served, is_served), "{home}");
+        if let Err(refusal) = decided {
+            assert_eq!(refusal.reason(), Reason::Unconfirmed);
+            assert!(refusal.retry_after().is_some());
+        }
+    }
+}
+
 #[test]
 fn forwarded_request_survives_its_encoding() {
     let configuration = configuration(open_team(), Residency::Anywhere);
@@ -344,7 +387,8 @@
         };
         let is_slow = route.upstream == id("u0");
         hits += usize::from(is_slow);
-        let authorized = route.authorize(&configuration, &request.facts).unwrap();
+        let authorized =
+            route.authorize(&configuration, ConfigurationLease::Valid, &request.facts).unwrap();
         router.record_sent(now, &authorized, &request.facts);
         let latency = if is_slow { slow } else { Duration::from_millis(130) };
         now = now + latency;
@@ -383,7 +427,8 @@
     };
     let first = route(NOW, &mut router);
     let failed = first.upstream.clone();
-    let authorized = first.authorize(&configuration, &request.facts).unwrap();
+    let authorized =
+        first.authorize(&configuration, ConfigurationLease::Valid, &request.facts).unwrap();
     router.record_sent(NOW, &authorized, &request.facts);
     router.handle(NOW, Event::Failed(authorized.route().attempt_id));
 
@@ -407,7 +452,8 @@
             panic!("expected a route to one of two upstreams, got {choice:?}");
         };
         hits += usize::from(route.upstream == id("u1"));
-        let authorized = route.authorize(&configuration, &request.facts).unwrap();
+        let authorized =
+            route.authorize(&configuration, ConfigurationLease::Valid, &request.facts).unwrap();
         router.record_sent(now, &authorized, &request.facts);
         tickets.push(authorized.route().attempt_id);
     }
--- a/crates/medlarlug-core/tests/testsuite/routing_attempts.rs
+++ b/crates/medlarlug-core/tests/testsuite/routing_attempts.rs
@@ -10,7 +10,7 @@
     ids::Revision,
     membership::{Event as MembershipEvent, Membership},
     release::{Configuration, Item, item::Residency},
-    routing::{AttemptId, CallerRequest, Choice, Event, Prefix, Router},
+    routing::{AttemptId, CallerRequest, Choice, ConfigurationLease, Event, Prefix, Router},
     time::Time,
     units::Tokens,
 };
@@ -34,7 +34,8 @@
     let Ok(Choice::Serve(route)) = choice else {
         panic!("expected a route to the idle upstream, got {choice:?}");
     };
-    let authorized = route.authorize(&configuration, &request.facts).unwrap();
+    let authorized =
+        route.authorize(&configuration, ConfigurationLease::Valid, &request.facts).unwrap();
     router.record_sent(now, &authorized, &request.facts);
     authorized.route().attempt_id
 }
@@ -95,7 +96,8 @@
         let Ok(Choice::Serve(route)) = choice else {
             panic!("expected a route to one of two upstreams, got {choice:?}");
         };
-        let authorized = route.authorize(&configuration, &request.facts).unwrap();
+        let authorized =
+            route.authorize(&configuration, ConfigurationLease::Valid, &request.facts).unwrap();
         router.record_sent(now, &authorized, &request.facts);
         if authorized.route().upstream == id("u0") {
             slow.push(authorized.route().attempt_id);
--- a/crates/medlarlug-core/tests/testsuite/routing_slow.rs
+++ b/crates/medlarlug-core/tests/testsuite/routing_slow.rs
@@ -6,7 +6,7 @@
     announcement::Announcement,
     membership::Event as MembershipEvent,
     release::item::Residency,
-    routing::{AttemptId, CallerRequest, Choice, Event, Router},
+    routing::{AttemptId, CallerRequest, Choice, ConfigurationLease, Event, Router},
     time::Time,
 };
 use proptest::{
@@ -49,7 +49,8 @@
         };
         let is_slow = route.upstream == id(slow);
         let latency = if is_slow { USUAL_LATENCY * factor } else { USUAL_LATENCY };
-        let authorized = route.authorize(&configuration, &request.facts).unwrap();
+        let authorized =
+            route.authorize(&configuration, ConfigurationLease::Valid, &request.facts).unwrap();
         router.record_sent(now, &authorized, &request.facts);
         pending.push((now + latency, authorized.route().attempt_id));
         sent.push((now, is_slow));
--- a/crates/test-support/src/deployment/requests.rs
+++ b/crates/test-support/src/deployment/requests.rs
@@ -74,8 +74,15 @@
 
     /// Requests a completion that is not streamed, as the team `survey`.
     pub fn complete(&self, id: &str, model: &str, prompt: &str) -> Reply {
+        self.complete_as(CALLER_KEY, id, model, prompt)
+    }
+
+    /// Requests a completion that is not streamed, as the team that owns the bearer key `caller`.
+    pub fn complete_as(&self, caller: &str, id: &str, model: &str, prompt: &str) -> Reply {
         let body = serde_json::json!({ "model": model, "prompt": prompt, "max_tokens": 4 });
-        self.caller_request(id, "POST", "/v1/completions", &[], &body.to_string())
+        let bearer = bearer(caller);
+        let headers = [("authorization", bearer.as_str())];
+        call("POST", self.get(id).callers, "/v1/completions", &headers, &body.to_string())
     }
 
     /// Sends a booking with an idempotency key as the team `survey`.
--- a/src/coordination/entry/exchange.rs
+++ b/src/coordination/entry/exchange.rs
@@ -110,7 +110,7 @@
     entry.router.borrow_mut().record_sent(entry.node.now(), &authorized, facts);
     entry.track_sent(&facts.id, call, &route.upstream);
     entry.record_stage(&facts.id, Stage::Sent { upstream: route.upstream });
-    let may_send = || may_send(entry, &facts.id, |it| authorized.recheck(it, facts));
+    let may_send = || may_send(entry, &facts.id, |it| authorized.recheck(it, entry.lease(), facts));
     let endpoint = AttemptEndpoint {
         destination,
         address: route.address,
--- a/src/coordination/entry/inference/choice.rs
+++ b/src/coordination/entry/inference/choice.rs
@@ -138,11 +138,15 @@
     let facts = job.facts();
     let not_permitted = |error: routing::ResidencyError| {
         tracing::warn!(request = %facts.id, %error, "residency");
-        AttemptError::Refused(entry.refusal(Reason::NotPermitted, Duration::ZERO))
+        routing_refused(entry, &error.into())
     };
     let result = match (choice, &job.origin) {
-        (Choice::Serve(route), _) => {
-            let authorized = route.authorize(&configuration, facts).map_err(not_permitted)?;
+        (Choice::Serve(route), origin) => {
+            let authorized = match origin {
+                JobOrigin::Caller(_) => route.authorize(&configuration, entry.lease(), facts),
+                JobOrigin::Zone(forwarded) => route.authorize_forwarded(&configuration, forwarded),
+            };
+            let authorized = authorized.map_err(not_permitted)?;
             exchange::send_to_upstream(entry, authorized, facts, &job.call).await
         }
         (Choice::Forward(route), JobOrigin::Caller(origin)) => {
--- a/src/coordination/entry/relay.rs
+++ b/src/coordination/entry/relay.rs
@@ -15,7 +15,7 @@
     ids::RequestId,
     record::{Outcome, Stage},
     refusal::{Reason, Refusal},
-    routing::{AttemptId, AuthorizedRoute, RequestFacts, router},
+    routing::{AttemptId, AuthorizedRoute, ConfigurationLease, RequestFacts, router},
     stream::{Chunk, ConnectionNumber, Effect, Event, StreamPolicy, StreamTracker},
 };
 use tokio::{sync::mpsc, task, time::sleep};
@@ -373,7 +373,9 @@
     /// ignored: nothing of the request leaves the region.
     fn may_resume(&self) -> bool {
         self.authorized.as_ref().is_some_and(|authorized| {
-            exchange::may_send(&self.entry, &self.id, |it| authorized.recheck(it, &self.facts))
+            exchange::may_send(&self.entry, &self.id, |it| {
+                authorized.recheck(it, ConfigurationLease::Valid, &self.facts)
+            })
         })
     }
 
--- a/tests/testsuite/processes/partition.rs
+++ b/tests/testsuite/processes/partition.rs
@@ -3,13 +3,13 @@
 use medlarlug_core::{
     fingerprint::Fingerprint,
     release::{
-        Item,
+        Item, RawNote,
         item::{Residency, Team},
     },
 };
 use test_support::{
     deployment::{CALLER_KEY, Deployment, wait_for},
-    id, idempotent_service, team,
+    id, idempotent_service, note, survey_team, team,
 };
 
 use crate::processes::fixture::{
@@ -142,6 +142,40 @@
     assert_eq!((deployment.run_count("parcel-1"), deployment.run_count("parcel-2")), (1, 1));
 }
 
+/// Its own region is no home of the team, and the note that takes it away comes in force without it.
+#[test]
+fn isolated_instance_does_not_serve_a_team_that_has_lost_the_region_since() {
+    let (nets_key, isolated) = ("caller-key-of-nets", "entry-2");
+    let nets = Team {
+        keys: vec![Fingerprint::of(nets_key.as_bytes())],
+        residency: Residency::Home,
+        ..survey_team("kurzeme")
+    };
+    let nets = Team { id: id("nets"), ..nets };
+    let deployment = two_regions().engine("engine-1", "liepaja-a", "medlar").with_relays().start();
+    let in_both = items(Residency::Regions(vec![id("kurzeme"), id("riga")]));
+    deployment.configure(in_both.into_iter().chain([Item::Team(nets)]).collect());
+    deployment.wait_upstreams(isolated, 1);
+    let before = deployment.complete(isolated, "medlar", "shift");
+
+    deployment.network().partition(|it| it == isolated, true);
+    let base = revision(&deployment, "entry-1");
+    let at_home = Team { residency: Residency::Home, ..survey_team("riga") };
+    let stricter = RawNote { changed: vec![Item::Team(at_home)], ..note(base, Vec::new()) };
+    let accepted = deployment.apply("entry-1", &stricter).json["revision"].clone();
+    wait_for("the note to be in force everywhere", || {
+        let path = format!("/release/confirmations?revision={accepted}");
+        deployment.operator_get("keeper-1", &path).json["everywhere"] == true
+    });
+    let after = deployment.complete(isolated, "medlar", "shift");
+    let at_its_home = deployment.complete_as(nets_key, isolated, "medlar", "shift");
+
+    assert_eq!(before.status, 200, "{}", before.text);
+    assert_eq!(after.status, 503, "{}", after.text);
+    assert_eq!(after.json["outcome"], "not_run", "{}", after.text);
+    assert_eq!(at_its_home.status, 200, "{}", at_its_home.text);
+}
+
 #[test]
 fn revision_never_reverts_over_restarts_beside_a_lagging_keeper() {
     let mut deployment = with_service(two_regions().with_disk("entry-2"));
