Keepers can listen for links at another address than they announce

Instances connect to the keepers at the internal addresses that the keepers announce, so a relay between them needs that address for itself.

`Relay::start_at` binds a relay to a given address.

--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -158,7 +158,8 @@
             facts.apply(clock.now(), &fact);
         }
         let (writer, mut sync_reports) = Writer::start(journal)?;
-        let listener = http_server::listen("peers", settings.info.internal).await?;
+        let address = settings.listener.unwrap_or(settings.info.internal);
+        let listener = http_server::listen("peers", address).await?;
         let keeper = Rc::new(Keeper {
             settings: RefCell::new(settings),
             clock,
--- a/crates/medlarlug-gateway/src/settings.rs
+++ b/crates/medlarlug-gateway/src/settings.rs
@@ -50,6 +50,9 @@
 pub struct NodeSettings {
     /// Id, role, zone, region and addresses of this process.
     pub info: InstanceInfo,
+    /// Address at which a keeper listens for links, if a relay or a port mapping passes on what arrives at
+    /// the internal address in `info`, which other processes connect to.
+    pub listener: Option<SocketAddr>,
     /// Region of each zone, sorted by zone.
     pub zones: Vec<(ZoneId, RegionId)>,
     /// Internal addresses of some keepers, from which the others are discovered.
--- a/crates/test-support/src/relay.rs
+++ b/crates/test-support/src/relay.rs
@@ -6,7 +6,7 @@
 //! closes every connection at once. A relay may also be [cut](Relay::cut) for some processes only.
 
 use std::{
-    io::{Read, Write},
+    io::{self, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Condvar, Mutex, MutexGuard,
@@ -85,7 +85,19 @@
 impl Relay {
     /// Starts a relay to `target` on a free loopback address.
     pub fn start(target: SocketAddr) -> Relay {
-        let listener = listen();
+        Relay::start_with(listen(), target)
+    }
+
+    /// Starts a relay to `target` on `address`.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound.
+    pub fn start_at(address: SocketAddr, target: SocketAddr) -> io::Result<Relay> {
+        Ok(Relay::start_with(TcpListener::bind(address)?, target))
+    }
+
+    fn start_with(listener: TcpListener, target: SocketAddr) -> Relay {
         let address = listener.local_addr().expect("the address of a listener");
         let shared = Arc::new(Shared::default());
         let accepting = shared.clone();
