--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -551,7 +551,8 @@
     }
 }
 
-/// Builds the request for the hop, which is in the region of the permit; `None` if a header or the target can't be represented.
+/// Builds the request for the hop, which is in the region of the permit; `None` if a header or the
+/// target can't be represented.
 fn build_request(
     entry: &Entry,
     context: &AttemptContext,
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -163,7 +163,8 @@
         }
         let (writer, mut sync_reports) = Writer::start(journal)?;
         let lease = RefCell::new(TableLease::new(settings.table_bound));
-        let listener = http_server::listen("peers", settings.info.internal).await?;
+        let address = settings.listener.unwrap_or(settings.info.internal);
+        let listener = http_server::listen("peers", address).await?;
         let keeper = Rc::new(Keeper {
             settings: RefCell::new(settings),
             clock,
--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -45,7 +45,7 @@
 
 /// Most fields at the end of a message that an earlier build may have left out. Each decodes as empty
 /// from one byte of zero.
-const MISSING_FIELDS: usize = 1;
+const MISSING_FIELDS: usize = 2;
 const MAX_FRAME_BYTES: u32 = 16 << 20;
 /// Capacity of the send queue of a link, in messages.
 const QUEUE_MESSAGES: usize = 1_024;
