A keeper without a recent confirmation of its table leads callers to their region only

A keeper that is cut off from the majority answered the directory by its table, however old: callers of a host that a newer table gives home regions were led to any region. Now the routes of every host count as not known there once the table was not confirmed for the time within which a configuration has to be in effect, so only instances of the caller's region are named.

The new test failed before: a keeper without a majority led a caller of kochi to kollam when the instance in kochi was gone. Now it does so once the majority answers again.

--- a/crates/medlarlug-gateway/src/keeper/requests.rs
+++ b/crates/medlarlug-gateway/src/keeper/requests.rs
@@ -227,7 +227,8 @@
         if now - self.started < WARM_UP_TIME {
             return Vec::new();
         }
-        let table = self.table.borrow().clone();
+        let is_confirmed = self.lease.borrow().holds(now, self.table_version());
+        let table = self.table.borrow().clone().filter(|_| is_confirmed);
         let homes = table.map(|table| host.map(|host| table.homes_of(host)).unwrap_or_default());
         let query = DirectoryQuery { zone, region, homes: homes.as_ref() };
         let contacts = self.contacts.borrow();
