Directory: callers of a host that the keeper's table lacks stay in their region

Callers saw: a host that a newer table adds was answered with instances of any region by a keeper whose table was older, whatever homes the new routes have.

Cause: a host without routes counted as one without homes, as did a question that names no host.

Change: `homes_of` is `None` for such a host, and the directory names instances of the caller's own region only, as before the first table. The log line has `is_known` beside `has_table`, and remembers the scope of unknown hosts apart from that of hosts without homes.

`host_without_routes_has_no_homes` asserted the fault; in its place `homes_of_a_host_without_routes_are_not_known` tells the two cases apart.

--- a/crates/medlarlug-core/src/gateway/contacts.rs
+++ b/crates/medlarlug-core/src/gateway/contacts.rs
@@ -277,7 +277,7 @@
     pub zone: Option<&'a ZoneId>,
     /// The region of the caller.
     pub region: Option<&'a RegionId>,
-    /// The home regions of the host; `None` if its routes are not known.
+    /// The home regions of the host; `None` if its routes are not known, so that they may have any.
     pub homes: Option<&'a HostHomes>,
 }
 
--- a/crates/medlarlug-core/src/gateway/table.rs
+++ b/crates/medlarlug-core/src/gateway/table.rs
@@ -404,11 +404,17 @@
         None
     }
 
-    /// The home regions of a host.
-    pub fn homes_of(&self, host: &str) -> HostHomes {
+    /// The home regions of a host; `None` if the table has no route of it.
+    ///
+    /// ```
+    /// use medlarlug_core::gateway::table::RouteTable;
+    ///
+    /// assert!(RouteTable::default().homes_of("kochi.example").is_none());
+    /// ```
+    pub fn homes_of(&self, host: &str) -> Option<&HostHomes> {
         let host = host.to_ascii_lowercase();
-        let found = self.homes.binary_search_by(|it| it.0.as_str().cmp(&host));
-        found.map(|at| self.homes[at].1.clone()).unwrap_or_default()
+        let at = self.homes.binary_search_by(|it| it.0.as_str().cmp(&host)).ok()?;
+        Some(&self.homes[at].1)
     }
 }
 
--- a/crates/medlarlug-core/tests/testsuite/gateway/contacts.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/contacts.rs
@@ -44,8 +44,7 @@
     let table = table(1, routes.collect()).unwrap();
     let zone = format!("{near}-a").parse().unwrap();
     let homes = table.homes_of("kochi.example");
-    let query =
-        DirectoryQuery { zone: Some(&zone), region: Some(&region(near)), homes: Some(&homes) };
+    let query = DirectoryQuery { zone: Some(&zone), region: Some(&region(near)), homes };
     entry_addresses(contacts, now, query)
 }
 
--- a/crates/medlarlug-core/tests/testsuite/gateway/table.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/table.rs
@@ -84,14 +84,19 @@
     let common = [with_homes("/a/", &["kochi", "kollam"]), with_homes("/b/", &["kollam"])];
     let apart = [with_homes("/a/", &["kochi"]), with_homes("/b/", &["kollam"]), route("/c/")];
 
-    let common = table(1, common.to_vec()).unwrap().homes_of("kochi.example");
-    let apart = table(1, apart.to_vec()).unwrap().homes_of("kochi.example");
+    let common = table(1, common.to_vec()).unwrap();
+    let apart = table(1, apart.to_vec()).unwrap();
 
-    assert_eq!(common, HostHomes { ranks: vec![homes(&["kollam"])] });
-    assert_eq!(apart, HostHomes { ranks: vec![homes(&["kochi", "kollam"])] });
+    let expected = |names| HostHomes { ranks: vec![homes(names)] };
+    assert_eq!(common.homes_of("kochi.example"), Some(&expected(&["kollam"])));
+    assert_eq!(apart.homes_of("Kochi.Example"), Some(&expected(&["kochi", "kollam"])));
 }
 
+/// A keeper with an older table took a host that a newer one adds for one without homes.
 #[test]
-fn host_without_routes_has_no_homes() {
-    assert_eq!(table(1, vec![]).unwrap().homes_of("kochi.example"), HostHomes::default());
+fn homes_of_a_host_without_routes_are_not_known() {
+    let table = table(1, vec![route("/a/")]).unwrap();
+
+    assert_eq!(table.homes_of("kollam.example"), None);
+    assert_eq!(table.homes_of("kochi.example"), Some(&HostHomes::default()));
 }
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -90,14 +90,15 @@
 /// The scope of an answer of the directory.
 struct LoggedScope {
     region: RegionId,
-    homes: HostHomes,
+    /// `None` for all hosts that the table doesn't contain.
+    homes: Option<HostHomes>,
     scope: Scope,
 }
 
 impl LoggedScope {
     /// What the list of scopes is sorted by.
-    fn key(&self) -> (&RegionId, &HostHomes) {
-        (&self.region, &self.homes)
+    fn key(&self) -> (&RegionId, Option<&HostHomes>) {
+        (&self.region, self.homes.as_ref())
     }
 }
 
--- a/crates/medlarlug-gateway/src/keeper/requests.rs
+++ b/crates/medlarlug-gateway/src/keeper/requests.rs
@@ -180,8 +180,8 @@
             return Vec::new();
         }
         let table = self.table.borrow().clone();
-        let homes = table.map(|table| host.map(|host| table.homes_of(host)).unwrap_or_default());
-        let query = DirectoryQuery { zone, region, homes: homes.as_ref() };
+        let homes = table.as_ref().and_then(|table| table.homes_of(host?));
+        let query = DirectoryQuery { zone, region, homes };
         let listing = entry_addresses(&self.contacts.borrow(), now, query);
         metrics::counter!(names::DIRECTORY_ANSWERS, "scope" => listing.scope.name()).increment(1);
         self.log_scope(&query, &listing);
@@ -196,8 +196,7 @@
         };
         // Callers may send any name.
         let Some(region) = query.region.filter(is_of_deployment) else { return };
-        let unknown = HostHomes::default();
-        let homes = query.homes.unwrap_or(&unknown);
+        let homes = query.homes;
         let Some(before) = self.replace_scope(region, homes, listing.scope) else { return };
         let is_near = |scope: Scope| matches!(scope, Scope::Zone | Scope::Region);
         if before == listing.scope || (is_near(before) && is_near(listing.scope)) {
@@ -206,15 +205,17 @@
         let ready = self.contacts.borrow().ready_by_region(now);
         let ready = ready.iter().map(|it| format!("{}:{}@{}ms", it.0, it.1, it.2.as_millis()));
         let stalled = self.stall.borrow().last_resumed(now);
+        let names = homes.into_iter().flat_map(HostHomes::regions).map(RegionId::as_str);
         tracing::info!(
             %region,
-            homes = %homes.regions().map(RegionId::as_str).collect::<Vec<_>>().join(","),
+            homes = %names.collect::<Vec<_>>().join(","),
             scope = listing.scope.name(),
             before = before.name(),
             addresses = listing.addresses.len(),
             ready = %ready.collect::<Vec<_>>().join(","),
             table = self.head.borrow().version.0,
-            has_table = query.homes.is_some(),
+            has_table = self.table.borrow().is_some(),
+            is_known = homes.is_some(),
             up_ms = (now - self.started).as_millis() as u64,
             since_stall_ms = stalled.map(|it| (now - it).as_millis() as u64),
             "scope of the directory changed"
@@ -222,14 +223,19 @@
     }
 
     /// Remembers the scope of an answer, and returns the one before; `None` if too many are remembered.
-    fn replace_scope(&self, region: &RegionId, homes: &HostHomes, scope: Scope) -> Option<Scope> {
+    fn replace_scope(
+        &self,
+        region: &RegionId,
+        homes: Option<&HostHomes>,
+        scope: Scope,
+    ) -> Option<Scope> {
         let mut scopes = self.scopes.borrow_mut();
         let key = (region, homes);
         match scopes.binary_search_by(|it| it.key().cmp(&key)) {
             Ok(at) => Some(std::mem::replace(&mut scopes[at].scope, scope)),
             Err(_) if scopes.len() >= MAX_LOGGED_SCOPES => None,
             Err(at) => {
-                let (region, homes) = (region.clone(), homes.clone());
+                let (region, homes) = (region.clone(), homes.cloned());
                 scopes.insert(at, LoggedScope { region, homes, scope });
                 Some(Scope::Region)
             }
