Links: what follows the fields of an update is ignored

An earlier build sends its list of heard regions behind the fields of this one. The example of `decode` shows that such a frame reads as the same message; it passes with the field gone, and the reverse (an earlier build reads a frame without it) is the case that the example had before.

Measured: doc test of `link::decode` passes.

--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -388,7 +388,8 @@
 }
 
 /// Decodes the message in a frame. In a frame of an earlier build, lists or options that were added at
-/// the end of the message are missing; the appended zeros stand for empty ones.
+/// the end of the message are missing; the appended zeros stand for empty ones. What follows the message
+/// is ignored.
 ///
 /// # Errors
 ///
@@ -399,6 +400,8 @@
 ///
 /// let message = Message::Update(Update::default());
 /// let mut content = encode(&message)?.to_vec().split_off(4);
+/// let with_regions = [&content[..], &[1, 1, 5], b"kochi"].concat();
+/// assert_eq!(decode(with_regions)?, message);
 /// assert_eq!(content.pop(), Some(0));
 /// assert_eq!(decode(content)?, message);
 /// # Ok::<(), postcard::Error>(())
