--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -398,7 +398,7 @@
 
 /// Decodes the message in a frame. In a frame of an earlier build, fields that were added at the end of the
 /// message are missing; the appended zeros stand for empty lists and options, the number 0 and the
-/// first variant of an enumeration.
+/// first variant of an enumeration. What follows the message is ignored.
 ///
 /// # Errors
 ///
@@ -409,6 +409,8 @@
 ///
 /// let message = Message::Update(Update::default());
 /// let mut content = encode(&message)?.to_vec().split_off(4);
+/// let with_regions = [&content[..], &[1, 1, 5], b"kochi"].concat();
+/// assert_eq!(decode(with_regions)?, message);
 /// assert_eq!(content.pop(), Some(0));
 /// assert_eq!(decode(content)?, message);
 /// # Ok::<(), postcard::Error>(())
