The product's directory lists a home that it doesn't hear before other regions

What callers saw: an instance in a region where the team may not be served, or one that was about to stop, listed forbidden regions only while it heard no instance of a permitted one: in its first moments, behind a partition between the two regions, or while the home's instances had all been silent for a moment. The caller may well reach the home.

Change: if no heard instance is in a permitted region, the directory puts those of permitted regions first that it knows and that have not said that they leave. They count as just started, so they replace no other one. No call is lost by it: a forbidden region can't forward to instances that it doesn't hear. While the home is really gone, a caller tries its addresses before it gets the refusal.

Test: directory::caller_of_an_instance_that_hears_nothing_of_the_home_is_ listed_the_home_all_the_same failed before ([own], expected [home, own]); it passes, with the 25 others of directory and membership, and the 12 of processes::shutdown, isolation and path (one run, two at a time, beside other work). Not shown with real processes.

--- a/crates/medlarlug-core/src/directory.rs
+++ b/crates/medlarlug-core/src/directory.rs
@@ -6,7 +6,9 @@
 //! in order, and reaches them only if no other instance accepts it. If requests of the team may not be
 //! served in the region of the requested instance, its zone and region come between the last two: the
 //! caller may be there only because no instance of a permitted region answered it before. Instances
-//! that shut down are never listed. Those that have just started are listed only if no other instance
+//! that shut down are never listed. If none of a permitted region is heard, those that may only be
+//! silent are listed first: a forbidden region that hears none of them can't forward to them either.
+//! Those that have just started are listed only if no other instance
 //! is ready, not counting ready ones in regions that are less permitted.
 //!
 //! The requested instance lists itself first while its load is at most the mean load of the nearest
@@ -82,7 +84,12 @@
     team: &Team,
     random: &mut impl Rng,
 ) -> Directory {
-    order(membership.own(), membership.entries(now), team, random)
+    let is_permitted = |it: &EntryView| team.residency.permits(&team.home, &it.region);
+    let mut entries = membership.entries(now);
+    if !entries.iter().any(is_permitted) {
+        entries.extend(membership.silent_entries(now).into_iter().filter(is_permitted));
+    }
+    order(membership.own(), entries, team, random)
 }
 
 /// Orders `entries` for a caller of `team` that requests the directory from the instance `own`.
--- a/crates/medlarlug-core/src/membership/query.rs
+++ b/crates/medlarlug-core/src/membership/query.rs
@@ -2,7 +2,9 @@
 
 use crate::{
     ids::{InstanceId, RegionId, Revision, UpstreamId, ZoneId},
-    membership::{DeadPeer, Peer, Seed, Status, Upstream, ZoneView, core::Membership},
+    membership::{
+        DeadPeer, InstanceKind, Peer, Seed, Status, Upstream, ZoneView, core::Membership,
+    },
     time::Time,
 };
 
@@ -115,18 +117,44 @@
         let accepting = watched.iter().filter(|it| it.accepts_callers());
         entries.extend(accepting.map(|it| entry_view(&it.seed, it.status)));
         for zone in self.zones.all().iter().filter(|it| it.has_fresh_summary(now)) {
-            let unwatched = zone.entries.iter().filter(|it| self.peer(&it.id).is_none());
-            entries.extend(unwatched.map(|it| EntryView {
-                id: it.id.clone(),
-                zone: zone.zone.clone(),
-                region: zone.region.clone(),
-                load: it.load,
-                settling: false,
-            }));
+            entries.extend(self.unwatched_entries(zone, false));
         }
         entries.sort_by(|a, b| a.id.cmp(&b.id));
         entries
     }
+
+    /// The entry instances of all zones that this instance doesn't hear now and that have not said that
+    /// they leave, sorted by id. They may be gone, or only cut off from this instance, so they are
+    /// shown as settling.
+    pub fn silent_entries(&self, now: Time) -> Vec<EntryView> {
+        let watched = self.peers.all().iter();
+        let silent = watched.filter(|it| {
+            !it.is_live() && !it.status.leaving && it.seed.kind == InstanceKind::Entry
+        });
+        let silent = silent
+            .map(|it| EntryView { settling: true, ..entry_view(&it.seed, Status::default()) });
+        let mut entries: Vec<EntryView> = silent.collect();
+        for zone in self.zones.all().iter().filter(|it| !it.has_fresh_summary(now)) {
+            entries.extend(self.unwatched_entries(zone, true));
+        }
+        entries.sort_by(|a, b| a.id.cmp(&b.id));
+        entries
+    }
+
+    fn unwatched_entries(
+        &self,
+        zone: &ZoneView,
+        settling: bool,
+    ) -> impl Iterator<Item = EntryView> {
+        let unwatched = zone.entries.iter().filter(|it| self.peer(&it.id).is_none());
+        unwatched.map(move |it| EntryView {
+            id: it.id.clone(),
+            zone: zone.zone.clone(),
+            region: zone.region.clone(),
+            load: it.load,
+            settling,
+        })
+    }
 }
 
 fn entry_view(seed: &Seed, status: Status) -> EntryView {
--- a/crates/medlarlug-core/tests/testsuite/directory.rs
+++ b/crates/medlarlug-core/tests/testsuite/directory.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use medlarlug_core::{
-    directory::{LIFETIME, order},
-    membership::EntryView,
+    directory::{LIFETIME, for_caller, order},
+    ids::Incarnation,
+    membership::{EntryView, Membership, Settings},
     release::item::{Residency, Team},
+    time::Time,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -82,6 +84,21 @@
     }
 }
 
+#[test]
+fn caller_of_an_instance_that_hears_nothing_of_the_home_is_listed_the_home_all_the_same() {
+    let own = entry("own", "tartu-a", "tartu");
+    let peers = vec![entry("forbidden", "kochi-a", "kochi"), entry("home", "riga-a", "riga")];
+    let settings = Settings { own, incarnation: Incarnation(1), peers };
+    let membership = Membership::new(Time::ZERO, settings);
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+
+    let [at_home, anywhere] = [Residency::Home, Residency::Anywhere]
+        .map(|it| for_caller(Time::ZERO, &membership, &survey(it), &mut random).entries);
+
+    assert_eq!(at_home, [id("home"), id("own")]);
+    assert_eq!(anywhere, [id("own")]);
+}
+
 #[test]
 fn instance_that_has_just_started_is_listed_only_when_no_other_is_ready() {
     let settling = |name, zone| EntryView { settling: true, ..view(name, zone, "riga", 0) };
