A keeper waits 3 s for the newest version of the table

It gave up after the time of an operator's request (0.95 s) and dropped a later answer, which counts from the request and is of use. A leader that answers later than that would have left all tables unconfirmed.

--- a/crates/medlarlug-gateway/src/keeper/requests.rs
+++ b/crates/medlarlug-gateway/src/keeper/requests.rs
@@ -43,6 +43,9 @@
 const CONFIRM_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time after start in which too few entry instances are connected to list them to callers.
 const WARM_UP_TIME: Duration = Duration::from_millis(1_500);
+/// Time for which a keeper waits for the leader's answer about the newest version of the table. The answer
+/// counts from the request, so a late one is of use as well.
+const VERSION_READ_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Most combinations of a region and homes for which the scope of the directory is logged.
 const MAX_LOGGED_SCOPES: usize = 64;
@@ -180,7 +183,7 @@
 
     async fn read_version(&self) -> Option<TableVersion> {
         let request = LeaderRequest { request: GroupRequest::Revision, known_round: None };
-        match timeout(REQUEST_TIMEOUT, self.attempt(request)).await.ok()?? {
+        match timeout(VERSION_READ_TIMEOUT, self.attempt(request)).await.ok()?? {
             GroupReply::Revision(revision) => Some(TableVersion(revision.0)),
             // The leader is an earlier build.
             GroupReply::UnsupportedRequest => Some(self.read_publication().await.ok()?.version()),
