A keeper of an earlier build does not replace a confirmation that is missing

An instance that has been confirmed before, and is left with keepers of earlier builds, relied on any table again.

--- a/crates/medlarlug-core/src/gateway/table_lease.rs
+++ b/crates/medlarlug-core/src/gateway/table_lease.rs
@@ -8,6 +8,9 @@
 //! version and every newer one: whatever replaces one of these was committed after the read. So a table
 //! that has been replaced is out of use one bound after its replacement was committed, and a process
 //! that still waits for the newest table may use its own until then.
+//!
+//! A call without home regions needs no confirmation, so a route that has just got its first ones is served
+//! as before by a process that has not received them.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -75,6 +78,8 @@
     confirmations: Vec<Confirmation>,
     /// Whether the last report of each keeper said anything, sorted by address.
     reporters: Vec<(SocketAddr, bool)>,
+    /// Whether any keeper has reported a confirmation.
+    was_confirmed: bool,
     /// Whether the lease held when it was last reviewed.
     was_held: bool,
 }
@@ -83,7 +88,7 @@
     /// A lease without a confirmation. One that is as old as `bound` counts no longer.
     pub fn new(bound: Duration) -> TableLease {
         let (confirmations, reporters) = (Vec::new(), Vec::new());
-        TableLease { bound, confirmations, reporters, was_held: false }
+        TableLease { bound, confirmations, reporters, was_confirmed: false, was_held: false }
     }
 
     /// Changes the time for which a confirmation counts.
@@ -115,6 +120,7 @@
             }
         };
         if let TableReport::Confirmed { version, age_ms } = report {
+            self.was_confirmed = true;
             self.record(sent.saturating_sub(Duration::from_millis(age_ms.into())), version);
         }
         !is_supported && before != Some(false)
@@ -132,11 +138,12 @@
         Some(now - self.confirmations[..supporting].last()?.at)
     }
 
-    /// Whether the home regions of the table `version` may be relied on. While all keepers that have
-    /// answered are earlier builds, any table may be.
+    /// Whether the home regions of the table `version` may be relied on. As long as all keepers that have
+    /// ever answered are earlier builds, any table may be.
     pub fn holds(&self, now: Time, version: TableVersion) -> bool {
         let is_unsupported = !self.reporters.is_empty() && self.reporters.iter().all(|it| !it.1);
-        is_unsupported || self.age(now, version).is_some_and(|age| age < self.bound)
+        (is_unsupported && !self.was_confirmed)
+            || self.age(now, version).is_some_and(|age| age < self.bound)
     }
 
     /// Whether the lease holds, if that has changed since the last review.
