--- a/crates/medlarlug-gateway/src/entry/residency.rs
+++ b/crates/medlarlug-gateway/src/entry/residency.rs
@@ -59,8 +59,8 @@
         !plan.route.homes.is_empty() && !self.lease.borrow().holds(self.now(), version)
     }
 
-    /// Whether the home regions of a call's route, if it has any, may be relied on.
-    pub(super) fn has_homes_of(&self, call: &Call) -> bool {
+    /// Whether the call's route has no home regions, or they may be relied on.
+    pub(super) fn may_rely_on_homes(&self, call: &Call) -> bool {
         let table = self.table.borrow();
         let Some(table) = table.as_ref() else { return false };
         let route = table.route(&call.host, call.path());
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -195,8 +195,10 @@
     let (parts, incoming) = request.into_parts();
     let mut call = Call::read(parts, &entry.names);
     let is_forwarded = forwarded.is_some();
-    wait_for_start(entry, &call, began, |entry| entry.is_informed() && entry.has_homes_of(&call))
-        .await;
+    wait_for_start(entry, &call, began, |entry| {
+        entry.is_informed() && entry.may_rely_on_homes(&call)
+    })
+    .await;
     let mut plan = match plan_call(entry, &mut call, forwarded, began) {
         Ok(plan) => plan,
         Err(reported) => return *reported,
--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -88,7 +88,7 @@
     /// Crashes and clearances of contents that crash upstreams.
     pub facts: Vec<Fact>,
     /// Software versions of `upstreams`, in the same order. Earlier builds neither send nor read it,
-    /// so it has to remain at the end. Some send an optional list of regions behind it.
+    /// so it has to remain behind the others. No field may follow: some builds send a list of regions there.
     pub software: Vec<Option<SoftwareVersion>>,
 }
 
