--- a/crates/medlarlug-core/tests/testsuite/gateway/table_lease.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/table_lease.rs
@@ -216,6 +216,19 @@
     }
 }
 
+#[test]
+fn keeper_of_an_earlier_build_does_not_replace_a_confirmation_that_is_over() {
+    let (now, own) = (Time::from_millis(60_000), TableVersion(4));
+    let mut lease = TableLease::new(BOUND);
+    lease.record_report(keeper(2), now, TableReport::Confirmed { version: own, age_ms: 70 });
+
+    lease.record_report(keeper(1), now, TableReport::Unsupported);
+    lease.retain_keepers(&[keeper(1)]);
+
+    assert!(lease.holds(now, own));
+    assert!(!lease.holds(now + BOUND, own));
+}
+
 #[test]
 fn permit_is_bound_by_every_list_of_homes_and_by_the_confirmation() {
     let (kochi, kollam) = (region("kochi"), region("kollam"));
