--- a/crates/medlarlug-core/src/directory.rs
+++ b/crates/medlarlug-core/src/directory.rs
@@ -8,8 +8,8 @@
 //! caller may be there only because no instance of a permitted region answered it before. Instances
 //! that shut down are never listed. If none of a permitted region is heard, those that may only be
 //! silent are listed first: a forbidden region that hears none of them can't forward to them either.
-//! Those that have just started are listed only if no other instance
-//! is ready, not counting ready ones in regions that are less permitted.
+//! Those that have just started are listed only if no other instance is ready, not counting ready ones
+//! in regions that are less permitted.
 //!
 //! The requested instance lists itself first while its load is at most the mean load of the nearest
 //! instances. Above the mean, it redirects the caller with the probability that brings its load down to
