--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -408,6 +408,7 @@
         };
         let context = AttemptContext {
             call,
+            // `Plan::residency` would borrow the attempts as well, which change meanwhile.
             residency: Residency {
                 route: &self.route,
                 version: self.homes_version,
