--- a/crates/medlarlug-gateway/src/entry/residency.rs
+++ b/crates/medlarlug-gateway/src/entry/residency.rs
@@ -59,13 +59,15 @@
         !plan.route.homes.is_empty() && !self.lease.borrow().holds(self.now(), version)
     }
 
-    /// Whether the call's route has no home regions, or they may be relied on.
+    /// Whether neither the call's route nor a team may have home regions, or these may be relied on. The team
+    /// is not known yet.
     pub(super) fn may_rely_on_homes(&self, call: &Call) -> bool {
         let table = self.table.borrow();
         let Some(table) = table.as_ref() else { return false };
         let route = table.route(&call.host, call.path());
-        route.is_none_or(|it| it.homes.is_empty())
-            || self.lease.borrow().holds(self.now(), table.version())
+        let may_have_homes =
+            table.teams().is_some() || route.is_some_and(|it| !it.homes.is_empty());
+        !may_have_homes || self.lease.borrow().holds(self.now(), table.version())
     }
 
     /// Logs and counts a call that is refused because its home regions may be out of date.
