--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod record;
 
+mod case_brittle;
 mod case_parts;
 
 use std::process::ExitCode;
@@ -18,6 +19,7 @@
     let Ok(record) = Record::create(&path) else { return ExitCode::from(2) };
     let result = match case.as_str() {
         "parts" => case_parts::run(&record, has_trouble),
+        "brittle" => case_brittle::run(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
     match result {
