review: case 9, streams joined from two software versions

Cause: the software version of an upstream is the one of its last announcement, also after it went down and came back under its id.

Change: a script case. One of ten engines goes down and up by turns, comes back with newer software, and its heartbeats arrive 3 s late.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,7 @@
 
 mod case_brittle;
 mod case_parts;
+mod case_versions;
 
 use std::process::ExitCode;
 
@@ -19,6 +20,7 @@
     let Ok(record) = Record::create(&path) else { return ExitCode::from(2) };
     let result = match case.as_str() {
         "parts" => case_parts::run(&record, has_trouble),
+        "versions" => case_versions::run(&record, has_trouble),
         "brittle" => case_brittle::run(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
