--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Runs the case on loopback addresses. Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+set -u
+here="$(cd "$(dirname "$0")" && pwd)"
+root="$(cd "$here/../.." && pwd)"
+cd "$root" || exit 2
+[ -x target/release/medlarlug-platform ] && [ -x target/review-2/standin ] || exit 2
+FOLDER="$(mktemp -d)" || exit 2
+trap 'rm -rf "$FOLDER"' EXIT
+export FOLDER PROGRAM="$root/target/release/medlarlug-platform" RECORD="$here/record.txt"
+timeout --kill-after=5 110 target/review-2/standin parts
+code=$?
+[ "$code" -le 1 ] && exit "$code"
+exit 2
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -8,7 +8,7 @@
 FOLDER="$(mktemp -d)" || exit 2
 trap 'rm -rf "$FOLDER"' EXIT
 export FOLDER PROGRAM="$root/target/release/medlarlug-platform" RECORD="$here/record.txt"
-timeout --kill-after=5 110 target/review-2/standin brittle
+timeout --kill-after=5 110 target/review-2/standin cold
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -33,6 +33,8 @@
     /// Time by which heartbeats arrive late.
     delay: Mutex<Duration>,
     keeps_id: bool,
+    /// Until when it says that it is cold.
+    cold_until: Mutex<Option<Instant>>,
 }
 
 /// How an engine announces itself.
@@ -65,6 +67,7 @@
             software: Mutex::new("v1".into()),
             delay: Mutex::default(),
             keeps_id: profile.keeps_id,
+            cold_until: Mutex::default(),
         });
         engine.clone().boot(work);
         engine
@@ -99,6 +102,11 @@
         *self.delay.lock().unwrap() = delay;
     }
 
+    /// Makes the engine say that it is cold for this time.
+    pub fn set_cold(&self, time: Duration) {
+        *self.cold_until.lock().unwrap() = Some(Instant::now() + time);
+    }
+
     /// Ends all connections and refuses new ones. Returns false if the engine is down already.
     pub fn crash(&self) -> bool {
         if !self.is_up.swap(false, Ordering::SeqCst) {
@@ -174,8 +182,14 @@
         let id = self.id();
         let software = self.software();
         for sequence in 1u64.. {
+            let cold = self
+                .cold_until
+                .lock()
+                .unwrap()
+                .map_or(Duration::ZERO, |it| it.saturating_duration_since(Instant::now()));
+            let cold = cold.as_millis();
             let body = format!(
-                r#"{{"service":"{}","address":"{}","zone":"{}","version":"{software}","slots":{},"state":"ready","coldRemainingMs":0,"seq":{sequence},"born":{born}}}"#,
+                r#"{{"service":"{}","address":"{}","zone":"{}","version":"{software}","slots":{},"state":"ready","coldRemainingMs":{cold},"seq":{sequence},"born":{born}}}"#,
                 self.service, self.address, self.zone, self.slots
             );
             let delay = *self.delay.lock().unwrap();
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 mod record;
 
 mod case_brittle;
+mod case_cold;
 mod case_founder;
 mod case_parts;
 mod case_versions;
@@ -22,6 +23,7 @@
     let result = match case.as_str() {
         "parts" => case_parts::run(&record, has_trouble),
         "versions" => case_versions::run(&record, has_trouble),
+        "cold" => case_cold::run(&record, has_trouble),
         "founder" => case_founder::run(&record, has_trouble),
         "brittle" => case_brittle::run(&record, has_trouble),
         _ => Err(format!("no case {case}")),
