--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -3,6 +3,7 @@
 
 use std::{
     fs,
+    io::Write,
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -142,8 +143,11 @@
             .stderr(log)
             .spawn()
             .map_err(|it| it.to_string())?;
+        let pids = self.folder.join("pids");
+        let pids = fs::OpenOptions::new().create(true).append(true).open(pids);
+        let noted = pids.and_then(|mut it| writeln!(it, "{}", child.id()));
         self.running.lock().unwrap().push((host, child));
-        Ok(())
+        noted.map_err(|it| it.to_string())
     }
 
     /// Sends the first configuration until it is accepted, and waits until the entry instances are ready.
