--- a/review/standin-2/case_versions.rs
+++ b/review/standin-2/case_versions.rs
@@ -17,11 +17,15 @@
     record::Record,
 };
 
-const ENGINES: usize = 10;
-const EVENTS: u64 = 30;
+const ENGINES: usize = 15;
+/// Engines that go down and up: a share of 0.133.
+const FLAPPING: usize = 2;
+/// Things that requests are about.
+const THINGS: u64 = 427;
+const EVENTS: u64 = 15;
 const EVENT_GAP: Duration = Duration::from_millis(80);
 const LENGTH: Duration = Duration::from_secs(16);
-const GAP: Duration = Duration::from_millis(18);
+const GAP: Duration = Duration::from_millis(25);
 /// Time by which the heartbeats of the engine that goes down and up arrive late.
 const DELAY: Duration = Duration::from_millis(3_000);
 /// When the engine first goes down, and its period: half of it down, half of it up.
@@ -77,12 +81,14 @@
 }
 
 fn send(deployment: &Deployment, record: &Record, host: u8, id: &str) -> Outcome {
-    let prompt = format!("5c1e07a2:198,{id}:628");
+    // The shared parts are of many things, as those of the site.
+    let number = u64::from_str_radix(id.trim_start_matches('a'), 16).unwrap_or_default();
+    let prompt = format!("{:08x}:198,{id}:628", (number % THINGS + 1) * 0x9e37_79b1 % 0xffff_ffff);
     let headers = [
         ("Host", HOST),
         ("X-Attempt-Id", id),
         ("X-Model", "m"),
-        ("X-Token-Count", "826,150"),
+        ("X-Token-Count", "826,75"),
         ("X-Prompt-Prefix", prompt.as_str()),
         ("X-Deadline-Ms", "15000"),
     ];
@@ -104,7 +110,7 @@
 pub fn run(record: &Record, has_trouble: bool) -> Result<bool, String> {
     // The engines outlive this function until the process ends.
     let record: &'static Record = unsafe { &*std::ptr::from_ref(record) };
-    let entries = [11, 12, 13, 14, 15, 16];
+    let entries = [11, 12, 13, 14, 15, 16, 17, 18];
     let deployment = Arc::new(Deployment::start(&entries)?);
     deployment.configure(&document())?;
     let work = Arc::new(Engines { record });
@@ -128,15 +134,19 @@
         }
         if has_trouble && downs < PERIODS && now >= FIRST_DOWN + PERIOD * downs {
             downs += 1;
-            engines[0].crash();
-            record.write(&format!("engine {} goes down", engines[0].id()));
+            for engine in &engines[..FLAPPING] {
+                engine.crash();
+                record.write(&format!("engine {} goes down", engine.id()));
+            }
         }
         if has_trouble && ups < PERIODS && now >= FIRST_DOWN + PERIOD * ups + PERIOD / 2 {
             ups += 1;
-            engines[0].set_software("v2");
-            engines[0].delay_heartbeats(DELAY);
-            engines[0].clone().boot(work.clone());
-            record.write(&format!("engine {} is up with v2", engines[0].id()));
+            for engine in &engines[..FLAPPING] {
+                engine.set_software("v2");
+                engine.delay_heartbeats(DELAY);
+                engine.clone().boot(work.clone());
+                record.write(&format!("engine {} is up with v2", engine.id()));
+            }
         }
         let (deployment, host) = (deployment.clone(), entries[number as usize % entries.len()]);
         sent.push(thread::spawn(move || {
