Clear parts of prompts by whole answers only

Cause: the first event of an answer cleared the parts of its prompt of all crashes, and for a minute of those that followed, since the upstream has read the prompt by then. A part may crash its upstream as the answer is written, so each crash named only the request as a whole, and no two requests were alike. The same held for the trial of a quarantined part, and for chat streams on the product's own path.

An answer that has begun now only ends the reservation of its upstream. Whole answers clear parts, and so does an answer that outlasts the interrupted ones by two seconds, so that a part which all requests share is not quarantined while long answers run.

Two tests that held the assumption, answer_that_begins_clears_the_parts_and_not_the_request and the end of a trial by its begin, now ask for the whole answer; crash_report_leaves_out_parts_that_are_ known_to_be_sound completes the run that shows it.

--- a/crates/medlarlug-core/src/suspects/isolation.rs
+++ b/crates/medlarlug-core/src/suspects/isolation.rs
@@ -15,11 +15,15 @@
 /// Time for which a run clears its contents of further crashes. Upstreams that crash together,
 /// or one after the other under a content that is retried, crash within it.
 const SOUND_LIFETIME: Duration = Duration::from_secs(60);
+/// Time by which an answer has to outlast the interrupted ones to show that their common parts are
+/// sound. Covers how late a broken connection is noticed.
+const OUTLAST_MARGIN: Duration = Duration::from_secs(2);
+/// Maximum number of parts in doubt; the oldest are dropped first, and only complete answers clear them.
+const MAX_DOUBTS: usize = 4_096;
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct InFlightRequest {
     request: RequestId,
-    /// Its contents, without the parts of its prompt once its answer has begun.
     contents: RequestContents,
     upstream: UpstreamId,
     incarnation: Incarnation,
@@ -27,6 +31,18 @@
     was_suspect: bool,
     /// The quarantined contents that it tests.
     trials: Vec<Fingerprint>,
+    /// When its answer began.
+    began: Option<Time>,
+}
+
+/// A part of a prompt that was in flight at a crash which this instance reported.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Doubt {
+    part: Fingerprint,
+    crash: CrashId,
+    at: Time,
+    /// For how long the interrupted answers to requests with the part had been written, at most.
+    written: Duration,
 }
 
 /// Tracks the requests in flight at one entry instance and decides where suspected contents may run.
@@ -60,6 +76,7 @@
     /// Contents that a run at this instance has shown to be sound and when one last did, sorted by
     /// fingerprint.
     sound: Vec<(Fingerprint, Time)>,
+    doubts: Vec<Doubt>,
     reservations: Vec<(UpstreamId, Time)>,
 }
 
@@ -87,7 +104,8 @@
         };
         let mut suspects =
             contents.iter().filter(|&it| self.status(now, it) != ContentStatus::Clear);
-        if suspects.any(|it| self.in_flight.iter().any(|sent| sent.contents.contains(it))) {
+        let silent = self.in_flight.iter().filter(|it| it.began.is_none());
+        if suspects.any(|it| silent.clone().any(|sent| sent.contents.contains(it))) {
             return Placement::Denied;
         }
         let is_empty = !self.in_flight.iter().any(|it| it.upstream == *upstream);
@@ -120,8 +138,7 @@
         Some(self.in_flight[found].incarnation)
     }
 
-    /// Contents of a request in flight, without the parts of its prompt once its answer has begun; `None`
-    /// if it is not in flight.
+    /// Contents of a request in flight; `None` if it is not in flight.
     pub fn contents_of(&self, request: &RequestId) -> Option<&RequestContents> {
         let found = self.in_flight.binary_search_by(|it| it.request.cmp(request)).ok()?;
         Some(&self.in_flight[found].contents)
@@ -153,6 +170,7 @@
                     incarnation,
                     was_suspect,
                     trials,
+                    began: None,
                 };
                 self.insert(sent, out);
             }
@@ -175,13 +193,18 @@
             Event::ReservationReleased { upstream } => {
                 self.reservations.retain(|it| it.0 != upstream)
             }
-            Event::Tick => self.expire(now),
+            Event::Tick => {
+                self.expire(now);
+                self.clear_outlasted(now, out);
+            }
         }
     }
 
-    /// A request also counts as a suspect if its content became one after it was sent.
+    /// A request also counts as a suspect if its content became one after it was sent. Once its answer
+    /// has begun it may share its upstream, as answers can take long.
     fn is_suspect(&self, now: Time, sent: &InFlightRequest) -> bool {
-        sent.was_suspect || self.request_status(now, &sent.contents) != ContentStatus::Clear
+        let is_suspect = || self.request_status(now, &sent.contents) != ContentStatus::Clear;
+        sent.began.is_none() && (sent.was_suspect || is_suspect())
     }
 
     fn is_reserved(&self, now: Time, upstream: &UpstreamId) -> bool {
@@ -212,7 +235,7 @@
     fn remove(&mut self, request: &RequestId, out: &mut Vec<Effect>) -> Option<InFlightRequest> {
         let found = self.in_flight.binary_search_by(|it| it.request.cmp(request)).ok()?;
         let sent = self.in_flight.remove(found);
-        if sent.was_suspect {
+        if sent.was_suspect && sent.began.is_none() {
             out.push(Effect::ReleaseReservation { upstream: sent.upstream.clone() });
         }
         Some(sent)
@@ -223,10 +246,13 @@
             return;
         };
         let sent = &mut self.in_flight[found];
-        let parts = sent.contents.parts().to_vec();
-        sent.contents = sent.contents.with_parts(|_| false);
-        sent.trials.retain(|it| parts.binary_search(it).is_err());
-        self.clear(now, &parts, out);
+        if sent.began.is_some() {
+            return;
+        }
+        sent.began = Some(now);
+        if sent.was_suspect {
+            out.push(Effect::ReleaseReservation { upstream: sent.upstream.clone() });
+        }
     }
 
     fn complete(&mut self, now: Time, request: &RequestId, out: &mut Vec<Effect>) {
@@ -293,10 +319,56 @@
         self.ledger.apply(now, &fact);
         out.push(Effect::Publish(fact.clone()));
         self.clear_sound(now, &fact, out);
+        let Fact::Crashed(report) = fact else { return };
+        self.doubt(now, &report, &interrupted);
         for sent in interrupted {
             self.remove(&sent.request, out);
             out.push(Effect::Interrupted { request: sent.request });
         }
+        self.clear_outlasted(now, out);
+    }
+
+    /// Notes the reported parts of the interrupted requests, and how long their answers had been written.
+    fn doubt(&mut self, now: Time, report: &CrashReport, interrupted: &[InFlightRequest]) {
+        let mut parts: Vec<Fingerprint> =
+            report.in_flight.iter().flat_map(|it| it.parts().iter().copied()).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        for part in parts {
+            let holders = interrupted.iter().filter(|it| it.contents.contains(part));
+            let written = holders.filter_map(|it| Some(now - it.began?)).max().unwrap_or_default();
+            self.doubts.push(Doubt { part, crash: report.key.clone(), at: now, written });
+        }
+        let surplus = self.doubts.len().saturating_sub(MAX_DOUBTS);
+        self.doubts.drain(..surplus);
+    }
+
+    /// Clears parts of a crash if another answer to a request with them has outlasted the interrupted
+    /// ones. Answers may take so long that several upstreams crash for other reasons before the first
+    /// one is complete, with a part that all requests share in flight on each.
+    fn clear_outlasted(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.doubts.is_empty() {
+            return;
+        }
+        let mut written: Vec<(Fingerprint, Duration)> = Vec::new();
+        for sent in &self.in_flight {
+            if let Some(began) = sent.began {
+                written.extend(sent.contents.parts().iter().map(|&it| (it, now - began)));
+            }
+        }
+        written.sort_unstable();
+        let is_outlasted = |doubt: &mut Doubt| {
+            let end = written.partition_point(|it| it.0 <= doubt.part);
+            let longest = written[..end].last().filter(|it| it.0 == doubt.part);
+            longest.is_some_and(|it| it.1 > doubt.written + OUTLAST_MARGIN)
+        };
+        let outlasted: Vec<Doubt> = self.doubts.extract_if(.., is_outlasted).collect();
+        for Doubt { part, crash, at, .. } in outlasted {
+            let fact = Fact::Cleared { fingerprint: part, crashes: vec![crash], age: now - at };
+            if self.ledger.apply(now, &fact) {
+                out.push(Effect::Publish(fact));
+            }
+        }
     }
 
     /// Clears the contents of a crash that this instance knows to be sound. A content that many callers
@@ -315,6 +387,7 @@
     fn expire(&mut self, now: Time) {
         self.ledger.expire(now);
         self.sound.retain(|it| now - it.1 < SOUND_LIFETIME);
+        self.doubts.retain(|it| now - it.at < SOUND_LIFETIME);
         self.reservations.retain(|it| now < it.1);
     }
 }
--- a/crates/medlarlug-core/src/suspects/mod.rs
+++ b/crates/medlarlug-core/src/suspects/mod.rs
@@ -13,8 +13,9 @@
 //!
 //! A completed run clears a request and its parts of all crashes so far, and for a minute of those that
 //! follow. A content that crashes upstreams crashes every one that runs it, while a common content is in
-//! flight on whichever upstream crashes. The parts of the prompt are cleared as soon as the answer has
-//! begun: the upstream has read the whole prompt by then.
+//! flight on whichever upstream crashes. An answer that has only begun clears nothing, since a part may
+//! crash its upstream while the answer is written. An answer that has been written for longer than those
+//! that a crash interrupted clears their common parts of that crash.
 //!
 //! A content is quarantined when
 //!
@@ -82,7 +83,8 @@
     /// An upstream crashed without another explanation.
     #[serde(rename = "Lost")]
     Crashed(CrashReport),
-    /// A request with this content completed, or its answer began if the content is a part of its prompt.
+    /// A request with this content completed, or its answer outlasted those that the crashes interrupted
+    /// if the content is a part of its prompt.
     Cleared {
         /// Fingerprint of the content.
         fingerprint: Fingerprint,
@@ -186,7 +188,7 @@
         /// The upstream's incarnation.
         incarnation: Incarnation,
     },
-    /// The answer to a request has begun, which clears the parts of its prompt.
+    /// The answer to a request has begun, which ends the reservation of its upstream.
     Began {
         /// Request of an earlier [`Event::Sent`]; ignored if it is not in flight.
         request: RequestId,
--- a/crates/medlarlug-core/tests/testsuite/prompt_parts.rs
+++ b/crates/medlarlug-core/tests/testsuite/prompt_parts.rs
@@ -118,7 +118,7 @@
 }
 
 #[test]
-fn answer_that_begins_clears_the_parts_and_not_the_request() {
+fn complete_answer_clears_the_parts_and_one_that_has_only_begun_does_not() {
     let (mut tracker, mut out) = (SuspectTracker::default(), Vec::new());
     let contents = request_with("request", &["session"]);
     let beside = crashed(2, std::slice::from_ref(&contents));
@@ -127,17 +127,23 @@
     out.clear();
 
     tracker.handle(Time::ZERO, Event::Began { request: request(1) }, &mut out);
+    let begun = tracker.clone();
+    let published = std::mem::take(&mut out);
+    tracker.handle(Time::ZERO, Event::Completed { request: request(1) }, &mut out);
 
-    assert_eq!(tracker.status(Time::ZERO, content("session")), ContentStatus::Clear);
-    assert_eq!(tracker.status(Time::ZERO, content("request")), ContentStatus::Suspect);
-    assert_eq!(out, [Effect::Publish(cleared("session", &[2]))]);
+    for name in ["session", "request"] {
+        assert_eq!(begun.status(Time::ZERO, content(name)), ContentStatus::Suspect);
+        assert_eq!(tracker.status(Time::ZERO, content(name)), ContentStatus::Clear);
+        assert!(out.contains(&Effect::Publish(cleared(name, &[2]))));
+    }
+    assert_eq!(published, []);
 }
 
 #[test]
 fn crash_report_leaves_out_parts_that_are_known_to_be_sound() {
     let (mut tracker, mut out) = (SuspectTracker::default(), Vec::new());
     tracker.handle(Time::ZERO, sent(1, request_with("sound", &["shared"]), 1), &mut out);
-    tracker.handle(Time::ZERO, Event::Began { request: request(1) }, &mut out);
+    tracker.handle(Time::ZERO, Event::Completed { request: request(1) }, &mut out);
     let next = request_with("next", &["shared", "dead"]);
     tracker.handle(Time::ZERO, sent(2, next, 2), &mut out);
     out.clear();
@@ -217,7 +223,7 @@
 }
 
 #[test]
-fn trial_of_a_part_fails_when_its_request_crashes_and_ends_when_its_answer_begins() {
+fn trial_of_a_part_fails_when_its_request_crashes_and_ends_with_a_complete_answer() {
     let (mut tracker, mut out) = (SuspectTracker::default(), Vec::new());
     for fact in three_crashes() {
         tracker.handle(Time::ZERO, Event::FactReceived(fact), &mut out);
@@ -234,8 +240,10 @@
     let published = out[0].clone();
     tracker.handle(Time::ZERO, sent(2, trial, 5), &mut out);
     tracker.handle(Time::ZERO, Event::Began { request: request(2) }, &mut out);
+    let is_still_on_trial = tracker.is_on_trial(content("dead"));
+    tracker.handle(Time::ZERO, Event::Completed { request: request(2) }, &mut out);
 
-    assert!(is_on_trial);
+    assert!(is_on_trial && is_still_on_trial);
     assert_eq!(failed, Some(1));
     assert_eq!(published, Effect::Publish(expected));
     assert!(!tracker.is_on_trial(content("dead")));
@@ -289,3 +297,126 @@
     let beside = request_with("beside 1", &["session 1"]);
     assert_eq!(restored.request_status(Time::ZERO, &beside), ContentStatus::Clear);
 }
+
+/// Three entry instances that exchange all facts, each with long answers on upstreams of its own.
+struct Fleet {
+    now: Time,
+    trackers: Vec<SuspectTracker>,
+    requests: u64,
+    upstreams: u32,
+    /// Number of requests with a crashing part that were sent.
+    crashes: u32,
+}
+
+impl Fleet {
+    /// Each instance streams one sound answer, begun and not yet complete.
+    fn with_long_answers(parts: &[&str]) -> Fleet {
+        let trackers = vec![SuspectTracker::default(); 3];
+        let (now, requests, upstreams, crashes) = (Time::ZERO, 0, 0, 0);
+        let mut fleet = Fleet { now, trackers, requests, upstreams, crashes };
+        for instance in 0..3 {
+            let (request, _) = fleet.send(instance, parts);
+            fleet.handle(instance, Event::Began { request });
+        }
+        fleet
+    }
+
+    /// Sends a request with `parts` to an upstream that runs nothing else.
+    fn send(&mut self, instance: usize, parts: &[&str]) -> (RequestId, CrashId) {
+        (self.requests, self.upstreams) = (self.requests + 1, self.upstreams + 1);
+        let contents = request_with(&format!("request {}", self.requests), parts);
+        self.handle(instance, sent(self.requests, contents, self.upstreams));
+        (request(self.requests), key(self.upstreams))
+    }
+
+    /// Sends a request with `parts`, whose upstream crashes when its answer has been written for `written`,
+    /// beside a sound request that the same instance had in flight there.
+    fn crash(&mut self, instance: usize, parts: &[&str], written: Duration) {
+        let (request, CrashId { upstream, incarnation }) = self.send(instance, parts);
+        self.requests += 1;
+        let beside = request_with(&format!("beside {}", self.requests), &parts[..1]);
+        self.handle(instance, sent(self.requests, beside, self.upstreams));
+        self.handle(instance, Event::Began { request });
+        self.now = self.now + written;
+        self.handle(instance, Event::UpstreamCrashed { upstream, incarnation });
+        self.crashes += 1;
+    }
+
+    fn handle(&mut self, instance: usize, event: Event) {
+        let mut out = Vec::new();
+        self.trackers[instance].handle(self.now, event, &mut out);
+        while let Some(effect) = out.pop() {
+            let Effect::Publish(fact) = effect else { continue };
+            for tracker in &mut self.trackers {
+                tracker.handle(self.now, Event::FactReceived(fact.clone()), &mut out);
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        (0..3).for_each(|it| self.handle(it, Event::Tick));
+    }
+
+    /// Whether every instance runs requests with these parts without a trial.
+    fn serves(&self, parts: &[&str]) -> bool {
+        let contents = request_with("next", parts);
+        self.trackers.iter().all(|it| it.ledger().quarantined_contents(&contents).is_empty())
+    }
+}
+
+/// Guards against the failure that the first event of an answer cleared the parts of its prompt, so that a
+/// part that crashes upstreams while they write was never found (issue 67, review/6).
+#[test]
+fn part_that_crashes_upstreams_as_they_write_is_quarantined_and_common_ones_go_on() {
+    for written in [5, 300, 2_500].map(Duration::from_millis) {
+        let mut fleet = Fleet::with_long_answers(&["everywhere", "session"]);
+        fleet.now = fleet.now + Duration::from_secs(6);
+
+        for round in 0..9 {
+            fleet.now = fleet.now + Duration::from_secs(1);
+            fleet.tick();
+            if fleet.serves(&["everywhere", "dead"]) {
+                fleet.crash(round % 3, &["everywhere", "dead"], written);
+            }
+        }
+
+        assert_eq!(fleet.crashes, 3, "written for {written:?}");
+        assert!(!fleet.serves(&["everywhere", "dead"]), "written for {written:?}");
+        assert!(fleet.serves(&["everywhere", "session"]), "written for {written:?}");
+    }
+}
+
+/// No sound answer is complete when the upstreams crash, and the part that all requests share is in flight
+/// at more crashes than each of the two that are at fault.
+#[test]
+fn common_part_is_cleared_by_answers_that_outlast_the_interrupted_ones() {
+    let mut fleet = Fleet::with_long_answers(&["everywhere"]);
+    fleet.now = fleet.now + Duration::from_secs(3);
+
+    for round in 0..12 {
+        fleet.now = fleet.now + Duration::from_millis(500);
+        fleet.tick();
+        let parts = ["everywhere", ["dead", "ill"][round % 2]];
+        if fleet.serves(&parts) {
+            fleet.crash(round % 3, &parts, Duration::from_millis(5));
+        }
+        assert!(fleet.serves(&["everywhere"]), "after {} crashes", fleet.crashes);
+    }
+
+    assert_eq!(fleet.crashes, 6);
+    assert!(!fleet.serves(&["dead"]) && !fleet.serves(&["ill"]));
+}
+
+/// An answer that is about to crash its upstream as well is no proof.
+#[test]
+fn answer_that_has_not_outlasted_the_interrupted_one_clears_nothing() {
+    let mut fleet = Fleet::with_long_answers(&["dead"]);
+    fleet.now = fleet.now + Duration::from_millis(1_900);
+
+    fleet.crash(0, &["dead"], Duration::ZERO);
+    fleet.crash(0, &["dead"], Duration::ZERO);
+    fleet.crash(0, &["dead"], Duration::ZERO);
+    fleet.tick();
+
+    assert!(!fleet.serves(&["dead"]));
+}
--- a/src/settings/standin.rs
+++ b/src/settings/standin.rs
@@ -81,7 +81,8 @@
     pub fencing: bool,
     /// Age of the load reports that it sends.
     pub report_lag: Duration,
-    /// Whether a prompt that holds [`CRASH_MARKER`](crate::standin::CRASH_MARKER) crashes it.
+    /// Whether a prompt that holds [`CRASH_MARKER`](crate::standin::CRASH_MARKER) or
+    /// [`LATE_CRASH_MARKER`](crate::standin::LATE_CRASH_MARKER) crashes it.
     pub has_crash_marker: bool,
     /// Time that a call to a plain service takes.
     pub service_time: Duration,
--- a/src/standin/completions.rs
+++ b/src/standin/completions.rs
@@ -9,12 +9,15 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 use smol_str::SmolStr;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    task,
+    time::{Instant, sleep},
+};
 
 use crate::{
     protocol::headers,
     standin::{
-        CRASH_MARKER, answer,
+        CRASH_MARKER, LATE_CRASH_MARKER, answer,
         faults::AnswerFault,
         http::{self, Answer, ConnectionAborted, events, json, refusal, with_request_id},
         streams::{Phase, Reader, Stream},
@@ -171,6 +174,9 @@
     let mut stream = Stream::new(answer_id, completion.model.clone(), is_chat, length, answer);
     stream.deadline = time_left.map(|it| Instant::now() + it);
     let stream = Rc::new(stream);
+    if upstream.settings.has_crash_marker && prompt.contains(LATE_CRASH_MARKER) {
+        task::spawn_local(crash_while_writing(upstream.clone(), stream.clone()));
+    }
     upstream.streams.insert(Rc::clone(&stream));
     let uncached = Tokens(length.saturating_sub(cached.0));
     upstream.batch.borrow_mut().push(Rc::clone(&stream), priority, uncached);
@@ -178,6 +184,13 @@
     Some(stream)
 }
 
+/// Crashes the engine once the stream has a second event, so that the first one has been sent.
+async fn crash_while_writing(upstream: Rc<Upstream>, stream: Rc<Stream>) {
+    if Reader::new(stream).0.event(1).await.is_some() {
+        upstream.crash(None);
+    }
+}
+
 fn chat_text(messages: &[Message]) -> String {
     let pairs: Vec<(&str, String)> =
         messages.iter().map(|it| (it.role.as_str(), text_of(&it.content))).collect();
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -42,3 +42,5 @@
 
 /// A prompt that contains this text crashes an engine whose settings have `crash_marker: true`.
 pub const CRASH_MARKER: &str = "CRASH-ME";
+/// A prompt that contains this text crashes such an engine while it writes the answer.
+pub const LATE_CRASH_MARKER: &str = "CRASH-LATER";
--- a/tests/testsuite/processes/suspects.rs
+++ b/tests/testsuite/processes/suspects.rs
@@ -17,6 +17,8 @@
 
 /// A prompt that crashes the engines of these tests.
 const CRASHING: &str = "CRASH-ME now";
+/// A prompt that crashes them while they write the answer.
+const CRASHING_LATE: &str = "CRASH-LATER";
 
 /// Three engines in each of two regions; each crashes on a prompt with the crash marker.
 fn deployment() -> Deployment {
@@ -105,34 +107,49 @@
     );
 }
 
-/// Sends a chat request without streaming; the last message differs between requests.
-fn send_chat(deployment: &Deployment, entry: &str, messages: &[&str]) -> Reply {
+/// Sends a chat request; the last message differs between requests.
+fn send_chat(deployment: &Deployment, entry: &str, messages: &[&str], stream: bool) -> Reply {
     let messages: Vec<_> =
         messages.iter().map(|it| serde_json::json!({ "role": "user", "content": it })).collect();
-    let body = serde_json::json!({ "model": "medlar", "messages": messages, "max_tokens": 4 });
+    let body = serde_json::json!({
+        "model": "medlar", "messages": messages, "max_tokens": 4, "stream": stream
+    });
     deployment.caller_request(entry, "POST", "/v1/chat/completions", &[], &body.to_string())
 }
 
-#[test]
-fn different_requests_with_one_crashing_message_crash_no_more_upstreams_than_stated() {
+/// Sends requests that share a message which crashes upstreams, and sound ones. Asserts that no more
+/// upstreams crash than stated.
+fn assert_message_contained(message: &str, stream: bool) {
     let deployment = deployment();
     let entries = ["entry-1", "entry-2"];
 
     let crashing: Vec<Reply> = (0..10)
         .map(|it| {
             let last = format!("question {it}");
-            send_chat(&deployment, entries[it % 2], &["be brief", CRASHING, &last])
+            send_chat(&deployment, entries[it % 2], &["be brief", message, &last], stream)
         })
         .collect();
-    let sound = entries.map(|it| send_chat(&deployment, it, &["be brief", "a question"]));
+    let sound = entries.map(|it| send_chat(&deployment, it, &["be brief", "a question"], stream));
 
-    assert!(crashing.iter().all(|it| it.status != 200));
+    let is_whole = |it: &Reply| it.status == 200 && (!stream || it.text.contains("[DONE]"));
+    assert!(!crashing.iter().any(is_whole));
     assert!(
         crashed_upstreams(&deployment) <= MAX_CRASHED_BY_MESSAGE,
         "{} upstreams crashed",
         crashed_upstreams(&deployment)
     );
     for reply in sound {
-        assert_eq!(reply.status, 200, "{}", reply.text);
+        assert!(is_whole(&reply), "{} {}", reply.status, reply.text);
     }
 }
+
+#[test]
+fn different_requests_with_one_crashing_message_crash_no_more_upstreams_than_stated() {
+    assert_message_contained(CRASHING, false);
+}
+
+/// Guards against the failure that the first event of a stream counted as proof that its prompt is sound.
+#[test]
+fn message_that_crashes_upstreams_as_they_write_crashes_no_more_of_them_than_stated() {
+    assert_message_contained(CRASHING_LATE, true);
+}
