Leave brittle upstreams nothing to refuse

Cause: nothing read what they say, and what an upstream takes beyond its slots was left to the upstream. Ruled out: refusals before the upstreams let fewer requests wait.

While a service is brittle, the instances of a region divide the slots of its upstreams: each holds its part, and takes free slots beyond it one by one. Other calls wait in order at their instance, or are refused at once with the time at which a slot is expected. The core, gateway::brittle, has no network; its notices travel with those of named limits.

--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 pub mod attempt_timeout;
 pub mod authentication;
 pub mod availability;
+pub mod brittle;
 pub mod cold;
 pub mod connectivity;
 pub mod contacts;
--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod attempt_timeout;
 mod authentication;
 mod availability;
+mod brittle;
 mod connectivity;
 mod contacts;
 mod engine_memory;
--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -15,12 +15,13 @@
 use medlarlug_core::{
     gateway::{
         availability::Backoff,
+        brittle::Answered,
         fair_share::Holder,
         handover::{Attempts, HandoverReport},
         health::UpstreamOutcome,
         placement::Choice,
         software_version::SoftwareVersion,
-        table::RouteKind,
+        table::{RouteKind, ServiceName},
         table_lease::ResidencyPermit,
         upstreams::Birth,
     },
@@ -148,6 +149,7 @@
     /// The request to the upstream; `request_end` is reported for it when the slot is dropped.
     in_flight: Option<InFlight>,
     request_end: RequestEnd,
+    service: ServiceName,
     /// What the call has booked in the memory of its engine.
     booked: Option<BookedCall>,
 }
@@ -198,6 +200,8 @@
         match &self.counted_at {
             CountedAt::Upstream(choice) => {
                 self.entry.loads.borrow_mut().record_end(now, choice, self.has_first_token);
+                let is_answered = self.request_end == RequestEnd::Answered;
+                self.entry.record_slot_end(&self.service, &choice.id, self.began, is_answered);
                 if !self.has_first_token {
                     self.entry.record_ramp_silence(choice, self.began);
                     report_at_once(&self.entry, choice);
@@ -419,6 +423,9 @@
             entry.record_availability(context.call, &choice.id, *birth, *address, &answer);
             if answer.status() != StatusCode::MISDIRECTED_REQUEST {
                 entry.record_limit(context.call, now, &choice.id, *birth, answer.headers());
+                let service = &context.holder.0;
+                let answered = Answered { service, id: &choice.id, birth: *birth, sent: now };
+                entry.record_brittle(context.call, answered, answer.headers());
             }
         }
     }
@@ -513,6 +520,7 @@
         Hop::Upstream { choice, birth, memory, cold_rate, .. } => {
             entry.loads.borrow_mut().record_sent(now, choice, demand, *memory);
             report_at_once(entry, choice);
+            entry.record_slot_sent(&choice.id);
             if let Some(rate) = cold_rate {
                 entry.cold_pacer.borrow_mut().record_send(now, &choice.id, *rate);
                 let instances = entry.region_entries().len();
@@ -547,6 +555,7 @@
         has_first_token: false,
         in_flight,
         request_end,
+        service: context.holder.0.clone(),
         booked,
     }
 }
--- a/crates/medlarlug-gateway/src/entry/choice.rs
+++ b/crates/medlarlug-gateway/src/entry/choice.rs
@@ -279,11 +279,15 @@
         {
             return false;
         }
+        let get_entries = || entries.get_or_init(|| self.region_entries());
+        if !self.has_slot(now, known, get_entries) {
+            return false;
+        }
         if cold_rate <= 0.0 || !self.is_cold(now, known) {
             return self.has_ramp_room(now, known);
         }
         let settings = self.settings.borrow();
-        let entries = entries.get_or_init(|| self.region_entries());
+        let entries = get_entries();
         let is_sender = self.view.borrow().is_settled(now)
             && cold::designated_sender(&upstream.id, entries) == Some(&settings.info.id);
         is_sender && self.cold_pacer.borrow().may_send(now, &upstream.id, cold_rate)
--- a/crates/medlarlug-gateway/src/entry/limited.rs
+++ b/crates/medlarlug-gateway/src/entry/limited.rs
@@ -15,6 +15,7 @@
 use hyper::{HeaderMap, header::HeaderName};
 use medlarlug_core::{
     gateway::{
+        brittle::BrittleNotice,
         cold,
         permits::{PermitAllocator, PermitGrant, PermitRate, PermitRequest, Permits},
         upstream_limits::{LimitError, LimitHeader, UpstreamLimit, UpstreamLimits},
@@ -49,6 +50,8 @@
     Ask { from: InstanceId, upstream: UpstreamId, birth: Birth, limit: UpstreamLimit, calls: u32 },
     /// Permits that the allocator grants the receiver.
     Grant { upstream: UpstreamId, birth: Birth, permits: u32 },
+    /// An upstream is brittle, or is no longer. Earlier builds can't decode it and drop it.
+    Brittle(BrittleNotice),
 }
 
 /// An upstream with a rate limit that a call could be sent to.
@@ -66,7 +69,7 @@
     limits: RefCell<UpstreamLimits>,
     permits: RefCell<Permits>,
     allocator: RefCell<PermitAllocator>,
-    /// Changed limits that are still to be sent to the other instances.
+    /// Changed limits and brittle upstreams that are still to be sent to the other instances.
     updates: RefCell<Vec<LimitMessage>>,
     wake: Notify,
     /// Number of calls that wait for a permit.
@@ -149,8 +152,12 @@
                 tracing::info!(request = %call.id, upstream = %id, birth = birth.0, "upstream no longer names a limit");
             }
         }
-        let updates = LimitMessage::Limit { upstream: id.clone(), birth, limit };
-        self.limited.updates.borrow_mut().push(updates);
+        self.send_to_region(LimitMessage::Limit { upstream: id.clone(), birth, limit });
+    }
+
+    /// Sends a message to all other instances of the region in the next round.
+    pub(super) fn send_to_region(&self, message: LimitMessage) {
+        self.limited.updates.borrow_mut().push(message);
         self.limited.wake.notify_one();
     }
 
@@ -257,6 +264,7 @@
             LimitMessage::Grant { upstream, birth, permits } => {
                 self.limited.permits.borrow_mut().add_granted(now, &upstream, birth, permits);
             }
+            LimitMessage::Brittle(notice) => self.on_brittle_notice(&notice),
         }
     }
 
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -15,6 +15,7 @@
 //! A call that another instance has forwarded is served in the same way, but never forwarded again.
 
 mod attempt;
+mod brittle;
 mod call;
 mod choice;
 mod crashes;
@@ -76,8 +77,8 @@
 
 pub use self::explain::ExplainError;
 use self::{
-    crashes::Crashes, limited::LimitState, path_check::PathState, pressure::PressureState,
-    quota::QuotaState, stream_lookup::StreamState,
+    brittle::BrittleState, crashes::Crashes, limited::LimitState, path_check::PathState,
+    pressure::PressureState, quota::QuotaState, stream_lookup::StreamState,
 };
 pub(crate) use self::{limited::LimitMessage, stream_lookup::StreamMessage};
 pub use serve::CallOutcome;
@@ -148,6 +149,7 @@
     healths: RefCell<HealthTracker>,
     availabilities: RefCell<AvailabilityTracker>,
     limited: LimitState,
+    brittle: BrittleState,
     paths: PathState,
     streams: StreamState,
     quota: QuotaState,
@@ -212,6 +214,7 @@
             healths: RefCell::default(),
             availabilities: RefCell::default(),
             limited: LimitState::default(),
+            brittle: BrittleState::default(),
             paths: PathState::default(),
             streams: StreamState::default(),
             quota,
@@ -704,6 +707,7 @@
         entry.contacts.borrow_mut().forget_expired(now, CONTACT_EXPIRY);
         entry.expire_crashes();
         entry.expire_streams();
+        entry.expire_brittle();
         entry.streams.review();
         for id in entry.upstreams.borrow_mut().forget_expired(now) {
             entry.forget_limit(&id);
--- a/crates/medlarlug-gateway/src/entry/plan.rs
+++ b/crates/medlarlug-gateway/src/entry/plan.rs
@@ -24,6 +24,7 @@
 use super::{
     Entry,
     attempt::{self, AttemptContext, NotRun, Outcome},
+    brittle::SlotWait,
     call::Call,
     choice::{Hop, Tried},
     forwarded,
@@ -92,6 +93,8 @@
     pub(super) permit_wait: Option<PermitWait>,
     /// Set while it waits for room at an upstream that ramps up.
     pub(super) room_wait: Option<RoomWait>,
+    /// Set while it waits for a slot of a brittle upstream.
+    pub(super) slot_wait: Option<SlotWait>,
     pub(super) _running: RunningCall,
 }
 
--- a/crates/medlarlug-gateway/src/entry/relay.rs
+++ b/crates/medlarlug-gateway/src/entry/relay.rs
@@ -22,6 +22,7 @@
 use super::{
     Entry,
     attempt::{self, EventStream, Outcome, Piece},
+    brittle::SLOT_POLL_INTERVAL,
     call::Call,
     choice::Hop,
     limited::PERMIT_POLL_INTERVAL,
@@ -148,8 +149,8 @@
     }
 }
 
-/// Chooses the next hop. Waits for a permit if only upstreams with a rate limit are left, and for room
-/// where engines crash when their memory is exceeded.
+/// Chooses the next hop. Waits for a permit if only upstreams with a rate limit are left, for a slot if
+/// only brittle ones are, and for room where engines crash when their memory is exceeded.
 async fn permitted_hop(entry: &Rc<Entry>, call: &Call, plan: &mut Plan) -> Option<Hop> {
     loop {
         plan.obey_newest_homes(entry, call);
@@ -162,6 +163,10 @@
             sleep(PERMIT_POLL_INTERVAL).await;
             continue;
         }
+        if plan.waits_for_slot(entry, hop.as_ref()) {
+            sleep(SLOT_POLL_INTERVAL).await;
+            continue;
+        }
         if !entry.has_pressure() {
             return hop;
         }
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -115,10 +115,13 @@
         is_taken
     }
 
-    /// The `Retry-After` for a call that no upstream of the service accepts because they back off
-    /// or have a rate limit; `None` if neither is the reason.
+    /// The `Retry-After` for a call that no upstream of the service accepts because they back off,
+    /// have a rate limit or are brittle; `None` if none of these is the reason.
     fn upstream_retry_after(&self, plan: &Plan, left: Duration) -> Option<Duration> {
         let jitter = rand::rng().random();
+        if let Some(wait) = self.expected_slot_wait(plan) {
+            return Some(load_shedding::retry_after(wait, left, jitter));
+        }
         let interval = self.permit_interval(&self.limited_upstreams(plan));
         match (self.backoff_remaining(&plan.service), interval) {
             (_, Some(interval)) => Some(load_shedding::retry_after(interval, left, jitter)),
@@ -385,6 +388,7 @@
         room_wait_since: None,
         has_requested_permits: false,
         permit_wait: None,
+        slot_wait: None,
         team,
         room_wait: None,
         route,
@@ -489,6 +493,17 @@
             true => plan.next_hop(entry, call),
             false => None,
         };
+        let may_take_slot = !entry.must_queue(plan);
+        let hop = hop.filter(|hop| may_take_slot || matches!(hop, Hop::Peer { .. }));
+        if quarantine.is_none()
+            && !is_unconfirmed
+            && left > MIN_REMAINING
+            && plan.unreachable < MAX_FAILED_CONNECTIONS
+            && plan.waits_for_slot(entry, hop.as_ref())
+        {
+            sleep(plan.slot_poll_interval()).await;
+            continue;
+        }
         if quarantine.is_none()
             && !is_unconfirmed
             && left > MIN_REMAINING
--- a/crates/medlarlug-gateway/src/headers.rs
+++ b/crates/medlarlug-gateway/src/headers.rs
@@ -28,6 +28,9 @@
     /// In an answer: the rate limit of the upstream that sent it, in requests per second over all
     /// entry instances together.
     pub limit: HeaderName,
+    /// In an answer: the upstream crashes if it has to refuse more than this number of requests in a
+    /// second.
+    pub brittle: HeaderName,
     /// Scheduling priority of a call at a model engine; 0 is served first.
     pub priority: HeaderName,
     /// Name of the team that a call is served for, if the table has teams.
--- a/crates/medlarlug-gateway/src/metrics.rs
+++ b/crates/medlarlug-gateway/src/metrics.rs
@@ -22,6 +22,10 @@
 pub const NAMED_LIMITS: &str = "medlarlug_gateway_named_limits_total";
 /// Counter: requests to upstreams that have named a rate limit.
 pub const LIMITED_REQUESTS: &str = "medlarlug_gateway_limited_sends_total";
+/// Counter: answers from which this instance learned that an upstream is brittle.
+pub const BRITTLE_UPSTREAMS: &str = "medlarlug_gateway_brittle_total";
+/// Counter: calls that waited for a slot of a brittle upstream.
+pub const SLOT_WAITS: &str = "medlarlug_gateway_slot_waits_total";
 /// Counter: upstreams that crashed with requests of this instance in flight.
 pub const UPSTREAM_CRASHES: &str = "medlarlug_gateway_crashes_total";
 /// Counter: calls that were not run because their content crashes upstreams.
@@ -98,6 +102,8 @@
     describe_counter!(BACKOFFS, "Rests that upstreams asked for");
     describe_counter!(NAMED_LIMITS, "Limits that upstreams named");
     describe_counter!(LIMITED_REQUESTS, "Requests to upstreams that have named a limit");
+    describe_counter!(BRITTLE_UPSTREAMS, "Answers that told that an upstream is brittle");
+    describe_counter!(SLOT_WAITS, "Calls that waited for a slot of a brittle upstream");
     describe_counter!(UPSTREAM_CRASHES, "Upstreams that crashed with requests in flight");
     describe_counter!(QUARANTINED_CALLS, "Calls not run because their content crashes upstreams");
     describe_counter!(UNACCEPTED_CALLS, "Calls not accepted for a team, by reason");
