Drop answers with undefined statuses and cut ones during an upload

Cause: the HTTP library takes statuses up to 999, and nobody else looked. Found beside it: an engine that ends its direction without a reset while the request is still being written ended an answer without a length like a complete one.

Both are checked where an answer is complete, Connection::check_answer, for all three readers of whole answers, and for streams.

--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -8,8 +8,8 @@
 use medlarlug::{
     protocol::events::{self, EventSplitter},
     transport::{
-        answers::ReadError,
-        http_client::{CallLimits, Connection, HttpCallError, Reuse},
+        answers::{self, ReadError},
+        http_client::{self, CallLimits, Connection, HttpCallError, Reuse},
     },
 };
 use medlarlug_core::{
@@ -287,6 +287,10 @@
                     return Piece::Broken;
                 }
                 // An upstream that fails before its first event ends its connection in the same way.
+                None if self.connection.as_ref().is_some_and(|it| it.has_cut(&self.headers)) => {
+                    self.slot.request_end = RequestEnd::Unanswered;
+                    return Piece::Broken;
+                }
                 None if self.follows.is_some() && self.ends_with_connection => {
                     self.slot.request_end = RequestEnd::Unanswered;
                     return Piece::Broken;
@@ -437,6 +441,7 @@
     if !is_stream {
         let left = context.answer_by - entry.now();
         let read = entry.answers.read(body, MAX_ANSWER_BYTES, left).await;
+        let read = read.and_then(|it| connection.check_answer(&parts).map(|()| it));
         if let Err(error) = read {
             slot.request_end = RequestEnd::Unanswered;
             tracing::info!(request = %context.call.id, unread = ?error, "answer not read completely");
@@ -457,7 +462,7 @@
                 record_health(entry, hop, UpstreamOutcome::Broken);
                 Outcome::Unknown(Unknown::ConnectionLost)
             }
-            Err(ReadError::TooLong) => {
+            Err(ReadError::TooLong | ReadError::UndefinedStatus) => {
                 record_health(entry, hop, UpstreamOutcome::Failed);
                 Outcome::Unknown(Unknown::ForeignAnswer)
             }
@@ -471,8 +476,7 @@
         Hop::Upstream { software, .. } => software.clone(),
         Hop::Peer { .. } => forwarded::software(&parts.headers),
     };
-    let ends_with_connection = !parts.headers.contains_key(header::CONTENT_LENGTH)
-        && !parts.headers.contains_key(header::TRANSFER_ENCODING);
+    let ends_with_connection = http_client::ends_with_connection(&parts.headers);
     let mut stream = EventStream {
         status: parts.status,
         headers: parts.headers,
@@ -679,6 +683,14 @@
         record_health(entry, hop, UpstreamOutcome::Unreachable);
         return Some(Outcome::NotRun(NotRun::Misdirected));
     }
+    if !answers::is_defined(answer.status()) {
+        tracing::warn!(
+            status = answer.status().as_u16(),
+            "answer dropped: HTTP does not define its status"
+        );
+        record_health(entry, hop, UpstreamOutcome::Failed);
+        return Some(Outcome::Unknown(Unknown::ForeignAnswer));
+    }
     let is_signed = headers.contains_key(&names.signature);
     let is_encoded = headers.contains_key(header::CONTENT_ENCODING);
     if answer.status().is_success() && (!is_signed || is_encoded) {
--- a/src/coordination/entry/inference/delivery.rs
+++ b/src/coordination/entry/inference/delivery.rs
@@ -136,7 +136,8 @@
         Err(AttemptError::Failed(FailedAttempt { destination, failure, reason }))
     };
     let read = entry.answers.read(incoming, MAX_ANSWER_BYTES, job.call.head_timeout).await;
-    let content = match read {
+    let checked = read.and_then(|it| exchange.connection.check_answer(&head).map(|()| it));
+    let content = match checked {
         Ok(read) => read.content,
         Err(error) => return failed(Failure::Lost, smol_str::format_smolstr!("{error}")),
     };
--- a/src/coordination/entry/services.rs
+++ b/src/coordination/entry/services.rs
@@ -260,7 +260,8 @@
     let (destination, attempt_id) = (exchange.destination, exchange.attempt_id);
     let (head, incoming) = exchange.answer.into_parts();
     let read = entry.answers.read(incoming, MAX_ANSWER_BYTES, ANSWER_BODY_TIMEOUT).await;
-    let ReadAnswer { content, counted } = match read {
+    let checked = read.and_then(|it| exchange.connection.check_answer(&head).map(|()| it));
+    let ReadAnswer { content, counted } = match checked {
         Ok(read) => read,
         Err(error) => {
             entry.notify_router(router::Event::Failed(attempt_id));
--- a/src/transport/answers.rs
+++ b/src/transport/answers.rs
@@ -10,12 +10,23 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::{
+    StatusCode,
+    body::{Body, Incoming},
+};
 use thiserror::Error;
 use tokio::{sync::Semaphore, time::timeout};
 
 use crate::transport::memory::{AnswerMemory, Memory};
 
+/// Lowest status code that HTTP does not define; the HTTP library accepts codes up to 999.
+const FIRST_UNDEFINED_STATUS: u16 = 600;
+
+/// Whether HTTP defines the class of a status code.
+pub fn is_defined(status: StatusCode) -> bool {
+    status.as_u16() < FIRST_UNDEFINED_STATUS
+}
+
 /// Size above which an answer needs a permit; the answers of the first deployments are below 10 KB.
 const SHORT_ANSWER_BYTES: usize = 128 << 10;
 
@@ -28,6 +39,9 @@
     /// The answer is longer than permitted.
     #[error("the answer is too long")]
     TooLong,
+    /// HTTP does not define the status of the answer.
+    #[error("HTTP does not define the status of the answer")]
+    UndefinedStatus,
     /// The answer was not complete in time.
     #[error("the answer was not complete in time")]
     Late,
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -29,6 +29,7 @@
     },
     ext,
     header::{self, HeaderMap},
+    http::response,
 };
 use hyper_util::rt::TokioIo;
 use medlarlug_core::memory_budget::ORDINARY_ANSWER_BYTES;
@@ -42,7 +43,10 @@
     time::{Instant, Sleep, error::Elapsed, sleep, timeout},
 };
 
-use crate::transport::memory::{AnswerMemory, Memory, POLL_INTERVAL};
+use crate::transport::{
+    answers::{self, ReadError},
+    memory::{AnswerMemory, Memory, POLL_INTERVAL},
+};
 
 /// Idle connections that are kept for each address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
@@ -140,6 +144,8 @@
 struct HeadProgress {
     /// Whether the head of the answer is awaited.
     is_awaited: AtomicBool,
+    /// Whether the whole request has been written.
+    is_flushed: AtomicBool,
     /// Bytes that were read while it was awaited.
     bytes: AtomicUsize,
     /// Informational heads.
@@ -152,6 +158,7 @@
     fn begin(&self) {
         self.bytes.store(0, Ordering::Relaxed);
         self.informational.store(0, Ordering::Relaxed);
+        self.is_flushed.store(false, Ordering::Relaxed);
         self.is_awaited.store(true, Ordering::Relaxed);
         self.count(None);
     }
@@ -275,8 +282,11 @@
         self.stream.is_write_vectored()
     }
 
+    /// hyper flushes when all that it has to write is written.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.head.is_flushed.store(true, Ordering::Relaxed);
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -481,6 +491,12 @@
     }
 }
 
+/// Whether an answer has neither a length nor chunks, so that the end of its connection ends it.
+pub fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// The time without a request after which the peer closes a connection, by the head of an answer.
 fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
@@ -515,6 +531,25 @@
 }
 
 impl Connection {
+    /// Whether an answer that has ended is cut: nothing but the end of the connection ends it, and that
+    /// came before the whole request was written. `headers` are those of the answer.
+    pub fn has_cut(&self, headers: &HeaderMap) -> bool {
+        ends_with_connection(headers) && !self.sender.head.is_flushed.load(Ordering::Relaxed)
+    }
+
+    /// Checks the head of an answer whose body has been read.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer was cut, or HTTP does not define its status.
+    pub fn check_answer(&self, head: &response::Parts) -> Result<(), ReadError> {
+        match answers::is_defined(head.status) {
+            true if self.has_cut(&head.headers) => Err(ReadError::Cut),
+            true => Ok(()),
+            false => Err(ReadError::UndefinedStatus),
+        }
+    }
+
     /// Whether it carried another request before, so that a late second answer to that one may arrive
     /// on it.
     pub fn is_reused(&self) -> bool {
--- a/tests/testsuite/http_client.rs
+++ b/tests/testsuite/http_client.rs
@@ -6,8 +6,10 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
-use medlarlug::transport::http_client::{
-    CallLimits, HttpCallError, HttpClient, Reuse, holds_connection,
+use medlarlug::transport::{
+    answers::AnswerReader,
+    http_client::{CallLimits, HttpCallError, HttpClient, Reuse, holds_connection},
+    memory::Memory,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -136,3 +138,35 @@
         assert_matches!(called, Err(HttpCallError::Lost { .. }));
     });
 }
+
+/// An answer that only the end of its connection ends, while much of the request is unwritten.
+#[test]
+fn answer_that_ends_before_its_request_is_written_is_cut() {
+    run(async {
+        for (bytes, expected) in [(64 << 20, true), (0, false)] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let serve = async {
+                let mut stream = listener.accept().await.unwrap().0;
+                stream.write_all(b"HTTP/1.1 200 OK\r\n\r\na part").await.unwrap();
+                stream.shutdown().await.unwrap();
+                stream
+            };
+            let body = Full::new(Bytes::from(vec![b'u'; bytes]));
+            let request = Request::post("/a").header("host", "engine").body(body).unwrap();
+            let client = HttpClient::default();
+
+            let call = client.call(address, request, Reuse::Never, LIMITS);
+            let (called, _stream) = tokio::join!(call, serve);
+            let (answer, connection) = called.unwrap();
+            let (head, body) = answer.into_parts();
+            let read = AnswerReader::new(Memory::unlimited(), 1).read(body, 100, LIMITS.head).await;
+
+            assert!(
+                read.is_err() || connection.has_cut(&head.headers) == expected,
+                "{bytes} bytes"
+            );
+            assert!(expected || read.is_ok(), "{bytes} bytes");
+        }
+    });
+}
--- a/tests/testsuite/processes/mod.rs
+++ b/tests/testsuite/processes/mod.rs
@@ -2,6 +2,7 @@
 
 mod booking;
 mod bounds;
+mod broken_answers;
 mod confirmations;
 mod crowds;
 mod endless;
