--- a/crates/medlarlug-gateway/src/entry/brittle.rs
+++ b/crates/medlarlug-gateway/src/entry/brittle.rs
@@ -17,7 +17,6 @@
     ids::{InstanceId, UpstreamId},
     time::Time,
 };
-
 use rand::RngExt;
 
 use super::{Entry, LimitMessage, call::Call, choice::Hop, plan::Plan};
--- a/crates/medlarlug-gateway/src/entry/liveness.rs
+++ b/crates/medlarlug-gateway/src/entry/liveness.rs
@@ -2,9 +2,10 @@
 //!
 //! An upstream that crashes and returns is cold, and its announcement may arrive late. Its connections
 //! end at once, though, and new ones are refused meanwhile. An instance that observes either takes the
-//! upstream for cold until its next announcement, and tells the other instances of the region. An instance that has
-//! just started has seen no connection end; it asks the others, and relies on announcements from
-//! before its start only where one of them vouches for the upstream (see
+//! upstream for cold until its next announcement, and tells the other instances of the region.
+//!
+//! An instance that has just started has seen no connection end. It asks the others, and relies on
+//! announcements from before its start only where one of them vouches for the upstream (see
 //! [`Vouch`](medlarlug_core::gateway::cold::Vouch)).
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
@@ -24,7 +25,7 @@
 use super::Entry;
 use crate::{load_exchange, metrics as names};
 
-/// Time between two questions of an instance that has just started.
+/// Time between two requests for vouches of an instance that has just started.
 const ASK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after its start in which an instance asks: by then upstreams have announced themselves anew.
 const ASK_TIME: Duration = Duration::from_secs(3);
