Count the incomplete events of streams in the memory budget

An incomplete event of up to 256 KiB a stream was collected outside of the memory budget. Besides, each answer that waited for room held two parts of 32 KiB, one of them in the HTTP library, which put answers without end up to 3% over the limit.

Incomplete events are counted before their bytes are added, on both paths, and within a memory limit bodies are read 8 KiB at a time.

--- a/crates/medlarlug-gateway/src/entry/attempt.rs
+++ b/crates/medlarlug-gateway/src/entry/attempt.rs
@@ -6,9 +6,10 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri, body::Incoming, header};
 use medlarlug::{
-    protocol::events::{self, EventSplitter},
+    protocol::events,
     transport::{
         answers::{self, ReadError},
+        event_buffer::EventBuffer,
         http_client::{self, CallLimits, Connection, HttpCallError, Reuse},
     },
 };
@@ -222,7 +223,7 @@
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     body: Incoming,
-    splitter: EventSplitter,
+    events: EventBuffer,
     received: usize,
     connection: Option<Connection>,
     slot: LoadSlot,
@@ -255,34 +256,32 @@
             return Piece::Events(events);
         }
         loop {
+            self.events.settle().await;
+            if self.events.exceeds_limit() || self.received > MAX_STREAM_BYTES {
+                tracing::warn!(received = self.received, "stream cut: stream or event too long");
+                return Piece::Broken;
+            }
+            if let Some(events) = self.events.take_complete() {
+                let has_content = events::have_content(&events);
+                if has_content && !self.goes_on(&events) {
+                    return Piece::Broken;
+                }
+                if has_content && !self.slot.has_first_token {
+                    self.slot.answered(true);
+                }
+                return Piece::Events(events);
+            }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    self.splitter.push(&data);
                     self.received += data.len();
-                    if self.splitter.exceeds_limit() || self.received > MAX_STREAM_BYTES {
-                        tracing::warn!(
-                            received = self.received,
-                            "stream cut: stream or event too long"
-                        );
-                        return Piece::Broken;
-                    }
-                    if let Some(events) = self.splitter.take_complete() {
-                        let has_content = events::have_content(&events);
-                        if has_content && !self.goes_on(&events) {
-                            return Piece::Broken;
-                        }
-                        if has_content && !self.slot.has_first_token {
-                            self.slot.answered(true);
-                        }
-                        return Piece::Events(events);
-                    }
+                    self.events.push(data);
                 }
                 Some(Err(_)) => {
                     self.slot.request_end = RequestEnd::Unanswered;
                     return Piece::Broken;
                 }
-                None if self.splitter.has_partial_event() => {
+                None if self.events.has_partial_event() => {
                     self.slot.request_end = RequestEnd::Unanswered;
                     return Piece::Broken;
                 }
@@ -481,7 +480,7 @@
         status: parts.status,
         headers: parts.headers,
         body,
-        splitter: EventSplitter::default(),
+        events: EventBuffer::new(&entry.memory),
         received: 0,
         connection: Some(connection),
         slot,
--- a/src/coordination/entry/relay.rs
+++ b/src/coordination/entry/relay.rs
@@ -25,15 +25,12 @@
         Entry, connection_recovery,
         exchange::{self, Destination, Exchange},
     },
-    protocol::{
-        Problem,
-        events::{self, EventSplitter},
-        headers,
-    },
+    protocol::{Problem, events, headers},
     telemetry::metrics::CROSSED,
     transport::{
         body,
         body::Part,
+        event_buffer::EventBuffer,
         http_client::{CallLimits, Connection, HttpCallError, Reuse},
         memory::AnswerMemory,
     },
@@ -66,11 +63,24 @@
     number: ConnectionNumber,
     body: Incoming,
     connection: Connection,
-    splitter: EventSplitter,
+    events: EventBuffer,
     // Offset of the next event on this connection.
     offset: u64,
 }
 
+impl Source {
+    /// Reads more of the stream. Returns false once the connection has ended.
+    async fn read(&mut self) -> bool {
+        // After a time-out, bytes that had been read may still wait for room.
+        if !self.events.is_waiting() {
+            let Some(Ok(frame)) = self.body.frame().await else { return false };
+            self.events.push(frame.into_data().unwrap_or_default());
+        }
+        self.events.settle().await;
+        true
+    }
+}
+
 /// The result of a request to resume a stream.
 enum ResumeResult {
     /// The stream continues on a new connection.
@@ -112,7 +122,7 @@
             number,
             body: exchange.answer.into_body(),
             connection: exchange.connection,
-            splitter: EventSplitter::default(),
+            events: EventBuffer::new(&entry.memory),
             offset: 0,
         };
         Relay {
@@ -209,12 +219,9 @@
                 // meantime are handled first, so that the upstream does not count as unresponsive.
                 tokio::select! {
                     biased;
-                    frame = source.body.frame() => match frame {
-                        Some(Ok(frame)) => {
-                            let bytes = frame.into_data().unwrap_or_default();
-                            self.receive(&bytes)
-                        }
-                        _ => self.feed(Event::ConnectionLost { connection: number }),
+                    is_open = source.read() => match is_open {
+                        true => self.receive(),
+                        false => self.feed(Event::ConnectionLost { connection: number }),
                     },
                     () = sleep(time_left) => self.feed(Event::Tick),
                 }
@@ -233,17 +240,16 @@
         effects
     }
 
-    /// Splits bytes into events and passes them to the tracker.
-    fn receive(&mut self, bytes: &Bytes) -> Vec<Effect> {
+    /// Passes the events that have arrived to the tracker.
+    fn receive(&mut self) -> Vec<Effect> {
         let mut effects = Vec::new();
         let Some(source) = &mut self.source else { return effects };
-        source.splitter.push(bytes);
-        if source.splitter.exceeds_limit() {
+        if source.events.exceeds_limit() {
             let connection = source.number;
             return self.feed(Event::ConnectionLost { connection });
         }
         while let Some(source) = &mut self.source
-            && let Some(event) = source.splitter.next_event()
+            && let Some(event) = source.events.next_event()
         {
             // A comment is no part of the answer, so it neither advances nor keeps alive the stream.
             if !events::have_content(&event.bytes) {
@@ -364,8 +370,8 @@
             }
         };
         let body = answer.into_body();
-        let splitter = EventSplitter::default();
-        self.source = Some(Source { number, body, connection, splitter, offset });
+        let events = EventBuffer::new(&self.entry.memory);
+        self.source = Some(Source { number, body, connection, events, offset });
         ResumeResult::Resumed
     }
 
--- a/src/protocol/events.rs
+++ b/src/protocol/events.rs
@@ -102,6 +102,11 @@
         found
     }
 
+    /// Bytes that were received and not returned yet.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether the buffer holds bytes of an incomplete event.
     pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -62,6 +62,8 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// As [`MAX_HEAD_BYTES`], within a memory limit. It is also the buffer of each connection.
 const LIMITED_HEAD_BYTES: usize = 32 * 1024;
+/// Bytes of a body that are read at once within a memory limit.
+const BODY_READ_BYTES: usize = 8 * 1024;
 /// Most bytes that are read until the head of an answer is complete, including informational heads
 /// and the part of the body that is read together with the head.
 const MAX_BYTES_BEFORE_HEAD: usize = 4 * MAX_HEAD_BYTES;
@@ -241,6 +243,23 @@
     pause: Option<Pin<Box<Sleep>>>,
 }
 
+impl HeadLimitedStream {
+    /// Reads a part of a body that is short enough for hyper not to enlarge its buffer: a part that has
+    /// been read, and the next one, are held until there is room for them.
+    fn poll_read_part(
+        &mut self,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<usize>> {
+        let most = buffer.remaining().min(BODY_READ_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(most));
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+        let bytes = part.filled().len();
+        buffer.advance(bytes);
+        Poll::Ready(Ok(bytes))
+    }
+}
+
 impl AsyncRead for HeadLimitedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -253,9 +272,16 @@
             ready!(pause.as_mut().poll(cx));
             self.pause = None;
         }
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        self.head.bytes.fetch_add(buffer.filled().len() - before, Ordering::Relaxed);
+        let limits_read = self.memory.is_limited() && !self.head.is_awaited.load(Ordering::Relaxed);
+        let bytes = match limits_read {
+            true => ready!(self.poll_read_part(cx, buffer))?,
+            false => {
+                let before = buffer.filled().len();
+                ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+                buffer.filled().len() - before
+            }
+        };
+        self.head.bytes.fetch_add(bytes, Ordering::Relaxed);
         self.head.check()?;
         Poll::Ready(Ok(()))
     }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -4,12 +4,14 @@
 //! * [`http_server`]: HTTP/1 servers with limits on clients.
 //! * [`http_client`]: pooled HTTP/1 connections to upstreams and other instances.
 //! * [`answers`]: complete answers of upstreams, with bounds on all together.
+//! * [`event_buffer`]: the incomplete events of streams, within the same bounds.
 //! * [`body`]: the bodies of requests and answers.
 //! * [`memory`]: what the servers of a process hold for their clients, within one budget.
 //! * [`signals`]: graceful shutdown on SIGTERM and SIGINT.
 
 pub mod answers;
 pub mod body;
+pub mod event_buffer;
 pub mod http_client;
 pub mod http_server;
 pub mod links;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod cli;
 mod compaction;
 mod docs;
+mod event_buffer;
 mod http_client;
 mod http_server;
 mod journal;
