--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -235,6 +235,7 @@
 /// A stream that limits the bytes and the informational heads read before the head of an answer. hyper
 /// itself reads informational heads without a limit on their number. A long head is read only when there
 /// is memory for it.
+/// Within a memory limit bodies are read in short parts.
 struct HeadLimitedStream {
     stream: TcpStream,
     head: Arc<HeadProgress>,
