Count upstreams as cold whose connections an isolated instance closed

An upstream that had requested backoff crashed and came back cold, unheard, after all instances of its region had found no path to the others and closed all connections, also those to it.

An instance that closes its connections takes the upstreams for cold until their next announcement. A refusal before the crash was ruled out by a test that held.

--- a/crates/medlarlug-core/src/gateway/cold.rs
+++ b/crates/medlarlug-core/src/gateway/cold.rs
@@ -53,7 +53,8 @@
 /// Decides whether an upstream counts as cold. An upstream may have become cold before its
 /// announcement says so: by the end of an evacuation, by a crash that shows as a connection that
 /// does not open, by the end of its connections, by a restart behind a network partition, or by
-/// anything that happened while this process was stalled or before it started.
+/// anything that happened while this process was stalled, before it started, or after it had closed
+/// its own connections.
 ///
 /// Such an upstream counts as cold until its next announcement. An announcement from before the start
 /// of this process is enough if another instance vouches for it, see [`Vouch`].
@@ -91,7 +92,8 @@
         let zone = self.restored.binary_search_by(|it| it.0.cmp(&known.upstream.zone));
         let restored = zone.ok().map(|at| self.restored[at].1);
         let blind_until = restored.max(resumed).map(|when| when + MAX_ANNOUNCEMENT_DELAY);
-        let suspect_since = blind_until.max(observations.last_unreachable);
+        let suspect_since =
+            blind_until.max(observations.last_unreachable).max(observations.unwatched_since);
         let is_suspect = suspect_since.is_some_and(|since| known.announced_at <= since);
         let is_inherited = known.announced_at < started && !observations.is_vouched_for(now);
         let is_stale = (is_inherited || now - known.announced_at > ANNOUNCEMENT_LIFETIME)
@@ -120,6 +122,8 @@
     pub last_unreachable: Option<Time>,
     /// When another instance last vouched for it.
     pub vouched_at: Option<Time>,
+    /// When the instance last closed its own connections to it, whose end would have shown a crash.
+    pub unwatched_since: Option<Time>,
 }
 
 /// What an instance vouches for to one that has just started: that the process which an announcement
--- a/crates/medlarlug-core/src/gateway/health.rs
+++ b/crates/medlarlug-core/src/gateway/health.rs
@@ -114,6 +114,11 @@
         observations.last_unreachable = observations.last_unreachable.max(Some(when));
     }
 
+    /// Records that the instance has closed its own connections to the upstream.
+    pub fn record_unwatched(&mut self, now: Time, id: &UpstreamId) {
+        self.entry(id).observations.unwatched_since = Some(now);
+    }
+
     /// Records that another instance vouches for the upstream.
     pub fn record_vouch(&mut self, now: Time, id: &UpstreamId) {
         self.entry(id).observations.vouched_at = Some(now);
--- a/crates/medlarlug-gateway/src/entry/path_check.rs
+++ b/crates/medlarlug-gateway/src/entry/path_check.rs
@@ -152,9 +152,13 @@
     }
 
     /// Closes the idle connections to upstreams, which may no longer deliver anything after a partition.
+    /// Without them a crash does not show, so the upstreams count as cold until their next announcement.
     fn close_upstream_connections(&self) {
-        let upstreams = self.upstreams.borrow();
-        upstreams.all().iter().for_each(|known| self.client.close_idle(known.upstream.address));
+        let (now, upstreams) = (self.now(), self.upstreams.borrow());
+        for known in upstreams.all() {
+            self.client.close_idle(known.upstream.address);
+            self.healths.borrow_mut().record_unwatched(now, &known.upstream.id);
+        }
     }
 }
 
