--- a/crates/medlarlug-core/tests/testsuite/prompt_parts.rs
+++ b/crates/medlarlug-core/tests/testsuite/prompt_parts.rs
@@ -364,28 +364,40 @@
     }
 }
 
+/// A part crashes its upstreams after they have written for a while. Asserts that it is quarantined, and the
+/// parts that it shares requests with are not.
+fn assert_quarantined_when_it_crashes_after(written: Duration) {
+    let mut fleet = Fleet::with_long_answers(&["everywhere", "session"]);
+    fleet.now = fleet.now + Duration::from_secs(6);
+
+    for round in 0..9 {
+        fleet.now = fleet.now + Duration::from_secs(1);
+        fleet.tick();
+        if fleet.serves(&["everywhere", "dead"]) {
+            fleet.crash(round % 3, &["everywhere", "dead"], written);
+        }
+    }
+
+    assert_eq!(fleet.crashes, 3, "written for {written:?}");
+    assert!(!fleet.serves(&["everywhere", "dead"]), "written for {written:?}");
+    assert!(fleet.serves(&["everywhere", "session"]), "written for {written:?}");
+}
+
 /// Guards against the failure that the first event of an answer cleared the parts of its prompt, so that a
 /// part that crashes upstreams while they write was never found (issue 67, review/6).
 #[test]
 fn part_that_crashes_upstreams_as_they_write_is_quarantined_and_common_ones_go_on() {
     for written in [5, 300, 900].map(Duration::from_millis) {
-        let mut fleet = Fleet::with_long_answers(&["everywhere", "session"]);
-        fleet.now = fleet.now + Duration::from_secs(6);
-
-        for round in 0..9 {
-            fleet.now = fleet.now + Duration::from_secs(1);
-            fleet.tick();
-            if fleet.serves(&["everywhere", "dead"]) {
-                fleet.crash(round % 3, &["everywhere", "dead"], written);
-            }
-        }
-
-        assert_eq!(fleet.crashes, 3, "written for {written:?}");
-        assert!(!fleet.serves(&["everywhere", "dead"]), "written for {written:?}");
-        assert!(fleet.serves(&["everywhere", "session"]), "written for {written:?}");
+        assert_quarantined_when_it_crashes_after(written);
     }
 }
 
+/// As the test before, for a part that crashes its upstreams late in their answers.
+#[test]
+fn part_that_crashes_upstreams_late_in_an_answer_is_quarantined_and_common_ones_go_on() {
+    assert_quarantined_when_it_crashes_after(Duration::from_millis(2_500));
+}
+
 /// No sound answer is complete when the upstreams crash, and the part that all requests share is in flight
 /// at more crashes than each of the two that are at fault.
 #[test]
