--- a/crates/medlarlug-core/src/suspects/mod.rs
+++ b/crates/medlarlug-core/src/suspects/mod.rs
@@ -14,9 +14,10 @@
 //! A completed run clears a request and its parts of all crashes so far, and for a minute of those that
 //! follow. A content that crashes upstreams crashes every one that runs it, while a common content is in
 //! flight on whichever upstream crashes. An answer that has only begun clears nothing, since a part may
-//! crash its upstream while the answer is written. Of answers that a crash interrupts, the parts of those
-//! that have been written for a second are suspects only if no younger one was in flight. An answer that has been written for longer than those
-//! that a crash interrupted clears their common parts of that crash.
+//! crash its upstream while the answer is written. Of answers that a crash interrupts, the parts of
+//! those that have been written for a second are suspects only if no younger one was in flight. An answer
+//! that has been written for longer than those that a crash interrupted clears their common parts of that
+//! crash.
 //!
 //! A content is quarantined when
 //!
--- a/src/transport/event_buffer.rs
+++ b/src/transport/event_buffer.rs
@@ -4,7 +4,7 @@
 //! none of them, so the bytes of incomplete events are counted as those of answers are. Without room
 //! nothing more is read from the upstream.
 
-use bytes::{Buf, Bytes};
+use bytes::Bytes;
 use medlarlug_core::memory_budget::ORDINARY_ANSWER_BYTES;
 
 use crate::{
@@ -36,8 +36,7 @@
         !self.waiting.is_empty()
     }
 
-    /// Adds received bytes. They are searched for events by the next call of [`EventBuffer::settle`],
-    /// which has to complete before more are added.
+    /// Adds received bytes. [`EventBuffer::settle`] has to complete before more are added.
     pub fn push(&mut self, bytes: Bytes) {
         debug_assert!(!self.is_waiting(), "the bytes before these have settled");
         self.waiting = bytes;
@@ -49,13 +48,13 @@
         if size > self.reserved {
             // The capacity doubles when it is used up, but what ordinary events need is always granted.
             let ordinary = ORDINARY_ANSWER_BYTES as usize;
-            let doubled = 2 * self.reserved;
-            let capacity = size.max(if size <= ordinary { doubled.min(ordinary) } else { doubled });
+            let longest = if size <= ordinary { ordinary } else { usize::MAX };
+            let capacity = size.max((2 * self.reserved).min(longest));
             self.counted.reserve(capacity - self.reserved).await;
             self.reserved = capacity;
         }
         self.splitter.push(&self.waiting);
-        self.waiting.advance(self.waiting.len());
+        self.waiting.clear();
     }
 
     /// Removes and returns all complete events as one buffer.
