--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,6 +4,6 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 export ROOT="$(cd "$here/../.." && pwd)" RECORD="$here/record.txt"
 cd "$ROOT" || exit 2
-[[ -x target/review-3/late_version && -x target/release/medlarlug-platform ]] || exit 2
-timeout -s KILL 110 target/review-3/late_version
+[[ -x target/review-3/deadly_part && -x target/release/medlarlug-platform ]] || exit 2
+timeout -s KILL 110 target/review-3/deadly_part
 case $? in 0) exit 0 ;; 1) exit 1 ;; *) exit 2 ;; esac
--- a/review/standin-3/common.rs
+++ b/review/standin-3/common.rs
@@ -504,6 +504,11 @@
         let _ = self.child.wait();
     }
 
+    /// Whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Lines that it has printed, such as `run ID at MS`.
     pub fn lines(&self) -> Vec<String> {
         self.lines.lock().unwrap().clone()
@@ -646,6 +651,8 @@
             }
         }
         if target.starts_with("/stream/") {
+            let is_deadly = header("x-prompt-prefix").contains(DEADLY_PART);
+            let began = Instant::now();
             let last: u64 = header("last-event-id").parse().unwrap_or(0);
             let head = format!(
                 "HTTP/1.1 200 OK\r\n{common}content-type: text/event-stream\r\n\
@@ -662,6 +669,10 @@
                     return;
                 }
                 sleep_ms(EVENT_INTERVAL_MS);
+                if is_deadly && began.elapsed() >= DEADLY_TIME {
+                    say(&format!("crash of {id} at {}", unix_ms()));
+                    std::process::exit(3);
+                }
             }
             if writer.write_all(b"0\r\n\r\n").is_err() {
                 return;
@@ -679,6 +690,10 @@
 /// Events of a stream, and the time between two.
 pub const EVENTS: u64 = 58;
 pub const EVENT_INTERVAL_MS: u64 = 120;
+/// A part of prompts that crashes each upstream that writes an answer on it, this long after the begin of
+/// the answer.
+pub const DEADLY_PART: &str = "dead0001";
+const DEADLY_TIME: Duration = Duration::from_millis(1_200);
 /// Time for which an upstream works on a plain request.
 const WORK_MS: u64 = 20;
 
