--- a/crates/medlarlug-core/src/suspects/ledger.rs
+++ b/crates/medlarlug-core/src/suspects/ledger.rs
@@ -11,6 +11,10 @@
     time::Time,
 };
 
+/// Of contents with equal evidence, those that this many times as many requests held as the rarest are less
+/// likely at fault.
+const MAX_HOLDER_RATIO: usize = 2;
+
 /// Status of a content, derived from the known facts; the most restrictive is the greatest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ContentStatus {
@@ -318,10 +322,10 @@
     fn recompute_quarantines(&mut self) {
         self.quarantines.clear();
         loop {
-            let unexplained = self.unexplained_crashes();
+            let (unexplained, times) = self.unexplained_crashes();
             let candidates: Vec<Quarantine> = unexplained
                 .chunk_by(|a, b| a.fingerprint == b.fingerprint)
-                .filter_map(candidate)
+                .filter_map(|evidence| candidate(evidence, &times))
                 .collect();
             let Some(strongest) = candidates.iter().map(Quarantine::strength).max() else {
                 self.suspects = unexplained.into_iter().map(|it| it.fingerprint).collect();
@@ -339,7 +343,9 @@
     ///
     /// A content that most requests hold is in flight at every crash, so one that only some of its
     /// requests hold explains the same crashes better. A single request is in flight at several crashes
-    /// if it is retried, so one that different requests have in common explains them better, too.
+    /// if it is retried, so one that different requests have in common explains them better, too. And
+    /// a content that many of the interrupted requests held had run until then in most of them, while one
+    /// at fault crashes the upstream of each.
     fn most_specific(&self, candidates: Vec<Quarantine>) -> Vec<Quarantine> {
         let holders = self.holders(&candidates);
         let is_narrower = |one: &[Fingerprint], than: &[Fingerprint]| {
@@ -352,7 +358,9 @@
             held.filter(|(_, holders)| !has_narrower(holders)).collect();
         let are_shared = specific.iter().any(|(_, holders)| holders.len() > 1);
         let likely = specific.iter().filter(|(_, holders)| holders.len() > 1 || !are_shared);
-        let with_group = likely.map(|(quarantine, holders)| {
+        let fewest = likely.clone().map(|(_, holders)| holders.len()).min().unwrap_or_default();
+        let rarest = likely.filter(|(_, holders)| holders.len() <= MAX_HOLDER_RATIO * fewest);
+        let with_group = rarest.map(|(quarantine, holders)| {
             let same = specific.iter().filter(|(_, other)| other == holders);
             let group = same.map(|(it, _)| it.fingerprint).collect();
             Quarantine { group, ..quarantine.clone() }
@@ -379,9 +387,9 @@
     }
 
     /// Each crash that no quarantined content explains, for each of its suspects, sorted by content and
-    /// time.
-    fn unexplained_crashes(&self) -> Vec<Evidence> {
-        let mut evidence = Vec::new();
+    /// time; and the times of all these crashes, sorted.
+    fn unexplained_crashes(&self) -> (Vec<Evidence>, Vec<Time>) {
+        let (mut evidence, mut times) = (Vec::new(), Vec::new());
         for crash in &self.crashes {
             let is_quarantined = |it: &Fingerprint| {
                 self.quarantines
@@ -391,6 +399,7 @@
             if crash.suspects.iter().any(is_quarantined) {
                 continue;
             }
+            times.push(crash.at);
             let is_isolated = crash.is_isolated();
             evidence.extend(crash.suspects.iter().map(|&fingerprint| Evidence {
                 fingerprint,
@@ -400,7 +409,8 @@
             }));
         }
         evidence.sort_unstable();
-        evidence
+        times.sort_unstable();
+        (evidence, times)
     }
 }
 
@@ -453,13 +463,14 @@
     }
 }
 
-/// The quarantine of the content that all of `evidence` is about, if there is enough of it.
-fn candidate(evidence: &[Evidence]) -> Option<Quarantine> {
+/// The quarantine of the content that all of `evidence` is about, if there is enough of it. `times` are
+/// those of all crashes that may count against it, sorted.
+fn candidate(evidence: &[Evidence], times: &[Time]) -> Option<Quarantine> {
     let crashes = evidence.len();
     let isolated = evidence.iter().filter(|it| it.is_isolated).count();
     let failed = evidence.iter().filter(|it| it.is_trial).count();
     let is_likely = crashes >= QUARANTINE_CRASHES_ISOLATED && isolated > 0;
-    if !is_likely && crashes < QUARANTINE_CRASHES_SHARED {
+    if !is_likely && !prevails(evidence, times) {
         return None;
     }
     let &Evidence { fingerprint, at: last_crash, .. } = evidence.last()?;
@@ -467,6 +478,26 @@
     Some(Quarantine { fingerprint, last_crash, crashes, isolated, failed, group })
 }
 
+/// Whether there is a span of time in which a content was in flight at
+/// [`QUARANTINE_CRASHES_SHARED`] crashes or more, and at no fewer than half of all. `evidence` is that
+/// against the content, sorted by time.
+fn prevails(evidence: &[Evidence], times: &[Time]) -> bool {
+    // For a span from the crash `first` of the content to its crash `last`, the content's crashes are
+    // `last - first + 1`, and all crashes are `ends - begins`, of which twice the former is the most.
+    let begins = |it: &Evidence| times.partition_point(|time| *time < it.at) as i64;
+    let ends = |it: &Evidence| times.partition_point(|time| *time <= it.at) as i64;
+    let mut best = i64::MIN;
+    let spans = evidence.iter().zip(evidence.iter().skip(QUARANTINE_CRASHES_SHARED - 1));
+    for (number, (first, last)) in (0..).zip(spans) {
+        best = best.max(begins(first) - 2 * number);
+        let last_number = number + QUARANTINE_CRASHES_SHARED as i64 - 1;
+        if ends(last) - 2 * (last_number + 1) <= best {
+            return true;
+        }
+    }
+    false
+}
+
 /// Adds `more` to the sorted `set`; returns whether it grew.
 fn merge<T: Ord + Clone>(set: &mut Vec<T>, more: &[T]) -> bool {
     let count = set.len();
--- a/crates/medlarlug-core/tests/testsuite/main.rs
+++ b/crates/medlarlug-core/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod home_limits;
 mod home_model;
 mod home_tables;
+mod late_crashes;
 mod limits;
 mod membership;
 mod memory_budget;
