Request a table once, and send it compressed

From 65 to 71 s the 136 entry instances received 616 MB, five copies each, and their links of 7 Mbit/s were full all the while; one keeper sent most of it. A request was repeated each 600 ms, while the copy before needed at least a second to arrive, so every copy delayed the next. A link whose document took over 1.5 s counted as silent, was closed, and began anew. At 71.1 s the metrics of three instances still showed an older version, one of them at 76.5 s.

Now a request is repeated once nothing of the table has arrived for 600 ms, or its link has closed (`TableFetch`); a long message may take longer than the link's time-out as long as it arrives; keepers answer over the link of the request, and compress the document for instances that ask for it. Earlier builds send no such wish and get the document as before.

--- a/crates/medlarlug-core/src/gateway/mod.rs
+++ b/crates/medlarlug-core/src/gateway/mod.rs
@@ -19,8 +19,8 @@
 //! instances of the system itself, and [`keeper_view`] tells whether an instance sees enough of the
 //! others to act on its share of a common limit. [`connectivity`] detects that a network partition cuts
 //! an instance off from all upstreams. [`stall_detector`] detects that a process was
-//! stalled. [`table_lease`] tells for how long the home regions of a table may be relied
-//! on. Where engines crash when their memory is exceeded,
+//! stalled. [`table_fetch`] tells when a table has to be requested again, and [`table_lease`] for how long
+//! the home regions of a table may be relied on. Where engines crash when their memory is exceeded,
 //! [`engine_memory`] tells which have room for a call, and [`fair_share`] which team goes first.
 
 pub mod attempt_timeout;
@@ -53,6 +53,7 @@
 pub mod stream_timeout;
 pub mod stream_version;
 pub mod table;
+pub mod table_fetch;
 pub mod table_lease;
 pub mod teams;
 pub mod upstream_limits;
--- a/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/mod.rs
@@ -26,5 +26,6 @@
 mod stream_timeout;
 mod stream_versions;
 mod table;
+mod table_fetch;
 mod table_lease;
 mod upstream_limits;
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -64,6 +64,7 @@
         remote_region::REFERENCE_PROMPT_TOKENS,
         retry_budget::RetryWindow,
         table::{CallerLimits, RouteTable, ServiceName, TableVersion},
+        table_fetch::TableFetch,
         table_lease::{TableLease, TableReport},
         upstreams::{Birth, Effect, UpstreamState, Upstreams},
     },
@@ -92,13 +93,12 @@
     link::{Message, PublicationHead, Update},
     load_exchange::{self, Exchange},
     metrics as names,
+    packed::PackedDocument,
     settings::{MAX_UPDATE_AGE, NodeSettings},
 };
 
 /// Time between two rounds of housekeeping.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after which the request for a table is repeated.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time for which callers are still accepted after this instance has announced that it is leaving.
 /// Most callers fetch the directory again within it, and streams still have the rest of the grace
 /// period to end.
@@ -140,8 +140,8 @@
     head: RefCell<PublicationHead>,
     /// For how long the home regions of the table may be relied on.
     lease: RefCell<TableLease>,
-    /// The version that was requested, and when.
-    pending_fetch: Cell<Option<(TableVersion, Time)>>,
+    /// The request for a table that has not arrived yet.
+    pending_fetch: RefCell<Option<TableFetch>>,
     upstreams: RefCell<Upstreams>,
     contacts: RefCell<Contacts>,
     /// Which keepers this instance receives updates from.
@@ -208,7 +208,7 @@
             table: RefCell::default(),
             head: RefCell::default(),
             lease,
-            pending_fetch: Cell::default(),
+            pending_fetch: RefCell::default(),
             upstreams: RefCell::default(),
             contacts: RefCell::default(),
             view: RefCell::default(),
@@ -540,17 +540,25 @@
         self.fetch(from, head.version);
     }
 
-    /// Requests a table from a keeper if it is newer than the own one, unless it was requested
-    /// recently.
+    /// Requests a table from a keeper if it is newer than the own one, unless it is about to arrive.
     fn fetch(&self, from: SocketAddr, version: TableVersion) {
+        if version <= self.version() {
+            return;
+        }
         let now = self.now();
-        let own = self.version();
-        let is_requested = self
-            .pending_fetch
-            .get()
-            .is_some_and(|(requested, when)| requested >= version && now - when < FETCH_TIMEOUT);
-        if version > own && !is_requested && self.links.send(from, &Message::Fetch(version)) {
-            self.pending_fetch.set(Some((version, now)));
+        let mut pending = self.pending_fetch.borrow_mut();
+        if let Some(fetch) = &mut *pending {
+            fetch.observe(now, self.links.received_bytes(fetch.keeper()));
+        }
+        if pending.as_ref().is_some_and(|fetch| fetch.covers(now, version)) {
+            return;
+        }
+        let Some(received) = self.links.received_bytes(from) else { return };
+        if self.links.send(from, &Message::Fetch { version, accepts_packed: true }) {
+            if let Some(before) = &*pending {
+                tracing::info!(version = version.0, keeper = %from, before = %before.keeper(), "requesting the table again");
+            }
+            *pending = Some(TableFetch::new(now, version, from, received));
         }
     }
 
@@ -559,6 +567,23 @@
         self.table.borrow().as_ref().map(|table| table.version()).unwrap_or_default()
     }
 
+    fn on_packed_document(
+        &self,
+        from: SocketAddr,
+        version: TableVersion,
+        document: &PackedDocument,
+    ) {
+        if version <= self.version() {
+            return;
+        }
+        match document.unpack() {
+            Ok(bytes) => self.on_document(from, version, &bytes),
+            Err(error) => {
+                tracing::error!(version = version.0, %error, %from, "failed to unpack a table")
+            }
+        }
+    }
+
     fn on_document(&self, from: SocketAddr, version: TableVersion, bytes: &[u8]) {
         if version <= self.version() {
             return;
@@ -570,6 +595,7 @@
                 tracing::info!(version = version.0, routes, %from, "table in force");
                 metrics::gauge!(names::TABLE_VERSION).set(version.0 as f64);
                 *self.table.borrow_mut() = Some(Rc::new(table));
+                *self.pending_fetch.borrow_mut() = None;
                 self.review_quotas();
             }
             Err(error) => {
@@ -699,6 +725,9 @@
         match message {
             Message::Update(update) => self.on_update(from, update),
             Message::Document { version, bytes } => self.on_document(from, version, &bytes),
+            Message::PackedDocument { version, document } => {
+                self.on_packed_document(from, version, &document);
+            }
             Message::Pong { .. } => {}
             _ => tracing::warn!(keeper = %from, "unexpected message"),
         }
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -11,6 +11,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    io,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -59,6 +60,7 @@
 use crate::{
     keeper_links::{LinkOwner, Links, error_chain},
     link::{self, Message, PublicationHead, Update},
+    packed::PackedDocument,
     settings::{MAX_UPDATE_AGE, NO_TABLE, NodeSettings, address_of, instance_at},
     subscribers::{KeeperState, Subscribers},
 };
@@ -136,8 +138,8 @@
     confirmed: Cell<Option<(TableVersion, Time)>>,
     /// Wakes the task that confirms the table.
     confirm: Notify,
-    /// The newest table that was fetched, as an encoded [`Message::Document`] that all links share.
-    document: RefCell<Option<(TableVersion, Bytes)>>,
+    /// The newest table that was fetched, encoded in the forms that were asked for. All links share them.
+    documents: RefCell<Vec<EncodedDocument>>,
     /// Stalls of this process, during which announcements queue.
     stall: RefCell<StallDetector>,
     /// The scope of the directory's last answer by region of the caller and homes, sorted; for the log.
@@ -189,7 +191,7 @@
             lease,
             confirmed: Cell::default(),
             confirm: Notify::new(),
-            document: RefCell::default(),
+            documents: RefCell::default(),
             stall: RefCell::new(StallDetector::new(STALL_LIMIT)),
             scopes: RefCell::default(),
             failure: RefCell::default(),
@@ -254,18 +256,25 @@
         self.clock.now()
     }
 
-    /// The newest table as an encoded [`Message::Document`].
-    fn encoded_document(&self, publication: &Publication) -> Result<Bytes, postcard::Error> {
+    /// The newest table as an encoded [`Message::PackedDocument`] or [`Message::Document`].
+    fn encoded_document(
+        &self,
+        publication: &Publication,
+        is_packed: bool,
+    ) -> Result<Bytes, EncodeError> {
         let version = publication.version();
-        let mut document = self.document.borrow_mut();
-        if let Some((encoded, frame)) = &*document
-            && *encoded == version
-        {
-            return Ok(frame.clone());
+        let mut documents = self.documents.borrow_mut();
+        documents.retain(|it| it.version == version);
+        if let Some(known) = documents.iter().find(|it| it.is_packed == is_packed) {
+            return Ok(known.frame.clone());
         }
-        let bytes = publication.document().to_vec();
-        let frame = link::encode(&Message::Document { version, bytes })?;
-        *document = Some((version, frame.clone()));
+        let bytes = publication.document();
+        let message = match is_packed {
+            true => Message::PackedDocument { version, document: PackedDocument::pack(bytes)? },
+            false => Message::Document { version, bytes: bytes.to_vec() },
+        };
+        let frame = link::encode(&message)?;
+        documents.push(EncodedDocument { version, is_packed, frame: frame.clone() });
         Ok(frame)
     }
 
@@ -487,15 +496,18 @@
             Message::Acknowledged(number) => {
                 self.subscribers.borrow_mut().acknowledged(link, number)
             }
-            Message::Fetch(version) => {
+            Message::Fetch { version, accepts_packed } => {
                 let group = self.group.borrow();
                 let Some(publication) = group.state_machine().publication() else { return };
                 if publication.version() < version {
                     return;
                 }
-                match self.encoded_document(publication) {
-                    Ok(frame) => self.subscribers.borrow().send_frame(&info.id, frame),
-                    Err(error) => tracing::error!(%error, "failed to encode the table"),
+                match self.encoded_document(publication, accepts_packed) {
+                    // Over the link of the request, whose progress the receiver watches.
+                    Ok(frame) => self.subscribers.borrow().send_frame(link, frame),
+                    Err(error) => {
+                        tracing::error!(error = %error_chain(&error), "failed to encode the table");
+                    }
                 }
             }
             Message::Replication(message) => {
@@ -526,6 +538,7 @@
             | Message::Pong { .. }
             | Message::Update(_)
             | Message::Document { .. }
+            | Message::PackedDocument { .. }
             | Message::Reply { .. } => {
                 tracing::warn!(instance = %info.id, "unexpected message");
             }
@@ -533,6 +546,23 @@
     }
 }
 
+/// A table as a message to entry instances.
+#[derive(Debug)]
+struct EncodedDocument {
+    version: TableVersion,
+    is_packed: bool,
+    frame: Bytes,
+}
+
+/// Why a table could not be encoded.
+#[derive(Debug, Error)]
+enum EncodeError {
+    #[error("failed to compress the document")]
+    Pack(#[from] io::Error),
+    #[error("failed to encode the message")]
+    Message(#[from] postcard::Error),
+}
+
 /// Time within which a stopping leader transfers leadership: a few round trips between regions.
 const LEADERSHIP_TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Time between two checks whether another member leads.
--- a/crates/medlarlug-gateway/src/keeper_links.rs
+++ b/crates/medlarlug-gateway/src/keeper_links.rs
@@ -60,6 +60,13 @@
         }
     }
 
+    /// Number of bytes of long messages received over the open link to a keeper so far; `None` without one.
+    pub(crate) fn received_bytes(&self, from: SocketAddr) -> Option<u64> {
+        let links = self.0.borrow();
+        let at = links.binary_search_by(|it| it.0.cmp(&from)).ok()?;
+        links[at].1.as_ref().map(LinkSender::received_bytes)
+    }
+
     /// The addresses of the keepers to which a link is open.
     pub(crate) fn connected(&self) -> Vec<SocketAddr> {
         let links = self.0.borrow();
--- a/crates/medlarlug-gateway/src/lib.rs
+++ b/crates/medlarlug-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod keeper;
 pub mod link;
 pub mod metrics;
+pub mod packed;
 pub mod settings;
 
 mod keeper_links;
--- a/crates/medlarlug-gateway/src/link.rs
+++ b/crates/medlarlug-gateway/src/link.rs
@@ -35,10 +35,12 @@
     time::timeout,
 };
 
+use crate::packed::PackedDocument;
+
 /// Time between two pings. Several are sent within [`LINK_TIMEOUT`].
 pub const PING_INTERVAL: Duration = Duration::from_millis(400);
-/// Time without a message after which a link is closed and reopened: three pings and the time that
-/// one takes to arrive.
+/// Time without a message, or any further part of a long one, after which a link is closed and reopened:
+/// three pings and the time that one takes to arrive.
 pub const LINK_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Timeout for opening a connection: a few round trips between regions, with one lost packet.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -158,7 +160,13 @@
     #[serde(rename = "Seen")]
     Acknowledged(u64),
     /// Requests the table from a keeper that has this version or a newer one.
-    Fetch(TableVersion),
+    Fetch {
+        /// The version.
+        version: TableVersion,
+        /// Whether the sender reads [`Message::PackedDocument`]. Earlier builds neither send nor read it, so
+        /// it has to remain at the end.
+        accepts_packed: bool,
+    },
     /// The answer to [`Message::Fetch`].
     Document {
         /// Version of the table; it may be newer than the requested one.
@@ -196,6 +204,13 @@
         /// The result, or the reason why the request was not carried out.
         reply: GroupReply,
     },
+    /// The answer to a [`Message::Fetch`] that accepts it. Earlier builds can't read it.
+    PackedDocument {
+        /// Version of the table; it may be newer than the requested one.
+        version: TableVersion,
+        /// The document as the operator published it, compressed.
+        document: PackedDocument,
+    },
 }
 
 /// Why a link was closed or could not be opened.
@@ -238,6 +253,7 @@
 pub struct LinkSender {
     frames: mpsc::Sender<Bytes>,
     load: Rc<QueueLoad>,
+    received: Rc<Cell<u64>>,
 }
 
 /// How full the send queue of a link is.
@@ -286,6 +302,12 @@
         is_queued
     }
 
+    /// Number of bytes of long messages that the receiving side of the link has read so far, those of a message
+    /// that is still arriving included.
+    pub fn received_bytes(&self) -> u64 {
+        self.received.get()
+    }
+
     /// Whether the connection has ended and queued messages will not be sent any more.
     pub fn is_closed(&self) -> bool {
         self.frames.is_closed()
@@ -294,30 +316,47 @@
 
 /// The receiving side of a link.
 #[derive(Debug)]
-pub struct LinkReceiver(OwnedReadHalf);
+pub struct LinkReceiver {
+    connection: OwnedReadHalf,
+    received: Rc<Cell<u64>>,
+}
 
 impl LinkReceiver {
     /// Waits for the next message.
     ///
     /// # Errors
     ///
-    /// The connection ended, no message arrived within [`LINK_TIMEOUT`], or a frame can't be
-    /// decoded.
+    /// The connection ended, nothing arrived within [`LINK_TIMEOUT`], or a frame can't be decoded.
     pub async fn receive(&mut self) -> Result<Message, LinkError> {
-        match timeout(LINK_TIMEOUT, self.read()).await {
-            Ok(result) => result,
-            Err(_) => Err(LinkError::Unresponsive),
+        let begun = timeout(LINK_TIMEOUT, self.read_begin()).await;
+        let (mut frame, mut filled) = begun.map_err(|_| LinkError::Unresponsive)??;
+        while filled < frame.len() {
+            // A long frame may take longer than the time-out as long as it arrives.
+            let reading = timeout(LINK_TIMEOUT, self.connection.read(&mut frame[filled..])).await;
+            let bytes = reading.map_err(|_| LinkError::Unresponsive)?;
+            match bytes.map_err(LinkError::Disconnected)? {
+                0 => return Err(LinkError::Disconnected(io::ErrorKind::UnexpectedEof.into())),
+                bytes => {
+                    filled += bytes;
+                    self.received.set(self.received.get() + bytes as u64);
+                }
+            }
         }
+        decode(frame).map_err(LinkError::Decode)
     }
 
-    async fn read(&mut self) -> Result<Message, LinkError> {
-        let bytes = self.0.read_u32_le().await.map_err(LinkError::Disconnected)?;
+    /// Reads the length of a frame, and all of a short one. Returns the frame and how much of it was read.
+    async fn read_begin(&mut self) -> Result<(Vec<u8>, usize), LinkError> {
+        let bytes = self.connection.read_u32_le().await.map_err(LinkError::Disconnected)?;
         if bytes > MAX_FRAME_BYTES {
             return Err(LinkError::FrameTooLong { bytes });
         }
         let mut frame = vec![0; bytes as usize];
-        self.0.read_exact(&mut frame).await.map_err(LinkError::Disconnected)?;
-        decode(frame).map_err(LinkError::Decode)
+        if frame.len() > MAX_BATCH_BYTES {
+            return Ok((frame, 0));
+        }
+        let read = self.connection.read_exact(&mut frame).await;
+        Ok((frame, read.map_err(LinkError::Disconnected)?))
     }
 }
 
@@ -365,7 +404,9 @@
     let writing = write_frames(write, queue, load.clone());
     // The receiving half reports an error of the connection.
     task::spawn_local(async move { drop(writing.await) });
-    (LinkSender { frames, load }, LinkReceiver(read))
+    let received = Rc::new(Cell::new(0));
+    let receiver = LinkReceiver { connection: read, received: received.clone() };
+    (LinkSender { frames, load, received }, receiver)
 }
 
 /// Writes frames until the queue is closed, a message did not fit, or the connection ends. Short
--- a/crates/medlarlug-gateway/src/subscribers.rs
+++ b/crates/medlarlug-gateway/src/subscribers.rs
@@ -173,10 +173,10 @@
         self.position(link).is_ok_and(|at| self.links[at].sender.send(message))
     }
 
-    /// Sends an encoded message to a process over its newest link.
-    pub(crate) fn send_frame(&self, id: &InstanceId, frame: Bytes) {
-        if let Some(link) = self.links.iter().rfind(|it| it.id == *id) {
-            link.sender.send_frame(frame);
+    /// Sends an encoded message over a link, if it has not ended.
+    pub(crate) fn send_frame(&self, link: u64, frame: Bytes) {
+        if let Ok(at) = self.position(link) {
+            self.links[at].sender.send_frame(frame);
         }
     }
 
