Bound the use of a table that is known to have been replaced

And a table was believed without any bound where it gives a route no homes, or no route at all: a call without a route was answered 404.

A lease now has two bounds. Once a newer version is known, the shorter one counts, `configApplyMs`; the confirmation that it runs from is older than the commit, and so than the acknowledgement. After it, an instance whose table names homes for any route refuses the calls of all routes, with 1 s to come back, until the newer table has arrived: that one may give the route its first homes. A call without a route gets 503 as soon as a newer version is known. A region that is cut off, and knows of none, goes on as before.

--- a/crates/medlarlug-core/src/gateway/table.rs
+++ b/crates/medlarlug-core/src/gateway/table.rs
@@ -404,6 +404,11 @@
         None
     }
 
+    /// Whether a route or a team may have home regions.
+    pub fn may_have_homes(&self) -> bool {
+        self.teams.is_some() || self.homes.iter().any(|(_, homes)| !homes.ranks.is_empty())
+    }
+
     /// The home regions of a host; `None` if the table has no route of it.
     ///
     /// ```
--- a/crates/medlarlug-core/src/gateway/table_lease.rs
+++ b/crates/medlarlug-core/src/gateway/table_lease.rs
@@ -9,8 +9,12 @@
 //! that has been replaced is out of use one bound after its replacement was committed, and a process
 //! that still waits for the newest table may use its own until then.
 //!
-//! A call without home regions needs no confirmation, so a route that has just got its first ones is served
-//! as before by a process that has not received them.
+//! There are two bounds. A process that has heard of no newer version uses the longer one, so that a region
+//! that is cut off from the keepers serves its callers meanwhile. One that knows of a newer version knows that
+//! its table has been replaced, and has as long as operators wait for a configuration to be in effect.
+//!
+//! A call without home regions needs no confirmation. But where tables name homes, the one that has replaced
+//! a table may give its route the first ones: [`TableLease::is_outdated`].
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -57,6 +61,25 @@
     /// The home regions are from a table that may have been replaced.
     #[error("no recent confirmation that the table is the newest")]
     Unconfirmed,
+    /// The call has no home regions in a table that was replaced too long ago.
+    #[error("the table was replaced by one that may name home regions")]
+    Outdated,
+}
+
+/// For how long a process may rely on what its table says about home regions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseBounds {
+    /// Time after the last confirmation, while no newer version is known.
+    pub unheard: Duration,
+    /// The same once a newer version is known.
+    pub replaced: Duration,
+}
+
+impl From<Duration> for LeaseBounds {
+    /// The same bound whether or not a newer version is known.
+    fn from(bound: Duration) -> LeaseBounds {
+        LeaseBounds { unheard: bound, replaced: bound }
+    }
 }
 
 /// The time for which a process may rely on the home regions of its table.
@@ -73,7 +96,9 @@
 /// ```
 #[derive(Debug, Clone)]
 pub struct TableLease {
-    bound: Duration,
+    bounds: LeaseBounds,
+    /// The newest version that was ever confirmed.
+    newest: TableVersion,
     /// Ascending by version and by time.
     confirmations: Vec<Confirmation>,
     /// Whether the last report of each keeper said anything, sorted by address.
@@ -85,24 +110,39 @@
 }
 
 impl TableLease {
-    /// A lease without a confirmation. One that is as old as `bound` counts no longer.
-    pub fn new(bound: Duration) -> TableLease {
-        let (confirmations, reporters) = (Vec::new(), Vec::new());
-        TableLease { bound, confirmations, reporters, was_confirmed: false, was_held: false }
+    /// A lease without a confirmation. One that is as old as its bound counts no longer.
+    pub fn new(bounds: impl Into<LeaseBounds>) -> TableLease {
+        TableLease {
+            bounds: bounds.into(),
+            newest: TableVersion::default(),
+            confirmations: Vec::new(),
+            reporters: Vec::new(),
+            was_confirmed: false,
+            was_held: false,
+        }
+    }
+
+    /// Changes the times for which a confirmation counts.
+    pub fn set_bounds(&mut self, bounds: LeaseBounds) {
+        self.bounds = bounds;
     }
 
-    /// Changes the time for which a confirmation counts.
-    pub fn set_bound(&mut self, bound: Duration) {
-        self.bound = bound;
+    /// How old a confirmation of `version` may be.
+    fn bound(&self, version: TableVersion) -> Duration {
+        match self.newest > version {
+            true => self.bounds.replaced.min(self.bounds.unheard),
+            false => self.bounds.unheard,
+        }
     }
 
     /// Records that no version above `version` was committed before `at`.
     pub fn record(&mut self, at: Time, version: TableVersion) {
+        self.newest = self.newest.max(version);
         let is_known = |it: &Confirmation| it.version <= version && it.at >= at;
         if self.confirmations.iter().any(is_known) {
             return;
         }
-        let oldest = at.saturating_sub(self.bound);
+        let oldest = at.saturating_sub(self.bounds.unheard);
         self.confirmations.retain(|it| it.at > oldest && (it.version < version || it.at > at));
         let place = self.confirmations.partition_point(|it| it.version < version);
         self.confirmations.insert(place, Confirmation { version, at });
@@ -143,7 +183,12 @@
     pub fn holds(&self, now: Time, version: TableVersion) -> bool {
         let is_unsupported = !self.reporters.is_empty() && self.reporters.iter().all(|it| !it.1);
         (is_unsupported && !self.was_confirmed)
-            || self.age(now, version).is_some_and(|age| age < self.bound)
+            || self.age(now, version).is_some_and(|age| age < self.bound(version))
+    }
+
+    /// Whether a newer version is known, and `version` may not be relied on any more.
+    pub fn is_outdated(&self, now: Time, version: TableVersion) -> bool {
+        self.newest > version && !self.holds(now, version)
     }
 
     /// Whether the lease holds, if that has changed since the last review.
--- a/crates/medlarlug-core/tests/testsuite/gateway/table_lease.rs
+++ b/crates/medlarlug-core/tests/testsuite/gateway/table_lease.rs
@@ -5,7 +5,7 @@
 use medlarlug_core::{
     gateway::{
         table::TableVersion,
-        table_lease::{ResidencyError, TableLease, TableReport},
+        table_lease::{LeaseBounds, ResidencyError, TableLease, TableReport},
     },
     time::Time,
 };
@@ -57,11 +57,17 @@
     commits: Vec<u64>,
     confirmed: [Option<(u64, u64)>; PROCESSES],
     instances: Vec<(TableLease, u64)>,
+    /// The newest version that each instance was told of.
+    heard: [u64; PROCESSES],
     messages: Vec<(u64, Message)>,
 }
 
 impl World {
     fn new(seed: u64, max_delay: u64, loss: f64) -> World {
+        World::with_bounds(BOUND.into(), seed, max_delay, loss)
+    }
+
+    fn with_bounds(bounds: LeaseBounds, seed: u64, max_delay: u64, loss: f64) -> World {
         World {
             random: ChaCha8Rng::seed_from_u64(seed),
             now: 1,
@@ -69,7 +75,8 @@
             loss,
             commits: vec![0],
             confirmed: [None; PROCESSES],
-            instances: vec![(TableLease::new(BOUND), 0); PROCESSES],
+            instances: vec![(TableLease::new(bounds), 0); PROCESSES],
+            heard: [0; PROCESSES],
             messages: Vec::new(),
         }
     }
@@ -113,6 +120,9 @@
             }
             Message::Pong { keeper: from, instance, sent, report } => {
                 let sent = self.clock(instance, sent);
+                if let TableReport::Confirmed { version, .. } = report {
+                    self.heard[instance] = self.heard[instance].max(version.0);
+                }
                 self.instances[instance].0.record_report(keeper(from), sent, report);
             }
             Message::Table { instance, version } => {
@@ -173,6 +183,38 @@
     }
 }
 
+/// Guards against the failure that an instance which knew of a newer table and had not received it went on for
+/// the time that is meant for one that is cut off (issue 73).
+#[test]
+fn homes_are_relied_on_for_a_shorter_time_once_a_newer_version_is_known() {
+    let bounds = LeaseBounds { unheard: BOUND, replaced: Duration::from_secs(4) };
+    let replaced_ms = bounds.replaced.as_millis() as u64;
+    let (mut ended_early, mut held_unheard) = (0, 0);
+    for seed in 0..300 {
+        let mut world = World::with_bounds(bounds, seed, 20_000, 0.3);
+        for _ in 0..400 {
+            let millis = world.random.random_range(1..900);
+            world.step(millis, 0.4);
+            if world.random.random_bool(0.02) {
+                world.commit();
+            }
+            for instance in 0..PROCESSES {
+                let own = world.instances[instance].1;
+                let Some(&replaced) = world.commits.get(own as usize + 1) else { continue };
+                let is_late = world.now >= replaced + replaced_ms;
+                let (is_known, holds) = (world.heard[instance] > own, world.holds(instance));
+                assert!(!(is_known && is_late && holds), "seed {seed}, at {} ms", world.now);
+                let now = world.clock(instance, world.now);
+                let lease = &world.instances[instance].0;
+                assert_eq!(lease.is_outdated(now, TableVersion(own)), is_known && !holds);
+                ended_early += u64::from(is_known && is_late);
+                held_unheard += u64::from(!is_known && is_late && holds);
+            }
+        }
+    }
+    assert!(ended_early > 0 && held_unheard > 0, "one of the bounds was not reached");
+}
+
 #[test]
 fn instance_in_touch_is_not_refused_while_a_newer_table_is_on_its_way() {
     for seed in 0..100 {
--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -199,7 +199,7 @@
         let internal = http_server::listen_within("peers", settings.info.internal, &memory).await?;
         let clock = Clock::start_with_offset(MAX_UPDATE_AGE);
         let quota = QuotaState::new(settings.info.id.clone());
-        let lease = RefCell::new(TableLease::new(settings.table_bound));
+        let lease = RefCell::new(TableLease::new(settings.table_bounds));
         let entry = Rc::new(Entry {
             settings: RefCell::new(settings),
             names,
@@ -294,7 +294,7 @@
 
     /// Applies changed settings. Contacts and retry bounds take effect at once.
     pub fn reload(self: &Rc<Entry>, settings: NodeSettings) {
-        self.lease.borrow_mut().set_bound(settings.table_bound);
+        self.lease.borrow_mut().set_bounds(settings.table_bounds);
         *self.settings.borrow_mut() = settings;
         self.links.connect_new(self);
     }
--- a/crates/medlarlug-gateway/src/entry/residency.rs
+++ b/crates/medlarlug-gateway/src/entry/residency.rs
@@ -50,13 +50,25 @@
         let [route, team] = newer.map_or([&[][..]; 2], |newer| residency.homes_in(newer, call));
         let version = newer.map_or(residency.version, |it| it.version());
         let homes = [&residency.route.homes, route, team];
+        if self.may_lack_homes(version) {
+            return Err(ResidencyError::Outdated);
+        }
         self.lease.borrow().permit(self.now(), version, &homes, region)
     }
 
-    /// Whether the call has home regions that may be out of date.
+    /// Whether the call's home regions, or that it has none, may be out of date.
     pub(super) fn lacks_confirmation(&self, plan: &Plan) -> bool {
         let version = plan.homes_version.max(self.version());
-        !plan.route.homes.is_empty() && !self.lease.borrow().holds(self.now(), version)
+        let is_unconfirmed =
+            !plan.route.homes.is_empty() && !self.lease.borrow().holds(self.now(), version);
+        is_unconfirmed || self.may_lack_homes(version)
+    }
+
+    /// Whether a table that has replaced the table `version` may give routes their first home regions, since
+    /// other routes have some, and has been known for too long.
+    fn may_lack_homes(&self, version: TableVersion) -> bool {
+        self.lease.borrow().is_outdated(self.now(), version)
+            && self.table.borrow().as_ref().is_some_and(|it| it.may_have_homes())
     }
 
     /// Whether neither the call's route nor a team may have home regions, or these may be relied on. The team
@@ -67,7 +79,8 @@
         let route = table.route(&call.host, call.path());
         let may_have_homes =
             table.teams().is_some() || route.is_some_and(|it| !it.homes.is_empty());
-        !may_have_homes || self.lease.borrow().holds(self.now(), table.version())
+        let is_held = || self.lease.borrow().holds(self.now(), table.version());
+        (!may_have_homes || is_held()) && !self.may_lack_homes(table.version())
     }
 
     /// Logs and counts a call that is refused because its home regions may be out of date.
--- a/crates/medlarlug-gateway/src/entry/serve.rs
+++ b/crates/medlarlug-gateway/src/entry/serve.rs
@@ -352,6 +352,12 @@
         }),
     };
     let Some((route, service)) = found else {
+        let newest = entry.head.borrow().version;
+        if newest > table.version() {
+            tracing::info!(request = %call.id, host, path, table = table.version().0, newest = newest.0, outcome = "refused", "no route, but a newer table is on its way");
+            let retry_after = Some(NO_TABLE_RETRY_AFTER);
+            return Err(Box::new(refusal(entry, call, retry_after, HandoverReport::REFUSED)));
+        }
         tracing::info!(request = %call.id, host, path, table = table.version().0, outcome = "rejected", "no route");
         return Err(Box::new(rejected(StatusCode::NOT_FOUND, "no route")));
     };
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -165,7 +165,7 @@
             facts.apply(clock.now(), &fact);
         }
         let (writer, mut sync_reports) = Writer::start(journal)?;
-        let lease = RefCell::new(TableLease::new(settings.table_bound));
+        let lease = RefCell::new(TableLease::new(settings.table_bounds));
         let address = settings.listener.unwrap_or(settings.info.internal);
         let listener = http_server::listen("peers", address).await?;
         let keeper = Rc::new(Keeper {
@@ -242,7 +242,7 @@
 
     /// Applies changed settings. New contacts are connected to at once.
     pub fn reload(self: &Rc<Keeper>, settings: NodeSettings) {
-        self.lease.borrow_mut().set_bound(settings.table_bound);
+        self.lease.borrow_mut().set_bounds(settings.table_bounds);
         *self.settings.borrow_mut() = settings;
         self.links.connect_new(self);
     }
--- a/crates/medlarlug-gateway/src/settings.rs
+++ b/crates/medlarlug-gateway/src/settings.rs
@@ -12,6 +12,7 @@
         contacts::{InstanceInfo, InstanceKind},
         retry_budget::RetryBounds,
         table::{RouteTable, TableVersion},
+        table_lease::LeaseBounds,
     },
     ids::{IdError, InstanceId, RegionId, ZoneId},
     units::ByteSize,
@@ -69,9 +70,10 @@
     /// Time between a request to stop and the end of the process, within which open calls may
     /// complete.
     pub grace: Duration,
-    /// Time after the last confirmation that a table is the newest for which its home regions may be
-    /// relied on: within it, operators expect a configuration to be in effect.
-    pub table_bound: Duration,
+    /// For how long after the last confirmation that a table is the newest its home regions may be relied
+    /// on: the times within which operators expect a configuration to be in effect, while keepers are
+    /// disturbed and otherwise.
+    pub table_bounds: LeaseBounds,
     /// Parses the tables that operators publish.
     pub read_table: ReadTable,
     /// What the quotas of teams tolerate beyond their rate and burst.
