Request a newer table only after the one that is arriving

While a table arrives, each newer version that became known was requested at once, so with a change every few hundred milliseconds several copies shared a link of 7 Mbit/s. A request is now pending until a table has arrived or its link is idle, and what has become known meanwhile is requested then.

--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -540,7 +540,7 @@
         self.fetch(from, head.version);
     }
 
-    /// Requests a table from a keeper if it is newer than the own one, unless it is about to arrive.
+    /// Requests a table from a keeper if it is newer than the own one, unless a table is about to arrive.
     fn fetch(&self, from: SocketAddr, version: TableVersion) {
         if version <= self.version() {
             return;
@@ -550,7 +550,7 @@
         if let Some(fetch) = &mut *pending {
             fetch.observe(now, self.links.received_bytes(fetch.keeper()));
         }
-        if pending.as_ref().is_some_and(|fetch| fetch.covers(now, version)) {
+        if pending.as_ref().is_some_and(|fetch| fetch.is_active(now)) {
             return;
         }
         let Some(received) = self.links.received_bytes(from) else { return };
@@ -558,7 +558,17 @@
             if let Some(before) = &*pending {
                 tracing::info!(version = version.0, keeper = %from, before = %before.keeper(), "requesting the table again");
             }
-            *pending = Some(TableFetch::new(now, version, from, received));
+            *pending = Some(TableFetch::new(now, from, received));
+        }
+    }
+
+    /// Ends the request that a keeper has answered with the table `received`, and requests a newer one that
+    /// has become known meanwhile.
+    fn fetch_newer(&self, from: SocketAddr, received: TableVersion) {
+        *self.pending_fetch.borrow_mut() = None;
+        let newest = self.head.borrow().version;
+        if newest > received {
+            self.fetch(from, newest);
         }
     }
 
@@ -595,7 +605,6 @@
                 tracing::info!(version = version.0, routes, %from, "table in force");
                 metrics::gauge!(names::TABLE_VERSION).set(version.0 as f64);
                 *self.table.borrow_mut() = Some(Rc::new(table));
-                *self.pending_fetch.borrow_mut() = None;
                 self.review_quotas();
             }
             Err(error) => {
@@ -724,9 +733,13 @@
         self.update_view();
         match message {
             Message::Update(update) => self.on_update(from, update),
-            Message::Document { version, bytes } => self.on_document(from, version, &bytes),
+            Message::Document { version, bytes } => {
+                self.on_document(from, version, &bytes);
+                self.fetch_newer(from, version);
+            }
             Message::PackedDocument { version, document } => {
                 self.on_packed_document(from, version, &document);
+                self.fetch_newer(from, version);
             }
             Message::Pong { .. } => {}
             _ => tracing::warn!(keeper = %from, "unexpected message"),
