Request a table that did not arrive from the next keeper

A table that was known and had not arrived was requested from the first keeper by address each time. That one may not have it yet, such as after a freeze, while the others do; the instance then waited for as long.

--- a/crates/medlarlug-gateway/src/entry/mod.rs
+++ b/crates/medlarlug-gateway/src/entry/mod.rs
@@ -562,6 +562,15 @@
         }
     }
 
+    /// Requests a table from the keeper that follows the one asked last, which may lack it.
+    fn fetch_from_next(&self, version: TableVersion) {
+        let mut keepers = self.keepers();
+        let asked = self.pending_fetch.borrow().as_ref().map(TableFetch::keeper);
+        let followers = asked.map_or(0, |asked| keepers.partition_point(|it| *it <= asked));
+        keepers.rotate_left(followers);
+        keepers.into_iter().for_each(|keeper| self.fetch(keeper, version));
+    }
+
     /// Ends the request that a keeper has answered with the table `received`, and requests a newer one that
     /// has become known meanwhile.
     fn fetch_newer(&self, from: SocketAddr, received: TableVersion) {
@@ -768,9 +777,7 @@
         entry.review_quotas();
         let wanted = entry.head.borrow().version;
         if wanted > entry.version() {
-            for keeper in entry.keepers() {
-                entry.fetch(keeper, wanted);
-            }
+            entry.fetch_from_next(wanted);
         }
         metrics::gauge!(names::OPEN_LINKS).set(entry.links.open_count() as f64);
         let upstreams = entry.upstreams.borrow();
