--- a/crates/medlarlug-core/src/suspects/ledger.rs
+++ b/crates/medlarlug-core/src/suspects/ledger.rs
@@ -11,8 +11,8 @@
     time::Time,
 };
 
-/// Of contents with equal evidence, those that this many times as many requests held as the rarest are less
-/// likely at fault.
+/// Of contents with equal evidence, those are less likely at fault that more than this many times as many requests
+/// held as the rarest.
 const MAX_HOLDER_RATIO: usize = 2;
 
 /// Status of a content, derived from the known facts; the most restrictive is the greatest.
@@ -343,9 +343,9 @@
     ///
     /// A content that most requests hold is in flight at every crash, so one that only some of its
     /// requests hold explains the same crashes better. A single request is in flight at several crashes
-    /// if it is retried, so one that different requests have in common explains them better, too. And
-    /// a content that many of the interrupted requests held had run until then in most of them, while one
-    /// at fault crashes the upstream of each.
+    /// if it is retried, so one that different requests have in common explains them better, too. A
+    /// content at fault crashes the upstream of each of its requests, so few of them are interrupted at a time;
+    /// one that many interrupted requests held explains the crashes less well.
     fn most_specific(&self, candidates: Vec<Quarantine>) -> Vec<Quarantine> {
         let holders = self.holders(&candidates);
         let is_narrower = |one: &[Fingerprint], than: &[Fingerprint]| {
@@ -482,16 +482,17 @@
 /// [`QUARANTINE_CRASHES_SHARED`] crashes or more, and at no fewer than half of all. `evidence` is that
 /// against the content, sorted by time.
 fn prevails(evidence: &[Evidence], times: &[Time]) -> bool {
-    // For a span from the crash `first` of the content to its crash `last`, the content's crashes are
-    // `last - first + 1`, and all crashes are `ends - begins`, of which twice the former is the most.
+    // The span from the content's crash `i` to its crash `j` holds `j - i + 1` crashes of the content and
+    // `ends(j) - begins(i)` in all. The latter may be at most twice the former, which is the case if
+    // `ends(j) - 2 * (j + 1) <= begins(i) - 2 * i`.
     let begins = |it: &Evidence| times.partition_point(|time| *time < it.at) as i64;
     let ends = |it: &Evidence| times.partition_point(|time| *time <= it.at) as i64;
-    let mut best = i64::MIN;
-    let spans = evidence.iter().zip(evidence.iter().skip(QUARANTINE_CRASHES_SHARED - 1));
-    for (number, (first, last)) in (0..).zip(spans) {
-        best = best.max(begins(first) - 2 * number);
-        let last_number = number + QUARANTINE_CRASHES_SHARED as i64 - 1;
-        if ends(last) - 2 * (last_number + 1) <= best {
+    let shortest = QUARANTINE_CRASHES_SHARED - 1;
+    let mut greatest = i64::MIN;
+    for (i, (first, last)) in (0..).zip(evidence.iter().zip(evidence.iter().skip(shortest))) {
+        greatest = greatest.max(begins(first) - 2 * i);
+        let j = i + shortest as i64;
+        if ends(last) - 2 * (j + 1) <= greatest {
             return true;
         }
     }
