--- a/crates/medlarlug-core/src/suspects/isolation.rs
+++ b/crates/medlarlug-core/src/suspects/isolation.rs
@@ -18,6 +18,9 @@
 /// Time by which an answer has to outlast the interrupted ones to show that their common parts are
 /// sound. Covers how late a broken connection is noticed.
 const OUTLAST_MARGIN: Duration = Duration::from_secs(2);
+/// Time since its begin after which an answer is an unlikely cause of a crash, as long as a younger
+/// one was in flight on the same upstream.
+const YOUNG_ANSWER_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of parts in doubt; the oldest are dropped first, and only complete answers clear them.
 const MAX_DOUBTS: usize = 4_096;
 
@@ -304,9 +307,15 @@
         if interrupted.is_empty() {
             return;
         }
-        // Whatever the age of an answer, its request may be the cause.
-        let contents =
-            interrupted.iter().map(|it| it.contents.with_parts(|part| !self.is_sound(now, part)));
+        let is_young =
+            |it: &InFlightRequest| it.began.is_none_or(|began| now - began < YOUNG_ANSWER_TIME);
+        let has_young = interrupted.iter().any(is_young);
+        // Answers are long, and many hold parts that others share. An upstream that crashes for
+        // another reason would put all of them under suspicion.
+        let contents = interrupted.iter().map(|it| {
+            let may_be_cause = !has_young || is_young(it);
+            it.contents.with_parts(|part| may_be_cause && !self.is_sound(now, part))
+        });
         let mut in_flight: Vec<RequestContents> = contents.collect();
         in_flight.sort_unstable();
         in_flight.dedup();
--- a/crates/medlarlug-core/src/suspects/ledger.rs
+++ b/crates/medlarlug-core/src/suspects/ledger.rs
@@ -11,10 +11,6 @@
     time::Time,
 };
 
-/// Of contents with equal evidence, those are less likely at fault that more than this many times as many requests
-/// held as the rarest.
-const MAX_HOLDER_RATIO: usize = 2;
-
 /// Status of a content, derived from the known facts; the most restrictive is the greatest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ContentStatus {
@@ -322,10 +318,10 @@
     fn recompute_quarantines(&mut self) {
         self.quarantines.clear();
         loop {
-            let (unexplained, times) = self.unexplained_crashes();
+            let unexplained = self.unexplained_crashes();
             let candidates: Vec<Quarantine> = unexplained
                 .chunk_by(|a, b| a.fingerprint == b.fingerprint)
-                .filter_map(|evidence| candidate(evidence, &times))
+                .filter_map(candidate)
                 .collect();
             let Some(strongest) = candidates.iter().map(Quarantine::strength).max() else {
                 self.suspects = unexplained.into_iter().map(|it| it.fingerprint).collect();
@@ -343,9 +339,7 @@
     ///
     /// A content that most requests hold is in flight at every crash, so one that only some of its
     /// requests hold explains the same crashes better. A single request is in flight at several crashes
-    /// if it is retried, so one that different requests have in common explains them better, too. A
-    /// content at fault crashes the upstream of each of its requests, so few of them are interrupted at a time;
-    /// one that many interrupted requests held explains the crashes less well.
+    /// if it is retried, so one that different requests have in common explains them better, too.
     fn most_specific(&self, candidates: Vec<Quarantine>) -> Vec<Quarantine> {
         let holders = self.holders(&candidates);
         let is_narrower = |one: &[Fingerprint], than: &[Fingerprint]| {
@@ -358,9 +352,7 @@
             held.filter(|(_, holders)| !has_narrower(holders)).collect();
         let are_shared = specific.iter().any(|(_, holders)| holders.len() > 1);
         let likely = specific.iter().filter(|(_, holders)| holders.len() > 1 || !are_shared);
-        let fewest = likely.clone().map(|(_, holders)| holders.len()).min().unwrap_or_default();
-        let rarest = likely.filter(|(_, holders)| holders.len() <= MAX_HOLDER_RATIO * fewest);
-        let with_group = rarest.map(|(quarantine, holders)| {
+        let with_group = likely.map(|(quarantine, holders)| {
             let same = specific.iter().filter(|(_, other)| other == holders);
             let group = same.map(|(it, _)| it.fingerprint).collect();
             Quarantine { group, ..quarantine.clone() }
@@ -387,9 +379,9 @@
     }
 
     /// Each crash that no quarantined content explains, for each of its suspects, sorted by content and
-    /// time; and the times of all these crashes, sorted.
-    fn unexplained_crashes(&self) -> (Vec<Evidence>, Vec<Time>) {
-        let (mut evidence, mut times) = (Vec::new(), Vec::new());
+    /// time.
+    fn unexplained_crashes(&self) -> Vec<Evidence> {
+        let mut evidence = Vec::new();
         for crash in &self.crashes {
             let is_quarantined = |it: &Fingerprint| {
                 self.quarantines
@@ -399,7 +391,6 @@
             if crash.suspects.iter().any(is_quarantined) {
                 continue;
             }
-            times.push(crash.at);
             let is_isolated = crash.is_isolated();
             evidence.extend(crash.suspects.iter().map(|&fingerprint| Evidence {
                 fingerprint,
@@ -409,8 +400,7 @@
             }));
         }
         evidence.sort_unstable();
-        times.sort_unstable();
-        (evidence, times)
+        evidence
     }
 }
 
@@ -463,14 +453,13 @@
     }
 }
 
-/// The quarantine of the content that all of `evidence` is about, if there is enough of it. `times` are
-/// those of all crashes that may count against it, sorted.
-fn candidate(evidence: &[Evidence], times: &[Time]) -> Option<Quarantine> {
+/// The quarantine of the content that all of `evidence` is about, if there is enough of it.
+fn candidate(evidence: &[Evidence]) -> Option<Quarantine> {
     let crashes = evidence.len();
     let isolated = evidence.iter().filter(|it| it.is_isolated).count();
     let failed = evidence.iter().filter(|it| it.is_trial).count();
     let is_likely = crashes >= QUARANTINE_CRASHES_ISOLATED && isolated > 0;
-    if !is_likely && !prevails(evidence, times) {
+    if !is_likely && crashes < QUARANTINE_CRASHES_SHARED {
         return None;
     }
     let &Evidence { fingerprint, at: last_crash, .. } = evidence.last()?;
@@ -478,27 +467,6 @@
     Some(Quarantine { fingerprint, last_crash, crashes, isolated, failed, group })
 }
 
-/// Whether there is a span of time in which a content was in flight at
-/// [`QUARANTINE_CRASHES_SHARED`] crashes or more, and at no fewer than half of all. `evidence` is that
-/// against the content, sorted by time.
-fn prevails(evidence: &[Evidence], times: &[Time]) -> bool {
-    // The span from the content's crash `i` to its crash `j` holds `j - i + 1` crashes of the content and
-    // `ends(j) - begins(i)` in all. The latter may be at most twice the former, which is the case if
-    // `ends(j) - 2 * (j + 1) <= begins(i) - 2 * i`.
-    let begins = |it: &Evidence| times.partition_point(|time| *time < it.at) as i64;
-    let ends = |it: &Evidence| times.partition_point(|time| *time <= it.at) as i64;
-    let shortest = QUARANTINE_CRASHES_SHARED - 1;
-    let mut greatest = i64::MIN;
-    for (i, (first, last)) in (0..).zip(evidence.iter().zip(evidence.iter().skip(shortest))) {
-        greatest = greatest.max(begins(first) - 2 * i);
-        let j = i + shortest as i64;
-        if ends(last) - 2 * (j + 1) <= greatest {
-            return true;
-        }
-    }
-    false
-}
-
 /// Adds `more` to the sorted `set`; returns whether it grew.
 fn merge<T: Ord + Clone>(set: &mut Vec<T>, more: &[T]) -> bool {
     let count = set.len();
