Update quarantines by what a fact changes

Cause: each new fact, also a clearance, made an instance sort the evidence of all crashes again, and each keeper as well, where nothing reads quarantines. A whole answer did it once for each of its parts.

CrashRecords keeps the facts with an index by content; Verdict is computed from the contents with two crashes or more, and only after a fact that can change it: a crash, or a clearance of a content that had the strongest evidence or that leaves one request as the cause. The clearances of one answer are applied together. A keeper holds the records alone, and looks for what to store only if that may have changed; clearances are stored with the next round.

--- a/crates/medlarlug-core/src/suspects/fact_log.rs
+++ b/crates/medlarlug-core/src/suspects/fact_log.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use crate::{
-    suspects::{CrashLedger, Fact},
+    suspects::{Fact, records::CrashRecords},
     time::Time,
 };
 
@@ -35,18 +35,22 @@
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct FactLog {
-    ledger: CrashLedger,
+    records: CrashRecords,
     /// Position of the oldest fact that is kept.
     first: u64,
     facts: VecDeque<(Fact, Time)>,
     /// Number of contents that the kept facts name.
     contents: usize,
+    /// Whether the repeated crashes may have changed since they were last taken.
+    has_repeated_changed: bool,
 }
 
 impl FactLog {
     /// Applies a fact; returns whether it was new.
     pub fn apply(&mut self, now: Time, fact: &Fact) -> bool {
-        if !self.ledger.apply(now, fact) {
+        let change = self.records.apply(now, fact);
+        self.has_repeated_changed |= change.has_repeated;
+        if !change.is_new {
             return false;
         }
         self.contents += fact.content_count();
@@ -62,13 +66,19 @@
 
     /// Reports that cover the contents with more than one crash against them.
     pub fn repeated_crashes(&self, now: Time) -> Vec<Fact> {
-        self.ledger.repeated_crashes(now)
+        self.records.repeated_crashes(now)
     }
 
-    /// Makes the ledger forget facts older than [`FACT_LIFETIME`](super::FACT_LIFETIME); the log is
+    /// Like [`FactLog::repeated_crashes`], but `None` if they have not changed since the last call.
+    pub fn take_changed_crashes(&mut self, now: Time) -> Option<Vec<Fact>> {
+        let has_changed = std::mem::take(&mut self.has_repeated_changed);
+        has_changed.then(|| self.repeated_crashes(now))
+    }
+
+    /// Forgets what is known by facts older than [`FACT_LIFETIME`](super::FACT_LIFETIME); the log is
     /// bounded by its number of contents only.
     pub fn expire(&mut self, now: Time) {
-        self.ledger.expire(now);
+        self.has_repeated_changed |= self.records.expire(now);
     }
 
     /// Position after the newest fact: the number of facts ever logged.
--- a/crates/medlarlug-core/src/suspects/isolation.rs
+++ b/crates/medlarlug-core/src/suspects/isolation.rs
@@ -1,6 +1,9 @@
 //! Requests in flight at one entry instance, and the upstreams that are reserved for suspects.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use crate::{
     fingerprint::Fingerprint,
@@ -24,6 +27,32 @@
 /// Maximum number of parts in doubt; the oldest are dropped first, and only complete answers clear them.
 const MAX_DOUBTS: usize = 4_096;
 
+/// The crashes of which one content is cleared.
+#[derive(Debug, Default)]
+struct Clearance {
+    crashes: Vec<CrashId>,
+    /// Time since the newest of them.
+    age: Duration,
+}
+
+impl Clearance {
+    fn add(&mut self, crash: CrashId, age: Duration) {
+        self.age = if self.crashes.is_empty() { age } else { self.age.min(age) };
+        if let Err(place) = self.crashes.binary_search(&crash) {
+            self.crashes.insert(place, crash);
+        }
+    }
+}
+
+fn clearance_facts(clearances: BTreeMap<Fingerprint, Clearance>) -> Vec<Fact> {
+    let facts = clearances.into_iter().map(|(fingerprint, it)| Fact::Cleared {
+        fingerprint,
+        crashes: it.crashes,
+        age: it.age,
+    });
+    facts.collect()
+}
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct InFlightRequest {
     request: RequestId,
@@ -76,9 +105,8 @@
 pub struct SuspectTracker {
     ledger: CrashLedger,
     in_flight: Vec<InFlightRequest>,
-    /// Contents that a run at this instance has shown to be sound and when one last did, sorted by
-    /// fingerprint.
-    sound: Vec<(Fingerprint, Time)>,
+    /// Contents that a run at this instance has shown to be sound, and when one last did.
+    sound: HashMap<Fingerprint, Time>,
     doubts: Vec<Doubt>,
     reservations: Vec<(UpstreamId, Time)>,
 }
@@ -156,7 +184,7 @@
     /// Applies facts that arrived together; the quarantines are computed once for all of them.
     pub fn apply_all(&mut self, now: Time, facts: &[Fact], out: &mut Vec<Effect>) {
         if self.ledger.apply_all(now, facts) {
-            facts.iter().for_each(|fact| self.clear_sound(now, fact, out));
+            self.clear_sound(now, facts, out);
         }
     }
 
@@ -268,25 +296,26 @@
     /// Clears contents of all known crashes, including those of other upstreams during the run: a content
     /// that crashes upstreams crashes every one that runs it.
     fn clear(&mut self, now: Time, contents: &[Fingerprint], out: &mut Vec<Effect>) {
+        let mut facts = Vec::new();
         for &fingerprint in contents {
-            match self.sound.binary_search_by_key(&fingerprint, |it| it.0) {
-                Ok(found) => self.sound[found].1 = now,
-                Err(place) => self.sound.insert(place, (fingerprint, now)),
-            }
+            self.sound.insert(fingerprint, now);
             let crashes = self.ledger.crashes_of(fingerprint);
-            let Some(age) = self.ledger.newest_crash_age(now, &crashes) else {
-                continue;
-            };
-            let fact = Fact::Cleared { fingerprint, crashes, age };
-            self.ledger.apply(now, &fact);
-            out.push(Effect::Publish(fact));
+            if let Some(age) = self.ledger.newest_crash_age(now, &crashes) {
+                facts.push(Fact::Cleared { fingerprint, crashes, age });
+            }
         }
+        self.publish(now, facts, out);
+    }
+
+    /// Applies facts that this instance has found out together, and publishes them.
+    fn publish(&mut self, now: Time, facts: Vec<Fact>, out: &mut Vec<Effect>) {
+        self.ledger.apply_all(now, &facts);
+        out.extend(facts.into_iter().map(Effect::Publish));
     }
 
     /// Whether a run at this instance has recently shown that the content is sound.
     fn is_sound(&self, now: Time, fingerprint: Fingerprint) -> bool {
-        let found = self.sound.binary_search_by_key(&fingerprint, |it| it.0);
-        found.is_ok_and(|found| now - self.sound[found].1 < SOUND_LIFETIME)
+        self.sound.get(&fingerprint).is_some_and(|shown| now - *shown < SOUND_LIFETIME)
     }
 
     /// The requests in flight on an incarnation of an upstream.
@@ -325,12 +354,10 @@
         trials.dedup();
         let key = CrashId { upstream, incarnation };
         let report = CrashReport { key, age: Duration::ZERO, in_flight, trials };
-        let fact = Fact::Crashed(report);
-        self.ledger.apply(now, &fact);
-        out.push(Effect::Publish(fact.clone()));
-        self.clear_sound(now, &fact, out);
-        let Fact::Crashed(report) = fact else { return };
         self.doubt(now, &report, &interrupted);
+        let facts = vec![Fact::Crashed(report)];
+        self.publish(now, facts.clone(), out);
+        self.clear_sound(now, &facts, out);
         for sent in interrupted {
             self.remove(&sent.request, out);
             out.push(Effect::Interrupted { request: sent.request });
@@ -340,15 +367,26 @@
 
     /// Notes the reported parts of the interrupted requests, and how long their answers had been written.
     fn doubt(&mut self, now: Time, report: &CrashReport, interrupted: &[InFlightRequest]) {
-        let mut parts: Vec<Fingerprint> =
+        let mut reported: Vec<Fingerprint> =
             report.in_flight.iter().flat_map(|it| it.parts().iter().copied()).collect();
-        parts.sort_unstable();
-        parts.dedup();
-        for part in parts {
-            let holders = interrupted.iter().filter(|it| it.contents.contains(part));
-            let written = holders.filter_map(|it| Some(now - it.began?)).max().unwrap_or_default();
-            self.doubts.push(Doubt { part, crash: report.key.clone(), at: now, written });
+        reported.sort_unstable();
+        reported.dedup();
+        let mut written = vec![Duration::ZERO; reported.len()];
+        for sent in interrupted {
+            let time = sent.began.map_or(Duration::ZERO, |began| now - began);
+            for part in sent.contents.parts() {
+                if let Ok(found) = reported.binary_search(part) {
+                    written[found] = written[found].max(time);
+                }
+            }
         }
+        let doubts = reported.into_iter().zip(written);
+        self.doubts.extend(doubts.map(|(part, written)| Doubt {
+            part,
+            crash: report.key.clone(),
+            at: now,
+            written,
+        }));
         let surplus = self.doubts.len().saturating_sub(MAX_DOUBTS);
         self.doubts.drain(..surplus);
     }
@@ -372,31 +410,33 @@
             let longest = written[..end].last().filter(|it| it.0 == doubt.part);
             longest.is_some_and(|it| it.1 > doubt.written + OUTLAST_MARGIN)
         };
-        let outlasted: Vec<Doubt> = self.doubts.extract_if(.., is_outlasted).collect();
-        for Doubt { part, crash, at, .. } in outlasted {
-            let fact = Fact::Cleared { fingerprint: part, crashes: vec![crash], age: now - at };
-            if self.ledger.apply(now, &fact) {
-                out.push(Effect::Publish(fact));
+        let mut outlasted: BTreeMap<Fingerprint, Clearance> = BTreeMap::new();
+        for Doubt { part, crash, at, .. } in self.doubts.extract_if(.., is_outlasted) {
+            if self.ledger.counts_against(part, &crash) {
+                outlasted.entry(part).or_default().add(crash, now - at);
             }
         }
+        self.publish(now, clearance_facts(outlasted), out);
     }
 
-    /// Clears the contents of a crash that this instance knows to be sound. A content that many callers
-    /// send is in flight on whichever upstream crashes.
-    fn clear_sound(&mut self, now: Time, fact: &Fact, out: &mut Vec<Effect>) {
-        let Fact::Crashed(report) = fact else { return };
-        for fingerprint in report.in_flight.iter().flat_map(RequestContents::iter) {
-            let crashes = vec![report.key.clone()];
-            let fact = Fact::Cleared { fingerprint, crashes, age: report.age };
-            if self.is_sound(now, fingerprint) && self.ledger.apply(now, &fact) {
-                out.push(Effect::Publish(fact));
+    /// Clears the contents of reported crashes that this instance knows to be sound. A content that many
+    /// callers send is in flight on whichever upstream crashes.
+    fn clear_sound(&mut self, now: Time, facts: &[Fact], out: &mut Vec<Effect>) {
+        let mut sound: BTreeMap<Fingerprint, Clearance> = BTreeMap::new();
+        for fact in facts {
+            let Fact::Crashed(CrashReport { key, age, in_flight, .. }) = fact else { continue };
+            for content in in_flight.iter().flat_map(RequestContents::iter) {
+                if self.is_sound(now, content) && self.ledger.counts_against(content, key) {
+                    sound.entry(content).or_default().add(key.clone(), *age);
+                }
             }
         }
+        self.publish(now, clearance_facts(sound), out);
     }
 
     fn expire(&mut self, now: Time) {
         self.ledger.expire(now);
-        self.sound.retain(|it| now - it.1 < SOUND_LIFETIME);
+        self.sound.retain(|_, shown| now - *shown < SOUND_LIFETIME);
         self.doubts.retain(|it| now - it.at < SOUND_LIFETIME);
         self.reservations.retain(|it| now < it.1);
     }
--- a/crates/medlarlug-core/src/suspects/mod.rs
+++ b/crates/medlarlug-core/src/suspects/mod.rs
@@ -46,7 +46,9 @@
 mod fact_log;
 mod isolation;
 mod ledger;
+mod records;
 mod trials;
+mod verdict;
 
 use std::time::Duration;
 
@@ -71,6 +73,8 @@
 pub const FACT_LIFETIME: Duration = Duration::from_secs(24 * 3_600);
 /// Maximum number of crashes in a ledger; the oldest are dropped first.
 pub const MAX_STORED_CRASHES: usize = 1_024;
+/// Maximum number of contents that the crashes in a ledger name; the oldest crashes are dropped first.
+pub const MAX_STORED_CONTENTS: usize = 131_072;
 /// Crashes that quarantine a content if in one of them no other suspect was in flight.
 pub const QUARANTINE_CRASHES_ISOLATED: usize = 2;
 /// Crashes that quarantine a content whatever else was in flight.
--- a/crates/medlarlug-core/tests/testsuite/fact_log.rs
+++ b/crates/medlarlug-core/tests/testsuite/fact_log.rs
@@ -72,3 +72,33 @@
 
     assert_eq!(together, single);
 }
+
+/// Guards against keepers that look through all crashes for what to store each time (issue 77).
+#[test]
+fn repeated_crashes_are_given_again_only_once_they_have_changed() {
+    let cleared = |number: u32, upstream: u32| Fact::Cleared {
+        fingerprint: content(number),
+        crashes: vec![CrashId {
+            upstream: id(&format!("engine-{upstream}")),
+            incarnation: Incarnation(1),
+        }],
+        age: Duration::ZERO,
+    };
+    for (fact, has_changed) in [
+        (crashed(2, 8..12), true),
+        (crashed(1, 0..9), false),
+        (cleared(3, 1), false),
+        (cleared(8, 1), true),
+    ] {
+        let mut log = FactLog::default();
+        [crashed(1, 0..9), crashed(3, 8..10)].iter().for_each(|it| {
+            log.apply(Time::ZERO, it);
+        });
+        log.take_changed_crashes(Time::ZERO);
+
+        log.apply(Time::ZERO, &fact);
+
+        let expected = has_changed.then(|| log.repeated_crashes(Time::ZERO));
+        assert_eq!(log.take_changed_crashes(Time::ZERO), expected, "{fact:?}");
+    }
+}
--- a/crates/medlarlug-core/tests/testsuite/suspects.rs
+++ b/crates/medlarlug-core/tests/testsuite/suspects.rs
@@ -454,3 +454,32 @@
 
     assert_eq!(tracker.status(later, content(7)), ContentStatus::Suspect);
 }
+
+/// Guards against quarantines that are kept although a fact has changed the evidence (issue 77).
+#[test]
+fn ledger_that_facts_changed_one_by_one_equals_one_that_got_them_at_once() {
+    for seed in 0..200 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let (mut single, mut facts) = (CrashLedger::default(), Vec::new());
+        for _ in 0..40 {
+            let fact = match rng.random_range(0..3) {
+                0 => cleared(rng.random_range(0..6), &[rng.random_range(0..8)]),
+                _ => {
+                    let request = |_| {
+                        let [whole, one, other] = [12, 6, 6].map(|it| rng.random_range(0..it));
+                        RequestContents::new(content(whole), vec![content(one), content(other)])
+                    };
+                    let in_flight = (0..3).map(request).collect();
+                    crashed_with(rng.random_range(0..8), in_flight)
+                }
+            };
+            single.apply(Time::ZERO, &fact);
+            facts.push(fact);
+
+            let mut at_once = CrashLedger::default();
+            at_once.apply_all(Time::ZERO, &facts);
+
+            assert_eq!(single, at_once, "seed {seed}, {facts:?}");
+        }
+    }
+}
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -462,9 +462,15 @@
         let now = self.now();
         let mut known = self.facts.borrow_mut();
         let new = facts.iter().filter(|fact| known.apply(now, fact));
-        let is_new = new.count() > 0;
+        let (mut is_new, mut has_crash) = (false, false);
+        for fact in new {
+            is_new = true;
+            has_crash |= matches!(fact, Fact::Crashed(_));
+        }
         drop(known);
-        if is_new {
+        // A clearance that is lost with the power only keeps a content from running for longer, so it is
+        // stored with the next round of updates.
+        if has_crash {
             self.store_facts();
         }
         is_new
@@ -472,7 +478,7 @@
 
     /// Writes the facts that must survive a loss of power, if they have changed.
     fn store_facts(&self) {
-        let facts = self.facts.borrow().repeated_crashes(self.now());
+        let Some(facts) = self.facts.borrow_mut().take_changed_crashes(self.now()) else { return };
         if let Some(batch) = self.stored_facts.borrow_mut().batch(facts) {
             self.writer.persist(facts::name(), batch);
         }
