Bound the contents that a crash report names

Cause: a report names all parts of all interrupted requests. Keepers forward no fact that names more than their log holds (8,192), so a report of 64 prompts of 1,400 parts reached no other instance.

A report now names at most 4,096 contents: every request, and an equal number of parts for the longest prompts, those with a crash against them first. What is left out is logged; a part at fault among them is found later.

Test: report_of_long_prompts_is_forwarded_... failed before, as the log held no report.

--- a/crates/medlarlug-core/src/suspects/isolation.rs
+++ b/crates/medlarlug-core/src/suspects/isolation.rs
@@ -9,8 +9,8 @@
     fingerprint::Fingerprint,
     ids::{Incarnation, RequestId, UpstreamId},
     suspects::{
-        ContentStatus, CrashId, CrashLedger, CrashReport, Effect, Event, Fact, Placement,
-        RESERVATION_LIFETIME, RequestContents,
+        ContentStatus, CrashId, CrashLedger, CrashReport, Effect, Event, Fact, MAX_LOGGED_CONTENTS,
+        Placement, RESERVATION_LIFETIME, RequestContents,
     },
     time::Time,
 };
@@ -24,6 +24,8 @@
 /// Time since its begin after which an answer is an unlikely cause of a crash, as long as a younger
 /// one was in flight on the same upstream.
 const YOUNG_ANSWER_TIME: Duration = Duration::from_secs(1);
+/// Maximum number of contents that a crash report names. Keepers forward no longer ones.
+const MAX_REPORTED_CONTENTS: usize = MAX_LOGGED_CONTENTS / 2;
 /// Maximum number of parts in doubt; the oldest are dropped first, and only complete answers clear them.
 const MAX_DOUBTS: usize = 4_096;
 
@@ -346,6 +348,7 @@
             it.contents.with_parts(|part| may_be_cause && !self.is_sound(now, part))
         });
         let mut in_flight: Vec<RequestContents> = contents.collect();
+        let omitted = self.limit_parts(&mut in_flight);
         in_flight.sort_unstable();
         in_flight.dedup();
         let mut trials: Vec<Fingerprint> =
@@ -353,6 +356,9 @@
         trials.sort_unstable();
         trials.dedup();
         let key = CrashId { upstream, incarnation };
+        if omitted > 0 {
+            out.push(Effect::PartsOmitted { crash: key.clone(), count: omitted });
+        }
         let report = CrashReport { key, age: Duration::ZERO, in_flight, trials };
         self.doubt(now, &report, &interrupted);
         let facts = vec![Fact::Crashed(report)];
@@ -365,6 +371,33 @@
         self.clear_outlasted(now, out);
     }
 
+    /// Leaves out parts of the longest prompts if the requests hold more than [`MAX_REPORTED_CONTENTS`]. Parts
+    /// with a crash against them are kept first. Returns the number of parts that were left out.
+    fn limit_parts(&self, requests: &mut [RequestContents]) -> usize {
+        let mut counts: Vec<usize> = requests.iter().map(|it| it.parts().len()).collect();
+        counts.sort_unstable();
+        let mut remaining = MAX_REPORTED_CONTENTS.saturating_sub(requests.len());
+        let mut limit = usize::MAX;
+        for (number, count) in counts.iter().enumerate() {
+            let equal_share = remaining / (requests.len() - number);
+            if *count > equal_share {
+                limit = equal_share;
+                break;
+            }
+            remaining -= count;
+        }
+        let mut omitted = 0;
+        for request in requests.iter_mut().filter(|it| it.parts().len() > limit) {
+            let parts = request.parts().iter().copied();
+            let (mut kept, others): (Vec<Fingerprint>, Vec<Fingerprint>) =
+                parts.partition(|it| self.ledger.is_doubted(*it));
+            kept.extend(others);
+            omitted += kept.drain(limit..).count();
+            *request = RequestContents::new(request.whole(), kept);
+        }
+        omitted
+    }
+
     /// Notes the reported parts of the interrupted requests, and how long their answers had been written.
     fn doubt(&mut self, now: Time, report: &CrashReport, interrupted: &[InFlightRequest]) {
         let mut reported: Vec<Fingerprint> =
--- a/crates/medlarlug-core/src/suspects/ledger.rs
+++ b/crates/medlarlug-core/src/suspects/ledger.rs
@@ -175,6 +175,11 @@
         self.records.counted(fingerprint).cloned().collect()
     }
 
+    /// Whether any crash counts against `fingerprint`.
+    pub fn is_doubted(&self, fingerprint: Fingerprint) -> bool {
+        self.records.counted(fingerprint).next().is_some()
+    }
+
     /// Whether the crash counts against `fingerprint`.
     pub fn counts_against(&self, fingerprint: Fingerprint, crash: &CrashId) -> bool {
         self.records.counts(fingerprint, crash)
--- a/crates/medlarlug-core/src/suspects/mod.rs
+++ b/crates/medlarlug-core/src/suspects/mod.rs
@@ -250,6 +250,14 @@
     /// Send the fact to the home group and to the region's entry instances; the home group forwards
     /// it to the other regions.
     Publish(Fact),
+    /// Log that a crash report names only some of the parts that were in flight, as they are too many. A part
+    /// at fault may be found later for that.
+    PartsOmitted {
+        /// The crash.
+        crash: CrashId,
+        /// Number of parts that are left out; a part of several requests counts for each.
+        count: usize,
+    },
     /// The request's upstream crashed while the request was in flight: retry it or give it up.
     Interrupted {
         /// Request to retry or give up; it no longer counts as in flight.
--- a/crates/medlarlug-core/tests/testsuite/fact_log.rs
+++ b/crates/medlarlug-core/tests/testsuite/fact_log.rs
@@ -4,9 +4,10 @@
 
 use medlarlug_core::{
     fingerprint::Fingerprint,
-    ids::Incarnation,
+    ids::{Incarnation, UpstreamId},
     suspects::{
-        CrashId, CrashLedger, CrashReport, Fact, FactLog, MAX_LOGGED_CONTENTS, RequestContents,
+        CrashId, CrashLedger, CrashReport, Effect, Event, Fact, FactLog, MAX_LOGGED_CONTENTS,
+        RequestContents, SuspectTracker,
     },
     time::Time,
 };
@@ -102,3 +103,45 @@
         assert_eq!(log.take_changed_crashes(Time::ZERO), expected, "{fact:?}");
     }
 }
+
+/// Guards against reports of long prompts that no other instance receives, since keepers forward none that
+/// names more contents than their log holds (issue 77).
+#[test]
+fn report_of_long_prompts_is_forwarded_with_every_request_and_the_parts_in_doubt() {
+    let doubted = content(77);
+    let mut tracker = SuspectTracker::default();
+    let mut out = Vec::new();
+    tracker.apply_all(Time::ZERO, &[crashed(1, 77..78)], &mut out);
+    let upstream: UpstreamId = id("engine-2");
+    for number in 0..64 {
+        let own = (0..1_400).map(|it| content(1_000 + number * 1_400 + it));
+        let sent = Event::Sent {
+            request: id(&format!("riga.entry-1.1.{number}")),
+            contents: RequestContents::new(content(number), own.chain([doubted]).collect()),
+            upstream: upstream.clone(),
+            incarnation: Incarnation(1),
+        };
+        tracker.handle(Time::ZERO, sent, &mut out);
+    }
+
+    tracker.handle(
+        Time::ZERO,
+        Event::UpstreamCrashed { upstream, incarnation: Incarnation(1) },
+        &mut out,
+    );
+
+    let mut log = FactLog::default();
+    for effect in &out {
+        if let Effect::Publish(fact) = effect {
+            log.apply(Time::ZERO, fact);
+        }
+    }
+    let sent = log.since(Time::ZERO, 0);
+    let in_flight = sent.iter().find_map(|fact| match fact {
+        Fact::Crashed(report) => Some(&report.in_flight),
+        Fact::Cleared { .. } => None,
+    });
+    let in_flight = in_flight.expect("the report is forwarded");
+    assert_eq!(in_flight.iter().filter(|it| it.contains(doubted)).count(), 64);
+    assert!(out.iter().any(|it| matches!(it, Effect::PartsOmitted { .. })), "{out:?}");
+}
--- a/crates/medlarlug-core/tests/testsuite/suspects.rs
+++ b/crates/medlarlug-core/tests/testsuite/suspects.rs
@@ -113,6 +113,7 @@
                     let (content, _, entry, _) = self.in_flight.remove(place);
                     self.waiting.push((content, entry));
                 }
+                Effect::PartsOmitted { .. } => {}
             }
         }
     }
--- a/crates/medlarlug-gateway/src/entry/crashes.rs
+++ b/crates/medlarlug-gateway/src/entry/crashes.rs
@@ -388,6 +388,10 @@
         self.log_new_quarantines(|suspects, now| change(suspects, now, &mut effects));
         let facts = effects.into_iter().filter_map(|effect| match effect {
             Effect::Publish(fact) => Some(fact),
+            Effect::PartsOmitted { crash, count } => {
+                tracing::warn!(upstream = %crash.upstream, birth = crash.incarnation.0, count, "parts left out of a crash report, which names too many");
+                None
+            }
             // The gateway does not reserve upstreams for suspects: an upstream runs a hundred
             // requests at the same time.
             Effect::Reserve { .. }
--- a/src/coordination/entry/crashes.rs
+++ b/src/coordination/entry/crashes.rs
@@ -10,7 +10,7 @@
     ids::{Incarnation, InstanceId, RequestId, UpstreamId},
     membership::{InstanceKind, Target},
     refusal::{Reason, Refusal},
-    suspects::{ContentStatus, Effect, Event, Fact, Placement},
+    suspects::{ContentStatus, CrashId, Effect, Event, Fact, Placement},
 };
 use tokio::{io::AsyncReadExt, net::TcpStream, time::timeout};
 
@@ -45,6 +45,9 @@
                 Effect::ReleaseReservation { upstream } => {
                     self.notify_zone(&Message::Free { upstream })
                 }
+                Effect::PartsOmitted { crash: CrashId { upstream, incarnation }, count } => {
+                    tracing::warn!(%upstream, %incarnation, count, "parts left out of a crash report, which names too many");
+                }
                 // The task of the request detects the crash on its own connection.
                 Effect::Interrupted { .. } => {}
             }
