Suspect all answers that a crash interrupts, and quarantine what prevails

Cause: a crash report left out the parts of answers older than a second if a younger one was in flight. At eight streams a second for each engine there nearly always is one.

Reports name the parts of all interrupted answers. The ledger quarantines for three crashes if they are at least half of the unexplained ones of some span of time; of contents with equal evidence, those that over twice as many interrupted requests held as the rarest are left alone.

--- a/crates/medlarlug-core/src/suspects/isolation.rs
+++ b/crates/medlarlug-core/src/suspects/isolation.rs
@@ -21,9 +21,6 @@
 /// Time by which an answer has to outlast the interrupted ones to show that their common parts are
 /// sound. Covers how late a broken connection is noticed.
 const OUTLAST_MARGIN: Duration = Duration::from_secs(2);
-/// Time since its begin after which an answer is an unlikely cause of a crash, as long as a younger
-/// one was in flight on the same upstream.
-const YOUNG_ANSWER_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of contents that a crash report names. Keepers forward no longer ones.
 const MAX_REPORTED_CONTENTS: usize = MAX_LOGGED_CONTENTS / 2;
 /// Maximum number of parts in doubt; the oldest are dropped first, and only complete answers clear them.
@@ -338,15 +335,9 @@
         if interrupted.is_empty() {
             return;
         }
-        let is_young =
-            |it: &InFlightRequest| it.began.is_none_or(|began| now - began < YOUNG_ANSWER_TIME);
-        let has_young = interrupted.iter().any(is_young);
-        // Answers are long, and many hold parts that others share. An upstream that crashes for
-        // another reason would put all of them under suspicion.
-        let contents = interrupted.iter().map(|it| {
-            let may_be_cause = !has_young || is_young(it);
-            it.contents.with_parts(|part| may_be_cause && !self.is_sound(now, part))
-        });
+        // Whatever the age of an answer, its request may be the cause.
+        let contents =
+            interrupted.iter().map(|it| it.contents.with_parts(|part| !self.is_sound(now, part)));
         let mut in_flight: Vec<RequestContents> = contents.collect();
         let omitted = self.limit_parts(&mut in_flight);
         in_flight.sort_unstable();
--- a/crates/medlarlug-core/src/suspects/mod.rs
+++ b/crates/medlarlug-core/src/suspects/mod.rs
@@ -14,16 +14,15 @@
 //! A completed run clears a request and its parts of all crashes so far, and for a minute of those that
 //! follow. A content that crashes upstreams crashes every one that runs it, while a common content is in
 //! flight on whichever upstream crashes. An answer that has only begun clears nothing, since a part may
-//! crash its upstream while the answer is written. Of answers that a crash interrupts, the parts of
-//! those that have been written for a second are suspects only if no younger one was in flight. An answer
-//! that has been written for longer than those that a crash interrupted clears their common parts of that
-//! crash.
+//! crash its upstream at any time while the answer is written. An answer that has been written for longer
+//! than those that a crash interrupted clears their common parts of that crash.
 //!
 //! A content is quarantined when
 //!
 //! - two crashes name it, and in one of them its request was the only one in flight, or all others have
 //!   been cleared of that crash, or
-//! - three crashes name it.
+//! - three crashes name it, and in some span of time at least half of all that nothing else explains. Where
+//!   upstreams crash for other reasons, long answers are interrupted several times by chance.
 //!
 //! Of several such contents, those with the strongest evidence are quarantined, and of these the ones
 //! that the fewest requests hold: a part that all requests share is in flight at every crash. A crash
@@ -77,7 +76,8 @@
 pub const MAX_STORED_CONTENTS: usize = 131_072;
 /// Crashes that quarantine a content if in one of them no other suspect was in flight.
 pub const QUARANTINE_CRASHES_ISOLATED: usize = 2;
-/// Crashes that quarantine a content whatever else was in flight.
+/// Crashes that quarantine a content whatever else was in flight, if they are at least half of all in some
+/// span of time.
 pub const QUARANTINE_CRASHES_SHARED: usize = 3;
 /// Maximum time for which an upstream is reserved for one suspect.
 pub const RESERVATION_LIFETIME: Duration = Duration::from_secs(60);
--- a/crates/medlarlug-core/src/suspects/verdict.rs
+++ b/crates/medlarlug-core/src/suspects/verdict.rs
@@ -10,6 +10,10 @@
     time::Time,
 };
 
+/// Of contents with equal evidence, those that this many times as many requests held as the rarest are less
+/// likely at fault.
+const MAX_HOLDER_RATIO: usize = 2;
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Quarantine {
     pub(super) fingerprint: Fingerprint,
@@ -58,9 +62,12 @@
         loop {
             let unexplained = evidence.iter().filter(|it| !is_explained[it.crash]).copied();
             let unexplained: Vec<Evidence> = unexplained.collect();
+            let crashes = records.crashes().iter().zip(&is_explained).filter(|it| !it.1);
+            let mut times: Vec<Time> = crashes.map(|it| it.0.at).collect();
+            times.sort_unstable();
             let candidates: Vec<Quarantine> = unexplained
                 .chunk_by(|a, b| a.fingerprint == b.fingerprint)
-                .filter_map(candidate)
+                .filter_map(|evidence| candidate(evidence, &times))
                 .collect();
             let Some(strongest) = candidates.iter().map(Quarantine::strength).max() else {
                 break;
@@ -123,13 +130,14 @@
     evidence
 }
 
-/// The quarantine of the content that all of `evidence` is about, if there is enough of it.
-fn candidate(evidence: &[Evidence]) -> Option<Quarantine> {
+/// The quarantine of the content that all of `evidence` is about, if there is enough of it. `times` are
+/// those of all crashes that may count against it, sorted.
+fn candidate(evidence: &[Evidence], times: &[Time]) -> Option<Quarantine> {
     let crashes = evidence.len();
     let isolated = evidence.iter().filter(|it| it.is_isolated).count();
     let failed = evidence.iter().filter(|it| it.is_trial).count();
     let is_likely = crashes >= QUARANTINE_CRASHES_ISOLATED && isolated > 0;
-    if !is_likely && crashes < QUARANTINE_CRASHES_SHARED {
+    if !is_likely && !prevails(evidence, times) {
         return None;
     }
     let &Evidence { fingerprint, at: last_crash, .. } = evidence.last()?;
@@ -137,11 +145,33 @@
     Some(Quarantine { fingerprint, last_crash, crashes, isolated, failed, group })
 }
 
+/// Whether there is a span of time in which a content was in flight at
+/// [`QUARANTINE_CRASHES_SHARED`] crashes or more, and at no fewer than half of all. `evidence` is that
+/// against the content, sorted by time.
+fn prevails(evidence: &[Evidence], times: &[Time]) -> bool {
+    // For a span from the crash `first` of the content to its crash `last`, the content's crashes are
+    // `last - first + 1`, and all crashes are `ends - begins`, of which twice the former is the most.
+    let begins = |it: &Evidence| times.partition_point(|time| *time < it.at) as i64;
+    let ends = |it: &Evidence| times.partition_point(|time| *time <= it.at) as i64;
+    let mut best = i64::MIN;
+    let spans = evidence.iter().zip(evidence.iter().skip(QUARANTINE_CRASHES_SHARED - 1));
+    for (number, (first, last)) in (0..).zip(spans) {
+        best = best.max(begins(first) - 2 * number);
+        let last_number = number + QUARANTINE_CRASHES_SHARED as i64 - 1;
+        if ends(last) - 2 * (last_number + 1) <= best {
+            return true;
+        }
+    }
+    false
+}
+
 /// Those of the candidates that are most likely at fault, with their groups.
 ///
 /// A content that most requests hold is in flight at every crash, so one that only some of its
 /// requests hold explains the same crashes better. A single request is in flight at several crashes
-/// if it is retried, so one that different requests have in common explains them better, too.
+/// if it is retried, so one that different requests have in common explains them better, too. And
+/// a content that many of the interrupted requests held had run until then in most of them, while one
+/// at fault crashes the upstream of each.
 fn most_specific(records: &CrashRecords, candidates: Vec<Quarantine>) -> Vec<Quarantine> {
     if candidates.len() == 1 {
         return candidates;
@@ -156,8 +186,10 @@
     let mut specific = groups.clone();
     specific.retain(|own| !groups.iter().any(|other| is_narrower(&other[0].0, &own[0].0)));
     let are_shared = specific.iter().any(|it| it[0].0.len() > 1);
-    let likely = specific.into_iter().filter(|it| it[0].0.len() > 1 || !are_shared);
-    let with_group = likely.flat_map(|same| {
+    specific.retain(|it| it[0].0.len() > 1 || !are_shared);
+    let fewest = specific.iter().map(|it| it[0].0.len()).min().unwrap_or_default();
+    let rarest = specific.into_iter().filter(|it| it[0].0.len() <= MAX_HOLDER_RATIO * fewest);
+    let with_group = rarest.flat_map(|same| {
         let group: Arc<[Fingerprint]> = same.iter().map(|it| it.1.fingerprint).collect();
         same.iter().map(move |it| Quarantine { group: group.clone(), ..it.1.clone() })
     });
