Index the requests that held a content

The index now keeps them, and rebuilds them when a crash is forgotten. The benchmark takes the lowest of three runs.

--- a/crates/medlarlug-core/benches/crash_ledger.rs
+++ b/crates/medlarlug-core/benches/crash_ledger.rs
@@ -26,6 +26,8 @@
 const MAX_CRASH_CONTENTS: usize = 100_000;
 /// Contents of all known crashes beyond which a case is left out.
 const MAX_CASE_CONTENTS: usize = 2_000_000;
+/// Runs of each case, of which the lowest times count.
+const RUNS: usize = 3;
 const DOCUMENTS: usize = 7;
 /// The upstream that crashes in the measured event.
 const CRASHED: usize = 99;
@@ -117,9 +119,36 @@
     (time, bytes)
 }
 
-/// Measures a case; returns whether it kept the budgets.
-fn run(case: Case) -> bool {
-    let Case { parts, known, in_flight } = case;
+/// What one run of a case took.
+#[derive(Debug, Clone, Copy)]
+struct Costs {
+    /// A clearance that was received, an answer that ends, and the next one with the same shared parts.
+    answers: [Duration; 3],
+    /// A report that was received, a crash, a tick, and a report at a keeper.
+    events: [Duration; 4],
+    /// Bytes that were published for the answer and for the crash.
+    bytes: [usize; 2],
+}
+
+impl Costs {
+    /// The lower time of each event: what else runs on the machine only adds to it.
+    fn min(self, other: Costs) -> Costs {
+        let least = |one: Duration, it: Duration| one.min(it);
+        Costs {
+            answers: std::array::from_fn(|it| least(self.answers[it], other.answers[it])),
+            events: std::array::from_fn(|it| least(self.events[it], other.events[it])),
+            ..self
+        }
+    }
+
+    fn are_kept(&self) -> bool {
+        self.answers.iter().all(|it| *it <= MAX_ANSWER_TIME)
+            && self.events.iter().all(|it| *it <= MAX_EVENT_TIME)
+            && self.bytes.iter().all(|it| *it <= MAX_PUBLISHED_BYTES)
+    }
+}
+
+fn run(case: Case) -> Costs {
     let mut tracker = case.tracker();
     let other = case.report(CRASHED - 1);
     let cleared = Fact::Cleared {
@@ -138,7 +167,7 @@
     let tick = measure(&mut tracker, Event::Tick);
 
     let mut log = FactLog::default();
-    for fact in (0..known).flat_map(|it| case.report(it)) {
+    for fact in (0..case.known).flat_map(|it| case.report(it)) {
         log.apply(Time::ZERO, &fact);
     }
     let start = Instant::now();
@@ -147,24 +176,11 @@
     }
     log.repeated_crashes(Time::ZERO);
     let keeper = start.elapsed();
-
-    println!(
-        "{parts:5} {known:6} {in_flight:7} {:>10} {:>10} {:8} {:>10} {:>10} {:>10} {:8} {:>10} {:>10}",
-        micros(cleared.0),
-        micros(ended.0),
-        ended.1,
-        micros(next.0),
-        micros(received),
-        micros(crashed.0),
-        crashed.1,
-        micros(tick.0),
-        micros(keeper)
-    );
-    let answers = [cleared.0, ended.0, next.0];
-    let events = [received, crashed.0, tick.0, keeper];
-    answers.iter().all(|it| *it <= MAX_ANSWER_TIME)
-        && events.iter().all(|it| *it <= MAX_EVENT_TIME)
-        && ended.1.max(crashed.1) <= MAX_PUBLISHED_BYTES
+    Costs {
+        answers: [cleared.0, ended.0, next.0],
+        events: [received, crashed.0, tick.0, keeper],
+        bytes: [ended.1, crashed.1],
+    }
 }
 
 /// Microseconds, as all columns of time have this unit.
@@ -174,17 +190,23 @@
 
 fn main() -> ExitCode {
     println!(
-        "parts  known  flight  clearance     answer    bytes       next     report      crash    bytes       tick     keeper"
+        "parts  known  flight  clearance     answer       next     report      crash       tick     keeper    bytes: answer, crash"
     );
     let mut failed = 0;
     for parts in [3, 100, 1_400] {
         for in_flight in [64, 640] {
             for known in [0, 1, 20, 37] {
-                let case = Case { parts, known, in_flight };
                 let contents = parts * in_flight;
-                if contents <= MAX_CRASH_CONTENTS && contents * (known + 1) <= MAX_CASE_CONTENTS {
-                    failed += usize::from(!run(case));
+                if contents > MAX_CRASH_CONTENTS || contents * (known + 1) > MAX_CASE_CONTENTS {
+                    continue;
                 }
+                let case = Case { parts, known, in_flight };
+                let costs = (1..RUNS).fold(run(case), |costs, _| costs.min(run(case)));
+                failed += usize::from(!costs.are_kept());
+                let times = costs.answers.iter().chain(&costs.events);
+                let times: String = times.map(|it| format!(" {:>10}", micros(*it))).collect();
+                let [ended, crashed] = costs.bytes;
+                println!("{parts:5} {known:6} {in_flight:7}{times} {ended:10} {crashed:10}");
             }
         }
     }
--- a/crates/medlarlug-core/src/suspects/records.rs
+++ b/crates/medlarlug-core/src/suspects/records.rs
@@ -32,6 +32,15 @@
     counts: bool,
 }
 
+/// What the crashes say of one content.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct ContentRecord {
+    /// Sorted by crash.
+    sightings: Vec<Sighting>,
+    /// The requests that held the content at these crashes, sorted by their fingerprints.
+    holders: Vec<Fingerprint>,
+}
+
 /// What a fact has changed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct Change {
@@ -43,12 +52,11 @@
     pub(super) has_repeated: bool,
 }
 
-/// The crashes of which the contents in flight were last reported, sorted by id, and for each content the
-/// crashes that it was in flight at.
+/// The known crashes, sorted by id, and an index of the contents that were in flight at them.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(super) struct CrashRecords {
     crashes: Vec<Crash>,
-    sightings: HashMap<Fingerprint, Vec<Sighting>>,
+    index: HashMap<Fingerprint, ContentRecord>,
     /// The contents with more than one crash that counts against them.
     repeated: BTreeSet<Fingerprint>,
     /// Number of contents that the crashes name; a content of several requests counts for each.
@@ -82,14 +90,8 @@
     }
 
     /// The requests that held a content at any crash, sorted by their fingerprints.
-    pub(super) fn holders(&self, content: Fingerprint) -> Vec<Fingerprint> {
-        let places = self.sightings(content).iter().filter_map(|it| self.find(&it.crash).ok());
-        let requests = places.flat_map(|place| &self.crashes[place].in_flight);
-        let held = requests.filter(|it| it.contains(content));
-        let mut holders: Vec<Fingerprint> = held.map(RequestContents::whole).collect();
-        holders.sort_unstable();
-        holders.dedup();
-        holders
+    pub(super) fn holders(&self, content: Fingerprint) -> &[Fingerprint] {
+        self.index.get(&content).map_or(&[], |it| &it.holders)
     }
 
     /// Adds a fact.
@@ -153,7 +155,7 @@
     }
 
     fn sightings(&self, content: Fingerprint) -> &[Sighting] {
-        self.sightings.get(&content).map_or(&[], Vec::as_slice)
+        self.index.get(&content).map_or(&[], |it| &it.sightings)
     }
 
     /// The place of the crash with the id `key`, inserted if it was not known; the earliest reported moment
@@ -189,7 +191,8 @@
             self.contents = self.contents + request.iter().count() - covered;
             let Crash { key, cleared, .. } = &self.crashes[place];
             for content in request.iter() {
-                let sightings = self.sightings.entry(content).or_default();
+                let ContentRecord { sightings, holders } = self.index.entry(content).or_default();
+                insert(holders, request.whole());
                 let Err(at) = sightings.binary_search_by(|it| it.crash.cmp(key)) else { continue };
                 let counts = cleared.binary_search(&content).is_err();
                 sightings.insert(at, Sighting { crash: key.clone(), counts });
@@ -211,7 +214,9 @@
                 continue;
             }
             change.is_new = true;
-            let Some(sightings) = self.sightings.get_mut(&content) else { continue };
+            let Some(ContentRecord { sightings, .. }) = self.index.get_mut(&content) else {
+                continue;
+            };
             let Ok(found) = sightings.binary_search_by(|it| it.crash.cmp(key)) else { continue };
             change.has_repeated |= is_repeated(sightings);
             sightings[found].counts = false;
@@ -240,16 +245,29 @@
 
     /// Removes the contents of a crash, which is not among the crashes any more, from the index.
     fn forget_contents(&mut self, crash: &Crash) {
+        let CrashRecords { crashes, index, repeated, contents } = self;
         for content in crash.in_flight.iter().flat_map(RequestContents::iter) {
-            self.contents -= 1;
-            let Some(sightings) = self.sightings.get_mut(&content) else { continue };
-            sightings.retain(|it| it.crash != crash.key);
-            if !is_repeated(sightings) {
-                self.repeated.remove(&content);
+            *contents -= 1;
+            let Some(record) = index.get_mut(&content) else { continue };
+            let Ok(found) = record.sightings.binary_search_by(|it| it.crash.cmp(&crash.key)) else {
+                continue;
+            };
+            record.sightings.remove(found);
+            if !is_repeated(&record.sightings) {
+                repeated.remove(&content);
             }
-            if sightings.is_empty() {
-                self.sightings.remove(&content);
+            if record.sightings.is_empty() {
+                index.remove(&content);
+                continue;
             }
+            let others = record.sightings.iter().filter_map(|it| {
+                let place = crashes.binary_search_by(|known| known.key.cmp(&it.crash)).ok()?;
+                Some(&crashes[place])
+            });
+            let requests = others.flat_map(|it| &it.in_flight).filter(|it| it.contains(content));
+            record.holders = requests.map(RequestContents::whole).collect();
+            record.holders.sort_unstable();
+            record.holders.dedup();
         }
     }
 }
--- a/crates/medlarlug-core/src/suspects/verdict.rs
+++ b/crates/medlarlug-core/src/suspects/verdict.rs
@@ -177,14 +177,14 @@
         return candidates;
     }
     let with_holders = candidates.into_iter().map(|it| (records.holders(it.fingerprint), it));
-    let mut held: Vec<(Vec<Fingerprint>, Quarantine)> = with_holders.collect();
-    held.sort_by(|a, b| a.0.cmp(&b.0));
-    let groups: Vec<&[(Vec<Fingerprint>, Quarantine)]> = held.chunk_by(|a, b| a.0 == b.0).collect();
+    let mut held: Vec<(&[Fingerprint], Quarantine)> = with_holders.collect();
+    held.sort_by(|a, b| a.0.cmp(b.0));
+    let groups: Vec<&[(&[Fingerprint], Quarantine)]> = held.chunk_by(|a, b| a.0 == b.0).collect();
     let is_narrower = |one: &[Fingerprint], than: &[Fingerprint]| {
         one.len() < than.len() && one.iter().all(|it| than.binary_search(it).is_ok())
     };
     let mut specific = groups.clone();
-    specific.retain(|own| !groups.iter().any(|other| is_narrower(&other[0].0, &own[0].0)));
+    specific.retain(|own| !groups.iter().any(|other| is_narrower(other[0].0, own[0].0)));
     let are_shared = specific.iter().any(|it| it[0].0.len() > 1);
     specific.retain(|it| it[0].0.len() > 1 || !are_shared);
     let fewest = specific.iter().map(|it| it[0].0.len()).min().unwrap_or_default();
--- a/crates/medlarlug-core/tests/testsuite/suspects.rs
+++ b/crates/medlarlug-core/tests/testsuite/suspects.rs
@@ -458,11 +458,12 @@
 
 /// Guards against quarantines that are kept although a fact has changed the evidence (issue 77).
 #[test]
-fn ledger_that_facts_changed_one_by_one_equals_one_that_got_them_at_once() {
+fn ledger_that_facts_changed_one_by_one_equals_one_that_gets_all_known_facts_at_once() {
     for seed in 0..200 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let (mut single, mut facts) = (CrashLedger::default(), Vec::new());
-        for _ in 0..40 {
+        let mut single = CrashLedger::default();
+        for hour in 0..40 {
+            let now = Time::from_millis(hour * 3_600_000);
             let fact = match rng.random_range(0..3) {
                 0 => cleared(rng.random_range(0..6), &[rng.random_range(0..8)]),
                 _ => {
@@ -474,13 +475,13 @@
                     crashed_with(rng.random_range(0..8), in_flight)
                 }
             };
-            single.apply(Time::ZERO, &fact);
-            facts.push(fact);
+            single.apply(now, &fact);
+            single.expire(now);
 
             let mut at_once = CrashLedger::default();
-            at_once.apply_all(Time::ZERO, &facts);
+            at_once.apply_all(now, &single.facts(now));
 
-            assert_eq!(single, at_once, "seed {seed}, {facts:?}");
+            assert_eq!(single, at_once, "seed {seed}, hour {hour}, {fact:?}");
         }
     }
 }
