--- a/crates/medlarlug-gateway/src/keeper/facts.rs
+++ b/crates/medlarlug-gateway/src/keeper/facts.rs
@@ -3,10 +3,10 @@
 //! Stored are the crashes that involve a content with more than one crash, because these keep the
 //! content from running. A clearance removes its content. All facts are rewritten when they have
 //! changed: that is one write for a crash that involves a quarantined content or one that was
-//! suspected before, and none for other crashes. The facts are passed to the writer before they are
+//! suspected before, and none for other crashes. Crashes are passed to the writer before they are
 //! sent on, but nothing waits for the sync: that would delay the other instances in keeping the
 //! content from their upstreams, while a loss of power within these milliseconds costs one more
-//! crash.
+//! crash. Clearances are numerous after a crash, and are written with the next round of updates.
 //!
 //! While the keeper is down, ages advance by the wall clock. A clock that was set back makes facts
 //! younger, which keeps contents from running for longer and is thus safe.
--- a/crates/medlarlug-gateway/src/keeper/mod.rs
+++ b/crates/medlarlug-gateway/src/keeper/mod.rs
@@ -468,8 +468,7 @@
             has_crash |= matches!(fact, Fact::Crashed(_));
         }
         drop(known);
-        // A clearance that is lost with the power only keeps a content from running for longer, so it is
-        // stored with the next round of updates.
+        // A clearance that is lost with the power only keeps a content from running for longer.
         if has_crash {
             self.store_facts();
         }
